--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Each check has a target of its own; `make test` runs them all.
+
+CARGO ?= cargo
+
+.PHONY: all build demo test fmt clippy unit faults doc bench codegen clean
+
+all: build
+
+build:
+	$(CARGO) build --workspace --bins
+
+# The main job from end to end, on real processes.
+demo:
+	$(CARGO) build --workspace --bins
+	$(CARGO) run -q -p standin -- demo
+
+test: fmt clippy doc unit
+
+fmt:
+	$(CARGO) fmt --all --check
+
+clippy:
+	$(CARGO) clippy --workspace --all-targets -- -D warnings
+
+doc:
+	RUSTDOCFLAGS="-D warnings" $(CARGO) doc --workspace --no-deps -q
+
+unit: build
+	$(CARGO) test --workspace -q
+
+# The failures that need real processes.
+faults: build
+	$(CARGO) test -p standin --test faults
+
+codegen:
+	cd tools/codegen && $(CARGO) run
+
+clean:
+	$(CARGO) clean
--- /dev/null
+++ b/crates/core/src/bundle/mod.rs
@@ -0,0 +1,11 @@
+//! Bundles: what they may say, who signed them, and which roll is newer.
+
+mod check;
+mod document;
+mod roll;
+mod signature;
+
+pub use check::parse;
+pub use document::{Account, Class, Document, Group, Kind, Model, Price, Service};
+pub use roll::{Action, Adoption, Roll, adopt, next};
+pub use signature::{Signature, digest, key_from_hex, sign, verify};
--- /dev/null
+++ b/crates/core/src/route/mod.rs
@@ -0,0 +1,9 @@
+//! Which backend server is expected to answer first.
+
+mod choice;
+mod prefix;
+mod server;
+
+pub use choice::{Choice, Demand, LONG_PROMPT_TOKENS, choose, choose_two};
+pub use prefix::{BLOCK_TOKENS, Index, blocks, count_tokens};
+pub use server::{Report, Server};
--- /dev/null
+++ b/crates/keeljunction/src/command/serve.rs
@@ -0,0 +1,43 @@
+//! `keeljunction serve`
+
+use std::path::PathBuf;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use keeljunction_core::{Error, ErrorKind};
+
+use super::Failure;
+use crate::{log, node, runtime, settings};
+
+pub(super) fn build() -> Command {
+    Command::new("serve")
+        .about("Runs an entry node")
+        .long_about(
+            "Runs an entry node until SIGTERM or SIGINT, after which it finishes what is in flight.\n\
+             Once it listens, it prints its addresses as one JSON line on standard output; logs go\n\
+             to standard error as JSON lines.",
+        )
+        .arg(settings_arg())
+}
+
+pub(super) fn settings_arg() -> Arg {
+    Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("The settings, as YAML")
+}
+
+pub(super) fn run(matches: &ArgMatches) -> Result<(), Failure> {
+    let settings = settings::load(get_path(matches, "settings")?)?;
+    log::start(&settings.log_level);
+    let threads = settings.threads.saturating_sub(1);
+    Ok(runtime::run(threads, node::serve::serve(settings))?)
+}
+
+/// Returns a path argument that clap requires.
+pub(super) fn get_path<'a>(matches: &'a ArgMatches, name: &str) -> Result<&'a PathBuf, Error> {
+    matches
+        .get_one::<PathBuf>(name)
+        .ok_or_else(|| Error::new(ErrorKind::MissingKey, "an argument is missing").key(name))
+}
--- /dev/null
+++ b/crates/keeljunction/src/http/body.rs
@@ -0,0 +1,84 @@
+//! A body that is whole, or comes in pieces.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use async_channel::Receiver;
+use bytes::{Bytes, BytesMut};
+use futures_lite::Stream;
+use http_body_util::BodyExt;
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+
+/// A body that is whole, or comes in pieces through a channel.
+pub enum Body {
+    /// All of it, until it is taken.
+    Whole(Option<Bytes>),
+    /// Pieces; an error cuts the connection, so that the reader sees that something is missing.
+    Pieces(Pin<Box<Receiver<io::Result<Bytes>>>>),
+}
+
+impl Body {
+    /// Makes a body without content.
+    pub fn empty() -> Self {
+        Self::Whole(None)
+    }
+
+    /// Makes a body from a channel of pieces.
+    pub fn pieces(pieces: Receiver<io::Result<Bytes>>) -> Self {
+        Self::Pieces(Box::pin(pieces))
+    }
+}
+
+impl<T: Into<Bytes>> From<T> for Body {
+    fn from(content: T) -> Self {
+        Self::Whole(Some(content.into()))
+    }
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        match &mut *self {
+            Self::Whole(content) => Poll::Ready(content.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Pieces(pieces) => {
+                pieces.as_mut().poll_next(context).map(|piece| piece.map(|p| p.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(content) => {
+                SizeHint::with_exact(content.as_ref().map_or(0, Bytes::len) as u64)
+            }
+            Self::Pieces(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// Reads a body whole, up to `most` bytes; `None` where it is longer or breaks off.
+pub async fn read<B>(mut body: B, most: usize) -> Option<Bytes>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+{
+    let mut content = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.ok()?.into_data() {
+            if content.len() + data.len() > most {
+                return None;
+            }
+            content.extend_from_slice(&data);
+        }
+    }
+    Some(content.freeze())
+}
--- /dev/null
+++ b/crates/keeljunction/src/http/mod.rs
@@ -0,0 +1,9 @@
+//! HTTP by `hyper` on the project's executor: bodies, a client with kept connections, a server.
+
+mod body;
+mod client;
+mod server;
+
+pub use body::{Body, read};
+pub use client::{Client, Failure, Reply};
+pub use server::{Limits, Open, Server, Stop};
--- /dev/null
+++ b/crates/keeljunction/src/http/server.rs
@@ -0,0 +1,181 @@
+//! A server that can stop without cutting anything.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use async_net::{TcpListener, TcpStream};
+use futures_lite::future;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use super::Body;
+use crate::runtime;
+
+/// Bounds on what a connection may ask of the server.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Bytes of a request's head.
+    pub head_bytes: usize,
+    /// Time for a request's head to arrive.
+    pub head_within: Duration,
+    /// Connections at the same time; more are closed at once.
+    pub connections: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { head_bytes: 32 * 1024, head_within: Duration::from_secs(10), connections: 10_000 }
+    }
+}
+
+/// Tells connections to end after the request that they are at.
+#[derive(Clone, Debug)]
+pub struct Stop {
+    sender: async_channel::Sender<Infallible>,
+    receiver: async_channel::Receiver<Infallible>,
+}
+
+impl Stop {
+    /// Makes a signal that has not been given.
+    pub fn new() -> Self {
+        let (sender, receiver) = async_channel::bounded(1);
+        Self { sender, receiver }
+    }
+
+    /// Gives the signal, once and for all.
+    pub fn give(&self) {
+        self.sender.close();
+    }
+
+    /// Waits until the signal is given.
+    pub async fn given(&self) {
+        let _ = self.receiver.recv().await;
+    }
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// A count of open connections.
+#[derive(Clone, Debug, Default)]
+pub struct Open(Arc<AtomicUsize>);
+
+impl Open {
+    /// Returns how many connections are open.
+    pub fn get(&self) -> usize {
+        self.0.load(Ordering::SeqCst)
+    }
+}
+
+/// A listening server.
+pub struct Server {
+    listener: TcpListener,
+    limits: Limits,
+    stop: Stop,
+    open: Open,
+}
+
+impl Server {
+    /// Starts to listen.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error where the address cannot be had.
+    pub async fn bind(address: SocketAddr, limits: Limits, stop: Stop) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        Ok(Self { listener, limits, stop, open: Open::default() })
+    }
+
+    /// Returns the address that was got.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error.
+    pub fn get_address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Returns the count of open connections.
+    pub fn get_open(&self) -> Open {
+        self.open.clone()
+    }
+
+    /// Answers requests until the stop signal is given.
+    pub async fn serve<F, Fut>(self, answer: F)
+    where
+        F: Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
+        Fut: Future<Output = Response<Body>> + Send + 'static,
+    {
+        loop {
+            let accepted = future::or(async { Some(self.listener.accept().await) }, async {
+                self.stop.given().await;
+                None
+            });
+            match accepted.await {
+                None => return,
+                Some(Ok((stream, _))) => self.connect(stream, answer.clone()),
+                Some(Err(error)) => {
+                    log::warn!("no connection was accepted: {error}");
+                    runtime::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    }
+
+    fn connect<F, Fut>(&self, stream: TcpStream, answer: F)
+    where
+        F: Fn(Request<Incoming>) -> Fut + Send + Sync + 'static,
+        Fut: Future<Output = Response<Body>> + Send + 'static,
+    {
+        if self.open.get() >= self.limits.connections {
+            return;
+        }
+        self.open.0.fetch_add(1, Ordering::SeqCst);
+        let (open, stop, limits) = (self.open.clone(), self.stop.clone(), self.limits);
+        runtime::spawn(async move {
+            handle(stream, answer, limits, stop).await;
+            open.0.fetch_sub(1, Ordering::SeqCst);
+        });
+    }
+}
+
+async fn handle<F, Fut>(stream: TcpStream, answer: F, limits: Limits, stop: Stop)
+where
+    F: Fn(Request<Incoming>) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Response<Body>> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|request| {
+        let response = answer(request);
+        async { Ok::<_, Infallible>(response.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(SmolTimer::new()).header_read_timeout(limits.head_within);
+    builder.max_buf_size(limits.head_bytes.max(8192));
+    let mut connection = pin!(builder.serve_connection(FuturesIo::new(stream), service));
+    let stopping = pin!(stop.given());
+    let ended = async {
+        let _ = connection.as_mut().await;
+        false
+    };
+    let stopped = async {
+        stopping.await;
+        true
+    };
+    if future::or(ended, stopped).await {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
--- /dev/null
+++ b/crates/keeljunction/src/node/accept.rs
@@ -0,0 +1,166 @@
+//! Takes a request, or refuses it at once.
+//!
+//! A request is accepted once it has a grant, a copy of its record at a peer, and, where it must
+//! not be repeated, a claim. Whatever is missing, it is refused with when to come back.
+
+use std::sync::Arc;
+
+use keeljunction_core::claim::Verdict;
+use keeljunction_core::shard::Grant;
+use uuid::Uuid;
+
+use super::answer::{done, not_run, unknown};
+use super::grant::{Usage, Want};
+use super::relay::Start;
+use super::{Answer, Node, Request, claims, copy, find, grant, relay};
+use crate::peer::wire::Final;
+use crate::runtime;
+
+/// When to come back where all seats are taken, in milliseconds.
+const SEAT_RETRY_MS: u64 = 500;
+/// When to come back where neither a peer nor the platform answers, in milliseconds.
+const OUTAGE_RETRY_MS: u64 = 1_000;
+
+/// How a caller names its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Naming {
+    /// The caller gave the key, so the request may be known somewhere.
+    Given,
+    /// The key was drawn for it.
+    Drawn,
+    /// The caller comes back for the rest of an answer.
+    Returning,
+}
+
+/// Takes a request in, or finds the answer that it has. The answer may end at once as a refusal.
+pub fn accept(node: &Arc<Node>, request: Request, naming: Naming) -> Arc<Answer> {
+    let id = request.get_id();
+    let answer = {
+        let mut answers = runtime::lock(&node.answers);
+        if let Some(known) = answers.get(&id) {
+            return same_or_refused(node, known, request);
+        }
+        let answer = Arc::new(Answer::new(request));
+        answers.insert(id, answer.clone());
+        answer
+    };
+    let (node, taken) = (node.clone(), answer.clone());
+    runtime::spawn(async move { take(node, taken, naming).await });
+    answer
+}
+
+/// Refuses a request before anything was done for it.
+pub fn refuse(node: &Arc<Node>, answer: &Answer, ended: Final) {
+    node.metric.count("requests_refused", 1);
+    runtime::lock(&node.answers).remove(&answer.request.get_id());
+    answer.finish(node.now(), ended);
+}
+
+fn same_or_refused(node: &Node, known: &Arc<Answer>, request: Request) -> Arc<Answer> {
+    if known.request.digest == request.digest {
+        return known.clone();
+    }
+    let refused = Arc::new(Answer::new(request));
+    refused.finish(node.now(), key_reused());
+    refused
+}
+
+fn key_reused() -> Final {
+    not_run(422, "the key was used for another request", 0)
+}
+
+async fn take(node: Arc<Node>, answer: Arc<Answer>, naming: Naming) {
+    if naming != Naming::Drawn && find::resume(&node, &answer).await {
+        return;
+    }
+    if naming == Naming::Returning {
+        let lost = unknown(409, "no node knows this answer; ask again without Last-Event-ID", 0);
+        return refuse(&node, &answer, lost);
+    }
+    let Some(seat) = node.take_seat(&answer.request.account) else {
+        return refuse(
+            &node,
+            &answer,
+            not_run(429, "too many requests are in flight", SEAT_RETRY_MS),
+        );
+    };
+    match prepare(&node, &answer).await {
+        Ok(start) => {
+            answer.accept();
+            relay::run(node.clone(), answer, start).await;
+        }
+        Err(ended) => refuse(&node, &answer, ended),
+    }
+    drop(seat);
+}
+
+/// Gets all that an accepted request needs.
+async fn prepare(node: &Arc<Node>, answer: &Arc<Answer>) -> Result<Start, Final> {
+    let request = &answer.request;
+    node.count_try(&request.service.name);
+    let want = Want {
+        wait: request.class.first_token_ms / 2,
+        priority: request.class.priority,
+        avoid: &[],
+    };
+    let granted = grant::acquire(node, request, want).await;
+    let grant = granted.map_err(|r| not_run(503, "no backend server has room", r.retry_after))?;
+    let place = if request.is_safe() { None } else { Some(copy::place(node, answer).await) };
+    if place == Some(None) {
+        give_back(node, &grant);
+        return Err(not_run(503, "the request's record could not be copied", OUTAGE_RETRY_MS));
+    }
+    let place = place.flatten();
+    let attempt = Uuid::new_v4().to_string();
+    if request.needs_claim()
+        && let Err(ended) = claim(node, answer, &attempt).await
+    {
+        give_back(node, &grant);
+        if let Some(place) = &place {
+            copy::forget(node, answer, place).await;
+        }
+        return Err(ended);
+    }
+    if let Some(place) = place {
+        copy::keep(node, answer, place);
+    }
+    Ok(Start::Granted(grant, attempt))
+}
+
+/// Claims a request that must not be repeated, or says what its caller gets instead.
+async fn claim(node: &Arc<Node>, answer: &Answer, attempt: &str) -> Result<(), Final> {
+    match claims::claim(node, &answer.request, attempt).await {
+        Ok(verdict) => judged(verdict),
+        Err(fault) => {
+            claims::release(node, &answer.request, attempt);
+            node.metric.count("claims_failed", 1);
+            Err(not_run(
+                503,
+                &format!("the request could not be claimed: {fault}"),
+                OUTAGE_RETRY_MS,
+            ))
+        }
+    }
+}
+
+/// Turns the verdict over a claim into leave to run, or into what the caller gets instead.
+pub fn judged(verdict: Verdict) -> Result<(), Final> {
+    match verdict {
+        Verdict::Run => Ok(()),
+        Verdict::Recorded(answer) => {
+            let body = hex::decode(&answer.body).unwrap_or_default();
+            Err(done(answer.status, &answer.media_type, body))
+        }
+        Verdict::Released => Err(not_run(503, "the request was given up before it was sent", 0)),
+        Verdict::Taken | Verdict::Free => Err(unknown(
+            409,
+            "the request was sent before and its answer is not known",
+            OUTAGE_RETRY_MS,
+        )),
+        Verdict::Mismatch => Err(key_reused()),
+    }
+}
+
+fn give_back(node: &Arc<Node>, grant: &Grant) {
+    grant::release(node, &grant.id, Usage { cost: Some(0), is_failed: false });
+}
--- /dev/null
+++ b/crates/keeljunction/src/node/answer.rs
@@ -0,0 +1,223 @@
+//! An answer as it grows.
+
+use std::sync::Mutex;
+
+use event_listener::Event;
+use keeljunction_core::Millis;
+use keeljunction_core::drain::Action;
+use keeljunction_core::outcome::Outcome;
+
+use super::Request;
+use crate::peer::wire::Final;
+use crate::runtime;
+
+/// An attempt to run a request on a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// Its name.
+    pub id: String,
+    /// The server's name.
+    pub server: String,
+    /// Where the server is reached.
+    pub address: String,
+}
+
+/// What was added to an answer since an offset.
+#[derive(Clone, Debug, Default)]
+pub struct News {
+    /// The tokens from the offset on.
+    pub tokens: Vec<String>,
+    /// How the request ended, once it has.
+    pub ended: Option<Final>,
+}
+
+/// The answer to one request. The relay adds to it, any number of readers follow it.
+pub struct Answer {
+    /// The request.
+    pub request: Request,
+    state: Mutex<State>,
+    changed: Event,
+    steering: (async_channel::Sender<Action>, async_channel::Receiver<Action>),
+}
+
+#[derive(Default)]
+struct State {
+    is_accepted: bool,
+    is_sent: bool,
+    tokens: Vec<String>,
+    attempt: Option<Attempt>,
+    ended: Option<Final>,
+    ended_at: Option<Millis>,
+}
+
+impl Answer {
+    /// Starts an answer without tokens.
+    pub fn new(request: Request) -> Self {
+        Self {
+            request,
+            state: Mutex::default(),
+            changed: Event::new(),
+            steering: async_channel::bounded(4),
+        }
+    }
+
+    /// Notes that the request is accepted: it will be carried through.
+    pub fn accept(&self) {
+        runtime::lock(&self.state).is_accepted = true;
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Adds tokens.
+    pub fn push(&self, tokens: impl IntoIterator<Item = String>) {
+        runtime::lock(&self.state).tokens.extend(tokens);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Ends the answer. Only the first end counts.
+    pub fn finish(&self, now: Millis, ended: Final) {
+        let mut state = runtime::lock(&self.state);
+        if state.ended.is_none() {
+            state.ended = Some(ended);
+            state.ended_at = Some(now);
+        }
+        drop(state);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Notes the attempt that runs now.
+    pub fn set_attempt(&self, attempt: Attempt) {
+        runtime::lock(&self.state).attempt = Some(attempt);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Notes that bytes of the request may have reached a backend server.
+    pub fn set_sent(&self) {
+        runtime::lock(&self.state).is_sent = true;
+    }
+
+    /// Says whether bytes of the request may have reached a backend server.
+    pub fn is_sent(&self) -> bool {
+        runtime::lock(&self.state).is_sent
+    }
+
+    /// Returns the attempt that runs now.
+    pub fn get_attempt(&self) -> Option<Attempt> {
+        runtime::lock(&self.state).attempt.clone()
+    }
+
+    /// Returns how many tokens there are.
+    pub fn get_length(&self) -> u64 {
+        runtime::lock(&self.state).tokens.len() as u64
+    }
+
+    /// Returns when the answer ended.
+    pub fn get_ended_at(&self) -> Option<Millis> {
+        runtime::lock(&self.state).ended_at
+    }
+
+    /// Returns what was added since an offset.
+    pub fn get_since(&self, offset: u64) -> News {
+        let state = runtime::lock(&self.state);
+        let tokens = state.tokens.get(offset as usize..).unwrap_or_default().to_vec();
+        News { tokens, ended: state.ended.clone() }
+    }
+
+    /// Waits until the request is accepted or has ended, and returns its end if it has.
+    pub async fn accepted(&self) -> Option<Final> {
+        loop {
+            let changed = self.changed.listen();
+            {
+                let state = runtime::lock(&self.state);
+                if state.ended.is_some() || state.is_accepted {
+                    return state.ended.clone();
+                }
+            }
+            changed.await;
+        }
+    }
+
+    /// Waits until there is something beyond an offset, or the answer has ended.
+    pub async fn beyond(&self, offset: u64) -> News {
+        loop {
+            let changed = self.changed.listen();
+            let news = self.get_since(offset);
+            if !news.tokens.is_empty() || news.ended.is_some() {
+                return news;
+            }
+            changed.await;
+        }
+    }
+
+    /// Waits for any change after the given look at the answer.
+    pub async fn changed(&self, length: u64, attempt: Option<&Attempt>) {
+        loop {
+            let changed = self.changed.listen();
+            {
+                let state = runtime::lock(&self.state);
+                let is_longer = state.tokens.len() as u64 > length;
+                if is_longer || state.ended.is_some() || state.attempt.as_ref() != attempt {
+                    return;
+                }
+            }
+            changed.await;
+        }
+    }
+
+    /// Waits for the end.
+    pub async fn ended(&self) -> Final {
+        loop {
+            let changed = self.changed.listen();
+            if let Some(ended) = runtime::lock(&self.state).ended.clone() {
+                return ended;
+            }
+            changed.await;
+        }
+    }
+
+    /// Tells the relay to take the stream off its server.
+    pub fn steer(&self, action: Action) {
+        let _ = self.steering.0.try_send(action);
+    }
+
+    /// Waits until the relay is told to take the stream off its server.
+    pub async fn steered(&self) -> Action {
+        self.steering.1.recv().await.unwrap_or(Action::Finish)
+    }
+
+    /// Forgets steering that came too late.
+    pub fn unsteer(&self) {
+        while self.steering.1.try_recv().is_ok() {}
+    }
+}
+
+/// Makes the end of a request that was answered whole.
+pub fn done(status: u16, media_type: &str, body: Vec<u8>) -> Final {
+    Final {
+        outcome: Outcome::Done.as_str().to_owned(),
+        status: status.into(),
+        media_type: media_type.to_owned(),
+        body,
+        ..Final::default()
+    }
+}
+
+/// Makes the end of a request that was refused or failed.
+pub fn failed(outcome: Outcome, status: u16, detail: &str, retry_after_ms: Millis) -> Final {
+    Final {
+        outcome: outcome.as_str().to_owned(),
+        status: status.into(),
+        detail: detail.to_owned(),
+        retry_after_ms,
+        ..Final::default()
+    }
+}
+
+/// Makes the end of a request that did not run.
+pub fn not_run(status: u16, detail: &str, retry_after_ms: Millis) -> Final {
+    failed(Outcome::NotRun, status, detail, retry_after_ms)
+}
+
+/// Makes the end of a request that may have run.
+pub fn unknown(status: u16, detail: &str, retry_after_ms: Millis) -> Final {
+    failed(Outcome::Unknown, status, detail, retry_after_ms)
+}
--- /dev/null
+++ b/crates/keeljunction/src/node/attempt.rs
@@ -0,0 +1,179 @@
+//! One attempt to run a request on a backend server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::future;
+use keeljunction_core::drain::Action;
+use keeljunction_core::stream::{Cursor, Verdict};
+
+use super::answer::{Attempt, done};
+use super::{Answer, Node, grant};
+use crate::backend::{Engine, Piece, Plain, Send, Tokens};
+use crate::http::Failure;
+use crate::runtime;
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The answer is whole.
+    Finished,
+    /// No byte of it left, or the server says that it did not run it.
+    NotSent(String),
+    /// It may have run in part, and no more comes of it.
+    Broken(String),
+    /// It must be taken off its server.
+    Steered(Action),
+    /// The answer would come too late.
+    Late,
+}
+
+/// Returns the engine at an address.
+pub fn engine(node: &Node, address: SocketAddr) -> Engine<'_> {
+    let within = Duration::from_millis(node.settings.limits.idle_ms);
+    Engine { http: &node.http, address, within }
+}
+
+/// Sends a request to a model engine and follows its tokens.
+pub async fn run_model(
+    node: &Arc<Node>,
+    answer: &Answer,
+    attempt: &Attempt,
+    priority: u32,
+    cursor: &mut Cursor,
+    grant: &str,
+) -> End {
+    let Ok(address) = attempt.address.parse() else { return not_sent("not an IP:port") };
+    let request = &answer.request;
+    let tokens = answer.get_since(0).tokens;
+    let send = Send {
+        path: &request.path,
+        body: &request.body,
+        attempt: &attempt.id,
+        priority,
+        key: &request.key,
+        tokens: &tokens,
+    };
+    cursor.switch(&attempt.id);
+    let sent = engine(node, address).send(&send).await;
+    note_sent(answer, sent.as_ref().err());
+    match sent {
+        Ok(response) if response.status().is_success() => {
+            let tokens_stream = response.into_body();
+            if !tokens.is_empty() {
+                node.metric.count("tokens_recomputed", tokens_stream.prefill);
+            }
+            follow(node, answer, attempt, cursor, tokens_stream, Some(grant)).await
+        }
+        Ok(response) => {
+            let status = response.status().as_u16();
+            answer.finish(
+                node.now(),
+                super::answer::unknown(502, &format!("the engine answered {status}"), 0),
+            );
+            End::Finished
+        }
+        Err(Failure::NotSent(why)) => End::NotSent(why),
+        Err(Failure::MaybeSent(why)) => End::Broken(why),
+    }
+}
+
+/// Goes on reading an attempt that runs, or has run, on an engine.
+pub async fn attach(
+    node: &Arc<Node>,
+    answer: &Answer,
+    attempt: &Attempt,
+    cursor: &mut Cursor,
+) -> End {
+    let Ok(address) = attempt.address.parse() else { return not_sent("not an IP:port") };
+    cursor.switch(&attempt.id);
+    match engine(node, address).attach(&attempt.id, cursor.get_next()).await {
+        Ok(response) if response.status().is_success() => {
+            node.metric.count("attempts_attached", 1);
+            follow(node, answer, attempt, cursor, response.into_body(), None).await
+        }
+        Ok(response) => End::Broken(format!("status {}", response.status())),
+        Err(failure) => End::Broken(failure.to_string()),
+    }
+}
+
+/// Sends a request to a plain service and takes its whole answer.
+pub async fn run_plain(node: &Arc<Node>, answer: &Answer, attempt: &Attempt) -> End {
+    let Ok(address) = attempt.address.parse() else { return not_sent("not an IP:port") };
+    let request = &answer.request;
+    let plain = Plain {
+        method: &request.method,
+        path: &request.path,
+        headers: &request.headers,
+        body: &request.body,
+        attempt: &attempt.id,
+        key: &request.key,
+    };
+    let left = Duration::from_millis(request.deadline.saturating_sub(node.now()));
+    let sent = plain.send(&node.http, address, left).await;
+    note_sent(answer, sent.as_ref().err());
+    match sent {
+        Ok(reply) => {
+            let end = done(reply.status, &reply.media_type, reply.body.to_vec());
+            super::relay::finish_plain(node, answer, &attempt.id, end);
+            End::Finished
+        }
+        Err(Failure::NotSent(why)) => End::NotSent(why),
+        Err(Failure::MaybeSent(why)) => End::Broken(why),
+    }
+}
+
+async fn follow(
+    node: &Arc<Node>,
+    answer: &Answer,
+    attempt: &Attempt,
+    cursor: &mut Cursor,
+    mut tokens: Tokens,
+    grant: Option<&str>,
+) -> End {
+    let mut unread = grant;
+    loop {
+        let piece = match next(node, answer, &mut tokens).await {
+            Ok(Some(piece)) => piece,
+            Ok(None) => return End::Broken("the stream broke off".to_owned()),
+            Err(end) => return end,
+        };
+        let Piece::Token { attempt: named, offset, text } = piece else {
+            super::relay::finish_model(node, answer, attempt);
+            return End::Finished;
+        };
+        match cursor.judge(&named, offset, 1) {
+            Verdict::Accept(_) => answer.push([text]),
+            Verdict::Repeated | Verdict::Foreign => node.metric.count("tokens_dropped", 1),
+            Verdict::Gap(_) => return End::Broken("tokens are missing".to_owned()),
+        }
+        if let Some(grant) = unread.take() {
+            grant::first_token(node, grant);
+        }
+    }
+}
+
+/// Waits for the next piece, for being steered, or until it is too late.
+async fn next(node: &Node, answer: &Answer, tokens: &mut Tokens) -> Result<Option<Piece>, End> {
+    let left = answer.request.deadline.saturating_sub(node.now());
+    let idle = node.settings.limits.idle_ms;
+    let piece = async { Ok(tokens.next().await) };
+    let steered = async { Err(End::Steered(answer.steered().await)) };
+    let late = async {
+        runtime::sleep(Duration::from_millis(left.min(idle))).await;
+        Err(if left <= idle { End::Late } else { End::Broken("the engine fell silent".to_owned()) })
+    };
+    future::or(piece, future::or(steered, late)).await
+}
+
+/// Notes that bytes may have reached the server, unless it is certain that none did.
+fn note_sent(answer: &Answer, failure: Option<&Failure>) {
+    if !failure.is_some_and(Failure::is_not_sent) {
+        answer.set_sent();
+    }
+}
+
+fn not_sent(why: &str) -> End {
+    End::NotSent(why.to_owned())
+}
--- /dev/null
+++ b/crates/keeljunction/src/node/find.rs
@@ -0,0 +1,176 @@
+//! Finds the answer of a caller that comes back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::StreamExt;
+use keeljunction_core::member::State;
+use keeljunction_core::succession;
+
+use super::request::succession_key;
+use super::state::Held;
+use super::{Answer, Node, accept, copy, takeover};
+use crate::peer::wire;
+use crate::runtime;
+
+/// Nodes of the succession list that are asked.
+const ASKED: usize = 4;
+const CALL: Duration = Duration::from_millis(500);
+/// How often the answer is looked for again when the node that gave it is gone.
+const SEARCHES: u32 = 20;
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// What is known of a request somewhere else.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// A node runs it or has its answer; the address is for peers.
+    At(String),
+    /// This node has taken it over.
+    Here,
+    /// The key was used for another request.
+    Mismatch,
+    /// Nobody who was asked knows it.
+    Nowhere,
+}
+
+/// Lets an answer follow one that is known elsewhere, and says whether there was one.
+pub async fn resume(node: &Arc<Node>, answer: &Arc<Answer>) -> bool {
+    match search(node, answer).await {
+        Found::Nowhere => false,
+        Found::Here => true,
+        Found::Mismatch => {
+            let ended = super::answer::not_run(422, "the key was used for another request", 0);
+            accept::refuse(node, answer, ended);
+            true
+        }
+        Found::At(address) => {
+            answer.accept();
+            mirror(node, answer, address).await;
+            true
+        }
+    }
+}
+
+async fn search(node: &Arc<Node>, answer: &Arc<Answer>) -> Found {
+    let id = answer.request.get_id();
+    let held = runtime::lock(&node.records).get(&id).cloned();
+    if let Some(held) = held {
+        if held.record.body_digest != answer.request.digest {
+            return Found::Mismatch;
+        }
+        if let Some(address) = ask_owner(node, answer, &held.record.owner).await {
+            return Found::At(address);
+        }
+        takeover::revive_into(node, answer, held).await;
+        return Found::Here;
+    }
+    let peers = succession_list(node, answer);
+    if peers.is_empty() {
+        search_store(node, answer).await
+    } else {
+        search_peers(node, answer, &peers).await
+    }
+}
+
+/// Looks for the record in the object store, where there is no peer to ask.
+async fn search_store(node: &Arc<Node>, answer: &Arc<Answer>) -> Found {
+    let Some(record) = copy::read_stored(node, &answer.request).await else {
+        return Found::Nowhere;
+    };
+    if record.body_digest != answer.request.digest {
+        return Found::Mismatch;
+    }
+    let now = node.now();
+    let held = Held { deadline: now + record.deadline_left_ms, since: now, record };
+    takeover::revive_into(node, answer, held).await;
+    Found::Here
+}
+
+async fn search_peers(node: &Arc<Node>, answer: &Answer, peers: &[String]) -> Found {
+    for name in peers {
+        let Some(address) = node.get_peer_address(name) else { continue };
+        let Some(reply) = ask(node, answer, &address, false).await else { continue };
+        if !reply.known {
+            continue;
+        }
+        if reply.body_digest != answer.request.digest {
+            return Found::Mismatch;
+        }
+        if reply.here {
+            return Found::At(address);
+        }
+        if let Some(owner) = ask_owner(node, answer, &reply.owner).await {
+            return Found::At(owner);
+        }
+        if ask(node, answer, &address, true).await.is_some_and(|reply| reply.here) {
+            return Found::At(address);
+        }
+    }
+    Found::Nowhere
+}
+
+/// Returns the address of the owner, if it still answers for the request.
+async fn ask_owner(node: &Node, answer: &Answer, owner: &str) -> Option<String> {
+    if owner == node.get_name() {
+        return None;
+    }
+    let address = node.get_peer_address(owner)?;
+    let reply = ask(node, answer, &address, false).await?;
+    (reply.known && reply.here).then_some(address)
+}
+
+async fn ask(node: &Node, answer: &Answer, address: &str, revive: bool) -> Option<wire::FindReply> {
+    let (account, key) = answer.request.get_id();
+    let message = wire::FindRequest { account, key, revive };
+    node.peers.call(address, CALL, |mut peer| async move { peer.find(message).await }).await.ok()
+}
+
+fn succession_list(node: &Node, answer: &Answer) -> Vec<String> {
+    let key = succession_key(&answer.request.account, &answer.request.key);
+    let members = runtime::lock(&node.members);
+    let others = members.iter().filter(|m| m.state != State::Dead && m.name != node.get_name());
+    let names: Vec<&str> = others.map(|member| member.name.as_str()).collect();
+    let order = succession::order(&key, names.into_iter());
+    order.into_iter().take(ASKED).map(str::to_owned).collect()
+}
+
+/// Follows an answer at another node, and finds it again where that node goes.
+async fn mirror(node: &Arc<Node>, answer: &Arc<Answer>, address: String) {
+    let mut address = address;
+    for _ in 0..SEARCHES {
+        if follow(node, answer, &address).await {
+            return;
+        }
+        runtime::sleep(PAUSE).await;
+        match search(node, answer).await {
+            Found::At(another) => address = another,
+            Found::Here => return,
+            Found::Mismatch | Found::Nowhere => {}
+        }
+    }
+    let lost = super::answer::unknown(502, "the node that had the answer is gone", 0);
+    answer.finish(node.now(), lost);
+}
+
+/// Reads an answer from another node; returns true once it has ended.
+async fn follow(node: &Node, answer: &Answer, address: &str) -> bool {
+    let (account, key) = answer.request.get_id();
+    let message = wire::FollowRequest { account, key, from_offset: answer.get_length() };
+    let called =
+        node.peers.call(address, CALL, |mut peer| async move { peer.follow(message).await });
+    let Ok(mut stream) = called.await else { return false };
+    let idle = Duration::from_millis(node.settings.limits.idle_ms);
+    loop {
+        let Some(Some(Ok(reply))) = runtime::within(idle, stream.next()).await else {
+            return false;
+        };
+        if reply.offset != answer.get_length() {
+            return false;
+        }
+        answer.push(reply.tokens);
+        if let Some(ended) = reply.r#final {
+            answer.finish(node.now(), ended);
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/keeljunction/src/node/mod.rs
@@ -0,0 +1,45 @@
+//! What a node knows and does.
+//!
+//! | module | does |
+//! |---|---|
+//! | [`state`] | what a node knows |
+//! | [`request`], [`answer`] | a request, and its answer as it grows |
+//! | [`accept`] | takes a request, or refuses it at once |
+//! | [`grant`], [`shard`] | asks the owner of a shard for a backend server; is the owner |
+//! | [`relay`], [`attempt`] | carries a request through as many attempts as it may have |
+//! | [`copy`], [`takeover`] | keeps a request's record at a peer; goes on with a gone node's requests |
+//! | [`find`] | finds the answer of a caller that comes back |
+//! | [`claims`] | lets an unrepeatable request run at most once |
+//! | [`gossip`], [`adoption`], [`watch`] | membership, the bundle in force, the VM list and notices |
+//! | [`departure`] | moves streams off VMs that are going away |
+//! | [`service`] | answers peers |
+//! | [`settlement`] | tells owners of shards which grants are used and given back |
+//! | [`housekeeping`] | forgets what is old |
+//! | [`serve`] | starts it all |
+//! | [`stop`] | stops without cutting anything |
+
+pub mod accept;
+pub mod adoption;
+pub mod answer;
+pub mod attempt;
+pub mod claims;
+pub mod copy;
+pub mod departure;
+pub mod find;
+pub mod gossip;
+pub mod grant;
+pub mod housekeeping;
+pub mod relay;
+pub mod request;
+pub mod serve;
+pub mod service;
+pub mod settlement;
+pub mod shard;
+pub mod state;
+pub mod stop;
+pub mod takeover;
+pub mod watch;
+
+pub use answer::Answer;
+pub use request::Request;
+pub use state::Node;
--- /dev/null
+++ b/crates/keeljunction/src/node/relay.rs
@@ -0,0 +1,285 @@
+//! Carries an accepted request through as many attempts as it may have.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use keeljunction_core::claim;
+use keeljunction_core::drain::Action;
+use keeljunction_core::shard::{Grant, Refusal};
+use keeljunction_core::stream::Cursor;
+use uuid::Uuid;
+
+use super::answer::{Attempt, done, not_run, unknown};
+use super::attempt::{self, End};
+use super::grant::{self, Usage, Want};
+use super::{Answer, Node, claims};
+use crate::peer::wire::Final;
+use crate::runtime;
+
+/// How often an attempt is attached to again after its stream broke off.
+const ATTACHES: u32 = 2;
+/// Pause before attaching again, and the longest before asking for a server again.
+const ATTACH_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE_MS: u64 = 500;
+/// When to come back after a request was given up for want of retries, in milliseconds.
+const NO_RETRY_MS: u64 = 1_000;
+/// Cost of one generated token, against one uncached prompt token.
+const GENERATED_COST: u64 = 4;
+
+/// Where a request starts.
+#[derive(Clone, Debug)]
+pub enum Start {
+    /// With a grant, and the attempt's name, which a claim may bear.
+    Granted(Grant, String),
+    /// By attaching to an attempt that may still run.
+    Attached(Attempt),
+    /// With a claim that names this attempt.
+    Claimed(String),
+    /// From nothing.
+    Anew,
+}
+
+/// Says what to do after an attempt.
+enum Step {
+    Stop,
+    Again,
+}
+
+/// Everything that one request's attempts share.
+struct Run {
+    node: Arc<Node>,
+    answer: Arc<Answer>,
+    cursor: Cursor,
+    avoid: Vec<String>,
+    /// The attempt whose KV cache the next engine fetches first.
+    carried: Option<Attempt>,
+    /// The attempt that the claim names; only that may be sent.
+    claimed: Option<String>,
+}
+
+/// Carries a request through until its answer has ended.
+pub async fn run(node: Arc<Node>, answer: Arc<Answer>, start: Start) {
+    let cursor = Cursor::new("", answer.get_length());
+    let mut run = Run { node, answer, cursor, avoid: Vec::new(), carried: None, claimed: None };
+    let mut granted = match start {
+        Start::Granted(grant, attempt) => {
+            run.claimed = run.answer.request.needs_claim().then(|| attempt.clone());
+            Some((grant, attempt))
+        }
+        Start::Attached(attempt) => match run.attach(&attempt).await {
+            Step::Stop => return,
+            Step::Again => None,
+        },
+        Start::Claimed(attempt) => {
+            run.claimed = Some(attempt);
+            None
+        }
+        Start::Anew => None,
+    };
+    loop {
+        let (grant, name) = match granted.take() {
+            Some(granted) => granted,
+            None => match run.next_grant().await {
+                Some(grant) => {
+                    let name = run.claimed.clone().unwrap_or_else(|| Uuid::new_v4().to_string());
+                    (grant, name)
+                }
+                None => return,
+            },
+        };
+        if matches!(run.attempt(grant, name).await, Step::Stop) {
+            return;
+        }
+    }
+}
+
+/// Ends a model answer whose tokens are all there.
+pub fn finish_model(node: &Arc<Node>, answer: &Answer, attempt: &Attempt) {
+    node.metric.count("requests_done", 1);
+    answer.finish(node.now(), done(200, "text/event-stream", Vec::new()));
+    record_claim(node, answer, &attempt.id);
+}
+
+/// Ends the answer of a plain service, and records it with the claim.
+pub fn finish_plain(node: &Arc<Node>, answer: &Answer, attempt: &str, end: Final) {
+    node.metric.count("requests_done", 1);
+    answer.finish(node.now(), end);
+    record_claim(node, answer, attempt);
+}
+
+/// Records an answer with its claim, so that a caller who asks again gets it.
+fn record_claim(node: &Arc<Node>, answer: &Answer, attempt: &str) {
+    if !answer.request.needs_claim() {
+        return;
+    }
+    let news = answer.get_since(0);
+    let Some(ended) = news.ended else { return };
+    let body =
+        if answer.request.is_model() { news.tokens.concat().into_bytes() } else { ended.body };
+    let recorded = claim::Answer {
+        status: ended.status as u16,
+        media_type: ended.media_type,
+        body: hex::encode(body),
+    };
+    claims::record(node, &answer.request, attempt, recorded);
+}
+
+impl Run {
+    /// Makes one attempt with a grant, and decides how to go on.
+    async fn attempt(&mut self, grant: Grant, name: String) -> Step {
+        let attempt =
+            Attempt { id: name, server: grant.server.clone(), address: grant.address.clone() };
+        self.answer.set_attempt(attempt.clone());
+        self.fetch_cache(&attempt).await;
+        let before = self.cursor.get_next();
+        let priority = self.answer.request.class.priority;
+        let end = if self.answer.request.is_model() {
+            attempt::run_model(
+                &self.node,
+                &self.answer,
+                &attempt,
+                priority,
+                &mut self.cursor,
+                &grant.id,
+            )
+            .await
+        } else {
+            attempt::run_plain(&self.node, &self.answer, &attempt).await
+        };
+        let generated = self.cursor.get_next() - before;
+        let usage = Usage {
+            cost: Some(grant.uncached_tokens + GENERATED_COST * generated),
+            is_failed: matches!(end, End::NotSent(_) | End::Broken(_)),
+        };
+        let end = self.reattach(end, &attempt).await;
+        grant::release(&self.node, &grant.id, usage);
+        self.decide(end, attempt).await
+    }
+
+    /// Goes on reading an attempt whose stream broke off, where its server still has it.
+    async fn reattach(&mut self, end: End, attempt: &Attempt) -> End {
+        let mut end = end;
+        if !self.answer.request.is_model() {
+            return end;
+        }
+        for _ in 0..ATTACHES {
+            if !matches!(end, End::Broken(_)) {
+                return end;
+            }
+            runtime::sleep(ATTACH_PAUSE).await;
+            end = attempt::attach(&self.node, &self.answer, attempt, &mut self.cursor).await;
+        }
+        end
+    }
+
+    /// Attaches to an attempt that another node began.
+    async fn attach(&mut self, attempt: &Attempt) -> Step {
+        self.answer.set_sent();
+        self.answer.set_attempt(attempt.clone());
+        let end = attempt::attach(&self.node, &self.answer, attempt, &mut self.cursor).await;
+        let end = self.reattach(end, attempt).await;
+        self.decide(end, attempt.clone()).await
+    }
+
+    async fn decide(&mut self, end: End, attempt: Attempt) -> Step {
+        match end {
+            End::Finished => Step::Stop,
+            End::Late => {
+                self.cancel(&attempt).await;
+                self.give_up("the deadline has passed", 504, 0)
+            }
+            End::Steered(Action::Finish) => Step::Again,
+            End::Steered(action) => {
+                self.carried = (action == Action::Move).then(|| attempt.clone());
+                self.node.metric.count("streams_moved", 1);
+                self.avoid = vec![attempt.server];
+                Step::Again
+            }
+            End::NotSent(why) => self.after_unsent(attempt, &why),
+            End::Broken(why) => self.after_break(attempt, &why),
+        }
+    }
+
+    /// Nothing was sent, so that even an unrepeatable request may try another server.
+    fn after_unsent(&mut self, attempt: Attempt, why: &str) -> Step {
+        log::info!("{} did not take {}: {why}", attempt.server, attempt.id);
+        self.avoid.push(attempt.server.clone());
+        if self.node.is_leaving(&attempt.server) || self.take_retry() {
+            return Step::Again;
+        }
+        self.give_up("no backend server took the request", 503, NO_RETRY_MS)
+    }
+
+    fn after_break(&mut self, attempt: Attempt, why: &str) -> Step {
+        log::info!("{} broke off {}: {why}", attempt.server, attempt.id);
+        if !self.answer.request.class.repeatable {
+            return self.give_up(
+                "the backend server broke off and the request is not to be repeated",
+                502,
+                0,
+            );
+        }
+        self.avoid = vec![attempt.server.clone()];
+        if self.node.is_leaving(&attempt.server) || self.take_retry() {
+            return Step::Again;
+        }
+        self.give_up("the backend server broke off and no retry is left", 502, NO_RETRY_MS)
+    }
+
+    fn take_retry(&self) -> bool {
+        self.node.take_retry(&self.answer.request.service.name)
+    }
+
+    /// Asks for another server until the deadline, most urgently: the request is accepted.
+    async fn next_grant(&mut self) -> Option<Grant> {
+        loop {
+            let left = self.answer.request.deadline.saturating_sub(self.node.now());
+            let want = Want { wait: left, priority: 0, avoid: &self.avoid };
+            let refusal = match grant::acquire(&self.node, &self.answer.request, want).await {
+                Ok(grant) => return Some(grant),
+                Err(refusal) => refusal,
+            };
+            if self.is_hopeless(&refusal) {
+                self.give_up("no backend server had room in time", 503, refusal.retry_after);
+                return None;
+            }
+            let pause = refusal.retry_after.min(LONGEST_PAUSE_MS);
+            runtime::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// Says whether the next room comes only after the deadline; then the end comes at once.
+    fn is_hopeless(&self, refusal: &Refusal) -> bool {
+        self.node.now() + refusal.retry_after.min(LONGEST_PAUSE_MS) >= self.answer.request.deadline
+    }
+
+    /// Lets the engine fetch the KV cache that the stream leaves behind.
+    async fn fetch_cache(&mut self, attempt: &Attempt) {
+        let Some(left) = self.carried.take() else { return };
+        let Ok(address) = attempt.address.parse() else { return };
+        let imported = attempt::engine(&self.node, address).import(&left.address, &left.id).await;
+        let name = if imported.is_ok() { "caches_moved" } else { "caches_lost" };
+        self.node.metric.count(name, 1);
+        self.cancel(&left).await;
+    }
+
+    async fn cancel(&self, attempt: &Attempt) {
+        if let Ok(address) = attempt.address.parse() {
+            attempt::engine(&self.node, address).cancel(&attempt.id).await;
+        }
+    }
+
+    fn give_up(&self, why: &str, status: u16, retry_after: u64) -> Step {
+        let ended = if self.answer.is_sent() {
+            unknown(status, why, retry_after)
+        } else {
+            if let Some(claimed) = &self.claimed {
+                claims::release(&self.node, &self.answer.request, claimed);
+            }
+            not_run(503, why, retry_after)
+        };
+        self.node.metric.count("requests_given_up", 1);
+        self.answer.finish(self.node.now(), ended);
+        Step::Stop
+    }
+}
--- /dev/null
+++ b/crates/keeljunction/src/node/settlement.rs
@@ -0,0 +1,104 @@
+//! Tells owners of shards which grants are used and given back.
+//!
+//! Small news are gathered for a moment and sent together. Now and then each node announces all
+//! its grants of a shard to the owner, which is how a new owner learns of them after a kill.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use keeljunction_core::shard::Grant;
+
+use super::grant::{self, Out, ShardKey};
+use super::{Node, service};
+use crate::peer::wire;
+use crate::runtime;
+
+const GATHER: Duration = Duration::from_millis(10);
+const ANNOUNCE: Duration = Duration::from_millis(1_000);
+const CALL: Duration = Duration::from_millis(500);
+
+/// Sends gathered news for as long as the process lives.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        let outbox = std::mem::take(&mut *runtime::lock(&node.book.outbox));
+        for ((owner, _), message) in outbox {
+            send(&node, &owner, message);
+        }
+        runtime::sleep(GATHER).await;
+    }
+}
+
+/// Announces the grants of this node for as long as the process lives.
+pub async fn announce(node: Arc<Node>) {
+    let mut announced = HashSet::new();
+    loop {
+        announced = announce_once(&node, &announced);
+        drop_strange_shards(&node);
+        runtime::sleep(ANNOUNCE).await;
+    }
+}
+
+/// Announces all grants to the present owners, and an empty list where the last was not empty.
+fn announce_once(node: &Arc<Node>, before: &HashSet<ShardKey>) -> HashSet<ShardKey> {
+    let held = held_by_shard(node);
+    let emptied = before.iter().filter(|shard| !held.contains_key(*shard));
+    let empty = emptied.map(|shard| (shard.clone(), Vec::new()));
+    let lists: Vec<(ShardKey, Vec<Grant>)> = empty.chain(held.clone()).collect();
+    for (shard, grants) in lists {
+        let Some(owner) = grant::owner_of(node, &shard) else { continue };
+        point_to(node, &shard, &owner);
+        let message = wire::SettleRequest {
+            node: node.get_name().to_owned(),
+            service: shard.0.clone(),
+            shard: shard.1,
+            full: true,
+            held: grants.iter().map(grant::to_wire).collect(),
+            ..wire::SettleRequest::default()
+        };
+        send(node, &owner, message);
+    }
+    held.into_keys().collect()
+}
+
+fn held_by_shard(node: &Node) -> HashMap<ShardKey, Vec<Grant>> {
+    let mut held: HashMap<ShardKey, Vec<Grant>> = HashMap::new();
+    let out = runtime::lock(&node.book.out);
+    for Out { grant, shard, .. } in out.values().filter(|out| out.owner.is_some()) {
+        held.entry(shard.clone()).or_default().push(grant.clone());
+    }
+    held
+}
+
+fn point_to(node: &Node, shard: &ShardKey, owner: &str) {
+    let mut out = runtime::lock(&node.book.out);
+    for held in out.values_mut().filter(|out| out.owner.is_some() && out.shard == *shard) {
+        held.owner = Some(owner.to_owned());
+    }
+}
+
+fn send(node: &Arc<Node>, owner: &str, message: wire::SettleRequest) {
+    if owner == node.get_name() {
+        service::settle(node, message);
+        return;
+    }
+    let Some(address) = node.get_peer_address(owner) else { return };
+    let node = node.clone();
+    runtime::spawn(async move {
+        let call =
+            node.peers.call(&address, CALL, |mut peer| async move { peer.settle(message).await });
+        if call.await.is_err() {
+            node.metric.count("settlements_lost", 1);
+        }
+    });
+}
+
+/// Forgets the queues of shards that this node no longer owns.
+fn drop_strange_shards(node: &Arc<Node>) {
+    let keys: Vec<ShardKey> = runtime::lock(&node.book.owned).keys().cloned().collect();
+    for key in keys {
+        if grant::owner_of(node, &key).as_deref() != Some(node.get_name()) {
+            runtime::lock(&node.book.owned).remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/keeljunction/src/node/state.rs
@@ -0,0 +1,256 @@
+//! What a node knows.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use keeljunction_core::Millis;
+use keeljunction_core::bundle::{Document, Roll};
+use keeljunction_core::directory::Directory;
+use keeljunction_core::member::{List, Member, State, Timing};
+use keeljunction_core::retry::Budget;
+
+use super::Answer;
+use super::claims::Claims;
+use super::grant::Book;
+use super::request::Id;
+use crate::http;
+use crate::metric::Metric;
+use crate::peer::{Pool, wire};
+use crate::platform;
+use crate::runtime::{self, Clock};
+use crate::settings::Settings;
+
+const CONNECT_WITHIN: Duration = Duration::from_millis(500);
+const DEAD_MEMORY_MS: Millis = 600_000;
+
+/// The bundle in force, with the roll that put it there.
+#[derive(Debug)]
+pub struct Force {
+    /// The roll.
+    pub roll: Roll,
+    /// The body, as it was signed.
+    pub body: Vec<u8>,
+    /// What it says.
+    pub document: Document,
+}
+
+/// A record that this node holds for another.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// The record.
+    pub record: wire::Record,
+    /// When it came, on this node's clock.
+    pub since: Millis,
+    /// When the request's answer is of no more use.
+    pub deadline: Millis,
+}
+
+/// One node.
+pub struct Node {
+    /// What the node is told.
+    pub settings: Settings,
+    /// The node's clock.
+    pub clock: Clock,
+    /// Counts and times.
+    pub metric: Metric,
+    /// The platform.
+    pub platform: platform::Client,
+    /// The client for backend servers.
+    pub http: http::Client,
+    /// The connections to peers.
+    pub peers: Pool,
+    /// The nodes that are known.
+    pub members: Mutex<List>,
+    /// The backend servers that are known.
+    pub directory: Mutex<Directory>,
+    /// The requests that this node runs or ran.
+    pub answers: Mutex<HashMap<Id, Arc<Answer>>>,
+    /// The records held for other nodes.
+    pub records: Mutex<HashMap<Id, Held>>,
+    /// Queues of shards, and grants that are out.
+    pub book: Book,
+    /// Claims waiting to be written.
+    pub claims: Claims,
+    /// Given once the node has stopped.
+    pub ended: http::Stop,
+    force: Mutex<Option<Arc<Force>>>,
+    budgets: Mutex<HashMap<String, Budget>>,
+    seats: Mutex<HashMap<String, usize>>,
+    is_stopping: AtomicBool,
+    is_closed: AtomicBool,
+    running: AtomicUsize,
+}
+
+impl Node {
+    /// Makes a node that knows only itself. Its peers reach it at `peer_address`.
+    pub fn new(settings: Settings, peer_address: String) -> Arc<Self> {
+        let clock = Clock::new();
+        let me = Member {
+            name: settings.node.name.clone(),
+            data_centre: settings.node.data_centre.clone(),
+            address: peer_address,
+            incarnation: runtime::unix_ms(),
+            state: State::Alive,
+        };
+        let timing = Timing { suspicion: settings.membership.suspicion_ms, memory: DEAD_MEMORY_MS };
+        let http = http::Client::new(CONNECT_WITHIN);
+        Arc::new(Self {
+            clock,
+            metric: Metric::new(settings.statsd),
+            platform: platform::Client::new(settings.platform.clone(), http.clone()),
+            http,
+            peers: Pool::new(&settings.peer_credential),
+            members: Mutex::new(List::new(me, timing)),
+            directory: Mutex::default(),
+            answers: Mutex::default(),
+            records: Mutex::default(),
+            book: Book::default(),
+            claims: Claims::new(),
+            ended: http::Stop::new(),
+            force: Mutex::default(),
+            budgets: Mutex::default(),
+            seats: Mutex::default(),
+            is_stopping: AtomicBool::new(false),
+            is_closed: AtomicBool::new(false),
+            running: AtomicUsize::new(0),
+            settings,
+        })
+    }
+
+    /// Returns the node's name.
+    pub fn get_name(&self) -> &str {
+        &self.settings.node.name
+    }
+
+    /// Returns the time on the node's clock.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Returns the bundle in force.
+    pub fn get_force(&self) -> Option<Arc<Force>> {
+        runtime::lock(&self.force).clone()
+    }
+
+    /// Returns the number of the roll in force; 0 where there is none.
+    pub fn get_roll(&self) -> u64 {
+        self.get_force().map_or(0, |force| force.roll.number)
+    }
+
+    /// Puts a bundle in force if its roll is newer, and says whether it did.
+    pub fn set_force(&self, force: Force) -> bool {
+        use keeljunction_core::bundle::{Adoption, adopt};
+        let mut current = runtime::lock(&self.force);
+        let number = current.as_ref().map_or(0, |force| force.roll.number);
+        if adopt(number, force.roll.number) == Adoption::Keep {
+            return false;
+        }
+        *current = Some(Arc::new(force));
+        true
+    }
+
+    /// Says whether a backend server is leaving.
+    pub fn is_leaving(&self, server: &str) -> bool {
+        runtime::lock(&self.directory).is_leaving(server)
+    }
+
+    /// Returns the names and data centres of the nodes that may be given work.
+    pub fn usable_nodes(&self) -> Vec<(String, String)> {
+        let members = runtime::lock(&self.members);
+        members.usable().map(|m| (m.name.clone(), m.data_centre.clone())).collect()
+    }
+
+    /// Returns where a node is reached by its peers.
+    pub fn get_peer_address(&self, name: &str) -> Option<String> {
+        runtime::lock(&self.members).get(name).map(|member| member.address.clone())
+    }
+
+    /// Counts a first try of a service.
+    pub fn count_try(&self, service: &str) {
+        self.with_budget(service, Budget::deposit);
+    }
+
+    /// Takes one retry of a service, if its budget allows it.
+    pub fn take_retry(&self, service: &str) -> bool {
+        let is_allowed = self.with_budget(service, Budget::withdraw);
+        self.metric.count(if is_allowed { "retries" } else { "retries_denied" }, 1);
+        is_allowed
+    }
+
+    fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut Budget) -> T) -> T {
+        let routing = &self.settings.routing;
+        let mut budgets = runtime::lock(&self.budgets);
+        let fresh = || Budget::new(routing.retry_per_mille, routing.retry_burst);
+        act(budgets.entry(service.to_owned()).or_insert_with(fresh))
+    }
+
+    /// Takes a seat for a request of an account; `None` where all are taken.
+    pub fn take_seat(self: &Arc<Self>, account: &str) -> Option<Seat> {
+        let limits = &self.settings.limits;
+        let mut seats = runtime::lock(&self.seats);
+        let taken = seats.entry(account.to_owned()).or_default();
+        if *taken >= limits.requests_per_account || self.get_running() >= limits.requests {
+            return None;
+        }
+        *taken += 1;
+        self.running.fetch_add(1, Ordering::SeqCst);
+        Some(Seat { node: self.clone(), account: account.to_owned() })
+    }
+
+    /// Returns how many requests run.
+    pub fn get_running(&self) -> usize {
+        self.running.load(Ordering::SeqCst)
+    }
+
+    /// Says whether the node is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::SeqCst)
+    }
+
+    /// Notes that the node is stopping; returns false where that was known.
+    pub fn set_stopping(&self) -> bool {
+        !self.is_stopping.swap(true, Ordering::SeqCst)
+    }
+
+    /// Says whether the node takes nothing new.
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::SeqCst)
+    }
+
+    /// Notes that the node takes nothing new.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Says why the node is not ready; `None` where it is.
+    pub fn get_unready(&self) -> Option<&'static str> {
+        if self.is_stopping() {
+            return Some("the node is stopping");
+        }
+        if self.get_force().is_none() {
+            return Some("no bundle is in force: neither the platform nor a peer has given one");
+        }
+        None
+    }
+}
+
+/// A place among the requests in flight, given back when dropped.
+pub struct Seat {
+    node: Arc<Node>,
+    account: String,
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.node.running.fetch_sub(1, Ordering::SeqCst);
+        let mut seats = runtime::lock(&self.node.seats);
+        if let Some(taken) = seats.get_mut(&self.account) {
+            *taken = taken.saturating_sub(1);
+            if *taken == 0 {
+                seats.remove(&self.account);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/keeljunction/src/node/takeover.rs
@@ -0,0 +1,124 @@
+//! Goes on with the requests of a node that is gone, from their records.
+
+use std::sync::Arc;
+
+use keeljunction_core::claim::Verdict;
+use uuid::Uuid;
+
+use super::answer::{Attempt, unknown};
+use super::relay::Start;
+use super::request::Id;
+use super::state::Held;
+use super::{Answer, Node, Request, accept, claims, copy, relay};
+use crate::peer::wire::Record;
+use crate::runtime;
+
+/// Takes over all requests of a node that is gone.
+pub fn take_over(node: &Arc<Node>, gone: &str) {
+    let records = runtime::lock(&node.records);
+    let ids: Vec<Id> = records
+        .iter()
+        .filter(|(_, held)| held.record.owner == gone)
+        .map(|(id, _)| id.clone())
+        .collect();
+    drop(records);
+    for id in ids {
+        revive(node, &id);
+    }
+}
+
+/// Goes on with the request of one record, and says whether this node answers for it now.
+pub fn revive(node: &Arc<Node>, id: &Id) -> bool {
+    if runtime::lock(&node.answers).contains_key(id) {
+        return true;
+    }
+    let held = runtime::lock(&node.records).get(id).cloned();
+    let Some(held) = held else { return false };
+    let Some(force) = node.get_force() else { return false };
+    let mut record = held.record.clone();
+    record.deadline_left_ms = held.deadline.saturating_sub(node.now());
+    let Some(request) = Request::from_record(node.now(), &record, &force.document) else {
+        return false;
+    };
+    let answer = Arc::new(Answer::new(request));
+    if runtime::lock(&node.answers).insert(id.clone(), answer.clone()).is_some() {
+        return true;
+    }
+    let node = node.clone();
+    runtime::spawn(async move { revive_into(&node, &answer, held).await });
+    true
+}
+
+/// Fills an answer from a record and goes on with it.
+pub async fn revive_into(node: &Arc<Node>, answer: &Arc<Answer>, held: Held) {
+    runtime::lock(&node.records).remove(&answer.request.get_id());
+    answer.push(held.record.tokens.clone());
+    if let Some(ended) = held.record.r#final.clone() {
+        answer.accept();
+        answer.finish(node.now(), ended);
+        return;
+    }
+    node.metric.count("requests_taken_over", 1);
+    answer.accept();
+    if let Some(place) = copy::place(node, answer).await {
+        copy::keep(node, answer, place);
+    }
+    match start(node, answer, &held.record).await {
+        Some(start) => {
+            let (node, answer) = (node.clone(), answer.clone());
+            runtime::spawn(relay::run(node, answer, start));
+        }
+        None => log::info!("the request {} ended when it was taken over", answer.request.key),
+    }
+}
+
+/// Decides how to go on; `None` where the answer has ended.
+async fn start(node: &Arc<Node>, answer: &Arc<Answer>, record: &Record) -> Option<Start> {
+    let running = running_attempt(record);
+    if answer.request.needs_claim() {
+        return start_claimed(node, answer, running).await;
+    }
+    let is_repeatable = answer.request.class.repeatable || answer.request.service.deduplicates;
+    match running {
+        Some(attempt) if answer.request.is_model() => Some(Start::Attached(attempt)),
+        _ if is_repeatable => Some(Start::Anew),
+        _ => end_unknown(node, answer),
+    }
+}
+
+/// An unrepeatable request runs here only if this node gets its claim: then it never ran.
+async fn start_claimed(
+    node: &Arc<Node>,
+    answer: &Arc<Answer>,
+    running: Option<Attempt>,
+) -> Option<Start> {
+    let attempt = Uuid::new_v4().to_string();
+    match claims::claim(node, &answer.request, &attempt).await {
+        Ok(Verdict::Run) => Some(Start::Claimed(attempt)),
+        Ok(Verdict::Taken) if running.is_some() && answer.request.is_model() => {
+            running.map(Start::Attached)
+        }
+        Ok(verdict) => {
+            if let Err(ended) = accept::judged(verdict) {
+                answer.finish(node.now(), ended);
+            }
+            None
+        }
+        Err(_) => end_unknown(node, answer),
+    }
+}
+
+fn end_unknown(node: &Node, answer: &Answer) -> Option<Start> {
+    let ended =
+        unknown(502, "the node that had the request is gone and it is not to be repeated", 0);
+    answer.finish(node.now(), ended);
+    None
+}
+
+fn running_attempt(record: &Record) -> Option<Attempt> {
+    (!record.attempt.is_empty()).then(|| Attempt {
+        id: record.attempt.clone(),
+        server: record.server.clone(),
+        address: record.server_address.clone(),
+    })
+}
--- /dev/null
+++ b/crates/keeljunction/src/node/watch.rs
@@ -0,0 +1,134 @@
+//! The platform's VM list and notices, and the load of backend servers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use keeljunction_core::bundle::Kind;
+use keeljunction_core::directory::{Departure, Server};
+use keeljunction_core::member::{Member, State};
+use keeljunction_core::route::Report;
+
+use super::grant::{self, ShardKey};
+use super::shard::Shard;
+use super::{Node, attempt, departure, stop};
+use crate::platform::{Role, Vm, VmState};
+use crate::runtime;
+
+/// A VM that is listed as leaving without a notice is taken to be gone after this time.
+const UNNOTICED_MS: u64 = 30_000;
+
+/// Reads the VM list and the notices for as long as the process lives.
+pub async fn vms(node: Arc<Node>) {
+    loop {
+        match node.platform.vms().await {
+            Ok(vms) => take_vms(&node, vms),
+            Err(fault) => log::debug!("the VM list was not read: {fault}"),
+        }
+        match node.platform.notices().await {
+            Ok(notices) => {
+                for notice in notices {
+                    take_notice(&node, &notice.vm, notice.left_ms);
+                }
+            }
+            Err(fault) => log::debug!("the notices were not read: {fault}"),
+        }
+        runtime::sleep(Duration::from_millis(node.settings.times.vm_poll_ms)).await;
+    }
+}
+
+/// Reads the load of the servers of this node's queues for as long as the process lives.
+pub async fn loads(node: Arc<Node>) {
+    loop {
+        for shards in [&node.book.owned, &node.book.alone] {
+            let shards: Vec<(ShardKey, Arc<Shard>)> =
+                runtime::lock(shards).iter().map(|(k, s)| (k.clone(), s.clone())).collect();
+            for (key, shard) in shards {
+                read_loads(&node, &key, &shard);
+            }
+        }
+        runtime::sleep(Duration::from_millis(node.settings.routing.report_ms)).await;
+    }
+}
+
+fn take_vms(node: &Arc<Node>, vms: Vec<Vm>) {
+    let now = node.now();
+    let mut leaving = Vec::new();
+    let mut servers = Vec::new();
+    for vm in vms {
+        match vm.role {
+            Role::Entry => seed(node, now, vm),
+            Role::Server(service) => {
+                if vm.state == VmState::Leaving {
+                    leaving.push(vm.name.clone());
+                }
+                let (name, address, data_centre) = (vm.name, vm.address, vm.data_centre);
+                servers.push(Server { name, service, address, data_centre });
+            }
+        }
+    }
+    runtime::lock(&node.directory).set_listed(now, servers.into_iter());
+    for server in leaving {
+        departure::learn(node, &Departure { server, until: now + UNNOTICED_MS });
+    }
+    grant::sync_all(node);
+}
+
+fn seed(node: &Node, now: u64, vm: Vm) {
+    if vm.state == VmState::Leaving {
+        return;
+    }
+    let member = Member {
+        name: vm.name,
+        data_centre: vm.data_centre,
+        address: vm.address,
+        incarnation: 0,
+        state: State::Alive,
+    };
+    runtime::lock(&node.members).seed(now, member);
+}
+
+fn take_notice(node: &Arc<Node>, vm: &str, left_ms: u64) {
+    if vm == node.get_name() {
+        stop::begin(node, Duration::from_millis(left_ms));
+        return;
+    }
+    departure::learn(node, &Departure { server: vm.to_owned(), until: node.now() + left_ms });
+}
+
+fn read_loads(node: &Arc<Node>, key: &ShardKey, shard: &Arc<Shard>) {
+    let force = node.get_force();
+    let kind = force.and_then(|force| Some(force.document.get_service(&key.0)?.kind));
+    let servers = shard.with(|queue, _| {
+        let staying = queue.get_servers().iter().filter(|server| !server.is_leaving);
+        staying.map(|s| (s.name.clone(), s.address.clone())).collect::<Vec<_>>()
+    });
+    for (name, address) in servers {
+        let Ok(address) = address.parse::<SocketAddr>() else { continue };
+        let (node, shard) = (node.clone(), shard.clone());
+        let is_model = kind == Some(Kind::Model);
+        runtime::spawn(async move { read_load(&node, &shard, &name, address, is_model).await });
+    }
+}
+
+async fn read_load(node: &Node, shard: &Shard, server: &str, address: SocketAddr, is_model: bool) {
+    let engine = attempt::engine(node, address);
+    if let Ok(load) = engine.load().await {
+        let at = node.now().saturating_sub(load.age_ms);
+        let report = Report { at, requests: load.requests, queued_tokens: load.queued_tokens };
+        shard.with(|queue, _| queue.report(server, report));
+    }
+    if !is_model {
+        return;
+    }
+    let Ok(events) = engine.events(shard.get_next_event(server)).await else { return };
+    for event in events.events {
+        shard.set_next_event(server, event.number + 1);
+        let is_gapless = shard.with(|queue, _| {
+            queue.cache_event(server, event.number, &event.stored, &event.evicted)
+        });
+        if !is_gapless {
+            node.metric.count("cache_event_gaps", 1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/keeljunction/src/peer/mod.rs
@@ -0,0 +1,15 @@
+//! The protocol between nodes: `tonic` over `hyper` on the project's executor.
+
+mod channel;
+mod listener;
+mod pool;
+
+/// The code generated from `proto/peer.proto` by `make codegen`.
+#[allow(missing_docs, clippy::all)]
+#[path = "generated/keeljunction.peer.v1.rs"]
+pub mod generated;
+
+pub use channel::Channel;
+pub use generated as wire;
+pub use listener::Listener;
+pub use pool::Pool;
--- /dev/null
+++ b/crates/keeljunction/src/settings/check.rs
@@ -0,0 +1,142 @@
+//! Reads settings and checks them whole.
+
+use std::fs;
+use std::path::Path;
+
+use keeljunction_core::{Error, ErrorKind};
+
+use super::Settings;
+
+const LEAST_CREDENTIAL: usize = 16;
+const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+const KEY_HEX_LENGTH: usize = 64;
+
+/// Reads settings from a file and checks them whole.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::NotFound`] where the file cannot be read, and what [`parse`] returns.
+pub fn load(path: &Path) -> Result<Settings, Error> {
+    let text = fs::read_to_string(path).map_err(|error| {
+        Error::new(ErrorKind::NotFound, format!("the settings cannot be read: {error}"))
+            .key("--settings")
+            .value(path.display().to_string())
+            .tip("name a YAML file; docs/OPERATING.md shows one")
+    })?;
+    parse(&text)
+}
+
+/// Reads settings from YAML and checks them whole.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::Malformed`] where the text is not settings, and for each other fault the
+/// first found, with the key, the value, what is allowed and a tip.
+pub fn parse(text: &str) -> Result<Settings, Error> {
+    let settings: Settings = serde_saphyr::from_str(text).map_err(|error| {
+        Error::new(ErrorKind::Malformed, error.to_string())
+            .tip("see docs/OPERATING.md for the keys of the settings")
+    })?;
+    check(&settings)?;
+    Ok(settings)
+}
+
+fn check(settings: &Settings) -> Result<(), Error> {
+    check_names(settings)?;
+    check_secrets(settings)?;
+    check_limits(settings)?;
+    check_times(settings)
+}
+
+fn check_names(settings: &Settings) -> Result<(), Error> {
+    for (key, value) in
+        [("node.name", &settings.node.name), ("node.data_centre", &settings.node.data_centre)]
+    {
+        if value.trim().is_empty() {
+            return Err(Error::new(ErrorKind::InvalidValue, "a name is empty")
+                .key(key)
+                .value("\"\"")
+                .allowed("any text")
+                .tip("take the name that the platform's VM list gives"));
+        }
+    }
+    if !LEVELS.contains(&settings.log_level.as_str()) {
+        return Err(Error::new(ErrorKind::InvalidValue, "there is no such log level")
+            .key("log_level")
+            .value(settings.log_level.as_str())
+            .allowed(LEVELS.join(", "))
+            .tip("info is the default"));
+    }
+    Ok(())
+}
+
+fn check_secrets(settings: &Settings) -> Result<(), Error> {
+    let length = settings.peer_credential.len();
+    if length < LEAST_CREDENTIAL {
+        return Err(Error::new(ErrorKind::InvalidValue, "the credential is too short")
+            .key("peer_credential")
+            .value(format!("{length} characters"))
+            .allowed(format!("{LEAST_CREDENTIAL} characters or more"))
+            .tip("draw it at random, and give all nodes the same"));
+    }
+    if settings.trusted_keys.is_empty() {
+        return Err(Error::new(ErrorKind::MissingKey, "no operator's key is trusted")
+            .key("trusted_keys")
+            .value("[]")
+            .allowed("at least one ed25519 public key, as 64 hex digits")
+            .tip("`keeljunction bundle key` prints a public key"));
+    }
+    for (index, key) in settings.trusted_keys.iter().enumerate() {
+        let is_hex = key.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if key.len() != KEY_HEX_LENGTH || !is_hex {
+            return Err(Error::new(ErrorKind::InvalidValue, "not an ed25519 public key")
+                .key(format!("trusted_keys[{index}]"))
+                .value(key.as_str())
+                .allowed("64 hex digits")
+                .tip("`keeljunction bundle key` prints a public key"));
+        }
+    }
+    Ok(())
+}
+
+fn check_limits(settings: &Settings) -> Result<(), Error> {
+    let limits = &settings.limits;
+    range("limits.body_bytes", limits.body_bytes as u64, 1_024, 1 << 30)?;
+    range("limits.head_bytes", limits.head_bytes as u64, 8_192, 1 << 20)?;
+    range("limits.connections", limits.connections as u64, 1, 1_000_000)?;
+    range("limits.requests", limits.requests as u64, 1, 1_000_000)?;
+    range("limits.requests_per_account", limits.requests_per_account as u64, 1, 1_000_000)?;
+    range("limits.record_bytes", limits.record_bytes as u64, 1 << 16, 1 << 34)?;
+    range("limits.write_ms", limits.write_ms, 10, 3_600_000)?;
+    range("limits.idle_ms", limits.idle_ms, 10, 3_600_000)?;
+    range("threads", settings.threads as u64, 1, 256)
+}
+
+fn check_times(settings: &Settings) -> Result<(), Error> {
+    let membership = &settings.membership;
+    range("membership.probe_ms", membership.probe_ms, 10, 60_000)?;
+    range("membership.answer_ms", membership.answer_ms, 1, 60_000)?;
+    range("membership.suspicion_ms", membership.suspicion_ms, 10, 600_000)?;
+    range("membership.helpers", membership.helpers as u64, 0, 16)?;
+    range("routing.report_ms", settings.routing.report_ms, 10, 60_000)?;
+    range("routing.retry_per_mille", settings.routing.retry_per_mille, 0, 1_000)?;
+    range("routing.retry_burst", settings.routing.retry_burst, 0, 10_000)?;
+    range("platform.calls_per_second", settings.platform.calls_per_second.into(), 1, 100_000)?;
+    range("platform.call_ms", settings.platform.call_ms, 10, 60_000)?;
+    range("times.roll_poll_ms", settings.times.roll_poll_ms, 10, 60_000)?;
+    range("times.vm_poll_ms", settings.times.vm_poll_ms, 10, 60_000)?;
+    range("times.stop_grace_ms", settings.times.stop_grace_ms, 0, 600_000)?;
+    range("times.stop_ms", settings.times.stop_ms, 0, 86_400_000)?;
+    range("times.keep_answer_ms", settings.times.keep_answer_ms, 0, 86_400_000)
+}
+
+fn range(key: &str, value: u64, least: u64, most: u64) -> Result<(), Error> {
+    if (least..=most).contains(&value) {
+        return Ok(());
+    }
+    Err(Error::new(ErrorKind::InvalidValue, "a number is out of range")
+        .key(key)
+        .value(value.to_string())
+        .allowed(format!("{least} to {most}"))
+        .tip("leave the key out to take the default"))
+}
--- /dev/null
+++ b/crates/standin/src/load/run.rs
@@ -0,0 +1,132 @@
+//! Runs a load.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use keeljunction::http::Client;
+use keeljunction::runtime::{self, lock};
+
+use super::summary::Summary;
+use crate::engine::answer_of;
+use crate::harness::{Answer, Call};
+
+/// One kind of call, and how often it is made.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// Its name in the summary.
+    pub name: String,
+    /// Its part among all kinds.
+    pub weight: u32,
+    /// The caller's credential.
+    pub credential: String,
+    /// The request class.
+    pub class: String,
+    /// The model.
+    pub model: String,
+    /// Words of the prompt.
+    pub prompt_words: usize,
+    /// Different prompt starts that calls share; 0 where each is its own.
+    pub topics: usize,
+    /// Words that a prompt start has.
+    pub topic_words: usize,
+    /// Tokens to generate.
+    pub tokens: u64,
+}
+
+/// A load to run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Where calls go, in turn.
+    pub targets: Vec<SocketAddr>,
+    /// Calls in a second, on average.
+    pub rate: f64,
+    /// How long calls are made.
+    pub time: Duration,
+    /// The seed: the same gives the same calls at the same times.
+    pub seed: u64,
+    /// The kinds of calls.
+    pub kinds: Vec<Kind>,
+}
+
+/// Runs a load and returns a summary for each kind.
+pub async fn run(client: &Client, plan: &Plan) -> BTreeMap<String, Summary> {
+    let mut random = Rng::with_seed(plan.seed);
+    let summaries: Arc<Mutex<BTreeMap<String, Summary>>> = Arc::default();
+    let started = Instant::now();
+    let mut due = Duration::ZERO;
+    let mut calls = Vec::new();
+    let mut number = 0;
+    while due < plan.time {
+        let (kind, prompt) = draw(plan, &mut random);
+        let target = plan.targets[number % plan.targets.len()];
+        number += 1;
+        let wait = (started + due).saturating_duration_since(Instant::now());
+        runtime::sleep(wait).await;
+        let (client, summaries, due_at) = (client.clone(), summaries.clone(), started + due);
+        calls.push(runtime::task(async move {
+            let call =
+                Call::model(&kind.credential, &kind.class, &kind.model, &prompt, kind.tokens);
+            let late = due_at.elapsed();
+            let answer = call.send(&client, target).await.ok();
+            let mut summaries = lock(&summaries);
+            note(summaries.entry(kind.name).or_default(), answer, &prompt, kind.tokens, late);
+        }));
+        due += Duration::from_secs_f64(-random.f64().max(1e-12).ln() / plan.rate);
+    }
+    for call in calls {
+        call.await;
+    }
+    let summaries = lock(&summaries);
+    summaries.clone()
+}
+
+fn note(summary: &mut Summary, answer: Option<Answer>, prompt: &str, tokens: u64, late: Duration) {
+    let Some(answer) = answer else {
+        summary.failed += 1;
+        return;
+    };
+    if !answer.is_whole {
+        if answer.outcome() == "not_run" {
+            summary.refused += 1
+        } else {
+            summary.failed += 1
+        }
+        return;
+    }
+    summary.done += 1;
+    summary.tokens += answer.times.len() as u64;
+    if answer.body != answer_of(prompt, tokens) {
+        summary.wrong += 1;
+    }
+    let first = answer.times.first().copied().unwrap_or(answer.head) + late;
+    let _ = summary.first.record(first.as_micros() as u64);
+    for pair in answer.times.windows(2) {
+        let _ = summary.gap.record((pair[1] - pair[0]).as_micros().max(1) as u64);
+    }
+}
+
+fn draw(plan: &Plan, random: &mut Rng) -> (Kind, String) {
+    let sum: u32 = plan.kinds.iter().map(|kind| kind.weight).sum();
+    let mut left = random.u32(0..sum.max(1));
+    let kind = plan.kinds.iter().find(|kind| {
+        let is_it = left < kind.weight;
+        left = left.saturating_sub(kind.weight);
+        is_it
+    });
+    let kind = kind.unwrap_or(&plan.kinds[0]).clone();
+    let mut prompt = String::new();
+    if kind.topics > 0 {
+        let topic = random.usize(..kind.topics);
+        for word in 0..kind.topic_words {
+            prompt.push_str(&format!("{}{topic}x{word} ", kind.name));
+        }
+    }
+    let own = random.u64(..);
+    for word in 0..kind.prompt_words {
+        prompt.push_str(&format!("q{own:x}x{word} "));
+    }
+    (kind, prompt)
+}
