fix(peer): give calls between nodes an origin, and prove each promise under failure

Causes, each found by running the failing test alone:

- Every call between nodes failed: HTTP/2 needs a scheme and authority, and the generated client was made without an origin.
Membership had looked healthy because the VM list alone fed it.
Ruled out: probe times (100 ms on loopback), the credential check.
- Two nodes with the same key followed each other for ever: a request that was only being looked at counted as carried.
Now only the node that carries a request answers for it, and the loser of a claim follows the named winner.
- A stream whose only server was to be avoided waited until its deadline.
Servers to avoid are a preference now: one of them is better than none.
- Tokens out of order were answered by reading the attempt again, which met the same order again.
They are held (64 at most) until those before them come.

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -49,8 +49,9 @@
     Run,
     /// It ran before: give the recorded answer.
     Recorded(Answer),
-    /// Another attempt holds the claim and has no answer yet: nothing may be sent.
-    Taken,
+    /// Another attempt, of the named node, holds the claim and has no answer yet: nothing may be
+    /// sent.
+    Taken(String),
     /// This instance was given up before it was sent: it must never be sent.
     Released,
     /// An earlier instance was given up: the claim may be taken over, by replacing the row.
@@ -71,7 +72,7 @@
         (true, true) => Verdict::Released,
         (true, false) => Verdict::Free,
         (false, _) if stands.attempt == mine.attempt => Verdict::Run,
-        (false, _) => Verdict::Taken,
+        (false, _) => Verdict::Taken(stands.node.clone()),
     }
 }
 
--- a/crates/core/src/shard/queue.rs
+++ b/crates/core/src/shard/queue.rs
@@ -298,11 +298,12 @@
     }
 
     fn try_grant(&mut self, now: Millis, ask: &Ask) -> Option<Grant> {
+        let avoid = if self.has_other_than(&ask.avoid) { ask.avoid.as_slice() } else { &[] };
         let demand = Demand {
             prompt_tokens: ask.prompt_tokens,
             prefix: &ask.prefix,
             priority: ask.priority,
-            avoid: &ask.avoid,
+            avoid,
         };
         let choice =
             route::choose(now, &self.servers, &self.index, self.prefill_per_second, &demand)?;
@@ -328,6 +329,12 @@
         })
     }
 
+    /// Says whether a server stays that is not among these. Where none does, one that is to be
+    /// avoided is better than none.
+    fn has_other_than(&self, avoid: &[String]) -> bool {
+        self.servers.iter().any(|server| !server.is_leaving && !avoid.contains(&server.name))
+    }
+
     fn record(&mut self, grant: Grant) -> Grant {
         self.grants.insert(grant.id.clone(), grant.clone());
         grant
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -1,56 +1,89 @@
 //! Which tokens belong to an answer.
 //!
 //! Each dispatch has its own attempt name and each token an offset. Only the current attempt's
-//! next tokens pass; what is late, doubled or foreign is dropped and counted.
+//! tokens pass, each once and in order. What is doubled or foreign is dropped and counted; what
+//! comes too early is held until the tokens before it have come.
 
-/// Says what became of tokens that arrived.
+use std::collections::BTreeMap;
+
+/// Tokens that may be held because others before them are missing.
+const MOST_HELD: usize = 64;
+
+/// Says what became of a token that arrived.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// Tokens from this index on are new and follow without a gap.
-    Accept(usize),
-    /// All of them were seen before.
+    /// These tokens come next in the answer: the one that arrived, and those held for it.
+    Accept(Vec<String>),
+    /// Tokens before it are missing; it is held.
+    Held,
+    /// It was seen before.
     Repeated,
-    /// They belong to another attempt.
+    /// It belongs to another attempt.
     Foreign,
-    /// Tokens before them are missing; the attempt must be read again from this offset.
+    /// Too much is missing: the attempt must be read again from this offset.
     Gap(u64),
 }
 
 /// The place up to which an answer has come.
+///
+/// # Examples
+///
+/// ```
+/// use keeljunction_core::stream::{Cursor, Verdict};
+///
+/// let mut cursor = Cursor::new("a", 0);
+/// assert_eq!(cursor.take("a", 1, "two"), Verdict::Held);
+/// let both = vec!["one".to_owned(), "two".to_owned()];
+/// assert_eq!(cursor.take("a", 0, "one"), Verdict::Accept(both));
+/// assert_eq!(cursor.take("a", 1, "two"), Verdict::Repeated);
+/// assert_eq!(cursor.take("b", 2, "three"), Verdict::Foreign);
+/// ```
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Cursor {
     attempt: String,
     next: u64,
-    dropped: u64,
+    held: BTreeMap<u64, String>,
 }
 
 impl Cursor {
     /// Starts at an offset with an attempt.
     pub fn new(attempt: &str, next: u64) -> Self {
-        Self { attempt: attempt.to_owned(), next, dropped: 0 }
+        Self { attempt: attempt.to_owned(), next, held: BTreeMap::new() }
     }
 
-    /// Goes on with another attempt from the same place.
+    /// Goes on with another attempt, or another reading of the same, from the same place.
     pub fn switch(&mut self, attempt: &str) {
         self.attempt = attempt.to_owned();
+        self.held.clear();
     }
 
-    /// Judges `count` tokens of an attempt that start at `offset`, and moves on past new ones.
-    pub fn judge(&mut self, attempt: &str, offset: u64, count: usize) -> Verdict {
+    /// Takes one token of an attempt in.
+    pub fn take(&mut self, attempt: &str, offset: u64, token: &str) -> Verdict {
         if attempt != self.attempt {
-            self.dropped += count as u64;
             return Verdict::Foreign;
         }
+        if offset < self.next || self.held.contains_key(&offset) {
+            return Verdict::Repeated;
+        }
         if offset > self.next {
-            return Verdict::Gap(self.next);
+            if self.held.len() >= MOST_HELD {
+                return Verdict::Gap(self.next);
+            }
+            self.held.insert(offset, token.to_owned());
+            return Verdict::Held;
         }
-        let known = (self.next - offset) as usize;
-        self.dropped += known.min(count) as u64;
-        if known >= count {
-            return Verdict::Repeated;
+        let mut accepted = vec![token.to_owned()];
+        self.next += 1;
+        while let Some(token) = self.held.remove(&self.next) {
+            accepted.push(token);
+            self.next += 1;
         }
-        self.next = offset + count as u64;
-        Verdict::Accept(known)
+        Verdict::Accept(accepted)
+    }
+
+    /// Says whether tokens are held for others that are missing.
+    pub fn is_missing(&self) -> bool {
+        !self.held.is_empty()
     }
 
     /// Returns the offset of the next token.
@@ -62,9 +95,4 @@
     pub fn get_attempt(&self) -> &str {
         &self.attempt
     }
-
-    /// Returns how many tokens were dropped.
-    pub fn get_dropped(&self) -> u64 {
-        self.dropped
-    }
 }
--- a/crates/keeljunction/src/node/accept.rs
+++ b/crates/keeljunction/src/node/accept.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use keeljunction_core::claim::Verdict;
-use keeljunction_core::shard::Grant;
+use keeljunction_core::shard::{Grant, Refusal};
 use uuid::Uuid;
 
 use super::answer::{done, not_run, unknown};
@@ -86,16 +86,40 @@
     };
     match prepare(&node, &answer).await {
         Ok(start) => {
+            answer.own();
             answer.accept();
             relay::run(node.clone(), answer, start).await;
         }
-        Err(ended) => refuse(&node, &answer, ended),
+        Err(Instead::End(ended)) => refuse(&node, &answer, ended),
+        Err(Instead::RunsAt(runner)) => {
+            drop(seat);
+            return follow_runner(&node, &answer, &runner).await;
+        }
     }
     drop(seat);
 }
 
+/// What becomes of a request that is not run here.
+enum Instead {
+    /// It ends at once.
+    End(Final),
+    /// Another node has its claim.
+    RunsAt(String),
+}
+
+/// Follows the node that has the claim of an unrepeatable request, where it answers for it.
+async fn follow_runner(node: &Arc<Node>, answer: &Arc<Answer>, runner: &str) {
+    if !find::follow_at(node, answer, runner).await {
+        refuse(node, answer, sent_before());
+    }
+}
+
+fn sent_before() -> Final {
+    unknown(409, "the request was sent before and its answer is not known", OUTAGE_RETRY_MS)
+}
+
 /// Gets all that an accepted request needs.
-async fn prepare(node: &Arc<Node>, answer: &Arc<Answer>) -> Result<Start, Final> {
+async fn prepare(node: &Arc<Node>, answer: &Arc<Answer>) -> Result<Start, Instead> {
     let request = &answer.request;
     node.count_try(&request.service.name);
     let want = Want {
@@ -104,22 +128,24 @@
         avoid: &[],
     };
     let granted = grant::acquire(node, request, want).await;
-    let grant = granted.map_err(|r| not_run(503, "no backend server has room", r.retry_after))?;
+    let no_room = |r: Refusal| not_run(503, "no backend server has room", r.retry_after);
+    let grant = granted.map_err(|refusal| Instead::End(no_room(refusal)))?;
     let place = if request.is_safe() { None } else { Some(copy::place(node, answer).await) };
     if place == Some(None) {
         give_back(node, &grant);
-        return Err(not_run(503, "the request's record could not be copied", OUTAGE_RETRY_MS));
+        let ended = not_run(503, "the request's record could not be copied", OUTAGE_RETRY_MS);
+        return Err(Instead::End(ended));
     }
     let place = place.flatten();
     let attempt = Uuid::new_v4().to_string();
     if request.needs_claim()
-        && let Err(ended) = claim(node, answer, &attempt).await
+        && let Err(instead) = claim(node, answer, &attempt).await
     {
         give_back(node, &grant);
         if let Some(place) = &place {
             copy::forget(node, answer, place).await;
         }
-        return Err(ended);
+        return Err(instead);
     }
     if let Some(place) = place {
         copy::keep(node, answer, place);
@@ -128,17 +154,15 @@
 }
 
 /// Claims a request that must not be repeated, or says what its caller gets instead.
-async fn claim(node: &Arc<Node>, answer: &Answer, attempt: &str) -> Result<(), Final> {
+async fn claim(node: &Arc<Node>, answer: &Answer, attempt: &str) -> Result<(), Instead> {
     match claims::claim(node, &answer.request, attempt).await {
-        Ok(verdict) => judged(verdict),
+        Ok(Verdict::Taken(runner)) => Err(Instead::RunsAt(runner)),
+        Ok(verdict) => judged(verdict).map_err(Instead::End),
         Err(fault) => {
             claims::release(node, &answer.request, attempt);
             node.metric.count("claims_failed", 1);
-            Err(not_run(
-                503,
-                &format!("the request could not be claimed: {fault}"),
-                OUTAGE_RETRY_MS,
-            ))
+            let why = format!("the request could not be claimed: {fault}");
+            Err(Instead::End(not_run(503, &why, OUTAGE_RETRY_MS)))
         }
     }
 }
@@ -152,11 +176,7 @@
             Err(done(answer.status, &answer.media_type, body))
         }
         Verdict::Released => Err(not_run(503, "the request was given up before it was sent", 0)),
-        Verdict::Taken | Verdict::Free => Err(unknown(
-            409,
-            "the request was sent before and its answer is not known",
-            OUTAGE_RETRY_MS,
-        )),
+        Verdict::Taken(_) | Verdict::Free => Err(sent_before()),
         Verdict::Mismatch => Err(key_reused()),
     }
 }
--- a/crates/keeljunction/src/node/answer.rs
+++ b/crates/keeljunction/src/node/answer.rs
@@ -43,6 +43,7 @@
 #[derive(Default)]
 struct State {
     is_accepted: bool,
+    is_own: bool,
     is_sent: bool,
     tokens: Vec<String>,
     attempt: Option<Attempt>,
@@ -67,6 +68,16 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Notes that this node itself carries the request, and does not follow another that does.
+    pub fn own(&self) {
+        runtime::lock(&self.state).is_own = true;
+    }
+
+    /// Says whether this node itself carries the request.
+    pub fn is_own(&self) -> bool {
+        runtime::lock(&self.state).is_own
+    }
+
     /// Adds tokens.
     pub fn push(&self, tokens: impl IntoIterator<Item = String>) {
         runtime::lock(&self.state).tokens.extend(tokens);
--- a/crates/keeljunction/src/node/attempt.rs
+++ b/crates/keeljunction/src/node/attempt.rs
@@ -140,11 +140,15 @@
             Err(end) => return end,
         };
         let Piece::Token { attempt: named, offset, text } = piece else {
+            if cursor.is_missing() {
+                return End::Broken("tokens are missing".to_owned());
+            }
             super::relay::finish_model(node, answer, attempt);
             return End::Finished;
         };
-        match cursor.judge(&named, offset, 1) {
-            Verdict::Accept(_) => answer.push([text]),
+        match cursor.take(&named, offset, &text) {
+            Verdict::Accept(tokens) => answer.push(tokens),
+            Verdict::Held => node.metric.count("tokens_held", 1),
             Verdict::Repeated | Verdict::Foreign => node.metric.count("tokens_dropped", 1),
             Verdict::Gap(_) => return End::Broken("tokens are missing".to_owned()),
         }
--- a/crates/keeljunction/src/node/claims.rs
+++ b/crates/keeljunction/src/node/claims.rs
@@ -171,7 +171,7 @@
         Transaction::new().expect(&stands.key, Some(stands.version)).put(&stands.key, value);
     match node.platform.commit(&transaction).await? {
         Commit::Done(_) => Ok(Verdict::Run),
-        Commit::Conflict(_) => Ok(Verdict::Taken),
+        Commit::Conflict(_) => Ok(Verdict::Taken(String::new())),
     }
 }
 
@@ -207,5 +207,9 @@
     let value = serde_json::to_string(last).unwrap_or_default();
     let version = row.map(|row| row.version);
     let transaction = Transaction::new().expect(key, version).put(key, value);
-    matches!(node.platform.commit(&transaction).await, Ok(Commit::Done(_)))
+    let is_settled = matches!(node.platform.commit(&transaction).await, Ok(Commit::Done(_)));
+    if is_settled {
+        node.metric.count("claims_settled", 1);
+    }
+    is_settled
 }
--- a/crates/keeljunction/src/node/find.rs
+++ b/crates/keeljunction/src/node/find.rs
@@ -18,6 +18,9 @@
 const CALL: Duration = Duration::from_millis(500);
 /// How often the answer is looked for again when the node that gave it is gone.
 const SEARCHES: u32 = 20;
+/// How often the node that has a claim is asked, until it says that it carries the request.
+const RUNNER_LOOKS: u32 = 4;
+const RUNNER_PAUSE: Duration = Duration::from_millis(50);
 const PAUSE: Duration = Duration::from_millis(250);
 
 /// What is known of a request somewhere else.
@@ -51,6 +54,19 @@
     }
 }
 
+/// Lets an answer follow the named node, if that soon answers for the request.
+pub async fn follow_at(node: &Arc<Node>, answer: &Arc<Answer>, runner: &str) -> bool {
+    for _ in 0..RUNNER_LOOKS {
+        if let Some(address) = ask_owner(node, answer, runner).await {
+            answer.accept();
+            mirror(node, answer, address).await;
+            return true;
+        }
+        runtime::sleep(RUNNER_PAUSE).await;
+    }
+    false
+}
+
 async fn search(node: &Arc<Node>, answer: &Arc<Answer>) -> Found {
     let id = answer.request.get_id();
     let held = runtime::lock(&node.records).get(&id).cloned();
--- a/crates/keeljunction/src/node/relay.rs
+++ b/crates/keeljunction/src/node/relay.rs
@@ -16,7 +16,7 @@
 use crate::peer::wire::Final;
 use crate::runtime;
 
-/// How often an attempt is attached to again after its stream broke off.
+/// How often an attempt is attached to again in vain after its stream broke off.
 const ATTACHES: u32 = 2;
 /// Pause before attaching again, and the longest before asking for a server again.
 const ATTACH_PAUSE: Duration = Duration::from_millis(50);
@@ -162,12 +162,14 @@
         if !self.answer.request.is_model() {
             return end;
         }
-        for _ in 0..ATTACHES {
-            if !matches!(end, End::Broken(_)) {
-                return end;
-            }
-            runtime::sleep(ATTACH_PAUSE).await;
+        let mut fruitless = 0;
+        while matches!(end, End::Broken(_)) && fruitless < ATTACHES {
+            let before = self.cursor.get_next();
             end = attempt::attach(&self.node, &self.answer, attempt, &mut self.cursor).await;
+            if self.cursor.get_next() == before {
+                fruitless += 1;
+                runtime::sleep(ATTACH_PAUSE).await;
+            }
         }
         end
     }
--- a/crates/keeljunction/src/node/service.rs
+++ b/crates/keeljunction/src/node/service.rs
@@ -102,7 +102,8 @@
 fn hold(node: &Arc<Node>, message: wire::HoldRequest) -> bool {
     let Some(record) = message.record else { return false };
     let id: Id = (record.account.clone(), record.key.clone());
-    if runtime::lock(&node.answers).contains_key(&id) && !message.handover {
+    let is_own = runtime::lock(&node.answers).get(&id).is_some_and(|answer| answer.is_own());
+    if is_own && !message.handover {
         return false;
     }
     if message.progress {
@@ -159,7 +160,7 @@
         takeover::revive(node, id);
     }
     let answer = runtime::lock(&node.answers).get(id).cloned();
-    if let Some(answer) = answer {
+    if let Some(answer) = answer.filter(|answer| answer.is_own()) {
         return wire::FindReply {
             known: true,
             here: true,
--- a/crates/keeljunction/src/node/takeover.rs
+++ b/crates/keeljunction/src/node/takeover.rs
@@ -54,11 +54,13 @@
     runtime::lock(&node.records).remove(&answer.request.get_id());
     answer.push(held.record.tokens.clone());
     if let Some(ended) = held.record.r#final.clone() {
+        answer.own();
         answer.accept();
         answer.finish(node.now(), ended);
         return;
     }
     node.metric.count("requests_taken_over", 1);
+    answer.own();
     answer.accept();
     if let Some(place) = copy::place(node, answer).await {
         copy::keep(node, answer, place);
@@ -95,7 +97,7 @@
     let attempt = Uuid::new_v4().to_string();
     match claims::claim(node, &answer.request, &attempt).await {
         Ok(Verdict::Run) => Some(Start::Claimed(attempt)),
-        Ok(Verdict::Taken) if running.is_some() && answer.request.is_model() => {
+        Ok(Verdict::Taken(_)) if running.is_some() && answer.request.is_model() => {
             running.map(Start::Attached)
         }
         Ok(verdict) => {
--- a/crates/keeljunction/src/peer/pool.rs
+++ b/crates/keeljunction/src/peer/pool.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use hyper::Uri;
 use hyper::header::HeaderValue;
 use tonic::{Code, Response, Status};
 
@@ -40,9 +41,11 @@
     {
         let address: SocketAddr =
             address.parse().map_err(|_| Status::invalid_argument("not an IP:port"))?;
+        let origin = Uri::try_from(format!("http://{address}"))
+            .map_err(|_| Status::invalid_argument("not an IP:port"))?;
         let exchange = async {
             let channel = self.get(address).await?;
-            call(PeerClient::new(channel)).await
+            call(PeerClient::with_origin(channel, origin)).await
         };
         let late = || Err(Status::deadline_exceeded("the peer did not answer in time"));
         let answer = runtime::within(time, exchange).await.unwrap_or_else(late);
--- a/crates/standin/src/harness/cluster.rs
+++ b/crates/standin/src/harness/cluster.rs
@@ -42,6 +42,8 @@
     pub vm_lag_ms: u64,
     /// Settings of the nodes that go over the defaults, as JSON, by section.
     pub settings: Value,
+    /// Whether nodes are told of the first node besides the VM list.
+    pub seeded: bool,
     /// Requests that one engine takes at the same time.
     pub slots: u32,
     /// KV cache tokens that one engine sends in a second; 0 where it cannot.
@@ -57,6 +59,7 @@
             engine_arguments: Vec::new(),
             vm_lag_ms: 100,
             settings: json!({}),
+            seeded: false,
             slots: 16,
             export_per_second: 50_000,
         }
@@ -351,6 +354,9 @@
             "membership": { "probe_ms": 100, "answer_ms": 100, "suspicion_ms": 500 },
             "times": { "roll_poll_ms": 200, "vm_poll_ms": 200, "stop_grace_ms": 300 },
         });
+        if let Some(first) = self.nodes.first().filter(|_| self.plan.seeded) {
+            settings["seeds"] = json!([first.peer()]);
+        }
         merge(&mut settings, &self.plan.settings);
         serde_saphyr::to_string(&settings).map_err(io::Error::other)
     }
--- /dev/null
+++ b/crates/standin/tests/faults/retries.rs
@@ -0,0 +1,50 @@
+//! Retries stay within their budget under a wave of failures.
+
+use keeljunction::runtime;
+use serde_json::json;
+use standin::harness::Plan;
+
+use super::support::{briefing, on_cluster};
+
+#[test]
+fn when_half_of_the_servers_vanish_extra_dispatches_stay_within_the_share() {
+    let settings = json!({ "routing": { "retry_per_mille": 100, "retry_burst": 3 } });
+    let plan = Plan { nodes: 2, engines: 4, settings, slots: 32, ..Plan::default() };
+    on_cluster(plan, async |mut cluster| {
+        let calls: Vec<_> = (0..80)
+            .map(|number| {
+                let (client, to) = (cluster.client.clone(), cluster.nodes[number % 2].caller());
+                let call = briefing(&format!("wave {number}"), 200).key(&format!("w-{number}"));
+                runtime::task(
+                    async move { call.send(&client, to).await.expect("there is a response") },
+                )
+            })
+            .collect();
+        runtime::sleep(std::time::Duration::from_millis(700)).await;
+        for server in ["hidro-0", "hidro-1"] {
+            cluster.servers.get_mut(server).expect("it runs").kill();
+        }
+        let (mut done, mut given_up) = (0, 0);
+        for call in calls {
+            let answer = call.await;
+            if answer.is_whole {
+                done += 1;
+                continue;
+            }
+            given_up += 1;
+            assert_eq!(answer.outcome(), "unknown", "{answer:?}");
+            assert!(
+                answer.problem.as_ref().is_some_and(|p| p["retry_after_ms"].as_u64() > Some(0)),
+                "{answer:?}"
+            );
+        }
+        let (retries, denied) =
+            (cluster.count("retries").await, cluster.count("retries_denied").await);
+        println!(
+            "80 requests: {done} done, {given_up} given up, {retries} retries, {denied} denied"
+        );
+        // Each of two nodes: a burst of 3, and a tenth of its 40 first tries.
+        assert!(retries <= 2 * (3 + 4), "{retries}");
+        assert!(given_up > 0 && given_up == denied, "{given_up} given up, {denied} denied");
+    });
+}
