test: cover the core's decisions by behaviour and by properties

Found and mended on the way:

- shard::Queue tried every waiter again after each grant, which is quadratic: the share test with 400 waiters ran over 60 s.
- fleet::plan was greedy and paid 1000 where 440 does.
It now takes the best over all bounds on one data centre's reclaimable VMs.
- Two expectations were wrong (the order of groups that start level, the price of three VMs) and are replaced by the right literal ones.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # Each check has a target of its own; `make test` runs them all.
 
 CARGO ?= cargo
+# Tests with real processes that run at the same time: each starts up to a dozen.
+JOBS ?= 4
 
 .PHONY: all build demo test fmt clippy unit faults doc bench codegen clean
 
@@ -26,11 +28,12 @@
 	RUSTDOCFLAGS="-D warnings" $(CARGO) doc --workspace --no-deps -q
 
 unit: build
-	$(CARGO) test --workspace -q
+	$(CARGO) test -q --workspace --exclude standin
+	$(CARGO) test -q -p standin -- --test-threads=$(JOBS)
 
 # The failures that need real processes.
 faults: build
-	$(CARGO) test -p standin --test faults
+	$(CARGO) test -p standin --test faults -- --test-threads=$(JOBS)
 
 codegen:
 	cd tools/codegen && $(CARGO) run
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -38,18 +38,16 @@
 /// How many VMs to hold of each offer, by its place in the slice that was given.
 pub type Plan = BTreeMap<usize, u32>;
 
-/// Plans the VMs to hold: cheapest first, spread until the loss of any data centre is borne.
+/// Plans the VMs to hold: the cheapest set that meets the demand and bears the loss of any data
+/// centre's reclaimable VMs.
 ///
-/// Where the offers do not suffice the plan holds all there is.
+/// For each bound on the reclaimable VMs of one data centre, the cheapest VMs within it are the
+/// best choice; the best of these over all bounds is the best of all. Where the offers do not
+/// suffice the plan comes as near as they allow.
 pub fn plan(now: Millis, offers: &[Offer], demand: &Demand) -> Plan {
-    let mut plan = Plan::new();
-    let need = demand.target.max(demand.floor);
-    while count(&plan) < need || survivors(offers, &plan) < demand.after_loss {
-        let is_short = count(&plan) < need;
-        let Some(place) = next_offer(now, offers, &plan, demand, is_short) else { break };
-        *plan.entry(place).or_default() += 1;
-    }
-    plan
+    let bounds = 0..=demand.target.max(demand.floor).max(demand.after_loss) + demand.after_loss;
+    let plans = bounds.map(|bound| cheapest_within(now, offers, demand, bound));
+    plans.min_by_key(|plan| rank(offers, demand, plan)).unwrap_or_default()
 }
 
 /// Computes the price of a plan for an hour, in thousandths.
@@ -72,31 +70,38 @@
     plan.values().sum()
 }
 
-/// The cheapest offer that helps: any while VMs are short, else one that adds a survivor.
-fn next_offer(
-    now: Millis,
-    offers: &[Offer],
-    plan: &Plan,
-    demand: &Demand,
-    is_short: bool,
-) -> Option<usize> {
-    let is_open = |place: &usize| {
-        let offer = &offers[*place];
-        let held = plan.get(place).copied().unwrap_or(0);
-        held < offer.most && offer.refused_until.is_none_or(|until| now >= until)
-    };
-    let before = survivors(offers, plan);
-    let adds_survivor = |place: &usize| {
-        let mut with = plan.clone();
-        *with.entry(*place).or_default() += 1;
-        survivors(offers, &with) > before
-    };
-    let open = (0..offers.len()).filter(is_open);
-    let needs_survivor = before < demand.after_loss;
-    let rank = |place: &usize| {
-        let wasted = needs_survivor && !adds_survivor(place);
-        (wasted, offers[*place].per_hour_milli, *place)
-    };
-    let best = open.min_by_key(rank)?;
-    (is_short || adds_survivor(&best)).then_some(best)
+/// Takes the cheapest VMs, with at most `bound` reclaimable ones in any data centre.
+fn cheapest_within(now: Millis, offers: &[Offer], demand: &Demand, bound: u32) -> Plan {
+    let need = demand.target.max(demand.floor).max(demand.after_loss + bound);
+    let mut exposed: BTreeMap<&str, u32> = BTreeMap::new();
+    let mut plan = Plan::new();
+    for place in by_price(now, offers) {
+        let offer = &offers[place];
+        let mut room = offer.most.min(need - count(&plan));
+        if offer.reclaimable {
+            let exposed = exposed.entry(&offer.data_centre).or_default();
+            room = room.min(bound - *exposed);
+            *exposed += room;
+        }
+        if room > 0 {
+            plan.insert(place, room);
+        }
+    }
+    plan
+}
+
+/// Lists the offers that can be tried now, the cheapest first.
+fn by_price(now: Millis, offers: &[Offer]) -> Vec<usize> {
+    let is_open = |place: &usize| offers[*place].refused_until.is_none_or(|until| now >= until);
+    let mut places: Vec<usize> = (0..offers.len()).filter(is_open).collect();
+    places.sort_by_key(|place| (offers[*place].per_hour_milli, *place));
+    places
+}
+
+/// What a plan leaves unmet, then its price: the least is best.
+fn rank(offers: &[Offer], demand: &Demand, plan: &Plan) -> (u32, u32, u64) {
+    let need = demand.target.max(demand.floor);
+    let short = need.saturating_sub(count(plan));
+    let exposed = demand.after_loss.saturating_sub(survivors(offers, plan));
+    (short, exposed, price(offers, plan))
 }
--- a/crates/core/src/shard/queue.rs
+++ b/crates/core/src/shard/queue.rs
@@ -1,6 +1,6 @@
 //! The one queue for the servers of a shard.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use super::drain_rate::DrainRate;
 use super::share::{Counter, GENERATED_COST};
@@ -93,6 +93,33 @@
     until: Millis,
 }
 
+/// Requests for which there is no room just now. Where one without wishes found none, no other of
+/// its kind does, so that a long queue is not tried request by request.
+#[derive(Debug, Default)]
+struct Hopeless {
+    kinds: HashSet<(bool, bool)>,
+    ids: HashSet<String>,
+}
+
+impl Hopeless {
+    fn add(&mut self, ask: &Ask) {
+        if ask.avoid.is_empty() {
+            self.kinds.insert(kind_of(ask));
+        } else {
+            self.ids.insert(ask.id.clone());
+        }
+    }
+
+    fn contains(&self, ask: &Ask) -> bool {
+        self.kinds.contains(&kind_of(ask)) || self.ids.contains(&ask.id)
+    }
+}
+
+/// Whether a request may use the room kept for the most urgent, and whether its prompt is long.
+fn kind_of(ask: &Ask) -> (bool, bool) {
+    (ask.priority == 0, ask.prompt_tokens > route::LONG_PROMPT_TOKENS)
+}
+
 impl Queue {
     /// Makes a queue without servers: each takes `slots` requests and reads so many tokens a second.
     pub fn new(slots: u32, prefill_per_second: u32) -> Self {
@@ -272,8 +299,8 @@
 
     fn grant_waiting(&mut self, now: Millis) -> Vec<(String, Decision)> {
         let mut decided = Vec::new();
-        let mut passed_over: Vec<String> = Vec::new();
-        while let Some(place) = self.next_waiter(&passed_over) {
+        let mut hopeless = Hopeless::default();
+        while let Some(place) = self.next_waiter(&hopeless) {
             let ask = self.waiting[place].ask.clone();
             match self.try_grant(now, &ask) {
                 Some(grant) => {
@@ -281,15 +308,15 @@
                     let grant = self.record(grant);
                     decided.push((ask.id, Decision::Granted(grant)));
                 }
-                None => passed_over.push(ask.id),
+                None => hopeless.add(&ask),
             }
         }
         decided
     }
 
     /// Finds whose turn it is: the group with the least counter, then priority, then deadline.
-    fn next_waiter(&self, passed_over: &[String]) -> Option<usize> {
-        let fit = self.waiting.iter().enumerate().filter(|(_, w)| !passed_over.contains(&w.ask.id));
+    fn next_waiter(&self, hopeless: &Hopeless) -> Option<usize> {
+        let fit = self.waiting.iter().enumerate().filter(|(_, w)| !hopeless.contains(&w.ask));
         let turn = |waiter: &Waiter| {
             let ask = &waiter.ask;
             (self.shares.get_cost(&ask.group), ask.priority, ask.deadline)
--- /dev/null
+++ b/crates/core/tests/core/fleet.rs
@@ -0,0 +1,65 @@
+//! Which VMs to hold.
+
+use keeljunction_core::fleet::{Demand, Offer, plan, price, survivors};
+use proptest::prelude::*;
+
+fn offer(data_centre: &str, reclaimable: bool, per_hour_milli: u64) -> Offer {
+    Offer {
+        data_centre: data_centre.to_owned(),
+        vm_class: "a".to_owned(),
+        reclaimable,
+        per_hour_milli,
+        refused_until: None,
+        most: 10,
+    }
+}
+
+#[test]
+fn the_cheapest_set_that_survives_a_data_centre_is_held() {
+    let offers = [offer("x", true, 100), offer("y", true, 120), offer("z", false, 400)];
+    let demand = Demand { target: 4, after_loss: 2, floor: 0 };
+    let held = plan(0, &offers, &demand);
+    assert_eq!(survivors(&offers, &held), 2, "{held:?}");
+    assert_eq!(price(&offers, &held), 2 * 100 + 2 * 120, "{held:?}");
+}
+
+#[test]
+fn a_place_that_refused_a_start_is_passed_over_until_its_time() {
+    let refused = Offer { refused_until: Some(500), ..offer("x", true, 100) };
+    let offers = [refused, offer("y", true, 120)];
+    let demand = Demand { target: 2, after_loss: 0, floor: 0 };
+    assert_eq!(plan(499, &offers, &demand).into_iter().collect::<Vec<_>>(), [(1, 2)]);
+    assert_eq!(plan(500, &offers, &demand).into_iter().collect::<Vec<_>>(), [(0, 2)]);
+}
+
+#[test]
+fn on_demand_vms_fill_in_where_no_second_data_centre_is_left() {
+    let offers = [offer("x", true, 100), offer("x", false, 400)];
+    let demand = Demand { target: 3, after_loss: 1, floor: 0 };
+    let held = plan(0, &offers, &demand);
+    assert!(survivors(&offers, &held) >= 1, "{held:?}");
+    assert_eq!(price(&offers, &held), 2 * 100 + 400, "{held:?}");
+}
+
+proptest! {
+    /// Whatever the offers, the plan meets the demand where they suffice, and never holds too many.
+    #[test]
+    fn a_plan_meets_the_demand_or_holds_all_there_is(
+        shape in prop::collection::vec((0..4usize, any::<bool>(), 50..500u64, 1..6u32), 1..8),
+        target in 0..12u32,
+        after_loss in 0..8u32,
+    ) {
+        let offers: Vec<Offer> = shape
+            .iter()
+            .map(|(dc, reclaimable, milli, most)| Offer { most: *most, ..offer(&dc.to_string(), *reclaimable, *milli) })
+            .collect();
+        let held = plan(0, &offers, &Demand { target, after_loss, floor: 0 });
+        let count: u32 = held.values().sum();
+        let all: u32 = offers.iter().map(|offer| offer.most).sum();
+        prop_assert!(held.iter().all(|(place, count)| *count <= offers[*place].most));
+        prop_assert!(count >= target.min(all), "{held:?}");
+        let everything = offers.iter().enumerate().map(|(place, offer)| (place, offer.most)).collect();
+        let possible = survivors(&offers, &everything);
+        prop_assert!(survivors(&offers, &held) >= after_loss.min(possible), "{held:?} of {possible}");
+    }
+}
--- /dev/null
+++ b/crates/core/tests/core/main.rs
@@ -0,0 +1,14 @@
+//! The decisions, by behaviour.
+
+mod bundle;
+mod claim;
+mod drain;
+mod fleet;
+mod lease;
+mod member;
+mod rate;
+mod retry;
+mod route;
+mod shard;
+mod stream;
+mod succession;
--- /dev/null
+++ b/crates/core/tests/core/shard.rs
@@ -0,0 +1,242 @@
+//! Whose turn it is, whether there is room, and when to come back.
+
+use keeljunction_core::shard::{Ask, Decision, Queue, SHARD_SERVERS, shard_count, shard_of};
+use proptest::prelude::*;
+
+fn queue(servers: usize, slots: u32) -> Queue {
+    let mut queue = Queue::new(slots, 1_000);
+    let names: Vec<String> = (0..servers).map(|n| format!("s{n}")).collect();
+    queue.set_servers(names.iter().map(|name| (name.as_str(), "127.0.0.1:1", "x", false)));
+    queue.set_weights([("flood", 3), ("desk", 1)].into_iter());
+    queue
+}
+
+fn ask(id: &str, group: &str, priority: u32, deadline: u64) -> Ask {
+    Ask {
+        id: id.to_owned(),
+        group: group.to_owned(),
+        priority,
+        deadline,
+        wait: 100_000,
+        prompt_tokens: 10,
+        output_tokens: 10,
+        prefix: Vec::new(),
+        avoid: Vec::new(),
+    }
+}
+
+fn granted(decided: &[(String, Decision)]) -> Vec<&str> {
+    let is_grant = |(_, decision): &&(String, Decision)| matches!(decision, Decision::Granted(_));
+    decided.iter().filter(is_grant).map(|(id, _)| id.as_str()).collect()
+}
+
+#[test]
+fn the_group_that_had_least_goes_next_then_priority_then_deadline() {
+    let mut queue = queue(1, 1);
+    assert!(matches!(queue.offer(0, ask("first", "flood", 0, 900_000)), Decision::Granted(_)));
+    for (id, group, priority, deadline) in [
+        ("late", "flood", 0, 900_000),
+        ("soon", "flood", 0, 800_000),
+        ("briefing", "flood", 1, 700_000),
+        ("desk", "desk", 1, 900_000),
+    ] {
+        assert_eq!(queue.offer(1, ask(id, group, priority, deadline)), Decision::Waiting, "{id}");
+    }
+    let mut order = Vec::new();
+    let mut running = "first".to_owned();
+    for now in 2..6 {
+        queue.release(now, &running, None);
+        let decided = queue.poll(now);
+        running = granted(&decided)[0].to_owned();
+        order.push(running.clone());
+    }
+    // A group that comes from idle starts level with the one that runs; then priority decides.
+    assert_eq!(order, ["soon", "desk", "late", "briefing"]);
+}
+
+#[test]
+fn with_no_server_a_request_is_refused_at_once_with_when_to_come_back() {
+    let mut queue = queue(0, 1);
+    let Decision::Refused(refusal) = queue.offer(0, ask("a", "flood", 0, 9_000)) else {
+        panic!("it is refused");
+    };
+    assert!(refusal.retry_after > 0);
+}
+
+#[test]
+fn what_cannot_be_served_in_time_is_refused_at_once_and_told_different_times() {
+    let mut queue = queue(1, 1);
+    queue.offer(0, ask("running", "flood", 0, 900_000));
+    let short = |id: &str| Ask { wait: 40, ..ask(id, "flood", 0, 900_000) };
+    let times: Vec<u64> = (0..5)
+        .map(|n| match queue.offer(1, short(&format!("r{n}"))) {
+            Decision::Refused(refusal) => refusal.retry_after,
+            other => panic!("it is refused: {other:?}"),
+        })
+        .collect();
+    assert!(times.windows(2).all(|pair| pair[0] <= pair[1]), "{times:?}");
+    assert!(times[4] > times[0], "those who come back do not come all at once: {times:?}");
+}
+
+#[test]
+fn a_request_whose_turn_does_not_come_is_refused_when_its_wait_is_over() {
+    let mut queue = queue(1, 1);
+    queue.offer(0, ask("running", "flood", 0, 900_000));
+    let patient = Ask { wait: 500, ..ask("a", "flood", 0, 900_000) };
+    assert_eq!(queue.offer(0, patient), Decision::Waiting);
+    assert_eq!(queue.poll(499), []);
+    assert!(matches!(queue.poll(500).as_slice(), [(id, Decision::Refused(_))] if id == "a"));
+}
+
+#[test]
+fn a_server_that_leaves_gets_no_grant_and_a_new_owner_learns_the_grants_that_are_out() {
+    let mut old = queue(2, 1);
+    let Decision::Granted(grant) = old.offer(0, ask("a", "flood", 0, 900_000)) else {
+        panic!("there is room")
+    };
+    let mut new = queue(2, 1);
+    new.restore(grant.clone());
+    new.restore(grant.clone());
+    let Decision::Granted(second) = new.offer(0, ask("b", "flood", 0, 900_000)) else {
+        panic!("there is room")
+    };
+    assert_ne!(grant.server, second.server);
+    let names = [grant.server.as_str(), second.server.as_str()];
+    new.set_servers(names.map(|name| (name, "127.0.0.1:1", "x", name == grant.server)).into_iter());
+    new.release(1, "a", None);
+    assert_eq!(new.offer(1, ask("c", "flood", 0, 900_000)), Decision::Waiting);
+}
+
+#[test]
+fn failures_lower_a_servers_limit_and_successes_raise_it_again() {
+    let mut queue = queue(1, 10);
+    queue.failed(0, "s0");
+    assert_eq!(queue.get_servers()[0].limit, 7);
+    for _ in 0..9 {
+        queue.succeeded("s0");
+    }
+    assert_eq!(queue.get_servers()[0].limit, 10);
+}
+
+#[test]
+fn six_hundred_servers_make_shards_of_about_sixteen() {
+    let count = shard_count(600);
+    assert_eq!(count, 38);
+    let mut sizes = vec![0; count as usize];
+    for number in 0..600 {
+        sizes[shard_of(&format!("server-{number}"), count) as usize] += 1;
+    }
+    assert!(sizes.iter().all(|size| *size <= 2 * SHARD_SERVERS), "{sizes:?}");
+}
+
+/// What can happen at a queue.
+#[derive(Clone, Debug)]
+enum Step {
+    Offer { group: usize, priority: u32, wait: u64 },
+    Release(usize),
+    Cancel(usize),
+    Pass(u64),
+    Leave(usize),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => (0..2usize, 0..3u32, 0..500u64).prop_map(|(group, priority, wait)| Step::Offer { group, priority, wait }),
+        3 => (0..50usize).prop_map(Step::Release),
+        1 => (0..50usize).prop_map(Step::Cancel),
+        2 => (1..200u64).prop_map(Step::Pass),
+        1 => (0..3usize).prop_map(Step::Leave),
+    ];
+    prop::collection::vec(step, 1..120)
+}
+
+proptest! {
+    /// Each request is decided exactly once, limits hold, and nothing new goes to a leaving server.
+    #[test]
+    fn a_queue_decides_each_request_once_within_its_limits(steps in steps()) {
+        let mut queue = queue(3, 2);
+        let groups = ["flood", "desk"];
+        let mut now = 0;
+        let (mut offered, mut waiting, mut out): (usize, Vec<String>, Vec<(String, String)>) = (0, vec![], vec![]);
+        let mut leaving = [false; 3];
+        for step in steps {
+            match step {
+                Step::Offer { group, priority, wait } => {
+                    let id = format!("r{offered}");
+                    offered += 1;
+                    let ask = Ask { wait, ..ask(&id, groups[group], priority, now + 1_000) };
+                    match queue.offer(now, ask) {
+                        Decision::Granted(grant) => {
+                            let place: usize = grant.server[1..].parse().expect("it is a number");
+                            prop_assert!(!leaving[place]);
+                            out.push((id, grant.server));
+                        }
+                        Decision::Waiting => waiting.push(id),
+                        Decision::Refused(refusal) => prop_assert!(refusal.retry_after > 0),
+                    }
+                }
+                Step::Release(n) if !out.is_empty() => {
+                    let (id, _) = out.remove(n % out.len());
+                    queue.release(now, &id, Some(5));
+                }
+                Step::Cancel(n) if !waiting.is_empty() => {
+                    let id = waiting.remove(n % waiting.len());
+                    queue.cancel(&id);
+                }
+                Step::Pass(ms) => now += ms,
+                Step::Leave(place) => {
+                    leaving[place] = true;
+                    let names = ["s0", "s1", "s2"];
+                    queue.set_servers(names.iter().enumerate().map(|(n, name)| (*name, "127.0.0.1:1", "x", leaving[n])));
+                }
+                _ => {}
+            }
+            for (id, decision) in queue.poll(now) {
+                let place = waiting.iter().position(|known| *known == id);
+                prop_assert!(place.is_some(), "{id} was decided twice");
+                waiting.remove(place.expect("it waits"));
+                if let Decision::Granted(grant) = decision {
+                    let place: usize = grant.server[1..].parse().expect("it is a number");
+                    prop_assert!(!leaving[place]);
+                    out.push((id, grant.server));
+                }
+            }
+            for server in queue.get_servers() {
+                let there = out.iter().filter(|(_, name)| *name == server.name).count() as u32;
+                prop_assert_eq!(server.in_flight, there);
+                prop_assert!(there <= 2);
+            }
+            prop_assert_eq!(queue.get_waiting(), waiting.len());
+        }
+    }
+
+    /// With both groups always waiting, each is served in proportion to its weight.
+    #[test]
+    fn shares_are_kept_while_both_groups_wait(tokens in prop::collection::vec(1..200u64, 40..120)) {
+        let mut queue = queue(1, 1);
+        let mut served = [0u64; 2];
+        let mut costs = tokens.iter().cycle();
+        let mut running: Option<(String, usize, u64)> = None;
+        for turn in 0..400u64 {
+            for (group, name) in ["flood", "desk"].iter().enumerate() {
+                let cost = *costs.next().expect("it cycles");
+                let id = format!("{group}-{turn}-{cost}");
+                let ask = Ask { output_tokens: cost, prompt_tokens: 0, ..ask(&id, name, 0, u64::MAX / 2) };
+                if let Decision::Granted(grant) = queue.offer(turn, ask) {
+                    running = Some((grant.id.clone(), group, grant.cost));
+                }
+            }
+            let (id, group, cost) = running.take().expect("one runs");
+            served[group] += cost;
+            queue.release(turn, &id, None);
+            for (id, decision) in queue.poll(turn) {
+                if let Decision::Granted(grant) = decision {
+                    let group = usize::from(id.starts_with('1'));
+                    running = Some((grant.id, group, grant.cost));
+                }
+            }
+        }
+        let share = served[0] as f64 / (served[0] + served[1]) as f64;
+        prop_assert!((0.72..0.78).contains(&share), "{share} of {served:?}");
+    }
+}
--- /dev/null
+++ b/crates/core/tests/core/stream.rs
@@ -0,0 +1,51 @@
+//! Which tokens belong to an answer.
+
+use keeljunction_core::stream::{Cursor, Verdict};
+use proptest::prelude::*;
+
+#[test]
+fn too_much_that_is_missing_asks_for_the_attempt_again() {
+    let mut cursor = Cursor::new("a", 0);
+    for offset in 1..65 {
+        assert_eq!(cursor.take("a", offset, "x"), Verdict::Held);
+    }
+    assert_eq!(cursor.take("a", 65, "x"), Verdict::Gap(0));
+    assert!(cursor.is_missing());
+}
+
+#[test]
+fn what_was_held_of_one_attempt_does_not_pass_into_another() {
+    let mut cursor = Cursor::new("a", 3);
+    assert_eq!(cursor.take("a", 4, "old"), Verdict::Held);
+    cursor.switch("b");
+    assert_eq!(cursor.take("b", 3, "x"), Verdict::Accept(vec!["x".to_owned()]));
+    assert_eq!(cursor.take("a", 4, "old"), Verdict::Foreign);
+    assert_eq!(cursor.get_next(), 4);
+}
+
+proptest! {
+    /// Doubled, foreign and out of order: the answer is the attempt's tokens, each once, in order.
+    #[test]
+    fn the_answer_is_whole_and_in_order(
+        count in 1..60u64,
+        noise in prop::collection::vec((0..60u64, any::<bool>()), 0..60),
+        seed in any::<u64>(),
+    ) {
+        let mut events: Vec<(String, u64)> = (0..count).map(|offset| ("a".to_owned(), offset)).collect();
+        for (offset, is_foreign) in noise {
+            let attempt = if is_foreign { "b" } else { "a" };
+            events.push((attempt.to_owned(), offset % count));
+        }
+        fastrand::Rng::with_seed(seed).shuffle(&mut events);
+        let mut cursor = Cursor::new("a", 0);
+        let mut answer = Vec::new();
+        for (attempt, offset) in events {
+            if let Verdict::Accept(tokens) = cursor.take(&attempt, offset, &format!("{attempt}{offset}")) {
+                answer.extend(tokens);
+            }
+        }
+        let expected: Vec<String> = (0..count).map(|offset| format!("a{offset}")).collect();
+        prop_assert_eq!(answer, expected);
+        prop_assert!(!cursor.is_missing());
+    }
+}
