feat(control): orders and VM starts under a lease; fix stops and departures

What only one node may do is done under a lease row whose version is the fence: orders to engines state the whole desired set, once for each roll; each VM start has an intent row with a client token before the cloud is asked. Five tests: a paused holder (engines that check fences and engines that do not), lost, late and refused starts, a holder killed between intent and answer.

Found by running the fault tests ten times over and by reading, and mended:

- planned_stop::stopping_each_node_in_turn failed in 1 run of 2: a node ended just as a caller that had read its answer asked again on the same connection.
Ruled out: a cut stream (all answers were whole).
A stopping node now closes each connection after its response and lingers 250 ms.
- A server could begin to leave between a grant and its dispatch, unseen by both sides.
The attempt is now published before the departure is looked up.
- An unrepeatable stream that was steered was sent elsewhere without its first attempt being surely cancelled.
Now it waits for the engine's word, or stays.
- Looking for a known key asked four peers in turn, 500 ms each where one sleeps.
All are asked at once, 250 ms at most, and requests with a claim are not looked for at all: the claim names who has them.

--- a/crates/core/src/bundle/document.rs
+++ b/crates/core/src/bundle/document.rs
@@ -79,6 +79,12 @@
     /// Tokens of KV cache that one backend server can send away in a second; 0 where it cannot.
     #[serde(default)]
     pub export_tokens_per_second: u64,
+    /// The VM class of its servers; without one no VMs are started for it.
+    #[serde(default)]
+    pub vm_class: String,
+    /// VMs that must be left after the largest data centre is lost.
+    #[serde(default)]
+    pub after_loss: u32,
     /// VMs below which the service must not fall.
     #[serde(default)]
     pub floor: u32,
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -70,6 +70,19 @@
     plan.values().sum()
 }
 
+/// Picks the offer of which a VM must be started next, given what is held of each.
+///
+/// Returns `None` where the plan is met. The offer that lacks most goes first, the cheapest of
+/// equals.
+pub fn next_start(offers: &[Offer], plan: &Plan, held: &Plan) -> Option<usize> {
+    let lack = |place: usize| {
+        let planned = plan.get(&place).copied().unwrap_or(0);
+        planned.saturating_sub(held.get(&place).copied().unwrap_or(0))
+    };
+    let short = (0..offers.len()).filter(|place| lack(*place) > 0);
+    short.min_by_key(|place| (u32::MAX - lack(*place), offers[*place].per_hour_milli))
+}
+
 /// Takes the cheapest VMs, with at most `bound` reclaimable ones in any data centre.
 fn cheapest_within(now: Millis, offers: &[Offer], demand: &Demand, bound: u32) -> Plan {
     let need = demand.target.max(demand.floor).max(demand.after_loss + bound);
--- a/crates/keeljunction/src/backend/engine.rs
+++ b/crates/keeljunction/src/backend/engine.rs
@@ -62,6 +62,17 @@
     pub evicted: Vec<u64>,
 }
 
+/// What an engine says to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ordered {
+    /// It was taken.
+    Taken,
+    /// A newer fence was seen before.
+    OldFence,
+    /// It was refused, or there was no answer.
+    Failed,
+}
+
 /// One model engine.
 pub struct Engine<'a> {
     /// The client to reach it with.
@@ -101,11 +112,12 @@
         self.stream(self.request(Method::GET, &path).body(Body::empty())).await
     }
 
-    /// Ends an attempt whose tokens nobody wants any more.
-    pub async fn cancel(&self, attempt: &str) {
+    /// Ends an attempt whose tokens nobody wants any more, and says whether that is confirmed.
+    pub async fn cancel(&self, attempt: &str) -> bool {
         let request = self.request(Method::DELETE, &format!("/attempts/{attempt}"));
-        if let Ok(request) = request.body(Body::empty()) {
-            let _ = self.exchange(request).await;
+        match request.body(Body::empty()) {
+            Ok(request) => self.exchange(request).await.is_ok(),
+            Err(_) => false,
         }
     }
 
@@ -120,6 +132,18 @@
         self.exchange(request.map_err(not_sent)?).await.map(|_| ())
     }
 
+    /// Sends an order.
+    pub async fn order(&self, order: &Value) -> Ordered {
+        let request = self.request(Method::POST, "/orders").body(Body::from(order.to_string()));
+        let Ok(request) = request else { return Ordered::Failed };
+        let sent = runtime::within(self.within, self.http.send(self.address, request)).await;
+        match sent {
+            Some(Ok(response)) if response.status() == StatusCode::OK => Ordered::Taken,
+            Some(Ok(response)) if response.status() == StatusCode::CONFLICT => Ordered::OldFence,
+            _ => Ordered::Failed,
+        }
+    }
+
     /// Reads the load report.
     ///
     /// # Errors
--- a/crates/keeljunction/src/backend/mod.rs
+++ b/crates/keeljunction/src/backend/mod.rs
@@ -4,7 +4,7 @@
 mod plain;
 mod tokens;
 
-pub use engine::{Engine, Event, Events, Load, Send};
+pub use engine::{Engine, Event, Events, Load, Ordered, Send};
 pub use plain::{Plain, Reply};
 pub use tokens::{Piece, Tokens};
 
--- a/crates/keeljunction/src/caller/handler.rs
+++ b/crates/keeljunction/src/caller/handler.rs
@@ -26,36 +26,45 @@
 const KEY: &str = "idempotency-key";
 
 /// Answers one request of a caller.
+///
+/// A node that is stopping closes each connection after its response, so that no caller is about
+/// to use one again when the node ends.
 pub async fn answer(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let mut response = respond_to(&node, request).await;
+    if node.is_stopping() {
+        response.headers_mut().insert("connection", HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn respond_to(node: &Arc<Node>, request: Request<Incoming>) -> Response<Body> {
     let started = node.now();
     node.metric.count("requests", 1);
     if node.is_closed() {
-        return closed(&node);
+        return closed(node);
     }
     let Some(force) = node.get_force() else {
         let why = node.get_unready().unwrap_or("not ready");
         let problem = Problem::refused(StatusCode::SERVICE_UNAVAILABLE, why);
         return respond(&problem.retry_after(CLOSED_RETRY_MS));
     };
-    let checked = match check::check(&node, &force, request).await {
+    let checked = match check::check(node, &force, request).await {
         Ok(checked) => checked,
         Err(problem) => {
             node.metric.count("requests_bad", 1);
             return respond(&problem);
         }
     };
-    let response = give(&node, checked).await;
+    let response = give(node, checked).await;
     node.metric.time("head_ms", node.now() - started);
     response
 }
 
-/// A node that takes nothing more refuses at once, and closes the connection.
+/// A node that takes nothing more refuses at once.
 fn closed(node: &Node) -> Response<Body> {
     node.metric.count("requests_refused", 1);
     let problem = Problem::refused(StatusCode::SERVICE_UNAVAILABLE, "this node is stopping");
-    let mut response = respond(&problem.retry_after(CLOSED_RETRY_MS));
-    response.headers_mut().insert("connection", HeaderValue::from_static("close"));
-    response
+    respond(&problem.retry_after(CLOSED_RETRY_MS))
 }
 
 async fn give(node: &Arc<Node>, checked: Checked) -> Response<Body> {
--- a/crates/keeljunction/src/node/accept.rs
+++ b/crates/keeljunction/src/node/accept.rs
@@ -70,7 +70,9 @@
 }
 
 async fn take(node: Arc<Node>, answer: Arc<Answer>, naming: Naming) {
-    if naming != Naming::Drawn && find::resume(&node, &answer).await {
+    // The claim of an unrepeatable request names who has it; others are looked for.
+    let is_sought = naming == Naming::Given && !answer.request.needs_claim();
+    if (is_sought || naming == Naming::Returning) && find::resume(&node, &answer).await {
         return;
     }
     if naming == Naming::Returning {
@@ -109,7 +111,7 @@
 
 /// Follows the node that has the claim of an unrepeatable request, where it answers for it.
 async fn follow_runner(node: &Arc<Node>, answer: &Arc<Answer>, runner: &str) {
-    if !find::follow_at(node, answer, runner).await {
+    if !find::follow_at(node, answer, runner).await && !find::resume(node, answer).await {
         refuse(node, answer, sent_before());
     }
 }
--- a/crates/keeljunction/src/node/copy.rs
+++ b/crates/keeljunction/src/node/copy.rs
@@ -123,12 +123,16 @@
     Lost,
 }
 
+/// Sends what is new to the holder, until the answer has ended or the holder goes.
 async fn pump(node: &Node, answer: &Answer, holder: &str) -> Pumped {
     let mut acknowledged = answer.get_length();
     let mut known: Option<Attempt> = None;
     let mut failures = 0;
     loop {
         answer.changed(acknowledged, known.as_ref()).await;
+        if !node.usable_nodes().iter().any(|(name, _)| name == holder) {
+            return Pumped::Lost;
+        }
         let news = answer.get_since(acknowledged);
         let attempt = answer.get_attempt();
         let is_last = news.ended.is_some();
--- a/crates/keeljunction/src/node/find.rs
+++ b/crates/keeljunction/src/node/find.rs
@@ -15,7 +15,8 @@
 
 /// Nodes of the succession list that are asked.
 const ASKED: usize = 4;
-const CALL: Duration = Duration::from_millis(500);
+/// Time for one answer. It delays requests whose key the caller gave while a node sleeps unnoticed.
+const CALL: Duration = Duration::from_millis(250);
 /// How often the answer is looked for again when the node that gave it is gone.
 const SEARCHES: u32 = 20;
 /// How often the node that has a claim is asked, until it says that it carries the request.
@@ -102,10 +103,19 @@
     Found::Here
 }
 
-async fn search_peers(node: &Arc<Node>, answer: &Answer, peers: &[String]) -> Found {
-    for name in peers {
-        let Some(address) = node.get_peer_address(name) else { continue };
-        let Some(reply) = ask(node, answer, &address, false).await else { continue };
+/// Asks all peers at once; the first in the list that knows the request counts.
+async fn search_peers(node: &Arc<Node>, answer: &Arc<Answer>, peers: &[String]) -> Found {
+    let addresses: Vec<String> =
+        peers.iter().filter_map(|name| node.get_peer_address(name)).collect();
+    let asked: Vec<_> = addresses
+        .into_iter()
+        .map(|address| {
+            let (node, answer) = (node.clone(), answer.clone());
+            runtime::task(async move { (ask(&node, &answer, &address, false).await, address) })
+        })
+        .collect();
+    for reply in asked {
+        let (Some(reply), address) = reply.await else { continue };
         if !reply.known {
             continue;
         }
--- a/crates/keeljunction/src/node/mod.rs
+++ b/crates/keeljunction/src/node/mod.rs
@@ -11,6 +11,8 @@
 //! | [`find`] | finds the answer of a caller that comes back |
 //! | [`claims`] | lets an unrepeatable request run at most once |
 //! | [`gossip`], [`adoption`], [`watch`] | membership, the bundle in force, the VM list and notices |
+//! | [`control`], [`lease`] | does what only one node may do, under a lease |
+//! | [`order`], [`fleet`] | tells engines what to run; starts VMs |
 //! | [`departure`] | moves streams off VMs that are going away |
 //! | [`service`] | answers peers |
 //! | [`settlement`] | tells owners of shards which grants are used and given back |
@@ -23,12 +25,16 @@
 pub mod answer;
 pub mod attempt;
 pub mod claims;
+pub mod control;
 pub mod copy;
 pub mod departure;
 pub mod find;
+pub mod fleet;
 pub mod gossip;
 pub mod grant;
 pub mod housekeeping;
+pub mod lease;
+pub mod order;
 pub mod relay;
 pub mod request;
 pub mod serve;
--- a/crates/keeljunction/src/node/relay.rs
+++ b/crates/keeljunction/src/node/relay.rs
@@ -26,6 +26,9 @@
 /// Cost of one generated token, against one uncached prompt token.
 const GENERATED_COST: u64 = 4;
 
+/// A grant that was not used.
+const UNUSED: Usage = Usage { cost: Some(0), is_failed: false };
+
 /// Where a request starts.
 #[derive(Clone, Debug)]
 pub enum Start {
@@ -51,8 +54,8 @@
     answer: Arc<Answer>,
     cursor: Cursor,
     avoid: Vec<String>,
-    /// The attempt whose KV cache the next engine fetches first.
-    carried: Option<Attempt>,
+    /// The attempt that was steered off its server, and how.
+    left: Option<(Attempt, Action)>,
     /// The attempt that the claim names; only that may be sent.
     claimed: Option<String>,
 }
@@ -60,7 +63,7 @@
 /// Carries a request through until its answer has ended.
 pub async fn run(node: Arc<Node>, answer: Arc<Answer>, start: Start) {
     let cursor = Cursor::new("", answer.get_length());
-    let mut run = Run { node, answer, cursor, avoid: Vec::new(), carried: None, claimed: None };
+    let mut run = Run { node, answer, cursor, avoid: Vec::new(), left: None, claimed: None };
     let mut granted = match start {
         Start::Granted(grant, attempt) => {
             run.claimed = run.answer.request.needs_claim().then(|| attempt.clone());
@@ -129,8 +132,16 @@
     async fn attempt(&mut self, grant: Grant, name: String) -> Step {
         let attempt =
             Attempt { id: name, server: grant.server.clone(), address: grant.address.clone() };
+        if let Some(step) = self.leave_behind(&attempt, &grant).await {
+            return step;
+        }
         self.answer.set_attempt(attempt.clone());
-        self.fetch_cache(&attempt).await;
+        // Whoever learns of a departure after this sees the attempt and steers it.
+        if self.node.is_leaving(&attempt.server) {
+            grant::release(&self.node, &grant.id, UNUSED);
+            self.avoid.push(attempt.server);
+            return Step::Again;
+        }
         let before = self.cursor.get_next();
         let priority = self.answer.request.class.priority;
         let end = if self.answer.request.is_model() {
@@ -192,9 +203,9 @@
             }
             End::Steered(Action::Finish) => Step::Again,
             End::Steered(action) => {
-                self.carried = (action == Action::Move).then(|| attempt.clone());
                 self.node.metric.count("streams_moved", 1);
-                self.avoid = vec![attempt.server];
+                self.avoid = vec![attempt.server.clone()];
+                self.left = Some((attempt, action));
                 Step::Again
             }
             End::NotSent(why) => self.after_unsent(attempt, &why),
@@ -255,19 +266,36 @@
         self.node.now() + refusal.retry_after.min(LONGEST_PAUSE_MS) >= self.answer.request.deadline
     }
 
-    /// Lets the engine fetch the KV cache that the stream leaves behind.
-    async fn fetch_cache(&mut self, attempt: &Attempt) {
-        let Some(left) = self.carried.take() else { return };
-        let Ok(address) = attempt.address.parse() else { return };
+    /// Leaves the attempt that was steered off its server: the next engine fetches its KV cache
+    /// where that is the plan, and it is cancelled.
+    ///
+    /// Only when an unrepeatable request's attempt is surely cancelled may it go on elsewhere;
+    /// else it is followed where it is.
+    async fn leave_behind(&mut self, next: &Attempt, grant: &Grant) -> Option<Step> {
+        let (left, action) = self.left.take()?;
+        if action == Action::Move {
+            self.fetch_cache(&left, next).await;
+        }
+        let is_cancelled = self.cancel(&left).await;
+        if is_cancelled || self.answer.request.class.repeatable {
+            return None;
+        }
+        grant::release(&self.node, &grant.id, UNUSED);
+        Some(Box::pin(self.attach(&left)).await)
+    }
+
+    async fn fetch_cache(&self, left: &Attempt, next: &Attempt) {
+        let Ok(address) = next.address.parse() else { return };
         let imported = attempt::engine(&self.node, address).import(&left.address, &left.id).await;
         let name = if imported.is_ok() { "caches_moved" } else { "caches_lost" };
         self.node.metric.count(name, 1);
-        self.cancel(&left).await;
     }
 
-    async fn cancel(&self, attempt: &Attempt) {
-        if let Ok(address) = attempt.address.parse() {
-            attempt::engine(&self.node, address).cancel(&attempt.id).await;
+    /// Cancels an attempt, and says whether its engine has confirmed that.
+    async fn cancel(&self, attempt: &Attempt) -> bool {
+        match attempt.address.parse() {
+            Ok(address) => attempt::engine(&self.node, address).cancel(&attempt.id).await,
+            Err(_) => false,
         }
     }
 
--- a/crates/keeljunction/src/node/serve.rs
+++ b/crates/keeljunction/src/node/serve.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::service::Service;
-use super::{Node, adoption, claims, gossip, housekeeping, settlement, stop, watch};
+use super::{Node, adoption, claims, control, gossip, housekeeping, settlement, stop, watch};
 use crate::caller;
 use crate::http::{Limits, Server, Stop};
 use crate::peer::Listener;
@@ -20,6 +20,9 @@
 
 /// Time for responses in flight to be written out at the very end.
 const WRITE_OUT: Duration = Duration::from_secs(10);
+/// Time after the last answer in which callers are still told that their connections close: one
+/// that has just read its answer may be about to ask again on the same connection.
+const LINGER: Duration = Duration::from_millis(250);
 const LOOK: Duration = Duration::from_millis(10);
 
 /// Where a node listens, as it says on standard output once it does.
@@ -65,6 +68,7 @@
     log::info!("node {} listens: {at:?}", node.get_name());
     runtime::spawn(wait_for_signal(node.clone()));
     node.ended.given().await;
+    runtime::sleep(LINGER).await;
     stop.give();
     let waited = runtime::within(WRITE_OUT, async {
         while open.get() > 0 {
@@ -88,6 +92,7 @@
     runtime::spawn(housekeeping::sweep(node.clone()));
     runtime::spawn(housekeeping::tick(node.clone()));
     runtime::spawn(claims::run(node.clone()));
+    runtime::spawn(control::run(node.clone()));
 }
 
 async fn wait_for_signal(node: Arc<Node>) {
--- a/crates/keeljunction/src/platform/client.rs
+++ b/crates/keeljunction/src/platform/client.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use super::{Commit, Key, Notice, Row, Scan, Transaction, Vm};
+use super::{Commit, Key, Notice, Row, Scan, Start, Started, Transaction, Vm};
 use crate::http::{self, Body};
 use crate::runtime::{self, Clock};
 use crate::settings;
@@ -120,6 +120,16 @@
         decode(&self.call(Method::GET, "/notices", Body::empty()).await?)
     }
 
+    /// Starts a VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Fault`] where there is no answer; [`Fault::Refused`] where there is no VM to be
+    /// had.
+    pub async fn start(&self, start: &Start) -> Result<Started, Fault> {
+        self.ask("/cloud/start", start).await
+    }
+
     async fn ask<Q: Serialize, A: DeserializeOwned>(
         &self,
         path: &str,
--- a/crates/keeljunction/src/platform/message.rs
+++ b/crates/keeljunction/src/platform/message.rs
@@ -124,6 +124,28 @@
     pub state: VmState,
 }
 
+/// A VM to start. For one token the cloud starts one VM, however often it is asked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Start {
+    /// The client's token.
+    pub token: String,
+    /// The service that it is for.
+    pub service: String,
+    /// The data centre.
+    pub data_centre: String,
+    /// The VM class.
+    pub vm_class: String,
+    /// Whether it may be taken back.
+    pub reclaimable: bool,
+}
+
+/// A VM that was started.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Started {
+    /// Its name.
+    pub vm: String,
+}
+
 /// A reclaim notice.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Notice {
--- a/crates/keeljunction/src/platform/mod.rs
+++ b/crates/keeljunction/src/platform/mod.rs
@@ -7,7 +7,9 @@
 mod message;
 
 pub use client::{Client, Fault};
-pub use message::{Commit, Expect, Key, Notice, Put, Role, Row, Scan, Transaction, Vm, VmState};
+pub use message::{
+    Commit, Expect, Key, Notice, Put, Role, Row, Scan, Start, Started, Transaction, Vm, VmState,
+};
 
 /// The table key of the roll in force.
 pub const ROLL_KEY: &str = "bundle/roll";
--- a/crates/standin/src/harness/cluster.rs
+++ b/crates/standin/src/harness/cluster.rs
@@ -44,6 +44,8 @@
     pub settings: Value,
     /// Whether nodes are told of the first node besides the VM list.
     pub seeded: bool,
+    /// Lines to add to the model service, and to the end of the bundle.
+    pub extra: (String, String),
     /// Requests that one engine takes at the same time.
     pub slots: u32,
     /// KV cache tokens that one engine sends in a second; 0 where it cannot.
@@ -60,6 +62,7 @@
             vm_lag_ms: 100,
             settings: json!({}),
             seeded: false,
+            extra: Default::default(),
             slots: 16,
             export_per_second: 50_000,
         }
@@ -362,6 +365,7 @@
     }
 
     fn bundle(&self, version: &str) -> String {
+        let (service_extra, end_extra) = &self.plan.extra;
         let (slots, export) = (self.plan.slots, self.plan.export_per_second);
         let (duty, branch) = (bundle::digest(DUTY.as_bytes()), bundle::digest(BRANCH.as_bytes()));
         format!(
@@ -381,7 +385,7 @@
     prefill_tokens_per_second: 8000
     export_tokens_per_second: {export}
     checks_fences: true
-  - name: gauge-api
+{service_extra}  - name: gauge-api
     kind: plain
     slots: 64
 classes:
@@ -389,7 +393,7 @@
   - {{ name: briefing, first_token_ms: 4000, deadline_ms: 60000, priority: 1 }}
   - {{ name: reading, first_token_ms: 500, deadline_ms: 10000, priority: 0 }}
   - {{ name: alert, first_token_ms: 500, deadline_ms: 10000, priority: 0, repeatable: false }}
-"
+{end_extra}"
         )
     }
 }
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -5,5 +5,5 @@
 mod state;
 
 pub use fault::{Fault, Mode, Target};
-pub use serve::{Departure, Start, serve};
+pub use serve::{Departure, serve};
 pub use state::State;
--- a/crates/standin/src/platform/serve.rs
+++ b/crates/standin/src/platform/serve.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use keeljunction::http::Body;
-use keeljunction::platform::{Key, Notice, Scan, Transaction, Vm, VmState};
+use keeljunction::platform::{Key, Notice, Scan, Start, Started, Transaction, Vm, VmState};
 use keeljunction::runtime::{self, lock};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -22,19 +22,6 @@
     pub vm: String,
 }
 
-/// A VM to start.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Start {
-    /// The client's token: one VM for each.
-    pub token: String,
-    /// The data centre.
-    pub data_centre: String,
-    /// The VM class.
-    pub vm_class: String,
-    /// Whether it may be taken back.
-    pub reclaimable: bool,
-}
-
 type Shared = Arc<Mutex<State>>;
 
 /// Serves the platform until the process ends.
@@ -52,7 +39,7 @@
         path if path.starts_with("/table/") => &[Target::Table],
         path if path.starts_with("/objects/") => &[Target::Store],
         "/vms" | "/notices" if is_get => &[Target::Vms],
-        path if path.starts_with("/cloud/") => &[Target::Cloud],
+        "/cloud/start" => &[Target::Cloud],
         _ => &[],
     };
     let fault = lock(&state).take_fault(targets);
@@ -143,10 +130,10 @@
 }
 
 fn cloud_start(state: &mut State, start: Start) -> Response<Body> {
-    let count = state.started.len();
-    let name =
-        state.started.entry(start.token).or_insert_with(|| format!("{}-{count}", start.vm_class));
-    reply::json(&json!({ "vm": name }))
+    let number = state.started.len();
+    let fresh = || (format!("{}-{number}", start.service), start.clone());
+    let (vm, _) = state.started.entry(start.token.clone()).or_insert_with(fresh);
+    reply::json(&Started { vm: vm.clone() })
 }
 
 fn object(state: &mut State, method: &Method, key: &str, content: &[u8]) -> Response<Body> {
--- a/crates/standin/src/platform/state.rs
+++ b/crates/standin/src/platform/state.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use keeljunction::platform::{Commit, Notice, Row, Transaction, Vm};
+use keeljunction::platform::{Commit, Notice, Row, Start, Transaction, Vm};
 
 use super::fault::{Fault, Mode, Target};
 
@@ -20,7 +20,7 @@
     notices: BTreeMap<String, Instant>,
     faults: Vec<Fault>,
     /// VMs started in the cloud, by client token.
-    pub started: BTreeMap<String, String>,
+    pub started: BTreeMap<String, (String, Start)>,
     lag: Duration,
     /// Calls so far.
     pub calls: u64,
--- a/crates/standin/tests/faults/at_most_once.rs
+++ b/crates/standin/tests/faults/at_most_once.rs
@@ -147,6 +147,23 @@
     });
 }
 
+#[test]
+fn an_unrepeatable_model_request_survives_a_reclaim_as_one_run_that_goes_on() {
+    on_cluster(Plan { engines: 2, ..Plan::default() }, async |cluster| {
+        let call = Call::model(DUTY, "alert", "hidro", "an alert that moves", 250).key("a-1");
+        let stream = super::support::open(&cluster, 0, &call, 20).await;
+        let server = super::support::server_of(&cluster, "a-1").await;
+        cluster.give_notice(&server, 1_000).await;
+        let answer = super::support::finish(stream).await;
+        assert!(answer.is_whole, "{:?}", answer.problem);
+        assert_eq!(answer.body, standin::engine::answer_of("an alert that moves", 250));
+        let ran: Vec<_> =
+            cluster.ran().await.into_iter().filter(|(_, entry)| entry["key"] == "a-1").collect();
+        let begun = ran.iter().filter(|(_, entry)| entry["resumed_from"] == 0).count();
+        assert_eq!((ran.len(), begun), (2, 1), "begun once, gone on with once: {ran:?}");
+    });
+}
+
 #[test]
 fn an_unrepeatable_model_request_is_followed_but_not_run_again() {
     on_cluster(Plan::default(), async |mut cluster| {
--- a/crates/standin/tests/faults/main.rs
+++ b/crates/standin/tests/faults/main.rs
@@ -4,6 +4,7 @@
 //! the engine would have given undisturbed.
 
 mod at_most_once;
+mod control;
 mod departure;
 mod not_run;
 mod planned_stop;
