feat(measure): measure what a node adds, control at several sizes, and routing policies

make bench: criterion on the core's decisions, and the stand-in's measurements on real processes with at least three runs each.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,14 @@
 faults: build
 	$(CARGO) test -p standin --test faults -- --test-threads=$(JOBS)
 
+# All figures of docs/MEASUREMENTS.md again; some minutes.
+bench:
+	$(CARGO) build --release --workspace --bins
+	$(CARGO) bench -p keeljunction-core
+	target/release/standin measure baseline
+	target/release/standin measure size
+	target/release/standin measure policy
+
 codegen:
 	cd tools/codegen && $(CARGO) run
 
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -1,5 +1,7 @@
 //! Chooses a backend server for a request.
 
+use serde::{Deserialize, Serialize};
+
 use super::{Index, Server};
 use crate::Millis;
 
@@ -68,6 +70,32 @@
     least.map(|(_, choice)| choice)
 }
 
+/// How a server is chosen among those with room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Policy {
+    /// The least expected first-token time, by [`choose`].
+    #[default]
+    Expected,
+    /// The less loaded of two random ones, by [`choose_two`]: a baseline.
+    TwoChoices,
+    /// One after the other, by [`choose_next`]: a baseline.
+    RoundRobin,
+}
+
+/// Chooses the next server with room after the last one chosen.
+pub fn choose_next(
+    now: Millis,
+    servers: &[Server],
+    demand: &Demand<'_>,
+    last: usize,
+) -> Option<Choice> {
+    let count = servers.len();
+    let places = (1..=count).map(|step| (last + step) % count);
+    let mut fit = places.filter(|place| has_room(now, &servers[*place], demand));
+    fit.next().map(|index| Choice { index, cached_tokens: 0, expected_ms: 0 })
+}
+
 /// Chooses the less loaded of two random servers: the baseline that [`choose`] is measured against.
 pub fn choose_two(
     now: Millis,
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -4,6 +4,6 @@
 mod prefix;
 mod server;
 
-pub use choice::{Choice, Demand, LONG_PROMPT_TOKENS, choose, choose_two};
+pub use choice::{Choice, Demand, LONG_PROMPT_TOKENS, Policy, choose, choose_next, choose_two};
 pub use prefix::{BLOCK_TOKENS, Index, blocks, count_tokens};
 pub use server::{Report, Server};
--- a/crates/core/src/shard/queue.rs
+++ b/crates/core/src/shard/queue.rs
@@ -5,7 +5,7 @@
 use super::drain_rate::DrainRate;
 use super::share::{Counter, GENERATED_COST};
 use crate::Millis;
-use crate::route::{self, Demand, Index, Report, Server};
+use crate::route::{self, Demand, Index, Policy, Report, Server};
 
 /// Blocks of prompts remembered per server.
 const BLOCKS_PER_SERVER: usize = 8_192;
@@ -85,6 +85,9 @@
     drain_rate: DrainRate,
     slots: u32,
     prefill_per_second: u64,
+    policy: Policy,
+    random: fastrand::Rng,
+    last: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -132,9 +135,17 @@
             drain_rate: DrainRate::new(FIRST_GAP_MS),
             slots,
             prefill_per_second: prefill_per_second.into(),
+            policy: Policy::Expected,
+            random: fastrand::Rng::with_seed(u64::from(slots)),
+            last: 0,
         }
     }
 
+    /// Chooses servers by another policy than the default one.
+    pub fn policy(self, policy: Policy) -> Self {
+        Self { policy, ..self }
+    }
+
     /// Sets the groups' weights.
     pub fn set_weights<'a>(&mut self, weights: impl Iterator<Item = (&'a str, u32)>) {
         self.shares.set_weights(weights);
@@ -332,8 +343,13 @@
             priority: ask.priority,
             avoid,
         };
-        let choice =
-            route::choose(now, &self.servers, &self.index, self.prefill_per_second, &demand)?;
+        let (servers, prefill) = (&self.servers, self.prefill_per_second);
+        let choice = match self.policy {
+            Policy::Expected => route::choose(now, servers, &self.index, prefill, &demand),
+            Policy::TwoChoices => route::choose_two(now, servers, &demand, &mut self.random),
+            Policy::RoundRobin => route::choose_next(now, servers, &demand, self.last),
+        }?;
+        self.last = choice.index;
         let server = &mut self.servers[choice.index];
         let uncached = ask.prompt_tokens - choice.cached_tokens;
         server.in_flight += 1;
--- a/crates/keeljunction/src/caller/operator.rs
+++ b/crates/keeljunction/src/caller/operator.rs
@@ -12,6 +12,7 @@
 use super::problem::{Problem, respond};
 use crate::http::Body;
 use crate::node::{Node, adoption};
+use crate::peer::get_traffic;
 use crate::runtime;
 
 /// What a node says of itself.
@@ -37,6 +38,8 @@
     pub servers: BTreeMap<String, String>,
     /// The shards that it owns, with grants out and requests waiting.
     pub shards: BTreeMap<String, (usize, usize)>,
+    /// Bytes sent to peers and received from them since it was started.
+    pub peer_bytes: (u64, u64),
     /// Counts since it was started.
     pub counts: BTreeMap<String, u64>,
 }
@@ -107,6 +110,7 @@
             .iter()
             .map(|((service, n), shard)| (format!("{service}/{n}"), load(shard)))
             .collect(),
+        peer_bytes: get_traffic(),
         counts: node
             .metric
             .get_counts()
--- a/crates/keeljunction/src/node/grant.rs
+++ b/crates/keeljunction/src/node/grant.rs
@@ -342,8 +342,9 @@
     }
     let service: Service = node.get_force()?.document.get_service(&key.0)?.clone();
     let slots = (service.slots / sharers).max(1);
-    let shard =
-        Arc::new(Shard::new(node.clock, Queue::new(slots, service.prefill_tokens_per_second)));
+    let queue =
+        Queue::new(slots, service.prefill_tokens_per_second).policy(node.settings.routing.policy);
+    let shard = Arc::new(Shard::new(node.clock, queue));
     sync(node, key, &shard);
     let mut shards = runtime::lock(shards);
     Some(shards.entry(key.clone()).or_insert(shard).clone())
--- a/crates/keeljunction/src/peer/channel.rs
+++ b/crates/keeljunction/src/peer/channel.rs
@@ -15,6 +15,7 @@
 use tonic::body::Body;
 use tower_service::Service;
 
+use super::traffic::Counted;
 use crate::runtime;
 
 /// Runs hyper's tasks on the project's executor.
@@ -49,7 +50,7 @@
         let mut builder = http2::Builder::new(Spawner);
         builder.timer(SmolTimer::new());
         let (sender, connection) =
-            builder.handshake(FuturesIo::new(stream)).await.map_err(unavailable)?;
+            builder.handshake(FuturesIo::new(Counted(stream))).await.map_err(unavailable)?;
         runtime::spawn(async move {
             let _ = connection.await;
         });
--- a/crates/keeljunction/src/peer/listener.rs
+++ b/crates/keeljunction/src/peer/listener.rs
@@ -19,6 +19,7 @@
 
 use super::channel::Spawner;
 use super::generated::peer_server::{Peer, PeerServer};
+use super::traffic::Counted;
 use crate::runtime;
 
 /// Bytes of one message at most: a bundle, or a record with its body.
@@ -84,7 +85,7 @@
     });
     let mut builder = http2::Builder::new(Spawner);
     builder.timer(SmolTimer::new());
-    let _ = builder.serve_connection(FuturesIo::new(stream), service).await;
+    let _ = builder.serve_connection(FuturesIo::new(Counted(stream)), service).await;
 }
 
 fn is_peer(request: &Request<Incoming>, expected: &[u8]) -> bool {
--- a/crates/keeljunction/src/peer/mod.rs
+++ b/crates/keeljunction/src/peer/mod.rs
@@ -3,6 +3,7 @@
 mod channel;
 mod listener;
 mod pool;
+mod traffic;
 
 /// The code generated from `proto/peer.proto` by `make codegen`.
 #[allow(missing_docs, clippy::all)]
@@ -13,3 +14,4 @@
 pub use generated as wire;
 pub use listener::Listener;
 pub use pool::Pool;
+pub use traffic::get_traffic;
--- a/crates/keeljunction/src/settings/document.rs
+++ b/crates/keeljunction/src/settings/document.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use keeljunction_core::route::Policy;
 use serde::{Deserialize, Serialize};
 
 /// The settings of one node.
@@ -122,6 +123,8 @@
 pub struct Routing {
     /// Whether shard owners give grants; otherwise each node decides alone.
     pub owners: bool,
+    /// How a server is chosen: `expected`, or the baselines `two_choices` and `round_robin`.
+    pub policy: Policy,
     /// Time between two load reports, in milliseconds.
     pub report_ms: u64,
     /// Retries allowed, in thousandths of the first tries.
@@ -169,7 +172,13 @@
 
 impl Default for Routing {
     fn default() -> Self {
-        Self { owners: true, report_ms: 250, retry_per_mille: 100, retry_burst: 10 }
+        Self {
+            owners: true,
+            policy: Policy::Expected,
+            report_ms: 250,
+            retry_per_mille: 100,
+            retry_burst: 10,
+        }
     }
 }
 
--- a/crates/standin/src/harness/call.rs
+++ b/crates/standin/src/harness/call.rs
@@ -182,7 +182,7 @@
             self.answer.problem = Some(data);
             return true;
         }
-        if let Ok(offset) = event.id.parse::<u64>()
+        if let Ok(offset) = offset_of(&event.id)
             && self.answer.last_id != Some(offset)
         {
             self.answer.last_id = Some(offset);
@@ -200,6 +200,11 @@
     }
 }
 
+/// Reads the offset from the id of an event: of a node, or of an engine, which names the attempt too.
+fn offset_of(id: &str) -> Result<u64, std::num::ParseIntError> {
+    id.rsplit('/').next().unwrap_or(id).parse()
+}
+
 /// Sends JSON to a stand-in.
 pub async fn ask(client: &Client, to: SocketAddr, path: &str, message: &Value) -> Option<Value> {
     let request = Request::post(path)
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and the load tool, each a subcommand and so a process of its own.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -9,7 +10,8 @@
 use keeljunction::runtime;
 use standin::engine::{self, Options};
 use standin::load::{Kind, Plan};
-use standin::{demo, load, platform, service};
+use standin::measure::Which;
+use standin::{demo, load, measure, platform, service};
 
 /// Threads of a stand-in.
 const THREADS: usize = 1;
@@ -41,6 +43,14 @@
             runtime::run(THREADS, run_load(matches));
             Ok(())
         }
+        Some(("measure", matches)) => {
+            let which = match matches.get_one::<String>("which").map(String::as_str) {
+                Some("policy") => Which::Policy,
+                Some("size") => Which::Size,
+                _ => Which::Baseline,
+            };
+            runtime::run(THREADS, measure::run(which, Path::new(&text(matches, "folder"))))
+        }
         Some(("demo", _)) => runtime::run(THREADS, demo::run()),
         _ => Ok(()),
     };
@@ -124,6 +134,22 @@
                 )
                 .arg(Arg::new("model").long("model").default_value("hidro").help("The model")),
         )
+        .subcommand(
+            Command::new("measure")
+                .about("Measures on real processes, and prints a table")
+                .arg(
+                    Arg::new("which")
+                        .required(true)
+                        .value_parser(["baseline", "policy", "size"])
+                        .help("What to measure"),
+                )
+                .arg(
+                    Arg::new("folder")
+                        .long("folder")
+                        .default_value("docs/figures")
+                        .help("Where plots go"),
+                ),
+        )
         .subcommand(Command::new("demo").about("Shows the main job from end to end, and checks it"))
 }
 
--- /dev/null
+++ b/crates/standin/src/measure/baseline.rs
@@ -0,0 +1,111 @@
+//! What a node adds to a call, and what it costs.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use keeljunction::runtime;
+
+use super::spread::Spread;
+use crate::harness::{Answer, Call, Cluster, DUTY, Plan};
+
+const RUNS: usize = 5;
+const PAIRS: usize = 300;
+const STREAMS: usize = 64;
+const STREAM_TOKENS: u64 = 2_000;
+
+/// Measures and prints.
+pub(super) async fn run() -> io::Result<()> {
+    added_time().await?;
+    cost_of_tokens().await
+}
+
+/// Calls an engine directly and through a node, one after the other, many times.
+async fn added_time() -> io::Result<()> {
+    let arguments = vec!["--prefill".to_owned(), "10000000".to_owned()];
+    let plan =
+        Plan { nodes: 3, engines: 1, services: 0, engine_arguments: arguments, ..Plan::default() };
+    let cluster = Cluster::start(plan).await?;
+    runtime::sleep(Duration::from_secs(2)).await;
+    let memory: Vec<f64> = cluster
+        .nodes
+        .iter()
+        .filter_map(|node| node.process.resident_kb())
+        .map(|kb| kb as f64 / 1024.0)
+        .collect();
+    let engine = cluster.servers["hidro-0"].address("address");
+    let (mut ratios, mut added, mut tails) = (Vec::new(), Vec::new(), Vec::new());
+    for _ in 0..RUNS {
+        let (mut direct, mut through) = (Vec::new(), Vec::new());
+        for pair in 0..PAIRS {
+            let call = Call::model(DUTY, "urgent", "hidro", &format!("pair {pair} of words"), 2);
+            direct.push(first_ms(&send(&cluster, &call, engine).await?));
+            through.push(first_ms(&send(&cluster, &call, cluster.nodes[pair % 3].caller()).await?));
+        }
+        let (direct_50, through_50) = (quantile(&mut direct, 0.5), quantile(&mut through, 0.5));
+        ratios.push(through_50 / direct_50);
+        added.push(through_50 - direct_50);
+        tails.push(quantile(&mut through, 0.95) - quantile(&mut direct, 0.95));
+    }
+    println!("first token through a node, {RUNS} runs of {PAIRS} pairs:");
+    println!("  added at the median, ms:      {}", Spread::of(&added));
+    println!("  added at 95 in 100, ms:       {}", Spread::of(&tails));
+    println!("  ratio of the medians:         {}", Spread::of(&ratios));
+    println!("memory of a node at rest, MB:   {}", Spread::of(&memory));
+    Ok(())
+}
+
+/// Relays as many tokens as the engines give, and sets them against the node's processor time.
+async fn cost_of_tokens() -> io::Result<()> {
+    let arguments = ["--gap-ms", "2"].map(str::to_owned).to_vec();
+    let plan = Plan {
+        nodes: 2,
+        engines: 2,
+        services: 0,
+        engine_arguments: arguments,
+        slots: 64,
+        ..Plan::default()
+    };
+    let cluster = Cluster::start(plan).await?;
+    let (mut per_core, mut micros) = (Vec::new(), Vec::new());
+    for run in 0..RUNS {
+        let before = cluster.nodes[0].process.cpu_ms().unwrap_or(0);
+        let started = Instant::now();
+        let to = cluster.nodes[0].caller();
+        let calls: Vec<_> = (0..STREAMS)
+            .map(|number| {
+                let client = cluster.client.clone();
+                let prompt = format!("run {run} stream {number}");
+                runtime::task(async move {
+                    let call = Call::model(DUTY, "briefing", "hidro", &prompt, STREAM_TOKENS);
+                    call.send(&client, to).await.map(|answer| answer.times.len()).unwrap_or(0)
+                })
+            })
+            .collect();
+        let mut tokens = 0;
+        for call in calls {
+            tokens += call.await;
+        }
+        let spent = cluster.nodes[0].process.cpu_ms().unwrap_or(0) - before;
+        per_core.push(tokens as f64 * 1000.0 / spent as f64);
+        micros.push(spent as f64 * 1000.0 / tokens as f64);
+        println!("  run {run}: {tokens} tokens in {:.1} s", started.elapsed().as_secs_f64());
+    }
+    println!("tokens relayed a second per core: {}", Spread::of(&per_core));
+    println!("processor time per token, us:     {}", Spread::of(&micros));
+    Ok(())
+}
+
+async fn send(cluster: &Cluster, call: &Call, to: SocketAddr) -> io::Result<Answer> {
+    let call = call.clone().header("x-attempt-id", &fastrand::u64(..).to_string());
+    call.send(&cluster.client, to).await.map_err(io::Error::other)
+}
+
+fn first_ms(answer: &Answer) -> f64 {
+    answer.times.first().map_or(f64::NAN, |time| time.as_secs_f64() * 1000.0)
+}
+
+fn quantile(figures: &mut [f64], quantile: f64) -> f64 {
+    figures.sort_by(f64::total_cmp);
+    figures[((figures.len() - 1) as f64 * quantile) as usize]
+}
--- /dev/null
+++ b/crates/standin/src/measure/mod.rs
@@ -0,0 +1,37 @@
+//! Measurements on real processes. Each prints a table and writes a plot where there is one.
+
+mod baseline;
+mod plot;
+mod policy;
+mod size;
+mod spread;
+
+use std::io;
+use std::path::Path;
+
+pub use spread::Spread;
+
+/// A measurement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Which {
+    /// What a node adds to a call, and what it costs.
+    Baseline,
+    /// Routing policies and shard owners, under three loads.
+    Policy,
+    /// Membership and rolls, at several sizes.
+    Size,
+}
+
+/// Runs a measurement; plots go into a folder.
+///
+/// # Errors
+///
+/// Returns the system's error, or says what did not come up.
+pub async fn run(which: Which, folder: &Path) -> io::Result<()> {
+    std::fs::create_dir_all(folder)?;
+    match which {
+        Which::Baseline => baseline::run().await,
+        Which::Policy => policy::run(folder).await,
+        Which::Size => size::run(folder).await,
+    }
+}
