perf(node): wake only when there is something to do

Cause: two loops ran for the case that something waits, every 10 ms (news for owners) and every 20 ms (turns that do not come): 150 wake-ups a second with nothing to do. Ruled out: probes (two a second; the figure did not change with the number of nodes) and load reports (only owners read them; all nodes paid).

The sender of news is woken by the first piece of news and gathers for 10 ms. Each waiting request wakes the queue itself when its time is over.

--- a/crates/keeljunction/src/node/grant.rs
+++ b/crates/keeljunction/src/node/grant.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use event_listener::Event;
 use keeljunction_core::bundle::Service;
 use keeljunction_core::shard::{self, Ask, Grant, Queue, Refusal};
 use keeljunction_core::{Millis, succession};
@@ -36,6 +37,8 @@
     pub out: Mutex<HashMap<String, Out>>,
     /// Messages to owners that wait to be sent together.
     pub outbox: Mutex<HashMap<(String, ShardKey), wire::SettleRequest>>,
+    /// Tells that there are messages in the outbox.
+    pub posted: Event,
 }
 
 /// A grant that this node has.
@@ -328,6 +331,8 @@
             ..wire::SettleRequest::default()
         });
     act(message);
+    drop(outbox);
+    node.book.posted.notify(1);
 }
 
 /// Returns a queue of this node's own, whose limits are shared by `sharers` nodes.
--- a/crates/keeljunction/src/node/housekeeping.rs
+++ b/crates/keeljunction/src/node/housekeeping.rs
@@ -1,4 +1,4 @@
-//! Forgets what is old, and lets queues tell those whose turn has not come in time.
+//! Forgets what is old.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,7 +7,6 @@
 use crate::runtime;
 
 const SWEEP: Duration = Duration::from_secs(1);
-const TICK: Duration = Duration::from_millis(20);
 
 /// Forgets answers and records that nobody can want any more, for as long as the process lives.
 pub async fn sweep(node: Arc<Node>) {
@@ -17,19 +16,6 @@
     }
 }
 
-/// Lets all queues tell those whose turn has come or gone, for as long as the process lives.
-pub async fn tick(node: Arc<Node>) {
-    loop {
-        for shards in [&node.book.owned, &node.book.alone] {
-            let shards: Vec<_> = runtime::lock(shards).values().cloned().collect();
-            for shard in shards {
-                shard.poll();
-            }
-        }
-        runtime::sleep(TICK).await;
-    }
-}
-
 fn forget(node: &Node) {
     let now = node.now();
     let keep = node.settings.times.keep_answer_ms;
--- a/crates/keeljunction/src/node/serve.rs
+++ b/crates/keeljunction/src/node/serve.rs
@@ -90,7 +90,6 @@
     runtime::spawn(settlement::run(node.clone()));
     runtime::spawn(settlement::announce(node.clone()));
     runtime::spawn(housekeeping::sweep(node.clone()));
-    runtime::spawn(housekeeping::tick(node.clone()));
     runtime::spawn(claims::run(node.clone()));
     runtime::spawn(control::run(node.clone()));
 }
--- a/crates/keeljunction/src/node/settlement.rs
+++ b/crates/keeljunction/src/node/settlement.rs
@@ -21,11 +21,15 @@
 /// Sends gathered news for as long as the process lives.
 pub async fn run(node: Arc<Node>) {
     loop {
+        let posted = node.book.posted.listen();
+        if runtime::lock(&node.book.outbox).is_empty() {
+            posted.await;
+            runtime::sleep(GATHER).await;
+        }
         let outbox = std::mem::take(&mut *runtime::lock(&node.book.outbox));
         for ((owner, _), message) in outbox {
             send(&node, &owner, message);
         }
-        runtime::sleep(GATHER).await;
     }
 }
 
--- a/crates/keeljunction/src/node/shard.rs
+++ b/crates/keeljunction/src/node/shard.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Mutex;
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use keeljunction_core::Millis;
@@ -48,12 +49,13 @@
         let id = ask.id.clone();
         let (sender, receiver) = async_channel::bounded(1);
         runtime::lock(&self.waiters).insert(id.clone(), sender);
+        let wait = Duration::from_millis(ask.wait);
         let decision = runtime::lock(&self.queue).offer(self.clock.now(), ask);
         let turn = Turn { shard: self, id: &id, receiver, is_taken: false };
         let grant = match decision {
             Decision::Granted(grant) => Ok(grant),
             Decision::Refused(refusal) => Err(refusal),
-            Decision::Waiting => turn.wait().await,
+            Decision::Waiting => turn.wait(wait).await,
         };
         runtime::lock(&self.waiters).remove(&id);
         if grant.is_ok() {
@@ -144,8 +146,15 @@
 }
 
 impl Turn<'_> {
-    async fn wait(mut self) -> Result<Grant, Refusal> {
-        let decision = self.receiver.recv().await;
+    /// Waits for the turn. When the time is over the queue is made to say so.
+    async fn wait(mut self, time: Duration) -> Result<Grant, Refusal> {
+        let decision = match runtime::within(time, self.receiver.recv()).await {
+            Some(decision) => decision,
+            None => {
+                self.shard.poll();
+                self.receiver.recv().await
+            }
+        };
         self.is_taken = true;
         match decision {
             Ok(Decision::Granted(grant)) => Ok(grant),
