perf(copy): copy tokens to the holder now and then, attempts at once

Cause: each stream's new tokens went to the holder of its record every 100 ms. The tokens are at the engine, and a holder attaches to the running attempt there, so the copy needs the attempt at once and the tokens only as a guard against both going at once without notice. When the engine's VM or the node is known to go the copy is kept closely up to date, as before. Also mended: after a holder was replaced, tokens that came meanwhile left a gap that the new holder refused for ever.

--- a/crates/keeljunction/src/node/answer.rs
+++ b/crates/keeljunction/src/node/answer.rs
@@ -37,6 +37,7 @@
     pub request: Request,
     state: Mutex<State>,
     changed: Event,
+    pressing: Event,
     steering: (async_channel::Sender<Action>, async_channel::Receiver<Action>),
 }
 
@@ -44,6 +45,7 @@
 struct State {
     is_accepted: bool,
     is_own: bool,
+    is_pressed: bool,
     is_sent: bool,
     tokens: Vec<String>,
     attempt: Option<Attempt>,
@@ -58,6 +60,7 @@
             request,
             state: Mutex::default(),
             changed: Event::new(),
+            pressing: Event::new(),
             steering: async_channel::bounded(4),
         }
     }
@@ -80,8 +83,15 @@
 
     /// Adds tokens.
     pub fn push(&self, tokens: impl IntoIterator<Item = String>) {
-        runtime::lock(&self.state).tokens.extend(tokens);
+        let is_pressed = {
+            let mut state = runtime::lock(&self.state);
+            state.tokens.extend(tokens);
+            state.is_pressed
+        };
         self.changed.notify(usize::MAX);
+        if is_pressed {
+            self.pressing.notify(usize::MAX);
+        }
     }
 
     /// Ends the answer. Only the first end counts.
@@ -93,12 +103,13 @@
         }
         drop(state);
         self.changed.notify(usize::MAX);
+        self.pressing.notify(usize::MAX);
     }
 
     /// Notes the attempt that runs now.
     pub fn set_attempt(&self, attempt: Attempt) {
         runtime::lock(&self.state).attempt = Some(attempt);
-        self.changed.notify(usize::MAX);
+        self.pressing.notify(usize::MAX);
     }
 
     /// Notes that bytes of the request may have reached a backend server.
@@ -159,18 +170,26 @@
         }
     }
 
-    /// Waits for any change after the given look at the answer.
-    pub async fn changed(&self, length: u64, attempt: Option<&Attempt>) {
+    /// Asks for the copy of this answer to be kept closely up to date from now on.
+    pub fn press(&self) {
+        runtime::lock(&self.state).is_pressed = true;
+        self.pressing.notify(usize::MAX);
+    }
+
+    /// Waits until its copy should be brought up to date at once: it has ended, another attempt
+    /// runs than the one that is known, or there are new tokens and it is pressed.
+    pub async fn pressing(&self, length: u64, attempt: Option<&Attempt>) {
         loop {
-            let changed = self.changed.listen();
+            let pressing = self.pressing.listen();
             {
                 let state = runtime::lock(&self.state);
                 let is_longer = state.tokens.len() as u64 > length;
-                if is_longer || state.ended.is_some() || state.attempt.as_ref() != attempt {
+                let is_other = state.attempt.as_ref() != attempt;
+                if state.ended.is_some() || is_other || (state.is_pressed && is_longer) {
                     return;
                 }
             }
-            changed.await;
+            pressing.await;
         }
     }
 
--- a/crates/keeljunction/src/node/copy.rs
+++ b/crates/keeljunction/src/node/copy.rs
@@ -20,7 +20,7 @@
 /// Peers that are tried in turn.
 const TRIES: usize = 3;
 const CALL: Duration = Duration::from_millis(500);
-/// Time between two messages about the same request: news in between ride on the next.
+/// Time between two messages about the same request at least.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Messages that may fail one after another before another holder is looked for.
 const FAILURES: u32 = 3;
@@ -28,8 +28,8 @@
 /// Where a record is kept.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Place {
-    /// At a peer, by name.
-    Peer(String),
+    /// At a peer, by name, with so many tokens of the answer.
+    Peer(String, u64),
     /// In the object store.
     Store,
 }
@@ -37,13 +37,14 @@
 /// Copies the record of a request; `None` where neither a peer nor the store took it.
 pub async fn place(node: &Node, answer: &Answer) -> Option<Place> {
     let record = full_record(node, answer);
+    let copied = record.tokens.len() as u64;
     let mut nodes = node.usable_nodes();
     for _ in 0..TRIES {
         let Some(holder) = pick(node, &answer.request, &nodes) else { break };
         let message =
             wire::HoldRequest { record: Some(record.clone()), ..wire::HoldRequest::default() };
         if send(node, &holder, message).await {
-            return Some(Place::Peer(holder));
+            return Some(Place::Peer(holder, copied));
         }
         nodes.retain(|(name, _)| *name != holder);
     }
@@ -58,8 +59,8 @@
     let (node, answer) = (node.clone(), answer.clone());
     runtime::spawn(async move {
         let mut place = place;
-        while let Place::Peer(holder) = &place {
-            match pump(&node, &answer, holder).await {
+        while let Place::Peer(holder, copied) = &place {
+            match pump(&node, &answer, holder, *copied).await {
                 Pumped::Ended => return,
                 Pumped::Lost => match self::place(&node, &answer).await {
                     Some(another) => place = another,
@@ -86,7 +87,7 @@
 
 /// Lets the holder forget a request that did not run.
 pub async fn forget(node: &Node, answer: &Answer, place: &Place) {
-    if let Place::Peer(holder) = place {
+    if let Place::Peer(holder, _) = place {
         let record = wire::Record {
             r#final: Some(super::answer::not_run(503, "refused", 0)),
             body: Vec::new(),
@@ -124,12 +125,17 @@
 }
 
 /// Sends what is new to the holder, until the answer has ended or the holder goes.
-async fn pump(node: &Node, answer: &Answer, holder: &str) -> Pumped {
-    let mut acknowledged = answer.get_length();
+///
+/// The tokens are at the engine, and a holder attaches to the running attempt there. So the copy
+/// needs the attempt at once, and the tokens only now and then, unless the engine's VM or this
+/// node is known to go.
+async fn pump(node: &Node, answer: &Answer, holder: &str, copied: u64) -> Pumped {
+    let period = Duration::from_millis(node.settings.times.progress_ms);
+    let mut acknowledged = copied;
     let mut known: Option<Attempt> = None;
     let mut failures = 0;
     loop {
-        answer.changed(acknowledged, known.as_ref()).await;
+        runtime::within(period, answer.pressing(acknowledged, known.as_ref())).await;
         if !node.usable_nodes().iter().any(|(name, _)| name == holder) {
             return Pumped::Lost;
         }
@@ -137,6 +143,9 @@
         let attempt = answer.get_attempt();
         let is_last = news.ended.is_some();
         let count = news.tokens.len() as u64;
+        if !is_last && count == 0 && attempt == known {
+            continue;
+        }
         let message = progress(node, answer, acknowledged, news, attempt.as_ref());
         if send(node, holder, message).await {
             failures = 0;
--- a/crates/keeljunction/src/node/departure.rs
+++ b/crates/keeljunction/src/node/departure.rs
@@ -29,6 +29,7 @@
     let sharers = node.usable_nodes().len().max(1) as u64;
     let export = first.request.service.export_tokens_per_second / sharers;
     let limits = Limits { notice, export_tokens_per_second: export };
+    answers.iter().for_each(|answer| answer.press());
     let streams: Vec<Stream> = answers.iter().map(|answer| describe(answer)).collect();
     for (attempt, action) in drain::plan(&limits, &streams) {
         let name = match action {
--- a/crates/keeljunction/src/node/stop.rs
+++ b/crates/keeljunction/src/node/stop.rs
@@ -31,6 +31,7 @@
     let started = node.now();
     runtime::lock(&node.members).leave();
     gossip::spread(node);
+    unfinished(node).iter().for_each(|answer| answer.press());
     let grace = Duration::from_millis(node.settings.times.stop_grace_ms).min(within / 4);
     runtime::sleep(grace).await;
     node.close();
--- a/crates/keeljunction/src/settings/check.rs
+++ b/crates/keeljunction/src/settings/check.rs
@@ -127,6 +127,7 @@
     range("times.vm_poll_ms", settings.times.vm_poll_ms, 10, 60_000)?;
     range("times.stop_grace_ms", settings.times.stop_grace_ms, 0, 600_000)?;
     range("times.stop_ms", settings.times.stop_ms, 0, 86_400_000)?;
+    range("times.progress_ms", settings.times.progress_ms, 100, 3_600_000)?;
     range("times.keep_answer_ms", settings.times.keep_answer_ms, 0, 86_400_000)
 }
 
--- a/crates/keeljunction/src/settings/document.rs
+++ b/crates/keeljunction/src/settings/document.rs
@@ -145,6 +145,8 @@
     pub stop_grace_ms: u64,
     /// After a stop signal: how long requests in flight may take before they are handed over.
     pub stop_ms: u64,
+    /// Between two copies of the tokens so far to the holder of a request's record.
+    pub progress_ms: u64,
     /// How long an answer is kept for a caller that comes back.
     pub keep_answer_ms: u64,
 }
@@ -189,6 +191,7 @@
             vm_poll_ms: 1_000,
             stop_grace_ms: 1_000,
             stop_ms: 600_000,
+            progress_ms: 2_000,
             keep_answer_ms: 120_000,
         }
     }
--- a/crates/standin/src/measure/baseline.rs
+++ b/crates/standin/src/measure/baseline.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use keeljunction::runtime;
+use serde_json::json;
 
 use super::spread::Spread;
 use crate::harness::{Answer, Call, Cluster, DUTY, Plan};
@@ -17,12 +18,73 @@
 /// Measures and prints.
 pub(super) async fn run() -> io::Result<()> {
     added_time().await?;
-    cost_of_tokens().await
+    cost_of_tokens().await?;
+    println!("56 streams of 25 ms a token at one of two nodes, by times.progress_ms:");
+    for progress_ms in [100, 500, 2_000, 5_000] {
+        cost_of_copies(progress_ms).await?;
+    }
+    Ok(())
+}
+
+/// Streams at the pace that is wanted, with copies of the tokens at different periods.
+async fn cost_of_copies(progress_ms: u64) -> io::Result<()> {
+    let arguments = ["--gap-ms", "25"].map(str::to_owned).to_vec();
+    let settings = json!({ "times": { "progress_ms": progress_ms } });
+    let plan = Plan {
+        nodes: 2,
+        engines: 2,
+        services: 0,
+        engine_arguments: arguments,
+        settings,
+        slots: 64,
+        ..Plan::default()
+    };
+    let cluster = Cluster::start(plan).await?;
+    let (mut cpu, mut sent) = (Vec::new(), Vec::new());
+    for run in 0..3 {
+        let before = (cluster.nodes[0].process.cpu_ms().unwrap_or(0), sent_bytes(&cluster).await);
+        let started = Instant::now();
+        stream_all(&cluster, 56, 320, run).await;
+        let seconds = started.elapsed().as_secs_f64();
+        let after = (cluster.nodes[0].process.cpu_ms().unwrap_or(0), sent_bytes(&cluster).await);
+        cpu.push((after.0 - before.0) as f64 / 10.0 / seconds);
+        sent.push((after.1 - before.1) as f64 / 1024.0 / seconds);
+    }
+    println!(
+        "  {progress_ms} ms: processor, %: {}; sent to peers, KB/s: {}",
+        Spread::of(&cpu),
+        Spread::of(&sent)
+    );
+    Ok(())
+}
+
+async fn sent_bytes(cluster: &Cluster) -> u64 {
+    cluster.status(0).await["peer_bytes"][0].as_u64().unwrap_or(0)
+}
+
+/// Streams so many answers at once through the first node, and counts the tokens.
+async fn stream_all(cluster: &Cluster, streams: usize, tokens: u64, run: usize) -> usize {
+    let to = cluster.nodes[0].caller();
+    let calls: Vec<_> = (0..streams)
+        .map(|number| {
+            let client = cluster.client.clone();
+            let prompt = format!("run {run} stream {number}");
+            runtime::task(async move {
+                let call = Call::model(DUTY, "briefing", "hidro", &prompt, tokens);
+                call.send(&client, to).await.map(|answer| answer.times.len()).unwrap_or(0)
+            })
+        })
+        .collect();
+    let mut count = 0;
+    for call in calls {
+        count += call.await;
+    }
+    count
 }
 
 /// Calls an engine directly and through a node, one after the other, many times.
 async fn added_time() -> io::Result<()> {
-    let arguments = vec!["--prefill".to_owned(), "10000000".to_owned()];
+    let arguments = ["--prefill", "10000000", "--gap-ms", "1"].map(str::to_owned).to_vec();
     let plan =
         Plan { nodes: 3, engines: 1, services: 0, engine_arguments: arguments, ..Plan::default() };
     let cluster = Cluster::start(plan).await?;
@@ -71,21 +133,7 @@
     for run in 0..RUNS {
         let before = cluster.nodes[0].process.cpu_ms().unwrap_or(0);
         let started = Instant::now();
-        let to = cluster.nodes[0].caller();
-        let calls: Vec<_> = (0..STREAMS)
-            .map(|number| {
-                let client = cluster.client.clone();
-                let prompt = format!("run {run} stream {number}");
-                runtime::task(async move {
-                    let call = Call::model(DUTY, "briefing", "hidro", &prompt, STREAM_TOKENS);
-                    call.send(&client, to).await.map(|answer| answer.times.len()).unwrap_or(0)
-                })
-            })
-            .collect();
-        let mut tokens = 0;
-        for call in calls {
-            tokens += call.await;
-        }
+        let tokens = stream_all(&cluster, STREAMS, STREAM_TOKENS, run).await;
         let spent = cluster.nodes[0].process.cpu_ms().unwrap_or(0) - before;
         per_core.push(tokens as f64 * 1000.0 / spent as f64);
         micros.push(spent as f64 * 1000.0 / tokens as f64);
