--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -47,6 +47,7 @@
             let which = match matches.get_one::<String>("which").map(String::as_str) {
                 Some("policy") => Which::Policy,
                 Some("size") => Which::Size,
+                Some("tokens") => Which::Tokens,
                 _ => Which::Baseline,
             };
             runtime::run(THREADS, measure::run(which, Path::new(&text(matches, "folder"))))
@@ -140,7 +141,7 @@
                 .arg(
                     Arg::new("which")
                         .required(true)
-                        .value_parser(["baseline", "policy", "size"])
+                        .value_parser(["baseline", "policy", "size", "tokens"])
                         .help("What to measure"),
                 )
                 .arg(
--- a/crates/standin/src/measure/baseline.rs
+++ b/crates/standin/src/measure/baseline.rs
@@ -118,7 +118,7 @@
 }
 
 /// Relays as many tokens as the engines give, and sets them against the node's processor time.
-async fn cost_of_tokens() -> io::Result<()> {
+pub(super) async fn cost_of_tokens() -> io::Result<()> {
     let arguments = ["--gap-ms", "2"].map(str::to_owned).to_vec();
     let plan = Plan {
         nodes: 2,
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -16,6 +16,8 @@
 pub enum Which {
     /// What a node adds to a call, and what it costs.
     Baseline,
+    /// What relaying a token costs; a part of the baseline.
+    Tokens,
     /// Routing policies and shard owners, under three loads.
     Policy,
     /// Membership and rolls, at several sizes.
@@ -31,6 +33,7 @@
     std::fs::create_dir_all(folder)?;
     match which {
         Which::Baseline => baseline::run().await,
+        Which::Tokens => baseline::cost_of_tokens().await,
         Which::Policy => policy::run(folder).await,
         Which::Size => size::run(folder).await,
     }
