--- a/crates/keeljunction/src/node/attempt.rs
+++ b/crates/keeljunction/src/node/attempt.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_io::Timer;
-use futures_lite::{StreamExt, future};
-use keeljunction_core::Millis;
+use futures_lite::future;
 use keeljunction_core::drain::Action;
 use keeljunction_core::stream::{Cursor, Verdict};
 
@@ -14,9 +12,7 @@
 use super::{Answer, Node, grant};
 use crate::backend::{Engine, Piece, Plain, Send, Tokens};
 use crate::http::Failure;
-
-/// The longest time between two looks at whether a stream has fallen silent.
-const LONGEST_LOOK: Duration = Duration::from_millis(250);
+use crate::runtime;
 
 /// How an attempt ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -137,9 +133,8 @@
     grant: Option<&str>,
 ) -> End {
     let mut unread = grant;
-    let mut watchdog = Watchdog::new(node);
     loop {
-        let piece = match next(node, answer, &mut tokens, &mut watchdog).await {
+        let piece = match next(node, answer, &mut tokens).await {
             Ok(Some(piece)) => piece,
             Ok(None) => return End::Broken("the stream broke off".to_owned()),
             Err(end) => return end,
@@ -164,45 +159,16 @@
 }
 
 /// Waits for the next piece, for being steered, or until it is too late.
-async fn next(
-    node: &Node,
-    answer: &Answer,
-    tokens: &mut Tokens,
-    watchdog: &mut Watchdog,
-) -> Result<Option<Piece>, End> {
+async fn next(node: &Node, answer: &Answer, tokens: &mut Tokens) -> Result<Option<Piece>, End> {
+    let left = answer.request.deadline.saturating_sub(node.now());
+    let idle = node.settings.limits.idle_ms;
     let piece = async { Ok(tokens.next().await) };
     let steered = async { Err(End::Steered(answer.steered().await)) };
-    let silent = async { Err(watchdog.bark(node, answer).await) };
-    let next = future::or(piece, future::or(steered, silent)).await;
-    watchdog.heard_at = node.now();
-    next
-}
-
-/// Looks now and then whether a stream has fallen silent, or is too late. One timer serves the
-/// whole stream, since tokens come far more often than streams fall silent.
-struct Watchdog {
-    looks: Timer,
-    heard_at: Millis,
-}
-
-impl Watchdog {
-    fn new(node: &Node) -> Self {
-        let period = Duration::from_millis(node.settings.limits.idle_ms / 4).min(LONGEST_LOOK);
-        Self { looks: Timer::interval(period), heard_at: node.now() }
-    }
-
-    async fn bark(&mut self, node: &Node, answer: &Answer) -> End {
-        loop {
-            self.looks.next().await;
-            let now = node.now();
-            if now >= answer.request.deadline {
-                return End::Late;
-            }
-            if now >= self.heard_at + node.settings.limits.idle_ms {
-                return End::Broken("the engine fell silent".to_owned());
-            }
-        }
-    }
+    let late = async {
+        runtime::sleep(Duration::from_millis(left.min(idle))).await;
+        Err(if left <= idle { End::Late } else { End::Broken("the engine fell silent".to_owned()) })
+    };
+    future::or(piece, future::or(steered, late)).await
 }
 
 /// Notes that bytes may have reached the server, unless it is certain that none did.
