--- a/crates/keeljunction/src/caller/handler.rs
+++ b/crates/keeljunction/src/caller/handler.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::Sender;
+use async_channel::{Sender, TrySendError};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -158,13 +158,22 @@
             text.push_str(&last(shape, ended, offset));
         }
         node.metric.count("tokens_relayed", news.tokens.len() as u64);
-        runtime::within(time, sender.send(Ok(Bytes::from(text)))).await?.ok()?;
+        put(sender, Bytes::from(text), time).await?;
         if news.ended.is_some() {
             return Some(());
         }
     }
 }
 
+/// Gives a piece to the connection; a timer is set only where it does not take it at once.
+async fn put(sender: &Sender<io::Result<Bytes>>, piece: Bytes, time: Duration) -> Option<()> {
+    match sender.try_send(Ok(piece)) {
+        Ok(()) => Some(()),
+        Err(TrySendError::Closed(_)) => None,
+        Err(TrySendError::Full(piece)) => runtime::within(time, sender.send(piece)).await?.ok(),
+    }
+}
+
 /// Writes what ends a stream. A recorded answer comes as one event.
 fn last(shape: &Shape, ended: &Final, offset: u64) -> String {
     if !is_done(ended) {
