fix(route): let a queue that decides alone use its part of a busy server

A queue's part of a server's slots (2 of 8 among 4 nodes) was compared with what the server reports in all, so the parts of the others filled it. Ruled out: the shares (both groups were refused) and the time that a request may wait. Its own count is now held against its part, and the server's report against the whole. A core test states the case.

--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -120,7 +120,7 @@
     let has_failed = server.failed_at.is_some_and(|at| now < at + FAILURE_PAUSE_MS);
     !server.is_leaving
         && !has_failed
-        && server.get_load(now) < server.limit - reserve
+        && server.has_room(now, reserve)
         && !demand.avoid.contains(&server.name)
 }
 
--- a/crates/core/src/route/server.rs
+++ b/crates/core/src/route/server.rs
@@ -27,8 +27,10 @@
     pub data_centre: String,
     /// Whether it is going away and must get nothing new.
     pub is_leaving: bool,
-    /// Requests that it takes at the same time, as learned.
+    /// Requests that this router may have there at the same time, as learned.
     pub limit: u32,
+    /// Requests that it takes at the same time from all routers together.
+    pub capacity: u32,
     /// Requests that this router has there.
     pub in_flight: u32,
     /// Uncached prompt tokens that this router sent and that are not yet read.
@@ -50,6 +52,7 @@
             data_centre: data_centre.to_owned(),
             is_leaving: false,
             limit,
+            capacity: limit,
             in_flight: 0,
             backlog_tokens: 0,
             long_prompts: 0,
@@ -63,6 +66,13 @@
         self.report.filter(|report| now.saturating_sub(report.at) <= REPORT_BOUND_MS)
     }
 
+    /// Says whether there is room for one more: of this router's part, less `reserve`, and of the
+    /// server's whole as reported.
+    pub fn has_room(&self, now: Millis, reserve: u32) -> bool {
+        let reported = self.get_fresh_report(now).map_or(0, |report| report.requests);
+        self.in_flight < self.limit.saturating_sub(reserve) && reported < self.capacity
+    }
+
     /// Estimates the requests there: this router's own count, or the report's if that is more.
     pub fn get_load(&self, now: Millis) -> u32 {
         let reported = self.get_fresh_report(now).map_or(0, |report| report.requests);
--- a/crates/core/src/shard/queue.rs
+++ b/crates/core/src/shard/queue.rs
@@ -88,6 +88,7 @@
     policy: Policy,
     random: fastrand::Rng,
     last: usize,
+    sharers: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -138,9 +139,20 @@
             policy: Policy::Expected,
             random: fastrand::Rng::with_seed(u64::from(slots)),
             last: 0,
+            sharers: 1,
         }
     }
 
+    /// Shares each server's slots with other queues, each of which decides alone.
+    ///
+    /// # Panics
+    ///
+    /// In debug builds, where nobody shares: count this queue too.
+    pub fn shared_by(self, sharers: u32) -> Self {
+        debug_assert!(sharers > 0, "count this queue too: a queue of its own is shared by 1");
+        Self { sharers, ..self }
+    }
+
     /// Chooses servers by another policy than the default one.
     pub fn policy(self, policy: Policy) -> Self {
         Self { policy, ..self }
@@ -161,7 +173,9 @@
         let mut servers = Vec::new();
         for (name, address, data_centre, is_leaving) in listed {
             let known = self.servers.iter().find(|s| s.name == name && s.address == address);
-            let fresh = || Server::new(name, address, data_centre, self.slots);
+            let part = (self.slots / self.sharers).max(LEAST_LIMIT);
+            let fresh =
+                || Server { capacity: self.slots, ..Server::new(name, address, data_centre, part) };
             let server = known.cloned().unwrap_or_else(fresh);
             servers.push(Server { is_leaving, ..server });
         }
@@ -301,10 +315,10 @@
 
     /// Notes a success of a server: its limit rises again by one, up to the slots.
     pub fn succeeded(&mut self, server: &str) {
-        let slots = self.slots;
+        let part = (self.slots / self.sharers).max(LEAST_LIMIT);
         if let Some(server) = self.server_mut(server) {
             server.failed_at = None;
-            server.limit = (server.limit + 1).min(slots);
+            server.limit = (server.limit + 1).min(part);
         }
     }
 
--- a/crates/core/tests/core/shard.rs
+++ b/crates/core/tests/core/shard.rs
@@ -1,5 +1,6 @@
 //! Whose turn it is, whether there is room, and when to come back.
 
+use keeljunction_core::route::Report;
 use keeljunction_core::shard::{Ask, Decision, Queue, SHARD_SERVERS, shard_count, shard_of};
 use proptest::prelude::*;
 
@@ -118,6 +119,27 @@
     assert_eq!(queue.get_servers()[0].limit, 10);
 }
 
+#[test]
+fn a_queue_that_decides_alone_uses_its_part_though_others_use_theirs() {
+    let mut queue = Queue::new(8, 1_000).shared_by(4);
+    queue.set_servers([("s0", "127.0.0.1:1", "x", false)].into_iter());
+    queue.report("s0", Report { at: 0, requests: 6, queued_tokens: 0 });
+    for id in ["a", "b"] {
+        assert!(
+            matches!(queue.offer(0, ask(id, "flood", 0, 900_000)), Decision::Granted(_)),
+            "{id}"
+        );
+    }
+    assert_eq!(
+        queue.offer(0, ask("c", "flood", 0, 900_000)),
+        Decision::Waiting,
+        "its part is used"
+    );
+    queue.release(1, "a", None);
+    queue.report("s0", Report { at: 1, requests: 8, queued_tokens: 0 });
+    assert_eq!(queue.poll(1), [], "the server is full");
+}
+
 #[test]
 fn six_hundred_servers_make_shards_of_about_sixteen() {
     let count = shard_count(600);
--- a/crates/keeljunction/src/node/grant.rs
+++ b/crates/keeljunction/src/node/grant.rs
@@ -346,9 +346,9 @@
         return Some(shard.clone());
     }
     let service: Service = node.get_force()?.document.get_service(&key.0)?.clone();
-    let slots = (service.slots / sharers).max(1);
-    let queue =
-        Queue::new(slots, service.prefill_tokens_per_second).policy(node.settings.routing.policy);
+    let queue = Queue::new(service.slots, service.prefill_tokens_per_second)
+        .shared_by(sharers)
+        .policy(node.settings.routing.policy);
     let shard = Arc::new(Shard::new(node.clock, queue));
     sync(node, key, &shard);
     let mut shards = runtime::lock(shards);
