fix(accept): begin anew when a request that was given up is asked again

Cause: found by reading. An answer that ended without the whole answer was kept for 120 s like any other, so a caller that followed Retry-After with the same key got the old failure back. The retry test now asks again and failed on it; then it failed because servers that had died were still chosen at the price of a retry each. A server whose load report finds no connection is now passed over until one does (it was passed over for 1 s after a failed dispatch only).

Moved into the core, with tests: what to do after an attempt has ended, how to go on with a request whose node is gone, and the merge of copied tokens.

--- /dev/null
+++ b/crates/core/src/attempt.rs
@@ -0,0 +1,112 @@
+//! What to do after an attempt to run a request has ended.
+//!
+//! A request that is not to be repeated goes on elsewhere only if nothing of it was sent, or if
+//! its attempt was steered off its server, in which case the shell first has it cancelled. Going
+//! on after an announced departure is not charged to the retry budget: it is bounded by the
+//! requests that ran there.
+
+use crate::drain::Action;
+use crate::outcome::Outcome;
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The answer is whole.
+    Finished,
+    /// No byte of it left, or the server says that it did not run it.
+    NotSent,
+    /// It may have run in part, and no more comes of it.
+    Broken,
+    /// It must be taken off its server.
+    Steered(Action),
+    /// The answer would come too late.
+    Late,
+}
+
+/// What else the decision needs to know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// Whether the request may run more than once.
+    pub is_repeatable: bool,
+    /// Whether the attempt's server is known to leave.
+    pub is_leaving: bool,
+}
+
+/// Why a request is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// Its deadline has passed.
+    Late,
+    /// Nothing was sent, and no retry is left.
+    NotTaken,
+    /// It was sent, and must not be repeated.
+    Unrepeatable,
+    /// It was sent, and no retry is left.
+    NoRetry,
+}
+
+impl Reason {
+    /// Says the reason in a sentence, for the caller.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Late => "the deadline has passed",
+            Self::NotTaken => "no backend server took the request",
+            Self::Unrepeatable => {
+                "the backend server broke off and the request is not to be repeated"
+            }
+            Self::NoRetry => "the backend server broke off and no retry is left",
+        }
+    }
+
+    /// Returns the HTTP status that goes with it.
+    pub fn as_status(self) -> u16 {
+        match self {
+            Self::Late => 504,
+            Self::NotTaken => 503,
+            Self::Unrepeatable | Self::NoRetry => 502,
+        }
+    }
+
+    /// Says whether asking again before long may help.
+    pub fn is_passing(self) -> bool {
+        matches!(self, Self::NotTaken | Self::NoRetry)
+    }
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Nothing: the answer is whole.
+    Stop,
+    /// Go on at another server than this one.
+    Elsewhere,
+    /// Leave the attempt behind by this action, and go on at another server.
+    Leave(Action),
+    /// Read the attempt on where it is.
+    Stay,
+    /// End the request.
+    GiveUp(Reason),
+}
+
+/// Decides what to do after an attempt. `take_retry` takes one retry of the budget, if there is one.
+pub fn next(end: End, standing: Standing, take_retry: impl FnOnce() -> bool) -> Next {
+    match end {
+        End::Finished => Next::Stop,
+        End::Late => Next::GiveUp(Reason::Late),
+        End::Steered(Action::Finish) => Next::Stay,
+        End::Steered(action) => Next::Leave(action),
+        End::Broken if !standing.is_repeatable => Next::GiveUp(Reason::Unrepeatable),
+        End::NotSent | End::Broken => {
+            if standing.is_leaving || take_retry() {
+                return Next::Elsewhere;
+            }
+            let reason = if end == End::NotSent { Reason::NotTaken } else { Reason::NoRetry };
+            Next::GiveUp(reason)
+        }
+    }
+}
+
+/// Decides what a caller is told of a request that is given up.
+pub fn outcome(is_sent: bool) -> Outcome {
+    if is_sent { Outcome::Unknown } else { Outcome::NotRun }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,8 @@
 //! | [`shard`] | whose turn it is, whether there is room, and when to come back |
 //! | [`route`] | which backend server is expected to answer first |
 //! | [`stream`] | which tokens belong to an answer |
+//! | [`attempt`] | what to do after an attempt has ended |
+//! | [`takeover`], [`record`] | how to go on with a request whose node is gone |
 //! | [`retry`] | whether another try is allowed |
 //! | [`rate`] | how many calls may be made in a second |
 //! | [`claim`] | whether a request that must not be repeated may run |
@@ -21,6 +23,7 @@
 //! | [`drain`] | what becomes of the streams on a VM that is going away |
 //! | [`fleet`] | which VMs to hold |
 
+pub mod attempt;
 pub mod bundle;
 pub mod claim;
 pub mod directory;
@@ -31,12 +34,14 @@
 pub mod member;
 pub mod outcome;
 pub mod rate;
+pub mod record;
 pub mod retry;
 pub mod route;
 pub mod rumor;
 pub mod shard;
 pub mod stream;
 pub mod succession;
+pub mod takeover;
 
 pub use error::{Error, ErrorKind};
 
--- a/crates/core/src/shard/queue.rs
+++ b/crates/core/src/shard/queue.rs
@@ -313,6 +313,13 @@
         }
     }
 
+    /// Notes that a server cannot be reached at all: it is passed over for a while.
+    pub fn unreachable(&mut self, now: Millis, server: &str) {
+        if let Some(server) = self.server_mut(server) {
+            server.failed_at = Some(now);
+        }
+    }
+
     /// Notes a success of a server: its limit rises again by one, up to the slots.
     pub fn succeeded(&mut self, server: &str) {
         let part = (self.slots / self.sharers).max(LEAST_LIMIT);
--- /dev/null
+++ b/crates/core/src/takeover.rs
@@ -0,0 +1,54 @@
+//! How to go on with a request whose node is gone, from its record.
+
+use crate::claim::{Answer, Verdict};
+
+/// What the record and the bundle say of the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Facts {
+    /// Whether a model engine runs it, which can be attached to.
+    pub is_model: bool,
+    /// Whether it may run more than once, or its servers see to it that it does not.
+    pub is_repeatable: bool,
+    /// Whether the record names an attempt.
+    pub has_attempt: bool,
+}
+
+/// How to go on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// Attach to the attempt that the record names.
+    Attach,
+    /// Run it, from the tokens that the record has.
+    Anew,
+    /// Run it under the claim that was just got: it never ran before.
+    Claimed,
+    /// Give the answer that was recorded.
+    Recorded(Answer),
+    /// End it as not run: it was given up before it was sent.
+    NotRun,
+    /// End it as unknown.
+    Unknown,
+}
+
+/// Decides how to go on. `claim` is the verdict over a new claim of this node, for a request that
+/// needs one, or `None` where it could not be had.
+pub fn start(facts: Facts, needs_claim: bool, claim: Option<Verdict>) -> Start {
+    if needs_claim {
+        return start_claimed(facts, claim);
+    }
+    match facts {
+        Facts { is_model: true, has_attempt: true, .. } => Start::Attach,
+        Facts { is_repeatable: true, .. } => Start::Anew,
+        _ => Start::Unknown,
+    }
+}
+
+fn start_claimed(facts: Facts, claim: Option<Verdict>) -> Start {
+    match claim {
+        Some(Verdict::Run) => Start::Claimed,
+        Some(Verdict::Recorded(answer)) => Start::Recorded(answer),
+        Some(Verdict::Released) => Start::NotRun,
+        Some(Verdict::Taken(_)) if facts.is_model && facts.has_attempt => Start::Attach,
+        Some(Verdict::Taken(_) | Verdict::Free | Verdict::Mismatch) | None => Start::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/core/tests/core/attempt.rs
@@ -0,0 +1,100 @@
+//! What to do after an attempt has ended, and with a request whose node is gone.
+
+use keeljunction_core::attempt::{End, Next, Reason, Standing, next};
+use keeljunction_core::claim::{Answer, Verdict};
+use keeljunction_core::drain::Action;
+use keeljunction_core::record::Tokens;
+use keeljunction_core::takeover::{Facts, Start, start};
+use proptest::prelude::*;
+
+#[test]
+fn each_end_has_its_next_step() {
+    let repeatable = Standing { is_repeatable: true, is_leaving: false };
+    let once = Standing { is_repeatable: false, is_leaving: false };
+    let leaving = Standing { is_leaving: true, ..repeatable };
+    let cases = [
+        (End::Finished, once, false, Next::Stop),
+        (End::Late, repeatable, true, Next::GiveUp(Reason::Late)),
+        (End::Steered(Action::Finish), repeatable, false, Next::Stay),
+        (End::Steered(Action::Move), once, false, Next::Leave(Action::Move)),
+        (End::NotSent, once, true, Next::Elsewhere),
+        (End::NotSent, once, false, Next::GiveUp(Reason::NotTaken)),
+        (End::Broken, repeatable, true, Next::Elsewhere),
+        (End::Broken, repeatable, false, Next::GiveUp(Reason::NoRetry)),
+        (End::Broken, leaving, false, Next::Elsewhere),
+        (End::Broken, once, true, Next::GiveUp(Reason::Unrepeatable)),
+    ];
+    for (end, standing, has_retry, expected) in cases {
+        assert_eq!(next(end, standing, || has_retry), expected, "{end:?} {standing:?}");
+    }
+}
+
+#[test]
+fn a_request_whose_node_is_gone_goes_on_only_where_that_is_safe() {
+    let facts =
+        |is_model, is_repeatable, has_attempt| Facts { is_model, is_repeatable, has_attempt };
+    let answer =
+        Answer { status: 200, media_type: "text/plain".to_owned(), body: "6f6b".to_owned() };
+    let taken = || Some(Verdict::Taken("entry-1".to_owned()));
+    let cases = [
+        ("a stream that may run", facts(true, true, true), false, None, Start::Attach),
+        ("a stream not yet sent", facts(true, true, false), false, None, Start::Anew),
+        ("a plain read", facts(false, true, true), false, None, Start::Anew),
+        (
+            "unrepeatable, the claim is new",
+            facts(false, false, false),
+            true,
+            Some(Verdict::Run),
+            Start::Claimed,
+        ),
+        ("unrepeatable, sent", facts(false, false, true), true, taken(), Start::Unknown),
+        ("unrepeatable stream, sent", facts(true, false, true), true, taken(), Start::Attach),
+        (
+            "unrepeatable stream, no attempt known",
+            facts(true, false, false),
+            true,
+            taken(),
+            Start::Unknown,
+        ),
+        (
+            "answered",
+            facts(false, false, true),
+            true,
+            Some(Verdict::Recorded(answer.clone())),
+            Start::Recorded(answer),
+        ),
+        ("released", facts(false, false, true), true, Some(Verdict::Released), Start::NotRun),
+        ("the table is down", facts(false, false, true), true, None, Start::Unknown),
+    ];
+    for (name, facts, needs_claim, claim, expected) in cases {
+        assert_eq!(start(facts, needs_claim, claim), expected, "{name}");
+    }
+}
+
+proptest! {
+    /// However attempts end, an unrepeatable request is never sent again after it may have been
+    /// sent, unless it was steered.
+    #[test]
+    fn an_unrepeatable_request_is_not_sent_again(
+        is_leaving in any::<bool>(),
+        has_retry in any::<bool>(),
+        end in prop_oneof![Just(End::Broken), Just(End::Late), Just(End::Finished)],
+    ) {
+        let decided = next(end, Standing { is_repeatable: false, is_leaving }, || has_retry);
+        prop_assert!(matches!(decided, Next::Stop | Next::GiveUp(_)), "{decided:?}");
+    }
+
+    /// Copies sent again, in part or late, leave the tokens as they are; none is skipped.
+    #[test]
+    fn copied_tokens_are_a_prefix_of_the_answer(parts in prop::collection::vec((0..40usize, 0..20usize), 0..40)) {
+        let answer: Vec<String> = (0..60).map(|n| format!("t{n}")).collect();
+        let mut tokens = Tokens::default();
+        for (from, count) in parts {
+            let before = tokens.get().len();
+            let is_taken = tokens.extend(from as u64, answer[from..from + count].to_vec());
+            prop_assert_eq!(is_taken, from <= before);
+            prop_assert_eq!(tokens.get().len(), if is_taken { before.max(from + count) } else { before });
+        }
+        prop_assert_eq!(tokens.get(), &answer[..tokens.get().len()]);
+    }
+}
--- a/crates/core/tests/core/main.rs
+++ b/crates/core/tests/core/main.rs
@@ -1,5 +1,6 @@
 //! The decisions, by behaviour.
 
+mod attempt;
 mod bundle;
 mod claim;
 mod drain;
--- a/crates/keeljunction/src/node/accept.rs
+++ b/crates/keeljunction/src/node/accept.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use keeljunction_core::claim::Verdict;
+use keeljunction_core::claim::{self, Verdict};
 use keeljunction_core::shard::{Grant, Refusal};
 use uuid::Uuid;
 
@@ -37,7 +37,8 @@
     let id = request.get_id();
     let answer = {
         let mut answers = runtime::lock(&node.answers);
-        if let Some(known) = answers.get(&id) {
+        let known = answers.get(&id);
+        if let Some(known) = known.filter(|a| naming == Naming::Returning || !a.is_spent()) {
             return same_or_refused(node, known, request);
         }
         let answer = Arc::new(Answer::new(request));
@@ -141,7 +142,7 @@
     let place = place.flatten();
     let attempt = Uuid::new_v4().to_string();
     if request.needs_claim()
-        && let Err(instead) = claim(node, answer, &attempt).await
+        && let Err(instead) = get_claim(node, answer, &attempt).await
     {
         give_back(node, &grant);
         if let Some(place) = &place {
@@ -156,7 +157,7 @@
 }
 
 /// Claims a request that must not be repeated, or says what its caller gets instead.
-async fn claim(node: &Arc<Node>, answer: &Answer, attempt: &str) -> Result<(), Instead> {
+async fn get_claim(node: &Arc<Node>, answer: &Answer, attempt: &str) -> Result<(), Instead> {
     match claims::claim(node, &answer.request, attempt).await {
         Ok(Verdict::Taken(runner)) => Err(Instead::RunsAt(runner)),
         Ok(verdict) => judged(verdict).map_err(Instead::End),
@@ -169,14 +170,17 @@
     }
 }
 
+/// Reads the answer that was recorded with a claim.
+pub fn recorded(answer: &claim::Answer) -> Final {
+    let body = hex::decode(&answer.body).unwrap_or_default();
+    done(answer.status, &answer.media_type, body)
+}
+
 /// Turns the verdict over a claim into leave to run, or into what the caller gets instead.
-pub fn judged(verdict: Verdict) -> Result<(), Final> {
+fn judged(verdict: Verdict) -> Result<(), Final> {
     match verdict {
         Verdict::Run => Ok(()),
-        Verdict::Recorded(answer) => {
-            let body = hex::decode(&answer.body).unwrap_or_default();
-            Err(done(answer.status, &answer.media_type, body))
-        }
+        Verdict::Recorded(answer) => Err(recorded(&answer)),
         Verdict::Released => Err(not_run(503, "the request was given up before it was sent", 0)),
         Verdict::Taken(_) | Verdict::Free => Err(sent_before()),
         Verdict::Mismatch => Err(key_reused()),
--- a/crates/keeljunction/src/node/answer.rs
+++ b/crates/keeljunction/src/node/answer.rs
@@ -144,6 +144,12 @@
         News { tokens, ended: state.ended.clone() }
     }
 
+    /// Says whether the request has ended without its answer, so that asking again begins anew.
+    pub fn is_spent(&self) -> bool {
+        let state = runtime::lock(&self.state);
+        state.ended.as_ref().is_some_and(|ended| ended.outcome != Outcome::Done.as_str())
+    }
+
     /// Waits until the request is accepted or has ended, and returns its end if it has.
     pub async fn accepted(&self) -> Option<Final> {
         loop {
--- a/crates/keeljunction/src/node/attempt.rs
+++ b/crates/keeljunction/src/node/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use futures_lite::future;
-use keeljunction_core::drain::Action;
+use keeljunction_core::attempt::End;
 use keeljunction_core::stream::{Cursor, Verdict};
 
 use super::answer::{Attempt, done};
@@ -14,21 +14,6 @@
 use crate::http::Failure;
 use crate::runtime;
 
-/// How an attempt ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum End {
-    /// The answer is whole.
-    Finished,
-    /// No byte of it left, or the server says that it did not run it.
-    NotSent(String),
-    /// It may have run in part, and no more comes of it.
-    Broken(String),
-    /// It must be taken off its server.
-    Steered(Action),
-    /// The answer would come too late.
-    Late,
-}
-
 /// Returns the engine at an address.
 pub fn engine(node: &Node, address: SocketAddr) -> Engine<'_> {
     let within = Duration::from_millis(node.settings.limits.idle_ms);
@@ -74,8 +59,8 @@
             );
             End::Finished
         }
-        Err(Failure::NotSent(why)) => End::NotSent(why),
-        Err(Failure::MaybeSent(why)) => End::Broken(why),
+        Err(Failure::NotSent(why)) => not_sent(&why),
+        Err(Failure::MaybeSent(why)) => broken(&why),
     }
 }
 
@@ -93,8 +78,8 @@
             node.metric.count("attempts_attached", 1);
             follow(node, answer, attempt, cursor, response.into_body(), None).await
         }
-        Ok(response) => End::Broken(format!("status {}", response.status())),
-        Err(failure) => End::Broken(failure.to_string()),
+        Ok(response) => broken(&format!("status {}", response.status())),
+        Err(failure) => broken(&failure.to_string()),
     }
 }
 
@@ -119,8 +104,8 @@
             super::relay::finish_plain(node, answer, &attempt.id, end);
             End::Finished
         }
-        Err(Failure::NotSent(why)) => End::NotSent(why),
-        Err(Failure::MaybeSent(why)) => End::Broken(why),
+        Err(Failure::NotSent(why)) => not_sent(&why),
+        Err(Failure::MaybeSent(why)) => broken(&why),
     }
 }
 
@@ -136,12 +121,12 @@
     loop {
         let piece = match next(node, answer, &mut tokens).await {
             Ok(Some(piece)) => piece,
-            Ok(None) => return End::Broken("the stream broke off".to_owned()),
+            Ok(None) => return broken("the stream broke off"),
             Err(end) => return end,
         };
         let Piece::Token { attempt: named, offset, text } = piece else {
             if cursor.is_missing() {
-                return End::Broken("tokens are missing".to_owned());
+                return broken("tokens are missing");
             }
             super::relay::finish_model(node, answer, attempt);
             return End::Finished;
@@ -150,7 +135,7 @@
             Verdict::Accept(tokens) => answer.push(tokens),
             Verdict::Held => node.metric.count("tokens_held", 1),
             Verdict::Repeated | Verdict::Foreign => node.metric.count("tokens_dropped", 1),
-            Verdict::Gap(_) => return End::Broken("tokens are missing".to_owned()),
+            Verdict::Gap(_) => return broken("tokens are missing"),
         }
         if let Some(grant) = unread.take() {
             grant::first_token(node, grant);
@@ -166,7 +151,7 @@
     let steered = async { Err(End::Steered(answer.steered().await)) };
     let late = async {
         runtime::sleep(Duration::from_millis(left.min(idle))).await;
-        Err(if left <= idle { End::Late } else { End::Broken("the engine fell silent".to_owned()) })
+        Err(if left <= idle { End::Late } else { broken("the engine fell silent") })
     };
     future::or(piece, future::or(steered, late)).await
 }
@@ -179,5 +164,11 @@
 }
 
 fn not_sent(why: &str) -> End {
-    End::NotSent(why.to_owned())
+    log::info!("a backend server did not take a request: {why}");
+    End::NotSent
+}
+
+fn broken(why: &str) -> End {
+    log::info!("a backend server broke a request off: {why}");
+    End::Broken
 }
--- a/crates/keeljunction/src/node/find.rs
+++ b/crates/keeljunction/src/node/find.rs
@@ -71,7 +71,7 @@
 async fn search(node: &Arc<Node>, answer: &Arc<Answer>) -> Found {
     let id = answer.request.get_id();
     let held = runtime::lock(&node.records).get(&id).cloned();
-    if let Some(held) = held {
+    if let Some(held) = held.filter(|held| !held.is_spent()) {
         if held.record.body_digest != answer.request.digest {
             return Found::Mismatch;
         }
--- a/crates/keeljunction/src/node/relay.rs
+++ b/crates/keeljunction/src/node/relay.rs
@@ -3,14 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use keeljunction_core::attempt::{End, Next, Reason, Standing};
 use keeljunction_core::claim;
 use keeljunction_core::drain::Action;
+use keeljunction_core::outcome::Outcome;
 use keeljunction_core::shard::{Grant, Refusal};
 use keeljunction_core::stream::Cursor;
 use uuid::Uuid;
 
 use super::answer::{Attempt, done, not_run, unknown};
-use super::attempt::{self, End};
+use super::attempt;
 use super::grant::{self, Usage, Want};
 use super::{Answer, Node, claims};
 use crate::peer::wire::Final;
@@ -160,7 +162,7 @@
         let generated = self.cursor.get_next() - before;
         let usage = Usage {
             cost: Some(grant.uncached_tokens + GENERATED_COST * generated),
-            is_failed: matches!(end, End::NotSent(_) | End::Broken(_)),
+            is_failed: matches!(end, End::NotSent | End::Broken),
         };
         let end = self.reattach(end, &attempt).await;
         grant::release(&self.node, &grant.id, usage);
@@ -174,7 +176,7 @@
             return end;
         }
         let mut fruitless = 0;
-        while matches!(end, End::Broken(_)) && fruitless < ATTACHES {
+        while matches!(end, End::Broken) && fruitless < ATTACHES {
             let before = self.cursor.get_next();
             end = attempt::attach(&self.node, &self.answer, attempt, &mut self.cursor).await;
             if self.cursor.get_next() == before {
@@ -195,48 +197,31 @@
     }
 
     async fn decide(&mut self, end: End, attempt: Attempt) -> Step {
-        match end {
-            End::Finished => Step::Stop,
-            End::Late => {
-                self.cancel(&attempt).await;
-                self.give_up("the deadline has passed", 504, 0)
+        let standing = Standing {
+            is_repeatable: self.answer.request.class.repeatable,
+            is_leaving: self.node.is_leaving(&attempt.server),
+        };
+        match keeljunction_core::attempt::next(end, standing, || self.take_retry()) {
+            Next::Stop => Step::Stop,
+            Next::Stay => Box::pin(self.attach(&attempt)).await,
+            Next::Elsewhere => {
+                self.avoid.push(attempt.server);
+                Step::Again
             }
-            End::Steered(Action::Finish) => Step::Again,
-            End::Steered(action) => {
+            Next::Leave(action) => {
                 self.node.metric.count("streams_moved", 1);
                 self.avoid = vec![attempt.server.clone()];
                 self.left = Some((attempt, action));
                 Step::Again
             }
-            End::NotSent(why) => self.after_unsent(attempt, &why),
-            End::Broken(why) => self.after_break(attempt, &why),
-        }
-    }
-
-    /// Nothing was sent, so that even an unrepeatable request may try another server.
-    fn after_unsent(&mut self, attempt: Attempt, why: &str) -> Step {
-        log::info!("{} did not take {}: {why}", attempt.server, attempt.id);
-        self.avoid.push(attempt.server.clone());
-        if self.node.is_leaving(&attempt.server) || self.take_retry() {
-            return Step::Again;
-        }
-        self.give_up("no backend server took the request", 503, NO_RETRY_MS)
-    }
-
-    fn after_break(&mut self, attempt: Attempt, why: &str) -> Step {
-        log::info!("{} broke off {}: {why}", attempt.server, attempt.id);
-        if !self.answer.request.class.repeatable {
-            return self.give_up(
-                "the backend server broke off and the request is not to be repeated",
-                502,
-                0,
-            );
-        }
-        self.avoid = vec![attempt.server.clone()];
-        if self.node.is_leaving(&attempt.server) || self.take_retry() {
-            return Step::Again;
+            Next::GiveUp(reason) => {
+                if reason == Reason::Late {
+                    self.cancel(&attempt).await;
+                }
+                let retry_after = if reason.is_passing() { NO_RETRY_MS } else { 0 };
+                self.give_up(reason.as_str(), reason.as_status(), retry_after)
+            }
         }
-        self.give_up("the backend server broke off and no retry is left", 502, NO_RETRY_MS)
     }
 
     fn take_retry(&self) -> bool {
@@ -300,13 +285,14 @@
     }
 
     fn give_up(&self, why: &str, status: u16, retry_after: u64) -> Step {
-        let ended = if self.answer.is_sent() {
-            unknown(status, why, retry_after)
-        } else {
-            if let Some(claimed) = &self.claimed {
-                claims::release(&self.node, &self.answer.request, claimed);
+        let ended = match keeljunction_core::attempt::outcome(self.answer.is_sent()) {
+            Outcome::Done | Outcome::Unknown => unknown(status, why, retry_after),
+            Outcome::NotRun => {
+                if let Some(claimed) = &self.claimed {
+                    claims::release(&self.node, &self.answer.request, claimed);
+                }
+                not_run(503, why, retry_after)
             }
-            not_run(503, why, retry_after)
         };
         self.node.metric.count("requests_given_up", 1);
         self.answer.finish(self.node.now(), ended);
--- a/crates/keeljunction/src/node/service.rs
+++ b/crates/keeljunction/src/node/service.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use futures_lite::Stream;
+use keeljunction_core::record::Tokens;
 use keeljunction_core::shard::Ask;
 use tonic::{Request, Response, Status};
 
@@ -138,12 +139,15 @@
     }
     let Some(held) = records.get_mut(id) else { return false };
     let record = &mut held.record;
-    let known = record.tokens.len() as u64;
-    if record.owner != news.owner || from_offset > known {
+    if record.owner != news.owner {
+        return false;
+    }
+    let mut tokens = Tokens::new(std::mem::take(&mut record.tokens));
+    let is_taken = tokens.extend(from_offset, news.tokens);
+    record.tokens = tokens.into_inner();
+    if !is_taken {
         return false;
     }
-    let repeated = (known - from_offset) as usize;
-    record.tokens.extend(news.tokens.into_iter().skip(repeated));
     if !news.attempt.is_empty() {
         record.attempt = news.attempt;
         record.server = news.server;
@@ -160,7 +164,7 @@
         takeover::revive(node, id);
     }
     let answer = runtime::lock(&node.answers).get(id).cloned();
-    if let Some(answer) = answer.filter(|answer| answer.is_own()) {
+    if let Some(answer) = answer.filter(|answer| answer.is_own() && !answer.is_spent()) {
         return wire::FindReply {
             known: true,
             here: true,
@@ -168,7 +172,7 @@
             body_digest: answer.request.digest.clone(),
         };
     }
-    match runtime::lock(&node.records).get(id) {
+    match runtime::lock(&node.records).get(id).filter(|held| !held.is_spent()) {
         None => wire::FindReply::default(),
         Some(held) => wire::FindReply {
             known: true,
--- a/crates/keeljunction/src/node/state.rs
+++ b/crates/keeljunction/src/node/state.rs
@@ -9,6 +9,7 @@
 use keeljunction_core::bundle::{Document, Roll};
 use keeljunction_core::directory::Directory;
 use keeljunction_core::member::{List, Member, State, Timing};
+use keeljunction_core::outcome::Outcome;
 use keeljunction_core::retry::Budget;
 
 use super::Answer;
@@ -47,6 +48,13 @@
     pub deadline: Millis,
 }
 
+impl Held {
+    /// Says whether the request has ended without its answer, so that asking again begins anew.
+    pub fn is_spent(&self) -> bool {
+        self.record.r#final.as_ref().is_some_and(|ended| ended.outcome != Outcome::Done.as_str())
+    }
+}
+
 /// One node.
 pub struct Node {
     /// What the node is told.
--- a/crates/keeljunction/src/node/takeover.rs
+++ b/crates/keeljunction/src/node/takeover.rs
@@ -2,15 +2,15 @@
 
 use std::sync::Arc;
 
-use keeljunction_core::claim::Verdict;
+use keeljunction_core::takeover::{self, Facts};
 use uuid::Uuid;
 
-use super::answer::{Attempt, unknown};
+use super::answer::{Attempt, not_run, unknown};
 use super::relay::Start;
 use super::request::Id;
 use super::state::Held;
 use super::{Answer, Node, Request, accept, claims, copy, relay};
-use crate::peer::wire::Record;
+use crate::peer::wire::{Final, Record};
 use crate::runtime;
 
 /// Takes over all requests of a node that is gone.
@@ -76,43 +76,34 @@
 
 /// Decides how to go on; `None` where the answer has ended.
 async fn start(node: &Arc<Node>, answer: &Arc<Answer>, record: &Record) -> Option<Start> {
+    let request = &answer.request;
     let running = running_attempt(record);
-    if answer.request.needs_claim() {
-        return start_claimed(node, answer, running).await;
-    }
-    let is_repeatable = answer.request.class.repeatable || answer.request.service.deduplicates;
-    match running {
-        Some(attempt) if answer.request.is_model() => Some(Start::Attached(attempt)),
-        _ if is_repeatable => Some(Start::Anew),
-        _ => end_unknown(node, answer),
-    }
-}
-
-/// An unrepeatable request runs here only if this node gets its claim: then it never ran.
-async fn start_claimed(
-    node: &Arc<Node>,
-    answer: &Arc<Answer>,
-    running: Option<Attempt>,
-) -> Option<Start> {
+    let facts = Facts {
+        is_model: request.is_model(),
+        is_repeatable: request.class.repeatable || request.service.deduplicates,
+        has_attempt: running.is_some(),
+    };
     let attempt = Uuid::new_v4().to_string();
-    match claims::claim(node, &answer.request, &attempt).await {
-        Ok(Verdict::Run) => Some(Start::Claimed(attempt)),
-        Ok(Verdict::Taken(_)) if running.is_some() && answer.request.is_model() => {
-            running.map(Start::Attached)
+    let claim = match request.needs_claim() {
+        true => claims::claim(node, request, &attempt).await.ok(),
+        false => None,
+    };
+    match takeover::start(facts, request.needs_claim(), claim) {
+        takeover::Start::Attach => running.map(Start::Attached),
+        takeover::Start::Anew => Some(Start::Anew),
+        takeover::Start::Claimed => Some(Start::Claimed(attempt)),
+        takeover::Start::Recorded(recorded) => end(node, answer, accept::recorded(&recorded)),
+        takeover::Start::NotRun => {
+            end(node, answer, not_run(503, "the request was given up before it was sent", 0))
         }
-        Ok(verdict) => {
-            if let Err(ended) = accept::judged(verdict) {
-                answer.finish(node.now(), ended);
-            }
-            None
+        takeover::Start::Unknown => {
+            let why = "the node that had the request is gone and it is not to be repeated";
+            end(node, answer, unknown(502, why, 0))
         }
-        Err(_) => end_unknown(node, answer),
     }
 }
 
-fn end_unknown(node: &Node, answer: &Answer) -> Option<Start> {
-    let ended =
-        unknown(502, "the node that had the request is gone and it is not to be repeated", 0);
+fn end(node: &Node, answer: &Answer, ended: Final) -> Option<Start> {
     answer.finish(node.now(), ended);
     None
 }
--- a/crates/keeljunction/src/node/watch.rs
+++ b/crates/keeljunction/src/node/watch.rs
@@ -113,10 +113,16 @@
 
 async fn read_load(node: &Node, shard: &Shard, server: &str, address: SocketAddr, is_model: bool) {
     let engine = attempt::engine(node, address);
-    if let Ok(load) = engine.load().await {
-        let at = node.now().saturating_sub(load.age_ms);
-        let report = Report { at, requests: load.requests, queued_tokens: load.queued_tokens };
-        shard.with(|queue, _| queue.report(server, report));
+    match engine.load().await {
+        Ok(load) => {
+            let at = node.now().saturating_sub(load.age_ms);
+            let report = Report { at, requests: load.requests, queued_tokens: load.queued_tokens };
+            shard.with(|queue, _| queue.report(server, report));
+        }
+        Err(failure) if failure.is_not_sent() => {
+            return shard.with(|queue, now| queue.unreachable(now, server));
+        }
+        Err(_) => return,
     }
     if !is_model {
         return;
--- a/crates/keeljunction/tests/cli/main.rs
+++ b/crates/keeljunction/tests/cli/main.rs
@@ -126,6 +126,17 @@
     assert!(said(&output).contains("key:     groups[0].weight"), "{}", said(&output));
 }
 
+#[test]
+fn the_examples_hold() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for name in ["caudalia.yaml", "tanglaw.yaml"] {
+        let output = run(&["bundle", "check", text(&folder.join(name))]);
+        assert_eq!(output.status.code(), Some(0), "{}", said(&output));
+    }
+    let output = run(&["settings", "check", "--settings", text(&folder.join("node.yaml"))]);
+    assert_eq!(output.status.code(), Some(0), "{}", said(&output));
+}
+
 #[test]
 fn an_unreachable_platform_or_node_is_said_plainly() {
     for arguments in [
--- a/crates/standin/tests/faults/retries.rs
+++ b/crates/standin/tests/faults/retries.rs
@@ -2,9 +2,10 @@
 
 use keeljunction::runtime;
 use serde_json::json;
+use standin::engine::answer_of;
 use standin::harness::Plan;
 
-use super::support::{briefing, on_cluster};
+use super::support::{briefing, on_cluster, send};
 
 #[test]
 fn when_half_of_the_servers_vanish_extra_dispatches_stay_within_the_share() {
@@ -25,8 +26,12 @@
             cluster.servers.get_mut(server).expect("it runs").kill();
         }
         let (mut done, mut given_up) = (0, 0);
+        let mut keys = Vec::new();
         for call in calls {
             let answer = call.await;
+            if !answer.is_whole {
+                keys.push(answer.key.clone());
+            }
             if answer.is_whole {
                 done += 1;
                 continue;
@@ -46,5 +51,21 @@
         // Each of two nodes: a burst of 3, and a tenth of its 40 first tries.
         assert!(retries <= 2 * (3 + 4), "{retries}");
         assert!(given_up > 0 && given_up == denied, "{given_up} given up, {denied} denied");
+        for (number, key) in keys.iter().take(4).enumerate() {
+            let prompt = format!("wave {}", key.trim_start_matches("w-"));
+            let call = briefing(&prompt, 200).key(key);
+            let mut again = send(&cluster, number % 2, &call).await;
+            for _ in 0..5 {
+                let Some(wait) = again.problem.as_ref().and_then(|p| p["retry_after_ms"].as_u64())
+                else {
+                    break;
+                };
+                assert_eq!(again.outcome(), "not_run", "it was begun anew: {again:?}");
+                runtime::sleep(std::time::Duration::from_millis(wait)).await;
+                again = send(&cluster, number % 2, &call).await;
+            }
+            assert!(again.is_whole, "asked again when it was told to, it is served: {again:?}");
+            assert_eq!(again.body, answer_of(&prompt, 200));
+        }
     });
 }
