--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 	target/release/standin measure baseline
 	target/release/standin measure size
 	target/release/standin measure policy
+	target/release/standin measure shares
 
 codegen:
 	cd tools/codegen && $(CARGO) run
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -3,12 +3,15 @@
 //! The backend servers of a service are cut into shards. The shard's owner keeps the one queue
 //! for its servers; a node that finds no owner keeps one of its own for a while.
 
+mod ask;
 mod drain_rate;
+mod hopeless;
 mod queue;
 mod share;
 
-pub use queue::{Ask, Decision, Grant, Queue, Refusal};
-pub use share::Counter;
+pub use ask::{Ask, Decision, Grant, Refusal};
+pub use queue::Queue;
+pub use share::{Counter, GENERATED_COST};
 
 /// The most backend servers of one shard.
 pub const SHARD_SERVERS: usize = 16;
--- a/crates/core/src/shard/queue.rs
+++ b/crates/core/src/shard/queue.rs
@@ -1,8 +1,10 @@
 //! The one queue for the servers of a shard.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
+use super::ask::{Ask, Decision, Grant, Refusal};
 use super::drain_rate::DrainRate;
+use super::hopeless::Hopeless;
 use super::share::{Counter, GENERATED_COST};
 use crate::Millis;
 use crate::route::{self, Demand, Index, Policy, Report, Server};
@@ -14,66 +16,6 @@
 /// A limit is never learned below this.
 const LEAST_LIMIT: u32 = 1;
 
-/// A request that asks for a backend server.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Ask {
-    /// The name that the grant will have.
-    pub id: String,
-    /// The group that is charged.
-    pub group: String,
-    /// The class's priority; 0 is the most urgent.
-    pub priority: u32,
-    /// When the answer is of no more use.
-    pub deadline: Millis,
-    /// How long it may wait for its turn.
-    pub wait: Millis,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u64,
-    /// Tokens that it may generate at most.
-    pub output_tokens: u64,
-    /// Hashes of the prompt's blocks.
-    pub prefix: Vec<u64>,
-    /// Servers not to choose, by name.
-    pub avoid: Vec<String>,
-}
-
-/// A backend server that a request may be sent to.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Grant {
-    /// The grant's name.
-    pub id: String,
-    /// The group that is charged.
-    pub group: String,
-    /// The server's name.
-    pub server: String,
-    /// Where it is reached, as `IP:port`.
-    pub address: String,
-    /// Tokens of the prompt that it is thought to hold.
-    pub cached_tokens: u64,
-    /// Tokens of the prompt that it must read.
-    pub uncached_tokens: u64,
-    /// What the group was charged.
-    pub cost: u64,
-}
-
-/// Says why there is no grant, and when to come back.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// Milliseconds after which there should be room.
-    pub retry_after: Millis,
-}
-
-/// What the queue says to an [`Ask`].
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Decision {
-    /// Send it there now.
-    Granted(Grant),
-    /// Its turn comes; [`Queue::poll`] will tell.
-    Waiting,
-    /// There will be no room in time.
-    Refused(Refusal),
-}
-
 /// The queue, the servers and the shares of one shard.
 #[derive(Clone, Debug)]
 pub struct Queue {
@@ -97,33 +39,6 @@
     until: Millis,
 }
 
-/// Requests for which there is no room just now. Where one without wishes found none, no other of
-/// its kind does, so that a long queue is not tried request by request.
-#[derive(Debug, Default)]
-struct Hopeless {
-    kinds: HashSet<(bool, bool)>,
-    ids: HashSet<String>,
-}
-
-impl Hopeless {
-    fn add(&mut self, ask: &Ask) {
-        if ask.avoid.is_empty() {
-            self.kinds.insert(kind_of(ask));
-        } else {
-            self.ids.insert(ask.id.clone());
-        }
-    }
-
-    fn contains(&self, ask: &Ask) -> bool {
-        self.kinds.contains(&kind_of(ask)) || self.ids.contains(&ask.id)
-    }
-}
-
-/// Whether a request may use the room kept for the most urgent, and whether its prompt is long.
-fn kind_of(ask: &Ask) -> (bool, bool) {
-    (ask.priority == 0, ask.prompt_tokens > route::LONG_PROMPT_TOKENS)
-}
-
 impl Queue {
     /// Makes a queue without servers: each takes `slots` requests and reads so many tokens a second.
     pub fn new(slots: u32, prefill_per_second: u32) -> Self {
--- a/crates/keeljunction/src/node/relay.rs
+++ b/crates/keeljunction/src/node/relay.rs
@@ -7,7 +7,7 @@
 use keeljunction_core::claim;
 use keeljunction_core::drain::Action;
 use keeljunction_core::outcome::Outcome;
-use keeljunction_core::shard::{Grant, Refusal};
+use keeljunction_core::shard::{GENERATED_COST, Grant, Refusal};
 use keeljunction_core::stream::Cursor;
 use uuid::Uuid;
 
@@ -25,8 +25,6 @@
 const LONGEST_PAUSE_MS: u64 = 500;
 /// When to come back after a request was given up for want of retries, in milliseconds.
 const NO_RETRY_MS: u64 = 1_000;
-/// Cost of one generated token, against one uncached prompt token.
-const GENERATED_COST: u64 = 4;
 
 /// A grant that was not used.
 const UNUSED: Usage = Usage { cost: Some(0), is_failed: false };
--- a/crates/standin/src/harness/cluster.rs
+++ b/crates/standin/src/harness/cluster.rs
@@ -11,18 +11,17 @@
 use keeljunction::http::Client;
 use keeljunction::platform::{Role, Vm, VmState};
 use keeljunction::runtime;
-use keeljunction_core::bundle;
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
 use super::call::{ask, get};
+use super::documents;
 use super::process::{Process, binary};
 
 /// The credential of the account `duty` in the group `flood`, which has the larger share.
 pub const DUTY: &str = "duty-credential";
 /// The credential of the account `branch` in the group `desk`.
 pub const BRANCH: &str = "branch-credential";
-const PEER_CREDENTIAL: &str = "between-nodes-only-0123456789";
 const DATA_CENTRES: [&str; 4] = ["hall-norte", "hall-sur", "hall-oriente", "hall-occidente"];
 const READY_WITHIN: Duration = Duration::from_secs(20);
 const LOOK: Duration = Duration::from_millis(10);
@@ -167,7 +166,7 @@
     /// Returns the system's error.
     pub async fn start_node(&mut self, name: &str, number: usize) -> io::Result<()> {
         let settings = self.folder.path().join(format!("{name}.yaml"));
-        fs::write(&settings, self.settings(name, number)?)?;
+        fs::write(&settings, self.settings_of(name, number)?)?;
         let log = self.folder.path().join(format!("{name}.log"));
         let arguments = strings(&["serve", "--settings", &settings.display().to_string()]);
         let process = Process::start("keeljunction", &arguments, &log)?;
@@ -199,7 +198,7 @@
     /// Returns the system's error, or what the client said.
     pub fn write_version(&self, version: &str) -> io::Result<String> {
         let file = self.path(&format!("{version}.yaml")).display().to_string();
-        fs::write(&file, self.bundle(version))?;
+        fs::write(&file, documents::bundle(&self.plan, version))?;
         let key = self.key_path();
         self.keeljunction(&["bundle", "key", "--key", &key])?;
         self.keeljunction(&["bundle", "sign", &file, "--key", &key])?;
@@ -265,6 +264,12 @@
         self.ran().await.iter().filter(|(_, entry)| entry["key"] == key).count()
     }
 
+    /// Reads the resident memory of each node, in megabytes.
+    pub fn memory_mb(&self) -> Vec<f64> {
+        let resident = self.nodes.iter().filter_map(|node| node.process.resident_kb());
+        resident.map(|kb| kb as f64 / 1024.0).collect()
+    }
+
     /// Reads a node's status.
     pub async fn status(&self, node: usize) -> Value {
         get(&self.client, self.nodes[node].operator(), "/status").await.unwrap_or_default()
@@ -342,71 +347,21 @@
         ask(&self.client, self.platform.address("address"), "/vms", &vm).await;
     }
 
-    fn key_path(&self) -> String {
-        self.path("operator.key").display().to_string()
-    }
-
-    fn settings(&self, name: &str, number: usize) -> io::Result<String> {
+    fn settings_of(&self, name: &str, number: usize) -> io::Result<String> {
         let key = self.keeljunction(&["bundle", "key", "--key", &self.key_path()])?;
         let mut settings = json!({
             "node": { "name": name, "data_centre": DATA_CENTRES[number % DATA_CENTRES.len()] },
-            "listen": { "caller": "127.0.0.1:0", "peer": "127.0.0.1:0", "operator": "127.0.0.1:0" },
-            "platform": { "address": self.platform_address(), "call_ms": 500, "calls_per_second": 500 },
-            "peer_credential": PEER_CREDENTIAL,
+            "platform": { "address": self.platform_address() },
             "trusted_keys": [key.trim()],
-            "membership": { "probe_ms": 100, "answer_ms": 100, "suspicion_ms": 500 },
-            "times": { "roll_poll_ms": 200, "vm_poll_ms": 200, "stop_grace_ms": 300 },
         });
         if let Some(first) = self.nodes.first().filter(|_| self.plan.seeded) {
             settings["seeds"] = json!([first.peer()]);
         }
-        merge(&mut settings, &self.plan.settings);
-        serde_saphyr::to_string(&settings).map_err(io::Error::other)
+        documents::settings(&self.plan, &settings)
     }
 
-    fn bundle(&self, version: &str) -> String {
-        let (service_extra, end_extra) = &self.plan.extra;
-        let (slots, export) = (self.plan.slots, self.plan.export_per_second);
-        let (duty, branch) = (bundle::digest(DUTY.as_bytes()), bundle::digest(BRANCH.as_bytes()));
-        format!(
-            "version: {version}
-groups:
-  - name: flood
-    weight: 3
-    accounts: [{{ name: duty, credential_sha256: {duty} }}]
-  - name: desk
-    weight: 1
-    accounts: [{{ name: branch, credential_sha256: {branch} }}]
-services:
-  - name: hidro-llm
-    kind: model
-    models: [{{ name: hidro, version: '1' }}]
-    slots: {slots}
-    prefill_tokens_per_second: 8000
-    export_tokens_per_second: {export}
-    checks_fences: true
-{service_extra}  - name: gauge-api
-    kind: plain
-    slots: 64
-classes:
-  - {{ name: urgent, first_token_ms: 800, deadline_ms: 20000, priority: 0 }}
-  - {{ name: briefing, first_token_ms: 4000, deadline_ms: 60000, priority: 1 }}
-  - {{ name: reading, first_token_ms: 500, deadline_ms: 10000, priority: 0 }}
-  - {{ name: alert, first_token_ms: 500, deadline_ms: 10000, priority: 0, repeatable: false }}
-{end_extra}"
-        )
-    }
-}
-
-/// Puts the values of one JSON object over those of another, section by section.
-fn merge(into: &mut Value, over: &Value) {
-    match (into, over) {
-        (Value::Object(into), Value::Object(over)) => {
-            for (key, value) in over {
-                merge(into.entry(key.clone()).or_insert(Value::Null), value);
-            }
-        }
-        (into, over) => *into = over.clone(),
+    fn key_path(&self) -> String {
+        self.path("operator.key").display().to_string()
     }
 }
 
--- a/crates/standin/src/harness/mod.rs
+++ b/crates/standin/src/harness/mod.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod cluster;
+mod documents;
 mod process;
 
 pub use call::{Answer, Call, Stream, ask, get};
--- a/crates/standin/src/load/run.rs
+++ b/crates/standin/src/load/run.rs
@@ -49,6 +49,8 @@
     pub seed: u64,
     /// The kinds of calls.
     pub kinds: Vec<Kind>,
+    /// Whether refused callers come back once, when they are told to.
+    pub is_followed: bool,
 }
 
 /// Runs a load and returns a summary for each kind.
@@ -59,6 +61,7 @@
     let mut due = Duration::ZERO;
     let mut calls = Vec::new();
     let mut number = 0;
+    let is_followed = plan.is_followed;
     while due < plan.time {
         let (kind, prompt) = draw(plan, &mut random);
         let target = plan.targets[number % plan.targets.len()];
@@ -70,9 +73,20 @@
             let call =
                 Call::model(&kind.credential, &kind.class, &kind.model, &prompt, kind.tokens);
             let late = due_at.elapsed();
-            let answer = call.send(&client, target).await.ok();
+            let mut answer = call.send(&client, target).await.ok();
+            let wait = answer.as_ref().and_then(retry_after).filter(|_| is_followed);
+            if let Some(wait) = wait {
+                runtime::sleep(wait).await;
+                answer = call.send(&client, target).await.ok();
+            }
             let mut summaries = lock(&summaries);
-            note(summaries.entry(kind.name).or_default(), answer, &prompt, kind.tokens, late);
+            let summary = summaries.entry(kind.name).or_default();
+            if wait.is_some() {
+                summary.returned += 1;
+                summary.admitted +=
+                    u64::from(answer.as_ref().is_some_and(|answer| answer.is_whole));
+            }
+            note(summary, answer, &prompt, kind.tokens, late);
         }));
         due += Duration::from_secs_f64(-random.f64().max(1e-12).ln() / plan.rate);
     }
@@ -83,6 +97,14 @@
     summaries.clone()
 }
 
+/// Reads when a refused caller is asked to come back.
+fn retry_after(answer: &Answer) -> Option<Duration> {
+    if answer.is_whole || answer.outcome() != "not_run" {
+        return None;
+    }
+    answer.json()["retry_after_ms"].as_u64().map(Duration::from_millis)
+}
+
 fn note(summary: &mut Summary, answer: Option<Answer>, prompt: &str, tokens: u64, late: Duration) {
     let Some(answer) = answer else {
         summary.failed += 1;
--- a/crates/standin/src/load/summary.rs
+++ b/crates/standin/src/load/summary.rs
@@ -22,6 +22,10 @@
     pub tokens: u64,
     /// Whole answers that were not the right ones.
     pub wrong: u64,
+    /// Callers that came back when they were told to.
+    pub returned: u64,
+    /// Of these, those that were served then.
+    pub admitted: u64,
 }
 
 impl Summary {
@@ -41,6 +45,8 @@
             failed: 0,
             tokens: 0,
             wrong: 0,
+            returned: 0,
+            admitted: 0,
         }
     }
 
@@ -53,6 +59,8 @@
         self.failed += other.failed;
         self.tokens += other.tokens;
         self.wrong += other.wrong;
+        self.returned += other.returned;
+        self.admitted += other.admitted;
     }
 
     /// Returns a quantile of the first-token time, in milliseconds.
@@ -69,7 +77,7 @@
     pub fn to_json(&self) -> Value {
         json!({
             "done": self.done, "refused": self.refused, "failed": self.failed, "wrong": self.wrong,
-            "tokens": self.tokens,
+            "tokens": self.tokens, "returned": self.returned, "admitted": self.admitted,
             "first_ms": { "p50": self.first_ms(0.5), "p95": self.first_ms(0.95), "p99": self.first_ms(0.99) },
             "gap_ms": { "p50": self.gap_ms(0.5), "p95": self.gap_ms(0.95), "p99": self.gap_ms(0.99) },
         })
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -47,6 +47,7 @@
             let which = match matches.get_one::<String>("which").map(String::as_str) {
                 Some("policy") => Which::Policy,
                 Some("size") => Which::Size,
+                Some("shares") => Which::Shares,
                 Some("tokens") => Which::Tokens,
                 _ => Which::Baseline,
             };
@@ -141,7 +142,7 @@
                 .arg(
                     Arg::new("which")
                         .required(true)
-                        .value_parser(["baseline", "policy", "size", "tokens"])
+                        .value_parser(["baseline", "policy", "shares", "size", "tokens"])
                         .help("What to measure"),
                 )
                 .arg(
@@ -202,6 +203,7 @@
         time: Duration::from_secs(number(matches, "seconds")),
         seed: number(matches, "seed"),
         kinds: vec![kind],
+        is_followed: false,
     };
     let client = Client::new(Duration::from_secs(1));
     for (name, summary) in load::run(&client, &plan).await {
--- a/crates/standin/src/measure/baseline.rs
+++ b/crates/standin/src/measure/baseline.rs
@@ -89,12 +89,7 @@
         Plan { nodes: 3, engines: 1, services: 0, engine_arguments: arguments, ..Plan::default() };
     let cluster = Cluster::start(plan).await?;
     runtime::sleep(Duration::from_secs(2)).await;
-    let memory: Vec<f64> = cluster
-        .nodes
-        .iter()
-        .filter_map(|node| node.process.resident_kb())
-        .map(|kb| kb as f64 / 1024.0)
-        .collect();
+    let memory = cluster.memory_mb();
     let engine = cluster.servers["hidro-0"].address("address");
     let (mut ratios, mut added, mut tails) = (Vec::new(), Vec::new(), Vec::new());
     for _ in 0..RUNS {
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -3,6 +3,7 @@
 mod baseline;
 mod plot;
 mod policy;
+mod shares;
 mod size;
 mod spread;
 
@@ -20,6 +21,8 @@
     Tokens,
     /// Routing policies and shard owners, under three loads.
     Policy,
+    /// Shares of groups at twice the capacity, and callers that come back.
+    Shares,
     /// Membership and rolls, at several sizes.
     Size,
 }
@@ -35,6 +38,7 @@
         Which::Baseline => baseline::run().await,
         Which::Tokens => baseline::cost_of_tokens().await,
         Which::Policy => policy::run(folder).await,
+        Which::Shares => shares::run().await,
         Which::Size => size::run(folder).await,
     }
 }
--- a/crates/standin/src/measure/policy.rs
+++ b/crates/standin/src/measure/policy.rs
@@ -164,5 +164,6 @@
         time: TIME,
         seed,
         kinds,
+        is_followed: false,
     }
 }
--- a/crates/standin/src/measure/size.rs
+++ b/crates/standin/src/measure/size.rs
@@ -9,7 +9,7 @@
 
 use super::plot::{self, Line};
 use super::spread::Spread;
-use crate::harness::{Cluster, Plan};
+use crate::harness::{Cluster, Plan, get};
 
 const SIZES: [usize; 5] = [4, 8, 16, 32, 64];
 const ROLLS: usize = 3;
@@ -24,9 +24,9 @@
         WATCH.as_secs()
     );
     println!(
-        "| nodes | processor, % of a core | memory, MB | sent to peers, KB/s | received, KB/s | roll in force everywhere, ms |"
+        "| nodes | processor, % of a core | memory, MB | sent to peers, KB/s | received, KB/s | platform calls a second, all nodes | roll in force everywhere, ms |"
     );
-    println!("|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|");
     let (mut cpu_points, mut byte_points, mut spread_points) = (Vec::new(), Vec::new(), Vec::new());
     for size in SIZES {
         let settings = json!({
@@ -37,16 +37,16 @@
         let plan = Plan { nodes: size, engines: 4, services: 0, settings, ..Plan::default() };
         let cluster = Cluster::start(plan).await?;
         runtime::sleep(SETTLE).await;
+        let calls_before = calls(&cluster).await;
         let (cpu, sent, received) = watch(&cluster).await;
-        let memory: Vec<f64> = cluster
-            .nodes
-            .iter()
-            .filter_map(|node| node.process.resident_kb())
-            .map(|kb| kb as f64 / 1024.0)
-            .collect();
+        let calls_a_second = (calls(&cluster).await - calls_before) as f64 / WATCH.as_secs_f64();
+        let memory = cluster.memory_mb();
         let spread = Spread::of(&rolls(&cluster).await?);
         let (cpu, sent, received) = (Spread::of(&cpu), Spread::of(&sent), Spread::of(&received));
-        println!("| {size} | {cpu} | {} | {sent} | {received} | {spread} |", Spread::of(&memory));
+        println!(
+            "| {size} | {cpu} | {} | {sent} | {received} | {calls_a_second:.0} | {spread} |",
+            Spread::of(&memory)
+        );
         cpu_points.push((size as f64, cpu.middle));
         byte_points.push((size as f64, sent.middle));
         spread_points.push((size as f64, spread.middle / 1000.0));
@@ -64,6 +64,12 @@
     )
 }
 
+/// Reads how many calls the platform has had.
+async fn calls(cluster: &Cluster) -> u64 {
+    let answer = get(&cluster.client, cluster.platform.address("address"), "/calls").await;
+    answer.and_then(|answer| answer["calls"].as_u64()).unwrap_or(0)
+}
+
 /// Watches all nodes for a while: processor in per cent, and KB sent and received a second.
 async fn watch(cluster: &Cluster) -> (Vec<f64>, Vec<f64>, Vec<f64>) {
     let before = look(cluster).await;
