--- a/crates/standin/tests/faults/rolls.rs
+++ b/crates/standin/tests/faults/rolls.rs
@@ -40,6 +40,25 @@
         let actions: Vec<_> =
             audit.as_array().into_iter().flatten().map(|row| &row["action"]).collect();
         assert_eq!(actions, ["roll", "roll", "rollback"]);
+        let shown = cluster
+            .keeljunction(&["bundle", "show", "2", "--platform", &platform])
+            .expect("it is there");
+        assert!(
+            shown.contains("# roll 2, version v2") && shown.contains("\nversion: v2\n"),
+            "{shown}"
+        );
+        let listed = cluster
+            .keeljunction(&["bundle", "list", "--platform", &platform])
+            .expect("it is there");
+        assert_eq!(listed.lines().count(), 4, "a heading and three rolls: {listed}");
+        let operator = cluster.nodes[0].operator().to_string();
+        let status =
+            cluster.keeljunction(&["status", "--json", "--node", &operator]).expect("it answers");
+        let status: Value = serde_json::from_str(&status).expect("it is JSON");
+        assert_eq!(
+            (&status[0]["roll"], &status[0]["ready"]),
+            (&Value::from(3), &Value::from(true))
+        );
     });
 }
 
