--- a/crates/core/src/shard/drain_rate.rs
+++ b/crates/core/src/shard/drain_rate.rs
@@ -3,7 +3,7 @@
 use crate::Millis;
 
 /// The weight of the newest gap in the running mean, in thousandths.
-const NEWEST_PER_MILLE: u64 = 20;
+const NEWEST_PER_MILLE: u64 = 100;
 /// The shortest and longest time after which a caller is asked to come back.
 const RETRY_BOUNDS_MS: (Millis, Millis) = (200, 30_000);
 
