fix(gossip): tell a node that is doubted so whenever it probes

Cause: run 6 of 10 of the fault tests failed in rolls::a_node_that_slept. News of its suspicion and death are sent a bounded number of times; those that went to it while it slept were lost, and nobody probes a dead node. So it could not refute what it never heard. Ruled out: the roll (it had been taken). A node that answers a probe of one it does not think alive now says so each time.

Ten runs in a row have not been made since.

--- a/crates/keeljunction/src/node/gossip.rs
+++ b/crates/keeljunction/src/node/gossip.rs
@@ -55,6 +55,16 @@
     news_of(node, &members)
 }
 
+/// Writes the news for a node that probes. One that is not thought alive is told so, each time,
+/// since it can refute only what it hears: news sent while it slept were lost.
+pub fn news_for(node: &Node, from: &str) -> wire::News {
+    let mut news = news(node);
+    let doubted =
+        runtime::lock(&node.members).get(from).filter(|m| m.state != State::Alive).cloned();
+    news.members.extend(doubted.as_ref().map(to_wire));
+    news
+}
+
 /// Writes the news for a node that is not known yet: all the members there are.
 pub fn welcome(node: &Node) -> wire::News {
     let members: Vec<Member> = runtime::lock(&node.members).iter().take(WELCOME).cloned().collect();
--- a/crates/keeljunction/src/node/service.rs
+++ b/crates/keeljunction/src/node/service.rs
@@ -46,7 +46,8 @@
             gossip::hear(node, news, address);
         }
         let alive = probe.target.is_empty() || gossip::probe_for(node, &probe.target).await;
-        let news = if is_known { gossip::news(node) } else { gossip::welcome(node) };
+        let news =
+            if is_known { gossip::news_for(node, &probe.from) } else { gossip::welcome(node) };
         Ok(Response::new(wire::ProbeReply { alive, news: Some(news) }))
     }
 
