feat(capacity): plan lasting and reclaimable servers from the measured demand

One change: a plan in the core over prices, need (prompt tokens a second over the pace that answers show) and what may be had.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -13,9 +13,11 @@
 //! | [`usage`] | how many requests of each tenant began in each window |
 //! | [`duty_lease`] | which node makes the calls that one node at a time may make |
 //! | [`event_stream`] | where the events of a stream begin and end |
+//! | [`demand`], [`pace`], [`capacity`] | how many servers to order, where, and of which kind |
 //! | [`refusal`] | why a request was refused, and when to come back |
 
 pub mod budget;
+pub mod capacity;
 pub mod choice;
 pub mod configuration;
 pub mod demand;
@@ -25,6 +27,7 @@
 pub mod freshness;
 pub mod health;
 pub mod load;
+pub mod pace;
 pub mod quota;
 pub mod refusal;
 pub mod usage;
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -102,8 +102,9 @@
         let quota = take_quota(node, tenant.as_ref(), head.prompt.as_ref())
             .map_err(|wait| refuse(Refusal::OverQuota, wait))?;
         let prompt = head.prompt.as_ref();
-        let (input, output) = prompt.map_or((0, 0), |p| (p.input_tokens, p.output_tokens));
-        node.with(|state| state.demand.count(&service, input, output));
+        let work = size_work(prompt);
+        let output = prompt.map_or(0, |prompt| prompt.output_tokens);
+        node.with(|state| state.demand.count(&service, work.prompt_tokens, output));
         let engine = configuration.services.get(&service).and_then(|known| known.engine.as_ref());
         let priority = tenant.as_ref().map_or(0, |tenant| tenant.priority);
         Ok(Self {
@@ -116,7 +117,7 @@
             tenant: tenant.map(|tenant| tenant.name),
             urgency: priority * PRIORITY_STEP + route.priority,
             due: now + deadline.min(route.timeout),
-            work: size_work(head.prompt.as_ref()),
+            work,
             wish: make_wish(head.prompt.as_ref()),
             route,
             head,
@@ -234,13 +235,19 @@
 
 fn size_work(prompt: Option<&Prompt>) -> Work {
     prompt.map_or(Work::default(), |prompt| Work {
-        prompt_tokens: prompt.input_tokens,
+        prompt_tokens: own_tokens(prompt),
         memory_tokens: prompt.input_tokens + prompt.output_tokens,
     })
 }
 
+/// Returns the tokens of the last part, which no server has read yet; the parts before it are
+/// mostly kept where the request goes.
+fn own_tokens(prompt: &Prompt) -> u64 {
+    prompt.parts.last().map_or(prompt.input_tokens, |part| part.tokens)
+}
+
 fn make_wish(prompt: Option<&Prompt>) -> Wish {
     let Some(prompt) = prompt else { return Wish::default() };
     let shared = prompt.parts.split_last().and_then(|(_, shared)| shared.last());
-    Wish { shared_part: shared.map(|part| part.id), prompt_tokens: prompt.input_tokens }
+    Wish { shared_part: shared.map(|part| part.id), prompt_tokens: own_tokens(prompt) }
 }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -143,6 +143,7 @@
 ) -> Result<Answer, Failure> {
     let request = build(node, exchange, order).ok_or((Failed::NotConnected, None))?;
     let mut load = LoadGuard::begin(node, order.server, exchange.work);
+    let sent_at = node.now();
     let sending = node.servers.send(order.server.address, request);
     let response = sending.await.map_err(|failure| match failure.is_not_sent() {
         true => (Failed::NotConnected, None),
@@ -155,6 +156,7 @@
     }
     let body = read_first(exchange, reply).await.ok_or((Failed::Broken, None))?;
     load.note_first_piece();
+    note_pace(node, exchange, sent_at);
     if let (Some(tenant), None) = (&exchange.tenant, order.last_event) {
         node.count_usage(tenant);
     }
@@ -166,6 +168,17 @@
     }
 }
 
+/// Adds a sample of how fast the service's servers read prompts.
+fn note_pace(node: &Node, exchange: &Exchange, sent_at: Millis) {
+    let now = node.now();
+    if exchange.has_engine {
+        node.with(|state| {
+            let pace = state.paces.entry(exchange.service.clone()).or_default();
+            pace.add(now, exchange.work.prompt_tokens, now - sent_at);
+        });
+    }
+}
+
 /// Reads the first piece of a stream, or the whole of another answer; `None` where it breaks off.
 async fn read_first(exchange: &Exchange, mut reply: Reply) -> Option<AnswerBody> {
     let is_streaming = exchange.route.kind.is_streaming();
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -1,12 +1,214 @@
 //! Orders servers: how many, where, and of which kind.
 
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use keeljunction_core::Millis;
+use keeljunction_core::serving::capacity::{Asked, Plan, SlowFall, ZoneStock, need, plan};
+use keeljunction_core::serving::configuration::{Scaling, Service};
+
 use super::Node;
+use crate::event::{self, Event};
+use crate::port::{CapacityOrder, DutyHolder};
+use crate::runtime;
+
+const CALL_WITHIN: Duration = Duration::from_millis(500);
+/// The span over which the demand is taken.
+const DEMAND_SPAN: Millis = 4_000;
+/// The span in which the largest need counts, so that servers go slowly.
+const FALL_SPAN: Millis = 8_000;
+/// The pause after an order was refused or not answered.
+const REFUSED_PAUSE: Millis = 2_000;
+/// The time without a new server after which the list is taken to be whole.
+const SETTLE: Millis = 1_500;
+/// How much longer than its boot an ordered server may take before it is given up.
+const BOOT_SLACK: Millis = 3_000;
+const STATUS_OK: u16 = 200;
+
+/// Servers of one kind in a zone.
+type Place = (String, String, bool);
 
 /// What a holder knows of the orders.
 #[derive(Debug, Default)]
-pub struct CapacityDuty {}
+pub struct CapacityDuty {
+    fence: Option<u64>,
+    ordered: BTreeMap<Place, Ordered>,
+    paused_until: BTreeMap<Place, Millis>,
+    needs: BTreeMap<String, SlowFall>,
+    found: BTreeMap<String, Found>,
+}
+
+/// Servers of a service as they were found when the lease was taken.
+#[derive(Clone, Copy, Debug)]
+struct Found {
+    count: u32,
+    since: Millis,
+}
+
+/// An order that the platform took.
+#[derive(Clone, Copy, Debug)]
+struct Ordered {
+    count: u32,
+    at: Millis,
+}
 
 impl CapacityDuty {
     /// Orders what the plan lacks.
-    pub async fn step(&mut self, _node: &Node) {}
+    pub async fn step(&mut self, node: &Node) {
+        let fence = node.with(|state| state.lease.get_fence(node.now()));
+        if fence != self.fence {
+            // What an earlier holder ordered is not known: start from what there is.
+            *self = Self { fence, ..Self::default() };
+        }
+        let Some(configuration) = node.with(|state| state.configuration.clone()) else { return };
+        for (name, service) in &configuration.services {
+            if let Some(scaling) = &service.scaling {
+                self.step_service(node, name, service, scaling).await;
+            }
+        }
+    }
+
+    async fn step_service(
+        &mut self,
+        node: &Node,
+        name: &str,
+        service: &Service,
+        scaling: &Scaling,
+    ) {
+        let now = node.now();
+        let stock = self.take_stock(node, name, scaling);
+        let held: u32 = stock.values().map(|zone| zone.lasting + zone.reclaimable).sum();
+        let Some(settled) = self.settle(name, held, now) else { return };
+        let need = self.get_need(node, name, service, now).unwrap_or(settled);
+        let policy = node.settings.capacity.get_policy();
+        let plan = plan(&policy, scaling, &stock, need);
+        for order in self.list_changes(name, &plan, &stock, now) {
+            self.send(node, order).await;
+        }
+    }
+
+    /// Returns the number of servers as it was found, once it has stopped to grow: servers list
+    /// themselves one by one.
+    fn settle(&mut self, name: &str, held: u32, now: Millis) -> Option<u32> {
+        let found = self.found.entry(name.to_owned()).or_insert(Found { count: held, since: now });
+        let is_settled = now >= found.since + SETTLE;
+        if !is_settled && held > found.count {
+            *found = Found { count: held, since: now };
+        }
+        is_settled.then_some(found.count)
+    }
+
+    /// Counts what each zone holds; a zone that the configuration prices is listed also if empty.
+    fn take_stock(
+        &self,
+        node: &Node,
+        name: &str,
+        scaling: &Scaling,
+    ) -> BTreeMap<String, ZoneStock> {
+        let now = node.now();
+        let mut stock: BTreeMap<String, ZoneStock> =
+            scaling.zone_prices.keys().map(|zone| (zone.clone(), ZoneStock::default())).collect();
+        node.with(|state| {
+            for server in state.directory.iter_ready(name) {
+                let zone = stock.entry(server.zone.clone()).or_default();
+                match server.is_reclaimable {
+                    true => zone.reclaimable += 1,
+                    false => zone.lasting += 1,
+                }
+            }
+        });
+        for (zone, held) in &mut stock {
+            let place = (name.to_owned(), zone.clone(), true);
+            let Some(ordered) = self.ordered.get(&place) else { continue };
+            if now < ordered.at + scaling.boot + BOOT_SLACK {
+                held.reclaimable_booting = ordered.count.saturating_sub(held.reclaimable);
+            }
+        }
+        stock
+    }
+
+    fn get_need(&mut self, node: &Node, name: &str, service: &Service, now: Millis) -> Option<u32> {
+        let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
+        let (asked, in_flight) = node.with(|state| {
+            state.demand.sample(now, name);
+            let (totals, covered) = state.demand.within(now, name, DEMAND_SPAN)?;
+            let pace = state.paces.get(name)?.get()?;
+            let ready: Vec<String> =
+                state.directory.iter_ready(name).map(|s| s.id.clone()).collect();
+            let in_flight: u32 = ready.iter().map(|id| state.loads.total(now, id).requests).sum();
+            Some(((totals.prompt_tokens as f64 / covered as f64 * 1_000.0, pace), in_flight))
+        })?;
+        let asked = Asked {
+            tokens_per_second: asked.0,
+            server_tokens_per_second: asked.1 * 1_000.0,
+            in_flight: f64::from(in_flight),
+            slots: f64::from(slots),
+        };
+        let policy = node.settings.capacity.get_policy();
+        let needs = self.needs.entry(name.to_owned()).or_default();
+        Some(needs.follow(now, need(&policy, &asked), FALL_SPAN))
+    }
+
+    /// Lists the orders by which the plan differs from what was ordered, or is there.
+    fn list_changes(
+        &self,
+        name: &str,
+        plan: &Plan,
+        stock: &BTreeMap<String, ZoneStock>,
+        now: Millis,
+    ) -> Vec<CapacityOrder> {
+        let mut orders = Vec::new();
+        // More comes before less, so that nothing is given up for what may not be had.
+        for is_reclaimable in [true, false] {
+            let wanted = if is_reclaimable { &plan.reclaimable } else { &plan.lasting };
+            for (zone, count) in wanted {
+                let place = (name.to_owned(), zone.clone(), is_reclaimable);
+                let held = stock.get(zone).copied().unwrap_or_default();
+                if self.is_due(&place, *count, &held, now) {
+                    let (service, zone) = (name.to_owned(), zone.clone());
+                    orders.push(CapacityOrder { service, zone, is_reclaimable, count: *count });
+                }
+            }
+        }
+        orders
+    }
+
+    fn is_due(&self, place: &Place, count: u32, held: &ZoneStock, now: Millis) -> bool {
+        if self.paused_until.get(place).is_some_and(|until| now < *until) {
+            return false;
+        }
+        let (present, booting) = match place.2 {
+            true => (held.reclaimable, held.reclaimable_booting),
+            false => (held.lasting, 0),
+        };
+        match self.ordered.get(place) {
+            None => present != count,
+            Some(ordered) if ordered.count != count => true,
+            // Taken away since: order again.
+            Some(_) => place.2 && present + booting < count,
+        }
+    }
+
+    async fn send(&mut self, node: &Node, order: CapacityOrder) {
+        let now = node.now();
+        let Some(fence) = node.with(|state| state.lease.get_fence(now)) else { return };
+        let place = (order.service.clone(), order.zone.clone(), order.is_reclaimable);
+        let holder = DutyHolder { name: node.life.node.clone(), fence };
+        let calling = (node.platform.control.set_capacity)(holder, order.clone());
+        let status = runtime::within(CALL_WITHIN, calling).await.flatten();
+        event::emit(&Event::CapacityOrdered {
+            service: &order.service,
+            zone: &order.zone,
+            is_reclaimable: order.is_reclaimable,
+            count: order.count,
+            fence,
+            status,
+        });
+        if status == Some(STATUS_OK) {
+            self.ordered.insert(place, Ordered { count: order.count, at: node.now() });
+        } else {
+            self.ordered.remove(&place);
+            self.paused_until.insert(place, node.now() + REFUSED_PAUSE);
+        }
+    }
 }
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -1,5 +1,6 @@
 //! What a node knows.
 
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use keeljunction_core::serving::freshness::Freshness;
 use keeljunction_core::serving::health::Health;
 use keeljunction_core::serving::load::LoadBook;
+use keeljunction_core::serving::pace::Pace;
 use keeljunction_core::serving::quota::Quotas;
 use keeljunction_core::serving::usage::{Ledger, Life, window_at};
 
@@ -76,6 +78,8 @@
     pub usage: Ledger,
     /// Tokens asked for, by service.
     pub demand: DemandBook,
+    /// How fast the servers of each service read prompts.
+    pub paces: HashMap<String, Pace>,
     /// Other nodes.
     pub peers: Peers,
     /// The lease of the duties.
@@ -97,6 +101,7 @@
             configuration: None,
             configuration_document: None,
             demand: DemandBook::default(),
+            paces: HashMap::new(),
             freshness: Freshness::default(),
             directory: Directory::default(),
             has_servers: false,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use keeljunction_core::serving::capacity::Policy;
 use keeljunction_core::{Error, ErrorKind, Millis};
 use serde::Deserialize;
 
@@ -24,6 +25,9 @@
     pub bounds: Bounds,
     /// Where the platform's services are.
     pub platform: Endpoints,
+    /// How many servers to order.
+    #[serde(default)]
+    pub capacity: CapacitySettings,
     /// What to log.
     #[serde(default)]
     pub log: LogSettings,
@@ -101,6 +105,35 @@
     pub control_per_second: f64,
 }
 
+/// How many servers to order, in parts of what is needed.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CapacitySettings {
+    /// The part of the need that is held in lasting servers also on a calm day.
+    pub lasting_part: f64,
+    /// Reclaimable servers for each server that is needed.
+    pub reclaimable_part: f64,
+    /// How busy servers may be on average.
+    pub target_use: f64,
+    /// How full the places of servers may be on average.
+    pub target_fill: f64,
+}
+
+impl Default for CapacitySettings {
+    fn default() -> Self {
+        let Policy { lasting_part, reclaimable_part, target_use, target_fill } = Policy::default();
+        Self { lasting_part, reclaimable_part, target_use, target_fill }
+    }
+}
+
+impl CapacitySettings {
+    /// Returns the core's policy.
+    pub fn get_policy(&self) -> Policy {
+        let Self { lasting_part, reclaimable_part, target_use, target_fill } = *self;
+        Policy { lasting_part, reclaimable_part, target_use, target_fill }
+    }
+}
+
 /// What to log.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -169,7 +202,12 @@
         check_range("bounds.budget_window_s", bounds.budget_window_s, 0.1, 3_600.0)?;
         check_range("bounds.lease_ms", bounds.lease_ms as f64, 300.0, 600_000.0)?;
         check_range("bounds.report_window_s", bounds.report_window_s, 0.5, 3_600.0)?;
-        check_range("bounds.usage_late_s", bounds.usage_late_s, 0.5, 3_600.0)
+        check_range("bounds.usage_late_s", bounds.usage_late_s, 0.5, 3_600.0)?;
+        let capacity = &self.capacity;
+        check_range("capacity.lasting_part", capacity.lasting_part, 0.0, 1.0)?;
+        check_range("capacity.reclaimable_part", capacity.reclaimable_part, 0.0, 10.0)?;
+        check_range("capacity.target_use", capacity.target_use, 0.01, 1.0)?;
+        check_range("capacity.target_fill", capacity.target_fill, 0.01, 1.0)
     }
 }
 
