--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -84,16 +84,26 @@
     let most = scaling.max * zones.len() as u32;
     let need = need.max(scaling.min * zones.len() as u32).min(most);
     if scaling.spot_price.is_none() {
-        let lasting = spread(&zones, need, scaling, &BTreeMap::new());
+        let lasting = spread(&zones, need, scaling.max, &BTreeMap::new());
         return Plan { lasting, reclaimable: BTreeMap::new() };
     }
     let base = ((f64::from(need) * policy.lasting_part).ceil() as u32).clamp(1, need);
     let reclaimable = (f64::from(need) * policy.reclaimable_part).ceil() as u32;
-    let wanted = spread_reclaimable(&zones, reclaimable, scaling);
-    let held: u32 = stock.values().map(|zone| zone.reclaimable + zone.reclaimable_booting).sum();
-    let lacking = (need - base).saturating_sub(held);
-    let lasting = spread(&zones, base + lacking, scaling, &wanted);
-    Plan { lasting, reclaimable: wanted }
+    let wanted = spread(&zones, reclaimable, scaling.max, &BTreeMap::new());
+    let held: BTreeMap<String, u32> = stock.iter().map(held_reclaimable).collect();
+    let lacking = (need - base).saturating_sub(held.values().sum());
+    let lasting = spread(&zones, base + lacking, scaling.max, &held);
+    let reclaimable = wanted.into_iter().map(|(zone, count)| {
+        let room = scaling.max - lasting.get(&zone).copied().unwrap_or(0).min(scaling.max);
+        (zone, count.min(room))
+    });
+    let reclaimable = reclaimable.collect();
+    Plan { lasting, reclaimable }
+}
+
+/// Counts a zone's reclaimable servers, those that are coming up too.
+fn held_reclaimable((zone, stock): (&String, &ZoneStock)) -> (String, u32) {
+    (zone.clone(), stock.reclaimable + stock.reclaimable_booting)
 }
 
 /// Lists the zones by price, the cheapest first.
@@ -104,26 +114,11 @@
     zones
 }
 
-/// Spreads reclaimable servers evenly, the cheapest zones first.
-fn spread_reclaimable(zones: &[&str], count: u32, scaling: &Scaling) -> BTreeMap<String, u32> {
-    let mut wanted: BTreeMap<String, u32> = BTreeMap::new();
-    for index in 0..count as usize {
-        let zone = zones[index % zones.len().max(1)];
-        let held = wanted.entry(zone.to_owned()).or_default();
-        *held = (*held + 1).min(scaling.max);
-    }
-    for zone in zones {
-        let held = wanted.entry((*zone).to_owned()).or_default();
-        *held = (*held).max(scaling.min.min(1));
-    }
-    wanted
-}
-
-/// Spreads lasting servers, one in each zone in turn from the cheapest, beside `taken` ones.
+/// Spreads servers, one in each zone in turn from the cheapest, up to `most` beside those `taken`.
 fn spread(
     zones: &[&str],
     count: u32,
-    scaling: &Scaling,
+    most: u32,
     taken: &BTreeMap<String, u32>,
 ) -> BTreeMap<String, u32> {
     let mut spread: BTreeMap<String, u32> =
@@ -133,7 +128,7 @@
         let before = left;
         for zone in zones {
             let held = spread.entry((*zone).to_owned()).or_default();
-            let room = scaling.max.saturating_sub(taken.get(*zone).copied().unwrap_or(0));
+            let room = most.saturating_sub(taken.get(*zone).copied().unwrap_or(0));
             if left > 0 && *held < room {
                 *held += 1;
                 left -= 1;
--- a/crates/core/src/serving/choice.rs
+++ b/crates/core/src/serving/choice.rs
@@ -3,11 +3,14 @@
 //! Requests whose prompts begin alike go to the same server, which then need not read the shared
 //! parts again: servers are ordered by rendezvous hashing of the last shared part. The first of
 //! them that is not much busier than the mean gets the request; where all are, the least busy.
+//! Where even that one would answer late, the request is refused at once: tried again when there
+//! is room it is worth more than late, and it does not hold up others.
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::directory::Server;
 use super::load::Load;
+use crate::Millis;
 
 /// How many times the mean load a server may have and still be preferred for its memory.
 const LOAD_BOUND: f64 = 2.0;
@@ -24,50 +27,99 @@
 }
 
 /// What of a request bears on the choice.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Wish {
     /// Names the last part of the prompt that other requests share.
     pub shared_part: Option<u64>,
     /// Prompt tokens to read.
     pub prompt_tokens: u64,
+    /// The request's rank; 0 is the most urgent.
+    pub rank: usize,
+    /// Prompt tokens that a server reads in a millisecond, where it is known.
+    pub speed: Option<f64>,
+    /// The time to the first piece inside which the answer is in time.
+    pub target: Millis,
 }
 
-/// Picks a server, or none where there are no candidates.
+impl Wish {
+    /// Estimates the time until the first piece of the answer, where the speed is known.
+    pub fn estimate(&self, load: &Load) -> Option<Millis> {
+        let tokens = load.get_tokens_ahead(self.rank) + self.prompt_tokens;
+        Some((tokens as f64 / self.speed?.max(f64::MIN_POSITIVE)) as Millis)
+    }
+}
+
+/// A server for a request, or why there is none.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Choice<'a> {
+    /// Send it there.
+    Server(&'a Server),
+    /// All servers are so busy that the answer would be late; there is room after this time.
+    Busy(Millis),
+    /// There is no server.
+    None,
+}
+
+/// How late an answer may be expected before it is refused, in parts of its target: estimates are
+/// rough, and a late answer is worth more than a needless refusal.
+const LATE_PART: f64 = 1.0;
+
+/// Picks a server.
 ///
 /// `random` breaks ties, so that nodes that know the same do not all choose the same server.
-pub fn choose<'a>(candidates: &[Candidate<'a>], wish: &Wish, random: u64) -> Option<&'a Server> {
+pub fn choose<'a>(candidates: &[Candidate<'a>], wish: &Wish, random: u64) -> Choice<'a> {
     let sound: Vec<&Candidate<'a>> = candidates.iter().filter(|c| !c.is_paused).collect();
     let usable = if sound.is_empty() { candidates.iter().collect() } else { sound };
-    match wish.shared_part {
-        Some(part) => choose_by_part(&usable, part, wish.prompt_tokens, random),
-        None => choose_least(&usable, random),
+    let Some(least) = find_least(&usable, wish, random) else { return Choice::None };
+    if let Some(wait) = find_wait(least, wish) {
+        return Choice::Busy(wait);
     }
+    let preferred = wish.shared_part.and_then(|part| find_preferred(&usable, wish, part));
+    Choice::Server(preferred.unwrap_or(least).server)
 }
 
-fn choose_by_part<'a>(
-    candidates: &[&Candidate<'a>],
+/// Returns the time after which the least busy server has room, where the answer would be late.
+///
+/// A request that would be late also on an idle server is not refused for that.
+fn find_wait(least: &Candidate<'_>, wish: &Wish) -> Option<Millis> {
+    let ahead = least.load.get_tokens_ahead(wish.rank);
+    let expected = wish.estimate(&least.load)?;
+    let bound = (wish.target as f64 * LATE_PART) as Millis;
+    if ahead == 0 || expected <= bound || wish.target == 0 {
+        return None;
+    }
+    Some(expected - bound / 2)
+}
+
+/// Finds the first server in the order of a shared part that is not much busier than the mean.
+fn find_preferred<'c, 'a>(
+    candidates: &[&'c Candidate<'a>],
+    wish: &Wish,
     part: u64,
-    tokens: u64,
-    random: u64,
-) -> Option<&'a Server> {
-    let total: u64 = candidates.iter().map(|c| c.load.waiting_tokens).sum();
-    let mean = (total + tokens) as f64 / candidates.len().max(1) as f64;
+) -> Option<&'c Candidate<'a>> {
+    let total: u64 = candidates.iter().map(|c| c.load.get_waiting_tokens()).sum();
+    let mean = (total + wish.prompt_tokens) as f64 / candidates.len().max(1) as f64;
     let bound = mean * LOAD_BOUND;
-    let mut ordered: Vec<&&Candidate<'a>> = candidates.iter().collect();
+    let mut ordered: Vec<&'c Candidate<'a>> = candidates.to_vec();
     ordered.sort_unstable_by_key(|c| std::cmp::Reverse(weight(part, &c.server.id)));
-    let is_within = |c: &Candidate<'a>| {
-        c.load.waiting_tokens as f64 <= bound && c.load.requests < c.server.slots.max(1)
+    let is_within = |c: &&Candidate<'a>| {
+        let is_late = wish.estimate(&c.load).is_some_and(|expected| expected > wish.target);
+        let is_busy = c.load.get_waiting_tokens() as f64 > bound;
+        !is_busy && !is_late && c.load.requests < c.server.slots.max(1)
     };
-    let preferred = ordered.into_iter().find(|c| is_within(c)).map(|c| c.server);
-    preferred.or_else(|| choose_least(candidates, random))
+    ordered.into_iter().find(is_within)
 }
 
-fn choose_least<'a>(candidates: &[&Candidate<'a>], random: u64) -> Option<&'a Server> {
-    let busy = |c: &&&Candidate<'a>| {
+fn find_least<'c, 'a>(
+    candidates: &[&'c Candidate<'a>],
+    wish: &Wish,
+    random: u64,
+) -> Option<&'c Candidate<'a>> {
+    let busy = |c: &&&'c Candidate<'a>| {
         let filled = u64::from(c.load.requests) * 1_000 / u64::from(c.server.slots.max(1));
-        (c.load.waiting_tokens, filled, weight(random, &c.server.id))
+        (c.load.get_tokens_ahead(wish.rank), filled, weight(random, &c.server.id))
     };
-    candidates.iter().min_by_key(busy).map(|c| c.server)
+    candidates.iter().min_by_key(busy).copied()
 }
 
 fn weight(key: u64, id: &str) -> u64 {
--- a/crates/core/src/serving/load.rs
+++ b/crates/core/src/serving/load.rs
@@ -13,6 +13,9 @@
 /// Counts of a peer that are older than this are passed over.
 const PEER_COUNTS_LAST: Millis = 1_500;
 
+/// Ranks of requests at model servers; 0 is the most urgent.
+pub const RANKS: usize = 10;
+
 /// What one node has in flight at a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -20,17 +23,29 @@
     pub requests: u32,
     /// Requests of which nothing has come back yet.
     pub waiting: u32,
-    /// Prompt tokens of the requests of which nothing has come back yet.
-    pub waiting_tokens: u64,
+    /// Prompt tokens of the requests of which nothing has come back yet, by rank.
+    pub waiting_tokens: [u64; RANKS],
     /// Tokens of prompt and answer of all requests in flight.
     pub memory_tokens: u64,
 }
 
 impl Load {
+    /// Sums the tokens that are read before a request of a rank that comes now.
+    pub fn get_tokens_ahead(&self, rank: usize) -> u64 {
+        self.waiting_tokens[..=rank.min(RANKS - 1)].iter().sum()
+    }
+
+    /// Sums the prompt tokens of all requests of which nothing has come back yet.
+    pub fn get_waiting_tokens(&self) -> u64 {
+        self.waiting_tokens.iter().sum()
+    }
+
     fn add(&mut self, other: &Self) {
         self.requests += other.requests;
         self.waiting += other.waiting;
-        self.waiting_tokens += other.waiting_tokens;
+        for (own, other) in self.waiting_tokens.iter_mut().zip(other.waiting_tokens) {
+            *own += other;
+        }
         self.memory_tokens += other.memory_tokens;
     }
 }
@@ -45,6 +60,8 @@
 pub struct Work {
     /// Prompt tokens that the server has to read.
     pub prompt_tokens: u64,
+    /// The request's rank, below [`RANKS`].
+    pub rank: usize,
     /// Tokens of prompt and answer.
     pub memory_tokens: u64,
 }
@@ -68,7 +85,7 @@
         let load = self.own.entry(short_id(id)).or_default();
         load.requests += 1;
         load.waiting += 1;
-        load.waiting_tokens += work.prompt_tokens;
+        load.waiting_tokens[work.rank.min(RANKS - 1)] += work.prompt_tokens;
         load.memory_tokens += work.memory_tokens;
     }
 
@@ -76,7 +93,8 @@
     pub fn note_first_piece(&mut self, id: &str, work: &Work) {
         if let Some(load) = self.own.get_mut(&short_id(id)) {
             load.waiting = load.waiting.saturating_sub(1);
-            load.waiting_tokens = load.waiting_tokens.saturating_sub(work.prompt_tokens);
+            let waiting = &mut load.waiting_tokens[work.rank.min(RANKS - 1)];
+            *waiting = waiting.saturating_sub(work.prompt_tokens);
         }
     }
 
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -12,7 +12,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::choice::Wish;
 use keeljunction_core::serving::configuration::{Configuration, QuotaUnit, Route, Tenant};
-use keeljunction_core::serving::load::Work;
+use keeljunction_core::serving::load::{RANKS, Work};
 use keeljunction_core::serving::quota::Limit;
 use keeljunction_core::serving::refusal::Refusal;
 
@@ -102,11 +102,12 @@
         let quota = take_quota(node, tenant.as_ref(), head.prompt.as_ref())
             .map_err(|wait| refuse(Refusal::OverQuota, wait))?;
         let prompt = head.prompt.as_ref();
-        let work = size_work(prompt);
+        let priority = tenant.as_ref().map_or(0, |tenant| tenant.priority);
+        let urgency = priority * PRIORITY_STEP + route.priority;
+        let work = size_work(prompt, urgency);
         let output = prompt.map_or(0, |prompt| prompt.output_tokens);
         node.with(|state| state.demand.count(&service, work.prompt_tokens, output));
         let engine = configuration.services.get(&service).and_then(|known| known.engine.as_ref());
-        let priority = tenant.as_ref().map_or(0, |tenant| tenant.priority);
         Ok(Self {
             method: parts.method,
             uri: parts.uri,
@@ -115,10 +116,10 @@
             has_engine: engine.is_some(),
             service,
             tenant: tenant.map(|tenant| tenant.name),
-            urgency: priority * PRIORITY_STEP + route.priority,
+            urgency,
             due: now + deadline.min(route.timeout),
             work,
-            wish: make_wish(head.prompt.as_ref()),
+            wish: make_wish(head.prompt.as_ref(), &work, route.target),
             route,
             head,
             quota,
@@ -233,9 +234,10 @@
     "content-length",
 ];
 
-fn size_work(prompt: Option<&Prompt>) -> Work {
+fn size_work(prompt: Option<&Prompt>, urgency: u32) -> Work {
     prompt.map_or(Work::default(), |prompt| Work {
         prompt_tokens: own_tokens(prompt),
+        rank: (urgency as usize).min(RANKS - 1),
         memory_tokens: prompt.input_tokens + prompt.output_tokens,
     })
 }
@@ -246,8 +248,13 @@
     prompt.parts.last().map_or(prompt.input_tokens, |part| part.tokens)
 }
 
-fn make_wish(prompt: Option<&Prompt>) -> Wish {
-    let Some(prompt) = prompt else { return Wish::default() };
-    let shared = prompt.parts.split_last().and_then(|(_, shared)| shared.last());
-    Wish { shared_part: shared.map(|part| part.id), prompt_tokens: own_tokens(prompt) }
+fn make_wish(prompt: Option<&Prompt>, work: &Work, target: Millis) -> Wish {
+    let shared = prompt.and_then(|prompt| prompt.parts.split_last()?.1.last());
+    Wish {
+        shared_part: shared.map(|part| part.id),
+        prompt_tokens: work.prompt_tokens,
+        rank: work.rank,
+        speed: None,
+        target,
+    }
 }
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::choice::{Candidate, choose};
+use keeljunction_core::serving::choice::{Candidate, Choice, Wish, choose};
 use keeljunction_core::serving::directory::Server;
+use keeljunction_core::serving::pace::Pace;
 use keeljunction_core::serving::refusal::Refusal;
 
 use super::admission::Exchange;
@@ -21,6 +22,13 @@
 /// Attempts at connecting, which send nothing and so count for no bound of the operator's.
 const MOST_CONNECTS: u32 = 3;
 
+/// Why there is no further attempt, and when to come back.
+#[derive(Clone, Copy, Debug)]
+struct Stop {
+    reason: Refusal,
+    come_back_in: Millis,
+}
+
 /// How far the attempts at a request have come.
 #[derive(Default)]
 struct Progress {
@@ -39,7 +47,11 @@
         self.last = Some(failed);
     }
 
-    /// Says why the request ends here, given the reason where nothing was tried yet.
+    /// Says why the request ends here and when to come back, given both where nothing was tried.
+    fn stop(&self, otherwise: Refusal, come_back_in: Millis) -> Stop {
+        Stop { reason: self.get_refusal(otherwise), come_back_in }
+    }
+
     fn get_refusal(&self, otherwise: Refusal) -> Refusal {
         match self.last {
             Some(Failed::Timeout) => Refusal::Timeout,
@@ -62,7 +74,7 @@
     loop {
         let server = match next_attempt(node, exchange, &progress) {
             Ok(server) => server,
-            Err(reason) => return give_up(node, exchange, reason, spare),
+            Err(stop) => return give_up(node, exchange, stop, spare),
         };
         let within = exchange.get_left(node.now());
         let order = Order { server: &server, last_event: None, within };
@@ -124,23 +136,27 @@
 }
 
 /// Picks the server of the next attempt, or says why there is none.
-fn next_attempt(node: &Node, exchange: &Exchange, progress: &Progress) -> Result<Server, Refusal> {
+fn next_attempt(node: &Node, exchange: &Exchange, progress: &Progress) -> Result<Server, Stop> {
     let now = node.now();
     if exchange.get_left(now) == 0 {
-        return Err(if progress.sent > 0 { Refusal::Timeout } else { Refusal::TooLate });
+        let reason = if progress.sent > 0 { Refusal::Timeout } else { Refusal::TooLate };
+        return Err(Stop { reason, come_back_in: 0 });
     }
     let route = &exchange.route;
     let is_barred = progress.may_have_run && !route.kind.is_repeatable();
     let is_spent = progress.sent >= route.max_attempts.max(1);
     let is_hopeless = progress.tried.len() as u32 >= route.max_attempts + MOST_CONNECTS;
     if is_barred || is_spent || is_hopeless {
-        return Err(progress.get_refusal(Refusal::NotAccepted));
+        return Err(progress.stop(Refusal::NotAccepted, ROOM_BACK_IN));
     }
     if !node.is_fresh() {
-        return Err(progress.get_refusal(Refusal::Stale));
+        return Err(progress.stop(Refusal::Stale, ROOM_BACK_IN));
     }
-    let server = pick(node, exchange, &progress.tried, now)
-        .ok_or_else(|| progress.get_refusal(Refusal::NoServer))?;
+    let server = match pick(node, exchange, &progress.tried, now) {
+        Picked::Server(server) => server,
+        Picked::Busy(wait) => return Err(progress.stop(Refusal::Busy, wait)),
+        Picked::None => return Err(progress.stop(Refusal::NoServer, SERVER_BACK_IN)),
+    };
     if progress.sent > 0 {
         take_repeat(node, exchange, progress, now)?;
     }
@@ -153,21 +169,28 @@
     exchange: &Exchange,
     progress: &Progress,
     now: Millis,
-) -> Result<(), Refusal> {
+) -> Result<(), Stop> {
     let is_allowed = node.with(|state| {
         let nodes = state.peers.get_reach(now).all;
         state.budget.take(now, &exchange.service, nodes)
     });
     if !is_allowed {
-        return Err(progress.get_refusal(Refusal::NotAccepted));
+        return Err(progress.stop(Refusal::NotAccepted, ROOM_BACK_IN));
     }
     let reason = progress.last.map_or("", Failed::as_str).to_owned();
     node.metrics.retries.get_or_create(&ReasonLabels { reason }).inc();
     Ok(())
 }
 
+/// A server that was picked, or why there is none.
+enum Picked {
+    Server(Server),
+    Busy(Millis),
+    None,
+}
+
 /// Picks a server that was not tried yet.
-fn pick(node: &Node, exchange: &Exchange, tried: &[String], now: Millis) -> Option<Server> {
+fn pick(node: &Node, exchange: &Exchange, tried: &[String], now: Millis) -> Picked {
     node.with(|state| {
         let ready = state.directory.iter_ready(&exchange.service);
         let candidates: Vec<Candidate<'_>> = ready
@@ -178,7 +201,13 @@
                 is_paused: state.health.is_paused(now, &server.id),
             })
             .collect();
-        choose(&candidates, &exchange.wish, fastrand::u64(..)).cloned()
+        let speed = state.paces.get(&exchange.service).and_then(Pace::get_speed);
+        let wish = Wish { speed, ..exchange.wish };
+        match choose(&candidates, &wish, fastrand::u64(..)) {
+            Choice::Server(server) => Picked::Server(server.clone()),
+            Choice::Busy(wait) => Picked::Busy(wait),
+            Choice::None => Picked::None,
+        }
     })
 }
 
@@ -186,7 +215,7 @@
     let now = node.now();
     let (candidates, waiting_tokens) = node.with(|state| {
         let candidates = state.directory.iter_ready(&exchange.service).count();
-        (candidates, state.loads.total(now, &server.id).waiting_tokens)
+        (candidates, state.loads.total(now, &server.id).get_waiting_tokens())
     });
     event::emit(&Event::ServerChosen {
         request: &record.id,
@@ -238,16 +267,12 @@
 fn give_up(
     node: &Node,
     exchange: &Exchange,
-    reason: Refusal,
+    stop: Stop,
     spare: Option<Box<Answer>>,
 ) -> Result<Answer, Refused> {
     if let Some(answer) = spare {
         return Ok(*answer);
     }
-    let come_back_in = match reason {
-        Refusal::NoServer => SERVER_BACK_IN,
-        _ => ROOM_BACK_IN,
-    };
-    let left = exchange.get_left(node.now());
-    Err(Refused { reason, come_back_in, left })
+    let Stop { reason, come_back_in } = stop;
+    Err(Refused { reason, come_back_in, left: exchange.get_left(node.now()) })
 }
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -132,7 +132,7 @@
         let (asked, in_flight) = node.with(|state| {
             state.demand.sample(now, name);
             let (totals, covered) = state.demand.within(now, name, DEMAND_SPAN)?;
-            let pace = state.paces.get(name)?.get()?;
+            let pace = state.paces.get(name)?.get_speed()?;
             let ready: Vec<String> =
                 state.directory.iter_ready(name).map(|s| s.id.clone()).collect();
             let in_flight: u32 = ready.iter().map(|id| state.loads.total(now, id).requests).sum();
