test(serving): cover the new decisions by behaviour and by properties

Also: freshness is used up to 0.95 of the revocation bound (a request sent later than the bound is checked later still), reclaimable servers are ordered before the list has settled, and gossip's period and bounds grow with the number of peers.

--- a/crates/core/src/serving/load.rs
+++ b/crates/core/src/serving/load.rs
@@ -10,9 +10,6 @@
 
 use crate::Millis;
 
-/// Counts of a peer that are older than this are passed over.
-const PEER_COUNTS_LAST: Millis = 1_500;
-
 /// Ranks of requests at model servers; 0 is the most urgent.
 pub const RANKS: usize = 10;
 
@@ -75,7 +72,7 @@
 
 #[derive(Clone, Debug)]
 struct PeerLoads {
-    heard_at: Millis,
+    valid_until: Millis,
     loads: HashMap<u64, Load>,
 }
 
@@ -112,10 +109,10 @@
         }
     }
 
-    /// Takes over what a peer told of its own counts.
-    pub fn hear(&mut self, now: Millis, peer: &str, loads: Vec<(u64, Load)>) {
+    /// Takes over what a peer told of its own counts, which count until `valid_until`.
+    pub fn hear(&mut self, valid_until: Millis, peer: &str, loads: Vec<(u64, Load)>) {
         let loads = loads.into_iter().collect();
-        self.peers.insert(peer.to_owned(), PeerLoads { heard_at: now, loads });
+        self.peers.insert(peer.to_owned(), PeerLoads { valid_until, loads });
     }
 
     /// Lists this node's own counts.
@@ -127,7 +124,7 @@
     pub fn total(&self, now: Millis, id: &str) -> Load {
         let short = short_id(id);
         let mut total = self.own.get(&short).copied().unwrap_or_default();
-        let recent = self.peers.values().filter(|peer| now < peer.heard_at + PEER_COUNTS_LAST);
+        let recent = self.peers.values().filter(|peer| now < peer.valid_until);
         for load in recent.filter_map(|peer| peer.loads.get(&short)) {
             total.add(load);
         }
--- /dev/null
+++ b/crates/core/tests/serving/choice.rs
@@ -0,0 +1,107 @@
+use keeljunction_core::serving::choice::{Candidate, Choice, Wish, choose};
+use keeljunction_core::serving::directory::Server;
+use keeljunction_core::serving::load::Load;
+
+use crate::support::server;
+
+fn servers() -> Vec<Server> {
+    ["a", "b", "c"].map(|id| server(id, "z1")).into()
+}
+
+fn candidate(server: &Server, requests: u32, tokens: u64) -> Candidate<'_> {
+    let mut load = Load { requests, ..Load::default() };
+    load.waiting_tokens[1] = tokens;
+    Candidate { server, load, is_paused: false }
+}
+
+fn chosen(candidates: &[Candidate<'_>], wish: &Wish) -> String {
+    match choose(candidates, wish, 7) {
+        Choice::Server(server) => server.id.clone(),
+        other => format!("{other:?}"),
+    }
+}
+
+#[test]
+fn nothing_is_chosen_of_nothing() {
+    assert_eq!(choose(&[], &Wish::default(), 1), Choice::None);
+}
+
+#[test]
+fn the_least_busy_server_is_chosen() {
+    let servers = servers();
+    let candidates =
+        [candidate(&servers[0], 3, 0), candidate(&servers[1], 1, 0), candidate(&servers[2], 2, 0)];
+    assert_eq!(chosen(&candidates, &Wish::default()), "b");
+}
+
+#[test]
+fn a_server_that_is_passed_over_is_used_when_nothing_else_is_left() {
+    let servers = servers();
+    let mut candidates = [candidate(&servers[0], 0, 0), candidate(&servers[1], 3, 0)];
+    candidates[0].is_paused = true;
+    assert_eq!(chosen(&candidates, &Wish::default()), "b");
+    assert_eq!(chosen(&candidates[..1], &Wish::default()), "a");
+}
+
+#[test]
+fn prompts_that_begin_alike_go_to_the_same_server() {
+    let servers = servers();
+    let candidates: Vec<Candidate<'_>> = servers.iter().map(|s| candidate(s, 0, 0)).collect();
+    for part in 0..50 {
+        let wish = Wish { shared_part: Some(part), prompt_tokens: 100, ..Wish::default() };
+        let first = chosen(&candidates, &wish);
+        let without: Vec<Candidate<'_>> =
+            candidates.iter().filter(|c| c.server.id != first).copied().collect();
+        let second = chosen(&without, &wish);
+        assert_ne!(first, second);
+        assert_eq!(chosen(&candidates, &wish), first);
+    }
+}
+
+#[test]
+fn a_server_much_busier_than_the_mean_loses_its_preference() {
+    let servers = servers();
+    let wish = Wish { shared_part: Some(3), prompt_tokens: 100, ..Wish::default() };
+    let idle: Vec<Candidate<'_>> = servers.iter().map(|s| candidate(s, 0, 0)).collect();
+    let first = chosen(&idle, &wish);
+    let busy: Vec<Candidate<'_>> = servers
+        .iter()
+        .map(|s| candidate(s, 1, if s.id == first { 10_000 } else { 1_000 }))
+        .collect();
+    assert_ne!(chosen(&busy, &wish), first);
+}
+
+#[test]
+fn a_request_that_would_be_late_everywhere_is_refused_with_the_time_until_there_is_room() {
+    let servers = servers();
+    let candidates = [candidate(&servers[0], 1, 90_000), candidate(&servers[1], 1, 80_000)];
+    let wish =
+        Wish { prompt_tokens: 10_000, rank: 1, speed: Some(50.0), target: 600, ..Wish::default() };
+    assert_eq!(choose(&candidates, &wish, 1), Choice::Busy(1_500));
+}
+
+#[test]
+fn a_more_urgent_request_does_not_wait_for_the_others() {
+    let servers = servers();
+    let candidates = [candidate(&servers[0], 1, 90_000)];
+    let wish =
+        Wish { prompt_tokens: 10_000, rank: 0, speed: Some(50.0), target: 600, ..Wish::default() };
+    assert_eq!(chosen(&candidates, &wish), "a");
+}
+
+#[test]
+fn a_request_is_not_refused_for_its_own_size() {
+    let servers = servers();
+    let candidates = [candidate(&servers[0], 0, 0)];
+    let wish =
+        Wish { prompt_tokens: 90_000, rank: 1, speed: Some(50.0), target: 600, ..Wish::default() };
+    assert_eq!(chosen(&candidates, &wish), "a");
+}
+
+#[test]
+fn without_a_known_speed_nothing_is_refused() {
+    let servers = servers();
+    let candidates = [candidate(&servers[0], 1, 900_000)];
+    let wish = Wish { prompt_tokens: 10_000, rank: 1, target: 600, ..Wish::default() };
+    assert_eq!(chosen(&candidates, &wish), "a");
+}
--- /dev/null
+++ b/crates/core/tests/serving/health.rs
@@ -0,0 +1,44 @@
+use keeljunction_core::serving::health::Health;
+
+#[test]
+fn one_failure_is_tolerated() {
+    let mut health = Health::default();
+    assert_eq!(health.fail(1_000, "a"), None);
+    assert!(!health.is_paused(1_000, "a"));
+}
+
+#[test]
+fn failures_in_a_row_double_the_pause_up_to_a_bound() {
+    let mut health = Health::default();
+    let pauses: Vec<Option<u64>> = (0..8).map(|_| health.fail(1_000, "a")).collect();
+    let expected = [
+        None,
+        Some(250),
+        Some(500),
+        Some(1_000),
+        Some(2_000),
+        Some(4_000),
+        Some(4_000),
+        Some(4_000),
+    ];
+    assert_eq!(pauses, expected);
+    assert!(health.is_paused(4_999, "a"));
+    assert!(!health.is_paused(5_000, "a"));
+}
+
+#[test]
+fn a_good_answer_ends_the_pause() {
+    let mut health = Health::default();
+    health.fail(1_000, "a");
+    health.fail(1_000, "a");
+    health.succeed("a");
+    assert!(!health.is_paused(1_000, "a"));
+    assert_eq!(health.fail(1_000, "a"), None);
+}
+
+#[test]
+fn a_server_that_cannot_be_reached_is_passed_over_at_once() {
+    let mut health = Health::default();
+    health.fail_to_connect(1_000, "a");
+    assert!(health.is_paused(1_000, "a"));
+}
--- /dev/null
+++ b/crates/core/tests/serving/load.rs
@@ -0,0 +1,41 @@
+use keeljunction_core::serving::load::{Load, LoadBook, Work, short_id};
+
+const WORK: Work = Work { prompt_tokens: 100, memory_tokens: 150, rank: 1 };
+
+#[test]
+fn a_request_counts_until_it_ends() {
+    let mut book = LoadBook::default();
+    book.begin("a", &WORK);
+    let load = book.total(0, "a");
+    assert_eq!((load.requests, load.waiting, load.memory_tokens), (1, 1, 150));
+    assert_eq!((load.get_tokens_ahead(0), load.get_tokens_ahead(1)), (0, 100));
+    book.note_first_piece("a", &WORK);
+    assert_eq!(book.total(0, "a").get_waiting_tokens(), 0);
+    assert_eq!(book.total(0, "a").requests, 1);
+    book.end("a", &WORK, true);
+    assert_eq!(book.total(0, "a"), Load::default());
+}
+
+#[test]
+fn a_request_that_ends_before_its_first_piece_leaves_nothing() {
+    let mut book = LoadBook::default();
+    book.begin("a", &WORK);
+    book.begin("a", &WORK);
+    book.end("a", &WORK, false);
+    assert_eq!(book.total(0, "a").get_waiting_tokens(), 100);
+    book.end("a", &WORK, false);
+    assert!(book.get_own().is_empty());
+}
+
+#[test]
+fn counts_of_peers_are_added_until_they_are_too_old() {
+    let mut peer = LoadBook::default();
+    peer.begin("a", &WORK);
+    let mut book = LoadBook::default();
+    book.begin("a", &WORK);
+    book.hear(2_000, "peer", peer.get_own());
+    assert_eq!(book.total(1_999, "a").requests, 2);
+    assert_eq!(book.total(2_000, "a").requests, 1);
+    book.hear(9_000, "peer", vec![(short_id("b"), Load::default())]);
+    assert_eq!(book.total(2_000, "a").requests, 1);
+}
--- /dev/null
+++ b/crates/core/tests/serving/main.rs
@@ -0,0 +1,17 @@
+//! Decisions for relayed exchanges, by behaviour and by properties.
+
+mod budget;
+mod capacity;
+mod choice;
+mod configuration;
+mod directory;
+mod duty_lease;
+mod event_stream;
+mod freshness;
+mod health;
+mod load;
+mod pace;
+mod quota;
+mod refusal;
+mod support;
+mod usage;
--- /dev/null
+++ b/crates/core/tests/serving/usage.rs
@@ -0,0 +1,47 @@
+use keeljunction_core::serving::usage::{Counts, Ledger, Life, window_at};
+use proptest::prelude::*;
+
+fn life(node: &str, number: u64) -> Life {
+    Life { node: node.to_owned(), number }
+}
+
+#[test]
+fn windows_are_numbered_from_the_epoch() {
+    assert_eq!(window_at(0, 5_000), 0);
+    assert_eq!(window_at(4_999, 5_000), 0);
+    assert_eq!(window_at(5_000, 5_000), 1);
+}
+
+#[test]
+fn the_total_sums_all_lives_of_all_nodes() {
+    let mut ledger = Ledger::default();
+    ledger.count(3, &life("a", 1), "acme");
+    ledger.count(3, &life("a", 2), "acme");
+    ledger.merge(3, &life("b", 1), &Counts::from([("acme".to_owned(), 4)]));
+    ledger.count(4, &life("a", 2), "acme");
+    assert_eq!(ledger.total(3), Counts::from([("acme".to_owned(), 6)]));
+}
+
+#[test]
+fn old_windows_are_forgotten() {
+    let mut ledger = Ledger::default();
+    ledger.count(3, &life("a", 1), "acme");
+    ledger.count(4, &life("a", 1), "acme");
+    ledger.forget_before(4);
+    assert_eq!(ledger.get_first_window(), Some(4));
+    assert!(ledger.total(3).is_empty());
+}
+
+proptest! {
+    /// Messages may come late, twice and out of order: the total is that of the latest counts.
+    #[test]
+    fn merging_does_not_depend_on_order(order in Just((1u64..=9).collect::<Vec<_>>()).prop_shuffle()) {
+        let mut ledger = Ledger::default();
+        for count in order {
+            let counts = Counts::from([("acme".to_owned(), count)]);
+            ledger.merge(1, &life("a", 1), &counts);
+            ledger.merge(1, &life("a", 1), &counts);
+        }
+        prop_assert_eq!(ledger.total(1), Counts::from([("acme".to_owned(), 9)]));
+    }
+}
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -78,24 +78,28 @@
         let now = node.now();
         let stock = self.take_stock(node, name, scaling);
         let held: u32 = stock.values().map(|zone| zone.lasting + zone.reclaimable).sum();
-        let Some(settled) = self.settle(name, held, now) else { return };
-        let need = self.get_need(node, name, service, now).unwrap_or(settled);
+        let (found, is_settled) = self.settle(name, held, now);
+        let need = self.get_need(node, name, service, now).unwrap_or(found);
         let policy = node.settings.capacity.get_policy();
         let plan = plan(&policy, scaling, &stock, need);
         for order in self.list_changes(name, &plan, &stock, now) {
+            // Lasting servers that have not listed themselves yet must not be given up.
+            if !is_settled && !order.is_reclaimable {
+                continue;
+            }
             self.send(node, order).await;
         }
     }
 
-    /// Returns the number of servers as it was found, once it has stopped to grow: servers list
-    /// themselves one by one.
-    fn settle(&mut self, name: &str, held: u32, now: Millis) -> Option<u32> {
+    /// Returns the number of servers as it was found, and whether it has stopped to grow: servers
+    /// list themselves one by one.
+    fn settle(&mut self, name: &str, held: u32, now: Millis) -> (u32, bool) {
         let found = self.found.entry(name.to_owned()).or_insert(Found { count: held, since: now });
         let is_settled = now >= found.since + SETTLE;
         if !is_settled && held > found.count {
             *found = Found { count: held, since: now };
         }
-        is_settled.then_some(found.count)
+        (found.count, is_settled)
     }
 
     /// Counts what each zone holds; a zone that the configuration prices is listed also if empty.
--- a/crates/gateway/src/node/gossip.rs
+++ b/crates/gateway/src/node/gossip.rs
@@ -31,8 +31,10 @@
 const PERIOD: Duration = Duration::from_millis(200);
 /// With more peers than this the period grows with their number.
 const PEERS_AT_FULL_RATE: usize = 16;
-/// A peer that was heard within this time is in reach.
-const HEARD_WITHIN: Millis = 1_000;
+/// A peer that was heard within this many periods is in reach.
+const HEARD_WITHIN_PERIODS: u32 = 5;
+/// The counts of a peer are used for this many periods.
+const COUNTS_LAST_PERIODS: u32 = 7;
 /// A peer that was not heard for this long is gone for good.
 const GONE_AFTER: Millis = 60_000;
 /// The table in which nodes tell their addresses.
@@ -114,11 +116,23 @@
         }
     }
 
+    /// Returns the time between two digests, which grows with the number of peers so that what a
+    /// node sends and receives does not.
+    fn get_period(&self) -> Duration {
+        let stretch = self.known.len().div_ceil(PEERS_AT_FULL_RATE).max(1);
+        PERIOD * stretch as u32
+    }
+
+    fn get_heard_within(&self) -> Millis {
+        (self.get_period() * HEARD_WITHIN_PERIODS).as_millis() as Millis
+    }
+
     /// Returns how many nodes there are and how many of them are heard, this one included.
     pub fn get_reach(&self, now: Millis) -> Reach {
         let alive = self.known.values().filter(|peer| !peer.is_stopping);
         let alive: Vec<&Peer> = alive.filter(|peer| now < peer.heard_at + GONE_AFTER).collect();
-        let heard = alive.iter().filter(|peer| now < peer.heard_at + HEARD_WITHIN).count();
+        let within = self.get_heard_within();
+        let heard = alive.iter().filter(|peer| now < peer.heard_at + within).count();
         Reach { heard: heard + 1, all: alive.len() + 1 }
     }
 
@@ -138,7 +152,8 @@
     }
 
     fn get_heard(&self, now: Millis) -> Vec<SocketAddr> {
-        let heard = self.known.values().filter(|peer| now < peer.heard_at + HEARD_WITHIN);
+        let within = self.get_heard_within();
+        let heard = self.known.values().filter(|peer| now < peer.heard_at + within);
         heard.map(|peer| peer.address).collect()
     }
 
@@ -248,7 +263,9 @@
             state.usage.merge(*window, &life, counts);
         }
         state.demand.hear(&digest.node, digest.life, &digest.demand);
-        state.loads.hear(now, &digest.node, digest.loads);
+        let counts_last = state.peers.get_period() * COUNTS_LAST_PERIODS;
+        let valid_until = now + counts_last.as_millis() as Millis;
+        state.loads.hear(valid_until, &digest.node, digest.loads);
     });
 }
 
@@ -266,7 +283,7 @@
     loop {
         let now = node.now();
         let is_stopping = node.is_stopping();
-        let (digest, addresses) = node.with(|state| {
+        let (digest, addresses, period) = node.with(|state| {
             state.peers.expire(now);
             let digest = Digest {
                 node: node.life.node.clone(),
@@ -278,16 +295,14 @@
                 usage: latest(state.usage.of_life(&node.life)),
                 demand: state.demand.get_own(),
             };
-            (digest, state.peers.get_addresses())
+            (digest, state.peers.get_addresses(), state.peers.get_period())
         });
-        let peers = addresses.len();
         if let Some(bytes) = encode(&Message::Digest(Box::new(digest))) {
             for address in addresses {
                 let _ = socket.send_to(&bytes, address).await;
             }
         }
-        let stretch = peers.div_ceil(PEERS_AT_FULL_RATE).max(1) as u32;
-        runtime::sleep(PERIOD * stretch).await;
+        runtime::sleep(period).await;
     }
 }
 
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -26,8 +26,9 @@
 use crate::settings::Settings;
 
 /// The part of the revocation bound in which a configuration may be acted on without being
-/// confirmed; the rest is left for clocks that drift and for a pause between check and dispatch.
-const FRESH_PART: f64 = 0.8;
+/// confirmed. A request that was sent after a key's removal and the bound arrives, and is checked,
+/// later than that; the rest is left for clocks that drift.
+const FRESH_PART: f64 = 0.95;
 const CONNECT_WITHIN: Duration = Duration::from_millis(1_000);
 /// The part of a lease that its holder leaves unused.
 const LEASE_MARGIN_PART: f64 = 0.2;
