--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -73,12 +73,15 @@
 
 /// Plans the servers of a service.
 ///
-/// `stock` names all zones in which the service may run.
+/// `stock` names all zones in which the service may run. While the market `is_dry`, what is taken
+/// away cannot be had again, so that lasting servers stand in also for the zone that would be the
+/// greatest loss.
 pub fn plan(
     policy: &Policy,
     scaling: &Scaling,
     stock: &BTreeMap<String, ZoneStock>,
     need: u32,
+    is_dry: bool,
 ) -> Plan {
     let zones = by_price(scaling, stock);
     let most = scaling.max * zones.len() as u32;
@@ -91,7 +94,8 @@
     let reclaimable = (f64::from(need) * policy.reclaimable_part).ceil() as u32;
     let wanted = spread(&zones, reclaimable, scaling.max, &BTreeMap::new());
     let held: BTreeMap<String, u32> = stock.iter().map(held_reclaimable).collect();
-    let lacking = (need - base).saturating_sub(held.values().sum());
+    let at_risk = if is_dry { held.values().copied().max().unwrap_or(0) } else { 0 };
+    let lacking = (need - base).saturating_sub(held.values().sum::<u32>() - at_risk);
     let lasting = spread(&zones, base + lacking, scaling.max, &held);
     let reclaimable = wanted.into_iter().map(|(zone, count)| {
         let room = scaling.max - lasting.get(&zone).copied().unwrap_or(0).min(scaling.max);
--- a/crates/core/tests/serving/capacity.rs
+++ b/crates/core/tests/serving/capacity.rs
@@ -46,25 +46,33 @@
 
 #[test]
 fn a_calm_day_holds_a_part_lasting_and_the_rest_reclaimable() {
-    let calm = plan(&POLICY, &scaling(Some(0.2)), &stock(2), 4);
+    let calm = plan(&POLICY, &scaling(Some(0.2)), &stock(2), 4, false);
     assert_eq!(calm, Plan { lasting: counts(1, 1), reclaimable: counts(2, 2) });
 }
 
 #[test]
 fn what_cannot_be_had_as_reclaimable_is_ordered_as_lasting() {
-    let dry = plan(&POLICY, &scaling(Some(0.2)), &stock(0), 4);
+    let dry = plan(&POLICY, &scaling(Some(0.2)), &stock(0), 4, false);
     assert_eq!(dry.lasting, counts(2, 2));
 }
 
+#[test]
+fn while_the_market_is_dry_the_next_loss_is_covered_before_it_comes() {
+    let calm = plan(&POLICY, &scaling(Some(0.2)), &stock(1), 4, false);
+    assert_eq!(calm.lasting, counts(1, 1));
+    let dry = plan(&POLICY, &scaling(Some(0.2)), &stock(1), 4, true);
+    assert_eq!(dry.lasting, counts(2, 1));
+}
+
 #[test]
 fn lasting_servers_find_room_before_reclaimable_ones() {
-    let full = plan(&POLICY, &scaling(Some(0.2)), &stock(0), 8);
+    let full = plan(&POLICY, &scaling(Some(0.2)), &stock(0), 8, false);
     assert_eq!(full, Plan { lasting: counts(4, 4), reclaimable: counts(0, 0) });
 }
 
 #[test]
 fn without_reclaimable_servers_all_are_lasting() {
-    let only = plan(&POLICY, &scaling(None), &stock(0), 3);
+    let only = plan(&POLICY, &scaling(None), &stock(0), 3, false);
     assert_eq!(only, Plan { lasting: counts(2, 1), reclaimable: BTreeMap::new() });
 }
 
@@ -83,7 +91,7 @@
     #[test]
     fn plans_keep_the_bounds(held in 0u32..5, asked in 0u32..30) {
         let scaling = scaling(Some(0.2));
-        let plan = plan(&POLICY, &scaling, &stock(held), asked);
+        let plan = plan(&POLICY, &scaling, &stock(held), asked, false);
         for zone in ["cheap", "dear"] {
             let lasting = plan.lasting.get(zone).copied().unwrap_or(0);
             let reclaimable = plan.reclaimable.get(zone).copied().unwrap_or(0);
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -81,7 +81,7 @@
         let (found, is_settled) = self.settle(name, held, now);
         let need = self.get_need(node, name, service, now).unwrap_or(found);
         let policy = node.settings.capacity.get_policy();
-        let plan = plan(&policy, scaling, &stock, need);
+        let plan = plan(&policy, scaling, &stock, need, self.is_dry(name, now));
         for order in self.list_changes(name, &plan, &stock, now) {
             // Lasting servers that have not listed themselves yet must not be given up.
             if !is_settled && !order.is_reclaimable {
