feat(watch): let three nodes read the platform's tables for all

Now the first three of a rendezvous order over the nodes that are heard read, push changes to all, and answer questions with versions and ages; a node whose knowledge grows old reads itself.

--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::Millis;
 
 /// A server as it describes itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Server {
     /// Names this start of the server; no other start bears it.
     pub id: String,
@@ -50,8 +52,11 @@
         self.version
     }
 
-    /// Takes over a whole list, read at a version.
+    /// Takes over a whole list, read at a version; an older one changes nothing.
     pub fn replace(&mut self, version: u64, servers: Vec<Server>) -> Vec<Change> {
+        if version < self.version {
+            return Vec::new();
+        }
         self.version = version;
         let listed: BTreeMap<String, Server> =
             servers.into_iter().map(|server| (server.id.clone(), server)).collect();
@@ -63,16 +68,22 @@
         changes
     }
 
-    /// Takes over changed entries, up to a version. A server that is gone comes as its id alone.
-    pub fn update(&mut self, version: u64, entries: Vec<Entry>) -> Vec<Change> {
-        self.version = self.version.max(version);
-        entries
-            .into_iter()
-            .filter_map(|entry| match entry {
-                Entry::Listed(server) => self.put(server),
-                Entry::Removed(id) => self.servers.remove(&id).map(Change::Gone),
-            })
-            .collect()
+    /// Takes over the entries that changed after a version, up to another.
+    ///
+    /// Returns `None` where changes before these are missing: the whole list must be read. Entries
+    /// that are not newer than the list are passed over, so that batches may overlap.
+    pub fn update(&mut self, batch: Batch) -> Option<Vec<Change>> {
+        if batch.after > self.version {
+            return None;
+        }
+        let known = self.version;
+        self.version = known.max(batch.version);
+        let newer = batch.entries.into_iter().filter(|entry| entry.version > known);
+        let changes = newer.filter_map(|entry| match entry.server {
+            Some(server) => self.put(server),
+            None => self.servers.remove(&entry.id).map(Change::Gone),
+        });
+        Some(changes.collect())
     }
 
     /// Notes that a server showed in an answer that it is leaving, or that another took its place.
@@ -120,11 +131,24 @@
     }
 }
 
+/// Entries of the list that changed after a version, up to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Batch {
+    /// All changes after this version are there.
+    pub after: u64,
+    /// The list's version with these changes.
+    pub version: u64,
+    /// The changed entries.
+    pub entries: Vec<Entry>,
+}
+
 /// A changed entry of the list.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Entry {
-    /// The server as it is now.
-    Listed(Server),
-    /// The id of a server that is no longer listed.
-    Removed(String),
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The server's id.
+    pub id: String,
+    /// The version at which the entry changed.
+    pub version: u64,
+    /// The server as it is now; `None` where it is no longer listed.
+    pub server: Option<Server>,
 }
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -131,6 +131,13 @@
         stock
     }
 
+    /// Says whether reclaimable servers were lately refused.
+    fn is_dry(&self, name: &str, now: Millis) -> bool {
+        let mut refused =
+            self.paused_until.iter().filter(|((service, _, kind), _)| service == name && *kind);
+        refused.any(|(_, until)| now < until + REFUSED_PAUSE)
+    }
+
     fn get_need(&mut self, node: &Node, name: &str, service: &Service, now: Millis) -> Option<u32> {
         let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
         let (asked, in_flight) = node.with(|state| {
--- a/crates/gateway/src/node/peer_calls.rs
+++ b/crates/gateway/src/node/peer_calls.rs
@@ -1,12 +1,14 @@
-//! Calls between nodes for what does not fit a datagram: the configuration.
+//! Calls between nodes for what does not fit a datagram: the configuration and the whole list of
+//! servers.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use keeljunction_core::Millis;
+use keeljunction_core::serving::directory::Server;
 
 use super::{Node, watch};
 use crate::http::{Body, read};
@@ -14,54 +16,58 @@
 use crate::runtime;
 
 const CONFIGURATION_PATH: &str = "/configuration";
-const LONGEST_CONFIGURATION: usize = 8 << 20;
+const SERVERS_PATH: &str = "/servers";
+const LONGEST_ANSWER: usize = 16 << 20;
 const CALL_WITHIN: Duration = Duration::from_millis(700);
 
-/// Serves the configuration to peers, as the operator wrote it.
+/// Serves what this node knows to peers.
 pub(super) async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
-    let document = node.with(|state| state.configuration_document.clone());
-    let mut response = match (request.uri().path(), document) {
-        (CONFIGURATION_PATH, Some(document)) => return Response::new(Body::from(document)),
-        _ => Response::new(Body::empty()),
+    let document = match request.uri().path() {
+        CONFIGURATION_PATH => node.with(|state| state.configuration_document.clone()),
+        SERVERS_PATH => list_servers(&node),
+        _ => None,
     };
-    *response.status_mut() = StatusCode::NOT_FOUND;
-    response
+    let Some(document) = document else {
+        let mut response = Response::new(Body::empty());
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    };
+    Response::new(Body::from(document))
 }
 
-/// Takes a peer's word for the newest version, and gets the configuration from it where it is
-/// newer than the one in force.
-pub(super) fn take_freshness(
-    node: &Arc<Node>,
-    from: SocketAddr,
-    asked_at: Millis,
-    version: u64,
-    age: Millis,
-) {
-    let known = node.with(|state| state.configuration.as_ref().map(|known| known.version));
-    if known >= Some(version) {
-        node.with(|state| state.freshness.confirm_by_peer(asked_at, age));
-        return;
-    }
-    let node = node.clone();
-    runtime::spawn(async move {
-        let Some(Some(document)) = runtime::within(CALL_WITHIN, fetch(&node, from)).await else {
-            return;
-        };
-        let row = Row { key: String::new(), value: Some(document), version: 0 };
-        watch::adopt_configuration(&node, &[row]);
-        node.with(|state| {
-            if state.configuration.as_ref().map(|known| known.version) >= Some(version) {
-                state.freshness.confirm_by_peer(asked_at, age);
-            }
-        });
+fn list_servers(node: &Node) -> Option<Bytes> {
+    let list = node.with(|state| {
+        let servers: Vec<Server> = state.directory.iter().cloned().collect();
+        state.has_servers.then_some((state.directory.get_version(), servers))
     });
+    postcard::to_stdvec(&list?).ok().map(Bytes::from)
+}
+
+/// Gets a peer's configuration and adopts it where it is newer.
+pub(super) async fn get_configuration(node: Arc<Node>, from: SocketAddr) {
+    let Some(document) = fetch(&node, from, CONFIGURATION_PATH).await else { return };
+    let row = Row { key: String::new(), value: Some(document.to_vec()), version: 0 };
+    watch::adopt_configuration(&node, &[row]);
 }
 
-async fn fetch(node: &Node, from: SocketAddr) -> Option<Vec<u8>> {
-    let request = Request::get(CONFIGURATION_PATH).header("host", from.to_string());
-    let response = node.servers.send(from, request.body(Body::empty()).ok()?).await.ok()?;
-    if response.status() != StatusCode::OK {
-        return None;
+/// Gets a peer's list of servers and takes it over where it is not older.
+pub(super) async fn get_servers(node: Arc<Node>, from: SocketAddr) {
+    let Some(document) = fetch(&node, from, SERVERS_PATH).await else { return };
+    let decoded: Result<(u64, Vec<Server>), _> = postcard::from_bytes(&document);
+    if let Ok((version, servers)) = decoded {
+        watch::replace_servers(&node, version, servers);
     }
-    read(response.into_body(), LONGEST_CONFIGURATION).await.map(|bytes| bytes.to_vec())
+}
+
+async fn fetch(node: &Node, from: SocketAddr, path: &str) -> Option<Bytes> {
+    let request = Request::get(path).header("host", from.to_string());
+    let request = request.body(Body::empty()).ok()?;
+    let fetching = async {
+        let response = node.servers.send(from, request).await.ok()?;
+        if response.status() != StatusCode::OK {
+            return None;
+        }
+        read(response.into_body(), LONGEST_ANSWER).await
+    };
+    runtime::within(CALL_WITHIN, fetching).await.flatten()
 }
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use keeljunction_core::Millis;
 use keeljunction_core::serving::budget::{Allowance, RetryBudget};
 use keeljunction_core::serving::configuration::Configuration;
@@ -18,7 +19,8 @@
 use keeljunction_core::serving::quota::Quotas;
 use keeljunction_core::serving::usage::{Ledger, Life, window_at};
 
-use super::gossip::Peers;
+use super::gossip::Message;
+use super::peers::Peers;
 use crate::http::{Client, Stop};
 use crate::metrics::Metrics;
 use crate::port::Platform;
@@ -29,6 +31,8 @@
 /// confirmed. A request that was sent after a key's removal and the bound arrives, and is checked,
 /// later than that; the rest is left for clocks that drift.
 const FRESH_PART: f64 = 0.95;
+/// Messages to all peers that wait to be sent; more are dropped, and show at the next question.
+const PUSHES_WAITING: usize = 256;
 const CONNECT_WITHIN: Duration = Duration::from_millis(1_000);
 /// The part of a lease that its holder leaves unused.
 const LEASE_MARGIN_PART: f64 = 0.2;
@@ -49,6 +53,8 @@
     pub metrics: Metrics,
     /// Given when the listeners must close.
     pub closing: Stop,
+    /// Messages to all peers that wait to be sent.
+    pub(super) pushes: (Sender<Message>, Receiver<Message>),
     /// What the node knows of the deployment.
     pub state: Mutex<State>,
     is_stopping: AtomicBool,
@@ -65,6 +71,8 @@
     pub freshness: Freshness,
     /// The servers.
     pub directory: Directory,
+    /// When the list of servers was last known to be the newest.
+    pub servers_freshness: Freshness,
     /// Whether the list of servers has been read.
     pub has_servers: bool,
     /// How busy the servers are.
@@ -105,13 +113,14 @@
             paces: HashMap::new(),
             freshness: Freshness::default(),
             directory: Directory::default(),
+            servers_freshness: Freshness::default(),
             has_servers: false,
             loads: LoadBook::default(),
             health: Health::default(),
             quotas: Quotas::default(),
             budget: RetryBudget::new(allowance),
             usage: Ledger::default(),
-            peers: Peers::new(settings.seeds.clone(), settings.listen.peers),
+            peers: Peers::new(life.node.clone(), settings.listen.peers, &settings.seeds),
             lease: DutyLease::new(life.node.clone(), life.number, bounds.lease_ms, margin),
         };
         Arc::new(Self {
@@ -122,6 +131,7 @@
             servers: Client::new(CONNECT_WITHIN),
             metrics: Metrics::default(),
             closing: Stop::new(),
+            pushes: async_channel::bounded(PUSHES_WAITING),
             state: Mutex::new(state),
             is_stopping: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
@@ -152,6 +162,11 @@
         self.with(|state| state.freshness.is_within(now, self.get_fresh_bound()))
     }
 
+    /// Sends a message to all peers soon.
+    pub(super) fn push(&self, message: Message) {
+        let _ = self.pushes.0.try_send(message);
+    }
+
     /// Says whether the node should get new connections.
     pub fn is_ready(&self) -> bool {
         let knows = self.with(|state| state.configuration.is_some() && state.has_servers);
