--- a/crates/core/src/serving/quota.rs
+++ b/crates/core/src/serving/quota.rs
@@ -11,6 +11,9 @@
 
 use crate::Millis;
 
+/// What must be left for a request to be taken, in units.
+const LEAST_LEFT: f64 = 1.0;
+
 /// A tenant's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
@@ -56,7 +59,7 @@
 impl Quotas {
     /// Takes units for a request of a tenant.
     ///
-    /// A request is taken while anything is left, also where it is larger than what is left: the
+    /// A request is taken while a unit is left, also where it is larger than what is left: the
     /// bucket then pays it back before the next.
     ///
     /// # Errors
@@ -75,8 +78,9 @@
         }
         let rate = limit.rate_per_second * reach.get_part();
         let bucket = self.fill(now, tenant, limit, rate);
-        if bucket.available <= 0.0 {
-            return Err((-bucket.available / rate * 1_000.0).ceil() as Millis + 1);
+        if bucket.available < LEAST_LEFT {
+            let lacking = LEAST_LEFT - bucket.available;
+            return Err((lacking / rate * 1_000.0).ceil() as Millis);
         }
         bucket.available -= units as f64;
         *self.own.0.entry(tenant.to_owned()).or_default() += units;
--- a/crates/core/src/serving/refusal.rs
+++ b/crates/core/src/serving/refusal.rs
@@ -13,6 +13,8 @@
     NoRoute,
     /// The key is missing or not known.
     UnknownKey,
+    /// The head is longer than the configuration allows.
+    HeadTooLong,
     /// The body is longer than the configuration allows.
     BodyTooLong,
     /// The body did not come to its end in time.
@@ -46,6 +48,7 @@
             Self::NoRoute => 404,
             Self::BodyTimeout => 408,
             Self::BodyTooLong => 413,
+            Self::HeadTooLong => 431,
             Self::OverQuota => 429,
             Self::BrokenAnswer => 502,
             Self::Timeout => 504,
@@ -69,6 +72,7 @@
             Self::BadRequest => "bad_request",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
+            Self::HeadTooLong => "head_too_long",
             Self::BodyTooLong => "body_too_long",
             Self::BodyTimeout => "body_timeout",
             Self::OverQuota => "over_quota",
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -3,6 +3,8 @@
 //! One line tells one decision that touches a request or changes what the node believes: its
 //! inputs, their age or version, and its outcome. Times are in milliseconds.
 
+use std::net::SocketAddr;
+
 use serde::Serialize;
 
 /// An event.
@@ -11,7 +13,14 @@
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum Event<'a> {
     /// The node starts.
-    Started { node: &'a str, life: u64 },
+    Started {
+        node: &'a str,
+        life: u64,
+        callers: SocketAddr,
+        readiness: SocketAddr,
+        peers: SocketAddr,
+        metrics: SocketAddr,
+    },
     /// The node begins to stop.
     Stopping { in_flight: usize },
     /// The node ends.
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -79,6 +79,9 @@
         if head.id.is_none() {
             return Err(refuse(Refusal::BadRequest, 0));
         }
+        if measure_head(&parts) > configuration.limits.head_bytes {
+            return Err(refuse(Refusal::HeadTooLong, 0));
+        }
         // A node whose knowledge may be old says so; it never denies what may be allowed by now.
         if !is_fresh {
             return Err(refuse(Refusal::Stale, KNOWLEDGE_BACK_IN));
@@ -144,6 +147,17 @@
 /// A tenant's rank counts this many ranks of routes.
 const PRIORITY_STEP: u32 = 3;
 
+/// Measures a head as it came, in bytes.
+fn measure_head(parts: &Parts) -> usize {
+    let line =
+        parts.method.as_str().len() + parts.uri.path_and_query().map_or(0, |p| p.as_str().len());
+    let headers = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+    line + headers.map(|length| length + HEADER_FRAME_BYTES).sum::<usize>()
+}
+
+/// The colon, the blank and the line end of a header.
+const HEADER_FRAME_BYTES: usize = 4;
+
 fn find_route(configuration: &Configuration, parts: &Parts) -> Option<Arc<Route>> {
     let named = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = parts.uri.host().or(named)?;
--- a/crates/gateway/src/node/serve.rs
+++ b/crates/gateway/src/node/serve.rs
@@ -31,15 +31,30 @@
 ///
 /// Returns [`ErrorKind::Unavailable`] where an address cannot be listened at.
 pub async fn serve(settings: Settings, path: PathBuf, platform: Platform) -> Result<(), Error> {
-    let node = Node::new(settings, platform);
-    let listen = node.settings.listen.clone();
-    let callers = bind("listen.callers", listen.callers, &node, node.closing.clone()).await?;
-    let readiness = bind("listen.readiness", listen.readiness, &node, Stop::new()).await?;
-    let metrics = bind("listen.metrics", listen.metrics, &node, Stop::new()).await?;
-    let peer_calls = bind("listen.peers", listen.peers, &node, Stop::new()).await?;
-    let datagrams =
-        gossip::bind(listen.peers).map_err(|error| busy("listen.peers", listen.peers, &error))?;
-    event::emit(&Event::Started { node: &node.life.node, life: node.life.number });
+    let mut settings = settings;
+    let closing = Stop::new();
+    let (callers, at) =
+        bind("listen.callers", settings.listen.callers, &settings, &closing).await?;
+    settings.listen.callers = at;
+    let never = Stop::new();
+    let (readiness, at) =
+        bind("listen.readiness", settings.listen.readiness, &settings, &never).await?;
+    settings.listen.readiness = at;
+    let (metrics, at) = bind("listen.metrics", settings.listen.metrics, &settings, &never).await?;
+    settings.listen.metrics = at;
+    let (peer_calls, at) = bind("listen.peers", settings.listen.peers, &settings, &never).await?;
+    settings.listen.peers = at;
+    let datagrams = gossip::bind(at).map_err(|error| busy("listen.peers", at, &error))?;
+    let node = Node::new(settings, platform, closing);
+    let listen = &node.settings.listen;
+    event::emit(&Event::Started {
+        node: &node.life.node,
+        life: node.life.number,
+        callers: listen.callers,
+        readiness: listen.readiness,
+        peers: listen.peers,
+        metrics: listen.metrics,
+    });
     runtime::spawn(watch::configuration(node.clone()));
     runtime::spawn(watch::freshness(node.clone()));
     runtime::spawn(watch::servers(node.clone()));
@@ -66,15 +81,18 @@
 async fn bind(
     key: &'static str,
     address: SocketAddr,
-    node: &Node,
-    stop: Stop,
-) -> Result<Server, Error> {
+    settings: &Settings,
+    stop: &Stop,
+) -> Result<(Server, SocketAddr), Error> {
     let limits = Limits {
-        connections: node.settings.limits.descriptors.saturating_sub(DESCRIPTORS_KEPT).max(100),
+        connections: settings.limits.descriptors.saturating_sub(DESCRIPTORS_KEPT).max(100),
         head_within: IDLE_WITHIN,
         ..Limits::default()
     };
-    Server::bind(address, limits, stop).await.map_err(|error| busy(key, address, &error))
+    let bound = Server::bind(address, limits, stop.clone()).await;
+    let server = bound.map_err(|error| busy(key, address, &error))?;
+    let at = server.get_address().map_err(|error| busy(key, address, &error))?;
+    Ok((server, at))
 }
 
 /// Waits for the signal to stop, and then until the node has stopped.
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -97,7 +97,7 @@
 
 impl Node {
     /// Makes a node that knows nothing yet.
-    pub fn new(settings: Settings, platform: Platform) -> Arc<Self> {
+    pub fn new(settings: Settings, platform: Platform, closing: Stop) -> Arc<Self> {
         let life = Life { node: settings.node.name.clone(), number: fastrand::u64(..) };
         let bounds = settings.bounds;
         let allowance = Allowance {
@@ -130,7 +130,7 @@
             life,
             servers: Client::new(CONNECT_WITHIN),
             metrics: Metrics::default(),
-            closing: Stop::new(),
+            closing,
             pushes: async_channel::bounded(PUSHES_WAITING),
             state: Mutex::new(state),
             is_stopping: AtomicBool::new(false),
