--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`node`] | what a node knows, and the tasks that keep it up to date |
 //! | [`exchange`] | one request, from its head to its final outcome |
 //! | [`event`], [`log`](mod@log), [`metrics`] | what a node tells of its decisions |
+//! | [`trace`] | gathers what was logged of one request |
 //! | [`http`], [`runtime`] | plumbing |
 
 pub mod event;
@@ -22,3 +23,4 @@
 pub mod port;
 pub mod runtime;
 pub mod settings;
+pub mod trace;
--- a/crates/keeljunction/src/command/mod.rs
+++ b/crates/keeljunction/src/command/mod.rs
@@ -9,6 +9,7 @@
 mod serve;
 mod settings;
 mod status;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -35,6 +36,7 @@
         .subcommand(bundle::build())
         .subcommand(status::build())
         .subcommand(audit::build())
+        .subcommand(trace::build())
 }
 
 /// Runs the subcommand that was asked for.
@@ -46,6 +48,7 @@
         Some(("bundle", matches)) => bundle::run(matches),
         Some(("status", matches)) => status::run(matches),
         Some(("audit", matches)) => audit::run(matches),
+        Some(("trace", matches)) => trace::run(matches),
         _ => Ok(()),
     };
     match done {
--- a/crates/keeljunction/tests/cli/main.rs
+++ b/crates/keeljunction/tests/cli/main.rs
@@ -161,3 +161,59 @@
     }
     assert_eq!(run(&["bundle", "rol"]).status.code(), Some(2));
 }
+
+const GATEWAY: &str = include_str!("../../../../examples/gateway.yaml");
+
+#[test]
+fn the_example_of_a_gateways_settings_holds() {
+    let folder = tempfile::tempdir().expect("there is a folder");
+    let path = file(&folder, "gateway.yaml", GATEWAY);
+    let output = run(&["gateway", "--check", "--settings", text(&path)]);
+    assert_eq!(output.status.code(), Some(0), "{}", said(&output));
+    assert!(said(&output).contains("the settings of node entry-0 hold"));
+}
+
+#[test]
+fn a_gateways_bound_out_of_range_is_named_with_what_is_allowed() {
+    let folder = tempfile::tempdir().expect("there is a folder");
+    let wrong = GATEWAY.replace("revoke_ms: 5000", "revoke_ms: 0");
+    let path = file(&folder, "gateway.yaml", &wrong);
+    let output = run(&["gateway", "--check", "--settings", text(&path)]);
+    assert_eq!(output.status.code(), Some(2));
+    for expected in ["bounds.revoke_ms", "100 to 3600000"] {
+        assert!(said(&output).contains(expected), "{}", said(&output));
+    }
+}
+
+#[test]
+fn a_gateways_unknown_key_is_refused() {
+    let folder = tempfile::tempdir().expect("there is a folder");
+    let path = file(&folder, "gateway.yaml", &format!("{GATEWAY}\nretries: 3\n"));
+    let output = run(&["gateway", "--check", "--settings", text(&path)]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(said(&output).contains("retries"));
+}
+
+#[test]
+fn a_trace_orders_the_lines_of_one_request() {
+    let folder = tempfile::tempdir().expect("there is a folder");
+    let first = file(
+        &folder,
+        "n-1.log",
+        "{\"time_ms\":1200,\"level\":\"INFO\",\"event\":\"request_ended\",\"request\":\"r1\",\"status\":503}\n\
+         {\"time_ms\":1100,\"level\":\"INFO\",\"event\":\"request_ended\",\"request\":\"r2\",\"status\":200}\n",
+    );
+    let second = file(
+        &folder,
+        "n-2.log",
+        "  -1.5 n-2 {\"time_ms\":1150,\"level\":\"INFO\",\"event\":\"server_chosen\",\"request\":\"r1\",\"server\":\"s\"}\n",
+    );
+    let output = run(&["trace", "--request", "r1", text(&first), text(&second)]);
+    assert_eq!(output.status.code(), Some(0), "{}", said(&output));
+    let expected = "+     0 ms  -1.5 n-2  server_chosen  server=s\n\
+                    +    50 ms  n-1  request_ended  status=503\n";
+    assert_eq!(said(&output), expected);
+    let output = run(&["trace", "--request", "r9", text(&first)]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(said(&output).contains("no line names the request"));
+}
