--- a/crates/core/src/serving/quota.rs
+++ b/crates/core/src/serving/quota.rs
@@ -1,7 +1,8 @@
 //! Whether a tenant is within its limit over all nodes.
 //!
 //! Each node keeps the bucket of the whole tenant. It takes its own use from it at once, and that
-//! of its peers as they tell of it, some times a second. A part of the rate is set aside for each
+//! of its peers as they tell of it, some times a second; until a peer tells again, it is taken to
+//! go on at the rate that it last told. A part of the rate is set aside for each
 //! node that is not heard, which may be cut off and serving: the parts of all nodes together never
 //! exceed the whole.
 
@@ -47,7 +48,7 @@
 pub struct Quotas {
     buckets: BTreeMap<String, Bucket>,
     own: UsedUnits,
-    peers: BTreeMap<(String, u64), UsedUnits>,
+    peers: BTreeMap<(String, u64), Told>,
 }
 
 #[derive(Clone, Debug)]
@@ -56,6 +57,18 @@
     filled_at: Millis,
 }
 
+/// What a life of a peer told last.
+#[derive(Clone, Debug, Default)]
+struct Told {
+    at: Millis,
+    used: UsedUnits,
+    /// Units a millisecond since it told before.
+    rates: BTreeMap<String, f64>,
+}
+
+/// How long a peer's rate is taken to go on after it was told.
+const RATE_LASTS: Millis = 2_000;
+
 impl Quotas {
     /// Takes units for a request of a tenant.
     ///
@@ -77,9 +90,10 @@
             return Ok(());
         }
         let rate = limit.rate_per_second * reach.get_part();
+        let untold = self.estimate_untold(now, tenant);
         let bucket = self.fill(now, tenant, limit, rate);
-        if bucket.available < LEAST_LEFT {
-            let lacking = LEAST_LEFT - bucket.available;
+        if bucket.available - untold < LEAST_LEFT {
+            let lacking = LEAST_LEFT + untold - bucket.available;
             return Err((lacking / rate * 1_000.0).ceil() as Millis);
         }
         bucket.available -= units as f64;
@@ -103,14 +117,27 @@
     }
 
     /// Takes over what a life of a peer has used since its start.
-    pub fn hear(&mut self, peer: &str, life: u64, used: &UsedUnits) {
+    pub fn hear(&mut self, now: Millis, peer: &str, life: u64, used: &UsedUnits) {
         let known = self.peers.entry((peer.to_owned(), life)).or_default();
+        let since = now.saturating_sub(known.at).max(1) as f64;
         for (tenant, units) in &used.0 {
-            let before = known.0.insert(tenant.clone(), *units).unwrap_or(0);
+            let before = known.used.0.insert(tenant.clone(), *units).unwrap_or(0);
+            let newly = *units as f64 - before as f64;
+            known.rates.insert(tenant.clone(), newly.max(0.0) / since);
             if let Some(bucket) = self.buckets.get_mut(tenant) {
-                bucket.available -= *units as f64 - before as f64;
+                bucket.available -= newly;
             }
         }
+        known.at = now;
+    }
+
+    /// Estimates what peers have used since they told last.
+    fn estimate_untold(&self, now: Millis, tenant: &str) -> f64 {
+        let untold = |told: &Told| {
+            let since = now.saturating_sub(told.at).min(RATE_LASTS) as f64;
+            told.rates.get(tenant).map_or(0.0, |rate| rate * since)
+        };
+        self.peers.values().map(untold).sum()
     }
 
     /// Forgets a life of a peer that is gone.
--- a/crates/core/tests/serving/quota.rs
+++ b/crates/core/tests/serving/quota.rs
@@ -34,8 +34,8 @@
     let mut quotas = Quotas::default();
     quotas.take(1_000, "acme", 1, LIMIT, ALONE).expect("within the limit");
     let used = UsedUnits(BTreeMap::from([("acme".to_owned(), 250)]));
-    quotas.hear("peer", 1, &used);
-    quotas.hear("peer", 1, &used);
+    quotas.hear(1_000, "peer", 1, &used);
+    quotas.hear(1_000, "peer", 1, &used);
     assert_eq!(quotas.take(1_000, "acme", 1, LIMIT, ALONE), Err(520));
 }
 
@@ -57,6 +57,20 @@
     assert_eq!(quotas.take(2_000, "acme", 1, LIMIT, cut), Err(40));
 }
 
+#[test]
+fn a_peer_is_taken_to_go_on_at_its_last_rate_until_it_tells_again() {
+    let mut quotas = Quotas::default();
+    quotas.take(1_000, "acme", 1, LIMIT, ALONE).expect("within the limit");
+    let used = |units| UsedUnits(BTreeMap::from([("acme".to_owned(), units)]));
+    quotas.hear(1_000, "peer", 1, &used(0));
+    quotas.hear(1_500, "peer", 1, &used(150));
+    // 200 - 1 - 150 are left and 60 gained by 1,600 ms, but another 30 were used untold.
+    assert_eq!(quotas.take(1_600, "acme", 60, LIMIT, ALONE), Ok(()));
+    assert_eq!(quotas.take(1_700, "acme", 1, LIMIT, ALONE), Err(20));
+    quotas.hear(1_800, "peer", 1, &used(150));
+    assert_eq!(quotas.take(1_800, "acme", 1, LIMIT, ALONE), Ok(()));
+}
+
 proptest! {
     /// Nodes that are all cut off from each other, and are asked for more than the limit all the
     /// time, give no more than the rate in sum, besides each node's burst at the start.
--- a/crates/gateway/src/node/gossip.rs
+++ b/crates/gateway/src/node/gossip.rs
@@ -166,7 +166,7 @@
         if let Some(former) = state.peers.hear(now, from, &heard) {
             state.quotas.forget(&digest.node, former);
         }
-        state.quotas.hear(&digest.node, digest.life, &digest.used);
+        state.quotas.hear(now, &digest.node, digest.life, &digest.used);
         for (window, counts) in &digest.usage {
             state.usage.merge(*window, &life, counts);
         }
--- a/crates/gateway/src/node/peers.rs
+++ b/crates/gateway/src/node/peers.rs
@@ -11,7 +11,7 @@
 /// The time between two digests while there are few peers.
 const PERIOD: Duration = Duration::from_millis(200);
 /// With more peers than this the period grows with their number.
-const PEERS_AT_FULL_RATE: usize = 16;
+const PEERS_AT_FULL_RATE: usize = 40;
 /// A peer that was heard within this many periods is in reach.
 const HEARD_WITHIN_PERIODS: u32 = 5;
 /// A peer that was not heard for this long is gone for good.
