--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -22,6 +22,7 @@
 use super::attempt::{Answer, AnswerBody, LoadGuard};
 use super::dispatch;
 use super::respond::{Record, close_if_stopping};
+use crate::event::{self, Event};
 use crate::http::{Body, Reply};
 use crate::node::Node;
 
@@ -213,6 +214,13 @@
     async fn go_on_elsewhere(&mut self) {
         self.reply = None;
         self.load = None;
+        event::emit(&Event::AttemptFailed {
+            request: &self.record.id,
+            server: self.tried.last().map_or("", String::as_str),
+            attempt: self.record.attempts,
+            may_have_run: true,
+            why: "broke_off",
+        });
         let Some(splitter) = self.splitter.as_mut() else {
             return self.stop(End::Broken("the server broke off"));
         };
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -33,7 +33,9 @@
 const FRESH_PART: f64 = 0.95;
 /// Messages to all peers that wait to be sent; more are dropped, and show at the next question.
 const PUSHES_WAITING: usize = 256;
-const CONNECT_WITHIN: Duration = Duration::from_millis(1_000);
+/// A server that does not take a connection within this time is passed over: the way there takes some
+/// milliseconds, and a lost opening packet is sent again only after a second.
+const CONNECT_WITHIN: Duration = Duration::from_millis(250);
 /// The part of a lease that its holder leaves unused.
 const LEASE_MARGIN_PART: f64 = 0.2;
 
