--- a/crates/core/src/serving/quota.rs
+++ b/crates/core/src/serving/quota.rs
@@ -2,9 +2,12 @@
 //!
 //! Each node keeps the bucket of the whole tenant. It takes its own use from it at once, and that
 //! of its peers as they tell of it, some times a second; until a peer tells again, it is taken to
-//! go on at the rate that it last told. A part of the rate is set aside for each
-//! node that is not heard, which may be cut off and serving: the parts of all nodes together never
-//! exceed the whole.
+//! go on at the rate that it last told. While much is left, every request is taken. Once little is
+//! left, what peers tell is too old to decide by: a node then gives its own part of the rate, which
+//! is its part of what the tenant asks of all nodes, and the parts sum up to the whole.
+//!
+//! A part of the rate is set aside for each node that is not heard, which may be cut off and
+//! serving: the parts of all nodes together never exceed the whole.
 
 use std::collections::BTreeMap;
 
@@ -39,37 +42,125 @@
     }
 }
 
-/// Units that one life of a node has used since its start, by tenant.
+/// What one life of a node was asked for by a tenant, and gave, since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Units {
+    /// Units of all requests, those that were refused too.
+    pub asked: u64,
+    /// Units of the requests that were taken.
+    pub used: u64,
+}
+
+/// The units of one life of a node, by tenant.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct UsedUnits(pub BTreeMap<String, u64>);
+pub struct TenantUnits(pub BTreeMap<String, Units>);
 
 /// The use of all tenants, as one node knows it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Quotas {
-    buckets: BTreeMap<String, Bucket>,
-    own: UsedUnits,
-    peers: BTreeMap<(String, u64), Told>,
+    started_at: Millis,
+    whole: BTreeMap<String, Bucket>,
+    own_part: BTreeMap<String, Bucket>,
+    own: TenantUnits,
+    own_rates: Rates,
+    peers: BTreeMap<(String, u64), Rates>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Bucket {
     available: f64,
     filled_at: Millis,
+    rate: f64,
+    capacity: f64,
+}
+
+impl Bucket {
+    fn new(now: Millis, available: f64) -> Self {
+        Self { available, filled_at: now, rate: 0.0, capacity: f64::INFINITY }
+    }
+
+    /// Fills the bucket at the rate that held until now, and sets the one that holds from now on.
+    fn set(&mut self, now: Millis, rate: f64, capacity: f64) {
+        self.fill(now);
+        self.rate = rate;
+        self.capacity = capacity;
+        self.available = self.available.min(capacity);
+    }
+
+    fn fill(&mut self, now: Millis) {
+        let gained = now.saturating_sub(self.filled_at) as f64 / 1_000.0 * self.rate;
+        self.available = (self.available + gained).min(self.capacity);
+        self.filled_at = self.filled_at.max(now);
+    }
 }
 
-/// What a life of a peer told last.
+/// What a life of a node told last, and how fast that grew. Rates are units a millisecond.
 #[derive(Clone, Debug, Default)]
-struct Told {
-    at: Millis,
-    used: UsedUnits,
-    /// Units a millisecond since it told before.
-    rates: BTreeMap<String, f64>,
+struct Rates {
+    told_at: Millis,
+    told: TenantUnits,
+    used: BTreeMap<String, f64>,
+    asked: BTreeMap<String, f64>,
+}
+
+impl Rates {
+    /// Takes over new totals; returns the units used since the last ones, by tenant.
+    fn update(&mut self, now: Millis, totals: &TenantUnits) -> Vec<(String, f64)> {
+        let since = now.saturating_sub(self.told_at).max(1) as f64;
+        let mut newly_used = Vec::new();
+        for (tenant, units) in &totals.0 {
+            let before = self.told.0.insert(tenant.clone(), *units).unwrap_or_default();
+            let used = units.used as f64 - before.used as f64;
+            let asked = units.asked as f64 - before.asked as f64;
+            self.used.insert(tenant.clone(), used.max(0.0) / since);
+            let rate = self.asked.entry(tenant.clone()).or_default();
+            *rate += SMOOTHING * (asked.max(0.0) / since - *rate);
+            newly_used.push((tenant.clone(), used));
+        }
+        self.told_at = now;
+        newly_used
+    }
+
+    /// Estimates the units used since the last totals.
+    fn estimate_untold(&self, now: Millis, tenant: &str) -> f64 {
+        let since = now.saturating_sub(self.told_at).min(RATE_LASTS) as f64;
+        self.used.get(tenant).map_or(0.0, |rate| rate * since)
+    }
+
+    fn get_asked(&self, now: Millis, tenant: &str) -> f64 {
+        let is_recent = now < self.told_at + RATE_LASTS;
+        self.asked.get(tenant).copied().filter(|_| is_recent).unwrap_or(0.0)
+    }
 }
 
-/// How long a peer's rate is taken to go on after it was told.
+/// How long a rate is taken to go on after it was told.
 const RATE_LASTS: Millis = 2_000;
+/// The weight of the newest sample of a rate.
+const SMOOTHING: f64 = 0.5;
+/// The part of the burst below which each node gives its own part of the rate only.
+const LITTLE_LEFT_PART: f64 = 0.4;
+/// The part of the rate that is given then, so that what was given beyond it comes back.
+const PART_GIVEN: f64 = 0.95;
+/// How much less of the rate is given for each burst that was given beyond the limit.
+const PAID_BACK_PART: f64 = 0.15;
+const LEAST_GIVEN: f64 = 0.5;
+/// A node that started less than this ago did not see what others gave before: the burst may be
+/// spent, also where all nodes started anew.
+const NEW_FOR: Millis = 3_000;
 
 impl Quotas {
+    /// Makes the quotas of a node that starts now, and does not know what others gave before.
+    pub fn new(now: Millis) -> Self {
+        Self {
+            started_at: now,
+            whole: BTreeMap::new(),
+            own_part: BTreeMap::new(),
+            own: TenantUnits::default(),
+            own_rates: Rates::default(),
+            peers: BTreeMap::new(),
+        }
+    }
+
     /// Takes units for a request of a tenant.
     ///
     /// A request is taken while a unit is left, also where it is larger than what is left: the
@@ -89,55 +180,67 @@
         if limit.rate_per_second <= 0.0 {
             return Ok(());
         }
+        self.own.0.entry(tenant.to_owned()).or_default().asked += units;
         let rate = limit.rate_per_second * reach.get_part();
-        let untold = self.estimate_untold(now, tenant);
-        let bucket = self.fill(now, tenant, limit, rate);
-        if bucket.available - untold < LEAST_LEFT {
-            let lacking = LEAST_LEFT + untold - bucket.available;
-            return Err((lacking / rate * 1_000.0).ceil() as Millis);
+        let capacity = limit.burst.max(limit.rate_per_second / 10.0);
+        let left = self.fill_whole(now, tenant, rate, capacity);
+        let little = if reach.all > 1 { capacity * LITTLE_LEFT_PART } else { LEAST_LEFT };
+        if left >= little.max(LEAST_LEFT) {
+            self.give(tenant, units);
+            return Ok(());
+        }
+        if reach.all == 1 {
+            return Err(wait(LEAST_LEFT - left, rate));
+        }
+        let beyond = (-left / capacity).max(0.0);
+        let given = (PART_GIVEN - PAID_BACK_PART * beyond).max(LEAST_GIVEN);
+        let part = given * rate * self.get_share(now, tenant, reach);
+        let bucket = self.own_part.entry(tenant.to_owned());
+        let bucket = bucket.or_insert(Bucket::new(now, 0.0));
+        bucket.set(now, part, part.max(LEAST_LEFT));
+        if bucket.available < LEAST_LEFT {
+            return Err(wait(LEAST_LEFT - bucket.available, part));
         }
         bucket.available -= units as f64;
-        *self.own.0.entry(tenant.to_owned()).or_default() += units;
+        self.give(tenant, units);
         Ok(())
     }
 
     /// Gives back units of a request that did not run.
     pub fn give_back(&mut self, tenant: &str, units: u64) {
-        if let Some(bucket) = self.buckets.get_mut(tenant) {
+        if let Some(bucket) = self.whole.get_mut(tenant) {
             bucket.available += units as f64;
         }
-        if let Some(used) = self.own.0.get_mut(tenant) {
-            *used = used.saturating_sub(units);
+        if let Some(own) = self.own.0.get_mut(tenant) {
+            own.used = own.used.saturating_sub(units);
         }
     }
 
-    /// Returns what this life has used.
-    pub fn get_own(&self) -> &UsedUnits {
-        &self.own
+    /// Returns what this life was asked for and gave, and notes how fast that grew.
+    pub fn tell(&mut self, now: Millis) -> TenantUnits {
+        self.own_rates.update(now, &self.own);
+        self.own.clone()
     }
 
-    /// Takes over what a life of a peer has used since its start.
-    pub fn hear(&mut self, now: Millis, peer: &str, life: u64, used: &UsedUnits) {
-        let known = self.peers.entry((peer.to_owned(), life)).or_default();
-        let since = now.saturating_sub(known.at).max(1) as f64;
-        for (tenant, units) in &used.0 {
-            let before = known.used.0.insert(tenant.clone(), *units).unwrap_or(0);
-            let newly = *units as f64 - before as f64;
-            known.rates.insert(tenant.clone(), newly.max(0.0) / since);
-            if let Some(bucket) = self.buckets.get_mut(tenant) {
-                bucket.available -= newly;
+    /// Takes over what a life of a peer was asked for and gave since its start.
+    pub fn hear(&mut self, now: Millis, peer: &str, life: u64, totals: &TenantUnits) {
+        let is_new = now < self.started_at + NEW_FOR;
+        let is_first = !self.peers.contains_key(&(peer.to_owned(), life));
+        let rates = self.peers.entry((peer.to_owned(), life)).or_default();
+        if is_first {
+            rates.told_at = now.saturating_sub(RATE_LASTS);
+        }
+        let newly_used = rates.update(now, totals);
+        // What a peer gave before this node began to count is no use of this node's bucket.
+        if is_first && is_new {
+            return;
+        }
+        for (tenant, used) in newly_used {
+            if let Some(bucket) = self.whole.get_mut(&tenant) {
+                bucket.fill(now);
+                bucket.available -= used;
             }
         }
-        known.at = now;
-    }
-
-    /// Estimates what peers have used since they told last.
-    fn estimate_untold(&self, now: Millis, tenant: &str) -> f64 {
-        let untold = |told: &Told| {
-            let since = now.saturating_sub(told.at).min(RATE_LASTS) as f64;
-            told.rates.get(tenant).map_or(0.0, |rate| rate * since)
-        };
-        self.peers.values().map(untold).sum()
     }
 
     /// Forgets a life of a peer that is gone.
@@ -145,13 +248,35 @@
         self.peers.remove(&(peer.to_owned(), life));
     }
 
-    fn fill(&mut self, now: Millis, tenant: &str, limit: Limit, rate: f64) -> &mut Bucket {
-        let capacity = limit.burst.max(limit.rate_per_second / 10.0);
-        let bucket = self.buckets.entry(tenant.to_owned());
-        let bucket = bucket.or_insert(Bucket { available: capacity, filled_at: now });
-        let gained = now.saturating_sub(bucket.filled_at) as f64 / 1_000.0 * rate;
-        bucket.available = (bucket.available + gained).min(capacity);
-        bucket.filled_at = now;
-        bucket
+    fn give(&mut self, tenant: &str, units: u64) {
+        if let Some(bucket) = self.whole.get_mut(tenant) {
+            bucket.available -= units as f64;
+        }
+        self.own.0.entry(tenant.to_owned()).or_default().used += units;
+    }
+
+    /// Fills the whole tenant's bucket and returns what is left of it by now.
+    fn fill_whole(&mut self, now: Millis, tenant: &str, rate: f64, capacity: f64) -> f64 {
+        let untold: f64 = self.peers.values().map(|p| p.estimate_untold(now, tenant)).sum();
+        let is_new = now < self.started_at + NEW_FOR;
+        let first = if is_new { capacity * LITTLE_LEFT_PART } else { capacity };
+        let bucket = self.whole.entry(tenant.to_owned());
+        let bucket = bucket.or_insert(Bucket::new(now, first));
+        bucket.set(now, rate, capacity);
+        bucket.available - untold
     }
+
+    /// Returns this node's part of what the tenant asks of all nodes that are heard.
+    fn get_share(&self, now: Millis, tenant: &str, reach: Reach) -> f64 {
+        let own = self.own_rates.get_asked(now, tenant);
+        let peers: f64 = self.peers.values().map(|peer| peer.get_asked(now, tenant)).sum();
+        if own <= 0.0 {
+            return 1.0 / reach.heard.max(1) as f64;
+        }
+        own / (own + peers)
+    }
+}
+
+fn wait(lacking: f64, rate: f64) -> Millis {
+    (lacking / rate * 1_000.0).ceil() as Millis
 }
--- a/crates/gateway/src/node/gossip.rs
+++ b/crates/gateway/src/node/gossip.rs
@@ -13,7 +13,7 @@
 use keeljunction_core::serving::demand::DemandTotals;
 use keeljunction_core::serving::directory::Batch;
 use keeljunction_core::serving::load::Load;
-use keeljunction_core::serving::quota::UsedUnits;
+use keeljunction_core::serving::quota::TenantUnits;
 use keeljunction_core::serving::usage::{Counts, WindowNumber};
 use serde::{Deserialize, Serialize};
 
@@ -67,7 +67,7 @@
     is_stopping: bool,
     holds_duties: bool,
     loads: Vec<(u64, Load)>,
-    used: UsedUnits,
+    used: TenantUnits,
     usage: Vec<(WindowNumber, Counts)>,
     demand: Vec<(String, DemandTotals)>,
 }
@@ -189,7 +189,7 @@
                 is_stopping,
                 holds_duties: state.lease.get_fence(now).is_some(),
                 loads: state.loads.get_own(),
-                used: state.quotas.get_own().clone(),
+                used: state.quotas.tell(now),
                 usage: latest(state.usage.of_life(&node.life)),
                 demand: state.demand.get_own(),
             };
--- a/crates/gateway/src/node/peers.rs
+++ b/crates/gateway/src/node/peers.rs
@@ -37,6 +37,7 @@
 #[derive(Debug)]
 pub struct Peers {
     own_name: String,
+    started_at: Millis,
     own_address: SocketAddr,
     known: HashMap<String, Peer>,
     candidates: Vec<SocketAddr>,
@@ -53,9 +54,15 @@
 
 impl Peers {
     /// Makes a list that holds candidate addresses only.
-    pub fn new(own_name: String, own_address: SocketAddr, seeds: &[SocketAddr]) -> Self {
+    pub fn new(
+        now: Millis,
+        own_name: String,
+        own_address: SocketAddr,
+        seeds: &[SocketAddr],
+    ) -> Self {
         let mut peers = Self {
             own_name,
+            started_at: now,
             own_address,
             known: HashMap::new(),
             candidates: Vec::new(),
@@ -68,7 +75,8 @@
     /// Adds addresses at which a peer may listen.
     pub fn add_seeds(&mut self, seeds: &[SocketAddr]) {
         for seed in seeds {
-            if *seed != self.own_address && !self.candidates.contains(seed) {
+            let is_known = self.known.values().any(|peer| peer.address == *seed);
+            if !is_known && *seed != self.own_address && !self.candidates.contains(seed) {
                 self.candidates.push(*seed);
             }
         }
@@ -85,13 +93,14 @@
         (self.get_period() * HEARD_WITHIN_PERIODS).as_millis() as Millis
     }
 
-    /// Returns how many nodes there are and how many of them are heard, this one included.
+    /// Returns how many nodes there may be and how many of them are heard, this one included. One
+    /// that was listed and not heard yet may be serving.
     pub fn get_reach(&self, now: Millis) -> Reach {
         let alive = self.known.values().filter(|peer| !peer.is_stopping);
         let alive: Vec<&Peer> = alive.filter(|peer| now < peer.heard_at + GONE_AFTER).collect();
         let within = self.get_heard_within();
         let heard = alive.iter().filter(|peer| now < peer.heard_at + within).count();
-        Reach { heard: heard + 1, all: alive.len() + 1 }
+        Reach { heard: heard + 1, all: alive.len() + self.candidates.len() + 1 }
     }
 
     /// Says whether a peer that holds the duties was heard within a time.
@@ -127,7 +136,11 @@
         before.map(|before| before.life).filter(|life| *life != heard.life)
     }
 
+    /// Forgets nodes that were not heard for long.
     pub(super) fn expire(&mut self, now: Millis) {
+        if now >= self.started_at + GONE_AFTER {
+            self.candidates.clear();
+        }
         self.known.retain(|_, peer| now < peer.heard_at + GONE_AFTER);
     }
 
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -100,6 +100,7 @@
 impl Node {
     /// Makes a node that knows nothing yet.
     pub fn new(settings: Settings, platform: Platform, closing: Stop) -> Arc<Self> {
+        let clock = Clock::new();
         let life = Life { node: settings.node.name.clone(), number: fastrand::u64(..) };
         let bounds = settings.bounds;
         let allowance = Allowance {
@@ -119,16 +120,21 @@
             has_servers: false,
             loads: LoadBook::default(),
             health: Health::default(),
-            quotas: Quotas::default(),
+            quotas: Quotas::new(clock.now()),
             budget: RetryBudget::new(allowance),
             usage: Ledger::default(),
-            peers: Peers::new(life.node.clone(), settings.listen.peers, &settings.seeds),
+            peers: Peers::new(
+                clock.now(),
+                life.node.clone(),
+                settings.listen.peers,
+                &settings.seeds,
+            ),
             lease: DutyLease::new(life.node.clone(), life.number, bounds.lease_ms, margin),
         };
         Arc::new(Self {
             settings,
             platform,
-            clock: Clock::new(),
+            clock,
             life,
             servers: Client::new(CONNECT_WITHIN),
             metrics: Metrics::default(),
