--- a/crates/core/src/serving/quota.rs
+++ b/crates/core/src/serving/quota.rs
@@ -27,13 +27,15 @@
     pub burst: f64,
 }
 
-/// How many nodes there are, and how many of them are heard (this one included).
+/// How many nodes there are, how many of them are heard (this one included), and how often.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reach {
     /// Nodes that are heard.
     pub heard: usize,
     /// Nodes that may be serving.
     pub all: usize,
+    /// The time between two messages of a peer.
+    pub period: Millis,
 }
 
 impl Reach {
@@ -137,7 +139,10 @@
 const RATE_LASTS: Millis = 2_000;
 /// The weight of the newest sample of a rate.
 const SMOOTHING: f64 = 0.5;
-/// The part of the burst below which each node gives its own part of the rate only.
+/// Periods between messages in which use is untold: a message may be lost, and takes its time.
+const PERIODS_UNTOLD: f64 = 1.5;
+/// The largest part of the burst that counts as little left: below, each node gives its own part of
+/// the rate only.
 const LITTLE_LEFT_PART: f64 = 0.4;
 /// The part of the rate that is given then, so that what was given beyond it comes back.
 const PART_GIVEN: f64 = 0.95;
@@ -184,8 +189,7 @@
         let rate = limit.rate_per_second * reach.get_part();
         let capacity = limit.burst.max(limit.rate_per_second / 10.0);
         let left = self.fill_whole(now, tenant, rate, capacity);
-        let little = if reach.all > 1 { capacity * LITTLE_LEFT_PART } else { LEAST_LEFT };
-        if left >= little.max(LEAST_LEFT) {
+        if left >= self.get_little(now, tenant, capacity, reach) {
             self.give(tenant, units);
             return Ok(());
         }
@@ -266,14 +270,28 @@
         bucket.available - untold
     }
 
+    /// Returns what counts as little left: what the tenant may use before peers tell of it.
+    fn get_little(&self, now: Millis, tenant: &str, capacity: f64, reach: Reach) -> f64 {
+        if reach.all == 1 {
+            return LEAST_LEFT;
+        }
+        let untold = self.get_all_asked(now, tenant) * reach.period as f64 * PERIODS_UNTOLD;
+        untold.clamp(LEAST_LEFT, (capacity * LITTLE_LEFT_PART).max(LEAST_LEFT))
+    }
+
+    /// Returns what the tenant asks of all nodes that are heard, in units a millisecond.
+    fn get_all_asked(&self, now: Millis, tenant: &str) -> f64 {
+        let peers: f64 = self.peers.values().map(|peer| peer.get_asked(now, tenant)).sum();
+        self.own_rates.get_asked(now, tenant) + peers
+    }
+
     /// Returns this node's part of what the tenant asks of all nodes that are heard.
     fn get_share(&self, now: Millis, tenant: &str, reach: Reach) -> f64 {
         let own = self.own_rates.get_asked(now, tenant);
-        let peers: f64 = self.peers.values().map(|peer| peer.get_asked(now, tenant)).sum();
         if own <= 0.0 {
             return 1.0 / reach.heard.max(1) as f64;
         }
-        own / (own + peers)
+        own / self.get_all_asked(now, tenant)
     }
 }
 
--- a/crates/gateway/src/node/peers.rs
+++ b/crates/gateway/src/node/peers.rs
@@ -100,7 +100,11 @@
         let alive: Vec<&Peer> = alive.filter(|peer| now < peer.heard_at + GONE_AFTER).collect();
         let within = self.get_heard_within();
         let heard = alive.iter().filter(|peer| now < peer.heard_at + within).count();
-        Reach { heard: heard + 1, all: alive.len() + self.candidates.len() + 1 }
+        Reach {
+            heard: heard + 1,
+            all: alive.len() + self.candidates.len() + 1,
+            period: self.get_period().as_millis() as Millis,
+        }
     }
 
     /// Says whether a peer that holds the duties was heard within a time.
