fix(capacity): a new holder leaves the mix as it is until it knows the demand

Cause (incidents inc-7bc9, inc-d358): after a holder's kill the next one took the servers present for the need and ordered twice as many, then gave them up.

--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -79,7 +79,13 @@
         let stock = self.take_stock(node, name, scaling);
         let held: u32 = stock.values().map(|zone| zone.lasting + zone.reclaimable).sum();
         let (found, is_settled) = self.settle(name, held, now);
-        let need = self.get_need(node, name, service, now).unwrap_or(found);
+        let is_mixed = stock.values().any(|zone| zone.reclaimable > 0);
+        let need = match self.get_need(node, name, service, now) {
+            Some(need) => need,
+            // A holder that does not know the demand yet leaves an earlier holder's mix as it is.
+            None if is_mixed => return,
+            None => found,
+        };
         let policy = node.settings.capacity.get_policy();
         let plan = plan(&policy, scaling, &stock, need, self.is_dry(name, now));
         for order in self.list_changes(name, &plan, &stock, now) {
