--- a/crates/core/src/bundle/check.rs
+++ b/crates/core/src/bundle/check.rs
@@ -18,7 +18,7 @@
 pub fn parse(text: &str) -> Result<Document, Error> {
     let document: Document = serde_saphyr::from_str(text).map_err(|error| {
         Error::new(ErrorKind::Malformed, error.to_string())
-            .tip("see docs/OPERATING.md for the keys of a bundle")
+            .tip("see docs/OPERATIONS.md for the keys of a bundle")
     })?;
     check(&document)?;
     Ok(document)
--- a/crates/core/src/serving/quota.rs
+++ b/crates/core/src/serving/quota.rs
@@ -144,8 +144,8 @@
 /// The largest part of the burst that counts as little left: below, each node gives its own part of
 /// the rate only.
 const LITTLE_LEFT_PART: f64 = 0.4;
-/// The part of the rate that is given then, so that what was given beyond it comes back.
-const PART_GIVEN: f64 = 0.95;
+/// The part of the rate that is given then, less what pays back what was given beyond the limit.
+const PART_GIVEN: f64 = 1.0;
 /// How much less of the rate is given for each burst that was given beyond the limit.
 const PAID_BACK_PART: f64 = 0.15;
 const LEAST_GIVEN: f64 = 0.5;
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -23,6 +23,9 @@
 
 /// The time that a caller is taken to wait where it does not say.
 const DEFAULT_DEADLINE: Millis = 30_000;
+/// When a tenant beyond its limit should come back at the earliest: what is refilled at once goes
+/// to those that came first.
+const QUOTA_BACK_IN: Millis = 500;
 /// When to come back where the node's own knowledge is what is missing.
 const KNOWLEDGE_BACK_IN: Millis = 400;
 
@@ -103,7 +106,7 @@
         let service = service.to_owned();
         record.service = Some(service.clone());
         let quota = take_quota(node, tenant.as_ref(), head.prompt.as_ref())
-            .map_err(|wait| refuse(Refusal::OverQuota, wait))?;
+            .map_err(|wait| refuse(Refusal::OverQuota, wait.max(QUOTA_BACK_IN)))?;
         let prompt = head.prompt.as_ref();
         let priority = tenant.as_ref().map_or(0, |tenant| tenant.priority);
         let urgency = priority * PRIORITY_STEP + route.priority;
--- a/crates/keeljunction/src/settings/check.rs
+++ b/crates/keeljunction/src/settings/check.rs
@@ -21,7 +21,7 @@
         Error::new(ErrorKind::NotFound, format!("the settings cannot be read: {error}"))
             .key("--settings")
             .value(path.display().to_string())
-            .tip("name a YAML file; docs/OPERATING.md shows one")
+            .tip("name a YAML file; docs/OPERATIONS.md shows one")
     })?;
     parse(&text)
 }
@@ -35,7 +35,7 @@
 pub fn parse(text: &str) -> Result<Settings, Error> {
     let settings: Settings = serde_saphyr::from_str(text).map_err(|error| {
         Error::new(ErrorKind::Malformed, error.to_string())
-            .tip("see docs/OPERATING.md for the keys of the settings")
+            .tip("see docs/OPERATIONS.md for the keys of the settings")
     })?;
     check(&settings)?;
     Ok(settings)
