--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # Tests with real processes that run at the same time: each starts up to a dozen.
 JOBS ?= 4
 
-.PHONY: all build demo test fmt clippy unit faults doc bench codegen clean
+.PHONY: all build demo test fmt clippy unit faults doc bench soak codegen clean
 
 all: build
 
@@ -35,6 +35,11 @@
 faults: build
 	$(CARGO) test -p standin --test faults -- --test-threads=$(JOBS)
 
+# Random faults against real processes, with fresh seeds; a failing seed is printed.
+RUNS ?= 50
+soak: build
+	SOAK_RUNS=$(RUNS) $(CARGO) test -p keeljunction-platform soak -- --nocapture
+
 # All figures of docs/MEASUREMENTS.md again; some minutes.
 bench:
 	$(CARGO) build --release --workspace --bins
