--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -2,11 +2,11 @@
 //!
 //! | module | does |
 //! |---|---|
-//! | [`admission`] | checks the request and finds its route, tenant and time |
-//! | [`dispatch`] | chooses servers and sends the request until there is an answer |
-//! | [`attempt`] | sends the request to one server and judges what comes back |
-//! | [`relay`] | passes the answer on |
-//! | [`respond`] | writes refusals, and tells of each request's end |
+//! | `admission` | checks the request and finds its route, tenant and time |
+//! | `dispatch` | chooses servers and sends the request until there is an answer |
+//! | `attempt` | sends the request to one server and judges what comes back |
+//! | `relay` | passes the answer on |
+//! | `respond` | writes refusals, and tells of each request's end |
 
 mod admission;
 mod attempt;
