--- a/crates/core/src/serving/choice.rs
+++ b/crates/core/src/serving/choice.rs
@@ -60,9 +60,6 @@
     None,
 }
 
-/// Servers drawn at random, of which the least busy is taken.
-const CHOICES: usize = 3;
-
 /// How late an answer may be expected before it is refused, in parts of its target: estimates are
 /// rough, and a late answer is worth more than a needless refusal.
 const LATE_PART: f64 = 1.0;
@@ -78,8 +75,7 @@
         return Choice::Busy(wait);
     }
     let preferred = wish.shared_part.and_then(|part| find_preferred(&usable, wish, part));
-    let fallback = || find_least_of_few(&usable, wish, random).unwrap_or(least);
-    Choice::Server(preferred.unwrap_or_else(fallback).server)
+    Choice::Server(preferred.unwrap_or(least).server)
 }
 
 /// Returns the time after which the least busy server has room, where the answer would be late.
@@ -126,19 +122,6 @@
     candidates.iter().min_by_key(busy).copied()
 }
 
-/// Finds the least busy of a few servers drawn at random: all nodes act on the same counts, and
-/// would all choose the least busy of all until they hear of each other.
-fn find_least_of_few<'c, 'a>(
-    candidates: &[&'c Candidate<'a>],
-    wish: &Wish,
-    random: u64,
-) -> Option<&'c Candidate<'a>> {
-    let mut drawn: Vec<&'c Candidate<'a>> = candidates.to_vec();
-    drawn.sort_unstable_by_key(|c| weight(random, &c.server.id));
-    drawn.truncate(CHOICES);
-    find_least(&drawn, wish, random)
-}
-
 fn weight(key: u64, id: &str) -> u64 {
     xxh3_64_with_seed(id.as_bytes(), key)
 }
