--- a/crates/gateway/src/node/duty.rs
+++ b/crates/gateway/src/node/duty.rs
@@ -8,7 +8,7 @@
 
 use super::{Node, capacity_duty, usage_duty};
 use crate::event::{self, Event};
-use crate::port::{Condition, Row, Rows, TableError, TableName, Transaction, Write};
+use crate::port::{Condition, Row, TableError, TableName, Transaction, Write};
 use crate::runtime;
 
 pub(super) const TABLE: &str = "leases";
@@ -18,10 +18,12 @@
 /// Renewals in each length of the lease.
 const RENEWALS: u64 = 3;
 
-/// What the node knows of the lease's row.
+/// The lease's row as the table surely held it, with the clock reading that came with it.
 #[derive(Clone, Debug)]
 struct Known {
-    row: LeaseRow,
+    /// `None` where there is no row yet.
+    row: Option<LeaseRow>,
+    /// The row's version; 0 where there is none.
     version: u64,
     clock: TableClock,
 }
@@ -59,72 +61,44 @@
 }
 
 /// Takes or renews the lease; returns the time after which to look again.
+///
+/// After a write whose outcome is not known the row is read before anything else is tried.
 async fn keep(node: &Node, known: &mut Option<Known>) -> Millis {
+    let retry = TICK.as_millis() as Millis;
     if node.is_stopping() {
         return node.settings.bounds.lease_ms;
     }
-    let retry = TICK.as_millis() as Millis;
-    if known.is_none() {
-        match read(node).await {
-            Ok(Some(read)) => *known = Some(read),
-            Ok(None) => return write(node, known, LeaseRead::absent(node).await).await,
+    let current = match known.take() {
+        Some(current) => current,
+        None => match read(node).await {
+            Ok(current) => current,
             Err(_) => return retry,
-        }
-    }
-    let Some(current) = known.clone() else { return retry };
-    write(
-        node,
-        known,
-        Some(LeaseRead { row: Some(current.row), version: current.version, clock: current.clock }),
-    )
-    .await
-}
-
-/// The row as it was read, where it is there.
-struct LeaseRead {
-    row: Option<LeaseRow>,
-    version: u64,
-    clock: TableClock,
-}
-
-impl LeaseRead {
-    /// Reads the table's clock for a row that is not there yet.
-    async fn absent(node: &Node) -> Option<Self> {
-        let asked_at = node.now();
-        let rows = read_rows(node).await.ok()?;
-        let clock = TableClock { asked_at, table_time: rows.table_time };
-        rows.rows.is_empty().then_some(Self { row: None, version: 0, clock })
-    }
-}
-
-async fn write(node: &Node, known: &mut Option<Known>, read: Option<LeaseRead>) -> Millis {
-    let retry = TICK.as_millis() as Millis;
-    let Some(read) = read else { return retry };
+        },
+    };
     let now = node.now();
-    let row = match node.with(|state| state.lease.decide(now, read.row.as_ref(), read.clock)) {
-        Step::Wait(time) => {
-            *known = None;
-            return time + retry / 2;
-        }
+    let decided = node.with(|state| state.lease.decide(now, current.row.as_ref(), current.clock));
+    let row = match decided {
+        Step::Wait(time) => return time + retry / 2,
         Step::Write(row) => row,
     };
+    *known = write(node, row, current.version).await;
+    if known.is_some() { node.settings.bounds.lease_ms / RENEWALS } else { retry }
+}
+
+/// Writes the row where it has not changed since a version; `None` where that is not sure to be
+/// done.
+async fn write(node: &Node, row: LeaseRow, version: u64) -> Option<Known> {
     let asked_at = node.now();
-    let committing = (node.platform.table.commit)(transaction(&row, read.version));
-    match runtime::within(ANSWER_WITHIN, committing).await {
-        Some(Ok(rows)) => {
+    let committing = (node.platform.table.commit)(transaction(&row, version));
+    match runtime::within(ANSWER_WITHIN, committing).await? {
+        Ok(rows) => {
             let clock = TableClock { asked_at, table_time: rows.table_time };
             node.with(|state| state.lease.confirm(&row, clock));
-            *known = Some(Known { row, version: rows.version, clock });
-            node.settings.bounds.lease_ms / RENEWALS
+            Some(Known { row: Some(row), version: rows.version, clock })
         }
-        Some(Err(error)) => {
+        Err(error) => {
             event::emit(&Event::TableCallFailed { what: "lease", error: error.to_string() });
-            *known = None;
-            retry
-        }
-        None => {
-            *known = None;
-            retry
+            None
         }
     }
 }
@@ -137,25 +111,23 @@
 }
 
 /// Reads the lease's row; a row that is this node's confirms its lease.
-async fn read(node: &Node) -> Result<Option<Known>, TableError> {
+async fn read(node: &Node) -> Result<Known, TableError> {
     let asked_at = node.now();
-    let rows = read_rows(node).await?;
-    let clock = TableClock { asked_at, table_time: rows.table_time };
-    let Some(known) = rows.rows.iter().find_map(|row| decode(row, clock)) else { return Ok(None) };
-    node.with(|state| state.lease.confirm(&known.row, clock));
-    Ok(Some(known))
-}
-
-async fn read_rows(node: &Node) -> Result<Rows, TableError> {
     let reading = (node.platform.table.read)(TableName::Own(TABLE));
     let answer = runtime::within(ANSWER_WITHIN, reading).await;
-    answer.unwrap_or_else(|| Err(TableError::Unanswered("no answer in time".to_owned())))
+    let rows =
+        answer.unwrap_or_else(|| Err(TableError::Unanswered("no answer in time".to_owned())))?;
+    let clock = TableClock { asked_at, table_time: rows.table_time };
+    let Some((row, version)) = rows.rows.iter().find_map(decode) else {
+        return Ok(Known { row: None, version: 0, clock });
+    };
+    node.with(|state| state.lease.confirm(&row, clock));
+    Ok(Known { row: Some(row), version, clock })
 }
 
-fn decode(row: &Row, clock: TableClock) -> Option<Known> {
+fn decode(row: &Row) -> Option<(LeaseRow, u64)> {
     if row.key != KEY {
         return None;
     }
-    let decoded = serde_json::from_slice(row.value.as_deref()?).ok()?;
-    Some(Known { row: decoded, version: row.version, clock })
+    Some((serde_json::from_slice(row.value.as_deref()?).ok()?, row.version))
 }
