--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -4,7 +4,8 @@
 //! within seconds, and for a while none may be had anywhere. The plan holds a part of what is
 //! needed in lasting servers, and the rest in reclaimable ones, spread over the zones so that the
 //! loss of any zone's leaves enough. What cannot be had as reclaimable, or is being taken away, is
-//! ordered as lasting at once, and given up again when reclaimable servers have taken over.
+//! ordered as lasting at once. Lasting servers are given up again only when reclaimable ones take
+//! work in their place: one that was ordered carries nothing until it has started.
 
 use std::collections::BTreeMap;
 
@@ -22,11 +23,19 @@
     pub target_use: f64,
     /// How full the places of servers may be on average.
     pub target_fill: f64,
+    /// The part of the reclaimable servers that is counted on while no more can be had.
+    pub dry_trust: f64,
 }
 
 impl Default for Policy {
     fn default() -> Self {
-        Self { lasting_part: 0.25, reclaimable_part: 2.0, target_use: 0.33, target_fill: 0.6 }
+        Self {
+            lasting_part: 0.25,
+            reclaimable_part: 2.0,
+            target_use: 0.33,
+            target_fill: 0.6,
+            dry_trust: 0.0,
+        }
     }
 }
 
@@ -41,6 +50,20 @@
     pub reclaimable_booting: u32,
 }
 
+/// What a plan starts from.
+#[derive(Clone, Copy, Debug)]
+pub struct Situation<'a> {
+    /// What each zone holds; all zones in which the service may run are there.
+    pub stock: &'a BTreeMap<String, ZoneStock>,
+    /// How many servers carry what is asked.
+    pub need: u32,
+    /// Whether reclaimable servers were lately refused: what is taken away then cannot be had
+    /// again, and waves that take one zone often take the others too.
+    pub is_dry: bool,
+    /// Lasting servers that were ordered, or are there, in all zones.
+    pub lasting_held: u32,
+}
+
 /// What is asked of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Asked {
@@ -72,31 +95,20 @@
 }
 
 /// Plans the servers of a service.
-///
-/// `stock` names all zones in which the service may run. While the market `is_dry`, what is taken
-/// away cannot be had again, so that lasting servers stand in also for the zone that would be the
-/// greatest loss.
-pub fn plan(
-    policy: &Policy,
-    scaling: &Scaling,
-    stock: &BTreeMap<String, ZoneStock>,
-    need: u32,
-    is_dry: bool,
-) -> Plan {
+pub fn plan(policy: &Policy, scaling: &Scaling, situation: &Situation<'_>) -> Plan {
+    let stock = situation.stock;
     let zones = by_price(scaling, stock);
     let most = scaling.max * zones.len() as u32;
-    let need = need.max(scaling.min * zones.len() as u32).min(most);
+    let need = situation.need.max(scaling.min * zones.len() as u32).min(most);
     if scaling.spot_price.is_none() {
         let lasting = spread(&zones, need, scaling.max, &BTreeMap::new());
         return Plan { lasting, reclaimable: BTreeMap::new() };
     }
-    let base = ((f64::from(need) * policy.lasting_part).ceil() as u32).clamp(1, need);
     let reclaimable = (f64::from(need) * policy.reclaimable_part).ceil() as u32;
     let wanted = spread(&zones, reclaimable, scaling.max, &BTreeMap::new());
     let held: BTreeMap<String, u32> = stock.iter().map(held_reclaimable).collect();
-    let at_risk = if is_dry { held.values().copied().max().unwrap_or(0) } else { 0 };
-    let lacking = (need - base).saturating_sub(held.values().sum::<u32>() - at_risk);
-    let lasting = spread(&zones, base + lacking, scaling.max, &held);
+    let lasting = count_lasting(policy, situation, need);
+    let lasting = spread(&zones, lasting, scaling.max, &held);
     let reclaimable = wanted.into_iter().map(|(zone, count)| {
         let room = scaling.max - lasting.get(&zone).copied().unwrap_or(0).min(scaling.max);
         (zone, count.min(room))
@@ -105,6 +117,21 @@
     Plan { lasting, reclaimable }
 }
 
+/// Counts the lasting servers to hold in all zones.
+///
+/// Reclaimable servers that were ordered stand against ordering more lasting ones, and only those
+/// that take work against keeping the lasting ones that are there.
+fn count_lasting(policy: &Policy, situation: &Situation<'_>, need: u32) -> u32 {
+    let base = ((f64::from(need) * policy.lasting_part).ceil() as u32).clamp(1, need);
+    let working: u32 = situation.stock.values().map(|zone| zone.reclaimable).sum();
+    let booting: u32 = situation.stock.values().map(|zone| zone.reclaimable_booting).sum();
+    let trusted = if situation.is_dry { policy.dry_trust } else { 1.0 };
+    let carried = |reclaimable: u32| (f64::from(reclaimable) * trusted) as u32;
+    let least = base + (need - base).saturating_sub(carried(working + booting));
+    let most = base + (need - base).saturating_sub(carried(working));
+    situation.lasting_held.clamp(least, most)
+}
+
 /// Counts a zone's reclaimable servers, those that are coming up too.
 fn held_reclaimable((zone, stock): (&String, &ZoneStock)) -> (String, u32) {
     (zone.clone(), stock.reclaimable + stock.reclaimable_booting)
--- a/crates/core/src/serving/configuration.rs
+++ b/crates/core/src/serving/configuration.rs
@@ -37,6 +37,8 @@
     pub timeout: Millis,
     /// The time to the first piece inside which an answer is in time.
     pub target: Millis,
+    /// The longest pause between the pieces of a stream that is in time.
+    pub gap_target: Option<Millis>,
     /// The rank of the route's requests; 0 is the most urgent.
     pub priority: u32,
     /// Services and their weights.
--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -71,12 +71,17 @@
     /// Takes over the entries that changed after a version, up to another.
     ///
     /// Returns `None` where changes before these are missing: the whole list must be read. Entries
-    /// that are not newer than the list are passed over, so that batches may overlap.
+    /// that are not newer than the list are passed over, so that batches may overlap. A batch
+    /// without entries changes nothing, the version included: it rises with changes only, so that
+    /// nodes with equal lists find them equal.
     pub fn update(&mut self, batch: Batch) -> Option<Vec<Change>> {
         if batch.after > self.version {
             return None;
         }
         let known = self.version;
+        if batch.entries.is_empty() {
+            return Some(Vec::new());
+        }
         self.version = known.max(batch.version);
         let newer = batch.entries.into_iter().filter(|entry| entry.version > known);
         let changes = newer.filter_map(|entry| match entry.server {
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -8,6 +8,7 @@
 //! | [`load`] | how busy each server is, by this node's and its peers' counts |
 //! | [`choice`] | which server a request goes to |
 //! | [`health`] | which servers are passed over for what their answers show |
+//! | [`peers`] | which other nodes there are, and which of them read the platform's tables for all |
 //! | [`quota`] | whether a tenant is within its limit over all nodes |
 //! | [`budget`] | whether a request may be sent to a second server |
 //! | [`usage`] | how many requests of each tenant began in each window |
@@ -28,6 +29,7 @@
 pub mod health;
 pub mod load;
 pub mod pace;
+pub mod peers;
 pub mod quota;
 pub mod refusal;
 pub mod usage;
--- a/crates/core/src/serving/pace.rs
+++ b/crates/core/src/serving/pace.rs
@@ -7,12 +7,16 @@
 
 use std::collections::VecDeque;
 
+use serde::{Deserialize, Serialize};
+
 use crate::Millis;
 
 /// Prompts shorter than this show the fixed costs.
 const SHORT_TOKENS: u64 = 300;
 /// Prompts longer than this show the speed.
 const LONG_TOKENS: u64 = 1_500;
+/// A prompt that takes longer to read than this part of the longest pause in time is long.
+const LONG_GAP_PART: f64 = 0.4;
 const MOST_SAMPLES: usize = 200;
 /// Samples of long prompts before there is a figure.
 const LEAST_SAMPLES: usize = 10;
@@ -20,34 +24,57 @@
 const SPEED_QUANTILE: f64 = 0.7;
 const COST_QUANTILE: f64 = 0.3;
 
-/// The latest samples of one service.
+/// The latest samples of one service: this node's own, and those that its peers told.
 #[derive(Clone, Debug, Default)]
 pub struct Pace {
-    short: VecDeque<Sample>,
-    long: VecDeque<Sample>,
+    short: VecDeque<(Millis, Sample)>,
+    long: VecDeque<(Millis, Sample)>,
+    untold: Vec<Sample>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Sample {
-    at: Millis,
-    tokens: u64,
-    first_piece_ms: Millis,
+/// How long the first piece of one answer took.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sample {
+    /// Prompt tokens.
+    pub tokens: u64,
+    /// Milliseconds from dispatch to the first piece.
+    pub first_piece_ms: Millis,
 }
 
+/// The most samples told to peers at once.
+const MOST_TOLD: usize = 8;
+
 impl Pace {
-    /// Adds a sample: prompt tokens, and milliseconds from dispatch to the first piece.
-    pub fn add(&mut self, now: Millis, tokens: u64, first_piece_ms: Millis) {
-        let samples = match tokens {
+    /// Adds a sample of this node's own.
+    pub fn add(&mut self, now: Millis, sample: Sample) {
+        let is_kept = self.keep(now, sample);
+        if is_kept && self.untold.len() < MOST_TOLD {
+            self.untold.push(sample);
+        }
+    }
+
+    /// Adds a sample that a peer told.
+    pub fn hear(&mut self, now: Millis, sample: Sample) {
+        self.keep(now, sample);
+    }
+
+    /// Takes this node's own samples that were not told to peers yet.
+    pub fn take_untold(&mut self) -> Vec<Sample> {
+        std::mem::take(&mut self.untold)
+    }
+
+    fn keep(&mut self, now: Millis, sample: Sample) -> bool {
+        let samples = match sample.tokens {
             ..SHORT_TOKENS => &mut self.short,
             LONG_TOKENS.. => &mut self.long,
-            _ => return,
+            _ => return false,
         };
-        samples.push_back(Sample { at: now, tokens, first_piece_ms });
-        while samples.len() > MOST_SAMPLES
-            || samples.front().is_some_and(|sample| sample.at + KEPT < now)
+        samples.push_back((now, sample));
+        while samples.len() > MOST_SAMPLES || samples.front().is_some_and(|(at, _)| at + KEPT < now)
         {
             samples.pop_front();
         }
+        true
     }
 
     /// Returns the prompt tokens that a server reads in a millisecond.
@@ -56,15 +83,22 @@
             return None;
         }
         let fixed = self.get_fixed_ms();
-        let speed = |sample: &Sample| {
+        let speed = |(_, sample): &(Millis, Sample)| {
             sample.tokens as f64 / (sample.first_piece_ms as f64 - fixed).max(1.0)
         };
         quantile(self.long.iter().map(speed), SPEED_QUANTILE)
     }
 
+    /// Says whether reading a prompt holds up the streams beside it: it takes a large part of the
+    /// longest pause between pieces that is in time.
+    pub fn is_long(&self, tokens: u64, gap_target: Option<Millis>) -> bool {
+        let (Some(speed), Some(gap)) = (self.get_speed(), gap_target) else { return false };
+        tokens as f64 / speed > gap as f64 * LONG_GAP_PART
+    }
+
     /// Returns the time to the first piece of a prompt without tokens, in milliseconds.
     pub fn get_fixed_ms(&self) -> f64 {
-        let times = self.short.iter().map(|sample| sample.first_piece_ms as f64);
+        let times = self.short.iter().map(|(_, sample)| sample.first_piece_ms as f64);
         quantile(times, COST_QUANTILE).unwrap_or(0.0)
     }
 }
--- a/crates/core/src/serving/usage.rs
+++ b/crates/core/src/serving/usage.rs
@@ -7,6 +7,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::Millis;
+
 /// The number of a window: window `k` begins `k` times its length after the Unix epoch.
 pub type WindowNumber = u64;
 
@@ -77,6 +79,23 @@
     }
 }
 
+/// Time after a window's end in which the last counts of all nodes arrive, as a part of the time
+/// until the report is due.
+const SETTLE_PART: f64 = 0.2;
+/// The part of the time until the report is due after which it goes out as it is: what is left is
+/// for the calls, and for another holder.
+const LAST_PART: f64 = 0.65;
+
+/// Says whether the counts of a window may be reported.
+///
+/// `age` is the time since the window ended, and `due` the time after its end at which the report
+/// must be there. While `is_node_missing`, a node that served in the window may not have told its
+/// last counts, because it is cut off: it tells them when it is heard again.
+pub fn is_settled(age: Millis, due: Millis, is_node_missing: bool) -> bool {
+    let part = if is_node_missing { LAST_PART } else { SETTLE_PART };
+    age as f64 >= due as f64 * part
+}
+
 /// Computes the window that a wall-clock time lies in.
 pub fn window_at(unix_ms: u64, length_ms: u64) -> WindowNumber {
     unix_ms / length_ms.max(1)
--- a/crates/core/tests/serving/capacity.rs
+++ b/crates/core/tests/serving/capacity.rs
@@ -1,11 +1,23 @@
 use std::collections::BTreeMap;
 
-use keeljunction_core::serving::capacity::{Asked, Plan, Policy, SlowFall, ZoneStock, need, plan};
+use keeljunction_core::serving::capacity::{
+    Asked, Plan, Policy, Situation, SlowFall, ZoneStock, need, plan,
+};
 use keeljunction_core::serving::configuration::Scaling;
 use proptest::prelude::*;
 
-const POLICY: Policy =
-    Policy { lasting_part: 0.5, reclaimable_part: 1.0, target_use: 0.5, target_fill: 0.5 };
+const POLICY: Policy = Policy {
+    lasting_part: 0.5,
+    reclaimable_part: 1.0,
+    target_use: 0.5,
+    target_fill: 0.5,
+    dry_trust: 0.5,
+};
+
+/// Where nothing is held as lasting, and reclaimable servers can be had.
+fn calm(stock: &BTreeMap<String, ZoneStock>, need: u32) -> Situation<'_> {
+    Situation { stock, need, is_dry: false, lasting_held: 0 }
+}
 
 fn scaling(spot_price: Option<f64>) -> Scaling {
     let prices = [("dear", 1.2), ("cheap", 0.8)];
@@ -46,33 +58,52 @@
 
 #[test]
 fn a_calm_day_holds_a_part_lasting_and_the_rest_reclaimable() {
-    let calm = plan(&POLICY, &scaling(Some(0.2)), &stock(2), 4, false);
-    assert_eq!(calm, Plan { lasting: counts(1, 1), reclaimable: counts(2, 2) });
+    let plan = plan(&POLICY, &scaling(Some(0.2)), &calm(&stock(2), 4));
+    assert_eq!(plan, Plan { lasting: counts(1, 1), reclaimable: counts(2, 2) });
 }
 
 #[test]
 fn what_cannot_be_had_as_reclaimable_is_ordered_as_lasting() {
-    let dry = plan(&POLICY, &scaling(Some(0.2)), &stock(0), 4, false);
-    assert_eq!(dry.lasting, counts(2, 2));
+    let plan = plan(&POLICY, &scaling(Some(0.2)), &calm(&stock(0), 4));
+    assert_eq!(plan.lasting, counts(2, 2));
+}
+
+#[test]
+fn while_the_market_is_dry_only_a_part_of_the_reclaimable_servers_is_counted_on() {
+    let stock = stock(1);
+    assert_eq!(plan(&POLICY, &scaling(Some(0.2)), &calm(&stock, 4)).lasting, counts(1, 1));
+    let dry = Situation { is_dry: true, ..calm(&stock, 4) };
+    assert_eq!(plan(&POLICY, &scaling(Some(0.2)), &dry).lasting, counts(2, 1));
+}
+
+#[test]
+fn lasting_servers_stay_until_reclaimable_ones_take_work() {
+    let zone = ZoneStock { reclaimable_booting: 1, ..ZoneStock::default() };
+    let booting = BTreeMap::from(["cheap", "dear"].map(|name| (name.to_owned(), zone)));
+    let held = Situation { lasting_held: 4, ..calm(&booting, 4) };
+    assert_eq!(plan(&POLICY, &scaling(Some(0.2)), &held).lasting, counts(2, 2));
+    let working = stock(1);
+    let held = Situation { lasting_held: 4, ..calm(&working, 4) };
+    assert_eq!(plan(&POLICY, &scaling(Some(0.2)), &held).lasting, counts(1, 1));
 }
 
 #[test]
-fn while_the_market_is_dry_the_next_loss_is_covered_before_it_comes() {
-    let calm = plan(&POLICY, &scaling(Some(0.2)), &stock(1), 4, false);
-    assert_eq!(calm.lasting, counts(1, 1));
-    let dry = plan(&POLICY, &scaling(Some(0.2)), &stock(1), 4, true);
-    assert_eq!(dry.lasting, counts(2, 1));
+fn no_lasting_servers_are_ordered_for_what_is_starting() {
+    let zone = ZoneStock { reclaimable_booting: 1, ..ZoneStock::default() };
+    let booting = BTreeMap::from(["cheap", "dear"].map(|name| (name.to_owned(), zone)));
+    let held = Situation { lasting_held: 2, ..calm(&booting, 4) };
+    assert_eq!(plan(&POLICY, &scaling(Some(0.2)), &held).lasting, counts(1, 1));
 }
 
 #[test]
 fn lasting_servers_find_room_before_reclaimable_ones() {
-    let full = plan(&POLICY, &scaling(Some(0.2)), &stock(0), 8, false);
+    let full = plan(&POLICY, &scaling(Some(0.2)), &calm(&stock(0), 8));
     assert_eq!(full, Plan { lasting: counts(4, 4), reclaimable: counts(0, 0) });
 }
 
 #[test]
 fn without_reclaimable_servers_all_are_lasting() {
-    let only = plan(&POLICY, &scaling(None), &stock(0), 3, false);
+    let only = plan(&POLICY, &scaling(None), &calm(&stock(0), 3));
     assert_eq!(only, Plan { lasting: counts(2, 1), reclaimable: BTreeMap::new() });
 }
 
@@ -91,7 +122,7 @@
     #[test]
     fn plans_keep_the_bounds(held in 0u32..5, asked in 0u32..30) {
         let scaling = scaling(Some(0.2));
-        let plan = plan(&POLICY, &scaling, &stock(held), asked, false);
+        let plan = plan(&POLICY, &scaling, &calm(&stock(held), asked));
         for zone in ["cheap", "dear"] {
             let lasting = plan.lasting.get(zone).copied().unwrap_or(0);
             let reclaimable = plan.reclaimable.get(zone).copied().unwrap_or(0);
--- a/crates/core/tests/serving/configuration.rs
+++ b/crates/core/tests/serving/configuration.rs
@@ -12,6 +12,7 @@
         kind: RouteKind::Idempotent,
         timeout: 1_000,
         target: 100,
+        gap_target: None,
         priority: 0,
         backends: vec![
             WeightedService { service: "old".to_owned(), weight: 90 },
--- a/crates/core/tests/serving/directory.rs
+++ b/crates/core/tests/serving/directory.rs
@@ -84,3 +84,12 @@
     assert!(directory.replace(6, Vec::new()).is_empty());
     assert_eq!(ready(&directory), ["a"]);
 }
+
+#[test]
+fn an_answer_without_changes_leaves_the_version() {
+    let mut directory = Directory::default();
+    directory.replace(7, vec![server("a", "z1")]);
+    let nothing = Batch { after: 7, version: 900, entries: Vec::new() };
+    assert_eq!(directory.update(nothing), Some(Vec::new()));
+    assert_eq!(directory.get_version(), 7);
+}
--- a/crates/core/tests/serving/pace.rs
+++ b/crates/core/tests/serving/pace.rs
@@ -1,10 +1,14 @@
-use keeljunction_core::serving::pace::Pace;
+use keeljunction_core::serving::pace::{Pace, Sample};
+
+fn sample(tokens: u64, first_piece_ms: u64) -> Sample {
+    Sample { tokens, first_piece_ms }
+}
 
 #[test]
 fn a_few_samples_give_no_figure() {
     let mut pace = Pace::default();
     for _ in 0..9 {
-        pace.add(1_000, 6_000, 110);
+        pace.add(1_000, sample(6_000, 110));
     }
     assert_eq!(pace.get_speed(), None);
 }
@@ -13,8 +17,8 @@
 fn fixed_costs_are_taken_off() {
     let mut pace = Pace::default();
     for _ in 0..10 {
-        pace.add(1_000, 100, 10);
-        pace.add(1_000, 6_000, 110);
+        pace.add(1_000, sample(100, 10));
+        pace.add(1_000, sample(6_000, 110));
     }
     assert_eq!(pace.get_fixed_ms(), 10.0);
     assert_eq!(pace.get_speed(), Some(60.0));
@@ -24,7 +28,7 @@
 fn requests_that_waited_hardly_count() {
     let mut pace = Pace::default();
     for index in 0..20 {
-        pace.add(1_000, 6_000, if index < 12 { 1_000 } else { 100 });
+        pace.add(1_000, sample(6_000, if index < 12 { 1_000 } else { 100 }));
     }
     assert_eq!(pace.get_speed(), Some(60.0));
 }
@@ -33,10 +37,34 @@
 fn old_samples_leave() {
     let mut pace = Pace::default();
     for _ in 0..10 {
-        pace.add(1_000, 6_000, 1_000);
+        pace.add(1_000, sample(6_000, 1_000));
     }
     for _ in 0..10 {
-        pace.add(40_000, 6_000, 100);
+        pace.add(40_000, sample(6_000, 100));
     }
     assert_eq!(pace.get_speed(), Some(60.0));
 }
+
+#[test]
+fn samples_of_peers_count_and_are_not_told_on() {
+    let mut pace = Pace::default();
+    for _ in 0..9 {
+        pace.hear(1_000, sample(6_000, 100));
+    }
+    pace.add(1_000, sample(6_000, 100));
+    assert_eq!(pace.get_speed(), Some(60.0));
+    assert_eq!(pace.take_untold(), [sample(6_000, 100)]);
+    assert!(pace.take_untold().is_empty());
+}
+
+#[test]
+fn a_prompt_is_long_that_takes_a_large_part_of_a_pause_to_read() {
+    let mut pace = Pace::default();
+    assert!(!pace.is_long(100_000, Some(500)));
+    for _ in 0..10 {
+        pace.add(1_000, sample(6_000, 100));
+    }
+    assert!(!pace.is_long(12_000, Some(500)));
+    assert!(pace.is_long(12_100, Some(500)));
+    assert!(!pace.is_long(100_000, None));
+}
--- a/crates/core/tests/serving/usage.rs
+++ b/crates/core/tests/serving/usage.rs
@@ -1,4 +1,4 @@
-use keeljunction_core::serving::usage::{Counts, Ledger, Life, window_at};
+use keeljunction_core::serving::usage::{Counts, Ledger, Life, is_settled, window_at};
 use proptest::prelude::*;
 
 fn life(node: &str, number: u64) -> Life {
@@ -45,3 +45,15 @@
         prop_assert_eq!(ledger.total(1), Counts::from([("acme".to_owned(), 9)]));
     }
 }
+
+#[test]
+fn counts_settle_for_a_fifth_of_the_time_until_they_are_due() {
+    assert!(!is_settled(1_999, 10_000, false));
+    assert!(is_settled(2_000, 10_000, false));
+}
+
+#[test]
+fn counts_of_a_node_that_is_cut_off_are_waited_for_until_the_report_must_go() {
+    assert!(!is_settled(6_499, 10_000, true));
+    assert!(is_settled(6_500, 10_000, true));
+}
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -12,6 +12,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::choice::Wish;
 use keeljunction_core::serving::configuration::{Configuration, QuotaUnit, Route, Tenant};
+use keeljunction_core::serving::demand::DemandTotals;
 use keeljunction_core::serving::load::{RANKS, Work};
 use keeljunction_core::serving::quota::Limit;
 use keeljunction_core::serving::refusal::Refusal;
@@ -111,8 +112,7 @@
         let priority = tenant.as_ref().map_or(0, |tenant| tenant.priority);
         let urgency = priority * PRIORITY_STEP + route.priority;
         let work = size_work(prompt, urgency);
-        let output = prompt.map_or(0, |prompt| prompt.output_tokens);
-        node.with(|state| state.demand.count(&service, work.prompt_tokens, output));
+        let is_long = count_demand(node, &service, &route, prompt, &work);
         let engine = configuration.services.get(&service).and_then(|known| known.engine.as_ref());
         Ok(Self {
             method: parts.method,
@@ -125,7 +125,7 @@
             urgency,
             due: now + deadline.min(route.timeout),
             work,
-            wish: make_wish(head.prompt.as_ref(), &work, route.target),
+            wish: Wish { is_long, ..make_wish(head.prompt.as_ref(), &work, route.target) },
             route,
             head,
             quota,
@@ -265,13 +265,35 @@
     prompt.parts.last().map_or(prompt.input_tokens, |part| part.tokens)
 }
 
+/// Counts the request for the service; returns whether its prompt is long.
+fn count_demand(
+    node: &Node,
+    service: &str,
+    route: &Route,
+    prompt: Option<&Prompt>,
+    work: &Work,
+) -> bool {
+    node.with(|state| {
+        let pace = state.paces.get(service);
+        let is_long = pace.is_some_and(|pace| pace.is_long(work.prompt_tokens, route.gap_target));
+        let request = DemandTotals {
+            requests: 1,
+            prompt_tokens: work.prompt_tokens,
+            output_tokens: prompt.map_or(0, |prompt| prompt.output_tokens),
+            long_prompt_tokens: if is_long { work.prompt_tokens } else { 0 },
+        };
+        state.demand.count(service, &request);
+        is_long
+    })
+}
+
 fn make_wish(prompt: Option<&Prompt>, work: &Work, target: Millis) -> Wish {
     let shared = prompt.and_then(|prompt| prompt.parts.split_last()?.1.last());
     Wish {
         shared_part: shared.map(|part| part.id),
         prompt_tokens: work.prompt_tokens,
         rank: work.rank,
-        speed: None,
         target,
+        ..Wish::default()
     }
 }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -10,6 +10,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::load::Work;
+use keeljunction_core::serving::pace::Sample;
 
 use super::admission::Exchange;
 use crate::http::{Body, Reply};
@@ -174,7 +175,8 @@
     if exchange.has_engine {
         node.with(|state| {
             let pace = state.paces.entry(exchange.service.clone()).or_default();
-            pace.add(now, exchange.work.prompt_tokens, now - sent_at);
+            let tokens = exchange.work.prompt_tokens;
+            pace.add(now, Sample { tokens, first_piece_ms: now - sent_at });
         });
     }
 }
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -202,7 +202,8 @@
             })
             .collect();
         let speed = state.paces.get(&exchange.service).and_then(Pace::get_speed);
-        let wish = Wish { speed, ..exchange.wish };
+        let long_part = state.demand.get_long_part(now, &exchange.service);
+        let wish = Wish { speed, long_part, ..exchange.wish };
         match choose(&candidates, &wish, fastrand::u64(..)) {
             Choice::Server(server) => Picked::Server(server.clone()),
             Choice::Busy(wait) => Picked::Busy(wait),
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::capacity::{Asked, Plan, SlowFall, ZoneStock, need, plan};
+use keeljunction_core::serving::capacity::{
+    Asked, Plan, Policy, Situation, SlowFall, ZoneStock, need, plan,
+};
 use keeljunction_core::serving::configuration::{Scaling, Service};
 
 use super::Node;
@@ -50,6 +52,8 @@
 struct Ordered {
     count: u32,
     at: Millis,
+    /// The most servers that took work at once since then: what is fewer later was taken away.
+    most_seen: u32,
 }
 
 impl CapacityDuty {
@@ -77,17 +81,26 @@
     ) {
         let now = node.now();
         let stock = self.take_stock(node, name, scaling);
-        let held: u32 = stock.values().map(|zone| zone.lasting + zone.reclaimable).sum();
+        let held: u32 = stock.values().map(|zone| zone.lasting).sum();
         let (found, is_settled) = self.settle(name, held, now);
         let is_mixed = stock.values().any(|zone| zone.reclaimable > 0);
-        let need = match self.get_need(node, name, service, now) {
-            Some(need) => need,
+        let policy = node.settings.capacity.get_policy();
+        let (need, policy) = match self.get_need(node, name, service, now) {
+            Some(need) => (need, policy),
             // A holder that does not know the demand yet leaves an earlier holder's mix as it is.
-            None if is_mixed => return,
-            None => found,
+            None if is_mixed && !self.has_ordered(name) => return,
+            // Servers that nobody has mixed yet: as many as were found, in the usual mix.
+            None => {
+                (found, Policy { reclaimable_part: policy.reclaimable_part.min(1.0), ..policy })
+            }
         };
-        let policy = node.settings.capacity.get_policy();
-        let plan = plan(&policy, scaling, &stock, need, self.is_dry(name, now));
+        let situation = Situation {
+            stock: &stock,
+            need,
+            is_dry: self.is_dry(name, now),
+            lasting_held: self.count_lasting(name, &stock),
+        };
+        let plan = plan(&policy, scaling, &situation);
         for order in self.list_changes(name, &plan, &stock, now) {
             // Lasting servers that have not listed themselves yet must not be given up.
             if !is_settled && !order.is_reclaimable {
@@ -97,8 +110,22 @@
         }
     }
 
-    /// Returns the number of servers as it was found, and whether it has stopped to grow: servers
-    /// list themselves one by one.
+    /// Says whether this holder has ordered servers of a service.
+    fn has_ordered(&self, name: &str) -> bool {
+        self.ordered.keys().any(|(service, _, _)| service == name)
+    }
+
+    /// Counts the lasting servers that were ordered, or are there where none were ordered.
+    fn count_lasting(&self, name: &str, stock: &BTreeMap<String, ZoneStock>) -> u32 {
+        let held = stock.iter().map(|(zone, held)| {
+            let place = (name.to_owned(), zone.clone(), false);
+            self.ordered.get(&place).map_or(held.lasting, |ordered| ordered.count)
+        });
+        held.sum()
+    }
+
+    /// Returns the number of lasting servers as it was found, and whether it has stopped to grow:
+    /// servers list themselves one by one.
     fn settle(&mut self, name: &str, held: u32, now: Millis) -> (u32, bool) {
         let found = self.found.entry(name.to_owned()).or_insert(Found { count: held, since: now });
         let is_settled = now >= found.since + SETTLE;
@@ -110,7 +137,7 @@
 
     /// Counts what each zone holds; a zone that the configuration prices is listed also if empty.
     fn take_stock(
-        &self,
+        &mut self,
         node: &Node,
         name: &str,
         scaling: &Scaling,
@@ -129,9 +156,10 @@
         });
         for (zone, held) in &mut stock {
             let place = (name.to_owned(), zone.clone(), true);
-            let Some(ordered) = self.ordered.get(&place) else { continue };
+            let Some(ordered) = self.ordered.get_mut(&place) else { continue };
+            ordered.most_seen = ordered.most_seen.max(held.reclaimable);
             if now < ordered.at + scaling.boot + BOOT_SLACK {
-                held.reclaimable_booting = ordered.count.saturating_sub(held.reclaimable);
+                held.reclaimable_booting = ordered.count.saturating_sub(ordered.most_seen);
             }
         }
         stock
@@ -147,7 +175,6 @@
     fn get_need(&mut self, node: &Node, name: &str, service: &Service, now: Millis) -> Option<u32> {
         let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
         let (asked, in_flight) = node.with(|state| {
-            state.demand.sample(now, name);
             let (totals, covered) = state.demand.within(now, name, DEMAND_SPAN)?;
             let pace = state.paces.get(name)?.get_speed()?;
             let ready: Vec<String> =
@@ -222,7 +249,8 @@
             status,
         });
         if status == Some(STATUS_OK) {
-            self.ordered.insert(place, Ordered { count: order.count, at: node.now() });
+            let ordered = Ordered { count: order.count, at: node.now(), most_seen: 0 };
+            self.ordered.insert(place, ordered);
         } else {
             self.ordered.remove(&place);
             self.paused_until.insert(place, node.now() + REFUSED_PAUSE);
--- a/crates/gateway/src/node/duty.rs
+++ b/crates/gateway/src/node/duty.rs
@@ -104,7 +104,7 @@
 }
 
 fn transaction(row: &LeaseRow, version: u64) -> Transaction {
-    let condition = Condition { table: TABLE, key: KEY.to_owned(), version };
+    let condition = Condition { table: TableName::Own(TABLE), key: KEY.to_owned(), version };
     let value = serde_json::to_vec(row).ok();
     let write = Write { table: TABLE, key: KEY.to_owned(), value };
     Transaction { conditions: vec![condition], writes: vec![write] }
--- a/crates/gateway/src/node/gossip.rs
+++ b/crates/gateway/src/node/gossip.rs
@@ -13,30 +13,38 @@
 use keeljunction_core::serving::demand::DemandTotals;
 use keeljunction_core::serving::directory::Batch;
 use keeljunction_core::serving::load::Load;
+use keeljunction_core::serving::pace::Sample;
+use keeljunction_core::serving::peers::Heard;
 use keeljunction_core::serving::quota::TenantUnits;
 use keeljunction_core::serving::usage::{Counts, WindowNumber};
 use serde::{Deserialize, Serialize};
 
 use super::Node;
-use super::peers::Heard;
 use super::position::{self, Position};
+use super::state::State;
 use super::watch::{Pause, jitter};
 use crate::port::{Row, TableName, Transaction, Write};
 use crate::runtime;
 
 /// The format of the datagrams; others are passed over.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 /// The counts of a peer are used for this many periods.
 const COUNTS_LAST_PERIODS: u32 = 7;
 /// The table in which nodes tell their addresses.
 const NODES_TABLE: &str = "nodes";
 const CALL_WITHIN: Duration = Duration::from_millis(700);
 /// The time between two looks at the other nodes' addresses.
-const LOOK_AGAIN: Duration = Duration::from_secs(20);
+const LOOK_AGAIN: Duration = Duration::from_secs(30);
 const AFTER_ERROR: Duration = Duration::from_millis(50);
 const LONGEST_DATAGRAM: usize = 65_507;
 /// Windows of usage in each digest.
 const WINDOWS_TOLD: usize = 4;
+/// The part of the link that datagrams to all peers may take.
+const LINK_PART: f64 = 0.4;
+/// Bytes that are sent without a pause.
+const BYTES_AT_ONCE: usize = 12 * 1_024;
+/// Shorter pauses are not worth a wake-up.
+const LEAST_PAUSE_MS: f64 = 1.0;
 
 /// A datagram between nodes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -66,10 +74,12 @@
     life: u64,
     is_stopping: bool,
     holds_duties: bool,
+    link_mbps: u32,
     loads: Vec<(u64, Load)>,
     used: TenantUnits,
     usage: Vec<(WindowNumber, Counts)>,
     demand: Vec<(String, DemandTotals)>,
+    paces: Vec<(String, Vec<Sample>)>,
 }
 
 /// Binds the socket for datagrams between nodes.
@@ -91,7 +101,7 @@
     runtime::spawn(position::push(node.clone(), socket));
 }
 
-/// Writes this node's address to the table, and reads those of the others there.
+/// Reads the other nodes' addresses from the table, and writes this node's there.
 async fn register(node: Arc<Node>) {
     let address = node.settings.listen.peers;
     let write = Write {
@@ -103,18 +113,23 @@
     let mut pause = Pause::default();
     let mut is_written = false;
     loop {
+        // Two nodes that start together see each other only in what they read after they wrote.
+        let was_written = is_written;
+        let reading = (node.platform.table.read)(TableName::Own(NODES_TABLE));
+        let read = runtime::within(CALL_WITHIN, reading).await;
+        let is_read = matches!(read, Some(Ok(_)));
+        if let Some(Ok(rows)) = read {
+            let addresses: Vec<SocketAddr> = rows.rows.iter().filter_map(read_address).collect();
+            node.with(|state| state.peers.take_list(&addresses));
+        }
         if !is_written {
             let writing = (node.platform.table.commit)(transaction.clone());
             is_written = matches!(runtime::within(CALL_WITHIN, writing).await, Some(Ok(_)));
         }
-        let reading = (node.platform.table.read)(TableName::Own(NODES_TABLE));
-        let read = runtime::within(CALL_WITHIN, reading).await;
-        if let (true, Some(Ok(rows))) = (is_written, read) {
-            let addresses: Vec<SocketAddr> = rows.rows.iter().filter_map(read_address).collect();
-            node.with(|state| state.peers.add_seeds(&addresses));
+        if was_written && is_read {
             pause.reset();
             runtime::sleep(jitter(LOOK_AGAIN)).await;
-        } else {
+        } else if !(is_written && is_read) {
             pause.wait().await;
         }
     }
@@ -162,6 +177,7 @@
             life: digest.life,
             is_stopping: digest.is_stopping,
             holds_duties: digest.holds_duties,
+            link_mbps: digest.link_mbps,
         };
         if let Some(former) = state.peers.hear(now, from, &heard) {
             state.quotas.forget(&digest.node, former);
@@ -171,6 +187,10 @@
             state.usage.merge(*window, &life, counts);
         }
         state.demand.hear(&digest.node, digest.life, &digest.demand);
+        for (service, samples) in digest.paces {
+            let pace = state.paces.entry(service).or_default();
+            samples.into_iter().for_each(|sample| pace.hear(now, sample));
+        }
         let counts_last = state.peers.get_period() * COUNTS_LAST_PERIODS;
         let valid_until = now + counts_last.as_millis() as Millis;
         state.loads.hear(valid_until, &digest.node, digest.loads);
@@ -183,32 +203,64 @@
         let is_stopping = node.is_stopping();
         let (digest, addresses, period) = node.with(|state| {
             state.peers.expire(now);
+            state.demand.sample_all(now);
             let digest = Digest {
                 node: node.life.node.clone(),
                 life: node.life.number,
                 is_stopping,
                 holds_duties: state.lease.get_fence(now).is_some(),
+                link_mbps: node.settings.limits.link_mbps as u32,
                 loads: state.loads.get_own(),
                 used: state.quotas.tell(now),
                 usage: latest(state.usage.of_life(&node.life)),
                 demand: state.demand.get_own(),
+                paces: take_paces(state),
             };
             (digest, state.peers.get_addresses(), state.peers.get_period())
         });
         if let Some(bytes) = encode(&Message::Digest(Box::new(digest))) {
-            for address in addresses {
-                let _ = socket.send_to(&bytes, address).await;
-            }
+            send_to_all(&node, &socket, &bytes, addresses).await;
         }
-        runtime::sleep(period).await;
+        let spent = Duration::from_millis(node.now().saturating_sub(now));
+        runtime::sleep(period.saturating_sub(spent)).await;
     }
 }
 
+/// Takes the samples of how fast servers read prompts that peers were not told yet.
+fn take_paces(state: &mut State) -> Vec<(String, Vec<Sample>)> {
+    let paces = state.paces.iter_mut();
+    let untold = paces.map(|(service, pace)| (service.clone(), pace.take_untold()));
+    untold.filter(|(_, samples)| !samples.is_empty()).collect()
+}
+
 /// Sends what this node has read of the platform's tables to all peers.
 pub(super) async fn push(node: &Node, socket: &Async<UdpSocket>, message: &Message) {
     let Some(bytes) = encode(message) else { return };
-    for address in node.with(|state| state.peers.get_addresses()) {
-        let _ = socket.send_to(&bytes, address).await;
+    let addresses = node.with(|state| state.peers.get_addresses());
+    send_to_all(node, socket, &bytes, addresses).await;
+}
+
+/// Sends a datagram to many peers, no faster than a part of the link carries: what waits in a full
+/// link's queue is dropped, and would be the same peers' each time.
+async fn send_to_all(
+    node: &Node,
+    socket: &Async<UdpSocket>,
+    bytes: &[u8],
+    mut addresses: Vec<SocketAddr>,
+) {
+    fastrand::shuffle(&mut addresses);
+    let bits_per_ms = node.settings.limits.link_mbps * 1_000.0 * LINK_PART;
+    let mut sent = 0;
+    for address in addresses {
+        let _ = socket.send_to(bytes, address).await;
+        sent += bytes.len();
+        if sent >= BYTES_AT_ONCE {
+            let pause = sent as f64 * 8.0 / bits_per_ms;
+            if pause >= LEAST_PAUSE_MS {
+                runtime::sleep(Duration::from_secs_f64(pause / 1_000.0)).await;
+            }
+            sent = 0;
+        }
     }
 }
 
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -6,7 +6,6 @@
 //! | [`serve`] | starts the node and runs it until it has stopped |
 //! | [`watch`] | follows the configuration and the list of servers |
 //! | [`gossip`] | tells peers of this node's counts, and hears theirs |
-//! | [`peers`] | lists the other nodes, as they are heard |
 //! | [`position`] | gets what the few readers of the platform's tables know |
 //! | [`duty`] | holds the lease and makes the calls that one node at a time may make |
 //! | [`stop`] | ends the node without cutting an answer |
@@ -16,7 +15,6 @@
 pub mod gossip;
 mod listeners;
 mod peer_calls;
-pub mod peers;
 pub mod position;
 pub mod serve;
 pub mod state;
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -16,11 +16,11 @@
 use keeljunction_core::serving::health::Health;
 use keeljunction_core::serving::load::LoadBook;
 use keeljunction_core::serving::pace::Pace;
+use keeljunction_core::serving::peers::Peers;
 use keeljunction_core::serving::quota::Quotas;
 use keeljunction_core::serving::usage::{Ledger, Life, window_at};
 
 use super::gossip::Message;
-use super::peers::Peers;
 use crate::http::{Client, Stop};
 use crate::metrics::Metrics;
 use crate::port::Platform;
@@ -63,12 +63,25 @@
     in_flight: AtomicUsize,
 }
 
+/// The row of the configuration in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigurationRow {
+    /// Its key.
+    pub key: String,
+    /// The version at which the table holds it.
+    pub row_version: u64,
+    /// The version of the configuration in it.
+    pub version: u64,
+}
+
 /// What a node knows of the deployment.
 pub struct State {
     /// The configuration in force, once one is known.
     pub configuration: Option<Arc<Configuration>>,
     /// The same, as the operator wrote it, for peers.
     pub configuration_document: Option<bytes::Bytes>,
+    /// The row that it was read from, where this node has read it itself.
+    pub configuration_row: Option<ConfigurationRow>,
     /// When it was last known to be the newest.
     pub freshness: Freshness,
     /// The servers.
@@ -112,6 +125,7 @@
         let state = State {
             configuration: None,
             configuration_document: None,
+            configuration_row: None,
             demand: DemandBook::default(),
             paces: HashMap::new(),
             freshness: Freshness::default(),
@@ -127,6 +141,7 @@
                 clock.now(),
                 life.node.clone(),
                 settings.listen.peers,
+                settings.limits.link_mbps as u32,
                 &settings.seeds,
             ),
             lease: DutyLease::new(life.node.clone(), life.number, bounds.lease_ms, margin),
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::usage::{Counts, WindowNumber, window_at};
+use keeljunction_core::serving::usage::{Counts, WindowNumber, is_settled, window_at};
 
 use super::Node;
 use crate::event::{self, Event};
@@ -18,10 +18,9 @@
 use crate::runtime;
 
 const TABLE: &str = "usage";
-/// Time after a window's end in which the last counts of all nodes arrive, as a part of the time
-/// until the report is due.
-const SETTLE_PART: f64 = 0.2;
 const CALL_WITHIN: Duration = Duration::from_millis(500);
+/// A digest this long after a window's end holds all counts of the window: clocks may disagree.
+const TOLD_AFTER: Millis = 200;
 /// Rows of this many windows are kept.
 const WINDOWS_KEPT: u64 = 8;
 
@@ -119,20 +118,28 @@
 fn due_windows(node: &Node) -> Vec<WindowNumber> {
     let bounds = &node.settings.bounds;
     let length = (bounds.report_window_s * 1_000.0) as u64;
-    let late = (bounds.usage_late_s * 1_000.0) as u64;
-    let settle = (late as f64 * SETTLE_PART) as u64;
+    let due = (bounds.usage_late_s * 1_000.0) as u64;
     let now = runtime::unix_ms();
     let started = now.saturating_sub(node.now().saturating_sub(node.clock.get_start()));
-    let last = window_at(now.saturating_sub(settle), length);
-    let first = window_at(now.saturating_sub(late + length), length);
+    let current = window_at(now, length);
+    let first = window_at(now.saturating_sub(due + length), length);
     let known = node.with(|state| state.usage.get_first_window());
     let first = first.max(window_at(started, length).min(known.unwrap_or(u64::MAX)));
-    node.with(|state| state.usage.forget_before(last.saturating_sub(WINDOWS_KEPT)));
-    (first..last).collect()
+    node.with(|state| state.usage.forget_before(current.saturating_sub(WINDOWS_KEPT)));
+    (first..current).filter(|window| is_due(node, *window, now, length, due)).collect()
+}
+
+fn is_due(node: &Node, window: WindowNumber, now: u64, length: u64, due: Millis) -> bool {
+    let age = now.saturating_sub((window + 1) * length);
+    let steady = node.now();
+    let ended_at = steady.saturating_sub(age);
+    let is_node_missing =
+        node.with(|state| state.peers.is_any_unheard_since(steady, ended_at + TOLD_AFTER));
+    is_settled(age, due, is_node_missing)
 }
 
 fn transaction(window: WindowNumber, counts: &Counts) -> Transaction {
-    let condition = Condition { table: TABLE, key: key(window), version: 0 };
+    let condition = Condition { table: TableName::Own(TABLE), key: key(window), version: 0 };
     let write = Write { table: TABLE, key: key(window), value: serde_json::to_vec(counts).ok() };
     let old = window.saturating_sub(WINDOWS_KEPT);
     let removal = Write { table: TABLE, key: key(old), value: None };
--- a/crates/gateway/src/node/watch.rs
+++ b/crates/gateway/src/node/watch.rs
@@ -11,13 +11,21 @@
 use keeljunction_core::serving::directory::{Batch, Change, Entry, Server};
 
 use super::gossip::Message;
+use super::state::ConfigurationRow;
 use super::{Node, position};
 use crate::event::{self, Event};
-use crate::port::{Row, Rows, TableError, TableName};
+use crate::port::{Condition, Row, Rows, TableError, TableName, Transaction};
 use crate::runtime;
 
-/// How long a watch is held by the table service where nothing changes.
-const WATCH_HOLD: Duration = Duration::from_millis(700);
+/// How long a watch of the servers is held where nothing changes, as a part of the drain bound:
+/// its answer shows that the list is the newest.
+const SERVERS_HOLD_PART: f64 = 0.35;
+/// How long a watch of the configuration is held where nothing changes, as a part of the bound in
+/// which a new one must be in force. Reads confirm it besides.
+const CONFIGURATION_HOLD_PART: f64 = 0.8;
+/// The pause after changes in which further ones gather, as a part of the drain bound: servers come
+/// and go in waves, and each call costs.
+const GATHER_PART: f64 = 0.08;
 /// The time between two looks whether this node has to read.
 const LOOK: Duration = Duration::from_millis(100);
 /// How much longer the node waits for its answer.
@@ -26,7 +34,7 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// Reads of the configuration in each freshness bound.
-const CONFIRMS_IN_BOUND: u64 = 4;
+const CONFIRMS_IN_BOUND: u64 = 3;
 
 /// Follows the configuration for ever, where this node reads for all or its own knowledge is old.
 pub async fn configuration(node: Arc<Node>) {
@@ -40,10 +48,11 @@
             Ok(rows) => {
                 adopt_and_push(&node, &rows.rows);
                 pause.reset();
-                follow(&node, TableName::Configuration, rows.version, |rows, _, _| {
-                    adopt_and_push(&node, &rows.rows);
-                })
-                .await;
+                let bound = node.settings.bounds.config_apply_ms;
+                let hold = part_of(bound, CONFIGURATION_HOLD_PART);
+                let watch = Watch { table: TableName::Configuration, hold, gather: None };
+                follow(&node, &watch, rows.version, |rows, _| adopt_and_push(&node, &rows.rows))
+                    .await;
             }
             Err(error) => note_failure("configuration", &error),
         }
@@ -60,11 +69,8 @@
             runtime::sleep(LOOK).await;
             continue;
         }
-        let asked_at = node.now();
-        match read(&node, TableName::Configuration).await {
-            Ok(rows) => {
-                adopt_and_push(&node, &rows.rows);
-                confirm(&node, asked_at);
+        match confirm(&node).await {
+            Ok(()) => {
                 pause.reset();
                 runtime::sleep(jitter(period)).await;
             }
@@ -76,6 +82,53 @@
     }
 }
 
+/// Confirms that the configuration in force is the newest, or adopts the newer one.
+///
+/// Where the row is known, a condition on its version answers in a few bytes; the configuration may
+/// be long.
+async fn confirm(node: &Node) -> Result<(), TableError> {
+    let asked_at = node.now();
+    let rows = match known_row(node) {
+        Some(row) => match confirm_row(node, &row).await {
+            Ok(()) => Vec::new(),
+            Err(TableError::Conflict(rows)) => rows.rows,
+            // The condition itself may be what is refused.
+            Err(TableError::Refused(_)) => read(node, TableName::Configuration).await?.rows,
+            Err(error) => return Err(error),
+        },
+        None => read(node, TableName::Configuration).await?.rows,
+    };
+    adopt_and_push(node, &rows);
+    node.with(|state| {
+        if state.configuration.is_some() {
+            state.freshness.confirm(asked_at);
+        }
+    });
+    Ok(())
+}
+
+/// Returns the row of the configuration in force, where this node has read it itself.
+fn known_row(node: &Node) -> Option<ConfigurationRow> {
+    node.with(|state| {
+        let version = state.configuration.as_ref()?.version;
+        state.configuration_row.clone().filter(|row| row.version == version)
+    })
+}
+
+/// Asks whether the configuration's row has not changed, by a transaction that writes nothing.
+async fn confirm_row(node: &Node, row: &ConfigurationRow) -> Result<(), TableError> {
+    let condition = Condition {
+        table: TableName::Configuration,
+        key: row.key.clone(),
+        version: row.row_version,
+    };
+    let transaction = Transaction { conditions: vec![condition], writes: Vec::new() };
+    let committing = (node.platform.table.commit)(transaction);
+    let answer = runtime::within(ANSWER_WITHIN, committing).await;
+    let unanswered = || Err(TableError::Unanswered("no answer in time".to_owned()));
+    answer.unwrap_or_else(unanswered).map(|_| ())
+}
+
 /// Follows the list of servers for ever, where this node reads for all or its own list is old.
 pub async fn servers(node: Arc<Node>) {
     let mut pause = Pause::default();
@@ -91,8 +144,14 @@
                 replace_servers(&node, rows.version, servers.collect());
                 node.with(|state| state.servers_freshness.confirm(asked_at));
                 pause.reset();
-                follow(&node, TableName::Servers, rows.version, |rows, after, asked_at| {
-                    update_servers(&node, rows, after);
+                let bound = node.settings.bounds.drain_ms;
+                let watch = Watch {
+                    table: TableName::Servers,
+                    hold: part_of(bound, SERVERS_HOLD_PART),
+                    gather: Some(part_of(bound, GATHER_PART)),
+                };
+                follow(&node, &watch, rows.version, |rows, asked_at| {
+                    update_servers(&node, rows);
                     node.with(|state| state.servers_freshness.confirm(asked_at));
                 })
                 .await;
@@ -115,22 +174,33 @@
     answer.unwrap_or_else(|| Err(TableError::Unanswered("no answer in time".to_owned())))
 }
 
-/// Follows a table's changes until the watch fails, or this node need not read any more. `take`
-/// gets the rows, the version after which they changed, and when they were asked for.
-async fn follow(
-    node: &Node,
+/// How a table is followed.
+struct Watch {
     table: TableName,
-    from: u64,
-    mut take: impl FnMut(&Rows, u64, Millis),
-) {
+    /// How long the table service holds a call where nothing changes.
+    hold: Duration,
+    /// The pause after changes, in which further ones gather.
+    gather: Option<Duration>,
+}
+
+fn part_of(bound: Millis, part: f64) -> Duration {
+    Duration::from_millis(bound).mul_f64(part)
+}
+
+/// Follows a table's changes until the watch fails, or this node need not read any more. `take`
+/// gets the rows, and when they were asked for.
+async fn follow(node: &Node, watch: &Watch, from: u64, mut take: impl FnMut(&Rows, Millis)) {
     let mut version = from;
     loop {
         let asked_at = node.now();
-        let watching = (node.platform.table.watch)(table, version, WATCH_HOLD);
-        match runtime::within(WATCH_HOLD + ANSWER_WITHIN, watching).await {
+        let watching = (node.platform.table.watch)(watch.table, version, watch.hold);
+        match runtime::within(watch.hold + ANSWER_WITHIN, watching).await {
             Some(Ok(rows)) => {
-                take(&rows, version, asked_at);
+                take(&rows, asked_at);
                 version = rows.version.max(version);
+                if let Some(pause) = watch.gather.filter(|_| !rows.rows.is_empty()) {
+                    runtime::sleep(pause).await;
+                }
             }
             Some(Err(error)) => return note_failure("watch", &error),
             None => return note_failure("watch", &TableError::Unanswered("held".to_owned())),
@@ -156,36 +226,42 @@
 /// Adopts the configuration in the rows, where it is newer than the one in force; returns the
 /// version where it is.
 pub(super) fn adopt_configuration(node: &Node, rows: &[Row]) -> Option<u64> {
-    let mut adopted = None;
-    for value in rows.iter().filter_map(|row| row.value.as_deref()) {
-        match (node.platform.decode_configuration)(value) {
-            Ok(configuration) => {
-                let version = configuration.version;
-                let before = node.with(|state| {
-                    let before = state.configuration.as_ref().map(|known| known.version);
-                    if before < Some(version) {
-                        state.configuration = Some(Arc::new(configuration));
-                        state.configuration_document = Some(value.to_vec().into());
-                    }
-                    before
-                });
-                if before < Some(version) {
-                    event::emit(&Event::ConfigurationAdopted { version, before });
-                    adopted = Some(version);
-                }
-            }
-            Err(error) => event::emit(&Event::DocumentRejected { error: error.to_string() }),
-        }
-    }
-    adopted
+    let known = known_row(node);
+    let is_known = |row: &&Row| {
+        let is_same = known.as_ref().is_some_and(|known| known.row_version == row.version);
+        is_same && row.version > 0
+    };
+    let unknown = rows.iter().filter(|row| !is_known(row));
+    unknown.filter_map(|row| adopt_row(node, row)).last()
 }
 
-fn confirm(node: &Node, asked_at: Millis) {
-    node.with(|state| {
-        if state.configuration.is_some() {
-            state.freshness.confirm(asked_at);
+fn adopt_row(node: &Node, row: &Row) -> Option<u64> {
+    let value = row.value.as_deref()?;
+    let configuration = match (node.platform.decode_configuration)(value) {
+        Ok(configuration) => configuration,
+        Err(error) => {
+            event::emit(&Event::DocumentRejected { error: error.to_string() });
+            return None;
+        }
+    };
+    let version = configuration.version;
+    let before = node.with(|state| {
+        let before = state.configuration.as_ref().map(|known| known.version);
+        if before < Some(version) {
+            state.configuration = Some(Arc::new(configuration));
+            state.configuration_document = Some(value.to_vec().into());
         }
+        if before <= Some(version) && row.version > 0 {
+            let (key, row_version) = (row.key.clone(), row.version);
+            state.configuration_row = Some(ConfigurationRow { key, row_version, version });
+        }
+        before
     });
+    if before >= Some(version) {
+        return None;
+    }
+    event::emit(&Event::ConfigurationAdopted { version, before });
+    Some(version)
 }
 
 /// Takes over a whole list of servers, where it is not older than the one known.
@@ -198,7 +274,7 @@
 }
 
 /// Takes over changed entries, and sends them to all peers.
-fn update_servers(node: &Node, rows: &Rows, after: u64) {
+fn update_servers(node: &Node, rows: &Rows) {
     let entries = rows.rows.iter().filter_map(|row| {
         let server = match row.value {
             None => None,
@@ -208,6 +284,8 @@
         let version = if row.version == 0 { rows.version } else { row.version };
         Some(Entry { id: row.key.clone(), version, server })
     });
+    // Nothing changed between this list and the rows: the watch goes on where it left off.
+    let after = node.with(|state| state.directory.get_version());
     let batch = Batch { after, version: rows.version, entries: entries.collect() };
     if !batch.entries.is_empty() {
         node.push(Message::ServersChanged(batch.clone()));
--- a/crates/gateway/src/port/table.rs
+++ b/crates/gateway/src/port/table.rs
@@ -65,8 +65,8 @@
 /// The version that a row must have; 0 where it must not be there.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Condition {
-    /// The product's own table.
-    pub table: &'static str,
+    /// The table.
+    pub table: TableName,
     /// The row's key.
     pub key: String,
     /// The version.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -58,11 +58,13 @@
 }
 
 /// What the machine allows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Limits {
     /// File descriptors of the process.
     pub descriptors: usize,
+    /// Bandwidth of the VM's link, in megabits a second.
+    pub link_mbps: f64,
 }
 
 /// What has to hold, in the operator's figures.
@@ -117,20 +119,23 @@
     pub target_use: f64,
     /// How full the places of servers may be on average.
     pub target_fill: f64,
+    /// The part of the reclaimable servers that is counted on while no more can be had.
+    pub dry_trust: f64,
 }
 
 impl Default for CapacitySettings {
     fn default() -> Self {
-        let Policy { lasting_part, reclaimable_part, target_use, target_fill } = Policy::default();
-        Self { lasting_part, reclaimable_part, target_use, target_fill }
+        let Policy { lasting_part, reclaimable_part, target_use, target_fill, dry_trust } =
+            Policy::default();
+        Self { lasting_part, reclaimable_part, target_use, target_fill, dry_trust }
     }
 }
 
 impl CapacitySettings {
     /// Returns the core's policy.
     pub fn get_policy(&self) -> Policy {
-        let Self { lasting_part, reclaimable_part, target_use, target_fill } = *self;
-        Policy { lasting_part, reclaimable_part, target_use, target_fill }
+        let Self { lasting_part, reclaimable_part, target_use, target_fill, dry_trust } = *self;
+        Policy { lasting_part, reclaimable_part, target_use, target_fill, dry_trust }
     }
 }
 
@@ -193,6 +198,7 @@
         }
         let bounds = &self.bounds;
         check_range("limits.descriptors", self.limits.descriptors as f64, 300.0, 1e7)?;
+        check_range("limits.link_mbps", self.limits.link_mbps, 0.1, 1e7)?;
         check_range("bounds.revoke_ms", bounds.revoke_ms as f64, 100.0, 3.6e6)?;
         check_range("bounds.config_apply_ms", bounds.config_apply_ms as f64, 100.0, 3.6e6)?;
         check_range("bounds.drain_ms", bounds.drain_ms as f64, 100.0, 3.6e6)?;
@@ -207,7 +213,8 @@
         check_range("capacity.lasting_part", capacity.lasting_part, 0.0, 1.0)?;
         check_range("capacity.reclaimable_part", capacity.reclaimable_part, 0.0, 10.0)?;
         check_range("capacity.target_use", capacity.target_use, 0.01, 1.0)?;
-        check_range("capacity.target_fill", capacity.target_fill, 0.01, 1.0)
+        check_range("capacity.target_fill", capacity.target_fill, 0.01, 1.0)?;
+        check_range("capacity.dry_trust", capacity.dry_trust, 0.0, 1.0)
     }
 }
 
