fix(gateway): get a long configuration once at a time and packed; keep running usage in the store

The holder keeps the counts of unreported windows in a row, by node and life. Watches are held shorter, nodes do not read in their first second, the first look at the lease is spread.

--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -1,4 +1,8 @@
 //! Which servers there are and which may get new work.
+//!
+//! Servers keep their entries by writing to the platform's table service. While that is away their
+//! entries may lapse; those of servers that live are back soon after its return. Until then a
+//! server whose entry is missing, and that had not said that it leaves, still gets work.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -44,8 +48,14 @@
 pub struct Directory {
     servers: BTreeMap<String, Server>,
     version: u64,
+    /// Servers whose entries lapsed; this node's own belief, which peers are not told.
+    lapsed: BTreeMap<String, Server>,
+    lapsing_until: Option<Millis>,
 }
 
+/// Time after the table service's return in which the entries of servers that live are back.
+const LAPSED_FOR: Millis = 2_000;
+
 impl Directory {
     /// Returns the version of the list that was read last.
     pub fn get_version(&self) -> u64 {
@@ -62,8 +72,7 @@
             servers.into_iter().map(|server| (server.id.clone(), server)).collect();
         let gone: Vec<String> =
             self.servers.keys().filter(|id| !listed.contains_key(*id)).cloned().collect();
-        let mut changes: Vec<Change> =
-            gone.iter().filter_map(|id| self.servers.remove(id)).map(Change::Gone).collect();
+        let mut changes: Vec<Change> = gone.iter().filter_map(|id| self.remove(id)).collect();
         changes.extend(listed.into_values().filter_map(|server| self.put(server)));
         changes
     }
@@ -86,13 +95,39 @@
         let newer = batch.entries.into_iter().filter(|entry| entry.version > known);
         let changes = newer.filter_map(|entry| match entry.server {
             Some(server) => self.put(server),
-            None => self.servers.remove(&entry.id).map(Change::Gone),
+            None => self.remove(&entry.id),
         });
         Some(changes.collect())
     }
 
+    /// Notes that the list is known again after the table service was away.
+    pub fn note_return(&mut self, now: Millis) {
+        self.lapsing_until = Some(now + LAPSED_FOR);
+    }
+
+    /// Gives up the servers whose entries have not come back in time.
+    pub fn expire_lapsed(&mut self, now: Millis) -> Vec<Change> {
+        if self.lapsing_until.is_none_or(|until| now < until) {
+            return Vec::new();
+        }
+        self.lapsing_until = None;
+        std::mem::take(&mut self.lapsed).into_values().map(Change::Gone).collect()
+    }
+
+    fn remove(&mut self, id: &str) -> Option<Change> {
+        let server = self.servers.remove(id)?;
+        if self.lapsing_until.is_some() && !server.is_leaving {
+            self.lapsed.insert(id.to_owned(), server);
+            return None;
+        }
+        Some(Change::Gone(server))
+    }
+
     /// Notes that a server showed in an answer that it is leaving, or that another took its place.
     pub fn note_leaving(&mut self, id: &str) -> Option<Change> {
+        if let Some(server) = self.lapsed.remove(id) {
+            return Some(Change::Gone(server));
+        }
         let server = self.servers.get_mut(id).filter(|server| !server.is_leaving)?;
         server.is_leaving = true;
         Some(Change::Leaving(server.clone()))
@@ -110,16 +145,18 @@
 
     /// Lists all servers of a service, those that are leaving too.
     pub fn iter_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
-        self.servers.values().filter(move |server| server.service == service)
+        let all = self.servers.values().chain(self.lapsed.values());
+        all.filter(move |server| server.service == service)
     }
 
-    /// Lists all servers.
+    /// Lists all servers that have entries.
     pub fn iter(&self) -> impl Iterator<Item = &Server> {
         self.servers.values()
     }
 
     fn put(&mut self, server: Server) -> Option<Change> {
-        let before = self.servers.insert(server.id.clone(), server.clone());
+        let lapsed = self.lapsed.remove(&server.id);
+        let before = self.servers.insert(server.id.clone(), server.clone()).or(lapsed);
         match before {
             Some(before) if before.is_leaving => {
                 // A server that has begun to leave never comes back; a late entry is passed over.
--- a/crates/core/src/serving/peers.rs
+++ b/crates/core/src/serving/peers.rs
@@ -20,6 +20,8 @@
 const UNLISTED_FOR: Millis = 3_000;
 /// Nodes that read the platform's tables for all.
 const READERS: usize = 3;
+/// Time after its start in which a node hears the others.
+const READS_AFTER: Millis = 1_000;
 const READERS_KEY: &str = "table readers";
 
 /// What a peer tells of itself.
@@ -183,8 +185,12 @@
 
     /// Says whether this node reads the platform's tables for all: it is one of the first in an
     /// order that all nodes which hear each other share.
+    ///
+    /// A node that has just started does not: it takes itself for the first of all until it hears
+    /// the others.
     pub fn is_reader(&self, now: Millis) -> bool {
-        self.list_readers(now).contains(&self.own_name.as_str())
+        now >= self.started_at + READS_AFTER
+            && self.list_readers(now).contains(&self.own_name.as_str())
     }
 
     /// Lists the addresses of the nodes that read the platform's tables for all.
--- a/crates/core/src/serving/usage.rs
+++ b/crates/core/src/serving/usage.rs
@@ -3,7 +3,7 @@
 //! Each life of a node counts for itself and its counts only grow. Nodes exchange them, and keep
 //! the largest that they saw of every life, so that the counts of a node survive it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -30,6 +30,27 @@
     windows: BTreeMap<WindowNumber, BTreeMap<Life, Counts>>,
 }
 
+/// The counts of all lives in some windows, in few bytes: each tenant is named once.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    tenants: Vec<String>,
+    windows: Vec<(WindowNumber, Vec<KeptLife>)>,
+}
+
+/// The counts of one life in a window, in the order of the tenants.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct KeptLife {
+    life: Life,
+    counts: Vec<u64>,
+}
+
+impl Kept {
+    /// Says whether there are no windows.
+    pub fn is_empty(&self) -> bool {
+        self.windows.is_empty()
+    }
+}
+
 impl Ledger {
     /// Counts a request that began.
     pub fn count(&mut self, window: WindowNumber, life: &Life, tenant: &str) {
@@ -68,6 +89,33 @@
         self.windows.get(&window)
     }
 
+    /// Lists the counts of all lives in the windows from one on, so that they can be kept elsewhere.
+    pub fn get_since(&self, first: WindowNumber) -> Kept {
+        let windows = || self.windows.range(first..);
+        let counts = windows().flat_map(|(_, lives)| lives.values());
+        let tenants: BTreeSet<&String> = counts.flat_map(|counts| counts.keys()).collect();
+        let keep = |(life, counts): (&Life, &Counts)| KeptLife {
+            life: life.clone(),
+            counts: tenants.iter().map(|name| counts.get(*name).copied().unwrap_or(0)).collect(),
+        };
+        let windows = windows().map(|(window, lives)| (*window, lives.iter().map(keep).collect()));
+        Kept {
+            windows: windows.collect(),
+            tenants: tenants.iter().map(|name| (*name).clone()).collect(),
+        }
+    }
+
+    /// Takes over counts that were kept.
+    pub fn merge_kept(&mut self, kept: &Kept) {
+        for (window, lives) in &kept.windows {
+            for known in lives {
+                let counts = kept.tenants.iter().cloned().zip(known.counts.iter().copied());
+                let counts = counts.filter(|(_, count)| *count > 0).collect();
+                self.merge(*window, &known.life, &counts);
+            }
+        }
+    }
+
     /// Returns the first window that is kept.
     pub fn get_first_window(&self) -> Option<WindowNumber> {
         self.windows.keys().next().copied()
--- a/crates/core/tests/serving/directory.rs
+++ b/crates/core/tests/serving/directory.rs
@@ -93,3 +93,45 @@
     assert_eq!(directory.update(nothing), Some(Vec::new()));
     assert_eq!(directory.get_version(), 7);
 }
+
+#[test]
+fn entries_that_lapsed_while_the_table_service_was_away_have_time_to_come_back() {
+    let mut directory = Directory::default();
+    directory.replace(1, vec![server("a", "z1"), server("b", "z1"), server("c", "z1")]);
+    directory.note_return(10_000);
+    assert!(directory.replace(5, vec![server("c", "z1")]).is_empty());
+    assert_eq!(ready(&directory), ["c", "a", "b"]);
+    assert!(directory.update(listed(6, server("a", "z1"))).expect("no gap").is_empty());
+    assert!(directory.expire_lapsed(11_999).is_empty());
+    assert_eq!(directory.expire_lapsed(12_000), [Change::Gone(server("b", "z1"))]);
+    assert_eq!(ready(&directory), ["a", "c"]);
+}
+
+#[test]
+fn peers_are_not_told_of_servers_whose_entries_lapsed() {
+    let mut directory = Directory::default();
+    directory.replace(1, vec![server("a", "z1")]);
+    directory.note_return(10_000);
+    directory.update(removed(2, "a"));
+    assert_eq!(ready(&directory), ["a"]);
+    assert_eq!(directory.iter().count(), 0);
+}
+
+#[test]
+fn a_server_that_had_begun_to_leave_does_not_lapse() {
+    let mut directory = Directory::default();
+    let leaving = Server { is_leaving: true, ..server("a", "z1") };
+    directory.replace(1, vec![leaving.clone()]);
+    directory.note_return(10_000);
+    assert_eq!(directory.update(removed(2, "a")), Some(vec![Change::Gone(leaving)]));
+}
+
+#[test]
+fn a_server_whose_entry_lapsed_is_gone_once_another_answers_in_its_place() {
+    let mut directory = Directory::default();
+    directory.replace(1, vec![server("a", "z1")]);
+    directory.note_return(10_000);
+    directory.update(removed(2, "a"));
+    assert_eq!(directory.note_leaving("a"), Some(Change::Gone(server("a", "z1"))));
+    assert!(ready(&directory).is_empty());
+}
--- a/crates/core/tests/serving/peers.rs
+++ b/crates/core/tests/serving/peers.rs
@@ -22,6 +22,7 @@
 #[test]
 fn a_node_that_hears_nobody_reads_for_itself() {
     let peers = Peers::new(0, "a".to_owned(), address(1), 10, &[]);
+    assert!(!peers.is_reader(999));
     assert!(peers.is_reader(1_000));
 }
 
--- a/crates/core/tests/serving/usage.rs
+++ b/crates/core/tests/serving/usage.rs
@@ -57,3 +57,18 @@
     assert!(!is_settled(6_499, 10_000, true));
     assert!(is_settled(6_500, 10_000, true));
 }
+
+#[test]
+fn counts_that_were_kept_count_once_beside_those_that_nodes_still_tell() {
+    let mut before = Ledger::default();
+    before.count(6, &life("a", 1), "acme");
+    before.count(7, &life("a", 1), "acme");
+    before.count(7, &life("b", 1), "acme");
+    let kept = before.get_since(7);
+    let mut after = Ledger::default();
+    after.merge(7, &life("b", 1), &Counts::from([("acme".to_owned(), 4)]));
+    after.count(7, &life("a", 2), "acme");
+    after.merge_kept(&kept);
+    assert_eq!(after.total(7), Counts::from([("acme".to_owned(), 6)]));
+    assert_eq!(after.get_first_window(), Some(7));
+}
--- a/crates/gateway/src/node/duty.rs
+++ b/crates/gateway/src/node/duty.rs
@@ -15,6 +15,8 @@
 const KEY: &str = "duties";
 const TICK: Duration = Duration::from_millis(200);
 const ANSWER_WITHIN: Duration = Duration::from_millis(700);
+/// The first look at the lease comes within this time of the start.
+const FIRST_LOOK_WITHIN: Millis = 1_500;
 /// Renewals in each length of the lease.
 const RENEWALS: u64 = 3;
 
@@ -31,7 +33,8 @@
 /// Holds the lease where it is free, and does the duties while it is held.
 pub async fn run(node: Arc<Node>) {
     let mut known: Option<Known> = None;
-    let mut look_at: Millis = 0;
+    // Nodes that start together would all write the row at once.
+    let mut look_at: Millis = node.now() + fastrand::u64(..FIRST_LOOK_WITHIN);
     let mut usage = usage_duty::UsageDuty::default();
     let mut capacity = capacity_duty::CapacityDuty::default();
     let mut held_before: Option<u64> = None;
--- a/crates/gateway/src/node/gossip.rs
+++ b/crates/gateway/src/node/gossip.rs
@@ -22,7 +22,7 @@
 use super::Node;
 use super::position::{self, Position};
 use super::state::State;
-use super::watch::{Pause, jitter};
+use super::watch::{self, Pause, jitter};
 use crate::port::{Row, TableName, Transaction, Write};
 use crate::runtime;
 
@@ -34,7 +34,7 @@
 const NODES_TABLE: &str = "nodes";
 const CALL_WITHIN: Duration = Duration::from_millis(700);
 /// The time between two looks at the other nodes' addresses.
-const LOOK_AGAIN: Duration = Duration::from_secs(30);
+const LOOK_AGAIN: Duration = Duration::from_secs(60);
 const AFTER_ERROR: Duration = Duration::from_millis(50);
 const LONGEST_DATAGRAM: usize = 65_507;
 /// Windows of usage in each digest.
@@ -201,6 +201,7 @@
     loop {
         let now = node.now();
         let is_stopping = node.is_stopping();
+        watch::expire_lapsed(&node);
         let (digest, addresses, period) = node.with(|state| {
             state.peers.expire(now);
             state.demand.sample_all(now);
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -7,10 +7,12 @@
 //! | [`watch`] | follows the configuration and the list of servers |
 //! | [`gossip`] | tells peers of this node's counts, and hears theirs |
 //! | [`position`] | gets what the few readers of the platform's tables know |
+//! | [`document`] | packs what peers get from each other |
 //! | [`duty`] | holds the lease and makes the calls that one node at a time may make |
 //! | [`stop`] | ends the node without cutting an answer |
 
 mod capacity_duty;
+pub mod document;
 pub mod duty;
 pub mod gossip;
 mod listeners;
--- a/crates/gateway/src/node/position.rs
+++ b/crates/gateway/src/node/position.rs
@@ -22,7 +22,7 @@
 /// The time between two questions.
 const ASK_PERIOD: Duration = Duration::from_millis(400);
 /// The part of the drain bound after which the list of servers counts as old.
-const SERVERS_OLD_PART: f64 = 0.75;
+const SERVERS_OLD_PART: f64 = 0.85;
 /// The part of the freshness bound after which the configuration counts as old.
 const CONFIGURATION_OLD_PART: f64 = 0.5;
 
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -20,6 +20,7 @@
 use keeljunction_core::serving::quota::Quotas;
 use keeljunction_core::serving::usage::{Ledger, Life, window_at};
 
+use super::document::Document;
 use super::gossip::Message;
 use crate::http::{Client, Stop};
 use crate::metrics::Metrics;
@@ -59,10 +60,19 @@
     pub(super) pushes: (Sender<Message>, Receiver<Message>),
     /// What the node knows of the deployment.
     pub state: Mutex<State>,
+    /// What is being got from peers.
+    pub(super) fetching: Fetching,
     is_stopping: AtomicBool,
     in_flight: AtomicUsize,
 }
 
+/// How many calls for each document are going on.
+#[derive(Debug, Default)]
+pub(super) struct Fetching {
+    pub configuration: AtomicUsize,
+    pub servers: AtomicUsize,
+}
+
 /// The row of the configuration in force.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigurationRow {
@@ -79,7 +89,7 @@
     /// The configuration in force, once one is known.
     pub configuration: Option<Arc<Configuration>>,
     /// The same, as the operator wrote it, for peers.
-    pub configuration_document: Option<bytes::Bytes>,
+    pub configuration_document: Option<Arc<Document>>,
     /// The row that it was read from, where this node has read it itself.
     pub configuration_row: Option<ConfigurationRow>,
     /// When it was last known to be the newest.
@@ -156,6 +166,7 @@
             closing,
             pushes: async_channel::bounded(PUSHES_WAITING),
             state: Mutex::new(state),
+            fetching: Fetching::default(),
             is_stopping: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         })
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -3,12 +3,15 @@
 //! The counts of a window are first written to the table, where only the first writer succeeds,
 //! and then reported as they stand there. A report may be repeated, by this holder or the next;
 //! it is always the same.
+//!
+//! The counts of the windows that are not reported yet are kept in the table too, some times in a
+//! window, by node and life: where all nodes end at once, the next holder goes on from there.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::usage::{Counts, WindowNumber, is_settled, window_at};
+use keeljunction_core::serving::usage::{Counts, Kept, WindowNumber, is_settled, window_at};
 
 use super::Node;
 use crate::event::{self, Event};
@@ -21,6 +24,10 @@
 const CALL_WITHIN: Duration = Duration::from_millis(500);
 /// A digest this long after a window's end holds all counts of the window: clocks may disagree.
 const TOLD_AFTER: Millis = 200;
+/// The key of the row that keeps the counts of windows that are not reported yet.
+const RUNNING_KEY: &str = "running";
+/// How often that row is written in a window.
+const KEPT_IN_WINDOW: u64 = 5;
 /// Rows of this many windows are kept.
 const WINDOWS_KEPT: u64 = 8;
 
@@ -31,6 +38,14 @@
     frozen: BTreeMap<WindowNumber, Counts>,
     reported: BTreeSet<WindowNumber>,
     paused_until: Millis,
+    running: Running,
+}
+
+/// The row that keeps the counts of windows that are not reported yet.
+#[derive(Debug, Default)]
+struct Running {
+    version: u64,
+    written_at: Millis,
 }
 
 impl UsageDuty {
@@ -44,6 +59,7 @@
             self.paused_until = now + CALL_WITHIN.as_millis() as Millis;
             return;
         }
+        self.keep_running(node).await;
         for window in due_windows(node) {
             if self.reported.contains(&window) {
                 continue;
@@ -67,10 +83,41 @@
         let reading = (node.platform.table.read)(TableName::Own(TABLE));
         let Some(Ok(rows)) = runtime::within(CALL_WITHIN, reading).await else { return false };
         self.frozen = rows.rows.iter().filter_map(decode).collect();
+        let running = rows.rows.iter().find(|row| row.key == RUNNING_KEY);
+        self.running.version = running.map_or(0, |row| row.version);
+        if let Some(kept) = running.and_then(decode_running) {
+            node.with(|state| state.usage.merge_kept(&kept));
+        }
         self.fence = fence;
         true
     }
 
+    /// Keeps the counts of the windows that are not reported yet, a few times in a window.
+    async fn keep_running(&mut self, node: &Node) {
+        let now = node.now();
+        let length = (node.settings.bounds.report_window_s * 1_000.0) as u64;
+        if now < self.running.written_at + length / KEPT_IN_WINDOW {
+            return;
+        }
+        self.running.written_at = now;
+        let first = self.reported.last().map_or(0, |window| window + 1);
+        let kept = node.with(|state| state.usage.get_since(first));
+        if kept.is_empty() {
+            return;
+        }
+        let table = TableName::Own(TABLE);
+        let key = RUNNING_KEY.to_owned();
+        let condition = Condition { table, key: key.clone(), version: self.running.version };
+        let write = Write { table: TABLE, key, value: postcard::to_stdvec(&kept).ok() };
+        let transaction = Transaction { conditions: vec![condition], writes: vec![write] };
+        let committing = (node.platform.table.commit)(transaction);
+        match runtime::within(CALL_WITHIN, committing).await {
+            Some(Ok(rows)) => self.running.version = rows.version,
+            // Another holder wrote, or the outcome is not known: read the row before the next try.
+            _ => self.fence = None,
+        }
+    }
+
     async fn freeze(&mut self, node: &Node, window: WindowNumber) -> bool {
         if self.frozen.contains_key(&window) {
             return true;
@@ -150,6 +197,10 @@
     format!("{window:020}")
 }
 
+fn decode_running(row: &Row) -> Option<Kept> {
+    postcard::from_bytes(row.value.as_deref()?).ok()
+}
+
 fn decode(row: &Row) -> Option<(WindowNumber, Counts)> {
     let counts = serde_json::from_slice(row.value.as_deref()?).ok()?;
     Some((row.key.parse().ok()?, counts))
--- a/crates/gateway/src/node/watch.rs
+++ b/crates/gateway/src/node/watch.rs
@@ -10,6 +10,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::{Batch, Change, Entry, Server};
 
+use super::document::Document;
 use super::gossip::Message;
 use super::state::ConfigurationRow;
 use super::{Node, position};
@@ -18,8 +19,9 @@
 use crate::runtime;
 
 /// How long a watch of the servers is held where nothing changes, as a part of the drain bound:
-/// its answer shows that the list is the newest.
-const SERVERS_HOLD_PART: f64 = 0.35;
+/// its answer shows that the list was the newest when it was asked, so that the list's age swings
+/// between one hold and two.
+const SERVERS_HOLD_PART: f64 = 0.22;
 /// How long a watch of the configuration is held where nothing changes, as a part of the bound in
 /// which a new one must be in force. Reads confirm it besides.
 const CONFIGURATION_HOLD_PART: f64 = 0.8;
@@ -34,7 +36,7 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// Reads of the configuration in each freshness bound.
-const CONFIRMS_IN_BOUND: u64 = 3;
+const CONFIRMS_IN_BOUND: u64 = 4;
 
 /// Follows the configuration for ever, where this node reads for all or its own knowledge is old.
 pub async fn configuration(node: Arc<Node>) {
@@ -191,7 +193,7 @@
 /// gets the rows, and when they were asked for.
 async fn follow(node: &Node, watch: &Watch, from: u64, mut take: impl FnMut(&Rows, Millis)) {
     let mut version = from;
-    loop {
+    while node.with(|state| state.peers.is_reader(node.now())) {
         let asked_at = node.now();
         let watching = (node.platform.table.watch)(watch.table, version, watch.hold);
         match runtime::within(watch.hold + ANSWER_WITHIN, watching).await {
@@ -205,10 +207,6 @@
             Some(Err(error)) => return note_failure("watch", &error),
             None => return note_failure("watch", &TableError::Unanswered("held".to_owned())),
         }
-        let now = node.now();
-        if !node.with(|state| state.peers.is_reader(now)) {
-            return;
-        }
     }
 }
 
@@ -249,7 +247,7 @@
         let before = state.configuration.as_ref().map(|known| known.version);
         if before < Some(version) {
             state.configuration = Some(Arc::new(configuration));
-            state.configuration_document = Some(value.to_vec().into());
+            state.configuration_document = Some(Arc::new(Document::new(value.to_vec())));
         }
         if before <= Some(version) && row.version > 0 {
             let (key, row_version) = (row.key.clone(), row.version);
@@ -266,13 +264,25 @@
 
 /// Takes over a whole list of servers, where it is not older than the one known.
 pub(super) fn replace_servers(node: &Node, version: u64, servers: Vec<Server>) {
+    let now = node.now();
+    let was_known = !position::is_servers_old(node);
     let changes = node.with(|state| {
+        if state.has_servers && !was_known {
+            state.directory.note_return(now);
+        }
         state.has_servers = true;
         state.directory.replace(version, servers)
     });
     apply(node, changes);
 }
 
+/// Gives up servers whose entries lapsed and did not come back.
+pub(super) fn expire_lapsed(node: &Node) {
+    let now = node.now();
+    let changes = node.with(|state| state.directory.expire_lapsed(now));
+    apply(node, changes);
+}
+
 /// Takes over changed entries, and sends them to all peers.
 fn update_servers(node: &Node, rows: &Rows) {
     let entries = rows.rows.iter().filter_map(|row| {
