--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -1,9 +1,9 @@
 //! How many servers to order, where, and of which kind.
 //!
-//! Servers that may be taken away cost a small part of the others, but a whole zone of them can go
+//! Servers that may be taken away cost a small part of the others, but a whole data centre of them can go
 //! within seconds, and for a while none may be had anywhere. The plan holds a part of what is
-//! needed in lasting servers, and the rest in reclaimable ones, spread over the zones so that the
-//! loss of any zone's leaves enough. What cannot be had as reclaimable, or is being taken away, is
+//! needed in lasting servers, and the rest in reclaimable ones, spread over the data centres so that the
+//! loss of any data centre's leaves enough. What cannot be had as reclaimable, or is being taken away, is
 //! ordered as lasting at once. Lasting servers are given up again only when reclaimable ones take
 //! work in their place: one that was ordered carries nothing until it has started.
 
@@ -39,9 +39,9 @@
     }
 }
 
-/// What a zone holds of a service.
+/// What a data centre holds of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ZoneStock {
+pub struct Stock {
     /// Lasting servers that take work.
     pub lasting: u32,
     /// Reclaimable servers that take work.
@@ -53,14 +53,14 @@
 /// What a plan starts from.
 #[derive(Clone, Copy, Debug)]
 pub struct Situation<'a> {
-    /// What each zone holds; all zones in which the service may run are there.
-    pub stock: &'a BTreeMap<String, ZoneStock>,
+    /// What each data centre holds; all data centres in which the service may run are there.
+    pub stock: &'a BTreeMap<String, Stock>,
     /// How many servers carry what is asked.
     pub need: u32,
     /// Whether reclaimable servers were lately refused: what is taken away then cannot be had
-    /// again, and waves that take one zone often take the others too.
+    /// again, and waves that take one data centre often take the others too.
     pub is_dry: bool,
-    /// Lasting servers that were ordered, or are there, in all zones.
+    /// Lasting servers that were ordered, or are there, in all data centres.
     pub lasting_held: u32,
 }
 
@@ -77,7 +77,7 @@
     pub slots: f64,
 }
 
-/// Servers to hold in each zone.
+/// Servers to hold in each data centre.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Plan {
     /// Lasting servers.
@@ -97,34 +97,35 @@
 /// Plans the servers of a service.
 pub fn plan(policy: &Policy, scaling: &Scaling, situation: &Situation<'_>) -> Plan {
     let stock = situation.stock;
-    let zones = by_price(scaling, stock);
-    let most = scaling.max * zones.len() as u32;
-    let need = situation.need.max(scaling.min * zones.len() as u32).min(most);
+    let data_centres = by_price(scaling, stock);
+    let most = scaling.max * data_centres.len() as u32;
+    let need = situation.need.max(scaling.min * data_centres.len() as u32).min(most);
     if scaling.spot_price.is_none() {
-        let lasting = spread(&zones, need, scaling.max, &BTreeMap::new());
+        let lasting = spread(&data_centres, need, scaling.max, &BTreeMap::new());
         return Plan { lasting, reclaimable: BTreeMap::new() };
     }
     let reclaimable = (f64::from(need) * policy.reclaimable_part).ceil() as u32;
-    let wanted = spread(&zones, reclaimable, scaling.max, &BTreeMap::new());
+    let wanted = spread(&data_centres, reclaimable, scaling.max, &BTreeMap::new());
     let held: BTreeMap<String, u32> = stock.iter().map(held_reclaimable).collect();
     let lasting = count_lasting(policy, situation, need);
-    let lasting = spread(&zones, lasting, scaling.max, &held);
-    let reclaimable = wanted.into_iter().map(|(zone, count)| {
-        let room = scaling.max - lasting.get(&zone).copied().unwrap_or(0).min(scaling.max);
-        (zone, count.min(room))
+    let lasting = spread(&data_centres, lasting, scaling.max, &held);
+    let reclaimable = wanted.into_iter().map(|(data_centre, count)| {
+        let room = scaling.max - lasting.get(&data_centre).copied().unwrap_or(0).min(scaling.max);
+        (data_centre, count.min(room))
     });
     let reclaimable = reclaimable.collect();
     Plan { lasting, reclaimable }
 }
 
-/// Counts the lasting servers to hold in all zones.
+/// Counts the lasting servers to hold in all data centres.
 ///
 /// Reclaimable servers that were ordered stand against ordering more lasting ones, and only those
 /// that take work against keeping the lasting ones that are there.
 fn count_lasting(policy: &Policy, situation: &Situation<'_>, need: u32) -> u32 {
     let base = ((f64::from(need) * policy.lasting_part).ceil() as u32).clamp(1, need);
-    let working: u32 = situation.stock.values().map(|zone| zone.reclaimable).sum();
-    let booting: u32 = situation.stock.values().map(|zone| zone.reclaimable_booting).sum();
+    let working: u32 = situation.stock.values().map(|data_centre| data_centre.reclaimable).sum();
+    let booting: u32 =
+        situation.stock.values().map(|data_centre| data_centre.reclaimable_booting).sum();
     let trusted = if situation.is_dry { policy.dry_trust } else { 1.0 };
     let carried = |reclaimable: u32| (f64::from(reclaimable) * trusted) as u32;
     let least = base + (need - base).saturating_sub(carried(working + booting));
@@ -132,34 +133,35 @@
     situation.lasting_held.clamp(least, most)
 }
 
-/// Counts a zone's reclaimable servers, those that are coming up too.
-fn held_reclaimable((zone, stock): (&String, &ZoneStock)) -> (String, u32) {
-    (zone.clone(), stock.reclaimable + stock.reclaimable_booting)
+/// Counts a data centre's reclaimable servers, those that are coming up too.
+fn held_reclaimable((data_centre, stock): (&String, &Stock)) -> (String, u32) {
+    (data_centre.clone(), stock.reclaimable + stock.reclaimable_booting)
 }
 
-/// Lists the zones by price, the cheapest first.
-fn by_price<'a>(scaling: &Scaling, stock: &'a BTreeMap<String, ZoneStock>) -> Vec<&'a str> {
-    let price = |zone: &str| scaling.zone_prices.get(zone).copied().unwrap_or(1.0);
-    let mut zones: Vec<&str> = stock.keys().map(String::as_str).collect();
-    zones.sort_by(|a, b| price(a).total_cmp(&price(b)).then(a.cmp(b)));
-    zones
+/// Lists the data centres by price, the cheapest first.
+fn by_price<'a>(scaling: &Scaling, stock: &'a BTreeMap<String, Stock>) -> Vec<&'a str> {
+    let price =
+        |data_centre: &str| scaling.data_centre_prices.get(data_centre).copied().unwrap_or(1.0);
+    let mut data_centres: Vec<&str> = stock.keys().map(String::as_str).collect();
+    data_centres.sort_by(|a, b| price(a).total_cmp(&price(b)).then(a.cmp(b)));
+    data_centres
 }
 
-/// Spreads servers, one in each zone in turn from the cheapest, up to `most` beside those `taken`.
+/// Spreads servers, one in each data centre in turn from the cheapest, up to `most` beside those `taken`.
 fn spread(
-    zones: &[&str],
+    data_centres: &[&str],
     count: u32,
     most: u32,
     taken: &BTreeMap<String, u32>,
 ) -> BTreeMap<String, u32> {
     let mut spread: BTreeMap<String, u32> =
-        zones.iter().map(|zone| ((*zone).to_owned(), 0)).collect();
+        data_centres.iter().map(|data_centre| ((*data_centre).to_owned(), 0)).collect();
     let mut left = count;
     while left > 0 {
         let before = left;
-        for zone in zones {
-            let held = spread.entry((*zone).to_owned()).or_default();
-            let room = most.saturating_sub(taken.get(*zone).copied().unwrap_or(0));
+        for data_centre in data_centres {
+            let held = spread.entry((*data_centre).to_owned()).or_default();
+            let room = most.saturating_sub(taken.get(*data_centre).copied().unwrap_or(0));
             if left > 0 && *held < room {
                 *held += 1;
                 left -= 1;
--- a/crates/core/src/serving/configuration.rs
+++ b/crates/core/src/serving/configuration.rs
@@ -1,4 +1,4 @@
-//! What a configuration says, and which route and tenant a request belongs to.
+//! What a configuration says, and which route and client account a request belongs to.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -16,10 +16,10 @@
     pub services: BTreeMap<String, Service>,
     /// Bounds on what a caller may send.
     pub limits: CallerLimits,
-    /// Tenants, or `None` where requests need no key.
-    pub tenants: Option<Vec<Tenant>>,
+    /// Client accounts, or `None` where requests need no key.
+    pub accounts: Option<Vec<Account>>,
     routes_of_host: HashMap<String, Vec<usize>>,
-    tenant_of_key: HashMap<String, usize>,
+    account_of_key: HashMap<String, usize>,
 }
 
 /// A rule that sends requests of a host and path to services.
@@ -110,19 +110,19 @@
     pub can_move: bool,
 }
 
-/// How many servers of a service may be ordered in a zone, and what they cost.
+/// How many servers of a service may be ordered in a data centre, and what they cost.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Scaling {
-    /// The fewest servers in a zone.
+    /// The fewest servers in a data centre.
     pub min: u32,
-    /// The most servers in a zone, of both kinds together.
+    /// The most servers in a data centre, of both kinds together.
     pub max: u32,
     /// Time from an order to the first work of a new server.
     pub boot: Millis,
     /// The price of a server that may be taken away, as a part of that of the others.
     pub spot_price: Option<f64>,
-    /// The price of a server in each zone.
-    pub zone_prices: BTreeMap<String, f64>,
+    /// The price of a server in each data centre.
+    pub data_centre_prices: BTreeMap<String, f64>,
 }
 
 /// Bounds on what a caller may send and how long it may take.
@@ -146,12 +146,12 @@
 
 /// A client account of the operator, with its keys and limit.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Tenant {
-    /// The tenant's name.
+pub struct Account {
+    /// The client account's name.
     pub name: String,
     /// The keys that its callers present.
     pub keys: Vec<String>,
-    /// The rank of the tenant's requests; 0 is the most urgent.
+    /// The rank of the client account's requests; 0 is the most urgent.
     pub priority: u32,
     /// What its limit counts.
     pub unit: QuotaUnit,
@@ -161,7 +161,7 @@
     pub burst: f64,
 }
 
-/// What a tenant's limit counts.
+/// What a client account's limit counts.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum QuotaUnit {
     /// Each request counts one.
@@ -181,7 +181,7 @@
         routes: Vec<Route>,
         services: BTreeMap<String, Service>,
         limits: CallerLimits,
-        tenants: Option<Vec<Tenant>>,
+        accounts: Option<Vec<Account>>,
     ) -> Self {
         let routes: Vec<Arc<Route>> = routes.into_iter().map(Arc::new).collect();
         let mut routes_of_host: HashMap<String, Vec<usize>> = HashMap::new();
@@ -191,13 +191,13 @@
         for indexes in routes_of_host.values_mut() {
             indexes.sort_by_key(|index| std::cmp::Reverse(routes[*index].path_prefix.len()));
         }
-        let mut tenant_of_key = HashMap::new();
-        for (index, tenant) in tenants.iter().flatten().enumerate() {
-            for key in &tenant.keys {
-                tenant_of_key.insert(key.clone(), index);
+        let mut account_of_key = HashMap::new();
+        for (index, account) in accounts.iter().flatten().enumerate() {
+            for key in &account.keys {
+                account_of_key.insert(key.clone(), index);
             }
         }
-        Self { version, routes, services, limits, tenants, routes_of_host, tenant_of_key }
+        Self { version, routes, services, limits, accounts, routes_of_host, account_of_key }
     }
 
     /// Finds the route of a host whose prefix begins the path and is longest.
@@ -218,15 +218,15 @@
         routes.into_iter().find(|route| path.starts_with(&route.path_prefix))
     }
 
-    /// Finds the tenant that holds a key.
-    pub fn find_tenant(&self, key: &str) -> Option<&Tenant> {
-        let index = self.tenant_of_key.get(key)?;
-        self.tenants.as_ref()?.get(*index)
+    /// Finds the client account that holds a key.
+    pub fn find_account(&self, key: &str) -> Option<&Account> {
+        let index = self.account_of_key.get(key)?;
+        self.accounts.as_ref()?.get(*index)
     }
 
-    /// Finds the tenant of a name.
-    pub fn get_tenant(&self, name: &str) -> Option<&Tenant> {
-        self.tenants.iter().flatten().find(|tenant| tenant.name == name)
+    /// Finds the client account of a name.
+    pub fn get_account(&self, name: &str) -> Option<&Account> {
+        self.accounts.iter().flatten().find(|account| account.name == name)
     }
 }
 
--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -20,8 +20,8 @@
     pub service: String,
     /// Where it listens.
     pub address: SocketAddr,
-    /// The zone that it stands in.
-    pub zone: String,
+    /// The data centre that it stands in.
+    pub data_centre: String,
     /// Requests that it works on at once.
     pub slots: u32,
     /// Whether it is about to end.
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -2,16 +2,16 @@
 //!
 //! | module | decides |
 //! |---|---|
-//! | [`configuration`] | what a configuration says, and which route and tenant a request belongs to |
+//! | [`configuration`] | what a configuration says, and which route and client account a request belongs to |
 //! | [`freshness`] | whether what a node believes is recent enough to act on |
 //! | [`directory`] | which servers there are and which may get new work |
 //! | [`load`] | how busy each server is, by this node's and its peers' counts |
 //! | [`choice`] | which server a request goes to |
 //! | [`health`] | which servers are passed over for what their answers show |
 //! | [`peers`] | which other nodes there are, and which of them read the platform's tables for all |
-//! | [`quota`] | whether a tenant is within its limit over all nodes |
+//! | [`quota`] | whether a client account is within its limit over all nodes |
 //! | [`budget`] | whether a request may be sent to a second server |
-//! | [`usage`] | how many requests of each tenant began in each window |
+//! | [`usage`] | how many requests of each client account began in each window |
 //! | [`duty_lease`] | which node makes the calls that one node at a time may make |
 //! | [`event_stream`] | where the events of a stream begin and end |
 //! | [`demand`], [`pace`], [`capacity`] | how many servers to order, where, and of which kind |
--- a/crates/core/src/serving/quota.rs
+++ b/crates/core/src/serving/quota.rs
@@ -1,10 +1,10 @@
-//! Whether a tenant is within its limit over all nodes.
+//! Whether a client account is within its limit over all nodes.
 //!
-//! Each node keeps the bucket of the whole tenant. It takes its own use from it at once, and that
+//! Each node keeps the bucket of the whole client account. It takes its own use from it at once, and that
 //! of its peers as they tell of it, some times a second; until a peer tells again, it is taken to
 //! go on at the rate that it last told. While much is left, every request is taken. Once little is
 //! left, what peers tell is too old to decide by: a node then gives its own part of the rate, which
-//! is its part of what the tenant asks of all nodes, and the parts sum up to the whole.
+//! is its part of what the client account asks of all nodes, and the parts sum up to the whole.
 //!
 //! A part of the rate is set aside for each node that is not heard, which may be cut off and
 //! serving: the parts of all nodes together never exceed the whole.
@@ -18,7 +18,7 @@
 /// What must be left for a request to be taken, in units.
 const LEAST_LEFT: f64 = 1.0;
 
-/// A tenant's limit.
+/// A client account's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
     /// Units a second; 0 sets no limit.
@@ -51,7 +51,7 @@
     }
 }
 
-/// What one life of a node was asked for by a tenant, and gave, since its start.
+/// What one life of a node was asked for by a client account, and gave, since its start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Units {
     /// Units of all requests, those that were refused too.
@@ -60,17 +60,17 @@
     pub used: u64,
 }
 
-/// The units of one life of a node, by tenant.
+/// The units of one life of a node, by client account.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct TenantUnits(pub BTreeMap<String, Units>);
+pub struct AccountUnits(pub BTreeMap<String, Units>);
 
-/// The use of all tenants, as one node knows it.
+/// The use of all client accounts, as one node knows it.
 #[derive(Clone, Debug)]
 pub struct Quotas {
     started_at: Millis,
     whole: BTreeMap<String, Bucket>,
     own_part: BTreeMap<String, Bucket>,
-    own: TenantUnits,
+    own: AccountUnits,
     own_rates: Rates,
     peers: BTreeMap<(String, u64), Rates>,
 }
@@ -107,38 +107,38 @@
 #[derive(Clone, Debug, Default)]
 struct Rates {
     told_at: Millis,
-    told: TenantUnits,
+    told: AccountUnits,
     used: BTreeMap<String, f64>,
     asked: BTreeMap<String, f64>,
 }
 
 impl Rates {
-    /// Takes over new totals; returns the units used since the last ones, by tenant.
-    fn update(&mut self, now: Millis, totals: &TenantUnits) -> Vec<(String, f64)> {
+    /// Takes over new totals; returns the units used since the last ones, by client account.
+    fn update(&mut self, now: Millis, totals: &AccountUnits) -> Vec<(String, f64)> {
         let since = now.saturating_sub(self.told_at).max(1) as f64;
         let mut newly_used = Vec::new();
-        for (tenant, units) in &totals.0 {
-            let before = self.told.0.insert(tenant.clone(), *units).unwrap_or_default();
+        for (account, units) in &totals.0 {
+            let before = self.told.0.insert(account.clone(), *units).unwrap_or_default();
             let used = units.used as f64 - before.used as f64;
             let asked = units.asked as f64 - before.asked as f64;
-            self.used.insert(tenant.clone(), used.max(0.0) / since);
-            let rate = self.asked.entry(tenant.clone()).or_default();
+            self.used.insert(account.clone(), used.max(0.0) / since);
+            let rate = self.asked.entry(account.clone()).or_default();
             *rate += SMOOTHING * (asked.max(0.0) / since - *rate);
-            newly_used.push((tenant.clone(), used));
+            newly_used.push((account.clone(), used));
         }
         self.told_at = now;
         newly_used
     }
 
     /// Estimates the units used since the last totals.
-    fn estimate_untold(&self, now: Millis, tenant: &str) -> f64 {
+    fn estimate_untold(&self, now: Millis, account: &str) -> f64 {
         let since = now.saturating_sub(self.told_at).min(RATE_LASTS) as f64;
-        self.used.get(tenant).map_or(0.0, |rate| rate * since)
+        self.used.get(account).map_or(0.0, |rate| rate * since)
     }
 
-    fn get_asked(&self, now: Millis, tenant: &str) -> f64 {
+    fn get_asked(&self, now: Millis, account: &str) -> f64 {
         let is_recent = now < self.told_at + RATE_LASTS;
-        self.asked.get(tenant).copied().filter(|_| is_recent).unwrap_or(0.0)
+        self.asked.get(account).copied().filter(|_| is_recent).unwrap_or(0.0)
     }
 }
 
@@ -170,13 +170,13 @@
             started_at: now,
             whole: BTreeMap::new(),
             own_part: BTreeMap::new(),
-            own: TenantUnits::default(),
+            own: AccountUnits::default(),
             own_rates: Rates::default(),
             peers: BTreeMap::new(),
         }
     }
 
-    /// Takes units for a request of a tenant.
+    /// Takes units for a request of a client account.
     ///
     /// A request is taken while a unit is left, also where it is larger than what is left: the
     /// bucket then pays it back before the next.
@@ -187,7 +187,7 @@
     pub fn take(
         &mut self,
         now: Millis,
-        tenant: &str,
+        account: &str,
         units: u64,
         limit: Limit,
         reach: Reach,
@@ -195,17 +195,17 @@
         if limit.rate_per_second <= 0.0 {
             return Ok(());
         }
-        self.own.0.entry(tenant.to_owned()).or_default().asked += units;
+        self.own.0.entry(account.to_owned()).or_default().asked += units;
         let rate = limit.rate_per_second * reach.get_part();
         let capacity = limit.get_capacity();
-        let left = self.fill_whole(now, tenant, limit, reach);
-        let share = self.get_share(now, tenant, reach);
-        if left >= self.get_little(now, tenant, capacity, reach) {
+        let left = self.fill_whole(now, account, limit, reach);
+        let share = self.get_share(now, account, reach);
+        if left >= self.get_little(now, account, capacity, reach) {
             // Nothing of the own part is saved up meanwhile, but what it gave in advance is paid back.
-            if let Some(bucket) = self.own_part.get_mut(tenant) {
+            if let Some(bucket) = self.own_part.get_mut(account) {
                 bucket.set(now, rate * share, 0.0);
             }
-            self.give(tenant, units);
+            self.give(account, units);
             return Ok(());
         }
         if reach.all == 1 {
@@ -214,7 +214,7 @@
         let beyond = (-left / capacity).max(0.0);
         let given = (PART_GIVEN - PAID_BACK_PART * beyond).max(LEAST_GIVEN);
         let part = given * rate * share;
-        let bucket = self.own_part.entry(tenant.to_owned());
+        let bucket = self.own_part.entry(account.to_owned());
         // The first request pays in advance: of many nodes, each would give one too many otherwise.
         let bucket = bucket.or_insert(Bucket::new(now, -(units as f64)));
         bucket.set(now, part, part.max(LEAST_LEFT));
@@ -222,28 +222,28 @@
             return Err(wait(LEAST_LEFT - bucket.available, part));
         }
         bucket.available -= units as f64;
-        self.give(tenant, units);
+        self.give(account, units);
         Ok(())
     }
 
     /// Gives back units of a request that did not run.
-    pub fn give_back(&mut self, tenant: &str, units: u64) {
-        if let Some(bucket) = self.whole.get_mut(tenant) {
+    pub fn give_back(&mut self, account: &str, units: u64) {
+        if let Some(bucket) = self.whole.get_mut(account) {
             bucket.available += units as f64;
         }
-        if let Some(own) = self.own.0.get_mut(tenant) {
+        if let Some(own) = self.own.0.get_mut(account) {
             own.used = own.used.saturating_sub(units);
         }
     }
 
     /// Returns what this life was asked for and gave, and notes how fast that grew.
-    pub fn tell(&mut self, now: Millis) -> TenantUnits {
+    pub fn tell(&mut self, now: Millis) -> AccountUnits {
         self.own_rates.update(now, &self.own);
         self.own.clone()
     }
 
     /// Takes over what a life of a peer was asked for and gave since its start.
-    pub fn hear(&mut self, now: Millis, peer: &str, life: u64, totals: &TenantUnits) {
+    pub fn hear(&mut self, now: Millis, peer: &str, life: u64, totals: &AccountUnits) {
         let is_new = now < self.started_at + NEW_FOR;
         let is_first = !self.peers.contains_key(&(peer.to_owned(), life));
         let rates = self.peers.entry((peer.to_owned(), life)).or_default();
@@ -255,8 +255,8 @@
         if is_first && is_new {
             return;
         }
-        for (tenant, used) in newly_used {
-            if let Some(bucket) = self.whole.get_mut(&tenant) {
+        for (account, used) in newly_used {
+            if let Some(bucket) = self.whole.get_mut(&account) {
                 bucket.fill(now);
                 bucket.available -= used;
             }
@@ -268,49 +268,49 @@
         self.peers.remove(&(peer.to_owned(), life));
     }
 
-    fn give(&mut self, tenant: &str, units: u64) {
-        if let Some(bucket) = self.whole.get_mut(tenant) {
+    fn give(&mut self, account: &str, units: u64) {
+        if let Some(bucket) = self.whole.get_mut(account) {
             bucket.available -= units as f64;
         }
-        self.own.0.entry(tenant.to_owned()).or_default().used += units;
+        self.own.0.entry(account.to_owned()).or_default().used += units;
     }
 
-    /// Fills the whole tenant's bucket and returns what is left of it by now.
-    fn fill_whole(&mut self, now: Millis, tenant: &str, limit: Limit, reach: Reach) -> f64 {
+    /// Fills the whole client account's bucket and returns what is left of it by now.
+    fn fill_whole(&mut self, now: Millis, account: &str, limit: Limit, reach: Reach) -> f64 {
         let part = reach.get_part();
         let rate = limit.rate_per_second * part;
         let capacity = limit.get_capacity();
-        let untold: f64 = self.peers.values().map(|p| p.estimate_untold(now, tenant)).sum();
+        let untold: f64 = self.peers.values().map(|p| p.estimate_untold(now, account)).sum();
         let is_new = now < self.started_at + NEW_FOR;
         let first = if is_new { capacity * NEW_PART * part } else { capacity };
-        let bucket = self.whole.entry(tenant.to_owned());
+        let bucket = self.whole.entry(account.to_owned());
         let bucket = bucket.or_insert(Bucket::new(now, first));
         bucket.set(now, rate, capacity);
         bucket.available - untold
     }
 
-    /// Returns what counts as little left: what the tenant may use before peers tell of it.
-    fn get_little(&self, now: Millis, tenant: &str, capacity: f64, reach: Reach) -> f64 {
+    /// Returns what counts as little left: what the client account may use before peers tell of it.
+    fn get_little(&self, now: Millis, account: &str, capacity: f64, reach: Reach) -> f64 {
         if reach.all == 1 {
             return LEAST_LEFT;
         }
-        let untold = self.get_all_asked(now, tenant) * reach.period as f64 * PERIODS_UNTOLD;
+        let untold = self.get_all_asked(now, account) * reach.period as f64 * PERIODS_UNTOLD;
         untold.clamp(LEAST_LEFT, (capacity * LITTLE_LEFT_PART).max(LEAST_LEFT))
     }
 
-    /// Returns what the tenant asks of all nodes that are heard, in units a millisecond.
-    fn get_all_asked(&self, now: Millis, tenant: &str) -> f64 {
-        let peers: f64 = self.peers.values().map(|peer| peer.get_asked(now, tenant)).sum();
-        self.own_rates.get_asked(now, tenant) + peers
+    /// Returns what the client account asks of all nodes that are heard, in units a millisecond.
+    fn get_all_asked(&self, now: Millis, account: &str) -> f64 {
+        let peers: f64 = self.peers.values().map(|peer| peer.get_asked(now, account)).sum();
+        self.own_rates.get_asked(now, account) + peers
     }
 
-    /// Returns this node's part of what the tenant asks of all nodes that are heard.
-    fn get_share(&self, now: Millis, tenant: &str, reach: Reach) -> f64 {
-        let own = self.own_rates.get_asked(now, tenant);
+    /// Returns this node's part of what the client account asks of all nodes that are heard.
+    fn get_share(&self, now: Millis, account: &str, reach: Reach) -> f64 {
+        let own = self.own_rates.get_asked(now, account);
         if own <= 0.0 {
             return 1.0 / reach.heard.max(1) as f64;
         }
-        own / self.get_all_asked(now, tenant)
+        own / self.get_all_asked(now, account)
     }
 }
 
--- a/crates/core/src/serving/refusal.rs
+++ b/crates/core/src/serving/refusal.rs
@@ -19,7 +19,7 @@
     BodyTooLong,
     /// The body did not come to its end in time.
     BodyTimeout,
-    /// The tenant is beyond its limit.
+    /// The client account is beyond its limit.
     OverQuota,
     /// No configuration is known yet.
     NotConfigured,
--- a/crates/core/src/serving/usage.rs
+++ b/crates/core/src/serving/usage.rs
@@ -1,4 +1,4 @@
-//! How many requests of each tenant began in each window of the wall clock.
+//! How many requests of each client account began in each window of the wall clock.
 //!
 //! Each life of a node counts for itself and its counts only grow. Nodes exchange them, and keep
 //! the largest that they saw of every life, so that the counts of a node survive it.
@@ -12,7 +12,7 @@
 /// The number of a window: window `k` begins `k` times its length after the Unix epoch.
 pub type WindowNumber = u64;
 
-/// Requests that began, by tenant.
+/// Requests that began, by client account.
 pub type Counts = BTreeMap<String, u64>;
 
 /// One life of a node: its name and a number drawn at its start.
@@ -30,14 +30,14 @@
     windows: BTreeMap<WindowNumber, BTreeMap<Life, Counts>>,
 }
 
-/// The counts of all lives in some windows, in few bytes: each tenant is named once.
+/// The counts of all lives in some windows, in few bytes: each client account is named once.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Kept {
-    tenants: Vec<String>,
+    accounts: Vec<String>,
     windows: Vec<(WindowNumber, Vec<KeptLife>)>,
 }
 
-/// The counts of one life in a window, in the order of the tenants.
+/// The counts of one life in a window, in the order of the client accounts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct KeptLife {
     life: Life,
@@ -53,16 +53,16 @@
 
 impl Ledger {
     /// Counts a request that began.
-    pub fn count(&mut self, window: WindowNumber, life: &Life, tenant: &str) {
+    pub fn count(&mut self, window: WindowNumber, life: &Life, account: &str) {
         let counts = self.windows.entry(window).or_default().entry(life.clone()).or_default();
-        *counts.entry(tenant.to_owned()).or_default() += 1;
+        *counts.entry(account.to_owned()).or_default() += 1;
     }
 
     /// Takes over the counts of a life, where they are larger than those known.
     pub fn merge(&mut self, window: WindowNumber, life: &Life, counts: &Counts) {
         let known = self.windows.entry(window).or_default().entry(life.clone()).or_default();
-        for (tenant, count) in counts {
-            let largest = known.entry(tenant.clone()).or_default();
+        for (account, count) in counts {
+            let largest = known.entry(account.clone()).or_default();
             *largest = (*largest).max(*count);
         }
     }
@@ -71,8 +71,8 @@
     pub fn total(&self, window: WindowNumber) -> Counts {
         let mut total = Counts::new();
         for counts in self.windows.get(&window).into_iter().flat_map(BTreeMap::values) {
-            for (tenant, count) in counts {
-                *total.entry(tenant.clone()).or_default() += count;
+            for (account, count) in counts {
+                *total.entry(account.clone()).or_default() += count;
             }
         }
         total
@@ -93,15 +93,15 @@
     pub fn get_since(&self, first: WindowNumber) -> Kept {
         let windows = || self.windows.range(first..);
         let counts = windows().flat_map(|(_, lives)| lives.values());
-        let tenants: BTreeSet<&String> = counts.flat_map(|counts| counts.keys()).collect();
+        let accounts: BTreeSet<&String> = counts.flat_map(|counts| counts.keys()).collect();
         let keep = |(life, counts): (&Life, &Counts)| KeptLife {
             life: life.clone(),
-            counts: tenants.iter().map(|name| counts.get(*name).copied().unwrap_or(0)).collect(),
+            counts: accounts.iter().map(|name| counts.get(*name).copied().unwrap_or(0)).collect(),
         };
         let windows = windows().map(|(window, lives)| (*window, lives.iter().map(keep).collect()));
         Kept {
             windows: windows.collect(),
-            tenants: tenants.iter().map(|name| (*name).clone()).collect(),
+            accounts: accounts.iter().map(|name| (*name).clone()).collect(),
         }
     }
 
@@ -109,7 +109,7 @@
     pub fn merge_kept(&mut self, kept: &Kept) {
         for (window, lives) in &kept.windows {
             for known in lives {
-                let counts = kept.tenants.iter().cloned().zip(known.counts.iter().copied());
+                let counts = kept.accounts.iter().cloned().zip(known.counts.iter().copied());
                 let counts = counts.filter(|(_, count)| *count > 0).collect();
                 self.merge(*window, &known.life, &counts);
             }
--- a/crates/core/tests/serving/capacity.rs
+++ b/crates/core/tests/serving/capacity.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use keeljunction_core::serving::capacity::{
-    Asked, Plan, Policy, Situation, SlowFall, ZoneStock, need, plan,
+    Asked, Plan, Policy, Situation, SlowFall, Stock, need, plan,
 };
 use keeljunction_core::serving::configuration::Scaling;
 use proptest::prelude::*;
@@ -15,7 +15,7 @@
 };
 
 /// Where nothing is held as lasting, and reclaimable servers can be had.
-fn calm(stock: &BTreeMap<String, ZoneStock>, need: u32) -> Situation<'_> {
+fn calm(stock: &BTreeMap<String, Stock>, need: u32) -> Situation<'_> {
     Situation { stock, need, is_dry: false, lasting_held: 0 }
 }
 
@@ -26,13 +26,15 @@
         max: 4,
         boot: 4_000,
         spot_price,
-        zone_prices: prices.map(|(zone, price)| (zone.to_owned(), price)).into(),
+        data_centre_prices: prices
+            .map(|(data_centre, price)| (data_centre.to_owned(), price))
+            .into(),
     }
 }
 
-fn stock(reclaimable: u32) -> BTreeMap<String, ZoneStock> {
-    let zone = ZoneStock { reclaimable, ..ZoneStock::default() };
-    ["cheap", "dear"].map(|name| (name.to_owned(), zone)).into()
+fn stock(reclaimable: u32) -> BTreeMap<String, Stock> {
+    let data_centre = Stock { reclaimable, ..Stock::default() };
+    ["cheap", "dear"].map(|name| (name.to_owned(), data_centre)).into()
 }
 
 fn counts(cheap: u32, dear: u32) -> BTreeMap<String, u32> {
@@ -78,8 +80,8 @@
 
 #[test]
 fn lasting_servers_stay_until_reclaimable_ones_take_work() {
-    let zone = ZoneStock { reclaimable_booting: 1, ..ZoneStock::default() };
-    let booting = BTreeMap::from(["cheap", "dear"].map(|name| (name.to_owned(), zone)));
+    let data_centre = Stock { reclaimable_booting: 1, ..Stock::default() };
+    let booting = BTreeMap::from(["cheap", "dear"].map(|name| (name.to_owned(), data_centre)));
     let held = Situation { lasting_held: 4, ..calm(&booting, 4) };
     assert_eq!(plan(&POLICY, &scaling(Some(0.2)), &held).lasting, counts(2, 2));
     let working = stock(1);
@@ -89,8 +91,8 @@
 
 #[test]
 fn no_lasting_servers_are_ordered_for_what_is_starting() {
-    let zone = ZoneStock { reclaimable_booting: 1, ..ZoneStock::default() };
-    let booting = BTreeMap::from(["cheap", "dear"].map(|name| (name.to_owned(), zone)));
+    let data_centre = Stock { reclaimable_booting: 1, ..Stock::default() };
+    let booting = BTreeMap::from(["cheap", "dear"].map(|name| (name.to_owned(), data_centre)));
     let held = Situation { lasting_held: 2, ..calm(&booting, 4) };
     assert_eq!(plan(&POLICY, &scaling(Some(0.2)), &held).lasting, counts(1, 1));
 }
@@ -117,15 +119,15 @@
 }
 
 proptest! {
-    /// Whatever is there and asked: no zone gets more than its most, and what reclaimable servers
+    /// Whatever is there and asked: no data centre gets more than its most, and what reclaimable servers
     /// do not carry is ordered as lasting as far as there is room.
     #[test]
     fn plans_keep_the_bounds(held in 0u32..5, asked in 0u32..30) {
         let scaling = scaling(Some(0.2));
         let plan = plan(&POLICY, &scaling, &calm(&stock(held), asked));
-        for zone in ["cheap", "dear"] {
-            let lasting = plan.lasting.get(zone).copied().unwrap_or(0);
-            let reclaimable = plan.reclaimable.get(zone).copied().unwrap_or(0);
+        for data_centre in ["cheap", "dear"] {
+            let lasting = plan.lasting.get(data_centre).copied().unwrap_or(0);
+            let reclaimable = plan.reclaimable.get(data_centre).copied().unwrap_or(0);
             prop_assert!(lasting + reclaimable <= scaling.max);
         }
         let need = asked.clamp(2, 8);
--- a/crates/core/tests/serving/configuration.rs
+++ b/crates/core/tests/serving/configuration.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use keeljunction_core::serving::configuration::{
-    CallerLimits, Configuration, Route, RouteKind, Tenant, WeightedService,
+    Account, CallerLimits, Configuration, Route, RouteKind, WeightedService,
 };
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
@@ -29,9 +29,9 @@
         route("long", "a.example", "/x/y/"),
         route("other", "b.example", "/x/"),
     ];
-    let tenant =
-        Tenant { name: "acme".to_owned(), keys: vec!["key-1".to_owned()], ..Tenant::default() };
-    Configuration::new(1, routes, BTreeMap::new(), CallerLimits::default(), Some(vec![tenant]))
+    let account =
+        Account { name: "acme".to_owned(), keys: vec!["key-1".to_owned()], ..Account::default() };
+    Configuration::new(1, routes, BTreeMap::new(), CallerLimits::default(), Some(vec![account]))
 }
 
 fn found(host: &str, path: &str) -> Option<String> {
@@ -58,10 +58,10 @@
 }
 
 #[test]
-fn a_key_names_its_tenant_and_no_other_key_does() {
+fn a_key_names_its_account_and_no_other_key_does() {
     let configuration = configuration();
-    assert_eq!(configuration.find_tenant("key-1").map(|t| t.name.as_str()), Some("acme"));
-    assert_eq!(configuration.find_tenant("key-2"), None);
+    assert_eq!(configuration.find_account("key-1").map(|t| t.name.as_str()), Some("acme"));
+    assert_eq!(configuration.find_account("key-2"), None);
 }
 
 #[test]
--- a/crates/core/tests/serving/quota.rs
+++ b/crates/core/tests/serving/quota.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use keeljunction_core::serving::quota::{Limit, Quotas, Reach, TenantUnits, Units};
+use keeljunction_core::serving::quota::{AccountUnits, Limit, Quotas, Reach, Units};
 use proptest::prelude::*;
 
 const LIMIT: Limit = Limit { rate_per_second: 100.0, burst: 200.0 };
@@ -28,14 +28,14 @@
 }
 
 #[test]
-fn tenants_do_not_share_a_limit() {
+fn accounts_do_not_share_a_limit() {
     let mut quotas = quotas_of_old();
     quotas.take(11_000, "acme", 500, LIMIT, ALONE).expect("within the limit");
     assert_eq!(quotas.take(11_000, "other", 1, LIMIT, ALONE), Ok(()));
 }
 
-fn told(asked: u64, used: u64) -> TenantUnits {
-    TenantUnits(BTreeMap::from([("acme".to_owned(), Units { asked, used })]))
+fn told(asked: u64, used: u64) -> AccountUnits {
+    AccountUnits(BTreeMap::from([("acme".to_owned(), Units { asked, used })]))
 }
 
 const TWO: Reach = Reach { heard: 2, all: 2, period: 200 };
@@ -160,7 +160,7 @@
         let per_step = pressure * limit.rate_per_second / 100.0 / size as f64;
         let mut owed = 0.0;
         for now in (10_000..30_000u64).step_by(10) {
-            // The tenant is quiet at first, and then sends many times its limit.
+            // The client account is quiet at first, and then sends many times its limit.
             owed += if now < 13_000 { per_step / 10.0 } else { per_step };
             while owed >= 1.0 {
                 owed -= 1.0;
@@ -190,7 +190,7 @@
     }
 }
 
-/// A tenant's traffic over many nodes that all end and start again twice, as the users' bench
+/// A client account's traffic over many nodes that all end and start again twice, as the users' bench
 /// played it (tanglaw-keel-grown, trouble-3): 87 nodes, a burst of one second of the rate, 2.6 times
 /// the rate from just before the first end, and 4.7 times it while callers come back.
 fn play_restarts(seed: u64) -> Vec<(u64, u64)> {
@@ -261,7 +261,7 @@
         let most = most.max().unwrap_or(0);
         let allowed = ((8.0 + 1.0) * 1_066_000.0 * 1.1) as u64 + 140_000;
         assert!(most <= allowed, "{most} of {allowed} with seed {seed}");
-        // What the tenant is owed is not held back either.
+        // What the client account is owed is not held back either.
         assert!(most >= 8 * 1_066_000 * 7 / 10, "only {most} of {allowed} with seed {seed}");
     }
 }
--- a/crates/core/tests/serving/support.rs
+++ b/crates/core/tests/serving/support.rs
@@ -3,12 +3,12 @@
 use keeljunction_core::serving::directory::Server;
 
 /// Makes a server that takes work.
-pub fn server(id: &str, zone: &str) -> Server {
+pub fn server(id: &str, data_centre: &str) -> Server {
     Server {
         id: id.to_owned(),
         service: "llm".to_owned(),
         address: "127.0.0.1:8000".parse().expect("an address"),
-        zone: zone.to_owned(),
+        data_centre: data_centre.to_owned(),
         slots: 4,
         is_leaving: false,
         is_reclaimable: false,
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -39,7 +39,7 @@
     ServerChanged {
         server: &'a str,
         service: &'a str,
-        zone: &'a str,
+        data_centre: &'a str,
         state: &'a str,
         leaves_in_ms: Option<u64>,
     },
@@ -49,10 +49,10 @@
     LeaseChanged { fence: Option<u64> },
     /// A window's usage was reported.
     UsageReported { window: u64, requests: u64, fence: u64, status: Option<u16> },
-    /// A zone's number of servers was ordered.
+    /// A data centre's number of servers was ordered.
     CapacityOrdered {
         service: &'a str,
-        zone: &'a str,
+        data_centre: &'a str,
         is_reclaimable: bool,
         count: u32,
         fence: u64,
@@ -82,7 +82,7 @@
     RequestEnded {
         request: &'a str,
         route: Option<&'a str>,
-        tenant: Option<&'a str>,
+        account: Option<&'a str>,
         status: u16,
         outcome: &'a str,
         attempts: u32,
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -1,4 +1,4 @@
-//! Checks a request and finds its route, tenant and time.
+//! Checks a request and finds its route, client account and time.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use hyper::{Method, Uri, header};
 use keeljunction_core::Millis;
 use keeljunction_core::serving::choice::Wish;
-use keeljunction_core::serving::configuration::{Configuration, QuotaUnit, Route, Tenant};
+use keeljunction_core::serving::configuration::{Account, Configuration, QuotaUnit, Route};
 use keeljunction_core::serving::demand::DemandTotals;
 use keeljunction_core::serving::load::{RANKS, Work};
 use keeljunction_core::serving::quota::Limit;
@@ -24,7 +24,7 @@
 
 /// The time that a caller is taken to wait where it does not say.
 const DEFAULT_DEADLINE: Millis = 30_000;
-/// When a tenant beyond its limit should come back at the earliest: what is refilled at once goes
+/// When a client account beyond its limit should come back at the earliest: what is refilled at once goes
 /// to those that came first.
 const QUOTA_BACK_IN: Millis = 500;
 /// When to come back where the node's own knowledge is what is missing.
@@ -48,8 +48,8 @@
     pub service: String,
     /// Whether the service's servers run a model.
     pub has_engine: bool,
-    /// The tenant's name.
-    pub tenant: Option<String>,
+    /// The client account's name.
+    pub account: Option<String>,
     /// The request's rank; 0 is the most urgent.
     pub urgency: u32,
     /// When the final answer is due.
@@ -92,10 +92,10 @@
         }
         let route = find_route(&configuration, &parts).ok_or(refuse(Refusal::NoRoute, 0))?;
         record.route = Some(route.name.clone());
-        let tenant = authenticate(&configuration, &route, &head)
+        let account = authenticate(&configuration, &route, &head)
             .map_err(|reason| refuse(reason, 0))?
             .cloned();
-        record.tenant = tenant.as_ref().map(|tenant| tenant.name.clone());
+        record.account = account.as_ref().map(|account| account.name.clone());
         let limit = configuration.limits.body_bytes;
         let body_within = Duration::from_millis(deadline.min(route.timeout));
         let body = runtime::within(body_within, read_body(body, limit))
@@ -106,10 +106,10 @@
             route.pick_service(fastrand::f64()).ok_or(refuse(Refusal::NoServer, 1_000))?;
         let service = service.to_owned();
         record.service = Some(service.clone());
-        let quota = take_quota(node, tenant.as_ref(), head.prompt.as_ref())
+        let quota = take_quota(node, account.as_ref(), head.prompt.as_ref())
             .map_err(|wait| refuse(Refusal::OverQuota, wait.max(QUOTA_BACK_IN)))?;
         let prompt = head.prompt.as_ref();
-        let priority = tenant.as_ref().map_or(0, |tenant| tenant.priority);
+        let priority = account.as_ref().map_or(0, |account| account.priority);
         let urgency = priority * PRIORITY_STEP + route.priority;
         let work = size_work(prompt, urgency);
         let is_long = count_demand(node, &service, &route, prompt, &work);
@@ -121,7 +121,7 @@
             body,
             has_engine: engine.is_some(),
             service,
-            tenant: tenant.map(|tenant| tenant.name),
+            account: account.map(|account| account.name),
             urgency,
             due: now + deadline.min(route.timeout),
             work,
@@ -137,17 +137,17 @@
         self.due.saturating_sub(now)
     }
 
-    /// Gives the tenant's units back where the request did not run.
+    /// Gives the client account's units back where the request did not run.
     pub fn give_back_quota(&self, node: &Node, reason: Refusal) {
-        if let Some((tenant, units)) = &self.quota
+        if let Some((account, units)) = &self.quota
             && !reason.may_have_run()
         {
-            node.with(|state| state.quotas.give_back(tenant, *units));
+            node.with(|state| state.quotas.give_back(account, *units));
         }
     }
 }
 
-/// A tenant's rank counts this many ranks of routes.
+/// A client account's rank counts this many ranks of routes.
 const PRIORITY_STEP: u32 = 3;
 
 /// Measures a head as it came, in bytes.
@@ -171,13 +171,13 @@
     configuration: &'a Configuration,
     route: &Route,
     head: &RequestHead,
-) -> Result<Option<&'a Tenant>, Refusal> {
-    if configuration.tenants.is_none() {
+) -> Result<Option<&'a Account>, Refusal> {
+    if configuration.accounts.is_none() {
         return Ok(None);
     }
-    let tenant = head.key.as_deref().and_then(|key| configuration.find_tenant(key));
-    match tenant {
-        Some(tenant) => Ok(Some(tenant)),
+    let account = head.key.as_deref().and_then(|key| configuration.find_account(key));
+    match account {
+        Some(account) => Ok(Some(account)),
         None if route.allow_anonymous => Ok(None),
         None => Err(Refusal::UnknownKey),
     }
@@ -198,23 +198,23 @@
 
 fn take_quota(
     node: &Node,
-    tenant: Option<&Tenant>,
+    account: Option<&Account>,
     prompt: Option<&Prompt>,
 ) -> Result<Option<(String, u64)>, Millis> {
-    let Some(tenant) = tenant else { return Ok(None) };
-    let units = match tenant.unit {
+    let Some(account) = account else { return Ok(None) };
+    let units = match account.unit {
         QuotaUnit::Requests => 1,
         QuotaUnit::Tokens { default } => {
             prompt.map_or(default, |prompt| prompt.input_tokens + prompt.output_tokens)
         }
     };
-    let limit = Limit { rate_per_second: tenant.rate_per_second, burst: tenant.burst };
+    let limit = Limit { rate_per_second: account.rate_per_second, burst: account.burst };
     let now = node.now();
     node.with(|state| {
         let reach = state.peers.get_reach(now);
-        state.quotas.take(now, &tenant.name, units, limit, reach)
+        state.quotas.take(now, &account.name, units, limit, reach)
     })?;
-    Ok(Some((tenant.name.clone(), units)))
+    Ok(Some((account.name.clone(), units)))
 }
 
 /// Removes the headers that concern one connection only, and the framing of the body, which is
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -158,8 +158,8 @@
     let body = read_first(exchange, reply).await.ok_or((Failed::Broken, None))?;
     load.note_first_piece();
     note_pace(node, exchange, sent_at);
-    if let (Some(tenant), None) = (&exchange.tenant, order.last_event) {
-        node.count_usage(tenant);
+    if let (Some(account), None) = (&exchange.account, order.last_event) {
+        node.count_usage(account);
     }
     let answer = Answer { server: order.server.clone(), parts, body, load };
     match fault {
@@ -202,7 +202,7 @@
     let dispatch = Dispatch {
         left: exchange.get_left(node.now()),
         server_id: &order.server.id,
-        tenant: exchange.tenant.as_deref(),
+        account: exchange.account.as_deref(),
         urgency: exchange.has_engine.then_some(exchange.urgency),
         last_event: order.last_event,
     };
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! | module | does |
 //! |---|---|
-//! | `admission` | checks the request and finds its route, tenant and time |
+//! | `admission` | checks the request and finds its route, client account and time |
 //! | `dispatch` | chooses servers and sends the request until there is an answer |
 //! | `attempt` | sends the request to one server and judges what comes back |
 //! | `relay` | passes the answer on |
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -36,8 +36,8 @@
     pub route: Option<String>,
     /// The service's name.
     pub service: Option<String>,
-    /// The tenant's name.
-    pub tenant: Option<String>,
+    /// The client account's name.
+    pub account: Option<String>,
     /// The version of the configuration that was acted on.
     pub version: Option<u64>,
     /// How old the knowledge was that it is the newest.
@@ -62,7 +62,7 @@
             id: head.id.clone().unwrap_or_default(),
             route: None,
             service: None,
-            tenant: None,
+            account: None,
             version: None,
             age: None,
             attempts: 0,
@@ -116,7 +116,7 @@
         let text = |name: &Option<String>| name.clone().unwrap_or_default();
         let labels = RequestLabels {
             service: text(&self.service),
-            tenant: text(&self.tenant),
+            account: text(&self.account),
             outcome: self.outcome.to_owned(),
         };
         self.node.metrics.requests.get_or_create(&labels).inc();
@@ -131,7 +131,7 @@
         event::emit(&Event::RequestEnded {
             request: &self.id,
             route: self.route.as_deref(),
-            tenant: self.tenant.as_deref(),
+            account: self.account.as_deref(),
             status: self.status,
             outcome: self.outcome,
             attempts: self.attempts,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and latency histograms, as OpenMetrics text.
 //!
-//! Labels are bounded: services, tenants and outcomes come from the configuration and the code.
+//! Labels are bounded: services, client accounts and outcomes come from the configuration and the code.
 
 use std::fmt::Write;
 use std::sync::atomic::{AtomicI64, AtomicU64};
@@ -24,8 +24,8 @@
 pub struct RequestLabels {
     /// The service, or empty where none was found.
     pub service: String,
-    /// The tenant, or empty where none was found.
-    pub tenant: String,
+    /// The client account, or empty where none was found.
+    pub account: String,
     /// The outcome, one of the names of the code.
     pub outcome: String,
 }
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -5,7 +5,7 @@
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::capacity::{
-    Asked, Plan, Policy, Situation, SlowFall, ZoneStock, need, plan,
+    Asked, Plan, Policy, Situation, SlowFall, Stock, need, plan,
 };
 use keeljunction_core::serving::configuration::{Scaling, Service};
 
@@ -27,7 +27,7 @@
 const BOOT_SLACK: Millis = 3_000;
 const STATUS_OK: u16 = 200;
 
-/// Servers of one kind in a zone.
+/// Servers of one kind in a data centre.
 type Place = (String, String, bool);
 
 /// What a holder knows of the orders.
@@ -81,14 +81,16 @@
     ) {
         let now = node.now();
         let stock = self.take_stock(node, name, scaling);
-        let held: u32 = stock.values().map(|zone| zone.lasting).sum();
+        let held: u32 = stock.values().map(|data_centre| data_centre.lasting).sum();
         let (found, is_settled) = self.settle(name, held, now);
-        let is_mixed = stock.values().any(|zone| zone.reclaimable > 0);
+        let is_mixed = stock.values().any(|data_centre| data_centre.reclaimable > 0);
         let policy = node.settings.capacity.get_policy();
         let (need, policy) = match self.get_need(node, name, service, now) {
             Some(need) => (need, policy),
             // A holder that does not know the demand yet leaves an earlier holder's mix as it is.
             None if is_mixed && !self.has_ordered(name) => return,
+            // Servers list themselves one by one.
+            None if !is_settled => return,
             // Servers that nobody has mixed yet: as many as were found, in the usual mix.
             None => {
                 (found, Policy { reclaimable_part: policy.reclaimable_part.min(1.0), ..policy })
@@ -116,9 +118,9 @@
     }
 
     /// Counts the lasting servers that were ordered, or are there where none were ordered.
-    fn count_lasting(&self, name: &str, stock: &BTreeMap<String, ZoneStock>) -> u32 {
-        let held = stock.iter().map(|(zone, held)| {
-            let place = (name.to_owned(), zone.clone(), false);
+    fn count_lasting(&self, name: &str, stock: &BTreeMap<String, Stock>) -> u32 {
+        let held = stock.iter().map(|(data_centre, held)| {
+            let place = (name.to_owned(), data_centre.clone(), false);
             self.ordered.get(&place).map_or(held.lasting, |ordered| ordered.count)
         });
         held.sum()
@@ -135,27 +137,30 @@
         (found.count, is_settled)
     }
 
-    /// Counts what each zone holds; a zone that the configuration prices is listed also if empty.
+    /// Counts what each data centre holds; a data centre that the configuration prices is listed also if empty.
     fn take_stock(
         &mut self,
         node: &Node,
         name: &str,
         scaling: &Scaling,
-    ) -> BTreeMap<String, ZoneStock> {
+    ) -> BTreeMap<String, Stock> {
         let now = node.now();
-        let mut stock: BTreeMap<String, ZoneStock> =
-            scaling.zone_prices.keys().map(|zone| (zone.clone(), ZoneStock::default())).collect();
+        let mut stock: BTreeMap<String, Stock> = scaling
+            .data_centre_prices
+            .keys()
+            .map(|data_centre| (data_centre.clone(), Stock::default()))
+            .collect();
         node.with(|state| {
             for server in state.directory.iter_ready(name) {
-                let zone = stock.entry(server.zone.clone()).or_default();
+                let data_centre = stock.entry(server.data_centre.clone()).or_default();
                 match server.is_reclaimable {
-                    true => zone.reclaimable += 1,
-                    false => zone.lasting += 1,
+                    true => data_centre.reclaimable += 1,
+                    false => data_centre.lasting += 1,
                 }
             }
         });
-        for (zone, held) in &mut stock {
-            let place = (name.to_owned(), zone.clone(), true);
+        for (data_centre, held) in &mut stock {
+            let place = (name.to_owned(), data_centre.clone(), true);
             let Some(ordered) = self.ordered.get_mut(&place) else { continue };
             ordered.most_seen = ordered.most_seen.max(held.reclaimable);
             if now < ordered.at + scaling.boot + BOOT_SLACK {
@@ -198,26 +203,31 @@
         &self,
         name: &str,
         plan: &Plan,
-        stock: &BTreeMap<String, ZoneStock>,
+        stock: &BTreeMap<String, Stock>,
         now: Millis,
     ) -> Vec<CapacityOrder> {
         let mut orders = Vec::new();
         // More comes before less, so that nothing is given up for what may not be had.
         for is_reclaimable in [true, false] {
             let wanted = if is_reclaimable { &plan.reclaimable } else { &plan.lasting };
-            for (zone, count) in wanted {
-                let place = (name.to_owned(), zone.clone(), is_reclaimable);
-                let held = stock.get(zone).copied().unwrap_or_default();
+            for (data_centre, count) in wanted {
+                let place = (name.to_owned(), data_centre.clone(), is_reclaimable);
+                let held = stock.get(data_centre).copied().unwrap_or_default();
                 if self.is_due(&place, *count, &held, now) {
-                    let (service, zone) = (name.to_owned(), zone.clone());
-                    orders.push(CapacityOrder { service, zone, is_reclaimable, count: *count });
+                    let (service, data_centre) = (name.to_owned(), data_centre.clone());
+                    orders.push(CapacityOrder {
+                        service,
+                        data_centre,
+                        is_reclaimable,
+                        count: *count,
+                    });
                 }
             }
         }
         orders
     }
 
-    fn is_due(&self, place: &Place, count: u32, held: &ZoneStock, now: Millis) -> bool {
+    fn is_due(&self, place: &Place, count: u32, held: &Stock, now: Millis) -> bool {
         if self.paused_until.get(place).is_some_and(|until| now < *until) {
             return false;
         }
@@ -236,13 +246,13 @@
     async fn send(&mut self, node: &Node, order: CapacityOrder) {
         let now = node.now();
         let Some(fence) = node.with(|state| state.lease.get_fence(now)) else { return };
-        let place = (order.service.clone(), order.zone.clone(), order.is_reclaimable);
+        let place = (order.service.clone(), order.data_centre.clone(), order.is_reclaimable);
         let holder = DutyHolder { name: node.life.node.clone(), fence };
         let calling = (node.platform.control.set_capacity)(holder, order.clone());
         let status = runtime::within(CALL_WITHIN, calling).await.flatten();
         event::emit(&Event::CapacityOrdered {
             service: &order.service,
-            zone: &order.zone,
+            data_centre: &order.data_centre,
             is_reclaimable: order.is_reclaimable,
             count: order.count,
             fence,
--- a/crates/gateway/src/node/gossip.rs
+++ b/crates/gateway/src/node/gossip.rs
@@ -15,7 +15,7 @@
 use keeljunction_core::serving::load::Load;
 use keeljunction_core::serving::pace::Sample;
 use keeljunction_core::serving::peers::Heard;
-use keeljunction_core::serving::quota::TenantUnits;
+use keeljunction_core::serving::quota::AccountUnits;
 use keeljunction_core::serving::usage::{Counts, WindowNumber};
 use serde::{Deserialize, Serialize};
 
@@ -76,7 +76,7 @@
     holds_duties: bool,
     link_mbps: u32,
     loads: Vec<(u64, Load)>,
-    used: TenantUnits,
+    used: AccountUnits,
     usage: Vec<(WindowNumber, Counts)>,
     demand: Vec<(String, DemandTotals)>,
     paces: Vec<(String, Vec<Sample>)>,
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -104,7 +104,7 @@
     pub loads: LoadBook,
     /// What the servers' answers showed.
     pub health: Health,
-    /// What tenants have used.
+    /// What client accounts have used.
     pub quotas: Quotas,
     /// Repeats.
     pub budget: RetryBudget,
@@ -228,11 +228,11 @@
         InFlight { node: self.clone() }
     }
 
-    /// Counts that a request of a tenant began to run now.
-    pub fn count_usage(&self, tenant: &str) {
+    /// Counts that a request of a client account began to run now.
+    pub fn count_usage(&self, account: &str) {
         let length = (self.settings.bounds.report_window_s * 1_000.0) as u64;
         let window = window_at(runtime::unix_ms(), length);
-        self.with(|state| state.usage.count(window, &self.life, tenant));
+        self.with(|state| state.usage.count(window, &self.life, account));
     }
 }
 
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -1,4 +1,4 @@
-//! Reports how many requests of each tenant began in each window, once a window.
+//! Reports how many requests of each client account began in each window, once a window.
 //!
 //! The counts of a window are first written to the table, where only the first writer succeeds,
 //! and then reported as they stand there. A report may be repeated, by this holder or the next;
--- a/crates/gateway/src/node/watch.rs
+++ b/crates/gateway/src/node/watch.rs
@@ -329,7 +329,7 @@
         event::emit(&Event::ServerChanged {
             server: &server.id,
             service: &server.service,
-            zone: &server.zone,
+            data_centre: &server.data_centre,
             state,
             leaves_in_ms: server.leaves_within,
         });
--- a/crates/gateway/src/port/control.rs
+++ b/crates/gateway/src/port/control.rs
@@ -10,9 +10,9 @@
 
 /// The platform's control calls.
 pub struct Control {
-    /// Reports how many requests of each tenant began in a window.
+    /// Reports how many requests of each client account began in a window.
     pub report_usage: Box<dyn Fn(DutyHolder, UsageReport) -> ControlFuture + Send + Sync>,
-    /// Sets how many servers a zone should have.
+    /// Sets how many servers a data centre should have.
     pub set_capacity: Box<dyn Fn(DutyHolder, CapacityOrder) -> ControlFuture + Send + Sync>,
 }
 
@@ -25,22 +25,22 @@
     pub fence: u64,
 }
 
-/// How many requests of each tenant began in a window.
+/// How many requests of each client account began in a window.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UsageReport {
     /// The window.
     pub window: WindowNumber,
-    /// Requests by tenant.
+    /// Requests by client account.
     pub counts: Counts,
 }
 
-/// How many servers of one kind a zone should have.
+/// How many servers of one kind a data centre should have.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CapacityOrder {
     /// The service.
     pub service: String,
-    /// The zone.
-    pub zone: String,
+    /// The data centre.
+    pub data_centre: String,
     /// Whether the servers may be taken away.
     pub is_reclaimable: bool,
     /// The whole number of servers, not a change of it.
--- a/crates/gateway/src/port/dialect.rs
+++ b/crates/gateway/src/port/dialect.rs
@@ -57,8 +57,8 @@
     pub left: Millis,
     /// The server that is meant, so that another at its address does not run the request.
     pub server_id: &'a str,
-    /// The tenant that holds the caller's key.
-    pub tenant: Option<&'a str>,
+    /// The client account that holds the caller's key.
+    pub account: Option<&'a str>,
     /// The request's rank, for model servers; 0 is the most urgent.
     pub urgency: Option<u32>,
     /// The last event that the caller has got, where a stream goes on.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -39,8 +39,8 @@
 pub struct Identity {
     /// The node's name, the same at each start.
     pub name: String,
-    /// The zone that it stands in.
-    pub zone: String,
+    /// The data centre that it stands in.
+    pub data_centre: String,
 }
 
 /// Where the node listens.
