--- a/crates/core/src/serving/quota.rs
+++ b/crates/core/src/serving/quota.rs
@@ -58,6 +58,8 @@
     pub asked: u64,
     /// Units of the requests that were taken.
     pub used: u64,
+    /// Units asked for a second, lately: all nodes work out their parts from the same figures.
+    pub asked_per_second: u64,
 }
 
 /// The units of one life of a node, by client account.
@@ -120,16 +122,23 @@
         for (account, units) in &totals.0 {
             let before = self.told.0.insert(account.clone(), *units).unwrap_or_default();
             let used = units.used as f64 - before.used as f64;
-            let asked = units.asked as f64 - before.asked as f64;
             self.used.insert(account.clone(), used.max(0.0) / since);
-            let rate = self.asked.entry(account.clone()).or_default();
-            *rate += SMOOTHING * (asked.max(0.0) / since - *rate);
+            self.asked.insert(account.clone(), units.asked_per_second as f64 / 1_000.0);
             newly_used.push((account.clone(), used));
         }
         self.told_at = now;
         newly_used
     }
 
+    /// Computes how fast units were asked for, from new totals.
+    fn measure_asked(&self, now: Millis, account: &str, units: &Units) -> u64 {
+        let since = now.saturating_sub(self.told_at).max(1) as f64;
+        let before = self.told.0.get(account).copied().unwrap_or_default();
+        let newest = units.asked.saturating_sub(before.asked) as f64 / since * 1_000.0;
+        let known = before.asked_per_second as f64;
+        (known + SMOOTHING * (newest - known)) as u64
+    }
+
     /// Estimates the units used since the last totals.
     fn estimate_untold(&self, now: Millis, account: &str) -> f64 {
         let since = now.saturating_sub(self.told_at).min(RATE_LASTS) as f64;
@@ -171,7 +180,7 @@
             whole: BTreeMap::new(),
             own_part: BTreeMap::new(),
             own: AccountUnits::default(),
-            own_rates: Rates::default(),
+            own_rates: Rates { told_at: now, ..Rates::default() },
             peers: BTreeMap::new(),
         }
     }
@@ -238,6 +247,9 @@
 
     /// Returns what this life was asked for and gave, and notes how fast that grew.
     pub fn tell(&mut self, now: Millis) -> AccountUnits {
+        for (account, units) in &mut self.own.0 {
+            units.asked_per_second = self.own_rates.measure_asked(now, account, units);
+        }
         self.own_rates.update(now, &self.own);
         self.own.clone()
     }
@@ -305,9 +317,13 @@
     }
 
     /// Returns this node's part of what the client account asks of all nodes that are heard.
+    ///
+    /// While this node is new its peers may be too, and may not have told yet what they are asked
+    /// for: an even part is no node's loss then.
     fn get_share(&self, now: Millis, account: &str, reach: Reach) -> f64 {
         let own = self.own_rates.get_asked(now, account);
-        if own <= 0.0 {
+        let is_new = now < self.started_at + NEW_FOR;
+        if own <= 0.0 || is_new {
             return 1.0 / reach.heard.max(1) as f64;
         }
         own / self.get_all_asked(now, account)
--- a/crates/core/tests/serving/quota.rs
+++ b/crates/core/tests/serving/quota.rs
@@ -35,7 +35,11 @@
 }
 
 fn told(asked: u64, used: u64) -> AccountUnits {
-    AccountUnits(BTreeMap::from([("acme".to_owned(), Units { asked, used })]))
+    told_at_rate(asked, used, 0)
+}
+
+fn told_at_rate(asked: u64, used: u64, asked_per_second: u64) -> AccountUnits {
+    AccountUnits(BTreeMap::from([("acme".to_owned(), Units { asked, used, asked_per_second })]))
 }
 
 const TWO: Reach = Reach { heard: 2, all: 2, period: 200 };
@@ -71,7 +75,8 @@
     quotas.take(11_000, "acme", 300, LIMIT, ALONE).expect("within the limit");
     quotas.give_back("acme", 300);
     assert_eq!(quotas.take(11_000, "acme", 200, LIMIT, ALONE), Ok(()));
-    assert_eq!(quotas.tell(11_000), told(500, 200));
+    // 500 units asked for in 11 seconds, of which the first figure counts half.
+    assert_eq!(quotas.tell(11_000), told_at_rate(500, 200, 22));
 }
 
 #[test]
@@ -106,7 +111,7 @@
     quotas.hear(10_000, "peer", 1, &told(0, 0));
     quotas.take(11_000, "acme", 100, LIMIT, TWO).expect("within the limit");
     quotas.tell(11_000);
-    quotas.hear(11_000, "peer", 1, &told(300, 300));
+    quotas.hear(11_000, "peer", 1, &told_at_rate(300, 300, 150));
     let taken: u64 = (11_000..13_000u64)
         .step_by(10)
         .map(|now| u64::from(quotas.take(now, "acme", 1, LIMIT, TWO).is_ok()))
@@ -212,13 +217,15 @@
         if RESTARTS.contains(&now) {
             lives += 1;
             started_at = now + DOWN;
-            quotas = (0..NODES).map(|_| Quotas::new(started_at)).collect();
+            quotas = (0..NODES).map(|_| Quotas::new(0)).collect();
         }
         if now < started_at {
             continue;
         }
-        // A node that has just started takes the others to be there, and does not hear them yet.
-        let heard = if now < started_at + 700 { 1 } else { NODES };
+        // Each life has a clock of its own.
+        let clock = now - started_at;
+        // A node that has just started takes the others to be there, and hears one after the other.
+        let heard = NODES.min(1 + (clock / 6) as usize);
         let all = NODES;
         let reach = Reach { heard, all, period: PERIOD };
         let pressure = match now {
@@ -232,16 +239,16 @@
             // A few nodes get much more than the others.
             let node = random.usize(..NODES).min(random.usize(..NODES));
             let size = SIZES[random.usize(..SIZES.len())];
-            if quotas[node].take(now, "acme", size, limit, reach).is_ok() {
+            if quotas[node].take(clock, "acme", size, limit, reach).is_ok() {
                 given.push((now, size));
             }
         }
         for node in 0..NODES {
             if (now + node as u64 * 7) % PERIOD < 10 {
-                let told = quotas[node].tell(now);
+                let told = quotas[node].tell(clock);
                 for (other, quota) in quotas.iter_mut().enumerate() {
                     if other != node {
-                        quota.hear(now, &format!("n-{node}"), lives, &told);
+                        quota.hear(clock, &format!("n-{node}"), lives, &told);
                     }
                 }
             }
@@ -265,3 +272,22 @@
         assert!(most >= 8 * 1_066_000 * 7 / 10, "only {most} of {allowed} with seed {seed}");
     }
 }
+
+#[test]
+fn a_new_node_takes_an_even_part_until_its_peers_have_told_what_they_are_asked() {
+    let reach = Reach { heard: 10, all: 10, period: 200 };
+    let mut quotas = Quotas::new(10_000);
+    // Its peers have just started too, and told before their first request.
+    for peer in 0..9 {
+        quotas.hear(10_050, &format!("n-{peer}"), 1, &told(0, 0));
+    }
+    let mut given = 0;
+    for now in (10_100..11_100u64).step_by(10) {
+        given += 10 * u64::from(quotas.take(now, "acme", 10, LIMIT, reach).is_ok());
+        if now % 200 == 0 {
+            quotas.tell(now);
+        }
+    }
+    // Asked for 1,000 in a second: a tenth of 100, and what it may save up at its start.
+    assert!(given <= 120, "{given}");
+}
