--- a/crates/core/src/serving/quota.rs
+++ b/crates/core/src/serving/quota.rs
@@ -28,28 +28,12 @@
 }
 
 impl Limit {
-    /// Returns a limit that gives as much in every window, and more of it to a client account that
-    /// asks for more than its rate all the time: half of the burst comes back once a window.
-    ///
-    /// Over a window the given limit allows its rate and its burst, and so does this one.
-    pub fn spread_over(self, window: Millis) -> Self {
-        let spread = self.burst * SPREAD_PART;
-        let per_second = spread * 1_000.0 / window.max(1) as f64;
-        if self.rate_per_second <= 0.0 {
-            return self;
-        }
-        Self { rate_per_second: self.rate_per_second + per_second, burst: self.burst - spread }
-    }
-
     /// Returns the most units that are saved up; a limit without a burst saves up a little.
     fn get_capacity(self) -> f64 {
         self.burst.max(self.rate_per_second / 10.0)
     }
 }
 
-/// The part of the burst that comes back once a window.
-const SPREAD_PART: f64 = 0.5;
-
 /// How many nodes there are, how many of them are heard (this one included), and how often.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reach {
--- a/crates/core/tests/serving/quota.rs
+++ b/crates/core/tests/serving/quota.rs
@@ -291,13 +291,3 @@
     // Asked for 1,000 in a second: a tenth of 100, and what it may save up at its start.
     assert!(given <= 120, "{given}");
 }
-
-#[test]
-fn a_limit_that_is_spread_over_a_window_gives_as_much_in_it() {
-    let spread = LIMIT.spread_over(8_000);
-    assert_eq!(spread, Limit { rate_per_second: 112.5, burst: 100.0 });
-    let of_window = |limit: Limit| limit.rate_per_second * 8.0 + limit.burst;
-    assert_eq!(of_window(spread), of_window(LIMIT));
-    let none = Limit { rate_per_second: 0.0, burst: 50.0 };
-    assert_eq!(none.spread_over(8_000), none);
-}
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -209,8 +209,6 @@
         }
     };
     let limit = Limit { rate_per_second: account.rate_per_second, burst: account.burst };
-    let window = (node.settings.bounds.quota_window_s * 1_000.0) as Millis;
-    let limit = limit.spread_over(window);
     let now = node.now();
     node.with(|state| {
         let reach = state.peers.get_reach(now);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -81,8 +81,6 @@
     pub drain_ms: Millis,
     /// Time from the signal to stop until the process is killed, in seconds.
     pub grace_s: f64,
-    /// The window in which a client account may use its rate and its burst, in seconds.
-    pub quota_window_s: f64,
     /// Repeats for each request, over all nodes.
     pub retry_budget_ratio: f64,
     /// Repeats in a window besides, over all nodes.
@@ -205,7 +203,6 @@
         check_range("bounds.config_apply_ms", bounds.config_apply_ms as f64, 100.0, 3.6e6)?;
         check_range("bounds.drain_ms", bounds.drain_ms as f64, 100.0, 3.6e6)?;
         check_range("bounds.grace_s", bounds.grace_s, 0.5, 3_600.0)?;
-        check_range("bounds.quota_window_s", bounds.quota_window_s, 0.1, 86_400.0)?;
         check_range("bounds.retry_budget_ratio", bounds.retry_budget_ratio, 0.0, 1.0)?;
         check_range("bounds.budget_min_retries", bounds.budget_min_retries, 0.0, 1e6)?;
         check_range("bounds.budget_window_s", bounds.budget_window_s, 0.1, 3_600.0)?;
