--- a/crates/gateway/src/node/watch.rs
+++ b/crates/gateway/src/node/watch.rs
@@ -190,10 +190,11 @@
 }
 
 /// Follows a table's changes until the watch fails, or this node need not read any more. `take`
-/// gets the rows, and when they were asked for.
+/// gets the rows, and when they were asked for. A node that knows no configuration yet waits for
+/// the first one here, instead of asking for it again and again.
 async fn follow(node: &Node, watch: &Watch, from: u64, mut take: impl FnMut(&Rows, Millis)) {
     let mut version = from;
-    while node.with(|state| state.peers.is_reader(node.now())) {
+    while node.with(|s| s.configuration.is_none() || s.peers.is_reader(node.now())) {
         let asked_at = node.now();
         let watching = (node.platform.table.watch)(watch.table, version, watch.hold);
         match runtime::within(watch.hold + ANSWER_WITHIN, watching).await {
