perf(watch): wait for the first configuration in one call, and confirm it with the read that brought it

Ruled out: the duty holder's calls (a few a second). A node that does not read for all now holds one watch of 10 s; the readers tell it too. The read at a restart confirms the configuration, which saves a second one.

--- a/crates/gateway/src/node/watch.rs
+++ b/crates/gateway/src/node/watch.rs
@@ -30,6 +30,9 @@
 const GATHER_PART: f64 = 0.08;
 /// The time between two looks whether this node has to read.
 const LOOK: Duration = Duration::from_millis(100);
+/// How long the first configuration is waited for in one call by a node that does not read for all:
+/// the readers tell it too.
+const FIRST_CONFIGURATION_HOLD: Duration = Duration::from_secs(10);
 /// How much longer the node waits for its answer.
 const ANSWER_WITHIN: Duration = Duration::from_millis(700);
 /// The first pause after a failure; doubled up to the longest.
@@ -38,23 +41,21 @@
 /// Reads of the configuration in each freshness bound.
 const CONFIRMS_IN_BOUND: u64 = 4;
 
-/// Follows the configuration for ever, where this node reads for all or its own knowledge is old.
+/// Follows the configuration for ever, where this node reads for all or knows none yet.
 pub async fn configuration(node: Arc<Node>) {
     let mut pause = Pause::default();
     loop {
-        if !is_due(&node, position::is_configuration_old) {
+        if !is_reader(&node) && !lacks_configuration(&node) {
             runtime::sleep(LOOK).await;
             continue;
         }
+        let asked_at = node.now();
         match read(&node, TableName::Configuration).await {
             Ok(rows) => {
                 adopt_and_push(&node, &rows.rows);
+                confirm_configuration(&node, asked_at);
                 pause.reset();
-                let bound = node.settings.bounds.config_apply_ms;
-                let hold = part_of(bound, CONFIGURATION_HOLD_PART);
-                let watch = Watch { table: TableName::Configuration, hold, gather: None };
-                follow(&node, &watch, rows.version, |rows, _| adopt_and_push(&node, &rows.rows))
-                    .await;
+                follow_configuration(&node, rows.version).await;
             }
             Err(error) => note_failure("configuration", &error),
         }
@@ -62,12 +63,28 @@
     }
 }
 
+/// Follows the configuration while this node reads for all; waits for the first one otherwise.
+async fn follow_configuration(node: &Node, from: u64) {
+    let table = TableName::Configuration;
+    if is_reader(node) {
+        let hold = part_of(node.settings.bounds.config_apply_ms, CONFIGURATION_HOLD_PART);
+        let watch = Watch { table, hold, gather: None, is_wanted: is_reader };
+        follow(node, &watch, from, |rows, _| adopt_and_push(node, &rows.rows)).await;
+    } else {
+        let hold = FIRST_CONFIGURATION_HOLD;
+        let watch = Watch { table, hold, gather: None, is_wanted: lacks_configuration };
+        follow(node, &watch, from, |rows, _| adopt_and_push(node, &rows.rows)).await;
+    }
+}
+
 /// Reads the configuration again and again, to know that it is the newest.
 pub async fn freshness(node: Arc<Node>) {
     let period = Duration::from_millis(node.get_fresh_bound() / CONFIRMS_IN_BOUND);
     let mut pause = Pause::default();
     loop {
-        if !is_due(&node, position::is_configuration_old) {
+        // Until there is one, the first configuration is waited for and not asked for again.
+        let is_waiting = lacks_configuration(&node) && !is_reader(&node);
+        if is_waiting || !is_due(&node, position::is_configuration_old) {
             runtime::sleep(LOOK).await;
             continue;
         }
@@ -101,12 +118,17 @@
         None => read(node, TableName::Configuration).await?.rows,
     };
     adopt_and_push(node, &rows);
+    confirm_configuration(node, asked_at);
+    Ok(())
+}
+
+/// Notes that the configuration in force was the newest at a time.
+fn confirm_configuration(node: &Node, asked_at: Millis) {
     node.with(|state| {
         if state.configuration.is_some() {
             state.freshness.confirm(asked_at);
         }
     });
-    Ok(())
 }
 
 /// Returns the row of the configuration in force, where this node has read it itself.
@@ -151,6 +173,7 @@
                     table: TableName::Servers,
                     hold: part_of(bound, SERVERS_HOLD_PART),
                     gather: Some(part_of(bound, GATHER_PART)),
+                    is_wanted: is_reader,
                 };
                 follow(&node, &watch, rows.version, |rows, asked_at| {
                     update_servers(&node, rows);
@@ -166,8 +189,17 @@
 
 /// Says whether this node has to read a table itself.
 fn is_due(node: &Node, is_old: fn(&Node) -> bool) -> bool {
+    is_reader(node) || is_old(node)
+}
+
+/// Says whether this node reads the tables for all.
+fn is_reader(node: &Node) -> bool {
     let now = node.now();
-    node.with(|state| state.peers.is_reader(now)) || is_old(node)
+    node.with(|state| state.peers.is_reader(now))
+}
+
+fn lacks_configuration(node: &Node) -> bool {
+    node.with(|state| state.configuration.is_none())
 }
 
 async fn read(node: &Node, table: TableName) -> Result<Rows, TableError> {
@@ -183,18 +215,19 @@
     hold: Duration,
     /// The pause after changes, in which further ones gather.
     gather: Option<Duration>,
+    /// Says whether this node goes on to follow the table.
+    is_wanted: fn(&Node) -> bool,
 }
 
 fn part_of(bound: Millis, part: f64) -> Duration {
     Duration::from_millis(bound).mul_f64(part)
 }
 
-/// Follows a table's changes until the watch fails, or this node need not read any more. `take`
-/// gets the rows, and when they were asked for. A node that knows no configuration yet waits for
-/// the first one here, instead of asking for it again and again.
+/// Follows a table's changes while that is wanted, until the watch fails. `take` gets the rows, and
+/// when they were asked for.
 async fn follow(node: &Node, watch: &Watch, from: u64, mut take: impl FnMut(&Rows, Millis)) {
     let mut version = from;
-    while node.with(|s| s.configuration.is_none() || s.peers.is_reader(node.now())) {
+    while (watch.is_wanted)(node) {
         let asked_at = node.now();
         let watching = (node.platform.table.watch)(watch.table, version, watch.hold);
         match runtime::within(watch.hold + ANSWER_WITHIN, watching).await {
