fix(directory): give entries time to come back only after the table service was away

Ruled out: a lost push, and a reader with an old list (all readers knew). Now entries lapse only after a read that failed, and a list that is got from a peer is confirmed by what the peer told of it. Tests: a_server_that_left_while_the_list_grew_old_gets_nothing (failed first), one_outage_gives_time_to_come_back_once.

--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -51,6 +51,8 @@
     /// Servers whose entries lapsed; this node's own belief, which peers are not told.
     lapsed: BTreeMap<String, Server>,
     lapsing_until: Option<Millis>,
+    /// Whether the table service was away when it was last asked.
+    is_away: bool,
 }
 
 /// Time after the table service's return in which the entries of servers that live are back.
@@ -100,9 +102,19 @@
         Some(changes.collect())
     }
 
-    /// Notes that the list is known again after the table service was away.
+    /// Notes that the table service did not answer.
+    pub fn note_away(&mut self) {
+        self.is_away = true;
+    }
+
+    /// Notes that the list is known again, and was old before that.
+    ///
+    /// Entries have time to come back only where the table service was away: a list may also grow
+    /// old while servers leave, and those must get nothing more.
     pub fn note_return(&mut self, now: Millis) {
-        self.lapsing_until = Some(now + LAPSED_FOR);
+        if std::mem::take(&mut self.is_away) {
+            self.lapsing_until = Some(now + LAPSED_FOR);
+        }
     }
 
     /// Gives up the servers whose entries have not come back in time.
--- a/crates/core/tests/serving/directory.rs
+++ b/crates/core/tests/serving/directory.rs
@@ -98,6 +98,7 @@
 fn entries_that_lapsed_while_the_table_service_was_away_have_time_to_come_back() {
     let mut directory = Directory::default();
     directory.replace(1, vec![server("a", "z1"), server("b", "z1"), server("c", "z1")]);
+    directory.note_away();
     directory.note_return(10_000);
     assert!(directory.replace(5, vec![server("c", "z1")]).is_empty());
     assert_eq!(ready(&directory), ["c", "a", "b"]);
@@ -111,6 +112,7 @@
 fn peers_are_not_told_of_servers_whose_entries_lapsed() {
     let mut directory = Directory::default();
     directory.replace(1, vec![server("a", "z1")]);
+    directory.note_away();
     directory.note_return(10_000);
     directory.update(removed(2, "a"));
     assert_eq!(ready(&directory), ["a"]);
@@ -122,6 +124,7 @@
     let mut directory = Directory::default();
     let leaving = Server { is_leaving: true, ..server("a", "z1") };
     directory.replace(1, vec![leaving.clone()]);
+    directory.note_away();
     directory.note_return(10_000);
     assert_eq!(directory.update(removed(2, "a")), Some(vec![Change::Gone(leaving)]));
 }
@@ -130,8 +133,30 @@
 fn a_server_whose_entry_lapsed_is_gone_once_another_answers_in_its_place() {
     let mut directory = Directory::default();
     directory.replace(1, vec![server("a", "z1")]);
+    directory.note_away();
     directory.note_return(10_000);
     directory.update(removed(2, "a"));
     assert_eq!(directory.note_leaving("a"), Some(Change::Gone(server("a", "z1"))));
     assert!(ready(&directory).is_empty());
 }
+
+#[test]
+fn a_server_that_left_while_the_list_grew_old_gets_nothing() {
+    let mut directory = Directory::default();
+    directory.replace(1, vec![server("a", "z1"), server("b", "z1")]);
+    directory.note_return(10_000);
+    let changes = directory.replace(5, vec![server("b", "z1")]);
+    assert_eq!(changes, [Change::Gone(server("a", "z1"))]);
+    assert_eq!(ready(&directory), ["b"]);
+}
+
+#[test]
+fn one_outage_gives_time_to_come_back_once() {
+    let mut directory = Directory::default();
+    directory.replace(1, vec![server("a", "z1")]);
+    directory.note_away();
+    directory.note_return(10_000);
+    assert!(directory.expire_lapsed(12_000).is_empty());
+    directory.note_return(20_000);
+    assert_eq!(directory.replace(5, Vec::new()), [Change::Gone(server("a", "z1"))]);
+}
--- a/crates/gateway/src/node/position.rs
+++ b/crates/gateway/src/node/position.rs
@@ -125,11 +125,27 @@
             is_known
         });
         if !is_known {
-            runtime::spawn(peer_calls::get_servers(node.clone(), from));
+            runtime::spawn(get_newer_servers(node.clone(), from, asked_at, (version, age)));
         }
     }
 }
 
+/// Gets a peer's list of servers, which it told to be the newest `age` before it answered.
+async fn get_newer_servers(
+    node: Arc<Node>,
+    from: SocketAddr,
+    asked_at: Millis,
+    (version, age): (u64, Millis),
+) {
+    peer_calls::get_servers(node.clone(), from).await;
+    node.with(|state| {
+        // The list that was got may be newer than the one that was told of, and never older.
+        if state.has_servers && state.directory.get_version() >= version {
+            state.servers_freshness.confirm_by_peer(asked_at, age);
+        }
+    });
+}
+
 /// Takes changes of the list of servers, or gets the whole list where some are missing.
 pub(super) fn take_servers(node: &Arc<Node>, from: SocketAddr, batch: Batch) {
     let changes = node.with(|state| match state.has_servers {
--- a/crates/gateway/src/node/watch.rs
+++ b/crates/gateway/src/node/watch.rs
@@ -181,7 +181,10 @@
                 })
                 .await;
             }
-            Err(error) => note_failure("servers", &error),
+            Err(error) => {
+                note_failure("servers", &error);
+                node.with(|state| state.directory.note_away());
+            }
         }
         pause.wait().await;
     }
