--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -214,17 +214,21 @@
 
 fn tell_choice(node: &Node, exchange: &Exchange, record: &Record, server: &Server) {
     let now = node.now();
-    let (candidates, waiting_tokens) = node.with(|state| {
+    let (candidates, load, speed) = node.with(|state| {
         let candidates = state.directory.iter_ready(&exchange.service).count();
-        (candidates, state.loads.total(now, &server.id).get_waiting_tokens())
+        let load = state.loads.total(now, &server.id);
+        (candidates, load, state.paces.get(&exchange.service).and_then(Pace::get_speed))
     });
+    let wish = Wish { speed, ..exchange.wish };
     event::emit(&Event::ServerChosen {
         request: &record.id,
         server: &server.id,
         service: &exchange.service,
         attempt: record.attempts,
         candidates,
-        waiting_tokens,
+        prompt_tokens: wish.prompt_tokens,
+        waiting_tokens: load.get_waiting_tokens(),
+        expected_ms: wish.estimate(&load),
         left_ms: exchange.get_left(now),
         version: record.version.unwrap_or(0),
         age_ms: record.age,
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -35,7 +35,7 @@
     answer: Answer,
     mut record: Record,
 ) -> Response<Body> {
-    record.note_first_piece();
+    record.note_piece();
     let Answer { server, parts, body, load } = answer;
     let status = parts.status.as_u16();
     let mut response = head(&parts);
@@ -138,7 +138,10 @@
                 None => {}
             }
             match self.receive().await {
-                Next::Data(data) => self.take(data),
+                Next::Data(data) => {
+                    self.record.note_piece();
+                    self.take(data);
+                }
                 Next::Whole => self.finish(),
                 Next::Due => self.stop(End::Broken("timeout")),
                 Next::Broken => self.go_on_elsewhere().await,
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -45,6 +45,8 @@
     /// Attempts so far.
     pub attempts: u32,
     first_piece: Option<Millis>,
+    last_piece_at: Option<Millis>,
+    longest_gap: Option<Millis>,
     status: u16,
     outcome: &'static str,
     retry_after: Option<u64>,
@@ -67,6 +69,8 @@
             age: None,
             attempts: 0,
             first_piece: None,
+            last_piece_at: None,
+            longest_gap: None,
             status: 0,
             outcome: "left",
             retry_after: None,
@@ -78,10 +82,12 @@
         self.arrived
     }
 
-    /// Notes the first piece of the answer.
-    pub fn note_first_piece(&mut self) {
-        if self.first_piece.is_none() {
-            self.first_piece = Some(self.node.now() - self.arrived);
+    /// Notes a piece of the answer, and the pause before it.
+    pub fn note_piece(&mut self) {
+        let now = self.node.now();
+        self.first_piece.get_or_insert(now - self.arrived);
+        if let Some(before) = self.last_piece_at.replace(now) {
+            self.longest_gap = self.longest_gap.max(Some(now - before));
         }
     }
 
@@ -127,6 +133,9 @@
             if let Some(first) = self.first_piece {
                 metrics.first_piece.get_or_create(&labels).observe(first as f64 / 1_000.0);
             }
+            if let Some(gap) = self.longest_gap {
+                metrics.longest_gap.get_or_create(&labels).observe(gap as f64 / 1_000.0);
+            }
         }
         event::emit(&Event::RequestEnded {
             request: &self.id,
@@ -136,6 +145,7 @@
             outcome: self.outcome,
             attempts: self.attempts,
             first_piece_ms: self.first_piece,
+            longest_gap_ms: self.longest_gap,
             total_ms: total,
             retry_after_ms: self.retry_after,
             version: self.version,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -51,6 +51,8 @@
     pub requests: Family<RequestLabels, Counter>,
     /// Time from a request's arrival to the first piece of its answer, in seconds.
     pub first_piece: Family<ServiceLabels, Histogram>,
+    /// The longest pause between two pieces of one answer, in seconds.
+    pub longest_gap: Family<ServiceLabels, Histogram>,
     /// Time from a request's arrival to the end of its answer, in seconds.
     pub total: Family<ServiceLabels, Histogram>,
     /// Attempts beyond the first.
@@ -85,6 +87,7 @@
             registry: Registry::with_prefix("keeljunction"),
             requests: Family::default(),
             first_piece: Family::new_with_constructor(histogram),
+            longest_gap: Family::new_with_constructor(histogram),
             total: Family::new_with_constructor(histogram),
             retries: Family::default(),
             failed_attempts: Family::default(),
@@ -106,6 +109,12 @@
             Unit::Seconds,
             self.first_piece.clone(),
         );
+        registry.register_with_unit(
+            "longest_gap",
+            "Longest pause between two pieces of one answer",
+            Unit::Seconds,
+            self.longest_gap.clone(),
+        );
         registry.register_with_unit(
             "request_duration",
             "Arrival to end of the answer",
