perf(choice): tell slow servers apart, and keep prompts from pausing streams

Each server's samples of prompts that met nobody waiting show how slow it is, in steps of a quarter; choice counts its prompts for that much more, and a preferred server is passed over where reading would pause its streams for half of the longest pause in time.

--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -32,7 +32,7 @@
         Self {
             lasting_part: 0.25,
             reclaimable_part: 2.0,
-            target_use: 0.4,
+            target_use: 0.5,
             target_fill: 0.6,
             dry_trust: 0.0,
         }
--- a/crates/core/src/serving/choice.rs
+++ b/crates/core/src/serving/choice.rs
@@ -7,6 +7,10 @@
 //! proportion to the tokens of long prompts are therefore set aside for them: the first in an order
 //! that all nodes share. Either kind goes to the others' servers only where its own are too busy.
 //!
+//! While a server reads prompts, its running streams come slower. A request for which the prompts waiting
+//! at its preferred server would pause streams for too long goes to the least busy one, too.
+//! Busy is what takes long: slow servers count their prompts for more.
+//!
 //! Where even the least busy server would answer late, the request is refused at once: tried again when there
 //! is room it is worth more than late, and it does not hold up others.
 
@@ -28,6 +32,19 @@
     pub load: Load,
     /// Whether it is passed over for what its answers showed.
     pub is_paused: bool,
+    /// How many times longer than the usual servers it takes to read a prompt.
+    pub slowness: f64,
+}
+
+impl Candidate<'_> {
+    fn is_full(&self) -> bool {
+        self.load.requests >= self.server.slots.max(1)
+    }
+
+    /// Computes the usual server's tokens that take as long to read as some tokens take here.
+    fn weigh(&self, tokens: u64) -> u64 {
+        (tokens as f64 * self.slowness) as u64
+    }
 }
 
 /// What of a request bears on the choice.
@@ -43,6 +60,8 @@
     pub speed: Option<f64>,
     /// The time to the first piece inside which the answer is in time.
     pub target: Millis,
+    /// The longest pause between pieces of a stream that is in time.
+    pub gap_target: Option<Millis>,
     /// Whether the prompt is so long that reading it holds up streams beside it.
     pub is_long: bool,
     /// The part of the prompt tokens asked for lately that long prompts have.
@@ -51,9 +70,30 @@
 
 impl Wish {
     /// Estimates the time until the first piece of the answer, where the speed is known.
-    pub fn estimate(&self, load: &Load) -> Option<Millis> {
-        let tokens = load.get_tokens_ahead(self.rank) + self.prompt_tokens;
-        Some((tokens as f64 / self.speed?.max(f64::MIN_POSITIVE)) as Millis)
+    pub fn estimate(&self, candidate: &Candidate<'_>) -> Option<Millis> {
+        let tokens = candidate.load.get_tokens_ahead(self.rank) + self.prompt_tokens;
+        self.time(candidate, tokens)
+    }
+
+    /// Says whether reading this prompt behind those that wait would pause the streams of a server
+    /// for long. A prompt that waits for no other pauses the streams of all usual servers as long.
+    fn is_stalling(&self, candidate: &Candidate<'_>) -> bool {
+        let waiting = candidate.load.get_waiting_tokens();
+        let has_streams = candidate.load.requests > candidate.load.waiting;
+        let is_as_anywhere = waiting == 0 && candidate.slowness <= 1.0;
+        if is_as_anywhere || !has_streams {
+            return false;
+        }
+        let tokens = waiting + self.prompt_tokens;
+        let (Some(reading), Some(gap)) = (self.time(candidate, tokens), self.gap_target) else {
+            return false;
+        };
+        reading as f64 > gap as f64 * STALL_PART
+    }
+
+    fn time(&self, candidate: &Candidate<'_>, tokens: u64) -> Option<Millis> {
+        let tokens = candidate.weigh(tokens) as f64;
+        Some((tokens / self.speed?.max(f64::MIN_POSITIVE)) as Millis)
     }
 }
 
@@ -68,6 +108,10 @@
     None,
 }
 
+/// The part of the longest pause in time that a server may read prompts without a break: pieces
+/// hold several tokens, and each comes later while prompts are read.
+const STALL_PART: f64 = 0.5;
+
 /// How late an answer may be expected before it is refused, in parts of its target: estimates are
 /// rough, and a late answer is worth more than a needless refusal.
 const LATE_PART: f64 = 1.0;
@@ -118,8 +162,7 @@
 /// Picks one of the servers set aside for the request's kind, where one has room and is in time.
 fn choose_among<'a>(aside: &[&Candidate<'a>], wish: &Wish, random: u64) -> Option<&'a Server> {
     let least = find_least(aside, wish, random)?;
-    let has_room = least.load.requests < least.server.slots.max(1);
-    if !has_room || find_wait(least, wish).is_some() {
+    if least.is_full() || find_wait(least, wish).is_some() {
         return None;
     }
     let preferred = wish.shared_part.and_then(|part| find_preferred(aside, wish, part));
@@ -131,7 +174,7 @@
 /// A request that would be late also on an idle server is not refused for that.
 fn find_wait(least: &Candidate<'_>, wish: &Wish) -> Option<Millis> {
     let ahead = least.load.get_tokens_ahead(wish.rank);
-    let expected = wish.estimate(&least.load)?;
+    let expected = wish.estimate(least)?;
     let bound = (wish.target as f64 * LATE_PART) as Millis;
     if ahead == 0 || expected <= bound || wish.target == 0 {
         return None;
@@ -145,15 +188,16 @@
     wish: &Wish,
     part: u64,
 ) -> Option<&'c Candidate<'a>> {
-    let total: u64 = candidates.iter().map(|c| c.load.get_waiting_tokens()).sum();
+    let waiting = |c: &Candidate<'a>| c.weigh(c.load.get_waiting_tokens());
+    let total: u64 = candidates.iter().map(|c| waiting(c)).sum();
     let mean = (total + wish.prompt_tokens) as f64 / candidates.len().max(1) as f64;
     let bound = mean * LOAD_BOUND;
     let mut ordered: Vec<&'c Candidate<'a>> = candidates.to_vec();
     ordered.sort_unstable_by_key(|c| std::cmp::Reverse(weight(part, &c.server.id)));
     let is_within = |c: &&Candidate<'a>| {
-        let is_late = wish.estimate(&c.load).is_some_and(|expected| expected > wish.target);
-        let is_busy = c.load.get_waiting_tokens() as f64 > bound;
-        !is_busy && !is_late && c.load.requests < c.server.slots.max(1)
+        let is_late = wish.estimate(c).is_some_and(|expected| expected > wish.target);
+        let is_busy = waiting(c) as f64 > bound;
+        !is_busy && !is_late && !c.is_full() && !wish.is_stalling(c)
     };
     ordered.into_iter().find(is_within)
 }
@@ -165,7 +209,8 @@
 ) -> Option<&'c Candidate<'a>> {
     let busy = |c: &&&'c Candidate<'a>| {
         let filled = u64::from(c.load.requests) * 1_000 / u64::from(c.server.slots.max(1));
-        (c.load.get_tokens_ahead(wish.rank), filled, weight(random, &c.server.id))
+        let reading = c.weigh(c.load.get_tokens_ahead(wish.rank) + wish.prompt_tokens);
+        (c.is_full(), reading, filled, weight(random, &c.server.id))
     };
     candidates.iter().min_by_key(busy).copied()
 }
--- a/crates/core/src/serving/pace.rs
+++ b/crates/core/src/serving/pace.rs
@@ -4,8 +4,11 @@
 //! costs; what a long prompt takes beyond that, over its tokens, is a sample of the speed: too low
 //! where the request had to wait, too high where more of its prompt was kept than expected. A high
 //! quantile of the latest samples is close to the speed of a server that is not busy.
+//!
+//! Servers of one service differ in speed. Each server's own samples, of prompts that had nothing
+//! to wait for, show how many times longer than the service's usual servers it takes.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -29,12 +32,18 @@
 pub struct Pace {
     short: VecDeque<(Millis, Sample)>,
     long: VecDeque<(Millis, Sample)>,
+    servers: HashMap<u64, VecDeque<(Millis, Sample)>>,
+    slowness: HashMap<u64, f64>,
     untold: Vec<Sample>,
 }
 
 /// How long the first piece of one answer took.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sample {
+    /// The server, by its short name.
+    pub server: u64,
+    /// Whether no other prompt was known to wait at the server.
+    pub is_alone: bool,
     /// Prompt tokens.
     pub tokens: u64,
     /// Milliseconds from dispatch to the first piece.
@@ -43,6 +52,20 @@
 
 /// The most samples told to peers at once.
 const MOST_TOLD: usize = 8;
+/// The samples of one server that are kept.
+const SERVER_SAMPLES: usize = 12;
+/// Samples of a server before its speed is told apart.
+const LEAST_SERVER_SAMPLES: usize = 5;
+/// Longer prompts take more than in proportion to their tokens.
+const MOST_SERVER_TOKENS: u64 = 15_000;
+/// Of a server's samples: others may have waited there all the same, or the shared part of the
+/// prompt was not kept there.
+const SLOWNESS_QUANTILE: f64 = 0.2;
+/// Servers are told apart in steps, so that chance does not make one look better than its like.
+const SLOWNESS_STEP: f64 = 0.25;
+/// A server that is less slow than this is a usual one.
+const LEAST_SLOWNESS: f64 = 1.2;
+const MOST_SLOWNESS: f64 = 8.0;
 
 impl Pace {
     /// Adds a sample of this node's own.
@@ -64,19 +87,49 @@
     }
 
     fn keep(&mut self, now: Millis, sample: Sample) -> bool {
+        if sample.is_alone && (LONG_TOKENS..MOST_SERVER_TOKENS).contains(&sample.tokens) {
+            let samples = self.servers.entry(sample.server).or_default();
+            push(samples, now, sample, SERVER_SAMPLES);
+        }
         let samples = match sample.tokens {
             ..SHORT_TOKENS => &mut self.short,
             LONG_TOKENS.. => &mut self.long,
             _ => return false,
         };
-        samples.push_back((now, sample));
-        while samples.len() > MOST_SAMPLES || samples.front().is_some_and(|(at, _)| at + KEPT < now)
-        {
-            samples.pop_front();
-        }
+        push(samples, now, sample, MOST_SAMPLES);
         true
     }
 
+    /// Works out anew how slow each server is.
+    pub fn rate_servers(&mut self, now: Millis) {
+        let Some(speed) = self.get_speed() else { return };
+        let fixed = self.get_fixed_ms();
+        let rate =
+            |sample: &Sample| (sample.first_piece_ms as f64 - fixed) * speed / sample.tokens as f64;
+        for samples in self.servers.values_mut() {
+            samples.retain(|(at, _)| at + KEPT >= now);
+        }
+        self.servers.retain(|_, samples| !samples.is_empty());
+        let enough = self.servers.iter().filter(|(_, s)| s.len() >= LEAST_SERVER_SAMPLES);
+        let slowness = enough.filter_map(|(server, samples)| {
+            let ratio = quantile(samples.iter().map(|(_, s)| rate(s)), SLOWNESS_QUANTILE)?;
+            Some((*server, to_step(ratio)))
+        });
+        self.slowness = slowness.collect();
+    }
+
+    /// Returns how many times longer than the service's usual servers a server takes to read a
+    /// prompt, as it was last worked out; 1 where it is one of them, or not known.
+    pub fn get_slowness(&self, server: u64) -> f64 {
+        self.slowness.get(&server).copied().unwrap_or(1.0)
+    }
+
+    /// Forgets a server that is gone.
+    pub fn forget(&mut self, server: u64) {
+        self.servers.remove(&server);
+        self.slowness.remove(&server);
+    }
+
     /// Returns the prompt tokens that a server reads in a millisecond.
     pub fn get_speed(&self) -> Option<f64> {
         if self.long.len() < LEAST_SAMPLES {
@@ -103,6 +156,23 @@
     }
 }
 
+/// Rounds how slow a server is.
+fn to_step(ratio: f64) -> f64 {
+    if ratio < LEAST_SLOWNESS {
+        return 1.0;
+    }
+    let steps = (ratio / SLOWNESS_STEP).round();
+    (steps * SLOWNESS_STEP).min(MOST_SLOWNESS)
+}
+
+/// Adds a sample; the oldest leave where there are too many, or where they are too old.
+fn push(samples: &mut VecDeque<(Millis, Sample)>, now: Millis, sample: Sample, most: usize) {
+    samples.push_back((now, sample));
+    while samples.len() > most || samples.front().is_some_and(|(at, _)| at + KEPT < now) {
+        samples.pop_front();
+    }
+}
+
 fn quantile(values: impl Iterator<Item = f64>, part: f64) -> Option<f64> {
     let mut values: Vec<f64> = values.collect();
     values.sort_unstable_by(f64::total_cmp);
--- a/crates/core/tests/serving/choice.rs
+++ b/crates/core/tests/serving/choice.rs
@@ -11,7 +11,7 @@
 fn candidate(server: &Server, requests: u32, tokens: u64) -> Candidate<'_> {
     let mut load = Load { requests, ..Load::default() };
     load.waiting_tokens[1] = tokens;
-    Candidate { server, load, is_paused: false }
+    Candidate { server, load, is_paused: false, slowness: 1.0 }
 }
 
 fn chosen(candidates: &[Candidate<'_>], wish: &Wish) -> String {
@@ -151,3 +151,47 @@
         assert_eq!(chosen(&idle, &wish_in_parts(true, part)), others);
     }
 }
+
+#[test]
+fn a_slow_server_counts_its_prompts_for_more() {
+    let servers = servers();
+    let mut candidates = [candidate(&servers[0], 1, 4_000), candidate(&servers[1], 1, 5_000)];
+    let wish = Wish { prompt_tokens: 1_000, rank: 1, ..Wish::default() };
+    assert_eq!(chosen(&candidates, &wish), "a");
+    candidates[0].slowness = 1.25;
+    assert_eq!(chosen(&candidates, &wish), "b");
+}
+
+#[test]
+fn a_slow_server_with_the_only_free_place_is_chosen() {
+    let servers = servers();
+    let mut candidates =
+        [candidate(&servers[0], 0, 0), candidate(&servers[1], servers[1].slots, 0)];
+    candidates[0].slowness = 4.0;
+    let wish = Wish { prompt_tokens: 1_000, ..Wish::default() };
+    assert_eq!(chosen(&candidates, &wish), "a");
+}
+
+#[test]
+fn streams_are_not_paused_for_a_prompt_that_is_kept_there() {
+    let servers = servers();
+    let wish = Wish {
+        shared_part: Some(3),
+        prompt_tokens: 5_000,
+        speed: Some(50.0),
+        target: 10_000,
+        gap_target: Some(500),
+        ..Wish::default()
+    };
+    let idle: Vec<Candidate<'_>> = servers.iter().map(|s| candidate(s, 1, 0)).collect();
+    let first = chosen(&idle, &wish);
+    let reading = |running: u32| -> Vec<Candidate<'_>> {
+        let tokens = |id: &str| if id == first { 8_000 } else { 7_900 };
+        let mut candidates: Vec<Candidate<'_>> =
+            servers.iter().map(|s| candidate(s, 1 + running, tokens(&s.id))).collect();
+        candidates.iter_mut().for_each(|c| c.load.waiting = 1);
+        candidates
+    };
+    assert_ne!(chosen(&reading(1), &wish), first);
+    assert_eq!(chosen(&reading(0), &wish), first);
+}
--- a/crates/core/tests/serving/pace.rs
+++ b/crates/core/tests/serving/pace.rs
@@ -1,7 +1,7 @@
 use keeljunction_core::serving::pace::{Pace, Sample};
 
 fn sample(tokens: u64, first_piece_ms: u64) -> Sample {
-    Sample { tokens, first_piece_ms }
+    Sample { server: 1, is_alone: true, tokens, first_piece_ms }
 }
 
 #[test]
@@ -68,3 +68,59 @@
     assert!(pace.is_long(12_100, Some(500)));
     assert!(!pace.is_long(100_000, None));
 }
+
+/// A pace of usual servers that read 60 tokens in a millisecond.
+fn usual_pace() -> Pace {
+    let mut pace = Pace::default();
+    for server in 10..30 {
+        pace.add(1_000, Sample { server, ..sample(6_000, 100) });
+    }
+    pace
+}
+
+#[test]
+fn a_server_that_takes_longer_is_told_apart_in_steps() {
+    let mut pace = usual_pace();
+    for (server, first_piece_ms) in [(1, 132), (2, 115), (3, 400), (4, 90_000)] {
+        for _ in 0..5 {
+            pace.hear(1_000, Sample { server, ..sample(6_000, first_piece_ms) });
+        }
+    }
+    pace.rate_servers(1_000);
+    let slowness = [1, 2, 3, 4, 5].map(|server| pace.get_slowness(server));
+    assert_eq!(slowness, [1.25, 1.0, 4.0, 8.0, 1.0]);
+}
+
+#[test]
+fn prompts_that_waited_do_not_make_a_server_slow() {
+    let mut pace = usual_pace();
+    for _ in 0..9 {
+        pace.hear(1_000, Sample { is_alone: false, ..sample(6_000, 400) });
+    }
+    pace.rate_servers(1_000);
+    assert_eq!(pace.get_slowness(1), 1.0);
+}
+
+#[test]
+fn what_a_server_showed_is_forgotten_with_it() {
+    let mut pace = usual_pace();
+    for _ in 0..5 {
+        pace.hear(1_000, sample(6_000, 400));
+    }
+    pace.rate_servers(31_000);
+    assert_eq!(pace.get_slowness(1), 4.0);
+    pace.forget(1);
+    assert_eq!(pace.get_slowness(1), 1.0);
+}
+
+#[test]
+fn slow_answers_count_for_a_time() {
+    let mut pace = usual_pace();
+    for _ in 0..5 {
+        pace.hear(1_000, sample(6_000, 400));
+    }
+    pace.rate_servers(31_000);
+    assert_eq!(pace.get_slowness(1), 4.0);
+    pace.rate_servers(31_001);
+    assert_eq!(pace.get_slowness(1), 1.0);
+}
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -67,6 +67,7 @@
         candidates: usize,
         prompt_tokens: u64,
         waiting_tokens: u64,
+        slowness: f64,
         expected_ms: Option<u64>,
         left_ms: u64,
         version: u64,
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -125,7 +125,7 @@
             urgency,
             due: now + deadline.min(route.timeout),
             work,
-            wish: Wish { is_long, ..make_wish(head.prompt.as_ref(), &work, route.target) },
+            wish: Wish { is_long, ..make_wish(head.prompt.as_ref(), &work, &route) },
             route,
             head,
             quota,
@@ -287,13 +287,14 @@
     })
 }
 
-fn make_wish(prompt: Option<&Prompt>, work: &Work, target: Millis) -> Wish {
+fn make_wish(prompt: Option<&Prompt>, work: &Work, route: &Route) -> Wish {
     let shared = prompt.and_then(|prompt| prompt.parts.split_last()?.1.last());
     Wish {
         shared_part: shared.map(|part| part.id),
         prompt_tokens: work.prompt_tokens,
         rank: work.rank,
-        target,
+        target: route.target,
+        gap_target: route.gap_target,
         ..Wish::default()
     }
 }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::{HeaderMap, Request};
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::Server;
-use keeljunction_core::serving::load::Work;
+use keeljunction_core::serving::load::{Work, short_id};
 use keeljunction_core::serving::pace::Sample;
 
 use super::admission::Exchange;
@@ -143,6 +143,8 @@
     order: &Order<'_>,
 ) -> Result<Answer, Failure> {
     let request = build(node, exchange, order).ok_or((Failed::NotConnected, None))?;
+    let is_alone = node
+        .with(|state| state.loads.total(node.now(), &order.server.id).get_waiting_tokens() == 0);
     let mut load = LoadGuard::begin(node, order.server, exchange.work);
     let sent_at = node.now();
     let sending = node.servers.send(order.server.address, request);
@@ -157,7 +159,15 @@
     }
     let body = read_first(exchange, reply).await.ok_or((Failed::Broken, None))?;
     load.note_first_piece();
-    note_pace(node, exchange, sent_at);
+    if exchange.has_engine && order.last_event.is_none() {
+        let sample = Sample {
+            server: short_id(&order.server.id),
+            is_alone,
+            tokens: exchange.work.prompt_tokens,
+            first_piece_ms: node.now() - sent_at,
+        };
+        note_pace(node, &exchange.service, sample);
+    }
     if let (Some(account), None) = (&exchange.account, order.last_event) {
         node.count_usage(account);
     }
@@ -170,15 +180,9 @@
 }
 
 /// Adds a sample of how fast the service's servers read prompts.
-fn note_pace(node: &Node, exchange: &Exchange, sent_at: Millis) {
+fn note_pace(node: &Node, service: &str, sample: Sample) {
     let now = node.now();
-    if exchange.has_engine {
-        node.with(|state| {
-            let pace = state.paces.entry(exchange.service.clone()).or_default();
-            let tokens = exchange.work.prompt_tokens;
-            pace.add(now, Sample { tokens, first_piece_ms: now - sent_at });
-        });
-    }
+    node.with(|state| state.paces.entry(service.to_owned()).or_default().add(now, sample));
 }
 
 /// Reads the first piece of a stream, or the whole of another answer; `None` where it breaks off.
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -5,6 +5,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::choice::{Candidate, Choice, Wish, choose};
 use keeljunction_core::serving::directory::Server;
+use keeljunction_core::serving::load::short_id;
 use keeljunction_core::serving::pace::Pace;
 use keeljunction_core::serving::refusal::Refusal;
 
@@ -14,6 +15,7 @@
 use crate::event::{self, Event};
 use crate::metrics::ReasonLabels;
 use crate::node::Node;
+use crate::node::state::State;
 
 /// When to come back where no server takes work.
 const SERVER_BACK_IN: Millis = 700;
@@ -192,16 +194,13 @@
 /// Picks a server that was not tried yet.
 fn pick(node: &Node, exchange: &Exchange, tried: &[String], now: Millis) -> Picked {
     node.with(|state| {
+        let pace = state.paces.get(&exchange.service);
         let ready = state.directory.iter_ready(&exchange.service);
         let candidates: Vec<Candidate<'_>> = ready
             .filter(|server| !tried.contains(&server.id))
-            .map(|server| Candidate {
-                server,
-                load: state.loads.total(now, &server.id),
-                is_paused: state.health.is_paused(now, &server.id),
-            })
+            .map(|server| weigh(state, pace, now, server))
             .collect();
-        let speed = state.paces.get(&exchange.service).and_then(Pace::get_speed);
+        let speed = pace.and_then(Pace::get_speed);
         let long_part = state.demand.get_long_part(now, &exchange.service);
         let wish = Wish { speed, long_part, ..exchange.wish };
         match choose(&candidates, &wish, fastrand::u64(..)) {
@@ -212,12 +211,22 @@
     })
 }
 
+/// Tells what the node knows of a server.
+fn weigh<'a>(state: &State, pace: Option<&Pace>, now: Millis, server: &'a Server) -> Candidate<'a> {
+    Candidate {
+        server,
+        load: state.loads.total(now, &server.id),
+        is_paused: state.health.is_paused(now, &server.id),
+        slowness: pace.map_or(1.0, |pace| pace.get_slowness(short_id(&server.id))),
+    }
+}
+
 fn tell_choice(node: &Node, exchange: &Exchange, record: &Record, server: &Server) {
     let now = node.now();
-    let (candidates, load, speed) = node.with(|state| {
+    let (candidates, chosen, speed) = node.with(|state| {
+        let pace = state.paces.get(&exchange.service);
         let candidates = state.directory.iter_ready(&exchange.service).count();
-        let load = state.loads.total(now, &server.id);
-        (candidates, load, state.paces.get(&exchange.service).and_then(Pace::get_speed))
+        (candidates, weigh(state, pace, now, server), pace.and_then(Pace::get_speed))
     });
     let wish = Wish { speed, ..exchange.wish };
     event::emit(&Event::ServerChosen {
@@ -227,8 +236,9 @@
         attempt: record.attempts,
         candidates,
         prompt_tokens: wish.prompt_tokens,
-        waiting_tokens: load.get_waiting_tokens(),
-        expected_ms: wish.estimate(&load),
+        waiting_tokens: chosen.load.get_waiting_tokens(),
+        slowness: chosen.slowness,
+        expected_ms: wish.estimate(&chosen),
         left_ms: exchange.get_left(now),
         version: record.version.unwrap_or(0),
         age_ms: record.age,
--- a/crates/gateway/src/node/gossip.rs
+++ b/crates/gateway/src/node/gossip.rs
@@ -27,7 +27,7 @@
 use crate::runtime;
 
 /// The format of the datagrams; others are passed over.
-const FORMAT: u8 = 2;
+const FORMAT: u8 = 3;
 /// The counts of a peer are used for this many periods.
 const COUNTS_LAST_PERIODS: u32 = 7;
 /// The table in which nodes tell their addresses.
@@ -205,6 +205,7 @@
         let (digest, addresses, period) = node.with(|state| {
             state.peers.expire(now);
             state.demand.sample_all(now);
+            state.paces.values_mut().for_each(|pace| pace.rate_servers(now));
             let digest = Digest {
                 node: node.life.node.clone(),
                 life: node.life.number,
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -10,11 +10,11 @@
 use keeljunction_core::serving::budget::{Allowance, RetryBudget};
 use keeljunction_core::serving::configuration::Configuration;
 use keeljunction_core::serving::demand::DemandBook;
-use keeljunction_core::serving::directory::Directory;
+use keeljunction_core::serving::directory::{Directory, Server};
 use keeljunction_core::serving::duty_lease::DutyLease;
 use keeljunction_core::serving::freshness::Freshness;
 use keeljunction_core::serving::health::Health;
-use keeljunction_core::serving::load::LoadBook;
+use keeljunction_core::serving::load::{LoadBook, short_id};
 use keeljunction_core::serving::pace::Pace;
 use keeljunction_core::serving::peers::Peers;
 use keeljunction_core::serving::quota::Quotas;
@@ -120,6 +120,16 @@
     pub lease: DutyLease,
 }
 
+impl State {
+    /// Forgets what a server's answers showed.
+    pub(super) fn forget_server(&mut self, server: &Server) {
+        self.health.forget(&server.id);
+        if let Some(pace) = self.paces.get_mut(&server.service) {
+            pace.forget(short_id(&server.id));
+        }
+    }
+}
+
 impl Node {
     /// Makes a node that knows nothing yet.
     pub fn new(settings: Settings, platform: Platform, closing: Stop) -> Arc<Self> {
--- a/crates/gateway/src/node/watch.rs
+++ b/crates/gateway/src/node/watch.rs
@@ -361,7 +361,7 @@
         };
         if let Change::Gone(server) = &change {
             node.servers.forget(server.address);
-            node.with(|known| known.health.forget(&server.id));
+            node.with(|known| known.forget_server(server));
         }
         event::emit(&Event::ServerChanged {
             server: &server.id,
