fix(http): let callers' connections rest for as long as the configuration tells

Cause: connections closed after 15.5 s whatever the configuration's idle_timeout_ms was; a deployment with a longer one would lose requests that cross the close, and one with a shorter one kept connections. Now each connection may rest for twice what the configuration in force tells, so that a later, longer one is borne too.

--- a/crates/gateway/src/http/server.rs
+++ b/crates/gateway/src/http/server.rs
@@ -20,20 +20,24 @@
 use super::Body;
 use crate::runtime;
 
+/// Tells how long a connection may rest before the next request's head is whole.
+pub type HeadWithin = Arc<dyn Fn() -> Duration + Send + Sync>;
+
+/// Time for a request's head to arrive where nothing else is told.
+const HEAD_WITHIN: Duration = Duration::from_secs(10);
+
 /// Bounds on what a connection may ask of the server.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Bytes of a request's head.
     pub head_bytes: usize,
-    /// Time for a request's head to arrive.
-    pub head_within: Duration,
     /// Connections at the same time; more are closed at once.
     pub connections: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { head_bytes: 32 * 1024, head_within: Duration::from_secs(10), connections: 10_000 }
+        Self { head_bytes: 32 * 1024, connections: 10_000 }
     }
 }
 
@@ -83,6 +87,7 @@
 pub struct Server {
     listener: TcpListener,
     limits: Limits,
+    head_within: HeadWithin,
     stop: Stop,
     open: Open,
 }
@@ -95,7 +100,13 @@
     /// Returns the system's error where the address cannot be had.
     pub async fn bind(address: SocketAddr, limits: Limits, stop: Stop) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
-        Ok(Self { listener, limits, stop, open: Open::default() })
+        let head_within: HeadWithin = Arc::new(|| HEAD_WITHIN);
+        Ok(Self { listener, limits, head_within, stop, open: Open::default() })
+    }
+
+    /// Sets how long connections that come from now on may rest; asked anew for each of them.
+    pub fn with_head_within(self, head_within: HeadWithin) -> Self {
+        Self { head_within, ..self }
     }
 
     /// Returns the address that was got.
@@ -155,15 +166,21 @@
         }
         self.open.0.fetch_add(1, Ordering::SeqCst);
         let (open, stop, limits) = (self.open.clone(), self.stop.clone(), self.limits);
+        let head_within = (self.head_within)();
         runtime::spawn(async move {
-            handle(stream, answer, limits, stop).await;
+            handle(stream, answer, limits, head_within, stop).await;
             open.0.fetch_sub(1, Ordering::SeqCst);
         });
     }
 }
 
-async fn handle<F, Fut>(stream: TcpStream, answer: F, limits: Limits, stop: Stop)
-where
+async fn handle<F, Fut>(
+    stream: TcpStream,
+    answer: F,
+    limits: Limits,
+    head_within: Duration,
+    stop: Stop,
+) where
     F: Fn(Request<Incoming>) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Response<Body>> + Send + 'static,
 {
@@ -173,7 +190,7 @@
         async { Ok::<_, Infallible>(response.await) }
     });
     let mut builder = http1::Builder::new();
-    builder.timer(SmolTimer::new()).header_read_timeout(limits.head_within);
+    builder.timer(SmolTimer::new()).header_read_timeout(head_within);
     builder.max_buf_size(limits.head_bytes.max(8192));
     let mut connection = pin!(builder.serve_connection(FuturesIo::new(stream), service));
     let stopping = pin!(stop.given());
--- a/crates/gateway/src/node/serve.rs
+++ b/crates/gateway/src/node/serve.rs
@@ -20,8 +20,6 @@
 
 /// Descriptors kept back from callers' connections, for files, servers and peers.
 const DESCRIPTORS_KEPT: usize = 1_000;
-/// Time for the next request's head to arrive on a connection, its rest included.
-const IDLE_WITHIN: Duration = Duration::from_millis(15_500);
 /// Time for answers in flight to be written out at the very end.
 const WRITE_OUT: Duration = Duration::from_millis(300);
 
@@ -65,6 +63,8 @@
     let (asked, shown, answering) = (node.clone(), node.clone(), node.clone());
     runtime::spawn(readiness.serve(move |request| listeners::readiness(asked.clone(), request)));
     runtime::spawn(metrics.serve(move |request| listeners::metrics(shown.clone(), request)));
+    let resting = node.clone();
+    let callers = callers.with_head_within(Arc::new(move || resting.get_rest_bound()));
     let open = callers.get_open();
     runtime::spawn(callers.serve(move |request| exchange::answer(answering.clone(), request)));
     wait_for_end(&node, path).await?;
@@ -86,7 +86,6 @@
 ) -> Result<(Server, SocketAddr), Error> {
     let limits = Limits {
         connections: settings.limits.descriptors.saturating_sub(DESCRIPTORS_KEPT).max(100),
-        head_within: IDLE_WITHIN,
         ..Limits::default()
     };
     let bound = Server::bind(address, limits, stop.clone()).await;
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -37,6 +37,10 @@
 /// A server that does not take a connection within this time is passed over: the way there takes some
 /// milliseconds, and a lost opening packet is sent again only after a second.
 const CONNECT_WITHIN: Duration = Duration::from_millis(250);
+/// How long connections may rest where no configuration tells it, in milliseconds.
+const REST_WHILE_UNKNOWN: Millis = 15_000;
+/// How many times as long as the configuration tells a connection may rest.
+const REST_FACTOR: u32 = 2;
 /// The part of a lease that its holder leaves unused.
 const LEASE_MARGIN_PART: f64 = 0.2;
 
@@ -197,6 +201,15 @@
         (self.settings.bounds.revoke_ms as f64 * FRESH_PART) as Millis
     }
 
+    /// Returns how long a caller's new connection may rest between two requests.
+    ///
+    /// The configuration tells how long callers use connections that rest. A later one may tell a
+    /// longer time, and a connection must not close while its caller may use it.
+    pub fn get_rest_bound(&self) -> Duration {
+        let known = self.with(|state| state.configuration.as_ref().map(|c| c.limits.idle));
+        Duration::from_millis(known.unwrap_or(REST_WHILE_UNKNOWN)) * REST_FACTOR
+    }
+
     /// Says whether requests that carry a key may be dispatched.
     pub fn is_fresh(&self) -> bool {
         if !self.settings.bounds.strict_revoke {
