refactor(node): break the import circles of the first path

accept, find and takeover needed each other only to end an answer, attempt and relay too: that is now ending. What is urgent is posted and told by gossip's own task, so that adoption, departure and stop no longer need gossip, which needs them. No behaviour changes but that urgent news leave from another task.

--- a/crates/keeljunction/src/node/accept.rs
+++ b/crates/keeljunction/src/node/accept.rs
@@ -5,14 +5,14 @@
 
 use std::sync::Arc;
 
-use keeljunction_core::claim::{self, Verdict};
+use keeljunction_core::claim::Verdict;
 use keeljunction_core::shard::{Grant, Refusal};
 use uuid::Uuid;
 
-use super::answer::{done, not_run, unknown};
+use super::answer::{not_run, unknown};
 use super::grant::{Usage, Want};
 use super::relay::Start;
-use super::{Answer, Node, Request, claims, copy, find, grant, relay};
+use super::{Answer, Node, Request, claims, copy, ending, find, grant, relay};
 use crate::peer::wire::Final;
 use crate::runtime;
 
@@ -50,13 +50,6 @@
     answer
 }
 
-/// Refuses a request before anything was done for it.
-pub fn refuse(node: &Arc<Node>, answer: &Answer, ended: Final) {
-    node.metric.count("requests_refused", 1);
-    runtime::lock(&node.answers).remove(&answer.request.get_id());
-    answer.finish(node.now(), ended);
-}
-
 fn same_or_refused(node: &Node, known: &Arc<Answer>, request: Request) -> Arc<Answer> {
     if known.request.digest == request.digest {
         return known.clone();
@@ -78,10 +71,10 @@
     }
     if naming == Naming::Returning {
         let lost = unknown(409, "no node knows this answer; ask again without Last-Event-ID", 0);
-        return refuse(&node, &answer, lost);
+        return ending::refuse(&node, &answer, lost);
     }
     let Some(seat) = node.take_seat(&answer.request.account) else {
-        return refuse(
+        return ending::refuse(
             &node,
             &answer,
             not_run(429, "too many requests are in flight", SEAT_RETRY_MS),
@@ -93,7 +86,7 @@
             answer.accept();
             relay::run(node.clone(), answer, start).await;
         }
-        Err(Instead::End(ended)) => refuse(&node, &answer, ended),
+        Err(Instead::End(ended)) => ending::refuse(&node, &answer, ended),
         Err(Instead::RunsAt(runner)) => {
             drop(seat);
             return follow_runner(&node, &answer, &runner).await;
@@ -113,7 +106,7 @@
 /// Follows the node that has the claim of an unrepeatable request, where it answers for it.
 async fn follow_runner(node: &Arc<Node>, answer: &Arc<Answer>, runner: &str) {
     if !find::follow_at(node, answer, runner).await && !find::resume(node, answer).await {
-        refuse(node, answer, sent_before());
+        ending::refuse(node, answer, sent_before());
     }
 }
 
@@ -170,17 +163,11 @@
     }
 }
 
-/// Reads the answer that was recorded with a claim.
-pub fn recorded(answer: &claim::Answer) -> Final {
-    let body = hex::decode(&answer.body).unwrap_or_default();
-    done(answer.status, &answer.media_type, body)
-}
-
 /// Turns the verdict over a claim into leave to run, or into what the caller gets instead.
 fn judged(verdict: Verdict) -> Result<(), Final> {
     match verdict {
         Verdict::Run => Ok(()),
-        Verdict::Recorded(answer) => Err(recorded(&answer)),
+        Verdict::Recorded(answer) => Err(ending::recorded(&answer)),
         Verdict::Released => Err(not_run(503, "the request was given up before it was sent", 0)),
         Verdict::Taken(_) | Verdict::Free => Err(sent_before()),
         Verdict::Mismatch => Err(key_reused()),
--- a/crates/keeljunction/src/node/adoption.rs
+++ b/crates/keeljunction/src/node/adoption.rs
@@ -8,7 +8,7 @@
 use keeljunction_core::{Error, ErrorKind};
 
 use super::state::Force;
-use super::{Node, gossip, grant};
+use super::{Node, grant};
 use crate::peer::wire;
 use crate::platform::ROLL_KEY;
 use crate::runtime;
@@ -34,7 +34,7 @@
         log::info!(target: "audit", "roll {number}, version {version}, is in force");
         node.metric.gauge("roll", number);
         grant::sync_all(node);
-        gossip::spread(node);
+        node.post_news();
     }
     Ok(is_adopted)
 }
--- a/crates/keeljunction/src/node/attempt.rs
+++ b/crates/keeljunction/src/node/attempt.rs
@@ -9,7 +9,7 @@
 use keeljunction_core::stream::{Cursor, Verdict};
 
 use super::answer::{Attempt, done};
-use super::{Answer, Node, grant};
+use super::{Answer, Node, ending, grant};
 use crate::backend::{Engine, Piece, Plain, Send, Tokens};
 use crate::http::Failure;
 use crate::runtime;
@@ -101,7 +101,7 @@
     match sent {
         Ok(reply) => {
             let end = done(reply.status, &reply.media_type, reply.body.to_vec());
-            super::relay::finish_plain(node, answer, &attempt.id, end);
+            ending::finish_plain(node, answer, &attempt.id, end);
             End::Finished
         }
         Err(Failure::NotSent(why)) => not_sent(&why),
@@ -128,7 +128,7 @@
             if cursor.is_missing() {
                 return broken("tokens are missing");
             }
-            super::relay::finish_model(node, answer, attempt);
+            ending::finish_model(node, answer, attempt);
             return End::Finished;
         };
         match cursor.take(&named, offset, &text) {
--- a/crates/keeljunction/src/node/departure.rs
+++ b/crates/keeljunction/src/node/departure.rs
@@ -6,7 +6,7 @@
 use keeljunction_core::directory::Departure;
 use keeljunction_core::drain::{self, Action, Limits, Stream};
 
-use super::{Answer, Node, gossip, grant, stop};
+use super::{Answer, Node, grant, stop};
 use crate::runtime;
 
 /// Takes news in that a VM is leaving: nothing new goes there, and its streams are moved. Of its
@@ -23,7 +23,7 @@
     log::info!("server {} is leaving in {left} ms", departure.server);
     node.metric.count("departures", 1);
     grant::sync_all(node);
-    gossip::spread(node);
+    node.post_news();
     steer(node, &departure.server, left);
 }
 
--- /dev/null
+++ b/crates/keeljunction/src/node/ending.rs
@@ -0,0 +1,54 @@
+//! Ends answers: a final one is recorded with its claim, and a refused request is forgotten.
+
+use std::sync::Arc;
+
+use keeljunction_core::claim;
+
+use super::answer::{Attempt, done};
+use super::{Answer, Node, claims};
+use crate::peer::wire::Final;
+use crate::runtime;
+
+/// Ends a model answer whose tokens are all there.
+pub fn finish_model(node: &Arc<Node>, answer: &Answer, attempt: &Attempt) {
+    node.metric.count("requests_done", 1);
+    answer.finish(node.now(), done(200, "text/event-stream", Vec::new()));
+    record_claim(node, answer, &attempt.id);
+}
+
+/// Ends the answer of a plain service, and records it with the claim.
+pub fn finish_plain(node: &Arc<Node>, answer: &Answer, attempt: &str, end: Final) {
+    node.metric.count("requests_done", 1);
+    answer.finish(node.now(), end);
+    record_claim(node, answer, attempt);
+}
+
+/// Records an answer with its claim, so that a caller who asks again gets it.
+fn record_claim(node: &Arc<Node>, answer: &Answer, attempt: &str) {
+    if !answer.request.needs_claim() {
+        return;
+    }
+    let news = answer.get_since(0);
+    let Some(ended) = news.ended else { return };
+    let body =
+        if answer.request.is_model() { news.tokens.concat().into_bytes() } else { ended.body };
+    let recorded = claim::Answer {
+        status: ended.status as u16,
+        media_type: ended.media_type,
+        body: hex::encode(body),
+    };
+    claims::record(node, &answer.request, attempt, recorded);
+}
+
+/// Refuses a request before anything was done for it.
+pub fn refuse(node: &Arc<Node>, answer: &Answer, ended: Final) {
+    node.metric.count("requests_refused", 1);
+    runtime::lock(&node.answers).remove(&answer.request.get_id());
+    answer.finish(node.now(), ended);
+}
+
+/// Reads the answer that was recorded with a claim.
+pub fn recorded(answer: &claim::Answer) -> Final {
+    let body = hex::decode(&answer.body).unwrap_or_default();
+    done(answer.status, &answer.media_type, body)
+}
--- a/crates/keeljunction/src/node/find.rs
+++ b/crates/keeljunction/src/node/find.rs
@@ -9,7 +9,7 @@
 
 use super::request::succession_key;
 use super::state::Held;
-use super::{Answer, Node, accept, copy, takeover};
+use super::{Answer, Node, copy, ending, takeover};
 use crate::peer::wire;
 use crate::runtime;
 
@@ -44,7 +44,7 @@
         Found::Here => true,
         Found::Mismatch => {
             let ended = super::answer::not_run(422, "the key was used for another request", 0);
-            accept::refuse(node, answer, ended);
+            ending::refuse(node, answer, ended);
             true
         }
         Found::At(address) => {
--- a/crates/keeljunction/src/node/gossip.rs
+++ b/crates/keeljunction/src/node/gossip.rs
@@ -35,8 +35,15 @@
     }
 }
 
-/// Tells a few nodes at once of what is new.
-pub fn spread(node: &Arc<Node>) {
+/// Tells a few nodes at once of what is new, each time that there is something, for as long as the
+/// process lives.
+pub async fn run_urgent(node: Arc<Node>) {
+    while node.wait_for_news().await {
+        spread(&node);
+    }
+}
+
+fn spread(node: &Arc<Node>) {
     let targets = {
         let members = runtime::lock(&node.members);
         members.helpers("", SPREAD, &mut fastrand::Rng::new())
--- a/crates/keeljunction/src/node/mod.rs
+++ b/crates/keeljunction/src/node/mod.rs
@@ -7,6 +7,7 @@
 //! | [`accept`] | takes a request, or refuses it at once |
 //! | [`grant`], [`shard`] | asks the owner of a shard for a backend server; is the owner |
 //! | [`relay`], [`attempt`] | carries a request through as many attempts as it may have |
+//! | [`ending`] | ends an answer, and records it with its claim |
 //! | [`copy`], [`takeover`] | keeps a request's record at a peer; goes on with a gone node's requests |
 //! | [`find`] | finds the answer of a caller that comes back |
 //! | [`claims`] | lets an unrepeatable request run at most once |
@@ -28,6 +29,7 @@
 pub mod control;
 pub mod copy;
 pub mod departure;
+pub mod ending;
 pub mod find;
 pub mod fleet;
 pub mod gossip;
--- a/crates/keeljunction/src/node/relay.rs
+++ b/crates/keeljunction/src/node/relay.rs
@@ -4,18 +4,16 @@
 use std::time::Duration;
 
 use keeljunction_core::attempt::{End, Next, Reason, Standing};
-use keeljunction_core::claim;
 use keeljunction_core::drain::Action;
 use keeljunction_core::outcome::Outcome;
 use keeljunction_core::shard::{GENERATED_COST, Grant, Refusal};
 use keeljunction_core::stream::Cursor;
 use uuid::Uuid;
 
-use super::answer::{Attempt, done, not_run, unknown};
+use super::answer::{Attempt, not_run, unknown};
 use super::attempt;
 use super::grant::{self, Usage, Want};
 use super::{Answer, Node, claims};
-use crate::peer::wire::Final;
 use crate::runtime;
 
 /// How often an attempt is attached to again in vain after its stream broke off.
@@ -96,37 +94,6 @@
     }
 }
 
-/// Ends a model answer whose tokens are all there.
-pub fn finish_model(node: &Arc<Node>, answer: &Answer, attempt: &Attempt) {
-    node.metric.count("requests_done", 1);
-    answer.finish(node.now(), done(200, "text/event-stream", Vec::new()));
-    record_claim(node, answer, &attempt.id);
-}
-
-/// Ends the answer of a plain service, and records it with the claim.
-pub fn finish_plain(node: &Arc<Node>, answer: &Answer, attempt: &str, end: Final) {
-    node.metric.count("requests_done", 1);
-    answer.finish(node.now(), end);
-    record_claim(node, answer, attempt);
-}
-
-/// Records an answer with its claim, so that a caller who asks again gets it.
-fn record_claim(node: &Arc<Node>, answer: &Answer, attempt: &str) {
-    if !answer.request.needs_claim() {
-        return;
-    }
-    let news = answer.get_since(0);
-    let Some(ended) = news.ended else { return };
-    let body =
-        if answer.request.is_model() { news.tokens.concat().into_bytes() } else { ended.body };
-    let recorded = claim::Answer {
-        status: ended.status as u16,
-        media_type: ended.media_type,
-        body: hex::encode(body),
-    };
-    claims::record(node, &answer.request, attempt, recorded);
-}
-
 impl Run {
     /// Makes one attempt with a grant, and decides how to go on.
     async fn attempt(&mut self, grant: Grant, name: String) -> Step {
--- a/crates/keeljunction/src/node/serve.rs
+++ b/crates/keeljunction/src/node/serve.rs
@@ -46,7 +46,6 @@
     let limits = Limits {
         head_bytes: settings.limits.head_bytes,
         connections: settings.limits.connections,
-        ..Limits::default()
     };
     let stop = Stop::new();
     let bound = Server::bind(listen.caller, limits, stop.clone()).await;
@@ -87,6 +86,7 @@
     runtime::spawn(watch::vms(node.clone()));
     runtime::spawn(watch::loads(node.clone()));
     runtime::spawn(gossip::run(node.clone()));
+    runtime::spawn(gossip::run_urgent(node.clone()));
     runtime::spawn(settlement::run(node.clone()));
     runtime::spawn(settlement::announce(node.clone()));
     runtime::spawn(housekeeping::sweep(node.clone()));
--- a/crates/keeljunction/src/node/state.rs
+++ b/crates/keeljunction/src/node/state.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use keeljunction_core::Millis;
 use keeljunction_core::bundle::{Document, Roll};
 use keeljunction_core::directory::Directory;
@@ -88,6 +89,7 @@
     pub claims: Claims,
     /// Given once the node has stopped.
     pub ended: http::Stop,
+    urgent: (Sender<()>, Receiver<()>),
     force: Mutex<Option<Arc<Force>>>,
     budgets: Mutex<HashMap<String, Budget>>,
     seats: Mutex<HashMap<String, usize>>,
@@ -122,6 +124,7 @@
             book: Book::default(),
             claims: Claims::new(),
             ended: http::Stop::new(),
+            urgent: async_channel::bounded(1),
             force: Mutex::default(),
             budgets: Mutex::default(),
             seats: Mutex::default(),
@@ -164,6 +167,17 @@
         true
     }
 
+    /// Has a few peers told at once of what is new.
+    pub fn post_news(&self) {
+        // Where one such wish waits already, that one will do for this too.
+        let _ = self.urgent.0.try_send(());
+    }
+
+    /// Waits until peers are to be told of something at once; `false` once that cannot be any more.
+    pub async fn wait_for_news(&self) -> bool {
+        self.urgent.1.recv().await.is_ok()
+    }
+
     /// Says whether a backend server is leaving.
     pub fn is_leaving(&self, server: &str) -> bool {
         runtime::lock(&self.directory).is_leaving(server)
--- a/crates/keeljunction/src/node/stop.rs
+++ b/crates/keeljunction/src/node/stop.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Answer, Node, copy, gossip};
+use super::{Answer, Node, copy};
 use crate::runtime;
 
 /// Time kept at the end for handing requests over.
@@ -30,7 +30,7 @@
 async fn run(node: &Arc<Node>, within: Duration) {
     let started = node.now();
     runtime::lock(&node.members).leave();
-    gossip::spread(node);
+    node.post_news();
     unfinished(node).iter().for_each(|answer| answer.press());
     let grace = Duration::from_millis(node.settings.times.stop_grace_ms).min(within / 4);
     runtime::sleep(grace).await;
--- a/crates/keeljunction/src/node/takeover.rs
+++ b/crates/keeljunction/src/node/takeover.rs
@@ -9,7 +9,7 @@
 use super::relay::Start;
 use super::request::Id;
 use super::state::Held;
-use super::{Answer, Node, Request, accept, claims, copy, relay};
+use super::{Answer, Node, Request, claims, copy, ending, relay};
 use crate::peer::wire::{Final, Record};
 use crate::runtime;
 
@@ -92,7 +92,7 @@
         takeover::Start::Attach => running.map(Start::Attached),
         takeover::Start::Anew => Some(Start::Anew),
         takeover::Start::Claimed => Some(Start::Claimed(attempt)),
-        takeover::Start::Recorded(recorded) => end(node, answer, accept::recorded(&recorded)),
+        takeover::Start::Recorded(recorded) => end(node, answer, ending::recorded(&recorded)),
         takeover::Start::NotRun => {
             end(node, answer, not_run(503, "the request was given up before it was sent", 0))
         }
