perf(capacity): order lasting servers in the cheaper data centres

Cause: servers ordered are the largest price, and the lasting ones most of it while the market is dry; they were spread evenly, also in the dearest data centre. Reclaimable servers need the spread, because a wave takes all of one data centre's; lasting ones do not. They now fill the cheaper ones, none with more than its part of all but one, so that the loss of one leaves two thirds of four.

--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -3,7 +3,8 @@
 //! Servers that may be taken away cost a small part of the others, but a whole data centre of them can go
 //! within seconds, and for a while none may be had anywhere. The plan holds a part of what is
 //! needed in lasting servers, and the rest in reclaimable ones, spread over the data centres so that the
-//! loss of any data centre's leaves enough. What cannot be had as reclaimable, or is being taken away, is
+//! loss of any data centre's leaves enough. Lasting servers cost most: they stand in the cheaper data
+//! centres, and none of these holds more than its part of all data centres but one. What cannot be had as reclaimable, or is being taken away, is
 //! ordered as lasting at once. Lasting servers are given up again only when reclaimable ones take
 //! work in their place: one that was ordered carries nothing until it has started.
 
@@ -101,14 +102,14 @@
     let most = scaling.max * data_centres.len() as u32;
     let need = situation.need.max(scaling.min * data_centres.len() as u32).min(most);
     if scaling.spot_price.is_none() {
-        let lasting = spread(&data_centres, need, scaling.max, &BTreeMap::new());
+        let lasting = fill(&data_centres, need, scaling.max, &BTreeMap::new());
         return Plan { lasting, reclaimable: BTreeMap::new() };
     }
     let reclaimable = (f64::from(need) * policy.reclaimable_part).ceil() as u32;
     let wanted = spread(&data_centres, reclaimable, scaling.max, &BTreeMap::new());
     let held: BTreeMap<String, u32> = stock.iter().map(held_reclaimable).collect();
     let lasting = count_lasting(policy, situation, need);
-    let lasting = spread(&data_centres, lasting, scaling.max, &held);
+    let lasting = fill(&data_centres, lasting, scaling.max, &held);
     let reclaimable = wanted.into_iter().map(|(data_centre, count)| {
         let room = scaling.max - lasting.get(&data_centre).copied().unwrap_or(0).min(scaling.max);
         (data_centre, count.min(room))
@@ -147,6 +148,30 @@
     data_centres
 }
 
+/// Lasting servers stand in two data centres at least, where there are two.
+const LEAST_PARTS: usize = 2;
+
+/// Fills data centres from the cheapest on, none of them with more than its part of all but one, as
+/// far as there is room; what finds none is spread over all.
+fn fill(
+    data_centres: &[&str],
+    count: u32,
+    most: u32,
+    taken: &BTreeMap<String, u32>,
+) -> BTreeMap<String, u32> {
+    let parts = data_centres.len().saturating_sub(1).max(LEAST_PARTS) as u32;
+    let part = count.div_ceil(parts);
+    let mut filled = BTreeMap::new();
+    let mut left = count;
+    for data_centre in data_centres {
+        let room = most.saturating_sub(taken.get(*data_centre).copied().unwrap_or(0));
+        let held = part.min(room).min(left);
+        filled.insert((*data_centre).to_owned(), held);
+        left -= held;
+    }
+    if left > 0 { spread(data_centres, count, most, taken) } else { filled }
+}
+
 /// Spreads servers, one in each data centre in turn from the cheapest, up to `most` beside those `taken`.
 fn spread(
     data_centres: &[&str],
--- a/crates/core/tests/serving/capacity.rs
+++ b/crates/core/tests/serving/capacity.rs
@@ -109,6 +109,26 @@
     assert_eq!(only, Plan { lasting: counts(2, 1), reclaimable: BTreeMap::new() });
 }
 
+#[test]
+fn lasting_servers_stand_in_the_cheaper_data_centres() {
+    let names = ["a", "b", "c", "d"];
+    let prices = [1.0, 0.8, 1.25, 0.9];
+    let scaling = Scaling {
+        max: 40,
+        data_centre_prices: names.map(str::to_owned).into_iter().zip(prices).collect(),
+        ..scaling(Some(0.2))
+    };
+    let lasting = |reclaimable: u32, need: u32| -> Vec<u32> {
+        let held = Stock { reclaimable, ..Stock::default() };
+        let stock = names.map(|name| (name.to_owned(), held)).into();
+        plan(&POLICY, &scaling, &calm(&stock, need)).lasting.into_values().collect()
+    };
+    assert_eq!(lasting(0, 30), [10, 10, 0, 10]);
+    assert_eq!(lasting(0, 31), [9, 11, 0, 11]);
+    // Where the cheaper ones have no room, all take some.
+    assert_eq!(lasting(34, 200), [6, 6, 6, 6]);
+}
+
 #[test]
 fn a_need_rises_at_once_and_falls_slowly() {
     let mut slow = SlowFall::default();
