perf(load): tell peers at once of a prompt that takes long to read

Ruled out: slow servers alone (a third of it). A node now tells all peers when it sends a prompt whose reading is expected to take a tenth of the period of the counts or longer; it counts until it must have been read, or until the peer tells all its counts. Also: a server's slowness is taken against the usual server's same figure, because the grown sites have fewer samples of each.

--- a/crates/core/src/serving/load.rs
+++ b/crates/core/src/serving/load.rs
@@ -1,7 +1,8 @@
 //! How busy each server is, by this node's and its peers' counts.
 //!
 //! A server's own report is old when it arrives, and all nodes act on the same one. A node's own
-//! counts are exact, and its peers tell theirs some times a second.
+//! counts are exact, and its peers tell theirs some times a second. A prompt that takes long to read
+//! is told at once, because many nodes would choose the same server until they hear of it.
 
 use std::collections::HashMap;
 
@@ -37,6 +38,13 @@
         self.waiting_tokens.iter().sum()
     }
 
+    fn begin(&mut self, work: &Work) {
+        self.requests += 1;
+        self.waiting += 1;
+        self.waiting_tokens[work.rank.min(RANKS - 1)] += work.prompt_tokens;
+        self.memory_tokens += work.memory_tokens;
+    }
+
     fn add(&mut self, other: &Self) {
         self.requests += other.requests;
         self.waiting += other.waiting;
@@ -53,7 +61,7 @@
 }
 
 /// The size of one request in flight.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
     /// Prompt tokens that the server has to read.
     pub prompt_tokens: u64,
@@ -63,6 +71,9 @@
     pub memory_tokens: u64,
 }
 
+/// Requests of one peer that are kept between two messages with all its counts.
+const MOST_BEGUN: usize = 200;
+
 /// The loads of all servers, as this node knows them.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBook {
@@ -74,16 +85,23 @@
 struct PeerLoads {
     valid_until: Millis,
     loads: HashMap<u64, Load>,
+    /// Requests that the peer told of one by one after it told its counts.
+    begun: Vec<Begun>,
+}
+
+/// A request that a peer has sent to a server.
+#[derive(Clone, Copy, Debug)]
+struct Begun {
+    server: u64,
+    work: Work,
+    /// When its prompt is expected to have been read.
+    until: Millis,
 }
 
 impl LoadBook {
     /// Counts a request that is sent to a server.
     pub fn begin(&mut self, id: &str, work: &Work) {
-        let load = self.own.entry(short_id(id)).or_default();
-        load.requests += 1;
-        load.waiting += 1;
-        load.waiting_tokens[work.rank.min(RANKS - 1)] += work.prompt_tokens;
-        load.memory_tokens += work.memory_tokens;
+        self.own.entry(short_id(id)).or_default().begin(work);
     }
 
     /// Notes that the first piece of an answer came back.
@@ -112,7 +130,17 @@
     /// Takes over what a peer told of its own counts, which count until `valid_until`.
     pub fn hear(&mut self, valid_until: Millis, peer: &str, loads: Vec<(u64, Load)>) {
         let loads = loads.into_iter().collect();
-        self.peers.insert(peer.to_owned(), PeerLoads { valid_until, loads });
+        let told = PeerLoads { valid_until, loads, begun: Vec::new() };
+        self.peers.insert(peer.to_owned(), told);
+    }
+
+    /// Adds a request that a peer has sent to a server by now, until its prompt is expected to have
+    /// been read or the peer tells all its counts again.
+    pub fn hear_begun(&mut self, until: Millis, peer: &str, server: u64, work: &Work) {
+        let Some(known) = self.peers.get_mut(peer) else { return };
+        if known.begun.len() < MOST_BEGUN {
+            known.begun.push(Begun { server, work: *work, until });
+        }
     }
 
     /// Lists this node's own counts.
@@ -125,8 +153,11 @@
         let short = short_id(id);
         let mut total = self.own.get(&short).copied().unwrap_or_default();
         let recent = self.peers.values().filter(|peer| now < peer.valid_until);
-        for load in recent.filter_map(|peer| peer.loads.get(&short)) {
-            total.add(load);
+        for peer in recent {
+            peer.loads.get(&short).into_iter().for_each(|load| total.add(load));
+            let begun =
+                peer.begun.iter().filter(|begun| begun.server == short && now < begun.until);
+            begun.for_each(|begun| total.begin(&begun.work));
         }
         total
     }
--- a/crates/core/src/serving/pace.rs
+++ b/crates/core/src/serving/pace.rs
@@ -58,9 +58,11 @@
 const LEAST_SERVER_SAMPLES: usize = 5;
 /// Longer prompts take more than in proportion to their tokens.
 const MOST_SERVER_TOKENS: u64 = 15_000;
-/// Of a server's samples: others may have waited there all the same, or the shared part of the
-/// prompt was not kept there.
-const SLOWNESS_QUANTILE: f64 = 0.2;
+/// Of what a server's samples took for a token: others may have waited there all the same, or the
+/// shared part of the prompt was not kept there.
+const COST_OF_SERVER: f64 = 0.2;
+/// The usual server among all, from the fastest on.
+const USUAL_SERVER: f64 = 0.4;
 /// Servers are told apart in steps, so that chance does not make one look better than its like.
 const SLOWNESS_STEP: f64 = 0.25;
 /// A server that is less slow than this is a usual one.
@@ -102,20 +104,23 @@
 
     /// Works out anew how slow each server is.
     pub fn rate_servers(&mut self, now: Millis) {
-        let Some(speed) = self.get_speed() else { return };
-        let fixed = self.get_fixed_ms();
-        let rate =
-            |sample: &Sample| (sample.first_piece_ms as f64 - fixed) * speed / sample.tokens as f64;
         for samples in self.servers.values_mut() {
             samples.retain(|(at, _)| at + KEPT >= now);
         }
         self.servers.retain(|_, samples| !samples.is_empty());
+        let fixed = self.get_fixed_ms();
+        let cost = |sample: &Sample| {
+            (sample.first_piece_ms as f64 - fixed).max(0.0) / sample.tokens as f64
+        };
         let enough = self.servers.iter().filter(|(_, s)| s.len() >= LEAST_SERVER_SAMPLES);
-        let slowness = enough.filter_map(|(server, samples)| {
-            let ratio = quantile(samples.iter().map(|(_, s)| rate(s)), SLOWNESS_QUANTILE)?;
-            Some((*server, to_step(ratio)))
+        let costs = enough.filter_map(|(server, samples)| {
+            Some((*server, quantile(samples.iter().map(|(_, s)| cost(s)), COST_OF_SERVER)?))
         });
-        self.slowness = slowness.collect();
+        let costs: Vec<(u64, f64)> = costs.collect();
+        let usual = quantile(costs.iter().map(|(_, cost)| *cost), USUAL_SERVER).unwrap_or(0.0);
+        let ratio = |cost: f64| if usual > 0.0 { cost / usual } else { 1.0 };
+        self.slowness =
+            costs.into_iter().map(|(server, cost)| (server, to_step(ratio(cost)))).collect();
     }
 
     /// Returns how many times longer than the service's usual servers a server takes to read a
--- a/crates/core/tests/serving/load.rs
+++ b/crates/core/tests/serving/load.rs
@@ -39,3 +39,19 @@
     book.hear(9_000, "peer", vec![(short_id("b"), Load::default())]);
     assert_eq!(book.total(2_000, "a").requests, 1);
 }
+
+#[test]
+fn a_request_that_a_peer_has_just_sent_counts_until_it_is_read_or_told_with_the_others() {
+    let mut book = LoadBook::default();
+    let peers = vec![(short_id("a"), Load { requests: 1, ..Load::default() })];
+    book.hear_begun(1_500, "peer", short_id("a"), &WORK);
+    assert_eq!(book.total(1_000, "a"), Load::default());
+    book.hear(9_000, "peer", peers.clone());
+    book.hear_begun(1_500, "peer", short_id("a"), &WORK);
+    let load = book.total(1_499, "a");
+    assert_eq!((load.requests, load.waiting, load.get_waiting_tokens()), (2, 1, 100));
+    assert_eq!(book.total(1_499, "b"), Load::default());
+    assert_eq!(book.total(1_500, "a").get_waiting_tokens(), 0);
+    book.hear(9_000, "peer", peers);
+    assert_eq!(book.total(1_499, "a").requests, 1);
+}
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -97,7 +97,7 @@
 ) -> Result<Answer, Option<Box<Answer>>> {
     record.attempts += 1;
     progress.tried.push(order.server.id.clone());
-    tell_choice(node, exchange, record, order.server);
+    note_choice(node, exchange, record, order.server);
     match attempt::send(node, exchange, order).await {
         Ok(answer) => {
             node.with(|state| state.health.succeed(&order.server.id));
@@ -221,7 +221,7 @@
     }
 }
 
-fn tell_choice(node: &Node, exchange: &Exchange, record: &Record, server: &Server) {
+fn note_choice(node: &Node, exchange: &Exchange, record: &Record, server: &Server) {
     let now = node.now();
     let (candidates, chosen, speed) = node.with(|state| {
         let pace = state.paces.get(&exchange.service);
@@ -229,6 +229,10 @@
         (candidates, weigh(state, pace, now, server), pace.and_then(Pace::get_speed))
     });
     let wish = Wish { speed, ..exchange.wish };
+    let expected_ms = wish.estimate(&chosen);
+    if exchange.has_engine {
+        node.tell_begun(&server.id, &exchange.work, expected_ms);
+    }
     event::emit(&Event::ServerChosen {
         request: &record.id,
         server: &server.id,
@@ -238,7 +242,7 @@
         prompt_tokens: wish.prompt_tokens,
         waiting_tokens: chosen.load.get_waiting_tokens(),
         slowness: chosen.slowness,
-        expected_ms: wish.estimate(&chosen),
+        expected_ms,
         left_ms: exchange.get_left(now),
         version: record.version.unwrap_or(0),
         age_ms: record.age,
--- a/crates/gateway/src/node/gossip.rs
+++ b/crates/gateway/src/node/gossip.rs
@@ -12,7 +12,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::demand::DemandTotals;
 use keeljunction_core::serving::directory::Batch;
-use keeljunction_core::serving::load::Load;
+use keeljunction_core::serving::load::{Load, Work};
 use keeljunction_core::serving::pace::Sample;
 use keeljunction_core::serving::peers::Heard;
 use keeljunction_core::serving::quota::AccountUnits;
@@ -27,7 +27,7 @@
 use crate::runtime;
 
 /// The format of the datagrams; others are passed over.
-const FORMAT: u8 = 3;
+const FORMAT: u8 = 4;
 /// The counts of a peer are used for this many periods.
 const COUNTS_LAST_PERIODS: u32 = 7;
 /// The table in which nodes tell their addresses.
@@ -61,6 +61,13 @@
     },
     /// Tells that the list of servers has changed.
     ServersChanged(Batch),
+    /// Tells that the peer has sent a request to a server whose prompt takes long to read.
+    RequestBegun {
+        node: String,
+        server: u64,
+        work: Work,
+        reading_ms: Millis,
+    },
     /// Tells that the peer has adopted a configuration.
     ConfigurationChanged {
         version: u64,
@@ -156,6 +163,10 @@
             Message::TellPosition { asked_at, position } => {
                 position::take(&node, from, asked_at, &position);
             }
+            Message::RequestBegun { node: peer, server, work, reading_ms } => {
+                let until = node.now() + reading_ms;
+                node.with(|state| state.loads.hear_begun(until, &peer, server, &work));
+            }
             Message::ServersChanged(batch) => position::take_servers(&node, from, batch),
             Message::ConfigurationChanged { version } => {
                 position::take_version(&node, from, version);
@@ -242,6 +253,20 @@
     send_to_all(node, socket, &bytes, addresses).await;
 }
 
+/// The part of the period between two digests that a prompt takes to read, at the least, for its
+/// request to be told at once.
+const TOLD_AT_ONCE_PART: f64 = 0.1;
+
+/// Tells all peers of a request that has just been sent to a server, where it will keep the server
+/// busy for long.
+pub(in crate::node) fn tell_begun(node: &Node, server: u64, work: Work, reading_ms: Millis) {
+    let period = node.with(|state| state.peers.get_period()).as_millis() as f64;
+    if reading_ms as f64 >= period * TOLD_AT_ONCE_PART {
+        let peer = node.life.node.clone();
+        node.push(Message::RequestBegun { node: peer, server, work, reading_ms });
+    }
+}
+
 /// Sends a datagram to many peers, no faster than a part of the link carries: what waits in a full
 /// link's queue is dropped, and would be the same peers' each time.
 async fn send_to_all(
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -14,14 +14,14 @@
 use keeljunction_core::serving::duty_lease::DutyLease;
 use keeljunction_core::serving::freshness::Freshness;
 use keeljunction_core::serving::health::Health;
-use keeljunction_core::serving::load::{LoadBook, short_id};
+use keeljunction_core::serving::load::{LoadBook, Work, short_id};
 use keeljunction_core::serving::pace::Pace;
 use keeljunction_core::serving::peers::Peers;
 use keeljunction_core::serving::quota::Quotas;
 use keeljunction_core::serving::usage::{Ledger, Life, window_at};
 
 use super::document::Document;
-use super::gossip::Message;
+use super::gossip::{self, Message};
 use crate::http::{Client, Stop};
 use crate::metrics::Metrics;
 use crate::port::Platform;
@@ -219,6 +219,13 @@
         self.with(|state| state.freshness.is_within(now, self.get_fresh_bound()))
     }
 
+    /// Notes that a request is sent to a server whose prompt takes a time to read.
+    pub fn tell_begun(&self, server: &str, work: &Work, reading_ms: Option<Millis>) {
+        if let Some(reading_ms) = reading_ms {
+            gossip::tell_begun(self, short_id(server), *work, reading_ms);
+        }
+    }
+
     /// Sends a message to all peers soon.
     pub(super) fn push(&self, message: Message) {
         let _ = self.pushes.0.try_send(message);
--- a/crates/keeljunction/src/node/serve.rs
+++ b/crates/keeljunction/src/node/serve.rs
@@ -43,10 +43,8 @@
 /// Returns [`ErrorKind::Unavailable`] where an address cannot be listened at.
 pub async fn serve(settings: Settings) -> Result<(), Error> {
     let listen = settings.listen.clone();
-    let limits = Limits {
-        head_bytes: settings.limits.head_bytes,
-        connections: settings.limits.connections,
-    };
+    let limits =
+        Limits { head_bytes: settings.limits.head_bytes, connections: settings.limits.connections };
     let stop = Stop::new();
     let bound = Server::bind(listen.caller, limits, stop.clone()).await;
     let callers = bound.map_err(|error| busy("listen.caller", listen.caller, &error))?;
