--- a/crates/core/src/serving/quota.rs
+++ b/crates/core/src/serving/quota.rs
@@ -275,6 +275,14 @@
         }
     }
 
+    /// Returns what is left of a client account's bucket, as this node knows it: below 0 where more was
+    /// given than the limit allows; `None` where nothing was asked of it yet.
+    pub fn get_left(&self, now: Millis, account: &str) -> Option<f64> {
+        let mut bucket = *self.whole.get(account)?;
+        bucket.fill(now);
+        Some(bucket.available)
+    }
+
     /// Forgets a life of a peer that is gone.
     pub fn forget(&mut self, peer: &str, life: u64) {
         self.peers.remove(&(peer.to_owned(), life));
--- a/crates/core/tests/serving/quota.rs
+++ b/crates/core/tests/serving/quota.rs
@@ -291,3 +291,15 @@
     // Asked for 1,000 in a second: a tenth of 100, and what it may save up at its start.
     assert!(given <= 120, "{given}");
 }
+
+#[test]
+fn what_is_left_of_a_bucket_is_told_and_may_be_less_than_nothing() {
+    let mut quotas = Quotas::new(0);
+    let limit = Limit { rate_per_second: 10.0, burst: 100.0 };
+    assert_eq!(quotas.get_left(60_000, "acme"), None);
+    quotas.take(60_000, "acme", 30, limit, ALONE).expect("units");
+    assert_eq!(quotas.get_left(60_000, "acme"), Some(70.0));
+    assert_eq!(quotas.get_left(61_000, "acme"), Some(80.0));
+    quotas.take(61_000, "acme", 90, limit, ALONE).expect("units");
+    assert_eq!(quotas.get_left(61_000, "acme"), Some(-10.0));
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -64,8 +64,17 @@
     gauges: Gauges,
 }
 
+/// The client account that a figure belongs to.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct AccountLabels {
+    /// The client account.
+    pub account: String,
+}
+
 #[derive(Default)]
 struct Gauges {
+    retries_left: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
+    quota_left: Family<AccountLabels, Gauge<f64, AtomicU64>>,
     in_flight: Gauge<i64, AtomicI64>,
     ready_servers: Family<ServiceLabels, Gauge>,
     configuration_version: Gauge<i64, AtomicI64>,
@@ -144,6 +153,16 @@
 
 impl Gauges {
     fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "retries_left",
+            "Repeats that this node may still make in the window that ends now",
+            self.retries_left.clone(),
+        );
+        registry.register(
+            "quota_left_units",
+            "Left of the client account's bucket over all nodes, as this node knows it",
+            self.quota_left.clone(),
+        );
         registry.register("requests_in_flight", "Answers not ended", self.in_flight.clone());
         registry.register("ready_servers", "Servers that take work", self.ready_servers.clone());
         registry.register("configuration_version", "In force", self.configuration_version.clone());
@@ -198,11 +217,18 @@
             let reach = state.peers.get_reach(now);
             self.nodes_heard.set(reach.heard as i64);
             self.nodes.set(reach.all as i64);
-            let services = state.configuration.iter().flat_map(|known| known.services.keys());
-            for service in services {
+            let Some(configuration) = state.configuration.clone() else { return };
+            for service in configuration.services.keys() {
                 let ready = state.directory.iter_ready(service).count() as i64;
                 let labels = ServiceLabels { service: service.clone() };
                 self.ready_servers.get_or_create(&labels).set(ready);
+                let retries = state.budget.get_left(now, service, reach.all);
+                self.retries_left.get_or_create(&labels).set(retries);
+            }
+            for account in configuration.accounts.iter().flatten() {
+                let Some(left) = state.quotas.get_left(now, &account.name) else { continue };
+                let labels = AccountLabels { account: account.name.clone() };
+                self.quota_left.get_or_create(&labels).set(left);
             }
         });
     }
