perf(capacity): give lasting servers up before anything is asked of them

Where nobody has, reclaimable servers that were ordered now stand for lasting ones at once; what is refused keeps them.

--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -63,6 +63,8 @@
     pub is_dry: bool,
     /// Lasting servers that were ordered, or are there, in all data centres.
     pub lasting_held: u32,
+    /// Whether nothing was asked of the service yet: nothing is lost while servers start.
+    pub is_idle: bool,
 }
 
 /// What is asked of a service.
@@ -121,7 +123,7 @@
 /// Counts the lasting servers to hold in all data centres.
 ///
 /// Reclaimable servers that were ordered stand against ordering more lasting ones, and only those
-/// that take work against keeping the lasting ones that are there.
+/// that take work against keeping the lasting ones that are there, unless nobody asks for anything.
 fn count_lasting(policy: &Policy, situation: &Situation<'_>, need: u32) -> u32 {
     let base = ((f64::from(need) * policy.lasting_part).ceil() as u32).clamp(1, need);
     let working: u32 = situation.stock.values().map(|data_centre| data_centre.reclaimable).sum();
@@ -131,7 +133,7 @@
     let carried = |reclaimable: u32| (f64::from(reclaimable) * trusted) as u32;
     let least = base + (need - base).saturating_sub(carried(working + booting));
     let most = base + (need - base).saturating_sub(carried(working));
-    situation.lasting_held.clamp(least, most)
+    situation.lasting_held.clamp(least, if situation.is_idle { least } else { most })
 }
 
 /// Counts a data centre's reclaimable servers, those that are coming up too.
--- a/crates/core/src/serving/demand.rs
+++ b/crates/core/src/serving/demand.rs
@@ -101,6 +101,13 @@
         }
     }
 
+    /// Says whether no life of a node that is known was asked for anything of a service.
+    pub fn is_untouched(&self, service: &str) -> bool {
+        let peers = self.peers.values().map(|known| &known.latest);
+        let mut totals = peers.chain([&self.own]).filter_map(|totals| totals.get(service));
+        totals.all(|totals| totals.requests == 0)
+    }
+
     /// Returns the part of the prompt tokens asked for lately that long prompts have.
     pub fn get_long_part(&self, now: Millis, service: &str) -> f64 {
         let Some((lately, _)) = self.within(now, service, LONG_PART_SPAN) else { return 0.0 };
--- a/crates/core/tests/serving/capacity.rs
+++ b/crates/core/tests/serving/capacity.rs
@@ -16,7 +16,7 @@
 
 /// Where nothing is held as lasting, and reclaimable servers can be had.
 fn calm(stock: &BTreeMap<String, Stock>, need: u32) -> Situation<'_> {
-    Situation { stock, need, is_dry: false, lasting_held: 0 }
+    Situation { stock, need, is_dry: false, lasting_held: 0, is_idle: false }
 }
 
 fn scaling(spot_price: Option<f64>) -> Scaling {
@@ -89,6 +89,18 @@
     assert_eq!(plan(&POLICY, &scaling(Some(0.2)), &held).lasting, counts(1, 1));
 }
 
+#[test]
+fn before_anything_is_asked_lasting_servers_go_while_reclaimable_ones_start() {
+    let data_centre = Stock { reclaimable_booting: 1, ..Stock::default() };
+    let booting = BTreeMap::from(["cheap", "dear"].map(|name| (name.to_owned(), data_centre)));
+    let idle = Situation { lasting_held: 4, is_idle: true, ..calm(&booting, 4) };
+    assert_eq!(plan(&POLICY, &scaling(Some(0.2)), &idle).lasting, counts(1, 1));
+    // What was refused starts nowhere: the lasting ones stay.
+    let none = stock(0);
+    let idle = Situation { lasting_held: 4, is_idle: true, ..calm(&none, 4) };
+    assert_eq!(plan(&POLICY, &scaling(Some(0.2)), &idle).lasting, counts(2, 2));
+}
+
 #[test]
 fn no_lasting_servers_are_ordered_for_what_is_starting() {
     let data_centre = Stock { reclaimable_booting: 1, ..Stock::default() };
--- a/crates/core/tests/serving/demand.rs
+++ b/crates/core/tests/serving/demand.rs
@@ -53,3 +53,15 @@
     assert_eq!(book.get_long_part(12_200, "llm"), 1.0);
     assert_eq!(book.get_long_part(12_200, "other"), 0.0);
 }
+
+#[test]
+fn a_service_is_untouched_until_some_node_was_asked() {
+    let mut book = DemandBook::default();
+    assert!(book.is_untouched("llm"));
+    book.hear("peer", 1, &told(0));
+    book.count("other", &totals(1));
+    assert!(book.is_untouched("llm"));
+    // Also what a peer was asked for before it was first heard.
+    book.hear("another", 1, &told(3));
+    assert!(!book.is_untouched("llm"));
+}
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -101,6 +101,7 @@
             need,
             is_dry: self.is_dry(name, now),
             lasting_held: self.count_lasting(name, &stock),
+            is_idle: node.with(|state| state.demand.is_untouched(name)),
         };
         let plan = plan(&policy, scaling, &situation);
         for order in self.list_changes(name, &plan, &stock, now) {
--- a/crates/gateway/src/node/position.rs
+++ b/crates/gateway/src/node/position.rs
@@ -125,23 +125,28 @@
             is_known
         });
         if !is_known {
-            runtime::spawn(get_newer_servers(node.clone(), from, asked_at, (version, age)));
+            let told = ToldServers { version, age, asked_at };
+            runtime::spawn(get_newer_servers(node.clone(), from, told));
         }
     }
 }
 
-/// Gets a peer's list of servers, which it told to be the newest `age` before it answered.
-async fn get_newer_servers(
-    node: Arc<Node>,
-    from: SocketAddr,
+/// What a peer told of its list of servers.
+struct ToldServers {
+    version: u64,
+    /// How long before its answer the peer knew the list to be the newest.
+    age: Millis,
+    /// When the peer was asked.
     asked_at: Millis,
-    (version, age): (u64, Millis),
-) {
+}
+
+/// Gets the list of servers that a peer told of.
+async fn get_newer_servers(node: Arc<Node>, from: SocketAddr, told: ToldServers) {
     peer_calls::get_servers(node.clone(), from).await;
     node.with(|state| {
         // The list that was got may be newer than the one that was told of, and never older.
-        if state.has_servers && state.directory.get_version() >= version {
-            state.servers_freshness.confirm_by_peer(asked_at, age);
+        if state.has_servers && state.directory.get_version() >= told.version {
+            state.servers_freshness.confirm_by_peer(told.asked_at, told.age);
         }
     });
 }
