perf(capacity): hold room for bursts by the square root of the load

Need is now the load over 0.75 (places over 0.8), and one server for each square root of the load in servers besides.

--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -20,10 +20,13 @@
     pub lasting_part: f64,
     /// Reclaimable servers for each server that is needed.
     pub reclaimable_part: f64,
-    /// How busy servers may be on average, so that bursts and long prompts find room.
+    /// How busy servers may be on average, besides those for bursts.
     pub target_use: f64,
-    /// How full the places of servers may be on average.
+    /// How full the places of servers may be on average, besides those for bursts.
     pub target_fill: f64,
+    /// Servers held for bursts, for each square root of the servers' worth of work: what is asked
+    /// of many servers varies less, as a part of it, than what is asked of few.
+    pub burst_servers: f64,
     /// The part of the reclaimable servers that is counted on while no more can be had.
     pub dry_trust: f64,
 }
@@ -33,8 +36,9 @@
         Self {
             lasting_part: 0.25,
             reclaimable_part: 2.0,
-            target_use: 0.5,
-            target_fill: 0.6,
+            target_use: 0.75,
+            target_fill: 0.8,
+            burst_servers: 1.0,
             dry_trust: 0.0,
         }
     }
@@ -91,9 +95,11 @@
 
 /// Computes how many servers a service needs.
 pub fn need(policy: &Policy, asked: &Asked) -> u32 {
-    let by_tokens = asked.tokens_per_second / (asked.server_tokens_per_second * policy.target_use);
-    let by_places = asked.in_flight / (asked.slots.max(1.0) * policy.target_fill);
-    let need = by_tokens.max(by_places);
+    let with_bursts = |work: f64, part: f64| work / part + policy.burst_servers * work.sqrt();
+    let reading = asked.tokens_per_second / asked.server_tokens_per_second;
+    let filled = asked.in_flight / asked.slots.max(1.0);
+    let by_tokens = with_bursts(reading, policy.target_use);
+    let need = by_tokens.max(with_bursts(filled, policy.target_fill));
     if need.is_finite() { need.ceil().max(1.0) as u32 } else { 1 }
 }
 
--- a/crates/core/tests/serving/capacity.rs
+++ b/crates/core/tests/serving/capacity.rs
@@ -11,6 +11,7 @@
     reclaimable_part: 1.0,
     target_use: 0.5,
     target_fill: 0.5,
+    burst_servers: 0.0,
     dry_trust: 0.5,
 };
 
@@ -53,6 +54,20 @@
     assert_eq!(need(&POLICY, &Asked { in_flight: 30.0, ..asked }), 6);
 }
 
+#[test]
+fn bursts_take_a_larger_part_of_few_servers_than_of_many() {
+    let policy = Policy { burst_servers: 1.0, ..POLICY };
+    let asked = |servers: f64| Asked {
+        tokens_per_second: 50_000.0 * servers,
+        server_tokens_per_second: 50_000.0,
+        in_flight: 0.0,
+        slots: 10.0,
+    };
+    assert_eq!([1.0, 4.0, 25.0].map(|servers| need(&policy, &asked(servers))), [3, 10, 55]);
+    let filled = Asked { in_flight: 40.0, ..asked(1.0) };
+    assert_eq!(need(&policy, &filled), 10);
+}
+
 #[test]
 fn an_unknown_speed_does_not_overflow() {
     assert_eq!(need(&POLICY, &Asked::default()), 1);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -119,23 +119,38 @@
     pub target_use: f64,
     /// How full the places of servers may be on average.
     pub target_fill: f64,
+    /// Servers held for bursts, for each square root of the servers' worth of work.
+    pub burst_servers: f64,
     /// The part of the reclaimable servers that is counted on while no more can be had.
     pub dry_trust: f64,
 }
 
 impl Default for CapacitySettings {
     fn default() -> Self {
-        let Policy { lasting_part, reclaimable_part, target_use, target_fill, dry_trust } =
-            Policy::default();
-        Self { lasting_part, reclaimable_part, target_use, target_fill, dry_trust }
+        let Policy {
+            lasting_part,
+            reclaimable_part,
+            target_use,
+            target_fill,
+            burst_servers,
+            dry_trust,
+        } = Policy::default();
+        Self { lasting_part, reclaimable_part, target_use, target_fill, burst_servers, dry_trust }
     }
 }
 
 impl CapacitySettings {
     /// Returns the core's policy.
     pub fn get_policy(&self) -> Policy {
-        let Self { lasting_part, reclaimable_part, target_use, target_fill, dry_trust } = *self;
-        Policy { lasting_part, reclaimable_part, target_use, target_fill, dry_trust }
+        let Self {
+            lasting_part,
+            reclaimable_part,
+            target_use,
+            target_fill,
+            burst_servers,
+            dry_trust,
+        } = *self;
+        Policy { lasting_part, reclaimable_part, target_use, target_fill, burst_servers, dry_trust }
     }
 }
 
@@ -214,6 +229,7 @@
         check_range("capacity.reclaimable_part", capacity.reclaimable_part, 0.0, 10.0)?;
         check_range("capacity.target_use", capacity.target_use, 0.01, 1.0)?;
         check_range("capacity.target_fill", capacity.target_fill, 0.01, 1.0)?;
+        check_range("capacity.burst_servers", capacity.burst_servers, 0.0, 10.0)?;
         check_range("capacity.dry_trust", capacity.dry_trust, 0.0, 1.0)
     }
 }
