fix(position): read the configuration where all readers may have lost the store at once

Ruled out: a lost push (nobody had it to push), a slow store (it answered the others at once). Now a configuration counts as old after 0.65 of config_apply_ms, readers confirm it each quarter of that, and a node whose knowledge is ageing asks all readers, not one.

--- a/crates/gateway/src/node/position.rs
+++ b/crates/gateway/src/node/position.rs
@@ -23,8 +23,11 @@
 const ASK_PERIOD: Duration = Duration::from_millis(400);
 /// The part of the drain bound after which the list of servers counts as old.
 const SERVERS_OLD_PART: f64 = 0.85;
-/// The part of the freshness bound after which the configuration counts as old.
-const CONFIGURATION_OLD_PART: f64 = 0.5;
+/// The part of the time in which a new configuration must be in force after which this node's
+/// counts as old: the readers themselves may have lost the table service, all at once.
+const CONFIGURATION_OLD_PART: f64 = 0.65;
+/// The part of the freshness bound after which the configuration counts as old at the latest.
+const CONFIRMATION_OLD_PART: f64 = 0.5;
 
 /// What a node knows of the platform's tables. Ages are in milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,12 +60,28 @@
 
 /// Says whether the configuration is older than it should be.
 pub(super) fn is_configuration_old(node: &Node) -> bool {
-    let bound = node.get_fresh_bound() as f64 * CONFIGURATION_OLD_PART;
+    let bound = get_configuration_bound(node);
     let now = node.now();
-    !node.with(|state| state.freshness.is_within(now, bound as Millis))
+    !node.with(|state| state.freshness.is_within(now, bound))
 }
 
-/// Asks a reader what it knows, and any peers while this node's knowledge is old.
+/// Returns the age at which the configuration counts as old.
+fn get_configuration_bound(node: &Node) -> Millis {
+    let apply = node.settings.bounds.config_apply_ms as f64 * CONFIGURATION_OLD_PART;
+    let confirmation = node.get_fresh_bound() as f64 * CONFIRMATION_OLD_PART;
+    apply.min(confirmation) as Millis
+}
+
+/// Says whether one reader's answer is not enough, because the last ones did not make this node's
+/// configuration young.
+fn is_configuration_ageing(node: &Node) -> bool {
+    let bound = get_configuration_bound(node) / 2;
+    let now = node.now();
+    !node.with(|state| state.freshness.is_within(now, bound))
+}
+
+/// Asks a reader what it knows, all of them while this node's configuration is ageing, and any peers
+/// while its knowledge is old.
 pub(super) async fn ask(node: Arc<Node>, socket: Arc<Async<UdpSocket>>) {
     let bound = node.get_fresh_bound();
     let mut was_fresh = true;
@@ -78,7 +97,7 @@
         let is_old = is_configuration_old(&node) || is_servers_old(&node);
         let (readers, heard) =
             node.with(|state| (state.peers.get_readers(asked_at), state.peers.get_heard(asked_at)));
-        let mut asked = pick(&readers);
+        let mut asked = if is_configuration_ageing(&node) { readers } else { pick(&readers) };
         if is_old {
             asked.extend(pick(&heard));
         }
--- a/crates/gateway/src/node/watch.rs
+++ b/crates/gateway/src/node/watch.rs
@@ -38,8 +38,11 @@
 /// The first pause after a failure; doubled up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
-/// Reads of the configuration in each freshness bound.
-const CONFIRMS_IN_BOUND: u64 = 4;
+/// The time between two confirmations of the configuration, as a part of the time in which a new
+/// one must be in force.
+const CONFIRM_PART: f64 = 0.25;
+/// Confirmations in each freshness bound, at the least.
+const CONFIRMS_IN_BOUND: u32 = 4;
 
 /// Follows the configuration for ever, where this node reads for all or knows none yet.
 pub async fn configuration(node: Arc<Node>) {
@@ -79,7 +82,8 @@
 
 /// Reads the configuration again and again, to know that it is the newest.
 pub async fn freshness(node: Arc<Node>) {
-    let period = Duration::from_millis(node.get_fresh_bound() / CONFIRMS_IN_BOUND);
+    let bound = Duration::from_millis(node.get_fresh_bound()) / CONFIRMS_IN_BOUND;
+    let period = part_of(node.settings.bounds.config_apply_ms, CONFIRM_PART).min(bound);
     let mut pause = Pause::default();
     loop {
         // Until there is one, the first configuration is waited for and not asked for again.
