--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 bench:
 	$(CARGO) build --release --workspace --bins
 	$(CARGO) bench -p keeljunction-core
+	$(CARGO) bench -q -p keeljunction-gateway --bench log > /dev/null
 	target/release/standin measure baseline
 	target/release/standin measure size
 	target/release/standin measure policy
--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -1,12 +1,13 @@
 //! How many servers to order, where, and of which kind.
 //!
-//! Servers that may be taken away cost a small part of the others, but a whole data centre of them can go
-//! within seconds, and for a while none may be had anywhere. The plan holds a part of what is
-//! needed in lasting servers, and the rest in reclaimable ones, spread over the data centres so that the
-//! loss of any data centre's leaves enough. Lasting servers cost most: they stand in the cheaper data
-//! centres, and none of these holds more than its part of all data centres but one. What cannot be had as reclaimable, or is being taken away, is
-//! ordered as lasting at once. Lasting servers are given up again only when reclaimable ones take
-//! work in their place: one that was ordered carries nothing until it has started.
+//! Servers that may be taken away cost a small part of the others, but a whole data centre of them
+//! can go within seconds, and for a while none may be had anywhere. The plan holds a part of what
+//! is needed in lasting servers, and the rest in reclaimable ones, spread over the data centres so
+//! that the loss of any data centre's leaves enough. Lasting servers cost most: they stand in the
+//! cheaper data centres, and none of these holds more than its part of all data centres but one.
+//! What cannot be had as reclaimable, or is being taken away, is ordered as lasting at once.
+//! Lasting servers are given up again only when reclaimable ones take work in their place: one that
+//! was ordered carries nothing until it has started.
 
 use std::collections::BTreeMap;
 
@@ -180,7 +181,8 @@
     if left > 0 { spread(data_centres, count, most, taken) } else { filled }
 }
 
-/// Spreads servers, one in each data centre in turn from the cheapest, up to `most` beside those `taken`.
+/// Spreads servers, one in each data centre in turn from the cheapest, up to `most` beside those
+/// `taken`.
 fn spread(
     data_centres: &[&str],
     count: u32,
--- a/crates/core/src/serving/choice.rs
+++ b/crates/core/src/serving/choice.rs
@@ -7,12 +7,12 @@
 //! proportion to the tokens of long prompts are therefore set aside for them: the first in an order
 //! that all nodes share. Either kind goes to the others' servers only where its own are too busy.
 //!
-//! While a server reads prompts, its running streams come slower. A request for which the prompts waiting
-//! at its preferred server would pause streams for too long goes to the least busy one, too.
-//! Busy is what takes long: slow servers count their prompts for more.
+//! While a server reads prompts, its running streams come slower. A request for which the prompts
+//! waiting at its preferred server would pause streams for too long goes to the least busy one,
+//! too. Busy is what takes long: slow servers count their prompts for more.
 //!
-//! Where even the least busy server would answer late, the request is refused at once: tried again when there
-//! is room it is worth more than late, and it does not hold up others.
+//! Where even the least busy server would answer late, the request is refused at once: tried again
+//! when there is room it is worth more than late, and it does not hold up others.
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
--- a/crates/core/src/serving/quota.rs
+++ b/crates/core/src/serving/quota.rs
@@ -1,10 +1,11 @@
 //! Whether a client account is within its limit over all nodes.
 //!
-//! Each node keeps the bucket of the whole client account. It takes its own use from it at once, and that
-//! of its peers as they tell of it, some times a second; until a peer tells again, it is taken to
-//! go on at the rate that it last told. While much is left, every request is taken. Once little is
-//! left, what peers tell is too old to decide by: a node then gives its own part of the rate, which
-//! is its part of what the client account asks of all nodes, and the parts sum up to the whole.
+//! Each node keeps the bucket of the whole client account. It takes its own use from it at once,
+//! and that of its peers as they tell of it, some times a second; until a peer tells again, it is
+//! taken to go on at the rate that it last told. While much is left, every request is taken. Once
+//! little is left, what peers tell is too old to decide by: a node then gives its own part of the
+//! rate, which is its part of what the client account asks of all nodes, and the parts sum up to
+//! the whole.
 //!
 //! A part of the rate is set aside for each node that is not heard, which may be cut off and
 //! serving: the parts of all nodes together never exceed the whole.
@@ -210,7 +211,8 @@
         let left = self.fill_whole(now, account, limit, reach);
         let share = self.get_share(now, account, reach);
         if left >= self.get_little(now, account, capacity, reach) {
-            // Nothing of the own part is saved up meanwhile, but what it gave in advance is paid back.
+            // Nothing of the own part is saved up meanwhile, but what it gave in advance is paid
+            // back.
             if let Some(bucket) = self.own_part.get_mut(account) {
                 bucket.set(now, rate * share, 0.0);
             }
@@ -275,8 +277,8 @@
         }
     }
 
-    /// Returns what is left of a client account's bucket, as this node knows it: below 0 where more was
-    /// given than the limit allows; `None` where nothing was asked of it yet.
+    /// Returns what is left of a client account's bucket, as this node knows it: below 0 where more
+    /// was given than the limit allows; `None` where nothing was asked of it yet.
     pub fn get_left(&self, now: Millis, account: &str) -> Option<f64> {
         let mut bucket = *self.whole.get(account)?;
         bucket.fill(now);
--- a/crates/core/src/serving/usage.rs
+++ b/crates/core/src/serving/usage.rs
@@ -89,7 +89,8 @@
         self.windows.get(&window)
     }
 
-    /// Lists the counts of all lives in the windows from one on, so that they can be kept elsewhere.
+    /// Lists the counts of all lives in the windows from one on, so that they can be kept
+    /// elsewhere.
     pub fn get_since(&self, first: WindowNumber) -> Kept {
         let windows = || self.windows.range(first..);
         let counts = windows().flat_map(|(_, lives)| lives.values());
--- a/crates/core/tests/serving/capacity.rs
+++ b/crates/core/tests/serving/capacity.rs
@@ -166,8 +166,8 @@
 }
 
 proptest! {
-    /// Whatever is there and asked: no data centre gets more than its most, and what reclaimable servers
-    /// do not carry is ordered as lasting as far as there is room.
+    /// Whatever is there and asked: no data centre gets more than its most, and what reclaimable
+    /// servers do not carry is ordered as lasting as far as there is room.
     #[test]
     fn plans_keep_the_bounds(held in 0u32..5, asked in 0u32..30) {
         let scaling = scaling(Some(0.2));
--- a/crates/core/tests/serving/quota.rs
+++ b/crates/core/tests/serving/quota.rs
@@ -195,9 +195,9 @@
     }
 }
 
-/// A client account's traffic over many nodes that all end and start again twice, as the users' bench
-/// played it (tanglaw-keel-grown, trouble-3): 87 nodes, a burst of one second of the rate, 2.6 times
-/// the rate from just before the first end, and 4.7 times it while callers come back.
+/// A client account's traffic over many nodes that all end and start again twice, as the users'
+/// bench played it (tanglaw-keel-grown, trouble-3): 87 nodes, a burst of one second of the rate,
+/// 2.6 times the rate from just before the first end, and 4.7 times it while callers come back.
 fn play_restarts(seed: u64) -> Vec<(u64, u64)> {
     const NODES: usize = 87;
     const PERIOD: u64 = 600;
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -24,8 +24,8 @@
 
 /// The time that a caller is taken to wait where it does not say.
 const DEFAULT_DEADLINE: Millis = 30_000;
-/// When a client account beyond its limit should come back at the earliest: what is refilled at once goes
-/// to those that came first.
+/// When a client account beyond its limit should come back at the earliest: what is refilled at
+/// once goes to those that came first.
 const QUOTA_BACK_IN: Millis = 500;
 /// When to come back where the node's own knowledge is what is missing.
 const KNOWLEDGE_BACK_IN: Millis = 400;
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -138,7 +138,8 @@
         (found.count, is_settled)
     }
 
-    /// Counts what each data centre holds; a data centre that the configuration prices is listed also if empty.
+    /// Counts what each data centre holds; a data centre that the configuration prices is listed
+    /// also if empty.
     fn take_stock(
         &mut self,
         node: &Node,
--- a/crates/gateway/src/node/position.rs
+++ b/crates/gateway/src/node/position.rs
@@ -80,8 +80,8 @@
     !node.with(|state| state.freshness.is_within(now, bound))
 }
 
-/// Asks a reader what it knows, all of them while this node's configuration is ageing, and any peers
-/// while its knowledge is old.
+/// Asks a reader what it knows, all of them while this node's configuration is ageing, and any
+/// peers while its knowledge is old.
 pub(super) async fn ask(node: Arc<Node>, socket: Arc<Async<UdpSocket>>) {
     let bound = node.get_fresh_bound();
     let mut was_fresh = true;
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -34,8 +34,8 @@
 const FRESH_PART: f64 = 0.95;
 /// Messages to all peers that wait to be sent; more are dropped, and show at the next question.
 const PUSHES_WAITING: usize = 256;
-/// A server that does not take a connection within this time is passed over: the way there takes some
-/// milliseconds, and a lost opening packet is sent again only after a second.
+/// A server that does not take a connection within this time is passed over: the way there takes
+/// some milliseconds, and a lost opening packet is sent again only after a second.
 const CONNECT_WITHIN: Duration = Duration::from_millis(250);
 /// How long connections may rest where no configuration tells it, in milliseconds.
 const REST_WHILE_UNKNOWN: Millis = 15_000;
--- a/crates/gateway/src/node/watch.rs
+++ b/crates/gateway/src/node/watch.rs
@@ -1,8 +1,8 @@
 //! Follows the configuration and the list of servers at the platform's tables.
 //!
-//! A few nodes do so for all. Each table is read whole at first, and then followed by changes. A silent watch proves nothing, so
-//! that the configuration is read whole again some times in the revocation bound: only such a read
-//! confirms that what the node holds is the newest.
+//! A few nodes do so for all. Each table is read whole at first, and then followed by changes. A
+//! silent watch proves nothing, so that the configuration is read whole again some times in the
+//! revocation bound: only such a read confirms that what the node holds is the newest.
 
 use std::sync::Arc;
 use std::time::Duration;
