perf(quota): begin with the tolerated excess after a start of all nodes

Each new node began with 0.4 of the burst divided by all nodes, never got the others' part back when it heard them, and made its first request pay in advance. Ruled out: slow starts (nodes served 100 to 150 ms after they started), the configuration (adopted at once), servers (the same as before). Change: the settings read the operator's tolerance (window, overshoot, slack). Nodes that all start again begin with 0.7 of it, at most the burst, once over all nodes: the part of nodes that were not heard is reserved and released as they are heard, and what they admitted is subtracted. A node that starts beside others takes the bucket's level from a peer that has run for longer. The first request of a local share may use a node's part of the slack.

--- a/crates/core/src/serving/quota/bucket.rs
+++ b/crates/core/src/serving/quota/bucket.rs
@@ -7,6 +7,8 @@
 pub(super) struct Bucket {
     /// Units that are left.
     pub available: f64,
+    /// Units besides, which nodes that were not heard yet may have admitted.
+    pub reserved: f64,
     filled_at: Millis,
     /// Units a second.
     rate: f64,
@@ -15,7 +17,12 @@
 
 impl Bucket {
     pub fn new(now: Millis, available: f64) -> Self {
-        Self { available, filled_at: now, rate: 0.0, capacity: f64::INFINITY }
+        Self { available, reserved: 0.0, filled_at: now, rate: 0.0, capacity: f64::INFINITY }
+    }
+
+    /// Holds units back, beside those that are available.
+    pub fn reserve(self, reserved: f64) -> Self {
+        Self { reserved, ..self }
     }
 
     /// Refills the bucket at the rate in force until now, and sets the rate in force from now on.
@@ -26,6 +33,13 @@
         self.available = self.available.min(capacity);
     }
 
+    /// Holds no more than `reserved` units back, and makes the others available.
+    pub fn release(&mut self, reserved: f64) {
+        let released = (self.reserved - reserved).max(0.0);
+        self.reserved -= released;
+        self.available += released;
+    }
+
     pub fn refill(&mut self, now: Millis) {
         let gained = now.saturating_sub(self.filled_at) as f64 / 1_000.0 * self.rate;
         self.available = (self.available + gained).min(self.capacity);
--- a/crates/core/src/serving/quota/limit.rs
+++ b/crates/core/src/serving/quota/limit.rs
@@ -21,6 +21,25 @@
     }
 }
 
+/// How far beyond a limit all nodes together may go, in the operator's figures.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tolerance {
+    /// The length of the sliding window in which use is counted, in seconds.
+    pub window_seconds: f64,
+    /// The fraction of a window's units that may be used besides.
+    pub overshoot: f64,
+    /// Units that may be used in a window besides.
+    pub slack: f64,
+}
+
+impl Tolerance {
+    /// Returns the units that may be used in a window beyond a limit.
+    pub(super) fn get_excess(self, limit: Limit) -> f64 {
+        let window = limit.rate_per_second * self.window_seconds + limit.burst;
+        window * self.overshoot + self.slack
+    }
+}
+
 /// How many nodes there are, how many of them were heard lately (this one included), and how often
 /// they report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/core/src/serving/quota/mod.rs
+++ b/crates/core/src/serving/quota/mod.rs
@@ -9,6 +9,11 @@
 //!
 //! A fraction of the rate is reserved for each node that was not heard lately, which may be cut off
 //! and serving: the nodes together never exceed the whole.
+//!
+//! A node that starts does not know what was admitted before. It takes the level from a peer that
+//! has run for longer. Where no peer has, all nodes may have started again, and the burst may be
+//! spent: they then begin with a part of what the operator tolerates beyond the limit, once over all
+//! nodes.
 
 mod bucket;
 mod limit;
@@ -16,7 +21,7 @@
 
 use std::collections::BTreeMap;
 
-pub use self::limit::{Limit, Reach};
+pub use self::limit::{Limit, Reach, Tolerance};
 pub use self::report::{Report, Units};
 
 use self::bucket::Bucket;
@@ -40,14 +45,18 @@
 /// A node that started less than this ago did not see what others admitted before: the burst may be
 /// spent, also where all nodes started again.
 const NEW_FOR: Millis = 3_000;
-/// The part of the burst with which such a node begins, of what it has for the nodes that it hears:
-/// nodes that do not hear each other yet admit it once together, not once each.
-const NEW_PART: f64 = 0.4;
+/// The part of the tolerated excess with which nodes begin that all started again. The rest covers
+/// what they admit before their reports arrive.
+const FRESH_PART: f64 = 0.7;
+/// The part of the tolerated slack that nodes may admit in advance at the start of their local
+/// shares, over all nodes.
+const ADVANCE_PART: f64 = 0.3;
 
 /// The use of all client accounts, as one node knows it.
 #[derive(Clone, Debug)]
 pub struct Quotas {
     started_at: Millis,
+    tolerance: Tolerance,
     whole: BTreeMap<String, Bucket>,
     local_share: BTreeMap<String, Bucket>,
     own: Report,
@@ -57,9 +66,10 @@
 
 impl Quotas {
     /// Makes the quotas of a node that starts now, and does not know what others admitted before.
-    pub fn new(now: Millis) -> Self {
+    pub fn new(now: Millis, tolerance: Tolerance) -> Self {
         Self {
             started_at: now,
+            tolerance,
             whole: BTreeMap::new(),
             local_share: BTreeMap::new(),
             own: Report::default(),
@@ -87,7 +97,7 @@
         if limit.rate_per_second <= 0.0 {
             return Ok(());
         }
-        self.own.0.entry(account.to_owned()).or_default().requested += units;
+        self.own.accounts.entry(account.to_owned()).or_default().requested += units;
         let rate = limit.rate_per_second * reach.get_fraction();
         let capacity = limit.get_capacity();
         let left = self.refill_whole(now, account, limit, reach);
@@ -110,7 +120,9 @@
         let bucket = self.local_share.entry(account.to_owned());
         // The first request pays in advance: of many nodes, each would admit one too many
         // otherwise.
-        let bucket = bucket.or_insert(Bucket::new(now, -(units as f64)));
+        let advance = self.tolerance.slack * ADVANCE_PART / reach.all as f64;
+        let debt = (units as f64 - advance).max(0.0);
+        let bucket = bucket.or_insert(Bucket::new(now, -debt));
         bucket.set(now, share_rate, share_rate.max(LEAST_LEFT));
         if bucket.available < LEAST_LEFT {
             return Err(wait(LEAST_LEFT - bucket.available, share_rate));
@@ -125,15 +137,20 @@
         if let Some(bucket) = self.whole.get_mut(account) {
             bucket.available += units as f64;
         }
-        if let Some(own) = self.own.0.get_mut(account) {
+        if let Some(own) = self.own.accounts.get_mut(account) {
             own.admitted = own.admitted.saturating_sub(units);
         }
     }
 
     /// Returns this incarnation's report, and notes how fast its figures grew.
     pub fn report(&mut self, now: Millis) -> Report {
-        for (account, units) in &mut self.own.0 {
+        self.own.age = now.saturating_sub(self.started_at);
+        for (account, units) in &mut self.own.accounts {
             units.requested_per_second = self.own_rates.measure_requested(now, account, units);
+            if let Some(bucket) = self.whole.get_mut(account) {
+                bucket.refill(now);
+                units.level = (bucket.available + bucket.reserved) as i64;
+            }
         }
         self.own_rates.update(now, &self.own);
         self.own.clone()
@@ -141,22 +158,26 @@
 
     /// Merges the report of an incarnation of a peer.
     pub fn merge(&mut self, now: Millis, peer: &str, incarnation: u64, report: &Report) {
-        let is_new = now < self.started_at + NEW_FOR;
         let is_first = !self.peers.contains_key(&(peer.to_owned(), incarnation));
         let rates = self.peers.entry((peer.to_owned(), incarnation)).or_default();
         if is_first {
             rates.reported_at = now.saturating_sub(RATE_VALID_FOR);
+            rates.is_older = report.age > now.saturating_sub(self.started_at);
         }
+        let takes_level = is_first && rates.is_older;
         let newly_admitted = rates.update(now, report);
-        // What a peer admitted before this node began to count is no use of this node's bucket.
-        if is_first && is_new {
-            return;
-        }
         for (account, admitted) in newly_admitted {
-            if let Some(bucket) = self.whole.get_mut(&account) {
-                bucket.refill(now);
+            let Some(bucket) = self.whole.get_mut(&account) else { continue };
+            bucket.refill(now);
+            if !takes_level {
                 bucket.available -= admitted;
+                continue;
             }
+            // The peer has counted what the others admitted, but not yet what this node did.
+            let known = report.accounts.get(&account).copied().unwrap_or_default();
+            let own = self.own.accounts.get(&account).copied().unwrap_or_default();
+            let level = known.level as f64 - own.admitted as f64 - bucket.reserved;
+            bucket.available = bucket.available.min(level);
         }
     }
 
@@ -177,7 +198,7 @@
         if let Some(bucket) = self.whole.get_mut(account) {
             bucket.available -= units as f64;
         }
-        self.own.0.entry(account.to_owned()).or_default().admitted += units;
+        self.own.accounts.entry(account.to_owned()).or_default().admitted += units;
     }
 
     /// Refills the whole client account's bucket and returns what is left of it by now.
@@ -187,14 +208,39 @@
         let capacity = limit.get_capacity();
         let unreported: f64 =
             self.peers.values().map(|peer| peer.estimate_unreported(now, account)).sum();
-        let is_new = now < self.started_at + NEW_FOR;
-        let first = if is_new { capacity * NEW_PART * fraction } else { capacity };
-        let bucket = self.whole.entry(account.to_owned());
-        let bucket = bucket.or_insert(Bucket::new(now, first));
+        let reserved = self.get_fresh(limit) * (1.0 - fraction);
+        if !self.whole.contains_key(account) {
+            let bucket = self.make_bucket(now, account, limit, reserved);
+            self.whole.insert(account.to_owned(), bucket);
+        }
+        let Some(bucket) = self.whole.get_mut(account) else { return 0.0 };
+        bucket.release(reserved);
         bucket.set(now, rate, capacity);
         bucket.available - unreported
     }
 
+    /// Returns the units with which all nodes together begin where all of them started again.
+    fn get_fresh(&self, limit: Limit) -> f64 {
+        (self.tolerance.get_excess(limit) * FRESH_PART).min(limit.get_capacity())
+    }
+
+    /// Makes the bucket of a client account that was not requested of this node before.
+    fn make_bucket(&self, now: Millis, account: &str, limit: Limit, reserved: f64) -> Bucket {
+        if now >= self.started_at + NEW_FOR {
+            return Bucket::new(now, limit.get_capacity());
+        }
+        let fresh = self.get_fresh(limit);
+        let reports = |is_older: bool| {
+            let peers = self.peers.values().filter(move |peer| peer.is_older == is_older);
+            peers.filter_map(|peer| peer.get_last(account))
+        };
+        let level = match reports(true).map(|last| last.level).min() {
+            Some(level) => fresh.min(level as f64),
+            None => fresh - reports(false).map(|last| last.admitted as f64).sum::<f64>(),
+        };
+        Bucket::new(now, level - reserved).reserve(reserved)
+    }
+
     /// Returns the level that counts as low: what the client account may use before peers report
     /// it.
     fn get_low(&self, now: Millis, account: &str, capacity: f64, reach: Reach) -> f64 {
--- a/crates/core/src/serving/quota/report.rs
+++ b/crates/core/src/serving/quota/report.rs
@@ -15,11 +15,18 @@
     pub admitted: u64,
     /// Units requested a second, lately: all nodes work out their shares from the same figures.
     pub requested_per_second: u64,
+    /// Units that are left of the whole client account's bucket, as this node knows it.
+    pub level: i64,
 }
 
-/// The units of one incarnation of a node, by client account.
+/// The units of one incarnation of a node.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Report(pub BTreeMap<String, Units>);
+pub struct Report {
+    /// Milliseconds since its start.
+    pub age: Millis,
+    /// The units, by client account.
+    pub accounts: BTreeMap<String, Units>,
+}
 
 /// How long a rate is assumed to go on after it was reported.
 pub(super) const RATE_VALID_FOR: Millis = 2_000;
@@ -31,7 +38,9 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Rates {
     pub reported_at: Millis,
-    last: Report,
+    /// Whether the incarnation began before this node's.
+    pub is_older: bool,
+    last: BTreeMap<String, Units>,
     admitted: BTreeMap<String, f64>,
     requested: BTreeMap<String, f64>,
 }
@@ -45,8 +54,8 @@
     pub fn update(&mut self, now: Millis, report: &Report) -> Vec<(String, f64)> {
         let since = now.saturating_sub(self.reported_at).max(1) as f64;
         let mut newly_admitted = Vec::new();
-        for (account, units) in &report.0 {
-            let before = self.last.0.insert(account.clone(), *units).unwrap_or_default();
+        for (account, units) in &report.accounts {
+            let before = self.last.insert(account.clone(), *units).unwrap_or_default();
             let admitted = units.admitted as f64 - before.admitted as f64;
             self.admitted.insert(account.clone(), admitted.max(0.0) / since);
             self.requested.insert(account.clone(), units.requested_per_second as f64 / 1_000.0);
@@ -59,7 +68,7 @@
     /// Computes the smoothed units requested a second, from new totals.
     pub fn measure_requested(&self, now: Millis, account: &str, units: &Units) -> u64 {
         let since = now.saturating_sub(self.reported_at).max(1) as f64;
-        let before = self.last.0.get(account).copied().unwrap_or_default();
+        let before = self.last.get(account).copied().unwrap_or_default();
         let newest = units.requested.saturating_sub(before.requested) as f64 / since * 1_000.0;
         let known = before.requested_per_second as f64;
         (known + SMOOTHING * (newest - known)) as u64
@@ -71,6 +80,11 @@
         self.admitted.get(account).map_or(0.0, |rate| rate * since)
     }
 
+    /// Returns the units of a client account that were last reported.
+    pub fn get_last(&self, account: &str) -> Option<&Units> {
+        self.last.get(account)
+    }
+
     pub fn get_requested(&self, now: Millis, account: &str) -> f64 {
         let is_recent = now < self.reported_at + RATE_VALID_FOR;
         self.requested.get(account).copied().filter(|_| is_recent).unwrap_or(0.0)
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -14,6 +14,7 @@
 mod pace;
 mod peers;
 mod quota;
+mod quota_cluster;
 mod refusal;
 mod support;
 mod usage;
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -17,7 +17,7 @@
 use keeljunction_core::serving::load::{LoadBook, Work, short_id};
 use keeljunction_core::serving::pace::Pace;
 use keeljunction_core::serving::peers::Peers;
-use keeljunction_core::serving::quota::Quotas;
+use keeljunction_core::serving::quota::{Quotas, Tolerance};
 use keeljunction_core::serving::usage::{Ledger, Life, window_at};
 
 use super::document::Document;
@@ -145,6 +145,11 @@
             least: bounds.budget_min_retries,
             window: (bounds.budget_window_s * 1_000.0) as Millis,
         };
+        let tolerance = Tolerance {
+            window_seconds: bounds.quota_window_s,
+            overshoot: bounds.quota_overshoot,
+            slack: bounds.quota_slack,
+        };
         let margin = (bounds.lease_ms as f64 * LEASE_MARGIN_PART) as Millis;
         let state = State {
             configuration: None,
@@ -158,7 +163,7 @@
             has_servers: false,
             loads: LoadBook::default(),
             health: Health::default(),
-            quotas: Quotas::new(clock.now()),
+            quotas: Quotas::new(clock.now(), tolerance),
             budget: RetryBudget::new(allowance),
             usage: Ledger::default(),
             peers: Peers::new(
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -87,6 +87,15 @@
     pub budget_min_retries: f64,
     /// The window of the retry budget, in seconds.
     pub budget_window_s: f64,
+    /// The length of the sliding window in which a client account's use is counted, in seconds.
+    #[serde(default)]
+    pub quota_window_s: f64,
+    /// The fraction of a window's units that all nodes together may admit beyond a limit.
+    #[serde(default)]
+    pub quota_overshoot: f64,
+    /// The units that all nodes together may admit in a window besides.
+    #[serde(default)]
+    pub quota_slack: f64,
     /// The length of a duty lease, in milliseconds.
     pub lease_ms: Millis,
     /// The length of a window of usage, in seconds.
@@ -224,6 +233,9 @@
         check_range("bounds.lease_ms", bounds.lease_ms as f64, 300.0, 600_000.0)?;
         check_range("bounds.report_window_s", bounds.report_window_s, 0.5, 3_600.0)?;
         check_range("bounds.usage_late_s", bounds.usage_late_s, 0.5, 3_600.0)?;
+        check_range("bounds.quota_window_s", bounds.quota_window_s, 0.0, 3_600.0)?;
+        check_range("bounds.quota_overshoot", bounds.quota_overshoot, 0.0, 10.0)?;
+        check_range("bounds.quota_slack", bounds.quota_slack, 0.0, 1e12)?;
         let capacity = &self.capacity;
         check_range("capacity.lasting_part", capacity.lasting_part, 0.0, 1.0)?;
         check_range("capacity.reclaimable_part", capacity.reclaimable_part, 0.0, 10.0)?;
