perf(choice): reserve no servers for long prompts

Servers in proportion to the tokens of long prompts were reserved for them, so that each shared part was read in two places and the other servers got fuller.

--- a/crates/core/src/serving/choice.rs
+++ b/crates/core/src/serving/choice.rs
@@ -3,10 +3,6 @@
 //! Requests whose prompts begin alike go to the same server, which then need not read the shared
 //! parts again: servers are ordered by rendezvous hashing of the last shared part. The first of
 //! them that is not much busier than the mean gets the request; where all are, the least busy.
-//! A long prompt holds up the streams of the server that reads it, pause after pause. Servers in
-//! proportion to the tokens of long prompts are therefore set aside for them: the first in an order
-//! that all nodes share. Either kind goes to the others' servers only where its own are too busy.
-//!
 //! While a server reads prompts, its running streams come slower. A request for which the prompts
 //! waiting at its preferred server would pause streams for too long goes to the least busy one,
 //! too. Busy is what takes long: slow servers count their prompts for more.
@@ -62,10 +58,6 @@
     pub target: Millis,
     /// The longest pause between pieces of a stream that is in time.
     pub gap_target: Option<Millis>,
-    /// Whether the prompt is so long that reading it holds up streams beside it.
-    pub is_long: bool,
-    /// The part of the prompt tokens asked for lately that long prompts have.
-    pub long_part: f64,
 }
 
 impl Wish {
@@ -122,10 +114,6 @@
 pub fn choose<'a>(candidates: &[Candidate<'a>], wish: &Wish, random: u64) -> Choice<'a> {
     let sound: Vec<&Candidate<'a>> = candidates.iter().filter(|c| !c.is_paused).collect();
     let usable = if sound.is_empty() { candidates.iter().collect() } else { sound };
-    let aside = set_aside(&usable, wish);
-    if let Some(server) = choose_among(&aside, wish, random) {
-        return Choice::Server(server);
-    }
     let Some(least) = find_least(&usable, wish, random) else { return Choice::None };
     if let Some(wait) = find_wait(least, wish) {
         return Choice::Busy(wait);
@@ -134,41 +122,6 @@
     Choice::Server(preferred.unwrap_or(least).server)
 }
 
-/// The smallest number of servers of which some are set aside for long prompts.
-const LEAST_TO_PART: usize = 4;
-/// How many times the part of long prompts their part of the servers is.
-const LONG_ROOM: f64 = 1.3;
-/// The largest part of the servers that is set aside for long prompts.
-const MOST_FOR_LONG: f64 = 0.4;
-const LONG_KEY: u64 = 0x6c6f_6e67;
-
-/// Returns the servers for long prompts, or those for all others, whichever the request is; none
-/// where servers are not told apart.
-fn set_aside<'c, 'a>(candidates: &[&'c Candidate<'a>], wish: &Wish) -> Vec<&'c Candidate<'a>> {
-    let part = (wish.long_part * LONG_ROOM).min(MOST_FOR_LONG);
-    let count = (candidates.len() as f64 * part).round() as usize;
-    if count == 0 || candidates.len() < LEAST_TO_PART {
-        return Vec::new();
-    }
-    let mut ordered = candidates.to_vec();
-    ordered.sort_unstable_by_key(|c| std::cmp::Reverse(weight(LONG_KEY, &c.server.id)));
-    match wish.is_long {
-        true => ordered.truncate(count),
-        false => drop(ordered.drain(..count)),
-    }
-    ordered
-}
-
-/// Picks one of the servers set aside for the request's kind, where one has room and is in time.
-fn choose_among<'a>(aside: &[&Candidate<'a>], wish: &Wish, random: u64) -> Option<&'a Server> {
-    let least = find_least(aside, wish, random)?;
-    if least.is_full() || find_wait(least, wish).is_some() {
-        return None;
-    }
-    let preferred = wish.shared_part.and_then(|part| find_preferred(aside, wish, part));
-    Some(preferred.unwrap_or(least).server)
-}
-
 /// Returns the time after which the least busy server has room, where the answer would be late.
 ///
 /// A request that would be late also on an idle server is not refused for that.
--- a/crates/core/src/serving/demand.rs
+++ b/crates/core/src/serving/demand.rs
@@ -15,8 +15,6 @@
     pub prompt_tokens: u64,
     /// Tokens of answers, as far as callers expect.
     pub output_tokens: u64,
-    /// Prompt tokens of the requests that hold up the streams beside them.
-    pub long_prompt_tokens: u64,
 }
 
 impl DemandTotals {
@@ -24,7 +22,6 @@
         self.requests += other.requests;
         self.prompt_tokens += other.prompt_tokens;
         self.output_tokens += other.output_tokens;
-        self.long_prompt_tokens += other.long_prompt_tokens;
     }
 
     fn minus(&self, other: &Self) -> Self {
@@ -32,7 +29,6 @@
             requests: self.requests.saturating_sub(other.requests),
             prompt_tokens: self.prompt_tokens.saturating_sub(other.prompt_tokens),
             output_tokens: self.output_tokens.saturating_sub(other.output_tokens),
-            long_prompt_tokens: self.long_prompt_tokens.saturating_sub(other.long_prompt_tokens),
         }
     }
 }
@@ -66,8 +62,6 @@
 const KEPT: Millis = 30_000;
 /// The time that a rate must cover at least.
 const LEAST_COVERED: Millis = 1_500;
-/// The span over which the part of long prompts is taken.
-const LONG_PART_SPAN: Millis = 15_000;
 
 impl DemandBook {
     /// Counts a request to a service.
@@ -108,12 +102,6 @@
         totals.all(|totals| totals.requests == 0)
     }
 
-    /// Returns the part of the prompt tokens asked for lately that long prompts have.
-    pub fn get_long_part(&self, now: Millis, service: &str) -> f64 {
-        let Some((lately, _)) = self.within(now, service, LONG_PART_SPAN) else { return 0.0 };
-        lately.long_prompt_tokens as f64 / lately.prompt_tokens.max(1) as f64
-    }
-
     /// Notes the totals of a service now, for later rates.
     pub fn sample(&mut self, now: Millis, service: &str) {
         let mut total = self.own.get(service).copied().unwrap_or_default();
--- a/crates/core/src/serving/pace.rs
+++ b/crates/core/src/serving/pace.rs
@@ -18,8 +18,6 @@
 const SHORT_TOKENS: u64 = 300;
 /// Prompts longer than this show the speed.
 const LONG_TOKENS: u64 = 1_500;
-/// A prompt that takes longer to read than this part of the longest pause in time is long.
-const LONG_GAP_PART: f64 = 0.4;
 const MOST_SAMPLES: usize = 200;
 /// Samples of long prompts before there is a figure.
 const LEAST_SAMPLES: usize = 10;
@@ -147,13 +145,6 @@
         quantile(self.long.iter().map(speed), SPEED_QUANTILE)
     }
 
-    /// Says whether reading a prompt holds up the streams beside it: it takes a large part of the
-    /// longest pause between pieces that is in time.
-    pub fn is_long(&self, tokens: u64, gap_target: Option<Millis>) -> bool {
-        let (Some(speed), Some(gap)) = (self.get_speed(), gap_target) else { return false };
-        tokens as f64 / speed > gap as f64 * LONG_GAP_PART
-    }
-
     /// Returns the time to the first piece of a prompt without tokens, in milliseconds.
     pub fn get_fixed_ms(&self) -> f64 {
         let times = self.short.iter().map(|(_, sample)| sample.first_piece_ms as f64);
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -112,7 +112,7 @@
         let priority = account.as_ref().map_or(0, |account| account.priority);
         let urgency = priority * PRIORITY_STEP + route.priority;
         let work = size_work(prompt, urgency);
-        let is_long = count_demand(node, &service, &route, prompt, &work);
+        count_demand(node, &service, prompt, &work);
         let engine = configuration.services.get(&service).and_then(|known| known.engine.as_ref());
         Ok(Self {
             method: parts.method,
@@ -125,7 +125,7 @@
             urgency,
             due: now + deadline.min(route.timeout),
             work,
-            wish: Wish { is_long, ..make_wish(head.prompt.as_ref(), &work, &route) },
+            wish: make_wish(head.prompt.as_ref(), &work, &route),
             route,
             head,
             quota,
@@ -265,26 +265,14 @@
     prompt.parts.last().map_or(prompt.input_tokens, |part| part.tokens)
 }
 
-/// Counts the request for the service; returns whether its prompt is long.
-fn count_demand(
-    node: &Node,
-    service: &str,
-    route: &Route,
-    prompt: Option<&Prompt>,
-    work: &Work,
-) -> bool {
-    node.with(|state| {
-        let pace = state.paces.get(service);
-        let is_long = pace.is_some_and(|pace| pace.is_long(work.prompt_tokens, route.gap_target));
-        let request = DemandTotals {
-            requests: 1,
-            prompt_tokens: work.prompt_tokens,
-            output_tokens: prompt.map_or(0, |prompt| prompt.output_tokens),
-            long_prompt_tokens: if is_long { work.prompt_tokens } else { 0 },
-        };
-        state.demand.count(service, &request);
-        is_long
-    })
+/// Counts the request as demand of the service.
+fn count_demand(node: &Node, service: &str, prompt: Option<&Prompt>, work: &Work) {
+    let request = DemandTotals {
+        requests: 1,
+        prompt_tokens: work.prompt_tokens,
+        output_tokens: prompt.map_or(0, |prompt| prompt.output_tokens),
+    };
+    node.with(|state| state.demand.count(service, &request));
 }
 
 fn make_wish(prompt: Option<&Prompt>, work: &Work, route: &Route) -> Wish {
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -201,8 +201,7 @@
             .map(|server| weigh(state, pace, now, server))
             .collect();
         let speed = pace.and_then(Pace::get_speed);
-        let long_part = state.demand.get_long_part(now, &exchange.service);
-        let wish = Wish { speed, long_part, ..exchange.wish };
+        let wish = Wish { speed, ..exchange.wish };
         match choose(&candidates, &wish, fastrand::u64(..)) {
             Choice::Server(server) => Picked::Server(server.clone()),
             Choice::Busy(wait) => Picked::Busy(wait),
--- a/crates/gateway/src/node/gossip.rs
+++ b/crates/gateway/src/node/gossip.rs
@@ -27,7 +27,7 @@
 use crate::runtime;
 
 /// The format of the datagrams; others are passed over.
-const FORMAT: u8 = 5;
+const FORMAT: u8 = 6;
 /// The counts of a peer are used for this many periods.
 const COUNTS_LAST_PERIODS: u32 = 7;
 /// The table in which nodes tell their addresses.
