refactor: choice, throughput and ejection in the field's words

Cause: a reader had to learn words of ours first (wish, pace, rank, first piece, passed over, told). No behaviour changes. Conclusion: a part of the words issue; directory, peers, position, usage and capacity are left.

--- a/crates/core/src/serving/configuration.rs
+++ b/crates/core/src/serving/configuration.rs
@@ -35,11 +35,11 @@
     pub kind: RouteKind,
     /// The longest time from arrival to the final answer.
     pub timeout: Millis,
-    /// The time to the first piece inside which an answer is in time.
-    pub target: Millis,
+    /// The objective for the time to the first token, in milliseconds; for the whole answer where it is no stream.
+    pub ttft_objective: Millis,
     /// The longest pause between the pieces of a stream that is in time.
-    pub gap_target: Option<Millis>,
-    /// The rank of the route's requests; 0 is the most urgent.
+    pub gap_objective: Option<Millis>,
+    /// The priority of the route's requests; 0 is the most urgent.
     pub priority: u32,
     /// Services and their weights.
     pub backends: Vec<WeightedService>,
@@ -151,7 +151,7 @@
     pub name: String,
     /// The keys that its callers present.
     pub keys: Vec<String>,
-    /// The rank of the client account's requests; 0 is the most urgent.
+    /// The priority of the client account's requests; 0 is the most urgent.
     pub priority: u32,
     /// What its limit counts.
     pub unit: QuotaUnit,
--- a/crates/core/src/serving/demand.rs
+++ b/crates/core/src/serving/demand.rs
@@ -78,7 +78,7 @@
     ///
     /// What it was asked for before it was first heard does not count: it would look like demand of
     /// that moment to a node that has just started.
-    pub fn hear(&mut self, peer: &str, life: u64, totals: &[(String, DemandTotals)]) {
+    pub fn merge(&mut self, peer: &str, life: u64, totals: &[(String, DemandTotals)]) {
         let totals: BTreeMap<String, DemandTotals> = totals.iter().cloned().collect();
         let known = self.peers.entry((peer.to_owned(), life));
         let known = known
--- a/crates/core/src/serving/health.rs
+++ b/crates/core/src/serving/health.rs
@@ -1,16 +1,18 @@
-//! Which servers are passed over for what their answers show.
+//! Outlier ejection: which servers get no requests because of their latest answers.
 //!
 //! A server may fail or hang while its health check is good. Each failure in a row doubles the
-//! time in which it is passed over; one good answer ends that. A server that is passed over is
-//! still used when nothing else is left.
+//! time for which it is ejected; one good answer ends that. An ejected server is still used when
+//! no other is left.
 
 use std::collections::HashMap;
 
 use crate::Millis;
 
-const FIRST_PAUSE: Millis = 250;
-const LONGEST_PAUSE: Millis = 4_000;
-/// Failures in a row before a server is passed over at all.
+/// The length of a first ejection, in milliseconds: a few times what an answer takes.
+const FIRST_EJECTION: Millis = 250;
+/// The longest ejection, in milliseconds: about as long as a new server takes to start.
+const LONGEST_EJECTION: Millis = 4_000;
+/// Failures in a row before a server is ejected.
 const TOLERATED: u32 = 1;
 
 /// What the latest answers of each server showed.
@@ -22,7 +24,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Record {
     failures: u32,
-    paused_until: Millis,
+    ejected_until: Millis,
 }
 
 impl Health {
@@ -31,25 +33,25 @@
         self.servers.remove(id);
     }
 
-    /// Notes a failure; returns the time in which the server is passed over, if it now is.
+    /// Notes a failure; returns the time for which the server is ejected, if it now is.
     pub fn fail(&mut self, now: Millis, id: &str) -> Option<Millis> {
         let record = self.servers.entry(id.to_owned()).or_default();
         record.failures += 1;
         let beyond = record.failures.checked_sub(TOLERATED + 1)?;
-        let pause = (FIRST_PAUSE << beyond.min(8)).min(LONGEST_PAUSE);
-        record.paused_until = now + pause;
-        Some(pause)
+        let ejected_for = (FIRST_EJECTION << beyond.min(8)).min(LONGEST_EJECTION);
+        record.ejected_until = now + ejected_for;
+        Some(ejected_for)
     }
 
-    /// Notes that no connection to the server came up; it is passed over at once.
+    /// Notes that no connection to the server came up, which ejects it at once.
     pub fn fail_to_connect(&mut self, now: Millis, id: &str) {
         self.servers.entry(id.to_owned()).or_default().failures += TOLERATED;
         self.fail(now, id);
     }
 
-    /// Says whether the server is passed over now.
-    pub fn is_paused(&self, now: Millis, id: &str) -> bool {
-        self.servers.get(id).is_some_and(|record| now < record.paused_until)
+    /// Returns `true` if the server is ejected now.
+    pub fn is_ejected(&self, now: Millis, id: &str) -> bool {
+        self.servers.get(id).is_some_and(|record| now < record.ejected_until)
     }
 
     /// Forgets a server that is gone.
--- a/crates/core/src/serving/load.rs
+++ b/crates/core/src/serving/load.rs
@@ -11,8 +11,8 @@
 
 use crate::Millis;
 
-/// Ranks of requests at model servers; 0 is the most urgent.
-pub const RANKS: usize = 10;
+/// Priorities of requests at model servers; 0 is the most urgent.
+pub const PRIORITIES: usize = 10;
 
 /// What one node has in flight at a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,16 +21,16 @@
     pub requests: u32,
     /// Requests of which nothing has come back yet.
     pub waiting: u32,
-    /// Prompt tokens of the requests of which nothing has come back yet, by rank.
-    pub waiting_tokens: [u64; RANKS],
+    /// Prompt tokens of the requests of which nothing has come back yet, by priority.
+    pub waiting_tokens: [u64; PRIORITIES],
     /// Tokens of prompt and answer of all requests in flight.
     pub memory_tokens: u64,
 }
 
 impl Load {
-    /// Sums the tokens that are read before a request of a rank that comes now.
-    pub fn get_tokens_ahead(&self, rank: usize) -> u64 {
-        self.waiting_tokens[..=rank.min(RANKS - 1)].iter().sum()
+    /// Sums the tokens that are read before a request of a priority that comes now.
+    pub fn get_tokens_ahead(&self, priority: usize) -> u64 {
+        self.waiting_tokens[..=priority.min(PRIORITIES - 1)].iter().sum()
     }
 
     /// Sums the prompt tokens of all requests of which nothing has come back yet.
@@ -41,7 +41,7 @@
     fn begin(&mut self, work: &Work) {
         self.requests += 1;
         self.waiting += 1;
-        self.waiting_tokens[work.rank.min(RANKS - 1)] += work.prompt_tokens;
+        self.waiting_tokens[work.priority.min(PRIORITIES - 1)] += work.prompt_tokens;
         self.memory_tokens += work.memory_tokens;
     }
 
@@ -65,8 +65,8 @@
 pub struct Work {
     /// Prompt tokens that the server has to read.
     pub prompt_tokens: u64,
-    /// The request's rank, below [`RANKS`].
-    pub rank: usize,
+    /// The request's priority, below [`PRIORITIES`].
+    pub priority: usize,
     /// Tokens of prompt and answer.
     pub memory_tokens: u64,
 }
@@ -104,19 +104,19 @@
         self.own.entry(short_id(id)).or_default().begin(work);
     }
 
-    /// Notes that the first piece of an answer came back.
-    pub fn note_first_piece(&mut self, id: &str, work: &Work) {
+    /// Notes that the first token of an answer came back.
+    pub fn note_first_token(&mut self, id: &str, work: &Work) {
         if let Some(load) = self.own.get_mut(&short_id(id)) {
             load.waiting = load.waiting.saturating_sub(1);
-            let waiting = &mut load.waiting_tokens[work.rank.min(RANKS - 1)];
+            let waiting = &mut load.waiting_tokens[work.priority.min(PRIORITIES - 1)];
             *waiting = waiting.saturating_sub(work.prompt_tokens);
         }
     }
 
-    /// Notes that a request has ended, after its first piece or before it.
-    pub fn end(&mut self, id: &str, work: &Work, had_first_piece: bool) {
-        if !had_first_piece {
-            self.note_first_piece(id, work);
+    /// Notes that a request has ended, after its first token or before it.
+    pub fn end(&mut self, id: &str, work: &Work, had_first_token: bool) {
+        if !had_first_token {
+            self.note_first_token(id, work);
         }
         let short = short_id(id);
         let Some(load) = self.own.get_mut(&short) else { return };
@@ -128,7 +128,7 @@
     }
 
     /// Takes over what a peer told of its own counts, which count until `valid_until`.
-    pub fn hear(&mut self, valid_until: Millis, peer: &str, loads: Vec<(u64, Load)>) {
+    pub fn merge(&mut self, valid_until: Millis, peer: &str, loads: Vec<(u64, Load)>) {
         let loads = loads.into_iter().collect();
         let told = PeerLoads { valid_until, loads, begun: Vec::new() };
         self.peers.insert(peer.to_owned(), told);
@@ -136,7 +136,7 @@
 
     /// Adds a request that a peer has sent to a server by now, until its prompt is expected to have
     /// been read or the peer tells all its counts again.
-    pub fn hear_begun(&mut self, until: Millis, peer: &str, server: u64, work: &Work) {
+    pub fn merge_begun(&mut self, until: Millis, peer: &str, server: u64, work: &Work) {
         let Some(known) = self.peers.get_mut(peer) else { return };
         if known.begun.len() < MOST_BEGUN {
             known.begun.push(Begun { server, work: *work, until });
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -7,14 +7,14 @@
 //! | [`directory`] | which servers there are and which may get new work |
 //! | [`load`] | how busy each server is, by this node's and its peers' counts |
 //! | [`choice`] | which server a request goes to |
-//! | [`health`] | which servers are passed over for what their answers show |
+//! | [`health`] | which servers are ejected because of their latest answers |
 //! | [`peers`] | which other nodes there are, and which of them read the platform's tables for all |
 //! | [`quota`] | whether a client account is within its limit over all nodes |
 //! | [`budget`] | whether a request may be sent to a second server |
 //! | [`usage`] | how many requests of each client account began in each window |
 //! | [`duty_lease`] | which node makes the calls that one node at a time may make |
 //! | [`event_stream`] | where the events of a stream begin and end |
-//! | [`demand`], [`pace`], [`capacity`] | how many servers to order, where, and of which kind |
+//! | [`demand`], [`throughput`], [`capacity`] | how many servers to order, where, and of which kind |
 //! | [`refusal`] | why a request was refused, and when to come back |
 
 pub mod budget;
@@ -28,8 +28,8 @@
 pub mod freshness;
 pub mod health;
 pub mod load;
-pub mod pace;
 pub mod peers;
 pub mod quota;
 pub mod refusal;
+pub mod throughput;
 pub mod usage;
--- a/crates/core/tests/serving/choice.rs
+++ b/crates/core/tests/serving/choice.rs
@@ -1,4 +1,4 @@
-use keeljunction_core::serving::choice::{Candidate, Choice, Wish, choose};
+use keeljunction_core::serving::choice::{Candidate, Choice, Criteria, choose};
 use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::load::Load;
 
@@ -11,11 +11,11 @@
 fn candidate(server: &Server, requests: u32, tokens: u64) -> Candidate<'_> {
     let mut load = Load { requests, ..Load::default() };
     load.waiting_tokens[1] = tokens;
-    Candidate { server, load, is_paused: false, slowness: 1.0 }
+    Candidate { server, load, is_ejected: false, slowness: 1.0 }
 }
 
-fn chosen(candidates: &[Candidate<'_>], wish: &Wish) -> String {
-    match choose(candidates, wish, 7) {
+fn chosen(candidates: &[Candidate<'_>], criteria: &Criteria) -> String {
+    match choose(candidates, criteria, 7) {
         Choice::Server(server) => server.id.clone(),
         other => format!("{other:?}"),
     }
@@ -23,7 +23,7 @@
 
 #[test]
 fn nothing_is_chosen_of_nothing() {
-    assert_eq!(choose(&[], &Wish::default(), 1), Choice::None);
+    assert_eq!(choose(&[], &Criteria::default(), 1), Choice::None);
 }
 
 #[test]
@@ -31,16 +31,16 @@
     let servers = servers();
     let candidates =
         [candidate(&servers[0], 3, 0), candidate(&servers[1], 1, 0), candidate(&servers[2], 2, 0)];
-    assert_eq!(chosen(&candidates, &Wish::default()), "b");
+    assert_eq!(chosen(&candidates, &Criteria::default()), "b");
 }
 
 #[test]
 fn a_server_that_is_passed_over_is_used_when_nothing_else_is_left() {
     let servers = servers();
     let mut candidates = [candidate(&servers[0], 0, 0), candidate(&servers[1], 3, 0)];
-    candidates[0].is_paused = true;
-    assert_eq!(chosen(&candidates, &Wish::default()), "b");
-    assert_eq!(chosen(&candidates[..1], &Wish::default()), "a");
+    candidates[0].is_ejected = true;
+    assert_eq!(chosen(&candidates, &Criteria::default()), "b");
+    assert_eq!(chosen(&candidates[..1], &Criteria::default()), "a");
 }
 
 #[test]
@@ -48,62 +48,79 @@
     let servers = servers();
     let candidates: Vec<Candidate<'_>> = servers.iter().map(|s| candidate(s, 0, 0)).collect();
     for part in 0..50 {
-        let wish = Wish { shared_part: Some(part), prompt_tokens: 100, ..Wish::default() };
-        let first = chosen(&candidates, &wish);
+        let criteria =
+            Criteria { shared_prefix: Some(part), prompt_tokens: 100, ..Criteria::default() };
+        let first = chosen(&candidates, &criteria);
         let without: Vec<Candidate<'_>> =
             candidates.iter().filter(|c| c.server.id != first).copied().collect();
-        let second = chosen(&without, &wish);
+        let second = chosen(&without, &criteria);
         assert_ne!(first, second);
-        assert_eq!(chosen(&candidates, &wish), first);
+        assert_eq!(chosen(&candidates, &criteria), first);
     }
 }
 
 #[test]
 fn a_server_much_busier_than_the_mean_loses_its_preference() {
     let servers = servers();
-    let wish = Wish { shared_part: Some(3), prompt_tokens: 100, ..Wish::default() };
+    let criteria = Criteria { shared_prefix: Some(3), prompt_tokens: 100, ..Criteria::default() };
     let idle: Vec<Candidate<'_>> = servers.iter().map(|s| candidate(s, 0, 0)).collect();
-    let first = chosen(&idle, &wish);
+    let first = chosen(&idle, &criteria);
     let busy: Vec<Candidate<'_>> = servers
         .iter()
         .map(|s| candidate(s, 1, if s.id == first { 10_000 } else { 1_000 }))
         .collect();
-    assert_ne!(chosen(&busy, &wish), first);
+    assert_ne!(chosen(&busy, &criteria), first);
 }
 
 #[test]
 fn a_request_that_would_be_late_everywhere_is_refused_with_the_time_until_there_is_room() {
     let servers = servers();
     let candidates = [candidate(&servers[0], 1, 90_000), candidate(&servers[1], 1, 80_000)];
-    let wish =
-        Wish { prompt_tokens: 10_000, rank: 1, speed: Some(50.0), target: 600, ..Wish::default() };
-    assert_eq!(choose(&candidates, &wish, 1), Choice::Busy(1_500));
+    let criteria = Criteria {
+        prompt_tokens: 10_000,
+        priority: 1,
+        prefill_rate: Some(50.0),
+        ttft_objective: 600,
+        ..Criteria::default()
+    };
+    assert_eq!(choose(&candidates, &criteria, 1), Choice::Busy(1_500));
 }
 
 #[test]
 fn a_more_urgent_request_does_not_wait_for_the_others() {
     let servers = servers();
     let candidates = [candidate(&servers[0], 1, 90_000)];
-    let wish =
-        Wish { prompt_tokens: 10_000, rank: 0, speed: Some(50.0), target: 600, ..Wish::default() };
-    assert_eq!(chosen(&candidates, &wish), "a");
+    let criteria = Criteria {
+        prompt_tokens: 10_000,
+        priority: 0,
+        prefill_rate: Some(50.0),
+        ttft_objective: 600,
+        ..Criteria::default()
+    };
+    assert_eq!(chosen(&candidates, &criteria), "a");
 }
 
 #[test]
 fn a_request_is_not_refused_for_its_own_size() {
     let servers = servers();
     let candidates = [candidate(&servers[0], 0, 0)];
-    let wish =
-        Wish { prompt_tokens: 90_000, rank: 1, speed: Some(50.0), target: 600, ..Wish::default() };
-    assert_eq!(chosen(&candidates, &wish), "a");
+    let criteria = Criteria {
+        prompt_tokens: 90_000,
+        priority: 1,
+        prefill_rate: Some(50.0),
+        ttft_objective: 600,
+        ..Criteria::default()
+    };
+    assert_eq!(chosen(&candidates, &criteria), "a");
 }
 
 #[test]
 fn without_a_known_speed_nothing_is_refused() {
     let servers = servers();
     let candidates = [candidate(&servers[0], 1, 900_000)];
-    let wish = Wish { prompt_tokens: 10_000, rank: 1, target: 600, ..Wish::default() };
-    assert_eq!(chosen(&candidates, &wish), "a");
+    let criteria =
+        Criteria { prompt_tokens: 10_000, priority: 1, ttft_objective: 600, ..Criteria::default() };
+    assert_eq!(chosen(&candidates, &criteria), "a");
 }
 
 #[test]
@@ -111,15 +128,15 @@
     let servers: Vec<Server> = (0..10).map(|n| server(&format!("s{n}"), "z1")).collect();
     let idle: Vec<Candidate<'_>> = servers.iter().map(|s| candidate(s, 0, 0)).collect();
     for part in 0..50 {
-        let wish = |prompt_tokens| Wish {
-            shared_part: Some(part),
+        let criteria = |prompt_tokens| Criteria {
+            shared_prefix: Some(part),
             prompt_tokens,
-            speed: Some(50.0),
-            target: 10_000,
-            gap_target: Some(500),
-            ..Wish::default()
+            prefill_rate: Some(50.0),
+            ttft_objective: 10_000,
+            gap_objective: Some(500),
+            ..Criteria::default()
         };
-        assert_eq!(chosen(&idle, &wish(200)), chosen(&idle, &wish(50_000)));
+        assert_eq!(chosen(&idle, &criteria(200)), chosen(&idle, &criteria(50_000)));
     }
 }
 
@@ -127,10 +144,10 @@
 fn a_slow_server_counts_its_prompts_for_more() {
     let servers = servers();
     let mut candidates = [candidate(&servers[0], 1, 4_000), candidate(&servers[1], 1, 5_000)];
-    let wish = Wish { prompt_tokens: 1_000, rank: 1, ..Wish::default() };
-    assert_eq!(chosen(&candidates, &wish), "a");
+    let criteria = Criteria { prompt_tokens: 1_000, priority: 1, ..Criteria::default() };
+    assert_eq!(chosen(&candidates, &criteria), "a");
     candidates[0].slowness = 1.25;
-    assert_eq!(chosen(&candidates, &wish), "b");
+    assert_eq!(chosen(&candidates, &criteria), "b");
 }
 
 #[test]
@@ -139,23 +156,23 @@
     let mut candidates =
         [candidate(&servers[0], 0, 0), candidate(&servers[1], servers[1].slots, 0)];
     candidates[0].slowness = 4.0;
-    let wish = Wish { prompt_tokens: 1_000, ..Wish::default() };
-    assert_eq!(chosen(&candidates, &wish), "a");
+    let criteria = Criteria { prompt_tokens: 1_000, ..Criteria::default() };
+    assert_eq!(chosen(&candidates, &criteria), "a");
 }
 
 #[test]
 fn streams_are_not_paused_for_a_prompt_that_is_kept_there() {
     let servers = servers();
-    let wish = Wish {
-        shared_part: Some(3),
+    let criteria = Criteria {
+        shared_prefix: Some(3),
         prompt_tokens: 5_000,
-        speed: Some(50.0),
-        target: 10_000,
-        gap_target: Some(500),
-        ..Wish::default()
+        prefill_rate: Some(50.0),
+        ttft_objective: 10_000,
+        gap_objective: Some(500),
+        ..Criteria::default()
     };
     let idle: Vec<Candidate<'_>> = servers.iter().map(|s| candidate(s, 1, 0)).collect();
-    let first = chosen(&idle, &wish);
+    let first = chosen(&idle, &criteria);
     let reading = |running: u32| -> Vec<Candidate<'_>> {
         let tokens = |id: &str| if id == first { 8_000 } else { 7_900 };
         let mut candidates: Vec<Candidate<'_>> =
@@ -163,6 +180,6 @@
         candidates.iter_mut().for_each(|c| c.load.waiting = 1);
         candidates
     };
-    assert_ne!(chosen(&reading(1), &wish), first);
-    assert_eq!(chosen(&reading(0), &wish), first);
+    assert_ne!(chosen(&reading(1), &criteria), first);
+    assert_eq!(chosen(&reading(0), &criteria), first);
 }
--- a/crates/core/tests/serving/configuration.rs
+++ b/crates/core/tests/serving/configuration.rs
@@ -11,8 +11,8 @@
         path_prefix: prefix.to_owned(),
         kind: RouteKind::Idempotent,
         timeout: 1_000,
-        target: 100,
-        gap_target: None,
+        ttft_objective: 100,
+        gap_objective: None,
         priority: 0,
         backends: vec![
             WeightedService { service: "old".to_owned(), weight: 90 },
--- a/crates/core/tests/serving/demand.rs
+++ b/crates/core/tests/serving/demand.rs
@@ -33,9 +33,9 @@
 fn what_a_peer_was_asked_before_it_was_heard_is_no_demand_of_now() {
     let mut book = DemandBook::default();
     book.sample(10_000, "llm");
-    book.hear("peer", 1, &told(50_000));
+    book.merge("peer", 1, &told(50_000));
     book.sample(10_200, "llm");
-    book.hear("peer", 1, &told(50_030));
+    book.merge("peer", 1, &told(50_030));
     book.sample(12_200, "llm");
     assert_eq!(book.within(12_200, "llm", 4_000), Some((totals(30), 2_000)));
 }
@@ -44,10 +44,10 @@
 fn a_service_is_untouched_until_some_node_was_asked() {
     let mut book = DemandBook::default();
     assert!(book.is_untouched("llm"));
-    book.hear("peer", 1, &told(0));
+    book.merge("peer", 1, &told(0));
     book.count("other", &totals(1));
     assert!(book.is_untouched("llm"));
     // Also what a peer was asked for before it was first heard.
-    book.hear("another", 1, &told(3));
+    book.merge("another", 1, &told(3));
     assert!(!book.is_untouched("llm"));
 }
--- a/crates/core/tests/serving/health.rs
+++ b/crates/core/tests/serving/health.rs
@@ -4,7 +4,7 @@
 fn one_failure_is_tolerated() {
     let mut health = Health::default();
     assert_eq!(health.fail(1_000, "a"), None);
-    assert!(!health.is_paused(1_000, "a"));
+    assert!(!health.is_ejected(1_000, "a"));
 }
 
 #[test]
@@ -22,8 +22,8 @@
         Some(4_000),
     ];
     assert_eq!(pauses, expected);
-    assert!(health.is_paused(4_999, "a"));
-    assert!(!health.is_paused(5_000, "a"));
+    assert!(health.is_ejected(4_999, "a"));
+    assert!(!health.is_ejected(5_000, "a"));
 }
 
 #[test]
@@ -32,7 +32,7 @@
     health.fail(1_000, "a");
     health.fail(1_000, "a");
     health.succeed("a");
-    assert!(!health.is_paused(1_000, "a"));
+    assert!(!health.is_ejected(1_000, "a"));
     assert_eq!(health.fail(1_000, "a"), None);
 }
 
@@ -40,5 +40,5 @@
 fn a_server_that_cannot_be_reached_is_passed_over_at_once() {
     let mut health = Health::default();
     health.fail_to_connect(1_000, "a");
-    assert!(health.is_paused(1_000, "a"));
+    assert!(health.is_ejected(1_000, "a"));
 }
--- a/crates/core/tests/serving/quota.rs
+++ b/crates/core/tests/serving/quota.rs
@@ -118,7 +118,7 @@
     quotas.consume(11_000, "acme", 1, LIMIT, TWO).expect("within the limit");
     quotas.merge(11_000, "peer", 1, &reported(0, 0));
     quotas.merge(11_500, "peer", 1, &reported(150, 150));
-    // 200 - 150 are left at 1,500 ms and 10 gained by 1,600, but another 30 were admitted untold.
+    // 200 - 150 are left at 1,500 ms and 10 gained by 1,600, but another 30 were admitted unreported.
     assert_eq!(quotas.consume(11_600, "acme", 60, LIMIT, ALONE), Ok(()));
     assert_eq!(quotas.consume(11_700, "acme", 1, LIMIT, ALONE), Err(510));
     quotas.merge(11_800, "peer", 1, &reported(150, 150));
--- a/crates/gateway/benches/log.rs
+++ b/crates/gateway/benches/log.rs
@@ -38,7 +38,7 @@
         status: 200,
         outcome,
         attempts: 1,
-        first_piece_ms: Some(25),
+        first_token_ms: Some(25),
         longest_gap_ms: Some(180),
         total_ms: 1_500,
         retry_after_ms: None,
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -44,7 +44,7 @@
         leaves_in_ms: Option<u64>,
     },
     /// A server is passed over for what its answers showed.
-    ServerPaused { server: &'a str, pause_ms: u64 },
+    ServerEjected { server: &'a str, ejected_for_ms: u64 },
     /// The duty lease was taken, renewed after a gap, or lost.
     LeaseChanged { fence: Option<u64> },
     /// A window's usage was reported.
@@ -89,7 +89,7 @@
         status: u16,
         outcome: &'a str,
         attempts: u32,
-        first_piece_ms: Option<u64>,
+        first_token_ms: Option<u64>,
         longest_gap_ms: Option<u64>,
         total_ms: u64,
         retry_after_ms: Option<u64>,
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -10,10 +10,10 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Uri, header};
 use keeljunction_core::Millis;
-use keeljunction_core::serving::choice::Wish;
+use keeljunction_core::serving::choice::Criteria;
 use keeljunction_core::serving::configuration::{Account, Configuration, QuotaUnit, Route};
 use keeljunction_core::serving::demand::DemandTotals;
-use keeljunction_core::serving::load::{RANKS, Work};
+use keeljunction_core::serving::load::{PRIORITIES, Work};
 use keeljunction_core::serving::quota::Limit;
 use keeljunction_core::serving::refusal::Refusal;
 
@@ -50,14 +50,14 @@
     pub has_engine: bool,
     /// The client account's name.
     pub account: Option<String>,
-    /// The request's rank; 0 is the most urgent.
+    /// The request's priority; 0 is the most urgent.
     pub urgency: u32,
     /// When the final answer is due.
     pub due: Millis,
     /// The size of the request for a server.
     pub work: Work,
     /// What bears on the choice of a server.
-    pub wish: Wish,
+    pub criteria: Criteria,
     quota: Option<(String, u64)>,
 }
 
@@ -125,7 +125,7 @@
             urgency,
             due: now + deadline.min(route.timeout),
             work,
-            wish: make_wish(head.prompt.as_ref(), &work, &route),
+            criteria: make_criteria(head.prompt.as_ref(), &work, &route),
             route,
             head,
             quota,
@@ -147,7 +147,7 @@
     }
 }
 
-/// A client account's rank counts this many ranks of routes.
+/// A client account's priority counts for this many priorities of routes.
 const PRIORITY_STEP: u32 = 3;
 
 /// Measures a head as it came, in bytes.
@@ -254,7 +254,7 @@
 fn size_work(prompt: Option<&Prompt>, urgency: u32) -> Work {
     prompt.map_or(Work::default(), |prompt| Work {
         prompt_tokens: own_tokens(prompt),
-        rank: (urgency as usize).min(RANKS - 1),
+        priority: (urgency as usize).min(PRIORITIES - 1),
         memory_tokens: prompt.input_tokens + prompt.output_tokens,
     })
 }
@@ -275,14 +275,14 @@
     node.with(|state| state.demand.count(service, &request));
 }
 
-fn make_wish(prompt: Option<&Prompt>, work: &Work, route: &Route) -> Wish {
+fn make_criteria(prompt: Option<&Prompt>, work: &Work, route: &Route) -> Criteria {
     let shared = prompt.and_then(|prompt| prompt.parts.split_last()?.1.last());
-    Wish {
-        shared_part: shared.map(|part| part.id),
+    Criteria {
+        shared_prefix: shared.map(|part| part.id),
         prompt_tokens: work.prompt_tokens,
-        rank: work.rank,
-        target: route.target,
-        gap_target: route.gap_target,
-        ..Wish::default()
+        priority: work.priority,
+        ttft_objective: route.ttft_objective,
+        gap_objective: route.gap_objective,
+        ..Criteria::default()
     }
 }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -10,7 +10,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::load::{Work, short_id};
-use keeljunction_core::serving::pace::Sample;
+use keeljunction_core::serving::throughput::Sample;
 
 use super::admission::Exchange;
 use crate::http::{Body, Reply};
@@ -21,7 +21,7 @@
 /// The most bytes of an answer that are held back until it is known to be whole.
 const HELD_BACK_BYTES: usize = 256 * 1024;
 
-/// An answer whose head is sound, and of which at least a first piece is there.
+/// An answer whose head is sound, and of which at least a first token is there.
 pub(super) struct Answer {
     /// The server that gives it.
     pub server: Server,
@@ -90,28 +90,28 @@
     node: Arc<Node>,
     server: String,
     work: Work,
-    had_first_piece: bool,
+    had_first_token: bool,
 }
 
 impl LoadGuard {
     fn begin(node: &Arc<Node>, server: &Server, work: Work) -> Self {
         node.with(|state| state.loads.begin(&server.id, &work));
-        Self { node: node.clone(), server: server.id.clone(), work, had_first_piece: false }
+        Self { node: node.clone(), server: server.id.clone(), work, had_first_token: false }
     }
 
-    /// Notes the first piece of the answer.
-    pub fn note_first_piece(&mut self) {
-        if !self.had_first_piece {
-            self.had_first_piece = true;
-            self.node.with(|state| state.loads.note_first_piece(&self.server, &self.work));
+    /// Notes the first token of the answer.
+    pub fn note_first_token(&mut self) {
+        if !self.had_first_token {
+            self.had_first_token = true;
+            self.node.with(|state| state.loads.note_first_token(&self.server, &self.work));
         }
     }
 }
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
-        let had_first_piece = self.had_first_piece;
-        self.node.with(|state| state.loads.end(&self.server, &self.work, had_first_piece));
+        let had_first_token = self.had_first_token;
+        self.node.with(|state| state.loads.end(&self.server, &self.work, had_first_token));
     }
 }
 
@@ -125,7 +125,7 @@
     pub within: Millis,
 }
 
-/// Sends the request to a server and waits for the head and the first piece of its answer; for
+/// Sends the request to a server and waits for the head and the first token of its answer; for
 /// the whole answer where it is no stream and not long.
 pub(super) async fn send(
     node: &Arc<Node>,
@@ -158,15 +158,15 @@
         return Err((fault, None));
     }
     let body = read_first(exchange, reply).await.ok_or((Failed::Broken, None))?;
-    load.note_first_piece();
+    load.note_first_token();
     if exchange.has_engine && order.last_event.is_none() {
         let sample = Sample {
             server: short_id(&order.server.id),
             is_alone,
             tokens: exchange.work.prompt_tokens,
-            first_piece_ms: node.now() - sent_at,
+            first_token_ms: node.now() - sent_at,
         };
-        note_pace(node, &exchange.service, sample);
+        note_throughput(node, &exchange.service, sample);
     }
     if let (Some(account), None) = (&exchange.account, order.last_event) {
         node.count_usage(account);
@@ -180,12 +180,12 @@
 }
 
 /// Adds a sample of how fast the service's servers read prompts.
-fn note_pace(node: &Node, service: &str, sample: Sample) {
+fn note_throughput(node: &Node, service: &str, sample: Sample) {
     let now = node.now();
-    node.with(|state| state.paces.entry(service.to_owned()).or_default().add(now, sample));
+    node.with(|state| state.throughputs.entry(service.to_owned()).or_default().add(now, sample));
 }
 
-/// Reads the first piece of a stream, or the whole of another answer; `None` where it breaks off.
+/// Reads the first token of a stream, or the whole of another answer; `None` where it breaks off.
 async fn read_first(exchange: &Exchange, mut reply: Reply) -> Option<AnswerBody> {
     let is_streaming = exchange.route.kind.is_streaming();
     let mut content = BytesMut::new();
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::choice::{Candidate, Choice, Wish, choose};
+use keeljunction_core::serving::choice::{Candidate, Choice, Criteria, choose};
 use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::load::short_id;
-use keeljunction_core::serving::pace::Pace;
 use keeljunction_core::serving::refusal::Refusal;
+use keeljunction_core::serving::throughput::Throughput;
 
 use super::admission::Exchange;
 use super::attempt::{self, Answer, Failed, Order};
@@ -194,15 +194,15 @@
 /// Picks a server that was not tried yet.
 fn pick(node: &Node, exchange: &Exchange, tried: &[String], now: Millis) -> Picked {
     node.with(|state| {
-        let pace = state.paces.get(&exchange.service);
+        let throughput = state.throughputs.get(&exchange.service);
         let ready = state.directory.iter_ready(&exchange.service);
         let candidates: Vec<Candidate<'_>> = ready
             .filter(|server| !tried.contains(&server.id))
-            .map(|server| weigh(state, pace, now, server))
+            .map(|server| weigh(state, throughput, now, server))
             .collect();
-        let speed = pace.and_then(Pace::get_speed);
-        let wish = Wish { speed, ..exchange.wish };
-        match choose(&candidates, &wish, fastrand::u64(..)) {
+        let prefill_rate = throughput.and_then(Throughput::get_prefill_rate);
+        let criteria = Criteria { prefill_rate, ..exchange.criteria };
+        match choose(&candidates, &criteria, fastrand::u64(..)) {
             Choice::Server(server) => Picked::Server(server.clone()),
             Choice::Busy(wait) => Picked::Busy(wait),
             Choice::None => Picked::None,
@@ -211,26 +211,36 @@
 }
 
 /// Tells what the node knows of a server.
-fn weigh<'a>(state: &State, pace: Option<&Pace>, now: Millis, server: &'a Server) -> Candidate<'a> {
+fn weigh<'a>(
+    state: &State,
+    throughput: Option<&Throughput>,
+    now: Millis,
+    server: &'a Server,
+) -> Candidate<'a> {
     Candidate {
         server,
         load: state.loads.total(now, &server.id),
-        is_paused: state.health.is_paused(now, &server.id),
-        slowness: pace.map_or(1.0, |pace| pace.get_slowness(short_id(&server.id))),
+        is_ejected: state.health.is_ejected(now, &server.id),
+        slowness: throughput
+            .map_or(1.0, |throughput| throughput.get_slowness(short_id(&server.id))),
     }
 }
 
 fn note_choice(node: &Node, exchange: &Exchange, record: &Record, server: &Server) {
     let now = node.now();
-    let (candidates, chosen, speed) = node.with(|state| {
-        let pace = state.paces.get(&exchange.service);
+    let (candidates, chosen, prefill_rate) = node.with(|state| {
+        let throughput = state.throughputs.get(&exchange.service);
         let candidates = state.directory.iter_ready(&exchange.service).count();
-        (candidates, weigh(state, pace, now, server), pace.and_then(Pace::get_speed))
+        (
+            candidates,
+            weigh(state, throughput, now, server),
+            throughput.and_then(Throughput::get_prefill_rate),
+        )
     });
-    let wish = Wish { speed, ..exchange.wish };
-    let expected_ms = wish.estimate(&chosen);
+    let criteria = Criteria { prefill_rate, ..exchange.criteria };
+    let expected_ms = criteria.estimate(&chosen);
     if exchange.has_engine {
-        node.tell_begun(&server.id, &exchange.work, expected_ms);
+        node.report_begun(&server.id, &exchange.work, expected_ms);
     }
     event::emit(&Event::ServerChosen {
         request: &record.id,
@@ -238,7 +248,7 @@
         service: &exchange.service,
         attempt: record.attempts,
         candidates,
-        prompt_tokens: wish.prompt_tokens,
+        prompt_tokens: criteria.prompt_tokens,
         waiting_tokens: chosen.load.get_waiting_tokens(),
         slowness: chosen.slowness,
         expected_ms,
@@ -266,8 +276,8 @@
             state.health.fail(now, &server.id)
         }
     });
-    if let Some(pause_ms) = pause {
-        event::emit(&Event::ServerPaused { server: &server.id, pause_ms });
+    if let Some(ejected_for_ms) = pause {
+        event::emit(&Event::ServerEjected { server: &server.id, ejected_for_ms });
     }
     let reason = failed.as_str();
     let labels = ReasonLabels { reason: reason.to_owned() };
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -44,7 +44,7 @@
     pub age: Option<Millis>,
     /// Attempts so far.
     pub attempts: u32,
-    first_piece: Option<Millis>,
+    first_token: Option<Millis>,
     last_piece_at: Option<Millis>,
     longest_gap: Option<Millis>,
     status: u16,
@@ -68,7 +68,7 @@
             version: None,
             age: None,
             attempts: 0,
-            first_piece: None,
+            first_token: None,
             last_piece_at: None,
             longest_gap: None,
             status: 0,
@@ -85,7 +85,7 @@
     /// Notes a piece of the answer, and the pause before it.
     pub fn note_piece(&mut self) {
         let now = self.node.now();
-        self.first_piece.get_or_insert(now - self.arrived);
+        self.first_token.get_or_insert(now - self.arrived);
         if let Some(before) = self.last_piece_at.replace(now) {
             self.longest_gap = self.longest_gap.max(Some(now - before));
         }
@@ -130,8 +130,8 @@
             let labels = ServiceLabels { service: service.clone() };
             let metrics = &self.node.metrics;
             metrics.total.get_or_create(&labels).observe(total as f64 / 1_000.0);
-            if let Some(first) = self.first_piece {
-                metrics.first_piece.get_or_create(&labels).observe(first as f64 / 1_000.0);
+            if let Some(first) = self.first_token {
+                metrics.first_token.get_or_create(&labels).observe(first as f64 / 1_000.0);
             }
             if let Some(gap) = self.longest_gap {
                 metrics.longest_gap.get_or_create(&labels).observe(gap as f64 / 1_000.0);
@@ -144,7 +144,7 @@
             status: self.status,
             outcome: self.outcome,
             attempts: self.attempts,
-            first_piece_ms: self.first_piece,
+            first_token_ms: self.first_token,
             longest_gap_ms: self.longest_gap,
             total_ms: total,
             retry_after_ms: self.retry_after,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -49,8 +49,8 @@
     registry: Registry,
     /// Requests that ended.
     pub requests: Family<RequestLabels, Counter>,
-    /// Time from a request's arrival to the first piece of its answer, in seconds.
-    pub first_piece: Family<ServiceLabels, Histogram>,
+    /// Time from a request's arrival to the first token of its answer, in seconds.
+    pub first_token: Family<ServiceLabels, Histogram>,
     /// The longest pause between two pieces of one answer, in seconds.
     pub longest_gap: Family<ServiceLabels, Histogram>,
     /// Time from a request's arrival to the end of its answer, in seconds.
@@ -95,7 +95,7 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("keeljunction"),
             requests: Family::default(),
-            first_piece: Family::new_with_constructor(histogram),
+            first_token: Family::new_with_constructor(histogram),
             longest_gap: Family::new_with_constructor(histogram),
             total: Family::new_with_constructor(histogram),
             retries: Family::default(),
@@ -113,10 +113,10 @@
         let registry = &mut self.registry;
         registry.register("requests", "Requests that ended", self.requests.clone());
         registry.register_with_unit(
-            "first_piece",
-            "Arrival to first piece of the answer",
+            "first_token",
+            "Arrival to first token of the answer",
             Unit::Seconds,
-            self.first_piece.clone(),
+            self.first_token.clone(),
         );
         registry.register_with_unit(
             "longest_gap",
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -183,11 +183,11 @@
         let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
         let (asked, in_flight) = node.with(|state| {
             let (totals, covered) = state.demand.within(now, name, DEMAND_SPAN)?;
-            let pace = state.paces.get(name)?.get_speed()?;
+            let throughput = state.throughputs.get(name)?.get_prefill_rate()?;
             let ready: Vec<String> =
                 state.directory.iter_ready(name).map(|s| s.id.clone()).collect();
             let in_flight: u32 = ready.iter().map(|id| state.loads.total(now, id).requests).sum();
-            Some(((totals.prompt_tokens as f64 / covered as f64 * 1_000.0, pace), in_flight))
+            Some(((totals.prompt_tokens as f64 / covered as f64 * 1_000.0, throughput), in_flight))
         })?;
         let asked = Asked {
             tokens_per_second: asked.0,
--- a/crates/gateway/src/node/gossip.rs
+++ b/crates/gateway/src/node/gossip.rs
@@ -13,9 +13,9 @@
 use keeljunction_core::serving::demand::DemandTotals;
 use keeljunction_core::serving::directory::Batch;
 use keeljunction_core::serving::load::{Load, Work};
-use keeljunction_core::serving::pace::Sample;
 use keeljunction_core::serving::peers::Heard;
 use keeljunction_core::serving::quota;
+use keeljunction_core::serving::throughput::Sample;
 use keeljunction_core::serving::usage::{Counts, WindowNumber};
 use serde::{Deserialize, Serialize};
 
@@ -86,7 +86,7 @@
     quota: quota::Report,
     usage: Vec<(WindowNumber, Counts)>,
     demand: Vec<(String, DemandTotals)>,
-    paces: Vec<(String, Vec<Sample>)>,
+    throughputs: Vec<(String, Vec<Sample>)>,
 }
 
 /// Binds the socket for datagrams between nodes.
@@ -165,7 +165,7 @@
             }
             Message::RequestBegun { node: peer, server, work, reading_ms } => {
                 let until = node.now() + reading_ms;
-                node.with(|state| state.loads.hear_begun(until, &peer, server, &work));
+                node.with(|state| state.loads.merge_begun(until, &peer, server, &work));
             }
             Message::ServersChanged(batch) => position::take_servers(&node, from, batch),
             Message::ConfigurationChanged { version } => {
@@ -197,14 +197,14 @@
         for (window, counts) in &digest.usage {
             state.usage.merge(*window, &life, counts);
         }
-        state.demand.hear(&digest.node, digest.life, &digest.demand);
-        for (service, samples) in digest.paces {
-            let pace = state.paces.entry(service).or_default();
-            samples.into_iter().for_each(|sample| pace.hear(now, sample));
+        state.demand.merge(&digest.node, digest.life, &digest.demand);
+        for (service, samples) in digest.throughputs {
+            let throughput = state.throughputs.entry(service).or_default();
+            samples.into_iter().for_each(|sample| throughput.merge(now, sample));
         }
         let counts_last = state.peers.get_period() * COUNTS_LAST_PERIODS;
         let valid_until = now + counts_last.as_millis() as Millis;
-        state.loads.hear(valid_until, &digest.node, digest.loads);
+        state.loads.merge(valid_until, &digest.node, digest.loads);
     });
 }
 
@@ -216,7 +216,7 @@
         let (digest, addresses, period) = node.with(|state| {
             state.peers.expire(now);
             state.demand.sample_all(now);
-            state.paces.values_mut().for_each(|pace| pace.rate_servers(now));
+            state.throughputs.values_mut().for_each(|throughput| throughput.rate_servers(now));
             let digest = Digest {
                 node: node.life.node.clone(),
                 life: node.life.number,
@@ -227,7 +227,7 @@
                 quota: state.quotas.report(now),
                 usage: latest(state.usage.of_life(&node.life)),
                 demand: state.demand.get_own(),
-                paces: take_paces(state),
+                throughputs: take_samples(state),
             };
             (digest, state.peers.get_addresses(), state.peers.get_period())
         });
@@ -240,10 +240,11 @@
 }
 
 /// Takes the samples of how fast servers read prompts that peers were not told yet.
-fn take_paces(state: &mut State) -> Vec<(String, Vec<Sample>)> {
-    let paces = state.paces.iter_mut();
-    let untold = paces.map(|(service, pace)| (service.clone(), pace.take_untold()));
-    untold.filter(|(_, samples)| !samples.is_empty()).collect()
+fn take_samples(state: &mut State) -> Vec<(String, Vec<Sample>)> {
+    let throughputs = state.throughputs.iter_mut();
+    let unreported =
+        throughputs.map(|(service, throughput)| (service.clone(), throughput.take_unreported()));
+    unreported.filter(|(_, samples)| !samples.is_empty()).collect()
 }
 
 /// Sends what this node has read of the platform's tables to all peers.
@@ -255,13 +256,13 @@
 
 /// The part of the period between two digests that a prompt takes to read, at the least, for its
 /// request to be told at once.
-const TOLD_AT_ONCE_PART: f64 = 0.1;
+const REPORT_AT_ONCE_PART: f64 = 0.1;
 
 /// Tells all peers of a request that has just been sent to a server, where it will keep the server
 /// busy for long.
-pub(in crate::node) fn tell_begun(node: &Node, server: u64, work: Work, reading_ms: Millis) {
+pub(in crate::node) fn report_begun(node: &Node, server: u64, work: Work, reading_ms: Millis) {
     let period = node.with(|state| state.peers.get_period()).as_millis() as f64;
-    if reading_ms as f64 >= period * TOLD_AT_ONCE_PART {
+    if reading_ms as f64 >= period * REPORT_AT_ONCE_PART {
         let peer = node.life.node.clone();
         node.push(Message::RequestBegun { node: peer, server, work, reading_ms });
     }
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -15,9 +15,9 @@
 use keeljunction_core::serving::freshness::Freshness;
 use keeljunction_core::serving::health::Health;
 use keeljunction_core::serving::load::{LoadBook, Work, short_id};
-use keeljunction_core::serving::pace::Pace;
 use keeljunction_core::serving::peers::Peers;
 use keeljunction_core::serving::quota::{Quotas, Tolerance};
+use keeljunction_core::serving::throughput::Throughput;
 use keeljunction_core::serving::usage::{Ledger, Life, window_at};
 
 use super::document::Document;
@@ -117,7 +117,7 @@
     /// Tokens asked for, by service.
     pub demand: DemandBook,
     /// How fast the servers of each service read prompts.
-    pub paces: HashMap<String, Pace>,
+    pub throughputs: HashMap<String, Throughput>,
     /// Other nodes.
     pub peers: Peers,
     /// The lease of the duties.
@@ -128,8 +128,8 @@
     /// Forgets what a server's answers showed.
     pub(super) fn forget_server(&mut self, server: &Server) {
         self.health.forget(&server.id);
-        if let Some(pace) = self.paces.get_mut(&server.service) {
-            pace.forget(short_id(&server.id));
+        if let Some(throughput) = self.throughputs.get_mut(&server.service) {
+            throughput.forget(short_id(&server.id));
         }
     }
 }
@@ -156,7 +156,7 @@
             configuration_document: None,
             configuration_row: None,
             demand: DemandBook::default(),
-            paces: HashMap::new(),
+            throughputs: HashMap::new(),
             freshness: Freshness::default(),
             directory: Directory::default(),
             servers_freshness: Freshness::default(),
@@ -225,9 +225,9 @@
     }
 
     /// Notes that a request is sent to a server whose prompt takes a time to read.
-    pub fn tell_begun(&self, server: &str, work: &Work, reading_ms: Option<Millis>) {
+    pub fn report_begun(&self, server: &str, work: &Work, reading_ms: Option<Millis>) {
         if let Some(reading_ms) = reading_ms {
-            gossip::tell_begun(self, short_id(server), *work, reading_ms);
+            gossip::report_begun(self, short_id(server), *work, reading_ms);
         }
     }
 
--- a/crates/gateway/src/port/dialect.rs
+++ b/crates/gateway/src/port/dialect.rs
@@ -59,7 +59,7 @@
     pub server_id: &'a str,
     /// The client account that holds the caller's key.
     pub account: Option<&'a str>,
-    /// The request's rank, for model servers; 0 is the most urgent.
+    /// The request's priority, for model servers; 0 is the most urgent.
     pub urgency: Option<u32>,
     /// The last event that the caller has got, where a stream goes on.
     pub last_event: Option<u64>,
