refactor(capacity): on-demand and spot servers, demand and inventory

Cause: lasting, reclaimable, dry, stock, asked and slow fall had to be learned first. No behaviour changes.

--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -1,80 +1,79 @@
 //! How many servers to order, where, and of which kind.
 //!
-//! Servers that may be taken away cost a small part of the others, but a whole data centre of them
-//! can go within seconds, and for a while none may be had anywhere. The plan holds a part of what
-//! is needed in lasting servers, and the rest in reclaimable ones, spread over the data centres so
-//! that the loss of any data centre's leaves enough. Lasting servers cost most: they stand in the
-//! cheaper data centres, and none of these holds more than its part of all data centres but one.
-//! What cannot be had as reclaimable, or is being taken away, is ordered as lasting at once.
-//! Lasting servers are given up again only when reclaimable ones take work in their place: one that
-//! was ordered carries nothing until it has started.
+//! Spot servers (the users' reclaimable machines) cost a fraction of on-demand servers, but all of a
+//! data centre's can be reclaimed within seconds, and for a while no more are to be had anywhere.
+//! The plan holds a fraction of the need in on-demand servers and the rest in spot servers, which are
+//! spread over the data centres so that enough are left after the loss of one. On-demand servers
+//! stand in the cheaper data centres, none of which holds more than its share of all but one. Spot
+//! capacity that cannot be had, or is being reclaimed, is replaced by on-demand servers at once.
+//! These are released when spot servers accept requests in their place, not when they are ordered.
 
 use std::collections::BTreeMap;
 
 use super::configuration::Scaling;
 use crate::Millis;
 
-/// How much to hold, in parts of what is needed.
+/// How much to hold, as fractions of the need.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Policy {
-    /// The part of the need that is held in lasting servers also on a calm day.
-    pub lasting_part: f64,
-    /// Reclaimable servers for each server that is needed.
-    pub reclaimable_part: f64,
-    /// How busy servers may be on average, besides those for bursts.
-    pub target_use: f64,
-    /// How full the places of servers may be on average, besides those for bursts.
-    pub target_fill: f64,
-    /// Servers held for bursts, for each square root of the servers' worth of work: what is asked
-    /// of many servers varies less, as a part of it, than what is asked of few.
+    /// The fraction of the need that is held in on-demand servers while spot servers can be had.
+    pub on_demand_part: f64,
+    /// Spot servers for each server that is needed.
+    pub spot_part: f64,
+    /// The mean fraction of time for which servers may read prompts, besides those for bursts.
+    pub target_utilization: f64,
+    /// The mean fraction of the slots that may be taken, besides those for bursts.
+    pub target_occupancy: f64,
+    /// Servers held for bursts, for each square root of the load in servers: the load of many
+    /// servers varies less, relative to its size, than that of few.
     pub burst_servers: f64,
-    /// The part of the reclaimable servers that is counted on while no more can be had.
-    pub dry_trust: f64,
+    /// The fraction of the spot servers that is counted on while no more can be had.
+    pub exhausted_spot_part: f64,
 }
 
 impl Default for Policy {
     fn default() -> Self {
         Self {
-            lasting_part: 0.25,
-            reclaimable_part: 2.0,
-            target_use: 0.75,
-            target_fill: 0.8,
+            on_demand_part: 0.25,
+            spot_part: 2.0,
+            target_utilization: 0.75,
+            target_occupancy: 0.8,
             burst_servers: 1.0,
-            dry_trust: 0.0,
+            exhausted_spot_part: 0.0,
         }
     }
 }
 
-/// What a data centre holds of a service.
+/// The servers of a service in one data centre.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Stock {
-    /// Lasting servers that take work.
-    pub lasting: u32,
-    /// Reclaimable servers that take work.
-    pub reclaimable: u32,
-    /// Reclaimable servers that were ordered and have not come up yet.
-    pub reclaimable_booting: u32,
+pub struct Inventory {
+    /// On-demand servers that accept requests.
+    pub on_demand: u32,
+    /// Spot servers that accept requests.
+    pub spot: u32,
+    /// Spot servers that were ordered and have not started yet.
+    pub spot_booting: u32,
 }
 
-/// What a plan starts from.
+/// The state that a plan starts from.
 #[derive(Clone, Copy, Debug)]
-pub struct Situation<'a> {
-    /// What each data centre holds; all data centres in which the service may run are there.
-    pub stock: &'a BTreeMap<String, Stock>,
-    /// How many servers carry what is asked.
+pub struct Snapshot<'a> {
+    /// The servers of each data centre in which the service may run.
+    pub inventory: &'a BTreeMap<String, Inventory>,
+    /// The servers that the demand needs.
     pub need: u32,
-    /// Whether reclaimable servers were lately refused: what is taken away then cannot be had
+    /// Whether spot servers were lately refused: what is taken away then cannot be had
     /// again, and waves that take one data centre often take the others too.
-    pub is_dry: bool,
-    /// Lasting servers that were ordered, or are there, in all data centres.
-    pub lasting_held: u32,
-    /// Whether nothing was asked of the service yet: nothing is lost while servers start.
+    pub is_spot_exhausted: bool,
+    /// On-demand servers that were ordered, or are there, in all data centres.
+    pub on_demand_held: u32,
+    /// Whether the service has had no request yet: none is delayed while servers start.
     pub is_idle: bool,
 }
 
-/// What is asked of a service.
+/// The demand for a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Asked {
+pub struct Demand {
     /// Prompt tokens a second.
     pub tokens_per_second: f64,
     /// Prompt tokens that a server reads in a second.
@@ -88,76 +87,76 @@
 /// Servers to hold in each data centre.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Plan {
-    /// Lasting servers.
-    pub lasting: BTreeMap<String, u32>,
-    /// Reclaimable servers.
-    pub reclaimable: BTreeMap<String, u32>,
+    /// On-demand servers.
+    pub on_demand: BTreeMap<String, u32>,
+    /// Spot servers.
+    pub spot: BTreeMap<String, u32>,
 }
 
 /// Computes how many servers a service needs.
-pub fn need(policy: &Policy, asked: &Asked) -> u32 {
+pub fn need(policy: &Policy, demand: &Demand) -> u32 {
     let with_bursts = |work: f64, part: f64| work / part + policy.burst_servers * work.sqrt();
-    let reading = asked.tokens_per_second / asked.server_tokens_per_second;
-    let filled = asked.in_flight / asked.slots.max(1.0);
-    let by_tokens = with_bursts(reading, policy.target_use);
-    let need = by_tokens.max(with_bursts(filled, policy.target_fill));
+    let reading = demand.tokens_per_second / demand.server_tokens_per_second;
+    let filled = demand.in_flight / demand.slots.max(1.0);
+    let by_tokens = with_bursts(reading, policy.target_utilization);
+    let need = by_tokens.max(with_bursts(filled, policy.target_occupancy));
     if need.is_finite() { need.ceil().max(1.0) as u32 } else { 1 }
 }
 
 /// Plans the servers of a service.
-pub fn plan(policy: &Policy, scaling: &Scaling, situation: &Situation<'_>) -> Plan {
-    let stock = situation.stock;
-    let data_centres = by_price(scaling, stock);
+pub fn plan(policy: &Policy, scaling: &Scaling, snapshot: &Snapshot<'_>) -> Plan {
+    let inventory = snapshot.inventory;
+    let data_centres = by_price(scaling, inventory);
     let most = scaling.max * data_centres.len() as u32;
-    let need = situation.need.max(scaling.min * data_centres.len() as u32).min(most);
+    let need = snapshot.need.max(scaling.min * data_centres.len() as u32).min(most);
     if scaling.spot_price.is_none() {
-        let lasting = fill(&data_centres, need, scaling.max, &BTreeMap::new());
-        return Plan { lasting, reclaimable: BTreeMap::new() };
+        let on_demand = fill(&data_centres, need, scaling.max, &BTreeMap::new());
+        return Plan { on_demand, spot: BTreeMap::new() };
     }
-    let reclaimable = (f64::from(need) * policy.reclaimable_part).ceil() as u32;
-    let wanted = spread(&data_centres, reclaimable, scaling.max, &BTreeMap::new());
-    let held: BTreeMap<String, u32> = stock.iter().map(held_reclaimable).collect();
-    let lasting = count_lasting(policy, situation, need);
-    let lasting = fill(&data_centres, lasting, scaling.max, &held);
-    let reclaimable = wanted.into_iter().map(|(data_centre, count)| {
-        let room = scaling.max - lasting.get(&data_centre).copied().unwrap_or(0).min(scaling.max);
+    let spot = (f64::from(need) * policy.spot_part).ceil() as u32;
+    let wanted = spread(&data_centres, spot, scaling.max, &BTreeMap::new());
+    let held: BTreeMap<String, u32> = inventory.iter().map(held_spot).collect();
+    let on_demand = count_on_demand(policy, snapshot, need);
+    let on_demand = fill(&data_centres, on_demand, scaling.max, &held);
+    let spot = wanted.into_iter().map(|(data_centre, count)| {
+        let room = scaling.max - on_demand.get(&data_centre).copied().unwrap_or(0).min(scaling.max);
         (data_centre, count.min(room))
     });
-    let reclaimable = reclaimable.collect();
-    Plan { lasting, reclaimable }
+    let spot = spot.collect();
+    Plan { on_demand, spot }
 }
 
-/// Counts the lasting servers to hold in all data centres.
+/// Counts the on-demand servers to hold in all data centres.
 ///
-/// Reclaimable servers that were ordered stand against ordering more lasting ones, and only those
-/// that take work against keeping the lasting ones that are there, unless nobody asks for anything.
-fn count_lasting(policy: &Policy, situation: &Situation<'_>, need: u32) -> u32 {
-    let base = ((f64::from(need) * policy.lasting_part).ceil() as u32).clamp(1, need);
-    let working: u32 = situation.stock.values().map(|data_centre| data_centre.reclaimable).sum();
+/// Spot servers that were ordered count against ordering on-demand servers. Only those that accept
+/// requests count against keeping on-demand servers, unless the service is idle.
+fn count_on_demand(policy: &Policy, snapshot: &Snapshot<'_>, need: u32) -> u32 {
+    let base = ((f64::from(need) * policy.on_demand_part).ceil() as u32).clamp(1, need);
+    let working: u32 = snapshot.inventory.values().map(|data_centre| data_centre.spot).sum();
     let booting: u32 =
-        situation.stock.values().map(|data_centre| data_centre.reclaimable_booting).sum();
-    let trusted = if situation.is_dry { policy.dry_trust } else { 1.0 };
-    let carried = |reclaimable: u32| (f64::from(reclaimable) * trusted) as u32;
+        snapshot.inventory.values().map(|data_centre| data_centre.spot_booting).sum();
+    let trusted = if snapshot.is_spot_exhausted { policy.exhausted_spot_part } else { 1.0 };
+    let carried = |spot: u32| (f64::from(spot) * trusted) as u32;
     let least = base + (need - base).saturating_sub(carried(working + booting));
     let most = base + (need - base).saturating_sub(carried(working));
-    situation.lasting_held.clamp(least, if situation.is_idle { least } else { most })
+    snapshot.on_demand_held.clamp(least, if snapshot.is_idle { least } else { most })
 }
 
-/// Counts a data centre's reclaimable servers, those that are coming up too.
-fn held_reclaimable((data_centre, stock): (&String, &Stock)) -> (String, u32) {
-    (data_centre.clone(), stock.reclaimable + stock.reclaimable_booting)
+/// Counts a data centre's spot servers, including those that are starting.
+fn held_spot((data_centre, inventory): (&String, &Inventory)) -> (String, u32) {
+    (data_centre.clone(), inventory.spot + inventory.spot_booting)
 }
 
 /// Lists the data centres by price, the cheapest first.
-fn by_price<'a>(scaling: &Scaling, stock: &'a BTreeMap<String, Stock>) -> Vec<&'a str> {
+fn by_price<'a>(scaling: &Scaling, inventory: &'a BTreeMap<String, Inventory>) -> Vec<&'a str> {
     let price =
         |data_centre: &str| scaling.data_centre_prices.get(data_centre).copied().unwrap_or(1.0);
-    let mut data_centres: Vec<&str> = stock.keys().map(String::as_str).collect();
+    let mut data_centres: Vec<&str> = inventory.keys().map(String::as_str).collect();
     data_centres.sort_by(|a, b| price(a).total_cmp(&price(b)).then(a.cmp(b)));
     data_centres
 }
 
-/// Lasting servers stand in two data centres at least, where there are two.
+/// On-demand servers stand in two data centres at least, where there are two.
 const LEAST_PARTS: usize = 2;
 
 /// Fills data centres from the cheapest on, none of them with more than its part of all but one, as
@@ -211,11 +210,11 @@
 
 /// The largest of the latest values, so that a plan follows a rise at once and a fall slowly.
 #[derive(Clone, Debug, Default)]
-pub struct SlowFall {
+pub struct PeakWindow {
     values: Vec<(Millis, u32)>,
 }
 
-impl SlowFall {
+impl PeakWindow {
     /// Notes a value and returns the largest within `span`.
     pub fn follow(&mut self, now: Millis, value: u32, span: Millis) -> u32 {
         self.values.push((now, value));
--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -27,7 +27,7 @@
     /// Whether it is about to end.
     pub is_leaving: bool,
     /// Whether the provider may take it away at short notice.
-    pub is_reclaimable: bool,
+    pub is_spot: bool,
     /// Time until it is gone, where it said so.
     pub leaves_within: Option<Millis>,
 }
--- a/crates/core/tests/serving/support.rs
+++ b/crates/core/tests/serving/support.rs
@@ -11,7 +11,7 @@
         data_centre: data_centre.to_owned(),
         slots: 4,
         is_leaving: false,
-        is_reclaimable: false,
+        is_spot: false,
         leaves_within: None,
     }
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -53,7 +53,7 @@
     CapacityOrdered {
         service: &'a str,
         data_centre: &'a str,
-        is_reclaimable: bool,
+        is_spot: bool,
         count: u32,
         fence: u64,
         status: Option<u16>,
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -5,7 +5,7 @@
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::capacity::{
-    Asked, Plan, Policy, Situation, SlowFall, Stock, need, plan,
+    Demand, Inventory, PeakWindow, Plan, Policy, Snapshot, need, plan,
 };
 use keeljunction_core::serving::configuration::{Scaling, Service};
 
@@ -36,7 +36,7 @@
     fence: Option<u64>,
     ordered: BTreeMap<Place, Ordered>,
     paused_until: BTreeMap<Place, Millis>,
-    needs: BTreeMap<String, SlowFall>,
+    needs: BTreeMap<String, PeakWindow>,
     found: BTreeMap<String, Found>,
 }
 
@@ -80,10 +80,10 @@
         scaling: &Scaling,
     ) {
         let now = node.now();
-        let stock = self.take_stock(node, name, scaling);
-        let held: u32 = stock.values().map(|data_centre| data_centre.lasting).sum();
+        let inventory = self.take_inventory(node, name, scaling);
+        let held: u32 = inventory.values().map(|data_centre| data_centre.on_demand).sum();
         let (found, is_settled) = self.settle(name, held, now);
-        let is_mixed = stock.values().any(|data_centre| data_centre.reclaimable > 0);
+        let is_mixed = inventory.values().any(|data_centre| data_centre.spot > 0);
         let policy = node.settings.capacity.get_policy();
         let (need, policy) = match self.get_need(node, name, service, now) {
             Some(need) => (need, policy),
@@ -92,21 +92,19 @@
             // Servers list themselves one by one.
             None if !is_settled => return,
             // Servers that nobody has mixed yet: as many as were found, in the usual mix.
-            None => {
-                (found, Policy { reclaimable_part: policy.reclaimable_part.min(1.0), ..policy })
-            }
+            None => (found, Policy { spot_part: policy.spot_part.min(1.0), ..policy }),
         };
-        let situation = Situation {
-            stock: &stock,
+        let snapshot = Snapshot {
+            inventory: &inventory,
             need,
-            is_dry: self.is_dry(name, now),
-            lasting_held: self.count_lasting(name, &stock),
+            is_spot_exhausted: self.is_spot_exhausted(name, now),
+            on_demand_held: self.count_on_demand(name, &inventory),
             is_idle: node.with(|state| state.demand.is_untouched(name)),
         };
-        let plan = plan(&policy, scaling, &situation);
-        for order in self.list_changes(name, &plan, &stock, now) {
-            // Lasting servers that have not listed themselves yet must not be given up.
-            if !is_settled && !order.is_reclaimable {
+        let plan = plan(&policy, scaling, &snapshot);
+        for order in self.list_changes(name, &plan, &inventory, now) {
+            // On-demand servers that have not listed themselves yet must not be given up.
+            if !is_settled && !order.is_spot {
                 continue;
             }
             self.send(node, order).await;
@@ -118,16 +116,16 @@
         self.ordered.keys().any(|(service, _, _)| service == name)
     }
 
-    /// Counts the lasting servers that were ordered, or are there where none were ordered.
-    fn count_lasting(&self, name: &str, stock: &BTreeMap<String, Stock>) -> u32 {
-        let held = stock.iter().map(|(data_centre, held)| {
+    /// Counts the on-demand servers that were ordered, or are there where none were ordered.
+    fn count_on_demand(&self, name: &str, inventory: &BTreeMap<String, Inventory>) -> u32 {
+        let held = inventory.iter().map(|(data_centre, held)| {
             let place = (name.to_owned(), data_centre.clone(), false);
-            self.ordered.get(&place).map_or(held.lasting, |ordered| ordered.count)
+            self.ordered.get(&place).map_or(held.on_demand, |ordered| ordered.count)
         });
         held.sum()
     }
 
-    /// Returns the number of lasting servers as it was found, and whether it has stopped to grow:
+    /// Returns the number of on-demand servers as it was found, and whether it has stopped to grow:
     /// servers list themselves one by one.
     fn settle(&mut self, name: &str, held: u32, now: Millis) -> (u32, bool) {
         let found = self.found.entry(name.to_owned()).or_insert(Found { count: held, since: now });
@@ -140,40 +138,40 @@
 
     /// Counts what each data centre holds; a data centre that the configuration prices is listed
     /// also if empty.
-    fn take_stock(
+    fn take_inventory(
         &mut self,
         node: &Node,
         name: &str,
         scaling: &Scaling,
-    ) -> BTreeMap<String, Stock> {
+    ) -> BTreeMap<String, Inventory> {
         let now = node.now();
-        let mut stock: BTreeMap<String, Stock> = scaling
+        let mut inventory: BTreeMap<String, Inventory> = scaling
             .data_centre_prices
             .keys()
-            .map(|data_centre| (data_centre.clone(), Stock::default()))
+            .map(|data_centre| (data_centre.clone(), Inventory::default()))
             .collect();
         node.with(|state| {
             for server in state.directory.iter_ready(name) {
-                let data_centre = stock.entry(server.data_centre.clone()).or_default();
-                match server.is_reclaimable {
-                    true => data_centre.reclaimable += 1,
-                    false => data_centre.lasting += 1,
+                let data_centre = inventory.entry(server.data_centre.clone()).or_default();
+                match server.is_spot {
+                    true => data_centre.spot += 1,
+                    false => data_centre.on_demand += 1,
                 }
             }
         });
-        for (data_centre, held) in &mut stock {
+        for (data_centre, held) in &mut inventory {
             let place = (name.to_owned(), data_centre.clone(), true);
             let Some(ordered) = self.ordered.get_mut(&place) else { continue };
-            ordered.most_seen = ordered.most_seen.max(held.reclaimable);
+            ordered.most_seen = ordered.most_seen.max(held.spot);
             if now < ordered.at + scaling.boot + BOOT_SLACK {
-                held.reclaimable_booting = ordered.count.saturating_sub(ordered.most_seen);
+                held.spot_booting = ordered.count.saturating_sub(ordered.most_seen);
             }
         }
-        stock
+        inventory
     }
 
-    /// Says whether reclaimable servers were lately refused.
-    fn is_dry(&self, name: &str, now: Millis) -> bool {
+    /// Says whether spot servers were lately refused.
+    fn is_spot_exhausted(&self, name: &str, now: Millis) -> bool {
         let mut refused =
             self.paused_until.iter().filter(|((service, _, kind), _)| service == name && *kind);
         refused.any(|(_, until)| now < until + REFUSED_PAUSE)
@@ -181,7 +179,7 @@
 
     fn get_need(&mut self, node: &Node, name: &str, service: &Service, now: Millis) -> Option<u32> {
         let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
-        let (asked, in_flight) = node.with(|state| {
+        let (demand, in_flight) = node.with(|state| {
             let (totals, covered) = state.demand.within(now, name, DEMAND_SPAN)?;
             let throughput = state.throughputs.get(name)?.get_prefill_rate()?;
             let ready: Vec<String> =
@@ -189,15 +187,15 @@
             let in_flight: u32 = ready.iter().map(|id| state.loads.total(now, id).requests).sum();
             Some(((totals.prompt_tokens as f64 / covered as f64 * 1_000.0, throughput), in_flight))
         })?;
-        let asked = Asked {
-            tokens_per_second: asked.0,
-            server_tokens_per_second: asked.1 * 1_000.0,
+        let demand = Demand {
+            tokens_per_second: demand.0,
+            server_tokens_per_second: demand.1 * 1_000.0,
             in_flight: f64::from(in_flight),
             slots: f64::from(slots),
         };
         let policy = node.settings.capacity.get_policy();
         let needs = self.needs.entry(name.to_owned()).or_default();
-        Some(needs.follow(now, need(&policy, &asked), FALL_SPAN))
+        Some(needs.follow(now, need(&policy, &demand), FALL_SPAN))
     }
 
     /// Lists the orders by which the plan differs from what was ordered, or is there.
@@ -205,37 +203,32 @@
         &self,
         name: &str,
         plan: &Plan,
-        stock: &BTreeMap<String, Stock>,
+        inventory: &BTreeMap<String, Inventory>,
         now: Millis,
     ) -> Vec<CapacityOrder> {
         let mut orders = Vec::new();
         // More comes before less, so that nothing is given up for what may not be had.
-        for is_reclaimable in [true, false] {
-            let wanted = if is_reclaimable { &plan.reclaimable } else { &plan.lasting };
+        for is_spot in [true, false] {
+            let wanted = if is_spot { &plan.spot } else { &plan.on_demand };
             for (data_centre, count) in wanted {
-                let place = (name.to_owned(), data_centre.clone(), is_reclaimable);
-                let held = stock.get(data_centre).copied().unwrap_or_default();
+                let place = (name.to_owned(), data_centre.clone(), is_spot);
+                let held = inventory.get(data_centre).copied().unwrap_or_default();
                 if self.is_due(&place, *count, &held, now) {
                     let (service, data_centre) = (name.to_owned(), data_centre.clone());
-                    orders.push(CapacityOrder {
-                        service,
-                        data_centre,
-                        is_reclaimable,
-                        count: *count,
-                    });
+                    orders.push(CapacityOrder { service, data_centre, is_spot, count: *count });
                 }
             }
         }
         orders
     }
 
-    fn is_due(&self, place: &Place, count: u32, held: &Stock, now: Millis) -> bool {
+    fn is_due(&self, place: &Place, count: u32, held: &Inventory, now: Millis) -> bool {
         if self.paused_until.get(place).is_some_and(|until| now < *until) {
             return false;
         }
         let (present, booting) = match place.2 {
-            true => (held.reclaimable, held.reclaimable_booting),
-            false => (held.lasting, 0),
+            true => (held.spot, held.spot_booting),
+            false => (held.on_demand, 0),
         };
         match self.ordered.get(place) {
             None => present != count,
@@ -248,14 +241,14 @@
     async fn send(&mut self, node: &Node, order: CapacityOrder) {
         let now = node.now();
         let Some(fence) = node.with(|state| state.lease.get_fence(now)) else { return };
-        let place = (order.service.clone(), order.data_centre.clone(), order.is_reclaimable);
+        let place = (order.service.clone(), order.data_centre.clone(), order.is_spot);
         let holder = DutyHolder { name: node.life.node.clone(), fence };
         let calling = (node.platform.control.set_capacity)(holder, order.clone());
         let status = runtime::within(CALL_WITHIN, calling).await.flatten();
         event::emit(&Event::CapacityOrdered {
             service: &order.service,
             data_centre: &order.data_centre,
-            is_reclaimable: order.is_reclaimable,
+            is_spot: order.is_spot,
             count: order.count,
             fence,
             status,
--- a/crates/gateway/src/port/control.rs
+++ b/crates/gateway/src/port/control.rs
@@ -42,7 +42,7 @@
     /// The data centre.
     pub data_centre: String,
     /// Whether the servers may be taken away.
-    pub is_reclaimable: bool,
+    pub is_spot: bool,
     /// The whole number of servers, not a change of it.
     pub count: u32,
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -120,31 +120,38 @@
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct CapacitySettings {
-    /// The part of the need that is held in lasting servers also on a calm day.
-    pub lasting_part: f64,
-    /// Reclaimable servers for each server that is needed.
-    pub reclaimable_part: f64,
+    /// The part of the need that is held in on-demand servers also on a calm day.
+    pub on_demand_part: f64,
+    /// Spot servers for each server that is needed.
+    pub spot_part: f64,
     /// How busy servers may be on average.
-    pub target_use: f64,
+    pub target_utilization: f64,
     /// How full the places of servers may be on average.
-    pub target_fill: f64,
+    pub target_occupancy: f64,
     /// Servers held for bursts, for each square root of the servers' worth of work.
     pub burst_servers: f64,
-    /// The part of the reclaimable servers that is counted on while no more can be had.
-    pub dry_trust: f64,
+    /// The part of the spot servers that is counted on while no more can be had.
+    pub exhausted_spot_part: f64,
 }
 
 impl Default for CapacitySettings {
     fn default() -> Self {
         let Policy {
-            lasting_part,
-            reclaimable_part,
-            target_use,
-            target_fill,
+            on_demand_part,
+            spot_part,
+            target_utilization,
+            target_occupancy,
             burst_servers,
-            dry_trust,
+            exhausted_spot_part,
         } = Policy::default();
-        Self { lasting_part, reclaimable_part, target_use, target_fill, burst_servers, dry_trust }
+        Self {
+            on_demand_part,
+            spot_part,
+            target_utilization,
+            target_occupancy,
+            burst_servers,
+            exhausted_spot_part,
+        }
     }
 }
 
@@ -152,14 +159,21 @@
     /// Returns the core's policy.
     pub fn get_policy(&self) -> Policy {
         let Self {
-            lasting_part,
-            reclaimable_part,
-            target_use,
-            target_fill,
+            on_demand_part,
+            spot_part,
+            target_utilization,
+            target_occupancy,
             burst_servers,
-            dry_trust,
+            exhausted_spot_part,
         } = *self;
-        Policy { lasting_part, reclaimable_part, target_use, target_fill, burst_servers, dry_trust }
+        Policy {
+            on_demand_part,
+            spot_part,
+            target_utilization,
+            target_occupancy,
+            burst_servers,
+            exhausted_spot_part,
+        }
     }
 }
 
@@ -237,12 +251,12 @@
         check_range("bounds.quota_overshoot", bounds.quota_overshoot, 0.0, 10.0)?;
         check_range("bounds.quota_slack", bounds.quota_slack, 0.0, 1e12)?;
         let capacity = &self.capacity;
-        check_range("capacity.lasting_part", capacity.lasting_part, 0.0, 1.0)?;
-        check_range("capacity.reclaimable_part", capacity.reclaimable_part, 0.0, 10.0)?;
-        check_range("capacity.target_use", capacity.target_use, 0.01, 1.0)?;
-        check_range("capacity.target_fill", capacity.target_fill, 0.01, 1.0)?;
+        check_range("capacity.on_demand_part", capacity.on_demand_part, 0.0, 1.0)?;
+        check_range("capacity.spot_part", capacity.spot_part, 0.0, 10.0)?;
+        check_range("capacity.target_utilization", capacity.target_utilization, 0.01, 1.0)?;
+        check_range("capacity.target_occupancy", capacity.target_occupancy, 0.01, 1.0)?;
         check_range("capacity.burst_servers", capacity.burst_servers, 0.0, 10.0)?;
-        check_range("capacity.dry_trust", capacity.dry_trust, 0.0, 1.0)
+        check_range("capacity.exhausted_spot_part", capacity.exhausted_spot_part, 0.0, 1.0)
     }
 }
 
