perf(capacity): hold a tenth of the need in on-demand servers

Cause: a quarter of the need stood in on-demand servers on calm seconds, at 4.5 times the price of spot servers, of which twice the need stands beside them.

--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -34,7 +34,7 @@
 impl Default for Policy {
     fn default() -> Self {
         Self {
-            on_demand_part: 0.25,
+            on_demand_part: 0.1,
             spot_part: 2.0,
             target_utilization: 0.75,
             target_occupancy: 0.8,
