test(faults): wait for an order before reading who sent it

Cause: the test of a holder that is killed between intent and answer failed once beside load with 'there was an order': it read the last order to an engine as soon as a VM was asked for, and a holder sends either first. Ruled out: an intent that is not recorded in time: the panic comes before anything is killed, and reads only the engine's own list of orders. What the test asserts is unchanged.

--- a/crates/standin/tests/faults/control.rs
+++ b/crates/standin/tests/faults/control.rs
@@ -30,8 +30,10 @@
     orders.as_ref().and_then(Value::as_array).cloned().unwrap_or_default()
 }
 
-/// Finds the node that sent the last order.
+/// Finds the node that sent the last order. A holder may start VMs before its first order to an
+/// engine, so that one is waited for.
 async fn holder(cluster: &Cluster) -> usize {
+    eventually("an order was sent", async || !orders(cluster, "hidro-0").await.is_empty()).await;
     let last = orders(cluster, "hidro-0").await.pop().expect("there was an order");
     let place = cluster.nodes.iter().position(|node| last["node"] == node.name.as_str());
     place.expect("the node is known")
