test(harness): print why a call of a stand-in or a node got no answer

Cause: two tests of the rolls stand in KNOWN-RED.txt. One saw a status of null, and the harness swallowed why. Ruled out: nothing yet. Change: the reason and the time that the call took are printed; a failing test shows them.

--- a/crates/standin/src/harness/call.rs
+++ b/crates/standin/src/harness/call.rs
@@ -14,6 +14,8 @@
 
 const MAX_ANSWER: usize = 64 << 20;
 const LAST: &str = "[DONE]";
+/// The time in which a stand-in or a node answers a call of the harness.
+const ANSWER_WITHIN: Duration = Duration::from_secs(5);
 
 /// A call, to be sent to any node.
 #[derive(Clone, Debug)]
@@ -220,7 +222,24 @@
     exchange(client, to, request).await
 }
 
+/// Exchanges JSON; a failure is printed with its reason, because a test sees only that there is no answer.
 async fn exchange(client: &Client, to: SocketAddr, request: Request<Body>) -> Option<Value> {
-    let response = runtime::within(Duration::from_secs(5), client.send(to, request)).await?.ok()?;
-    serde_json::from_slice(&read(response.into_body(), MAX_ANSWER).await?).ok()
+    let path = request.uri().path().to_owned();
+    let started = Instant::now();
+    let answer = runtime::within(ANSWER_WITHIN, try_exchange(client, to, request)).await;
+    let answer = answer.unwrap_or_else(|| Err("no answer in time".to_owned()));
+    answer
+        .inspect_err(|why| eprintln!("{to}{path} failed after {:?}: {why}", started.elapsed()))
+        .ok()
+}
+
+async fn try_exchange(
+    client: &Client,
+    to: SocketAddr,
+    request: Request<Body>,
+) -> Result<Value, String> {
+    let response = client.send(to, request).await.map_err(|failure| failure.to_string())?;
+    let status = response.status();
+    let body = read(response.into_body(), MAX_ANSWER).await.ok_or("the body broke off")?;
+    serde_json::from_slice(&body).map_err(|error| format!("{status}, not JSON: {error}"))
 }
