--- a/crates/core/src/serving/choice.rs
+++ b/crates/core/src/serving/choice.rs
@@ -138,6 +138,40 @@
     Some(expected - bound / 2)
 }
 
+/// Servers at which a prefix is cached or would be next, on a shortlist.
+const SHORTLISTED_PREFERRED: usize = 2;
+/// Servers drawn at random on a shortlist. Of two the less busy one is far better than one, and
+/// each further one adds less; a third makes up for one whose load does not become known in time.
+const SHORTLISTED_RANDOM: usize = 3;
+/// How many times as many servers are drawn where none of a first shortlist can serve in time.
+const WIDER: usize = 4;
+
+/// Draws the few servers whose loads a node asks for, where it does not know those of all: the ones
+/// that a shared prefix prefers, and some at random.
+pub fn shortlist<'a>(
+    servers: impl Iterator<Item = &'a Server>,
+    criteria: &Criteria,
+    random: u64,
+    is_wide: bool,
+) -> Vec<&'a Server> {
+    let mut rest: Vec<&Server> = servers.collect();
+    let mut drawn = Vec::new();
+    if let Some(part) = criteria.shared_prefix {
+        draw(&mut rest, &mut drawn, part, SHORTLISTED_PREFERRED);
+    }
+    let count = SHORTLISTED_RANDOM * if is_wide { WIDER } else { 1 };
+    draw(&mut rest, &mut drawn, random, count);
+    drawn
+}
+
+/// Moves the first servers in the order of a key from one list to another.
+fn draw<'a>(rest: &mut Vec<&'a Server>, drawn: &mut Vec<&'a Server>, key: u64, count: usize) {
+    if rest.len() > count {
+        rest.select_nth_unstable_by_key(count, |server| std::cmp::Reverse(weight(key, &server.id)));
+    }
+    drawn.extend(rest.drain(..count.min(rest.len())));
+}
+
 /// Finds the first server in the order of a prefix that is not much busier than the mean.
 fn find_preferred<'c, 'a>(
     candidates: &[&'c Candidate<'a>],
--- a/crates/core/src/serving/freshness.rs
+++ b/crates/core/src/serving/freshness.rs
@@ -5,8 +5,19 @@
 //! one *before* the question was sent, on the node's own steady clock, so that neither a slow
 //! answer nor a pause of the process makes old knowledge look new.
 
+use serde::{Deserialize, Serialize};
+
 use crate::Millis;
 
+/// The versions of the platform's tables that a node knows, and how old that knowledge is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Versions {
+    /// The configuration's version, and the age of the knowledge that it is the newest.
+    pub configuration: Option<(u64, Millis)>,
+    /// The version of the list of servers, and the age of the knowledge that it is the newest.
+    pub servers: Option<(u64, Millis)>,
+}
+
 /// Notes when the configuration was last known to be the newest.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Freshness {
@@ -31,7 +42,7 @@
         self.confirmed_at.map(|at| now.saturating_sub(at))
     }
 
-    /// Says whether the configuration was known to be the newest within `bound`.
+    /// Returns `true` if the configuration was known to be the newest within `bound`.
     pub fn is_within(&self, now: Millis, bound: Millis) -> bool {
         self.get_age(now).is_some_and(|age| age <= bound)
     }
--- a/crates/core/src/serving/load.rs
+++ b/crates/core/src/serving/load.rs
@@ -38,6 +38,13 @@
         self.waiting_tokens.iter().sum()
     }
 
+    /// Builds the load of a single request that waits for its first token.
+    fn of(work: &Work) -> Self {
+        let mut load = Self::default();
+        load.begin(work);
+        load
+    }
+
     fn begin(&mut self, work: &Work) {
         self.requests += 1;
         self.waiting += 1;
@@ -45,7 +52,8 @@
         self.memory_tokens += work.memory_tokens;
     }
 
-    fn add(&mut self, other: &Self) {
+    /// Adds what another node has in flight at the same server.
+    pub fn add(&mut self, other: &Self) {
         self.requests += other.requests;
         self.waiting += other.waiting;
         for (own, other) in self.waiting_tokens.iter_mut().zip(other.waiting_tokens) {
@@ -53,6 +61,21 @@
         }
         self.memory_tokens += other.memory_tokens;
     }
+
+    /// Subtracts what another node had in flight; no figure falls below zero.
+    fn subtract(&mut self, other: &Self) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.waiting = self.waiting.saturating_sub(other.waiting);
+        for (own, other) in self.waiting_tokens.iter_mut().zip(other.waiting_tokens) {
+            *own = own.saturating_sub(other);
+        }
+        self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
+    }
+
+    /// Returns `true` if nothing is in flight.
+    pub fn is_idle(&self) -> bool {
+        *self == Self::default()
+    }
 }
 
 /// A short name for a server's id, for messages between nodes.
@@ -75,18 +98,32 @@
 const MOST_BEGUN: usize = 200;
 
 /// The loads of all servers, as this node knows them.
+///
+/// The sums over all peers are kept up to date with each report, so that reading one does not
+/// depend on the number of peers. [`LoadBook::expire`] must run some times a second: a report
+/// counts until the first call after its end.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBook {
     own: HashMap<u64, Load>,
     peers: HashMap<String, PeerLoads>,
+    /// What all peers have in flight, by server.
+    sums: HashMap<u64, Load>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct PeerLoads {
-    valid_until: Millis,
-    loads: HashMap<u64, Load>,
-    /// Requests that the peer told of one by one after it told its counts.
+    loads: HashMap<u64, Reported>,
+    /// Requests that the peer reported one by one after it reported its counts.
     begun: Vec<Begun>,
+    /// When the newest report ends.
+    known_until: Millis,
+}
+
+/// What a peer reported of one server.
+#[derive(Clone, Copy, Debug)]
+struct Reported {
+    load: Load,
+    valid_until: Millis,
 }
 
 /// A request that a peer has sent to a server.
@@ -127,19 +164,72 @@
         }
     }
 
-    /// Takes over what a peer told of its own counts, which count until `valid_until`.
+    /// Replaces all that a peer has in flight by its newest report, which counts until
+    /// `valid_until`.
     pub fn merge(&mut self, valid_until: Millis, peer: &str, loads: Vec<(u64, Load)>) {
-        let loads = loads.into_iter().collect();
-        let told = PeerLoads { valid_until, loads, begun: Vec::new() };
-        self.peers.insert(peer.to_owned(), told);
+        self.forget(peer);
+        for (server, load) in loads {
+            self.merge_server(valid_until, peer, server, load);
+        }
+        // The peer is known from now on, also while it has nothing in flight.
+        self.peers.entry(peer.to_owned()).or_default().known_until = valid_until;
+    }
+
+    /// Replaces what a peer has in flight at one server, until `valid_until`.
+    pub fn merge_server(&mut self, valid_until: Millis, peer: &str, server: u64, load: Load) {
+        let known = self.peers.entry(peer.to_owned()).or_default();
+        known.known_until = known.known_until.max(valid_until);
+        let before = known.loads.remove(&server);
+        if let Some(before) = before {
+            subtract(&mut self.sums, server, &before.load);
+        }
+        if !load.is_idle() {
+            known.loads.insert(server, Reported { load, valid_until });
+            self.sums.entry(server).or_default().add(&load);
+        }
     }
 
     /// Adds a request that a peer has sent to a server by now, until its prompt is expected to have
-    /// been read or the peer tells all its counts again.
+    /// been read or the peer reports all its counts again.
     pub fn merge_begun(&mut self, until: Millis, peer: &str, server: u64, work: &Work) {
         let Some(known) = self.peers.get_mut(peer) else { return };
         if known.begun.len() < MOST_BEGUN {
             known.begun.push(Begun { server, work: *work, until });
+            self.sums.entry(server).or_default().add(&Load::of(work));
+        }
+    }
+
+    /// Drops what was reported too long ago.
+    pub fn expire(&mut self, now: Millis) {
+        let sums = &mut self.sums;
+        for known in self.peers.values_mut() {
+            known.loads.retain(|server, reported| {
+                let is_valid = now < reported.valid_until;
+                if !is_valid {
+                    subtract(sums, *server, &reported.load);
+                }
+                is_valid
+            });
+            let known_until = known.known_until;
+            known.begun.retain(|begun| {
+                let is_unread = now < begun.until && now < known_until;
+                if !is_unread {
+                    subtract(sums, begun.server, &Load::of(&begun.work));
+                }
+                is_unread
+            });
+        }
+        self.peers.retain(|_, known| now < known.known_until);
+    }
+
+    /// Drops all that a peer reported.
+    pub fn forget(&mut self, peer: &str) {
+        let Some(known) = self.peers.remove(peer) else { return };
+        for (server, reported) in known.loads {
+            subtract(&mut self.sums, server, &reported.load);
+        }
+        for begun in known.begun {
+            subtract(&mut self.sums, begun.server, &Load::of(&begun.work));
         }
     }
 
@@ -148,17 +238,36 @@
         self.own.iter().map(|(id, load)| (*id, *load)).collect()
     }
 
+    /// Returns this node's own count of a server.
+    pub fn get_own_of(&self, server: u64) -> Load {
+        self.own.get(&server).copied().unwrap_or_default()
+    }
+
+    /// Returns what all peers but one have in flight at a server.
+    pub fn get_others(&self, peer: &str, server: u64) -> Load {
+        let mut others = self.sums.get(&server).copied().unwrap_or_default();
+        let reported = self.peers.get(peer).and_then(|known| known.loads.get(&server));
+        if let Some(reported) = reported {
+            others.subtract(&reported.load);
+        }
+        others
+    }
+
     /// Sums this node's counts of a server and its peers'.
-    pub fn total(&self, now: Millis, id: &str) -> Load {
+    pub fn total(&self, id: &str) -> Load {
         let short = short_id(id);
-        let mut total = self.own.get(&short).copied().unwrap_or_default();
-        let recent = self.peers.values().filter(|peer| now < peer.valid_until);
-        for peer in recent {
-            peer.loads.get(&short).into_iter().for_each(|load| total.add(load));
-            let begun =
-                peer.begun.iter().filter(|begun| begun.server == short && now < begun.until);
-            begun.for_each(|begun| total.begin(&begun.work));
+        let mut total = self.get_own_of(short);
+        if let Some(peers) = self.sums.get(&short) {
+            total.add(peers);
         }
         total
     }
 }
+
+fn subtract(sums: &mut HashMap<u64, Load>, server: u64, load: &Load) {
+    let Some(sum) = sums.get_mut(&server) else { return };
+    sum.subtract(load);
+    if sum.is_idle() {
+        sums.remove(&server);
+    }
+}
--- /dev/null
+++ b/crates/core/src/serving/members/ranking.rs
@@ -0,0 +1,64 @@
+//! Which nodes aggregate the reports of others.
+//!
+//! Every node computes the same order from the same list: within each data centre the nodes with
+//! the widest links come first, and those with equal links in rendezvous order. The first few of
+//! each data centre are aggregators; every other node reports to one of those of its data centre.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use super::entry::Entry;
+use crate::succession;
+
+/// Up to this many nodes, all report to each other and there are no groups: 40 digests in 200 ms
+/// were what a link of 10 Mbit/s bore in the measurements (docs/MEASUREMENTS.md).
+const MOST_UNGROUPED: usize = 40;
+const AGGREGATORS_KEY: &str = "aggregators";
+
+/// Returns `true` if so many nodes report in groups.
+pub(super) fn is_grouped(nodes: usize) -> bool {
+    nodes > MOST_UNGROUPED
+}
+
+/// Returns how many nodes report to one aggregator: with about as many aggregators as nodes in a
+/// group, an aggregator exchanges the fewest messages.
+fn get_group_size(nodes: usize) -> usize {
+    (nodes as f64).sqrt().ceil() as usize
+}
+
+/// Lists the aggregators of all data centres, each data centre's first ones first.
+pub(super) fn list_aggregators<'a>(nodes: &[&'a Entry]) -> Vec<&'a Entry> {
+    if !is_grouped(nodes.len()) {
+        return nodes.to_vec();
+    }
+    let size = get_group_size(nodes.len());
+    let mut data_centres: BTreeMap<&str, Vec<&'a Entry>> = BTreeMap::new();
+    for node in nodes {
+        data_centres.entry(&node.data_centre).or_default().push(node);
+    }
+    let first = |members: Vec<&'a Entry>| {
+        let count = members.len().div_ceil(size);
+        let ordered = order_by_link(AGGREGATORS_KEY, members);
+        ordered.into_iter().take(count)
+    };
+    data_centres.into_values().flat_map(first).collect()
+}
+
+/// Orders nodes by their links, the widest first, and in rendezvous order of a key beyond that.
+pub(super) fn order_by_link<'a>(key: &str, nodes: Vec<&'a Entry>) -> Vec<&'a Entry> {
+    let order = succession::order(key, nodes.iter().map(|node| node.name.as_str()));
+    let places: BTreeMap<&str, usize> =
+        order.into_iter().enumerate().map(|(place, name)| (name, place)).collect();
+    let mut ordered = nodes;
+    ordered.sort_by_key(|node| (Reverse(node.link_mbps), places.get(node.name.as_str()).copied()));
+    ordered
+}
+
+/// Picks the aggregator that a node reports to: one of its own data centre, where there is one.
+pub(super) fn pick_aggregator<'a>(own: &Entry, aggregators: &[&'a Entry]) -> Option<&'a Entry> {
+    let is_near = |entry: &&&Entry| entry.data_centre == own.data_centre;
+    let near: Vec<&Entry> = aggregators.iter().filter(is_near).copied().collect();
+    let among = if near.is_empty() { aggregators.to_vec() } else { near };
+    let owner = succession::owner(&own.name, among.iter().map(|entry| entry.name.as_str()))?;
+    among.into_iter().find(|entry| entry.name == owner)
+}
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -8,7 +8,8 @@
 //! | [`load`] | how busy each server is, by this node's and its peers' counts |
 //! | [`choice`] | which server a request goes to |
 //! | [`health`] | which servers are ejected because of their latest answers |
-//! | [`peers`] | which other nodes there are, and which of them read the platform's tables for all |
+//! | [`members`] | which other nodes there are, who aggregates whose reports, and who reads for all |
+//! | [`handover`] | which of a node's counts its peers have taken over |
 //! | [`quota`] | whether a client account is within its limit over all nodes |
 //! | [`budget`] | whether a request may be sent to a second server |
 //! | [`usage`] | how many requests of each client account began in each window |
@@ -26,9 +27,10 @@
 pub mod duty_lease;
 pub mod event_stream;
 pub mod freshness;
+pub mod handover;
 pub mod health;
 pub mod load;
-pub mod peers;
+pub mod members;
 pub mod quota;
 pub mod refusal;
 pub mod throughput;
--- a/crates/core/src/serving/quota/mod.rs
+++ b/crates/core/src/serving/quota/mod.rs
@@ -10,6 +10,9 @@
 //! A fraction of the rate is reserved for each node that was not heard lately, which may be cut off
 //! and serving: the nodes together never exceed the whole.
 //!
+//! In groups (see [`super::members`]) an aggregator adds up the units of its group, exchanges the
+//! sums with other aggregators, and reports to each node of its group what all others use.
+//!
 //! A node that starts does not know what was admitted before. It takes the level from a peer that
 //! has run for longer. Where no peer has, all nodes may have started again, and the burst may be
 //! spent: they then begin with a part of what the operator tolerates beyond the limit, once over all
@@ -22,7 +25,7 @@
 use std::collections::BTreeMap;
 
 pub use self::limit::{Limit, Reach, Tolerance};
-pub use self::report::{Report, Units};
+pub use self::report::{Report, Source, Units};
 
 use self::bucket::Bucket;
 use self::report::{RATE_VALID_FOR, Rates};
@@ -63,8 +66,14 @@
     whole: BTreeMap<String, Bucket>,
     local_share: BTreeMap<String, Bucket>,
     own: Report,
+    /// When this node began to count its own units from none.
+    counted_since: Millis,
     own_rates: Rates,
-    peers: BTreeMap<(String, u64), Rates>,
+    peers: BTreeMap<(Source, String, u64), Rates>,
+    /// Units that the nodes of this node's group were heard to admit, by client account.
+    group: BTreeMap<String, i64>,
+    /// Units that other nodes were heard to admit, for themselves and their groups.
+    others: BTreeMap<String, i64>,
 }
 
 impl Quotas {
@@ -76,8 +85,11 @@
             whole: BTreeMap::new(),
             local_share: BTreeMap::new(),
             own: Report::default(),
+            counted_since: now,
             own_rates: Rates::new(now),
             peers: BTreeMap::new(),
+            group: BTreeMap::new(),
+            others: BTreeMap::new(),
         }
     }
 
@@ -142,49 +154,166 @@
             bucket.available += units as f64;
         }
         if let Some(own) = self.own.accounts.get_mut(account) {
-            own.admitted = own.admitted.saturating_sub(units);
+            own.admitted -= units as i64;
         }
     }
 
-    /// Returns this incarnation's report, and notes how fast its figures grew.
+    /// Keeps the bucket of a client account also where none of its requests came to this node, so
+    /// that others can be told its level.
+    pub fn track(&mut self, now: Millis, account: &str, limit: Limit, reach: Reach) {
+        if limit.rate_per_second > 0.0 && !self.whole.contains_key(account) {
+            let limit = self.tolerance.raise(limit, RAISED_PART);
+            self.refill_whole(now, account, limit, reach);
+        }
+    }
+
+    /// Returns this node's own report, and notes how fast its figures grew.
     pub fn report(&mut self, now: Millis) -> Report {
         self.own.age = now.saturating_sub(self.started_at);
+        self.own.counted_for = now.saturating_sub(self.counted_since);
         for (account, units) in &mut self.own.accounts {
             units.requested_per_second = self.own_rates.measure_requested(now, account, units);
             if let Some(bucket) = self.whole.get_mut(account) {
                 bucket.refill(now);
-                units.level = (bucket.available + bucket.reserved) as i64;
+                units.level = Some((bucket.available + bucket.reserved) as i64);
             }
         }
         self.own_rates.update(now, &self.own);
         self.own.clone()
     }
 
-    /// Merges the report of an incarnation of a peer.
-    pub fn merge(&mut self, now: Millis, peer: &str, incarnation: u64, report: &Report) {
-        let is_first = !self.peers.contains_key(&(peer.to_owned(), incarnation));
-        let rates = self.peers.entry((peer.to_owned(), incarnation)).or_default();
+    /// Adds what this node's group uses to its own report.
+    pub fn add_group(&mut self, now: Millis, own: &Report) -> Report {
+        let group = std::mem::take(&mut self.group);
+        let report = self.add_sums(now, own, Source::Member, &group);
+        self.group = group;
+        report
+    }
+
+    /// Adds what all others use to the report of this node's group.
+    pub fn add_others(&mut self, now: Millis, group: &Report) -> Report {
+        let others = std::mem::take(&mut self.others);
+        let report = self.add_sums(now, group, Source::Peer, &others);
+        self.others = others;
+        report
+    }
+
+    fn add_sums(
+        &mut self,
+        now: Millis,
+        report: &Report,
+        source: Source,
+        admitted: &BTreeMap<String, i64>,
+    ) -> Report {
+        let mut sum = report.clone();
+        for (account, admitted) in admitted {
+            sum.accounts.entry(account.clone()).or_default().add(*admitted, 0);
+        }
+        let reporting = self.peers.iter().filter(|((from, _, _), _)| *from == source);
+        for (_, rates) in reporting {
+            for account in rates.iter_accounts() {
+                let requested = rates.get_requested(now, account) * 1_000.0;
+                sum.accounts.entry(account.clone()).or_default().add(0, requested as u64);
+            }
+        }
+        for (account, units) in &mut sum.accounts {
+            if let Some(bucket) = self.whole.get_mut(account) {
+                bucket.refill(now);
+                units.level = Some((bucket.available + bucket.reserved) as i64);
+            }
+        }
+        sum
+    }
+
+    /// Stops to report units that have arrived where this node reported until now.
+    pub fn hand_over(&mut self, now: Millis, arrived: &BTreeMap<String, Units>) {
+        self.counted_since = now;
+        // What the group used has been reported too; its nodes count anew.
+        self.group.clear();
+        self.own_rates.take_off(arrived);
+        for (account, arrived) in arrived {
+            if let Some(own) = self.own.accounts.get_mut(account) {
+                own.requested = own.requested.saturating_sub(arrived.requested);
+                own.admitted -= arrived.admitted;
+            }
+        }
+    }
+
+    /// Merges what this node's aggregator reports of all nodes, this one included, as of the time
+    /// at which `arrived` were this node's own units there.
+    pub fn merge_total(
+        &mut self,
+        now: Millis,
+        from: (&str, u64),
+        total: &Report,
+        arrived: &BTreeMap<String, Units>,
+    ) {
+        let mut others = total.clone();
+        for (account, units) in &mut others.accounts {
+            let at_aggregator = arrived.get(account).copied().unwrap_or_default();
+            let own = self.own.accounts.get(account).copied().unwrap_or_default();
+            units.admitted -= at_aggregator.admitted;
+            units.requested_per_second =
+                units.requested_per_second.saturating_sub(at_aggregator.requested_per_second);
+            let uncounted = own.admitted - at_aggregator.admitted;
+            units.level = units.level.map(|level| level - uncounted);
+        }
+        self.merge(now, Source::Aggregator, from, &others);
+    }
+
+    /// Merges the report of an incarnation of a peer, given by its name and number.
+    pub fn merge(&mut self, now: Millis, source: Source, from: (&str, u64), report: &Report) {
+        let (peer, incarnation) = from;
+        let key = (source, peer.to_owned(), incarnation);
+        let is_first = !self.peers.contains_key(&key);
+        let own_age = now.saturating_sub(self.started_at);
+        let rates = self.peers.entry(key).or_default();
         if is_first {
             rates.reported_at = now.saturating_sub(RATE_VALID_FOR);
-            rates.is_older = report.age > now.saturating_sub(self.started_at);
+            rates.is_older = report.age > own_age;
         }
-        let takes_level = is_first && rates.is_older;
+        // What was admitted long ago must not look like use of now.
+        let is_counted_elsewhere = match source {
+            Source::Aggregator => true,
+            _ if own_age < NEW_FOR => rates.is_older,
+            _ => report.counted_for > NEW_FOR,
+        };
+        let takes_level = is_first && is_counted_elsewhere;
         let newly_admitted = rates.update(now, report);
         for (account, admitted) in newly_admitted {
-            let Some(bucket) = self.whole.get_mut(&account) else { continue };
-            bucket.refill(now);
-            if !takes_level {
-                bucket.available -= admitted;
+            if takes_level {
+                self.take_level(now, source, &account, report);
                 continue;
             }
-            // The peer has counted what the others admitted, but not yet what this node did.
-            let known = report.accounts.get(&account).copied().unwrap_or_default();
-            let own = self.own.accounts.get(&account).copied().unwrap_or_default();
-            let level = known.level as f64 - own.admitted as f64 - bucket.reserved;
-            bucket.available = bucket.available.min(level);
+            let sums = match source {
+                Source::Member => Some(&mut self.group),
+                Source::Peer => Some(&mut self.others),
+                Source::Aggregator => None,
+            };
+            if let Some(sums) = sums {
+                *sums.entry(account.clone()).or_default() += admitted;
+            }
+            if let Some(bucket) = self.whole.get_mut(&account) {
+                bucket.refill(now);
+                bucket.available -= admitted as f64;
+            }
         }
     }
 
+    /// Takes over what a peer knows to be left of a client account's bucket, where that is less
+    /// than this node knows.
+    fn take_level(&mut self, now: Millis, source: Source, account: &str, report: &Report) {
+        let level = report.accounts.get(account).and_then(|units| units.level);
+        let (Some(bucket), Some(level)) = (self.whole.get_mut(account), level) else { return };
+        bucket.refill(now);
+        // A peer that this node has just met has not counted yet what this node admitted.
+        let is_new = now.saturating_sub(self.started_at) < NEW_FOR;
+        let own = self.own.accounts.get(account).map_or(0, |own| own.admitted);
+        let uncounted = if is_new && source != Source::Aggregator { own } else { 0 };
+        let level = level as f64 - uncounted as f64 - bucket.reserved;
+        bucket.available = bucket.available.min(level);
+    }
+
     /// Returns what is left of a client account's bucket, as this node knows it: below 0 where more
     /// was admitted than the limit allows; `None` before its first request.
     pub fn get_left(&self, now: Millis, account: &str) -> Option<f64> {
@@ -195,14 +324,16 @@
 
     /// Forgets an incarnation of a peer that is gone.
     pub fn forget(&mut self, peer: &str, incarnation: u64) {
-        self.peers.remove(&(peer.to_owned(), incarnation));
+        for source in [Source::Peer, Source::Member, Source::Aggregator] {
+            self.peers.remove(&(source, peer.to_owned(), incarnation));
+        }
     }
 
     fn admit(&mut self, account: &str, units: u64) {
         if let Some(bucket) = self.whole.get_mut(account) {
             bucket.available -= units as f64;
         }
-        self.own.accounts.entry(account.to_owned()).or_default().admitted += units;
+        self.own.accounts.entry(account.to_owned()).or_default().admitted += units as i64;
     }
 
     /// Refills the whole client account's bucket and returns what is left of it by now.
@@ -238,7 +369,7 @@
             let peers = self.peers.values().filter(move |peer| peer.is_older == is_older);
             peers.filter_map(|peer| peer.get_last(account))
         };
-        let level = match reports(true).map(|last| last.level).min() {
+        let level = match reports(true).filter_map(|last| last.level).min() {
             Some(level) => fresh.min(level as f64),
             None => fresh - reports(false).map(|last| last.admitted as f64).sum::<f64>(),
         };
--- a/crates/core/src/serving/quota/report.rs
+++ b/crates/core/src/serving/quota/report.rs
@@ -11,19 +11,42 @@
 pub struct Units {
     /// Units of all requests, those that were refused too.
     pub requested: u64,
-    /// Units of the requests that were admitted.
-    pub admitted: u64,
+    /// Units of the requests that were admitted. Those of all others, seen from one node, may be
+    /// fewer than none where the node's own were not counted yet.
+    pub admitted: i64,
     /// Units requested a second, lately: all nodes work out their shares from the same figures.
     pub requested_per_second: u64,
-    /// Units that are left of the whole client account's bucket, as this node knows it.
-    pub level: i64,
+    /// Units that are left of the whole client account's bucket, as this node knows it; `None`
+    /// where it does not keep it.
+    pub level: Option<i64>,
 }
 
-/// The units of one incarnation of a node.
+impl Units {
+    /// Adds what was used elsewhere.
+    pub(super) fn add(&mut self, admitted: i64, requested_per_second: u64) {
+        self.admitted += admitted;
+        self.requested_per_second += requested_per_second;
+    }
+}
+
+/// Whose units a report holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Source {
+    /// A node that reports for itself, or for its group.
+    Peer,
+    /// A node of this node's group, for which this node reports to others.
+    Member,
+    /// This node's aggregator, which reports for all other nodes.
+    Aggregator,
+}
+
+/// The units of one incarnation of a node, or of a group.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
-    /// Milliseconds since its start.
+    /// Milliseconds since the node's start.
     pub age: Millis,
+    /// Milliseconds since the units began to be counted from none.
+    pub counted_for: Millis,
     /// The units, by client account.
     pub accounts: BTreeMap<String, Units>,
 }
@@ -51,13 +74,16 @@
     }
 
     /// Takes over a report; returns the units admitted since the one before, by client account.
-    pub fn update(&mut self, now: Millis, report: &Report) -> Vec<(String, f64)> {
+    ///
+    /// A client account that the report leaves out has not changed.
+    pub fn update(&mut self, now: Millis, report: &Report) -> Vec<(String, i64)> {
         let since = now.saturating_sub(self.reported_at).max(1) as f64;
         let mut newly_admitted = Vec::new();
+        self.admitted.clear();
         for (account, units) in &report.accounts {
             let before = self.last.insert(account.clone(), *units).unwrap_or_default();
-            let admitted = units.admitted as f64 - before.admitted as f64;
-            self.admitted.insert(account.clone(), admitted.max(0.0) / since);
+            let admitted = units.admitted - before.admitted;
+            self.admitted.insert(account.clone(), admitted.max(0) as f64 / since);
             self.requested.insert(account.clone(), units.requested_per_second as f64 / 1_000.0);
             newly_admitted.push((account.clone(), admitted));
         }
@@ -80,6 +106,21 @@
         self.admitted.get(account).map_or(0.0, |rate| rate * since)
     }
 
+    /// Takes off what this node need no longer report.
+    pub fn take_off(&mut self, units: &BTreeMap<String, Units>) {
+        for (account, arrived) in units {
+            if let Some(last) = self.last.get_mut(account) {
+                last.requested = last.requested.saturating_sub(arrived.requested);
+                last.admitted -= arrived.admitted;
+            }
+        }
+    }
+
+    /// Lists the client accounts of the last reports.
+    pub fn iter_accounts(&self) -> impl Iterator<Item = &String> {
+        self.last.keys()
+    }
+
     /// Returns the units of a client account that were last reported.
     pub fn get_last(&self, account: &str) -> Option<&Units> {
         self.last.get(account)
--- a/crates/core/src/serving/throughput.rs
+++ b/crates/core/src/serving/throughput.rs
@@ -48,7 +48,7 @@
     pub first_token_ms: Millis,
 }
 
-/// The most samples in one report.
+/// The most samples in one report, those of the group included.
 const MOST_REPORTED: usize = 8;
 /// The samples of one server that are kept.
 const SERVER_SAMPLES: usize = 12;
@@ -81,7 +81,12 @@
         self.keep(now, sample);
     }
 
-    /// Takes this node's own samples that were not reported to peers yet.
+    /// Adds a sample that a node of this node's group reported, and reports it to others.
+    pub fn merge_member(&mut self, now: Millis, sample: Sample) {
+        self.add(now, sample);
+    }
+
+    /// Takes the samples of this node and its group that were not reported to peers yet.
     pub fn take_unreported(&mut self) -> Vec<Sample> {
         std::mem::take(&mut self.unreported)
     }
--- a/crates/core/src/serving/usage.rs
+++ b/crates/core/src/serving/usage.rs
@@ -28,6 +28,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Ledger {
     windows: BTreeMap<WindowNumber, BTreeMap<Life, Counts>>,
+    /// Lives of nodes that report to this one, for which it reports to others.
+    group: BTreeSet<Life>,
 }
 
 /// The counts of all lives in some windows, in few bytes: each client account is named once.
@@ -67,15 +69,54 @@
         }
     }
 
-    /// Sums the counts of a window over all lives.
-    pub fn total(&self, window: WindowNumber) -> Counts {
-        let mut total = Counts::new();
-        for counts in self.windows.get(&window).into_iter().flat_map(BTreeMap::values) {
-            for (account, count) in counts {
-                *total.entry(account.clone()).or_default() += count;
+    /// Takes over the counts of a life that reports to this node.
+    pub fn merge_member(&mut self, window: WindowNumber, life: &Life, counts: &Counts) {
+        self.group.insert(life.clone());
+        self.merge(window, life, counts);
+    }
+
+    /// Sums the counts of a life and of all lives that report to this node, in the latest windows.
+    ///
+    /// The sums only grow: a life that turned to another node counts anew there.
+    pub fn sum_group(&self, own: &Life, windows: usize) -> Vec<(WindowNumber, Counts)> {
+        let latest = self.windows.iter().rev().take(windows);
+        let sum = latest.map(|(window, lives)| {
+            let group = lives.iter().filter(|(life, _)| *life == own || self.group.contains(life));
+            (*window, sum(group.map(|(_, counts)| counts)))
+        });
+        sum.filter(|(_, counts)| !counts.is_empty()).collect()
+    }
+
+    /// Lets a node count under a new life what has not arrived where it reported until now.
+    ///
+    /// What arrived at an aggregator is part of that one's sums. What arrived at others as this
+    /// node's own sums (`is_own_sum`) stays here under the former life, as it does there.
+    pub fn hand_over(
+        &mut self,
+        former: &Life,
+        next: &Life,
+        arrived: &BTreeMap<WindowNumber, Counts>,
+        is_own_sum: bool,
+    ) {
+        self.group.clear();
+        let nothing = Counts::new();
+        for (window, lives) in &mut self.windows {
+            let Some(mut counts) = lives.remove(former) else { continue };
+            let arrived = arrived.get(window).unwrap_or(&nothing);
+            for (account, count) in &mut counts {
+                *count = count.saturating_sub(arrived.get(account).copied().unwrap_or(0));
+            }
+            counts.retain(|_, count| *count > 0);
+            lives.insert(next.clone(), counts);
+            if is_own_sum {
+                lives.insert(former.clone(), arrived.clone());
             }
         }
-        total
+    }
+
+    /// Sums the counts of a window over all lives.
+    pub fn total(&self, window: WindowNumber) -> Counts {
+        sum(self.windows.get(&window).into_iter().flat_map(BTreeMap::values))
     }
 
     /// Lists the counts of one life in all windows that are kept.
@@ -125,7 +166,17 @@
     /// Forgets the windows before one.
     pub fn forget_before(&mut self, window: WindowNumber) {
         self.windows = self.windows.split_off(&window);
+        let windows = &self.windows;
+        self.group.retain(|life| windows.values().any(|lives| lives.contains_key(life)));
+    }
+}
+
+fn sum<'a>(all: impl Iterator<Item = &'a Counts>) -> Counts {
+    let mut total = Counts::new();
+    for (account, count) in all.flatten() {
+        *total.entry(account.clone()).or_default() += count;
     }
+    total
 }
 
 /// Time after a window's end in which the last counts of all nodes arrive, as a part of the time
--- a/crates/core/tests/serving/choice.rs
+++ b/crates/core/tests/serving/choice.rs
@@ -1,4 +1,4 @@
-use keeljunction_core::serving::choice::{Candidate, Choice, Criteria, choose};
+use keeljunction_core::serving::choice::{Candidate, Choice, Criteria, choose, shortlist};
 use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::load::Load;
 
@@ -183,3 +183,44 @@
     assert_ne!(chosen(&reading(1), &criteria), first);
     assert_eq!(chosen(&reading(0), &criteria), first);
 }
+
+fn names(count: usize) -> Vec<Server> {
+    (0..count).map(|number| server(&format!("s-{number}"), "z1")).collect()
+}
+
+#[test]
+fn a_shortlist_holds_the_server_that_a_prefix_prefers_and_some_others() {
+    let servers = names(200);
+    let all: Vec<Candidate<'_>> = servers.iter().map(|s| candidate(s, 0, 0)).collect();
+    for part in 0..20 {
+        let criteria =
+            Criteria { shared_prefix: Some(part), prompt_tokens: 100, ..Criteria::default() };
+        let drawn = shortlist(servers.iter(), &criteria, part * 7 + 1, false);
+        let mut ids: Vec<&str> = drawn.iter().map(|server| server.id.as_str()).collect();
+        assert!(ids.contains(&chosen(&all, &criteria).as_str()));
+        ids.sort_unstable();
+        ids.dedup();
+        assert_eq!(ids.len(), 5);
+    }
+}
+
+#[test]
+fn a_shortlist_without_a_prefix_is_drawn_anew_each_time() {
+    let servers = names(200);
+    let drawn = |random| -> Vec<&str> {
+        let drawn = shortlist(servers.iter(), &Criteria::default(), random, false);
+        drawn.into_iter().map(|server| server.id.as_str()).collect()
+    };
+    assert_eq!(drawn(1).len(), 3);
+    let different: std::collections::BTreeSet<Vec<&str>> = (0..50).map(drawn).collect();
+    assert!(different.len() > 45, "{}", different.len());
+}
+
+#[test]
+fn a_shortlist_of_few_servers_holds_them_all_and_a_wide_one_more() {
+    let few = names(3);
+    let criteria = Criteria { shared_prefix: Some(1), ..Criteria::default() };
+    assert_eq!(shortlist(few.iter(), &criteria, 1, false).len(), 3);
+    assert_eq!(shortlist(few[..0].iter(), &criteria, 1, false).len(), 0);
+    assert_eq!(shortlist(names(200).iter(), &criteria, 1, true).len(), 14);
+}
--- a/crates/core/tests/serving/demand.rs
+++ b/crates/core/tests/serving/demand.rs
@@ -1,11 +1,11 @@
-use keeljunction_core::serving::demand::{DemandBook, DemandTotals};
+use keeljunction_core::serving::demand::{DemandBook, DemandTotals, Report};
 
 fn totals(requests: u64) -> DemandTotals {
     DemandTotals { requests, prompt_tokens: requests * 1_000, ..DemandTotals::default() }
 }
 
-fn told(requests: u64) -> Vec<(String, DemandTotals)> {
-    vec![("llm".to_owned(), totals(requests))]
+fn told(requests: u64) -> Vec<(String, Report)> {
+    vec![("llm".to_owned(), Report { totals: totals(requests), in_flight: 0 })]
 }
 
 #[test]
@@ -33,9 +33,9 @@
 fn what_a_peer_was_asked_before_it_was_heard_is_no_demand_of_now() {
     let mut book = DemandBook::default();
     book.sample(10_000, "llm");
-    book.merge("peer", 1, &told(50_000));
+    book.merge(10_000, false, ("peer", 1), &told(50_000));
     book.sample(10_200, "llm");
-    book.merge("peer", 1, &told(50_030));
+    book.merge(10_000, false, ("peer", 1), &told(50_030));
     book.sample(12_200, "llm");
     assert_eq!(book.within(12_200, "llm", 4_000), Some((totals(30), 2_000)));
 }
@@ -44,10 +44,32 @@
 fn a_service_is_untouched_until_some_node_was_asked() {
     let mut book = DemandBook::default();
     assert!(book.is_untouched("llm"));
-    book.merge("peer", 1, &told(0));
+    book.merge(10_000, false, ("peer", 1), &told(0));
     book.count("other", &totals(1));
     assert!(book.is_untouched("llm"));
     // Also what a peer was asked for before it was first heard.
-    book.merge("another", 1, &told(3));
+    book.merge(10_000, false, ("another", 1), &told(3));
     assert!(!book.is_untouched("llm"));
 }
+
+#[test]
+fn a_group_reports_what_its_members_were_asked_since_they_were_heard() {
+    let report = |requests, in_flight| {
+        vec![("llm".to_owned(), Report { totals: totals(requests), in_flight })]
+    };
+    let mut book = DemandBook::default();
+    book.count("llm", &totals(5));
+    book.begin("llm");
+    book.merge(10_000, true, ("member", 1), &report(100, 2));
+    book.merge(10_400, true, ("member", 1), &report(110, 3));
+    book.merge(10_400, false, ("other", 1), &report(1_000, 7));
+    book.merge(10_800, false, ("other", 1), &report(1_030, 8));
+    let sum = Report { totals: totals(15), in_flight: 4 };
+    assert_eq!(book.sum_group(10_800), [("llm".to_owned(), sum)]);
+    assert_eq!(book.get_in_flight(10_800, "llm"), 12);
+    // The member is gone; what it was asked for stays.
+    book.forget("member", 1);
+    book.end("llm");
+    assert_eq!(book.sum_group(10_900), [("llm".to_owned(), Report { in_flight: 0, ..sum })]);
+    assert_eq!(book.get_in_flight(12_800, "llm"), 0);
+}
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -11,7 +11,7 @@
 mod freshness;
 mod health;
 mod load;
-mod peers;
+mod members;
 mod quota;
 mod quota_cluster;
 mod refusal;
--- /dev/null
+++ b/crates/core/tests/serving/members.rs
@@ -0,0 +1,349 @@
+use std::net::SocketAddr;
+
+use keeljunction_core::serving::load::short_id;
+use keeljunction_core::serving::members::{Entry, Heard, Members, Overview, Role};
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], number))
+}
+
+fn entry_in(data_centre: &str, name: &str, link_mbps: u32, number: u16) -> Entry {
+    let (name, data_centre) = (name.to_owned(), data_centre.to_owned());
+    Entry { name, address: address(number), data_centre, link_mbps }
+}
+
+fn entry(name: &str, link_mbps: u32, number: u16) -> Entry {
+    entry_in("z1", name, link_mbps, number)
+}
+
+fn heard(entry: &Entry) -> Heard<'_> {
+    let role = Role::Aggregator;
+    Heard { entry, incarnation: 1, is_stopping: false, role, holder_age: None }
+}
+
+/// A node that hears `count` others at 1,000 ms, whose links carry 10 Mbit/s.
+fn members_of(own_name: &str, own_link_mbps: u32, count: u16) -> Members {
+    let mut members = Members::new(0, entry(own_name, own_link_mbps, 1), &[]);
+    for number in 0..count {
+        members.hear(1_000, &heard(&entry(&format!("node-{number}"), 10, 100 + number)));
+    }
+    members.refresh(1_000);
+    members
+}
+
+#[test]
+fn a_node_that_hears_nobody_reads_for_itself() {
+    let members = Members::new(0, entry("a", 10, 1), &[]);
+    assert!(!members.is_reader(999));
+    assert!(members.is_reader(1_000));
+}
+
+#[test]
+fn three_of_many_nodes_read_for_all() {
+    let readers = (0..20u16).filter(|own| {
+        let mut members = Members::new(0, entry(&format!("node-{own}"), 10, 100 + own), &[]);
+        for other in (0..20).filter(|other| other != own) {
+            members.hear(1_000, &heard(&entry(&format!("node-{other}"), 10, 100 + other)));
+        }
+        members.refresh(1_050);
+        members.is_reader(1_100)
+    });
+    assert_eq!(readers.count(), 3);
+}
+
+#[test]
+fn nodes_with_wide_links_read_first() {
+    let mut members = members_of("own", 10, 30);
+    for number in 0..3 {
+        members.hear(1_000, &heard(&entry(&format!("wide-{number}"), 200, 900 + number)));
+    }
+    members.refresh(1_100);
+    let mut readers = members.get_readers();
+    readers.sort_unstable();
+    assert_eq!(readers, [address(900), address(901), address(902)]);
+    assert!(!members.is_reader(1_100));
+}
+
+#[test]
+fn a_reader_that_is_no_longer_heard_is_replaced() {
+    let mut members = members_of("own", 200, 2);
+    let wide = |number: u16| entry(&format!("wide-{number}"), 1_000, 900 + number);
+    for number in 0..3 {
+        members.hear(1_000, &heard(&wide(number)));
+    }
+    members.refresh(1_100);
+    assert!(!members.is_reader(1_100));
+    for number in 0..2 {
+        members.hear(2_500, &heard(&wide(number)));
+    }
+    members.refresh(2_600);
+    assert!(members.is_reader(2_600));
+}
+
+#[test]
+fn a_node_that_was_not_heard_since_a_window_ended_is_missing() {
+    let mut members = members_of("own", 10, 2);
+    assert!(!members.is_any_unheard_since(1_500, 900));
+    members.hear(2_000, &heard(&entry("node-0", 10, 100)));
+    assert!(members.is_any_unheard_since(2_100, 1_500));
+    members.hear(2_200, &heard(&entry("node-1", 10, 101)));
+    assert!(!members.is_any_unheard_since(2_300, 1_500));
+}
+
+#[test]
+fn a_node_that_stops_or_is_gone_for_long_is_not_waited_for() {
+    let mut members = members_of("own", 10, 2);
+    members.hear(2_000, &heard(&entry("node-0", 10, 100)));
+    let stopping = entry("node-1", 10, 101);
+    members.hear(2_000, &Heard { is_stopping: true, ..heard(&stopping) });
+    assert!(!members.is_any_unheard_since(9_000, 1_500));
+    assert!(members.is_any_unheard_since(9_000, 8_000));
+    assert!(!members.is_any_unheard_since(62_001, 61_000));
+}
+
+#[test]
+fn a_node_that_has_not_read_the_list_takes_many_to_be_there_for_a_while() {
+    let mut members = Members::new(0, entry("own", 10, 1), &[]);
+    assert_eq!((members.get_reach(100).heard, members.get_reach(100).all), (1, 100));
+    members.refresh(3_000);
+    assert_eq!(members.get_reach(3_000).all, 1);
+    members.take_list(100, vec![entry("own", 10, 1), entry("other", 10, 2)]);
+    assert_eq!(members.get_reach(100).all, 2);
+}
+
+#[test]
+fn a_node_that_slept_hears_nobody_until_it_has_looked_again() {
+    let members = members_of("own", 10, 5);
+    assert_eq!(members.get_reach(1_500).heard, 6);
+    assert_eq!(members.get_reach(9_000).heard, 1);
+}
+
+#[test]
+fn a_node_that_is_silent_is_still_sent_to_so_that_a_cut_can_end() {
+    let mut members = members_of("own", 10, 3);
+    for now in [1_200, 2_400, 3_600] {
+        members.hear(now, &heard(&entry("node-0", 10, 100)));
+        members.refresh(now);
+    }
+    assert_eq!(members.get_reach(3_600).heard, 2);
+    assert_eq!(members.list_exchange(3_600).len(), 3);
+    assert_eq!(members.list_silent(), [short_id("node-1"), short_id("node-2")]);
+    members.hear(3_700, &heard(&entry("node-2", 10, 102)));
+    members.refresh(3_800);
+    assert_eq!(members.list_silent(), [short_id("node-1")]);
+}
+
+/// Sixty nodes in three data centres: one with a wide link in each, the others with narrow links.
+fn sixty() -> Vec<Entry> {
+    let nodes = (0..60u16).map(|number| {
+        let link = if number < 3 { 200 } else { 10 };
+        entry_in(&format!("z{}", number % 3), &format!("node-{number}"), link, 100 + number)
+    });
+    nodes.collect()
+}
+
+fn member_of_sixty(number: usize) -> Members {
+    let all = sixty();
+    let mut members = Members::new(0, all[number].clone(), &[]);
+    members.take_list(0, all);
+    members
+}
+
+#[test]
+fn of_many_nodes_a_few_of_each_data_centre_aggregate_the_widest_first() {
+    // Twenty nodes a data centre, groups of eight: three aggregators each.
+    let aggregators: Vec<usize> = (0..60).filter(|n| member_of_sixty(*n).is_aggregator()).collect();
+    assert_eq!(aggregators.len(), 9);
+    assert_eq!(aggregators[..3], [0, 1, 2]);
+    for number in (0..60).filter(|number| !aggregators.contains(number)) {
+        let members = member_of_sixty(number);
+        let own = members.get_own_aggregator().expect("an aggregator");
+        assert_eq!(own.data_centre, format!("z{}", number % 3));
+        assert!(aggregators.contains(&(usize::from(own.address.port()) - 100)));
+    }
+    // What an aggregator sends to does not grow with the nodes.
+    assert_eq!(member_of_sixty(0).list_exchange(0).len(), 8);
+}
+
+#[test]
+fn all_nodes_agree_who_keeps_the_load_of_a_server() {
+    for server in 0..20u64 {
+        let server = short_id(&server.to_string());
+        let owners = (0..60).map(|number| {
+            let own = address(100 + number as u16);
+            member_of_sixty(number).find_load_owner(server).unwrap_or(own)
+        });
+        let owners: std::collections::BTreeSet<SocketAddr> = owners.collect();
+        assert_eq!(owners.len(), 1);
+    }
+}
+
+/// The nodes of sixty that are no aggregators, each with its aggregator.
+fn all_ordinary() -> Vec<(Members, Entry)> {
+    let members = (0..60).map(member_of_sixty);
+    let ordinary = members.filter_map(|members| {
+        let aggregator = members.get_own_aggregator()?.clone();
+        Some((members, aggregator))
+    });
+    ordinary.collect()
+}
+
+/// One of them that is not the next to aggregate.
+fn ordinary() -> (Members, Entry) {
+    let is_next = |members: &mut Members, aggregator: &Entry| {
+        members.take_overview(
+            1,
+            &aggregator.name,
+            Overview::default(),
+            &[short_id(&aggregator.name)],
+        );
+        members.refresh(1);
+        members.get_own_aggregator().is_none()
+    };
+    let others = all_ordinary().into_iter().zip(all_ordinary());
+    let mut others = others.filter_map(|((mut tried, aggregator), found)| {
+        (!is_next(&mut tried, &aggregator)).then_some(found)
+    });
+    others.next().expect("most are not the next to aggregate")
+}
+
+#[test]
+fn one_node_of_a_group_takes_the_place_of_a_silent_aggregator() {
+    let (_, gone) = ordinary();
+    let group = all_ordinary().into_iter().filter(|(_, aggregator)| *aggregator == gone);
+    let promoted =
+        group.filter(|(_, aggregator)| *aggregator == gone).filter_map(|(mut members, _)| {
+            members.take_overview(1, &gone.name, Overview::default(), &[short_id(&gone.name)]);
+            members.refresh(1);
+            members.is_aggregator().then_some(())
+        });
+    assert!(promoted.count() <= 1);
+}
+
+#[test]
+fn a_node_whose_aggregator_falls_silent_picks_another_and_returns_later() {
+    let (mut members, aggregator) = ordinary();
+    let overview = Overview { heard: 50, all: 60 };
+    members.take_overview(1_000, &aggregator.name, overview, &[]);
+    members.refresh(1_000);
+    assert_eq!((members.get_reach(1_000).heard, members.get_reach(1_000).all), (50, 60));
+    members.refresh(2_500);
+    assert_eq!(members.get_own_aggregator(), Some(&aggregator));
+    // Four periods of 400 ms.
+    members.refresh(2_600);
+    let next = members.get_own_aggregator().expect("another aggregator").clone();
+    assert_ne!(next, aggregator);
+    assert_eq!(next.data_centre, aggregator.data_centre);
+    members.refresh(2_700);
+    assert_eq!(members.get_reach(2_700).heard, 1);
+    for now in (2_700..13_100).step_by(400) {
+        members.take_overview(now, &next.name, overview, &[]);
+        members.refresh(now);
+    }
+    assert_eq!(members.get_own_aggregator(), Some(&aggregator));
+}
+
+#[test]
+fn a_node_passes_over_an_aggregator_that_the_others_do_not_hear() {
+    let (mut members, aggregator) = ordinary();
+    let overview = Overview { heard: 60, all: 60 };
+    members.take_overview(400, &aggregator.name, overview, &[short_id(&aggregator.name)]);
+    members.refresh(400);
+    assert_ne!(members.get_own_aggregator(), Some(&aggregator));
+}
+
+#[test]
+fn an_overview_of_another_node_than_the_own_aggregator_is_ignored() {
+    let (mut members, aggregator) = ordinary();
+    let overview = Overview { heard: 60, all: 60 };
+    members.take_overview(400, "another", overview, &[short_id(&aggregator.name)]);
+    members.refresh(400);
+    assert_eq!(members.get_own_aggregator(), Some(&aggregator));
+    assert_eq!(members.get_reach(400).heard, 1);
+}
+
+#[test]
+fn an_aggregator_that_falls_silent_is_replaced_by_the_next_of_its_data_centre() {
+    let all = sixty();
+    let mut members = member_of_sixty(0);
+    let others: Vec<SocketAddr> = members.list_exchange(0);
+    let silent = others.iter().find(|other| other.port() == 101).copied();
+    for now in (0..=2_400).step_by(400) {
+        for other in others.iter().filter(|other| Some(**other) != silent) {
+            members.hear(now, &heard(&all[usize::from(other.port()) - 100]));
+        }
+        members.refresh(now);
+    }
+    assert_eq!(members.list_silent(), [short_id("node-1")]);
+    let now_others = members.list_exchange(2_400);
+    let new: Vec<&SocketAddr> = now_others.iter().filter(|other| !others.contains(other)).collect();
+    assert_eq!(new.len(), 1);
+    assert_eq!(all[usize::from(new[0].port()) - 100].data_centre, "z1");
+}
+
+#[test]
+fn nodes_of_all_groups_are_in_reach_and_are_not_missing() {
+    let all = sixty();
+    let mut members = member_of_sixty(0);
+    let member = |number: usize| Heard { role: Role::Member, ..heard(&all[number]) };
+    for number in [3, 6, 9] {
+        members.hear(400, &member(number));
+    }
+    members.hear(400, &heard(&all[1]));
+    members.take_group(400, "node-1", vec![short_id("node-4"), short_id("node-7")], 300);
+    members.refresh(400);
+    // Itself, three of its group, another aggregator and two of that one's group.
+    assert_eq!((members.get_reach(400).heard, members.get_reach(400).all), (7, 60));
+    assert_eq!(
+        members.get_group(500),
+        (vec![short_id("node-3"), short_id("node-6"), short_id("node-9")], 100)
+    );
+    // One of the other group was last heard 300 ms before its aggregator said so.
+    assert!(!members.is_any_unheard_since(500, 100));
+    assert!(members.is_any_unheard_since(500, 101));
+    // One that turned to the other aggregator is not missing here.
+    for now in [2_000, 2_400] {
+        members.hear(now, &heard(&all[1]));
+        members.take_group(now, "node-1", vec![short_id("node-4"), short_id("node-3")], 0);
+        members.hear(now, &member(6));
+        members.hear(now, &member(9));
+        members.refresh(now);
+    }
+    assert!(!members.is_any_unheard_since(2_400, 2_000));
+}
+
+#[test]
+fn a_new_node_is_passed_on_for_a_while() {
+    let mut members = member_of_sixty(0);
+    let fresh = entry_in("z1", "fresh", 10, 900);
+    members.hear(10_000, &Heard { role: Role::Member, ..heard(&fresh) });
+    assert_eq!(members.list_joined(12_999, 7), std::slice::from_ref(&fresh));
+    assert!(members.list_joined(13_000, 7).is_empty());
+    let mut other = member_of_sixty(1);
+    other.take_entries(11_000, &[fresh]);
+    other.refresh(11_000);
+    assert_eq!(other.get_reach(11_000).all, 61);
+}
+
+#[test]
+fn the_age_at_which_a_holder_was_heard_adds_up() {
+    let mut members = member_of_sixty(0);
+    let other = entry("node-1", 200, 101);
+    members.hear(5_000, &Heard { holder_age: Some(700), ..heard(&other) });
+    assert_eq!(members.get_holder_age(5_100), Some(800));
+    assert!(members.is_holder_heard(5_100, 801));
+    assert!(!members.is_holder_heard(5_100, 800));
+}
+
+#[test]
+fn a_node_that_others_report_to_aggregates_for_them() {
+    let (mut members, aggregator) = ordinary();
+    let all = sixty();
+    let other = all.iter().find(|entry| entry.name != aggregator.name).expect("others");
+    members.hear(400, &Heard { role: Role::Member, ..heard(other) });
+    members.refresh(400);
+    assert!(members.is_aggregator());
+    assert_eq!(members.get_own_aggregator(), None);
+    members.refresh(2_400);
+    assert!(!members.is_aggregator());
+}
--- a/crates/core/tests/serving/quota.rs
+++ b/crates/core/tests/serving/quota.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use keeljunction_core::serving::quota::{Limit, Quotas, Reach, Report, Tolerance, Units};
+use keeljunction_core::serving::quota::{Limit, Quotas, Reach, Report, Source, Tolerance, Units};
 use proptest::prelude::*;
 
 const LIMIT: Limit = Limit { rate_per_second: 100.0, burst: 200.0 };
@@ -37,19 +37,20 @@
     assert_eq!(quotas.consume(11_000, "other", 1, LIMIT, ALONE), Ok(()));
 }
 
-fn reported(requested: u64, admitted: u64) -> Report {
+fn reported(requested: u64, admitted: i64) -> Report {
     reported_at_rate(requested, admitted, 0)
 }
 
-fn reported_at_rate(requested: u64, admitted: u64, requested_per_second: u64) -> Report {
-    let units = Units { requested, admitted, requested_per_second, level: 0 };
-    Report { age: 0, accounts: BTreeMap::from([("acme".to_owned(), units)]) }
+fn reported_at_rate(requested: u64, admitted: i64, requested_per_second: u64) -> Report {
+    let units = Units { requested, admitted, requested_per_second, level: Some(0) };
+    Report { accounts: BTreeMap::from([("acme".to_owned(), units)]), ..Report::default() }
 }
 
 /// A report of a peer that has run for a minute, and knows what is left.
-fn reported_by_older(admitted: u64, level: i64) -> Report {
-    let units = Units { requested: admitted, admitted, requested_per_second: 0, level };
-    Report { age: 60_000, accounts: BTreeMap::from([("acme".to_owned(), units)]) }
+fn reported_by_older(admitted: i64, level: i64) -> Report {
+    let units = Units { admitted, level: Some(level), ..Units::default() };
+    let accounts = BTreeMap::from([("acme".to_owned(), units)]);
+    Report { age: 60_000, counted_for: 60_000, accounts }
 }
 
 const TWO: Reach = Reach { heard: 2, all: 2, period: 200 };
@@ -58,8 +59,8 @@
 fn what_peers_use_counts_once() {
     let mut quotas = quotas_of_old();
     quotas.consume(11_000, "acme", 1, LIMIT, TWO).expect("within the limit");
-    quotas.merge(15_000, "peer", 1, &reported(150, 150));
-    quotas.merge(15_000, "peer", 1, &reported(150, 150));
+    quotas.merge(15_000, Source::Peer, ("peer", 1), &reported(150, 150));
+    quotas.merge(15_000, Source::Peer, ("peer", 1), &reported(150, 150));
     assert_eq!(quotas.consume(15_000, "acme", 50, LIMIT, ALONE), Ok(()));
     assert_eq!(quotas.consume(15_000, "acme", 1, LIMIT, ALONE), Err(10));
 }
@@ -68,7 +69,7 @@
 fn what_a_peer_gave_before_this_node_began_does_not_count() {
     let mut quotas = Quotas::new(10_900, OVERSHOOT);
     quotas.consume(11_000, "acme", 1, LIMIT, TWO).expect("within the limit");
-    quotas.merge(11_100, "peer", 1, &reported_by_older(90_000, 150));
+    quotas.merge(11_100, Source::Peer, ("peer", 1), &reported_by_older(90_000, 150));
     assert_eq!(quotas.consume(11_100, "acme", 10, LIMIT, TWO), Ok(()));
 }
 
@@ -76,7 +77,7 @@
 fn a_node_that_starts_takes_the_level_of_a_peer_that_runs() {
     for level in [-40, 0, 30] {
         let mut quotas = Quotas::new(10_900, OVERSHOOT);
-        quotas.merge(11_000, "peer", 1, &reported_by_older(90_000, level));
+        quotas.merge(11_000, Source::Peer, ("peer", 1), &reported_by_older(90_000, level));
         let taken = (0..100).filter(|_| quotas.consume(11_000, "acme", 1, LIMIT, ALONE).is_ok());
         assert_eq!(taken.count() as i64, level.max(0));
     }
@@ -96,9 +97,9 @@
     quotas.refund("acme", 300);
     assert_eq!(quotas.consume(11_000, "acme", 200, LIMIT, ALONE), Ok(()));
     // 500 units requested for in 11 seconds, of which the first figure counts half.
-    let units = Units { requested: 500, admitted: 200, requested_per_second: 22, level: 0 };
+    let units = Units { requested: 500, admitted: 200, requested_per_second: 22, level: Some(0) };
     let accounts = BTreeMap::from([("acme".to_owned(), units)]);
-    assert_eq!(quotas.report(11_000), Report { age: 11_000, accounts });
+    assert_eq!(quotas.report(11_000), Report { age: 11_000, counted_for: 11_000, accounts });
 }
 
 #[test]
@@ -116,12 +117,12 @@
 fn a_peer_is_taken_to_go_on_at_its_last_rate_until_it_tells_again() {
     let mut quotas = quotas_of_old();
     quotas.consume(11_000, "acme", 1, LIMIT, TWO).expect("within the limit");
-    quotas.merge(11_000, "peer", 1, &reported(0, 0));
-    quotas.merge(11_500, "peer", 1, &reported(150, 150));
+    quotas.merge(11_000, Source::Peer, ("peer", 1), &reported(0, 0));
+    quotas.merge(11_500, Source::Peer, ("peer", 1), &reported(150, 150));
     // 200 - 150 are left at 1,500 ms and 10 gained by 1,600, but another 30 were admitted unreported.
     assert_eq!(quotas.consume(11_600, "acme", 60, LIMIT, ALONE), Ok(()));
     assert_eq!(quotas.consume(11_700, "acme", 1, LIMIT, ALONE), Err(510));
-    quotas.merge(11_800, "peer", 1, &reported(150, 150));
+    quotas.merge(11_800, Source::Peer, ("peer", 1), &reported(150, 150));
     assert_eq!(quotas.consume(11_800, "acme", 1, LIMIT, ALONE), Ok(()));
 }
 
@@ -130,10 +131,10 @@
     let mut quotas = quotas_of_old();
     quotas.consume(10_000, "acme", 100, LIMIT, TWO).expect("within the limit");
     quotas.report(10_000);
-    quotas.merge(10_000, "peer", 1, &reported(0, 0));
+    quotas.merge(10_000, Source::Peer, ("peer", 1), &reported(0, 0));
     quotas.consume(11_000, "acme", 100, LIMIT, TWO).expect("within the limit");
     quotas.report(11_000);
-    quotas.merge(11_000, "peer", 1, &reported_at_rate(300, 300, 150));
+    quotas.merge(11_000, Source::Peer, ("peer", 1), &reported_at_rate(300, 300, 150));
     let taken: u64 = (11_000..13_000u64)
         .step_by(10)
         .map(|now| u64::from(quotas.consume(now, "acme", 1, LIMIT, TWO).is_ok()))
@@ -201,7 +202,7 @@
                     let reported = quotas[node].report(now);
                     for (other, quota) in quotas.iter_mut().enumerate() {
                         if other != node {
-                            quota.merge(now, &format!("n-{node}"), 1, &reported);
+                            quota.merge(now, Source::Peer, (&format!("n-{node}"), 1), &reported);
                         }
                     }
                 }
@@ -270,7 +271,7 @@
                 let reported = quotas[node].report(clock);
                 for (other, quota) in quotas.iter_mut().enumerate() {
                     if other != node {
-                        quota.merge(clock, &format!("n-{node}"), lives, &reported);
+                        quota.merge(clock, Source::Peer, (&format!("n-{node}"), lives), &reported);
                     }
                 }
             }
@@ -301,7 +302,7 @@
     let mut quotas = Quotas::new(10_000, OVERSHOOT);
     // Its peers have just started too, and reported before their first request.
     for peer in 0..9 {
-        quotas.merge(10_050, &format!("n-{peer}"), 1, &reported(0, 0));
+        quotas.merge(10_050, Source::Peer, (&format!("n-{peer}"), 1), &reported(0, 0));
     }
     let mut given = 0;
     for now in (10_100..11_100u64).step_by(10) {
@@ -370,7 +371,7 @@
                     let report = quotas[node].report(now);
                     for (other, quota) in quotas.iter_mut().enumerate() {
                         if other != node {
-                            quota.merge(now, &format!("n-{node}"), 1, &report);
+                            quota.merge(now, Source::Peer, (&format!("n-{node}"), 1), &report);
                         }
                     }
                 }
--- a/crates/core/tests/serving/quota_cluster.rs
+++ b/crates/core/tests/serving/quota_cluster.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 
-use keeljunction_core::serving::quota::{Limit, Quotas, Reach, Tolerance};
+use keeljunction_core::serving::quota::{Limit, Quotas, Reach, Source, Tolerance};
 use proptest::prelude::*;
 
 const LIMIT: Limit = Limit { rate_per_second: 500_000.0, burst: 500_000.0 };
@@ -106,7 +106,7 @@
                 continue;
             }
             node.heard.insert(from, now);
-            node.quotas.merge(now, &format!("n-{from}"), incarnation, &report);
+            node.quotas.merge(now, Source::Peer, (&format!("n-{from}"), incarnation), &report);
         }
     }
 
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -47,6 +47,8 @@
     ServerEjected { server: &'a str, ejected_for_ms: u64 },
     /// The duty lease was taken, renewed after a gap, or lost.
     LeaseChanged { fence: Option<u64> },
+    /// The node reports its counts to another aggregator, or aggregates itself.
+    AggregatorChanged { aggregator: Option<&'a str>, nodes_heard: usize, nodes_known: usize },
     /// A window's usage was reported.
     UsageReported { window: u64, requests: u64, fence: u64, status: Option<u16> },
     /// A data centre's number of servers was ordered.
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -223,7 +223,7 @@
     let limit = Limit { rate_per_second: account.rate_per_second, burst: account.burst };
     let now = node.now();
     node.with(|state| {
-        let reach = state.peers.get_reach(now);
+        let reach = state.members.get_reach(now);
         state.quotas.consume(now, &account.name, units, limit, reach)
     })?;
     Ok(Some((account.name.clone(), units)))
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -14,7 +14,7 @@
 
 use super::admission::Exchange;
 use crate::http::{Body, Reply};
-use crate::node::{Node, watch};
+use crate::node::{Node, note_load_change, watch};
 use crate::port::{AnswerHead, Dispatch};
 use crate::runtime;
 
@@ -88,6 +88,7 @@
 /// Counts a request at a server until it is dropped.
 pub(super) struct LoadGuard {
     node: Arc<Node>,
+    service: String,
     server: String,
     work: Work,
     had_first_token: bool,
@@ -95,8 +96,13 @@
 
 impl LoadGuard {
     fn begin(node: &Arc<Node>, server: &Server, work: Work) -> Self {
-        node.with(|state| state.loads.begin(&server.id, &work));
-        Self { node: node.clone(), server: server.id.clone(), work, had_first_token: false }
+        node.with(|state| {
+            state.loads.begin(&server.id, &work);
+            state.demand.begin(&server.service);
+        });
+        note_load_change(node, &server.id, true);
+        let (service, server) = (server.service.clone(), server.id.clone());
+        Self { node: node.clone(), service, server, work, had_first_token: false }
     }
 
     /// Notes the first token of the answer.
@@ -104,6 +110,7 @@
         if !self.had_first_token {
             self.had_first_token = true;
             self.node.with(|state| state.loads.note_first_token(&self.server, &self.work));
+            note_load_change(&self.node, &self.server, false);
         }
     }
 }
@@ -111,7 +118,11 @@
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         let had_first_token = self.had_first_token;
-        self.node.with(|state| state.loads.end(&self.server, &self.work, had_first_token));
+        self.node.with(|state| {
+            state.loads.end(&self.server, &self.work, had_first_token);
+            state.demand.end(&self.service);
+        });
+        note_load_change(&self.node, &self.server, false);
     }
 }
 
@@ -148,8 +159,7 @@
     order: &Order<'_>,
 ) -> Result<Answer, Failure> {
     let request = build(node, exchange, order).ok_or((Failed::NotConnected, None))?;
-    let is_alone = node
-        .with(|state| state.loads.total(node.now(), &order.server.id).get_waiting_tokens() == 0);
+    let is_alone = node.with(|state| state.loads.total(&order.server.id).get_waiting_tokens() == 0);
     let mut load = LoadGuard::begin(node, order.server, exchange.work);
     let sent_at = node.now();
     let sending = node.servers.send(order.server.address, request);
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::choice::{Candidate, Choice, Criteria, choose};
+use keeljunction_core::serving::choice::{Candidate, Choice, Criteria, choose, shortlist};
 use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::load::short_id;
 use keeljunction_core::serving::refusal::Refusal;
@@ -14,8 +14,8 @@
 use super::respond::{Record, Refused};
 use crate::event::{self, Event};
 use crate::metrics::ReasonLabels;
-use crate::node::Node;
 use crate::node::state::State;
+use crate::node::{Node, ask_loads, report_begun};
 
 /// When to come back where no server takes work.
 const SERVER_BACK_IN: Millis = 700;
@@ -74,7 +74,7 @@
     let mut progress = Progress::default();
     let mut spare: Option<Box<Answer>> = None;
     loop {
-        let server = match next_attempt(node, exchange, &progress) {
+        let server = match next_attempt(node, exchange, &progress).await {
             Ok(server) => server,
             Err(stop) => return give_up(node, exchange, stop, spare),
         };
@@ -126,7 +126,7 @@
         may_have_run: true,
     };
     loop {
-        let server = next_attempt(node, exchange, &progress).ok()?;
+        let server = next_attempt(node, exchange, &progress).await.ok()?;
         let within = exchange.get_left(node.now());
         let order = Order { server: &server, last_event, within };
         let tried_server = try_server(node, exchange, record, &mut progress, &order).await;
@@ -138,7 +138,11 @@
 }
 
 /// Picks the server of the next attempt, or says why there is none.
-fn next_attempt(node: &Node, exchange: &Exchange, progress: &Progress) -> Result<Server, Stop> {
+async fn next_attempt(
+    node: &Node,
+    exchange: &Exchange,
+    progress: &Progress,
+) -> Result<Server, Stop> {
     let now = node.now();
     if exchange.get_left(now) == 0 {
         let reason = if progress.sent > 0 { Refusal::Timeout } else { Refusal::TooLate };
@@ -154,7 +158,7 @@
     if !node.is_fresh() {
         return Err(progress.stop(Refusal::Stale, ROOM_BACK_IN));
     }
-    let server = match pick(node, exchange, &progress.tried, now) {
+    let server = match pick(node, exchange, &progress.tried).await {
         Picked::Server(server) => server,
         Picked::Busy(wait) => return Err(progress.stop(Refusal::Busy, wait)),
         Picked::None => return Err(progress.stop(Refusal::NoServer, SERVER_BACK_IN)),
@@ -173,7 +177,7 @@
     now: Millis,
 ) -> Result<(), Stop> {
     let is_allowed = node.with(|state| {
-        let nodes = state.peers.get_reach(now).all;
+        let nodes = state.members.get_reach(now).all;
         state.budget.take(now, &exchange.service, nodes)
     });
     if !is_allowed {
@@ -192,12 +196,56 @@
 }
 
 /// Picks a server that was not tried yet.
-fn pick(node: &Node, exchange: &Exchange, tried: &[String], now: Millis) -> Picked {
+///
+/// Where nodes report in groups, this node asks for the loads of a few servers first, and of more
+/// where none of these can serve in time.
+async fn pick(node: &Node, exchange: &Exchange, tried: &[String]) -> Picked {
+    if !node.with(|state| state.members.is_grouped()) {
+        return pick_among(node, exchange, |server| !tried.contains(&server.id));
+    }
+    let mut picked = Picked::None;
+    for is_wide in [false, true] {
+        let listed = list_candidates(node, exchange, tried, is_wide);
+        ask_loads(node, &listed).await;
+        picked = pick_among(node, exchange, |server| listed.contains(&server.id));
+        if !matches!(picked, Picked::Busy(_)) {
+            break;
+        }
+    }
+    picked
+}
+
+/// Draws the servers to ask for: of those that are not ejected, where there are any.
+fn list_candidates(
+    node: &Node,
+    exchange: &Exchange,
+    tried: &[String],
+    is_wide: bool,
+) -> Vec<String> {
+    let now = node.now();
+    node.with(|state| {
+        let untried = || {
+            let ready = state.directory.iter_ready(&exchange.service);
+            ready.filter(|server| !tried.contains(&server.id))
+        };
+        let sound = untried().filter(|server| !state.health.is_ejected(now, &server.id));
+        let draw = fastrand::u64(..);
+        let mut listed = shortlist(sound, &exchange.criteria, draw, is_wide);
+        if listed.is_empty() {
+            listed = shortlist(untried(), &exchange.criteria, draw, is_wide);
+        }
+        listed.into_iter().map(|server| server.id.clone()).collect()
+    })
+}
+
+/// Picks one of some servers by what this node knows of their loads.
+fn pick_among(node: &Node, exchange: &Exchange, is_candidate: impl Fn(&Server) -> bool) -> Picked {
+    let now = node.now();
     node.with(|state| {
         let throughput = state.throughputs.get(&exchange.service);
         let ready = state.directory.iter_ready(&exchange.service);
         let candidates: Vec<Candidate<'_>> = ready
-            .filter(|server| !tried.contains(&server.id))
+            .filter(|server| is_candidate(server))
             .map(|server| weigh(state, throughput, now, server))
             .collect();
         let prefill_rate = throughput.and_then(Throughput::get_prefill_rate);
@@ -219,7 +267,7 @@
 ) -> Candidate<'a> {
     Candidate {
         server,
-        load: state.loads.total(now, &server.id),
+        load: state.loads.total(&server.id),
         is_ejected: state.health.is_ejected(now, &server.id),
         slowness: throughput
             .map_or(1.0, |throughput| throughput.get_slowness(short_id(&server.id))),
@@ -239,8 +287,8 @@
     });
     let criteria = Criteria { prefill_rate, ..exchange.criteria };
     let expected_ms = criteria.estimate(&chosen);
-    if exchange.has_engine {
-        node.report_begun(&server.id, &exchange.work, expected_ms);
+    if let Some(reading_ms) = expected_ms.filter(|_| exchange.has_engine) {
+        report_begun(node, &server.id, &exchange.work, reading_ms);
     }
     event::emit(&Event::ServerChosen {
         request: &record.id,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -61,6 +61,8 @@
     pub failed_attempts: Family<ReasonLabels, Counter>,
     /// Streams that another server went on with.
     pub resumed: Counter,
+    /// Questions for the loads of servers that were not answered in time.
+    pub unanswered_load_questions: Counter,
     gauges: Gauges,
 }
 
@@ -101,6 +103,7 @@
             retries: Family::default(),
             failed_attempts: Family::default(),
             resumed: Counter::default(),
+            unanswered_load_questions: Counter::default(),
             gauges: Gauges::default(),
         };
         metrics.register();
@@ -137,6 +140,11 @@
             "Streams gone on with elsewhere",
             self.resumed.clone(),
         );
+        registry.register(
+            "unanswered_load_questions",
+            "Questions for the loads of servers that were not answered in time",
+            self.unanswered_load_questions.clone(),
+        );
         self.gauges.register(registry);
     }
 
@@ -214,7 +222,7 @@
             let version = state.configuration.as_ref().map_or(0, |known| known.version);
             self.configuration_version.set(version as i64);
             self.lease_fence.set(state.lease.get_fence(now).unwrap_or(0) as i64);
-            let reach = state.peers.get_reach(now);
+            let reach = state.members.get_reach(now);
             self.nodes_heard.set(reach.heard as i64);
             self.nodes.set(reach.all as i64);
             let Some(configuration) = state.configuration.clone() else { return };
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -182,9 +182,7 @@
         let (demand, in_flight) = node.with(|state| {
             let (totals, covered) = state.demand.within(now, name, DEMAND_SPAN)?;
             let throughput = state.throughputs.get(name)?.get_prefill_rate()?;
-            let ready: Vec<String> =
-                state.directory.iter_ready(name).map(|s| s.id.clone()).collect();
-            let in_flight: u32 = ready.iter().map(|id| state.loads.total(now, id).requests).sum();
+            let in_flight = state.demand.get_in_flight(now, name);
             Some(((totals.prompt_tokens as f64 / covered as f64 * 1_000.0, throughput), in_flight))
         })?;
         let demand = Demand {
--- a/crates/gateway/src/node/duty.rs
+++ b/crates/gateway/src/node/duty.rs
@@ -17,6 +17,9 @@
 const ANSWER_WITHIN: Duration = Duration::from_millis(700);
 /// The first look at the lease comes within this time of the start.
 const FIRST_LOOK_WITHIN: Millis = 1_500;
+/// The part of a lease for which a holder is believed that was heard of: its row cannot end before
+/// the rest of the lease is over, and reports in groups take up to three periods.
+const HOLDER_BELIEVED_PART: f64 = 2.0 / 3.0;
 /// Renewals in each length of the lease.
 const RENEWALS: u64 = 3;
 
@@ -40,7 +43,7 @@
     let mut held_before: Option<u64> = None;
     loop {
         let now = node.now();
-        if now >= look_at && !is_held_by_heard_peer(&node, now) {
+        if now >= look_at && !is_left_to_others(&node, now) {
             look_at = now + keep(&node, &mut known).await;
         }
         let fence = node.with(|state| state.lease.get_fence(node.now()));
@@ -56,10 +59,14 @@
     }
 }
 
-fn is_held_by_heard_peer(node: &Node, now: Millis) -> bool {
-    let within = node.settings.bounds.lease_ms / 3;
+/// Returns `true` if this node need not look at the lease: it is no aggregator, or another node
+/// was heard to hold it.
+fn is_left_to_others(node: &Node, now: Millis) -> bool {
+    let within = (node.settings.bounds.lease_ms as f64 * HOLDER_BELIEVED_PART) as Millis;
     node.with(|state| {
-        state.lease.get_fence(now).is_none() && state.peers.is_holder_heard(now, within)
+        let is_held_elsewhere = state.members.is_holder_heard(now, within);
+        let is_candidate = state.members.is_aggregator();
+        state.lease.get_fence(now).is_none() && (is_held_elsewhere || !is_candidate)
     })
 }
 
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -5,8 +5,8 @@
 //! | [`state`] | holds what the node knows |
 //! | [`serve`] | starts the node and runs it until it has stopped |
 //! | [`watch`] | follows the configuration and the list of servers |
-//! | [`gossip`] | tells peers of this node's counts, and hears theirs |
-//! | [`position`] | gets what the few readers of the platform's tables know |
+//! | [`staleness`] | says how old the knowledge of the platform's tables is |
+//! | [`peers`] | exchanges what nodes tell each other |
 //! | [`document`] | packs what peers get from each other |
 //! | [`duty`] | holds the lease and makes the calls that one node at a time may make |
 //! | [`stop`] | ends the node without cutting an answer |
@@ -14,14 +14,16 @@
 mod capacity_duty;
 pub mod document;
 pub mod duty;
-pub mod gossip;
 mod listeners;
-mod peer_calls;
-pub mod position;
+mod pause;
+mod peers;
 pub mod serve;
+mod staleness;
 pub mod state;
 pub mod stop;
 pub mod usage_duty;
 pub mod watch;
 
+pub(crate) use peers::loads::{ask as ask_loads, note_change as note_load_change};
+pub(crate) use peers::news::report_begun;
 pub use state::Node;
--- a/crates/gateway/src/node/peer_calls.rs
+++ b/crates/gateway/src/node/peers/calls.rs
@@ -11,8 +11,8 @@
 use hyper::{Request, Response, StatusCode};
 use keeljunction_core::serving::directory::Server;
 
-use super::{Node, document, watch};
 use crate::http::{Body, read};
+use crate::node::{Node, document, watch};
 use crate::port::Row;
 use crate::runtime;
 
@@ -27,7 +27,7 @@
 const MOST_AT_ONCE: usize = 2;
 
 /// Serves what this node knows to peers.
-pub(super) async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+pub(in crate::node) async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
     let document = match request.uri().path() {
         CONFIGURATION_PATH => {
             let document = node.with(|state| state.configuration_document.clone());
--- /dev/null
+++ b/crates/gateway/src/node/peers/link.rs
@@ -0,0 +1,148 @@
+//! The socket for datagrams between nodes.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_io::Async;
+use keeljunction_core::Millis;
+
+use super::message::{Encoded, Header, Message, decode};
+use crate::runtime::{self, lock};
+
+const LONGEST_DATAGRAM: usize = 65_507;
+const AFTER_ERROR: Duration = Duration::from_millis(50);
+/// The part of the link that datagrams to many nodes may take.
+const LINK_PART: f64 = 0.4;
+/// Bytes that are sent without a pause.
+const BYTES_AT_ONCE: usize = 12 * 1_024;
+/// Shorter pauses are not worth a wake-up.
+const LEAST_PAUSE_MS: f64 = 1.0;
+/// Addresses whose newest datagram is remembered; all are forgotten where there are more, and
+/// learnt again with the next ones.
+const MOST_REMEMBERED: usize = 4_096;
+
+/// The socket for datagrams between nodes.
+///
+/// Each datagram carries the time of the newest one that its sender got from its recipient. Only
+/// that tells the recipient how old its content can be at most: the way may have taken long.
+#[derive(Debug)]
+pub struct Link {
+    socket: Async<UdpSocket>,
+    run: u32,
+    bits_per_ms: f64,
+    newest: Mutex<HashMap<SocketAddr, (u32, Millis)>>,
+}
+
+/// A datagram that came in.
+#[derive(Debug)]
+pub struct Received {
+    /// Where it came from.
+    pub from: SocketAddr,
+    /// When this node sent the newest datagram that the sender had got, on this node's clock.
+    pub asked_at: Option<Millis>,
+    /// What it says.
+    pub message: Message,
+}
+
+impl Link {
+    /// Binds the socket, for one run of the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error.
+    pub fn bind(address: SocketAddr, run: u64, link_mbps: f64) -> io::Result<Self> {
+        let socket = Async::<UdpSocket>::bind(address)?;
+        let bits_per_ms = link_mbps * 1_000.0 * LINK_PART;
+        Ok(Self { socket, run: run as u32, bits_per_ms, newest: Mutex::default() })
+    }
+
+    /// Waits for the next datagram of this format.
+    pub async fn receive(&self, buffer: &mut Vec<u8>) -> Received {
+        buffer.resize(LONGEST_DATAGRAM, 0);
+        loop {
+            let received = self.socket.recv_from(buffer).await;
+            let (length, from) = match received {
+                Ok(received) => received,
+                Err(error) => {
+                    // A peer's closed port shows here; there is nothing to be done about it.
+                    log::debug!("no datagram was received: {error}");
+                    runtime::sleep(AFTER_ERROR).await;
+                    continue;
+                }
+            };
+            let Some((header, message)) = decode(&buffer[..length]) else {
+                log::debug!("a datagram of {from} is of another format");
+                continue;
+            };
+            self.remember(from, &header);
+            let asked_at = header.answers.filter(|(run, _)| *run == self.run).map(|(_, at)| at);
+            return Received { from, asked_at, message };
+        }
+    }
+
+    fn remember(&self, from: SocketAddr, header: &Header) {
+        let mut newest = lock(&self.newest);
+        if newest.len() >= MOST_REMEMBERED {
+            newest.clear();
+        }
+        let known = newest.entry(from).or_insert((header.run, header.sent_at));
+        // Datagrams overtake one another; another run has another clock.
+        if known.0 != header.run || known.1 < header.sent_at {
+            *known = (header.run, header.sent_at);
+        }
+    }
+
+    /// Sends a message to one node.
+    pub async fn send(&self, now: Millis, to: SocketAddr, message: &Message) {
+        match Encoded::new(message) {
+            Ok(encoded) => {
+                self.send_encoded(now, to, &encoded).await;
+            }
+            Err(error) => log::error!("a message between nodes cannot be encoded: {error}"),
+        }
+    }
+
+    /// Sends a message to many nodes, no faster than a part of the link carries: what waits in a
+    /// full link's queue is dropped, and would be the same nodes' each time.
+    pub async fn send_to_all(&self, now: Millis, mut to: Vec<SocketAddr>, message: &Message) {
+        let encoded = match Encoded::new(message) {
+            Ok(encoded) => encoded,
+            Err(error) => {
+                return log::error!("a message between nodes cannot be encoded: {error}");
+            }
+        };
+        fastrand::shuffle(&mut to);
+        let mut sent = 0;
+        for address in to {
+            sent += self.send_encoded(now, address, &encoded).await;
+            if sent >= BYTES_AT_ONCE {
+                let pause = sent as f64 * 8.0 / self.bits_per_ms;
+                if pause >= LEAST_PAUSE_MS {
+                    runtime::sleep(Duration::from_secs_f64(pause / 1_000.0)).await;
+                }
+                sent = 0;
+            }
+        }
+    }
+
+    /// Sends an encoded message; returns its length.
+    async fn send_encoded(&self, now: Millis, to: SocketAddr, encoded: &Encoded) -> usize {
+        let answers = lock(&self.newest).get(&to).copied();
+        let header = Header { run: self.run, sent_at: now, answers };
+        let bytes = match encoded.with_header(&header) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("a header between nodes cannot be encoded: {error}");
+                return 0;
+            }
+        };
+        // A datagram may be lost on its way as well: whoever misses it hears the next one.
+        if let Err(error) = self.socket.send_to(&bytes, to).await {
+            log::debug!("a datagram to {to} was not sent: {error}");
+        }
+        bytes.len()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/node/peers/message.rs
@@ -0,0 +1,197 @@
+//! The datagrams between nodes.
+
+use keeljunction_core::Millis;
+use keeljunction_core::serving::directory::Batch;
+use keeljunction_core::serving::freshness::Versions;
+use keeljunction_core::serving::load::{Load, Work};
+use keeljunction_core::serving::members::{Entry, Overview as Reach};
+use keeljunction_core::serving::throughput::Sample;
+use keeljunction_core::serving::usage::{Counts, WindowNumber};
+use keeljunction_core::serving::{demand, quota};
+use serde::{Deserialize, Serialize};
+
+/// The format of the datagrams; others are ignored.
+const FORMAT: u8 = 7;
+
+/// What every datagram begins with.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Header {
+    /// The run of the sender's process, whose clock `sent_at` is read from.
+    pub run: u32,
+    /// When it was sent, on the sender's steady clock.
+    pub sent_at: Millis,
+    /// The run and time of the newest datagram that the sender got from the recipient: what the
+    /// sender knows is younger than that.
+    pub answers: Option<(u32, Millis)>,
+}
+
+/// A datagram between nodes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// From a node to its aggregator.
+    Report(Box<Report>),
+    /// From an aggregator to the others, for its group.
+    Summary(Box<Summary>),
+    /// From an aggregator to each node of its group.
+    Overview(Box<Overview>),
+    /// Asks which versions of the platform's tables the peer knows, and how old that knowledge is.
+    AskVersions,
+    /// Answers that.
+    Versions(Versions),
+    /// Something that must not wait for the next report.
+    News(News),
+    /// Asks the node that keeps the load of some servers for it.
+    AskLoads {
+        /// Names the question at the one who asks.
+        question: u32,
+        /// The name of the one who asks, whose own load is left out.
+        node: String,
+        /// The servers, by short name.
+        servers: Vec<u64>,
+    },
+    /// Answers with what all nodes but the one who asks have in flight there.
+    Loads {
+        /// The question.
+        question: u32,
+        /// The loads, by the servers' short names.
+        loads: Vec<(u64, Load)>,
+    },
+    /// Tells the node that keeps the load of some servers what the sender has in flight there.
+    LoadChanged {
+        /// The sender's name.
+        node: String,
+        /// The loads, by the servers' short names.
+        loads: Vec<(u64, Load)>,
+    },
+}
+
+/// Who sends a report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sender {
+    /// What the node says of itself.
+    pub entry: Entry,
+    /// Under which incarnation it counts.
+    pub incarnation: u64,
+    /// Whether it is about to end.
+    pub is_stopping: bool,
+    /// Milliseconds since it heard of the holder of the duties; 0 where it is that itself.
+    pub holder_age: Option<Millis>,
+}
+
+/// What a node counts for itself, or for its group.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Totals {
+    /// Units of client accounts.
+    pub quota: quota::Report,
+    /// Requests that began, in the latest windows.
+    pub usage: Vec<(WindowNumber, Counts)>,
+    /// What was asked of each service.
+    pub demand: Vec<(String, demand::Report)>,
+    /// How fast servers read prompts, by service.
+    pub throughputs: Vec<(String, Vec<Sample>)>,
+}
+
+/// What a node tells its aggregator.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Who sends it.
+    pub sender: Sender,
+    /// What it counts for itself.
+    pub totals: Totals,
+}
+
+/// What an aggregator tells the others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// Who sends it.
+    pub sender: Sender,
+    /// What it counts for its group.
+    pub totals: Totals,
+    /// What it has in flight at servers, where there are no groups.
+    pub loads: Vec<(u64, Load)>,
+    /// The nodes that report to it, by short name.
+    pub group: Vec<u64>,
+    /// Milliseconds since the one of them was heard that has been silent for longest.
+    pub group_age: Millis,
+    /// Nodes that are new to it.
+    pub joined: Vec<Entry>,
+    /// Which versions of the platform's tables it knows.
+    pub versions: Versions,
+}
+
+/// What an aggregator tells the nodes of its group.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Overview {
+    /// Who sends it.
+    pub sender: Sender,
+    /// What all nodes use, the recipient included.
+    pub quota: quota::Report,
+    /// How fast servers read prompts, by service.
+    pub throughputs: Vec<(String, Vec<Sample>)>,
+    /// How many nodes there are and are heard.
+    pub reach: Reach,
+    /// Nodes that should aggregate and are not heard, by short name.
+    pub silent: Vec<u64>,
+    /// Nodes that are new to it.
+    pub joined: Vec<Entry>,
+    /// Which versions of the platform's tables it knows.
+    pub versions: Versions,
+}
+
+/// Something that must not wait for the next report.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum News {
+    /// The list of servers has changed.
+    ServersChanged(Batch),
+    /// The sender has adopted a configuration.
+    ConfigurationChanged {
+        /// Its version.
+        version: u64,
+    },
+    /// The sender has sent a request to a server whose prompt takes long to read.
+    RequestBegun {
+        /// The sender's name.
+        node: String,
+        /// The server's short name.
+        server: u64,
+        /// The size of the request.
+        work: Work,
+        /// How long its prompt is expected to be read.
+        reading_ms: Millis,
+    },
+}
+
+/// A message in bytes, to which the header of each recipient is added.
+#[derive(Clone, Debug)]
+pub struct Encoded(Vec<u8>);
+
+impl Encoded {
+    /// Encodes a message.
+    ///
+    /// # Errors
+    ///
+    /// Returns the encoder's error.
+    pub fn new(message: &Message) -> Result<Self, postcard::Error> {
+        postcard::to_stdvec(message).map(Self)
+    }
+
+    /// Puts a header before the message.
+    ///
+    /// # Errors
+    ///
+    /// Returns the encoder's error.
+    pub fn with_header(&self, header: &Header) -> Result<Vec<u8>, postcard::Error> {
+        let mut bytes = postcard::to_extend(header, vec![FORMAT])?;
+        bytes.extend_from_slice(&self.0);
+        Ok(bytes)
+    }
+}
+
+/// Decodes a datagram; `None` where its format is another one.
+pub fn decode(bytes: &[u8]) -> Option<(Header, Message)> {
+    let (format, content) = bytes.split_first()?;
+    if *format != FORMAT {
+        return None;
+    }
+    postcard::from_bytes(content).ok()
+}
--- /dev/null
+++ b/crates/gateway/src/node/peers/mod.rs
@@ -0,0 +1,64 @@
+//! What nodes tell each other.
+//!
+//! | module | does |
+//! |---|---|
+//! | [`message`] | says what the datagrams hold |
+//! | [`link`] | sends and receives them |
+//! | [`register`] | finds the other nodes in a table of the platform |
+//! | [`report`] | exchanges counts some times a second |
+//! | [`loads`] | keeps and asks for the loads of servers, where nodes report in groups |
+//! | [`versions`] | confirms what this node knows of the platform's tables, or gets what it lacks |
+//! | [`news`] | passes on what must not wait for the next report |
+//! | [`calls`] | gets what does not fit a datagram |
+//!
+//! Nothing that has to hold depends on one datagram arriving: what is not heard makes a node more
+//! careful, never less.
+
+pub(super) mod calls;
+pub(super) mod link;
+pub(super) mod loads;
+pub(super) mod message;
+pub(super) mod news;
+mod register;
+pub(super) mod report;
+mod versions;
+
+use std::sync::Arc;
+
+use self::link::Received;
+use self::message::Message;
+use super::{Node, staleness};
+use crate::runtime;
+
+/// Starts to talk with other nodes.
+pub(super) fn start(node: &Arc<Node>) {
+    runtime::spawn(register::run(node.clone()));
+    runtime::spawn(listen(node.clone()));
+    runtime::spawn(report::run(node.clone()));
+    runtime::spawn(versions::ask(node.clone()));
+    runtime::spawn(news::send(node.clone()));
+    runtime::spawn(loads::send_changes(node.clone()));
+}
+
+async fn listen(node: Arc<Node>) {
+    let mut buffer = Vec::new();
+    loop {
+        let Received { from, asked_at, message } = node.link.receive(&mut buffer).await;
+        match message {
+            Message::Report(report) => report::take_report(&node, asked_at, *report),
+            Message::Summary(summary) => report::take_summary(&node, from, asked_at, *summary),
+            Message::Overview(overview) => report::take_overview(&node, from, asked_at, *overview),
+            Message::AskVersions => {
+                let versions = Message::Versions(staleness::get_versions(&node));
+                node.link.send(node.now(), from, &versions).await;
+            }
+            Message::Versions(versions) => versions::take(&node, from, asked_at, &versions),
+            Message::News(news) => news::take(&node, from, news).await,
+            Message::AskLoads { question, node: asking, servers } => {
+                loads::answer(&node, from, question, &asking, &servers).await;
+            }
+            Message::Loads { question, loads } => loads::take(&node, question, loads),
+            Message::LoadChanged { node: peer, loads } => loads::take_change(&node, &peer, loads),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/node/peers/news.rs
@@ -0,0 +1,114 @@
+//! Passes on what must not wait for the next report: changed servers, a new configuration, long
+//! prompts.
+//!
+//! Where nodes report in groups, news goes from a node to its aggregator, from there to the other
+//! aggregators, and from each of these to its group. An aggregator passes on what is new to it, and
+//! no more. What does not arrive shows in the next report.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use keeljunction_core::Millis;
+use keeljunction_core::serving::directory::Batch;
+use keeljunction_core::serving::load::{Work, short_id};
+
+use super::calls;
+use super::message::{Message, News};
+use crate::node::{Node, watch};
+use crate::runtime;
+
+/// The part of the period between two reports that a prompt takes to read, at the least, for its
+/// request to be told at once.
+const REPORT_AT_ONCE_PART: f64 = 0.1;
+
+/// Sends this node's news for as long as the process lives.
+pub(super) async fn send(node: Arc<Node>) {
+    while let Ok(news) = node.news.1.recv().await {
+        let now = node.now();
+        let to = node.with(|state| match state.members.get_own_aggregator() {
+            Some(aggregator) => vec![aggregator.address],
+            None => {
+                let mut to = state.members.list_exchange(now);
+                to.extend(state.members.get_group_addresses(now));
+                to
+            }
+        });
+        node.link.send_to_all(now, to, &Message::News(news)).await;
+    }
+}
+
+/// Tells the other nodes of a request that is sent to a server, where its prompt will keep the
+/// server busy for long. In groups nodes ask for the loads of servers instead.
+pub(crate) fn report_begun(node: &Node, server: &str, work: &Work, reading_ms: Millis) {
+    let (is_grouped, period) =
+        node.with(|state| (state.members.is_grouped(), state.members.get_period()));
+    let least = period.as_millis() as f64 * REPORT_AT_ONCE_PART;
+    if is_grouped || (reading_ms as f64) < least {
+        return;
+    }
+    let (name, server) = (node.life.node.clone(), short_id(server));
+    node.push(News::RequestBegun { node: name, server, work: *work, reading_ms });
+}
+
+/// Takes the news of another node.
+pub(super) async fn take(node: &Arc<Node>, from: SocketAddr, news: News) {
+    match news {
+        News::RequestBegun { node: peer, server, work, reading_ms } => {
+            let until = node.now() + reading_ms;
+            node.with(|state| state.loads.merge_begun(until, &peer, server, &work));
+        }
+        News::ServersChanged(batch) => take_servers(node, from, batch).await,
+        News::ConfigurationChanged { version } => {
+            let known = node.with(|state| state.configuration.as_ref().map(|known| known.version));
+            if known < Some(version) {
+                runtime::spawn(get_configuration(node.clone(), from, version));
+            }
+        }
+    }
+}
+
+/// Takes changes of the list of servers, or gets the whole list where some are missing.
+async fn take_servers(node: &Arc<Node>, from: SocketAddr, batch: Batch) {
+    let news = News::ServersChanged(batch.clone());
+    let (changes, is_new) = node.with(|state| {
+        let before = state.directory.get_version();
+        let changes = match state.has_servers {
+            true => state.directory.update(batch),
+            false => None,
+        };
+        (changes, state.directory.get_version() > before)
+    });
+    match changes {
+        Some(changes) => watch::apply(node, changes),
+        None => runtime::spawn(calls::get_servers(node.clone(), from)),
+    }
+    if is_new {
+        pass_on(node, from, news).await;
+    }
+}
+
+/// Gets a configuration, and passes on that it is there once this node can give it to others.
+async fn get_configuration(node: Arc<Node>, from: SocketAddr, version: u64) {
+    calls::get_configuration(node.clone(), from).await;
+    let known = node.with(|state| state.configuration.as_ref().map(|known| known.version));
+    if known >= Some(version) {
+        pass_on(&node, from, News::ConfigurationChanged { version }).await;
+    }
+}
+
+/// Passes news on: to this node's group, and to the other aggregators where it came from the group.
+async fn pass_on(node: &Node, from: SocketAddr, news: News) {
+    let now = node.now();
+    let to = node.with(|state| {
+        if !state.members.is_grouped() || !state.members.is_aggregator() {
+            return Vec::new();
+        }
+        let mut to = state.members.get_group_addresses(now);
+        if to.contains(&from) {
+            to.extend(state.members.list_exchange(now));
+        }
+        to.retain(|address| *address != from);
+        to
+    });
+    node.link.send_to_all(now, to, &Message::News(news)).await;
+}
--- /dev/null
+++ b/crates/gateway/src/node/peers/register.rs
@@ -0,0 +1,102 @@
+//! Finds the other nodes in a table of the platform, and lists this one there.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use keeljunction_core::serving::members::Entry;
+
+use crate::event::{self, Event};
+use crate::node::Node;
+use crate::node::pause::{Pause, jitter};
+use crate::port::{Row, TableError, TableName, Transaction, Write};
+use crate::runtime;
+
+/// The table in which nodes list themselves.
+const TABLE: &str = "nodes";
+const CALL_WITHIN: Duration = Duration::from_millis(700);
+/// Nodes that start together list themselves within this time, and not all at once: the table
+/// service takes a bounded number of writes a second, and refuses more.
+const LISTED_WITHIN: Duration = Duration::from_millis(1_000);
+/// The pause after a write that failed, by which writes spread further.
+const LIST_AGAIN: Duration = Duration::from_millis(1_500);
+/// The time after which a node that had to list itself reads the list once more.
+const READ_TWICE_AFTER: Duration = Duration::from_millis(1_000);
+/// The time between two looks at the list.
+const LOOK_AGAIN: Duration = Duration::from_secs(60);
+
+/// Reads who else is there, lists this node where it is not listed yet, and goes on to look now and
+/// then where this node reads for all.
+///
+/// At the first start of all nodes the list fills while they read it: a node that had to list itself
+/// therefore reads it again. What it misses all the same it gets from others, in their reports.
+pub(super) async fn run(node: Arc<Node>) {
+    if !read_until_done(&node).await {
+        runtime::sleep(LISTED_WITHIN.mul_f64(fastrand::f64())).await;
+        while let Err(error) = list(&node).await {
+            note_failure("list this node", &error);
+            runtime::sleep(jitter(LIST_AGAIN)).await;
+        }
+        runtime::sleep(jitter(READ_TWICE_AFTER)).await;
+        read_until_done(&node).await;
+    }
+    loop {
+        runtime::sleep(jitter(LOOK_AGAIN)).await;
+        if node.with(|state| state.members.is_reader(node.now())) || is_alone(&node) {
+            read_until_done(&node).await;
+        }
+    }
+}
+
+/// Reads the list, again after each failure; returns whether this node is listed as it is.
+async fn read_until_done(node: &Node) -> bool {
+    let mut pause = Pause::default();
+    loop {
+        match read(node).await {
+            Ok(is_listed) => return is_listed,
+            Err(error) => note_failure("read nodes", &error),
+        }
+        pause.wait().await;
+    }
+}
+
+/// Returns `true` if this node hears no other.
+fn is_alone(node: &Node) -> bool {
+    let now = node.now();
+    node.with(|state| state.members.get_reach(now).heard <= 1)
+}
+
+async fn list(node: &Node) -> Result<(), TableError> {
+    let entry = node.get_entry();
+    let value = serde_json::to_vec(&entry)
+        .map_err(|error| TableError::Unanswered(format!("not sent: {error}")))?;
+    let write = Write { table: TABLE, key: entry.name, value: Some(value) };
+    let transaction = Transaction { conditions: Vec::new(), writes: vec![write] };
+    call((node.platform.table.commit)(transaction)).await.map(|_| ())
+}
+
+async fn read(node: &Node) -> Result<bool, TableError> {
+    let rows = call((node.platform.table.read)(TableName::Own(TABLE))).await?;
+    let entries: Vec<Entry> = rows.rows.iter().filter_map(decode).collect();
+    let is_listed = entries.contains(&node.get_entry());
+    let now = node.now();
+    node.with(|state| state.members.take_list(now, entries));
+    Ok(is_listed)
+}
+
+async fn call<T>(calling: crate::port::TableFuture<T>) -> Result<T, TableError> {
+    let answer = runtime::within(CALL_WITHIN, calling).await;
+    answer.unwrap_or_else(|| Err(TableError::Unanswered("no answer in time".to_owned())))
+}
+
+fn decode(row: &Row) -> Option<Entry> {
+    let value = row.value.as_deref()?;
+    let decoded = serde_json::from_slice(value);
+    let report = |error: &serde_json::Error| {
+        event::emit(&Event::DocumentRejected { error: format!("node {}: {error}", row.key) });
+    };
+    decoded.inspect_err(report).ok()
+}
+
+fn note_failure(what: &'static str, error: &TableError) {
+    event::emit(&Event::TableCallFailed { what, error: error.to_string() });
+}
--- /dev/null
+++ b/crates/gateway/src/node/peers/versions.rs
@@ -0,0 +1,137 @@
+//! Confirms what this node knows of the platform's tables, or gets what it lacks, from other nodes.
+//!
+//! A few nodes read the tables for all. Each report between nodes says which versions its sender
+//! knows and how old that knowledge is. That age counts from before the newest datagram that the
+//! sender had got from this node, so that a report that was long on its way makes nothing look
+//! young. A node whose knowledge grows old all the same asks, and at last reads the tables itself.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use keeljunction_core::Millis;
+use keeljunction_core::serving::freshness::Versions;
+
+use super::calls;
+use super::message::Message;
+use crate::event::{self, Event};
+use crate::node::pause::jitter;
+use crate::node::{Node, staleness};
+use crate::runtime;
+
+/// The time between two looks at how old the knowledge is.
+const LOOK: Duration = Duration::from_millis(400);
+/// The part of its bound at which knowledge is ageing: reports did not make it young.
+const AGEING_PART: f64 = 0.5;
+
+/// Asks the nodes that read for all while this node's knowledge is ageing, and any other as well
+/// while it is old.
+pub(super) async fn ask(node: Arc<Node>) {
+    let bound = node.get_fresh_bound();
+    let mut was_fresh = true;
+    loop {
+        runtime::sleep(jitter(LOOK)).await;
+        let now = node.now();
+        let age = node.with(|state| state.freshness.get_age(now));
+        let is_fresh = age.is_some_and(|age| age <= bound);
+        if is_fresh != was_fresh {
+            was_fresh = is_fresh;
+            event::emit(&Event::FreshnessChanged { is_fresh, age_ms: age, bound_ms: bound });
+        }
+        let is_ageing = staleness::is_configuration_older_than(&node, AGEING_PART)
+            || staleness::is_servers_older_than(&node, AGEING_PART);
+        if !is_ageing {
+            continue;
+        }
+        for address in list_asked(&node, now) {
+            node.link.send(now, address, &Message::AskVersions).await;
+        }
+    }
+}
+
+/// Lists whom to ask: an aggregator asks the readers, and another node its aggregator, so that the
+/// readers are asked by few.
+fn list_asked(node: &Node, now: Millis) -> Vec<SocketAddr> {
+    let is_old = staleness::is_configuration_old(node) || staleness::is_servers_old(node);
+    node.with(|state| {
+        let mut asked = match state.members.get_own_aggregator() {
+            Some(aggregator) => vec![aggregator.address],
+            None => state.members.get_readers(),
+        };
+        if is_old {
+            let heard = state.members.get_heard(now);
+            asked.extend(fastrand::choice(heard));
+            asked.extend(fastrand::choice(state.members.get_readers()));
+        }
+        asked
+    })
+}
+
+/// Takes what a node knows, of a time after `asked_at` on this node's clock: confirms what this
+/// node has, or gets what it lacks.
+pub(super) fn take(
+    node: &Arc<Node>,
+    from: SocketAddr,
+    asked_at: Option<Millis>,
+    versions: &Versions,
+) {
+    if let Some((version, age)) = versions.configuration {
+        let known = node.with(|state| state.configuration.as_ref().map(|known| known.version));
+        let reported = Reported { version, age, asked_at };
+        match known >= Some(version) {
+            true => confirm_configuration(node, &reported),
+            false => runtime::spawn(get_newer_configuration(node.clone(), from, reported)),
+        }
+    }
+    if let Some((version, age)) = versions.servers {
+        let is_known =
+            node.with(|state| state.has_servers && state.directory.get_version() >= version);
+        let reported = Reported { version, age, asked_at };
+        match is_known {
+            true => confirm_servers(node, &reported),
+            false => runtime::spawn(get_newer_servers(node.clone(), from, reported)),
+        }
+    }
+}
+
+/// What a node reported of one table.
+#[derive(Clone, Copy, Debug)]
+struct Reported {
+    version: u64,
+    /// How long before its report the node knew the version to be the newest.
+    age: Millis,
+    /// A time before the report, on this node's clock.
+    asked_at: Option<Millis>,
+}
+
+/// Gets a newer configuration from the node that knows it.
+async fn get_newer_configuration(node: Arc<Node>, from: SocketAddr, reported: Reported) {
+    calls::get_configuration(node.clone(), from).await;
+    confirm_configuration(&node, &reported);
+}
+
+/// Gets a newer list of servers from the node that knows it.
+async fn get_newer_servers(node: Arc<Node>, from: SocketAddr, reported: Reported) {
+    calls::get_servers(node.clone(), from).await;
+    confirm_servers(&node, &reported);
+}
+
+fn confirm_configuration(node: &Node, reported: &Reported) {
+    let Some(asked_at) = reported.asked_at else { return };
+    node.with(|state| {
+        let known = state.configuration.as_ref().map(|known| known.version);
+        if known >= Some(reported.version) {
+            state.freshness.confirm_by_peer(asked_at, reported.age);
+        }
+    });
+}
+
+fn confirm_servers(node: &Node, reported: &Reported) {
+    let Some(asked_at) = reported.asked_at else { return };
+    node.with(|state| {
+        // The list that was got may be newer than the one that was reported, and never older.
+        if state.has_servers && state.directory.get_version() >= reported.version {
+            state.servers_freshness.confirm_by_peer(asked_at, reported.age);
+        }
+    });
+}
--- a/crates/gateway/src/node/serve.rs
+++ b/crates/gateway/src/node/serve.rs
@@ -8,14 +8,17 @@
 
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
+use keeljunction_core::serving::usage::Life;
 use keeljunction_core::{Error, ErrorKind};
 
-use super::{Node, duty, gossip, listeners, peer_calls, stop, watch};
+use super::peers::link::Link;
+use super::state::Start;
+use super::{Node, duty, listeners, peers, stop, watch};
 use crate::event::{self, Event};
 use crate::exchange;
 use crate::http::{Limits, Server, Stop};
 use crate::port::Platform;
-use crate::runtime;
+use crate::runtime::{self, Clock};
 use crate::settings::Settings;
 
 /// Descriptors kept back from callers' connections, for files, servers and peers.
@@ -42,8 +45,11 @@
     settings.listen.metrics = at;
     let (peer_calls, at) = bind("listen.peers", settings.listen.peers, &settings, &never).await?;
     settings.listen.peers = at;
-    let datagrams = gossip::bind(at).map_err(|error| busy("listen.peers", at, &error))?;
-    let node = Node::new(settings, platform, closing);
+    let life = Life { node: settings.node.name.clone(), number: fastrand::u64(..) };
+    let link = Link::bind(at, life.number, settings.limits.link_mbps)
+        .map_err(|error| busy("listen.peers", at, &error))?;
+    let start = Start { life, clock: Clock::new(), link };
+    let node = Node::new(settings, platform, closing, start);
     let listen = &node.settings.listen;
     event::emit(&Event::Started {
         node: &node.life.node,
@@ -56,9 +62,9 @@
     runtime::spawn(watch::configuration(node.clone()));
     runtime::spawn(watch::freshness(node.clone()));
     runtime::spawn(watch::servers(node.clone()));
-    gossip::start(&node, datagrams);
+    peers::start(&node);
     let called = node.clone();
-    runtime::spawn(peer_calls.serve(move |request| peer_calls::serve(called.clone(), request)));
+    runtime::spawn(peer_calls.serve(move |request| peers::calls::serve(called.clone(), request)));
     runtime::spawn(duty::run(node.clone()));
     let (asked, shown, answering) = (node.clone(), node.clone(), node.clone());
     runtime::spawn(readiness.serve(move |request| listeners::readiness(asked.clone(), request)));
@@ -114,7 +120,7 @@
     match Settings::load(path) {
         Ok(settings) => {
             let is_changed = settings != node.settings;
-            node.with(|state| state.peers.add_seeds(&settings.seeds));
+            node.with(|state| state.members.add_seeds(&settings.seeds));
             crate::log::set_level(&settings.log.level);
             event::emit(&Event::Reloaded { is_changed });
         }
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -13,15 +13,19 @@
 use keeljunction_core::serving::directory::{Directory, Server};
 use keeljunction_core::serving::duty_lease::DutyLease;
 use keeljunction_core::serving::freshness::Freshness;
+use keeljunction_core::serving::handover::Handover;
 use keeljunction_core::serving::health::Health;
-use keeljunction_core::serving::load::{LoadBook, Work, short_id};
-use keeljunction_core::serving::peers::Peers;
+use keeljunction_core::serving::load::{LoadBook, short_id};
+use keeljunction_core::serving::members::{Entry, Members};
 use keeljunction_core::serving::quota::{Quotas, Tolerance};
 use keeljunction_core::serving::throughput::Throughput;
 use keeljunction_core::serving::usage::{Ledger, Life, window_at};
 
 use super::document::Document;
-use super::gossip::{self, Message};
+use super::peers::link::Link;
+use super::peers::loads;
+use super::peers::message::News;
+use super::peers::report::{Audience, Samples};
 use crate::http::{Client, Stop};
 use crate::metrics::Metrics;
 use crate::port::Platform;
@@ -32,8 +36,8 @@
 /// confirmed. A request that was sent after a key's removal and the bound arrives, and is checked,
 /// later than that; the rest is left for clocks that drift.
 const FRESH_PART: f64 = 0.95;
-/// Messages to all peers that wait to be sent; more are dropped, and show at the next question.
-const PUSHES_WAITING: usize = 256;
+/// News for other nodes that wait to be sent; more are dropped, and show in the next report.
+const NEWS_WAITING: usize = 256;
 /// A server that does not take a connection within this time is passed over: the way there takes
 /// some milliseconds, and a lost opening packet is sent again only after a second.
 const CONNECT_WITHIN: Duration = Duration::from_millis(250);
@@ -60,8 +64,12 @@
     pub metrics: Metrics,
     /// Given when the listeners must close.
     pub closing: Stop,
-    /// Messages to all peers that wait to be sent.
-    pub(super) pushes: (Sender<Message>, Receiver<Message>),
+    /// Datagrams between nodes.
+    pub(super) link: Link,
+    /// News for other nodes that wait to be sent.
+    pub(super) news: (Sender<News>, Receiver<News>),
+    /// What is being asked and told of the loads of servers.
+    pub(super) pending_loads: loads::Pending,
     /// What the node knows of the deployment.
     pub state: Mutex<State>,
     /// What is being got from peers.
@@ -119,7 +127,13 @@
     /// How fast the servers of each service read prompts.
     pub throughputs: HashMap<String, Throughput>,
     /// Other nodes.
-    pub peers: Peers,
+    pub members: Members,
+    /// Whom this node reports its counts to.
+    pub(super) audience: Audience,
+    /// Which of its counts have arrived there.
+    pub handover: Handover,
+    /// Samples of throughput for the nodes of this node's group.
+    pub(super) samples: Samples,
     /// The lease of the duties.
     pub lease: DutyLease,
 }
@@ -136,9 +150,8 @@
 
 impl Node {
     /// Makes a node that knows nothing yet.
-    pub fn new(settings: Settings, platform: Platform, closing: Stop) -> Arc<Self> {
-        let clock = Clock::new();
-        let life = Life { node: settings.node.name.clone(), number: fastrand::u64(..) };
+    pub fn new(settings: Settings, platform: Platform, closing: Stop, start: Start) -> Arc<Self> {
+        let Start { life, clock, link } = start;
         let bounds = settings.bounds;
         let allowance = Allowance {
             ratio: bounds.retry_budget_ratio,
@@ -166,13 +179,10 @@
             quotas: Quotas::new(clock.now(), tolerance),
             budget: RetryBudget::new(allowance),
             usage: Ledger::default(),
-            peers: Peers::new(
-                clock.now(),
-                life.node.clone(),
-                settings.listen.peers,
-                settings.limits.link_mbps as u32,
-                &settings.seeds,
-            ),
+            members: Members::new(clock.now(), get_entry(&settings), &settings.seeds),
+            audience: Audience::default(),
+            handover: Handover::new(clock.now(), life.clone()),
+            samples: Samples::new(),
             lease: DutyLease::new(life.node.clone(), life.number, bounds.lease_ms, margin),
         };
         Arc::new(Self {
@@ -183,7 +193,9 @@
             servers: Client::new(CONNECT_WITHIN),
             metrics: Metrics::default(),
             closing,
-            pushes: async_channel::bounded(PUSHES_WAITING),
+            link,
+            news: async_channel::bounded(NEWS_WAITING),
+            pending_loads: loads::Pending::default(),
             state: Mutex::new(state),
             fetching: Fetching::default(),
             is_stopping: AtomicBool::new(false),
@@ -224,16 +236,16 @@
         self.with(|state| state.freshness.is_within(now, self.get_fresh_bound()))
     }
 
-    /// Notes that a request is sent to a server whose prompt takes a time to read.
-    pub fn report_begun(&self, server: &str, work: &Work, reading_ms: Option<Millis>) {
-        if let Some(reading_ms) = reading_ms {
-            gossip::report_begun(self, short_id(server), *work, reading_ms);
+    /// Sends news to the other nodes soon.
+    pub(super) fn push(&self, news: News) {
+        if self.news.0.try_send(news).is_err() {
+            log::debug!("too much news waits: the rest shows in the next report");
         }
     }
 
-    /// Sends a message to all peers soon.
-    pub(super) fn push(&self, message: Message) {
-        let _ = self.pushes.0.try_send(message);
+    /// Returns what this node says of itself to the others.
+    pub(super) fn get_entry(&self) -> Entry {
+        get_entry(&self.settings)
     }
 
     /// Says whether the node should get new connections.
@@ -267,7 +279,26 @@
     pub fn count_usage(&self, account: &str) {
         let length = (self.settings.bounds.report_window_s * 1_000.0) as u64;
         let window = window_at(runtime::unix_ms(), length);
-        self.with(|state| state.usage.count(window, &self.life, account));
+        self.with(|state| state.usage.count(window, state.handover.get_life(), account));
+    }
+}
+
+/// What a run of the process has of its own, before the node is made.
+pub struct Start {
+    /// The run.
+    pub life: Life,
+    /// Its steady clock.
+    pub clock: Clock,
+    /// Its socket for datagrams between nodes.
+    pub link: Link,
+}
+
+fn get_entry(settings: &Settings) -> Entry {
+    Entry {
+        name: settings.node.name.clone(),
+        address: settings.listen.peers,
+        data_centre: settings.node.data_centre.clone(),
+        link_mbps: settings.limits.link_mbps as u32,
     }
 }
 
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -181,7 +181,7 @@
     let steady = node.now();
     let ended_at = steady.saturating_sub(age);
     let is_node_missing =
-        node.with(|state| state.peers.is_any_unheard_since(steady, ended_at + TOLD_AFTER));
+        node.with(|state| state.members.is_any_unheard_since(steady, ended_at + TOLD_AFTER));
     is_settled(age, due, is_node_missing)
 }
 
--- a/crates/gateway/src/node/watch.rs
+++ b/crates/gateway/src/node/watch.rs
@@ -11,9 +11,10 @@
 use keeljunction_core::serving::directory::{Batch, Change, Entry, Server};
 
 use super::document::Document;
-use super::gossip::Message;
+use super::pause::{Pause, jitter};
+use super::peers::message::News;
 use super::state::ConfigurationRow;
-use super::{Node, position};
+use super::{Node, staleness};
 use crate::event::{self, Event};
 use crate::port::{Condition, Row, Rows, TableError, TableName, Transaction};
 use crate::runtime;
@@ -30,34 +31,42 @@
 const GATHER_PART: f64 = 0.08;
 /// The time between two looks whether this node has to read.
 const LOOK: Duration = Duration::from_millis(100);
-/// How long the first configuration is waited for in one call by a node that does not read for all:
-/// the readers tell it too.
-const FIRST_CONFIGURATION_HOLD: Duration = Duration::from_secs(10);
+/// The time between two reads by a node that knows no configuration and does not read for all: the
+/// readers tell it too, where it hears other nodes.
+const UNCONFIGURED_PAUSE: Millis = 15_000;
+const UNCONFIGURED_PAUSE_ALONE: Millis = 1_000;
+/// How long a node that has a configuration from another node waits for a report that says how old
+/// it is, before it confirms the configuration itself.
+const UNCONFIRMED_FOR: Millis = 1_000;
 /// How much longer the node waits for its answer.
 const ANSWER_WITHIN: Duration = Duration::from_millis(700);
-/// The first pause after a failure; doubled up to the longest.
-const FIRST_PAUSE: Duration = Duration::from_millis(60);
-const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// The time between two confirmations of the configuration, as a part of the time in which a new
 /// one must be in force.
 const CONFIRM_PART: f64 = 0.25;
+/// The same where nodes report in groups, and what a reader knows passes two nodes on its way.
+const CONFIRM_PART_GROUPED: f64 = 0.125;
 /// Confirmations in each freshness bound, at the least.
 const CONFIRMS_IN_BOUND: u32 = 4;
 
 /// Follows the configuration for ever, where this node reads for all or knows none yet.
 pub async fn configuration(node: Arc<Node>) {
     let mut pause = Pause::default();
+    let mut read_at = 0;
     loop {
-        if !is_reader(&node) && !lacks_configuration(&node) {
+        let now = node.now();
+        let is_needed = lacks_configuration(&node) && now >= read_at;
+        if !is_reader(&node) && !is_needed {
             runtime::sleep(LOOK).await;
             continue;
         }
-        let asked_at = node.now();
         match read(&node, TableName::Configuration).await {
             Ok(rows) => {
                 adopt_and_push(&node, &rows.rows);
-                confirm_configuration(&node, asked_at);
+                confirm_configuration(&node, now);
                 pause.reset();
+                let is_alone = node.with(|state| state.members.get_reach(now).heard <= 1);
+                let pause = if is_alone { UNCONFIGURED_PAUSE_ALONE } else { UNCONFIGURED_PAUSE };
+                read_at = now + pause;
                 follow_configuration(&node, rows.version).await;
             }
             Err(error) => note_failure("configuration", &error),
@@ -66,36 +75,39 @@
     }
 }
 
-/// Follows the configuration while this node reads for all; waits for the first one otherwise.
+/// Follows the configuration while this node reads for all.
 async fn follow_configuration(node: &Node, from: u64) {
     let table = TableName::Configuration;
-    if is_reader(node) {
-        let hold = part_of(node.settings.bounds.config_apply_ms, CONFIGURATION_HOLD_PART);
-        let watch = Watch { table, hold, gather: None, is_wanted: is_reader };
-        follow(node, &watch, from, |rows, _| adopt_and_push(node, &rows.rows)).await;
-    } else {
-        let hold = FIRST_CONFIGURATION_HOLD;
-        let watch = Watch { table, hold, gather: None, is_wanted: lacks_configuration };
-        follow(node, &watch, from, |rows, _| adopt_and_push(node, &rows.rows)).await;
-    }
+    let hold = part_of(node.settings.bounds.config_apply_ms, CONFIGURATION_HOLD_PART);
+    let watch = Watch { table, hold, gather: None, is_wanted: is_reader };
+    follow(node, &watch, from, |rows, _| adopt_and_push(node, &rows.rows)).await;
 }
 
 /// Reads the configuration again and again, to know that it is the newest.
 pub async fn freshness(node: Arc<Node>) {
     let bound = Duration::from_millis(node.get_fresh_bound()) / CONFIRMS_IN_BOUND;
-    let period = part_of(node.settings.bounds.config_apply_ms, CONFIRM_PART).min(bound);
     let mut pause = Pause::default();
+    let mut unconfirmed_since = None;
     loop {
+        let now = node.now();
+        let since = *unconfirmed_since.get_or_insert(now);
+        if !is_unconfirmed(&node) {
+            unconfirmed_since = None;
+        }
         // Until there is one, the first configuration is waited for and not asked for again.
-        let is_waiting = lacks_configuration(&node) && !is_reader(&node);
-        if is_waiting || !is_due(&node, position::is_configuration_old) {
+        let is_told_soon = is_unconfirmed(&node) && now < since + UNCONFIRMED_FOR;
+        let is_waiting = !is_reader(&node) && (lacks_configuration(&node) || is_told_soon);
+        if is_waiting || !is_due(&node, staleness::is_configuration_old) {
             runtime::sleep(LOOK).await;
             continue;
         }
         match confirm(&node).await {
             Ok(()) => {
                 pause.reset();
-                runtime::sleep(jitter(period)).await;
+                let is_grouped = node.with(|state| state.members.is_grouped());
+                let part = if is_grouped { CONFIRM_PART_GROUPED } else { CONFIRM_PART };
+                let period = part_of(node.settings.bounds.config_apply_ms, part);
+                runtime::sleep(jitter(period.min(bound))).await;
             }
             Err(error) => {
                 note_failure("freshness", &error);
@@ -161,7 +173,7 @@
 pub async fn servers(node: Arc<Node>) {
     let mut pause = Pause::default();
     loop {
-        if !is_due(&node, position::is_servers_old) {
+        if !is_due(&node, staleness::is_servers_old) {
             runtime::sleep(LOOK).await;
             continue;
         }
@@ -202,7 +214,13 @@
 /// Says whether this node reads the tables for all.
 fn is_reader(node: &Node) -> bool {
     let now = node.now();
-    node.with(|state| state.peers.is_reader(now))
+    node.with(|state| state.members.is_reader(now))
+}
+
+/// Returns `true` if this node does not know of any time at which its configuration was the newest.
+fn is_unconfirmed(node: &Node) -> bool {
+    let now = node.now();
+    node.with(|state| state.freshness.get_age(now).is_none())
 }
 
 fn lacks_configuration(node: &Node) -> bool {
@@ -258,7 +276,7 @@
 /// Adopts the configuration in the rows, and tells all peers where it is newer.
 fn adopt_and_push(node: &Node, rows: &[Row]) {
     if let Some(version) = adopt_configuration(node, rows) {
-        node.push(Message::ConfigurationChanged { version });
+        node.push(News::ConfigurationChanged { version });
     }
 }
 
@@ -306,7 +324,7 @@
 /// Takes over a whole list of servers, where it is not older than the one known.
 pub(super) fn replace_servers(node: &Node, version: u64, servers: Vec<Server>) {
     let now = node.now();
-    let was_known = !position::is_servers_old(node);
+    let was_known = !staleness::is_servers_old(node);
     let changes = node.with(|state| {
         if state.has_servers && !was_known {
             state.directory.note_return(now);
@@ -339,7 +357,7 @@
     let after = node.with(|state| state.directory.get_version());
     let batch = Batch { after, version: rows.version, entries: entries.collect() };
     if !batch.entries.is_empty() {
-        node.push(Message::ServersChanged(batch.clone()));
+        node.push(News::ServersChanged(batch.clone()));
     }
     let changes = node.with(|state| state.directory.update(batch));
     apply(node, changes.unwrap_or_default());
@@ -376,28 +394,3 @@
         });
     }
 }
-
-/// Spreads a period over half to one and a half of itself, so that nodes do not call at once.
-pub fn jitter(period: Duration) -> Duration {
-    period.mul_f64(0.75 + 0.5 * fastrand::f64())
-}
-
-/// A pause that grows with each failure.
-#[derive(Debug, Default)]
-pub struct Pause {
-    failures: u32,
-}
-
-impl Pause {
-    /// Notes a success.
-    pub fn reset(&mut self) {
-        self.failures = 0;
-    }
-
-    /// Waits, longer after each failure.
-    pub async fn wait(&mut self) {
-        let bound = FIRST_PAUSE * (1 << self.failures.min(5));
-        self.failures += 1;
-        runtime::sleep(jitter(bound.min(LONGEST_PAUSE))).await;
-    }
-}
