perf(peers): read and lease nothing before a node knows who else is there

Ruled out: members that confirm for themselves (110 calls of the readers in 12 s, none of others). Change: readers and candidates for the lease wait until the list is whole, four seconds at most; a node alone reads the configuration each 3 s; the list is read twice only by those that found no aggregator.

--- a/crates/core/src/serving/members/mod.rs
+++ b/crates/core/src/serving/members/mod.rs
@@ -44,6 +44,8 @@
 const READERS: usize = 3;
 /// Time after its start in which a node hears the others.
 const READS_AFTER: Millis = 1_000;
+/// Time after its start in which a node knows who is there, even where the list cannot be read.
+const SETTLES_WITHIN: Millis = 4_000;
 const READERS_KEY: &str = "table readers";
 /// How long an entry that is new to a node is passed on: some periods, since messages get lost.
 const PASSED_ON_FOR: Millis = 3_000;
@@ -94,6 +96,8 @@
     names: BTreeMap<u64, String>,
     seeds: Vec<SocketAddr>,
     is_listed: bool,
+    /// Whether the list that was read is not one that nodes still add themselves to.
+    is_list_whole: bool,
     holder_heard_at: Option<Millis>,
     /// What this node's aggregator said last, and when.
     overview: Option<(Millis, Overview)>,
@@ -168,6 +172,7 @@
             names: BTreeMap::new(),
             seeds: Vec::new(),
             is_listed: false,
+            is_list_whole: false,
             holder_heard_at: None,
             overview: None,
             silent_elsewhere: BTreeSet::new(),
@@ -188,9 +193,11 @@
         }
     }
 
-    /// Takes over the list of all nodes.
-    pub fn take_list(&mut self, now: Millis, entries: Vec<Entry>) {
+    /// Takes over the list of all nodes; `is_whole` where those that started together with this one
+    /// had the time to add themselves.
+    pub fn take_list(&mut self, now: Millis, entries: Vec<Entry>, is_whole: bool) {
         self.is_listed = true;
+        self.is_list_whole |= is_whole;
         for entry in entries {
             self.add(now, &entry);
         }
@@ -562,13 +569,17 @@
         self.holder_heard_at.map(|at| now.saturating_sub(at))
     }
 
+    /// Returns `true` if this node knows who else is there. One that has just started takes itself
+    /// for the first of all until it hears the others.
+    pub fn is_settled(&self, now: Millis) -> bool {
+        let least = if self.is_list_whole { READS_AFTER } else { SETTLES_WITHIN };
+        now >= self.started_at + least
+    }
+
     /// Returns `true` if this node reads the platform's tables for all: one of a few, by an order
     /// that all nodes which hear each other share.
-    ///
-    /// A node that has just started does not: it takes itself for the first of all until it hears
-    /// the others.
     pub fn is_reader(&self, now: Millis) -> bool {
-        now >= self.started_at + READS_AFTER && self.view.readers.contains(&self.own.name)
+        self.is_settled(now) && self.view.readers.contains(&self.own.name)
     }
 
     /// Lists the addresses of the other nodes that read the platform's tables for all.
--- a/crates/gateway/src/node/peers/register.rs
+++ b/crates/gateway/src/node/peers/register.rs
@@ -28,30 +28,32 @@
 /// then where this node reads for all.
 ///
 /// At the first start of all nodes the list fills while they read it: a node that had to list itself
-/// therefore reads it again. What it misses all the same it gets from others, in their reports.
+/// therefore reads it again, unless it has found an aggregator, which passes on what it misses.
 pub(super) async fn run(node: Arc<Node>) {
-    if !read_until_done(&node).await {
+    if !read_until_done(&node, false).await {
         runtime::sleep(LISTED_WITHIN.mul_f64(fastrand::f64())).await;
         while let Err(error) = list(&node).await {
             note_failure("list this node", &error);
             runtime::sleep(jitter(LIST_AGAIN)).await;
         }
         runtime::sleep(jitter(READ_TWICE_AFTER)).await;
-        read_until_done(&node).await;
+        if is_alone(&node) || !node.with(|state| state.members.is_grouped()) {
+            read_until_done(&node, true).await;
+        }
     }
     loop {
         runtime::sleep(jitter(LOOK_AGAIN)).await;
         if node.with(|state| state.members.is_reader(node.now())) || is_alone(&node) {
-            read_until_done(&node).await;
+            read_until_done(&node, true).await;
         }
     }
 }
 
 /// Reads the list, again after each failure; returns whether this node is listed as it is.
-async fn read_until_done(node: &Node) -> bool {
+async fn read_until_done(node: &Node, is_whole: bool) -> bool {
     let mut pause = Pause::default();
     loop {
-        match read(node).await {
+        match read(node, is_whole).await {
             Ok(is_listed) => return is_listed,
             Err(error) => note_failure("read nodes", &error),
         }
@@ -74,12 +76,13 @@
     call((node.platform.table.commit)(transaction)).await.map(|_| ())
 }
 
-async fn read(node: &Node) -> Result<bool, TableError> {
+async fn read(node: &Node, is_whole: bool) -> Result<bool, TableError> {
     let rows = call((node.platform.table.read)(TableName::Own(TABLE))).await?;
     let entries: Vec<Entry> = rows.rows.iter().filter_map(decode).collect();
     let is_listed = entries.contains(&node.get_entry());
     let now = node.now();
-    node.with(|state| state.members.take_list(now, entries));
+    // A node that is listed already has run before, and so have the others.
+    node.with(|state| state.members.take_list(now, entries, is_whole || is_listed));
     Ok(is_listed)
 }
 
--- a/crates/gateway/src/node/watch.rs
+++ b/crates/gateway/src/node/watch.rs
@@ -34,7 +34,7 @@
 /// The time between two reads by a node that knows no configuration and does not read for all: the
 /// readers tell it too, where it hears other nodes.
 const UNCONFIGURED_PAUSE: Millis = 15_000;
-const UNCONFIGURED_PAUSE_ALONE: Millis = 1_000;
+const UNCONFIGURED_PAUSE_ALONE: Millis = 3_000;
 /// How long a node that has a configuration from another node waits for a report that says how old
 /// it is, before it confirms the configuration itself.
 const UNCONFIRMED_FOR: Millis = 1_000;
@@ -51,10 +51,10 @@
 /// Follows the configuration for ever, where this node reads for all or knows none yet.
 pub async fn configuration(node: Arc<Node>) {
     let mut pause = Pause::default();
-    let mut read_at = 0;
+    let mut read_at = None;
     loop {
         let now = node.now();
-        let is_needed = lacks_configuration(&node) && now >= read_at;
+        let is_needed = lacks_configuration(&node) && is_read_due(&node, now, read_at);
         if !is_reader(&node) && !is_needed {
             runtime::sleep(LOOK).await;
             continue;
@@ -64,9 +64,7 @@
                 adopt_and_push(&node, &rows.rows);
                 confirm_configuration(&node, now);
                 pause.reset();
-                let is_alone = node.with(|state| state.members.get_reach(now).heard <= 1);
-                let pause = if is_alone { UNCONFIGURED_PAUSE_ALONE } else { UNCONFIGURED_PAUSE };
-                read_at = now + pause;
+                read_at = Some(now);
                 follow_configuration(&node, rows.version).await;
             }
             Err(error) => note_failure("configuration", &error),
@@ -75,6 +73,13 @@
     }
 }
 
+/// Returns `true` if a node that knows no configuration reads it again.
+fn is_read_due(node: &Node, now: Millis, read_at: Option<Millis>) -> bool {
+    let is_alone = node.with(|state| state.members.get_reach(now).heard <= 1);
+    let pause = if is_alone { UNCONFIGURED_PAUSE_ALONE } else { UNCONFIGURED_PAUSE };
+    read_at.is_none_or(|at| now >= at + pause)
+}
+
 /// Follows the configuration while this node reads for all.
 async fn follow_configuration(node: &Node, from: u64) {
     let table = TableName::Configuration;
