refactor(retry): one retry budget for both paths

Cause: the core had two budgets for repeats: a token bucket in retry, and a sliding window in serving::budget. The users ask for one copy of each decision. Change: retry::Budget is the sliding window; the margin that the gateway leaves is a field of its allowance. The first path counts its retries in ten seconds, each node by itself, with its settings as they were. Measured: tests of the core and of the faults retries, not_run and reclaim pass.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -1,55 +1,96 @@
-//! Whether another try is allowed.
+//! Whether a request may be sent to another server, and when to try again.
 //!
-//! A budget per service allows a share of the first tries to be tried again, so that a wave of
-//! failures cannot multiply the load on what is left.
+//! All nodes share one budget for each service: a ratio of its requests and a fixed number of
+//! repeats in every window, so that a wave of failures cannot multiply the load on what is left. No
+//! node asks another. Each takes the ratio of its own requests and an even share of the fixed
+//! number, so that the sum stays within the whole however the nodes are cut off.
+
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::Millis;
 
-/// Thousandths of a try, so that the budget needs no fractions.
-const TRY: u64 = 1000;
+/// What the operator allows over all nodes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats in a window besides.
+    pub least: f64,
+    /// The window's length.
+    pub window: Millis,
+    /// The fraction of the allowance that is used; the rest is a margin for repeats that callers'
+    /// own retries and lost answers add at the edges of windows.
+    pub used: f64,
+}
 
-/// A token bucket that first tries fill and retries empty.
+/// The repeats of one node, by service, in a sliding window.
 ///
 /// # Examples
 ///
 /// ```
-/// use keeljunction_core::retry::Budget;
+/// use keeljunction_core::retry::{Allowance, Budget};
 ///
-/// let mut budget = Budget::new(100, 1); // a tenth of the first tries, a burst of one
-/// assert!(budget.withdraw());
-/// assert!(!budget.withdraw());
+/// // A tenth of the requests and one more in any ten seconds.
+/// let mut budget = Budget::new(Allowance { ratio: 0.1, least: 1.0, window: 10_000, used: 1.0 });
+/// assert!(budget.take(0, "llm", 1));
+/// assert!(!budget.take(0, "llm", 1));
 /// for _ in 0..10 {
-///     budget.deposit();
+///     budget.count_request(0, "llm");
 /// }
-/// assert!(budget.withdraw());
+/// assert!(budget.take(0, "llm", 1));
 /// ```
 #[derive(Clone, Debug)]
 pub struct Budget {
-    share_per_mille: u64,
-    capacity: u64,
-    balance: u64,
+    allowance: Allowance,
+    services: BTreeMap<String, Counts>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Counts {
+    requests: VecDeque<Millis>,
+    repeats: VecDeque<Millis>,
 }
 
 impl Budget {
-    /// Makes a budget for a share of the first tries, in thousandths, with a burst in tries.
-    pub fn new(share_per_mille: u64, burst: u64) -> Self {
-        let capacity = burst * TRY;
-        Self { share_per_mille, capacity, balance: capacity }
+    /// Makes an unused budget.
+    pub fn new(allowance: Allowance) -> Self {
+        Self { allowance, services: BTreeMap::new() }
     }
 
-    /// Counts a first try.
-    pub fn deposit(&mut self) {
-        self.balance = (self.balance + self.share_per_mille).min(self.capacity);
+    /// Counts a request to a service.
+    pub fn count_request(&mut self, now: Millis, service: &str) {
+        let window = self.allowance.window;
+        let counts = self.services.entry(service.to_owned()).or_default();
+        counts.requests.push_back(now);
+        expire(&mut counts.requests, now, window);
     }
 
-    /// Takes one retry, if the budget allows it.
-    pub fn withdraw(&mut self) -> bool {
-        if self.balance < TRY {
+    /// Takes a repeat, where the budget of this node, one of `nodes`, allows it.
+    pub fn take(&mut self, now: Millis, service: &str, nodes: usize) -> bool {
+        let left = self.get_left(now, service, nodes);
+        if left < 1.0 {
             return false;
         }
-        self.balance -= TRY;
+        self.services.entry(service.to_owned()).or_default().repeats.push_back(now);
         true
     }
+
+    /// Returns how many repeats are left in the window that ends now.
+    pub fn get_left(&mut self, now: Millis, service: &str, nodes: usize) -> f64 {
+        let Allowance { ratio, least, window, used } = self.allowance;
+        let counts = self.services.entry(service.to_owned()).or_default();
+        expire(&mut counts.requests, now, window);
+        expire(&mut counts.repeats, now, window);
+        let own_least = least / nodes.max(1) as f64;
+        let owed = ratio * counts.requests.len() as f64 + own_least;
+        owed * used - counts.repeats.len() as f64
+    }
+}
+
+fn expire(times: &mut VecDeque<Millis>, now: Millis, window: Millis) {
+    while times.front().is_some_and(|at| at + window <= now) {
+        times.pop_front();
+    }
 }
 
 /// Computes a wait before try number `attempt` (from 1), doubled each time, with full jitter.
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -11,14 +11,12 @@
 //! | [`members`] | which other nodes there are, who aggregates whose reports, and who reads for all |
 //! | [`handover`] | which of a node's counts its peers have taken over |
 //! | [`quota`] | whether a client account is within its limit over all nodes |
-//! | [`budget`] | whether a request may be sent to a second server |
 //! | [`usage`] | how many requests of each client account began in each window |
 //! | [`duty_lease`] | which node makes the calls that one node at a time may make |
 //! | [`event_stream`] | where the events of a stream begin and end |
 //! | [`demand`], [`throughput`], [`capacity`] | how many servers to order, where, and of which kind |
 //! | [`refusal`] | why a request was refused, and when to come back |
 
-pub mod budget;
 pub mod capacity;
 pub mod choice;
 pub mod configuration;
--- a/crates/core/tests/core/retry.rs
+++ b/crates/core/tests/core/retry.rs
@@ -1,33 +1,90 @@
-//! Whether another try is allowed.
+//! Whether a request may be sent to another server, and when to try again.
 
-use keeljunction_core::retry::{Budget, backoff};
+use keeljunction_core::retry::{Allowance, Budget, backoff};
 use proptest::prelude::*;
 
+const ALLOWANCE: Allowance = Allowance { ratio: 0.2, least: 50.0, window: 10_000, used: 0.7 };
+
 #[test]
-fn a_wave_of_failures_gets_no_more_than_the_share_and_the_burst() {
-    let mut budget = Budget::new(100, 3);
+fn an_unused_budget_allows_an_even_part_of_the_fixed_number() {
+    let mut budget = Budget::new(ALLOWANCE);
+    let taken = (0..100).filter(|_| budget.take(1_000, "llm", 10)).count();
+    assert_eq!(taken, 3);
+}
+
+#[test]
+fn requests_add_their_ratio_and_leave_with_the_window() {
+    let mut budget = Budget::new(Allowance { least: 0.0, ..ALLOWANCE });
+    for _ in 0..100 {
+        budget.count_request(1_000, "llm");
+    }
+    assert_eq!(budget.get_left(1_000, "llm", 1), 14.0);
+    assert_eq!(budget.get_left(11_000, "llm", 1), 0.0);
+}
+
+#[test]
+fn services_do_not_share_a_budget() {
+    let mut budget = Budget::new(Allowance { least: 0.0, ..ALLOWANCE });
     for _ in 0..100 {
-        budget.deposit();
+        budget.count_request(1_000, "llm");
+    }
+    assert!(!budget.take(1_000, "api", 1));
+}
+
+proptest! {
+    /// However the requests fall on the nodes, and whatever the nodes hear of each other, the
+    /// repeats in any window stay within the whole allowance.
+    #[test]
+    fn no_window_exceeds_the_allowance(
+        arrivals in proptest::collection::vec((0u64..20_000, 0usize..8), 1..400),
+    ) {
+        let mut arrivals = arrivals;
+        arrivals.sort_unstable();
+        let mut nodes: Vec<Budget> = (0..8).map(|_| Budget::new(ALLOWANCE)).collect();
+        let mut repeats: Vec<u64> = Vec::new();
+        for (at, node) in &arrivals {
+            nodes[*node].count_request(*at, "llm");
+            while nodes[*node].take(*at, "llm", 8) {
+                repeats.push(*at);
+            }
+        }
+        for end in &repeats {
+            let in_window = |at: &&u64| **at <= *end && **at + ALLOWANCE.window > *end;
+            let requests = arrivals.iter().map(|(at, _)| at).filter(in_window).count();
+            let used = repeats.iter().filter(in_window).count();
+            prop_assert!(used as f64 <= 0.2 * requests as f64 + ALLOWANCE.least);
+        }
+    }
+}
+
+#[test]
+fn a_wave_of_failures_gets_no_more_than_the_share_and_the_burst() {
+    let allowance = Allowance { ratio: 0.1, least: 3.0, window: 10_000, used: 1.0 };
+    let mut budget = Budget::new(allowance);
+    for now in 0..100 {
+        budget.count_request(now, "llm");
     }
-    let allowed = (0..100).filter(|_| budget.withdraw()).count();
-    assert_eq!(allowed, 3, "what was not used is not saved beyond the burst");
+    // What was not used is not saved beyond the window.
+    assert_eq!((0..100).filter(|_| budget.take(60_000, "llm", 1)).count(), 3);
 }
 
 proptest! {
     /// Over any order of tries and failures, retries stay within the share and the burst.
     #[test]
-    fn retries_stay_within_the_share(tries in prop::collection::vec(any::<bool>(), 0..500), share in 0..500u64, burst in 0..10u64) {
-        let mut budget = Budget::new(share, burst);
+    fn retries_stay_within_the_share(tries in prop::collection::vec(any::<bool>(), 0..500), share in 0..500u32, burst in 0..10u32) {
+        let ratio = f64::from(share) / 1_000.0;
+        let least = f64::from(burst);
+        let mut budget = Budget::new(Allowance { ratio, least, window: 10_000, used: 1.0 });
         let (mut first, mut again) = (0, 0);
         for is_first in tries {
             if is_first {
-                budget.deposit();
+                budget.count_request(0, "llm");
                 first += 1;
             } else {
-                again += u64::from(budget.withdraw());
+                again += u32::from(budget.take(0, "llm", 1));
             }
         }
-        prop_assert!(again <= burst + first * share / 1000);
+        prop_assert!(again <= burst + first * share / 1_000);
     }
 
     /// A wait lies between half and the whole of its bound.
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -1,6 +1,5 @@
 //! Decisions for relayed exchanges, by behaviour and by properties.
 
-mod budget;
 mod capacity;
 mod choice;
 mod configuration;
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -7,7 +7,7 @@
 
 use async_channel::{Receiver, Sender};
 use keeljunction_core::Millis;
-use keeljunction_core::serving::budget::{Allowance, RetryBudget};
+use keeljunction_core::retry::{Allowance, Budget};
 use keeljunction_core::serving::configuration::Configuration;
 use keeljunction_core::serving::demand::DemandBook;
 use keeljunction_core::serving::directory::{Directory, Server};
@@ -45,6 +45,9 @@
 const REST_WHILE_UNKNOWN: Millis = 15_000;
 /// How many times as long as the configuration tells a connection may rest.
 const REST_FACTOR: u32 = 2;
+/// The fraction of the operator's retry budget that nodes use: callers' own retries and lost answers
+/// add to it at the edges of windows.
+const BUDGET_USED: f64 = 0.7;
 /// The part of a lease that its holder leaves unused.
 const LEASE_MARGIN_PART: f64 = 0.2;
 
@@ -119,7 +122,7 @@
     /// What client accounts have used.
     pub quotas: Quotas,
     /// Repeats.
-    pub budget: RetryBudget,
+    pub budget: Budget,
     /// Requests that began.
     pub usage: Ledger,
     /// Tokens asked for, by service.
@@ -157,6 +160,7 @@
             ratio: bounds.retry_budget_ratio,
             least: bounds.budget_min_retries,
             window: (bounds.budget_window_s * 1_000.0) as Millis,
+            used: BUDGET_USED,
         };
         let tolerance = Tolerance {
             window_seconds: bounds.quota_window_s,
@@ -177,7 +181,7 @@
             loads: LoadBook::default(),
             health: Health::default(),
             quotas: Quotas::new(clock.now(), tolerance),
-            budget: RetryBudget::new(allowance),
+            budget: Budget::new(allowance),
             usage: Ledger::default(),
             members: Members::new(clock.now(), get_entry(&settings), &settings.seeds),
             audience: Audience::default(),
--- a/crates/keeljunction/src/node/state.rs
+++ b/crates/keeljunction/src/node/state.rs
@@ -11,7 +11,7 @@
 use keeljunction_core::directory::Directory;
 use keeljunction_core::member::{List, Member, State, Timing};
 use keeljunction_core::outcome::Outcome;
-use keeljunction_core::retry::Budget;
+use keeljunction_core::retry::{Allowance, Budget};
 use keeljunction_core::succession;
 
 use super::Answer;
@@ -29,6 +29,8 @@
 const DEAD_MEMORY_MS: Millis = 600_000;
 /// Nodes that read the platform at the full rate on behalf of all.
 const WATCHERS: usize = 3;
+/// The window in which retries are counted against first tries, as in the examples' settings.
+const BUDGET_WINDOW_MS: Millis = 10_000;
 /// How many times more seldom the others read it.
 const SELDOM: u64 = 10;
 
@@ -91,7 +93,7 @@
     pub ended: http::Stop,
     urgent: (Sender<()>, Receiver<()>),
     force: Mutex<Option<Arc<Force>>>,
-    budgets: Mutex<HashMap<String, Budget>>,
+    budget: Mutex<Budget>,
     seats: Mutex<HashMap<String, usize>>,
     is_stopping: AtomicBool,
     is_closed: AtomicBool,
@@ -111,6 +113,12 @@
         };
         let timing = Timing { suspicion: settings.membership.suspicion_ms, memory: DEAD_MEMORY_MS };
         let http = http::Client::new(CONNECT_WITHIN);
+        let allowance = Allowance {
+            ratio: settings.routing.retry_per_mille as f64 / 1_000.0,
+            least: settings.routing.retry_burst as f64,
+            window: BUDGET_WINDOW_MS,
+            used: 1.0,
+        };
         Arc::new(Self {
             clock,
             metric: Metric::new(settings.statsd),
@@ -126,7 +134,7 @@
             ended: http::Stop::new(),
             urgent: async_channel::bounded(1),
             force: Mutex::default(),
-            budgets: Mutex::default(),
+            budget: Mutex::new(Budget::new(allowance)),
             seats: Mutex::default(),
             is_stopping: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
@@ -206,23 +214,17 @@
 
     /// Counts a first try of a service.
     pub fn count_try(&self, service: &str) {
-        self.with_budget(service, Budget::deposit);
+        runtime::lock(&self.budget).count_request(self.now(), service);
     }
 
     /// Takes one retry of a service, if its budget allows it.
     pub fn take_retry(&self, service: &str) -> bool {
-        let is_allowed = self.with_budget(service, Budget::withdraw);
+        // The settings speak of each node by itself.
+        let is_allowed = runtime::lock(&self.budget).take(self.now(), service, 1);
         self.metric.count(if is_allowed { "retries" } else { "retries_denied" }, 1);
         is_allowed
     }
 
-    fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut Budget) -> T) -> T {
-        let routing = &self.settings.routing;
-        let mut budgets = runtime::lock(&self.budgets);
-        let fresh = || Budget::new(routing.retry_per_mille, routing.retry_burst);
-        act(budgets.entry(service.to_owned()).or_insert_with(fresh))
-    }
-
     /// Takes a seat for a request of an account; `None` where all are taken.
     pub fn take_seat(self: &Arc<Self>, account: &str) -> Option<Seat> {
         let limits = &self.settings.limits;
