fix(quota): hold limits where aggregators end

Cause: the new property test on groups (lost and late reports, aggregators that end and start again) exceeded the limit by up to 18 in 100: a node whose aggregator falls silent took what others used for units that were left, once its last report was two seconds old; it took the whole rate for its share up to a period before it counted the others as out of reach; and turning to another aggregator dropped the estimate. Ruled out: raising limits less alone (5,153,200 of 5,090,000 as before); refunding the charge on a turn (5,994,800). Change: what a silent aggregator's nodes use is charged after two seconds, and when a node turns; their requests count for three; rates of groups are the larger of newest and usual; in groups limits are raised by a quarter of the tolerance instead of half, which alone left 5,099,200 in one of 600 cases. Measured: 600 cases hold; usage is counted once without ends, never too little; a client account gets 85 in 100 of its limit at twice the pressure, and nothing is refused at 0.7 of it. Nodes that do not report in groups decide as before.

--- a/crates/core/src/serving/quota/limit.rs
+++ b/crates/core/src/serving/quota/limit.rs
@@ -57,8 +57,10 @@
     pub heard: usize,
     /// Nodes that may be serving.
     pub all: usize,
-    /// The time between two reports of a peer.
+    /// How long a report takes to reach all nodes.
     pub period: Millis,
+    /// Whether nodes report in groups: what falls silent then may be many nodes, which go on.
+    pub is_grouped: bool,
 }
 
 impl Reach {
--- a/crates/core/src/serving/quota/mod.rs
+++ b/crates/core/src/serving/quota/mod.rs
@@ -51,6 +51,10 @@
 /// The part of the tolerance by which the limit is raised: nodes that share a limit do not admit
 /// just the requests that one bucket would, and none of those that are within it should be refused.
 const RAISED_PART: f64 = 0.5;
+/// The same where nodes report in groups: reports take longer, and more of the tolerance is for what
+/// nodes admit before they arrive (property test `groups`: 0.5 exceeded it by 0.2 in 100 where two
+/// of three aggregators ended).
+const RAISED_PART_GROUPED: f64 = 0.25;
 /// The part of the tolerated excess with which nodes begin that all started again. The rest covers
 /// what they admit before their reports arrive.
 const FRESH_PART: f64 = 0.7;
@@ -112,7 +116,7 @@
         if limit.rate_per_second <= 0.0 {
             return Ok(());
         }
-        let limit = self.tolerance.raise(limit, RAISED_PART);
+        let limit = self.tolerance.raise(limit, get_raised_part(reach));
         self.own.accounts.entry(account.to_owned()).or_default().requested += units;
         let rate = limit.rate_per_second * reach.get_fraction();
         let capacity = limit.get_capacity();
@@ -162,7 +166,7 @@
     /// that others can be told its level.
     pub fn track(&mut self, now: Millis, account: &str, limit: Limit, reach: Reach) {
         if limit.rate_per_second > 0.0 && !self.whole.contains_key(account) {
-            let limit = self.tolerance.raise(limit, RAISED_PART);
+            let limit = self.tolerance.raise(limit, get_raised_part(reach));
             self.refill_whole(now, account, limit, reach);
         }
     }
@@ -212,7 +216,7 @@
         let reporting = self.peers.iter().filter(|((from, _, _), _)| *from == source);
         for (_, rates) in reporting {
             for account in rates.iter_accounts() {
-                let requested = rates.get_requested(now, account) * 1_000.0;
+                let requested = rates.get_requested(now, account, source) * 1_000.0;
                 sum.accounts.entry(account.clone()).or_default().add(0, requested as u64);
             }
         }
@@ -267,7 +271,11 @@
         let key = (source, peer.to_owned(), incarnation);
         let is_first = !self.peers.contains_key(&key);
         let own_age = now.saturating_sub(self.started_at);
+        if is_first && source == Source::Aggregator {
+            self.forget_aggregators(now);
+        }
         let rates = self.peers.entry(key).or_default();
+        let charged = rates.take_charged();
         if is_first {
             rates.reported_at = now.saturating_sub(RATE_VALID_FOR);
             rates.is_older = report.age > own_age;
@@ -280,6 +288,7 @@
         };
         let takes_level = is_first && is_counted_elsewhere;
         let newly_admitted = rates.update(now, report);
+        refund_all(&mut self.whole, charged);
         for (account, admitted) in newly_admitted {
             if takes_level {
                 self.take_level(now, source, &account, report);
@@ -300,6 +309,21 @@
         }
     }
 
+    /// Forgets the aggregators that this node reported to before. What others used since their last
+    /// reports is charged by estimate: the next aggregator may know less, where it has just started.
+    fn forget_aggregators(&mut self, now: Millis) {
+        let whole = &mut self.whole;
+        self.peers.retain(|(source, _, _), rates| {
+            if *source != Source::Aggregator {
+                return true;
+            }
+            for (account, bucket) in whole.iter_mut() {
+                bucket.available -= rates.estimate_unreported_of_group(now, account);
+            }
+            false
+        });
+    }
+
     /// Takes over what a peer knows to be left of a client account's bucket, where that is less
     /// than this node knows.
     fn take_level(&mut self, now: Millis, source: Source, account: &str, report: &Report) {
@@ -341,8 +365,18 @@
         let fraction = reach.get_fraction();
         let rate = limit.rate_per_second * fraction;
         let capacity = limit.get_capacity();
-        let unreported: f64 =
-            self.peers.values().map(|peer| peer.estimate_unreported(now, account)).sum();
+        let mut unreported = 0.0;
+        let mut charged = 0.0;
+        for ((source, _, _), peer) in &mut self.peers {
+            if !reach.is_grouped || *source == Source::Member {
+                unreported += peer.estimate_unreported(now, account);
+                continue;
+            }
+            // An aggregator that falls silent reported for many nodes. What they go on to use must
+            // not look like units that are left.
+            unreported += peer.estimate_unreported_of_group(now, account);
+            charged += peer.charge_unreported(now, account);
+        }
         let reserved = self.get_fresh(limit) * (1.0 - fraction);
         if !self.whole.contains_key(account) {
             let bucket = self.make_bucket(now, account, limit, reserved);
@@ -351,6 +385,10 @@
         let Some(bucket) = self.whole.get_mut(account) else { return 0.0 };
         bucket.release(reserved);
         bucket.set(now, rate, capacity);
+        if charged > 0.0 {
+            bucket.available -= charged;
+            unreported -= charged;
+        }
         bucket.available - unreported
     }
 
@@ -390,8 +428,11 @@
     /// Returns what the client account requests of all nodes that are heard, in units a
     /// millisecond.
     fn get_all_requested(&self, now: Millis, account: &str) -> f64 {
-        let peers: f64 = self.peers.values().map(|peer| peer.get_requested(now, account)).sum();
-        self.own_rates.get_requested(now, account) + peers
+        let requested = |(key, rates): (&(Source, String, u64), &Rates)| {
+            rates.get_requested(now, account, key.0)
+        };
+        let peers: f64 = self.peers.iter().map(requested).sum();
+        self.own_rates.get_requested(now, account, Source::Peer) + peers
     }
 
     /// Returns this node's share of what the client account requests of all nodes that are heard.
@@ -399,7 +440,7 @@
     /// While this node is new its peers may be too, and may not have reported yet what is requested
     /// of them: an even share is no node's loss then.
     fn get_share(&self, now: Millis, account: &str, reach: Reach) -> f64 {
-        let own = self.own_rates.get_requested(now, account);
+        let own = self.own_rates.get_requested(now, account, Source::Peer);
         let is_new = now < self.started_at + NEW_FOR;
         if own <= 0.0 || is_new {
             return 1.0 / reach.heard.max(1) as f64;
@@ -408,6 +449,18 @@
     }
 }
 
+fn get_raised_part(reach: Reach) -> f64 {
+    if reach.is_grouped { RAISED_PART_GROUPED } else { RAISED_PART }
+}
+
+fn refund_all(buckets: &mut BTreeMap<String, Bucket>, units: BTreeMap<String, f64>) {
+    for (account, units) in units {
+        if let Some(bucket) = buckets.get_mut(&account) {
+            bucket.available += units;
+        }
+    }
+}
+
 fn wait(lacking: f64, rate: f64) -> Millis {
     (lacking / rate * 1_000.0).ceil() as Millis
 }
--- a/crates/core/src/serving/quota/report.rs
+++ b/crates/core/src/serving/quota/report.rs
@@ -53,6 +53,9 @@
 
 /// How long a rate is assumed to go on after it was reported.
 pub(super) const RATE_VALID_FOR: Millis = 2_000;
+/// How long what others are requested for counts, of whom one aggregator reports: a node must not
+/// take the whole rate for its share before it counts the others as out of reach.
+const OTHERS_VALID_FOR: Millis = 3_000;
 /// The weight of the newest sample of a rate.
 const SMOOTHING: f64 = 0.5;
 
@@ -65,7 +68,11 @@
     pub is_older: bool,
     last: BTreeMap<String, Units>,
     admitted: BTreeMap<String, f64>,
+    /// The same, smoothed over the latest reports.
+    usually_admitted: BTreeMap<String, f64>,
     requested: BTreeMap<String, f64>,
+    /// Units that were charged for the time in which nothing was reported, by client account.
+    charged: BTreeMap<String, f64>,
 }
 
 impl Rates {
@@ -83,7 +90,10 @@
         for (account, units) in &report.accounts {
             let before = self.last.insert(account.clone(), *units).unwrap_or_default();
             let admitted = units.admitted - before.admitted;
-            self.admitted.insert(account.clone(), admitted.max(0) as f64 / since);
+            let rate = admitted.max(0) as f64 / since;
+            self.admitted.insert(account.clone(), rate);
+            let usual = self.usually_admitted.entry(account.clone()).or_insert(rate);
+            *usual += SMOOTHING * (rate - *usual);
             self.requested.insert(account.clone(), units.requested_per_second as f64 / 1_000.0);
             newly_admitted.push((account.clone(), admitted));
         }
@@ -100,12 +110,43 @@
         (known + SMOOTHING * (newest - known)) as u64
     }
 
-    /// Estimates the units admitted since the last report.
+    /// Estimates the units admitted since the last report, but for those that were charged.
     pub fn estimate_unreported(&self, now: Millis, account: &str) -> f64 {
+        if self.charged.contains_key(account) {
+            return 0.0;
+        }
         let since = now.saturating_sub(self.reported_at).min(RATE_VALID_FOR) as f64;
         self.admitted.get(account).map_or(0.0, |rate| rate * since)
     }
 
+    /// Estimates the same for a group of nodes, which may have used more than their last report
+    /// says: that covers a short time only.
+    pub fn estimate_unreported_of_group(&self, now: Millis, account: &str) -> f64 {
+        if self.charged.contains_key(account) {
+            return 0.0;
+        }
+        let since = now.saturating_sub(self.reported_at).min(RATE_VALID_FOR) as f64;
+        let newest = self.admitted.get(account).copied().unwrap_or(0.0);
+        let usual = self.usually_admitted.get(account).copied().unwrap_or(0.0);
+        newest.max(usual) * since
+    }
+
+    /// Returns the units admitted since the last report that must be charged, because the rate is no
+    /// longer assumed to go on; 0 where they were charged before.
+    pub fn charge_unreported(&mut self, now: Millis, account: &str) -> f64 {
+        if now < self.reported_at + RATE_VALID_FOR || self.charged.contains_key(account) {
+            return 0.0;
+        }
+        let units = self.estimate_unreported_of_group(now, account);
+        self.charged.insert(account.to_owned(), units);
+        units
+    }
+
+    /// Takes the units that were charged since the last report: the next one says what was used.
+    pub fn take_charged(&mut self) -> BTreeMap<String, f64> {
+        std::mem::take(&mut self.charged)
+    }
+
     /// Takes off what this node need no longer report.
     pub fn take_off(&mut self, units: &BTreeMap<String, Units>) {
         for (account, arrived) in units {
@@ -126,8 +167,13 @@
         self.last.get(account)
     }
 
-    pub fn get_requested(&self, now: Millis, account: &str) -> f64 {
-        let is_recent = now < self.reported_at + RATE_VALID_FOR;
+    /// Returns the units requested a millisecond, lately.
+    pub fn get_requested(&self, now: Millis, account: &str, source: Source) -> f64 {
+        let valid_for = match source {
+            Source::Aggregator => OTHERS_VALID_FOR,
+            Source::Peer | Source::Member => RATE_VALID_FOR,
+        };
+        let is_recent = now < self.reported_at + valid_for;
         self.requested.get(account).copied().filter(|_| is_recent).unwrap_or(0.0)
     }
 }
--- /dev/null
+++ b/crates/core/tests/serving/groups.rs
@@ -0,0 +1,361 @@
+//! Whether limits hold and usage is counted once where nodes report in groups, while reports are
+//! lost and late, aggregators end, and nodes turn to others.
+
+use std::collections::BTreeMap;
+
+use keeljunction_core::serving::handover::{Handover, Snapshot};
+use keeljunction_core::serving::quota::{Limit, Quotas, Reach, Report, Source, Tolerance};
+use keeljunction_core::serving::usage::{Counts, Ledger, Life};
+use proptest::prelude::*;
+
+const LIMIT: Limit = Limit { rate_per_second: 500_000.0, burst: 500_000.0 };
+const TOLERANCE: Tolerance = Tolerance { window_seconds: 8.0, overshoot: 0.1, slack: 140_000.0 };
+const PERIOD: u64 = 400;
+const STEP: u64 = 20;
+const END: u64 = 24_000;
+const SIZES: [u64; 6] = [800, 800, 2_400, 2_400, 12_000, 30_000];
+const MEAN_SIZE: f64 = 8_066.0;
+const GROUPS: usize = 3;
+const MEMBERS: usize = 4;
+const NODES: usize = GROUPS * (MEMBERS + 1);
+/// A node that hears nothing of its aggregator for this long turns to another one.
+const SILENT_AFTER: u64 = 1_600;
+/// A node that was heard within this time is in reach.
+const HEARD_WITHIN: u64 = 2_000;
+/// One window of usage: all of the day.
+const WINDOW: u64 = 1;
+
+/// The first nodes aggregate, the others report to one of them.
+struct Node {
+    number: usize,
+    quotas: Quotas,
+    handover: Handover,
+    ledger: Ledger,
+    aggregator: usize,
+    heard_at: u64,
+    /// The newest report of each node that arrived here, by its time there.
+    newest: BTreeMap<usize, u64>,
+    /// When each node was heard.
+    heard: BTreeMap<usize, u64>,
+    /// What the aggregator of this node hears.
+    heard_elsewhere: usize,
+}
+
+impl Node {
+    fn start(number: usize, now: u64, run: u64) -> Self {
+        let life = Life { node: number.to_string(), number: run };
+        Self {
+            number,
+            quotas: Quotas::new(now, TOLERANCE),
+            handover: Handover::new(now, life),
+            ledger: Ledger::default(),
+            aggregator: number % GROUPS,
+            heard_at: now,
+            newest: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            heard_elsewhere: 1,
+        }
+    }
+
+    /// Returns which nodes are in reach: of an aggregator those that it hears, with their groups.
+    fn get_reach(&self, now: u64) -> Reach {
+        let is_heard = |at: &u64| now < at + HEARD_WITHIN;
+        let weight = |number: &usize| if *number < GROUPS { MEMBERS + 1 } else { 1 };
+        let heard = match self.is_aggregator() {
+            true => {
+                let heard = self.heard.iter().filter(|(_, at)| is_heard(at));
+                1 + heard.map(|(number, _)| weight(number)).sum::<usize>()
+            }
+            false if is_heard(&self.heard_at) => self.heard_elsewhere,
+            false => 1,
+        };
+        Reach { heard: heard.min(NODES), all: NODES, period: PERIOD * 3, is_grouped: true }
+    }
+
+    fn is_aggregator(&self) -> bool {
+        self.number < GROUPS
+    }
+
+    fn get_from(&self) -> (String, u64) {
+        (self.number.to_string(), self.handover.get_life().number)
+    }
+
+    fn report(&mut self, now: u64) -> (Report, Counts) {
+        let report = self.quotas.report(now);
+        let usage = self.ledger.of_life(self.handover.get_life());
+        let usage: BTreeMap<u64, Counts> = usage.into_iter().collect();
+        let counts = usage.get(&WINDOW).cloned().unwrap_or_default();
+        self.handover.record(now, Snapshot { quota: report.accounts.clone(), usage });
+        (report, counts)
+    }
+
+    /// Turns to another aggregator, or begins anew with one that has started again.
+    fn turn(&mut self, now: u64, to: usize, number: u64) {
+        let former = self.handover.get_life().clone();
+        let arrived = self.handover.begin(now, number);
+        let next = self.handover.get_life().clone();
+        self.quotas.hand_over(now, &arrived.quota);
+        self.ledger.hand_over(&former, &next, &arrived.usage, false);
+        self.aggregator = to;
+        self.heard_at = now;
+        // Until the other one says what it hears, this node hears nobody.
+        self.heard_elsewhere = 1;
+    }
+}
+
+/// A datagram on its way.
+enum Datagram {
+    Report { from: usize, run: (String, u64), report: Report, counts: Counts, sent_at: u64 },
+    Summary { from: usize, run: (String, u64), report: Report, counts: Counts },
+    Overview { run: (String, u64), heard: usize, total: Report, answers: Option<u64> },
+}
+
+#[derive(Clone, Debug)]
+struct Scenario {
+    pressure: f64,
+    lost: f64,
+    /// The longest time that a datagram is on its way.
+    late: u64,
+    /// When an aggregator ends, which, and for how long it is away.
+    ends: Vec<(u64, usize, u64)>,
+    seed: u64,
+}
+
+struct Outcome {
+    admitted: Vec<(u64, u64)>,
+    /// Requests that began, and those that the first aggregator counts at the end.
+    began: u64,
+    counted: u64,
+}
+
+impl Scenario {
+    fn is_away(&self, node: usize, now: u64) -> bool {
+        self.ends.iter().any(|(at, who, away)| *who == node && (*at..at + away).contains(&now))
+    }
+
+    fn play(&self) -> Outcome {
+        let mut random = fastrand::Rng::with_seed(self.seed);
+        let mut nodes: Vec<Node> = (0..NODES).map(|number| Node::start(number, 0, 1)).collect();
+        let mut on_the_way: Vec<(u64, usize, Datagram)> = Vec::new();
+        let mut outcome = Outcome { admitted: Vec::new(), began: 0, counted: 0 };
+        let mut owed = 0.0;
+        for now in (STEP..END + 4_000).step_by(STEP as usize) {
+            for (number, node) in nodes.iter_mut().enumerate() {
+                if self.ends.iter().any(|(at, who, away)| *who == number && at + away == now) {
+                    *node = Node::start(number, now, now);
+                }
+            }
+            if now < END {
+                owed += self.pressure * LIMIT.rate_per_second * STEP as f64 / 1_000.0 / MEAN_SIZE;
+            }
+            while owed >= 1.0 {
+                owed -= 1.0;
+                let number = random.usize(..NODES);
+                let size = SIZES[random.usize(..SIZES.len())];
+                if self.is_away(number, now) {
+                    continue;
+                }
+                let node = &mut nodes[number];
+                let reach = node.get_reach(now);
+                if node.quotas.consume(now, "acme", size, LIMIT, reach).is_ok() {
+                    outcome.admitted.push((now, size));
+                    outcome.began += 1;
+                    let life = node.handover.get_life().clone();
+                    node.ledger.count(WINDOW, &life, "acme");
+                }
+            }
+            let (arrived, still): (Vec<_>, Vec<_>) =
+                on_the_way.into_iter().partition(|(at, _, _)| *at <= now);
+            on_the_way = still;
+            for (_, to, datagram) in arrived {
+                if !self.is_away(to, now) {
+                    take(&mut nodes[to], now, datagram);
+                }
+            }
+            for number in 0..NODES {
+                if (now + number as u64 * 60) % PERIOD >= STEP || self.is_away(number, now) {
+                    continue;
+                }
+                for (to, datagram) in send(&mut nodes, number, now, &mut random) {
+                    if random.f64() >= self.lost {
+                        let at = now + 1 + random.u64(..=self.late);
+                        on_the_way.push((at, to, datagram));
+                    }
+                }
+            }
+        }
+        outcome.counted = nodes[0].ledger.total(WINDOW).get("acme").copied().unwrap_or(0);
+        outcome
+    }
+}
+
+fn take(node: &mut Node, now: u64, datagram: Datagram) {
+    match datagram {
+        Datagram::Report { from, run, report, counts, sent_at } => {
+            node.quotas.merge(now, Source::Member, (&run.0, run.1), &report);
+            let life = Life { node: run.0, number: run.1 };
+            node.ledger.merge_member(WINDOW, &life, &counts);
+            let newest = node.newest.entry(from).or_default();
+            *newest = (*newest).max(sent_at);
+            node.heard.insert(from, now);
+        }
+        Datagram::Summary { from, run, report, counts } => {
+            node.heard.insert(from, now);
+            node.quotas.merge(now, Source::Peer, (&run.0, run.1), &report);
+            node.ledger.merge(WINDOW, &Life { node: run.0, number: run.1 }, &counts);
+        }
+        Datagram::Overview { run, heard, total, answers } => {
+            if run.0 != node.aggregator.to_string() {
+                return;
+            }
+            node.heard_at = now;
+            node.heard_elsewhere = heard;
+            let arrived = answers.and_then(|at| node.handover.confirm(at).cloned());
+            if let Some(arrived) = arrived {
+                node.quotas.merge_total(now, (&run.0, run.1), &total, &arrived.quota);
+            }
+        }
+    }
+}
+
+fn send(
+    nodes: &mut [Node],
+    number: usize,
+    now: u64,
+    random: &mut fastrand::Rng,
+) -> Vec<(usize, Datagram)> {
+    let node = &mut nodes[number];
+    if !node.is_aggregator() {
+        if now >= node.heard_at + SILENT_AFTER {
+            node.turn(now, (node.aggregator + 1) % GROUPS, random.u64(..));
+        }
+        let (report, counts) = node.report(now);
+        let run = node.get_from();
+        let report = Datagram::Report { from: number, run, report, counts, sent_at: now };
+        return vec![(node.aggregator, report)];
+    }
+    let (own, _) = node.report(now);
+    let reach = node.get_reach(now);
+    node.quotas.track(now, "acme", LIMIT, reach);
+    let group = node.quotas.add_group(now, &own);
+    let total = node.quotas.add_others(now, &group);
+    let run = node.get_from();
+    let usage = node.ledger.sum_group(node.handover.get_life(), 1);
+    let counts = usage.first().map(|(_, counts)| counts.clone()).unwrap_or_default();
+    let newest = node.newest.clone();
+    let mut sent = Vec::new();
+    for other in (0..GROUPS).filter(|other| *other != number) {
+        let (run, report, counts) = (run.clone(), group.clone(), counts.clone());
+        sent.push((other, Datagram::Summary { from: number, run, report, counts }));
+    }
+    for member in (GROUPS..NODES).filter(|member| nodes[*member].aggregator == number) {
+        let answers = newest.get(&member).copied();
+        let (run, total) = (run.clone(), total.clone());
+        sent.push((member, Datagram::Overview { run, heard: reach.heard, total, answers }));
+    }
+    sent
+}
+
+/// (8 + 1) * 500,000 * 1.1 + 140,000.
+const ALLOWED: u64 = 5_090_000;
+
+fn get_most(admitted: &[(u64, u64)]) -> u64 {
+    let (mut most, mut sum, mut first) = (0, 0, 0);
+    for (at, units) in admitted {
+        sum += units;
+        while admitted[first].0 + 8_000 <= *at {
+            sum -= admitted[first].1;
+            first += 1;
+        }
+        most = most.max(sum);
+    }
+    most
+}
+
+fn scenario() -> impl Strategy<Value = Scenario> {
+    let ends = prop::collection::vec((100u64..1_000, 0..GROUPS, 20u64..200), 0..3);
+    (0.5f64..4.0, 0.0f64..0.2, 1u64..300, ends, any::<u64>()).prop_map(
+        |(pressure, lost, late, ends, seed)| {
+            let steps = |(at, who, away): (u64, usize, u64)| (at * STEP, who, away * STEP);
+            let ends = ends.into_iter().map(steps).collect();
+            Scenario { pressure, lost, late, ends, seed }
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_window_exceeds_the_limit_and_what_is_tolerated(scenario in scenario()) {
+        let most = get_most(&scenario.play().admitted);
+        prop_assert!(most <= ALLOWED, "{most} of {ALLOWED}");
+    }
+
+    /// Where no aggregator ends, each request is counted, however reports are lost and late; twice
+    /// only where so many are lost in a row that a node turns to another aggregator.
+    #[test]
+    fn usage_is_counted_once(scenario in scenario()) {
+        let scenario = Scenario { ends: Vec::new(), pressure: 0.8, ..scenario };
+        let outcome = scenario.play();
+        prop_assert!(outcome.counted >= outcome.began, "{} of {}", outcome.counted, outcome.began);
+        let most = outcome.began + outcome.began / 33;
+        prop_assert!(outcome.counted <= most, "{} of {}", outcome.counted, outcome.began);
+        let calm = Scenario { lost: 0.0, ..scenario }.play();
+        prop_assert_eq!(calm.counted, calm.began);
+    }
+}
+
+#[test]
+fn a_client_account_gets_its_limit_where_nodes_report_in_groups() {
+    for seed in 0..3 {
+        let scenario = Scenario { pressure: 2.0, lost: 0.01, late: 20, ends: Vec::new(), seed };
+        let admitted = scenario.play().admitted;
+        let late: u64 =
+            admitted.iter().filter(|(at, _)| (8_000..24_000).contains(at)).map(|(_, u)| u).sum();
+        assert!(late >= 16 * 500_000 * 85 / 100, "{late} with seed {seed}");
+        // Below the limit nothing is refused.
+        let calm = Scenario { pressure: 0.7, ..scenario };
+        let outcome = calm.play();
+        let asked = (0.7 * 500_000.0 * 24.0 / MEAN_SIZE) as u64;
+        assert!(outcome.began >= asked * 97 / 100, "{} of {asked} with seed {seed}", outcome.began);
+    }
+}
+
+#[test]
+fn requests_of_a_node_that_turns_to_another_aggregator_are_counted_about_once() {
+    for seed in 0..5 {
+        let ends = vec![(8_000, 1, 4_000), (16_000, 2, 3_000)];
+        let scenario = Scenario { pressure: 0.8, lost: 0.02, late: 20, ends, seed };
+        let outcome = scenario.play();
+        // What the two that ended counted for themselves since their last report is lost: one
+        // period of one of fifteen nodes; their groups count again what was not confirmed.
+        let off = outcome.counted.abs_diff(outcome.began) as f64 / outcome.began as f64;
+        assert!(off < 0.03, "{} of {} with seed {seed}", outcome.counted, outcome.began);
+    }
+}
+
+fn life(number: u64) -> Life {
+    Life { node: "a".to_owned(), number }
+}
+
+#[test]
+fn a_report_that_is_known_to_have_arrived_is_not_reported_again() {
+    let snapshot = |count: u64| Snapshot {
+        usage: BTreeMap::from([(WINDOW, Counts::from([("acme".to_owned(), count)]))]),
+        ..Snapshot::default()
+    };
+    let mut handover = Handover::new(0, life(1));
+    handover.record(400, snapshot(3));
+    handover.record(800, snapshot(5));
+    handover.record(1_200, snapshot(9));
+    assert_eq!(handover.confirm(800), Some(&snapshot(5)));
+    // An older confirmation that was late changes nothing.
+    assert_eq!(handover.confirm(400), None);
+    assert_eq!(handover.get_arrived(), Some(&snapshot(5)));
+    assert_eq!(handover.begin(1_300, 2), snapshot(5));
+    assert_eq!((handover.get_life(), handover.get_age(1_400)), (&life(2), 100));
+    // Reports of the former incarnation are confirmed no more.
+    assert_eq!(handover.confirm(1_200), None);
+    assert_eq!(handover.begin(1_500, 3), Snapshot::default());
+}
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -8,6 +8,7 @@
 mod duty_lease;
 mod event_stream;
 mod freshness;
+mod groups;
 mod health;
 mod load;
 mod members;
--- a/crates/core/tests/serving/quota_cluster.rs
+++ b/crates/core/tests/serving/quota_cluster.rs
@@ -81,7 +81,7 @@
                 }
                 let is_heard = |at: &&u64| now < **at + HEARD_WITHIN;
                 let heard = 1 + node.heard.values().filter(is_heard).count();
-                let reach = Reach { heard, all: self.nodes, period: PERIOD };
+                let reach = Reach { heard, all: self.nodes, period: PERIOD, is_grouped: false };
                 if node.quotas.consume(now, "acme", size, LIMIT, reach).is_ok() {
                     admitted.push((now, size));
                 }
