fix(http): do not use connections again that rested for two seconds

Ruled out: a shorter TCP_USER_TIMEOUT: links that lose packets would break sound connections. Change: a connection that has rested for two seconds is closed and a new one made, for some milliseconds.

--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -24,6 +24,9 @@
 const IDLE_PER_ADDRESS: usize = 64;
 /// How long a connection is kept where the server does not tell.
 const KEEP_FOR: Duration = Duration::from_secs(30);
+/// How long a connection is believed in that rests. One that has gone silent without a reset shows
+/// that only by time-outs of some seconds, and a new one takes some milliseconds.
+const REST: Duration = Duration::from_secs(2);
 /// Taken off the time that a server tells, so that no request crosses its close.
 const KEEP_MARGIN: Duration = Duration::from_millis(700);
 /// How long sent bytes may stay unacknowledged before the system gives a connection up.
@@ -61,7 +64,10 @@
 /// A connection whose socket closes as soon as it is dropped.
 struct Connection {
     sender: SendRequest<Body>,
+    /// When the server may close it.
     until: Instant,
+    /// Since when it rests.
+    rests_since: Instant,
     _driver: Task<()>,
 }
 
@@ -73,13 +79,24 @@
 pub struct Client {
     idle: Idle,
     connect_within: Duration,
+    rest: Duration,
     opened: Arc<std::sync::atomic::AtomicU64>,
 }
 
 impl Client {
     /// Makes a client that gives a connection this long to be made.
     pub fn new(connect_within: Duration) -> Self {
-        Self { idle: Idle::default(), connect_within, opened: Arc::default() }
+        Self { idle: Idle::default(), connect_within, rest: REST, opened: Arc::default() }
+    }
+
+    /// Sets how long a connection may rest and still be used again.
+    pub fn with_rest(self, rest: Duration) -> Self {
+        Self { rest, ..self }
+    }
+
+    /// Returns how many connections to an address rest.
+    pub fn get_idle(&self, address: SocketAddr) -> usize {
+        runtime::lock(&self.idle).get(&address).map_or(0, Vec::len)
     }
 
     /// Returns how many connections were made so far.
@@ -128,7 +145,8 @@
         let kept = idle.get_mut(&to)?;
         let now = Instant::now();
         while let Some(connection) = kept.pop() {
-            if connection.sender.is_ready() && now < connection.until {
+            let is_believed = now.duration_since(connection.rests_since) < self.rest;
+            if connection.sender.is_ready() && now < connection.until && is_believed {
                 return Some(connection);
             }
         }
@@ -150,7 +168,8 @@
         let driver = runtime::task(async move {
             let _ = connection.await;
         });
-        Ok(Connection { sender, until: Instant::now() + KEEP_FOR, _driver: driver })
+        let now = Instant::now();
+        Ok(Connection { sender, until: now + KEEP_FOR, rests_since: now, _driver: driver })
     }
 
     fn keep(
@@ -225,6 +244,7 @@
             if kept.connection.sender.ready().await.is_ok() {
                 let mut idle = runtime::lock(&kept.idle);
                 let connections = idle.entry(kept.to).or_default();
+                kept.connection.rests_since = Instant::now();
                 if connections.len() < IDLE_PER_ADDRESS {
                     connections.push(kept.connection);
                 }
--- /dev/null
+++ b/crates/gateway/tests/client.rs
@@ -0,0 +1,51 @@
+//! How long the client believes in connections that rest.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::{Request, Response};
+use keeljunction_gateway::http::{Body, Client, Limits, Server, Stop, read};
+use keeljunction_gateway::runtime;
+
+/// Starts a server that answers every request.
+async fn serve() -> SocketAddr {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = Server::bind(any, Limits::default(), Stop::new()).await.expect("a free port");
+    let address = server.get_address().expect("an address");
+    runtime::spawn(server.serve(|_| async { Response::new(Body::from("ok")) }));
+    address
+}
+
+async fn ask(client: &Client, to: SocketAddr) {
+    let request = Request::get("/").header("host", "x").body(Body::empty()).expect("a request");
+    let response = client.send(to, request).await.expect("an answer");
+    assert_eq!(read(response.into_body(), 100).await.as_deref(), Some(&b"ok"[..]));
+    // The connection is kept once it is ready again.
+    while client.get_idle(to) == 0 {
+        runtime::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+#[test]
+fn a_connection_that_has_not_rested_for_long_is_used_again() {
+    runtime::run(1, async {
+        let to = serve().await;
+        let client = Client::new(Duration::from_secs(5)).with_rest(Duration::from_secs(60));
+        for _ in 0..3 {
+            ask(&client, to).await;
+        }
+        assert_eq!(client.get_opened(), 1);
+    });
+}
+
+#[test]
+fn a_connection_that_rested_for_long_is_not_used_again_as_it_may_have_gone_silent() {
+    runtime::run(1, async {
+        let to = serve().await;
+        let client = Client::new(Duration::from_secs(5)).with_rest(Duration::ZERO);
+        for _ in 0..3 {
+            ask(&client, to).await;
+        }
+        assert_eq!((client.get_opened(), client.get_idle(to)), (3, 1));
+    });
+}
