refactor: incarnations of a node, in the field's word

Cause: code and logs spoke of a node's lives; the field's term is incarnation, as in the membership of the first path. Change: usage::Incarnation, KeptIncarnation, get_incarnation, of_incarnation; the started event's field is 'incarnation'. The lease row in the table keeps its field 'life', so that nodes of both versions read it.

--- a/crates/core/src/serving/demand.rs
+++ b/crates/core/src/serving/demand.rs
@@ -6,7 +6,7 @@
 
 use crate::Millis;
 
-/// What one life of a node was asked for since its start. The numbers only grow.
+/// What one incarnation of a node was asked for since its start. The numbers only grow.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DemandTotals {
     /// Requests.
--- a/crates/core/src/serving/duty_lease.rs
+++ b/crates/core/src/serving/duty_lease.rs
@@ -14,8 +14,9 @@
 pub struct LeaseRow {
     /// The node that holds it.
     pub holder: String,
-    /// The life of that node.
-    pub life: u64,
+    /// The incarnation of that node.
+    #[serde(rename = "life")]
+    pub incarnation: u64,
     /// Rises with each new holder.
     pub term: u64,
     /// When it ends, on the table's clock.
@@ -51,7 +52,7 @@
 #[derive(Clone, Debug)]
 pub struct DutyLease {
     holder: String,
-    life: u64,
+    incarnation: u64,
     length: Millis,
     margin: Millis,
     held: Option<Held>,
@@ -69,9 +70,9 @@
     /// # Panics
     ///
     /// In debug builds, where the margin is not shorter than the lease.
-    pub fn new(holder: String, life: u64, length: Millis, margin: Millis) -> Self {
+    pub fn new(holder: String, incarnation: u64, length: Millis, margin: Millis) -> Self {
         debug_assert!(margin < length, "the margin must be shorter than the lease");
-        Self { holder, life, length, margin, held: None }
+        Self { holder, incarnation, length, margin, held: None }
     }
 
     /// Returns the fence to send with a call, or `None` where the lease is not surely held.
@@ -86,7 +87,7 @@
         if self.is_mine(row) && row.ends_at > clock.table_time {
             return Step::Write(self.row(row.term, ends_at));
         }
-        // A node that started again is the same holder: its former life cannot act any more.
+        // A node that started again is the same holder: its former incarnation cannot act any more.
         let is_free = row.ends_at <= clock.table_time || row.holder == self.holder;
         if is_free {
             return Step::Write(self.row(row.term + 1, ends_at));
@@ -114,10 +115,10 @@
     }
 
     fn is_mine(&self, row: &LeaseRow) -> bool {
-        row.holder == self.holder && row.life == self.life
+        row.holder == self.holder && row.incarnation == self.incarnation
     }
 
     fn row(&self, term: u64, ends_at: Millis) -> LeaseRow {
-        LeaseRow { holder: self.holder.clone(), life: self.life, term, ends_at }
+        LeaseRow { holder: self.holder.clone(), incarnation: self.incarnation, term, ends_at }
     }
 }
--- a/crates/core/src/serving/handover.rs
+++ b/crates/core/src/serving/handover.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use super::quota::Units;
-use super::usage::{Counts, Life, WindowNumber};
+use super::usage::{Counts, Incarnation, WindowNumber};
 use crate::Millis;
 
 /// Reports that are kept until one of them is known to have arrived: five seconds' worth.
@@ -28,7 +28,7 @@
 /// The reports of one node to those that sum them up.
 #[derive(Clone, Debug)]
 pub struct Handover {
-    life: Life,
+    incarnation: Incarnation,
     since: Millis,
     reports: VecDeque<(Millis, Snapshot)>,
     arrived: Option<(Millis, Snapshot)>,
@@ -36,13 +36,13 @@
 
 impl Handover {
     /// Begins with the first incarnation of a node.
-    pub fn new(now: Millis, life: Life) -> Self {
-        Self { life, since: now, reports: VecDeque::new(), arrived: None }
+    pub fn new(now: Millis, incarnation: Incarnation) -> Self {
+        Self { incarnation, since: now, reports: VecDeque::new(), arrived: None }
     }
 
     /// Returns under which incarnation the node counts now.
-    pub fn get_life(&self) -> &Life {
-        &self.life
+    pub fn get_incarnation(&self) -> &Incarnation {
+        &self.incarnation
     }
 
     /// Returns how long this incarnation has counted.
@@ -75,7 +75,7 @@
     /// Begins a new incarnation; returns the counts that arrived under the former one, which the
     /// node must no longer report.
     pub fn begin(&mut self, now: Millis, number: u64) -> Snapshot {
-        self.life.number = number;
+        self.incarnation.number = number;
         self.since = now;
         self.reports.clear();
         self.arrived.take().map(|(_, snapshot)| snapshot).unwrap_or_default()
--- a/crates/core/src/serving/usage.rs
+++ b/crates/core/src/serving/usage.rs
@@ -1,7 +1,7 @@
 //! How many requests of each client account began in each window of the wall clock.
 //!
-//! Each life of a node counts for itself and its counts only grow. Nodes exchange them, and keep
-//! the largest that they saw of every life, so that the counts of a node survive it.
+//! Each incarnation of a node counts for itself and its counts only grow. Nodes exchange them, and keep
+//! the largest that they saw of every incarnation, so that the counts of a node survive it.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,34 +15,34 @@
 /// Requests that began, by client account.
 pub type Counts = BTreeMap<String, u64>;
 
-/// One life of a node: its name and a number drawn at its start.
+/// One incarnation of a node: its name and a number drawn at its start.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Life {
+pub struct Incarnation {
     /// The node's name.
     pub node: String,
     /// Drawn at random at each start.
     pub number: u64,
 }
 
-/// The counts of all lives of all nodes, for the latest windows.
+/// The counts of all incarnations of all nodes, for the latest windows.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Ledger {
-    windows: BTreeMap<WindowNumber, BTreeMap<Life, Counts>>,
+    windows: BTreeMap<WindowNumber, BTreeMap<Incarnation, Counts>>,
     /// Lives of nodes that report to this one, for which it reports to others.
-    group: BTreeSet<Life>,
+    group: BTreeSet<Incarnation>,
 }
 
-/// The counts of all lives in some windows, in few bytes: each client account is named once.
+/// The counts of all incarnations in some windows, in few bytes: each client account is named once.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Kept {
     accounts: Vec<String>,
-    windows: Vec<(WindowNumber, Vec<KeptLife>)>,
+    windows: Vec<(WindowNumber, Vec<KeptIncarnation>)>,
 }
 
-/// The counts of one life in a window, in the order of the client accounts.
+/// The counts of one incarnation in a window, in the order of the client accounts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct KeptLife {
-    life: Life,
+struct KeptIncarnation {
+    incarnation: Incarnation,
     counts: Vec<u64>,
 }
 
@@ -55,92 +55,105 @@
 
 impl Ledger {
     /// Counts a request that began.
-    pub fn count(&mut self, window: WindowNumber, life: &Life, account: &str) {
-        let counts = self.windows.entry(window).or_default().entry(life.clone()).or_default();
+    pub fn count(&mut self, window: WindowNumber, incarnation: &Incarnation, account: &str) {
+        let counts =
+            self.windows.entry(window).or_default().entry(incarnation.clone()).or_default();
         *counts.entry(account.to_owned()).or_default() += 1;
     }
 
-    /// Takes over the counts of a life, where they are larger than those known.
-    pub fn merge(&mut self, window: WindowNumber, life: &Life, counts: &Counts) {
-        let known = self.windows.entry(window).or_default().entry(life.clone()).or_default();
+    /// Takes over the counts of an incarnation, where they are larger than those known.
+    pub fn merge(&mut self, window: WindowNumber, incarnation: &Incarnation, counts: &Counts) {
+        let known = self.windows.entry(window).or_default().entry(incarnation.clone()).or_default();
         for (account, count) in counts {
             let largest = known.entry(account.clone()).or_default();
             *largest = (*largest).max(*count);
         }
     }
 
-    /// Takes over the counts of a life that reports to this node.
-    pub fn merge_member(&mut self, window: WindowNumber, life: &Life, counts: &Counts) {
-        self.group.insert(life.clone());
-        self.merge(window, life, counts);
+    /// Takes over the counts of an incarnation that reports to this node.
+    pub fn merge_member(
+        &mut self,
+        window: WindowNumber,
+        incarnation: &Incarnation,
+        counts: &Counts,
+    ) {
+        self.group.insert(incarnation.clone());
+        self.merge(window, incarnation, counts);
     }
 
-    /// Sums the counts of a life and of all lives that report to this node, in the latest windows.
+    /// Sums the counts of an incarnation and of all incarnations that report to this node, in the latest windows.
     ///
-    /// The sums only grow: a life that turned to another node counts anew there.
-    pub fn sum_group(&self, own: &Life, windows: usize) -> Vec<(WindowNumber, Counts)> {
+    /// The sums only grow: an incarnation that turned to another node counts anew there.
+    pub fn sum_group(&self, own: &Incarnation, windows: usize) -> Vec<(WindowNumber, Counts)> {
         let latest = self.windows.iter().rev().take(windows);
-        let sum = latest.map(|(window, lives)| {
-            let group = lives.iter().filter(|(life, _)| *life == own || self.group.contains(life));
+        let sum = latest.map(|(window, incarnations)| {
+            let group = incarnations
+                .iter()
+                .filter(|(incarnation, _)| *incarnation == own || self.group.contains(incarnation));
             (*window, sum(group.map(|(_, counts)| counts)))
         });
         sum.filter(|(_, counts)| !counts.is_empty()).collect()
     }
 
-    /// Lets a node count under a new life what has not arrived where it reported until now.
+    /// Lets a node count under a new incarnation what has not arrived where it reported until now.
     ///
     /// What arrived at an aggregator is part of that one's sums. What arrived at others as this
-    /// node's own sums (`is_own_sum`) stays here under the former life, as it does there.
+    /// node's own sums (`is_own_sum`) stays here under the former incarnation, as it does there.
     pub fn hand_over(
         &mut self,
-        former: &Life,
-        next: &Life,
+        former: &Incarnation,
+        next: &Incarnation,
         arrived: &BTreeMap<WindowNumber, Counts>,
         is_own_sum: bool,
     ) {
         self.group.clear();
         let nothing = Counts::new();
-        for (window, lives) in &mut self.windows {
-            let Some(mut counts) = lives.remove(former) else { continue };
+        for (window, incarnations) in &mut self.windows {
+            let Some(mut counts) = incarnations.remove(former) else { continue };
             let arrived = arrived.get(window).unwrap_or(&nothing);
             for (account, count) in &mut counts {
                 *count = count.saturating_sub(arrived.get(account).copied().unwrap_or(0));
             }
             counts.retain(|_, count| *count > 0);
-            lives.insert(next.clone(), counts);
+            incarnations.insert(next.clone(), counts);
             if is_own_sum {
-                lives.insert(former.clone(), arrived.clone());
+                incarnations.insert(former.clone(), arrived.clone());
             }
         }
     }
 
-    /// Sums the counts of a window over all lives.
+    /// Sums the counts of a window over all incarnations.
     pub fn total(&self, window: WindowNumber) -> Counts {
         sum(self.windows.get(&window).into_iter().flat_map(BTreeMap::values))
     }
 
-    /// Lists the counts of one life in all windows that are kept.
-    pub fn of_life(&self, life: &Life) -> Vec<(WindowNumber, Counts)> {
+    /// Lists the counts of one incarnation in all windows that are kept.
+    pub fn of_incarnation(&self, incarnation: &Incarnation) -> Vec<(WindowNumber, Counts)> {
         let windows = self.windows.iter();
-        windows.filter_map(|(window, lives)| Some((*window, lives.get(life)?.clone()))).collect()
+        windows
+            .filter_map(|(window, incarnations)| {
+                Some((*window, incarnations.get(incarnation)?.clone()))
+            })
+            .collect()
     }
 
-    /// Lists all lives and their counts in a window.
-    pub fn get_window(&self, window: WindowNumber) -> Option<&BTreeMap<Life, Counts>> {
+    /// Lists all incarnations and their counts in a window.
+    pub fn get_window(&self, window: WindowNumber) -> Option<&BTreeMap<Incarnation, Counts>> {
         self.windows.get(&window)
     }
 
-    /// Lists the counts of all lives in the windows from one on, so that they can be kept
+    /// Lists the counts of all incarnations in the windows from one on, so that they can be kept
     /// elsewhere.
     pub fn get_since(&self, first: WindowNumber) -> Kept {
         let windows = || self.windows.range(first..);
-        let counts = windows().flat_map(|(_, lives)| lives.values());
+        let counts = windows().flat_map(|(_, incarnations)| incarnations.values());
         let accounts: BTreeSet<&String> = counts.flat_map(|counts| counts.keys()).collect();
-        let keep = |(life, counts): (&Life, &Counts)| KeptLife {
-            life: life.clone(),
+        let keep = |(incarnation, counts): (&Incarnation, &Counts)| KeptIncarnation {
+            incarnation: incarnation.clone(),
             counts: accounts.iter().map(|name| counts.get(*name).copied().unwrap_or(0)).collect(),
         };
-        let windows = windows().map(|(window, lives)| (*window, lives.iter().map(keep).collect()));
+        let windows = windows()
+            .map(|(window, incarnations)| (*window, incarnations.iter().map(keep).collect()));
         Kept {
             windows: windows.collect(),
             accounts: accounts.iter().map(|name| (*name).clone()).collect(),
@@ -149,11 +162,11 @@
 
     /// Takes over counts that were kept.
     pub fn merge_kept(&mut self, kept: &Kept) {
-        for (window, lives) in &kept.windows {
-            for known in lives {
+        for (window, incarnations) in &kept.windows {
+            for known in incarnations {
                 let counts = kept.accounts.iter().cloned().zip(known.counts.iter().copied());
                 let counts = counts.filter(|(_, count)| *count > 0).collect();
-                self.merge(*window, &known.life, &counts);
+                self.merge(*window, &known.incarnation, &counts);
             }
         }
     }
@@ -167,7 +180,9 @@
     pub fn forget_before(&mut self, window: WindowNumber) {
         self.windows = self.windows.split_off(&window);
         let windows = &self.windows;
-        self.group.retain(|life| windows.values().any(|lives| lives.contains_key(life)));
+        self.group.retain(|incarnation| {
+            windows.values().any(|incarnations| incarnations.contains_key(incarnation))
+        });
     }
 }
 
--- a/crates/core/tests/serving/duty_lease.rs
+++ b/crates/core/tests/serving/duty_lease.rs
@@ -13,7 +13,7 @@
 }
 
 fn row(holder: &str, term: u64, ends_at: u64) -> LeaseRow {
-    LeaseRow { holder: holder.to_owned(), life: 1, term, ends_at }
+    LeaseRow { holder: holder.to_owned(), incarnation: 1, term, ends_at }
 }
 
 #[test]
@@ -54,7 +54,7 @@
 #[test]
 fn a_node_that_started_again_takes_its_lease_over_under_a_higher_term() {
     let mut old = row("a", 4, 9_000);
-    old.life = 7;
+    old.incarnation = 7;
     assert_eq!(lease("a").decide(0, Some(&old), clock(0, 100)), Step::Write(row("a", 5, 3_100)));
 }
 
--- a/crates/core/tests/serving/groups.rs
+++ b/crates/core/tests/serving/groups.rs
@@ -5,7 +5,7 @@
 
 use keeljunction_core::serving::handover::{Handover, Snapshot};
 use keeljunction_core::serving::quota::{Limit, Quotas, Reach, Report, Source, Tolerance};
-use keeljunction_core::serving::usage::{Counts, Ledger, Life};
+use keeljunction_core::serving::usage::{Counts, Incarnation, Ledger};
 use proptest::prelude::*;
 
 const LIMIT: Limit = Limit { rate_per_second: 500_000.0, burst: 500_000.0 };
@@ -43,11 +43,11 @@
 
 impl Node {
     fn start(number: usize, now: u64, run: u64) -> Self {
-        let life = Life { node: number.to_string(), number: run };
+        let incarnation = Incarnation { node: number.to_string(), number: run };
         Self {
             number,
             quotas: Quotas::new(now, TOLERANCE),
-            handover: Handover::new(now, life),
+            handover: Handover::new(now, incarnation),
             ledger: Ledger::default(),
             aggregator: number % GROUPS,
             heard_at: now,
@@ -77,12 +77,12 @@
     }
 
     fn get_from(&self) -> (String, u64) {
-        (self.number.to_string(), self.handover.get_life().number)
+        (self.number.to_string(), self.handover.get_incarnation().number)
     }
 
     fn report(&mut self, now: u64) -> (Report, Counts) {
         let report = self.quotas.report(now);
-        let usage = self.ledger.of_life(self.handover.get_life());
+        let usage = self.ledger.of_incarnation(self.handover.get_incarnation());
         let usage: BTreeMap<u64, Counts> = usage.into_iter().collect();
         let counts = usage.get(&WINDOW).cloned().unwrap_or_default();
         self.handover.record(now, Snapshot { quota: report.accounts.clone(), usage });
@@ -91,9 +91,9 @@
 
     /// Turns to another aggregator, or begins anew with one that has started again.
     fn turn(&mut self, now: u64, to: usize, number: u64) {
-        let former = self.handover.get_life().clone();
+        let former = self.handover.get_incarnation().clone();
         let arrived = self.handover.begin(now, number);
-        let next = self.handover.get_life().clone();
+        let next = self.handover.get_incarnation().clone();
         self.quotas.hand_over(now, &arrived.quota);
         self.ledger.hand_over(&former, &next, &arrived.usage, false);
         self.aggregator = to;
@@ -160,8 +160,8 @@
                 if node.quotas.consume(now, "acme", size, LIMIT, reach).is_ok() {
                     outcome.admitted.push((now, size));
                     outcome.began += 1;
-                    let life = node.handover.get_life().clone();
-                    node.ledger.count(WINDOW, &life, "acme");
+                    let incarnation = node.handover.get_incarnation().clone();
+                    node.ledger.count(WINDOW, &incarnation, "acme");
                 }
             }
             let (arrived, still): (Vec<_>, Vec<_>) =
@@ -193,8 +193,8 @@
     match datagram {
         Datagram::Report { from, run, report, counts, sent_at } => {
             node.quotas.merge(now, Source::Member, (&run.0, run.1), &report);
-            let life = Life { node: run.0, number: run.1 };
-            node.ledger.merge_member(WINDOW, &life, &counts);
+            let incarnation = Incarnation { node: run.0, number: run.1 };
+            node.ledger.merge_member(WINDOW, &incarnation, &counts);
             let newest = node.newest.entry(from).or_default();
             *newest = (*newest).max(sent_at);
             node.heard.insert(from, now);
@@ -202,7 +202,7 @@
         Datagram::Summary { from, run, report, counts } => {
             node.heard.insert(from, now);
             node.quotas.merge(now, Source::Peer, (&run.0, run.1), &report);
-            node.ledger.merge(WINDOW, &Life { node: run.0, number: run.1 }, &counts);
+            node.ledger.merge(WINDOW, &Incarnation { node: run.0, number: run.1 }, &counts);
         }
         Datagram::Overview { run, heard, total, answers } => {
             if run.0 != node.aggregator.to_string() {
@@ -240,7 +240,7 @@
     let group = node.quotas.add_group(now, &own);
     let total = node.quotas.add_others(now, &group);
     let run = node.get_from();
-    let usage = node.ledger.sum_group(node.handover.get_life(), 1);
+    let usage = node.ledger.sum_group(node.handover.get_incarnation(), 1);
     let counts = usage.first().map(|(_, counts)| counts.clone()).unwrap_or_default();
     let newest = node.newest.clone();
     let mut sent = Vec::new();
@@ -335,8 +335,8 @@
     }
 }
 
-fn life(number: u64) -> Life {
-    Life { node: "a".to_owned(), number }
+fn incarnation(number: u64) -> Incarnation {
+    Incarnation { node: "a".to_owned(), number }
 }
 
 #[test]
@@ -345,7 +345,7 @@
         usage: BTreeMap::from([(WINDOW, Counts::from([("acme".to_owned(), count)]))]),
         ..Snapshot::default()
     };
-    let mut handover = Handover::new(0, life(1));
+    let mut handover = Handover::new(0, incarnation(1));
     handover.record(400, snapshot(3));
     handover.record(800, snapshot(5));
     handover.record(1_200, snapshot(9));
@@ -354,7 +354,7 @@
     assert_eq!(handover.confirm(400), None);
     assert_eq!(handover.get_arrived(), Some(&snapshot(5)));
     assert_eq!(handover.begin(1_300, 2), snapshot(5));
-    assert_eq!((handover.get_life(), handover.get_age(1_400)), (&life(2), 100));
+    assert_eq!((handover.get_incarnation(), handover.get_age(1_400)), (&incarnation(2), 100));
     // Reports of the former incarnation are confirmed no more.
     assert_eq!(handover.confirm(1_200), None);
     assert_eq!(handover.begin(1_500, 3), Snapshot::default());
--- a/crates/core/tests/serving/quota.rs
+++ b/crates/core/tests/serving/quota.rs
@@ -231,21 +231,21 @@
     const DOWN: u64 = 600;
     let limit = Limit { rate_per_second: 1_066_000.0, burst: 1_066_000.0 };
     let mut random = fastrand::Rng::with_seed(seed);
-    let mut lives = 1;
+    let mut incarnations = 1;
     let mut started_at = 0;
     let mut quotas: Vec<Quotas> = (0..NODES).map(|_| Quotas::new(0, TOLERANCE)).collect();
     let mut given = Vec::new();
     let mut owed = 0.0;
     for now in (10_000..26_000u64).step_by(10) {
         if RESTARTS.contains(&now) {
-            lives += 1;
+            incarnations += 1;
             started_at = now + DOWN;
             quotas = (0..NODES).map(|_| Quotas::new(0, TOLERANCE)).collect();
         }
         if now < started_at {
             continue;
         }
-        // Each life has a clock of its own.
+        // Each incarnation has a clock of its own.
         let clock = now - started_at;
         // A node that has just started takes the others to be there, and hears one after the other.
         let heard = NODES.min(1 + (clock / 6) as usize);
@@ -271,7 +271,12 @@
                 let reported = quotas[node].report(clock);
                 for (other, quota) in quotas.iter_mut().enumerate() {
                     if other != node {
-                        quota.merge(clock, Source::Peer, (&format!("n-{node}"), lives), &reported);
+                        quota.merge(
+                            clock,
+                            Source::Peer,
+                            (&format!("n-{node}"), incarnations),
+                            &reported,
+                        );
                     }
                 }
             }
--- a/crates/core/tests/serving/usage.rs
+++ b/crates/core/tests/serving/usage.rs
@@ -1,8 +1,8 @@
-use keeljunction_core::serving::usage::{Counts, Ledger, Life, is_settled, window_at};
+use keeljunction_core::serving::usage::{Counts, Incarnation, Ledger, is_settled, window_at};
 use proptest::prelude::*;
 
-fn life(node: &str, number: u64) -> Life {
-    Life { node: node.to_owned(), number }
+fn incarnation(node: &str, number: u64) -> Incarnation {
+    Incarnation { node: node.to_owned(), number }
 }
 
 #[test]
@@ -15,18 +15,18 @@
 #[test]
 fn the_total_sums_all_lives_of_all_nodes() {
     let mut ledger = Ledger::default();
-    ledger.count(3, &life("a", 1), "acme");
-    ledger.count(3, &life("a", 2), "acme");
-    ledger.merge(3, &life("b", 1), &Counts::from([("acme".to_owned(), 4)]));
-    ledger.count(4, &life("a", 2), "acme");
+    ledger.count(3, &incarnation("a", 1), "acme");
+    ledger.count(3, &incarnation("a", 2), "acme");
+    ledger.merge(3, &incarnation("b", 1), &Counts::from([("acme".to_owned(), 4)]));
+    ledger.count(4, &incarnation("a", 2), "acme");
     assert_eq!(ledger.total(3), Counts::from([("acme".to_owned(), 6)]));
 }
 
 #[test]
 fn old_windows_are_forgotten() {
     let mut ledger = Ledger::default();
-    ledger.count(3, &life("a", 1), "acme");
-    ledger.count(4, &life("a", 1), "acme");
+    ledger.count(3, &incarnation("a", 1), "acme");
+    ledger.count(4, &incarnation("a", 1), "acme");
     ledger.forget_before(4);
     assert_eq!(ledger.get_first_window(), Some(4));
     assert!(ledger.total(3).is_empty());
@@ -39,8 +39,8 @@
         let mut ledger = Ledger::default();
         for count in order {
             let counts = Counts::from([("acme".to_owned(), count)]);
-            ledger.merge(1, &life("a", 1), &counts);
-            ledger.merge(1, &life("a", 1), &counts);
+            ledger.merge(1, &incarnation("a", 1), &counts);
+            ledger.merge(1, &incarnation("a", 1), &counts);
         }
         prop_assert_eq!(ledger.total(1), Counts::from([("acme".to_owned(), 9)]));
     }
@@ -61,13 +61,13 @@
 #[test]
 fn counts_that_were_kept_count_once_beside_those_that_nodes_still_tell() {
     let mut before = Ledger::default();
-    before.count(6, &life("a", 1), "acme");
-    before.count(7, &life("a", 1), "acme");
-    before.count(7, &life("b", 1), "acme");
+    before.count(6, &incarnation("a", 1), "acme");
+    before.count(7, &incarnation("a", 1), "acme");
+    before.count(7, &incarnation("b", 1), "acme");
     let kept = before.get_since(7);
     let mut after = Ledger::default();
-    after.merge(7, &life("b", 1), &Counts::from([("acme".to_owned(), 4)]));
-    after.count(7, &life("a", 2), "acme");
+    after.merge(7, &incarnation("b", 1), &Counts::from([("acme".to_owned(), 4)]));
+    after.count(7, &incarnation("a", 2), "acme");
     after.merge_kept(&kept);
     assert_eq!(after.total(7), Counts::from([("acme".to_owned(), 6)]));
     assert_eq!(after.get_first_window(), Some(7));
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -15,7 +15,7 @@
     /// The node starts.
     Started {
         node: &'a str,
-        life: u64,
+        incarnation: u64,
         callers: SocketAddr,
         readiness: SocketAddr,
         peers: SocketAddr,
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -240,7 +240,7 @@
         let now = node.now();
         let Some(fence) = node.with(|state| state.lease.get_fence(now)) else { return };
         let place = (order.service.clone(), order.data_centre.clone(), order.is_spot);
-        let holder = DutyHolder { name: node.life.node.clone(), fence };
+        let holder = DutyHolder { name: node.incarnation.node.clone(), fence };
         let calling = (node.platform.control.set_capacity)(holder, order.clone());
         let status = runtime::within(CALL_WITHIN, calling).await.flatten();
         event::emit(&Event::CapacityOrdered {
--- a/crates/gateway/src/node/peers/loads.rs
+++ b/crates/gateway/src/node/peers/loads.rs
@@ -104,7 +104,7 @@
     }
     let (question, done) = node.pending_loads.begin(by_owner.len());
     for (owner, servers) in by_owner {
-        let message = Message::AskLoads { question, node: node.life.node.clone(), servers };
+        let message = Message::AskLoads { question, node: node.incarnation.node.clone(), servers };
         node.link.send(node.now(), owner, &message).await;
     }
     if runtime::within(ANSWERS_WITHIN, done.recv()).await.is_none() {
@@ -183,7 +183,7 @@
     }
 }
 
-/// Sends changes for as long as the process lives: urgent ones at once, with all that wait.
+/// Sends changes for as long as the process runs: urgent ones at once, with all that wait.
 pub(super) async fn send_changes(node: Arc<Node>) {
     let changes = &node.pending_loads.changes.1;
     while let Ok(first) = changes.recv().await {
@@ -208,7 +208,7 @@
         let loads = node.with(|state| {
             servers.into_iter().map(|server| (server, state.loads.get_own_of(server))).collect()
         });
-        let message = Message::LoadChanged { node: node.life.node.clone(), loads };
+        let message = Message::LoadChanged { node: node.incarnation.node.clone(), loads };
         node.link.send(node.now(), owner, &message).await;
     }
 }
--- a/crates/gateway/src/node/peers/news.rs
+++ b/crates/gateway/src/node/peers/news.rs
@@ -21,7 +21,7 @@
 /// request to be told at once.
 const REPORT_AT_ONCE_PART: f64 = 0.1;
 
-/// Sends this node's news for as long as the process lives.
+/// Sends this node's news for as long as the process runs.
 pub(super) async fn send(node: Arc<Node>) {
     while let Ok(news) = node.news.1.recv().await {
         let now = node.now();
@@ -46,7 +46,7 @@
     if is_grouped || (reading_ms as f64) < least {
         return;
     }
-    let (name, server) = (node.life.node.clone(), short_id(server));
+    let (name, server) = (node.incarnation.node.clone(), short_id(server));
     node.push(News::RequestBegun { node: name, server, work: *work, reading_ms });
 }
 
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -13,7 +13,7 @@
 use keeljunction_core::serving::members::{Heard, Role};
 use keeljunction_core::serving::quota::{Limit, Source};
 use keeljunction_core::serving::throughput::Sample;
-use keeljunction_core::serving::usage::{Counts, Life, WindowNumber};
+use keeljunction_core::serving::usage::{Counts, Incarnation, WindowNumber};
 
 use super::message::{Message, Overview, Report, Sender, Summary, Totals};
 use super::{loads, versions};
@@ -42,7 +42,7 @@
     Aggregator(String),
 }
 
-/// Reports for as long as the process lives.
+/// Reports for as long as the process runs.
 pub(super) async fn run(node: Arc<Node>) {
     let mut turn = 0;
     loop {
@@ -99,9 +99,9 @@
 
 /// Begins to count from what did not arrive where this node reported until now.
 fn begin_incarnation(state: &mut State, now: Millis, was_own_sum: bool) {
-    let former = state.handover.get_life().clone();
+    let former = state.handover.get_incarnation().clone();
     let arrived = state.handover.begin(now, fastrand::u64(..));
-    let next = state.handover.get_life().clone();
+    let next = state.handover.get_incarnation().clone();
     state.quotas.hand_over(now, &arrived.quota);
     state.usage.hand_over(&former, &next, &arrived.usage, was_own_sum);
     state.samples.clear();
@@ -111,14 +111,14 @@
     let holds_duties = state.lease.get_fence(now).is_some();
     Sender {
         entry: node.get_entry(),
-        incarnation: state.handover.get_life().number,
+        incarnation: state.handover.get_incarnation().number,
         is_stopping: node.is_stopping(),
         holder_age: if holds_duties { Some(0) } else { state.members.get_holder_age(now) },
     }
 }
 
 fn get_own_usage(state: &State) -> Vec<(WindowNumber, Counts)> {
-    let mut usage = state.usage.of_life(state.handover.get_life());
+    let mut usage = state.usage.of_incarnation(state.handover.get_incarnation());
     usage.split_off(usage.len().saturating_sub(WINDOWS_REPORTED))
 }
 
@@ -181,7 +181,7 @@
             sender,
             totals: Totals {
                 quota,
-                usage: state.usage.sum_group(state.handover.get_life(), WINDOWS_REPORTED),
+                usage: state.usage.sum_group(state.handover.get_incarnation(), WINDOWS_REPORTED),
                 demand: state.demand.sum_group(now),
                 throughputs,
             },
@@ -225,16 +225,17 @@
 pub(super) fn take_report(node: &Node, asked_at: Option<Millis>, report: Report) {
     let now = node.now();
     let Report { sender, totals } = report;
-    if sender.entry.name == node.life.node {
+    if sender.entry.name == node.incarnation.node {
         return;
     }
     node.with(|state| {
         hear(state, now, &sender, Role::Member, asked_at);
         let from = (sender.entry.name.as_str(), sender.incarnation);
         state.quotas.merge(now, Source::Member, from, &totals.quota);
-        let life = Life { node: sender.entry.name.clone(), number: sender.incarnation };
+        let incarnation =
+            Incarnation { node: sender.entry.name.clone(), number: sender.incarnation };
         for (window, counts) in &totals.usage {
-            state.usage.merge_member(*window, &life, counts);
+            state.usage.merge_member(*window, &incarnation, counts);
         }
         state.demand.merge(now, true, from, &totals.demand);
         for (service, samples) in totals.throughputs {
@@ -253,7 +254,7 @@
 ) {
     let now = node.now();
     let Summary { sender, totals, loads, group, group_age, joined, versions } = summary;
-    if sender.entry.name == node.life.node {
+    if sender.entry.name == node.incarnation.node {
         return;
     }
     node.with(|state| {
@@ -263,9 +264,9 @@
         state.members.take_group(now, name, group, group_age);
         let from = (name, sender.incarnation);
         state.quotas.merge(now, Source::Peer, from, &totals.quota);
-        let life = Life { node: name.to_owned(), number: sender.incarnation };
+        let incarnation = Incarnation { node: name.to_owned(), number: sender.incarnation };
         for (window, counts) in &totals.usage {
-            state.usage.merge(*window, &life, counts);
+            state.usage.merge(*window, &incarnation, counts);
         }
         state.demand.merge(now, false, from, &totals.demand);
         let is_grouped = state.members.is_grouped();
--- a/crates/gateway/src/node/serve.rs
+++ b/crates/gateway/src/node/serve.rs
@@ -8,7 +8,7 @@
 
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
-use keeljunction_core::serving::usage::Life;
+use keeljunction_core::serving::usage::Incarnation;
 use keeljunction_core::{Error, ErrorKind};
 
 use super::peers::link::Link;
@@ -45,15 +45,15 @@
     settings.listen.metrics = at;
     let (peer_calls, at) = bind("listen.peers", settings.listen.peers, &settings, &never).await?;
     settings.listen.peers = at;
-    let life = Life { node: settings.node.name.clone(), number: fastrand::u64(..) };
-    let link = Link::bind(at, life.number, settings.limits.link_mbps)
+    let incarnation = Incarnation { node: settings.node.name.clone(), number: fastrand::u64(..) };
+    let link = Link::bind(at, incarnation.number, settings.limits.link_mbps)
         .map_err(|error| busy("listen.peers", at, &error))?;
-    let start = Start { life, clock: Clock::new(), link };
+    let start = Start { incarnation, clock: Clock::new(), link };
     let node = Node::new(settings, platform, closing, start);
     let listen = &node.settings.listen;
     event::emit(&Event::Started {
-        node: &node.life.node,
-        life: node.life.number,
+        node: &node.incarnation.node,
+        incarnation: node.incarnation.number,
         callers: listen.callers,
         readiness: listen.readiness,
         peers: listen.peers,
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -19,7 +19,7 @@
 use keeljunction_core::serving::members::{Entry, Members};
 use keeljunction_core::serving::quota::{Quotas, Tolerance};
 use keeljunction_core::serving::throughput::Throughput;
-use keeljunction_core::serving::usage::{Ledger, Life, window_at};
+use keeljunction_core::serving::usage::{Incarnation, Ledger, window_at};
 
 use super::document::Document;
 use super::peers::link::Link;
@@ -59,8 +59,8 @@
     pub platform: Platform,
     /// The steady clock.
     pub clock: Clock,
-    /// This life of the node.
-    pub life: Life,
+    /// This incarnation of the node.
+    pub incarnation: Incarnation,
     /// Connections to servers.
     pub servers: Client,
     /// Counters and histograms.
@@ -154,7 +154,7 @@
 impl Node {
     /// Makes a node that knows nothing yet.
     pub fn new(settings: Settings, platform: Platform, closing: Stop, start: Start) -> Arc<Self> {
-        let Start { life, clock, link } = start;
+        let Start { incarnation, clock, link } = start;
         let bounds = settings.bounds;
         let allowance = Allowance {
             ratio: bounds.retry_budget_ratio,
@@ -185,15 +185,20 @@
             usage: Ledger::default(),
             members: Members::new(clock.now(), get_entry(&settings), &settings.seeds),
             audience: Audience::default(),
-            handover: Handover::new(clock.now(), life.clone()),
+            handover: Handover::new(clock.now(), incarnation.clone()),
             samples: Samples::new(),
-            lease: DutyLease::new(life.node.clone(), life.number, bounds.lease_ms, margin),
+            lease: DutyLease::new(
+                incarnation.node.clone(),
+                incarnation.number,
+                bounds.lease_ms,
+                margin,
+            ),
         };
         Arc::new(Self {
             settings,
             platform,
             clock,
-            life,
+            incarnation,
             servers: Client::new(CONNECT_WITHIN),
             metrics: Metrics::default(),
             closing,
@@ -283,14 +288,14 @@
     pub fn count_usage(&self, account: &str) {
         let length = (self.settings.bounds.report_window_s * 1_000.0) as u64;
         let window = window_at(runtime::unix_ms(), length);
-        self.with(|state| state.usage.count(window, state.handover.get_life(), account));
+        self.with(|state| state.usage.count(window, state.handover.get_incarnation(), account));
     }
 }
 
 /// What a run of the process has of its own, before the node is made.
 pub struct Start {
     /// The run.
-    pub life: Life,
+    pub incarnation: Incarnation,
     /// Its steady clock.
     pub clock: Clock,
     /// Its socket for datagrams between nodes.
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -5,7 +5,7 @@
 //! it is always the same.
 //!
 //! The counts of the windows that are not reported yet are kept in the table too, some times in a
-//! window, by node and life: where all nodes end at once, the next holder goes on from there.
+//! window, by node and incarnation: where all nodes end at once, the next holder goes on from there.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -146,7 +146,7 @@
         let Some(fence) = node.with(|state| state.lease.get_fence(node.now())) else {
             return false;
         };
-        let holder = DutyHolder { name: node.life.node.clone(), fence };
+        let holder = DutyHolder { name: node.incarnation.node.clone(), fence };
         let total: u64 = counts.values().sum();
         let calling = (node.platform.control.report_usage)(holder, UsageReport { window, counts });
         let status = runtime::within(CALL_WITHIN, calling).await.flatten();
