--- /dev/null
+++ b/crates/core/benches/serving.rs
@@ -0,0 +1,152 @@
+//! Time of the decisions of relayed exchanges, by the number of nodes.
+
+#![allow(missing_docs)]
+
+use std::hint::black_box;
+use std::net::SocketAddr;
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use keeljunction_core::serving::choice::{Candidate, Criteria, choose, shortlist};
+use keeljunction_core::serving::directory::Server;
+use keeljunction_core::serving::load::{Load, LoadBook, Work, short_id};
+use keeljunction_core::serving::members::{Entry, Members};
+use keeljunction_core::serving::quota::{Limit, Quotas, Reach, Report, Source, Tolerance, Units};
+
+/// Nodes, and servers before which they stand.
+const SIZES: [(usize, usize); 4] = [(7, 18), (83, 112), (300, 200), (1_000, 600)];
+/// Servers at which a node has requests in flight.
+const BUSY: usize = 7;
+
+fn servers(count: usize) -> Vec<Server> {
+    let server = |number: usize| Server {
+        id: format!("i-{number:010x}"),
+        service: "llm".to_owned(),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        data_centre: "z".to_owned(),
+        slots: 12,
+        is_leaving: false,
+        is_spot: true,
+        leaves_within: None,
+    };
+    (0..count).map(server).collect()
+}
+
+fn entries(count: usize) -> Vec<Entry> {
+    let entry = |number: usize| Entry {
+        name: format!("front-hall-{}-{number}", number % 6),
+        address: SocketAddr::from(([10, 0, 0, 1], number as u16)),
+        data_centre: format!("z{}", number % 6),
+        link_mbps: if number < 18 { 200 } else { 20 },
+    };
+    (0..count).map(entry).collect()
+}
+
+fn members(count: usize) -> Members {
+    let all = entries(count);
+    let mut members = Members::new(0, all[count - 1].clone(), &[]);
+    members.take_list(0, all, true);
+    members
+}
+
+fn choice(criterion: &mut Criterion) {
+    let criteria = Criteria {
+        shared_prefix: Some(7),
+        prompt_tokens: 6_610,
+        prefill_rate: Some(64.0),
+        ttft_objective: 1_200,
+        gap_objective: Some(600),
+        ..Criteria::default()
+    };
+    for (nodes, count) in SIZES {
+        let servers = servers(count);
+        let mut book = LoadBook::default();
+        let is_grouped = members(nodes).is_grouped();
+        let reporting = if is_grouped { 0 } else { nodes };
+        for node in 0..reporting {
+            let busy = servers.iter().skip(node * 3 % count).take(BUSY);
+            let load = Load { requests: 1, ..Load::default() };
+            let loads = busy.map(|server| (short_id(&server.id), load)).collect();
+            book.merge(u64::MAX, &node.to_string(), loads);
+        }
+        let weigh = |server| Candidate {
+            server,
+            load: book.total(&server.id),
+            is_ejected: false,
+            slowness: 1.0,
+        };
+        let mut random = 0;
+        criterion.bench_function(&format!("choice, {nodes} nodes, {count} servers"), |bencher| {
+            bencher.iter(|| {
+                random += 1;
+                let listed = match is_grouped {
+                    true => shortlist(servers.iter(), &criteria, random, false),
+                    false => servers.iter().collect(),
+                };
+                let candidates: Vec<Candidate<'_>> = listed.into_iter().map(weigh).collect();
+                black_box(choose(&candidates, &criteria, random));
+            });
+        });
+    }
+}
+
+fn reports(criterion: &mut Criterion) {
+    for (nodes, _) in SIZES {
+        let mut members = members(nodes);
+        let mut now = 0;
+        criterion.bench_function(&format!("refresh of the members, {nodes} nodes"), |bencher| {
+            bencher.iter(|| {
+                now += 1;
+                members.refresh(black_box(now % 500));
+            });
+        });
+        let members = self::members(nodes);
+        let mut server = 0;
+        criterion.bench_function(&format!("owner of a load, {nodes} nodes"), |bencher| {
+            bencher.iter(|| {
+                server += 1;
+                black_box(members.find_load_owner(server));
+            });
+        });
+    }
+    let mut book = LoadBook::default();
+    let work = Work { prompt_tokens: 100, priority: 1, memory_tokens: 200 };
+    criterion.bench_function("one load told and read", |bencher| {
+        bencher.iter(|| {
+            book.merge_server(u64::MAX, "node", 7, Load { requests: 1, ..Load::default() });
+            book.begin("server", &work);
+            black_box(book.total("server"));
+            book.end("server", &work, true);
+        });
+    });
+}
+
+fn quota(criterion: &mut Criterion) {
+    let limit = Limit { rate_per_second: 1e9, burst: 1e9 };
+    for (nodes, _) in SIZES {
+        let is_grouped = members(nodes).is_grouped();
+        // In groups a node hears its aggregator only, and an aggregator the others and its group.
+        let heard = if is_grouped { (nodes as f64).sqrt().ceil() as usize * 2 } else { nodes };
+        let reach = Reach { heard: nodes, all: nodes, period: 400, is_grouped };
+        let mut quotas = Quotas::new(0, Tolerance::default());
+        let units = Units { admitted: 1_000, requested_per_second: 100, ..Units::default() };
+        let accounts = (0..40).map(|account| (format!("account-{account}"), units)).collect();
+        let report = Report { accounts, ..Report::default() };
+        for peer in 0..heard {
+            quotas.merge(10_000, Source::Peer, (&peer.to_string(), 1), &report);
+        }
+        let mut now = 10_000;
+        criterion.bench_function(&format!("quota, an aggregator among {nodes} nodes"), |bencher| {
+            bencher.iter(|| {
+                now += 1;
+                black_box(quotas.consume(now, "account-7", 100, limit, reach))
+            });
+        });
+    }
+}
+
+criterion_group! {
+    name = serving;
+    config = Criterion::default().sample_size(30).measurement_time(std::time::Duration::from_millis(600)).warm_up_time(std::time::Duration::from_millis(200));
+    targets = choice, reports, quota
+}
+criterion_main!(serving);
