fix(members): an aggregator that takes another's place names it as silent

Cause: the new test with 44 processes found that after the end of an aggregator some nodes turned to another one and back each 400 ms, and heard nobody: the node that took its place had been told of the silent one as a member, and did not say so to its own group, which then ranked the dead one again. Ruled out: a shorter or longer time until an aggregator is passed over: the nodes turned with each overview. Change: what a member was told of silent nodes becomes its own knowledge when it begins to aggregate, until it hears them. Measured: the test failed before ('waited in vain for all peers but one'), and passes in 8 s; a core test on all nodes that may take a place.

--- a/crates/core/src/serving/members/mod.rs
+++ b/crates/core/src/serving/members/mod.rs
@@ -353,10 +353,14 @@
             let since = member.ranked_since.unwrap_or(now);
             member.ranked_since = is_ranked.then_some(since);
             if has_begun {
-                // Until now this node's aggregator kept the list of those that are gone.
+                // Until now this node's aggregator kept the list of those that are gone or silent.
                 member.known_at = now;
+                member.is_silent |= self.silent_elsewhere.contains(&member.short);
             }
         }
+        if has_begun {
+            self.silent_elsewhere.clear();
+        }
         self.view.ranking = ranking;
     }
 
--- a/crates/core/tests/serving/members.rs
+++ b/crates/core/tests/serving/members.rs
@@ -251,6 +251,20 @@
     assert_eq!(members.get_own_aggregator(), Some(&aggregator));
 }
 
+#[test]
+fn a_node_that_takes_the_place_of_a_silent_aggregator_says_so_to_its_group() {
+    for (mut members, gone) in all_ordinary() {
+        members.take_overview(1, &gone.name, Overview::default(), &[short_id(&gone.name)]);
+        members.refresh(1);
+        if members.is_aggregator() {
+            assert_eq!(members.list_silent(), [short_id(&gone.name)]);
+            members.hear(2, &heard(&gone));
+            members.refresh(2);
+            assert!(members.list_silent().is_empty() && !members.is_aggregator());
+        }
+    }
+}
+
 #[test]
 fn a_node_passes_over_an_aggregator_that_the_others_do_not_hear() {
     let (mut members, aggregator) = ordinary();
