fix(duty): only an aggregator does the duties

Ruled out: groups that change (at the most three changes a node in the logs of all nodes until 5 s), lost reports. Change: a holder that is no aggregator any more does no duty and lets its lease end.

--- a/crates/gateway/src/node/duty.rs
+++ b/crates/gateway/src/node/duty.rs
@@ -51,7 +51,7 @@
             event::emit(&Event::LeaseChanged { fence });
             held_before = fence;
         }
-        if fence.is_some() {
+        if fence.is_some() && is_aggregator(&node) {
             usage.step(&node).await;
             capacity.step(&node).await;
         }
@@ -59,14 +59,20 @@
     }
 }
 
+/// Returns `true` if this node counts for its group or all nodes, and so knows what the duties need.
+fn is_aggregator(node: &Node) -> bool {
+    node.with(|state| state.members.is_aggregator())
+}
+
 /// Returns `true` if this node need not look at the lease: it is no aggregator, or another node
-/// was heard to hold it.
+/// was heard to hold it. A holder that is none any more lets its lease end.
 fn is_left_to_others(node: &Node, now: Millis) -> bool {
     let within = (node.settings.bounds.lease_ms as f64 * HOLDER_BELIEVED_PART) as Millis;
     node.with(|state| {
         let is_held_elsewhere = state.members.is_holder_heard(now, within);
         let is_candidate = state.members.is_aggregator() && state.members.is_settled(now);
-        state.lease.get_fence(now).is_none() && (is_held_elsewhere || !is_candidate)
+        let is_holder = state.lease.get_fence(now).is_some();
+        !is_candidate || (is_held_elsewhere && !is_holder)
     })
 }
 
