feat(quota): one node decides near the limit of a client account

Cause: once the bucket of a client account is low, each node admits its local share of the rate only. Of 78 nodes a share is less than a seventieth of one prompt a second, so that nodes refuse what the account as a whole is owed.

Ruled out: sharing by larger local shares (nodes that do not hear each other exceed the limit); leaving the bucket's level to reports alone (they are 0.6 s old in groups).

Change: the account's owner, found by rendezvous hashing among the aggregators, decides about each request near the limit. What it admits counts as its own use, so that it is reported once. It decides only while it hears most nodes; without a decision within 40 ms a node uses its local share, as before. Units are booked for those that are refused: Retry-After is the time at which the request fits, behind those refused before it.

--- a/crates/core/benches/serving.rs
+++ b/crates/core/benches/serving.rs
@@ -104,7 +104,7 @@
         criterion.bench_function(&format!("owner of a load, {nodes} nodes"), |bencher| {
             bencher.iter(|| {
                 server += 1;
-                black_box(members.find_load_owner(server));
+                black_box(members.find_owner(server));
             });
         });
     }
--- a/crates/core/src/serving/members/query.rs
+++ b/crates/core/src/serving/members/query.rs
@@ -208,11 +208,17 @@
         self.iter_group(now).map(|entry| entry.address).collect()
     }
 
-    /// Finds which aggregator keeps the load of a server; `None` where this node does itself.
-    pub fn find_load_owner(&self, server: u64) -> Option<SocketAddr> {
+    /// Finds the aggregator that owns a key, such as the load of a server; `None` where this node
+    /// does itself.
+    pub fn find_owner(&self, key: u64) -> Option<SocketAddr> {
         let own = self.view.ranking.is_aggregator.then_some(self.own.name.as_str());
         let names = self.view.ranking.aggregators.iter().map(String::as_str).chain(own);
-        let owner = succession::owner_of_number(server, names)?;
+        let owner = succession::owner_of_number(key, names)?;
         self.known.get(owner).map(|member| member.entry.address)
     }
+
+    /// Returns `true` if this node owns a key.
+    pub fn is_owner(&self, key: u64) -> bool {
+        self.view.ranking.is_aggregator && self.find_owner(key).is_none()
+    }
 }
--- a/crates/core/src/serving/quota/bucket.rs
+++ b/crates/core/src/serving/quota/bucket.rs
@@ -33,6 +33,11 @@
         self.available = self.available.min(capacity);
     }
 
+    /// Saves nothing up until the next [`Bucket::set`], beyond what pays back a debt.
+    pub fn stop_saving(&mut self, now: Millis) {
+        self.set(now, self.rate, 0.0);
+    }
+
     /// Holds no more than `reserved` units back, and makes the others available.
     pub fn release(&mut self, reserved: f64) {
         let released = (self.reserved - reserved).max(0.0);
--- /dev/null
+++ b/crates/core/src/serving/quota/decision.rs
@@ -0,0 +1,179 @@
+//! Whether a request of a client account is admitted, and by whom that is decided.
+//!
+//! A node admits by itself while the bucket is well filled. Once it is low the account's owner
+//! decides, which all nodes find by rendezvous hashing. What the owner admits counts as its own use,
+//! whichever node asked: it is reported once, and a node whose question or answer gets lost uses
+//! less than was counted. Two nodes that both take themselves for the owner see each other's use in
+//! their reports. An owner decides only while it hears most of the nodes, and at the fraction of the
+//! rate that stands for those; where it does not, and where it does not answer, nodes admit their
+//! local shares.
+
+use serde::{Deserialize, Serialize};
+
+use super::bucket::Bucket;
+use super::limit::{Limit, Reach};
+use super::{LEAST_LEFT, Quotas, get_raised_part};
+use crate::Millis;
+
+/// The part of the local share that is admitted, less what pays back what was admitted beyond the
+/// limit.
+const SHARE_ADMITTED: f64 = 1.0;
+/// How much less of the share is admitted for each burst that was admitted beyond the limit.
+const PAY_BACK_PART: f64 = 0.15;
+/// The least part of the local share that is admitted while paying back.
+const LEAST_SHARE_ADMITTED: f64 = 0.5;
+/// The part of the tolerated slack that nodes may admit in advance at the start of their local
+/// shares, over all nodes.
+const ADVANCE_PART: f64 = 0.3;
+/// The longest time for which units are booked for callers that come back, in milliseconds: about
+/// the longest deadline of a caller. Beyond that all are told the same time.
+const LONGEST_BOOKING: f64 = 10_000.0;
+
+/// What an owner decides about a request of a client account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Decision {
+    /// The units were consumed.
+    Admitted,
+    /// The client account is beyond its limit.
+    Refused {
+        /// The time in milliseconds after which the request fits, behind those refused before it.
+        retry_after: Millis,
+    },
+    /// The node cannot decide for others: it hears too few of them, or is not the owner.
+    Undecided,
+}
+
+impl Quotas {
+    /// Consumes units for a request of a client account, without an owner.
+    ///
+    /// A request is admitted while a unit is left, also where it is larger than what is left: the
+    /// bucket then pays it back before the next.
+    ///
+    /// # Errors
+    ///
+    /// Returns the milliseconds after which there is something left.
+    pub fn consume(
+        &mut self,
+        now: Millis,
+        account: &str,
+        units: u64,
+        limit: Limit,
+        reach: Reach,
+    ) -> Result<(), Millis> {
+        if self.consume_if_filled(now, account, units, limit, reach) {
+            return Ok(());
+        }
+        self.consume_local_share(now, account, units, limit, reach)
+    }
+
+    /// Consumes units for a request of a client account whose bucket is well filled; returns `false`
+    /// where it is low, or where too little is known of what others use.
+    pub fn consume_if_filled(
+        &mut self,
+        now: Millis,
+        account: &str,
+        units: u64,
+        limit: Limit,
+        reach: Reach,
+    ) -> bool {
+        if limit.rate_per_second <= 0.0 {
+            return true;
+        }
+        let limit = self.tolerance.raise(limit, get_raised_part(reach));
+        self.own.accounts.entry(account.to_owned()).or_default().requested += units;
+        let left = self.refill_whole(now, account, limit, reach);
+        let is_overdue = reach.is_grouped && self.is_any_overdue(now);
+        if is_overdue || left < self.get_low(now, account, limit.get_capacity(), reach) {
+            return false;
+        }
+        self.restart_local_share(now, account);
+        self.admit(account, units);
+        true
+    }
+
+    /// Decides as the owner of a client account about a request that came to any node.
+    pub fn decide(
+        &mut self,
+        now: Millis,
+        account: &str,
+        units: u64,
+        limit: Limit,
+        reach: Reach,
+    ) -> Decision {
+        let is_overdue = reach.is_grouped && self.is_any_overdue(now);
+        if is_overdue || !reach.is_most_heard() {
+            return Decision::Undecided;
+        }
+        let limit = self.tolerance.raise(limit, get_raised_part(reach));
+        self.refill_whole(now, account, limit, reach);
+        let left = self.whole.get(account).map_or(0.0, |bucket| bucket.available);
+        if left >= LEAST_LEFT {
+            self.admit(account, units);
+            return Decision::Admitted;
+        }
+        let rate = limit.rate_per_second * reach.get_fraction();
+        let retry_after = self.book(now, account, LEAST_LEFT - left, units, rate);
+        Decision::Refused { retry_after }
+    }
+
+    /// Takes note that the owner of a client account decides about its requests: nothing of the
+    /// local share is saved up meanwhile.
+    pub fn restart_local_share(&mut self, now: Millis, account: &str) {
+        if let Some(bucket) = self.local_share.get_mut(account) {
+            // What was admitted in advance is paid back as before.
+            bucket.stop_saving(now);
+        }
+    }
+
+    /// Consumes units of this node's local share, where no owner decided.
+    ///
+    /// # Errors
+    ///
+    /// Returns the milliseconds after which there is something left of the share.
+    pub fn consume_local_share(
+        &mut self,
+        now: Millis,
+        account: &str,
+        units: u64,
+        limit: Limit,
+        reach: Reach,
+    ) -> Result<(), Millis> {
+        let limit = self.tolerance.raise(limit, get_raised_part(reach));
+        let rate = limit.rate_per_second * reach.get_fraction();
+        let left = self.refill_whole(now, account, limit, reach);
+        if reach.all == 1 {
+            return Err(get_wait(LEAST_LEFT - left, rate));
+        }
+        let beyond = (-left / limit.get_capacity()).max(0.0);
+        let admitted = (SHARE_ADMITTED - PAY_BACK_PART * beyond).max(LEAST_SHARE_ADMITTED);
+        let share_rate = admitted * rate * self.get_share(now, account, reach);
+        // The first request pays in advance: of many nodes, each would admit one too many
+        // otherwise.
+        let advance = self.tolerance.slack * ADVANCE_PART / reach.all as f64;
+        let debt = (units as f64 - advance).max(0.0);
+        let bucket = self.local_share.entry(account.to_owned());
+        let bucket = bucket.or_insert(Bucket::new(now, -debt));
+        bucket.set(now, share_rate, share_rate.max(LEAST_LEFT));
+        if bucket.available < LEAST_LEFT {
+            return Err(get_wait(LEAST_LEFT - bucket.available, share_rate));
+        }
+        bucket.available -= units as f64;
+        self.admit(account, units);
+        Ok(())
+    }
+
+    /// Books units for a caller that is refused, behind those that were refused before it; returns
+    /// when they are there.
+    fn book(&mut self, now: Millis, account: &str, lacking: f64, units: u64, rate: f64) -> Millis {
+        let now = now as f64;
+        let fits_at = now + lacking / rate * 1_000.0;
+        let booked_until = self.booked_until.entry(account.to_owned()).or_default();
+        let starts_at = booked_until.max(fits_at).min(now + LONGEST_BOOKING);
+        *booked_until = starts_at + units as f64 / rate * 1_000.0;
+        (starts_at - now).ceil() as Millis
+    }
+}
+
+fn get_wait(lacking: f64, rate: f64) -> Millis {
+    (lacking / rate * 1_000.0).ceil() as Millis
+}
--- a/crates/core/src/serving/quota/limit.rs
+++ b/crates/core/src/serving/quota/limit.rs
@@ -68,4 +68,10 @@
     pub(super) fn get_fraction(self) -> f64 {
         self.heard.max(1) as f64 / self.all.max(self.heard).max(1) as f64
     }
+
+    /// Returns `true` if most nodes were heard lately: no two parts of them can say so of each
+    /// other at once for long.
+    pub(super) fn is_most_heard(self) -> bool {
+        2 * self.heard > self.all
+    }
 }
--- a/crates/core/src/serving/quota/mod.rs
+++ b/crates/core/src/serving/quota/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! Each node keeps the bucket of the whole client account. It subtracts what it admits at once, and
 //! what its peers admit when they report it, some times a second; between two reports a peer is
-//! assumed to go on at its last rate. While the bucket is well filled, every request is admitted.
-//! Once it is low, reports are too old to decide by: each node then admits its local share of the
-//! rate, in proportion to what the client account requests of it, and the shares sum up to the
+//! assumed to go on at its last rate. While the bucket is well filled, every node admits by itself.
+//! Once it is low, reports are too old to decide by: one node, the account's owner, then decides for
+//! all others (see [`Decision`]). A node that gets no decision from it admits its local share of
+//! the rate, in proportion to what the client account requests of it; the shares sum up to the
 //! whole.
 //!
 //! A fraction of the rate is reserved for each node that was not heard lately, which may be cut off
@@ -19,11 +20,13 @@
 //! nodes.
 
 mod bucket;
+mod decision;
 mod limit;
 mod report;
 
 use std::collections::BTreeMap;
 
+pub use self::decision::Decision;
 pub use self::limit::{Limit, Reach, Tolerance};
 pub use self::report::{Report, Source, Units};
 
@@ -38,13 +41,6 @@
 /// The largest fraction of the burst that counts as low: below, each node admits its local share of
 /// the rate only.
 const LOW_FRACTION: f64 = 0.4;
-/// The part of the local share that is admitted, less what pays back what was admitted beyond the
-/// limit.
-const SHARE_ADMITTED: f64 = 1.0;
-/// How much less of the share is admitted for each burst that was admitted beyond the limit.
-const PAY_BACK_PART: f64 = 0.15;
-/// The least part of the local share that is admitted while paying back.
-const LEAST_SHARE_ADMITTED: f64 = 0.5;
 /// A node that started less than this ago did not see what others admitted before: the burst may be
 /// spent, also where all nodes started again.
 const NEW_FOR: Millis = 3_000;
@@ -61,9 +57,6 @@
 /// The part of the tolerated excess with which nodes begin that all started again. The rest covers
 /// what they admit before their reports arrive.
 const FRESH_PART: f64 = 0.7;
-/// The part of the tolerated slack that nodes may admit in advance at the start of their local
-/// shares, over all nodes.
-const ADVANCE_PART: f64 = 0.3;
 
 /// The use of all client accounts, as one node knows it.
 #[derive(Clone, Debug)]
@@ -72,6 +65,8 @@
     tolerance: Tolerance,
     whole: BTreeMap<String, Bucket>,
     local_share: BTreeMap<String, Bucket>,
+    /// Until when units are booked for callers that were told to come back, by client account.
+    booked_until: BTreeMap<String, f64>,
     own: Report,
     /// When this node began to count its own units from none.
     counted_since: Millis,
@@ -91,6 +86,7 @@
             tolerance,
             whole: BTreeMap::new(),
             local_share: BTreeMap::new(),
+            booked_until: BTreeMap::new(),
             own: Report::default(),
             counted_since: now,
             own_rates: Rates::new(now),
@@ -100,62 +96,6 @@
         }
     }
 
-    /// Consumes units for a request of a client account.
-    ///
-    /// A request is admitted while a unit is left, also where it is larger than what is left: the
-    /// bucket then pays it back before the next.
-    ///
-    /// # Errors
-    ///
-    /// Returns the milliseconds after which there is something left.
-    pub fn consume(
-        &mut self,
-        now: Millis,
-        account: &str,
-        units: u64,
-        limit: Limit,
-        reach: Reach,
-    ) -> Result<(), Millis> {
-        if limit.rate_per_second <= 0.0 {
-            return Ok(());
-        }
-        let limit = self.tolerance.raise(limit, get_raised_part(reach));
-        self.own.accounts.entry(account.to_owned()).or_default().requested += units;
-        let rate = limit.rate_per_second * reach.get_fraction();
-        let capacity = limit.get_capacity();
-        let left = self.refill_whole(now, account, limit, reach);
-        let share = self.get_share(now, account, reach);
-        let is_overdue = reach.is_grouped && self.is_any_overdue(now);
-        if !is_overdue && left >= self.get_low(now, account, capacity, reach) {
-            // Nothing of the local share is saved up meanwhile, but what it admitted in advance is
-            // paid back.
-            if let Some(bucket) = self.local_share.get_mut(account) {
-                bucket.set(now, rate * share, 0.0);
-            }
-            self.admit(account, units);
-            return Ok(());
-        }
-        if reach.all == 1 {
-            return Err(wait(LEAST_LEFT - left, rate));
-        }
-        let beyond = (-left / capacity).max(0.0);
-        let admitted = (SHARE_ADMITTED - PAY_BACK_PART * beyond).max(LEAST_SHARE_ADMITTED);
-        let share_rate = admitted * rate * share;
-        let bucket = self.local_share.entry(account.to_owned());
-        // The first request pays in advance: of many nodes, each would admit one too many
-        // otherwise.
-        let advance = self.tolerance.slack * ADVANCE_PART / reach.all as f64;
-        let debt = (units as f64 - advance).max(0.0);
-        let bucket = bucket.or_insert(Bucket::new(now, -debt));
-        bucket.set(now, share_rate, share_rate.max(LEAST_LEFT));
-        if bucket.available < LEAST_LEFT {
-            return Err(wait(LEAST_LEFT - bucket.available, share_rate));
-        }
-        bucket.available -= units as f64;
-        self.admit(account, units);
-        Ok(())
-    }
-
     /// Refunds the units of a request that did not run.
     pub fn refund(&mut self, account: &str, units: u64) {
         if let Some(bucket) = self.whole.get_mut(account) {
@@ -472,7 +412,3 @@
         }
     }
 }
-
-fn wait(lacking: f64, rate: f64) -> Millis {
-    (lacking / rate * 1_000.0).ceil() as Millis
-}
--- a/crates/core/tests/serving/groups.rs
+++ b/crates/core/tests/serving/groups.rs
@@ -4,10 +4,14 @@
 use std::collections::BTreeMap;
 
 use keeljunction_core::serving::handover::{Handover, Snapshot};
-use keeljunction_core::serving::quota::{Limit, Quotas, Reach, Report, Source, Tolerance};
+use keeljunction_core::serving::quota::{
+    Decision, Limit, Quotas, Reach, Report, Source, Tolerance,
+};
 use keeljunction_core::serving::usage::{Counts, Incarnation, Ledger};
 use proptest::prelude::*;
 
+use crate::owner::follow;
+
 const LIMIT: Limit = Limit { rate_per_second: 500_000.0, burst: 500_000.0 };
 const TOLERANCE: Tolerance = Tolerance { window_seconds: 8.0, overshoot: 0.1, slack: 140_000.0 };
 const PERIOD: u64 = 200;
@@ -23,6 +27,9 @@
 const SILENT_AFTER: u64 = 1_600;
 /// A node that was heard within this time is in reach.
 const HEARD_WITHIN: u64 = 2_000;
+/// Whether an aggregator is silent is known to all nodes after this long at most, each after another
+/// time.
+const SILENCE_KNOWN: std::ops::Range<u64> = 1_400..2_600;
 /// The pressure before a surge.
 const BEFORE_SURGE: f64 = 0.2;
 /// One window of usage: all of the day.
@@ -115,6 +122,7 @@
 
 #[derive(Clone, Debug)]
 struct Scenario {
+    limit: Limit,
     /// How many times the rate is requested, from a time on; little before that.
     pressure: f64,
     surge_at: u64,
@@ -123,9 +131,12 @@
     late: u64,
     /// When an aggregator ends, which, and for how long it is away.
     ends: Vec<(u64, usize, u64)>,
+    /// Whether nodes ask the owner of the client account near its limit.
+    is_owner_asked: bool,
     seed: u64,
 }
 
+#[derive(Default)]
 struct Outcome {
     admitted: Vec<(u64, u64)>,
     /// Requests that began, and those that the first aggregator counts at the end.
@@ -138,11 +149,58 @@
         self.ends.iter().any(|(at, who, away)| *who == node && (*at..at + away).contains(&now))
     }
 
+    /// Returns which aggregator a node takes for the owner: the first that it does not know to be
+    /// silent.
+    fn get_owner(&self, number: usize, now: u64) -> usize {
+        let span = SILENCE_KNOWN.end - SILENCE_KNOWN.start;
+        let known_after = SILENCE_KNOWN.start + (number as u64 * 229 + self.seed) % span;
+        let is_known = |who: &usize| {
+            self.ends.iter().any(|(at, away_who, away)| {
+                let is_noticed = now >= at + known_after;
+                // One that is back is noticed by its next report.
+                away_who == who && is_noticed && now < at + away + known_after / 5
+            })
+        };
+        (0..GROUPS).find(|who| !is_known(who)).unwrap_or(0)
+    }
+
+    /// Decides about a request that comes to a node.
+    fn is_admitted(
+        &self,
+        nodes: &mut [Node],
+        number: usize,
+        now: u64,
+        size: u64,
+        random: &mut fastrand::Rng,
+    ) -> bool {
+        let node = &mut nodes[number];
+        let reach = node.get_reach(now);
+        if !self.is_owner_asked {
+            return node.quotas.consume(now, "acme", size, self.limit, reach).is_ok();
+        }
+        if node.quotas.consume_if_filled(now, "acme", size, self.limit, reach) {
+            return true;
+        }
+        let owner = self.get_owner(number, now);
+        let is_lost = owner != number && random.f64() < self.lost;
+        let is_answered_in_vain = owner != number && random.f64() < self.lost;
+        let mut decision = Decision::Undecided;
+        if !is_lost && !self.is_away(owner, now) && self.get_owner(owner, now) == owner {
+            let reach = nodes[owner].get_reach(now);
+            decision = nodes[owner].quotas.decide(now, "acme", size, self.limit, reach);
+        }
+        if is_answered_in_vain {
+            decision = Decision::Undecided;
+        }
+        let quotas = &mut nodes[number].quotas;
+        follow(quotas, decision, now, size, self.limit, reach)
+    }
+
     fn play(&self) -> Outcome {
         let mut random = fastrand::Rng::with_seed(self.seed);
         let mut nodes: Vec<Node> = (0..NODES).map(|number| Node::start(number, 0, 1)).collect();
         let mut on_the_way: Vec<(u64, usize, Datagram)> = Vec::new();
-        let mut outcome = Outcome { admitted: Vec::new(), began: 0, counted: 0 };
+        let mut outcome = Outcome::default();
         let mut owed = 0.0;
         for now in (STEP..END + 4_000).step_by(STEP as usize) {
             for (number, node) in nodes.iter_mut().enumerate() {
@@ -152,7 +210,8 @@
             }
             if now < END {
                 let pressure = if now < self.surge_at { BEFORE_SURGE } else { self.pressure };
-                owed += pressure * LIMIT.rate_per_second * STEP as f64 / 1_000.0 / MEAN_SIZE;
+                let units = self.limit.rate_per_second * STEP as f64 / 1_000.0;
+                owed += pressure * units / MEAN_SIZE;
             }
             while owed >= 1.0 {
                 owed -= 1.0;
@@ -161,11 +220,11 @@
                 if self.is_away(number, now) {
                     continue;
                 }
-                let node = &mut nodes[number];
-                let reach = node.get_reach(now);
-                if node.quotas.consume(now, "acme", size, LIMIT, reach).is_ok() {
+                let is_admitted = self.is_admitted(&mut nodes, number, now, size, &mut random);
+                if is_admitted {
                     outcome.admitted.push((now, size));
                     outcome.began += 1;
+                    let node = &mut nodes[number];
                     let incarnation = node.handover.get_incarnation().clone();
                     node.ledger.count(WINDOW, &incarnation, "acme");
                 }
@@ -281,11 +340,13 @@
 fn scenario() -> impl Strategy<Value = Scenario> {
     let ends = prop::collection::vec((100u64..1_000, 0..GROUPS, 20u64..200), 0..3);
     let surge_at = prop_oneof![Just(0u64), Just(9_000)];
-    (0.5f64..6.0, surge_at, 0.0f64..0.2, 1u64..150, ends, any::<u64>()).prop_map(
-        |(pressure, surge_at, lost, late, ends, seed)| {
+    let network = (0.0f64..0.2, 1u64..150);
+    (0.5f64..6.0, surge_at, network, ends, any::<bool>(), any::<u64>()).prop_map(
+        |(pressure, surge_at, (lost, late), ends, is_owner_asked, seed)| {
             let steps = |(at, who, away): (u64, usize, u64)| (at * STEP, who, away * STEP);
             let ends = ends.into_iter().map(steps).collect();
-            Scenario { pressure, surge_at, lost, late, ends, seed }
+            let limit = LIMIT;
+            Scenario { limit, pressure, surge_at, lost, late, ends, is_owner_asked, seed }
         },
     )
 }
@@ -313,32 +374,65 @@
     }
 }
 
+/// A calm day of all nodes, at a part of the limit.
+fn calm(pressure: f64, is_owner_asked: bool, seed: u64) -> Scenario {
+    Scenario {
+        limit: LIMIT,
+        pressure,
+        surge_at: 0,
+        lost: 0.01,
+        late: 20,
+        ends: Vec::new(),
+        is_owner_asked,
+        seed,
+    }
+}
+
 #[test]
 fn a_client_account_that_suddenly_sends_six_times_its_limit_stays_within_it() {
     for seed in 0..8 {
-        let (pressure, surge_at) = (6.0, 9_000);
-        let scenario = Scenario { pressure, surge_at, lost: 0.01, late: 5, ends: Vec::new(), seed };
-        let most = get_most(&scenario.play().admitted);
-        assert!(most <= ALLOWED, "{most} of {ALLOWED} with seed {seed}");
+        for is_owner_asked in [false, true] {
+            let calm = calm(6.0, is_owner_asked, seed);
+            let scenario = Scenario { surge_at: 9_000, late: 5, ..calm };
+            let most = get_most(&scenario.play().admitted);
+            assert!(most <= ALLOWED, "{most} of {ALLOWED} with seed {seed}, {is_owner_asked}");
+        }
     }
 }
 
 #[test]
 fn a_client_account_gets_its_limit_where_nodes_report_in_groups() {
     for seed in 0..3 {
-        let scenario =
-            Scenario { pressure: 2.0, surge_at: 0, lost: 0.01, late: 20, ends: Vec::new(), seed };
-        let admitted = scenario.play().admitted;
-        let late: u64 =
-            admitted.iter().filter(|(at, _)| (8_000..24_000).contains(at)).map(|(_, u)| u).sum();
-        assert!(late >= 16 * 500_000 * 85 / 100, "{late} with seed {seed}");
-        // Below the limit nothing is refused.
-        let calm = Scenario { pressure: 0.7, ..scenario };
-        let admitted = calm.play().admitted;
-        // After their start, in which nodes hold back, until all have heard of each other.
-        let late = admitted.iter().filter(|(at, _)| *at >= 4_000).count();
-        let asked = (0.7 * 500_000.0 * 20.0 / MEAN_SIZE) as usize;
-        assert!(late >= asked * 98 / 100, "{late} of {asked} with seed {seed}");
+        for is_owner_asked in [false, true] {
+            let admitted = calm(2.0, is_owner_asked, seed).play().admitted;
+            let late: u64 = admitted
+                .iter()
+                .filter(|(at, _)| (8_000..24_000).contains(at))
+                .map(|(_, units)| units)
+                .sum();
+            assert!(late >= 16 * 500_000 * 85 / 100, "{late} with seed {seed}, {is_owner_asked}");
+            // Below the limit nothing is refused.
+            let admitted = calm(0.7, is_owner_asked, seed).play().admitted;
+            // After their start, in which nodes hold back, until all have heard of each other.
+            let late = admitted.iter().filter(|(at, _)| *at >= 4_000).count();
+            let asked = (0.7 * 500_000.0 * 20.0 / MEAN_SIZE) as usize;
+            assert!(late >= asked * 98 / 100, "{late} of {asked} with seed {seed}");
+        }
+    }
+}
+
+/// The owner of the client account and the one after it.
+const OWNERS: [usize; 2] = [0, 1];
+
+#[test]
+fn limits_hold_while_owners_end_one_after_the_other() {
+    for seed in 0..16 {
+        for away in [200, 1_000, 3_000, 8_000] {
+            let ends = vec![(9_000, OWNERS[0], away), (10_500, OWNERS[1], away)];
+            let scenario = Scenario { ends, ..calm(6.0, true, seed) };
+            let most = get_most(&scenario.play().admitted);
+            assert!(most <= ALLOWED, "{most} of {ALLOWED} with seed {seed}, away for {away}");
+        }
     }
 }
 
@@ -346,7 +440,7 @@
 fn requests_of_a_node_that_turns_to_another_aggregator_are_counted_about_once() {
     for seed in 0..5 {
         let ends = vec![(8_000, 1, 4_000), (16_000, 2, 3_000)];
-        let scenario = Scenario { pressure: 0.8, surge_at: 0, lost: 0.02, late: 20, ends, seed };
+        let scenario = Scenario { lost: 0.02, ends, ..calm(0.8, seed % 2 == 0, seed) };
         let outcome = scenario.play();
         // What the two that ended counted for themselves since their last report is lost: one
         // period of one of fifteen nodes; their groups count again what was not confirmed.
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -12,6 +12,7 @@
 mod health;
 mod load;
 mod members;
+mod owner;
 mod quota;
 mod quota_cluster;
 mod refusal;
--- a/crates/core/tests/serving/members.rs
+++ b/crates/core/tests/serving/members.rs
@@ -179,7 +179,7 @@
         let server = short_id(&server.to_string());
         let owners = (0..60).map(|number| {
             let own = address(100 + number as u16);
-            member_of_sixty(number).find_load_owner(server).unwrap_or(own)
+            member_of_sixty(number).find_owner(server).unwrap_or(own)
         });
         let owners: std::collections::BTreeSet<SocketAddr> = owners.collect();
         assert_eq!(owners.len(), 1);
--- /dev/null
+++ b/crates/core/tests/serving/owner.rs
@@ -0,0 +1,20 @@
+//! What a node does with the decision of a client account's owner.
+
+use keeljunction_core::serving::quota::{Decision, Limit, Quotas, Reach};
+
+/// Follows the owner's decision about a request of "acme", or decides by the local share; returns
+/// `true` if the request is admitted.
+pub fn follow(
+    quotas: &mut Quotas,
+    decision: Decision,
+    now: u64,
+    units: u64,
+    limit: Limit,
+    reach: Reach,
+) -> bool {
+    if decision == Decision::Undecided {
+        return quotas.consume_local_share(now, "acme", units, limit, reach).is_ok();
+    }
+    quotas.restart_local_share(now, "acme");
+    decision == Decision::Admitted
+}
--- a/crates/core/tests/serving/quota_cluster.rs
+++ b/crates/core/tests/serving/quota_cluster.rs
@@ -3,9 +3,11 @@
 
 use std::collections::HashMap;
 
-use keeljunction_core::serving::quota::{Limit, Quotas, Reach, Source, Tolerance};
+use keeljunction_core::serving::quota::{Decision, Limit, Quotas, Reach, Source, Tolerance};
 use proptest::prelude::*;
 
+use crate::owner::follow;
+
 const LIMIT: Limit = Limit { rate_per_second: 500_000.0, burst: 500_000.0 };
 const TOLERANCE: Tolerance = Tolerance { window_seconds: 8.0, overshoot: 0.1, slack: 140_000.0 };
 const PERIOD: u64 = 200;
@@ -30,8 +32,10 @@
     down: u64,
     /// When a node is cut off from all others, which, and for how long.
     cuts: Vec<(u64, usize, u64)>,
-    /// The fraction of reports that is lost.
+    /// The fraction of reports and questions that is lost.
     lost: f64,
+    /// Whether nodes ask the owner of the client account near its limit.
+    is_owner_asked: bool,
     seed: u64,
 }
 
@@ -47,6 +51,22 @@
         let quotas = Quotas::new(now, TOLERANCE);
         Self { quotas, incarnation, started_at: now, heard: HashMap::new() }
     }
+
+    fn is_heard(&self, now: u64, peer: usize) -> bool {
+        self.heard.get(&peer).is_some_and(|at| now < at + HEARD_WITHIN)
+    }
+
+    fn get_reach(&self, now: u64, all: usize) -> Reach {
+        let heard = 1 + (0..all).filter(|peer| self.is_heard(now, *peer)).count();
+        Reach { heard, all, period: PERIOD, is_grouped: false }
+    }
+
+    /// Returns which node this one, given by its number, takes for the owner: the first that it
+    /// hears, or may hear soon.
+    fn get_owner(&self, now: u64, own: usize) -> usize {
+        let is_new = now < self.started_at + HEARD_WITHIN;
+        (0..own).find(|peer| is_new || self.is_heard(now, *peer)).unwrap_or(own)
+    }
 }
 
 impl Scenario {
@@ -75,14 +95,11 @@
             while owed >= 1.0 {
                 owed -= 1.0;
                 let size = SIZES[random.usize(..SIZES.len())];
-                let node = &mut nodes[random.usize(..self.nodes)];
-                if now < node.started_at {
+                let number = random.usize(..self.nodes);
+                if now < nodes[number].started_at {
                     continue;
                 }
-                let is_heard = |at: &&u64| now < **at + HEARD_WITHIN;
-                let heard = 1 + node.heard.values().filter(is_heard).count();
-                let reach = Reach { heard, all: self.nodes, period: PERIOD, is_grouped: false };
-                if node.quotas.consume(now, "acme", size, LIMIT, reach).is_ok() {
+                if self.is_admitted(&mut nodes, number, now, size, &mut random) {
                     admitted.push((now, size));
                 }
             }
@@ -95,6 +112,41 @@
         admitted
     }
 
+    /// Decides about a request that comes to a node.
+    fn is_admitted(
+        &self,
+        nodes: &mut [Node],
+        number: usize,
+        now: u64,
+        size: u64,
+        random: &mut fastrand::Rng,
+    ) -> bool {
+        let node = &mut nodes[number];
+        let reach = node.get_reach(now, self.nodes);
+        if !self.is_owner_asked {
+            return node.quotas.consume(now, "acme", size, LIMIT, reach).is_ok();
+        }
+        if node.quotas.consume_if_filled(now, "acme", size, LIMIT, reach) {
+            return true;
+        }
+        let owner = node.get_owner(now, number);
+        let is_cut = owner != number && (self.is_cut(owner, now) || self.is_cut(number, now));
+        let is_lost = owner != number && random.f64() < self.lost;
+        let is_answered_in_vain = owner != number && random.f64() < self.lost;
+        let asked = &mut nodes[owner];
+        let is_reached = !is_cut && !is_lost && now >= asked.started_at;
+        let mut decision = Decision::Undecided;
+        if is_reached && asked.get_owner(now, owner) == owner {
+            let reach = asked.get_reach(now, self.nodes);
+            decision = asked.quotas.decide(now, "acme", size, LIMIT, reach);
+        }
+        if is_answered_in_vain {
+            decision = Decision::Undecided;
+        }
+        let quotas = &mut nodes[number].quotas;
+        follow(quotas, decision, now, size, LIMIT, reach)
+    }
+
     fn send_report(&self, nodes: &mut [Node], from: usize, now: u64, random: &mut fastrand::Rng) {
         let incarnation = nodes[from].incarnation;
         let report = nodes[from].quotas.report(now);
@@ -135,11 +187,14 @@
     let all_end = prop::collection::vec(time.clone(), 0..3);
     let one_ends = prop::collection::vec((time.clone(), 0usize..7), 0..4);
     let cuts = prop::collection::vec((time, 0usize..7, 200u64..6_000), 0..2);
-    (2usize..8, 0.5f64..6.0, all_end, one_ends, 500u64..3_000, cuts, 0.0f64..0.2, any::<u64>())
-        .prop_map(|(nodes, pressure, all_end, one_ends, down, cuts, lost, seed)| {
-            let down = down / STEP * STEP;
-            Scenario { nodes, pressure, all_end, one_ends, down, cuts, lost, seed }
-        })
+    let down = (50u64..300).prop_map(|down| down * STEP);
+    let nodes = (2usize..8, 0.5f64..6.0);
+    let faults = (all_end, one_ends, down, cuts, 0.0f64..0.2);
+    (nodes, faults, any::<bool>(), any::<u64>()).prop_map(
+        |((nodes, pressure), (all_end, one_ends, down, cuts, lost), is_owner_asked, seed)| {
+            Scenario { nodes, pressure, all_end, one_ends, down, cuts, lost, is_owner_asked, seed }
+        },
+    )
 }
 
 proptest! {
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -15,11 +15,10 @@
 use keeljunction_core::serving::configuration::{Account, Configuration, QuotaUnit, Route};
 use keeljunction_core::serving::demand::DemandTotals;
 use keeljunction_core::serving::load::{PRIORITIES, Work};
-use keeljunction_core::serving::quota::Limit;
 use keeljunction_core::serving::refusal::Refusal;
 
 use super::respond::{Record, Refused};
-use crate::node::Node;
+use crate::node::{self, Node};
 use crate::port::{Prompt, RequestHead};
 use crate::runtime;
 
@@ -109,6 +108,7 @@
         let service = service.to_owned();
         record.service = Some(service.clone());
         let quota = consume_quota(node, account.as_ref(), head.prompt.as_ref())
+            .await
             .map_err(|wait| refuse(Refusal::OverQuota, wait.max(QUOTA_BACK_IN)))?;
         let prompt = head.prompt.as_ref();
         let priority = account.as_ref().map_or(0, |account| account.priority);
@@ -208,7 +208,7 @@
     Ok(content.into())
 }
 
-fn consume_quota(
+async fn consume_quota(
     node: &Node,
     account: Option<&Account>,
     prompt: Option<&Prompt>,
@@ -220,12 +220,7 @@
             prompt.map_or(default, |prompt| prompt.input_tokens + prompt.output_tokens)
         }
     };
-    let limit = Limit { rate_per_second: account.rate_per_second, burst: account.burst };
-    let now = node.now();
-    node.with(|state| {
-        let reach = state.members.get_reach(now);
-        state.quotas.consume(now, &account.name, units, limit, reach)
-    })?;
+    node::consume_units(node, account, units).await?;
     Ok(Some((account.name.clone(), units)))
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -63,6 +63,8 @@
     pub resumed: Counter,
     /// Questions for the loads of servers that were not answered in time.
     pub unanswered_load_questions: Counter,
+    /// Questions to owners of client accounts that were not answered in time.
+    pub unanswered_quota_questions: Counter,
     gauges: Gauges,
 }
 
@@ -104,6 +106,7 @@
             failed_attempts: Family::default(),
             resumed: Counter::default(),
             unanswered_load_questions: Counter::default(),
+            unanswered_quota_questions: Counter::default(),
             gauges: Gauges::default(),
         };
         metrics.register();
@@ -145,6 +148,11 @@
             "Questions for the loads of servers that were not answered in time",
             self.unanswered_load_questions.clone(),
         );
+        registry.register(
+            "unanswered_quota_questions",
+            "Questions to owners of client accounts that were not answered in time",
+            self.unanswered_quota_questions.clone(),
+        );
         self.gauges.register(registry);
     }
 
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -26,4 +26,5 @@
 
 pub(crate) use peers::loads::{ask as ask_loads, note_change as note_load_change};
 pub(crate) use peers::news::report_begun;
+pub(crate) use peers::quota::consume as consume_units;
 pub use state::Node;
--- a/crates/gateway/src/node/peers/loads.rs
+++ b/crates/gateway/src/node/peers/loads.rs
@@ -118,7 +118,7 @@
     let mut by_owner: BTreeMap<SocketAddr, Vec<u64>> = BTreeMap::new();
     node.with(|state| {
         for server in servers {
-            if let Some(owner) = state.members.find_load_owner(server) {
+            if let Some(owner) = state.members.find_owner(server) {
                 by_owner.entry(owner).or_default().push(server);
             }
         }
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -5,13 +5,14 @@
 use keeljunction_core::serving::freshness::Versions;
 use keeljunction_core::serving::load::{Load, Work};
 use keeljunction_core::serving::members::{Entry, Overview as Reach};
+use keeljunction_core::serving::quota::Decision;
 use keeljunction_core::serving::throughput::Sample;
 use keeljunction_core::serving::usage::{Counts, WindowNumber};
 use keeljunction_core::serving::{demand, quota};
 use serde::{Deserialize, Serialize};
 
 /// The format of the datagrams; others are ignored.
-const FORMAT: u8 = 7;
+const FORMAT: u8 = 8;
 
 /// What every datagram begins with.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -56,6 +57,26 @@
         /// The loads, by the servers' short names.
         loads: Vec<(u64, Load)>,
     },
+    /// Asks the owner of a client account whether a request is within its limit.
+    AskQuota {
+        /// Names the question at the one who asks.
+        question: u32,
+        /// The client account.
+        account: String,
+        /// The units of the request.
+        units: u64,
+    },
+    /// Answers that.
+    Quota {
+        /// The question.
+        question: u32,
+        /// The client account.
+        account: String,
+        /// The units of the request, which one who no longer waits refunds.
+        units: u64,
+        /// What the owner decided.
+        decision: Decision,
+    },
     /// Tells the node that keeps the load of some servers what the sender has in flight there.
     LoadChanged {
         /// The sender's name.
--- a/crates/gateway/src/node/peers/mod.rs
+++ b/crates/gateway/src/node/peers/mod.rs
@@ -7,6 +7,7 @@
 //! | `register` | finds the other nodes in a table of the platform |
 //! | `report` | exchanges counts some times a second |
 //! | `loads` | keeps and asks for the loads of servers, where nodes report in groups |
+//! | `quota` | asks the owner of a client account whether a request is within its limit |
 //! | `versions` | confirms what this node knows of the platform's tables, or gets what it lacks |
 //! | `news` | passes on what must not wait for the next report |
 //! | `calls` | gets what does not fit a datagram |
@@ -19,6 +20,7 @@
 pub(super) mod loads;
 pub(super) mod message;
 pub(super) mod news;
+pub(crate) mod quota;
 mod register;
 pub(super) mod report;
 mod versions;
@@ -58,6 +60,12 @@
                 loads::answer(&node, from, question, &asking, &servers).await;
             }
             Message::Loads { question, loads } => loads::take(&node, question, loads),
+            Message::AskQuota { question, account, units } => {
+                quota::answer(&node, from, question, account, units).await;
+            }
+            Message::Quota { question, account, units, decision } => {
+                quota::take(&node, question, &account, units, decision);
+            }
             Message::LoadChanged { node: peer, loads } => loads::take_change(&node, &peer, loads),
         }
     }
--- /dev/null
+++ b/crates/gateway/src/node/peers/quota.rs
@@ -0,0 +1,152 @@
+//! Asks the owner of a client account whether a request is within its limit.
+//!
+//! Each node decides by itself while much is left. Near the limit the account's owner decides for
+//! all, which every node finds by itself among the aggregators: what a question costs depends on
+//! the requests and not on the number of nodes.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use keeljunction_core::Millis;
+use keeljunction_core::serving::configuration::Account;
+use keeljunction_core::serving::load::short_id;
+use keeljunction_core::serving::quota::{Decision, Limit};
+
+use super::message::Message;
+use crate::node::Node;
+use crate::node::state::State;
+use crate::runtime::{self, lock};
+
+/// How long a decision is waited for: some times the way there and back within a region, and the
+/// time for which a small VM lets a task wait. The local share is consumed then.
+const DECIDED_WITHIN: Duration = Duration::from_millis(40);
+
+/// Questions that wait for decisions.
+#[derive(Debug, Default)]
+pub(in crate::node) struct Pending {
+    next: AtomicU32,
+    waiting: Mutex<HashMap<u32, Sender<Decision>>>,
+}
+
+/// A question that waits for its decision, until it is dropped.
+struct Question<'a> {
+    pending: &'a Pending,
+    number: u32,
+    decided: Receiver<Decision>,
+}
+
+impl Pending {
+    fn begin(&self) -> Question<'_> {
+        let (sender, decided) = async_channel::bounded(1);
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        lock(&self.waiting).insert(number, sender);
+        Question { pending: self, number, decided }
+    }
+}
+
+impl Drop for Question<'_> {
+    fn drop(&mut self) {
+        // No decision can be put into the channel while its sender is not in the table.
+        lock(&self.pending.waiting).remove(&self.number);
+    }
+}
+
+/// Consumes units of a client account for a request.
+///
+/// # Errors
+///
+/// Returns the milliseconds after which the request fits.
+pub(crate) async fn consume(node: &Node, account: &Account, units: u64) -> Result<(), Millis> {
+    let now = node.now();
+    let name = &account.name;
+    let limit = get_limit(account);
+    let is_filled = node.with(|state| {
+        let reach = state.members.get_reach(now);
+        state.quotas.consume_if_filled(now, name, units, limit, reach)
+    });
+    if is_filled {
+        return Ok(());
+    }
+    let decision = match node.with(|state| state.members.find_owner(short_id(name))) {
+        Some(_) => ask(node, name, units).await,
+        None => node.with(|state| decide(state, now, account, units)),
+    };
+    let now = node.now();
+    node.with(|state| match decision {
+        Decision::Undecided => {
+            let reach = state.members.get_reach(now);
+            state.quotas.consume_local_share(now, name, units, limit, reach)
+        }
+        Decision::Admitted => {
+            state.quotas.restart_local_share(now, name);
+            Ok(())
+        }
+        Decision::Refused { retry_after } => {
+            state.quotas.restart_local_share(now, name);
+            Err(retry_after)
+        }
+    })
+}
+
+fn get_limit(account: &Account) -> Limit {
+    Limit { rate_per_second: account.rate_per_second, burst: account.burst }
+}
+
+/// Asks the owner of a client account; undecided where it does not answer in time.
+async fn ask(node: &Node, account: &str, units: u64) -> Decision {
+    let Some(owner) = node.with(|state| state.members.find_owner(short_id(account))) else {
+        return Decision::Undecided;
+    };
+    let question = node.pending_decisions.begin();
+    let message =
+        Message::AskQuota { question: question.number, account: account.to_owned(), units };
+    node.link.send(node.now(), owner, &message).await;
+    let decided = runtime::within(DECIDED_WITHIN, question.decided.recv()).await;
+    // A decision may have come at the end of that time.
+    let decided = decided.and_then(Result::ok).or_else(|| question.decided.try_recv().ok());
+    decided.unwrap_or_else(|| {
+        node.metrics.unanswered_quota_questions.inc();
+        Decision::Undecided
+    })
+}
+
+/// Decides as the owner; undecided where this node is not the owner.
+fn decide(state: &mut State, now: Millis, account: &Account, units: u64) -> Decision {
+    if !state.members.is_owner(short_id(&account.name)) {
+        return Decision::Undecided;
+    }
+    let reach = state.members.get_reach(now);
+    state.quotas.decide(now, &account.name, units, get_limit(account), reach)
+}
+
+/// Answers another node.
+pub(super) async fn answer(
+    node: &Node,
+    from: SocketAddr,
+    question: u32,
+    account: String,
+    units: u64,
+) {
+    let now = node.now();
+    let decision = node.with(|state| {
+        let configuration = state.configuration.clone();
+        let known = configuration.as_ref().and_then(|known| known.get_account(&account));
+        known.map_or(Decision::Undecided, |known| decide(state, now, known, units))
+    });
+    let message = Message::Quota { question, account, units, decision };
+    node.link.send(now, from, &message).await;
+}
+
+/// Takes a decision. One that comes too late is refunded: the request has consumed units of the
+/// local share meanwhile, or was refused.
+pub(super) fn take(node: &Node, question: u32, account: &str, units: u64, decision: Decision) {
+    let waiting = lock(&node.pending_decisions.waiting).remove(&question);
+    let is_taken = waiting.is_some_and(|sender| sender.try_send(decision).is_ok());
+    if !is_taken && decision == Decision::Admitted {
+        node.with(|state| state.quotas.refund(account, units));
+    }
+}
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -25,6 +25,7 @@
 use super::peers::link::Link;
 use super::peers::loads;
 use super::peers::message::News;
+use super::peers::quota;
 use super::peers::report::{Audience, Samples};
 use crate::http::{Client, Stop};
 use crate::metrics::Metrics;
@@ -73,6 +74,8 @@
     pub(super) news: (Sender<News>, Receiver<News>),
     /// What is being asked and told of the loads of servers.
     pub(super) pending_loads: loads::Pending,
+    /// Requests about which the owners of their client accounts were asked.
+    pub(super) pending_decisions: quota::Pending,
     /// What the node knows of the deployment.
     pub state: Mutex<State>,
     /// What is being got from peers.
@@ -205,6 +208,7 @@
             link,
             news: async_channel::bounded(NEWS_WAITING),
             pending_loads: loads::Pending::default(),
+            pending_decisions: quota::Pending::default(),
             state: Mutex::new(state),
             fetching: Fetching::default(),
             is_stopping: AtomicBool::new(false),
