--- a/crates/core/benches/serving.rs
+++ b/crates/core/benches/serving.rs
@@ -27,6 +27,8 @@
         is_leaving: false,
         is_spot: true,
         leaves_within: None,
+        warm_within: None,
+        version: "v1".to_owned(),
     };
     (0..count).map(server).collect()
 }
--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -22,6 +22,8 @@
     pub address: SocketAddr,
     /// The data centre that it stands in.
     pub data_centre: String,
+    /// The version of its software.
+    pub version: String,
     /// Requests that it works on at once.
     pub slots: u32,
     /// Whether it is about to end.
@@ -30,6 +32,8 @@
     pub is_spot: bool,
     /// Time until it is gone, where it said so.
     pub leaves_within: Option<Millis>,
+    /// Time until it is as fast as others, where it has just started.
+    pub warm_within: Option<Millis>,
 }
 
 /// What a change of the list did to one server.
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -15,6 +15,7 @@
 //! | [`duty_lease`] | which node makes the calls that one node at a time may make |
 //! | [`event_stream`] | where the events of a stream begin and end |
 //! | [`demand`], [`throughput`], [`capacity`] | how many servers to order, where, and of which kind |
+//! | [`rollout`] | how the traffic of a service moves to servers of another version |
 //! | [`refusal`] | why a request was refused, and when to come back |
 
 pub mod capacity;
@@ -31,5 +32,6 @@
 pub mod members;
 pub mod quota;
 pub mod refusal;
+pub mod rollout;
 pub mod throughput;
 pub mod usage;
--- /dev/null
+++ b/crates/core/src/serving/rollout/book.rs
@@ -0,0 +1,329 @@
+//! What a node knows of all roll-outs.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde::{Deserialize, Serialize};
+
+use super::exposure::{Exposure, Tolerance};
+use super::order::{Announcement, Order, Stage};
+use super::tally::{Phase, Series, Tallies};
+use crate::serving::directory::Server;
+use crate::{Millis, succession};
+
+/// The share of the requests that a version gets in [`Stage::Ramp`]: with what the canary got, a
+/// version that turns bad there is found within one in ten of all requests (`rollout_trials`).
+const RAMP_SHARE: f64 = 0.3;
+const CANARIES_KEY: &str = "canaries";
+/// A stage that was not heard of for this long may have changed.
+const STAGE_VALID_FOR: Millis = 2_500;
+
+/// Which servers a request may go to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// All of them: there is no roll-out.
+    Any,
+    /// A few of the new version, given by [`Book::list_canaries`].
+    Canary,
+    /// Those of the new version.
+    Target,
+    /// All others.
+    Rest,
+    /// All others, or those of the new version where there are no others.
+    RestFirst,
+}
+
+/// What a node, or a group of nodes, counted of one roll-out.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The service.
+    pub service: String,
+    /// The order's number.
+    pub number: u64,
+    /// Answers since the order.
+    pub tallies: Tallies,
+    /// Requests in flight on other versions.
+    pub in_flight: u32,
+}
+
+/// A roll-out, as one node knows it.
+#[derive(Clone, Debug)]
+struct Rollout {
+    order: Order,
+    stage: Stage,
+    /// When the holder of the duties was last known to hold to the stage.
+    confirmed_at: Option<Millis>,
+    exposure: Exposure,
+    own: Tallies,
+    members: BTreeMap<(String, u64), Report>,
+    peers: BTreeMap<(String, u64), Report>,
+}
+
+/// All roll-outs that a node knows of.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    rollouts: BTreeMap<String, Rollout>,
+    /// When servers that have just started are as fast as others, by id.
+    warm_at: HashMap<String, Millis>,
+}
+
+impl Rollout {
+    fn new(order: Order) -> Self {
+        Self {
+            order,
+            stage: Stage::Pending,
+            confirmed_at: None,
+            exposure: Exposure::default(),
+            own: Tallies::default(),
+            members: BTreeMap::new(),
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the stage to act on: one that was not confirmed lately may have changed.
+    fn get_stage(&self, now: Millis) -> Stage {
+        let is_recent = self.confirmed_at.is_some_and(|at| now < at + STAGE_VALID_FOR);
+        if self.stage.is_final() || is_recent { self.stage } else { Stage::Pending }
+    }
+
+    fn sum(&self, own_in_flight: u32, reports: &[&BTreeMap<(String, u64), Report>]) -> Report {
+        let mut sum = Report {
+            service: self.order.service.clone(),
+            number: self.order.number,
+            tallies: self.own.clone(),
+            in_flight: own_in_flight,
+        };
+        for report in reports.iter().flat_map(|reports| reports.values()) {
+            sum.tallies.add(&report.tallies);
+            sum.in_flight += report.in_flight;
+        }
+        sum
+    }
+}
+
+impl Book {
+    /// Takes an order; returns `true` if it is newer than what is known.
+    pub fn take_order(&mut self, order: Order) -> bool {
+        let known = self.rollouts.get(&order.service);
+        if known.is_some_and(|known| known.order.number >= order.number) {
+            return false;
+        }
+        self.rollouts.insert(order.service.clone(), Rollout::new(order));
+        true
+    }
+
+    /// Takes what another node tells; returns the stage where it has advanced.
+    pub fn merge_announcement(&mut self, now: Millis, told: &Announcement) -> Option<Stage> {
+        self.take_order(told.order.clone());
+        let rollout = self.rollouts.get_mut(&told.order.service)?;
+        if rollout.order.number != told.order.number || told.stage < rollout.stage {
+            return None;
+        }
+        let confirmed_at = told.age.and_then(|age| now.checked_sub(age));
+        if told.stage > rollout.stage {
+            rollout.stage = told.stage;
+            rollout.confirmed_at = confirmed_at;
+            return Some(told.stage);
+        }
+        rollout.confirmed_at = rollout.confirmed_at.max(confirmed_at);
+        None
+    }
+
+    /// Sets the stage as the holder of the duties, which confirms it.
+    pub fn confirm_stage(&mut self, now: Millis, service: &str, number: u64, stage: Stage) {
+        let rollout = self.rollouts.get_mut(service);
+        let Some(rollout) = rollout.filter(|rollout| rollout.order.number == number) else {
+            return;
+        };
+        rollout.stage = rollout.stage.max(stage);
+        rollout.confirmed_at = Some(now);
+    }
+
+    /// Lists what other nodes are told.
+    pub fn list_announcements(&self, now: Millis) -> Vec<Announcement> {
+        let announce = |rollout: &Rollout| Announcement {
+            order: rollout.order.clone(),
+            stage: rollout.stage,
+            age: rollout.confirmed_at.map(|at| now.saturating_sub(at)),
+        };
+        self.rollouts.values().map(announce).collect()
+    }
+
+    /// Lists the orders with their stages.
+    pub fn list_orders(&self) -> Vec<(Order, Stage)> {
+        self.rollouts.values().map(|rollout| (rollout.order.clone(), rollout.stage)).collect()
+    }
+
+    /// Returns `true` if a server has the version that a roll-out moves to.
+    pub fn is_target(&self, server: &Server) -> bool {
+        let rollout = self.rollouts.get(&server.service);
+        rollout.is_some_and(|rollout| rollout.order.target_version == server.version)
+    }
+
+    /// Returns `true` if a server is one of a version on trial, which does not count as one that
+    /// the service has.
+    pub fn is_on_trial(&self, server: &Server) -> bool {
+        let rollout = self.rollouts.get(&server.service);
+        let is_decided = rollout.is_some_and(|rollout| rollout.stage == Stage::Completed);
+        self.is_target(server) && !is_decided
+    }
+
+    /// Returns `true` if a request may go to a server, given the side that was picked for it.
+    pub fn is_allowed(&self, side: Side, server: &Server) -> bool {
+        match side {
+            Side::Any => true,
+            Side::Canary | Side::Target => self.is_target(server),
+            Side::Rest | Side::RestFirst => !self.is_target(server),
+        }
+    }
+
+    /// Lists the few servers of the new version that the canary's requests go to, the same at all
+    /// nodes, of those that take requests: each has about as much to do as it will have once it
+    /// gets all requests, so that what is bad under load shows.
+    pub fn list_canaries<'a>(
+        &self,
+        servers: impl Iterator<Item = &'a Server>,
+        tolerance: &Tolerance,
+    ) -> Vec<&'a str> {
+        let targets = servers.filter(|server| self.is_target(server));
+        let targets: Vec<&str> = targets.map(|server| server.id.as_str()).collect();
+        let count = (targets.len() as f64 * tolerance.share).ceil() as usize;
+        let mut ordered = succession::order(CANARIES_KEY, targets.into_iter());
+        ordered.truncate(count);
+        ordered
+    }
+
+    /// Decides which servers of a service the first attempt of a request may go to.
+    /// `random` is drawn evenly from 0 to 1.
+    pub fn pick_side(
+        &self,
+        now: Millis,
+        service: &str,
+        tolerance: &Tolerance,
+        random: f64,
+    ) -> Side {
+        let Some(rollout) = self.rollouts.get(service) else { return Side::Any };
+        match rollout.get_stage(now) {
+            Stage::Pending => Side::RestFirst,
+            Stage::Canary if rollout.exposure.has_room(tolerance) => Side::Canary,
+            Stage::Ramp if random < RAMP_SHARE => Side::Target,
+            Stage::Canary | Stage::Ramp | Stage::RolledBack => Side::Rest,
+            Stage::Shifting => Side::Target,
+            Stage::Completed => Side::Any,
+        }
+    }
+
+    /// Decides the same for a further attempt: after a failure the version that is known to work
+    /// is preferred.
+    pub fn pick_retry_side(&self, now: Millis, service: &str) -> Side {
+        let Some(rollout) = self.rollouts.get(service) else { return Side::Any };
+        match rollout.get_stage(now) {
+            Stage::Completed => Side::Any,
+            Stage::Pending | Stage::Canary | Stage::Ramp | Stage::RolledBack => Side::Rest,
+            Stage::Shifting => Side::RestFirst,
+        }
+    }
+
+    /// Counts a request that is sent to a server.
+    pub fn count_sent(&mut self, server: &Server) {
+        let is_target = self.is_target(server);
+        if let Some(rollout) = self.rollouts.get_mut(&server.service) {
+            rollout.exposure.count(is_target);
+        }
+    }
+
+    /// Counts a good answer of a server, or a phase of it.
+    pub fn succeed(
+        &mut self,
+        now: Millis,
+        server: &Server,
+        route: &str,
+        phase: Phase,
+        latency: Millis,
+    ) {
+        let is_warm = self.warm_at.get(&server.id).is_none_or(|at| now >= *at);
+        if let Some(tally) = self.get_tally(server, route, phase) {
+            tally.succeed(is_warm.then_some(latency));
+        }
+    }
+
+    /// Counts an answer of a server that failed in a phase.
+    pub fn fail(&mut self, server: &Server, route: &str, phase: Phase) {
+        if let Some(tally) = self.get_tally(server, route, phase) {
+            tally.fail();
+        }
+    }
+
+    fn get_tally(
+        &mut self,
+        server: &Server,
+        route: &str,
+        phase: Phase,
+    ) -> Option<&mut super::Tally> {
+        let is_target = self.is_target(server);
+        let rollout = self.rollouts.get_mut(&server.service)?;
+        if rollout.stage.is_final() {
+            return None;
+        }
+        let series = Series { route: route.to_owned(), phase };
+        Some(rollout.own.get_mut(series, is_target))
+    }
+
+    /// Notes when a server that has just started is as fast as others.
+    pub fn note_joined(&mut self, now: Millis, server: &Server) {
+        if let Some(left) = server.warm_within.filter(|left| *left > 0) {
+            self.warm_at.insert(server.id.clone(), now + left);
+        }
+    }
+
+    /// Forgets a server that is gone.
+    pub fn forget_server(&mut self, id: &str) {
+        self.warm_at.remove(id);
+    }
+
+    /// Lists what this node counted for itself and for the nodes that report to it, of the
+    /// roll-outs that are not decided; `in_flight` counts its requests in flight on other versions.
+    pub fn report_group(&self, in_flight: impl Fn(&Order) -> u32) -> Vec<Report> {
+        let open = self.rollouts.values().filter(|rollout| !rollout.stage.is_final());
+        open.map(|rollout| rollout.sum(in_flight(&rollout.order), &[&rollout.members])).collect()
+    }
+
+    /// Sums what all nodes counted of a roll-out.
+    pub fn sum_all(&self, service: &str, in_flight: impl Fn(&Order) -> u32) -> Option<Report> {
+        let rollout = self.rollouts.get(service)?;
+        let reports = [&rollout.members, &rollout.peers];
+        Some(rollout.sum(in_flight(&rollout.order), &reports))
+    }
+
+    /// Merges what an incarnation of a node counted; `is_member` where it reports to this node.
+    pub fn merge(&mut self, is_member: bool, from: (&str, u64), reports: &[Report]) {
+        for report in reports {
+            let Some(rollout) = self.rollouts.get_mut(&report.service) else { continue };
+            if rollout.order.number != report.number {
+                continue;
+            }
+            let known = if is_member { &mut rollout.members } else { &mut rollout.peers };
+            known.insert((from.0.to_owned(), from.1), report.clone());
+        }
+    }
+
+    /// Begins to count anew, for another aggregator: the former one has what was counted.
+    pub fn hand_over(&mut self) {
+        for rollout in self.rollouts.values_mut() {
+            rollout.own = Tallies::default();
+            rollout.members.clear();
+        }
+    }
+
+    /// Notes that an incarnation of a node is gone: what it counted still counts, and nothing of it
+    /// is in flight.
+    pub fn forget(&mut self, peer: &str, incarnation: u64) {
+        let key = (peer.to_owned(), incarnation);
+        for rollout in self.rollouts.values_mut() {
+            for reports in [&mut rollout.members, &mut rollout.peers] {
+                if let Some(report) = reports.get_mut(&key) {
+                    report.in_flight = 0;
+                }
+            }
+        }
+    }
+}
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -16,6 +16,8 @@
 mod quota;
 mod quota_cluster;
 mod refusal;
+mod rollout;
+mod rollout_trials;
 mod support;
 mod throughput;
 mod usage;
--- /dev/null
+++ b/crates/core/tests/serving/rollout_trials.rs
@@ -0,0 +1,340 @@
+//! Roll-outs of good versions and of each kind of bad ones, over many nodes: what a bad version
+//! gets, how long it takes to be found, and how often a good one is taken for bad. The sequential
+//! test of the product is compared with fixed thresholds.
+
+use std::collections::VecDeque;
+
+use keeljunction_core::serving::rollout::{
+    Exposure, Next, Pair, Phase, Progress, Series, Snapshot, Stage, Tallies, Tolerance,
+};
+
+/// How a version is bad.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Kind {
+    Good,
+    /// Good, and prompts of one route take 1.7 times as long because nothing is cached.
+    Cold,
+    /// Three in ten answers fail.
+    Failing,
+    /// One in ten answers fails.
+    FailingSeldom,
+    /// Three in ten answers take four times as long.
+    Slow,
+    /// Half of the answers of one route fail.
+    OneRoute,
+    /// Three in ten answers fail from the fifth second on.
+    Later,
+    /// Half of the answers fail while it gets more than a fifth of the requests: its servers are
+    /// few, so that the canary does not load them.
+    UnderLoad,
+}
+
+const BAD: [Kind; 6] =
+    [Kind::Failing, Kind::FailingSeldom, Kind::Slow, Kind::OneRoute, Kind::Later, Kind::UnderLoad];
+
+/// Who decides.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Decider {
+    Sequential,
+    /// Bad from five failures at three times the others' rate, or a median of twice theirs.
+    Thresholds,
+}
+
+/// Routes with the share of requests, and the median of the first token in milliseconds.
+const ROUTES: [(&str, f64, f64); 3] =
+    [("brief", 0.2, 185.0), ("explain", 0.4, 40.0), ("alert", 0.4, 60.0)];
+/// The scale of the logarithms of first tokens, whose distribution is taken for logistic: half, one
+/// in ten and one in a hundred of 3,495 measured ones were above 185, 544 and 1,785 ms.
+const SPREAD: f64 = 0.49;
+/// The mean time between the pieces of a stream, in milliseconds, and the scale of its logarithm.
+const PACE: f64 = 60.0;
+const PACE_SPREAD: f64 = 0.25;
+/// Failures of good servers.
+const FAILING: f64 = 0.004;
+const DURATION: u64 = 12_000;
+const TICK: u64 = 200;
+/// How long counts take to reach the holder where nodes report in groups, and a stage all nodes.
+const REPORTED_AFTER: usize = 4;
+const TOLD_AFTER: u64 = 60;
+/// Time from an order until the new servers take requests.
+const BOOT: u64 = 1_500;
+const SHARE: f64 = 0.1;
+const SLACK: f64 = 50.0;
+
+struct Trial {
+    kind: Kind,
+    decider: Decider,
+    nodes: usize,
+    per_second: f64,
+    seed: u64,
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    stage: Stage,
+    decided_at: u64,
+    sent: u64,
+    sent_to_target: u64,
+    /// Requests to a bad version later than five seconds after its 50th bad answer.
+    too_late: u64,
+}
+
+impl Trial {
+    fn play(&self) -> Outcome {
+        let mut random = fastrand::Rng::with_seed(self.seed);
+        let mut exposures = vec![Exposure::default(); self.nodes];
+        let tolerance = Tolerance { share: SHARE, slack: SLACK, nodes: self.nodes };
+        let mut tallies = Tallies::default();
+        let mut reported: VecDeque<Tallies> = VecDeque::new();
+        let mut progress = Progress::default();
+        let mut stage = Stage::Pending;
+        let mut stages = vec![(0, stage)];
+        let mut outcome = Outcome::default();
+        let mut bad_answers: Vec<u64> = Vec::new();
+        let mut owed = 0.0;
+        for now in (0..DURATION).step_by(TICK as usize) {
+            reported.push_back(tallies.clone());
+            if reported.len() > REPORTED_AFTER {
+                reported.pop_front();
+            }
+            let known = reported.front().cloned().unwrap_or_default();
+            if let Some(next) = self.decide(&mut progress, stage, now, &known) {
+                stage = next;
+                stages.push((now + TOLD_AFTER, next));
+                if next.is_final() {
+                    outcome.decided_at = now;
+                }
+            }
+            owed += self.per_second * TICK as f64 / 1_000.0;
+            while owed >= 1.0 {
+                owed -= 1.0;
+                let at = now + random.u64(..TICK);
+                let known = stages.iter().rfind(|(since, _)| *since <= at);
+                let known = known.map_or(Stage::Pending, |(_, stage)| *stage);
+                let exposure = &mut exposures[random.usize(..self.nodes)];
+                let is_target = match known {
+                    Stage::Canary => at >= BOOT && exposure.has_room(&tolerance),
+                    Stage::Ramp => random.f64() < 0.3,
+                    Stage::Shifting | Stage::Completed => true,
+                    Stage::Pending | Stage::RolledBack => false,
+                };
+                exposure.count(is_target);
+                outcome.sent += 1;
+                outcome.sent_to_target += u64::from(is_target);
+                let is_late = bad_answers.get(49).is_some_and(|fiftieth| at > fiftieth + 5_000);
+                outcome.too_late += u64::from(is_target && is_late);
+                let kind = if is_target { self.kind } else { Kind::Good };
+                let is_loaded = matches!(known, Stage::Ramp | Stage::Shifting);
+                if run(&mut tallies, kind, is_target, at, is_loaded, &mut random) {
+                    bad_answers.push(at);
+                }
+            }
+        }
+        outcome.stage = stage;
+        outcome
+    }
+
+    fn decide(
+        &self,
+        progress: &mut Progress,
+        stage: Stage,
+        elapsed: u64,
+        tallies: &Tallies,
+    ) -> Option<Stage> {
+        let is_open = matches!(stage, Stage::Canary | Stage::Ramp | Stage::Shifting);
+        if self.decider == Decider::Thresholds && is_open && tallies.iter().any(is_beyond) {
+            return Some(Stage::RolledBack);
+        }
+        let nothing = Tallies::default();
+        let snapshot = Snapshot {
+            stage,
+            duration: DURATION,
+            elapsed,
+            tallies,
+            target_servers: 4,
+            other_servers: 4,
+            in_flight: u32::from(elapsed < 9_000),
+        };
+        // With thresholds only the times and the number of answers are the product's.
+        let next = match self.decider {
+            Decider::Sequential => progress.step(&snapshot),
+            Decider::Thresholds if stage == Stage::Canary && tallies.count_target() < 30 => {
+                progress.step(&Snapshot { tallies: &nothing, ..snapshot })
+            }
+            Decider::Thresholds if stage == Stage::Canary => {
+                if elapsed >= 7_200 {
+                    Next::Shift
+                } else {
+                    Next::Wait
+                }
+            }
+            Decider::Thresholds => progress.step(&Snapshot { tallies: &nothing, ..snapshot }),
+        };
+        match next {
+            Next::Wait => None,
+            Next::Begin => Some(Stage::Canary),
+            Next::Ramp => Some(Stage::Ramp),
+            Next::Shift => Some(Stage::Shifting),
+            Next::Complete { .. } => Some(Stage::Completed),
+            Next::RollBack(_) | Next::GiveUp => Some(Stage::RolledBack),
+        }
+    }
+}
+
+fn is_beyond((_, pair): (&Series, &Pair)) -> bool {
+    let rate = |failed: u64, all: u64| failed as f64 / all.max(1) as f64;
+    let target = rate(pair.target.failed, pair.target.len());
+    let rest = rate(pair.rest.failed, pair.rest.len());
+    let median =
+        |latencies: &keeljunction_core::serving::rollout::Latencies| latencies.get_quantile(0.5);
+    let is_compared = pair.target.latencies.len() >= 10 && pair.rest.latencies.len() >= 50;
+    let is_slow = is_compared && median(&pair.target.latencies) > 2 * median(&pair.rest.latencies);
+    (pair.target.failed >= 5 && target > 3.0 * rest) || is_slow
+}
+
+/// Runs a request; returns `true` if its answer was made bad.
+fn run(
+    tallies: &mut Tallies,
+    kind: Kind,
+    is_target: bool,
+    at: u64,
+    is_loaded: bool,
+    random: &mut fastrand::Rng,
+) -> bool {
+    let mut point = random.f64();
+    let mut drawn = ROUTES[0];
+    for route in ROUTES {
+        drawn = route;
+        point -= route.1;
+        if point < 0.0 {
+            break;
+        }
+    }
+    let failing = match kind {
+        Kind::Good | Kind::Cold | Kind::Slow => 0.0,
+        Kind::Failing => 0.3,
+        Kind::FailingSeldom => 0.1,
+        Kind::OneRoute => {
+            if drawn.0 == "explain" {
+                0.5
+            } else {
+                0.0
+            }
+        }
+        Kind::Later => {
+            if at >= 5_000 {
+                0.3
+            } else {
+                0.0
+            }
+        }
+        Kind::UnderLoad => {
+            if is_loaded {
+                0.5
+            } else {
+                0.0
+            }
+        }
+    };
+    let is_made_slow = kind == Kind::Slow && random.f64() < 0.3;
+    let is_made_to_fail = random.f64() < failing;
+    let series = Series { route: drawn.0.to_owned(), phase: Phase::FirstToken };
+    let tally = tallies.get_mut(series, is_target);
+    if is_made_to_fail || random.f64() < FAILING {
+        tally.fail();
+    } else {
+        let is_cold = kind == Kind::Cold && drawn.0 == "brief";
+        let slowed = if is_made_slow { 4.0 } else { 1.0 } * if is_cold { 1.7 } else { 1.0 };
+        tally.succeed(Some((drawn.2 * slowed * draw_factor(SPREAD, random)) as u64));
+        let series = Series { route: drawn.0.to_owned(), phase: Phase::Stream };
+        let slowed = if is_made_slow { 4.0 } else { 1.0 };
+        let pace = PACE * slowed * draw_factor(PACE_SPREAD, random);
+        tallies.get_mut(series, is_target).succeed(Some(pace as u64));
+    }
+    is_made_to_fail || is_made_slow
+}
+
+/// Draws a factor around 1 whose logarithm has a logistic distribution.
+fn draw_factor(scale: f64, random: &mut fastrand::Rng) -> f64 {
+    let even = random.f64().clamp(1e-6, 1.0 - 1e-6);
+    (scale * (even / (1.0 - even)).ln()).exp()
+}
+
+/// Sums of some trials.
+#[derive(Debug, Default)]
+struct Sum {
+    trials: u64,
+    rolled_back: u64,
+    completed: u64,
+    exceeded: u64,
+    too_late: u64,
+    worst_share: f64,
+    decided_at: u64,
+}
+
+fn sum(kind: Kind, decider: Decider, nodes: usize, per_second: f64, trials: u64) -> Sum {
+    let mut sum = Sum { trials, ..Sum::default() };
+    for seed in 0..trials {
+        let outcome = Trial { kind, decider, nodes, per_second, seed }.play();
+        sum.rolled_back += u64::from(outcome.stage == Stage::RolledBack);
+        sum.completed += u64::from(outcome.stage == Stage::Completed);
+        let allowed = SHARE * outcome.sent as f64 + SLACK;
+        sum.exceeded += u64::from(outcome.sent_to_target as f64 > allowed);
+        sum.worst_share = sum.worst_share.max(outcome.sent_to_target as f64 / allowed);
+        sum.too_late += outcome.too_late;
+        sum.decided_at += outcome.decided_at;
+    }
+    sum.decided_at /= trials;
+    sum
+}
+
+/// Loads in requests a second to one service, with nodes.
+const SIZES: [(usize, f64); 3] = [(7, 60.0), (78, 376.0), (300, 1_400.0)];
+
+#[test]
+fn bad_versions_are_found_within_what_is_tolerated() {
+    for (nodes, per_second) in SIZES {
+        for kind in BAD {
+            let found = sum(kind, Decider::Sequential, nodes, per_second, 20);
+            println!("{kind:?} at {nodes} nodes, {per_second} a second: {found:?}");
+            assert_eq!(found.too_late, 0, "{kind:?} at {nodes} nodes: {found:?}");
+            // One that fails one in ten answers may pass within twelve seconds of few requests; one
+            // that is bad under load only shows when it has the load.
+            let is_sure = !matches!(kind, Kind::FailingSeldom | Kind::UnderLoad | Kind::Slow);
+            if is_sure && per_second > 100.0 {
+                assert_eq!(found.rolled_back, found.trials, "{kind:?} at {nodes}: {found:?}");
+                assert_eq!(found.exceeded, 0, "{kind:?} at {nodes} nodes: {found:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn good_versions_are_not_taken_for_bad() {
+    let mut rolled_back = 0;
+    for kind in [Kind::Good, Kind::Cold] {
+        for (nodes, per_second) in [(7, 60.0), (78, 376.0)] {
+            let found = sum(kind, Decider::Sequential, nodes, per_second, 500);
+            println!("{kind:?} at {nodes} nodes, {per_second} a second: {found:?}");
+            rolled_back += found.rolled_back;
+        }
+    }
+    assert!(rolled_back <= 2, "{rolled_back} of 2,000");
+}
+
+#[test]
+fn fixed_thresholds_compare_worse() {
+    let mut wrong = [0, 0];
+    for (place, decider) in [Decider::Sequential, Decider::Thresholds].into_iter().enumerate() {
+        for (nodes, per_second) in SIZES {
+            for kind in [Kind::Good, Kind::Cold].into_iter().chain(BAD) {
+                let found = sum(kind, decider, nodes, per_second, 20);
+                println!("{decider:?}, {kind:?} at {nodes} nodes: {found:?}");
+                let is_good = matches!(kind, Kind::Good | Kind::Cold);
+                let right = if is_good { found.completed } else { found.rolled_back };
+                wrong[place] += found.trials - right;
+            }
+        }
+    }
+    assert!(wrong[0] < wrong[1], "sequential {}, thresholds {}", wrong[0], wrong[1]);
+}
--- a/crates/core/tests/serving/support.rs
+++ b/crates/core/tests/serving/support.rs
@@ -13,5 +13,7 @@
         is_leaving: false,
         is_spot: false,
         leaves_within: None,
+        warm_within: None,
+        version: "v1".to_owned(),
     }
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -60,10 +60,33 @@
         fence: u64,
         status: Option<u16>,
     },
+    /// A roll-out was ordered, or its stage has advanced.
+    RolloutChanged { service: &'a str, target_version: &'a str, order: u64, stage: &'a str },
+    /// This node, as the holder of the duties, decided the stage of a roll-out.
+    RolloutDecided {
+        service: &'a str,
+        target_version: &'a str,
+        order: u64,
+        stage: &'a str,
+        /// What was found of the new version, or why it was given up.
+        why: &'a str,
+        /// The route where it was found; over all routes where there is none.
+        route: Option<&'a str>,
+        /// Answers of the new version that it was judged by.
+        answers: u64,
+        /// Requests in flight on other versions, which end with them.
+        in_flight: u32,
+        elapsed_ms: u64,
+        duration_ms: u64,
+        target_servers: usize,
+        other_servers: usize,
+        fence: u64,
+    },
     /// A server was chosen for a request.
     ServerChosen {
         request: &'a str,
         server: &'a str,
+        server_version: &'a str,
         service: &'a str,
         attempt: u32,
         candidates: usize,
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -7,6 +7,7 @@
 use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::load::short_id;
 use keeljunction_core::serving::refusal::Refusal;
+use keeljunction_core::serving::rollout::{Phase, Side};
 use keeljunction_core::serving::throughput::Throughput;
 
 use super::admission::Exchange;
@@ -15,7 +16,7 @@
 use crate::event::{self, Event};
 use crate::metrics::ReasonLabels;
 use crate::node::state::State;
-use crate::node::{Node, ask_loads, report_begun};
+use crate::node::{Node, ask_loads, report_begun, rollouts};
 
 /// When to come back where no server takes work.
 const SERVER_BACK_IN: Millis = 700;
@@ -98,13 +99,21 @@
     record.attempts += 1;
     progress.tried.push(order.server.id.clone());
     note_choice(node, exchange, record, order.server);
+    node.with(|state| state.rollouts.count_sent(order.server));
+    let sent_at = node.now();
     match attempt::send(node, exchange, order).await {
         Ok(answer) => {
             node.with(|state| state.health.succeed(&order.server.id));
+            let (route, latency) = (&exchange.route.name, node.now() - sent_at);
+            rollouts::note_success(node, order.server, route, Phase::FirstToken, latency);
             Ok(answer)
         }
         Err((failed, answer)) => {
             note_failure(node, exchange, record, order.server, failed);
+            if failed.may_have_run() {
+                let route = &exchange.route.name;
+                rollouts::note_failure(node, order.server, route, Phase::FirstToken);
+            }
             progress.note(failed);
             Err(answer)
         }
@@ -158,7 +167,7 @@
     if !node.is_fresh() {
         return Err(progress.stop(Refusal::Stale, ROOM_BACK_IN));
     }
-    let server = match pick(node, exchange, &progress.tried).await {
+    let server = match pick_allowed(node, exchange, progress).await {
         Picked::Server(server) => server,
         Picked::Busy(wait) => return Err(progress.stop(Refusal::Busy, wait)),
         Picked::None => return Err(progress.stop(Refusal::NoServer, SERVER_BACK_IN)),
@@ -195,19 +204,59 @@
     None,
 }
 
-/// Picks a server that was not tried yet.
+/// Picks a server of the versions that the request may go to. One that may go to a version on
+/// trial goes to another where that has no room.
+async fn pick_allowed(node: &Node, exchange: &Exchange, progress: &Progress) -> Picked {
+    let is_first = progress.tried.is_empty();
+    let side = rollouts::pick_side(node, &exchange.service, is_first);
+    let picked = pick(node, exchange, &Allowed::new(node, exchange, progress, side)).await;
+    let other = match (side, &picked) {
+        (Side::Canary | Side::Target, Picked::Busy(_) | Picked::None) => Side::Rest,
+        (Side::RestFirst, Picked::None) => Side::Target,
+        _ => return picked,
+    };
+    let second = pick(node, exchange, &Allowed::new(node, exchange, progress, other)).await;
+    // Servers of the first choice that are busy are worth a later try.
+    if matches!(second, Picked::None) { picked } else { second }
+}
+
+/// Which servers a request may go to.
+struct Allowed<'a> {
+    side: Side,
+    /// The only ones, where the side is [`Side::Canary`].
+    canaries: Vec<String>,
+    tried: &'a [String],
+}
+
+impl<'a> Allowed<'a> {
+    fn new(node: &Node, exchange: &Exchange, progress: &'a Progress, side: Side) -> Self {
+        let canaries = match side {
+            Side::Canary => rollouts::list_canaries(node, &exchange.service),
+            _ => Vec::new(),
+        };
+        Self { side, canaries, tried: &progress.tried }
+    }
+
+    fn is_allowed(&self, state: &State, server: &Server) -> bool {
+        let is_chosen = self.side != Side::Canary || self.canaries.contains(&server.id);
+        let is_of_side = state.rollouts.is_allowed(self.side, server);
+        is_chosen && is_of_side && !self.tried.contains(&server.id)
+    }
+}
+
+/// Picks one of the servers that are allowed.
 ///
 /// Where nodes report in groups, this node asks for the loads of a few servers first, and of more
 /// where none of these can serve in time.
-async fn pick(node: &Node, exchange: &Exchange, tried: &[String]) -> Picked {
+async fn pick(node: &Node, exchange: &Exchange, allowed: &Allowed<'_>) -> Picked {
     if !node.with(|state| state.members.is_grouped()) {
-        return pick_among(node, exchange, |server| !tried.contains(&server.id));
+        return pick_among(node, exchange, |state, server| allowed.is_allowed(state, server));
     }
     let mut picked = Picked::None;
     for is_wide in [false, true] {
-        let listed = list_candidates(node, exchange, tried, is_wide);
+        let listed = list_candidates(node, exchange, allowed, is_wide);
         ask_loads(node, &listed).await;
-        picked = pick_among(node, exchange, |server| listed.contains(&server.id));
+        picked = pick_among(node, exchange, |_, server| listed.contains(&server.id));
         if !matches!(picked, Picked::Busy(_)) {
             break;
         }
@@ -219,14 +268,14 @@
 fn list_candidates(
     node: &Node,
     exchange: &Exchange,
-    tried: &[String],
+    allowed: &Allowed<'_>,
     is_wide: bool,
 ) -> Vec<String> {
     let now = node.now();
     node.with(|state| {
         let untried = || {
             let ready = state.directory.iter_ready(&exchange.service);
-            ready.filter(|server| !tried.contains(&server.id))
+            ready.filter(|server| allowed.is_allowed(state, server))
         };
         let sound = untried().filter(|server| !state.health.is_ejected(now, &server.id));
         let draw = fastrand::u64(..);
@@ -239,13 +288,17 @@
 }
 
 /// Picks one of some servers by what this node knows of their loads.
-fn pick_among(node: &Node, exchange: &Exchange, is_candidate: impl Fn(&Server) -> bool) -> Picked {
+fn pick_among(
+    node: &Node,
+    exchange: &Exchange,
+    is_candidate: impl Fn(&State, &Server) -> bool,
+) -> Picked {
     let now = node.now();
     node.with(|state| {
         let throughput = state.throughputs.get(&exchange.service);
         let ready = state.directory.iter_ready(&exchange.service);
         let candidates: Vec<Candidate<'_>> = ready
-            .filter(|server| is_candidate(server))
+            .filter(|server| is_candidate(state, server))
             .map(|server| weigh(state, throughput, now, server))
             .collect();
         let prefill_rate = throughput.and_then(Throughput::get_prefill_rate);
@@ -293,6 +346,7 @@
     event::emit(&Event::ServerChosen {
         request: &record.id,
         server: &server.id,
+        server_version: &server.version,
         service: &exchange.service,
         attempt: record.attempts,
         candidates,
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -15,8 +15,11 @@
 use http_body_util::BodyExt;
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Response};
+use keeljunction_core::Millis;
 use keeljunction_core::serving::configuration::RouteKind;
+use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::event_stream::{Sequence, Splitter, Verdict};
+use keeljunction_core::serving::rollout::Phase;
 
 use super::admission::{Exchange, HOP_BY_HOP};
 use super::attempt::{Answer, AnswerBody, LoadGuard};
@@ -24,7 +27,7 @@
 use super::respond::{Record, close_if_stopping};
 use crate::event::{self, Event};
 use crate::http::{Body, Reply};
-use crate::node::Node;
+use crate::node::{Node, rollouts};
 
 const ANSWERED: &str = "answered";
 
@@ -53,7 +56,8 @@
                 sequence: Sequence::after(exchange.head.last_event),
                 ready: VecDeque::new(),
                 reply: Some(rest),
-                tried: vec![server.id],
+                tried: vec![server.id.clone()],
+                pace: Pace::new(node.now(), server),
                 due: Timer::after(due),
                 load: Some(load),
                 node: node.clone(),
@@ -94,11 +98,36 @@
     ready: VecDeque<Bytes>,
     reply: Option<Reply>,
     tried: Vec<String>,
+    pace: Pace,
     due: Timer,
     load: Option<LoadGuard>,
     end: Option<End>,
 }
 
+/// How fast one server sends its part of a stream.
+struct Pace {
+    server: Server,
+    began_at: Millis,
+    last_at: Millis,
+    pieces: u64,
+}
+
+impl Pace {
+    fn new(now: Millis, server: Server) -> Self {
+        Self { server, began_at: now, last_at: now, pieces: 0 }
+    }
+
+    fn note(&mut self, now: Millis) {
+        self.pieces += 1;
+        self.last_at = now;
+    }
+
+    /// Returns the mean time between two pieces; `None` where there was one only.
+    fn get_mean(&self) -> Option<Millis> {
+        (self.last_at - self.began_at).checked_div(self.pieces)
+    }
+}
+
 /// How an answer ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum End {
@@ -140,11 +169,18 @@
             match self.receive().await {
                 Next::Data(data) => {
                     self.record.note_piece();
+                    self.pace.note(self.node.now());
                     self.take(data);
                 }
-                Next::Whole => self.finish(),
+                Next::Whole => {
+                    self.note_stream(true);
+                    self.finish();
+                }
                 Next::Due => self.stop(End::Broken("timeout")),
-                Next::Broken => self.go_on_elsewhere().await,
+                Next::Broken => {
+                    self.note_stream(false);
+                    self.go_on_elsewhere().await;
+                }
             }
         }
     }
@@ -172,6 +208,18 @@
         future::or(received, due).await
     }
 
+    /// Counts how the server's part of the stream ended.
+    fn note_stream(&self, is_whole: bool) {
+        let (server, route) = (&self.pace.server, &self.exchange.route.name);
+        match is_whole {
+            true => {
+                let Some(mean) = self.pace.get_mean() else { return };
+                rollouts::note_success(&self.node, server, route, Phase::Stream, mean);
+            }
+            false => rollouts::note_failure(&self.node, server, route, Phase::Stream),
+        }
+    }
+
     /// Takes bytes of the server: as they are, or the whole events among them.
     fn take(&mut self, data: Bytes) {
         let Some(splitter) = self.splitter.as_mut() else {
@@ -238,7 +286,8 @@
         )
         .await;
         match resumed {
-            Some(Answer { body: AnswerBody::Open { first, rest }, load, .. }) => {
+            Some(Answer { server, body: AnswerBody::Open { first, rest }, load, .. }) => {
+                self.pace = Pace::new(self.node.now(), server);
                 self.node.metrics.resumed.inc();
                 self.reply = Some(rest);
                 self.load = Some(load);
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -151,7 +151,8 @@
             .map(|data_centre| (data_centre.clone(), Inventory::default()))
             .collect();
         node.with(|state| {
-            for server in state.directory.iter_ready(name) {
+            let ready = state.directory.iter_ready(name);
+            for server in ready.filter(|server| !state.rollouts.is_on_trial(server)) {
                 let data_centre = inventory.entry(server.data_centre.clone()).or_default();
                 match server.is_spot {
                     true => data_centre.spot += 1,
--- a/crates/gateway/src/node/duty.rs
+++ b/crates/gateway/src/node/duty.rs
@@ -6,7 +6,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::duty_lease::{LeaseRow, Step, TableClock};
 
-use super::{Node, capacity_duty, usage_duty};
+use super::{Node, capacity_duty, rollout_duty, usage_duty};
 use crate::event::{self, Event};
 use crate::port::{Condition, Row, TableError, TableName, Transaction, Write};
 use crate::runtime;
@@ -40,6 +40,7 @@
     let mut look_at: Millis = node.now() + fastrand::u64(..FIRST_LOOK_WITHIN);
     let mut usage = usage_duty::UsageDuty::default();
     let mut capacity = capacity_duty::CapacityDuty::default();
+    let mut rollouts = rollout_duty::RolloutDuty::default();
     let mut held_before: Option<u64> = None;
     loop {
         let now = node.now();
@@ -53,6 +54,7 @@
         }
         if fence.is_some() && is_aggregator(&node) {
             usage.step(&node).await;
+            rollouts.step(&node).await;
             capacity.step(&node).await;
         }
         runtime::sleep(TICK).await;
@@ -122,7 +124,7 @@
 fn transaction(row: &LeaseRow, version: u64) -> Transaction {
     let condition = Condition { table: TableName::Own(TABLE), key: KEY.to_owned(), version };
     let value = serde_json::to_vec(row).ok();
-    let write = Write { table: TABLE, key: KEY.to_owned(), value };
+    let write = Write { table: TableName::Own(TABLE), key: KEY.to_owned(), value };
     Transaction { conditions: vec![condition], writes: vec![write] }
 }
 
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -17,6 +17,8 @@
 mod listeners;
 mod pause;
 mod peers;
+mod rollout_duty;
+pub(crate) mod rollouts;
 pub mod serve;
 mod staleness;
 pub mod state;
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -6,6 +6,7 @@
 use keeljunction_core::serving::load::{Load, Work};
 use keeljunction_core::serving::members::{Entry, Overview as Reach};
 use keeljunction_core::serving::quota::Decision;
+use keeljunction_core::serving::rollout::{self, Announcement};
 use keeljunction_core::serving::throughput::Sample;
 use keeljunction_core::serving::usage::{Counts, WindowNumber};
 use keeljunction_core::serving::{demand, quota};
@@ -97,6 +98,8 @@
     pub is_stopping: bool,
     /// Milliseconds since it heard of the holder of the duties; 0 where it is that itself.
     pub holder_age: Option<Millis>,
+    /// The roll-outs that it knows of.
+    pub rollouts: Vec<Announcement>,
 }
 
 /// What a node counts for itself, or for its group.
@@ -110,6 +113,8 @@
     pub demand: Vec<(String, demand::Report)>,
     /// How fast servers read prompts, by service.
     pub throughputs: Vec<(String, Vec<Sample>)>,
+    /// What was counted of the roll-outs that are not decided.
+    pub rollouts: Vec<rollout::Report>,
 }
 
 /// What a node tells its aggregator.
@@ -169,6 +174,8 @@
         /// Its version.
         version: u64,
     },
+    /// A roll-out was ordered, or its stage has advanced.
+    RolloutChanged(Announcement),
     /// The sender has sent a request to a server whose prompt takes long to read.
     RequestBegun {
         /// The sender's name.
--- a/crates/gateway/src/node/peers/news.rs
+++ b/crates/gateway/src/node/peers/news.rs
@@ -11,10 +11,11 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::Batch;
 use keeljunction_core::serving::load::{Work, short_id};
+use keeljunction_core::serving::rollout::Announcement;
 
 use super::calls;
 use super::message::{Message, News};
-use crate::node::{Node, watch};
+use crate::node::{Node, rollouts, watch};
 use crate::runtime;
 
 /// The part of the period between two reports that a prompt takes to read, at the least, for its
@@ -57,6 +58,7 @@
             let until = node.now() + reading_ms;
             node.with(|state| state.loads.merge_begun(until, &peer, server, &work));
         }
+        News::RolloutChanged(told) => take_rollout(node, from, told).await,
         News::ServersChanged(batch) => take_servers(node, from, batch).await,
         News::ConfigurationChanged { version } => {
             let known = node.with(|state| state.configuration.as_ref().map(|known| known.version));
@@ -67,6 +69,14 @@
     }
 }
 
+/// Takes the news of a roll-out, and passes on what is new.
+async fn take_rollout(node: &Node, from: SocketAddr, told: Announcement) {
+    let now = node.now();
+    if node.with(|state| rollouts::merge(state, now, &told)) {
+        pass_on(node, from, News::RolloutChanged(told)).await;
+    }
+}
+
 /// Takes changes of the list of servers, or gets the whole list where some are missing.
 async fn take_servers(node: &Arc<Node>, from: SocketAddr, batch: Batch) {
     let news = News::ServersChanged(batch.clone());
--- a/crates/gateway/src/node/peers/register.rs
+++ b/crates/gateway/src/node/peers/register.rs
@@ -71,7 +71,7 @@
     let entry = node.get_entry();
     let value = serde_json::to_vec(&entry)
         .map_err(|error| TableError::Unanswered(format!("not sent: {error}")))?;
-    let write = Write { table: TABLE, key: entry.name, value: Some(value) };
+    let write = Write { table: TableName::Own(TABLE), key: entry.name, value: Some(value) };
     let transaction = Transaction { conditions: Vec::new(), writes: vec![write] };
     call((node.platform.table.commit)(transaction)).await.map(|_| ())
 }
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -19,7 +19,7 @@
 use super::{loads, versions};
 use crate::event::{self, Event};
 use crate::node::state::State;
-use crate::node::{Node, staleness, watch};
+use crate::node::{Node, rollouts, staleness, watch};
 use crate::runtime;
 
 /// The counts of a node are used for this many periods.
@@ -104,6 +104,7 @@
     let next = state.handover.get_incarnation().clone();
     state.quotas.hand_over(now, &arrived.quota);
     state.usage.hand_over(&former, &next, &arrived.usage, was_own_sum);
+    state.rollouts.hand_over();
     state.samples.clear();
 }
 
@@ -114,6 +115,7 @@
         incarnation: state.handover.get_incarnation().number,
         is_stopping: node.is_stopping(),
         holder_age: if holds_duties { Some(0) } else { state.members.get_holder_age(now) },
+        rollouts: state.rollouts.list_announcements(now),
     }
 }
 
@@ -147,6 +149,7 @@
             usage,
             demand: state.demand.sum_group(now),
             throughputs: take_samples(state),
+            rollouts: state.report_rollouts(),
         };
         Some((address, Report { sender: make_sender(node, state, now), totals }))
     });
@@ -184,6 +187,7 @@
                 usage: state.usage.sum_group(state.handover.get_incarnation(), WINDOWS_REPORTED),
                 demand: state.demand.sum_group(now),
                 throughputs,
+                rollouts: state.report_rollouts(),
             },
             loads: if is_grouped { Vec::new() } else { state.loads.get_own() },
             group,
@@ -238,6 +242,7 @@
             state.usage.merge_member(*window, &incarnation, counts);
         }
         state.demand.merge(now, true, from, &totals.demand);
+        state.rollouts.merge(true, from, &totals.rollouts);
         for (service, samples) in totals.throughputs {
             let throughput = state.throughputs.entry(service).or_default();
             samples.into_iter().for_each(|sample| throughput.merge_member(now, sample));
@@ -269,6 +274,7 @@
             state.usage.merge(*window, &incarnation, counts);
         }
         state.demand.merge(now, false, from, &totals.demand);
+        state.rollouts.merge(false, from, &totals.rollouts);
         let is_grouped = state.members.is_grouped();
         for (service, samples) in totals.throughputs {
             let throughput = state.throughputs.entry(service.clone()).or_default();
@@ -330,6 +336,9 @@
     asked_at: Option<Millis>,
 ) -> Option<Snapshot> {
     let name = &sender.entry.name;
+    for told in &sender.rollouts {
+        rollouts::merge(state, now, told);
+    }
     let heard = Heard {
         entry: &sender.entry,
         incarnation: sender.incarnation,
@@ -340,6 +349,7 @@
     if let Some(former) = state.members.hear(now, &heard) {
         state.quotas.forget(name, former);
         state.demand.forget(name, former);
+        state.rollouts.forget(name, former);
         // The aggregator began anew and knows nothing of what this node reported.
         if state.audience == Audience::Aggregator(name.clone()) {
             begin_incarnation(state, now, false);
--- /dev/null
+++ b/crates/gateway/src/node/rollout_duty.rs
@@ -0,0 +1,303 @@
+//! Decides the stages of roll-outs, as the holder of the duties.
+//!
+//! Each decision is first written to a row of the product's own, on the condition that no other
+//! holder wrote it meanwhile, and then told to the operator and to all nodes. A holder that ends
+//! halfway leaves a row from which the next one goes on; it counts answers anew from what the nodes
+//! report, and never takes a verdict back. Only a roll-back is told to nodes before it is written:
+//! nothing more should reach a bad version, and a stage never goes back.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use keeljunction_core::Millis;
+use keeljunction_core::serving::duty_lease::TableClock;
+use keeljunction_core::serving::rollout::{
+    Announcement, Next, Order, Progress, Report, Snapshot, Stage, Status,
+};
+use serde::{Deserialize, Serialize};
+
+use super::Node;
+use super::peers::message::News;
+use crate::event::{self, Event};
+use crate::port::{Condition, Row, Rows, TableError, TableName, Transaction, Write};
+use crate::runtime;
+
+const TABLE: &str = "rollouts";
+const CALL_WITHIN: Duration = Duration::from_millis(500);
+/// The pause after a call of the table service failed.
+const FAILED_PAUSE: Millis = 300;
+
+/// What the holder of the duties knows of the roll-outs.
+#[derive(Debug, Default)]
+pub struct RolloutDuty {
+    fence: Option<u64>,
+    clock: Option<TableClock>,
+    records: BTreeMap<String, Written>,
+    progress: BTreeMap<String, (u64, Progress)>,
+    /// The order and stage that the operator was last told, by service.
+    told: BTreeMap<String, (u64, Stage)>,
+    /// The versions of the rows that tell it.
+    status_versions: BTreeMap<String, u64>,
+    paused_until: Millis,
+}
+
+/// How far a roll-out has come, as the table keeps it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Record {
+    order: u64,
+    target_version: String,
+    /// When the first holder began with it, on the table's clock.
+    began_at: Millis,
+    stage: Stage,
+}
+
+/// A record with the version of its row.
+#[derive(Clone, Debug)]
+struct Written {
+    record: Record,
+    version: u64,
+}
+
+/// Why a stage was decided, for the log.
+struct Reason {
+    why: &'static str,
+    route: Option<String>,
+    in_flight: u32,
+}
+
+impl RolloutDuty {
+    /// Decides what is due. While nothing is ordered this calls nothing.
+    pub async fn step(&mut self, node: &Node) {
+        let now = node.now();
+        let orders = node.with(|state| state.rollouts.list_orders());
+        if orders.is_empty() || now < self.paused_until {
+            return;
+        }
+        let is_done = match self.load(node).await {
+            true => self.step_all(node, orders).await,
+            false => false,
+        };
+        if !is_done {
+            // A write may have been done or may still be: read the rows before the next try.
+            self.fence = None;
+            self.paused_until = node.now() + FAILED_PAUSE;
+        }
+    }
+
+    /// Reads what earlier holders decided, once for each time that the lease is taken.
+    async fn load(&mut self, node: &Node) -> bool {
+        let fence = node.with(|state| state.lease.get_fence(node.now()));
+        if fence.is_none() {
+            return false;
+        }
+        if fence == self.fence {
+            return true;
+        }
+        let asked_at = node.now();
+        let reading = (node.platform.table.read)(TableName::Own(TABLE));
+        let Some(Ok(rows)) = runtime::within(CALL_WITHIN, reading).await else { return false };
+        *self = Self {
+            fence,
+            clock: Some(TableClock { asked_at, table_time: rows.table_time }),
+            records: rows.rows.iter().filter_map(decode).collect(),
+            status_versions: std::mem::take(&mut self.status_versions),
+            ..Self::default()
+        };
+        true
+    }
+
+    /// Advances all roll-outs; returns `false` where a write did not succeed.
+    async fn step_all(&mut self, node: &Node, orders: Vec<(Order, Stage)>) -> bool {
+        for (order, _) in orders {
+            let known = self.records.get(&order.service).map(|written| written.record.order);
+            if known > Some(order.number) {
+                continue;
+            }
+            if !self.step_one(node, &order).await || !self.tell_operator(node, &order).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn step_one(&mut self, node: &Node, order: &Order) -> bool {
+        let now = node.now();
+        let Some(clock) = self.clock else { return false };
+        let table_time = clock.latest_at(now);
+        let known = self.records.get(&order.service).map(|written| written.record.clone());
+        let known = known.filter(|record| record.order == order.number);
+        let stage = known.as_ref().map_or(Stage::Pending, |record| record.stage);
+        if known.is_some() {
+            let number = order.number;
+            node.with(|state| state.rollouts.confirm_stage(now, &order.service, number, stage));
+        }
+        if stage.is_final() {
+            return true;
+        }
+        let began_at = known.as_ref().map_or(table_time, |record| record.began_at);
+        let elapsed = table_time.saturating_sub(began_at);
+        let Some(report) = sum_all(node, order) else { return true };
+        let (target_servers, other_servers) = count_servers(node, order);
+        let snapshot = Snapshot {
+            stage,
+            duration: order.duration,
+            elapsed,
+            tallies: &report.tallies,
+            target_servers,
+            other_servers,
+            in_flight: report.in_flight,
+        };
+        let progress = self.progress.entry(order.service.clone()).or_default();
+        if progress.0 != order.number {
+            *progress = (order.number, Progress::default());
+        }
+        let Some((next, reason)) = get_stage(progress.1.step(&snapshot)) else { return true };
+        self.emit(order, next, &reason, &snapshot);
+        let record = Record {
+            order: order.number,
+            target_version: order.target_version.clone(),
+            began_at,
+            stage: next,
+        };
+        if next == Stage::RolledBack {
+            announce(node, order, next);
+        }
+        if !self.write_record(node, &order.service, record).await {
+            return false;
+        }
+        announce(node, order, next);
+        true
+    }
+
+    fn emit(&self, order: &Order, stage: Stage, reason: &Reason, snapshot: &Snapshot<'_>) {
+        event::emit(&Event::RolloutDecided {
+            service: &order.service,
+            target_version: &order.target_version,
+            order: order.number,
+            stage: stage.as_str(),
+            why: reason.why,
+            route: reason.route.as_deref(),
+            answers: snapshot.tallies.count_target(),
+            in_flight: reason.in_flight,
+            elapsed_ms: snapshot.elapsed,
+            duration_ms: snapshot.duration,
+            target_servers: snapshot.target_servers,
+            other_servers: snapshot.other_servers,
+            fence: self.fence.unwrap_or(0),
+        });
+    }
+
+    async fn write_record(&mut self, node: &Node, service: &str, record: Record) -> bool {
+        let version = self.records.get(service).map_or(0, |written| written.version);
+        let value = serde_json::to_vec(&record).ok();
+        let Some(Ok(rows)) = commit(node, TableName::Own(TABLE), service, version, value).await
+        else {
+            return false;
+        };
+        let written = Written { record, version: rows.version };
+        self.records.insert(service.to_owned(), written);
+        true
+    }
+
+    /// Tells the operator the stage that is written, where it was not told yet.
+    async fn tell_operator(&mut self, node: &Node, order: &Order) -> bool {
+        let Some(written) = self.records.get(&order.service) else { return true };
+        let stage = written.record.stage;
+        if self.told.get(&order.service) == Some(&(order.number, stage)) {
+            return true;
+        }
+        let status = Status {
+            service: order.service.clone(),
+            target_version: order.target_version.clone(),
+            stage,
+        };
+        let row = (node.platform.rollouts.encode_status)(&status);
+        let version = self.status_versions.get(&order.service).copied().unwrap_or(0);
+        let table = TableName::Status;
+        let version = match commit(node, table, &row.key, version, Some(row.value)).await {
+            Some(Ok(rows)) => {
+                self.told.insert(order.service.clone(), (order.number, stage));
+                rows.version
+            }
+            // An earlier holder told something: write over that at the next step.
+            Some(Err(TableError::Conflict(rows))) => {
+                rows.rows.iter().find(|found| found.key == row.key).map_or(0, |row| row.version)
+            }
+            _ => return false,
+        };
+        self.status_versions.insert(order.service.clone(), version);
+        true
+    }
+}
+
+/// Writes a row where it has not changed since a version.
+async fn commit(
+    node: &Node,
+    table: TableName,
+    key: &str,
+    version: u64,
+    value: Option<Vec<u8>>,
+) -> Option<Result<Rows, TableError>> {
+    let condition = Condition { table, key: key.to_owned(), version };
+    let write = Write { table, key: key.to_owned(), value };
+    let transaction = Transaction { conditions: vec![condition], writes: vec![write] };
+    let answer = runtime::within(CALL_WITHIN, (node.platform.table.commit)(transaction)).await;
+    if let Some(Err(error)) = &answer {
+        event::emit(&Event::TableCallFailed { what: "roll-out", error: error.to_string() });
+    }
+    answer
+}
+
+/// Returns the stage that follows, and why; `None` where it stays.
+fn get_stage(next: Next) -> Option<(Stage, Reason)> {
+    let reason = |why| Reason { why, route: None, in_flight: 0 };
+    match next {
+        Next::Wait => None,
+        Next::Begin => Some((Stage::Canary, reason("ordered"))),
+        Next::Ramp => Some((Stage::Ramp, reason("as good as the others"))),
+        Next::Shift => Some((Stage::Shifting, reason("as good as the others under load"))),
+        Next::Complete { cut } => {
+            Some((Stage::Completed, Reason { in_flight: cut, ..reason("carries the load") }))
+        }
+        Next::RollBack(fault) => {
+            let route = fault.series.map(|series| series.route);
+            Some((Stage::RolledBack, Reason { route, ..reason(fault.symptom.as_str()) }))
+        }
+        Next::GiveUp => Some((Stage::RolledBack, reason("too few answers or servers to judge by"))),
+    }
+}
+
+/// Tells all nodes a stage, this one first.
+fn announce(node: &Node, order: &Order, stage: Stage) {
+    let now = node.now();
+    node.with(|state| state.rollouts.confirm_stage(now, &order.service, order.number, stage));
+    node.push(News::RolloutChanged(Announcement { order: order.clone(), stage, age: Some(0) }));
+}
+
+fn sum_all(node: &Node, order: &Order) -> Option<Report> {
+    node.with(|state| {
+        let in_flight = |order: &Order| state.count_on_other_versions(order);
+        state.rollouts.sum_all(&order.service, in_flight)
+    })
+}
+
+/// Counts the servers of the new version and the others that take requests.
+fn count_servers(node: &Node, order: &Order) -> (usize, usize) {
+    node.with(|state| {
+        let ready = state.directory.iter_ready(&order.service);
+        let is_target = |server: &&_| state.rollouts.is_target(server);
+        let (target, others): (Vec<_>, Vec<_>) = ready.partition(is_target);
+        (target.len(), others.len())
+    })
+}
+
+fn decode(row: &Row) -> Option<(String, Written)> {
+    match serde_json::from_slice(row.value.as_deref()?) {
+        Ok(record) => Some((row.key.clone(), Written { record, version: row.version })),
+        Err(error) => {
+            let error = format!("the record of a roll-out cannot be read: {error}");
+            event::emit(&Event::DocumentRejected { error });
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/node/rollouts.rs
@@ -0,0 +1,92 @@
+//! Takes orders of roll-outs, what other nodes tell of them, and what answers show.
+
+use keeljunction_core::Millis;
+use keeljunction_core::serving::directory::Server;
+use keeljunction_core::serving::rollout::{Announcement, Phase, Side, Stage, Tolerance};
+
+use super::Node;
+use super::peers::message::News;
+use super::state::State;
+use crate::event::{self, Event};
+use crate::port::Row;
+
+/// Takes an order from the operator's table, and tells other nodes where it is new.
+///
+/// An order whose row is gone goes on: its servers run, and only a verdict ends that.
+pub(super) fn take_order(node: &Node, row: &Row) {
+    let Some(value) = row.value.as_deref() else {
+        log::warn!("the order {} is gone from its table: the roll-out goes on", row.key);
+        return;
+    };
+    let order = match (node.platform.rollouts.decode)(&row.key, value, row.version) {
+        Ok(order) => order,
+        Err(error) => return event::emit(&Event::DocumentRejected { error: error.to_string() }),
+    };
+    let told = Announcement { order, stage: Stage::Pending, age: None };
+    let now = node.now();
+    if node.with(|state| merge(state, now, &told)) {
+        node.push(News::RolloutChanged(told));
+    }
+}
+
+/// Takes what another node tells of a roll-out; returns `true` if that was new.
+pub(super) fn merge(state: &mut State, now: Millis, told: &Announcement) -> bool {
+    let is_new = state.rollouts.take_order(told.order.clone());
+    let advanced = state.rollouts.merge_announcement(now, told);
+    if !is_new && advanced.is_none() {
+        return false;
+    }
+    event::emit(&Event::RolloutChanged {
+        service: &told.order.service,
+        target_version: &told.order.target_version,
+        order: told.order.number,
+        stage: told.stage.as_str(),
+    });
+    true
+}
+
+/// Decides which servers of a service a request may go to.
+pub(crate) fn pick_side(node: &Node, service: &str, is_first: bool) -> Side {
+    let now = node.now();
+    node.with(|state| {
+        if !is_first {
+            return state.rollouts.pick_retry_side(now, service);
+        }
+        let tolerance = get_tolerance(node, state, now);
+        state.rollouts.pick_side(now, service, &tolerance, fastrand::f64())
+    })
+}
+
+/// Lists the servers that the canary's requests go to.
+pub(crate) fn list_canaries(node: &Node, service: &str) -> Vec<String> {
+    let now = node.now();
+    node.with(|state| {
+        let tolerance = get_tolerance(node, state, now);
+        let ready = state.directory.iter_ready(service);
+        let canaries = state.rollouts.list_canaries(ready, &tolerance);
+        canaries.into_iter().map(str::to_owned).collect()
+    })
+}
+
+fn get_tolerance(node: &Node, state: &State, now: Millis) -> Tolerance {
+    let bounds = &node.settings.bounds;
+    let nodes = state.members.get_reach(now).all;
+    Tolerance { share: bounds.expose_share, slack: bounds.canary_slack, nodes }
+}
+
+/// Counts a good answer of a server, or a phase of it.
+pub(crate) fn note_success(
+    node: &Node,
+    server: &Server,
+    route: &str,
+    phase: Phase,
+    latency: Millis,
+) {
+    let now = node.now();
+    node.with(|state| state.rollouts.succeed(now, server, route, phase, latency));
+}
+
+/// Counts an answer of a server that failed.
+pub(crate) fn note_failure(node: &Node, server: &Server, route: &str, phase: Phase) {
+    node.with(|state| state.rollouts.fail(server, route, phase));
+}
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -18,6 +18,7 @@
 use keeljunction_core::serving::load::{LoadBook, short_id};
 use keeljunction_core::serving::members::{Entry, Members};
 use keeljunction_core::serving::quota::{Quotas, Tolerance};
+use keeljunction_core::serving::rollout;
 use keeljunction_core::serving::throughput::Throughput;
 use keeljunction_core::serving::usage::{Incarnation, Ledger, window_at};
 
@@ -130,6 +131,8 @@
     pub usage: Ledger,
     /// Tokens asked for, by service.
     pub demand: DemandBook,
+    /// Moves of services to other versions.
+    pub rollouts: rollout::Book,
     /// How fast the servers of each service read prompts.
     pub throughputs: HashMap<String, Throughput>,
     /// Other nodes.
@@ -148,12 +151,28 @@
     /// Forgets what a server's answers showed.
     pub(super) fn forget_server(&mut self, server: &Server) {
         self.health.forget(&server.id);
+        self.rollouts.forget_server(&server.id);
         if let Some(throughput) = self.throughputs.get_mut(&server.service) {
             throughput.forget(short_id(&server.id));
         }
     }
 }
 
+impl State {
+    /// Counts this node's requests in flight at servers of a service that have another version than
+    /// a roll-out moves to.
+    pub(super) fn count_on_other_versions(&self, order: &rollout::Order) -> u32 {
+        let others = self.directory.iter_service(&order.service);
+        let others = others.filter(|server| server.version != order.target_version);
+        others.map(|server| self.loads.get_own_of(short_id(&server.id)).requests).sum()
+    }
+
+    /// Lists what this node and those that report to it counted of roll-outs.
+    pub(super) fn report_rollouts(&self) -> Vec<rollout::Report> {
+        self.rollouts.report_group(|order| self.count_on_other_versions(order))
+    }
+}
+
 impl Node {
     /// Makes a node that knows nothing yet.
     pub fn new(settings: Settings, platform: Platform, closing: Stop, start: Start) -> Arc<Self> {
@@ -176,6 +195,7 @@
             configuration_document: None,
             configuration_row: None,
             demand: DemandBook::default(),
+            rollouts: rollout::Book::default(),
             throughputs: HashMap::new(),
             freshness: Freshness::default(),
             directory: Directory::default(),
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -108,7 +108,8 @@
         let table = TableName::Own(TABLE);
         let key = RUNNING_KEY.to_owned();
         let condition = Condition { table, key: key.clone(), version: self.running.version };
-        let write = Write { table: TABLE, key, value: postcard::to_stdvec(&kept).ok() };
+        let write =
+            Write { table: TableName::Own(TABLE), key, value: postcard::to_stdvec(&kept).ok() };
         let transaction = Transaction { conditions: vec![condition], writes: vec![write] };
         let committing = (node.platform.table.commit)(transaction);
         match runtime::within(CALL_WITHIN, committing).await {
@@ -187,9 +188,13 @@
 
 fn transaction(window: WindowNumber, counts: &Counts) -> Transaction {
     let condition = Condition { table: TableName::Own(TABLE), key: key(window), version: 0 };
-    let write = Write { table: TABLE, key: key(window), value: serde_json::to_vec(counts).ok() };
+    let write = Write {
+        table: TableName::Own(TABLE),
+        key: key(window),
+        value: serde_json::to_vec(counts).ok(),
+    };
     let old = window.saturating_sub(WINDOWS_KEPT);
-    let removal = Write { table: TABLE, key: key(old), value: None };
+    let removal = Write { table: TableName::Own(TABLE), key: key(old), value: None };
     Transaction { conditions: vec![condition], writes: vec![write, removal] }
 }
 
--- a/crates/gateway/src/node/watch.rs
+++ b/crates/gateway/src/node/watch.rs
@@ -14,7 +14,7 @@
 use super::pause::{Pause, jitter};
 use super::peers::message::News;
 use super::state::ConfigurationRow;
-use super::{Node, staleness};
+use super::{Node, rollouts, staleness};
 use crate::event::{self, Event};
 use crate::port::{Condition, Row, Rows, TableError, TableName, Transaction};
 use crate::runtime;
@@ -298,6 +298,10 @@
 }
 
 fn adopt_row(node: &Node, row: &Row) -> Option<u64> {
+    if (node.platform.rollouts.is_order)(&row.key) {
+        rollouts::take_order(node, row);
+        return None;
+    }
     let value = row.value.as_deref()?;
     let configuration = match (node.platform.decode_configuration)(value) {
         Ok(configuration) => configuration,
@@ -390,6 +394,10 @@
             node.servers.forget(server.address);
             node.with(|known| known.forget_server(server));
         }
+        if let Change::Joined(server) = &change {
+            let now = node.now();
+            node.with(|known| known.rollouts.note_joined(now, server));
+        }
         event::emit(&Event::ServerChanged {
             server: &server.id,
             service: &server.service,
--- a/crates/gateway/src/port/mod.rs
+++ b/crates/gateway/src/port/mod.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod dialect;
+mod rollouts;
 mod table;
 
 use keeljunction_core::Error;
@@ -10,6 +11,7 @@
 
 pub use control::{CapacityOrder, Control, ControlFuture, DutyHolder, UsageReport};
 pub use dialect::{AnswerHead, Dialect, Dispatch, Prompt, PromptPart, RequestHead};
+pub use rollouts::{RolloutRow, Rollouts};
 pub use table::{
     Condition, Row, Rows, Table, TableError, TableFuture, TableName, Transaction, Write,
 };
@@ -26,4 +28,6 @@
     pub decode_configuration: fn(&[u8]) -> Result<Configuration, Error>,
     /// Reads a server's own entry, given its key.
     pub decode_server: fn(&str, &[u8]) -> Result<Server, Error>,
+    /// Reads orders of roll-outs, and writes what the operator is told of them.
+    pub rollouts: Rollouts,
 }
--- /dev/null
+++ b/crates/gateway/src/port/rollouts.rs
@@ -0,0 +1,23 @@
+//! How orders of roll-outs are read, and what the operator is told.
+
+use keeljunction_core::Error;
+use keeljunction_core::serving::rollout::{Order, Status};
+
+/// The translation of roll-outs, whose orders stand in the table of the configuration.
+pub struct Rollouts {
+    /// Returns `true` if a row of that table, given its key, is an order.
+    pub is_order: fn(&str) -> bool,
+    /// Reads an order, given its key and the version of its row.
+    pub decode: fn(&str, &[u8], u64) -> Result<Order, Error>,
+    /// Writes what the operator is told.
+    pub encode_status: fn(&Status) -> RolloutRow,
+}
+
+/// A row of [`super::TableName::Status`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutRow {
+    /// Its key.
+    pub key: String,
+    /// Its content.
+    pub value: Vec<u8>,
+}
--- a/crates/gateway/src/port/table.rs
+++ b/crates/gateway/src/port/table.rs
@@ -27,6 +27,8 @@
     Configuration,
     /// The servers' entries about themselves.
     Servers,
+    /// What the operator is told of its orders.
+    Status,
     /// A table of the product's own.
     Own(&'static str),
 }
@@ -76,8 +78,8 @@
 /// A row to write, or to remove where there is no value.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Write {
-    /// The product's own table.
-    pub table: &'static str,
+    /// The table: one of the product's own, or that of the operator's orders.
+    pub table: TableName,
     /// The row's key.
     pub key: String,
     /// The content.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -96,6 +96,12 @@
     /// The units that all nodes together may admit in a window besides.
     #[serde(default)]
     pub quota_slack: f64,
+    /// The share of a service's requests that a version may get before it is known to be good.
+    #[serde(default = "get_usual_expose_share")]
+    pub expose_share: f64,
+    /// The requests that it may get besides, over all nodes.
+    #[serde(default)]
+    pub canary_slack: f64,
     /// The length of a duty lease, in milliseconds.
     pub lease_ms: Millis,
     /// The length of a window of usage, in seconds.
@@ -250,6 +256,8 @@
         check_range("bounds.quota_window_s", bounds.quota_window_s, 0.0, 3_600.0)?;
         check_range("bounds.quota_overshoot", bounds.quota_overshoot, 0.0, 10.0)?;
         check_range("bounds.quota_slack", bounds.quota_slack, 0.0, 1e12)?;
+        check_range("bounds.expose_share", bounds.expose_share, 0.0, 1.0)?;
+        check_range("bounds.canary_slack", bounds.canary_slack, 0.0, 1e6)?;
         let capacity = &self.capacity;
         check_range("capacity.on_demand_part", capacity.on_demand_part, 0.0, 1.0)?;
         check_range("capacity.spot_part", capacity.spot_part, 0.0, 10.0)?;
@@ -260,6 +268,11 @@
     }
 }
 
+/// The share of a canary where the operator gives none: one request in ten.
+fn get_usual_expose_share() -> f64 {
+    0.1
+}
+
 fn check_range(key: &str, value: f64, least: f64, most: f64) -> Result<(), Error> {
     if (least..=most).contains(&value) {
         return Ok(());
