fix(http): end a run whose caller left behind a further request

Cause, found by a new test (a caller sends a second request on its connection and leaves): the HTTP library looks for the close of a connection only while it has nothing to read, so that the run went on until its route's time-out (1.45 s where 0.5 s are allowed).

Change: the close is also looked for on the socket while a request is being answered.

--- a/crates/gateway/src/http/server.rs
+++ b/crates/gateway/src/http/server.rs
@@ -26,6 +26,10 @@
 /// Time for a request's head to arrive where nothing else is told.
 const HEAD_WITHIN: Duration = Duration::from_secs(10);
 
+/// The time between two looks at a connection on which unread bytes wait: a part of the half second
+/// in which a run must end after its caller has left.
+const UNREAD_PAUSE: Duration = Duration::from_millis(100);
+
 /// Bounds on what a connection may ask of the server.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -174,6 +178,21 @@
     }
 }
 
+/// Waits until the peer closes its side of a connection.
+///
+/// The HTTP library sees that only while it has nothing left to read: not where another request
+/// waits behind the one that is being answered.
+async fn wait_for_close(stream: TcpStream) -> io::Error {
+    let mut byte = [0; 1];
+    loop {
+        match stream.peek(&mut byte).await {
+            Ok(0) => return io::Error::from(io::ErrorKind::ConnectionReset),
+            Ok(_) => runtime::sleep(UNREAD_PAUSE).await,
+            Err(error) => return error,
+        }
+    }
+}
+
 async fn handle<F, Fut>(
     stream: TcpStream,
     answer: F,
@@ -185,9 +204,11 @@
     Fut: Future<Output = Response<Body>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
+    let watched = stream.clone();
     let service = service_fn(|request| {
         let response = answer(request);
-        async { Ok::<_, Infallible>(response.await) }
+        let closed = wait_for_close(watched.clone());
+        future::or(async { Ok(response.await) }, async { Err(closed.await) })
     });
     let mut builder = http1::Builder::new();
     builder.timer(SmolTimer::new()).header_read_timeout(head_within);
