refactor(rate): one token bucket, and retry_after in the field's word

Cause: two token buckets stood in the core (calls to the first path's platform; limits of client accounts): one of the doubled pairs. 'When to come back' had names of our own.

No behaviour changes.

--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -67,7 +67,7 @@
         }
     }
 
-    /// Says whether asking again before long may help.
+    /// Returns `true` if asking again before long may help.
     pub fn is_passing(self) -> bool {
         matches!(self, Self::NotTaken | Self::NoRetry)
     }
--- a/crates/core/src/bundle/roll.rs
+++ b/crates/core/src/bundle/roll.rs
@@ -8,7 +8,7 @@
 
 use super::Signature;
 
-/// Says why a roll was made.
+/// Explains why a roll was made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Action {
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -73,7 +73,7 @@
         true
     }
 
-    /// Says whether a server is leaving.
+    /// Returns `true` if a server is leaving.
     pub fn is_leaving(&self, server: &str) -> bool {
         self.departures.contains_key(server)
     }
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -48,7 +48,7 @@
         (now < until).then_some(self.fence)
     }
 
-    /// Says whether it is time to renew.
+    /// Returns `true` if it is time to renew.
     pub fn is_due(&self, now: Millis) -> bool {
         now >= self.asked_at + self.length / 3
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,7 +17,7 @@
 //! | [`attempt`] | what to do after an attempt has ended |
 //! | [`takeover`], [`record`] | how to go on with a request whose node is gone |
 //! | [`retry`] | whether another try is allowed |
-//! | [`rate`] | how many calls may be made in a second |
+//! | [`rate`] | how much may be used in a second |
 //! | [`claim`] | whether a request that must not be repeated may run |
 //! | [`lease`] | whether a holder may still act |
 //! | [`drain`] | what becomes of the streams on a VM that is going away |
--- a/crates/core/src/member/record.rs
+++ b/crates/core/src/member/record.rs
@@ -46,7 +46,7 @@
 }
 
 impl Member {
-    /// Says whether this news overrides what was known.
+    /// Returns `true` if this news overrides what was known.
     pub fn overrides(&self, known: &Member) -> bool {
         (self.incarnation, self.state) > (known.incarnation, known.state)
     }
--- a/crates/core/src/rate.rs
+++ b/crates/core/src/rate.rs
@@ -1,37 +1,76 @@
-//! How many calls may be made in a second.
+//! How much may be used in a second.
 
 use crate::Millis;
 
-const MILLI: u64 = 1000;
-
-/// A token bucket that time fills, with a burst of one second's calls.
-#[derive(Clone, Debug)]
+/// A token bucket whose level may fall below zero: what was consumed in advance is paid back first.
+#[derive(Clone, Copy, Debug)]
 pub struct Bucket {
-    per_second: u64,
-    milli_tokens: u64,
+    /// Units that are left.
+    pub available: f64,
+    /// Units besides, which are held back.
+    pub reserved: f64,
     filled_at: Millis,
+    /// Units a second.
+    rate: f64,
+    capacity: f64,
 }
 
 impl Bucket {
-    /// Makes a full bucket.
-    pub fn new(now: Millis, per_second: u32) -> Self {
-        let per_second = u64::from(per_second.max(1));
-        Self { per_second, milli_tokens: per_second * MILLI, filled_at: now }
+    /// Makes a bucket at a level, which does not refill until [`Bucket::set`].
+    pub fn new(now: Millis, available: f64) -> Self {
+        Self { available, reserved: 0.0, filled_at: now, rate: 0.0, capacity: f64::INFINITY }
+    }
+
+    /// Makes a full bucket with a burst of one second's units.
+    pub fn full(now: Millis, per_second: u32) -> Self {
+        let rate = f64::from(per_second.max(1));
+        Self { rate, capacity: rate, ..Self::new(now, rate) }
     }
 
-    /// Takes one call.
+    /// Takes one unit.
     ///
     /// # Errors
     ///
-    /// Returns the milliseconds after which a call may be there.
+    /// Returns the milliseconds after which a unit may be there.
     pub fn take(&mut self, now: Millis) -> Result<(), Millis> {
-        let gained = now.saturating_sub(self.filled_at) * self.per_second;
-        self.milli_tokens = (self.milli_tokens + gained).min(self.per_second * MILLI);
-        self.filled_at = now;
-        if self.milli_tokens < MILLI {
-            return Err((MILLI - self.milli_tokens).div_ceil(self.per_second));
+        self.refill(now);
+        let lacking = 1.0 - self.available;
+        if lacking > 0.0 {
+            return Err((lacking / self.rate * 1_000.0).ceil() as Millis);
         }
-        self.milli_tokens -= MILLI;
+        self.available -= 1.0;
         Ok(())
     }
+
+    /// Holds units back, beside those that are available.
+    pub fn reserve(self, reserved: f64) -> Self {
+        Self { reserved, ..self }
+    }
+
+    /// Refills the bucket at the rate in force until now, and sets the rate in force from now on.
+    pub fn set(&mut self, now: Millis, rate: f64, capacity: f64) {
+        self.refill(now);
+        self.rate = rate;
+        self.capacity = capacity;
+        self.available = self.available.min(capacity);
+    }
+
+    /// Saves nothing up until the next [`Bucket::set`], beyond what pays back a debt.
+    pub fn stop_saving(&mut self, now: Millis) {
+        self.set(now, self.rate, 0.0);
+    }
+
+    /// Holds no more than `reserved` units back, and makes the others available.
+    pub fn release(&mut self, reserved: f64) {
+        let released = (self.reserved - reserved).max(0.0);
+        self.reserved -= released;
+        self.available += released;
+    }
+
+    /// Adds what was gained until now.
+    pub fn refill(&mut self, now: Millis) {
+        let gained = now.saturating_sub(self.filled_at) as f64 / 1_000.0 * self.rate;
+        self.available = (self.available + gained).min(self.capacity);
+        self.filled_at = self.filled_at.max(now);
+    }
 }
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -124,7 +124,7 @@
         && !demand.avoid.contains(&server.name)
 }
 
-/// Says whether a server may take one more long prompt: a quarter of them is kept free of any.
+/// Returns `true` if a server may take one more long prompt: a quarter of them is kept free of any.
 fn takes_long(servers: &[Server], server: &Server) -> bool {
     let staying = servers.iter().filter(|s| !s.is_leaving).count();
     if server.long_prompts > 0 || staying < 2 {
--- a/crates/core/src/route/server.rs
+++ b/crates/core/src/route/server.rs
@@ -66,7 +66,7 @@
         self.report.filter(|report| now.saturating_sub(report.at) <= REPORT_BOUND_MS)
     }
 
-    /// Says whether there is room for one more: of this router's part, less `reserve`, and of the
+    /// Returns `true` if there is room for one more: of this router's part, less `reserve`, and of the
     /// server's whole as reported.
     pub fn has_room(&self, now: Millis, reserve: u32) -> bool {
         let reported = self.get_fresh_report(now).map_or(0, |report| report.requests);
--- a/crates/core/src/rumor.rs
+++ b/crates/core/src/rumor.rs
@@ -57,7 +57,7 @@
         self.entries.len()
     }
 
-    /// Says whether no news wait.
+    /// Returns `true` if no news wait.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
--- a/crates/core/src/serving/configuration.rs
+++ b/crates/core/src/serving/configuration.rs
@@ -73,12 +73,12 @@
 }
 
 impl RouteKind {
-    /// Says whether a request that may have run may be sent again before any of its answer left.
+    /// Returns `true` if a request that may have run may be sent again before any of its answer left.
     pub fn is_repeatable(self) -> bool {
         matches!(self, Self::Idempotent | Self::Streaming { resumable: true })
     }
 
-    /// Says whether the answer is a stream of events.
+    /// Returns `true` if the answer is a stream of events.
     pub fn is_streaming(self) -> bool {
         matches!(self, Self::Streaming { .. })
     }
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -16,7 +16,7 @@
 //! | [`event_stream`] | where the events of a stream begin and end |
 //! | [`demand`], [`throughput`], [`capacity`] | how many servers to order, where, and of which kind |
 //! | [`rollout`] | how the traffic of a service moves to servers of another version |
-//! | [`refusal`] | why a request was refused, and when to come back |
+//! | [`refusal`] | why a request was refused, and when to retry |
 
 pub mod capacity;
 pub mod choice;
--- a/crates/core/src/serving/quota/decision.rs
+++ b/crates/core/src/serving/quota/decision.rs
@@ -10,10 +10,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::bucket::Bucket;
 use super::limit::{Limit, Reach};
 use super::{LEAST_LEFT, Quotas, get_raised_part};
 use crate::Millis;
+use crate::rate::Bucket;
 
 /// The part of the local share that is admitted, less what pays back what was admitted beyond the
 /// limit.
@@ -28,7 +28,7 @@
 /// The part of the tolerated excess that is not kept for what nodes admit before others know of it:
 /// the owner lets the bucket fall below zero by it, less what the limit is raised by already.
 const HEADROOM_PART: f64 = 0.5;
-/// The longest time for which units are booked for callers that come back, in milliseconds: about
+/// The longest time for which units are booked for callers that retry, in milliseconds: about
 /// the longest deadline of a caller. Beyond that all are told the same time.
 const LONGEST_BOOKING: f64 = 10_000.0;
 
--- a/crates/core/src/serving/quota/mod.rs
+++ b/crates/core/src/serving/quota/mod.rs
@@ -19,7 +19,6 @@
 //! spent: they then begin with a part of what the operator tolerates beyond the limit, once over all
 //! nodes.
 
-mod bucket;
 mod decision;
 mod limit;
 mod report;
@@ -30,9 +29,9 @@
 pub use self::limit::{Limit, Reach, Tolerance};
 pub use self::report::{Report, Source, Units};
 
-use self::bucket::Bucket;
 use self::report::{RATE_VALID_FOR, Rates};
 use crate::Millis;
+use crate::rate::Bucket;
 
 /// What must be left for a request to be admitted, in units.
 const LEAST_LEFT: f64 = 1.0;
@@ -65,7 +64,7 @@
     tolerance: Tolerance,
     whole: BTreeMap<String, Bucket>,
     local_share: BTreeMap<String, Bucket>,
-    /// Until when units are booked for callers that were told to come back, by client account.
+    /// Until when units are booked for callers that were told to retry, by client account.
     booked_until: BTreeMap<String, f64>,
     own: Report,
     /// When this node began to count its own units from none.
--- a/crates/core/src/serving/refusal.rs
+++ b/crates/core/src/serving/refusal.rs
@@ -1,4 +1,4 @@
-//! Why a request was refused, and when to come back.
+//! Why a request was refused, and when to retry.
 
 use std::time::Duration;
 
@@ -61,7 +61,7 @@
         }
     }
 
-    /// Says whether the request may have run.
+    /// Returns `true` if the request may have run.
     pub fn may_have_run(self) -> bool {
         matches!(self, Self::Timeout | Self::BrokenAnswer)
     }
@@ -87,7 +87,7 @@
         }
     }
 
-    /// Computes when the caller should come back, where a later try can succeed.
+    /// Computes when the caller should retry, where a later try can succeed.
     ///
     /// `hint` is the time after which room is expected. The wait stays inside a third of the time
     /// that the caller has left, beyond which callers do not wait as told.
--- a/crates/core/src/serving/usage.rs
+++ b/crates/core/src/serving/usage.rs
@@ -47,7 +47,7 @@
 }
 
 impl Kept {
-    /// Says whether there are no windows.
+    /// Returns `true` if there are no windows.
     pub fn is_empty(&self) -> bool {
         self.windows.is_empty()
     }
@@ -201,7 +201,7 @@
 /// for the calls, and for another holder.
 const LAST_PART: f64 = 0.65;
 
-/// Says whether the counts of a window may be reported.
+/// Returns `true` if the counts of a window may be reported.
 ///
 /// `age` is the time since the window ended, and `due` the time after its end at which the report
 /// must be there. While `is_node_missing`, a node that served in the window may not have told its
--- a/crates/core/src/shard/ask.rs
+++ b/crates/core/src/shard/ask.rs
@@ -44,7 +44,7 @@
     pub cost: u64,
 }
 
-/// Says why there is no grant, and when to come back.
+/// Explains why there is no grant, and when to come back.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refusal {
     /// Milliseconds after which there should be room.
--- a/crates/core/src/shard/hopeless.rs
+++ b/crates/core/src/shard/hopeless.rs
@@ -27,7 +27,7 @@
     }
 }
 
-/// Says whether a request may use the room kept for the most urgent, and whether its prompt is long.
+/// Returns `true` if a request may use the room kept for the most urgent, and whether its prompt is long.
 fn kind_of(ask: &Ask) -> (bool, bool) {
     (ask.priority == 0, ask.prompt_tokens > route::LONG_PROMPT_TOKENS)
 }
--- a/crates/core/src/shard/queue.rs
+++ b/crates/core/src/shard/queue.rs
@@ -308,7 +308,7 @@
         })
     }
 
-    /// Says whether a server stays that is not among these. Where none does, one that is to be
+    /// Returns `true` if a server stays that is not among these. Where none does, one that is to be
     /// avoided is better than none.
     fn has_other_than(&self, avoid: &[String]) -> bool {
         self.servers.iter().any(|server| !server.is_leaving && !avoid.contains(&server.name))
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -81,7 +81,7 @@
         Verdict::Accept(accepted)
     }
 
-    /// Says whether tokens are held for others that are missing.
+    /// Returns `true` if tokens are held for others that are missing.
     pub fn is_missing(&self) -> bool {
         !self.held.is_empty()
     }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -124,7 +124,7 @@
 }
 
 impl Event<'_> {
-    /// Says whether the event is of the kind that comes with each request that goes as usual, and
+    /// Returns `true` if the event is of the kind that comes with each request that goes as usual, and
     /// may be sampled under load.
     pub fn is_usual(&self) -> bool {
         match self {
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -24,11 +24,12 @@
 
 /// The time that a caller is taken to wait where it does not say.
 const DEFAULT_DEADLINE: Millis = 30_000;
-/// When a client account beyond its limit should come back at the earliest: what is refilled at
-/// once goes to those that came first.
-const QUOTA_BACK_IN: Millis = 500;
-/// When to come back where the node's own knowledge is what is missing.
-const KNOWLEDGE_BACK_IN: Millis = 400;
+/// The least `Retry-After` of a client account beyond its limit, in milliseconds: what is refilled
+/// at once goes to those that came first.
+const QUOTA_RETRY_AFTER: Millis = 500;
+/// `Retry-After` where the node's own knowledge is what is missing, in milliseconds: two rounds of
+/// its questions to other nodes.
+const KNOWLEDGE_RETRY_AFTER: Millis = 400;
 
 /// A request that was admitted.
 pub(super) struct Exchange {
@@ -73,11 +74,11 @@
     ) -> Result<Self, Refused> {
         let now = record.get_arrival();
         let deadline = head.deadline.unwrap_or(DEFAULT_DEADLINE);
-        let refuse = |reason, come_back_in| Refused { reason, come_back_in, left: deadline };
+        let refuse = |reason, retry_after| Refused { reason, retry_after, left: deadline };
         let (configuration, age) =
             node.with(|state| (state.configuration.clone(), state.freshness.get_age(now)));
         let configuration =
-            configuration.ok_or(refuse(Refusal::NotConfigured, KNOWLEDGE_BACK_IN))?;
+            configuration.ok_or(refuse(Refusal::NotConfigured, KNOWLEDGE_RETRY_AFTER))?;
         record.version = Some(configuration.version);
         record.age = age;
         let is_fresh = node.is_fresh();
@@ -89,7 +90,7 @@
         }
         // A node whose knowledge may be old says so; it never denies what may be allowed by now.
         if !is_fresh {
-            return Err(refuse(Refusal::Stale, KNOWLEDGE_BACK_IN));
+            return Err(refuse(Refusal::Stale, KNOWLEDGE_RETRY_AFTER));
         }
         let route = find_route(&configuration, &parts).ok_or(refuse(Refusal::NoRoute, 0))?;
         record.route = Some(route.name.clone());
@@ -109,7 +110,7 @@
         record.service = Some(service.clone());
         let quota = consume_quota(node, account.as_ref(), head.prompt.as_ref())
             .await
-            .map_err(|wait| refuse(Refusal::OverQuota, wait.max(QUOTA_BACK_IN)))?;
+            .map_err(|wait| refuse(Refusal::OverQuota, wait.max(QUOTA_RETRY_AFTER)))?;
         let prompt = head.prompt.as_ref();
         let priority = account.as_ref().map_or(0, |account| account.priority);
         let urgency = priority * PRIORITY_STEP + route.priority;
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -67,7 +67,7 @@
 }
 
 impl Failed {
-    /// Says whether the request may have run.
+    /// Returns `true` if the request may have run.
     pub fn may_have_run(self) -> bool {
         matches!(self, Self::Broken | Self::ServerError | Self::Timeout)
     }
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -18,18 +18,19 @@
 use crate::node::state::State;
 use crate::node::{Node, ask_loads, report_begun, rollouts};
 
-/// When to come back where no server takes work.
-const SERVER_BACK_IN: Millis = 700;
-/// When to come back where the server that was asked was full.
-const ROOM_BACK_IN: Millis = 250;
+/// `Retry-After` where no server takes work, in milliseconds: about what a list of servers takes to
+/// reach all nodes.
+const SERVER_RETRY_AFTER: Millis = 700;
+/// `Retry-After` where the server that was asked was full, in milliseconds.
+const ROOM_RETRY_AFTER: Millis = 250;
 /// Attempts at connecting, which send nothing and so count for no bound of the operator's.
 const MOST_CONNECTS: u32 = 3;
 
-/// Why there is no further attempt, and when to come back.
+/// Why there is no further attempt, and after how many milliseconds the caller should retry.
 #[derive(Clone, Copy, Debug)]
 struct Stop {
     reason: Refusal,
-    come_back_in: Millis,
+    retry_after: Millis,
 }
 
 /// How far the attempts at a request have come.
@@ -50,9 +51,9 @@
         self.last = Some(failed);
     }
 
-    /// Says why the request ends here and when to come back, given both where nothing was tried.
-    fn stop(&self, otherwise: Refusal, come_back_in: Millis) -> Stop {
-        Stop { reason: self.get_refusal(otherwise), come_back_in }
+    /// Returns why the request ends here and when to retry, given both where nothing was tried.
+    fn stop(&self, otherwise: Refusal, retry_after: Millis) -> Stop {
+        Stop { reason: self.get_refusal(otherwise), retry_after }
     }
 
     fn get_refusal(&self, otherwise: Refusal) -> Refusal {
@@ -155,22 +156,22 @@
     let now = node.now();
     if exchange.get_left(now) == 0 {
         let reason = if progress.sent > 0 { Refusal::Timeout } else { Refusal::TooLate };
-        return Err(Stop { reason, come_back_in: 0 });
+        return Err(Stop { reason, retry_after: 0 });
     }
     let route = &exchange.route;
     let is_barred = progress.may_have_run && !route.kind.is_repeatable();
     let is_spent = progress.sent >= route.max_attempts.max(1);
     let is_hopeless = progress.tried.len() as u32 >= route.max_attempts + MOST_CONNECTS;
     if is_barred || is_spent || is_hopeless {
-        return Err(progress.stop(Refusal::NotAccepted, ROOM_BACK_IN));
+        return Err(progress.stop(Refusal::NotAccepted, ROOM_RETRY_AFTER));
     }
     if !node.is_fresh() {
-        return Err(progress.stop(Refusal::Stale, ROOM_BACK_IN));
+        return Err(progress.stop(Refusal::Stale, ROOM_RETRY_AFTER));
     }
     let server = match pick_allowed(node, exchange, progress).await {
         Picked::Server(server) => server,
         Picked::Busy(wait) => return Err(progress.stop(Refusal::Busy, wait)),
-        Picked::None => return Err(progress.stop(Refusal::NoServer, SERVER_BACK_IN)),
+        Picked::None => return Err(progress.stop(Refusal::NoServer, SERVER_RETRY_AFTER)),
     };
     if progress.sent > 0 {
         take_repeat(node, exchange, progress, now)?;
@@ -190,7 +191,7 @@
         state.budget.take(now, &exchange.service, nodes)
     });
     if !is_allowed {
-        return Err(progress.stop(Refusal::NotAccepted, ROOM_BACK_IN));
+        return Err(progress.stop(Refusal::NotAccepted, ROOM_RETRY_AFTER));
     }
     let reason = progress.last.map_or("", Failed::as_str).to_owned();
     node.metrics.retries.get_or_create(&ReasonLabels { reason }).inc();
@@ -403,6 +404,6 @@
     if let Some(answer) = spare {
         return Ok(*answer);
     }
-    let Stop { reason, come_back_in } = stop;
-    Err(Refused { reason, come_back_in, left: exchange.get_left(node.now()) })
+    let Stop { reason, retry_after } = stop;
+    Err(Refused { reason, retry_after, left: exchange.get_left(node.now()) })
 }
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -19,8 +19,8 @@
 pub(super) struct Refused {
     /// Why.
     pub reason: Refusal,
-    /// Time after which room is expected.
-    pub come_back_in: Millis,
+    /// Milliseconds after which room is expected.
+    pub retry_after: Millis,
     /// Time that the caller has left.
     pub left: Millis,
 }
@@ -103,7 +103,7 @@
         let mut response = Response::new(Body::from(format!("{}\n", refused.reason.as_str())));
         *response.status_mut() =
             StatusCode::from_u16(self.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
-        let after = refused.reason.get_retry_after(refused.come_back_in, refused.left);
+        let after = refused.reason.get_retry_after(refused.retry_after, refused.left);
         if let Some(after) = after {
             self.retry_after = Some(after.as_millis() as u64);
             let seconds = format!("{:.3}", after.as_secs_f64());
--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -32,7 +32,7 @@
 /// How long sent bytes may stay unacknowledged before the system gives a connection up.
 const UNACKNOWLEDGED_MS: u32 = 3_000;
 
-/// Says why there is no response.
+/// Explains why there is no response.
 #[derive(Debug)]
 pub enum Failure {
     /// No byte of the request left; it cannot have run.
@@ -42,7 +42,7 @@
 }
 
 impl Failure {
-    /// Says whether no byte of the request left.
+    /// Returns `true` if no byte of the request left.
     pub fn is_not_sent(&self) -> bool {
         matches!(self, Self::NotSent(_))
     }
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -131,7 +131,7 @@
 }
 
 impl Log {
-    /// Says whether one more sampled line fits this second; tells what the last one left out.
+    /// Returns `true` if one more sampled line fits this second; tells what the last one left out.
     fn admit(&self) -> bool {
         let mut window = lock(&self.window);
         if window.began.elapsed() >= Duration::from_secs(1) {
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Says whether this holder has ordered servers of a service.
+    /// Returns `true` if this holder has ordered servers of a service.
     fn has_ordered(&self, name: &str) -> bool {
         self.ordered.keys().any(|(service, _, _)| service == name)
     }
@@ -171,7 +171,7 @@
         inventory
     }
 
-    /// Says whether spot servers were lately refused.
+    /// Returns `true` if spot servers were lately refused.
     fn is_spot_exhausted(&self, name: &str, now: Millis) -> bool {
         let mut refused =
             self.paused_until.iter().filter(|((service, _, kind), _)| service == name && *kind);
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -260,7 +260,7 @@
         Duration::from_millis(known.unwrap_or(REST_WHILE_UNKNOWN)) * REST_FACTOR
     }
 
-    /// Says whether requests that carry a key may be dispatched.
+    /// Returns `true` if requests that carry a key may be dispatched.
     pub fn is_fresh(&self) -> bool {
         if !self.settings.bounds.strict_revoke {
             return true;
@@ -281,13 +281,13 @@
         get_entry(&self.settings)
     }
 
-    /// Says whether the node should get new connections.
+    /// Returns `true` if the node should get new connections.
     pub fn is_ready(&self) -> bool {
         let knows = self.with(|state| state.configuration.is_some() && state.has_servers);
         knows && !self.is_stopping() && self.is_fresh()
     }
 
-    /// Says whether the node is about to end.
+    /// Returns `true` if the node is about to end.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::SeqCst)
     }
--- a/crates/gateway/src/node/watch.rs
+++ b/crates/gateway/src/node/watch.rs
@@ -211,12 +211,12 @@
     }
 }
 
-/// Says whether this node has to read a table itself.
+/// Returns `true` if this node has to read a table itself.
 fn is_due(node: &Node, is_old: fn(&Node) -> bool) -> bool {
     is_reader(node) || is_old(node)
 }
 
-/// Says whether this node reads the tables for all.
+/// Returns `true` if this node reads the tables for all.
 fn is_reader(node: &Node) -> bool {
     let now = node.now();
     node.with(|state| state.members.is_reader(now))
@@ -245,7 +245,7 @@
     hold: Duration,
     /// The pause after changes, in which further ones gather.
     gather: Option<Duration>,
-    /// Says whether this node goes on to follow the table.
+    /// Returns `true` if this node goes on to follow the table.
     is_wanted: fn(&Node) -> bool,
 }
 
--- a/crates/gateway/src/port/table.rs
+++ b/crates/gateway/src/port/table.rs
@@ -86,7 +86,7 @@
     pub value: Option<Vec<u8>>,
 }
 
-/// Says why a call of the table service failed.
+/// Explains why a call of the table service failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TableError {
     /// A condition did not hold; the rows as they are.
--- a/crates/keeljunction/src/node/answer.rs
+++ b/crates/keeljunction/src/node/answer.rs
@@ -76,7 +76,7 @@
         runtime::lock(&self.state).is_own = true;
     }
 
-    /// Says whether this node itself carries the request.
+    /// Returns `true` if this node itself carries the request.
     pub fn is_own(&self) -> bool {
         runtime::lock(&self.state).is_own
     }
@@ -117,7 +117,7 @@
         runtime::lock(&self.state).is_sent = true;
     }
 
-    /// Says whether bytes of the request may have reached a backend server.
+    /// Returns `true` if bytes of the request may have reached a backend server.
     pub fn is_sent(&self) -> bool {
         runtime::lock(&self.state).is_sent
     }
@@ -144,7 +144,7 @@
         News { tokens, ended: state.ended.clone() }
     }
 
-    /// Says whether the request has ended without its answer, so that asking again begins anew.
+    /// Returns `true` if the request has ended without its answer, so that asking again begins anew.
     pub fn is_spent(&self) -> bool {
         let state = runtime::lock(&self.state);
         state.ended.as_ref().is_some_and(|ended| ended.outcome != Outcome::Done.as_str())
--- a/crates/keeljunction/src/node/copy.rs
+++ b/crates/keeljunction/src/node/copy.rs
@@ -114,7 +114,7 @@
     format!("record-{}", bundle::digest(name.as_bytes()))
 }
 
-/// Says whether an end leaves nothing to remember.
+/// Returns `true` if an end leaves nothing to remember.
 pub fn is_forgotten(ended: &wire::Final) -> bool {
     ended.outcome == Outcome::NotRun.as_str()
 }
--- a/crates/keeljunction/src/node/fleet.rs
+++ b/crates/keeljunction/src/node/fleet.rs
@@ -29,7 +29,7 @@
     refused: BTreeMap<(String, bool), Millis>,
 }
 
-/// Says whether VMs are started for a service.
+/// Returns `true` if VMs are started for a service.
 pub fn is_needed(service: &Service) -> bool {
     !service.vm_class.is_empty()
 }
--- a/crates/keeljunction/src/node/order.rs
+++ b/crates/keeljunction/src/node/order.rs
@@ -23,7 +23,7 @@
     sent: HashMap<String, u64>,
 }
 
-/// Says whether a service's servers take orders.
+/// Returns `true` if a service's servers take orders.
 pub fn is_needed(service: &Service) -> bool {
     service.kind == Kind::Model
 }
--- a/crates/keeljunction/src/node/relay.rs
+++ b/crates/keeljunction/src/node/relay.rs
@@ -211,7 +211,7 @@
         }
     }
 
-    /// Says whether the next room comes only after the deadline; then the end comes at once.
+    /// Returns `true` if the next room comes only after the deadline; then the end comes at once.
     fn is_hopeless(&self, refusal: &Refusal) -> bool {
         self.node.now() + refusal.retry_after.min(LONGEST_PAUSE_MS) >= self.answer.request.deadline
     }
--- a/crates/keeljunction/src/node/request.rs
+++ b/crates/keeljunction/src/node/request.rs
@@ -87,17 +87,17 @@
         succession_key(&self.account, &self.key)
     }
 
-    /// Says whether the request changes nothing and can simply be asked again.
+    /// Returns `true` if the request changes nothing and can simply be asked again.
     pub fn is_safe(&self) -> bool {
         self.class.repeatable && matches!(self.method.as_str(), "GET" | "HEAD" | "OPTIONS")
     }
 
-    /// Says whether a claim must be had before it may be sent.
+    /// Returns `true` if a claim must be had before it may be sent.
     pub fn needs_claim(&self) -> bool {
         !self.class.repeatable && !self.service.deduplicates
     }
 
-    /// Says whether it is for a model engine.
+    /// Returns `true` if it is for a model engine.
     pub fn is_model(&self) -> bool {
         self.service.kind == Kind::Model
     }
--- a/crates/keeljunction/src/node/state.rs
+++ b/crates/keeljunction/src/node/state.rs
@@ -57,7 +57,7 @@
 }
 
 impl Held {
-    /// Says whether the request has ended without its answer, so that asking again begins anew.
+    /// Returns `true` if the request has ended without its answer, so that asking again begins anew.
     pub fn is_spent(&self) -> bool {
         self.record.r#final.as_ref().is_some_and(|ended| ended.outcome != Outcome::Done.as_str())
     }
@@ -186,7 +186,7 @@
         self.urgent.1.recv().await.is_ok()
     }
 
-    /// Says whether a backend server is leaving.
+    /// Returns `true` if a backend server is leaving.
     pub fn is_leaving(&self, server: &str) -> bool {
         runtime::lock(&self.directory).is_leaving(server)
     }
@@ -197,7 +197,7 @@
         members.usable().map(|m| (m.name.clone(), m.data_centre.clone())).collect()
     }
 
-    /// Says whether it is this node's turn to read something of the platform that all nodes want.
+    /// Returns `true` if it is this node's turn to read something of the platform that all nodes want.
     ///
     /// A few nodes read it each time, the others far more seldom: they hear of it from their peers.
     pub fn is_turn_to_read(&self, what: &str, turn: u64) -> bool {
@@ -243,7 +243,7 @@
         self.running.load(Ordering::SeqCst)
     }
 
-    /// Says whether the node is stopping.
+    /// Returns `true` if the node is stopping.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::SeqCst)
     }
@@ -253,7 +253,7 @@
         !self.is_stopping.swap(true, Ordering::SeqCst)
     }
 
-    /// Says whether the node takes nothing new.
+    /// Returns `true` if the node takes nothing new.
     pub fn is_closed(&self) -> bool {
         self.is_closed.load(Ordering::SeqCst)
     }
@@ -263,7 +263,7 @@
         self.is_closed.store(true, Ordering::SeqCst);
     }
 
-    /// Says why the node is not ready; `None` where it is.
+    /// Explains why the node is not ready; `None` where it is.
     pub fn get_unready(&self) -> Option<&'static str> {
         if self.is_stopping() {
             return Some("the node is stopping");
--- a/crates/keeljunction/src/peer/channel.rs
+++ b/crates/keeljunction/src/peer/channel.rs
@@ -57,7 +57,7 @@
         Ok(Self { sender, credential })
     }
 
-    /// Says whether the connection has ended.
+    /// Returns `true` if the connection has ended.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
     }
--- a/crates/keeljunction/src/platform/client.rs
+++ b/crates/keeljunction/src/platform/client.rs
@@ -16,7 +16,7 @@
 
 const MAX_ANSWER: usize = 64 << 20;
 
-/// Says why the platform gave no answer.
+/// Explains why the platform gave no answer.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Fault {
     /// The call cannot have had an effect.
@@ -42,7 +42,7 @@
     /// Makes a client; it connects when it is first used.
     pub fn new(settings: settings::Platform, http: http::Client) -> Self {
         let clock = Clock::new();
-        let bucket = Mutex::new(Bucket::new(clock.now(), settings.calls_per_second));
+        let bucket = Mutex::new(Bucket::full(clock.now(), settings.calls_per_second));
         Self { http, settings, bucket, clock }
     }
 
