--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -155,7 +155,8 @@
         if let Some((account, units)) = &self.quota
             && !reason.may_have_run()
         {
-            node.with(|state| state.quotas.refund(account, *units));
+            let now = node.now();
+            node.with(|state| state.quotas.refund(now, account, *units));
         }
     }
 }
