--- a/crates/core/src/serving/quota/decision.rs
+++ b/crates/core/src/serving/quota/decision.rs
@@ -90,7 +90,7 @@
             return false;
         }
         self.restart_local_share(now, account);
-        self.admit(now, account, units);
+        self.admit(account, units);
         true
     }
 
@@ -112,46 +112,16 @@
         // Estimates of what others use between their reports are left out: near the limit others
         // use what this node admits, and one large prompt would count as a rate.
         let level = self.whole.get(account).map_or(0.0, |bucket| bucket.available);
-        let headroom = self.get_headroom(limit, reach);
-        let beyond = self.get_beyond_window(now, account, units, limit, reach);
-        if level + headroom >= LEAST_LEFT || beyond <= 0.0 {
-            self.admit(now, account, units);
+        let left = level + self.get_headroom(limit, reach);
+        if left >= LEAST_LEFT {
+            self.admit(account, units);
             return Decision::Admitted;
         }
         let rate = limit.rate_per_second * reach.get_fraction();
-        let refilled_in = (LEAST_LEFT - level - headroom) / rate * 1_000.0;
-        let length = self.tolerance.get_window();
-        let left_in = self.windows.get(account).map(|window| window.get_wait(now, length, beyond));
-        let fits_in = left_in.map_or(refilled_in, |left_in| refilled_in.min(left_in as f64));
-        let retry_after = self.book(now, account, fits_in, units, rate);
+        let retry_after = self.book(now, account, LEAST_LEFT - left, units, rate);
         Decision::Refused { retry_after }
     }
 
-    /// Returns the units by which a request exceeds what may be used in a window; endless where this
-    /// node has not counted for a whole window.
-    ///
-    /// A client account that used little before may so use more at once than its burst. Whatever
-    /// the bucket or the window admits keeps each window within its bound: the bucket pays back what
-    /// the window admitted before it admits again.
-    fn get_beyond_window(
-        &mut self,
-        now: Millis,
-        account: &str,
-        units: u64,
-        limit: Limit,
-        reach: Reach,
-    ) -> f64 {
-        let length = self.tolerance.get_window();
-        if length == 0 || now < self.started_at + length {
-            return f64::INFINITY;
-        }
-        let window = self.windows.entry(account.to_owned()).or_default();
-        window.expire(now, length);
-        let used = window.get_sum();
-        let most = self.tolerance.get_most(limit) * reach.get_fraction();
-        used + units as f64 - most - self.get_headroom(limit, reach)
-    }
-
     /// Returns the units by which an owner lets the bucket fall below zero.
     fn get_headroom(&self, limit: Limit, reach: Reach) -> f64 {
         let part = HEADROOM_PART - get_raised_part(reach);
@@ -186,13 +156,6 @@
         if reach.all == 1 {
             return Err(get_wait(LEAST_LEFT - left, rate));
         }
-        // What the owner admitted at once leaves nothing for local shares until it is paid back or
-        // has left the window.
-        let is_spent = left + self.get_headroom(limit, reach) < LEAST_LEFT;
-        let beyond_window = self.get_beyond_window(now, account, units, limit, reach);
-        if is_spent && beyond_window.is_finite() && beyond_window > 0.0 {
-            return Err(get_wait(LEAST_LEFT - left, rate));
-        }
         let beyond = (-left / limit.get_capacity()).max(0.0);
         let admitted = (SHARE_ADMITTED - PAY_BACK_PART * beyond).max(LEAST_SHARE_ADMITTED);
         let share_rate = admitted * rate * self.get_share(now, account, reach);
@@ -207,12 +170,12 @@
             return Err(get_wait(LEAST_LEFT - bucket.available, share_rate));
         }
         bucket.available -= units as f64;
-        self.admit(now, account, units);
+        self.admit(account, units);
         Ok(())
     }
 
-    /// Books units for a caller that is refused, behind those that were refused before it, given in
-    /// how many milliseconds the request would fit alone; returns in how many it fits.
+    /// Books units for a caller that is refused, behind those that were refused before it; returns
+    /// when they are there.
     fn book(&mut self, now: Millis, account: &str, lacking: f64, units: u64, rate: f64) -> Millis {
         let now = now as f64;
         let fits_at = now + lacking / rate * 1_000.0;
--- a/crates/core/src/serving/quota/limit.rs
+++ b/crates/core/src/serving/quota/limit.rs
@@ -42,19 +42,10 @@
         }
     }
 
-    /// Returns the length of the window, in milliseconds.
-    pub(super) fn get_window(self) -> Millis {
-        (self.window_seconds * 1_000.0) as Millis
-    }
-
-    /// Returns the units that a limit allows in a window.
-    pub(super) fn get_most(self, limit: Limit) -> f64 {
-        limit.rate_per_second * self.window_seconds + limit.burst
-    }
-
     /// Returns the units that may be used in a window beyond a limit.
     pub(super) fn get_excess(self, limit: Limit) -> f64 {
-        self.get_most(limit) * self.overshoot + self.slack
+        let window = limit.rate_per_second * self.window_seconds + limit.burst;
+        window * self.overshoot + self.slack
     }
 }
 
--- a/crates/core/src/serving/quota/mod.rs
+++ b/crates/core/src/serving/quota/mod.rs
@@ -22,7 +22,6 @@
 mod decision;
 mod limit;
 mod report;
-mod window;
 
 use std::collections::BTreeMap;
 
@@ -31,7 +30,6 @@
 pub use self::report::{Report, Source, Units};
 
 use self::report::{RATE_VALID_FOR, Rates};
-use self::window::Window;
 use crate::Millis;
 use crate::rate::Bucket;
 
@@ -65,8 +63,6 @@
     started_at: Millis,
     tolerance: Tolerance,
     whole: BTreeMap<String, Bucket>,
-    /// What all nodes used lately.
-    windows: BTreeMap<String, Window>,
     local_share: BTreeMap<String, Bucket>,
     /// Until when units are booked for callers that were told to retry, by client account.
     booked_until: BTreeMap<String, f64>,
@@ -88,7 +84,6 @@
             started_at: now,
             tolerance,
             whole: BTreeMap::new(),
-            windows: BTreeMap::new(),
             local_share: BTreeMap::new(),
             booked_until: BTreeMap::new(),
             own: Report::default(),
@@ -101,8 +96,7 @@
     }
 
     /// Refunds the units of a request that did not run.
-    pub fn refund(&mut self, now: Millis, account: &str, units: u64) {
-        self.note_window(now, account, -(units as i64));
+    pub fn refund(&mut self, account: &str, units: u64) {
         if let Some(bucket) = self.whole.get_mut(account) {
             bucket.available += units as f64;
         }
@@ -251,7 +245,6 @@
             if let Some(sums) = sums {
                 *sums.entry(account.clone()).or_default() += admitted;
             }
-            self.note_window(now, &account, admitted);
             if let Some(bucket) = self.whole.get_mut(&account) {
                 bucket.refill(now);
                 bucket.available -= admitted as f64;
@@ -303,15 +296,7 @@
         }
     }
 
-    fn note_window(&mut self, now: Millis, account: &str, units: i64) {
-        let length = self.tolerance.get_window();
-        let window = self.windows.entry(account.to_owned()).or_default();
-        window.expire(now, length);
-        window.add(now, units);
-    }
-
-    fn admit(&mut self, now: Millis, account: &str, units: u64) {
-        self.note_window(now, account, units as i64);
+    fn admit(&mut self, account: &str, units: u64) {
         if let Some(bucket) = self.whole.get_mut(account) {
             bucket.available -= units as f64;
         }
--- a/crates/core/tests/serving/quota.rs
+++ b/crates/core/tests/serving/quota.rs
@@ -94,7 +94,7 @@
 fn units_of_a_request_that_did_not_run_come_back() {
     let mut quotas = quotas_of_old();
     quotas.consume(11_000, "acme", 300, LIMIT, ALONE).expect("within the limit");
-    quotas.refund(11_000, "acme", 300);
+    quotas.refund("acme", 300);
     assert_eq!(quotas.consume(11_000, "acme", 200, LIMIT, ALONE), Ok(()));
     // 500 units requested for in 11 seconds, of which the first figure counts half.
     let units = Units { requested: 500, admitted: 200, requested_per_second: 22, level: Some(0) };
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -155,8 +155,7 @@
         if let Some((account, units)) = &self.quota
             && !reason.may_have_run()
         {
-            let now = node.now();
-            node.with(|state| state.quotas.refund(now, account, *units));
+            node.with(|state| state.quotas.refund(account, *units));
         }
     }
 }
--- a/crates/gateway/src/node/peers/quota.rs
+++ b/crates/gateway/src/node/peers/quota.rs
@@ -147,7 +147,6 @@
     let waiting = lock(&node.pending_decisions.waiting).remove(&question);
     let is_taken = waiting.is_some_and(|sender| sender.try_send(decision).is_ok());
     if !is_taken && decision == Decision::Admitted {
-        let now = node.now();
-        node.with(|state| state.quotas.refund(now, account, units));
+        node.with(|state| state.quotas.refund(account, units));
     }
 }
