fix(quota): hold the limits of small client accounts

Cause, found by properties that play an account of 36,000 units a second beside the one of 500,000: its prompts are larger than its burst, and the tolerated slack is four seconds of its rate. At five times the limit 42 nodes admitted 511,200 of 496,400 units as they started (without owners, so before them too), and two nodes 502,800 after all ended twice; with owners 531,600 where all ended once, because the owner's headroom came on top of what nodes begin with.

Ruled out: no local admission below what may be unreported (an account at twice its limit got 70 in 100 of it without owners); an even part of the beginning for each node (271 of 915 thousand units within the limit refused after a loss of power).

Change: a request larger than a tenth of the burst is decided by the owner; without one it is admitted where the bucket holds it whole. Nodes that all started again begin with 0.7 of the tolerated overshoot and 0.35 of the slack. An owner has headroom once some node that it hears has run for a window. One test's set-up consumed its whole burst in one request and does so in ten now; its expectations are as before.

Headroom of 0.75 of the excess exceeded limits by 1.3 in 100 in 600 cases: a half stays.

--- a/crates/core/src/serving/quota/decision.rs
+++ b/crates/core/src/serving/quota/decision.rs
@@ -28,6 +28,9 @@
 /// The part of the tolerated excess that is not kept for what nodes admit before others know of it:
 /// the owner lets the bucket fall below zero by it, less what the limit is raised by already.
 const HEADROOM_PART: f64 = 0.5;
+/// The part of the burst above which a request is large: of many nodes each may admit one before
+/// they know of the others', and the prompts of a small client account are longer than its burst.
+const LARGE_PART: f64 = 0.1;
 /// The longest time for which units are booked for callers that retry, in milliseconds: about
 /// the longest deadline of a caller. Beyond that all are told the same time.
 const LONGEST_BOOKING: f64 = 10_000.0;
@@ -86,7 +89,10 @@
         self.own.accounts.entry(account.to_owned()).or_default().requested += units;
         let left = self.refill_whole(now, account, limit, reach);
         let is_overdue = reach.is_grouped && self.is_any_overdue(now);
-        if is_overdue || left < self.get_low(now, account, limit.get_capacity(), reach) {
+        let capacity = limit.get_capacity();
+        let is_low = left < self.get_low(now, account, capacity, reach);
+        let is_large = reach.all > 1 && units as f64 > capacity * LARGE_PART;
+        if is_overdue || is_low || is_large {
             return false;
         }
         self.restart_local_share(now, account);
@@ -112,7 +118,7 @@
         // Estimates of what others use between their reports are left out: near the limit others
         // use what this node admits, and one large prompt would count as a rate.
         let level = self.whole.get(account).map_or(0.0, |bucket| bucket.available);
-        let left = level + self.get_headroom(limit, reach);
+        let left = level + self.get_headroom(now, limit, reach);
         if left >= LEAST_LEFT {
             self.admit(account, units);
             return Decision::Admitted;
@@ -123,7 +129,12 @@
     }
 
     /// Returns the units by which an owner lets the bucket fall below zero.
-    fn get_headroom(&self, limit: Limit, reach: Reach) -> f64 {
+    /// None while all nodes have just started: what they used before is not known then, and they
+    /// begin with a part of the tolerance already.
+    fn get_headroom(&self, now: Millis, limit: Limit, reach: Reach) -> f64 {
+        if !self.is_window_known(now) {
+            return 0.0;
+        }
         let part = HEADROOM_PART - get_raised_part(reach);
         self.tolerance.get_excess(limit) * part * reach.get_fraction()
     }
@@ -156,6 +167,13 @@
         if reach.all == 1 {
             return Err(get_wait(LEAST_LEFT - left, rate));
         }
+        let is_overdue = reach.is_grouped && self.is_any_overdue(now);
+        let low = self.get_low(now, account, limit.get_capacity(), reach);
+        if !is_overdue && left >= units as f64 + low {
+            // A large request that the bucket holds, and whose owner was not reached.
+            self.admit(account, units);
+            return Ok(());
+        }
         let beyond = (-left / limit.get_capacity()).max(0.0);
         let admitted = (SHARE_ADMITTED - PAY_BACK_PART * beyond).max(LEAST_SHARE_ADMITTED);
         let share_rate = admitted * rate * self.get_share(now, account, reach);
--- a/crates/core/src/serving/quota/limit.rs
+++ b/crates/core/src/serving/quota/limit.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Returns the length of the window, in milliseconds.
+    pub(super) fn get_window(self) -> Millis {
+        (self.window_seconds * 1_000.0) as Millis
+    }
+
     /// Returns the units that may be used in a window beyond a limit.
     pub(super) fn get_excess(self, limit: Limit) -> f64 {
         let window = limit.rate_per_second * self.window_seconds + limit.burst;
--- a/crates/core/src/serving/quota/mod.rs
+++ b/crates/core/src/serving/quota/mod.rs
@@ -53,9 +53,11 @@
 /// The age of the last report of a group at which it is overdue: after some periods, until it has
 /// been charged for and is counted as out of reach for long.
 const OVERDUE: std::ops::Range<Millis> = 700..5_000;
-/// The part of the tolerated excess with which nodes begin that all started again. The rest covers
-/// what they admit before their reports arrive.
-const FRESH_PART: f64 = 0.7;
+/// The parts of the tolerated overshoot and slack with which nodes begin that all started again. The
+/// rest covers what they admit before their reports arrive, and further starts of all within a
+/// window: the slack of a small client account is several seconds of its rate.
+const FRESH_OVERSHOOT_PART: f64 = 0.7;
+const FRESH_SLACK_PART: f64 = 0.35;
 
 /// The use of all client accounts, as one node knows it.
 #[derive(Clone, Debug)]
@@ -222,6 +224,7 @@
         if is_first {
             rates.reported_at = now.saturating_sub(RATE_VALID_FOR);
             rates.is_older = report.age > own_age;
+            rates.started_at = now.saturating_sub(report.age);
         }
         // What was admitted long ago must not look like use of now.
         let is_counted_elsewhere = match source {
@@ -337,7 +340,9 @@
 
     /// Returns the units with which all nodes together begin where all of them started again.
     fn get_fresh(&self, limit: Limit) -> f64 {
-        (self.tolerance.get_excess(limit) * FRESH_PART).min(limit.get_capacity())
+        let overshoot = self.tolerance.get_excess(limit) - self.tolerance.slack;
+        let fresh = overshoot * FRESH_OVERSHOOT_PART + self.tolerance.slack * FRESH_SLACK_PART;
+        fresh.min(limit.get_capacity())
     }
 
     /// Makes the bucket of a client account that was not requested of this node before.
@@ -386,6 +391,14 @@
         self.own_rates.get_requested(now, account, Source::Peer) + peers
     }
 
+    /// Returns `true` if this node, or one that it hears, has run for a whole window: some node then
+    /// knows what all of them used in it.
+    fn is_window_known(&self, now: Millis) -> bool {
+        let length = self.tolerance.get_window();
+        let started = self.peers.values().map(|peer| peer.started_at).min();
+        now >= started.unwrap_or(Millis::MAX).min(self.started_at).saturating_add(length)
+    }
+
     /// Returns this node's share of what the client account requests of all nodes that are heard.
     ///
     /// While this node is new its peers may be too, and may not have reported yet what is requested
--- a/crates/core/src/serving/quota/report.rs
+++ b/crates/core/src/serving/quota/report.rs
@@ -66,6 +66,8 @@
     pub reported_at: Millis,
     /// Whether the incarnation began before this node's.
     pub is_older: bool,
+    /// When its process started, on this node's clock.
+    pub started_at: Millis,
     last: BTreeMap<String, Units>,
     admitted: BTreeMap<String, f64>,
     /// The same, smoothed over the latest reports.
--- a/crates/core/tests/serving/groups.rs
+++ b/crates/core/tests/serving/groups.rs
@@ -13,6 +13,9 @@
 use crate::owner::follow;
 
 const LIMIT: Limit = Limit { rate_per_second: 500_000.0, burst: 500_000.0 };
+/// An account of which most nodes get less than one request a second: a local share of its rate is
+/// less than a fiftieth of one prompt, and the tolerated slack is several seconds of it.
+const SMALL: Limit = Limit { rate_per_second: 36_000.0, burst: 36_000.0 };
 const TOLERANCE: Tolerance = Tolerance { window_seconds: 8.0, overshoot: 0.1, slack: 140_000.0 };
 const PERIOD: u64 = 200;
 const STEP: u64 = 20;
@@ -324,8 +327,10 @@
     sent
 }
 
-/// (8 + 1) * 500,000 * 1.1 + 140,000.
-const ALLOWED: u64 = 5_090_000;
+/// Returns the most units that the operator tolerates in a window.
+fn get_allowed(limit: Limit) -> u64 {
+    ((limit.rate_per_second * 8.0 + limit.burst) * 1.1 + 140_000.0) as u64
+}
 
 fn get_most(admitted: &[(u64, u64)]) -> u64 {
     let (mut most, mut sum, mut first) = (0, 0, 0);
@@ -344,23 +349,23 @@
     let ends = prop::collection::vec((100u64..1_000, 0..GROUPS, 20u64..200), 0..3);
     let surge_at = prop_oneof![Just(0u64), Just(9_000)];
     let network = (0.0f64..0.2, 1u64..150);
-    (0.5f64..6.0, surge_at, network, ends, any::<bool>(), any::<u64>()).prop_map(
-        |(pressure, surge_at, (lost, late), ends, is_owner_asked, seed)| {
+    let limit = prop_oneof![Just(LIMIT), Just(SMALL)];
+    (limit, 0.5f64..6.0, surge_at, network, ends, any::<bool>(), any::<u64>()).prop_map(
+        |(limit, pressure, surge_at, (lost, late), ends, is_owner_asked, seed)| {
             let steps = |(at, who, away): (u64, usize, u64)| (at * STEP, who, away * STEP);
             let ends = ends.into_iter().map(steps).collect();
-            let limit = LIMIT;
             Scenario { limit, pressure, surge_at, lost, late, ends, is_owner_asked, seed }
         },
     )
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
 
     #[test]
     fn no_window_exceeds_the_limit_and_what_is_tolerated(scenario in scenario()) {
-        let most = get_most(&scenario.play().admitted);
-        prop_assert!(most <= ALLOWED, "{most} of {ALLOWED}");
+        let (most, allowed) = (get_most(&scenario.play().admitted), get_allowed(scenario.limit));
+        prop_assert!(most <= allowed, "{most} of {allowed}");
     }
 
     /// Where no aggregator ends, each request is counted, however reports are lost and late; twice
@@ -398,7 +403,8 @@
             let calm = calm(6.0, is_owner_asked, seed);
             let scenario = Scenario { surge_at: 9_000, late: 5, ..calm };
             let most = get_most(&scenario.play().admitted);
-            assert!(most <= ALLOWED, "{most} of {ALLOWED} with seed {seed}, {is_owner_asked}");
+            let allowed = get_allowed(LIMIT);
+            assert!(most <= allowed, "{most} of {allowed} with seed {seed}, {is_owner_asked}");
         }
     }
 }
@@ -434,7 +440,8 @@
             let ends = vec![(9_000, OWNERS[0], away), (10_500, OWNERS[1], away)];
             let scenario = Scenario { ends, ..calm(6.0, true, seed) };
             let most = get_most(&scenario.play().admitted);
-            assert!(most <= ALLOWED, "{most} of {ALLOWED} with seed {seed}, away for {away}");
+            let allowed = get_allowed(LIMIT);
+            assert!(most <= allowed, "{most} of {allowed} with seed {seed}, away for {away}");
         }
     }
 }
@@ -458,9 +465,6 @@
 }
 
 const SEEDS: u64 = 48;
-/// The account that most nodes get less than one request a second of: a local share of its rate
-/// is less than a fiftieth of one prompt.
-const SMALL: Limit = Limit { rate_per_second: 36_000.0, burst: 36_000.0 };
 
 #[test]
 fn nodes_that_ask_the_owner_refuse_no_more_than_one_bucket_would() {
--- a/crates/core/tests/serving/quota.rs
+++ b/crates/core/tests/serving/quota.rs
@@ -106,7 +106,9 @@
 fn a_part_is_set_aside_for_nodes_that_are_not_heard() {
     let mut quotas = quotas_of_old();
     let cut = Reach { heard: 1, all: 4, period: 200, is_grouped: false };
-    quotas.consume(11_000, "acme", 200, LIMIT, cut).expect("within the limit");
+    for _ in 0..10 {
+        quotas.consume(11_000, "acme", 20, LIMIT, cut).expect("within the limit");
+    }
     // A quarter of the rate is this node's.
     quotas.consume(11_000, "acme", 1, LIMIT, cut).expect_err("nothing is left");
     quotas.consume(12_000, "acme", 25, LIMIT, cut).expect("a second's part");
--- a/crates/core/tests/serving/quota_cluster.rs
+++ b/crates/core/tests/serving/quota_cluster.rs
@@ -9,6 +9,9 @@
 use crate::owner::follow;
 
 const LIMIT: Limit = Limit { rate_per_second: 500_000.0, burst: 500_000.0 };
+/// An account of which most nodes get less than one request a second: the tolerated slack is several
+/// seconds of its rate.
+const SMALL: Limit = Limit { rate_per_second: 36_000.0, burst: 36_000.0 };
 const TOLERANCE: Tolerance = Tolerance { window_seconds: 8.0, overshoot: 0.1, slack: 140_000.0 };
 const PERIOD: u64 = 200;
 /// A peer that was heard within this time counts as heard.
@@ -22,6 +25,7 @@
 /// What happens to a cluster.
 #[derive(Clone, Debug)]
 struct Scenario {
+    limit: Limit,
     nodes: usize,
     /// How many times the rate is requested.
     pressure: f64,
@@ -91,7 +95,7 @@
                     *node = Node::start(now + self.down, node.incarnation + 1);
                 }
             }
-            owed += self.pressure * LIMIT.rate_per_second * STEP as f64 / 1_000.0 / MEAN_SIZE;
+            owed += self.pressure * self.limit.rate_per_second * STEP as f64 / 1_000.0 / MEAN_SIZE;
             while owed >= 1.0 {
                 owed -= 1.0;
                 let size = SIZES[random.usize(..SIZES.len())];
@@ -124,9 +128,9 @@
         let node = &mut nodes[number];
         let reach = node.get_reach(now, self.nodes);
         if !self.is_owner_asked {
-            return node.quotas.consume(now, "acme", size, LIMIT, reach).is_ok();
+            return node.quotas.consume(now, "acme", size, self.limit, reach).is_ok();
         }
-        if node.quotas.consume_if_filled(now, "acme", size, LIMIT, reach) {
+        if node.quotas.consume_if_filled(now, "acme", size, self.limit, reach) {
             return true;
         }
         let owner = node.get_owner(now, number);
@@ -138,13 +142,13 @@
         let mut decision = Decision::Undecided;
         if is_reached && asked.get_owner(now, owner) == owner {
             let reach = asked.get_reach(now, self.nodes);
-            decision = asked.quotas.decide(now, "acme", size, LIMIT, reach);
+            decision = asked.quotas.decide(now, "acme", size, self.limit, reach);
         }
         if is_answered_in_vain {
             decision = Decision::Undecided;
         }
         let quotas = &mut nodes[number].quotas;
-        follow(quotas, decision, now, size, LIMIT, reach)
+        follow(quotas, decision, now, size, self.limit, reach)
     }
 
     fn send_report(&self, nodes: &mut [Node], from: usize, now: u64, random: &mut fastrand::Rng) {
@@ -179,8 +183,10 @@
     }
 }
 
-/// (8 + 1) * 500,000 * 1.1 + 140,000.
-const ALLOWED: u64 = 5_090_000;
+/// Returns the most units that the operator tolerates in a window.
+fn get_allowed(limit: Limit) -> u64 {
+    ((limit.rate_per_second * 8.0 + limit.burst) * 1.1 + 140_000.0) as u64
+}
 
 fn scenario() -> impl Strategy<Value = Scenario> {
     let time = (400u64..2_000).prop_map(|at| at * STEP);
@@ -190,19 +196,37 @@
     let down = (50u64..300).prop_map(|down| down * STEP);
     let nodes = (2usize..8, 0.5f64..6.0);
     let faults = (all_end, one_ends, down, cuts, 0.0f64..0.2);
-    (nodes, faults, any::<bool>(), any::<u64>()).prop_map(
-        |((nodes, pressure), (all_end, one_ends, down, cuts, lost), is_owner_asked, seed)| {
-            Scenario { nodes, pressure, all_end, one_ends, down, cuts, lost, is_owner_asked, seed }
+    let limit = prop_oneof![Just(LIMIT), Just(SMALL)];
+    (limit, nodes, faults, any::<bool>(), any::<u64>()).prop_map(
+        |(
+            limit,
+            (nodes, pressure),
+            (all_end, one_ends, down, cuts, lost),
+            is_owner_asked,
+            seed,
+        )| {
+            Scenario {
+                limit,
+                nodes,
+                pressure,
+                all_end,
+                one_ends,
+                down,
+                cuts,
+                lost,
+                is_owner_asked,
+                seed,
+            }
         },
     )
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 96, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 128, ..ProptestConfig::default() })]
 
     #[test]
     fn no_window_exceeds_the_limit_and_what_is_tolerated(scenario in scenario()) {
-        let most = scenario.get_most();
-        prop_assert!(most <= ALLOWED, "{most} of {ALLOWED}");
+        let (most, allowed) = (scenario.get_most(), get_allowed(scenario.limit));
+        prop_assert!(most <= allowed, "{most} of {allowed}");
     }
 }
