--- a/crates/core/src/serving/rollout/book.rs
+++ b/crates/core/src/serving/rollout/book.rs
@@ -45,6 +45,25 @@
     pub in_flight: u32,
 }
 
+/// What a node tells operators of a roll-out.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// What was ordered.
+    pub order: Order,
+    /// How far it has come, as the node knows.
+    pub stage: Stage,
+    /// Milliseconds since the holder of the duties was known to hold to that.
+    pub confirmed_ms: Option<Millis>,
+    /// Requests that the node sent to the service since it learned of the order.
+    pub sent: u64,
+    /// Those of them that went to the new version.
+    pub sent_to_target: u64,
+    /// Answers of the new version, over all nodes that the node hears of.
+    pub answers: u64,
+    /// Those of them that failed.
+    pub failed: u64,
+}
+
 /// A roll-out, as one node knows it.
 #[derive(Clone, Debug)]
 struct Rollout {
@@ -153,6 +172,23 @@
         self.rollouts.values().map(|rollout| (rollout.order.clone(), rollout.stage)).collect()
     }
 
+    /// Lists what operators are told.
+    pub fn list_summaries(&self, now: Millis) -> Vec<Summary> {
+        let summarize = |rollout: &Rollout| {
+            let tallies = rollout.sum(0, &[&rollout.members, &rollout.peers]).tallies;
+            Summary {
+                order: rollout.order.clone(),
+                stage: rollout.stage,
+                confirmed_ms: rollout.confirmed_at.map(|at| now.saturating_sub(at)),
+                sent: rollout.exposure.get_sent(),
+                sent_to_target: rollout.exposure.get_sent_to_target(),
+                answers: tallies.count_target(),
+                failed: tallies.count_failed(),
+            }
+        };
+        self.rollouts.values().map(summarize).collect()
+    }
+
     /// Returns `true` if a server has the version that a roll-out moves to.
     pub fn is_target(&self, server: &Server) -> bool {
         let rollout = self.rollouts.get(&server.service);
--- a/crates/core/src/serving/rollout/exposure.rs
+++ b/crates/core/src/serving/rollout/exposure.rs
@@ -32,6 +32,16 @@
         self.sent_to_target += u64::from(is_target);
     }
 
+    /// Returns the requests to all versions.
+    pub fn get_sent(&self) -> u64 {
+        self.sent
+    }
+
+    /// Returns those to the new version.
+    pub fn get_sent_to_target(&self) -> u64 {
+        self.sent_to_target
+    }
+
     /// Returns `true` if one more request keeps the new version within what is tolerated.
     pub fn has_room(&self, tolerance: &Tolerance) -> bool {
         let slack = tolerance.slack * SLACK_PART / tolerance.nodes.max(1) as f64;
--- a/crates/core/src/serving/rollout/tally.rs
+++ b/crates/core/src/serving/rollout/tally.rs
@@ -201,6 +201,11 @@
         self.0.iter()
     }
 
+    /// Counts the failures of the new version, in all phases.
+    pub fn count_failed(&self) -> u64 {
+        self.0.values().map(|pair| pair.target.failed).sum()
+    }
+
     /// Counts the answers of the new version: each answer once, with its first token.
     pub fn count_target(&self) -> u64 {
         let first = self.0.iter().filter(|(series, _)| series.phase == Phase::FirstToken);
--- a/crates/gateway/src/node/listeners.rs
+++ b/crates/gateway/src/node/listeners.rs
@@ -9,6 +9,8 @@
 use crate::http::Body;
 
 const READINESS_PATH: &str = "/ready";
+/// Where operators ask for the roll-outs, beside the metrics.
+pub const ROLLOUTS_PATH: &str = "/rollouts";
 
 /// Answers whether the node should get new connections.
 pub(super) async fn readiness(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
@@ -21,12 +23,27 @@
     reply(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
 }
 
-/// Serves the metrics as text.
-pub(super) async fn metrics(node: Arc<Node>, _request: Request<Incoming>) -> Response<Body> {
+/// Serves the metrics as text, and the roll-outs as JSON.
+pub(super) async fn metrics(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+    if request.uri().path() == ROLLOUTS_PATH {
+        return rollouts(&node);
+    }
     let text = node.metrics.render(&node);
     reply(StatusCode::OK, text)
 }
 
+fn rollouts(node: &Node) -> Response<Body> {
+    let now = node.now();
+    let summaries = node.with(|state| state.rollouts.list_summaries(now));
+    match serde_json::to_string(&summaries) {
+        Ok(text) => reply(StatusCode::OK, text),
+        Err(error) => {
+            log::error!("the roll-outs cannot be written: {error}");
+            reply(StatusCode::INTERNAL_SERVER_ERROR, "")
+        }
+    }
+}
+
 fn reply(status: StatusCode, text: impl Into<String>) -> Response<Body> {
     let mut response = Response::new(Body::from(text.into()));
     *response.status_mut() = status;
--- a/crates/keeljunction/src/command/mod.rs
+++ b/crates/keeljunction/src/command/mod.rs
@@ -6,6 +6,7 @@
 mod platform;
 mod report;
 mod roll;
+mod rollout;
 mod serve;
 mod settings;
 mod status;
@@ -36,6 +37,7 @@
         .subcommand(bundle::build())
         .subcommand(status::build())
         .subcommand(audit::build())
+        .subcommand(rollout::build())
         .subcommand(trace::build())
 }
 
@@ -48,6 +50,7 @@
         Some(("bundle", matches)) => bundle::run(matches),
         Some(("status", matches)) => status::run(matches),
         Some(("audit", matches)) => audit::run(matches),
+        Some(("rollout", matches)) => rollout::run(matches),
         Some(("trace", matches)) => trace::run(matches),
         _ => Ok(()),
     };
