fix(rollout): watch a version under its whole load before the others go

Change: all requests go to the new version for 0.12 of the ordered time at the least before the roll-out completes.

--- a/crates/core/src/serving/rollout/progress.rs
+++ b/crates/core/src/serving/rollout/progress.rs
@@ -14,6 +14,9 @@
 const RAMP_PART: f64 = 0.68;
 /// The part of it after which the roll-out completes although requests run on other versions.
 const FORCED_PART: f64 = 0.85;
+/// The part of it for which the version gets all requests at the least before the others go: where
+/// requests are few, one in ten versions that turned bad was found only by then (`rollout_trials`).
+const LEAST_SHIFT_PART: f64 = 0.12;
 /// The fewest answers of the new version on which it is taken for good: of versions whose answers
 /// are bad one time in ten, one in 25 shows none among them; of those at three in ten, one in 40,000.
 /// More cannot be had within the tolerated share of a service with few requests.
@@ -78,6 +81,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Progress {
     judge: Judge,
+    /// The time since the order at which this holder first saw all requests go to the new version.
+    shifted_at: Option<Millis>,
 }
 
 impl Progress {
@@ -121,7 +126,10 @@
         if let Some(fault) = self.judge.weigh(snapshot.tallies) {
             return Next::RollBack(fault);
         }
-        if snapshot.in_flight == 0 || snapshot.is_past(FORCED_PART) {
+        let shifted_at = *self.shifted_at.get_or_insert(snapshot.elapsed);
+        let least = (snapshot.duration as f64 * LEAST_SHIFT_PART) as Millis;
+        let is_watched = snapshot.elapsed >= shifted_at + least;
+        if (is_watched && snapshot.in_flight == 0) || snapshot.is_past(FORCED_PART) {
             return Next::Complete { cut: snapshot.in_flight };
         }
         Next::Wait
--- a/crates/core/tests/serving/rollout.rs
+++ b/crates/core/tests/serving/rollout.rs
@@ -173,10 +173,13 @@
     assert_eq!(step(&mut progress, Stage::Canary, 6_610), Next::Ramp);
     assert_eq!(step(&mut progress, Stage::Ramp, 8_150), Next::Wait);
     assert_eq!(step(&mut progress, Stage::Ramp, 8_170), Next::Shift);
-    assert_eq!(step(&mut progress, Stage::Shifting, 8_000), Next::Wait);
+    assert_eq!(step(&mut progress, Stage::Shifting, 8_200), Next::Wait);
+    let drained =
+        |elapsed| Snapshot { in_flight: 0, ..snapshot(Stage::Shifting, elapsed, &tallies) };
+    // A version that is bad under its whole load must have the time to show.
+    assert_eq!(progress.step(&drained(9_600)), Next::Wait);
+    assert_eq!(progress.step(&drained(9_640)), Next::Complete { cut: 0 });
     assert_eq!(step(&mut progress, Stage::Shifting, 10_200), Next::Complete { cut: 3 });
-    let drained = Snapshot { in_flight: 0, ..snapshot(Stage::Shifting, 8_000, &tallies) };
-    assert_eq!(progress.step(&drained), Next::Complete { cut: 0 });
     assert_eq!(step(&mut progress, Stage::Completed, 12_000), Next::Wait);
 }
 
