refactor(core): bucket instead of rate; announce and publish instead of tell

The token bucket serves calls and limits, so that its module is named for it. Roll-outs are announced to nodes and their status is published, in the field's words. No behaviour changes: names and comments only.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,7 +17,7 @@
 //! | [`attempt`] | what to do after an attempt has ended |
 //! | [`takeover`], [`record`] | how to go on with a request whose node is gone |
 //! | [`retry`] | whether another try is allowed |
-//! | [`rate`] | how much may be used in a second |
+//! | [`bucket`] | how much may be used in a second |
 //! | [`claim`] | whether a request that must not be repeated may run |
 //! | [`lease`] | whether a holder may still act |
 //! | [`drain`] | what becomes of the streams on a VM that is going away |
@@ -25,6 +25,7 @@
 //! | [`serving`] | all of the above for relayed exchanges, whose bodies are opaque |
 
 pub mod attempt;
+pub mod bucket;
 pub mod bundle;
 pub mod claim;
 pub mod directory;
@@ -34,7 +35,7 @@
 pub mod lease;
 pub mod member;
 pub mod outcome;
-pub mod rate;
+
 pub mod record;
 pub mod retry;
 pub mod route;
--- a/crates/core/src/serving/quota/decision.rs
+++ b/crates/core/src/serving/quota/decision.rs
@@ -13,7 +13,7 @@
 use super::limit::{Limit, Reach};
 use super::{LEAST_LEFT, Quotas, get_raised_part};
 use crate::Millis;
-use crate::rate::Bucket;
+use crate::bucket::Bucket;
 
 /// The part of the local share that is admitted, less what pays back what was admitted beyond the
 /// limit.
@@ -32,7 +32,7 @@
 /// they know of the others', and the prompts of a small client account are longer than its burst.
 const LARGE_PART: f64 = 0.1;
 /// The longest time for which units are booked for callers that retry, in milliseconds: about
-/// the longest deadline of a caller. Beyond that all are told the same time.
+/// the longest deadline of a caller. Beyond that all get the same `Retry-After`.
 const LONGEST_BOOKING: f64 = 10_000.0;
 
 /// What an owner decides about a request of a client account.
--- a/crates/core/src/serving/quota/mod.rs
+++ b/crates/core/src/serving/quota/mod.rs
@@ -31,7 +31,7 @@
 
 use self::report::{RATE_VALID_FOR, Rates};
 use crate::Millis;
-use crate::rate::Bucket;
+use crate::bucket::Bucket;
 
 /// What must be left for a request to be admitted, in units.
 const LEAST_LEFT: f64 = 1.0;
@@ -66,7 +66,7 @@
     tolerance: Tolerance,
     whole: BTreeMap<String, Bucket>,
     local_share: BTreeMap<String, Bucket>,
-    /// Until when units are booked for callers that were told to retry, by client account.
+    /// Until when units are booked for refused callers, by client account.
     booked_until: BTreeMap<String, f64>,
     own: Report,
     /// When this node began to count its own units from none.
@@ -108,7 +108,7 @@
     }
 
     /// Keeps the bucket of a client account also where none of its requests came to this node, so
-    /// that others can be told its level.
+    /// that its level can be reported to others.
     pub fn track(&mut self, now: Millis, account: &str, limit: Limit, reach: Reach) {
         if limit.rate_per_second > 0.0 && !self.whole.contains_key(account) {
             let limit = self.tolerance.raise(limit, get_raised_part(reach));
--- a/crates/core/src/serving/rollout/book.rs
+++ b/crates/core/src/serving/rollout/book.rs
@@ -45,7 +45,7 @@
     pub in_flight: u32,
 }
 
-/// What a node tells operators of a roll-out.
+/// What operators see of a roll-out at one node.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
     /// What was ordered.
@@ -130,18 +130,22 @@
         true
     }
 
-    /// Takes what another node tells; returns the stage where it has advanced.
-    pub fn merge_announcement(&mut self, now: Millis, told: &Announcement) -> Option<Stage> {
-        self.take_order(told.order.clone());
-        let rollout = self.rollouts.get_mut(&told.order.service)?;
-        if rollout.order.number != told.order.number || told.stage < rollout.stage {
+    /// Merges what another node announces; returns the stage where it has advanced.
+    pub fn merge_announcement(
+        &mut self,
+        now: Millis,
+        announcement: &Announcement,
+    ) -> Option<Stage> {
+        self.take_order(announcement.order.clone());
+        let rollout = self.rollouts.get_mut(&announcement.order.service)?;
+        if rollout.order.number != announcement.order.number || announcement.stage < rollout.stage {
             return None;
         }
-        let confirmed_at = told.age.and_then(|age| now.checked_sub(age));
-        if told.stage > rollout.stage {
-            rollout.stage = told.stage;
+        let confirmed_at = announcement.age.and_then(|age| now.checked_sub(age));
+        if announcement.stage > rollout.stage {
+            rollout.stage = announcement.stage;
             rollout.confirmed_at = confirmed_at;
-            return Some(told.stage);
+            return Some(announcement.stage);
         }
         rollout.confirmed_at = rollout.confirmed_at.max(confirmed_at);
         None
@@ -157,7 +161,7 @@
         rollout.confirmed_at = Some(now);
     }
 
-    /// Lists what other nodes are told.
+    /// Lists what is announced to other nodes.
     pub fn list_announcements(&self, now: Millis) -> Vec<Announcement> {
         let announce = |rollout: &Rollout| Announcement {
             order: rollout.order.clone(),
@@ -172,7 +176,7 @@
         self.rollouts.values().map(|rollout| (rollout.order.clone(), rollout.stage)).collect()
     }
 
-    /// Lists what operators are told.
+    /// Lists what operators see.
     pub fn list_summaries(&self, now: Millis) -> Vec<Summary> {
         let summarize = |rollout: &Rollout| {
             let tallies = rollout.sum(0, &[&rollout.members, &rollout.peers]).tallies;
--- a/crates/core/src/serving/rollout/judge.rs
+++ b/crates/core/src/serving/rollout/judge.rs
@@ -6,7 +6,7 @@
 //! always was, because good answers of the past do not count in its favour.
 //!
 //! Failures and latencies have a test each. Latencies differ by more than ten times within a route,
-//! so that no single bound tells slow answers from large requests: how often each range of latencies
+//! so that no single bound separates slow answers from large requests: how often each range of latencies
 //! is expected, of a good version and of one whose answers in part take several times as long,
 //! follows from the other versions' latencies on the same route.
 
@@ -35,7 +35,7 @@
 const SLOW_PART: f64 = 0.3;
 /// The least frequency that is assumed of a range of latencies: rare ones must not decide alone.
 const LEAST_FREQUENCY: f64 = 0.01;
-/// Answers of other versions before slow ones can be told.
+/// The fewest answers of other versions with which latencies are compared.
 const LEAST_COMPARED: u64 = 50;
 /// The largest rate of failures that is expected of a good version.
 const MOST_EXPECTED: f64 = 0.6;
--- a/crates/core/src/serving/rollout/order.rs
+++ b/crates/core/src/serving/rollout/order.rs
@@ -39,7 +39,7 @@
 }
 
 impl Stage {
-    /// Returns `true` if there is a verdict that the operator was told or will be.
+    /// Returns `true` if there is a verdict.
     pub fn is_final(self) -> bool {
         matches!(self, Self::RolledBack | Self::Completed)
     }
@@ -57,7 +57,7 @@
     }
 }
 
-/// A roll-out as nodes tell each other.
+/// A roll-out as nodes announce it to each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
     /// What was ordered.
@@ -69,7 +69,7 @@
     pub age: Option<Millis>,
 }
 
-/// What the operator is told of a roll-out.
+/// The status of a roll-out that the operator reads.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Status {
     /// The service.
--- a/crates/core/src/serving/rollout/tally.rs
+++ b/crates/core/src/serving/rollout/tally.rs
@@ -7,7 +7,7 @@
 
 use crate::Millis;
 
-/// The longest latency that is told apart, in milliseconds.
+/// The longest latency that is recorded as it is, in milliseconds.
 const LONGEST: u64 = 60_000;
 /// Significant digits of latencies: a version counts as slow from about half as much again.
 const DIGITS: u8 = 1;
--- a/crates/core/tests/core/rate.rs
+++ b/crates/core/tests/core/bucket.rs
@@ -1,6 +1,6 @@
 //! How many calls may be made in a second.
 
-use keeljunction_core::rate::Bucket;
+use keeljunction_core::bucket::Bucket;
 use proptest::prelude::*;
 
 #[test]
--- a/crates/core/tests/core/main.rs
+++ b/crates/core/tests/core/main.rs
@@ -1,13 +1,13 @@
 //! The decisions, by behaviour.
 
 mod attempt;
+mod bucket;
 mod bundle;
 mod claim;
 mod drain;
 mod fleet;
 mod lease;
 mod member;
-mod rate;
 mod retry;
 mod route;
 mod shard;
--- a/crates/gateway/src/node/peers/news.rs
+++ b/crates/gateway/src/node/peers/news.rs
@@ -58,7 +58,7 @@
             let until = node.now() + reading_ms;
             node.with(|state| state.loads.merge_begun(until, &peer, server, &work));
         }
-        News::RolloutChanged(told) => take_rollout(node, from, told).await,
+        News::RolloutChanged(announcement) => take_rollout(node, from, announcement).await,
         News::ServersChanged(batch) => take_servers(node, from, batch).await,
         News::ConfigurationChanged { version } => {
             let known = node.with(|state| state.configuration.as_ref().map(|known| known.version));
@@ -70,10 +70,10 @@
 }
 
 /// Takes the news of a roll-out, and passes on what is new.
-async fn take_rollout(node: &Node, from: SocketAddr, told: Announcement) {
+async fn take_rollout(node: &Node, from: SocketAddr, announcement: Announcement) {
     let now = node.now();
-    if node.with(|state| rollouts::merge(state, now, &told)) {
-        pass_on(node, from, News::RolloutChanged(told)).await;
+    if node.with(|state| rollouts::merge(state, now, &announcement)) {
+        pass_on(node, from, News::RolloutChanged(announcement)).await;
     }
 }
 
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -336,8 +336,8 @@
     asked_at: Option<Millis>,
 ) -> Option<Snapshot> {
     let name = &sender.entry.name;
-    for told in &sender.rollouts {
-        rollouts::merge(state, now, told);
+    for announcement in &sender.rollouts {
+        rollouts::merge(state, now, announcement);
     }
     let heard = Heard {
         entry: &sender.entry,
--- a/crates/gateway/src/node/rollout_duty.rs
+++ b/crates/gateway/src/node/rollout_duty.rs
@@ -1,9 +1,9 @@
 //! Decides the stages of roll-outs, as the holder of the duties.
 //!
 //! Each decision is first written to a row of the product's own, on the condition that no other
-//! holder wrote it meanwhile, and then told to the operator and to all nodes. A holder that ends
+//! holder wrote it meanwhile, and then published to the operator and to all nodes. A holder that ends
 //! halfway leaves a row from which the next one goes on; it counts answers anew from what the nodes
-//! report, and never takes a verdict back. Only a roll-back is told to nodes before it is written:
+//! report, and never takes a verdict back. Only a roll-back is announced to nodes before it is written:
 //! nothing more should reach a bad version, and a stage never goes back.
 
 use std::collections::BTreeMap;
@@ -34,9 +34,9 @@
     clock: Option<TableClock>,
     records: BTreeMap<String, Written>,
     progress: BTreeMap<String, (u64, Progress)>,
-    /// The order and stage that the operator was last told, by service.
-    told: BTreeMap<String, (u64, Stage)>,
-    /// The versions of the rows that tell it.
+    /// The order and stage of the status that was last published, by service.
+    published: BTreeMap<String, (u64, Stage)>,
+    /// The versions of the rows that hold it.
     status_versions: BTreeMap<String, u64>,
     paused_until: Millis,
 }
@@ -113,7 +113,7 @@
             if known > Some(order.number) {
                 continue;
             }
-            if !self.step_one(node, &order).await || !self.tell_operator(node, &order).await {
+            if !self.step_one(node, &order).await || !self.publish_status(node, &order).await {
                 return false;
             }
         }
@@ -199,11 +199,11 @@
         true
     }
 
-    /// Tells the operator the stage that is written, where it was not told yet.
-    async fn tell_operator(&mut self, node: &Node, order: &Order) -> bool {
+    /// Publishes the stage that is written, where that was not done yet.
+    async fn publish_status(&mut self, node: &Node, order: &Order) -> bool {
         let Some(written) = self.records.get(&order.service) else { return true };
         let stage = written.record.stage;
-        if self.told.get(&order.service) == Some(&(order.number, stage)) {
+        if self.published.get(&order.service) == Some(&(order.number, stage)) {
             return true;
         }
         let status = Status {
@@ -216,10 +216,10 @@
         let table = TableName::Status;
         let version = match commit(node, table, &row.key, version, Some(row.value)).await {
             Some(Ok(rows)) => {
-                self.told.insert(order.service.clone(), (order.number, stage));
+                self.published.insert(order.service.clone(), (order.number, stage));
                 rows.version
             }
-            // An earlier holder told something: write over that at the next step.
+            // An earlier holder published a status: replace it at the next step.
             Some(Err(TableError::Conflict(rows))) => {
                 rows.rows.iter().find(|found| found.key == row.key).map_or(0, |row| row.version)
             }
@@ -267,7 +267,7 @@
     }
 }
 
-/// Tells all nodes a stage, this one first.
+/// Announces a stage to all nodes, this one first.
 fn announce(node: &Node, order: &Order, stage: Stage) {
     let now = node.now();
     node.with(|state| state.rollouts.confirm_stage(now, &order.service, order.number, stage));
--- a/crates/gateway/src/node/rollouts.rs
+++ b/crates/gateway/src/node/rollouts.rs
@@ -1,4 +1,4 @@
-//! Takes orders of roll-outs, what other nodes tell of them, and what answers show.
+//! Takes orders of roll-outs, what other nodes announce of them, and what answers show.
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::Server;
@@ -10,7 +10,7 @@
 use crate::event::{self, Event};
 use crate::port::Row;
 
-/// Takes an order from the operator's table, and tells other nodes where it is new.
+/// Takes an order from the operator's table, and announces it where it is new.
 ///
 /// An order whose row is gone goes on: its servers run, and only a verdict ends that.
 pub(super) fn take_order(node: &Node, row: &Row) {
@@ -22,25 +22,25 @@
         Ok(order) => order,
         Err(error) => return event::emit(&Event::DocumentRejected { error: error.to_string() }),
     };
-    let told = Announcement { order, stage: Stage::Pending, age: None };
+    let announcement = Announcement { order, stage: Stage::Pending, age: None };
     let now = node.now();
-    if node.with(|state| merge(state, now, &told)) {
-        node.push(News::RolloutChanged(told));
+    if node.with(|state| merge(state, now, &announcement)) {
+        node.push(News::RolloutChanged(announcement));
     }
 }
 
-/// Takes what another node tells of a roll-out; returns `true` if that was new.
-pub(super) fn merge(state: &mut State, now: Millis, told: &Announcement) -> bool {
-    let is_new = state.rollouts.take_order(told.order.clone());
-    let advanced = state.rollouts.merge_announcement(now, told);
+/// Merges what another node announces of a roll-out; returns `true` if that was new.
+pub(super) fn merge(state: &mut State, now: Millis, announcement: &Announcement) -> bool {
+    let is_new = state.rollouts.take_order(announcement.order.clone());
+    let advanced = state.rollouts.merge_announcement(now, announcement);
     if !is_new && advanced.is_none() {
         return false;
     }
     event::emit(&Event::RolloutChanged {
-        service: &told.order.service,
-        target_version: &told.order.target_version,
-        order: told.order.number,
-        stage: told.stage.as_str(),
+        service: &announcement.order.service,
+        target_version: &announcement.order.target_version,
+        order: announcement.order.number,
+        stage: announcement.stage.as_str(),
     });
     true
 }
--- a/crates/gateway/src/port/mod.rs
+++ b/crates/gateway/src/port/mod.rs
@@ -28,6 +28,6 @@
     pub decode_configuration: fn(&[u8]) -> Result<Configuration, Error>,
     /// Reads a server's own entry, given its key.
     pub decode_server: fn(&str, &[u8]) -> Result<Server, Error>,
-    /// Reads orders of roll-outs, and writes what the operator is told of them.
+    /// Reads orders of roll-outs, and writes their status.
     pub rollouts: Rollouts,
 }
--- a/crates/gateway/src/port/rollouts.rs
+++ b/crates/gateway/src/port/rollouts.rs
@@ -1,4 +1,4 @@
-//! How orders of roll-outs are read, and what the operator is told.
+//! How orders of roll-outs are read, and how their status is written.
 
 use keeljunction_core::Error;
 use keeljunction_core::serving::rollout::{Order, Status};
@@ -9,7 +9,7 @@
     pub is_order: fn(&str) -> bool,
     /// Reads an order, given its key and the version of its row.
     pub decode: fn(&str, &[u8], u64) -> Result<Order, Error>,
-    /// Writes what the operator is told.
+    /// Writes a status.
     pub encode_status: fn(&Status) -> RolloutRow,
 }
 
--- a/crates/gateway/src/port/table.rs
+++ b/crates/gateway/src/port/table.rs
@@ -27,7 +27,7 @@
     Configuration,
     /// The servers' entries about themselves.
     Servers,
-    /// What the operator is told of its orders.
+    /// The status of the operator's orders.
     Status,
     /// A table of the product's own.
     Own(&'static str),
--- a/crates/keeljunction/src/platform/client.rs
+++ b/crates/keeljunction/src/platform/client.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hyper::{Method, Request, StatusCode};
-use keeljunction_core::rate::Bucket;
+use keeljunction_core::bucket::Bucket;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
