fix(rollout): bar versions that were not completed, and send nothing to servers that stop

Causes: (1) found by reading: a second order made the servers of the first order's version, on trial or rolled back, ordinary ones. (2) found by a test that failed once in six runs beside load (1 of 1,996 requests): once a roll-out had completed, requests went to all servers that were listed, and those that stop are listed for three heartbeats.

Change: the version of an order that was not completed is barred; this is kept in the holder's record and announced with the stage. For 5 s after the completion requests go to the new version where it has servers.

--- a/crates/core/src/serving/rollout/book.rs
+++ b/crates/core/src/serving/rollout/book.rs
@@ -1,6 +1,6 @@
 //! What a node knows of all roll-outs.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 
@@ -14,6 +14,9 @@
 /// version that turns bad there is found within one in ten of all requests (`rollout_trials`).
 const RAMP_SHARE: f64 = 0.3;
 const CANARIES_KEY: &str = "canaries";
+/// How long the others may still be listed once a roll-out has completed and they stop: entries go
+/// after three heartbeats of 1.2 s.
+const OTHERS_LISTED_FOR: Millis = 5_000;
 /// A stage that was not heard of for this long may have changed.
 const STAGE_VALID_FOR: Millis = 2_500;
 
@@ -26,6 +29,8 @@
     Canary,
     /// Those of the new version.
     Target,
+    /// Those of the new version, or all others where there are none of it.
+    TargetFirst,
     /// All others.
     Rest,
     /// All others, or those of the new version where there are no others.
@@ -69,8 +74,12 @@
 struct Rollout {
     order: Order,
     stage: Stage,
+    /// Versions of earlier orders that were never completed.
+    barred: BTreeSet<String>,
     /// When the holder of the duties was last known to hold to the stage.
     confirmed_at: Option<Millis>,
+    /// When this node learned of the stage.
+    stage_since: Millis,
     exposure: Exposure,
     own: Tallies,
     members: BTreeMap<(String, u64), Report>,
@@ -86,11 +95,13 @@
 }
 
 impl Rollout {
-    fn new(order: Order) -> Self {
+    fn new(order: Order, barred: BTreeSet<String>) -> Self {
         Self {
             order,
+            barred,
             stage: Stage::Pending,
             confirmed_at: None,
+            stage_since: 0,
             exposure: Exposure::default(),
             own: Tallies::default(),
             members: BTreeMap::new(),
@@ -98,6 +109,27 @@
         }
     }
 
+    /// Bars versions, but for the one that is on trial now.
+    fn bar(&mut self, versions: impl IntoIterator<Item = String>) {
+        self.barred.extend(versions);
+        self.barred.remove(&self.order.target_version);
+    }
+
+    /// Lists the versions that a later order bars.
+    fn into_barred(mut self) -> BTreeSet<String> {
+        if self.stage != Stage::Completed {
+            self.barred.insert(self.order.target_version);
+        }
+        self.barred
+    }
+
+    /// Decides which servers a request may go to once the roll-out has completed: the others stop
+    /// at once, and are listed for some time after that.
+    fn pick_side_completed(&self, now: Millis) -> Side {
+        let is_recent = now < self.stage_since + OTHERS_LISTED_FOR;
+        if is_recent { Side::TargetFirst } else { Side::Any }
+    }
+
     /// Returns the stage to act on: one that was not confirmed lately may have changed.
     fn get_stage(&self, now: Millis) -> Stage {
         let is_recent = self.confirmed_at.is_some_and(|at| now < at + STAGE_VALID_FOR);
@@ -121,15 +153,36 @@
 
 impl Book {
     /// Takes an order; returns `true` if it is newer than what is known.
+    ///
+    /// It ends an earlier one for the service: the version of that one is barred unless it was
+    /// completed, because nothing shows that it is good.
     pub fn take_order(&mut self, order: Order) -> bool {
         let known = self.rollouts.get(&order.service);
         if known.is_some_and(|known| known.order.number >= order.number) {
             return false;
         }
-        self.rollouts.insert(order.service.clone(), Rollout::new(order));
+        let service = order.service.clone();
+        let barred = self.rollouts.remove(&service).map(Rollout::into_barred).unwrap_or_default();
+        let mut rollout = Rollout::new(order, BTreeSet::new());
+        rollout.bar(barred);
+        self.rollouts.insert(service, rollout);
         true
     }
 
+    /// Bars versions of earlier orders, in the roll-out of an order.
+    pub fn bar(&mut self, service: &str, number: u64, versions: &[String]) {
+        let rollout = self.rollouts.get_mut(service);
+        if let Some(rollout) = rollout.filter(|rollout| rollout.order.number == number) {
+            rollout.bar(versions.iter().cloned());
+        }
+    }
+
+    /// Lists the versions of earlier orders that are barred.
+    pub fn list_barred(&self, service: &str) -> Vec<String> {
+        let rollout = self.rollouts.get(service);
+        rollout.map_or_else(Vec::new, |rollout| rollout.barred.iter().cloned().collect())
+    }
+
     /// Merges what another node announces; returns the stage where it has advanced.
     pub fn merge_announcement(
         &mut self,
@@ -138,12 +191,17 @@
     ) -> Option<Stage> {
         self.take_order(announcement.order.clone());
         let rollout = self.rollouts.get_mut(&announcement.order.service)?;
-        if rollout.order.number != announcement.order.number || announcement.stage < rollout.stage {
+        if rollout.order.number != announcement.order.number {
+            return None;
+        }
+        rollout.bar(announcement.barred.iter().cloned());
+        if announcement.stage < rollout.stage {
             return None;
         }
         let confirmed_at = announcement.age.and_then(|age| now.checked_sub(age));
         if announcement.stage > rollout.stage {
             rollout.stage = announcement.stage;
+            rollout.stage_since = now;
             rollout.confirmed_at = confirmed_at;
             return Some(announcement.stage);
         }
@@ -157,7 +215,10 @@
         let Some(rollout) = rollout.filter(|rollout| rollout.order.number == number) else {
             return;
         };
-        rollout.stage = rollout.stage.max(stage);
+        if stage > rollout.stage {
+            rollout.stage = stage;
+            rollout.stage_since = now;
+        }
         rollout.confirmed_at = Some(now);
     }
 
@@ -167,6 +228,7 @@
             order: rollout.order.clone(),
             stage: rollout.stage,
             age: rollout.confirmed_at.map(|at| now.saturating_sub(at)),
+            barred: rollout.barred.iter().cloned().collect(),
         };
         self.rollouts.values().map(announce).collect()
     }
@@ -203,15 +265,20 @@
     /// the service has.
     pub fn is_on_trial(&self, server: &Server) -> bool {
         let rollout = self.rollouts.get(&server.service);
-        let is_decided = rollout.is_some_and(|rollout| rollout.stage == Stage::Completed);
-        self.is_target(server) && !is_decided
+        let Some(rollout) = rollout else { return false };
+        let is_decided = rollout.stage == Stage::Completed;
+        rollout.barred.contains(&server.version) || (self.is_target(server) && !is_decided)
     }
 
     /// Returns `true` if a request may go to a server, given the side that was picked for it.
     pub fn is_allowed(&self, side: Side, server: &Server) -> bool {
+        let rollout = self.rollouts.get(&server.service);
+        if rollout.is_some_and(|rollout| rollout.barred.contains(&server.version)) {
+            return false;
+        }
         match side {
             Side::Any => true,
-            Side::Canary | Side::Target => self.is_target(server),
+            Side::Canary | Side::Target | Side::TargetFirst => self.is_target(server),
             Side::Rest | Side::RestFirst => !self.is_target(server),
         }
     }
@@ -248,7 +315,7 @@
             Stage::Ramp if random < RAMP_SHARE => Side::Target,
             Stage::Canary | Stage::Ramp | Stage::RolledBack => Side::Rest,
             Stage::Shifting => Side::Target,
-            Stage::Completed => Side::Any,
+            Stage::Completed => rollout.pick_side_completed(now),
         }
     }
 
@@ -257,7 +324,7 @@
     pub fn pick_retry_side(&self, now: Millis, service: &str) -> Side {
         let Some(rollout) = self.rollouts.get(service) else { return Side::Any };
         match rollout.get_stage(now) {
-            Stage::Completed => Side::Any,
+            Stage::Completed => rollout.pick_side_completed(now),
             Stage::Pending | Stage::Canary | Stage::Ramp | Stage::RolledBack => Side::Rest,
             Stage::Shifting => Side::RestFirst,
         }
--- a/crates/core/src/serving/rollout/order.rs
+++ b/crates/core/src/serving/rollout/order.rs
@@ -67,6 +67,8 @@
     /// Milliseconds since the holder of the duties was known to hold to this stage; `None` where
     /// the sender has not heard of that.
     pub age: Option<Millis>,
+    /// Versions of earlier orders that were never completed: their servers get nothing.
+    pub barred: Vec<String>,
 }
 
 /// The status of a roll-out that the operator reads.
--- a/crates/core/tests/serving/rollout.rs
+++ b/crates/core/tests/serving/rollout.rs
@@ -15,7 +15,7 @@
 }
 
 fn told(number: u64, stage: Stage, age: Option<u64>) -> Announcement {
-    Announcement { order: order(number), stage, age }
+    Announcement { order: order(number), stage, age, barred: Vec::new() }
 }
 
 fn server_of(version: &str) -> Server {
@@ -88,6 +88,15 @@
     assert_eq!(book_at(Stage::Completed).pick_side(90_000, "llm", &TOLERANCE, 0.5), Side::Any);
 }
 
+#[test]
+fn servers_that_stop_with_the_completion_get_nothing_while_they_are_still_listed() {
+    let book = book_at(Stage::Completed);
+    assert_eq!(book.pick_side(14_900, "llm", &TOLERANCE, 0.5), Side::TargetFirst);
+    assert_eq!(book.pick_retry_side(14_900, "llm"), Side::TargetFirst);
+    assert!(!book.is_allowed(Side::TargetFirst, &server_of("v1")));
+    assert_eq!(book.pick_side(15_000, "llm", &TOLERANCE, 0.5), Side::Any);
+}
+
 #[test]
 fn a_stage_never_goes_back() {
     let mut book = book_at(Stage::RolledBack);
@@ -228,3 +237,28 @@
     assert_eq!(book.list_canaries(servers.iter().rev(), &TOLERANCE), canaries);
     assert_eq!(book.list_canaries(servers[..4].iter(), &TOLERANCE).len(), 1);
 }
+
+#[test]
+fn a_later_order_bars_the_version_of_one_that_was_not_completed() {
+    let order_for =
+        |version: &str, number| Order { target_version: version.to_owned(), ..order(number) };
+    for (stage, is_barred) in
+        [(Stage::Canary, true), (Stage::RolledBack, true), (Stage::Completed, false)]
+    {
+        let mut book = book_at(stage);
+        assert!(book.take_order(order_for("v3", 8)));
+        assert_eq!(book.is_allowed(Side::Rest, &server_of("v2")), !is_barred, "{stage:?}");
+        assert_eq!(book.is_on_trial(&server_of("v2")), is_barred);
+        assert!(book.is_allowed(Side::Rest, &server_of("v1")));
+        // Nodes that know the newest order only are told.
+        let mut other = Book::default();
+        for announcement in book.list_announcements(10_000) {
+            other.merge_announcement(10_000, &announcement);
+        }
+        assert_eq!(other.is_allowed(Side::Any, &server_of("v2")), !is_barred);
+        // Ordered again it is on trial again.
+        assert!(book.take_order(order_for("v2", 9)));
+        assert_eq!(book.list_barred("llm"), ["v3"]);
+        assert!(book.is_allowed(Side::Target, &server_of("v2")));
+    }
+}
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -213,6 +213,7 @@
     let picked = pick(node, exchange, &Allowed::new(node, exchange, progress, side)).await;
     let other = match (side, &picked) {
         (Side::Canary | Side::Target, Picked::Busy(_) | Picked::None) => Side::Rest,
+        (Side::TargetFirst, Picked::None) => Side::Rest,
         (Side::RestFirst, Picked::None) => Side::Target,
         _ => return picked,
     };
--- a/crates/gateway/src/node/rollout_duty.rs
+++ b/crates/gateway/src/node/rollout_duty.rs
@@ -12,7 +12,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::duty_lease::TableClock;
 use keeljunction_core::serving::rollout::{
-    Announcement, Next, Order, Progress, Report, Snapshot, Stage, Status,
+    Announcement, Next, Order, Progress, Report, Side, Snapshot, Stage, Status,
 };
 use serde::{Deserialize, Serialize};
 
@@ -49,6 +49,8 @@
     /// When the first holder began with it, on the table's clock.
     began_at: Millis,
     stage: Stage,
+    /// Versions of earlier orders that were never completed.
+    barred: Vec<String>,
 }
 
 /// A record with the version of its row.
@@ -127,9 +129,14 @@
         let known = self.records.get(&order.service).map(|written| written.record.clone());
         let known = known.filter(|record| record.order == order.number);
         let stage = known.as_ref().map_or(Stage::Pending, |record| record.stage);
-        if known.is_some() {
-            let number = order.number;
-            node.with(|state| state.rollouts.confirm_stage(now, &order.service, number, stage));
+        if let Some(known) = &known {
+            let (service, number) = (&order.service, order.number);
+            node.with(|state| {
+                state.rollouts.confirm_stage(now, service, number, stage);
+                state.rollouts.bar(service, number, &known.barred);
+            });
+        } else if let Some(earlier) = self.records.get(&order.service) {
+            bar_earlier(node, order, &earlier.record);
         }
         if stage.is_final() {
             return true;
@@ -158,6 +165,7 @@
             target_version: order.target_version.clone(),
             began_at,
             stage: next,
+            barred: node.with(|state| state.rollouts.list_barred(&order.service)),
         };
         if next == Stage::RolledBack {
             announce(node, order, next);
@@ -271,7 +279,19 @@
 fn announce(node: &Node, order: &Order, stage: Stage) {
     let now = node.now();
     node.with(|state| state.rollouts.confirm_stage(now, &order.service, order.number, stage));
-    node.push(News::RolloutChanged(Announcement { order: order.clone(), stage, age: Some(0) }));
+    let barred = node.with(|state| state.rollouts.list_barred(&order.service));
+    let announcement = Announcement { order: order.clone(), stage, age: Some(0), barred };
+    node.push(News::RolloutChanged(announcement));
+}
+
+/// Bars the versions of earlier orders, as the table keeps them: nodes that all started again know
+/// the newest order only.
+fn bar_earlier(node: &Node, order: &Order, earlier: &Record) {
+    let mut barred = earlier.barred.clone();
+    if earlier.stage != Stage::Completed {
+        barred.push(earlier.target_version.clone());
+    }
+    node.with(|state| state.rollouts.bar(&order.service, order.number, &barred));
 }
 
 fn sum_all(node: &Node, order: &Order) -> Option<Report> {
@@ -285,9 +305,10 @@
 fn count_servers(node: &Node, order: &Order) -> (usize, usize) {
     node.with(|state| {
         let ready = state.directory.iter_ready(&order.service);
-        let is_target = |server: &&_| state.rollouts.is_target(server);
-        let (target, others): (Vec<_>, Vec<_>) = ready.partition(is_target);
-        (target.len(), others.len())
+        let (target, others): (Vec<_>, Vec<_>) =
+            ready.partition(|server| state.rollouts.is_target(server));
+        let is_usable = |server: &&&_| state.rollouts.is_allowed(Side::Rest, server);
+        (target.len(), others.iter().filter(is_usable).count())
     })
 }
 
--- a/crates/gateway/src/node/rollouts.rs
+++ b/crates/gateway/src/node/rollouts.rs
@@ -22,7 +22,7 @@
         Ok(order) => order,
         Err(error) => return event::emit(&Event::DocumentRejected { error: error.to_string() }),
     };
-    let announcement = Announcement { order, stage: Stage::Pending, age: None };
+    let announcement = Announcement { order, stage: Stage::Pending, age: None, barred: Vec::new() };
     let now = node.now();
     if node.with(|state| merge(state, now, &announcement)) {
         node.push(News::RolloutChanged(announcement));
