--- a/crates/gateway/src/node/peers/quota.rs
+++ b/crates/gateway/src/node/peers/quota.rs
@@ -72,7 +72,7 @@
         return Ok(());
     }
     let decision = match node.with(|state| state.members.find_owner(short_id(name))) {
-        Some(_) => ask(node, name, units).await,
+        Some(owner) => ask(node, owner, name, units).await,
         None => node.with(|state| decide(state, now, account, units)),
     };
     let now = node.now();
@@ -97,10 +97,7 @@
 }
 
 /// Asks the owner of a client account; undecided where it does not answer in time.
-async fn ask(node: &Node, account: &str, units: u64) -> Decision {
-    let Some(owner) = node.with(|state| state.members.find_owner(short_id(account))) else {
-        return Decision::Undecided;
-    };
+async fn ask(node: &Node, owner: SocketAddr, account: &str, units: u64) -> Decision {
     let question = node.pending_decisions.begin();
     let message =
         Message::AskQuota { question: question.number, account: account.to_owned(), units };
