--- a/crates/core/src/serving/quota/decision.rs
+++ b/crates/core/src/serving/quota/decision.rs
@@ -8,9 +8,9 @@
 //! rate that stands for those; where it does not, and where it does not answer, nodes admit their
 //! local shares.
 //!
-//! What this buys, on a calm day of 78 nodes and 16 client accounts whose prompts have 800 to 60,000
-//! tokens: 1.6 in 100 of all requests are no longer refused within their limits (0.041 to 0.025 of
-//! what is owed), for a question of some 60 bytes near the limit.
+//! What this buys, on a quiet day of 78 nodes and 16 client accounts whose prompts have some thousand
+//! to 60,000 tokens, played once without processor time: refusals fall from 0.041 to 0.025 of what
+//! the accounts are owed, for a question of some 60 bytes (estimated) near the limit.
 
 use serde::{Deserialize, Serialize};
 
@@ -31,7 +31,7 @@
 const ADVANCE_PART: f64 = 0.3;
 /// The part of the tolerated excess that is not kept for what nodes admit before others know of it:
 /// the owner lets the bucket fall below zero by it, less what the limit is raised by already. On a
-/// calm day of 78 nodes and 16 client accounts it lowers the refusals from 0.025 to 0.020 of all
+/// quiet day of 78 nodes and 16 client accounts it lowers the refusals from 0.025 to 0.020 of all
 /// that is owed; three quarters exceeded limits by 1.3 in 100 in the property tests.
 const HEADROOM_PART: f64 = 0.5;
 /// The part of the burst above which a request is large: of many nodes each may admit one before
