feat(topology): regions of data centres, distances and a memory accountant as shared types

Two deployments need regions and bounded memory; the parts that build them share these types. They stand here first, with documentation and without any behaviour that is switched on: settings name the region of each data centre and the memory of the process, and a node whose own data centre is in no region does not start.

Weighed: the region as a field of each message, and one table in every node's settings. The table needs no new message and cannot disagree with what a node says of itself.

--- a/crates/core/src/serving/members/mod.rs
+++ b/crates/core/src/serving/members/mod.rs
@@ -23,10 +23,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use super::load::short_id;
+use super::topology::Topology;
 use crate::Millis;
 
 pub use self::entry::Entry;
@@ -73,6 +75,7 @@
 #[derive(Debug)]
 pub struct Members {
     own: Entry,
+    topology: Arc<Topology>,
     started_at: Millis,
     known: BTreeMap<String, Member>,
     names: BTreeMap<u64, String>,
@@ -122,6 +125,7 @@
     pub fn new(now: Millis, own: Entry, seeds: &[SocketAddr]) -> Self {
         let mut members = Self {
             own,
+            topology: Arc::default(),
             started_at: now,
             known: BTreeMap::new(),
             names: BTreeMap::new(),
@@ -139,6 +143,16 @@
         members
     }
 
+    /// Sets the regions that the nodes stand in; without this, all stand in one.
+    pub fn with_topology(self, topology: Arc<Topology>) -> Self {
+        Self { topology, ..self }
+    }
+
+    /// Returns the regions that the nodes stand in.
+    pub fn get_topology(&self) -> &Topology {
+        &self.topology
+    }
+
     /// Adds addresses at which a node may listen.
     pub fn add_seeds(&mut self, seeds: &[SocketAddr]) {
         for seed in seeds {
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -4,6 +4,8 @@
 //! |---|---|
 //! | [`configuration`] | what a configuration says, and which route and client account a request belongs to |
 //! | [`freshness`] | whether what a node believes is recent enough to act on |
+//! | [`topology`], [`distance`] | which region a data centre stands in, and how far away that is |
+//! | [`memory`] | who may hold how much of a node's memory |
 //! | [`directory`] | which servers there are and which may get new work |
 //! | [`load`] | how busy each server is, by this node's and its peers' counts |
 //! | [`choice`] | which server a request goes to |
@@ -23,6 +25,7 @@
 pub mod configuration;
 pub mod demand;
 pub mod directory;
+pub mod distance;
 pub mod duty_lease;
 pub mod event_stream;
 pub mod freshness;
@@ -30,8 +33,10 @@
 pub mod health;
 pub mod load;
 pub mod members;
+pub mod memory;
 pub mod quota;
 pub mod refusal;
 pub mod rollout;
 pub mod throughput;
+pub mod topology;
 pub mod usage;
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -20,4 +20,5 @@
 mod rollout_trials;
 mod support;
 mod throughput;
+mod topology;
 mod usage;
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -7,6 +7,7 @@
 //! | [`watch`] | follows the configuration and the list of servers |
 //! | `staleness` | says how old the knowledge of the platform's tables is |
 //! | `peers` | exchanges what nodes tell each other |
+//! | [`memory`] | reserves memory for what is held for callers and servers |
 //! | [`document`] | packs what peers get from each other |
 //! | [`duty`] | holds the lease and makes the calls that one node at a time may make |
 //! | [`stop`] | ends the node without cutting an answer |
@@ -15,6 +16,7 @@
 pub mod document;
 pub mod duty;
 mod listeners;
+pub mod memory;
 mod pause;
 mod peers;
 mod rollout_duty;
--- a/crates/gateway/src/node/serve.rs
+++ b/crates/gateway/src/node/serve.rs
@@ -48,7 +48,8 @@
     let incarnation = Incarnation { node: settings.node.name.clone(), number: fastrand::u64(..) };
     let link = Link::bind(at, incarnation.number, settings.limits.link_mbps)
         .map_err(|error| busy("listen.peers", at, &error))?;
-    let start = Start { incarnation, clock: Clock::new(), link };
+    let topology = settings.get_topology()?;
+    let start = Start { incarnation, clock: Clock::new(), link, topology };
     let node = Node::new(settings, platform, closing, start);
     let listen = &node.settings.listen;
     event::emit(&Event::Started {
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -11,15 +11,18 @@
 use keeljunction_core::serving::configuration::Configuration;
 use keeljunction_core::serving::demand::DemandBook;
 use keeljunction_core::serving::directory::{Directory, Server};
+use keeljunction_core::serving::distance::Distances;
 use keeljunction_core::serving::duty_lease::DutyLease;
 use keeljunction_core::serving::freshness::Freshness;
 use keeljunction_core::serving::handover::Handover;
 use keeljunction_core::serving::health::Health;
 use keeljunction_core::serving::load::{LoadBook, short_id};
 use keeljunction_core::serving::members::{Entry, Members};
+use keeljunction_core::serving::memory::Accountant;
 use keeljunction_core::serving::quota::{Quotas, Tolerance};
 use keeljunction_core::serving::rollout;
 use keeljunction_core::serving::throughput::Throughput;
+use keeljunction_core::serving::topology::Topology;
 use keeljunction_core::serving::usage::{Incarnation, Ledger, window_at};
 
 use super::document::Document;
@@ -50,6 +53,11 @@
 /// The fraction of the operator's retry budget that nodes use: callers' own retries and lost answers
 /// add to it at the edges of windows.
 const BUDGET_USED: f64 = 0.7;
+/// Bytes of a megabyte, as the settings count them.
+const BYTES_PER_MB: f64 = 1_000_000.0;
+/// The part of the process's memory that may be held for callers and servers. The rest is for what
+/// the node knows, for its sockets, and for what the allocator keeps.
+const HELD_PART: f64 = 0.4;
 /// The part of a lease that its holder leaves unused.
 const LEASE_MARGIN_PART: f64 = 0.2;
 
@@ -61,6 +69,8 @@
     pub platform: Platform,
     /// The steady clock.
     pub clock: Clock,
+    /// Which region each data centre stands in.
+    pub topology: Arc<Topology>,
     /// This incarnation of the node.
     pub incarnation: Incarnation,
     /// Connections to servers.
@@ -137,6 +147,10 @@
     pub throughputs: HashMap<String, Throughput>,
     /// Other nodes.
     pub members: Members,
+    /// Round trips to other regions.
+    pub distances: Distances,
+    /// Memory that is held for callers and servers.
+    pub memory: Accountant,
     /// Whom this node reports its counts to.
     pub(super) audience: Audience,
     /// Which of its counts have arrived there.
@@ -176,7 +190,8 @@
 impl Node {
     /// Makes a node that knows nothing yet.
     pub fn new(settings: Settings, platform: Platform, closing: Stop, start: Start) -> Arc<Self> {
-        let Start { incarnation, clock, link } = start;
+        let Start { incarnation, clock, link, topology } = start;
+        let topology = Arc::new(topology);
         let bounds = settings.bounds;
         let allowance = Allowance {
             ratio: bounds.retry_budget_ratio,
@@ -206,7 +221,10 @@
             quotas: Quotas::new(clock.now(), tolerance),
             budget: Budget::new(allowance),
             usage: Ledger::default(),
-            members: Members::new(clock.now(), get_entry(&settings), &settings.seeds),
+            members: Members::new(clock.now(), get_entry(&settings), &settings.seeds)
+                .with_topology(topology.clone()),
+            distances: Distances::default(),
+            memory: Accountant::new(get_memory_capacity(&settings)),
             audience: Audience::default(),
             handover: Handover::new(incarnation.clone()),
             samples: Samples::new(),
@@ -221,6 +239,7 @@
             settings,
             platform,
             clock,
+            topology,
             incarnation,
             servers: Client::new(CONNECT_WITHIN),
             metrics: Metrics::default(),
@@ -324,6 +343,13 @@
     pub clock: Clock,
     /// Its socket for datagrams between nodes.
     pub link: Link,
+    /// Which region each data centre stands in.
+    pub topology: Topology,
+}
+
+/// Returns the bytes that may be held for callers and servers.
+fn get_memory_capacity(settings: &Settings) -> u64 {
+    (settings.limits.memory_mb * BYTES_PER_MB * HELD_PART) as u64
 }
 
 fn get_entry(settings: &Settings) -> Entry {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,10 +1,12 @@
 //! What a node is told: a YAML document, checked whole before anything starts.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 
 use keeljunction_core::serving::capacity::Policy;
+use keeljunction_core::serving::topology::Topology;
 use keeljunction_core::{Error, ErrorKind, Millis};
 use serde::Deserialize;
 
@@ -21,6 +23,9 @@
     pub seeds: Vec<SocketAddr>,
     /// What the machine allows.
     pub limits: Limits,
+    /// Which region each data centre stands in.
+    #[serde(default)]
+    pub regions: Regions,
     /// What has to hold, in the operator's figures.
     pub bounds: Bounds,
     /// Where the platform's services are.
@@ -65,6 +70,18 @@
     pub descriptors: usize,
     /// Bandwidth of the VM's link, in megabits a second.
     pub link_mbps: f64,
+    /// Memory of the process, in megabytes; it is killed beyond that.
+    #[serde(default = "get_usual_memory_mb")]
+    pub memory_mb: f64,
+}
+
+/// Which region each data centre stands in; none where there is one region only.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Regions {
+    /// The region of each data centre, by name.
+    #[serde(default)]
+    pub data_centres: BTreeMap<String, String>,
 }
 
 /// What has to hold, in the operator's figures.
@@ -232,6 +249,15 @@
         Ok(settings)
     }
 
+    /// Returns the data centres by region, as this node sees them.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::InvalidValue`] where the node's own data centre is in no region.
+    pub fn get_topology(&self) -> Result<Topology, Error> {
+        Topology::new(&self.node.data_centre, self.regions.data_centres.clone())
+    }
+
     fn check(&self) -> Result<(), Error> {
         if self.node.name.trim().is_empty() {
             return Err(Error::new(ErrorKind::InvalidValue, "a name is empty")
@@ -243,6 +269,8 @@
         let bounds = &self.bounds;
         check_range("limits.descriptors", self.limits.descriptors as f64, 300.0, 1e7)?;
         check_range("limits.link_mbps", self.limits.link_mbps, 0.1, 1e7)?;
+        check_range("limits.memory_mb", self.limits.memory_mb, 32.0, 1e6)?;
+        self.get_topology()?;
         check_range("bounds.revoke_ms", bounds.revoke_ms as f64, 100.0, 3.6e6)?;
         check_range("bounds.config_apply_ms", bounds.config_apply_ms as f64, 100.0, 3.6e6)?;
         check_range("bounds.drain_ms", bounds.drain_ms as f64, 100.0, 3.6e6)?;
@@ -268,6 +296,11 @@
     }
 }
 
+/// The memory of a process where the operator does not say: that of a small VM.
+fn get_usual_memory_mb() -> f64 {
+    256.0
+}
+
 /// The share of a canary where the operator gives none: one request in ten.
 fn get_usual_expose_share() -> f64 {
     0.1
