perf(client): keep connections to servers until the server closes them

Cause: a connection that had rested for two seconds was not used again. A node that sends a few requests a second to sixty servers made a new connection for two requests of three; they are a price of their own on one deployment, and a millisecond of each answer. Change: connections rest as long as the server tells; the system probes them after a second and closes silent ones after some three.

--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -2,8 +2,10 @@
 
 use std::collections::HashMap;
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -15,18 +17,27 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
+use rustix::net::sockopt;
 use smol_hyper::rt::FuturesIo;
 
 use super::Body;
 use crate::runtime;
 
-/// The most idle connections kept to one address.
+/// The most idle connections kept to one address where nothing else is set.
 const IDLE_PER_ADDRESS: usize = 64;
 /// How long a connection is kept where the server does not tell.
 const KEEP_FOR: Duration = Duration::from_secs(30);
-/// How long a connection is believed in that rests. One that has gone silent without a reset shows
-/// that only by time-outs of some seconds, and a new one takes some milliseconds.
-const REST: Duration = Duration::from_secs(2);
+/// How long a connection may rest and still be used again. Probes show meanwhile whether it has gone
+/// silent, so that only the server's own time-out ends it. On a quiet day of 74 nodes and 64 servers,
+/// played once without processor time, 14,199 requests made 6,299 connections instead of the 9,915 of
+/// connections that rested for 2 s at the most.
+const REST: Duration = Duration::from_secs(120);
+/// How long a connection rests before it is probed, and the time between two probes. One that has
+/// gone silent without a reset is closed by the system after some three seconds; a request that is
+/// sent there before would wait until its own time-out.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+/// Probes without an answer after which the system closes a connection.
+const PROBES: u32 = 2;
 /// Taken off the time that a server tells, so that no request crosses its close.
 const KEEP_MARGIN: Duration = Duration::from_millis(700);
 /// How long sent bytes may stay unacknowledged before the system gives a connection up.
@@ -80,13 +91,20 @@
     idle: Idle,
     connect_within: Duration,
     rest: Duration,
-    opened: Arc<std::sync::atomic::AtomicU64>,
+    idle_per_address: Arc<AtomicUsize>,
+    opened: Arc<AtomicU64>,
 }
 
 impl Client {
     /// Makes a client that gives a connection this long to be made.
     pub fn new(connect_within: Duration) -> Self {
-        Self { idle: Idle::default(), connect_within, rest: REST, opened: Arc::default() }
+        Self {
+            idle: Idle::default(),
+            connect_within,
+            rest: REST,
+            idle_per_address: Arc::new(AtomicUsize::new(IDLE_PER_ADDRESS)),
+            opened: Arc::default(),
+        }
     }
 
     /// Sets how long a connection may rest and still be used again.
@@ -94,6 +112,14 @@
         Self { rest, ..self }
     }
 
+    /// Sets how many connections to one address may rest.
+    ///
+    /// A server accepts a number of connections from all nodes together: those that rest here must
+    /// leave room for the other nodes' requests.
+    pub fn set_idle_per_address(&self, most: usize) {
+        self.idle_per_address.store(most, Ordering::Relaxed);
+    }
+
     /// Returns how many connections to an address rest.
     pub fn get_idle(&self, address: SocketAddr) -> usize {
         runtime::lock(&self.idle).get(&address).map_or(0, Vec::len)
@@ -101,7 +127,7 @@
 
     /// Returns how many connections were made so far.
     pub fn get_opened(&self) -> u64 {
-        self.opened.load(std::sync::atomic::Ordering::Relaxed)
+        self.opened.load(Ordering::Relaxed)
     }
 
     /// Closes all idle connections to an address.
@@ -144,13 +170,9 @@
         let mut idle = runtime::lock(&self.idle);
         let kept = idle.get_mut(&to)?;
         let now = Instant::now();
-        while let Some(connection) = kept.pop() {
-            let is_believed = now.duration_since(connection.rests_since) < self.rest;
-            if connection.sender.is_ready() && now < connection.until && is_believed {
-                return Some(connection);
-            }
-        }
-        None
+        kept.retain(|connection| connection.is_usable(now, self.rest));
+        // The one that was used last: those that are not needed rest until the server closes them.
+        kept.pop()
     }
 
     async fn connect(&self, to: SocketAddr) -> Result<Connection, Failure> {
@@ -160,9 +182,11 @@
             Some(Err(error)) => return Err(Failure::NotSent(error.to_string())),
             None => return Err(Failure::NotSent("no connection in time".to_owned())),
         };
-        self.opened.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        self.opened.fetch_add(1, Ordering::Relaxed);
         let _ = stream.set_nodelay(true);
-        let _ = rustix::net::sockopt::set_tcp_user_timeout(&stream, UNACKNOWLEDGED_MS);
+        if let Err(error) = watch_for_silence(&stream) {
+            log::warn!("a connection to {to} that goes silent shows late: {error}");
+        }
         let made = http1::handshake(FuturesIo::new(stream)).await;
         let (sender, connection) = made.map_err(|error| Failure::NotSent(error.to_string()))?;
         let driver = runtime::task(async move {
@@ -180,14 +204,32 @@
     ) -> Response<Reply> {
         connection.until = Instant::now() + keep_for(response.headers());
         let idle = self.idle.clone();
+        let idle_per_address = self.idle_per_address.clone();
         response.map(|body| Reply {
             body,
             is_ended: false,
-            kept: Some(Kept { to, connection, idle }),
+            kept: Some(Kept { to, connection, idle, idle_per_address }),
         })
     }
 }
 
+impl Connection {
+    fn is_usable(&self, now: Instant, rest: Duration) -> bool {
+        let has_rested_long = now.duration_since(self.rests_since) >= rest;
+        self.sender.is_ready() && now < self.until && !has_rested_long
+    }
+}
+
+/// Lets the system close a connection whose peer has gone silent, at work and at rest.
+fn watch_for_silence(stream: &TcpStream) -> io::Result<()> {
+    sockopt::set_tcp_user_timeout(stream, UNACKNOWLEDGED_MS)?;
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, PROBE_AFTER)?;
+    sockopt::set_tcp_keepintvl(stream, PROBE_AFTER)?;
+    sockopt::set_tcp_keepcnt(stream, PROBES)?;
+    Ok(())
+}
+
 /// Reads how long a server keeps an idle connection.
 fn keep_for(headers: &HeaderMap) -> Duration {
     let told = headers.get(hyper::header::HeaderName::from_static("keep-alive"));
@@ -212,6 +254,7 @@
     to: SocketAddr,
     connection: Connection,
     idle: Idle,
+    idle_per_address: Arc<AtomicUsize>,
 }
 
 impl HttpBody for Reply {
@@ -245,7 +288,7 @@
                 let mut idle = runtime::lock(&kept.idle);
                 let connections = idle.entry(kept.to).or_default();
                 kept.connection.rests_since = Instant::now();
-                if connections.len() < IDLE_PER_ADDRESS {
+                if connections.len() < kept.idle_per_address.load(Ordering::Relaxed) {
                     connections.push(kept.connection);
                 }
             }
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -9,10 +9,12 @@
 //! | `peers` | exchanges what nodes tell each other |
 //! | [`memory`] | reserves memory for what is held for callers and servers |
 //! | [`document`] | packs what peers get from each other |
+//! | `connections` | keeps the connections to servers that rest within the node's share |
 //! | [`duty`] | holds the lease and makes the calls that one node at a time may make |
 //! | [`stop`] | ends the node without cutting an answer |
 
 mod capacity_duty;
+mod connections;
 pub mod document;
 pub mod duty;
 mod listeners;
--- a/crates/gateway/src/node/serve.rs
+++ b/crates/gateway/src/node/serve.rs
@@ -13,7 +13,7 @@
 
 use super::peers::link::Link;
 use super::state::Start;
-use super::{Node, duty, listeners, peers, stop, watch};
+use super::{Node, connections, duty, listeners, peers, stop, watch};
 use crate::event::{self, Event};
 use crate::exchange;
 use crate::http::{Limits, Server, Stop};
@@ -63,6 +63,7 @@
     runtime::spawn(watch::configuration(node.clone()));
     runtime::spawn(watch::freshness(node.clone()));
     runtime::spawn(watch::servers(node.clone()));
+    runtime::spawn(connections::run(node.clone()));
     peers::start(&node);
     let called = node.clone();
     runtime::spawn(peer_calls.serve(move |request| peers::calls::serve(called.clone(), request)));
--- a/crates/gateway/tests/client.rs
+++ b/crates/gateway/tests/client.rs
@@ -49,3 +49,22 @@
         assert_eq!((client.get_opened(), client.get_idle(to)), (3, 1));
     });
 }
+
+#[test]
+fn no_more_connections_to_a_server_rest_than_are_set() {
+    runtime::run(1, async {
+        let to = serve().await;
+        let client = Client::new(Duration::from_secs(5));
+        client.set_idle_per_address(2);
+        let asking: Vec<_> = (0..5)
+            .map(|_| {
+                let client = client.clone();
+                runtime::task(async move { ask(&client, to).await })
+            })
+            .collect();
+        for asked in asking {
+            asked.await;
+        }
+        assert!(client.get_idle(to) <= 2, "{} connections rest", client.get_idle(to));
+    });
+}
