refactor: say what happens in the words of the field

Comments and local names of the first path, the stand-ins and parts of the core said 'tells', 'asked', 'gave', 'says whether', which a reader has to translate. They now say returns, queries, notifies, reports, requested. No behaviour changes.

--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -106,7 +106,7 @@
     }
 }
 
-/// Decides what a caller is told of a request that is given up.
+/// Decides the outcome that a caller gets for a request that is given up.
 pub fn outcome(is_sent: bool) -> Outcome {
     if is_sent { Outcome::Unknown } else { Outcome::NotRun }
 }
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -58,7 +58,7 @@
         self.servers.entry(server.name.clone()).or_insert(server);
     }
 
-    /// Takes news of a departure in, and says whether they were new.
+    /// Merges a departure; returns `true` if it was new.
     ///
     /// The earliest end that was heard of counts.
     pub fn depart(&mut self, departure: &Departure) -> bool {
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -1,7 +1,7 @@
 //! Whether a holder may still act.
 //!
 //! A lease is a row of the table service; the row's version is its fence. The holder counts from
-//! the moment *before* it asked, on its own monotonic clock, less a margin, and checks that just
+//! the moment *before* its request, on its own monotonic clock, less a margin, and checks that just
 //! before every order: a holder that slept past its lease sends nothing.
 
 use serde::{Deserialize, Serialize};
@@ -29,7 +29,7 @@
 }
 
 impl Lease {
-    /// Records a lease that was asked for at `asked_at` and granted with a fence.
+    /// Records a lease that was requested at `asked_at` and granted with a fence.
     ///
     /// # Panics
     ///
@@ -61,7 +61,7 @@
 }
 
 impl Watch {
-    /// Notes the row's version, and says whether the lease has lapsed for certain.
+    /// Notes the row's version; returns `true` if the lease has lapsed for certain.
     ///
     /// The lease counts from when this watcher first saw the version, so no clocks are compared.
     /// `longest_order` is waited out besides where servers do not check fences.
--- a/crates/core/src/member/list.rs
+++ b/crates/core/src/member/list.rs
@@ -70,7 +70,7 @@
         }
     }
 
-    /// Takes news in, and says whether they were new.
+    /// Merges news; returns `true` if they were new.
     ///
     /// News of the node's own death or suspicion are refuted with a higher incarnation.
     pub fn apply(&mut self, now: Millis, news: Member) -> bool {
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -1,4 +1,4 @@
-//! What a caller is told in the end.
+//! The final outcome of a request, as its caller gets it.
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -52,10 +52,10 @@
 pub struct Directory {
     servers: BTreeMap<String, Server>,
     version: u64,
-    /// Servers whose entries lapsed; this node's own belief, which peers are not told.
+    /// Servers whose entries lapsed; this node's own belief, which is not reported to peers.
     lapsed: BTreeMap<String, Server>,
     lapsing_until: Option<Millis>,
-    /// Whether the table service was away when it was last asked.
+    /// Whether the last call to the table service failed.
     is_away: bool,
 }
 
--- a/crates/core/src/serving/distance.rs
+++ b/crates/core/src/serving/distance.rs
@@ -1,6 +1,6 @@
 //! How long messages take to another region and back.
 //!
-//! Round trips are measured from questions that are asked anyway, and smoothed. The time for which
+//! Round trips are measured from questions between nodes, and smoothed. The time for which
 //! an answer is waited for follows from them.
 
 use std::collections::BTreeMap;
--- a/crates/core/src/serving/quota/decision.rs
+++ b/crates/core/src/serving/quota/decision.rs
@@ -2,7 +2,7 @@
 //!
 //! A node admits by itself while the bucket is well filled. Once it is low the account's owner
 //! decides, which all nodes find by rendezvous hashing. What the owner admits counts as its own use,
-//! whichever node asked: it is reported once, and a node whose question or answer gets lost uses
+//! whichever node the request came to: it is reported once, and a node whose question or answer gets lost uses
 //! less than was counted. Two nodes that both take themselves for the owner see each other's use in
 //! their reports. An owner decides only while it hears most of the nodes, and at the fraction of the
 //! rate that stands for those; where it does not, and where it does not answer, nodes admit their
--- a/crates/core/src/serving/refusal.rs
+++ b/crates/core/src/serving/refusal.rs
@@ -29,7 +29,7 @@
     NoServer,
     /// All servers are busy for longer than the request can wait.
     Busy,
-    /// The server that was asked did not take the request, and no other may be asked.
+    /// The server declined the request, and no other may be tried.
     NotAccepted,
     /// The time ran out before the request was sent to a server.
     TooLate,
@@ -90,7 +90,7 @@
     /// Computes when the caller should retry, where a later try can succeed.
     ///
     /// `hint` is the time after which room is expected. The wait stays inside a third of the time
-    /// that the caller has left, beyond which callers do not wait as told.
+    /// that the caller has left, beyond which callers ignore `Retry-After`.
     pub fn get_retry_after(self, hint: Millis, left: Millis) -> Option<Duration> {
         let is_passing = matches!(
             self,
--- a/crates/core/src/shard/ask.rs
+++ b/crates/core/src/shard/ask.rs
@@ -1,4 +1,4 @@
-//! What is asked of a queue, and what it says.
+//! Requests to a queue and its answers.
 
 use crate::Millis;
 
--- a/crates/core/src/shard/drain_rate.rs
+++ b/crates/core/src/shard/drain_rate.rs
@@ -4,7 +4,7 @@
 
 /// The weight of the newest gap in the running mean, in thousandths.
 const NEWEST_PER_MILLE: u64 = 100;
-/// The shortest and longest time after which a caller is asked to come back.
+/// The shortest and longest `Retry-After`.
 const RETRY_BOUNDS_MS: (Millis, Millis) = (200, 30_000);
 
 /// A running mean of the time between two grants ending, and the places promised to callers.
--- a/crates/core/src/shard/queue.rs
+++ b/crates/core/src/shard/queue.rs
@@ -208,7 +208,7 @@
         }
     }
 
-    /// Takes a grant in that an earlier owner gave.
+    /// Takes over a grant of an earlier owner.
     pub fn restore(&mut self, grant: Grant) {
         if self.grants.contains_key(&grant.id) {
             return;
--- a/crates/keeljunction/src/backend/engine.rs
+++ b/crates/keeljunction/src/backend/engine.rs
@@ -17,7 +17,7 @@
 /// What to send to an engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Send<'a> {
-    /// The path, as the caller gave it.
+    /// The path of the caller's request.
     pub path: &'a str,
     /// The caller's body.
     pub body: &'a [u8],
@@ -112,7 +112,7 @@
         self.stream(self.request(Method::GET, &path).body(Body::empty())).await
     }
 
-    /// Ends an attempt whose tokens nobody wants any more, and says whether that is confirmed.
+    /// Ends an attempt whose tokens nobody reads any more; returns `true` if the engine confirmed it.
     pub async fn cancel(&self, attempt: &str) -> bool {
         let request = self.request(Method::DELETE, &format!("/attempts/{attempt}"));
         match request.body(Body::empty()) {
--- a/crates/keeljunction/src/command/bundle.rs
+++ b/crates/keeljunction/src/command/bundle.rs
@@ -231,14 +231,14 @@
     })
 }
 
-/// Tells nodes at once, and prints what was rolled.
+/// Notifies nodes at once, and prints what was rolled.
 fn finish(matches: &ArgMatches, rolled: &Roll) {
     let time = get_timeout(matches);
     runtime::run(0, async {
         for node in get_nodes(matches) {
             if let Err(error) = ask(node, Method::POST, "/nudge", time).await {
                 eprintln!(
-                    "{node} was not told at once and will hear of it from its peers: {error}"
+                    "{node} was not notified at once and will hear of it from its peers: {error}"
                 );
             }
         }
--- a/crates/keeljunction/src/command/mod.rs
+++ b/crates/keeljunction/src/command/mod.rs
@@ -41,7 +41,7 @@
         .subcommand(trace::build())
 }
 
-/// Runs the subcommand that was asked for.
+/// Runs the subcommand.
 pub fn run(matches: &ArgMatches) -> ExitCode {
     let done = match matches.subcommand() {
         Some(("serve", matches)) => serve::run(matches),
--- a/crates/keeljunction/src/lib.rs
+++ b/crates/keeljunction/src/lib.rs
@@ -7,7 +7,7 @@
 //! | module | does |
 //! |---|---|
 //! | [`command`] | the command line |
-//! | [`settings`] | what a node is told |
+//! | [`settings`] | the settings of a node |
 //! | [`node`] | what a node knows and does |
 //! | [`caller`] | the HTTP side towards callers |
 //! | [`backend`] | the HTTP side towards backend servers |
--- a/crates/keeljunction/src/node/accept.rs
+++ b/crates/keeljunction/src/node/accept.rs
@@ -24,7 +24,7 @@
 /// How a caller names its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Naming {
-    /// The caller gave the key, so the request may be known somewhere.
+    /// The key came with the request, so the request may be known somewhere.
     Given,
     /// The key was drawn for it.
     Drawn,
@@ -128,7 +128,7 @@
     let grant = granted.map_err(|refusal| Instead::End(no_room(refusal)))?;
     let place = if request.is_safe() { None } else { Some(copy::place(node, answer).await) };
     if place == Some(None) {
-        give_back(node, &grant);
+        release_grant(node, &grant);
         let ended = not_run(503, "the request's record could not be copied", OUTAGE_RETRY_MS);
         return Err(Instead::End(ended));
     }
@@ -137,7 +137,7 @@
     if request.needs_claim()
         && let Err(instead) = get_claim(node, answer, &attempt).await
     {
-        give_back(node, &grant);
+        release_grant(node, &grant);
         if let Some(place) = &place {
             copy::forget(node, answer, place).await;
         }
@@ -174,6 +174,6 @@
     }
 }
 
-fn give_back(node: &Arc<Node>, grant: &Grant) {
+fn release_grant(node: &Arc<Node>, grant: &Grant) {
     grant::release(node, &grant.id, Usage { cost: Some(0), is_failed: false });
 }
--- a/crates/keeljunction/src/node/answer.rs
+++ b/crates/keeljunction/src/node/answer.rs
@@ -210,12 +210,12 @@
         }
     }
 
-    /// Tells the relay to take the stream off its server.
+    /// Asks the relay to take the stream off its server.
     pub fn steer(&self, action: Action) {
         let _ = self.steering.0.try_send(action);
     }
 
-    /// Waits until the relay is told to take the stream off its server.
+    /// Waits until the stream must be taken off its server.
     pub async fn steered(&self) -> Action {
         self.steering.1.recv().await.unwrap_or(Action::Finish)
     }
--- a/crates/keeljunction/src/node/departure.rs
+++ b/crates/keeljunction/src/node/departure.rs
@@ -27,7 +27,7 @@
     steer(node, &departure.server, left);
 }
 
-/// Plans the streams of this node on a server that is leaving, and tells their relays.
+/// Plans the streams of this node on a server that is leaving, and notifies their relays.
 fn steer(node: &Arc<Node>, server: &str, notice: u64) {
     let answers = running_on(node, server);
     let Some(first) = answers.first() else { return };
--- a/crates/keeljunction/src/node/find.rs
+++ b/crates/keeljunction/src/node/find.rs
@@ -13,13 +13,13 @@
 use crate::peer::wire;
 use crate::runtime;
 
-/// Nodes of the succession list that are asked.
-const ASKED: usize = 4;
-/// Time for one answer. It delays requests whose key the caller gave while a node sleeps unnoticed.
+/// Nodes of the succession list that are queried.
+const QUERIED: usize = 4;
+/// Time for one answer. It delays requests that came with a key while a node sleeps unnoticed.
 const CALL: Duration = Duration::from_millis(250);
-/// How often the answer is looked for again when the node that gave it is gone.
+/// How often the answer is looked for again when the node that held it is gone.
 const SEARCHES: u32 = 20;
-/// How often the node that has a claim is asked, until it says that it carries the request.
+/// How often the node that has a claim is queried, until it confirms that it runs the request.
 const RUNNER_LOOKS: u32 = 4;
 const RUNNER_PAUSE: Duration = Duration::from_millis(50);
 const PAUSE: Duration = Duration::from_millis(250);
@@ -33,11 +33,11 @@
     Here,
     /// The key was used for another request.
     Mismatch,
-    /// Nobody who was asked knows it.
+    /// None of the queried nodes knows it.
     Nowhere,
 }
 
-/// Lets an answer follow one that is known elsewhere, and says whether there was one.
+/// Lets an answer follow one that is known elsewhere; returns `true` if there is one.
 pub async fn resume(node: &Arc<Node>, answer: &Arc<Answer>) -> bool {
     match search(node, answer).await {
         Found::Nowhere => false,
@@ -107,14 +107,14 @@
 async fn search_peers(node: &Arc<Node>, answer: &Arc<Answer>, peers: &[String]) -> Found {
     let addresses: Vec<String> =
         peers.iter().filter_map(|name| node.get_peer_address(name)).collect();
-    let asked: Vec<_> = addresses
+    let queries: Vec<_> = addresses
         .into_iter()
         .map(|address| {
             let (node, answer) = (node.clone(), answer.clone());
             runtime::task(async move { (ask(&node, &answer, &address, false).await, address) })
         })
         .collect();
-    for reply in asked {
+    for reply in queries {
         let (Some(reply), address) = reply.await else { continue };
         if !reply.known {
             continue;
@@ -157,7 +157,7 @@
     let others = members.iter().filter(|m| m.state != State::Dead && m.name != node.get_name());
     let names: Vec<&str> = others.map(|member| member.name.as_str()).collect();
     let order = succession::order(&key, names.into_iter());
-    order.into_iter().take(ASKED).map(str::to_owned).collect()
+    order.into_iter().take(QUERIED).map(str::to_owned).collect()
 }
 
 /// Follows an answer at another node, and finds it again where that node goes.
--- a/crates/keeljunction/src/node/fleet.rs
+++ b/crates/keeljunction/src/node/fleet.rs
@@ -1,6 +1,6 @@
 //! Starts the VMs that the plan lacks.
 //!
-//! Each start has an intent row with a client token before the cloud is asked, so that neither a
+//! Each start has an intent row with a client token before the call to the cloud, so that neither a
 //! lost answer nor a new holder of the lease starts anything twice: whoever finds the row asks
 //! again with the same token.
 
@@ -171,7 +171,7 @@
     }
 }
 
-/// Counts the VMs held of each offer: those listed, and those that were asked for.
+/// Counts the VMs held of each offer: those listed, and those that were requested.
 fn held(node: &Node, service: &Service, offers: &[Offer], open: &[Open]) -> Plan {
     let mut held = Plan::new();
     let directory = runtime::lock(&node.directory);
--- a/crates/keeljunction/src/node/gossip.rs
+++ b/crates/keeljunction/src/node/gossip.rs
@@ -13,9 +13,9 @@
 /// News of members and of departures in one message.
 const MEMBERS: usize = 6;
 const DEPARTURES: usize = 8;
-/// Members told to a node that is not known yet.
+/// Members in a message to a node that is not known yet.
 const WELCOME: usize = 64;
-/// Nodes told at once of something urgent.
+/// Nodes that get urgent news at once.
 const SPREAD: usize = 3;
 
 /// Probes nodes for as long as the process lives.
@@ -35,7 +35,7 @@
     }
 }
 
-/// Tells a few nodes at once of what is new, each time that there is something, for as long as the
+/// Sends a few nodes what is new at once, each time that there is something, for as long as the
 /// process lives.
 pub async fn run_urgent(node: Arc<Node>) {
     while node.wait_for_news().await {
@@ -145,14 +145,14 @@
         let members = runtime::lock(&node.members);
         members.helpers(&target.name, node.settings.membership.helpers, &mut fastrand::Rng::new())
     };
-    let asked: Vec<_> = helpers
+    let probes: Vec<_> = helpers
         .into_iter()
         .map(|helper| {
             let (node, name) = (node.clone(), target.name.clone());
             runtime::task(async move { direct(&node, &helper.address, &name).await })
         })
         .collect();
-    for answer in asked {
+    for answer in probes {
         if answer.await {
             return true;
         }
--- a/crates/keeljunction/src/node/grant.rs
+++ b/crates/keeljunction/src/node/grant.rs
@@ -37,7 +37,7 @@
     pub out: Mutex<HashMap<String, Out>>,
     /// Messages to owners that wait to be sent together.
     pub outbox: Mutex<HashMap<(String, ShardKey), wire::SettleRequest>>,
-    /// Tells that there are messages in the outbox.
+    /// Signals that there are messages in the outbox.
     pub posted: Event,
 }
 
@@ -48,7 +48,7 @@
     pub grant: Grant,
     /// The shard that it is of.
     pub shard: ShardKey,
-    /// The node that gave it; `None` where this node decided alone.
+    /// The node that granted it; `None` where this node decided alone.
     pub owner: Option<String>,
 }
 
@@ -291,9 +291,9 @@
         node: node.get_name().to_owned(),
     };
     let time = Duration::from_millis(ask.wait + OWNER_SLACK_MS);
-    let asked =
+    let call =
         node.peers.call(&address, time, |mut peer| async move { peer.acquire(message).await });
-    let reply = asked.await?;
+    let reply = call.await?;
     if reply.not_owner {
         return Err(Status::failed_precondition("not the owner"));
     }
--- a/crates/keeljunction/src/node/lease.rs
+++ b/crates/keeljunction/src/node/lease.rs
@@ -38,7 +38,7 @@
     /// # Errors
     ///
     /// Returns the platform's [`Fault`]. After a lost answer the lease counts as not renewed; the
-    /// next look at the row tells.
+    /// next look at the row shows.
     pub async fn keep(&mut self, node: &Node, key: &str) -> Result<(), Fault> {
         if self.held.as_ref().is_some_and(|lease| !lease.is_due(node.now())) {
             return Ok(());
--- a/crates/keeljunction/src/node/mod.rs
+++ b/crates/keeljunction/src/node/mod.rs
@@ -13,10 +13,10 @@
 //! | [`claims`] | lets an unrepeatable request run at most once |
 //! | [`gossip`], [`adoption`], [`watch`] | membership, the bundle in force, the VM list and notices |
 //! | [`control`], [`lease`] | does what only one node may do, under a lease |
-//! | [`order`], [`fleet`] | tells engines what to run; starts VMs |
+//! | [`order`], [`fleet`] | orders engines to load models; starts VMs |
 //! | [`departure`] | moves streams off VMs that are going away |
 //! | [`service`] | answers peers |
-//! | [`settlement`] | tells owners of shards which grants are used and given back |
+//! | [`settlement`] | reports to owners of shards which grants are used and released |
 //! | [`housekeeping`] | forgets what is old |
 //! | [`serve`] | starts it all |
 //! | [`stop`] | stops without cutting anything |
--- a/crates/keeljunction/src/node/order.rs
+++ b/crates/keeljunction/src/node/order.rs
@@ -1,7 +1,7 @@
 //! Orders to engines: which models, adapters and versions to run.
 //!
 //! An order states the whole desired set, so that a late double changes nothing. The fence is
-//! asked for just before each order is sent.
+//! read just before each order is sent.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/keeljunction/src/node/relay.rs
+++ b/crates/keeljunction/src/node/relay.rs
@@ -241,7 +241,7 @@
         self.node.metric.count(name, 1);
     }
 
-    /// Cancels an attempt, and says whether its engine has confirmed that.
+    /// Cancels an attempt; returns `true` if its engine has confirmed that.
     async fn cancel(&self, attempt: &Attempt) -> bool {
         match attempt.address.parse() {
             Ok(address) => attempt::engine(&self.node, address).cancel(&attempt.id).await,
--- a/crates/keeljunction/src/node/request.rs
+++ b/crates/keeljunction/src/node/request.rs
@@ -49,7 +49,7 @@
     pub group: String,
     /// The request key, which belongs to the account.
     pub key: String,
-    /// A random name of this time that the caller asked.
+    /// A random name of this try of the caller.
     pub instance: String,
     /// The service as it stood in the bundle then.
     pub service: Service,
@@ -87,7 +87,7 @@
         succession_key(&self.account, &self.key)
     }
 
-    /// Returns `true` if the request changes nothing and can simply be asked again.
+    /// Returns `true` if the request changes nothing and can simply be sent again.
     pub fn is_safe(&self) -> bool {
         self.class.repeatable && matches!(self.method.as_str(), "GET" | "HEAD" | "OPTIONS")
     }
--- a/crates/keeljunction/src/node/serve.rs
+++ b/crates/keeljunction/src/node/serve.rs
@@ -20,7 +20,7 @@
 
 /// Time for responses in flight to be written out at the very end.
 const WRITE_OUT: Duration = Duration::from_secs(10);
-/// Time after the last answer in which callers are still told that their connections close: one
+/// Time after the last answer in which answers still carry `Connection: close`: one
 /// that has just read its answer may be about to ask again on the same connection.
 const LINGER: Duration = Duration::from_millis(250);
 const LOOK: Duration = Duration::from_millis(10);
--- a/crates/keeljunction/src/node/settlement.rs
+++ b/crates/keeljunction/src/node/settlement.rs
@@ -1,4 +1,4 @@
-//! Tells owners of shards which grants are used and given back.
+//! Reports to owners of shards which grants are used and released.
 //!
 //! Small news are gathered for a moment and sent together. Now and then each node announces all
 //! its grants of a shard to the owner, which is how a new owner learns of them after a kill.
--- a/crates/keeljunction/src/node/shard.rs
+++ b/crates/keeljunction/src/node/shard.rs
@@ -64,14 +64,14 @@
         grant
     }
 
-    /// Works on the queue, then tells those whose turn has come.
+    /// Works on the queue, then notifies the requests whose turn has come.
     pub fn with<T>(&self, act: impl FnOnce(&mut Queue, Millis) -> T) -> T {
         let output = act(&mut runtime::lock(&self.queue), self.clock.now());
         self.poll();
         output
     }
 
-    /// Tells those whose turn has come, or has not come in time.
+    /// Notifies the requests whose turn has come, or has not come in time.
     pub fn poll(&self) {
         let decided = runtime::lock(&self.queue).poll(self.clock.now());
         for (id, decision) in decided {
--- a/crates/keeljunction/src/node/state.rs
+++ b/crates/keeljunction/src/node/state.rs
@@ -65,7 +65,7 @@
 
 /// One node.
 pub struct Node {
-    /// What the node is told.
+    /// The node's settings.
     pub settings: Settings,
     /// The node's clock.
     pub clock: Clock,
@@ -163,7 +163,7 @@
         self.get_force().map_or(0, |force| force.roll.number)
     }
 
-    /// Puts a bundle in force if its roll is newer, and says whether it did.
+    /// Puts a bundle in force if its roll is newer; returns `true` if it did.
     pub fn set_force(&self, force: Force) -> bool {
         use keeljunction_core::bundle::{Adoption, adopt};
         let mut current = runtime::lock(&self.force);
@@ -175,13 +175,13 @@
         true
     }
 
-    /// Has a few peers told at once of what is new.
+    /// Has a few peers notified at once of what is new.
     pub fn post_news(&self) {
-        // Where one such wish waits already, that one will do for this too.
+        // One notification that waits already covers this one.
         let _ = self.urgent.0.try_send(());
     }
 
-    /// Waits until peers are to be told of something at once; `false` once that cannot be any more.
+    /// Waits until peers must be notified at once; `false` once that cannot be any more.
     pub async fn wait_for_news(&self) -> bool {
         self.urgent.1.recv().await.is_ok()
     }
--- a/crates/keeljunction/src/node/takeover.rs
+++ b/crates/keeljunction/src/node/takeover.rs
@@ -27,7 +27,7 @@
     }
 }
 
-/// Goes on with the request of one record, and says whether this node answers for it now.
+/// Goes on with the request of one record; returns `true` if this node answers for it now.
 pub fn revive(node: &Arc<Node>, id: &Id) -> bool {
     if runtime::lock(&node.answers).contains_key(id) {
         return true;
--- a/crates/keeljunction/src/platform/client.rs
+++ b/crates/keeljunction/src/platform/client.rs
@@ -16,7 +16,7 @@
 
 const MAX_ANSWER: usize = 64 << 20;
 
-/// Explains why the platform gave no answer.
+/// Explains why there is no answer from the platform.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Fault {
     /// The call cannot have had an effect.
@@ -181,7 +181,7 @@
     }
 }
 
-/// Tells a refusal, which had no effect, from a failure halfway, which may have had one.
+/// Distinguishes a refusal, which had no effect, from a failure halfway, which may have had one.
 fn refusal(status: StatusCode) -> Fault {
     if status.is_server_error() && status != StatusCode::SERVICE_UNAVAILABLE {
         return Fault::Unknown(format!("status {status}"));
--- a/crates/keeljunction/src/platform/message.rs
+++ b/crates/keeljunction/src/platform/message.rs
@@ -124,7 +124,7 @@
     pub state: VmState,
 }
 
-/// A VM to start. For one token the cloud starts one VM, however often it is asked.
+/// A VM to start. For one token the cloud starts one VM, however often the call is repeated.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Start {
     /// The client's token.
--- a/crates/keeljunction/src/platform/mod.rs
+++ b/crates/keeljunction/src/platform/mod.rs
@@ -1,7 +1,7 @@
 //! The platform: its table service, object store, VM list and notices.
 //!
 //! Each call has a bound on its time and stays under a rate. A commit whose answer was lost says
-//! so ([`Fault::Unknown`]); whoever asked reads back before doing anything else.
+//! so ([`Fault::Unknown`]); the calling task reads back before doing anything else.
 
 mod client;
 mod message;
--- a/crates/keeljunction/src/settings/document.rs
+++ b/crates/keeljunction/src/settings/document.rs
@@ -55,7 +55,7 @@
     pub data_centre: String,
 }
 
-/// Where a node listens. Port 0 takes any free port; the log tells which.
+/// Where a node listens. Port 0 takes any free port; the log shows which.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
--- a/crates/standin/src/engine/attempt.rs
+++ b/crates/standin/src/engine/attempt.rs
@@ -50,7 +50,7 @@
         self.changed.notify(usize::MAX);
     }
 
-    /// Says whether it was ended early.
+    /// Returns `true` if it was ended early.
     pub fn is_cancelled(&self) -> bool {
         lock(&self.state).is_cancelled
     }
--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -1,4 +1,4 @@
-//! The prefix cache, and what it tells of itself.
+//! The prefix cache and the events that it publishes.
 
 use std::collections::{HashMap, VecDeque};
 
--- a/crates/standin/src/engine/serve.rs
+++ b/crates/standin/src/engine/serve.rs
@@ -322,9 +322,9 @@
     let from = order["from"].as_str().and_then(|from| from.parse::<SocketAddr>().ok());
     let Some(from) = from else { return reply::status(StatusCode::BAD_REQUEST) };
     let path = format!("/kv/{}", order["attempt"].as_str().unwrap_or_default());
-    let asked = Request::get(path).header("host", from.to_string()).body(Body::empty());
-    let Ok(asked) = asked else { return reply::status(StatusCode::BAD_REQUEST) };
-    let Ok(response) = engine.http.send(from, asked).await else {
+    let request = Request::get(path).header("host", from.to_string()).body(Body::empty());
+    let Ok(request) = request else { return reply::status(StatusCode::BAD_REQUEST) };
+    let Ok(response) = engine.http.send(from, request).await else {
         return reply::status(StatusCode::BAD_GATEWAY);
     };
     let content = http::read(response.into_body(), 16 << 20).await.unwrap_or_default();
--- a/crates/standin/src/harness/call.rs
+++ b/crates/standin/src/harness/call.rs
@@ -59,11 +59,11 @@
         serde_json::from_str(&self.body).unwrap_or_default()
     }
 
-    /// Returns the outcome that the caller was told.
+    /// Returns the outcome that the caller got.
     pub fn outcome(&self) -> String {
         let document = self.problem.clone().unwrap_or_else(|| self.json());
-        let told = document["outcome"].as_str().unwrap_or_default().to_owned();
-        if told.is_empty() && self.is_whole { "done".to_owned() } else { told }
+        let outcome = document["outcome"].as_str().unwrap_or_default().to_owned();
+        if outcome.is_empty() && self.is_whole { "done".to_owned() } else { outcome }
     }
 }
 
--- a/crates/standin/src/harness/cluster.rs
+++ b/crates/standin/src/harness/cluster.rs
@@ -41,7 +41,7 @@
     pub vm_lag_ms: u64,
     /// Settings of the nodes that go over the defaults, as JSON, by section.
     pub settings: Value,
-    /// Whether nodes are told of the first node besides the VM list.
+    /// Whether nodes get the first node's address besides the VM list.
     pub seeded: bool,
     /// Lines to add to the model service, and to the end of the bundle.
     pub extra: (String, String),
--- a/crates/standin/src/load/run.rs
+++ b/crates/standin/src/load/run.rs
@@ -49,7 +49,7 @@
     pub seed: u64,
     /// The kinds of calls.
     pub kinds: Vec<Kind>,
-    /// Whether refused callers come back once, when they are told to.
+    /// Whether refused callers retry once, after `Retry-After`.
     pub is_followed: bool,
 }
 
@@ -97,7 +97,7 @@
     summaries.clone()
 }
 
-/// Reads when a refused caller is asked to come back.
+/// Reads the `Retry-After` of a refusal.
 fn retry_after(answer: &Answer) -> Option<Duration> {
     if answer.is_whole || answer.outcome() != "not_run" {
         return None;
--- a/crates/standin/src/load/summary.rs
+++ b/crates/standin/src/load/summary.rs
@@ -22,7 +22,7 @@
     pub tokens: u64,
     /// Whole answers that were not the right ones.
     pub wrong: u64,
-    /// Callers that came back when they were told to.
+    /// Callers that retried after `Retry-After`.
     pub returned: u64,
     /// Of these, those that were served then.
     pub admitted: u64,
--- a/crates/standin/src/measure/policy.rs
+++ b/crates/standin/src/measure/policy.rs
@@ -120,8 +120,8 @@
     let mut long = of("flood-long");
     long.add(&of("desk-long"));
     figures.long_95.push(long.first_ms(0.95));
-    let asked = all.done + all.refused + all.failed;
-    figures.refused.push((all.refused + all.failed) as f64 * 100.0 / asked.max(1) as f64);
+    let sent = all.done + all.refused + all.failed;
+    figures.refused.push((all.refused + all.failed) as f64 * 100.0 / sent.max(1) as f64);
     let ran = cluster.ran().await;
     let prefill: u64 = ran.iter().filter_map(|(_, entry)| entry["prefill"].as_u64()).sum();
     figures.prefill.push(prefill as f64 / all.done.max(1) as f64);
--- a/crates/standin/src/measure/shares.rs
+++ b/crates/standin/src/measure/shares.rs
@@ -1,5 +1,5 @@
 //! Shares of groups at twice the capacity, before and after half of the servers are lost, and what
-//! becomes of callers who come back when they are told to.
+//! becomes of callers that retry after `Retry-After`.
 
 use std::io;
 use std::time::Duration;
@@ -34,12 +34,12 @@
         for seed in 1..=RUNS {
             let (flood, desk) = measure(lost, seed).await?;
             let part = flood.tokens as f64 * 100.0 / (flood.tokens + desk.tokens).max(1) as f64;
-            let asked =
+            let sent =
                 flood.done + flood.refused + flood.failed + desk.done + desk.refused + desk.failed;
             let returned = (flood.returned + desk.returned).max(1) as f64;
             share.push(part);
             error.push((part - OWED).abs());
-            refused.push(returned * 100.0 / asked.max(1) as f64);
+            refused.push(returned * 100.0 / sent.max(1) as f64);
             admitted.push((flood.admitted + desk.admitted) as f64 * 100.0 / returned);
         }
         println!(
