--- a/crates/core/src/serving/choice.rs
+++ b/crates/core/src/serving/choice.rs
@@ -34,7 +34,8 @@
 }
 
 impl Candidate<'_> {
-    fn is_full(&self) -> bool {
+    /// Returns `true` if the server works on as many requests as it has slots.
+    pub(super) fn is_full(&self) -> bool {
         self.load.requests >= self.server.slots.max(1)
     }
 
@@ -68,6 +69,13 @@
         self.time(candidate, tokens)
     }
 
+    /// Estimates the time to the first token at an idle typical server, where the prefill rate is
+    /// known.
+    pub fn estimate_idle(&self) -> Option<Millis> {
+        let rate = self.prefill_rate?.max(f64::MIN_POSITIVE);
+        Some((self.prompt_tokens as f64 / rate) as Millis)
+    }
+
     /// Returns `true` if reading this prompt behind those that wait would pause the streams of a
     /// server for long. A prompt that waits for no other pauses the streams of all typical servers
     /// as long.
--- a/crates/core/src/serving/members/mod.rs
+++ b/crates/core/src/serving/members/mod.rs
@@ -15,8 +15,10 @@
 //! | `ranking` | orders nodes, and says which of them aggregate |
 //! | `view` | computes once in each period who is in reach and who aggregates |
 //! | `query` | answers those who send and decide |
+//! | `owner` | says which aggregator keeps the load of a server |
 
 mod entry;
+mod owner;
 mod query;
 mod ranking;
 mod view;
@@ -32,6 +34,7 @@
 use crate::Millis;
 
 pub use self::entry::Entry;
+pub use self::owner::LoadOwner;
 
 use self::view::View;
 
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -9,6 +9,7 @@
 //! | [`directory`] | which servers there are and which may get new work |
 //! | [`load`] | how busy each server is, by this node's and its peers' counts |
 //! | [`choice`] | which server a request goes to |
+//! | [`spill`] | whether a request leaves its region |
 //! | [`health`] | which servers are ejected because of their latest answers |
 //! | [`members`] | which other nodes there are, who aggregates whose reports, and who reads for all |
 //! | [`handover`] | which of a node's counts its peers have taken over |
@@ -37,6 +38,7 @@
 pub mod quota;
 pub mod refusal;
 pub mod rollout;
+pub mod spill;
 pub mod throughput;
 pub mod topology;
 pub mod usage;
--- a/crates/core/src/serving/refusal.rs
+++ b/crates/core/src/serving/refusal.rs
@@ -29,6 +29,9 @@
     NoServer,
     /// All servers are busy for longer than the request can wait.
     Busy,
+    /// Only servers of another region could serve the request, and the budget of the link there is
+    /// used up.
+    LinkFull,
     /// The server that was asked did not take the request, and no other may be asked.
     NotAccepted,
     /// The time ran out before the request was sent to a server.
@@ -56,6 +59,7 @@
             | Self::Stale
             | Self::NoServer
             | Self::Busy
+            | Self::LinkFull
             | Self::NotAccepted
             | Self::TooLate => 503,
         }
@@ -80,6 +84,7 @@
             Self::Stale => "stale_configuration",
             Self::NoServer => "no_server",
             Self::Busy => "busy",
+            Self::LinkFull => "link_full",
             Self::NotAccepted => "not_accepted",
             Self::TooLate => "too_late",
             Self::Timeout => "timeout",
@@ -99,6 +104,7 @@
                 | Self::Stale
                 | Self::NoServer
                 | Self::Busy
+                | Self::LinkFull
                 | Self::NotAccepted
         );
         if !is_passing {
--- /dev/null
+++ b/crates/core/src/serving/spill.rs
@@ -0,0 +1,247 @@
+//! Whether a request leaves its region.
+//!
+//! A request goes to a server of its own region as long as one of them serves it in time. Another
+//! region costs round trips, bytes on a narrow link, and a prompt that is cached there too. A request
+//! spills to it only where its own region is full or has no server, where the way there and back
+//! leaves its objective in reach, and where the budget of the link allows it.
+//!
+//! Each node has a share of the budget, by how many nodes its region has. The budget counts the
+//! requests' own bytes, there and back; what nodes tell each other has the rest of the link.
+//!
+//! Called once for each choice; a deployment of one region never gets past [`Offer::get_cause`].
+
+use std::collections::BTreeMap;
+
+use super::choice::{Candidate, Choice, Criteria};
+use super::topology::Topology;
+use crate::Millis;
+use crate::bucket::Bucket;
+
+/// Round trips from the choice of a far server to the first byte of its answer: the connection and
+/// the request. Connections to far servers rest longer than they are kept, because few requests
+/// cross.
+const TRIPS_OF_REQUEST: Millis = 2;
+/// Round trips for the question for the loads of far servers.
+const TRIPS_OF_QUESTION: Millis = 1;
+/// How long a region is not asked again that did not answer: a request held for an answer that does
+/// not come may miss its objective, and regions that were cut off stay so for seconds.
+const SILENT_FOR: Millis = 1_000;
+/// Bytes a second of a megabit a second.
+const BYTES_PER_MBIT: f64 = 125_000.0;
+
+/// What the servers of one region can do for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// A server that is neither full nor ejected.
+    Free,
+    /// The best server is full: the request would wait for a slot.
+    Full,
+    /// All servers are ejected.
+    Ejected,
+    /// All servers would miss the objective; the time after which to retry.
+    Busy(Millis),
+    /// There is no server.
+    None,
+}
+
+/// Why a request leaves its region.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The servers of its own region are full.
+    Full,
+    /// There is none in its own region, or all are ejected.
+    NoServer,
+}
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Settled {
+    /// To the server of its own region.
+    Near,
+    /// To the server of the other region.
+    Far,
+    /// Nowhere; the time after which to retry.
+    Busy(Millis),
+    /// Nowhere: there is no server.
+    None,
+}
+
+impl Offer {
+    /// Tells what a choice among some candidates offers.
+    pub fn of(choice: &Choice<'_>, candidates: &[Candidate<'_>]) -> Self {
+        let server = match choice {
+            Choice::Server(server) => *server,
+            Choice::Busy(wait) => return Self::Busy(*wait),
+            Choice::None => return Self::None,
+        };
+        let chosen = candidates.iter().find(|candidate| candidate.server.id == server.id);
+        match chosen {
+            Some(candidate) if candidate.is_ejected => Self::Ejected,
+            Some(candidate) if candidate.is_full() => Self::Full,
+            _ => Self::Free,
+        }
+    }
+
+    /// Returns why the request may leave the region that offers this; `None` where it stays.
+    pub fn get_cause(self) -> Option<Cause> {
+        match self {
+            Self::Free => None,
+            Self::Full | Self::Busy(_) => Some(Cause::Full),
+            Self::Ejected | Self::None => Some(Cause::NoServer),
+        }
+    }
+}
+
+impl Cause {
+    /// Names the cause in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Full => "full",
+            Self::NoServer => "no_server",
+        }
+    }
+}
+
+/// The way to another region, for one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Way {
+    /// How long the caller has waited.
+    pub waited: Millis,
+    /// The time until the caller gives up.
+    pub left: Millis,
+    /// The smoothed round trip.
+    pub round_trip: Millis,
+    /// How long the request's body takes at the rate of the budget.
+    pub transfer: Millis,
+    /// Whether the loads there must be asked for before the choice.
+    pub is_asked: bool,
+}
+
+impl Way {
+    /// Returns the time from now until the first byte of an answer, without the server's own.
+    pub fn get_travel(&self) -> Millis {
+        let question = if self.is_asked { TRIPS_OF_QUESTION } else { 0 };
+        (TRIPS_OF_REQUEST + question) * self.round_trip + self.transfer
+    }
+
+    /// Returns `true` if an idle server at its end serves the request in time: within its objective
+    /// where the own region is only full, and before its caller gives up where there is no server. A
+    /// late answer is better than none, but not than a refusal after which a retry finds room.
+    pub fn is_borne(&self, criteria: &Criteria, cause: Cause) -> bool {
+        let reading = criteria.estimate_idle().unwrap_or(0);
+        let from_now = self.get_travel() + reading;
+        let is_within = from_now < self.left;
+        match (cause, criteria.ttft_objective) {
+            (Cause::NoServer, _) | (_, 0) => is_within,
+            (Cause::Full, objective) => is_within && self.waited + from_now <= objective,
+        }
+    }
+
+    /// Returns the criteria for the choice there: the way takes its time off the objective. One that
+    /// is out of reach stays as it is: the request is late, and is refused only where servers are busy
+    /// for longer than that.
+    pub fn shorten(&self, criteria: &Criteria) -> Criteria {
+        let left = criteria.ttft_objective.saturating_sub(self.waited + self.get_travel());
+        let ttft_objective = if left == 0 { criteria.ttft_objective } else { left };
+        Criteria { ttft_objective, ..*criteria }
+    }
+}
+
+/// Settles where a request goes whose own region offers `near`, and another one `far`.
+///
+/// A far server that is full or ejected is no better than one that is near.
+pub fn settle(near: Offer, far: Offer) -> Settled {
+    match (near, far) {
+        (Offer::Free | Offer::Full | Offer::Ejected, Offer::Full | Offer::Ejected)
+        | (Offer::Free | Offer::Full | Offer::Ejected, Offer::Busy(_) | Offer::None)
+        | (Offer::Free, Offer::Free) => Settled::Near,
+        (_, Offer::Free) => Settled::Far,
+        (Offer::Busy(near), Offer::Busy(far)) => Settled::Busy(near.min(far)),
+        (Offer::Busy(wait), _) | (Offer::None, Offer::Busy(wait)) => Settled::Busy(wait),
+        (Offer::None, Offer::Full | Offer::Ejected) => Settled::Far,
+        (Offer::None, Offer::None) => Settled::None,
+    }
+}
+
+/// What a node may send and get over the links to other regions.
+#[derive(Clone, Debug)]
+pub struct Links {
+    /// Bytes a second of all nodes of the region together.
+    rate: f64,
+    by_region: BTreeMap<String, Link>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Link {
+    bytes: Bucket,
+    silent_until: Millis,
+}
+
+impl Links {
+    /// Makes full budgets of so many megabits a second for all nodes of the region together.
+    pub fn new(spill_mbps: f64) -> Self {
+        Self { rate: spill_mbps * BYTES_PER_MBIT, by_region: BTreeMap::new() }
+    }
+
+    /// Asks whether a request may cross to a region, from a region of so many nodes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the milliseconds after which one may.
+    pub fn check(&mut self, now: Millis, region: &str, nodes: usize) -> Result<(), Millis> {
+        let share = self.rate / nodes.max(1) as f64;
+        let link = self.get_link(now, region);
+        link.bytes.set(now, share, share);
+        if link.bytes.available > 0.0 {
+            return Ok(());
+        }
+        let lacking = -link.bytes.available;
+        Err((lacking / share.max(f64::MIN_POSITIVE) * 1_000.0).ceil() as Millis + 1)
+    }
+
+    /// Counts bytes of a request or its answer that crossed to or from a region. An answer is paid
+    /// for as it comes: the budget may fall below zero, and recovers before anything more crosses.
+    pub fn count(&mut self, now: Millis, region: &str, bytes: usize) {
+        self.get_link(now, region).bytes.available -= bytes as f64;
+    }
+
+    /// Returns how long a body takes at the rate of the whole budget.
+    pub fn get_transfer(&self, bytes: usize) -> Millis {
+        (bytes as f64 / self.rate.max(f64::MIN_POSITIVE) * 1_000.0) as Millis
+    }
+
+    /// Notes whether a region answered the question for the loads of its servers.
+    pub fn note_answer(&mut self, now: Millis, region: &str, is_answered: bool) {
+        let silent_until = if is_answered { 0 } else { now + SILENT_FOR };
+        self.get_link(now, region).silent_until = silent_until;
+    }
+
+    /// Returns `true` if a region did not answer the latest question, a short time ago.
+    pub fn is_silent(&self, now: Millis, region: &str) -> bool {
+        self.by_region.get(region).is_some_and(|link| now < link.silent_until)
+    }
+
+    fn get_link(&mut self, now: Millis, region: &str) -> &mut Link {
+        let rate = self.rate;
+        let full = || Link { bytes: Bucket::new(now, rate), silent_until: 0 };
+        self.by_region.entry(region.to_owned()).or_insert_with(full)
+    }
+}
+
+/// Stands for the region of data centres that the settings do not name.
+const UNKNOWN_REGION: &str = "unknown";
+
+/// Returns the region of a data centre, for a deployment of more than one.
+pub fn get_region<'a>(topology: &'a Topology, data_centre: &str) -> &'a str {
+    topology.get_region(data_centre).unwrap_or(UNKNOWN_REGION)
+}
+
+/// Lists the regions other than a node's own, the nearest first; last what stands in none that is
+/// known.
+pub fn list_far(topology: &Topology, mut get_round_trip: impl FnMut(&str) -> Millis) -> Vec<&str> {
+    let regions = topology.list_regions().into_iter();
+    let mut far: Vec<&str> = regions.filter(|region| *region != topology.get_own()).collect();
+    far.sort_by_key(|region| get_round_trip(region));
+    far.push(UNKNOWN_REGION);
+    far
+}
--- a/crates/core/src/serving/topology.rs
+++ b/crates/core/src/serving/topology.rs
@@ -68,7 +68,7 @@
 
     /// Returns `true` if there is more than one region.
     pub fn is_multi_region(&self) -> bool {
-        self.list_regions().len() > 1
+        self.regions.values().any(|region| *region != self.own)
     }
 
     /// Lists the regions by name.
--- /dev/null
+++ b/crates/core/tests/serving/spill.rs
@@ -0,0 +1,273 @@
+//! Whether a request leaves its region.
+
+use std::collections::BTreeMap;
+
+use keeljunction_core::serving::choice::{Candidate, Choice, Criteria, choose};
+use keeljunction_core::serving::directory::Server;
+use keeljunction_core::serving::load::Load;
+use keeljunction_core::serving::spill::{
+    Cause, Links, Offer, Settled, Way, get_region, list_far, settle,
+};
+use keeljunction_core::serving::topology::Topology;
+use proptest::prelude::*;
+
+use crate::support::server;
+
+/// A prompt that an idle server reads in 100 ms, with an objective of 500 ms.
+const CRITERIA: Criteria = Criteria {
+    shared_prefix: None,
+    prompt_tokens: 5_000,
+    priority: 1,
+    prefill_rate: Some(50.0),
+    ttft_objective: 500,
+    gap_objective: None,
+};
+
+/// A way of 30 ms each way, whose loads are asked for: 180 ms until the first byte.
+const WAY: Way = Way { waited: 0, left: 10_000, round_trip: 60, transfer: 0, is_asked: true };
+
+fn topology(own: &str, regions: &[(&str, &str)]) -> Topology {
+    let regions = regions
+        .iter()
+        .map(|(data_centre, region)| ((*data_centre).to_owned(), (*region).to_owned()));
+    Topology::new(own, regions.collect()).expect("regions")
+}
+
+fn offer(servers: &[Server], requests: u32, tokens: u64, is_ejected: bool) -> Offer {
+    let mut load = Load { requests, waiting: requests, ..Load::default() };
+    load.waiting_tokens[1] = tokens;
+    let candidates: Vec<Candidate<'_>> = servers
+        .iter()
+        .map(|server| Candidate { server, load, is_ejected, slowness: 1.0 })
+        .collect();
+    Offer::of(&choose(&candidates, &CRITERIA, 7), &candidates)
+}
+
+#[test]
+fn a_request_stays_where_a_server_of_its_region_is_free() {
+    let servers = [server("a", "z1"), server("b", "z1")];
+    let near = offer(&servers, 0, 0, false);
+
+    assert_eq!(near, Offer::Free);
+    assert_eq!(near.get_cause(), None);
+    for far in [Offer::Free, Offer::Full, Offer::Ejected, Offer::Busy(1), Offer::None] {
+        assert_eq!(settle(near, far), Settled::Near);
+    }
+}
+
+#[test]
+fn a_region_is_left_where_its_servers_have_no_slot_or_would_miss_the_objective() {
+    let servers = [server("a", "z1"), server("b", "z1")];
+
+    // Four slots each.
+    assert_eq!(offer(&servers, 4, 0, false), Offer::Full);
+    // 25,000 tokens and 5,000 of its own take 600 ms; after 350 there is room for half of 500.
+    assert_eq!(offer(&servers, 1, 25_000, false), Offer::Busy(350));
+    for near in [Offer::Full, Offer::Busy(350)] {
+        assert_eq!(near.get_cause(), Some(Cause::Full));
+        assert_eq!(settle(near, Offer::Free), Settled::Far);
+    }
+}
+
+#[test]
+fn a_region_is_left_where_it_has_no_server_or_all_are_ejected() {
+    let servers = [server("a", "z1")];
+
+    assert_eq!(offer(&[], 0, 0, false), Offer::None);
+    assert_eq!(offer(&servers, 0, 0, true), Offer::Ejected);
+    for near in [Offer::None, Offer::Ejected] {
+        assert_eq!(near.get_cause(), Some(Cause::NoServer));
+        assert_eq!(settle(near, Offer::Free), Settled::Far);
+    }
+}
+
+#[test]
+fn where_the_far_region_is_no_better_the_own_one_serves_or_refuses() {
+    assert_eq!(settle(Offer::Full, Offer::Full), Settled::Near);
+    assert_eq!(settle(Offer::Ejected, Offer::Ejected), Settled::Near);
+    assert_eq!(settle(Offer::Full, Offer::Busy(10)), Settled::Near);
+    assert_eq!(settle(Offer::Busy(350), Offer::Busy(200)), Settled::Busy(200));
+    assert_eq!(settle(Offer::Busy(150), Offer::Busy(200)), Settled::Busy(150));
+    assert_eq!(settle(Offer::Busy(350), Offer::Full), Settled::Busy(350));
+    assert_eq!(settle(Offer::Busy(350), Offer::None), Settled::Busy(350));
+}
+
+#[test]
+fn a_region_without_servers_takes_what_the_other_one_has() {
+    assert_eq!(settle(Offer::None, Offer::Full), Settled::Far);
+    assert_eq!(settle(Offer::None, Offer::Ejected), Settled::Far);
+    assert_eq!(settle(Offer::None, Offer::Busy(200)), Settled::Busy(200));
+    assert_eq!(settle(Offer::None, Offer::None), Settled::None);
+}
+
+#[test]
+fn a_full_region_is_left_only_where_the_objective_bears_the_way() {
+    // A question, a connection and a request, 60 ms each, and 100 ms of reading.
+    assert_eq!(WAY.get_travel(), 180);
+    let with = |ttft_objective| Criteria { ttft_objective, ..CRITERIA };
+    assert!(WAY.is_borne(&with(280), Cause::Full));
+    assert!(!WAY.is_borne(&with(279), Cause::Full));
+
+    let known = Way { is_asked: false, ..WAY };
+    assert!(known.is_borne(&with(220), Cause::Full));
+
+    let late = Way { waited: 300, ..WAY };
+    assert!(!late.is_borne(&with(500), Cause::Full));
+
+    let long = Way { transfer: 221, ..WAY };
+    assert!(!long.is_borne(&with(500), Cause::Full));
+}
+
+#[test]
+fn a_region_without_servers_is_left_also_where_the_answer_is_late() {
+    let short = Criteria { ttft_objective: 50, ..CRITERIA };
+    assert!(WAY.is_borne(&short, Cause::NoServer));
+    assert!(!Way { left: 280, ..WAY }.is_borne(&short, Cause::NoServer));
+    assert!(Way { left: 281, ..WAY }.is_borne(&short, Cause::NoServer));
+}
+
+#[test]
+fn the_way_takes_its_time_off_the_objective_of_the_far_choice() {
+    assert_eq!(WAY.shorten(&CRITERIA).ttft_objective, 320);
+    assert_eq!(Way { waited: 20, ..WAY }.shorten(&CRITERIA).ttft_objective, 300);
+    // A request that is late anyway is refused only where it would be late for waiting.
+    let short = Criteria { ttft_objective: 50, ..CRITERIA };
+    assert_eq!(WAY.shorten(&short).ttft_objective, 50);
+    // Without an objective there is none.
+    let none = Criteria { ttft_objective: 0, ..CRITERIA };
+    assert_eq!(WAY.shorten(&none).ttft_objective, 0);
+}
+
+#[test]
+fn a_far_server_that_would_miss_the_shorter_objective_is_busy() {
+    let servers = [server("a", "z2")];
+    let mut load = Load { requests: 1, waiting: 1, ..Load::default() };
+    load.waiting_tokens[1] = 15_000;
+    let candidates = [Candidate { server: &servers[0], load, is_ejected: false, slowness: 1.0 }];
+
+    // 400 ms of reading: within 500 ms near by, and beyond the 320 ms that the way leaves.
+    assert!(matches!(choose(&candidates, &CRITERIA, 7), Choice::Server(_)));
+    assert_eq!(choose(&candidates, &WAY.shorten(&CRITERIA), 7), Choice::Busy(240));
+}
+
+#[test]
+fn other_regions_are_tried_by_distance_and_unknown_data_centres_last() {
+    let regions = [("a1", "a"), ("b1", "b"), ("c1", "c")];
+    let topology = topology("a1", &regions);
+    let distance = |region: &str| if region == "c" { 20 } else { 60 };
+
+    assert_eq!(list_far(&topology, distance), ["c", "b", "unknown"]);
+    assert_eq!(get_region(&topology, "b1"), "b");
+    assert_eq!(get_region(&topology, "elsewhere"), "unknown");
+}
+
+#[test]
+fn a_node_spends_its_share_of_the_budget_and_waits_for_more() {
+    // 8 Mbit/s are 1,000,000 bytes a second; a tenth of that for each of ten nodes.
+    let mut links = Links::new(8.0);
+
+    assert_eq!(links.check(0, "b", 10), Ok(()));
+    links.count(0, "b", 150_000);
+    assert_eq!(links.check(0, "b", 10), Err(501));
+    assert_eq!(links.check(500, "b", 10), Err(1));
+    assert_eq!(links.check(501, "b", 10), Ok(()));
+}
+
+#[test]
+fn each_region_has_a_budget_of_its_own() {
+    let mut links = Links::new(8.0);
+    links.count(0, "b", 5_000_000);
+
+    assert!(links.check(0, "b", 1).is_err());
+    assert_eq!(links.check(0, "c", 1), Ok(()));
+}
+
+#[test]
+fn a_budget_of_nothing_lets_nothing_cross() {
+    let mut links = Links::new(0.0);
+    assert!(links.check(0, "b", 1).is_err());
+    assert!(links.check(60_000, "b", 1).is_err());
+}
+
+#[test]
+fn a_region_that_did_not_answer_is_silent_for_a_while_and_until_it_answers() {
+    let mut links = Links::new(8.0);
+    assert!(!links.is_silent(0, "b"));
+
+    links.note_answer(100, "b", false);
+    assert!(links.is_silent(1_099, "b"));
+    assert!(!links.is_silent(1_100, "b"));
+
+    links.note_answer(1_200, "b", false);
+    links.note_answer(1_300, "b", true);
+    assert!(!links.is_silent(1_300, "b"));
+}
+
+#[test]
+fn a_body_takes_as_long_as_at_the_rate_of_the_budget() {
+    assert_eq!(Links::new(8.0).get_transfer(50_000), 50);
+}
+
+#[test]
+fn in_one_region_nothing_is_far() {
+    let topology = Topology::new("a1", BTreeMap::new()).expect("no regions");
+    assert!(!topology.is_multi_region());
+    assert!(topology.is_near("elsewhere"));
+}
+
+fn any_offer() -> impl Strategy<Value = Offer> {
+    prop_oneof![
+        Just(Offer::Free),
+        Just(Offer::Full),
+        Just(Offer::Ejected),
+        Just(Offer::None),
+        (1_u64..5_000).prop_map(Offer::Busy),
+    ]
+}
+
+proptest! {
+    /// A request is served wherever one region can, crosses only where its own cannot serve it well,
+    /// and is never told to wait longer than its own region says.
+    #[test]
+    fn a_request_crosses_only_for_better(near in any_offer(), far in any_offer()) {
+        let settled = settle(near, far);
+        let has_near = matches!(near, Offer::Free | Offer::Full | Offer::Ejected);
+        match settled {
+            Settled::Near => prop_assert!(has_near),
+            Settled::Far => {
+                prop_assert!(near.get_cause().is_some());
+                prop_assert!(far == Offer::Free || near == Offer::None);
+            }
+            Settled::Busy(wait) => {
+                prop_assert!(!has_near);
+                if let Offer::Busy(own) = near {
+                    prop_assert!(wait <= own);
+                }
+            }
+            Settled::None => prop_assert_eq!((near, far), (Offer::None, Offer::None)),
+        }
+    }
+
+    /// Whatever nodes send, all of a region together stay within the budget over any length of time,
+    /// but for a second's worth at first and one request each beyond it.
+    #[test]
+    fn all_nodes_together_stay_within_the_budget(
+        nodes in 1_usize..20,
+        body in 1_000_usize..60_000,
+        gaps in proptest::collection::vec(0_u64..400, 50..200),
+    ) {
+        let mut links: Vec<Links> = (0..nodes).map(|_| Links::new(8.0)).collect();
+        let mut now = 0;
+        let mut sent = 0;
+        for (turn, gap) in gaps.iter().enumerate() {
+            now += gap;
+            let own = &mut links[turn % nodes];
+            if own.check(now, "b", nodes).is_ok() {
+                own.count(now, "b", body);
+                sent += body;
+            }
+        }
+        let allowed = 1_000_000.0 * (1.0 + now as f64 / 1_000.0) + (nodes * body) as f64;
+        prop_assert!(sent as f64 <= allowed + 1.0, "{sent} sent, {allowed} allowed");
+    }
+}
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -97,6 +97,10 @@
         left_ms: u64,
         version: u64,
         age_ms: Option<u64>,
+        /// The server's region, where there is more than one.
+        region: Option<&'a str>,
+        /// Why the request left its own region, where it did.
+        spill: Option<&'a str>,
     },
     /// An attempt at a server failed.
     AttemptFailed {
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -46,6 +46,15 @@
     },
 }
 
+impl AnswerBody {
+    /// Counts the bytes that have come.
+    fn count_bytes(&self) -> usize {
+        match self {
+            Self::Whole(bytes) | Self::Open { first: bytes, .. } => bytes.len(),
+        }
+    }
+}
+
 /// A failure, with the server's own answer where it gave one.
 pub(super) type Failure = (Failed, Option<Box<Answer>>);
 
@@ -163,18 +172,23 @@
     let mut load = LoadGuard::begin(node, order.server, exchange.work);
     let sent_at = node.now();
     let sending = node.servers.send(order.server.address, request);
+    let data_centre = &order.server.data_centre;
     let response = sending.await.map_err(|failure| match failure.is_not_sent() {
         true => (Failed::NotConnected, None),
         false => (Failed::Broken, None),
     })?;
+    node.count_crossing(data_centre, exchange.body.len(), 0);
     let (parts, reply) = response.into_parts();
     let fault = judge(node, exchange, order.server, &parts);
     if let Some(fault) = fault.filter(|fault| *fault != Failed::ServerError) {
         return Err((fault, None));
     }
     let body = read_first(exchange, reply).await.ok_or((Failed::Broken, None))?;
+    node.count_crossing(data_centre, 0, body.count_bytes());
     load.note_first_token();
-    if exchange.has_engine && order.last_event.is_none() {
+    // A sample tells how fast a server reads, and not how far away it is.
+    let is_sample = !node.is_crossing(data_centre);
+    if is_sample && exchange.has_engine && order.last_event.is_none() {
         let sample = Sample {
             server: short_id(&order.server.id),
             is_alone,
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -1,26 +1,21 @@
-//! Chooses servers and sends the request until there is an answer.
+//! Sends the request to servers until there is an answer.
 
 use std::sync::Arc;
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::choice::{Candidate, Choice, Criteria, choose, shortlist};
 use keeljunction_core::serving::directory::Server;
-use keeljunction_core::serving::load::short_id;
 use keeljunction_core::serving::refusal::Refusal;
-use keeljunction_core::serving::rollout::{Phase, Side};
-use keeljunction_core::serving::throughput::Throughput;
+use keeljunction_core::serving::rollout::Phase;
+use keeljunction_core::serving::spill::{Cause, get_region};
 
 use super::admission::Exchange;
 use super::attempt::{self, Answer, Failed, Order};
+use super::pick::{self, Attempts, Pick};
 use super::respond::{Record, Refused};
 use crate::event::{self, Event};
-use crate::metrics::ReasonLabels;
-use crate::node::state::State;
-use crate::node::{Node, ask_loads, report_begun, rollouts};
+use crate::metrics::{ReasonLabels, SpillLabels};
+use crate::node::{Node, report_begun, rollouts};
 
-/// `Retry-After` where no server takes work, in milliseconds: about what a list of servers takes to
-/// reach all nodes.
-const SERVER_RETRY_AFTER: Millis = 700;
 /// `Retry-After` where the server that was asked was full, in milliseconds.
 const ROOM_RETRY_AFTER: Millis = 250;
 /// Attempts at connecting, which send nothing and so count for no bound of the operator's.
@@ -34,8 +29,8 @@
 }
 
 /// How far the attempts at a request have come.
-#[derive(Default)]
 struct Progress {
+    arrived: Millis,
     tried: Vec<String>,
     sent: u32,
     last: Option<Failed>,
@@ -43,6 +38,10 @@
 }
 
 impl Progress {
+    fn new(arrived: Millis) -> Self {
+        Self { arrived, tried: Vec::new(), sent: 0, last: None, may_have_run: false }
+    }
+
     fn note(&mut self, failed: Failed) {
         if failed != Failed::NotConnected {
             self.sent += 1;
@@ -73,15 +72,16 @@
     record: &mut Record,
 ) -> Result<Answer, Refused> {
     node.with(|state| state.budget.count_request(node.now(), &exchange.service));
-    let mut progress = Progress::default();
+    let mut progress = Progress::new(record.get_arrival());
     let mut spare: Option<Box<Answer>> = None;
     loop {
-        let server = match next_attempt(node, exchange, &progress).await {
-            Ok(server) => server,
+        let pick = match next_attempt(node, exchange, &progress).await {
+            Ok(pick) => pick,
             Err(stop) => return give_up(node, exchange, stop, spare),
         };
+        note_choice(node, exchange, record, &pick);
         let within = exchange.get_left(node.now());
-        let order = Order { server: &server, last_event: None, within };
+        let order = Order { server: &pick.server, last_event: None, within };
         match try_server(node, exchange, record, &mut progress, &order).await {
             Ok(answer) => return Ok(answer),
             Err(answer) => spare = answer.or(spare),
@@ -97,15 +97,15 @@
     progress: &mut Progress,
     order: &Order<'_>,
 ) -> Result<Answer, Option<Box<Answer>>> {
-    record.attempts += 1;
     progress.tried.push(order.server.id.clone());
-    note_choice(node, exchange, record, order.server);
     node.with(|state| state.rollouts.count_sent(order.server));
     let sent_at = node.now();
     match attempt::send(node, exchange, order).await {
         Ok(answer) => {
             node.with(|state| state.health.succeed(&order.server.id));
-            let (route, latency) = (&exchange.route.name, node.now() - sent_at);
+            let on_the_way = node.get_round_trip(&order.server.data_centre);
+            let latency = (node.now() - sent_at).saturating_sub(on_the_way);
+            let route = &exchange.route.name;
             rollouts::note_success(node, order.server, route, Phase::FirstToken, latency);
             Ok(answer)
         }
@@ -134,11 +134,13 @@
         sent: tried.len() as u32,
         last: Some(Failed::Broken),
         may_have_run: true,
+        ..Progress::new(record.get_arrival())
     };
     loop {
-        let server = next_attempt(node, exchange, &progress).await.ok()?;
+        let pick = next_attempt(node, exchange, &progress).await.ok()?;
+        note_choice(node, exchange, record, &pick);
         let within = exchange.get_left(node.now());
-        let order = Order { server: &server, last_event, within };
+        let order = Order { server: &pick.server, last_event, within };
         let tried_server = try_server(node, exchange, record, &mut progress, &order).await;
         tried.clone_from(&progress.tried);
         if let Ok(answer) = tried_server {
@@ -148,11 +150,7 @@
 }
 
 /// Picks the server of the next attempt, or says why there is none.
-async fn next_attempt(
-    node: &Node,
-    exchange: &Exchange,
-    progress: &Progress,
-) -> Result<Server, Stop> {
+async fn next_attempt(node: &Node, exchange: &Exchange, progress: &Progress) -> Result<Pick, Stop> {
     let now = node.now();
     if exchange.get_left(now) == 0 {
         let reason = if progress.sent > 0 { Refusal::Timeout } else { Refusal::TooLate };
@@ -168,15 +166,14 @@
     if !node.is_fresh() {
         return Err(progress.stop(Refusal::Stale, ROOM_RETRY_AFTER));
     }
-    let server = match pick_allowed(node, exchange, progress).await {
-        Picked::Server(server) => server,
-        Picked::Busy(wait) => return Err(progress.stop(Refusal::Busy, wait)),
-        Picked::None => return Err(progress.stop(Refusal::NoServer, SERVER_RETRY_AFTER)),
-    };
+    let attempts = Attempts { tried: &progress.tried, arrived: progress.arrived };
+    let pick = pick::pick(node, exchange, attempts)
+        .await
+        .map_err(|unserved| progress.stop(unserved.reason, unserved.retry_after))?;
     if progress.sent > 0 {
         take_repeat(node, exchange, progress, now)?;
     }
-    Ok(server)
+    Ok(pick)
 }
 
 /// Takes a repeat from the budget that all nodes share.
@@ -198,153 +195,26 @@
     Ok(())
 }
 
-/// A server that was picked, or why there is none.
-enum Picked {
-    Server(Server),
-    Busy(Millis),
-    None,
-}
-
-/// Picks a server of the versions that the request may go to. One that may go to a version on
-/// trial goes to another where that has no room.
-async fn pick_allowed(node: &Node, exchange: &Exchange, progress: &Progress) -> Picked {
-    let is_first = progress.tried.is_empty();
-    let side = rollouts::pick_side(node, &exchange.service, is_first);
-    let picked = pick(node, exchange, &Allowed::new(node, exchange, progress, side)).await;
-    let other = match (side, &picked) {
-        (Side::Canary | Side::Target, Picked::Busy(_) | Picked::None) => Side::Rest,
-        (Side::TargetFirst, Picked::None) => Side::Rest,
-        (Side::RestFirst, Picked::None) => Side::Target,
-        _ => return picked,
-    };
-    let second = pick(node, exchange, &Allowed::new(node, exchange, progress, other)).await;
-    // Servers of the first choice that are busy are worth a later try.
-    if matches!(second, Picked::None) { picked } else { second }
-}
-
-/// Which servers a request may go to.
-struct Allowed<'a> {
-    side: Side,
-    /// The only ones, where the side is [`Side::Canary`].
-    canaries: Vec<String>,
-    tried: &'a [String],
-}
-
-impl<'a> Allowed<'a> {
-    fn new(node: &Node, exchange: &Exchange, progress: &'a Progress, side: Side) -> Self {
-        let canaries = match side {
-            Side::Canary => rollouts::list_canaries(node, &exchange.service),
-            _ => Vec::new(),
-        };
-        Self { side, canaries, tried: &progress.tried }
-    }
-
-    fn is_allowed(&self, state: &State, server: &Server) -> bool {
-        let is_chosen = self.side != Side::Canary || self.canaries.contains(&server.id);
-        let is_of_side = state.rollouts.is_allowed(self.side, server);
-        is_chosen && is_of_side && !self.tried.contains(&server.id)
-    }
-}
-
-/// Picks one of the servers that are allowed.
-///
-/// Where nodes report in groups, this node asks for the loads of a few servers first, and of more
-/// where none of these can serve in time.
-async fn pick(node: &Node, exchange: &Exchange, allowed: &Allowed<'_>) -> Picked {
-    if !node.with(|state| state.members.is_grouped()) {
-        return pick_among(node, exchange, |state, server| allowed.is_allowed(state, server));
-    }
-    let mut picked = Picked::None;
-    for is_wide in [false, true] {
-        let listed = list_candidates(node, exchange, allowed, is_wide);
-        ask_loads(node, &listed).await;
-        picked = pick_among(node, exchange, |_, server| listed.contains(&server.id));
-        if !matches!(picked, Picked::Busy(_)) {
-            break;
-        }
-    }
-    picked
-}
-
-/// Draws the servers to ask for: of those that are not ejected, where there are any.
-fn list_candidates(
-    node: &Node,
-    exchange: &Exchange,
-    allowed: &Allowed<'_>,
-    is_wide: bool,
-) -> Vec<String> {
-    let now = node.now();
-    node.with(|state| {
-        let untried = || {
-            let ready = state.directory.iter_ready(&exchange.service);
-            ready.filter(|server| allowed.is_allowed(state, server))
-        };
-        let sound = untried().filter(|server| !state.health.is_ejected(now, &server.id));
-        let draw = fastrand::u64(..);
-        let mut listed = shortlist(sound, &exchange.criteria, draw, is_wide);
-        if listed.is_empty() {
-            listed = shortlist(untried(), &exchange.criteria, draw, is_wide);
-        }
-        listed.into_iter().map(|server| server.id.clone()).collect()
-    })
-}
-
-/// Picks one of some servers by what this node knows of their loads.
-fn pick_among(
-    node: &Node,
-    exchange: &Exchange,
-    is_candidate: impl Fn(&State, &Server) -> bool,
-) -> Picked {
-    let now = node.now();
-    node.with(|state| {
-        let throughput = state.throughputs.get(&exchange.service);
-        let ready = state.directory.iter_ready(&exchange.service);
-        let candidates: Vec<Candidate<'_>> = ready
-            .filter(|server| is_candidate(state, server))
-            .map(|server| weigh(state, throughput, now, server))
-            .collect();
-        let prefill_rate = throughput.and_then(Throughput::get_prefill_rate);
-        let criteria = Criteria { prefill_rate, ..exchange.criteria };
-        match choose(&candidates, &criteria, fastrand::u64(..)) {
-            Choice::Server(server) => Picked::Server(server.clone()),
-            Choice::Busy(wait) => Picked::Busy(wait),
-            Choice::None => Picked::None,
-        }
-    })
-}
-
-/// Tells what the node knows of a server.
-fn weigh<'a>(
-    state: &State,
-    throughput: Option<&Throughput>,
-    now: Millis,
-    server: &'a Server,
-) -> Candidate<'a> {
-    Candidate {
-        server,
-        load: state.loads.total(&server.id),
-        is_ejected: state.health.is_ejected(now, &server.id),
-        slowness: throughput
-            .map_or(1.0, |throughput| throughput.get_slowness(short_id(&server.id))),
-    }
-}
-
-fn note_choice(node: &Node, exchange: &Exchange, record: &Record, server: &Server) {
+fn note_choice(node: &Node, exchange: &Exchange, record: &mut Record, pick: &Pick) {
+    record.attempts += 1;
+    let server = &pick.server;
     let now = node.now();
-    let (candidates, chosen, prefill_rate) = node.with(|state| {
+    let (candidates, chosen, criteria) = node.with(|state| {
         let throughput = state.throughputs.get(&exchange.service);
         let candidates = state.directory.iter_ready(&exchange.service).count();
-        (
-            candidates,
-            weigh(state, throughput, now, server),
-            throughput.and_then(Throughput::get_prefill_rate),
-        )
+        let chosen = pick::weigh(state, throughput, now, server);
+        (candidates, chosen, pick::get_criteria(state, exchange))
     });
-    let criteria = Criteria { prefill_rate, ..exchange.criteria };
     let expected_ms = criteria.estimate(&chosen);
     if let Some(reading_ms) = expected_ms.filter(|_| exchange.has_engine) {
         report_begun(node, &server.id, &exchange.work, reading_ms);
     }
+    let is_multi_region = node.topology.is_multi_region();
+    let region = is_multi_region.then(|| get_region(&node.topology, &server.data_centre));
+    let spill = pick.spill.map(Cause::as_str);
+    if let (Some(region), Some(reason)) = (region, spill) {
+        node.metrics.spilled.get_or_create(&SpillLabels::of(region, reason)).inc();
+    }
     event::emit(&Event::ServerChosen {
         request: &record.id,
         server: &server.id,
@@ -359,6 +229,8 @@
         left_ms: exchange.get_left(now),
         version: record.version.unwrap_or(0),
         age_ms: record.age,
+        region,
+        spill,
     });
 }
 
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -3,7 +3,8 @@
 //! | module | does |
 //! |---|---|
 //! | `admission` | checks the request and finds its route, client account and time |
-//! | `dispatch` | chooses servers and sends the request until there is an answer |
+//! | `dispatch` | sends the request to servers until there is an answer |
+//! | `pick` | picks the server of an attempt |
 //! | `attempt` | sends the request to one server and judges what comes back |
 //! | `relay` | passes the answer on |
 //! | `respond` | writes refusals, and tells of each request's end |
@@ -11,6 +12,7 @@
 mod admission;
 mod attempt;
 mod dispatch;
+mod pick;
 mod relay;
 mod respond;
 
--- /dev/null
+++ b/crates/gateway/src/exchange/pick.rs
@@ -0,0 +1,374 @@
+//! Picks the server of an attempt: in the node's own region first, and in another one where the own
+//! one is full or has none (see [`keeljunction_core::serving::spill`]).
+//!
+//! The versions that the request may go to are tried within each region: a roll-out that has begun
+//! in one region draws no requests of another one there.
+
+use keeljunction_core::Millis;
+use keeljunction_core::serving::choice::{Candidate, Choice, Criteria, choose, shortlist};
+use keeljunction_core::serving::directory::Server;
+use keeljunction_core::serving::load::short_id;
+use keeljunction_core::serving::refusal::Refusal;
+use keeljunction_core::serving::rollout::Side;
+use keeljunction_core::serving::spill::{Cause, Offer, Settled, Way, get_region, list_far, settle};
+use keeljunction_core::serving::throughput::Throughput;
+
+use super::admission::Exchange;
+use crate::metrics::RegionLabels;
+use crate::node::state::State;
+use crate::node::{Node, ask_loads, rollouts};
+
+/// `Retry-After` where no server takes work, in milliseconds: about what a list of servers takes to
+/// reach all nodes.
+const SERVER_RETRY_AFTER: Millis = 700;
+
+/// What is known of the attempts so far.
+#[derive(Clone, Copy)]
+pub(super) struct Attempts<'a> {
+    /// Servers that were tried.
+    pub tried: &'a [String],
+    /// When the request arrived.
+    pub arrived: Millis,
+}
+
+/// A server for an attempt.
+pub(super) struct Pick {
+    /// The server.
+    pub server: Server,
+    /// Why the request leaves its region, where it does.
+    pub spill: Option<Cause>,
+}
+
+/// Why there is no server for an attempt.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Unserved {
+    /// Why.
+    pub reason: Refusal,
+    /// Milliseconds after which to retry.
+    pub retry_after: Millis,
+}
+
+/// What the servers of one region offer, with the best of them.
+struct Found {
+    offer: Offer,
+    server: Option<Server>,
+}
+
+impl Found {
+    const NOTHING: Self = Self { offer: Offer::None, server: None };
+}
+
+/// The servers of one region, as a choice sees them.
+struct Place<'a> {
+    /// The region and why the request leaves for it; `None` for the node's own one.
+    far: Option<(&'a str, Cause)>,
+    criteria: Criteria,
+    /// Whether the loads must be asked for.
+    is_asked: bool,
+}
+
+impl Place<'_> {
+    fn holds(&self, node: &Node, server: &Server) -> bool {
+        match self.far {
+            Some((region, _)) => get_region(&node.topology, &server.data_centre) == region,
+            None => !node.is_crossing(&server.data_centre),
+        }
+    }
+}
+
+/// Picks the server of the next attempt, or says why there is none.
+pub(super) async fn pick(
+    node: &Node,
+    exchange: &Exchange,
+    attempts: Attempts<'_>,
+) -> Result<Pick, Unserved> {
+    let side = rollouts::pick_side(node, &exchange.service, attempts.tried.is_empty());
+    let (is_asked, criteria) =
+        node.with(|state| (state.members.is_grouped(), get_criteria(state, exchange)));
+    let near = Place { far: None, criteria, is_asked };
+    let found = pick_in(node, exchange, attempts, side, &near).await;
+    match found.offer.get_cause() {
+        Some(cause) if node.topology.is_multi_region() => {
+            let crossing = Crossing { node, exchange, attempts, side, cause, near };
+            crossing.run(found).await
+        }
+        _ => conclude(found),
+    }
+}
+
+/// Ends a choice in one region.
+fn conclude(found: Found) -> Result<Pick, Unserved> {
+    match (found.server, found.offer) {
+        (Some(server), _) => Ok(Pick { server, spill: None }),
+        (None, Offer::Busy(retry_after)) => Err(Unserved { reason: Refusal::Busy, retry_after }),
+        (None, _) => Err(Unserved { reason: Refusal::NoServer, retry_after: SERVER_RETRY_AFTER }),
+    }
+}
+
+/// The choice among other regions.
+struct Crossing<'a> {
+    node: &'a Node,
+    exchange: &'a Exchange,
+    attempts: Attempts<'a>,
+    side: Side,
+    cause: Cause,
+    near: Place<'a>,
+}
+
+/// Whether a way to another region is open to a request.
+enum Gate {
+    Open(Way),
+    Closed,
+    /// The link's budget is used up; the time after which it is not.
+    LinkFull(Millis),
+}
+
+impl Crossing<'_> {
+    /// Tries the other regions, the nearest first.
+    async fn run(self, found: Found) -> Result<Pick, Unserved> {
+        let node = self.node;
+        let regions = node.with(|state| {
+            list_far(&node.topology, |region| state.distances.get_round_trip(region))
+        });
+        let mut offer = found.offer;
+        let mut link_wait: Option<Millis> = None;
+        for region in regions {
+            let way = match self.look(region) {
+                Gate::Open(way) => way,
+                Gate::Closed => continue,
+                Gate::LinkFull(wait) => {
+                    link_wait = Some(link_wait.map_or(wait, |known| known.min(wait)));
+                    continue;
+                }
+            };
+            let far = self.pick_far(region, &way).await;
+            match (settle(offer, far.offer), far.server) {
+                (Settled::Far, Some(server)) => {
+                    return Ok(Pick { server, spill: Some(self.cause) });
+                }
+                (Settled::Busy(wait), _) => offer = Offer::Busy(wait),
+                _ => {}
+            }
+        }
+        match link_wait {
+            Some(wait) if found.server.is_none() => {
+                let retry_after = match offer {
+                    Offer::Busy(busy) => busy.min(wait),
+                    _ => wait,
+                };
+                Err(Unserved { reason: Refusal::LinkFull, retry_after })
+            }
+            _ => conclude(Found { offer, ..found }),
+        }
+    }
+
+    async fn pick_far(&self, region: &str, way: &Way) -> Found {
+        let place = Place {
+            far: Some((region, self.cause)),
+            criteria: way.shorten(&self.near.criteria),
+            is_asked: way.is_asked,
+        };
+        pick_in(self.node, self.exchange, self.attempts, self.side, &place).await
+    }
+
+    fn look(&self, region: &str) -> Gate {
+        let node = self.node;
+        let now = node.now();
+        let gate = node.with(|state| {
+            let mut ready = state.directory.iter_ready(&self.exchange.service);
+            let is_there = |server: &Server| {
+                let is_tried = self.attempts.tried.contains(&server.id);
+                !is_tried && get_region(&node.topology, &server.data_centre) == region
+            };
+            if !ready.any(is_there) {
+                return Gate::Closed;
+            }
+            let is_silent = state.links.is_silent(now, region);
+            let way = Way {
+                waited: now - self.attempts.arrived,
+                left: self.exchange.get_left(now),
+                round_trip: state.distances.get_round_trip(region),
+                transfer: state.links.get_transfer(self.exchange.body.len()),
+                is_asked: self.near.is_asked && !is_silent,
+            };
+            let is_lost = is_silent && self.cause == Cause::Full;
+            if is_lost || !way.is_borne(&self.near.criteria, self.cause) {
+                return Gate::Closed;
+            }
+            let nodes = state.members.count_own_region();
+            match state.links.check(now, region, nodes) {
+                Ok(()) => Gate::Open(way),
+                Err(wait) => Gate::LinkFull(wait),
+            }
+        });
+        if matches!(gate, Gate::LinkFull(_)) {
+            let labels = RegionLabels::of(region);
+            node.metrics.link_full.get_or_create(&labels).inc();
+        }
+        gate
+    }
+}
+
+/// Returns what the choice depends on, with what is known of the service's servers.
+pub(super) fn get_criteria(state: &State, exchange: &Exchange) -> Criteria {
+    let throughput = state.throughputs.get(&exchange.service);
+    let prefill_rate = throughput.and_then(Throughput::get_prefill_rate);
+    Criteria { prefill_rate, ..exchange.criteria }
+}
+
+/// Picks a server of the versions that the request may go to. One that may go to a version on
+/// trial goes to another where that has no room.
+async fn pick_in(
+    node: &Node,
+    exchange: &Exchange,
+    attempts: Attempts<'_>,
+    side: Side,
+    place: &Place<'_>,
+) -> Found {
+    let allowed = Allowed::new(node, exchange, attempts.tried, side);
+    let found = pick_allowed(node, exchange, &allowed, place).await;
+    let other = match (side, found.offer) {
+        (Side::Canary | Side::Target, Offer::Busy(_) | Offer::None) => Side::Rest,
+        (Side::TargetFirst, Offer::None) => Side::Rest,
+        (Side::RestFirst, Offer::None) => Side::Target,
+        _ => return found,
+    };
+    let allowed = Allowed::new(node, exchange, attempts.tried, other);
+    let second = pick_allowed(node, exchange, &allowed, place).await;
+    // Servers of the first choice that are busy are worth a later try.
+    if second.offer == Offer::None { found } else { second }
+}
+
+/// Which servers a request may go to.
+struct Allowed<'a> {
+    side: Side,
+    /// The only ones, where the side is [`Side::Canary`].
+    canaries: Vec<String>,
+    tried: &'a [String],
+}
+
+impl<'a> Allowed<'a> {
+    fn new(node: &Node, exchange: &Exchange, tried: &'a [String], side: Side) -> Self {
+        let canaries = match side {
+            Side::Canary => rollouts::list_canaries(node, &exchange.service),
+            _ => Vec::new(),
+        };
+        Self { side, canaries, tried }
+    }
+
+    fn is_allowed(&self, state: &State, server: &Server) -> bool {
+        let is_chosen = self.side != Side::Canary || self.canaries.contains(&server.id);
+        let is_of_side = state.rollouts.is_allowed(self.side, server);
+        is_chosen && is_of_side && !self.tried.contains(&server.id)
+    }
+}
+
+/// Picks one of the servers of a region that are allowed.
+///
+/// Where nodes report in groups, this node asks for the loads of a few servers first, and of more
+/// where none of these can serve in time. Far servers are asked for once only: each question costs
+/// the request a round trip.
+async fn pick_allowed(
+    node: &Node,
+    exchange: &Exchange,
+    allowed: &Allowed<'_>,
+    place: &Place<'_>,
+) -> Found {
+    let is_allowed = |state: &State, server: &Server| {
+        allowed.is_allowed(state, server) && place.holds(node, server)
+    };
+    if !place.is_asked {
+        return pick_among(node, exchange, &place.criteria, is_allowed);
+    }
+    let mut found = Found::NOTHING;
+    for is_wide in [false, true] {
+        let listed = list_candidates(node, exchange, is_wide, is_allowed);
+        let is_answered = ask_loads(node, &listed).await;
+        if let Some((region, cause)) = place.far {
+            node.with(|state| state.links.note_answer(node.now(), region, is_answered));
+            if !is_answered && cause == Cause::Full {
+                return Found::NOTHING;
+            }
+        }
+        found =
+            pick_among(node, exchange, &place.criteria, |_, server| listed.contains(&server.id));
+        if place.far.is_some() || !is_worth_more(node, found.offer) {
+            break;
+        }
+    }
+    found
+}
+
+/// Returns `true` if more servers should be asked for. A full server is the last choice of a region;
+/// where there is another one, the request would leave for it.
+fn is_worth_more(node: &Node, offer: Offer) -> bool {
+    match offer {
+        Offer::Busy(_) => true,
+        Offer::Full => node.topology.is_multi_region(),
+        Offer::Free | Offer::Ejected | Offer::None => false,
+    }
+}
+
+/// Draws the servers to ask for: of those that are not ejected, where there are any.
+fn list_candidates(
+    node: &Node,
+    exchange: &Exchange,
+    is_wide: bool,
+    is_allowed: impl Fn(&State, &Server) -> bool,
+) -> Vec<String> {
+    let now = node.now();
+    node.with(|state| {
+        let untried = || {
+            let ready = state.directory.iter_ready(&exchange.service);
+            ready.filter(|server| is_allowed(state, server))
+        };
+        let sound = untried().filter(|server| !state.health.is_ejected(now, &server.id));
+        let draw = fastrand::u64(..);
+        let mut listed = shortlist(sound, &exchange.criteria, draw, is_wide);
+        if listed.is_empty() {
+            listed = shortlist(untried(), &exchange.criteria, draw, is_wide);
+        }
+        listed.into_iter().map(|server| server.id.clone()).collect()
+    })
+}
+
+/// Picks one of some servers by what this node knows of their loads.
+fn pick_among(
+    node: &Node,
+    exchange: &Exchange,
+    criteria: &Criteria,
+    is_candidate: impl Fn(&State, &Server) -> bool,
+) -> Found {
+    let now = node.now();
+    node.with(|state| {
+        let throughput = state.throughputs.get(&exchange.service);
+        let ready = state.directory.iter_ready(&exchange.service);
+        let candidates: Vec<Candidate<'_>> = ready
+            .filter(|server| is_candidate(state, server))
+            .map(|server| weigh(state, throughput, now, server))
+            .collect();
+        let choice = choose(&candidates, criteria, fastrand::u64(..));
+        let offer = Offer::of(&choice, &candidates);
+        let server = match choice {
+            Choice::Server(server) => Some(server.clone()),
+            Choice::Busy(_) | Choice::None => None,
+        };
+        Found { offer, server }
+    })
+}
+
+/// Tells what the node knows of a server.
+pub(super) fn weigh<'a>(
+    state: &State,
+    throughput: Option<&Throughput>,
+    now: Millis,
+    server: &'a Server,
+) -> Candidate<'a> {
+    Candidate {
+        server,
+        load: state.loads.total(&server.id),
+        is_ejected: state.health.is_ejected(now, &server.id),
+        slowness: throughput
+            .map_or(1.0, |throughput| throughput.get_slowness(short_id(&server.id))),
+    }
+}
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -168,6 +168,7 @@
             }
             match self.receive().await {
                 Next::Data(data) => {
+                    self.node.count_crossing(&self.pace.server.data_centre, 0, data.len());
                     self.record.note_piece();
                     self.pace.note(self.node.now());
                     self.take(data);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,36 @@
     pub reason: String,
 }
 
+/// Another region.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct RegionLabels {
+    /// The region, or `unknown` for data centres that the settings do not name.
+    pub region: String,
+}
+
+impl RegionLabels {
+    /// Makes the labels of a region.
+    pub fn of(region: &str) -> Self {
+        Self { region: region.to_owned() }
+    }
+}
+
+/// Why requests went to another region.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct SpillLabels {
+    /// The region that they went to.
+    pub region: String,
+    /// One of the names of the code.
+    pub reason: String,
+}
+
+impl SpillLabels {
+    /// Makes the labels of a region and a reason.
+    pub fn of(region: &str, reason: &str) -> Self {
+        Self { region: region.to_owned(), reason: reason.to_owned() }
+    }
+}
+
 /// All counters and histograms of a node.
 pub struct Metrics {
     registry: Registry,
@@ -65,6 +95,14 @@
     pub unanswered_load_questions: Counter,
     /// Questions to owners of client accounts that were not answered in time.
     pub unanswered_quota_questions: Counter,
+    /// Bytes of requests that were sent to other regions.
+    pub region_bytes_sent: Family<RegionLabels, Counter>,
+    /// Bytes of answers that came from other regions.
+    pub region_bytes_received: Family<RegionLabels, Counter>,
+    /// Attempts in other regions.
+    pub spilled: Family<SpillLabels, Counter>,
+    /// Attempts in other regions that the budget of the link did not allow.
+    pub link_full: Family<RegionLabels, Counter>,
     gauges: Gauges,
 }
 
@@ -91,6 +129,7 @@
     dropped_lines: Gauge<i64, AtomicI64>,
     resident: Gauge<i64, AtomicI64>,
     descriptors: Gauge<i64, AtomicI64>,
+    region_round_trip: Family<RegionLabels, Gauge<f64, AtomicU64>>,
 }
 
 impl Default for Metrics {
@@ -107,6 +146,10 @@
             resumed: Counter::default(),
             unanswered_load_questions: Counter::default(),
             unanswered_quota_questions: Counter::default(),
+            region_bytes_sent: Family::default(),
+            region_bytes_received: Family::default(),
+            spilled: Family::default(),
+            link_full: Family::default(),
             gauges: Gauges::default(),
         };
         metrics.register();
@@ -153,6 +196,28 @@
             "Questions to owners of client accounts that were not answered in time",
             self.unanswered_quota_questions.clone(),
         );
+        registry.register_with_unit(
+            "region_sent",
+            "Bodies of requests that went to another region",
+            Unit::Bytes,
+            self.region_bytes_sent.clone(),
+        );
+        registry.register_with_unit(
+            "region_received",
+            "Bodies of answers that came from another region",
+            Unit::Bytes,
+            self.region_bytes_received.clone(),
+        );
+        registry.register(
+            "spilled_attempts",
+            "Attempts in another region, by what the own one lacked",
+            self.spilled.clone(),
+        );
+        registry.register(
+            "link_full_attempts",
+            "Attempts in another region that the budget of the link did not allow",
+            self.link_full.clone(),
+        );
         self.gauges.register(registry);
     }
 
@@ -213,6 +278,12 @@
             self.resident.clone(),
         );
         registry.register("descriptors_open", "Open descriptors", self.descriptors.clone());
+        registry.register_with_unit(
+            "region_round_trip",
+            "Smoothed round trip to nodes of another region; a guess where it was not measured",
+            Unit::Seconds,
+            self.region_round_trip.clone(),
+        );
     }
 
     fn update(&self, node: &Node) {
@@ -230,6 +301,13 @@
             let version = state.configuration.as_ref().map_or(0, |known| known.version);
             self.configuration_version.set(version as i64);
             self.lease_fence.set(state.lease.get_fence(now).unwrap_or(0) as i64);
+            for region in node.topology.list_regions() {
+                if region != node.topology.get_own() {
+                    let round_trip = state.distances.get_round_trip(region) as f64 / 1_000.0;
+                    let labels = RegionLabels::of(region);
+                    self.region_round_trip.get_or_create(&labels).set(round_trip);
+                }
+            }
             let reach = state.members.get_reach(now);
             self.nodes_heard.set(reach.heard as i64);
             self.nodes.set(reach.all as i64);
--- /dev/null
+++ b/crates/gateway/src/node/crossing.rs
@@ -0,0 +1,35 @@
+//! Counts what requests send to other regions and get from there.
+
+use keeljunction_core::Millis;
+use keeljunction_core::serving::spill::get_region;
+
+use super::Node;
+use crate::metrics::RegionLabels;
+
+impl Node {
+    /// Returns `true` if what goes to a data centre crosses the border of the node's region.
+    pub(crate) fn is_crossing(&self, data_centre: &str) -> bool {
+        !self.topology.is_near(data_centre) && self.topology.is_multi_region()
+    }
+
+    /// Returns the round trip to a data centre of another region; 0 within the node's own.
+    pub(crate) fn get_round_trip(&self, data_centre: &str) -> Millis {
+        if !self.is_crossing(data_centre) {
+            return 0;
+        }
+        let region = get_region(&self.topology, data_centre);
+        self.with(|state| state.distances.get_round_trip(region))
+    }
+
+    /// Counts bytes of a request that went to a data centre, and of its answer that came from there.
+    pub(crate) fn count_crossing(&self, data_centre: &str, sent: usize, received: usize) {
+        if !self.is_crossing(data_centre) {
+            return;
+        }
+        let region = get_region(&self.topology, data_centre);
+        self.with(|state| state.links.count(self.now(), region, sent + received));
+        let labels = RegionLabels::of(region);
+        self.metrics.region_bytes_sent.get_or_create(&labels).inc_by(sent as u64);
+        self.metrics.region_bytes_received.get_or_create(&labels).inc_by(received as u64);
+    }
+}
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -8,11 +8,13 @@
 //! | `staleness` | says how old the knowledge of the platform's tables is |
 //! | `peers` | exchanges what nodes tell each other |
 //! | [`memory`] | reserves memory for what is held for callers and servers |
+//! | `crossing` | counts what requests send to other regions and get from there |
 //! | [`document`] | packs what peers get from each other |
 //! | [`duty`] | holds the lease and makes the calls that one node at a time may make |
 //! | [`stop`] | ends the node without cutting an answer |
 
 mod capacity_duty;
+mod crossing;
 pub mod document;
 pub mod duty;
 mod listeners;
--- a/crates/gateway/src/node/peers/loads.rs
+++ b/crates/gateway/src/node/peers/loads.rs
@@ -1,6 +1,7 @@
 //! Keeps and asks for the loads of servers, where nodes report in groups.
 //!
-//! Each server's load is kept by one of the aggregators, which all nodes find by themselves. Nodes
+//! Each server's load is kept by one of the aggregators of its region, which all nodes find by
+//! themselves. Nodes
 //! tell it at once what they send to the server, and soon what ends there. Before a node chooses, it
 //! asks for the loads of the few servers that it considers. What that costs depends on the requests
 //! and not on the number of nodes, and the answer is some milliseconds old.
@@ -17,10 +18,12 @@
 
 use super::message::Message;
 use crate::node::Node;
+use crate::node::state::State;
 use crate::runtime::{self, lock};
 
-/// How long answers are waited for: some times the way there and back within a region. A server
-/// whose load is not known by then is judged by what this node sent there itself.
+/// How long answers from the own region are waited for: some times the way there and back. Those
+/// from other regions are waited for as long as measured round trips say. A server whose load is not
+/// known by then is judged by what this node sent there itself.
 const ANSWERS_WITHIN: Duration = Duration::from_millis(25);
 /// How long an answer counts.
 const ANSWER_VALID_FOR: Millis = 100;
@@ -33,6 +36,9 @@
 const GATHER: Duration = Duration::from_millis(40);
 /// Changes that wait to be sent; more are dropped, and are repeated with all the others.
 const MOST_CHANGES: usize = 1_024;
+/// An answer from another region that comes within this time still tells how far away that is: where
+/// the way has become longer, all answers come later than they are waited for.
+const LATE_WITHIN: Millis = 1_000;
 /// Answers are kept under this name, which no node bears.
 const ANSWERS: &str = "";
 
@@ -47,7 +53,18 @@
 #[derive(Debug)]
 struct Question {
     answers_missing: usize,
+    is_any_answered: bool,
     done: Sender<()>,
+    asked_at: Millis,
+    /// Who was asked in other regions.
+    far: Vec<Far>,
+}
+
+/// A node that was asked in another region.
+#[derive(Clone, Debug)]
+struct Far {
+    address: SocketAddr,
+    region: String,
 }
 
 /// A change of what this node has in flight at a server.
@@ -66,25 +83,45 @@
 }
 
 impl Pending {
-    fn begin(&self, answers_missing: usize) -> (u32, Receiver<()>) {
+    fn begin(&self, now: Millis, answers_missing: usize, far: Vec<Far>) -> (u32, Receiver<()>) {
         let (done, receiver) = async_channel::bounded(1);
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        lock(&self.waiting).insert(number, Question { answers_missing, done });
+        let mut waiting = lock(&self.waiting);
+        if !far.is_empty() {
+            waiting.retain(|_, question| now < question.asked_at + LATE_WITHIN);
+        }
+        let is_any_answered = false;
+        let question = Question { answers_missing, is_any_answered, done, asked_at: now, far };
+        waiting.insert(number, question);
         (number, receiver)
     }
 
-    fn answer(&self, number: u32) {
+    /// Takes an answer; returns the region that it comes from, where that is another one, and how
+    /// long it took.
+    fn answer(&self, now: Millis, number: u32, from: SocketAddr) -> Option<(String, Millis)> {
         let mut waiting = lock(&self.waiting);
-        let Some(question) = waiting.get_mut(&number) else { return };
+        let question = waiting.get_mut(&number)?;
         question.answers_missing = question.answers_missing.saturating_sub(1);
+        question.is_any_answered = true;
         if question.answers_missing == 0 {
             // The one who asks may have given up.
             let _ = question.done.try_send(());
         }
+        let place = question.far.iter().position(|far| far.address == from)?;
+        let far = question.far.swap_remove(place);
+        Some((far.region, now.saturating_sub(question.asked_at)))
     }
 
-    fn end(&self, number: u32) {
-        lock(&self.waiting).remove(&number);
+    /// Ends a question, of which late answers of other regions are still taken; returns `true` if
+    /// there was any answer.
+    fn end(&self, number: u32) -> bool {
+        let mut waiting = lock(&self.waiting);
+        let Some(question) = waiting.get(&number) else { return false };
+        let is_any_answered = question.is_any_answered;
+        if question.far.is_empty() {
+            waiting.remove(&number);
+        }
+        is_any_answered
     }
 
     fn change(&self, change: Change) {
@@ -94,38 +131,75 @@
     }
 }
 
+/// Servers whose load one node keeps, by short name.
+#[derive(Debug, Default)]
+struct Kept {
+    servers: Vec<u64>,
+    /// The region of the one who keeps it, where that is another one.
+    far_region: Option<String>,
+}
+
 /// Asks for the loads of some servers, and returns once they are known or the time for that is
-/// over.
-pub(crate) async fn ask(node: &Node, servers: &[String]) {
+/// over; `false` where nobody answered.
+pub(crate) async fn ask(node: &Node, servers: &[String]) -> bool {
     let shorts: Vec<u64> = servers.iter().map(|id| short_id(id)).collect();
     let by_owner = sort_by_owner(node, shorts);
     if by_owner.is_empty() {
-        return;
+        return true;
     }
-    let (question, done) = node.pending_loads.begin(by_owner.len());
-    for (owner, servers) in by_owner {
+    let far = list_far(&by_owner);
+    let within = get_wait(node, &far);
+    let (question, done) = node.pending_loads.begin(node.now(), by_owner.len(), far);
+    for (owner, Kept { servers, .. }) in by_owner {
         let message = Message::AskLoads { question, node: node.incarnation.node.clone(), servers };
         node.link.send(node.now(), owner, &message).await;
     }
-    if runtime::within(ANSWERS_WITHIN, done.recv()).await.is_none() {
+    if runtime::within(within, done.recv()).await.is_none() {
         node.metrics.unanswered_load_questions.inc();
     }
-    node.pending_loads.end(question);
+    node.pending_loads.end(question)
+}
+
+fn list_far(by_owner: &BTreeMap<SocketAddr, Kept>) -> Vec<Far> {
+    let far = |(address, kept): (&SocketAddr, &Kept)| {
+        Some(Far { address: *address, region: kept.far_region.clone()? })
+    };
+    by_owner.iter().filter_map(far).collect()
+}
+
+/// Returns how long answers are waited for, some of which come from other regions.
+fn get_wait(node: &Node, far: &[Far]) -> Duration {
+    let near = ANSWERS_WITHIN.as_millis() as Millis;
+    let longest =
+        node.with(|state| far.iter().map(|far| state.distances.get_wait(&far.region, near)).max());
+    longest.map_or(ANSWERS_WITHIN, Duration::from_millis)
 }
 
 /// Sorts servers by the node that keeps their load, without those that this node keeps itself.
-fn sort_by_owner(node: &Node, servers: Vec<u64>) -> BTreeMap<SocketAddr, Vec<u64>> {
-    let mut by_owner: BTreeMap<SocketAddr, Vec<u64>> = BTreeMap::new();
+fn sort_by_owner(node: &Node, servers: Vec<u64>) -> BTreeMap<SocketAddr, Kept> {
+    let mut by_owner: BTreeMap<SocketAddr, Kept> = BTreeMap::new();
     node.with(|state| {
+        let data_centres = get_data_centres(node, state);
         for server in servers {
-            if let Some(owner) = state.members.find_owner(server) {
-                by_owner.entry(owner).or_default().push(server);
-            }
+            let data_centre = data_centres.get(&server).copied().unwrap_or_default();
+            let Some(owner) = state.members.find_load_owner(server, data_centre) else { continue };
+            let kept = by_owner.entry(owner.address).or_default();
+            kept.servers.push(server);
+            kept.far_region = owner.far_region.map(str::to_owned);
         }
     });
     by_owner
 }
 
+/// Returns the data centres of all servers by short name; none where there is one region only.
+fn get_data_centres<'a>(node: &Node, state: &'a State) -> HashMap<u64, &'a str> {
+    if !node.topology.is_multi_region() {
+        return HashMap::new();
+    }
+    let servers = state.directory.iter();
+    servers.map(|server| (short_id(&server.id), server.data_centre.as_str())).collect()
+}
+
 /// Answers another node with what all but that one have in flight.
 pub(super) async fn answer(
     node: &Node,
@@ -146,14 +220,17 @@
 }
 
 /// Takes an answer.
-pub(super) fn take(node: &Node, question: u32, loads: Vec<(u64, Load)>) {
-    let valid_until = node.now() + ANSWER_VALID_FOR;
+pub(super) fn take(node: &Node, from: SocketAddr, question: u32, loads: Vec<(u64, Load)>) {
+    let now = node.now();
+    let valid_until = now + ANSWER_VALID_FOR;
     node.with(|state| {
         for (server, load) in loads {
             state.loads.merge_server(valid_until, ANSWERS, server, load);
         }
     });
-    node.pending_loads.answer(question);
+    if let Some((region, round_trip)) = node.pending_loads.answer(now, question, from) {
+        node.with(|state| state.distances.note(&region, round_trip));
+    }
 }
 
 /// Takes what another node has in flight at servers whose load this node keeps.
@@ -204,7 +281,7 @@
 }
 
 async fn send_own(node: &Node, servers: BTreeSet<u64>) {
-    for (owner, servers) in sort_by_owner(node, servers.into_iter().collect()) {
+    for (owner, Kept { servers, .. }) in sort_by_owner(node, servers.into_iter().collect()) {
         let loads = node.with(|state| {
             servers.into_iter().map(|server| (server, state.loads.get_own_of(server))).collect()
         });
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -21,6 +21,7 @@
 use keeljunction_core::serving::memory::Accountant;
 use keeljunction_core::serving::quota::{Quotas, Tolerance};
 use keeljunction_core::serving::rollout;
+use keeljunction_core::serving::spill::Links;
 use keeljunction_core::serving::throughput::Throughput;
 use keeljunction_core::serving::topology::Topology;
 use keeljunction_core::serving::usage::{Incarnation, Ledger, window_at};
@@ -149,6 +150,8 @@
     pub members: Members,
     /// Round trips to other regions.
     pub distances: Distances,
+    /// What may cross to other regions.
+    pub links: Links,
     /// Memory that is held for callers and servers.
     pub memory: Accountant,
     /// Whom this node reports its counts to.
@@ -224,6 +227,7 @@
             members: Members::new(clock.now(), get_entry(&settings), &settings.seeds)
                 .with_topology(topology.clone()),
             distances: Distances::default(),
+            links: Links::new(settings.regions.spill_mbps),
             memory: Accountant::new(get_memory_capacity(&settings)),
             audience: Audience::default(),
             handover: Handover::new(incarnation.clone()),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -76,14 +76,26 @@
 }
 
 /// Which region each data centre stands in; none where there is one region only.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct Regions {
     /// The region of each data centre, by name.
-    #[serde(default)]
     pub data_centres: BTreeMap<String, String>,
+    /// What requests of one region and their answers may take of its link to another one, in
+    /// megabits a second over all nodes of the region.
+    pub spill_mbps: f64,
 }
 
+impl Default for Regions {
+    fn default() -> Self {
+        Self { data_centres: BTreeMap::new(), spill_mbps: USUAL_SPILL_MBPS }
+    }
+}
+
+/// The budget for spilling where the operator gives none: two regions that spill to each other take
+/// half of a link of 60 Mbit/s, and what nodes tell each other has the other half.
+const USUAL_SPILL_MBPS: f64 = 15.0;
+
 /// What has to hold, in the operator's figures.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -271,6 +283,7 @@
         check_range("limits.link_mbps", self.limits.link_mbps, 0.1, 1e7)?;
         check_range("limits.memory_mb", self.limits.memory_mb, 32.0, 1e6)?;
         self.get_topology()?;
+        check_range("regions.spill_mbps", self.regions.spill_mbps, 0.0, 1e6)?;
         check_range("bounds.revoke_ms", bounds.revoke_ms as f64, 100.0, 3.6e6)?;
         check_range("bounds.config_apply_ms", bounds.config_apply_ms as f64, 100.0, 3.6e6)?;
         check_range("bounds.drain_ms", bounds.drain_ms as f64, 100.0, 3.6e6)?;
