fix(capacity): keep servers that accept requests until others do

Cause, from the logs of the duty holder: (1) a list of servers that had been silent for 1.5 s counted as complete. (2) Before the first request, on-demand servers were given up for spot servers that were only ordered, and in dear data centres for on-demand servers that were only ordered elsewhere. (3) Spot servers were ordered into room that on-demand servers still took up; the platform cuts such orders, and the holder ordered again 7 s later.

A list is complete only when it was confirmed, as the newest, a while after its last server. Plans release only what accepts requests beyond the need now. Spot orders leave room for on-demand servers that are there. To pay less for the overlap, spot servers are ordered while the list grows.

Weighed: waiting for the whole list and releasing on demand later (dearer by a boot of all servers); trusting booting servers up to a part (still drops below the need when a boot fails).

--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -6,7 +6,9 @@
 //! spread over the data centres so that enough are left after the loss of one. On-demand servers
 //! stand in the cheaper data centres, none of which holds more than its share of all but one. Spot
 //! capacity that cannot be had, or is being reclaimed, is replaced by on-demand servers at once.
-//! These are released when spot servers accept requests in their place, not when they are ordered.
+//! These are released when spot servers accept requests in their place, not when they are ordered:
+//! no plan releases servers while those that would be left, and accept requests now, are fewer than
+//! the need.
 
 use std::collections::BTreeMap;
 
@@ -67,8 +69,6 @@
     pub is_spot_exhausted: bool,
     /// On-demand servers that were ordered, or are there, in all data centres.
     pub on_demand_held: u32,
-    /// Whether the service has had no request yet: none is delayed while servers start.
-    pub is_idle: bool,
 }
 
 /// The demand for a service.
@@ -111,7 +111,9 @@
     let need = snapshot.need.max(scaling.min * data_centres.len() as u32).min(most);
     if scaling.spot_price.is_none() {
         let on_demand = fill(&data_centres, need, scaling.max, &BTreeMap::new());
-        return Plan { on_demand, spot: BTreeMap::new() };
+        let mut plan = Plan { on_demand, spot: BTreeMap::new() };
+        limit_releases(&mut plan, &data_centres, inventory, need);
+        return plan;
     }
     let spot = (f64::from(need) * policy.spot_part).ceil() as u32;
     let wanted = spread(&data_centres, spot, scaling.max, &BTreeMap::new());
@@ -119,17 +121,59 @@
     let on_demand = count_on_demand(policy, snapshot, need);
     let on_demand = fill(&data_centres, on_demand, scaling.max, &held);
     let spot = wanted.into_iter().map(|(data_centre, count)| {
-        let room = scaling.max - on_demand.get(&data_centre).copied().unwrap_or(0).min(scaling.max);
+        let planned = on_demand.get(&data_centre).copied().unwrap_or(0);
+        // On-demand servers that are still there take up room: the platform cuts an order that
+        // exceeds the maximum and does not say so.
+        let present = inventory.get(&data_centre).map_or(0, |held| held.on_demand);
+        let room = scaling.max.saturating_sub(planned.max(present));
         (data_centre, count.min(room))
     });
     let spot = spot.collect();
-    Plan { on_demand, spot }
+    let mut plan = Plan { on_demand, spot };
+    limit_releases(&mut plan, &data_centres, inventory, need);
+    plan
+}
+
+/// Limits what a plan releases to the servers beyond the need that accept requests now.
+///
+/// On-demand servers go before spot servers, in dearer data centres before cheaper ones. An
+/// on-demand server that has to stay takes the place of one that would be ordered elsewhere.
+fn limit_releases(
+    plan: &mut Plan,
+    data_centres: &[&str],
+    inventory: &BTreeMap<String, Inventory>,
+    need: u32,
+) {
+    let accepting: u32 = inventory.values().map(|held| held.on_demand + held.spot).sum();
+    let mut spare = accepting.saturating_sub(need);
+    let mut limit = |planned: &mut BTreeMap<String, u32>, get: fn(&Inventory) -> u32| {
+        let mut kept = 0;
+        for data_centre in data_centres.iter().rev() {
+            let Some(count) = planned.get_mut(*data_centre) else { continue };
+            let present = inventory.get(*data_centre).map_or(0, get);
+            let surplus = present.saturating_sub(*count);
+            let released = surplus.min(spare);
+            spare -= released;
+            kept += surplus - released;
+            *count += surplus - released;
+        }
+        kept
+    };
+    let mut kept = limit(&mut plan.on_demand, |held| held.on_demand);
+    limit(&mut plan.spot, |held| held.spot);
+    for data_centre in data_centres.iter().rev() {
+        let Some(count) = plan.on_demand.get_mut(*data_centre) else { continue };
+        let present = inventory.get(*data_centre).map_or(0, |held| held.on_demand);
+        let not_ordered = count.saturating_sub(present).min(kept);
+        *count -= not_ordered;
+        kept -= not_ordered;
+    }
 }
 
 /// Counts the on-demand servers to hold in all data centres.
 ///
 /// Spot servers that were ordered count against ordering on-demand servers. Only those that accept
-/// requests count against keeping on-demand servers, unless the service is idle.
+/// requests count against keeping on-demand servers.
 fn count_on_demand(policy: &Policy, snapshot: &Snapshot<'_>, need: u32) -> u32 {
     let base = ((f64::from(need) * policy.on_demand_part).ceil() as u32).clamp(1, need);
     let working: u32 = snapshot.inventory.values().map(|data_centre| data_centre.spot).sum();
@@ -139,7 +183,7 @@
     let carried = |spot: u32| (f64::from(spot) * trusted) as u32;
     let least = base + (need - base).saturating_sub(carried(working + booting));
     let most = base + (need - base).saturating_sub(carried(working));
-    snapshot.on_demand_held.clamp(least, if snapshot.is_idle { least } else { most })
+    snapshot.on_demand_held.clamp(least, most)
 }
 
 /// Counts a data centre's spot servers, including those that are starting.
@@ -222,3 +266,43 @@
         self.values.iter().map(|(_, value)| *value).max().unwrap_or(value)
     }
 }
+
+/// The time without a new server after which a list that is confirmed since counts as complete.
+const SETTLE: Millis = 1_500;
+
+/// The servers of a service as a new holder of the duty finds them: they list themselves one by one.
+///
+/// Before the first request the number found is the best estimate of the need. Taken from a part of
+/// the list, it would give up the rest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Found {
+    count: u32,
+    grown_at: Option<Millis>,
+}
+
+impl Found {
+    /// Notes the servers that are listed now; returns the most that were listed.
+    ///
+    /// `is_idle` tells that the service had no request yet: until then, servers that list
+    /// themselves late count too.
+    pub fn follow(
+        &mut self,
+        now: Millis,
+        listed: u32,
+        is_idle: bool,
+        known_at: Option<Millis>,
+    ) -> u32 {
+        let is_open = is_idle || !self.is_complete(known_at);
+        if self.grown_at.is_none() || (is_open && listed > self.count) {
+            *self = Self { count: listed, grown_at: Some(now) };
+        }
+        self.count
+    }
+
+    /// Returns `true` if the list had stopped to grow for a while when it was last known to be the
+    /// newest, at `known_at`. A list that is not confirmed tells nothing by its silence.
+    pub fn is_complete(&self, known_at: Option<Millis>) -> bool {
+        let complete_at = self.grown_at.map(|at| at + SETTLE);
+        complete_at.zip(known_at).is_some_and(|(complete_at, known_at)| known_at >= complete_at)
+    }
+}
--- a/crates/core/tests/serving/capacity.rs
+++ b/crates/core/tests/serving/capacity.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use keeljunction_core::serving::capacity::{
-    Demand, Inventory, PeakWindow, Plan, Policy, Snapshot, need, plan,
+    Demand, Found, Inventory, PeakWindow, Plan, Policy, Snapshot, need, plan,
 };
 use keeljunction_core::serving::configuration::Scaling;
 use proptest::prelude::*;
@@ -17,7 +17,7 @@
 
 /// Where nothing is held as on-demand servers, and spot servers can be had.
 fn calm(inventory: &BTreeMap<String, Inventory>, need: u32) -> Snapshot<'_> {
-    Snapshot { inventory, need, is_spot_exhausted: false, on_demand_held: 0, is_idle: false }
+    Snapshot { inventory, need, is_spot_exhausted: false, on_demand_held: 0 }
 }
 
 fn scaling(spot_price: Option<f64>) -> Scaling {
@@ -105,15 +105,45 @@
 }
 
 #[test]
-fn before_anything_is_asked_lasting_servers_go_while_reclaimable_ones_start() {
-    let data_centre = Inventory { spot_booting: 1, ..Inventory::default() };
-    let booting = BTreeMap::from(["cheap", "dear"].map(|name| (name.to_owned(), data_centre)));
-    let idle = Snapshot { on_demand_held: 4, is_idle: true, ..calm(&booting, 4) };
-    assert_eq!(plan(&POLICY, &scaling(Some(0.2)), &idle).on_demand, counts(1, 1));
-    // What was refused starts nowhere: the on-demand ones stay.
-    let none = inventory(0);
-    let idle = Snapshot { on_demand_held: 4, is_idle: true, ..calm(&none, 4) };
-    assert_eq!(plan(&POLICY, &scaling(Some(0.2)), &idle).on_demand, counts(2, 2));
+fn nothing_that_accepts_requests_goes_for_what_is_only_ordered() {
+    // Before the first request, as at any time: what was found is needed.
+    let held = |spot, spot_booting| Inventory { on_demand: 2, spot, spot_booting };
+    let inventory = |spot, spot_booting| {
+        BTreeMap::from(["cheap", "dear"].map(|name| (name.to_owned(), held(spot, spot_booting))))
+    };
+    let on_demand = |inventory: &BTreeMap<String, Inventory>| {
+        let snapshot = Snapshot { on_demand_held: 4, ..calm(inventory, 4) };
+        plan(&POLICY, &scaling(Some(0.2)), &snapshot).on_demand
+    };
+    assert_eq!(on_demand(&inventory(0, 2)), counts(2, 2));
+    assert_eq!(on_demand(&inventory(0, 0)), counts(2, 2));
+    assert_eq!(on_demand(&inventory(2, 0)), counts(1, 1));
+}
+
+#[test]
+fn on_demand_servers_of_a_dear_data_centre_stay_while_none_accepts_requests_elsewhere() {
+    let names = ["a", "b", "c"];
+    let scaling = Scaling {
+        max: 60,
+        data_centre_prices: names.map(str::to_owned).into_iter().zip([0.8, 1.2, 1.0]).collect(),
+        ..scaling(Some(0.2))
+    };
+    let held = |on_demand, spot| Inventory { on_demand, spot, ..Inventory::default() };
+    let on_demand = |held: [Inventory; 3]| -> Vec<u32> {
+        let inventory = names.map(str::to_owned).into_iter().zip(held).collect();
+        let snapshot = Snapshot { on_demand_held: 30, ..calm(&inventory, 30) };
+        plan(&POLICY, &scaling, &snapshot).on_demand.into_values().collect()
+    };
+    assert_eq!(on_demand([held(10, 0); 3]), [10, 10, 10]);
+    assert_eq!(on_demand([held(10, 10); 3]), [8, 0, 7]);
+}
+
+#[test]
+fn spot_servers_are_not_ordered_into_room_that_on_demand_servers_still_take_up() {
+    let held = Inventory { on_demand: 3, spot: 0, spot_booting: 0 };
+    let inventory = BTreeMap::from(["cheap", "dear"].map(|name| (name.to_owned(), held)));
+    let snapshot = Snapshot { on_demand_held: 2, ..calm(&inventory, 4) };
+    assert_eq!(plan(&POLICY, &scaling(Some(0.2)), &snapshot).spot, counts(1, 1));
 }
 
 #[test]
@@ -165,6 +195,29 @@
     assert_eq!(slow.follow(7_001, 2, 5_000), 2);
 }
 
+#[test]
+fn a_list_is_complete_when_it_was_confirmed_a_while_after_its_last_server() {
+    let mut found = Found::default();
+    assert_eq!(found.follow(1_000, 10, true, Some(900)), 10);
+    // Silent for long, but nobody confirmed that the list is the newest.
+    assert!(!found.is_complete(Some(1_200)));
+    assert!(!found.is_complete(None));
+    assert!(!found.is_complete(Some(2_499)));
+    assert!(found.is_complete(Some(2_500)));
+    assert_eq!(found.follow(4_000, 60, true, Some(1_200)), 60);
+    assert!(!found.is_complete(Some(2_500)));
+}
+
+#[test]
+fn servers_that_list_themselves_late_count_until_the_first_request() {
+    let mut found = Found::default();
+    found.follow(1_000, 10, true, Some(1_000));
+    assert_eq!(found.follow(3_000, 12, true, Some(2_900)), 12);
+    assert!(!found.is_complete(Some(2_900)));
+    assert_eq!(found.follow(6_000, 40, false, Some(5_900)), 12);
+    assert_eq!(found.follow(6_200, 5, true, Some(5_900)), 12);
+}
+
 proptest! {
     /// Whatever is there and needed: no data centre gets more than its most, and what spot
     /// servers do not carry is ordered as on-demand servers as far as there is room.
@@ -181,4 +234,36 @@
         let on_demand: u32 = plan.on_demand.values().sum();
         prop_assert!(on_demand + 2 * held >= need.min(8));
     }
+
+    /// Whatever is there, ordered, refused and needed: the releases of a plan leave as many servers
+    /// that accept requests as are needed, or release none where there are fewer.
+    #[test]
+    fn no_plan_takes_servers_below_the_need(
+        held in prop::collection::vec((0u32..5, 0u32..5, 0u32..5), 3),
+        on_demand_held in 0u32..16,
+        demand in 0u32..16,
+        is_spot_exhausted in any::<bool>(),
+        has_spot in any::<bool>(),
+    ) {
+        let held = held.into_iter().map(|(on_demand, spot, spot_booting)| Inventory {
+            on_demand,
+            spot,
+            spot_booting,
+        });
+        let names = ["cheap", "dear", "other"].map(str::to_owned);
+        let inventory: BTreeMap<String, Inventory> = names.into_iter().zip(held).collect();
+        let snapshot =
+            Snapshot { inventory: &inventory, need: demand, is_spot_exhausted, on_demand_held };
+        let plan = plan(&POLICY, &scaling(has_spot.then_some(0.2)), &snapshot);
+        let left = |planned: &BTreeMap<String, u32>, present: fn(&Inventory) -> u32| -> u32 {
+            let left = inventory.iter().map(|(name, held)| {
+                planned.get(name).map_or(present(held), |count| present(held).min(*count))
+            });
+            left.sum()
+        };
+        let before: u32 = inventory.values().map(|held| held.on_demand + held.spot).sum();
+        let after =
+            left(&plan.on_demand, |held| held.on_demand) + left(&plan.spot, |held| held.spot);
+        prop_assert!(after >= before.min(demand.clamp(3, 12)));
+    }
 }
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -5,7 +5,7 @@
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::capacity::{
-    Demand, Inventory, PeakWindow, Plan, Policy, Snapshot, need, plan,
+    Demand, Found, Inventory, PeakWindow, Plan, Policy, Snapshot, need, plan,
 };
 use keeljunction_core::serving::configuration::{Scaling, Service};
 
@@ -21,8 +21,9 @@
 const FALL_SPAN: Millis = 8_000;
 /// The pause after an order was refused or not answered.
 const REFUSED_PAUSE: Millis = 2_000;
-/// The time without a new server after which the list is taken to be whole.
-const SETTLE: Millis = 1_500;
+/// The pause between orders of spot servers while the list of servers grows: a tenth of a usual boot,
+/// so that few calls are made and few on-demand servers wait for their replacement.
+const LIST_PAUSE: Millis = 500;
 /// How much longer than its boot an ordered server may take before it is given up.
 const BOOT_SLACK: Millis = 3_000;
 const STATUS_OK: u16 = 200;
@@ -38,13 +39,8 @@
     paused_until: BTreeMap<Place, Millis>,
     needs: BTreeMap<String, PeakWindow>,
     found: BTreeMap<String, Found>,
-}
-
-/// Servers of a service as they were found when the lease was taken.
-#[derive(Clone, Copy, Debug)]
-struct Found {
-    count: u32,
-    since: Millis,
+    /// When spot servers may be ordered next while the list of servers grows.
+    next_list_order: BTreeMap<String, Millis>,
 }
 
 /// An order that the platform took.
@@ -82,15 +78,16 @@
         let now = node.now();
         let inventory = self.take_inventory(node, name, scaling);
         let held: u32 = inventory.values().map(|data_centre| data_centre.on_demand).sum();
-        let (found, is_settled) = self.settle(name, held, now);
+        let (found, is_complete) = self.follow_found(node, name, held, now);
         let is_mixed = inventory.values().any(|data_centre| data_centre.spot > 0);
         let policy = node.settings.capacity.get_policy();
         let (need, policy) = match self.get_need(node, name, service, now) {
             Some(need) => (need, policy),
             // A holder that does not know the demand yet leaves an earlier holder's mix as it is.
             None if is_mixed && !self.has_ordered(name) => return,
-            // Servers list themselves one by one.
-            None if !is_settled => return,
+            // Servers list themselves one by one. Before the first request, spot servers are ordered
+            // for those that have; what is needed later must not be taken from a part of the list.
+            None if !is_complete && !self.is_list_due(node, name, now) => return,
             // Servers that nobody has mixed yet: as many as were found, in the usual mix.
             None => (found, Policy { spot_part: policy.spot_part.min(1.0), ..policy }),
         };
@@ -99,18 +96,28 @@
             need,
             is_spot_exhausted: self.is_spot_exhausted(name, now),
             on_demand_held: self.count_on_demand(name, &inventory),
-            is_idle: node.with(|state| state.demand.is_untouched(name)),
         };
         let plan = plan(&policy, scaling, &snapshot);
         for order in self.list_changes(name, &plan, &inventory, now) {
             // On-demand servers that have not listed themselves yet must not be given up.
-            if !is_settled && !order.is_spot {
+            if !is_complete && !order.is_spot {
                 continue;
             }
             self.send(node, order).await;
         }
     }
 
+    /// Returns `true` if spot servers may be ordered from a list that still grows.
+    fn is_list_due(&mut self, node: &Node, name: &str, now: Millis) -> bool {
+        let is_untouched = node.with(|state| state.demand.is_untouched(name));
+        let next = self.next_list_order.entry(name.to_owned()).or_insert(now + LIST_PAUSE);
+        let is_due = is_untouched && now >= *next;
+        if is_due {
+            *next = now + LIST_PAUSE;
+        }
+        is_due
+    }
+
     /// Returns `true` if this holder has ordered servers of a service.
     fn has_ordered(&self, name: &str) -> bool {
         self.ordered.keys().any(|(service, _, _)| service == name)
@@ -125,15 +132,15 @@
         held.sum()
     }
 
-    /// Returns the number of on-demand servers as it was found, and whether it has stopped to grow:
-    /// servers list themselves one by one.
-    fn settle(&mut self, name: &str, held: u32, now: Millis) -> (u32, bool) {
-        let found = self.found.entry(name.to_owned()).or_insert(Found { count: held, since: now });
-        let is_settled = now >= found.since + SETTLE;
-        if !is_settled && held > found.count {
-            *found = Found { count: held, since: now };
-        }
-        (found.count, is_settled)
+    /// Returns the number of on-demand servers as it was found, and whether all have listed
+    /// themselves.
+    fn follow_found(&mut self, node: &Node, name: &str, held: u32, now: Millis) -> (u32, bool) {
+        let (is_idle, age) = node
+            .with(|state| (state.demand.is_untouched(name), state.servers_freshness.get_age(now)));
+        let known_at = age.map(|age| now.saturating_sub(age));
+        let found = self.found.entry(name.to_owned()).or_default();
+        let count = found.follow(now, held, is_idle, known_at);
+        (count, found.is_complete(known_at))
     }
 
     /// Counts what each data centre holds; a data centre that the configuration prices is listed
