feat(capacity): order servers in the region where requests arrive

Reports of demand name the region; the need is computed by region, the room for bursts jointly. One region takes the same path and plans the same: the literal tables of plans are unchanged, and a property test compares both.

Weighed: orders where servers are cheapest with a price for the way (saves little for spot servers, costs each request a round trip); the square root of each region alone (1.4 times the room for bursts).

Also found: a service without any data centre ended the duty task with a panic in the clamp of on-demand servers; it is planned as nothing now.

Not measured yet.

--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -1,5 +1,8 @@
 //! How many servers to order, where, and of which kind.
 //!
+//! Each region gets the servers that the requests which arrive there need; what crosses to another
+//! region takes its time, and its share of a narrow link. A deployment without regions is one region.
+//!
 //! Spot servers (the users' reclaimable machines) cost a fraction of on-demand servers, but all of a
 //! data centre's can be reclaimed within seconds, and for a while no more are to be had anywhere.
 //! The plan holds a fraction of the need in on-demand servers and the rest in spot servers, which are
@@ -57,21 +60,30 @@
     pub spot_booting: u32,
 }
 
-/// The state that a plan starts from.
+/// The state of a region that a plan starts from.
 #[derive(Clone, Copy, Debug)]
 pub struct Snapshot<'a> {
-    /// The servers of each data centre in which the service may run.
+    /// The servers of each of its data centres in which the service may run.
     pub inventory: &'a BTreeMap<String, Inventory>,
-    /// The servers that the demand needs.
+    /// The servers that the demand in the region needs.
     pub need: u32,
     /// Whether spot servers were lately refused: what is taken away then cannot be had
     /// again, and waves that take one data centre often take the others too.
     pub is_spot_exhausted: bool,
-    /// On-demand servers that were ordered, or are there, in all data centres.
+    /// On-demand servers that were ordered, or are there, in all its data centres.
     pub on_demand_held: u32,
+    /// Servers' worth of its work that may be done in other regions.
+    pub crossing: u32,
 }
 
-/// The demand for a service.
+impl Snapshot<'_> {
+    /// Counts the servers that accept requests.
+    fn count_accepting(&self) -> u32 {
+        self.inventory.values().map(|held| held.on_demand + held.spot).sum()
+    }
+}
+
+/// The demand for a service in one region.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Demand {
     /// Prompt tokens a second.
@@ -93,21 +105,93 @@
     pub spot: BTreeMap<String, u32>,
 }
 
-/// Computes how many servers a service needs.
-pub fn need(policy: &Policy, demand: &Demand) -> u32 {
-    let with_bursts = |work: f64, part: f64| work / part + policy.burst_servers * work.sqrt();
-    let reading = demand.tokens_per_second / demand.server_tokens_per_second;
-    let filled = demand.in_flight / demand.slots.max(1.0);
-    let by_tokens = with_bursts(reading, policy.target_utilization);
-    let need = by_tokens.max(with_bursts(filled, policy.target_occupancy));
-    if need.is_finite() { need.ceil().max(1.0) as u32 } else { 1 }
+/// Computes how many servers a service needs in each region.
+///
+/// The room for bursts follows the load of all regions together, split by their loads: what is too
+/// much for one region may go to another.
+pub fn needs(policy: &Policy, demands: &BTreeMap<String, Demand>) -> BTreeMap<String, u32> {
+    let reading = |demand: &Demand| demand.tokens_per_second / demand.server_tokens_per_second;
+    let filled = |demand: &Demand| demand.in_flight / demand.slots.max(1.0);
+    let all_reading: f64 = demands.values().map(reading).sum();
+    let all_filled: f64 = demands.values().map(filled).sum();
+    let with_bursts = |work: f64, all: f64, part: f64| {
+        let share = if all > 0.0 { work / all } else { 0.0 };
+        work / part + policy.burst_servers * all.sqrt() * share
+    };
+    let need = |demand: &Demand| {
+        let by_tokens = with_bursts(reading(demand), all_reading, policy.target_utilization);
+        let by_slots = with_bursts(filled(demand), all_filled, policy.target_occupancy);
+        let need = by_tokens.max(by_slots);
+        if need.is_finite() { need.ceil().max(1.0) as u32 } else { 1 }
+    };
+    demands.iter().map(|(region, demand)| (region.clone(), need(demand))).collect()
+}
+
+/// Plans the servers of a service in all regions.
+///
+/// Servers stand where requests arrive. What a region cannot hold, for its data centres are full or
+/// none of its servers accepts requests, is planned for regions that have room, as far as requests can
+/// cross. A region that has lost all servers keeps its own plan besides, which brings it back.
+pub fn plan_regions(
+    policy: &Policy,
+    scaling: &Scaling,
+    snapshots: &BTreeMap<String, Snapshot<'_>>,
+) -> Plan {
+    let mut all = Plan::default();
+    for (region, moved) in move_needs(scaling, snapshots) {
+        let Some(snapshot) = snapshots.get(region) else { continue };
+        let need = snapshot.need + moved;
+        let plan = plan(policy, scaling, &Snapshot { need, ..*snapshot });
+        all.on_demand.extend(plan.on_demand);
+        all.spot.extend(plan.spot);
+    }
+    all
+}
+
+/// Computes the need that each region takes over from others.
+fn move_needs<'a>(
+    scaling: &Scaling,
+    snapshots: &'a BTreeMap<String, Snapshot<'_>>,
+) -> BTreeMap<&'a str, u32> {
+    let mut moved: BTreeMap<&str, u32> =
+        snapshots.keys().map(|region| (region.as_str(), 0)).collect();
+    let hold = |snapshot: &Snapshot<'_>| match snapshot.count_accepting() {
+        0 => 0,
+        _ => scaling.max * snapshot.inventory.len() as u32,
+    };
+    for (from, lacking) in snapshots {
+        let mut left = lacking.need.saturating_sub(hold(lacking)).min(lacking.crossing);
+        for (to, snapshot) in snapshots.iter().filter(|(to, _)| *to != from) {
+            let taken = moved.entry(to).or_default();
+            let room = hold(snapshot).saturating_sub(snapshot.need + *taken);
+            let moves = left.min(room);
+            *taken += moves;
+            left -= moves;
+        }
+    }
+    moved
+}
+
+/// Returns how many servers' worth of a region's work may go to another region at the bandwidth that
+/// is left for that.
+pub fn count_crossing(need: u32, tokens_per_second: f64, spill_mbps: f64) -> u32 {
+    let mbps = tokens_per_second * BITS_PER_TOKEN / BITS_PER_MEGABIT;
+    let part = if mbps > spill_mbps { spill_mbps / mbps } else { 1.0 };
+    (f64::from(need) * part) as u32
 }
 
-/// Plans the servers of a service.
+/// The size of a prompt's token as text on a link: about four letters.
+const BITS_PER_TOKEN: f64 = 32.0;
+const BITS_PER_MEGABIT: f64 = 1e6;
+
+/// Plans the servers of a service in the data centres of one region.
 pub fn plan(policy: &Policy, scaling: &Scaling, snapshot: &Snapshot<'_>) -> Plan {
     let inventory = snapshot.inventory;
     let data_centres = by_price(scaling, inventory);
     let most = scaling.max * data_centres.len() as u32;
+    if most == 0 {
+        return Plan::default();
+    }
     let need = snapshot.need.max(scaling.min * data_centres.len() as u32).min(most);
     if scaling.spot_price.is_none() {
         let on_demand = fill(&data_centres, need, scaling.max, &BTreeMap::new());
--- a/crates/core/src/serving/demand.rs
+++ b/crates/core/src/serving/demand.rs
@@ -1,4 +1,8 @@
-//! How much is asked of each service, over all nodes.
+//! How much is asked of each service, over all nodes, by the region where requests arrive.
+//!
+//! Each node counts for its own region, and its report names that region. The sums that an aggregator
+//! passes on stay apart by region, so that a group may hold nodes of several. Where no regions are
+//! known, all nodes count for one without a name.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -33,9 +37,11 @@
     }
 }
 
-/// What one node, or a group of nodes, reports of a service.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// What one node, or the nodes of a group that stand in one region, report of a service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
+    /// The region where the requests arrived; empty where no regions are known.
+    pub region: String,
     /// What it was asked for since its start.
     pub totals: DemandTotals,
     /// Requests that it has in flight at servers now.
@@ -45,15 +51,30 @@
 /// What is asked of each service, over all nodes.
 #[derive(Clone, Debug, Default)]
 pub struct DemandBook {
-    own: BTreeMap<String, Report>,
+    /// The region that this node stands in.
+    region: String,
+    own: BTreeMap<String, Own>,
     peers: BTreeMap<(String, u64), Peer>,
     /// What the nodes that report to this one were asked for since it heard them first.
-    group: BTreeMap<String, DemandTotals>,
+    group: BTreeMap<Key, DemandTotals>,
     /// What all other nodes were asked for since this node heard them first.
-    others: BTreeMap<String, DemandTotals>,
+    others: BTreeMap<Key, DemandTotals>,
     /// Services of which some node was asked for something, also before this node heard it.
     touched: BTreeSet<String>,
-    samples: BTreeMap<String, VecDeque<(Millis, DemandTotals)>>,
+    samples: BTreeMap<String, VecDeque<(Millis, RegionTotals)>>,
+}
+
+/// A service and the region where requests to it arrive.
+type Key = (String, String);
+
+/// What a service was asked for in each region.
+pub type RegionTotals = BTreeMap<String, DemandTotals>;
+
+/// What this node was asked for of a service.
+#[derive(Clone, Copy, Debug, Default)]
+struct Own {
+    totals: DemandTotals,
+    in_flight: u32,
 }
 
 /// The last report of an incarnation of a peer.
@@ -61,7 +82,7 @@
 struct Peer {
     is_member: bool,
     reported_at: Millis,
-    latest: BTreeMap<String, Report>,
+    latest: BTreeMap<Key, Own>,
 }
 
 /// How long a peer's requests in flight count after its last report.
@@ -73,6 +94,11 @@
 const LEAST_COVERED: Millis = 1_500;
 
 impl DemandBook {
+    /// Makes the book of a node that stands in a region.
+    pub fn new(region: &str) -> Self {
+        Self { region: region.to_owned(), ..Self::default() }
+    }
+
     /// Counts a request to a service.
     pub fn count(&mut self, service: &str, request: &DemandTotals) {
         self.touched.insert(service.to_owned());
@@ -91,17 +117,25 @@
         }
     }
 
-    /// Lists what this node and those that report to it were asked for.
+    /// Lists what this node and those that report to it were asked for, by service and region.
     pub fn sum_group(&self, now: Millis) -> Vec<(String, Report)> {
-        let services = self.own.keys().chain(self.group.keys());
-        let services: BTreeSet<&String> = services.collect();
-        let sum = |service: &String| {
-            let mut report = self.own.get(service).copied().unwrap_or_default();
-            report.totals.add(&self.group.get(service).copied().unwrap_or_default());
-            report.in_flight += self.sum_in_flight(now, service, |peer| peer.is_member);
-            (service.clone(), report)
+        let own = self.own.keys().map(|service| (service.clone(), self.region.clone()));
+        let keys: BTreeSet<Key> = own.chain(self.group.keys().cloned()).collect();
+        let sum = |key: Key| {
+            let own = self.get_own(&key);
+            let mut totals = own.totals;
+            totals.add(&self.group.get(&key).copied().unwrap_or_default());
+            let in_flight = own.in_flight + self.sum_in_flight(now, &key, |peer| peer.is_member);
+            let (service, region) = key;
+            (service, Report { region, totals, in_flight })
         };
-        services.into_iter().map(sum).collect()
+        keys.into_iter().map(sum).collect()
+    }
+
+    /// Returns what this node itself was asked for, if the key names its own region.
+    fn get_own(&self, (service, region): &Key) -> Own {
+        let own = self.own.get(service).filter(|_| *region == self.region);
+        own.copied().unwrap_or_default()
     }
 
     /// Merges what an incarnation of a peer reports, for itself or for its group; `is_member` where
@@ -125,13 +159,15 @@
             if report.totals.requests > 0 {
                 self.touched.insert(service.clone());
             }
-            let before = peer.latest.insert(service.clone(), *report);
+            let key = (service.clone(), report.region.clone());
+            let latest = Own { totals: report.totals, in_flight: report.in_flight };
+            let before = peer.latest.insert(key.clone(), latest);
             let before = before.map_or_else(DemandTotals::default, |before| before.totals);
             if is_first {
                 continue;
             }
             let sums = if is_member { &mut self.group } else { &mut self.others };
-            sums.entry(service.clone()).or_default().add(&report.totals.minus(&before));
+            sums.entry(key).or_default().add(&report.totals.minus(&before));
         }
     }
 
@@ -140,22 +176,30 @@
         self.peers.remove(&(peer.to_owned(), incarnation));
     }
 
-    /// Sums the requests to a service that all nodes have in flight at servers.
-    pub fn get_in_flight(&self, now: Millis, service: &str) -> u32 {
-        let own = self.own.get(service).map_or(0, |own| own.in_flight);
-        own + self.sum_in_flight(now, service, |_| true)
+    /// Sums the requests to a service that all nodes have in flight at servers, by the region where
+    /// they arrived.
+    pub fn get_in_flight(&self, now: Millis, service: &str) -> BTreeMap<String, u32> {
+        let peers = self.peers.values().flat_map(|peer| peer.latest.keys());
+        let regions = peers.filter(|key| key.0 == service).map(|key| key.1.clone());
+        let regions: BTreeSet<String> = regions.chain([self.region.clone()]).collect();
+        let sum = |region: String| {
+            let key = (service.to_owned(), region);
+            let in_flight = self.get_own(&key).in_flight + self.sum_in_flight(now, &key, |_| true);
+            (key.1, in_flight)
+        };
+        regions.into_iter().map(sum).collect()
     }
 
-    fn sum_in_flight(&self, now: Millis, service: &str, counts: fn(&Peer) -> bool) -> u32 {
+    fn sum_in_flight(&self, now: Millis, key: &Key, counts: fn(&Peer) -> bool) -> u32 {
         let peers = self.peers.values().filter(|peer| counts(peer));
         let recent = peers.filter(|peer| now < peer.reported_at + IN_FLIGHT_VALID_FOR);
-        recent.filter_map(|peer| peer.latest.get(service)).map(|report| report.in_flight).sum()
+        recent.filter_map(|peer| peer.latest.get(key)).map(|latest| latest.in_flight).sum()
     }
 
     /// Notes the totals of all services now, for later rates.
     pub fn sample_all(&mut self, now: Millis) {
-        let services = self.own.keys().chain(self.group.keys()).chain(self.others.keys());
-        let services: BTreeSet<String> = services.cloned().collect();
+        let others = self.group.keys().chain(self.others.keys()).map(|key| &key.0);
+        let services: BTreeSet<String> = self.own.keys().chain(others).cloned().collect();
         for service in &services {
             self.sample(now, service);
         }
@@ -168,33 +212,43 @@
 
     /// Notes the totals of a service now, for later rates.
     pub fn sample(&mut self, now: Millis, service: &str) {
-        let mut total = self.own.get(service).copied().unwrap_or_default().totals;
+        let own = self.own.get(service).copied().unwrap_or_default().totals;
+        let mut totals = RegionTotals::from([(self.region.clone(), own)]);
         for sums in [&self.group, &self.others] {
-            total.add(&sums.get(service).copied().unwrap_or_default());
+            for ((_, region), sum) in sums.iter().filter(|(key, _)| key.0 == service) {
+                totals.entry(region.clone()).or_default().add(sum);
+            }
         }
         let samples = self.samples.entry(service.to_owned()).or_default();
-        samples.push_back((now, total));
+        samples.push_back((now, totals));
         while samples.front().is_some_and(|(at, _)| at + KEPT < now) {
             samples.pop_front();
         }
     }
 
-    /// Returns what was asked of a service within the latest `span`, and the time that it covers,
-    /// which begins with the first request; `None` before that time is long enough to tell.
+    /// Returns what was asked of a service within the latest `span`, by the region where it was
+    /// asked, and the time that it covers, which begins with the first request; `None` before that
+    /// time is long enough to tell.
     pub fn within(
         &self,
         now: Millis,
         service: &str,
         span: Millis,
-    ) -> Option<(DemandTotals, Millis)> {
+    ) -> Option<(RegionTotals, Millis)> {
         let samples = self.samples.get(service)?;
         let (last_at, last) = samples.back()?;
         let recent = || samples.iter().filter(|(at, _)| at + span >= now);
+        let is_before_first =
+            |totals: &RegionTotals| totals.values().all(|total| total.requests == 0);
         // Before the first request there is no demand to average over.
-        let before_first = recent().take_while(|(_, total)| total.requests == 0).last();
+        let before_first = recent().take_while(|(_, totals)| is_before_first(totals)).last();
         let (first_at, first) = before_first.or_else(|| recent().next())?;
         let least = span.min(LEAST_COVERED);
         let covered = last_at.checked_sub(*first_at).filter(|covered| *covered >= least)?;
-        Some((last.minus(first), covered))
+        let since_first = |(region, total): (&String, &DemandTotals)| {
+            let first = first.get(region).copied().unwrap_or_default();
+            (region.clone(), total.minus(&first))
+        };
+        Some((last.iter().map(since_first).collect(), covered))
     }
 }
--- a/crates/core/tests/serving/capacity.rs
+++ b/crates/core/tests/serving/capacity.rs
@@ -1,7 +1,8 @@
 use std::collections::BTreeMap;
 
 use keeljunction_core::serving::capacity::{
-    Demand, Found, Inventory, PeakWindow, Plan, Policy, Snapshot, need, plan,
+    Demand, Found, Inventory, PeakWindow, Plan, Policy, Snapshot, count_crossing, needs, plan,
+    plan_regions,
 };
 use keeljunction_core::serving::configuration::Scaling;
 use proptest::prelude::*;
@@ -17,7 +18,12 @@
 
 /// Where nothing is held as on-demand servers, and spot servers can be had.
 fn calm(inventory: &BTreeMap<String, Inventory>, need: u32) -> Snapshot<'_> {
-    Snapshot { inventory, need, is_spot_exhausted: false, on_demand_held: 0 }
+    Snapshot { inventory, need, is_spot_exhausted: false, on_demand_held: 0, crossing: 0 }
+}
+
+/// Where all requests arrive in one region.
+fn need(policy: &Policy, demand: &Demand) -> u32 {
+    needs(policy, &BTreeMap::from([(String::new(), *demand)]))[""]
 }
 
 fn scaling(spot_price: Option<f64>) -> Scaling {
@@ -73,6 +79,109 @@
     assert_eq!(need(&POLICY, &Demand::default()), 1);
 }
 
+#[test]
+fn regions_need_servers_by_their_own_demand_and_share_the_room_for_bursts() {
+    let policy = Policy { burst_servers: 1.0, ..POLICY };
+    let demand = |servers: f64| Demand {
+        tokens_per_second: 50_000.0 * servers,
+        server_tokens_per_second: 50_000.0,
+        in_flight: 0.0,
+        slots: 10.0,
+    };
+    let by_region = |demands: &[(&str, f64)]| -> Vec<u32> {
+        let demands =
+            demands.iter().map(|(region, servers)| (region.to_string(), demand(*servers)));
+        needs(&policy, &demands.collect()).into_values().collect()
+    };
+    assert_eq!(by_region(&[("", 25.0)]), [55]);
+    // 50 and 5 for bursts together; alone, they would hold 4.48 and 2.24 of them.
+    assert_eq!(by_region(&[("east", 20.0), ("west", 5.0)]), [44, 11]);
+    assert_eq!(by_region(&[("east", 25.0), ("west", 0.0)]), [55, 1]);
+}
+
+/// Two regions of two data centres, the eastern ones dearer.
+fn two_regions(east: [Inventory; 2], west: [Inventory; 2]) -> [BTreeMap<String, Inventory>; 2] {
+    let named = |names: [&str; 2], held: [Inventory; 2]| {
+        names.map(str::to_owned).into_iter().zip(held).collect()
+    };
+    [named(["east-a", "east-b"], east), named(["west-a", "west-b"], west)]
+}
+
+fn plan_two(inventory: &[BTreeMap<String, Inventory>; 2], needs: [u32; 2], crossing: u32) -> Plan {
+    let names = ["east-a", "east-b", "west-a", "west-b"].map(str::to_owned);
+    let prices = names.into_iter().zip([1.25, 1.0, 0.8, 0.9]).collect();
+    let scaling = Scaling { max: 10, data_centre_prices: prices, ..scaling(Some(0.2)) };
+    let [east, west] = inventory;
+    let snapshots = [("east", east, needs[0]), ("west", west, needs[1])];
+    let snapshots = snapshots.map(|(region, inventory, need)| {
+        (region.to_owned(), Snapshot { crossing, ..calm(inventory, need) })
+    });
+    plan_regions(&POLICY, &scaling, &snapshots.into())
+}
+
+fn list(counts: &BTreeMap<String, u32>) -> Vec<u32> {
+    counts.values().copied().collect()
+}
+
+#[test]
+fn servers_are_ordered_in_the_region_where_requests_arrive() {
+    let held = Inventory { spot: 4, ..Inventory::default() };
+    let inventory = two_regions([held; 2], [held; 2]);
+    let plan = plan_two(&inventory, [8, 2], 10);
+    assert_eq!(list(&plan.on_demand), [2, 2, 1, 0]);
+    assert_eq!(list(&plan.spot), [4, 4, 1, 1]);
+}
+
+#[test]
+fn a_region_that_lost_its_servers_is_carried_by_the_other_until_some_are_back() {
+    let held = Inventory { spot: 4, ..Inventory::default() };
+    let none = Inventory::default();
+    let lost = plan_two(&two_regions([none; 2], [held; 2]), [8, 4], 10);
+    assert_eq!(list(&lost.spot), [4, 4, 6, 6]);
+    assert_eq!(list(&lost.on_demand), [4, 4, 3, 3]);
+    let limited = plan_two(&two_regions([none; 2], [held; 2]), [8, 4], 3);
+    assert_eq!(list(&limited.spot), [4, 4, 4, 3]);
+    let back = Inventory { spot: 1, ..none };
+    let returned = plan_two(&two_regions([back, none], [held; 2]), [8, 4], 10);
+    assert_eq!(list(&returned.spot), [4, 4, 2, 2]);
+}
+
+#[test]
+fn what_exceeds_the_room_of_a_region_is_ordered_in_the_other() {
+    let held = Inventory { on_demand: 10, ..Inventory::default() };
+    let inventory = two_regions([held; 2], [Inventory { on_demand: 2, ..held }; 2]);
+    assert_eq!(list(&plan_two(&inventory, [26, 4], 10).on_demand), [10, 10, 5, 5]);
+    assert_eq!(list(&plan_two(&inventory, [26, 4], 0).on_demand), [10, 10, 2, 2]);
+}
+
+#[test]
+fn requests_to_a_region_in_which_the_service_may_not_run_are_planned_for_the_other() {
+    let held = Inventory { spot: 4, ..Inventory::default() };
+    let [west, _] = two_regions([held; 2], [held; 2]);
+    let scaling = Scaling { max: 10, ..scaling(Some(0.2)) };
+    let nowhere = BTreeMap::new();
+    let east = Snapshot { crossing: 10, ..calm(&nowhere, 4) };
+    let snapshots = [("east".to_owned(), east), ("west".to_owned(), calm(&west, 4))].into();
+    let plan = plan_regions(&POLICY, &scaling, &snapshots);
+    assert_eq!(list(&plan.spot), [4, 4]);
+}
+
+#[test]
+fn without_servers_anywhere_no_region_carries_another() {
+    let none = Inventory::default();
+    let plan = plan_two(&two_regions([none; 2], [none; 2]), [8, 4], 10);
+    assert_eq!(list(&plan.spot), [4, 4, 2, 2]);
+}
+
+#[test]
+fn as_much_work_crosses_as_the_bandwidth_allows() {
+    // 1,000,000 tokens a second are 32 Mbit/s.
+    assert_eq!(count_crossing(20, 1e6, 64.0), 20);
+    assert_eq!(count_crossing(20, 1e6, 8.0), 5);
+    assert_eq!(count_crossing(20, 1e6, 0.0), 0);
+    assert_eq!(count_crossing(20, 0.0, 0.0), 20);
+}
+
 #[test]
 fn a_calm_day_holds_a_part_lasting_and_the_rest_reclaimable() {
     let plan = plan(&POLICY, &scaling(Some(0.2)), &calm(&inventory(2), 4));
@@ -219,6 +328,19 @@
 }
 
 proptest! {
+    /// One region is planned as all data centres together.
+    #[test]
+    fn one_region_takes_nothing_over(held in 0u32..5, demand in 0u32..30, crossing in 0u32..30) {
+        let inventory = inventory(held);
+        let snapshot = Snapshot { crossing, ..calm(&inventory, demand) };
+        let snapshots = BTreeMap::from([(String::new(), snapshot)]);
+        let scaling = scaling(Some(0.2));
+        prop_assert_eq!(
+            plan_regions(&POLICY, &scaling, &snapshots),
+            plan(&POLICY, &scaling, &snapshot)
+        );
+    }
+
     /// Whatever is there and needed: no data centre gets more than its most, and what spot
     /// servers do not carry is ordered as on-demand servers as far as there is room.
     #[test]
@@ -252,8 +374,8 @@
         });
         let names = ["cheap", "dear", "other"].map(str::to_owned);
         let inventory: BTreeMap<String, Inventory> = names.into_iter().zip(held).collect();
-        let snapshot =
-            Snapshot { inventory: &inventory, need: demand, is_spot_exhausted, on_demand_held };
+        let calm = calm(&inventory, demand);
+        let snapshot = Snapshot { is_spot_exhausted, on_demand_held, ..calm };
         let plan = plan(&POLICY, &scaling(has_spot.then_some(0.2)), &snapshot);
         let left = |planned: &BTreeMap<String, u32>, present: fn(&Inventory) -> u32| -> u32 {
             let left = inventory.iter().map(|(name, held)| {
--- a/crates/core/tests/serving/demand.rs
+++ b/crates/core/tests/serving/demand.rs
@@ -1,11 +1,22 @@
-use keeljunction_core::serving::demand::{DemandBook, DemandTotals, Report};
+use std::collections::BTreeMap;
+
+use keeljunction_core::serving::demand::{DemandBook, DemandTotals, RegionTotals, Report};
 
 fn totals(requests: u64) -> DemandTotals {
     DemandTotals { requests, prompt_tokens: requests * 1_000, ..DemandTotals::default() }
 }
 
 fn told(requests: u64) -> Vec<(String, Report)> {
-    vec![("llm".to_owned(), Report { totals: totals(requests), in_flight: 0 })]
+    vec![("llm".to_owned(), Report { totals: totals(requests), ..Report::default() })]
+}
+
+/// Where no regions are known.
+fn in_one_region(requests: u64) -> RegionTotals {
+    BTreeMap::from([(String::new(), totals(requests))])
+}
+
+fn in_flight<const N: usize>(counts: [(&str, u32); N]) -> BTreeMap<String, u32> {
+    counts.map(|(region, count)| (region.to_owned(), count)).into()
 }
 
 #[test]
@@ -17,7 +28,7 @@
         book.count("llm", &totals(1));
         book.sample(12_000 + step * 200, "llm");
     }
-    assert_eq!(book.within(14_000, "llm", 4_000), Some((totals(10), 2_000)));
+    assert_eq!(book.within(14_000, "llm", 4_000), Some((in_one_region(10), 2_000)));
 }
 
 #[test]
@@ -37,7 +48,7 @@
     book.sample(10_200, "llm");
     book.merge(10_000, false, ("peer", 1), &told(50_030));
     book.sample(12_200, "llm");
-    assert_eq!(book.within(12_200, "llm", 4_000), Some((totals(30), 2_000)));
+    assert_eq!(book.within(12_200, "llm", 4_000), Some((in_one_region(30), 2_000)));
 }
 
 #[test]
@@ -55,7 +66,8 @@
 #[test]
 fn a_group_reports_what_its_members_were_asked_since_they_were_heard() {
     let report = |requests, in_flight| {
-        vec![("llm".to_owned(), Report { totals: totals(requests), in_flight })]
+        let region = String::new();
+        vec![("llm".to_owned(), Report { region, totals: totals(requests), in_flight })]
     };
     let mut book = DemandBook::default();
     book.count("llm", &totals(5));
@@ -64,12 +76,35 @@
     book.merge(10_400, true, ("member", 1), &report(110, 3));
     book.merge(10_400, false, ("other", 1), &report(1_000, 7));
     book.merge(10_800, false, ("other", 1), &report(1_030, 8));
-    let sum = Report { totals: totals(15), in_flight: 4 };
-    assert_eq!(book.sum_group(10_800), [("llm".to_owned(), sum)]);
-    assert_eq!(book.get_in_flight(10_800, "llm"), 12);
+    let sum = Report { region: String::new(), totals: totals(15), in_flight: 4 };
+    assert_eq!(book.sum_group(10_800), [("llm".to_owned(), sum.clone())]);
+    assert_eq!(book.get_in_flight(10_800, "llm"), in_flight([("", 12)]));
     // The member is gone; what it was asked for stays.
     book.forget("member", 1);
     book.end("llm");
     assert_eq!(book.sum_group(10_900), [("llm".to_owned(), Report { in_flight: 0, ..sum })]);
-    assert_eq!(book.get_in_flight(12_800, "llm"), 0);
+    assert_eq!(book.get_in_flight(12_800, "llm"), in_flight([("", 0)]));
+}
+
+#[test]
+fn demand_stays_apart_by_the_region_where_it_arrives() {
+    let report = |region: &str, requests, in_flight| {
+        let region = region.to_owned();
+        ("llm".to_owned(), Report { region, totals: totals(requests), in_flight })
+    };
+    let mut book = DemandBook::new("east");
+    book.merge(10_000, true, ("member", 1), &[report("west", 0, 0)]);
+    book.merge(10_000, false, ("other", 1), &[report("east", 0, 0), report("west", 0, 0)]);
+    book.sample(10_000, "llm");
+    book.count("llm", &totals(5));
+    book.begin("llm");
+    book.merge(11_000, true, ("member", 1), &[report("west", 20, 2)]);
+    book.merge(11_000, false, ("other", 1), &[report("east", 3, 1), report("west", 100, 8)]);
+    book.sample(12_000, "llm");
+
+    let asked = BTreeMap::from([("east".to_owned(), totals(8)), ("west".to_owned(), totals(120))]);
+    assert_eq!(book.within(12_000, "llm", 4_000), Some((asked, 2_000)));
+    assert_eq!(book.get_in_flight(12_000, "llm"), in_flight([("east", 2), ("west", 10)]));
+    // What other aggregators report is not passed on.
+    assert_eq!(book.sum_group(12_000), [report("east", 5, 1), report("west", 20, 2)]);
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -54,6 +54,9 @@
     /// A data centre's number of servers was ordered.
     CapacityOrdered {
         service: &'a str,
+        /// Left out where no regions are known.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        region: &'a str,
         data_centre: &'a str,
         is_spot: bool,
         count: u32,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,6 +37,15 @@
     pub service: String,
 }
 
+/// The service and the region that a number of servers belongs to.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct RegionLabels {
+    /// The service.
+    pub service: String,
+    /// The region; empty where no regions are known.
+    pub region: String,
+}
+
 /// Why a second attempt was made or a server was given up on.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct ReasonLabels {
@@ -65,6 +74,10 @@
     pub unanswered_load_questions: Counter,
     /// Questions to owners of client accounts that were not answered in time.
     pub unanswered_quota_questions: Counter,
+    /// Servers that the demand of a region needs, at the holder of the duties.
+    pub capacity_need: Family<RegionLabels, Gauge>,
+    /// Servers of both kinds that the plan holds in a region, at the holder of the duties.
+    pub capacity_planned: Family<RegionLabels, Gauge>,
     gauges: Gauges,
 }
 
@@ -107,6 +120,8 @@
             resumed: Counter::default(),
             unanswered_load_questions: Counter::default(),
             unanswered_quota_questions: Counter::default(),
+            capacity_need: Family::default(),
+            capacity_planned: Family::default(),
             gauges: Gauges::default(),
         };
         metrics.register();
@@ -118,6 +133,16 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Requests that ended", self.requests.clone());
+        registry.register(
+            "capacity_need",
+            "Servers that a region's demand needs",
+            self.capacity_need.clone(),
+        );
+        registry.register(
+            "capacity_planned",
+            "Servers that the plan holds in a region",
+            self.capacity_planned.clone(),
+        );
         registry.register_with_unit(
             "first_token",
             "Arrival to first token of the answer",
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -5,12 +5,14 @@
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::capacity::{
-    Demand, Found, Inventory, PeakWindow, Plan, Policy, Snapshot, need, plan,
+    Demand, Found, Inventory, PeakWindow, Plan, Policy, Snapshot, needs, plan_regions,
 };
 use keeljunction_core::serving::configuration::{Scaling, Service};
+use keeljunction_core::serving::demand::DemandTotals;
 
 use super::Node;
 use crate::event::{self, Event};
+use crate::metrics::RegionLabels;
 use crate::port::{CapacityOrder, DutyHolder};
 use crate::runtime;
 
@@ -31,14 +33,19 @@
 /// Servers of one kind in a data centre.
 type Place = (String, String, bool);
 
+/// The servers of each data centre, by region.
+type Inventories = BTreeMap<String, BTreeMap<String, Inventory>>;
+
 /// What a holder knows of the orders.
 #[derive(Debug, Default)]
 pub struct CapacityDuty {
     fence: Option<u64>,
     ordered: BTreeMap<Place, Ordered>,
     paused_until: BTreeMap<Place, Millis>,
-    needs: BTreeMap<String, PeakWindow>,
-    found: BTreeMap<String, Found>,
+    /// By service and region.
+    needs: BTreeMap<(String, String), PeakWindow>,
+    /// By service and region.
+    found: BTreeMap<(String, String), Found>,
     /// When spot servers may be ordered next while the list of servers grows.
     next_list_order: BTreeMap<String, Millis>,
 }
@@ -59,6 +66,8 @@
         if fence != self.fence {
             // What an earlier holder ordered is not known: start from what there is.
             *self = Self { fence, ..Self::default() };
+            node.metrics.capacity_need.clear();
+            node.metrics.capacity_planned.clear();
         }
         let Some(configuration) = node.with(|state| state.configuration.clone()) else { return };
         for (name, service) in &configuration.services {
@@ -76,13 +85,12 @@
         scaling: &Scaling,
     ) {
         let now = node.now();
-        let inventory = self.take_inventory(node, name, scaling);
-        let held: u32 = inventory.values().map(|data_centre| data_centre.on_demand).sum();
-        let (found, is_complete) = self.follow_found(node, name, held, now);
-        let is_mixed = inventory.values().any(|data_centre| data_centre.spot > 0);
+        let inventories = self.take_inventories(node, name, scaling);
+        let (found, is_complete) = self.follow_found(node, name, &inventories, now);
+        let is_mixed = inventories.values().flat_map(BTreeMap::values).any(|held| held.spot > 0);
         let policy = node.settings.capacity.get_policy();
-        let (need, policy) = match self.get_need(node, name, service, now) {
-            Some(need) => (need, policy),
+        let (needs, policy) = match self.get_needs(node, name, service, now) {
+            Some(needs) => (needs, policy),
             // A holder that does not know the demand yet leaves an earlier holder's mix as it is.
             None if is_mixed && !self.has_ordered(name) => return,
             // Servers list themselves one by one. Before the first request, spot servers are ordered
@@ -91,13 +99,22 @@
             // Servers that nobody has mixed yet: as many as were found, in the usual mix.
             None => (found, Policy { spot_part: policy.spot_part.min(1.0), ..policy }),
         };
-        let snapshot = Snapshot {
-            inventory: &inventory,
-            need,
-            is_spot_exhausted: self.is_spot_exhausted(name, now),
-            on_demand_held: self.count_on_demand(name, &inventory),
+        let snapshot = |(region, inventory)| {
+            let region: &String = region;
+            let need = needs.get(region).copied().unwrap_or(0);
+            let snapshot = Snapshot {
+                inventory,
+                need,
+                is_spot_exhausted: self.is_spot_exhausted(name, inventory, now),
+                on_demand_held: self.count_on_demand(name, inventory),
+                crossing: need,
+            };
+            (region.clone(), snapshot)
         };
-        let plan = plan(&policy, scaling, &snapshot);
+        let snapshots = inventories.iter().map(snapshot).collect();
+        let plan = plan_regions(&policy, scaling, &snapshots);
+        report(node, name, &needs, &plan);
+        let inventory = inventories.values().flat_map(BTreeMap::clone).collect();
         for order in self.list_changes(name, &plan, &inventory, now) {
             // On-demand servers that have not listed themselves yet must not be given up.
             if !is_complete && !order.is_spot {
@@ -132,15 +149,41 @@
         held.sum()
     }
 
-    /// Returns the number of on-demand servers as it was found, and whether all have listed
-    /// themselves.
-    fn follow_found(&mut self, node: &Node, name: &str, held: u32, now: Millis) -> (u32, bool) {
+    /// Returns the number of on-demand servers as it was found in each region, and whether all have
+    /// listed themselves.
+    fn follow_found(
+        &mut self,
+        node: &Node,
+        name: &str,
+        inventories: &Inventories,
+        now: Millis,
+    ) -> (BTreeMap<String, u32>, bool) {
         let (is_idle, age) = node
             .with(|state| (state.demand.is_untouched(name), state.servers_freshness.get_age(now)));
         let known_at = age.map(|age| now.saturating_sub(age));
-        let found = self.found.entry(name.to_owned()).or_default();
-        let count = found.follow(now, held, is_idle, known_at);
-        (count, found.is_complete(known_at))
+        let mut is_complete = true;
+        let follow = |(region, inventory): (&String, &BTreeMap<String, Inventory>)| {
+            let listed = inventory.values().map(|held| held.on_demand).sum();
+            let found = self.found.entry((name.to_owned(), region.clone())).or_default();
+            let count = found.follow(now, listed, is_idle, known_at);
+            is_complete &= found.is_complete(known_at);
+            (region.clone(), count)
+        };
+        (inventories.iter().map(follow).collect(), is_complete)
+    }
+
+    /// Counts what each data centre holds, by region.
+    fn take_inventories(&mut self, node: &Node, name: &str, scaling: &Scaling) -> Inventories {
+        let mut inventories = Inventories::new();
+        for (data_centre, held) in self.take_inventory(node, name, scaling) {
+            let region = get_region(node, &data_centre).to_owned();
+            inventories.entry(region).or_default().insert(data_centre, held);
+        }
+        // Requests may arrive where the service has no data centre.
+        for region in node.topology.list_regions() {
+            inventories.entry(region.to_owned()).or_default();
+        }
+        inventories
     }
 
     /// Counts what each data centre holds; a data centre that the configuration prices is listed
@@ -178,30 +221,49 @@
         inventory
     }
 
-    /// Returns `true` if spot servers were lately refused.
-    fn is_spot_exhausted(&self, name: &str, now: Millis) -> bool {
-        let mut refused =
-            self.paused_until.iter().filter(|((service, _, kind), _)| service == name && *kind);
+    /// Returns `true` if spot servers were lately refused in one of the data centres.
+    fn is_spot_exhausted(
+        &self,
+        name: &str,
+        inventory: &BTreeMap<String, Inventory>,
+        now: Millis,
+    ) -> bool {
+        let mut refused = self.paused_until.iter().filter(|((service, data_centre, kind), _)| {
+            service == name && *kind && inventory.contains_key(data_centre)
+        });
         refused.any(|(_, until)| now < until + REFUSED_PAUSE)
     }
 
-    fn get_need(&mut self, node: &Node, name: &str, service: &Service, now: Millis) -> Option<u32> {
+    /// Returns the servers that the demand of each region needs; `None` where it is not known yet.
+    fn get_needs(
+        &mut self,
+        node: &Node,
+        name: &str,
+        service: &Service,
+        now: Millis,
+    ) -> Option<BTreeMap<String, u32>> {
         let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
-        let (demand, in_flight) = node.with(|state| {
+        let (totals, covered, throughput, in_flight) = node.with(|state| {
             let (totals, covered) = state.demand.within(now, name, DEMAND_SPAN)?;
             let throughput = state.throughputs.get(name)?.get_prefill_rate()?;
-            let in_flight = state.demand.get_in_flight(now, name);
-            Some(((totals.prompt_tokens as f64 / covered as f64 * 1_000.0, throughput), in_flight))
+            Some((totals, covered, throughput, state.demand.get_in_flight(now, name)))
         })?;
-        let demand = Demand {
-            tokens_per_second: demand.0,
-            server_tokens_per_second: demand.1 * 1_000.0,
-            in_flight: f64::from(in_flight),
-            slots: f64::from(slots),
+        let demand = |(region, totals): (&String, &DemandTotals)| {
+            let demand = Demand {
+                tokens_per_second: totals.prompt_tokens as f64 / covered as f64 * 1_000.0,
+                server_tokens_per_second: throughput * 1_000.0,
+                in_flight: f64::from(in_flight.get(region).copied().unwrap_or(0)),
+                slots: f64::from(slots),
+            };
+            (region.clone(), demand)
         };
+        let demands = totals.iter().map(demand).collect();
         let policy = node.settings.capacity.get_policy();
-        let needs = self.needs.entry(name.to_owned()).or_default();
-        Some(needs.follow(now, need(&policy, &demand), FALL_SPAN))
+        let follow = |(region, need): (String, u32)| {
+            let window = self.needs.entry((name.to_owned(), region.clone())).or_default();
+            (region, window.follow(now, need, FALL_SPAN))
+        };
+        Some(needs(&policy, &demands).into_iter().map(follow).collect())
     }
 
     /// Lists the orders by which the plan differs from what was ordered, or is there.
@@ -253,6 +315,7 @@
         let status = runtime::within(CALL_WITHIN, calling).await.flatten();
         event::emit(&Event::CapacityOrdered {
             service: &order.service,
+            region: get_region(node, &order.data_centre),
             data_centre: &order.data_centre,
             is_spot: order.is_spot,
             count: order.count,
@@ -268,3 +331,24 @@
         }
     }
 }
+
+/// Returns the region of a data centre; empty where no regions are known.
+fn get_region<'a>(node: &'a Node, data_centre: &str) -> &'a str {
+    node.topology.get_region(data_centre).unwrap_or_default()
+}
+
+/// Shows operators what each region needs and what the plan holds there.
+fn report(node: &Node, name: &str, needs: &BTreeMap<String, u32>, plan: &Plan) {
+    let labels =
+        |region: &str| RegionLabels { service: name.to_owned(), region: region.to_owned() };
+    for (region, need) in needs {
+        node.metrics.capacity_need.get_or_create(&labels(region)).set(i64::from(*need));
+    }
+    let mut planned: BTreeMap<&str, u32> = BTreeMap::new();
+    for (data_centre, count) in plan.on_demand.iter().chain(&plan.spot) {
+        *planned.entry(get_region(node, data_centre)).or_default() += count;
+    }
+    for (region, count) in planned {
+        node.metrics.capacity_planned.get_or_create(&labels(region)).set(i64::from(count));
+    }
+}
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The format of the datagrams; others are ignored.
-const FORMAT: u8 = 8;
+const FORMAT: u8 = 9;
 
 /// What every datagram begins with.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -209,7 +209,7 @@
             configuration: None,
             configuration_document: None,
             configuration_row: None,
-            demand: DemandBook::default(),
+            demand: DemandBook::new(topology.get_own()),
             rollouts: rollout::Book::default(),
             throughputs: HashMap::new(),
             freshness: Freshness::default(),
