--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -1,12 +1,17 @@
 //! How many servers to order, where, and of which kind.
 //!
+//! Each region gets the servers that the requests which arrive there need; what crosses to another
+//! region takes its time, and its share of a narrow link. A deployment without regions is one region.
+//!
 //! Spot servers (the users' reclaimable machines) cost a fraction of on-demand servers, but all of a
 //! data centre's can be reclaimed within seconds, and for a while no more are to be had anywhere.
 //! The plan holds a fraction of the need in on-demand servers and the rest in spot servers, which are
 //! spread over the data centres so that enough are left after the loss of one. On-demand servers
 //! stand in the cheaper data centres, none of which holds more than its share of all but one. Spot
 //! capacity that cannot be had, or is being reclaimed, is replaced by on-demand servers at once.
-//! These are released when spot servers accept requests in their place, not when they are ordered.
+//! These are released when spot servers accept requests in their place, not when they are ordered:
+//! no plan releases servers while those that would be left, and accept requests now, are fewer than
+//! the need.
 
 use std::collections::BTreeMap;
 
@@ -55,23 +60,30 @@
     pub spot_booting: u32,
 }
 
-/// The state that a plan starts from.
+/// The state of a region that a plan starts from.
 #[derive(Clone, Copy, Debug)]
 pub struct Snapshot<'a> {
-    /// The servers of each data centre in which the service may run.
+    /// The servers of each of its data centres in which the service may run.
     pub inventory: &'a BTreeMap<String, Inventory>,
-    /// The servers that the demand needs.
+    /// The servers that the demand in the region needs.
     pub need: u32,
     /// Whether spot servers were lately refused: what is taken away then cannot be had
     /// again, and waves that take one data centre often take the others too.
     pub is_spot_exhausted: bool,
-    /// On-demand servers that were ordered, or are there, in all data centres.
+    /// On-demand servers that were ordered, or are there, in all its data centres.
     pub on_demand_held: u32,
-    /// Whether the service has had no request yet: none is delayed while servers start.
-    pub is_idle: bool,
+    /// Servers' worth of its work that may be done in other regions.
+    pub crossing: u32,
 }
 
-/// The demand for a service.
+impl Snapshot<'_> {
+    /// Counts the servers that accept requests.
+    fn count_accepting(&self) -> u32 {
+        self.inventory.values().map(|held| held.on_demand + held.spot).sum()
+    }
+}
+
+/// The demand for a service in one region.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Demand {
     /// Prompt tokens a second.
@@ -93,25 +105,99 @@
     pub spot: BTreeMap<String, u32>,
 }
 
-/// Computes how many servers a service needs.
-pub fn need(policy: &Policy, demand: &Demand) -> u32 {
-    let with_bursts = |work: f64, part: f64| work / part + policy.burst_servers * work.sqrt();
-    let reading = demand.tokens_per_second / demand.server_tokens_per_second;
-    let filled = demand.in_flight / demand.slots.max(1.0);
-    let by_tokens = with_bursts(reading, policy.target_utilization);
-    let need = by_tokens.max(with_bursts(filled, policy.target_occupancy));
-    if need.is_finite() { need.ceil().max(1.0) as u32 } else { 1 }
+/// Computes how many servers a service needs in each region.
+///
+/// The room for bursts follows the load of all regions together, split by their loads: what is too
+/// much for one region may go to another.
+pub fn needs(policy: &Policy, demands: &BTreeMap<String, Demand>) -> BTreeMap<String, u32> {
+    let reading = |demand: &Demand| demand.tokens_per_second / demand.server_tokens_per_second;
+    let filled = |demand: &Demand| demand.in_flight / demand.slots.max(1.0);
+    let all_reading: f64 = demands.values().map(reading).sum();
+    let all_filled: f64 = demands.values().map(filled).sum();
+    let with_bursts = |work: f64, all: f64, part: f64| {
+        let share = if all > 0.0 { work / all } else { 0.0 };
+        work / part + policy.burst_servers * all.sqrt() * share
+    };
+    let need = |demand: &Demand| {
+        let by_tokens = with_bursts(reading(demand), all_reading, policy.target_utilization);
+        let by_slots = with_bursts(filled(demand), all_filled, policy.target_occupancy);
+        let need = by_tokens.max(by_slots);
+        if need.is_finite() { need.ceil().max(1.0) as u32 } else { 1 }
+    };
+    demands.iter().map(|(region, demand)| (region.clone(), need(demand))).collect()
+}
+
+/// Plans the servers of a service in all regions.
+///
+/// Servers stand where requests arrive. What a region cannot hold, for its data centres are full or
+/// none of its servers accepts requests, is planned for regions that have room, as far as requests can
+/// cross. A region that has lost all servers keeps its own plan besides, which brings it back.
+pub fn plan_regions(
+    policy: &Policy,
+    scaling: &Scaling,
+    snapshots: &BTreeMap<String, Snapshot<'_>>,
+) -> Plan {
+    let mut all = Plan::default();
+    for (region, moved) in move_needs(scaling, snapshots) {
+        let Some(snapshot) = snapshots.get(region) else { continue };
+        let need = snapshot.need + moved;
+        let plan = plan(policy, scaling, &Snapshot { need, ..*snapshot });
+        all.on_demand.extend(plan.on_demand);
+        all.spot.extend(plan.spot);
+    }
+    all
+}
+
+/// Computes the need that each region takes over from others.
+fn move_needs<'a>(
+    scaling: &Scaling,
+    snapshots: &'a BTreeMap<String, Snapshot<'_>>,
+) -> BTreeMap<&'a str, u32> {
+    let mut moved: BTreeMap<&str, u32> =
+        snapshots.keys().map(|region| (region.as_str(), 0)).collect();
+    let hold = |snapshot: &Snapshot<'_>| match snapshot.count_accepting() {
+        0 => 0,
+        _ => scaling.max * snapshot.inventory.len() as u32,
+    };
+    for (from, lacking) in snapshots {
+        let mut left = lacking.need.saturating_sub(hold(lacking)).min(lacking.crossing);
+        for (to, snapshot) in snapshots.iter().filter(|(to, _)| *to != from) {
+            let taken = moved.entry(to).or_default();
+            let room = hold(snapshot).saturating_sub(snapshot.need + *taken);
+            let moves = left.min(room);
+            *taken += moves;
+            left -= moves;
+        }
+    }
+    moved
 }
 
-/// Plans the servers of a service.
+/// Returns how many servers' worth of a region's work may go to another region at the bandwidth that
+/// is left for that.
+pub fn count_crossing(need: u32, tokens_per_second: f64, spill_mbps: f64) -> u32 {
+    let mbps = tokens_per_second * BITS_PER_TOKEN / BITS_PER_MEGABIT;
+    let part = if mbps > spill_mbps { spill_mbps / mbps } else { 1.0 };
+    (f64::from(need) * part) as u32
+}
+
+/// The size of a prompt's token as text on a link: about four letters.
+const BITS_PER_TOKEN: f64 = 32.0;
+const BITS_PER_MEGABIT: f64 = 1e6;
+
+/// Plans the servers of a service in the data centres of one region.
 pub fn plan(policy: &Policy, scaling: &Scaling, snapshot: &Snapshot<'_>) -> Plan {
     let inventory = snapshot.inventory;
     let data_centres = by_price(scaling, inventory);
     let most = scaling.max * data_centres.len() as u32;
+    if most == 0 {
+        return Plan::default();
+    }
     let need = snapshot.need.max(scaling.min * data_centres.len() as u32).min(most);
     if scaling.spot_price.is_none() {
         let on_demand = fill(&data_centres, need, scaling.max, &BTreeMap::new());
-        return Plan { on_demand, spot: BTreeMap::new() };
+        let mut plan = Plan { on_demand, spot: BTreeMap::new() };
+        limit_releases(&mut plan, &data_centres, inventory, need);
+        return plan;
     }
     let spot = (f64::from(need) * policy.spot_part).ceil() as u32;
     let wanted = spread(&data_centres, spot, scaling.max, &BTreeMap::new());
@@ -119,17 +205,59 @@
     let on_demand = count_on_demand(policy, snapshot, need);
     let on_demand = fill(&data_centres, on_demand, scaling.max, &held);
     let spot = wanted.into_iter().map(|(data_centre, count)| {
-        let room = scaling.max - on_demand.get(&data_centre).copied().unwrap_or(0).min(scaling.max);
+        let planned = on_demand.get(&data_centre).copied().unwrap_or(0);
+        // On-demand servers that are still there take up room: the platform cuts an order that
+        // exceeds the maximum and does not say so.
+        let present = inventory.get(&data_centre).map_or(0, |held| held.on_demand);
+        let room = scaling.max.saturating_sub(planned.max(present));
         (data_centre, count.min(room))
     });
     let spot = spot.collect();
-    Plan { on_demand, spot }
+    let mut plan = Plan { on_demand, spot };
+    limit_releases(&mut plan, &data_centres, inventory, need);
+    plan
+}
+
+/// Limits what a plan releases to the servers beyond the need that accept requests now.
+///
+/// On-demand servers go before spot servers, in dearer data centres before cheaper ones. An
+/// on-demand server that has to stay takes the place of one that would be ordered elsewhere.
+fn limit_releases(
+    plan: &mut Plan,
+    data_centres: &[&str],
+    inventory: &BTreeMap<String, Inventory>,
+    need: u32,
+) {
+    let accepting: u32 = inventory.values().map(|held| held.on_demand + held.spot).sum();
+    let mut spare = accepting.saturating_sub(need);
+    let mut limit = |planned: &mut BTreeMap<String, u32>, get: fn(&Inventory) -> u32| {
+        let mut kept = 0;
+        for data_centre in data_centres.iter().rev() {
+            let Some(count) = planned.get_mut(*data_centre) else { continue };
+            let present = inventory.get(*data_centre).map_or(0, get);
+            let surplus = present.saturating_sub(*count);
+            let released = surplus.min(spare);
+            spare -= released;
+            kept += surplus - released;
+            *count += surplus - released;
+        }
+        kept
+    };
+    let mut kept = limit(&mut plan.on_demand, |held| held.on_demand);
+    limit(&mut plan.spot, |held| held.spot);
+    for data_centre in data_centres.iter().rev() {
+        let Some(count) = plan.on_demand.get_mut(*data_centre) else { continue };
+        let present = inventory.get(*data_centre).map_or(0, |held| held.on_demand);
+        let not_ordered = count.saturating_sub(present).min(kept);
+        *count -= not_ordered;
+        kept -= not_ordered;
+    }
 }
 
 /// Counts the on-demand servers to hold in all data centres.
 ///
 /// Spot servers that were ordered count against ordering on-demand servers. Only those that accept
-/// requests count against keeping on-demand servers, unless the service is idle.
+/// requests count against keeping on-demand servers.
 fn count_on_demand(policy: &Policy, snapshot: &Snapshot<'_>, need: u32) -> u32 {
     let base = ((f64::from(need) * policy.on_demand_part).ceil() as u32).clamp(1, need);
     let working: u32 = snapshot.inventory.values().map(|data_centre| data_centre.spot).sum();
@@ -139,7 +267,7 @@
     let carried = |spot: u32| (f64::from(spot) * trusted) as u32;
     let least = base + (need - base).saturating_sub(carried(working + booting));
     let most = base + (need - base).saturating_sub(carried(working));
-    snapshot.on_demand_held.clamp(least, if snapshot.is_idle { least } else { most })
+    snapshot.on_demand_held.clamp(least, most)
 }
 
 /// Counts a data centre's spot servers, including those that are starting.
@@ -222,3 +350,43 @@
         self.values.iter().map(|(_, value)| *value).max().unwrap_or(value)
     }
 }
+
+/// The time without a new server after which a list that is confirmed since counts as complete.
+const SETTLE: Millis = 1_500;
+
+/// The servers of a service as a new holder of the duty finds them: they list themselves one by one.
+///
+/// Before the first request the number found is the best estimate of the need. Taken from a part of
+/// the list, it would give up the rest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Found {
+    count: u32,
+    grown_at: Option<Millis>,
+}
+
+impl Found {
+    /// Notes the servers that are listed now; returns the most that were listed.
+    ///
+    /// `is_idle` tells that the service had no request yet: until then, servers that list
+    /// themselves late count too.
+    pub fn follow(
+        &mut self,
+        now: Millis,
+        listed: u32,
+        is_idle: bool,
+        known_at: Option<Millis>,
+    ) -> u32 {
+        let is_open = is_idle || !self.is_complete(known_at);
+        if self.grown_at.is_none() || (is_open && listed > self.count) {
+            *self = Self { count: listed, grown_at: Some(now) };
+        }
+        self.count
+    }
+
+    /// Returns `true` if the list had stopped to grow for a while when it was last known to be the
+    /// newest, at `known_at`. A list that is not confirmed tells nothing by its silence.
+    pub fn is_complete(&self, known_at: Option<Millis>) -> bool {
+        let complete_at = self.grown_at.map(|at| at + SETTLE);
+        complete_at.zip(known_at).is_some_and(|(complete_at, known_at)| known_at >= complete_at)
+    }
+}
