--- a/crates/core/src/serving/members/regions.rs
+++ b/crates/core/src/serving/members/regions.rs
@@ -100,6 +100,15 @@
         heard_at.into_values().any(|at| (least..OVERDUE_FOR).contains(&now.saturating_sub(at)))
     }
 
+    /// Returns `true` if all other regions are out of reach, and most nodes of this one are heard.
+    pub fn is_region_alone(&self) -> bool {
+        let is_any_other = !self.view.ranking.far.is_empty();
+        let is_each_lost = self.view.ranking.far.keys().all(|r| self.lost_regions.contains(r));
+        let members = self.known.values().filter(|member| !member.is_stopping);
+        let near = members.filter(|m| self.topology.is_near(&m.entry.data_centre)).count() + 1;
+        is_any_other && is_each_lost && 2 * self.view.heard > near
+    }
+
     /// Lists the regions of which nobody is heard.
     pub fn list_lost_regions(&self) -> Vec<String> {
         self.lost_regions.iter().cloned().collect()
--- a/crates/core/src/serving/quota/decision.rs
+++ b/crates/core/src/serving/quota/decision.rs
@@ -115,8 +115,23 @@
         limit: Limit,
         reach: Reach,
     ) -> Decision {
-        let is_overdue = reach.is_grouped && self.is_any_overdue(now, reach);
-        if is_overdue || !reach.is_most_heard() {
+        match reach.is_most_heard() {
+            true => self.decide_alone(now, account, units, limit, reach),
+            false => Decision::Undecided,
+        }
+    }
+
+    /// Decides as the owner in a region that is out of touch with all others, whose nodes each take
+    /// their own owner: the regions have no node in common, and each has its fraction of the rate.
+    pub fn decide_alone(
+        &mut self,
+        now: Millis,
+        account: &str,
+        units: u64,
+        limit: Limit,
+        reach: Reach,
+    ) -> Decision {
+        if reach.is_grouped && self.is_any_overdue(now, reach) {
             return Decision::Undecided;
         }
         let limit = self.tolerance.raise(limit, get_raised_part(reach));
--- a/crates/core/tests/serving/regions.rs
+++ b/crates/core/tests/serving/regions.rs
@@ -17,6 +17,8 @@
 use crate::owner::follow;
 
 const LIMIT: Limit = Limit { rate_per_second: 500_000.0, burst: 500_000.0 };
+/// An account of which most nodes get less than one request a second.
+const SMALL: Limit = Limit { rate_per_second: 36_000.0, burst: 36_000.0 };
 const TOLERANCE: Tolerance = Tolerance { window_seconds: 8.0, overshoot: 0.1, slack: 140_000.0 };
 const PERIOD: u64 = 200;
 const STEP: u64 = 20;
@@ -51,6 +53,7 @@
     pressure: f64,
     end: u64,
     control_kbps: f64,
+    limit: Limit,
     seed: u64,
 }
 
@@ -68,6 +71,7 @@
             pressure: 2.0,
             end: 20_000,
             control_kbps: 500.0,
+            limit: LIMIT,
             seed: 1,
         }
     }
@@ -89,6 +93,7 @@
     /// The newest report of each node that arrived here, by its time there.
     newest: BTreeMap<String, u64>,
     away_until: u64,
+    limit: Limit,
     /// Whether it has aggregated since all nodes started, and so heard all that was counted.
     has_heard_all: bool,
 }
@@ -138,7 +143,9 @@
     agreed_at: Option<u64>,
     /// What an aggregator of each region hears and knows, at the end.
     reach: Vec<(usize, usize)>,
-    /// The least that was heard and known in the first region, after its start.
+    /// Nodes of each region that read the platform's tables, at the end.
+    readers: Vec<usize>,
+    /// The fewest nodes that an aggregator knew, after the start.
     least_known: usize,
 }
 
@@ -188,6 +195,7 @@
             sent: 0,
             newest: BTreeMap::new(),
             away_until: 0,
+            limit: scenario.limit,
             has_heard_all: now == 0,
         }
     }
@@ -298,7 +306,7 @@
             self.quotas.note_overdue_region(now);
         }
         let reach = self.members.get_reach(now);
-        self.quotas.track(now, "acme", LIMIT, reach);
+        self.quotas.track(now, "acme", self.limit, reach);
         let report = self.quotas.add_group(now, &own);
         let total = self.quotas.add_others(now, &report);
         let usage = self.ledger.sum_group(self.handover.get_incarnation(), 1);
@@ -362,7 +370,7 @@
         for now in (STEP..self.end + 6_000).step_by(STEP as usize) {
             self.end_some(&mut nodes, now);
             if now < self.end {
-                let units = LIMIT.rate_per_second * STEP as f64 / 1_000.0;
+                let units = self.limit.rate_per_second * STEP as f64 / 1_000.0;
                 owed += self.pressure * units / MEAN_SIZE;
             }
             while owed >= 1.0 {
@@ -404,6 +412,8 @@
             let node = nodes.iter().rfind(is_last);
             let reach = node.expect("an aggregator").members.get_reach(self.end + 6_000);
             outcome.reach.push((reach.heard, reach.all));
+            let readers = nodes.iter().filter(|node| node.members.is_reader(self.end + 6_000));
+            outcome.readers.push(readers.filter(|node| node.region == region).count());
         }
         outcome
     }
@@ -461,7 +471,7 @@
     fn is_admitted(&self, nodes: &mut [Node], number: usize, now: u64, size: u64) -> bool {
         let node = &mut nodes[number];
         let reach = node.members.get_reach(now);
-        if node.quotas.consume_if_filled(now, "acme", size, LIMIT, reach) {
+        if node.quotas.consume_if_filled(now, "acme", size, self.limit, reach) {
             return true;
         }
         let owner = node.members.find_owner(short_id("acme")).map_or(number, number_of);
@@ -471,9 +481,13 @@
         let mut decision = Decision::Undecided;
         if is_there && nodes[owner].members.is_owner(short_id("acme")) {
             let reach = nodes[owner].members.get_reach(now);
-            decision = nodes[owner].quotas.decide(now, "acme", size, LIMIT, reach);
+            let Node { members, quotas, .. } = &mut nodes[owner];
+            decision = match members.is_region_alone() {
+                true => quotas.decide_alone(now, "acme", size, self.limit, reach),
+                false => quotas.decide(now, "acme", size, self.limit, reach),
+            };
         }
-        follow(&mut nodes[number].quotas, decision, now, size, LIMIT, reach)
+        follow(&mut nodes[number].quotas, decision, now, size, self.limit, reach)
     }
 }
 
@@ -516,8 +530,8 @@
 }
 
 /// Returns the most units that the operator tolerates in a window.
-fn get_allowed() -> u64 {
-    ((LIMIT.rate_per_second * 8.0 + LIMIT.burst) * 1.1 + 140_000.0) as u64
+fn get_allowed(limit: Limit) -> u64 {
+    ((limit.rate_per_second * 8.0 + limit.burst) * 1.1 + 140_000.0) as u64
 }
 
 #[test]
@@ -543,7 +557,7 @@
         assert!(bytes * 8 <= 100_000 + 6 * 9_600, "{bytes} bytes in second {second}");
     }
     assert_eq!(outcome.reach, [(60, 60); 2]);
-    assert!(outcome.get_most() <= get_allowed());
+    assert!(outcome.get_most() <= get_allowed(LIMIT));
 }
 
 #[test]
@@ -596,7 +610,12 @@
         ..Scenario::default()
     };
     let outcome = scenario.play();
-    assert!(outcome.get_most() <= get_allowed(), "{} of {}", outcome.get_most(), get_allowed());
+    assert!(
+        outcome.get_most() <= get_allowed(LIMIT),
+        "{} of {}",
+        outcome.get_most(),
+        get_allowed(LIMIT)
+    );
     assert_eq!(outcome.least_known, 60);
     // Each region gets most of its half meanwhile, and both get all of it afterwards.
     let meanwhile = outcome.sum_between(20_000, 88_000);
@@ -620,9 +639,18 @@
     let ends = || prop::collection::vec((200u64..900, 20u64..300), 0..2);
     let network = (prop_oneof![Just(30u64), 30u64..150], 0.0f64..0.2);
     let size = prop_oneof![Just((48usize, 2usize)), Just((63, 3))];
+    let limit = prop_oneof![Just(LIMIT), Just(SMALL)];
     let cuts = (cut.clone(), cut, any::<bool>());
-    (size, network, cuts, ends(), ends(), 0.5f64..6.0, any::<u64>()).prop_map(
-        |((nodes, regions), (way, lost), (forth, back, is_one_way), carriers, owners, p, seed)| {
+    ((size, limit), network, cuts, ends(), ends(), 0.5f64..6.0, any::<u64>()).prop_map(
+        |(
+            ((nodes, regions), limit),
+            (way, lost),
+            (forth, back, is_one_way),
+            carriers,
+            owners,
+            p,
+            seed,
+        )| {
             let steps = |(at, away): (u64, u64)| (at * STEP, away * STEP);
             Scenario {
                 nodes,
@@ -636,6 +664,7 @@
                 pressure: p,
                 end: 24_000,
                 control_kbps: 500.0,
+                limit,
                 seed,
             }
         },
@@ -647,7 +676,15 @@
 
     #[test]
     fn no_window_exceeds_the_limit_and_what_is_tolerated(scenario in scenario()) {
-        let (most, allowed) = (scenario.play().get_most(), get_allowed());
+        let (most, allowed) = (scenario.play().get_most(), get_allowed(scenario.limit));
         prop_assert!(most <= allowed, "{most} of {allowed}");
     }
 }
+
+#[test]
+fn two_nodes_of_each_region_read_the_tables() {
+    for regions in [2, 3] {
+        let outcome = Scenario { regions, nodes: 63, end: 3_000, ..Scenario::default() }.play();
+        assert_eq!(outcome.readers, vec![2; regions]);
+    }
+}
--- a/crates/gateway/src/node/peers/quota.rs
+++ b/crates/gateway/src/node/peers/quota.rs
@@ -127,7 +127,11 @@
         return Decision::Undecided;
     }
     let reach = state.members.get_reach(now);
-    state.quotas.decide(now, &account.name, units, get_limit(account), reach)
+    let limit = get_limit(account);
+    match state.members.is_region_alone() {
+        true => state.quotas.decide_alone(now, &account.name, units, limit, reach),
+        false => state.quotas.decide(now, &account.name, units, limit, reach),
+    }
 }
 
 /// Answers another node.
