feat(memory): bodies are held within the node's memory, and what is short goes by need

Cause: a request's body was read whole, up to 4 MB, before its account's limit and without a bound over all requests, in a vector that doubled. 60 uploads that rest took a node from 12 to 260 MB.

Change: an accountant in the core (pools for small bodies, large ones, answers and control; equal shares while accounts wait; what has waited for longest gets what is released; resting uploads are let go). A declared length is reserved before reading, a body without one in steps. Route, key and limit are checked before the body; units are given back where it does not come. 408 under a least rate. The resident memory, four times a second, lowers what may be held. A node above a level of its own is not ready and closes connections. Connections follow memory. Long bodies are handed to connections in pieces, as these copy what they are given.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -6,6 +6,7 @@
 //! | [`freshness`] | whether what a node believes is recent enough to act on |
 //! | [`topology`], [`distance`] | which region a data centre stands in, and how far away that is |
 //! | [`memory`] | who may hold how much of a node's memory |
+//! | [`upload`] | whether a request's body comes fast enough |
 //! | [`directory`] | which servers there are and which may get new work |
 //! | [`load`] | how busy each server is, by this node's and its peers' counts |
 //! | [`choice`] | which server a request goes to |
@@ -39,4 +40,5 @@
 pub mod rollout;
 pub mod throughput;
 pub mod topology;
+pub mod upload;
 pub mod usage;
--- a/crates/core/src/serving/refusal.rs
+++ b/crates/core/src/serving/refusal.rs
@@ -19,6 +19,8 @@
     BodyTooLong,
     /// The body did not come to its end in time.
     BodyTimeout,
+    /// The node has no memory for the body.
+    NoMemory,
     /// The client account is beyond its limit.
     OverQuota,
     /// No configuration is known yet.
@@ -57,6 +59,7 @@
             | Self::NoServer
             | Self::Busy
             | Self::NotAccepted
+            | Self::NoMemory
             | Self::TooLate => 503,
         }
     }
@@ -75,6 +78,7 @@
             Self::HeadTooLong => "head_too_long",
             Self::BodyTooLong => "body_too_long",
             Self::BodyTimeout => "body_timeout",
+            Self::NoMemory => "no_memory",
             Self::OverQuota => "over_quota",
             Self::NotConfigured => "not_configured",
             Self::Stale => "stale_configuration",
@@ -95,6 +99,7 @@
         let is_passing = matches!(
             self,
             Self::OverQuota
+                | Self::NoMemory
                 | Self::NotConfigured
                 | Self::Stale
                 | Self::NoServer
--- /dev/null
+++ b/crates/core/tests/serving/memory.rs
@@ -0,0 +1,339 @@
+use keeljunction_core::Millis;
+use keeljunction_core::serving::memory::{Accountant, Claim, HolderId, Kind, Shortage};
+use proptest::prelude::*;
+
+/// What a node of 160 MB may hold, and its limit.
+const CAPACITY: u64 = 64_000_000;
+const LIMIT: u64 = 160_000_000;
+/// An upload near the limit of usual configurations, and a usual prompt.
+const LARGE: u64 = 4_190_000;
+const SMALL: u64 = 20_000;
+
+/// A node that never calls itself not ready for its memory.
+fn accountant() -> Accountant {
+    Accountant::new(CAPACITY, LIMIT, 1.0)
+}
+
+fn body(account: &str) -> Claim<'_> {
+    Claim { kind: Kind::RequestBody, account, urgency: 0 }
+}
+
+fn answer() -> Claim<'static> {
+    Claim { kind: Kind::ReadAhead, account: "", urgency: 0 }
+}
+
+fn begin(
+    memory: &mut Accountant,
+    now: Millis,
+    claim: &Claim<'_>,
+    bytes: u64,
+) -> Result<HolderId, Shortage> {
+    let id = memory.open(now, claim);
+    let grown = memory.grow(now, id, bytes);
+    if grown.is_err() {
+        memory.close(now, id);
+    }
+    grown.map(|()| id)
+}
+
+/// Begins bodies of a length until one is refused.
+fn fill(memory: &mut Accountant, now: Millis, claim: &Claim<'_>, bytes: u64) -> Vec<HolderId> {
+    std::iter::from_fn(|| begin(memory, now, claim, bytes).ok()).collect()
+}
+
+#[test]
+fn bodies_leave_memory_to_answers_and_both_to_control() {
+    let mut memory = accountant();
+    fill(&mut memory, 0, &body("acme"), LARGE);
+    fill(&mut memory, 0, &body("acme"), SMALL);
+    assert!(memory.get_held(Kind::RequestBody) <= 44_800_000);
+    fill(&mut memory, 0, &answer(), SMALL);
+    assert!(memory.get_held(Kind::ReadAhead) >= 12_000_000);
+    let control = Claim { kind: Kind::Control, ..answer() };
+    assert!(begin(&mut memory, 0, &control, 6_000_000).is_ok());
+    assert!(memory.get_total() <= CAPACITY);
+}
+
+#[test]
+fn slow_readers_of_answers_do_not_keep_out_requests() {
+    let mut memory = accountant();
+    fill(&mut memory, 0, &answer(), SMALL);
+    assert!(memory.get_held(Kind::ReadAhead) <= 32_000_000);
+    assert!(begin(&mut memory, 0, &body("acme"), LARGE).is_ok());
+}
+
+#[test]
+fn a_small_body_fits_beside_large_ones() {
+    let mut memory = accountant();
+    assert_eq!(fill(&mut memory, 0, &body("acme"), LARGE).len(), 9);
+    assert!(fill(&mut memory, 0, &body("acme"), SMALL).len() >= 300);
+}
+
+#[test]
+fn less_urgent_bodies_leave_room_to_the_most_urgent() {
+    let mut memory = accountant();
+    let later = Claim { urgency: 3, ..body("acme") };
+    assert_eq!(fill(&mut memory, 0, &later, LARGE).len(), 7);
+    assert!(begin(&mut memory, 0, &body("acme"), LARGE).is_ok());
+}
+
+#[test]
+fn a_resting_upload_gives_way_to_a_new_one_and_a_fast_one_does_not() {
+    let mut memory = accountant();
+    let uploads = fill(&mut memory, 0, &body("acme"), LARGE);
+    for now in (0..2_000).step_by(100) {
+        for upload in &uploads[1..] {
+            memory.note_received(now, *upload, 1_000);
+        }
+    }
+    let shortage = begin(&mut memory, 2_000, &body("acme"), LARGE).expect_err("no room");
+    assert_eq!(shortage, Shortage { retry_after: 100, let_go: vec![uploads[0]] });
+    // Nobody else goes while its bytes are on their way back.
+    let shortage = begin(&mut memory, 2_010, &body("acme"), LARGE).expect_err("no room");
+    assert_eq!(shortage.let_go, []);
+    memory.close(2_020, uploads[0]);
+    assert!(begin(&mut memory, 2_020, &body("acme"), LARGE).is_ok());
+}
+
+#[test]
+fn a_whole_body_and_one_that_is_more_urgent_are_not_let_go() {
+    let mut memory = accountant();
+    let uploads = fill(&mut memory, 0, &body("acme"), LARGE);
+    uploads[1..].iter().for_each(|upload| memory.note_whole(*upload));
+    let later = Claim { urgency: 3, ..body("acme") };
+    let shortage = begin(&mut memory, 5_000, &later, LARGE).expect_err("no room");
+    assert_eq!(shortage.let_go, []);
+    let shortage = begin(&mut memory, 5_000, &body("acme"), LARGE).expect_err("no room");
+    assert_eq!(shortage.let_go, [uploads[0]]);
+}
+
+#[test]
+fn an_account_that_waits_gets_room_before_those_that_hold_their_share() {
+    let mut memory = accountant();
+    let held = fill(&mut memory, 0, &body("heavy"), LARGE);
+    held.iter().for_each(|id| memory.note_whole(*id));
+    assert!(begin(&mut memory, 100, &body("light"), LARGE).is_err());
+    memory.close(200, held[0]);
+    assert!(begin(&mut memory, 200, &body("heavy"), LARGE).is_err());
+    assert!(begin(&mut memory, 300, &body("light"), LARGE).is_ok());
+    memory.close(400, held[1]);
+    assert!(begin(&mut memory, 400, &body("heavy"), LARGE).is_ok(), "nobody else waits");
+}
+
+#[test]
+fn one_account_leaves_a_quarter_while_another_one_holds_something() {
+    let mut memory = accountant();
+    assert!(begin(&mut memory, 0, &body("light"), SMALL).is_ok());
+    assert_eq!(fill(&mut memory, 0, &body("heavy"), LARGE).len(), 8, "9 are all that fit");
+    assert!(begin(&mut memory, 0, &body("light"), LARGE).is_ok());
+}
+
+#[test]
+fn memory_beside_the_sum_lowers_what_may_be_held() {
+    let mut memory = accountant();
+    memory.observe(0, Some(30_000_000));
+    assert_eq!(memory.get_capacity(), CAPACITY);
+    memory.observe(250, Some(130_000_000));
+    assert_eq!(memory.get_capacity(), 6_000_000);
+    assert!(begin(&mut memory, 250, &body("acme"), LARGE).is_err());
+    memory.observe(500, None);
+    assert_eq!(memory.get_capacity(), CAPACITY, "only the sum counts where no more is known");
+}
+
+#[test]
+fn what_is_reserved_and_has_come_is_not_counted_twice() {
+    let mut memory = accountant();
+    let id = begin(&mut memory, 0, &body("acme"), LARGE).expect("room");
+    memory.observe(0, Some(100_000_000));
+    assert_eq!(memory.get_capacity(), 36_000_000);
+    memory.note_received(100, id, LARGE);
+    memory.observe(250, Some(100_000_000 + LARGE));
+    assert_eq!(memory.get_capacity(), 36_000_000);
+}
+
+#[test]
+fn resting_uploads_are_let_go_where_the_process_grows() {
+    let mut memory = accountant();
+    let uploads = fill(&mut memory, 0, &body("acme"), LARGE);
+    assert_eq!(memory.observe(1_000, Some(60_000_000)), []);
+    let let_go = memory.observe(1_250, Some(115_000_000));
+    assert_eq!(let_go.len(), 4, "37.7 MB are held, and 21 MB fit");
+    assert!(let_go.iter().all(|id| uploads.contains(id)));
+}
+
+#[test]
+fn nodes_leave_before_they_are_full_at_levels_of_their_own_and_come_back_later() {
+    let levels = [0.0, 0.2, 0.4, 0.6, 0.8].map(|draw| {
+        let mut memory = Accountant::new(CAPACITY, LIMIT, draw);
+        let mut held = Vec::new();
+        let left_at = (0..400).find(|step| {
+            held.extend(begin(&mut memory, 0, &body("acme"), SMALL * 5));
+            held.extend(begin(&mut memory, 0, &body("acme"), SMALL));
+            memory.observe(*step, None);
+            memory.is_short()
+        });
+        if left_at.is_some() {
+            held.drain(..5).for_each(|id| memory.close(0, id));
+            memory.observe(0, None);
+            assert!(memory.is_short(), "one that comes and goes moves its callers each time");
+            held.drain(..).for_each(|id| memory.close(0, id));
+            memory.observe(0, None);
+            assert!(!memory.is_short());
+        }
+        left_at
+    });
+    assert!(levels[0] < levels[1] && levels[1] < levels[2], "{levels:?}");
+    assert_eq!(levels[2..].iter().flatten().count(), 1, "more than half stay: {levels:?}");
+}
+
+/// What callers send a node at once: 60 uploads that rest after nine tenths, as of a client whose
+/// machines sleep, and 200 prompts of 20 kB, on a node of 64 MB.
+#[test]
+fn under_sixty_resting_uploads_all_small_requests_find_room() {
+    const SMALL_NODE: u64 = 64_000_000;
+    let mut memory = Accountant::new(SMALL_NODE * 4 / 10, SMALL_NODE, 1.0);
+    let (mut resting, mut refused) = (Vec::new(), 0);
+    for upload in 0..60 {
+        let now = upload * 30;
+        match begin(&mut memory, now, &body("archive"), LARGE) {
+            Ok(id) => {
+                memory.note_received(now, id, LARGE * 9 / 10);
+                resting.push(id);
+            }
+            Err(shortage) => {
+                refused += 1;
+                assert!((100..=3_000).contains(&shortage.retry_after));
+                for id in shortage.let_go {
+                    resting.retain(|known| *known != id);
+                    memory.close(now, id);
+                }
+            }
+        }
+        let small: Vec<_> =
+            (0..4).map(|_| begin(&mut memory, now, &body("school"), SMALL)).collect();
+        assert!(small.iter().all(Result::is_ok), "at {now}");
+        small.into_iter().flatten().for_each(|id| memory.close(now + 20, id));
+    }
+    assert!(resting.len() <= 3);
+    assert!(refused >= 40, "{refused}");
+    assert!(memory.get_total() <= memory.get_capacity());
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Open(usize, u8, u64),
+    Grow(usize, u64),
+    Receive(usize, u64),
+    Shrink(usize, u64),
+    Close(usize),
+    Wait(Millis),
+    Observe(Option<u64>),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let bytes = || prop_oneof![1_u64..70_000, 1_u64..5_000_000];
+    let step = prop_oneof![
+        (0_usize..4, 0_u8..4, bytes())
+            .prop_map(|(account, kind, bytes)| Step::Open(account, kind, bytes)),
+        (0_usize..40, bytes()).prop_map(|(at, bytes)| Step::Grow(at, bytes)),
+        (0_usize..40, bytes()).prop_map(|(at, bytes)| Step::Receive(at, bytes)),
+        (0_usize..40, bytes()).prop_map(|(at, bytes)| Step::Shrink(at, bytes)),
+        (0_usize..40).prop_map(Step::Close),
+        (1_u64..1_000).prop_map(Step::Wait),
+        prop::option::of(0_u64..200_000_000).prop_map(Step::Observe),
+    ];
+    prop::collection::vec(step, 1..120)
+}
+
+const ACCOUNTS: [&str; 4] = ["acme", "archive", "school", ""];
+
+proptest! {
+    #[test]
+    fn no_sequence_exceeds_the_capacity_or_leaks(steps in steps()) {
+        let mut memory = accountant();
+        let mut now = 10_000;
+        let mut held: Vec<(HolderId, u64)> = Vec::new();
+        for step in steps {
+            match step {
+                Step::Open(account, kind, bytes) => {
+                    let kind = [Kind::RequestBody, Kind::RequestBody, Kind::ReadAhead, Kind::Control]
+                        [usize::from(kind)];
+                    let claim = Claim { kind, account: ACCOUNTS[account], urgency: account as u32 };
+                    if let Ok(id) = begin(&mut memory, now, &claim, bytes) {
+                        prop_assert!(memory.get_total() <= memory.get_capacity());
+                        held.push((id, bytes));
+                    }
+                }
+                Step::Grow(at, bytes) => {
+                    let Some((id, known)) = held.get_mut(at) else { continue };
+                    if memory.grow(now, *id, bytes).is_ok() {
+                        prop_assert!(memory.get_total() <= memory.get_capacity());
+                        *known += bytes;
+                    }
+                }
+                Step::Receive(at, bytes) => {
+                    let Some((id, _)) = held.get(at) else { continue };
+                    memory.note_received(now, *id, bytes);
+                }
+                Step::Shrink(at, bytes) => {
+                    let Some((id, known)) = held.get_mut(at) else { continue };
+                    memory.shrink(now, *id, bytes);
+                    *known -= bytes.min(*known);
+                }
+                Step::Close(at) if at < held.len() => {
+                    memory.close(now, held.swap_remove(at).0);
+                }
+                Step::Close(_) => {}
+                Step::Wait(time) => now += time,
+                Step::Observe(resident) => {
+                    memory.observe(now, resident);
+                }
+            }
+            let sum: u64 = held.iter().map(|(_, bytes)| bytes).sum();
+            prop_assert_eq!(memory.get_total(), sum);
+        }
+        for (id, _) in held {
+            memory.close(now, id);
+        }
+        prop_assert_eq!(memory.get_total(), 0);
+        prop_assert_eq!(memory.get_held(Kind::RequestBody), 0);
+        memory.observe(now + 10_000, None);
+        let bodies = fill(&mut memory, now + 10_000, &body("acme"), LARGE).len();
+        prop_assert_eq!(bodies, 9, "what was held before has left no trace");
+    }
+
+    /// One account asks once in a while, as its caller retries; others at every step.
+    #[test]
+    fn no_account_starves(
+        lengths in prop::collection::vec(100_000_u64..5_000_000, 1..6),
+        wanted in 1_000_u64..5_000_000,
+        ends_after in 100_u64..2_000,
+        retries in 50_u64..3_000,
+    ) {
+        let mut memory = accountant();
+        let mut running: Vec<(Millis, HolderId)> = Vec::new();
+        let mut next_try = 3_000;
+        for now in (0..20_000).step_by(25) {
+            running.retain(|(ends_at, id)| {
+                if *ends_at <= now {
+                    memory.close(now, *id);
+                }
+                *ends_at > now
+            });
+            for (account, length) in lengths.iter().enumerate() {
+                let claim = body(["a", "b", "c", "d", "e"][account % 5]);
+                for id in fill(&mut memory, now, &claim, *length) {
+                    memory.note_whole(id);
+                    running.push((now + ends_after, id));
+                }
+            }
+            if now >= next_try {
+                if begin(&mut memory, now, &body("rare"), wanted).is_ok() {
+                    return Ok(());
+                }
+                next_try = now + retries;
+            }
+        }
+        prop_assert!(false, "no room for {wanted} bytes in 17 s");
+    }
+}
--- a/crates/core/tests/serving/refusal.rs
+++ b/crates/core/tests/serving/refusal.rs
@@ -19,6 +19,14 @@
     }
 }
 
+#[test]
+fn a_node_without_memory_says_when_to_come_back_and_that_nothing_has_run() {
+    assert_eq!(Refusal::NoMemory.get_status(), 503);
+    assert!(!Refusal::NoMemory.may_have_run());
+    let wait = Refusal::NoMemory.get_retry_after(400, 15_000);
+    assert_eq!(wait, Some(Duration::from_millis(400)));
+}
+
 #[test]
 fn callers_come_back_within_a_third_of_their_time() {
     assert_eq!(Refusal::Busy.get_retry_after(400, 15_000), Some(Duration::from_millis(400)));
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -106,6 +106,16 @@
         may_have_run: bool,
         why: &'a str,
     },
+    /// An upload was let go: it came too slowly, or its memory was needed.
+    UploadLetGo { request: &'a str, received: u64, length: Option<u64>, why: &'a str },
+    /// Callers should go to other nodes for want of memory, or no longer.
+    MemoryPressureChanged {
+        is_short: bool,
+        part: f64,
+        reserved: u64,
+        capacity: u64,
+        resident: Option<u64>,
+    },
     /// A request came to its end.
     RequestEnded {
         request: &'a str,
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -1,13 +1,10 @@
 //! Checks a request and finds its route, client account and time.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::HeaderMap;
-use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Method, Uri, header};
 use keeljunction_core::Millis;
@@ -18,9 +15,10 @@
 use keeljunction_core::serving::refusal::Refusal;
 
 use super::respond::{Record, Refused};
+use super::upload::{Arriving, Bounds, Upload};
 use crate::node::{self, Node};
 use crate::port::{Prompt, RequestHead};
-use crate::runtime;
+use crate::runtime::lock;
 
 /// The time that a caller is taken to wait where it does not say.
 const DEFAULT_DEADLINE: Millis = 30_000;
@@ -41,8 +39,6 @@
     pub uri: Uri,
     /// The caller's headers that concern more than one connection.
     pub headers: HeaderMap,
-    /// The whole body.
-    pub body: Bytes,
     /// The route.
     pub route: Arc<Route>,
     /// The service that the route's weights picked.
@@ -59,17 +55,21 @@
     pub work: Work,
     /// What bears on the choice of a server.
     pub criteria: Criteria,
-    quota: Option<(String, u64)>,
+    /// The whole body, until no attempt can need it any more.
+    body: Mutex<Bytes>,
+    charge: Charge,
     is_usage_counted: AtomicBool,
 }
 
 impl Exchange {
     /// Admits a request, or says why not. Nothing was sent to a server in either case.
+    ///
+    /// What the head tells is checked before the body is read.
     pub async fn admit(
         node: &Arc<Node>,
         parts: Parts,
         head: RequestHead,
-        body: Incoming,
+        arriving: &mut Arriving,
         record: &mut Record,
     ) -> Result<Self, Refused> {
         let now = record.get_arrival();
@@ -98,22 +98,30 @@
             .map_err(|reason| refuse(reason, 0))?
             .cloned();
         record.account = account.as_ref().map(|account| account.name.clone());
-        let limit = configuration.limits.body_bytes;
-        let body_within = Duration::from_millis(deadline.min(route.timeout));
-        let body = runtime::within(body_within, read_body(body, limit))
-            .await
-            .unwrap_or(Err(Refusal::BodyTimeout))
-            .map_err(|reason| refuse(reason, 0))?;
         let service =
             route.pick_service(fastrand::f64()).ok_or(refuse(Refusal::NoServer, 1_000))?;
         let service = service.to_owned();
         record.service = Some(service.clone());
-        let quota = consume_quota(node, account.as_ref(), head.prompt.as_ref())
+        let priority = account.as_ref().map_or(0, |account| account.priority);
+        let urgency = priority * PRIORITY_STEP + route.priority;
+        let bounds = Bounds {
+            bytes: configuration.limits.body_bytes as u64,
+            window: configuration.limits.head_within,
+            within: deadline.min(route.timeout),
+        };
+        let id = record.id.clone();
+        let name = record.account.as_deref().unwrap_or("");
+        let upload = Upload::begin(node, &id, name, urgency, arriving, bounds)
+            .await
+            .map_err(|failed| refuse(failed.reason, failed.retry_after))?;
+        let charge = consume_quota(node, account.as_ref(), head.prompt.as_ref())
             .await
             .map_err(|wait| refuse(Refusal::OverQuota, wait.max(QUOTA_RETRY_AFTER)))?;
+        let body = upload
+            .read(arriving)
+            .await
+            .map_err(|failed| refuse(failed.reason, failed.retry_after))?;
         let prompt = head.prompt.as_ref();
-        let priority = account.as_ref().map_or(0, |account| account.priority);
-        let urgency = priority * PRIORITY_STEP + route.priority;
         let work = size_work(prompt, urgency);
         count_demand(node, &service, prompt, &work);
         let engine = configuration.services.get(&service).and_then(|known| known.engine.as_ref());
@@ -121,7 +129,7 @@
             method: parts.method,
             uri: parts.uri,
             headers: forwardable(parts.headers),
-            body,
+            body: Mutex::new(body),
             has_engine: engine.is_some(),
             service,
             account: account.map(|account| account.name),
@@ -131,7 +139,7 @@
             criteria: make_criteria(head.prompt.as_ref(), &work, &route),
             route,
             head,
-            quota,
+            charge: charge.keep(),
             is_usage_counted: AtomicBool::new(false),
         })
     }
@@ -151,11 +159,48 @@
     }
 
     /// Gives the client account's units back where the request did not run.
-    pub fn refund_quota(&self, node: &Node, reason: Refusal) {
-        if let Some((account, units)) = &self.quota
-            && !reason.may_have_run()
-        {
-            node.with(|state| state.quotas.refund(account, *units));
+    pub fn refund_quota(&self, reason: Refusal) {
+        if !reason.may_have_run() {
+            self.charge.refund();
+        }
+    }
+
+    /// Returns the body; without content once it was released.
+    pub fn get_body(&self) -> Bytes {
+        lock(&self.body).clone()
+    }
+
+    /// Releases the body's memory, where no further attempt can need it.
+    pub fn release_body(&self) {
+        lock(&self.body).clear();
+    }
+}
+
+/// Units that were taken from a client account, and that are given back where this is dropped
+/// before the request is admitted: its caller has left, or its body did not come.
+struct Charge {
+    node: Arc<Node>,
+    units: Option<(String, u64)>,
+    is_kept: bool,
+}
+
+impl Charge {
+    fn keep(mut self) -> Self {
+        self.is_kept = true;
+        self
+    }
+
+    fn refund(&self) {
+        if let Some((account, units)) = &self.units {
+            self.node.with(|state| state.quotas.refund(account, *units));
+        }
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if !self.is_kept {
+            self.refund();
         }
     }
 }
@@ -196,25 +241,13 @@
     }
 }
 
-async fn read_body(mut body: Incoming, most: usize) -> Result<Bytes, Refusal> {
-    let mut content = Vec::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Refusal::BadRequest)?;
-        let Ok(data) = frame.into_data() else { continue };
-        if content.len() + data.len() > most {
-            return Err(Refusal::BodyTooLong);
-        }
-        content.extend_from_slice(&data);
-    }
-    Ok(content.into())
-}
-
 async fn consume_quota(
-    node: &Node,
+    node: &Arc<Node>,
     account: Option<&Account>,
     prompt: Option<&Prompt>,
-) -> Result<Option<(String, u64)>, Millis> {
-    let Some(account) = account else { return Ok(None) };
+) -> Result<Charge, Millis> {
+    let mut charge = Charge { node: node.clone(), units: None, is_kept: false };
+    let Some(account) = account else { return Ok(charge) };
     let units = match account.unit {
         QuotaUnit::Requests => 1,
         QuotaUnit::Tokens { default } => {
@@ -222,7 +255,8 @@
         }
     };
     node::consume_units(node, account, units).await?;
-    Ok(Some((account.name.clone(), units)))
+    charge.units = Some((account.name.clone(), units));
+    Ok(charge)
 }
 
 /// Removes the headers that concern one connection only, and the framing of the body, which is
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -224,9 +224,10 @@
     };
     (node.platform.dialect.write_request)(&mut headers, &dispatch);
     let path = exchange.uri.path_and_query().map_or("/", |path| path.as_str());
-    let body = match exchange.body.is_empty() {
+    let content = exchange.get_body();
+    let body = match content.is_empty() {
         true => Body::empty(),
-        false => Body::from(exchange.body.clone()),
+        false => Body::from(content),
     };
     let mut request =
         Request::builder().method(exchange.method.clone()).uri(path).body(body).ok()?;
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -3,6 +3,7 @@
 //! | module | does |
 //! |---|---|
 //! | `admission` | checks the request and finds its route, client account and time |
+//! | `upload` | reads the body within the node's memory and the caller's time |
 //! | `dispatch` | chooses servers and sends the request until there is an answer |
 //! | `attempt` | sends the request to one server and judges what comes back |
 //! | `relay` | passes the answer on |
@@ -13,16 +14,20 @@
 mod dispatch;
 mod relay;
 mod respond;
+mod upload;
 
 use std::sync::Arc;
 
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response};
+use keeljunction_core::serving::configuration::RouteKind;
 
 use crate::http::Body;
 use crate::node::Node;
 use admission::Exchange;
 use respond::Record;
+use upload::Arriving;
 
 /// Answers a caller's request.
 ///
@@ -32,16 +37,38 @@
     let (parts, body) = request.into_parts();
     let head = (node.platform.dialect.read_request)(&parts);
     let mut record = Record::begin(node.clone(), &head);
-    let admitted = Exchange::admit(&node, parts, head, body, &mut record).await;
+    let mut arriving = Arriving::new(body, &parts.headers);
+    let admitted = Exchange::admit(&node, parts, head, &mut arriving, &mut record).await;
     let exchange = match admitted {
         Ok(exchange) => Arc::new(exchange),
-        Err(refused) => return record.refuse(refused),
+        Err(refused) => {
+            let mut response = record.refuse(refused);
+            if arriving.is_begun() {
+                close_after(&mut response);
+            }
+            arriving.drain();
+            return response;
+        }
     };
-    match dispatch::run(&node, &exchange, &mut record).await {
-        Ok(answer) => relay::pass_on(node, exchange, answer, record),
+    let mut response = match dispatch::run(&node, &exchange, &mut record).await {
+        Ok(answer) => {
+            if exchange.route.kind != (RouteKind::Streaming { resumable: true }) {
+                exchange.release_body();
+            }
+            relay::pass_on(node.clone(), exchange, answer, record)
+        }
         Err(refused) => {
-            exchange.refund_quota(&node, refused.reason);
+            exchange.refund_quota(refused.reason);
             record.refuse(refused)
         }
+    };
+    if node.is_short_of_memory() {
+        close_after(&mut response);
     }
+    response
+}
+
+/// Tells the caller that its connection closes after the answer.
+fn close_after(response: &mut Response<Body>) {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
 }
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -10,6 +10,10 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 
+/// Bytes that are given to a connection at once. It copies what it has not written yet, so that a
+/// long body at once would lie in memory twice.
+const PIECE_BYTES: usize = 64 * 1024;
+
 /// A body that is whole, or comes in pieces through a channel.
 pub enum Body {
     /// All of it, until it is taken.
@@ -53,7 +57,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         match &mut *self {
-            Self::Whole(content) => Poll::Ready(content.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Whole(content) => {
+                Poll::Ready(take_piece(content).map(|piece| Ok(Frame::data(piece))))
+            }
             Self::Pieces(pieces) => {
                 pieces.as_mut().poll_next(context).map(|piece| piece.map(|p| p.map(Frame::data)))
             }
@@ -77,6 +83,15 @@
     }
 }
 
+/// Takes the next piece of a body; nothing where all is taken.
+fn take_piece(content: &mut Option<Bytes>) -> Option<Bytes> {
+    let rest = content.as_mut()?;
+    if rest.len() <= PIECE_BYTES {
+        return content.take();
+    }
+    Some(rest.split_to(PIECE_BYTES))
+}
+
 /// Reads a body whole, up to `most` bytes; `None` where it is longer or breaks off.
 pub async fn read<B>(mut body: B, most: usize) -> Option<Bytes>
 where
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,6 +5,7 @@
 use std::fmt::Write;
 use std::sync::atomic::{AtomicI64, AtomicU64};
 
+use keeljunction_core::serving::memory::Kind;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -14,6 +15,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::node::Node;
+use crate::node::memory::read_resident_bytes;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCIES: [f64; 13] =
@@ -65,6 +67,8 @@
     pub unanswered_load_questions: Counter,
     /// Questions to owners of client accounts that were not answered in time.
     pub unanswered_quota_questions: Counter,
+    /// Uploads that were let go.
+    pub uploads_let_go: Family<ReasonLabels, Counter>,
     gauges: Gauges,
 }
 
@@ -75,6 +79,13 @@
     pub account: String,
 }
 
+/// What memory is held for.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct KindLabels {
+    /// One of the names of the code.
+    pub kind: String,
+}
+
 #[derive(Default)]
 struct Gauges {
     retries_left: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
@@ -90,6 +101,10 @@
     sampled_out_lines: Gauge<i64, AtomicI64>,
     dropped_lines: Gauge<i64, AtomicI64>,
     resident: Gauge<i64, AtomicI64>,
+    memory_held: Family<KindLabels, Gauge>,
+    memory_capacity: Gauge<i64, AtomicI64>,
+    memory_part: Gauge<f64, AtomicU64>,
+    is_short_of_memory: Gauge<i64, AtomicI64>,
     descriptors: Gauge<i64, AtomicI64>,
 }
 
@@ -107,6 +122,7 @@
             resumed: Counter::default(),
             unanswered_load_questions: Counter::default(),
             unanswered_quota_questions: Counter::default(),
+            uploads_let_go: Family::default(),
             gauges: Gauges::default(),
         };
         metrics.register();
@@ -153,6 +169,11 @@
             "Questions to owners of client accounts that were not answered in time",
             self.unanswered_quota_questions.clone(),
         );
+        registry.register(
+            "uploads_let_go",
+            "Bodies that came too slowly, or whose memory was needed",
+            self.uploads_let_go.clone(),
+        );
         self.gauges.register(registry);
     }
 
@@ -212,6 +233,28 @@
             Unit::Bytes,
             self.resident.clone(),
         );
+        registry.register_with_unit(
+            "memory_held",
+            "Reserved for callers and servers",
+            Unit::Bytes,
+            self.memory_held.clone(),
+        );
+        registry.register_with_unit(
+            "memory_capacity",
+            "What may be reserved now",
+            Unit::Bytes,
+            self.memory_capacity.clone(),
+        );
+        registry.register(
+            "memory_in_use",
+            "Part of the memory in use, from 0 to 1",
+            self.memory_part.clone(),
+        );
+        registry.register(
+            "memory_short",
+            "1 while callers should go to other nodes for want of memory",
+            self.is_short_of_memory.clone(),
+        );
         registry.register("descriptors_open", "Open descriptors", self.descriptors.clone());
     }
 
@@ -222,13 +265,21 @@
         let (sampled_out, dropped) = crate::log::get_losses();
         self.sampled_out_lines.set(sampled_out as i64);
         self.dropped_lines.set(dropped as i64);
-        self.resident.set(read_resident_bytes().unwrap_or(0));
+        self.resident.set(read_resident_bytes().unwrap_or(0) as i64);
         self.descriptors.set(std::fs::read_dir("/proc/self/fd").map_or(0, |d| d.count() as i64));
         node.with(|state| {
             let age = state.freshness.get_age(now);
             self.configuration_age.set(age.map_or(-1.0, |age| age as f64 / 1_000.0));
             let version = state.configuration.as_ref().map_or(0, |known| known.version);
             self.configuration_version.set(version as i64);
+            self.memory_capacity.set(state.memory.get_capacity() as i64);
+            self.memory_part.set(state.memory.get_use().part);
+            self.is_short_of_memory.set(state.memory.is_short().into());
+            for kind in Kind::ALL {
+                let labels = KindLabels { kind: kind.as_str().to_owned() };
+                let held = state.memory.get_held(kind) as i64;
+                self.memory_held.get_or_create(&labels).set(held);
+            }
             self.lease_fence.set(state.lease.get_fence(now).unwrap_or(0) as i64);
             let reach = state.members.get_reach(now);
             self.nodes_heard.set(reach.heard as i64);
@@ -249,11 +300,3 @@
         });
     }
 }
-
-/// Reads the resident memory of the process, in bytes.
-fn read_resident_bytes() -> Option<i64> {
-    let status = std::fs::read_to_string("/proc/self/status").ok()?;
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
-    let kibibytes: i64 = line.split_whitespace().nth(1)?.parse().ok()?;
-    Some(kibibytes * 1024)
-}
--- a/crates/gateway/src/node/memory.rs
+++ b/crates/gateway/src/node/memory.rs
@@ -1,39 +1,128 @@
 //! Memory that is held for callers and servers.
+//!
+//! The decisions are those of [`keeljunction_core::serving::memory`]; this module ties what is
+//! reserved to the life of what holds it, wakes uploads that are let go, and tells the accountant
+//! how much memory the process has.
 
-use std::sync::Arc;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
-use keeljunction_core::serving::memory::Kind;
+use keeljunction_core::Millis;
+use keeljunction_core::serving::memory::{Claim, HolderId, Kind, Use};
 
 use super::Node;
+use crate::event::{self, Event};
+use crate::http::Stop;
+use crate::runtime::{self, lock};
+
+/// The time between two samples of the resident memory: at the bandwidth of a small VM's link, 10
+/// to 200 Mbit/s, at most some megabytes come meanwhile.
+const SAMPLE_PAUSE: Duration = Duration::from_millis(250);
+/// The time in which uploads that are let go give their memory back.
+const GIVE_BACK: Duration = Duration::from_millis(20);
+
+/// Signals to uploads that they are let go.
+#[derive(Default)]
+pub(crate) struct Uploads(Mutex<HashMap<HolderId, Stop>>);
+
+impl Uploads {
+    fn let_go(&self, ids: &[HolderId]) {
+        let stops = lock(&self.0);
+        for stop in ids.iter().filter_map(|id| stops.get(id)) {
+            stop.give();
+        }
+    }
+}
 
 /// Bytes that are held until this is dropped.
 pub struct Reservation {
     node: Arc<Node>,
-    kind: Kind,
+    id: HolderId,
     bytes: u64,
+    has_stop: bool,
 }
 
 impl Reservation {
-    /// Makes a reservation of no bytes.
+    /// Makes a reservation of no bytes, for no client account in particular.
     pub fn new(node: &Arc<Node>, kind: Kind) -> Self {
-        Self { node: node.clone(), kind, bytes: 0 }
+        Self::for_claim(node, &Claim { kind, account: "", urgency: 0 })
+    }
+
+    /// Makes a reservation of no bytes for a claim.
+    pub fn for_claim(node: &Arc<Node>, claim: &Claim<'_>) -> Self {
+        let now = node.now();
+        let id = node.with(|state| state.memory.open(now, claim));
+        Self { node: node.clone(), id, bytes: 0, has_stop: false }
+    }
+
+    /// Returns the signal that this upload is let go.
+    pub(crate) fn watch(&mut self) -> Stop {
+        self.has_stop = true;
+        lock(&self.node.uploads.0).entry(self.id).or_default().clone()
     }
 
     /// Reserves more bytes; returns `false`, and reserves nothing, where there is no room for them.
     #[must_use]
     pub fn grow(&mut self, bytes: u64) -> bool {
-        let is_reserved = self.node.with(|state| state.memory.reserve(self.kind, bytes));
-        if is_reserved {
-            self.bytes += bytes;
+        self.try_grow(bytes).is_ok()
+    }
+
+    /// Reserves more bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns when to retry where there is no room, and whether some is being made; nothing is
+    /// reserved then.
+    fn try_grow(&mut self, bytes: u64) -> Result<(), NoRoom> {
+        let now = self.node.now();
+        let grown = self.node.with(|state| state.memory.grow(now, self.id, bytes));
+        match grown {
+            Ok(()) => {
+                self.bytes += bytes;
+                Ok(())
+            }
+            Err(shortage) => {
+                self.node.uploads.let_go(&shortage.let_go);
+                let is_made = !shortage.let_go.is_empty();
+                Err(NoRoom { retry_after: shortage.retry_after, is_made })
+            }
+        }
+    }
+
+    /// Reserves more bytes, and waits for uploads that are let go for them.
+    ///
+    /// # Errors
+    ///
+    /// Returns when to retry where there is no room; nothing is reserved then.
+    pub(crate) async fn grow_or_wait(&mut self, bytes: u64) -> Result<(), Millis> {
+        match self.try_grow(bytes) {
+            Ok(()) => Ok(()),
+            Err(NoRoom { retry_after, is_made: false }) => Err(retry_after),
+            Err(NoRoom { is_made: true, .. }) => {
+                runtime::sleep(GIVE_BACK).await;
+                self.try_grow(bytes).map_err(|no_room| no_room.retry_after)
+            }
         }
-        is_reserved
+    }
+
+    /// Notes that bytes of a body came.
+    pub(crate) fn note_received(&self, bytes: u64) {
+        let now = self.node.now();
+        self.node.with(|state| state.memory.note_received(now, self.id, bytes));
+    }
+
+    /// Notes that a body is whole: it is not let go any more.
+    pub(crate) fn note_whole(&self) {
+        self.node.with(|state| state.memory.note_whole(self.id));
     }
 
     /// Releases some of the bytes.
     pub fn shrink(&mut self, bytes: u64) {
         let bytes = bytes.min(self.bytes);
         self.bytes -= bytes;
-        self.node.with(|state| state.memory.release(self.kind, bytes));
+        let now = self.node.now();
+        self.node.with(|state| state.memory.shrink(now, self.id, bytes));
     }
 
     /// Returns the bytes that are held.
@@ -44,6 +133,46 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.shrink(self.bytes);
+        if self.has_stop {
+            lock(&self.node.uploads.0).remove(&self.id);
+        }
+        let now = self.node.now();
+        self.node.with(|state| state.memory.close(now, self.id));
     }
 }
+
+/// Why bytes were not reserved.
+#[derive(Clone, Copy, Debug)]
+struct NoRoom {
+    retry_after: Millis,
+    is_made: bool,
+}
+
+/// Tells the accountant of the process's memory, for ever.
+pub(super) async fn watch(node: Arc<Node>) {
+    loop {
+        observe(&node);
+        runtime::sleep(SAMPLE_PAUSE).await;
+    }
+}
+
+fn observe(node: &Node) {
+    let (now, resident) = (node.now(), read_resident_bytes());
+    let (was_short, is_short, used, let_go) = node.with(|state| {
+        let was_short = state.memory.is_short();
+        let let_go = state.memory.observe(now, resident);
+        (was_short, state.memory.is_short(), state.memory.get_use(), let_go)
+    });
+    node.uploads.let_go(&let_go);
+    if was_short != is_short {
+        let Use { reserved, capacity, resident, part } = used;
+        event::emit(&Event::MemoryPressureChanged { is_short, part, reserved, capacity, resident });
+    }
+}
+
+/// Reads the resident memory of the process, in bytes; `None` where the system does not tell.
+pub(crate) fn read_resident_bytes() -> Option<u64> {
+    let text = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: u64 = text.split(' ').nth(1)?.parse().ok()?;
+    Some(pages * rustix::param::page_size() as u64)
+}
--- a/crates/gateway/src/node/serve.rs
+++ b/crates/gateway/src/node/serve.rs
@@ -12,8 +12,8 @@
 use keeljunction_core::{Error, ErrorKind};
 
 use super::peers::link::Link;
-use super::state::Start;
-use super::{Node, duty, listeners, peers, stop, watch};
+use super::state::{BYTES_PER_MB, Start};
+use super::{Node, duty, listeners, memory, peers, stop, watch};
 use crate::event::{self, Event};
 use crate::exchange;
 use crate::http::{Limits, Server, Stop};
@@ -23,6 +23,14 @@
 
 /// Descriptors kept back from callers' connections, for files, servers and peers.
 const DESCRIPTORS_KEPT: usize = 1_000;
+/// The part of the process's memory that callers' connections may take: as much as bodies and
+/// answers may. Where both are full, samples of the resident memory take off the latter.
+const CONNECTIONS_PART: f64 = 0.4;
+/// Memory of a connection, in bytes: 42 kB of resident memory for each of 300 whose small bodies
+/// rested, and what the system keeps for its socket.
+const BYTES_PER_CONNECTION: f64 = 50_000.0;
+/// Connections that are taken in any case, for operators and probes.
+const LEAST_CONNECTIONS: usize = 100;
 /// Time for answers in flight to be written out at the very end.
 const WRITE_OUT: Duration = Duration::from_millis(300);
 
@@ -67,6 +75,7 @@
     let called = node.clone();
     runtime::spawn(peer_calls.serve(move |request| peers::calls::serve(called.clone(), request)));
     runtime::spawn(duty::run(node.clone()));
+    runtime::spawn(memory::watch(node.clone()));
     let (asked, shown, answering) = (node.clone(), node.clone(), node.clone());
     runtime::spawn(readiness.serve(move |request| listeners::readiness(asked.clone(), request)));
     runtime::spawn(metrics.serve(move |request| listeners::metrics(shown.clone(), request)));
@@ -85,16 +94,22 @@
     Ok(())
 }
 
+/// Returns how many connections a listener takes at once: as many as there are descriptors and
+/// memory for.
+fn count_connections(settings: &Settings) -> usize {
+    let descriptors = settings.limits.descriptors.saturating_sub(DESCRIPTORS_KEPT);
+    let bytes = settings.limits.memory_mb * BYTES_PER_MB * CONNECTIONS_PART;
+    let fitting = (bytes / BYTES_PER_CONNECTION) as usize;
+    descriptors.min(fitting).max(LEAST_CONNECTIONS)
+}
+
 async fn bind(
     key: &'static str,
     address: SocketAddr,
     settings: &Settings,
     stop: &Stop,
 ) -> Result<(Server, SocketAddr), Error> {
-    let limits = Limits {
-        connections: settings.limits.descriptors.saturating_sub(DESCRIPTORS_KEPT).max(100),
-        ..Limits::default()
-    };
+    let limits = Limits { connections: count_connections(settings), ..Limits::default() };
     let bound = Server::bind(address, limits, stop.clone()).await;
     let server = bound.map_err(|error| busy(key, address, &error))?;
     let at = server.get_address().map_err(|error| busy(key, address, &error))?;
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -26,6 +26,7 @@
 use keeljunction_core::serving::usage::{Incarnation, Ledger, window_at};
 
 use super::document::Document;
+use super::memory::Uploads;
 use super::peers::link::Link;
 use super::peers::loads;
 use super::peers::message::News;
@@ -54,7 +55,7 @@
 /// add to it at the edges of windows.
 const BUDGET_USED: f64 = 0.7;
 /// Bytes of a megabyte, as the settings count them.
-const BYTES_PER_MB: f64 = 1_000_000.0;
+pub(super) const BYTES_PER_MB: f64 = 1_000_000.0;
 /// The part of the process's memory that may be held for callers and servers. The rest is for what
 /// the node knows, for its sockets, and for what the allocator keeps.
 const HELD_PART: f64 = 0.4;
@@ -87,6 +88,8 @@
     pub(super) pending_loads: loads::Pending,
     /// Requests about which the owners of their client accounts were asked.
     pub(super) pending_decisions: quota::Pending,
+    /// Signals to uploads that are let go.
+    pub(crate) uploads: Uploads,
     /// What the node knows of the deployment.
     pub state: Mutex<State>,
     /// What is being got from peers.
@@ -224,7 +227,7 @@
             members: Members::new(clock.now(), get_entry(&settings), &settings.seeds)
                 .with_topology(topology.clone()),
             distances: Distances::default(),
-            memory: Accountant::new(get_memory_capacity(&settings)),
+            memory: make_accountant(&settings, incarnation.number),
             audience: Audience::default(),
             handover: Handover::new(incarnation.clone()),
             samples: Samples::new(),
@@ -248,6 +251,7 @@
             news: async_channel::bounded(NEWS_WAITING),
             pending_loads: loads::Pending::default(),
             pending_decisions: quota::Pending::default(),
+            uploads: Uploads::default(),
             state: Mutex::new(state),
             fetching: Fetching::default(),
             is_stopping: AtomicBool::new(false),
@@ -303,7 +307,12 @@
     /// Returns `true` if the node should get new connections.
     pub fn is_ready(&self) -> bool {
         let knows = self.with(|state| state.configuration.is_some() && state.has_servers);
-        knows && !self.is_stopping() && self.is_fresh()
+        knows && !self.is_stopping() && self.is_fresh() && !self.is_short_of_memory()
+    }
+
+    /// Returns `true` if callers should go to other nodes, for want of memory.
+    pub fn is_short_of_memory(&self) -> bool {
+        self.with(|state| state.memory.is_short())
     }
 
     /// Returns `true` if the node is about to end.
@@ -347,9 +356,12 @@
     pub topology: Topology,
 }
 
-/// Returns the bytes that may be held for callers and servers.
-fn get_memory_capacity(settings: &Settings) -> u64 {
-    (settings.limits.memory_mb * BYTES_PER_MB * HELD_PART) as u64
+/// Makes the accountant of what may be held for callers and servers. Each run of a node draws anew
+/// at which level of its memory callers should go elsewhere.
+fn make_accountant(settings: &Settings, run: u64) -> Accountant {
+    let bytes = settings.limits.memory_mb * BYTES_PER_MB;
+    let draw = fastrand::Rng::with_seed(run).f64();
+    Accountant::new((bytes * HELD_PART) as u64, bytes as u64, draw)
 }
 
 fn get_entry(settings: &Settings) -> Entry {
