--- a/crates/core/src/serving/memory.rs
+++ b/crates/core/src/serving/memory.rs
@@ -433,8 +433,11 @@
     /// Returns `true` if an account that holds bytes would get more than its share, while another
     /// one waits or holds some.
     fn is_beyond_share(&self, now: Millis, holder: &Holder, bytes: u64) -> bool {
+        if holder.kind != Kind::RequestBody || holder.is_small_with(bytes) {
+            return false;
+        }
         let held = self.get_share_held(&holder.account);
-        if holder.kind != Kind::RequestBody || held == 0 {
+        if held == 0 {
             return false;
         }
         let others = || self.shares.iter().filter(|(name, _)| **name != holder.account);
@@ -445,7 +448,7 @@
         } else {
             return false;
         };
-        held.saturating_add(bytes) > share && !holder.is_small_with(bytes)
+        held.saturating_add(bytes) > share
     }
 
     /// Returns what each account may hold where all that hold bytes or wait want the same.
