--- a/crates/gateway/src/exchange/pick.rs
+++ b/crates/gateway/src/exchange/pick.rs
@@ -188,7 +188,7 @@
                 waited: now - self.attempts.began,
                 left: self.exchange.get_left(now),
                 round_trip: state.distances.get_round_trip(region),
-                transfer: state.links.get_transfer(self.exchange.body.len()),
+                transfer: state.links.get_transfer(self.exchange.body_bytes),
                 is_asked: self.near.is_asked && !is_silent,
             };
             let is_lost = is_silent && self.cause == Cause::Full;
