--- a/crates/core/src/serving/health.rs
+++ b/crates/core/src/serving/health.rs
@@ -65,7 +65,7 @@
 
     /// Returns `true` if a request should go elsewhere while the server gets its work back.
     ///
-    /// `draw` is random, from 0 to 1: the share of such requests falls to none within [`RAMP`].
+    /// `draw` is random, from 0 to 1: the share of such requests falls to none within two seconds.
     pub fn is_ramping(&self, now: Millis, id: &str, draw: f64) -> bool {
         let Some(record) = self.servers.get(id) else { return false };
         let left = record.ramped_at.saturating_sub(now).min(RAMP);
