--- a/crates/core/src/serving/held.rs
+++ b/crates/core/src/serving/held.rs
@@ -67,7 +67,7 @@
         self.servers.values().sum()
     }
 
-    /// Notes that a server ended a connection before it answered; returns the new bound where it
+    /// Notes that a server ended a connection before its answer was whole; returns the new bound where it
     /// held much.
     ///
     /// The bound falls to half of what was held, and no lower than [`MUCH`].
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -178,7 +178,10 @@
     let response = sending.await.map_err(|failure| match failure.is_not_sent() {
         true => (Failed::NotConnected, None),
         false => {
-            note_end(node, order.server);
+            if note_end(node, order.server) {
+                // What ended under much fails whatever else it holds: it is ejected at once.
+                node.with(|state| state.health.fail_to_connect(node.now(), &order.server.id));
+            }
             (Failed::Ended, None)
         }
     })?;
@@ -213,18 +216,18 @@
     node.with(|state| state.throughputs.entry(service.to_owned()).or_default().add(now, sample));
 }
 
-/// Notes that a server ended a connection before it answered.
-fn note_end(node: &Node, server: &Server) {
+/// Notes that a server ended a connection before its answer was whole; returns `true` if it held
+/// much.
+pub(super) fn note_end(node: &Node, server: &Server) -> bool {
     let (now, id) = (node.now(), &server.id);
     let (held_bytes, bound) = node.with(|state| {
         let held_bytes = state.held.get(id);
         (held_bytes, state.held.note_end(now, &server.service, id))
     });
-    let Some(bound_bytes) = bound else { return };
-    // What ended under much fails whatever else it holds: no further request shows that first.
-    node.with(|state| state.health.fail_to_connect(now, id));
+    let Some(bound_bytes) = bound else { return false };
     let service = &server.service;
     event::emit(&Event::HeldBoundLowered { server: id, service, held_bytes, bound_bytes });
+    true
 }
 
 /// Reads the first token of a stream, or the whole of another answer; `None` where it breaks off.
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -21,7 +21,7 @@
 use keeljunction_core::serving::rollout::Phase;
 
 use super::admission::Exchange;
-use super::attempt::{Answer, AnswerBody, LoadGuard};
+use super::attempt::{self, Answer, AnswerBody, LoadGuard};
 use super::dispatch;
 use super::respond::{ANSWERED, Record};
 use crate::event::{self, Event};
@@ -257,6 +257,7 @@
 
     /// Lets another server go on after the last whole event, where the route allows it.
     async fn go_on_elsewhere(&mut self) {
+        attempt::note_end(&self.node, &self.pace.server);
         self.reply = None;
         self.load = None;
         event::emit(&Event::AttemptFailed {
