--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -36,17 +36,29 @@
     sent: u32,
     last: Option<Failed>,
     may_have_run: bool,
+    /// Servers that ended the connection before they answered.
+    ended: Vec<String>,
 }
 
 impl Progress {
     fn new(began: Millis) -> Self {
-        Self { began, tried: Vec::new(), sent: 0, last: None, may_have_run: false }
+        Self {
+            began,
+            tried: Vec::new(),
+            sent: 0,
+            last: None,
+            may_have_run: false,
+            ended: Vec::new(),
+        }
     }
 
     fn note(&mut self, failed: Failed) {
         if failed != Failed::NotConnected {
             self.sent += 1;
         }
+        if failed == Failed::Ended {
+            self.ended.extend(self.tried.last().cloned());
+        }
         self.may_have_run |= failed.may_have_run();
         self.last = Some(failed);
     }
@@ -165,6 +177,9 @@
     if is_barred || is_spent || is_hopeless {
         return Err(progress.stop(Refusal::NotAccepted, ROOM_RETRY_AFTER));
     }
+    if has_brought_down(node, exchange, progress) {
+        return Err(progress.stop(Refusal::BrokenAnswer, 0));
+    }
     if !node.is_fresh() {
         return Err(progress.stop(Refusal::Stale, ROOM_RETRY_AFTER));
     }
@@ -197,6 +212,33 @@
     Ok(())
 }
 
+/// Servers that may end under a request before it is sent to no further one: one may end by chance.
+const SERVERS_ENDED: usize = 2;
+
+/// Returns `true` if servers ended under the request, and so would the next one: they are ejected or
+/// gone since.
+fn has_brought_down(node: &Node, exchange: &Exchange, progress: &Progress) -> bool {
+    if progress.ended.len() < SERVERS_ENDED {
+        return false;
+    }
+    let now = node.now();
+    let down = node.with(|state| {
+        let is_down =
+            |id: &&String| state.health.is_ejected(now, id) || state.directory.get(id).is_none();
+        progress.ended.iter().filter(is_down).count()
+    });
+    if down < SERVERS_ENDED {
+        return false;
+    }
+    node.metrics.requests_stopped.inc();
+    event::emit(&Event::RequestStopped {
+        request: exchange.head.id.as_deref().unwrap_or(""),
+        body_bytes: exchange.body_bytes,
+        attempts: progress.sent,
+    });
+    true
+}
+
 fn note_choice(node: &Node, exchange: &Exchange, record: &mut Record, pick: &Pick) {
     record.attempts += 1;
     let server = &pick.server;
@@ -250,7 +292,7 @@
             None
         }
         Failed::Declined | Failed::OtherServer => None,
-        Failed::Broken | Failed::ServerError | Failed::Timeout => {
+        Failed::Ended | Failed::Broken | Failed::ServerError | Failed::Timeout => {
             state.health.fail(now, &server.id)
         }
     });
--- a/crates/gateway/src/exchange/pick.rs
+++ b/crates/gateway/src/exchange/pick.rs
@@ -322,7 +322,7 @@
             let ready = state.directory.iter_ready(&exchange.service);
             ready.filter(|server| is_allowed(state, server))
         };
-        let sound = untried().filter(|server| !state.health.is_ejected(now, &server.id));
+        let sound = untried().filter(|server| !is_avoided(state, exchange, now, server));
         let draw = fastrand::u64(..);
         let mut listed = shortlist(sound, &exchange.criteria, draw, is_wide);
         if listed.is_empty() {
@@ -345,7 +345,10 @@
         let ready = state.directory.iter_ready(&exchange.service);
         let candidates: Vec<Candidate<'_>> = ready
             .filter(|server| is_candidate(state, server))
-            .map(|server| weigh(state, throughput, now, server))
+            .map(|server| Candidate {
+                is_ejected: is_avoided(state, exchange, now, server),
+                ..weigh(state, throughput, now, server)
+            })
             .collect();
         let choice = choose(&candidates, criteria, fastrand::u64(..));
         let offer = Offer::of(&choice, &candidates);
@@ -357,6 +360,15 @@
     })
 }
 
+/// Returns `true` if a server gets the request only where no other is left: it is ejected, gets its
+/// work back gradually, or holds as many bytes as it may.
+fn is_avoided(state: &State, exchange: &Exchange, now: Millis, server: &Server) -> bool {
+    let (id, service) = (&server.id, &server.service);
+    state.health.is_ejected(now, id)
+        || state.health.is_ramping(now, id, fastrand::f64())
+        || state.held.is_full(now, service, id, exchange.body_bytes as u64)
+}
+
 /// Tells what the node knows of a server.
 pub(super) fn weigh<'a>(
     state: &State,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -120,6 +120,12 @@
     pub capacity_planned: Family<CapacityLabels, Gauge>,
     /// Uploads that were let go.
     pub uploads_let_go: Family<ReasonLabels, Counter>,
+    /// Bytes of answers that were read before their callers asked for them.
+    pub read_ahead: Counter,
+    /// Callers that were let go because they did not read.
+    pub callers_let_go: Family<ReasonLabels, Counter>,
+    /// Requests that went to no third server after two had ended under them.
+    pub requests_stopped: Counter,
     gauges: Gauges,
 }
 
@@ -158,6 +164,8 @@
     is_short_of_memory: Gauge<i64, AtomicI64>,
     descriptors: Gauge<i64, AtomicI64>,
     region_round_trip: Family<RegionLabels, Gauge<f64, AtomicU64>>,
+    read_ahead: Gauge<i64, AtomicI64>,
+    held_at_servers: Gauge<i64, AtomicI64>,
 }
 
 impl Default for Metrics {
@@ -181,6 +189,9 @@
             capacity_need: Family::default(),
             capacity_planned: Family::default(),
             uploads_let_go: Family::default(),
+            read_ahead: Counter::default(),
+            callers_let_go: Family::default(),
+            requests_stopped: Counter::default(),
             gauges: Gauges::default(),
         };
         metrics.register();
@@ -264,6 +275,22 @@
             "Bodies that came too slowly, or whose memory was needed",
             self.uploads_let_go.clone(),
         );
+        registry.register_with_unit(
+            "read_ahead",
+            "Parts of answers read before their callers asked for them",
+            Unit::Bytes,
+            self.read_ahead.clone(),
+        );
+        registry.register(
+            "callers_let_go",
+            "Callers that did not read",
+            self.callers_let_go.clone(),
+        );
+        registry.register(
+            "requests_stopped",
+            "Requests that went to no third server after two had ended under them",
+            self.requests_stopped.clone(),
+        );
         self.gauges.register(registry);
     }
 
@@ -362,6 +389,18 @@
             Unit::Seconds,
             self.region_round_trip.clone(),
         );
+        registry.register_with_unit(
+            "read_ahead_held",
+            "Parts of answers that their callers have not taken",
+            Unit::Bytes,
+            self.read_ahead.clone(),
+        );
+        registry.register_with_unit(
+            "held_at_servers",
+            "Bodies of requests that servers have not answered",
+            Unit::Bytes,
+            self.held_at_servers.clone(),
+        );
     }
 
     fn update(&self, node: &Node) {
@@ -374,6 +413,8 @@
         self.resident.set(read_resident_bytes().unwrap_or(0) as i64);
         self.descriptors.set(std::fs::read_dir("/proc/self/fd").map_or(0, |d| d.count() as i64));
         node.with(|state| {
+            self.read_ahead.set(state.memory.get_held(Kind::ReadAhead) as i64);
+            self.held_at_servers.set(state.held.get_total() as i64);
             let age = state.freshness.get_age(now);
             self.configuration_age.set(age.map_or(-1.0, |age| age as f64 / 1_000.0));
             let version = state.configuration.as_ref().map_or(0, |known| known.version);
--- a/crates/gateway/src/node/serve.rs
+++ b/crates/gateway/src/node/serve.rs
@@ -77,6 +77,7 @@
     runtime::spawn(peer_calls.serve(move |request| peers::calls::serve(called.clone(), request)));
     runtime::spawn(duty::run(node.clone()));
     runtime::spawn(memory::watch(node.clone()));
+    exchange::watch_callers(&node);
     let (asked, shown, answering) = (node.clone(), node.clone(), node.clone());
     runtime::spawn(readiness.serve(move |request| listeners::readiness(asked.clone(), request)));
     runtime::spawn(metrics.serve(move |request| listeners::metrics(shown.clone(), request)));
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -16,6 +16,7 @@
 use keeljunction_core::serving::freshness::Freshness;
 use keeljunction_core::serving::handover::Handover;
 use keeljunction_core::serving::health::Health;
+use keeljunction_core::serving::held;
 use keeljunction_core::serving::load::{LoadBook, short_id};
 use keeljunction_core::serving::members::{Entry, Members};
 use keeljunction_core::serving::memory::Accountant;
@@ -34,6 +35,7 @@
 use super::peers::message::News;
 use super::peers::quota;
 use super::peers::report::{Audience, Samples};
+use crate::exchange::Feeds;
 use crate::http::{Client, Stop};
 use crate::metrics::Metrics;
 use crate::port::Platform;
@@ -80,6 +82,8 @@
     pub servers: Client,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// Answers on their way to callers.
+    pub feeds: Feeds,
     /// Given when the listeners must close.
     pub closing: Stop,
     /// Datagrams between nodes.
@@ -138,6 +142,8 @@
     pub loads: LoadBook,
     /// What the servers' answers showed.
     pub health: Health,
+    /// The bytes that lie at each server.
+    pub held: held::Book,
     /// What client accounts have used.
     pub quotas: Quotas,
     /// Repeats.
@@ -227,6 +233,7 @@
             has_servers: false,
             loads: LoadBook::default(),
             health: Health::default(),
+            held: held::Book::default(),
             quotas: Quotas::new(clock.now(), tolerance),
             budget: Budget::new(allowance),
             usage: Ledger::default(),
@@ -256,6 +263,7 @@
             incarnation,
             servers: Client::new(CONNECT_WITHIN),
             metrics,
+            feeds: Feeds::default(),
             closing,
             link,
             news: async_channel::bounded(NEWS_WAITING),
