fix(members): a node that starts while a region is out of reach counts that region's nodes

Cause: a node that reaches neither the store nor the other region learnt only of nodes that were new lately, and as an aggregator took its region for all there is: it would have admitted the whole limit.

Change: entries of regions out of reach are passed on by turns, as those of new nodes are. Tests: the new one failed first (1 node known and not 31); regions, members, groups and quotas: 59 passed.

--- a/crates/core/src/serving/members/query.rs
+++ b/crates/core/src/serving/members/query.rs
@@ -147,10 +147,13 @@
         addresses
     }
 
-    /// Lists entries that were new to this node lately, for others: with each turn the next ones, so
+    /// Lists entries that were new to this node lately, and those of regions out of reach, of which a
+    /// node that starts meanwhile may hear nowhere else, for others: with each turn the next ones, so
     /// that all are passed on where there are more than one message holds.
     pub fn list_joined(&self, now: Millis, turn: usize) -> Vec<Entry> {
-        let recent = self.known.values().filter(|member| now < member.entered_at + PASSED_ON_FOR);
+        let recent = self.known.values().filter(|member| {
+            now < member.entered_at + PASSED_ON_FOR || self.is_lost(&member.entry)
+        });
         let recent: Vec<&Member> = recent.collect();
         let first = turn * MOST_PASSED_ON % recent.len().max(1);
         let next = recent.iter().cycle().skip(first).take(recent.len().min(MOST_PASSED_ON));
--- a/crates/core/tests/serving/regions.rs
+++ b/crates/core/tests/serving/regions.rs
@@ -688,3 +688,28 @@
         assert_eq!(outcome.readers, vec![2; regions]);
     }
 }
+
+#[test]
+fn a_node_that_starts_without_the_list_counts_the_nodes_of_a_region_out_of_reach() {
+    let scenario = Scenario::default();
+    let mut old = Node::start(&scenario, 0, 0, 1).members;
+    let near: Vec<Entry> = (0..60).step_by(2).map(|number| entry(2, number)).collect();
+    for now in (PERIOD..20_000).step_by(PERIOD as usize) {
+        for other in &near {
+            let role = Role::Aggregator;
+            let heard =
+                Heard { entry: other, incarnation: 1, is_stopping: false, role, holder_age: None };
+            old.hear(now, &heard);
+        }
+        old.refresh(now);
+    }
+    assert_eq!(old.list_lost_regions(), ["region-1"]);
+    let own = entry(2, 2);
+    let mut new = Members::new(20_000, own, &[]).with_topology(topology_of(2, 0));
+    for turn in 0..5 {
+        new.take_entries(20_000, &old.list_joined(20_000, turn));
+    }
+    new.refresh(20_000);
+    // Itself, and the thirty of the other region.
+    assert_eq!(new.get_reach(24_000).all, 31);
+}
