--- /dev/null
+++ b/crates/gateway/tests/settings.rs
@@ -0,0 +1,26 @@
+//! What a node is told.
+
+use keeljunction_core::ErrorKind;
+use keeljunction_gateway::settings::Settings;
+
+const EXAMPLE: &str = include_str!("../../../examples/gateway.yaml");
+const SPILL: &str = "  spill_mbps: 15 ";
+
+#[test]
+fn the_budget_for_other_regions_has_a_default() {
+    assert!(EXAMPLE.contains(SPILL));
+    let without: String =
+        EXAMPLE.lines().filter(|line| !line.starts_with(SPILL)).map(|l| format!("{l}\n")).collect();
+    let settings = Settings::parse(&without).expect("settings");
+    assert_eq!(settings.regions.spill_mbps, 15.0);
+    assert_eq!(settings.regions.data_centres.len(), 2);
+}
+
+#[test]
+fn a_budget_for_other_regions_below_nothing_is_an_error_that_says_what_is_allowed() {
+    let below = EXAMPLE.replace(SPILL, "  spill_mbps: -1 ");
+    let error = Settings::parse(&below).expect_err("an error");
+    assert_eq!(error.get_kind(), ErrorKind::InvalidValue);
+    let context = format!("{:?}", error.get_context());
+    assert!(context.contains("regions.spill_mbps") && context.contains("0 to"), "{context}");
+}
