perf(memory): a body that came with its head is read without timers and signals

Change: look, yield to the connection, look again; timers only after that. A body of a known length needs no look for its end.

--- a/crates/gateway/src/exchange/upload.rs
+++ b/crates/gateway/src/exchange/upload.rs
@@ -108,7 +108,7 @@
         arriving.is_begun = true;
         let mut content = Vec::with_capacity(reservation.get_bytes() as usize);
         let mut wait = None;
-        loop {
+        while self.length != Some(content.len() as u64) {
             let received = content.len() as u64;
             match next(&mut arriving.body, &mut wait, || self.begin_wait(&mut reservation)).await {
                 Next::Data(data) => {
@@ -225,13 +225,25 @@
     wait: &mut Option<Wait>,
     begin_wait: impl FnOnce() -> Wait,
 ) -> Next {
-    if let Some(next) = future::poll_once(next_data(body)).await {
+    if wait.is_none()
+        && let Some(next) = poll_twice(body).await
+    {
         return next;
     }
     let wait = wait.get_or_insert_with(begin_wait);
     future::or(next_data(body), wait.end()).await
 }
 
+/// Looks for data that is there already: the connection that the body comes by reads on only after
+/// the first look.
+async fn poll_twice(body: &mut Incoming) -> Option<Next> {
+    if let Some(next) = future::poll_once(next_data(body)).await {
+        return Some(next);
+    }
+    future::yield_now().await;
+    future::poll_once(next_data(body)).await
+}
+
 async fn next_data(body: &mut Incoming) -> Next {
     loop {
         match body.frame().await {
