fix(exchange): read ahead in each rest of a caller, not only the first

Cause: a reader that was cancelled because its caller asked again never cleared the flag that keeps a second one from starting, so that a stream was read ahead in the first rest only. Found in review; a_stream_is_read_ahead_in_each_rest_of_its_caller failed first. Two checks of the log wait for its lines now: the assertions came before the lines.

--- a/crates/gateway/src/exchange/feed.rs
+++ b/crates/gateway/src/exchange/feed.rs
@@ -49,6 +49,7 @@
     error: Option<io::Error>,
     /// Whether the caller has asked for more and waits for the server.
     is_asking: bool,
+    /// The task that reads ahead, while [`Flow::is_reading`].
     reader: Option<Task<()>>,
     is_reading: bool,
     progress: Progress,
@@ -142,7 +143,9 @@
                 Poll::Pending => {
                     flow.is_asking = true;
                     flow.progress.note_asked();
+                    // The reader would wait for a wake-up that now goes to the caller.
                     flow.reader = None;
+                    flow.is_reading = false;
                     return Poll::Pending;
                 }
                 Poll::Ready(Some(Step::Piece(piece))) if piece.len() <= PIECE_BYTES => {
