fix(capacity): servers that accept requests at an order do not count as booting

The core's Order starts from the servers present; its test failed before (34 booting, not 1).

Weighed: looking at the notices of leaving servers instead (the same list, and one more state). Not measured yet.

--- a/crates/core/tests/serving/capacity.rs
+++ b/crates/core/tests/serving/capacity.rs
@@ -1,8 +1,8 @@
 use std::collections::BTreeMap;
 
 use keeljunction_core::serving::capacity::{
-    Demand, Found, Inventory, PeakWindow, Plan, Policy, Snapshot, count_crossing, needs, plan,
-    plan_regions,
+    Demand, Found, Inventory, Order, PeakWindow, Plan, Policy, Snapshot, count_crossing, needs,
+    plan, plan_regions,
 };
 use keeljunction_core::serving::configuration::Scaling;
 use proptest::prelude::*;
@@ -312,6 +312,22 @@
     assert_eq!(slow.follow(7_001, 2, 5_000), 2);
 }
 
+#[test]
+fn servers_that_were_ordered_boot_until_they_are_seen_or_late() {
+    let mut order = Order::new(1_000, 34, 0);
+    assert_eq!(order.follow(2_000, 0, 4_000), 34);
+    assert_eq!(order.follow(5_000, 30, 4_000), 4);
+    // Taken away since: they do not boot.
+    assert_eq!(order.follow(6_000, 0, 4_000), 4);
+    assert_eq!(order.follow(8_000, 0, 4_000), 0);
+}
+
+#[test]
+fn a_wave_right_after_an_order_for_one_more_shows_at_once() {
+    let mut order = Order::new(1_000, 34, 33);
+    assert_eq!(order.follow(1_200, 0, 4_000), 1);
+}
+
 #[test]
 fn a_list_is_complete_when_it_was_confirmed_a_while_after_its_last_server() {
     let mut found = Found::default();
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -5,7 +5,7 @@
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::capacity::{
-    Demand, Found, Inventory, PeakWindow, Plan, Policy, Snapshot, needs, plan_regions,
+    Demand, Found, Inventory, Order, PeakWindow, Plan, Policy, Snapshot, needs, plan_regions,
 };
 use keeljunction_core::serving::configuration::{Scaling, Service};
 use keeljunction_core::serving::demand::DemandTotals;
@@ -26,8 +26,6 @@
 /// The pause between orders of spot servers while the list of servers grows: a tenth of a usual boot,
 /// so that few calls are made and few on-demand servers wait for their replacement.
 const LIST_PAUSE: Millis = 500;
-/// How much longer than its boot an ordered server may take before it is given up.
-const BOOT_SLACK: Millis = 3_000;
 const STATUS_OK: u16 = 200;
 
 /// Servers of one kind in a data centre.
@@ -40,7 +38,7 @@
 #[derive(Debug, Default)]
 pub struct CapacityDuty {
     fence: Option<u64>,
-    ordered: BTreeMap<Place, Ordered>,
+    ordered: BTreeMap<Place, Order>,
     paused_until: BTreeMap<Place, Millis>,
     /// By service and region.
     needs: BTreeMap<(String, String), PeakWindow>,
@@ -50,15 +48,6 @@
     next_list_order: BTreeMap<String, Millis>,
 }
 
-/// An order that the platform took.
-#[derive(Clone, Copy, Debug)]
-struct Ordered {
-    count: u32,
-    at: Millis,
-    /// The most servers that took work at once since then: what is fewer later was taken away.
-    most_seen: u32,
-}
-
 impl CapacityDuty {
     /// Orders what the plan lacks.
     pub async fn step(&mut self, node: &Node) {
@@ -124,7 +113,8 @@
             if !is_complete && !order.is_spot {
                 continue;
             }
-            self.send(node, order).await;
+            let held = inventory.get(&order.data_centre).copied().unwrap_or_default();
+            self.send(node, order, &held).await;
         }
     }
 
@@ -148,7 +138,7 @@
     fn count_on_demand(&self, name: &str, inventory: &BTreeMap<String, Inventory>) -> u32 {
         let held = inventory.iter().map(|(data_centre, held)| {
             let place = (name.to_owned(), data_centre.clone(), false);
-            self.ordered.get(&place).map_or(held.on_demand, |ordered| ordered.count)
+            self.ordered.get(&place).map_or(held.on_demand, Order::get_count)
         });
         held.sum()
     }
@@ -213,10 +203,7 @@
         for (data_centre, held) in &mut inventory {
             let place = (name.to_owned(), data_centre.clone(), true);
             let Some(ordered) = self.ordered.get_mut(&place) else { continue };
-            ordered.most_seen = ordered.most_seen.max(held.spot);
-            if now < ordered.at + scaling.boot + BOOT_SLACK {
-                held.spot_booting = ordered.count.saturating_sub(ordered.most_seen);
-            }
+            held.spot_booting = ordered.follow(now, held.spot, scaling.boot);
         }
         inventory
     }
@@ -300,13 +287,13 @@
         };
         match self.ordered.get(place) {
             None => present != count,
-            Some(ordered) if ordered.count != count => true,
+            Some(ordered) if ordered.get_count() != count => true,
             // Taken away since: order again.
             Some(_) => place.2 && present + booting < count,
         }
     }
 
-    async fn send(&mut self, node: &Node, order: CapacityOrder) {
+    async fn send(&mut self, node: &Node, order: CapacityOrder, held: &Inventory) {
         let now = node.now();
         let Some(fence) = node.with(|state| state.lease.get_fence(now)) else { return };
         let place = (order.service.clone(), order.data_centre.clone(), order.is_spot);
@@ -323,8 +310,8 @@
             status,
         });
         if status == Some(STATUS_OK) {
-            let ordered = Ordered { count: order.count, at: node.now(), most_seen: 0 };
-            self.ordered.insert(place, ordered);
+            let present = if order.is_spot { held.spot } else { held.on_demand };
+            self.ordered.insert(place, Order::new(node.now(), order.count, present));
         } else {
             self.ordered.remove(&place);
             self.paused_until.insert(place, node.now() + REFUSED_PAUSE);
