--- a/crates/gateway/src/exchange/upload.rs
+++ b/crates/gateway/src/exchange/upload.rs
@@ -122,8 +122,8 @@
                         reservation.note_received(data.len() as u64);
                     }
                 }
-                Next::End => break,
-                Next::Broken => return Err(Refusal::BadRequest.into()),
+                Next::End if self.length.is_none() => break,
+                Next::End | Next::Broken => return Err(Refusal::BadRequest.into()),
                 Next::Tick if wait.as_mut().is_none_or(|wait| !wait.is_too_slow(received)) => {}
                 Next::Tick => return Err(self.let_go(received, TOO_SLOW)),
                 Next::Due => return Err(self.let_go(received, "deadline")),
