--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -217,11 +217,14 @@
 }
 
 /// Notes that a server ended a connection before its answer was whole; returns `true` if it held
-/// much.
+/// much. One that is leaving, or gone, ends for another reason.
 pub(super) fn note_end(node: &Node, server: &Server) -> bool {
     let (now, id) = (node.now(), &server.id);
     let (held_bytes, bound) = node.with(|state| {
         let held_bytes = state.held.get(id);
+        if state.directory.get(id).is_none_or(|known| known.is_leaving) {
+            return (held_bytes, None);
+        }
         (held_bytes, state.held.note_end(now, &server.service, id))
     });
     let Some(bound_bytes) = bound else { return false };
