fix(capacity): a region out of reach keeps its servers; what may cross follows spill_mbps

Cause: the holder of the duty counts the demand from reports. While the link between regions is cut none comes from the other region, its demand falls to zero within 4 s, and 8 s later its need to one server, while callers there are still served: the holder reaches the platform and gives the servers up. When the link is whole again, the totals of the whole cut came as the demand of one moment (15 times the demand after a minute), and servers were ordered for that.

Change: `capacity::Needs` holds the need of a region of which nobody is heard while any of its servers accepts requests; one whose need was never known gets no orders. Where no server is left, its demand moves with its callers, as before. `DemandBook` takes nothing for demand that comes after 2 s of silence, as it does with a node that is heard first. `crossing` of a plan is `count_crossing` by the region's tokens and `regions.spill_mbps`, no longer the whole need.

Weighed: orders by what arrived before the cut only, without a hold: the window is 8 s, cuts last longer. A part of the totals after a silence: overshoots by that part, while the held need covers it.

Tests, which failed first: the_need_of_a_region_that_is_not_heard_stays, a_region_of_which_nothing_was_ever_heard_has_no_known_need, what_a_peer_was_asked_while_it_was_not_heard_is_no_demand_of_now. The connection of spill_mbps has none of its own (the formula has).

--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -13,7 +13,7 @@
 //! no plan releases servers while those that would be left, and accept requests now, are fewer than
 //! the need.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::configuration::Scaling;
 use crate::Millis;
@@ -350,7 +350,51 @@
     pub fn follow(&mut self, now: Millis, value: u32, span: Millis) -> u32 {
         self.values.push((now, value));
         self.values.retain(|(at, _)| at + span >= now);
-        self.values.iter().map(|(_, value)| *value).max().unwrap_or(value)
+        self.get_largest().unwrap_or(value)
+    }
+
+    /// Keeps the largest value as if it had been noted now.
+    fn hold(&mut self, now: Millis) {
+        if let Some(largest) = self.get_largest() {
+            self.values = vec![(now, largest)];
+        }
+    }
+
+    fn get_largest(&self) -> Option<u32> {
+        self.values.iter().map(|(_, value)| *value).max()
+    }
+}
+
+/// The needs of a service by region, which rise at once and fall slowly.
+#[derive(Clone, Debug, Default)]
+pub struct Needs {
+    by_region: BTreeMap<String, PeakWindow>,
+}
+
+impl Needs {
+    /// Notes what the demand needs now and returns the largest need within `span`, of all regions
+    /// whose need is known.
+    ///
+    /// The need of regions that are not heard stays as it was: requests go on there, and nobody
+    /// reports them. Without this, the servers of a region that serves on its own would be given up.
+    pub fn follow(
+        &mut self,
+        now: Millis,
+        needs: &BTreeMap<String, u32>,
+        unheard: &BTreeSet<&str>,
+        span: Millis,
+    ) -> BTreeMap<String, u32> {
+        let heard = needs.iter().filter(|(region, _)| !unheard.contains(region.as_str()));
+        for (region, need) in heard {
+            self.by_region.entry(region.clone()).or_default().follow(now, *need, span);
+        }
+        for region in unheard {
+            if let Some(window) = self.by_region.get_mut(*region) {
+                window.hold(now);
+            }
+        }
+        let known = self.by_region.iter();
+        known.filter_map(|(region, window)| Some((region.clone(), window.get_largest()?))).collect()
     }
 }
 
@@ -388,7 +432,7 @@
     }
 
     /// Returns `true` if the list had stopped to grow for a while when it was last known to be the
-    /// newest, at `known_at`. A list that is not confirmed tells nothing by its silence.
+    /// newest, at `known_at`. The silence of a list that is not confirmed proves nothing.
     pub fn is_complete(&self, known_at: Option<Millis>) -> bool {
         let complete_at = self.grown_at.map(|at| at + SETTLE);
         complete_at.zip(known_at).is_some_and(|(complete_at, known_at)| known_at >= complete_at)
--- a/crates/core/src/serving/demand.rs
+++ b/crates/core/src/serving/demand.rs
@@ -1,4 +1,4 @@
-//! How much is asked of each service, over all nodes, by the region where requests arrive.
+//! The demand for each service, over all nodes, by the region where requests arrive.
 //!
 //! Each node counts for its own region, and its report names that region. The sums that an aggregator
 //! passes on stay apart by region, so that a group may hold nodes of several. Where no regions are
@@ -67,10 +67,10 @@
 /// A service and the region where requests to it arrive.
 type Key = (String, String);
 
-/// What a service was asked for in each region.
+/// The demand for a service in each region.
 pub type RegionTotals = BTreeMap<String, DemandTotals>;
 
-/// What this node was asked for of a service.
+/// The demand for a service that arrived at this node.
 #[derive(Clone, Copy, Debug, Default)]
 struct Own {
     totals: DemandTotals,
@@ -85,7 +85,7 @@
     latest: BTreeMap<Key, Own>,
 }
 
-/// How long a peer's requests in flight count after its last report.
+/// How long a peer's requests in flight count after its last report. It is out of reach then.
 const IN_FLIGHT_VALID_FOR: Millis = 2_000;
 
 /// How long samples are kept.
@@ -117,7 +117,7 @@
         }
     }
 
-    /// Lists what this node and those that report to it were asked for, by service and region.
+    /// Lists the demand at this node and those that report to it, by service and region.
     pub fn sum_group(&self, now: Millis) -> Vec<(String, Report)> {
         let own = self.own.keys().map(|service| (service.clone(), self.region.clone()));
         let keys: BTreeSet<Key> = own.chain(self.group.keys().cloned()).collect();
@@ -132,7 +132,7 @@
         keys.into_iter().map(sum).collect()
     }
 
-    /// Returns what this node itself was asked for, if the key names its own region.
+    /// Returns the demand at this node itself, if the key names its own region.
     fn get_own(&self, (service, region): &Key) -> Own {
         let own = self.own.get(service).filter(|_| *region == self.region);
         own.copied().unwrap_or_default()
@@ -141,8 +141,9 @@
     /// Merges what an incarnation of a peer reports, for itself or for its group; `is_member` where
     /// it reports to this node.
     ///
-    /// What it was asked for before it was first heard does not count: it would look like demand of
-    /// that moment to a node that has just started.
+    /// Requests that arrived there before it was first heard do not count: they would look like demand
+    /// of that moment to a node that has just started. Neither do those that arrived while it was out
+    /// of reach: after a minute's cut they would look like fifteen times the demand.
     pub fn merge(
         &mut self,
         now: Millis,
@@ -151,7 +152,8 @@
         reports: &[(String, Report)],
     ) {
         let key = (from.0.to_owned(), from.1);
-        let is_first = !self.peers.contains_key(&key);
+        let known = self.peers.get(&key);
+        let is_in_reach = known.is_some_and(|peer| now < peer.reported_at + IN_FLIGHT_VALID_FOR);
         let peer = self.peers.entry(key).or_default();
         peer.reported_at = now;
         peer.is_member = is_member;
@@ -163,7 +165,7 @@
             let latest = Own { totals: report.totals, in_flight: report.in_flight };
             let before = peer.latest.insert(key.clone(), latest);
             let before = before.map_or_else(DemandTotals::default, |before| before.totals);
-            if is_first {
+            if !is_in_reach {
                 continue;
             }
             let sums = if is_member { &mut self.group } else { &mut self.others };
@@ -226,9 +228,9 @@
         }
     }
 
-    /// Returns what was asked of a service within the latest `span`, by the region where it was
-    /// asked, and the time that it covers, which begins with the first request; `None` before that
-    /// time is long enough to tell.
+    /// Returns the demand for a service within the latest `span`, by the region where it arrived, and
+    /// the time that it covers, which begins with the first request; `None` before that time is long
+    /// enough for a rate.
     pub fn within(
         &self,
         now: Millis,
--- a/crates/core/tests/serving/capacity.rs
+++ b/crates/core/tests/serving/capacity.rs
@@ -1,8 +1,8 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use keeljunction_core::serving::capacity::{
-    Demand, Found, Inventory, Order, PeakWindow, Plan, Policy, Snapshot, count_crossing, needs,
-    plan, plan_regions,
+    Demand, Found, Inventory, Needs, Order, PeakWindow, Plan, Policy, Snapshot, count_crossing,
+    needs, plan, plan_regions,
 };
 use keeljunction_core::serving::configuration::Scaling;
 use proptest::prelude::*;
@@ -312,6 +312,35 @@
     assert_eq!(slow.follow(7_001, 2, 5_000), 2);
 }
 
+fn by_region<const N: usize>(needs: [(&str, u32); N]) -> BTreeMap<String, u32> {
+    needs.map(|(region, need)| (region.to_owned(), need)).into()
+}
+
+#[test]
+fn the_need_of_a_region_that_is_not_heard_stays() {
+    let mut needs = Needs::default();
+    let all = BTreeSet::new();
+    let told = by_region([("a", 10), ("b", 12)]);
+    assert_eq!(needs.follow(1_000, &told, &all, 8_000), told);
+    // Requests go on there, but no report of them comes.
+    let silent = by_region([("a", 10), ("b", 1)]);
+    let unheard = BTreeSet::from(["b"]);
+    for second in 2..60 {
+        assert_eq!(needs.follow(second * 1_000, &silent, &unheard, 8_000), told);
+    }
+    // Heard again, its need falls as slowly as any.
+    assert_eq!(needs.follow(60_000, &silent, &all, 8_000), told);
+    assert_eq!(needs.follow(68_000, &silent, &all, 8_000), silent);
+}
+
+#[test]
+fn a_region_of_which_nothing_was_ever_heard_has_no_known_need() {
+    let mut needs = Needs::default();
+    let told = by_region([("a", 10), ("b", 1)]);
+    let followed = needs.follow(1_000, &told, &BTreeSet::from(["b", "c"]), 8_000);
+    assert_eq!(followed, by_region([("a", 10)]));
+}
+
 #[test]
 fn servers_that_were_ordered_boot_until_they_are_seen_or_late() {
     let mut order = Order::new(1_000, 34, 0);
--- a/crates/core/tests/serving/demand.rs
+++ b/crates/core/tests/serving/demand.rs
@@ -108,3 +108,18 @@
     // What other aggregators report is not passed on.
     assert_eq!(book.sum_group(12_000), [report("east", 5, 1), report("west", 20, 2)]);
 }
+
+#[test]
+fn what_a_peer_was_asked_while_it_was_not_heard_is_no_demand_of_now() {
+    let mut book = DemandBook::default();
+    book.merge(8_000, false, ("peer", 1), &told(100));
+    book.merge(8_200, false, ("peer", 1), &told(110));
+    book.sample(8_200, "llm");
+    // A cut of a minute between regions.
+    book.sample(68_000, "llm");
+    book.merge(68_200, false, ("peer", 1), &told(3_000));
+    book.sample(68_200, "llm");
+    book.merge(68_400, false, ("peer", 1), &told(3_010));
+    book.sample(71_000, "llm");
+    assert_eq!(book.within(71_000, "llm", 4_000), Some((in_one_region(10), 3_000)));
+}
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -1,11 +1,12 @@
 //! Orders servers: how many, where, and of which kind.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::capacity::{
-    Demand, Found, Inventory, Order, PeakWindow, Plan, Policy, Snapshot, needs, plan_regions,
+    Demand, Found, Inventory, Needs, Order, Plan, Policy, Snapshot, count_crossing, needs,
+    plan_regions,
 };
 use keeljunction_core::serving::configuration::{Scaling, Service};
 use keeljunction_core::serving::demand::DemandTotals;
@@ -40,8 +41,8 @@
     fence: Option<u64>,
     ordered: BTreeMap<Place, Order>,
     paused_until: BTreeMap<Place, Millis>,
-    /// By service and region.
-    needs: BTreeMap<(String, String), PeakWindow>,
+    /// By service.
+    needs: BTreeMap<String, Needs>,
     /// By service and region.
     found: BTreeMap<(String, String), Found>,
     /// When spot servers may be ordered next while the list of servers grows.
@@ -78,8 +79,15 @@
         let (found, is_complete) = self.follow_found(node, name, &inventories, now);
         let is_mixed = inventories.values().flat_map(BTreeMap::values).any(|held| held.spot > 0);
         let policy = node.settings.capacity.get_policy();
-        let (needs, policy) = match self.get_needs(node, name, service, now) {
-            Some(needs) => (needs, policy),
+        let demands = get_demands(node, name, service, now);
+        let unheard = list_unheard(node, &inventories);
+        let (needs, policy) = match &demands {
+            Some(demands) => {
+                let latest = needs(&policy, demands);
+                let unheard = unheard.iter().map(String::as_str).collect();
+                let followed = self.needs.entry(name.to_owned()).or_default();
+                (followed.follow(now, &latest, &unheard, FALL_SPAN), policy)
+            }
             // A holder that does not know the demand yet leaves an earlier holder's mix as it is.
             None if is_mixed && !self.has_ordered(name) => return,
             // Servers list themselves one by one. Before the first request, spot servers are ordered
@@ -92,6 +100,8 @@
         for region in needs.keys() {
             inventories.entry(region.clone()).or_default();
         }
+        // A region that serves on its own keeps what it has, where its need was never known.
+        inventories.retain(|region, _| needs.contains_key(region) || !unheard.contains(region));
         let snapshot = |(region, inventory)| {
             let region: &String = region;
             let need = needs.get(region).copied().unwrap_or(0);
@@ -100,7 +110,11 @@
                 need,
                 is_spot_exhausted: self.is_spot_exhausted(name, inventory, now),
                 on_demand_held: self.count_on_demand(name, inventory),
-                crossing: need,
+                crossing: count_crossing(
+                    need,
+                    get_tokens_per_second(demands.as_ref(), region),
+                    node.settings.regions.spill_mbps,
+                ),
             };
             (region.clone(), snapshot)
         };
@@ -221,38 +235,6 @@
         refused.any(|(_, until)| now < until + REFUSED_PAUSE)
     }
 
-    /// Returns the servers that the demand of each region needs; `None` where it is not known yet.
-    fn get_needs(
-        &mut self,
-        node: &Node,
-        name: &str,
-        service: &Service,
-        now: Millis,
-    ) -> Option<BTreeMap<String, u32>> {
-        let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
-        let (totals, covered, throughput, in_flight) = node.with(|state| {
-            let (totals, covered) = state.demand.within(now, name, DEMAND_SPAN)?;
-            let throughput = state.throughputs.get(name)?.get_prefill_rate()?;
-            Some((totals, covered, throughput, state.demand.get_in_flight(now, name)))
-        })?;
-        let demand = |(region, totals): (&String, &DemandTotals)| {
-            let demand = Demand {
-                tokens_per_second: totals.prompt_tokens as f64 / covered as f64 * 1_000.0,
-                server_tokens_per_second: throughput * 1_000.0,
-                in_flight: f64::from(in_flight.get(region).copied().unwrap_or(0)),
-                slots: f64::from(slots),
-            };
-            (region.clone(), demand)
-        };
-        let demands = totals.iter().map(demand).collect();
-        let policy = node.settings.capacity.get_policy();
-        let follow = |(region, need): (String, u32)| {
-            let window = self.needs.entry((name.to_owned(), region.clone())).or_default();
-            (region, window.follow(now, need, FALL_SPAN))
-        };
-        Some(needs(&policy, &demands).into_iter().map(follow).collect())
-    }
-
     /// Lists the orders by which the plan differs from what was ordered, or is there.
     fn list_changes(
         &self,
@@ -319,6 +301,47 @@
     }
 }
 
+/// Returns the demand of each region; `None` where it is not known yet.
+fn get_demands(
+    node: &Node,
+    name: &str,
+    service: &Service,
+    now: Millis,
+) -> Option<BTreeMap<String, Demand>> {
+    let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
+    let (totals, covered, throughput, in_flight) = node.with(|state| {
+        let (totals, covered) = state.demand.within(now, name, DEMAND_SPAN)?;
+        let throughput = state.throughputs.get(name)?.get_prefill_rate()?;
+        Some((totals, covered, throughput, state.demand.get_in_flight(now, name)))
+    })?;
+    let demand = |(region, totals): (&String, &DemandTotals)| {
+        let demand = Demand {
+            tokens_per_second: totals.prompt_tokens as f64 / covered as f64 * 1_000.0,
+            server_tokens_per_second: throughput * 1_000.0,
+            in_flight: f64::from(in_flight.get(region).copied().unwrap_or(0)),
+            slots: f64::from(slots),
+        };
+        (region.clone(), demand)
+    };
+    Some(totals.iter().map(demand).collect())
+}
+
+/// Returns the prompt tokens that arrive in a region in a second; 0 where that is not known.
+fn get_tokens_per_second(demands: Option<&BTreeMap<String, Demand>>, region: &str) -> f64 {
+    demands.and_then(|demands| demands.get(region)).map_or(0.0, |demand| demand.tokens_per_second)
+}
+
+/// Lists the regions of which nobody is heard and whose servers accept requests. Callers there are
+/// served, which nobody reports. Where no server is left, their demand moves with them.
+fn list_unheard(node: &Node, inventories: &Inventories) -> BTreeSet<String> {
+    let lost = node.with(|state| state.members.list_lost_regions()).into_iter();
+    let is_serving = |region: &String| {
+        let held = inventories.get(region).into_iter().flat_map(BTreeMap::values);
+        held.map(|held| held.on_demand + held.spot).sum::<u32>() > 0
+    };
+    lost.filter(is_serving).collect()
+}
+
 /// Returns the region of a data centre; empty where no regions are known.
 fn get_region<'a>(node: &'a Node, data_centre: &str) -> &'a str {
     node.topology.get_region(data_centre).unwrap_or_default()
