fix(members): every aggregator of a silent region gets a summary in turn; owners of loads by region

Cause: where nobody of a region is heard, the two carriers of a turn and the choice of one of them both followed the turn. With four aggregators there (or a multiple of four) only half of them were ever sent to: with these ended, two regions that meet again would not hear each other. Besides, the owner of a load was looked up by filtering all aggregators by region with two look-ups by name each, for every server; and the nodes of the own region were counted for each request that spills.

Change: `Members::pick_carriers` decides (the test cluster uses it too, in place of a copy of the formula). Aggregators by region and the number of near nodes are kept with the ranking and the view. Comments: plain terms.

Test, which failed first (2 of 4): every_aggregator_of_a_region_of_which_nobody_is_heard_gets_a_summary_in_turn. The look-up's cost has not been measured.

--- a/crates/core/benches/serving.rs
+++ b/crates/core/benches/serving.rs
@@ -113,7 +113,8 @@
     };
     let topology = two_regions();
     for (nodes, count) in SIZES {
-        let members = members(nodes).with_topology(topology.clone());
+        let mut members = members(nodes).with_topology(topology.clone());
+        members.refresh(0);
         if !members.is_grouped() {
             continue;
         }
--- a/crates/core/src/serving/members/mod.rs
+++ b/crates/core/src/serving/members/mod.rs
@@ -105,12 +105,12 @@
     lost_regions: BTreeSet<String>,
     /// Since when this node has aggregated, and so hears of the other regions.
     aggregating_since: Option<Millis>,
-    /// How long what other regions tell takes.
+    /// How long messages of other regions take.
     across: Across,
     view: View,
 }
 
-/// How long what other regions tell takes, in milliseconds.
+/// How long messages of other regions take, in milliseconds.
 #[derive(Clone, Copy, Debug, Default)]
 struct Across {
     /// The time between two summaries of an aggregator.
@@ -177,7 +177,10 @@
 
     /// Sets the regions that the nodes stand in; without this, all stand in one.
     pub fn with_topology(self, topology: Arc<Topology>) -> Self {
-        Self { topology, ..self }
+        let mut members = Self { topology, ..self };
+        // Ranked anew at the next refresh, by the regions.
+        members.view.ranking.fingerprint = None;
+        members
     }
 
     /// Returns the regions that the nodes stand in.
--- a/crates/core/src/serving/members/owner.rs
+++ b/crates/core/src/serving/members/owner.rs
@@ -37,25 +37,12 @@
 
     /// Finds the name of the aggregator of a region that owns a key; this node's own name too.
     fn find_owner_in(&self, key: u64, region: &str) -> Option<&str> {
-        let ranking = &self.view.ranking;
-        let own = ranking.is_aggregator.then_some(self.own.name.as_str());
-        let names = ranking.aggregators.iter().map(String::as_str).chain(own);
-        let of_region = names.filter(|name| self.get_region_of(name) == Some(region));
-        succession::owner_of_number(key, of_region)
+        let names = self.view.ranking.by_region.get(region)?;
+        succession::owner_of_number(key, names.iter().map(String::as_str))
     }
 
-    /// Returns the region of a node; `None` where it is not known.
-    fn get_region_of(&self, name: &str) -> Option<&str> {
-        if name == self.own.name {
-            return Some(self.topology.get_own());
-        }
-        let data_centre = &self.known.get(name)?.entry.data_centre;
-        self.topology.get_region(data_centre)
-    }
-
-    /// Counts the nodes of this node's own region that may be serving, this one included.
+    /// Returns how many nodes of this node's own region may be serving, this one included.
     pub fn count_own_region(&self) -> usize {
-        let serving = self.known.values().filter(|member| !member.is_stopping);
-        1 + serving.filter(|member| self.topology.is_near(&member.entry.data_centre)).count()
+        self.view.near
     }
 }
--- a/crates/core/src/serving/members/ranking.rs
+++ b/crates/core/src/serving/members/ranking.rs
@@ -56,6 +56,20 @@
     ordered
 }
 
+/// Lists the names of the aggregators of each region.
+pub(super) fn group_by_region(
+    topology: &Topology,
+    aggregators: &[&Entry],
+) -> BTreeMap<String, Vec<String>> {
+    let mut regions: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for entry in aggregators {
+        if let Some(region) = topology.get_region(&entry.data_centre) {
+            regions.entry(region.to_owned()).or_default().push(entry.name.clone());
+        }
+    }
+    regions
+}
+
 /// Lists the aggregators of each other region, by name, in the order in which they carry.
 pub(super) fn list_far<'a>(
     topology: &'a Topology,
--- a/crates/core/src/serving/members/regions.rs
+++ b/crates/core/src/serving/members/regions.rs
@@ -20,7 +20,7 @@
 const OVERDUE_FOR: Millis = 5_000;
 
 impl Members {
-    /// Sets how long what other regions tell takes: the time between two summaries that cross, and
+    /// Sets how long messages of other regions take: the time between two summaries that cross, and
     /// the way there, in milliseconds.
     pub fn set_across(&mut self, period: Millis, way: Millis) {
         self.across = Across { period, way };
@@ -42,6 +42,13 @@
         regions.map(|ranked| self.list_carriers_of(now, turn, ranked)).collect()
     }
 
+    /// Picks the node of each other region to which an aggregator sends its summary with this turn:
+    /// each carrier in turn, and each aggregator there where nobody is heard.
+    pub fn pick_carriers(&self, now: Millis, turn: usize) -> Vec<SocketAddr> {
+        let regions = self.list_carriers(now, turn / CARRIERS).into_iter();
+        regions.filter_map(|region| region.get(turn % region.len().max(1)).copied()).collect()
+    }
+
     fn list_carriers_of(&self, now: Millis, turn: usize, ranked: &[String]) -> Vec<SocketAddr> {
         let members: Vec<&Member> = ranked.iter().filter_map(|name| self.known.get(name)).collect();
         let heard = members.iter().filter(|member| self.is_heard(now, member));
@@ -104,9 +111,7 @@
     pub fn is_region_alone(&self) -> bool {
         let is_any_other = !self.view.ranking.far.is_empty();
         let is_each_lost = self.view.ranking.far.keys().all(|r| self.lost_regions.contains(r));
-        let members = self.known.values().filter(|member| !member.is_stopping);
-        let near = members.filter(|m| self.topology.is_near(&m.entry.data_centre)).count() + 1;
-        is_any_other && is_each_lost && 2 * self.view.heard > near
+        is_any_other && is_each_lost && 2 * self.view.heard > self.view.near
     }
 
     /// Lists the regions of which nobody is heard.
--- a/crates/core/src/serving/members/view.rs
+++ b/crates/core/src/serving/members/view.rs
@@ -12,7 +12,7 @@
 const PASSED_OVER_FOR: Millis = 10_000;
 /// Nodes that read the platform's tables for all.
 const READERS: usize = 3;
-/// The same in each of several regions: where both fail, the other region's are asked.
+/// The same in each of several regions: where both fail, those of the other region answer.
 const READERS_IN_REGION: usize = 2;
 const READERS_KEY: &str = "table readers";
 
@@ -21,6 +21,8 @@
 pub(super) struct View {
     pub at: Millis,
     pub nodes: usize,
+    /// Those of them that stand in this node's region, this one included.
+    pub near: usize,
     pub heard: usize,
     pub is_grouped: bool,
     /// Whether this node aggregates: it is ranked so, or nodes take it for an aggregator.
@@ -39,6 +41,8 @@
     pub is_aggregator: bool,
     /// The other aggregators, but for those of regions out of reach.
     pub aggregators: Vec<String>,
+    /// The aggregators of each region but for those out of reach, this node included where it is one.
+    pub by_region: BTreeMap<String, Vec<String>>,
     /// The aggregators of the other regions, also of those out of reach, in the order in which they
     /// carry.
     pub far: BTreeMap<String, Vec<String>>,
@@ -55,9 +59,12 @@
         self.rank(now);
         let is_aggregating =
             self.view.ranking.is_aggregator || self.iter_group(now).next().is_some();
-        let nodes = 1 + self.known.values().filter(|member| !member.is_stopping).count();
+        let serving = || self.known.values().filter(|member| !member.is_stopping);
+        let nodes = 1 + serving().count();
+        let near = 1 + serving().filter(|m| self.topology.is_near(&m.entry.data_centre)).count();
         self.view.at = now;
         self.view.nodes = nodes;
+        self.view.near = near;
         self.view.is_grouped = ranking::is_grouped(nodes);
         self.view.is_aggregating = is_aggregating;
         let since = self.aggregating_since.unwrap_or(now);
@@ -83,6 +90,7 @@
         let mut aggregators = ranking::list_aggregators(&entries);
         let far = ranking::list_far(&self.topology, &aggregators);
         aggregators.retain(|entry| !self.is_lost(entry));
+        let by_region = ranking::group_by_region(&self.topology, &aggregators);
         let is_aggregator = aggregators.iter().any(|entry| entry.name == self.own.name);
         let others: Vec<&Entry> =
             aggregators.into_iter().filter(|entry| entry.name != self.own.name).collect();
@@ -92,7 +100,8 @@
         };
         let aggregators = others.into_iter().map(|entry| entry.name.clone()).collect();
         let fingerprint = Some(fingerprint);
-        let ranking = Ranking { fingerprint, is_aggregator, aggregators, far, own_aggregator };
+        let ranking =
+            Ranking { fingerprint, is_aggregator, aggregators, by_region, far, own_aggregator };
         self.apply(now, ranking);
     }
 
--- a/crates/core/tests/serving/load_owner.rs
+++ b/crates/core/tests/serving/load_owner.rs
@@ -1,4 +1,4 @@
-//! Which aggregator keeps the load of a server.
+//! Which aggregator keeps the load of a server, and whom an aggregator sends what crosses.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -131,3 +131,20 @@
     alone.take_list(0, all, true);
     assert_eq!(alone.count_own_region(), 60);
 }
+
+#[test]
+fn every_aggregator_of_a_region_of_which_nobody_is_heard_gets_a_summary_in_turn() {
+    // Two data centres in each region with two aggregators each.
+    let all: Vec<Entry> = entries(&["a", "b"])
+        .into_iter()
+        .enumerate()
+        .map(|(number, entry)| Entry {
+            data_centre: format!("{}-{}", &entry.data_centre[..1], number / 2 % 2),
+            ..entry
+        })
+        .collect();
+    let members = node(&all, 0);
+    let picked: BTreeSet<SocketAddr> =
+        (1..=8).flat_map(|turn| members.pick_carriers(0, turn)).collect();
+    assert_eq!(picked.len(), 4, "{picked:?}");
+}
--- a/crates/core/tests/serving/regions.rs
+++ b/crates/core/tests/serving/regions.rs
@@ -316,7 +316,7 @@
         let summary =
             Summary { entry, incarnation, run, sent_at, report, counts, group, group_age };
         let mut sent: Vec<(SocketAddr, Datagram)> = Vec::new();
-        for to in self.list_carriers(now).into_iter().chain(self.members.list_exchange(now)) {
+        for to in self.pick_carriers(now).into_iter().chain(self.members.list_exchange(now)) {
             sent.push((to, Datagram::Summary(summary.clone())));
         }
         for member in self.members.iter_group(now) {
@@ -336,16 +336,14 @@
     }
 
     /// Lists the carriers that this aggregator's summary crosses to now.
-    fn list_carriers(&mut self, now: u64) -> Vec<SocketAddr> {
+    fn pick_carriers(&mut self, now: u64) -> Vec<SocketAddr> {
         let senders = self.members.count_near_aggregators();
         if !self.pace.is_due(now, self.crossed, senders) {
             return Vec::new();
         }
         self.pace.note_sent(now);
         self.sent += 1;
-        let carriers = self.members.list_carriers(now, self.sent).into_iter();
-        let turn = self.sent;
-        carriers.filter_map(|region| region.get(turn % region.len().max(1)).copied()).collect()
+        self.members.pick_carriers(now, self.sent)
     }
 }
 
--- a/crates/gateway/src/node/peers/carry.rs
+++ b/crates/gateway/src/node/peers/carry.rs
@@ -1,5 +1,5 @@
-//! Tells the aggregators of other regions what this node's group counts, and passes on in its own
-//! region what one of another region tells.
+//! Sends the summary of this node's group to the aggregators of other regions, and passes on in its
+//! own region the summaries of others.
 //!
 //! A summary crosses once: to one of two carriers of the region, by turns. The carrier passes it on
 //! as it came, under the name and the time of the one who sent it. What comes twice is taken once,
@@ -24,7 +24,7 @@
 /// list changes when nodes come and go.
 const LOOK_TURNS: u64 = 5;
 
-/// What this node tells other regions.
+/// What this node sends to other regions.
 #[derive(Debug)]
 pub(in crate::node) struct Carrying {
     pace: Crossing,
@@ -48,8 +48,8 @@
     }
 }
 
-/// Brings up to date, once in each period, which nodes stand in other regions and how long what they
-/// tell takes.
+/// Brings up to date, once in each period, which nodes stand in other regions and how long their
+/// messages take.
 pub(super) fn refresh(node: &Node, turn: u64) {
     if !node.topology.is_multi_region() {
         return;
@@ -95,8 +95,7 @@
         state.carrying.sent += 1;
         let turn = state.carrying.sent;
         summary.totals.throughputs = std::mem::take(&mut state.carrying.samples);
-        let carriers = state.members.list_carriers(now, turn).into_iter();
-        carriers.filter_map(|region| region.get(turn % region.len().max(1)).copied()).collect()
+        state.members.pick_carriers(now, turn)
     });
     let message = Message::Summary(Box::new(summary));
     if !carriers.is_empty() {
