refactor(loads): round trips are measured in one place; changes carry the data centre

Cause: answers about loads were noted twice in `Distances`, from the datagram's header and from the question. Late answers were kept as questions for 1 s, and each new one walked over all that wait. Each change that was sent built a table of all servers' data centres (600 at the two-year size).

Change: the header's measurement stays, which covers late answers (it says which datagram was got), quotas and versions. A question is forgotten when its caller leaves (`Waiting`). A change names the server's data centre; the table is built with the repetition only, each fourth report.

No test failed first: what is taken for a measurement stays the same. Platform tests of regions pass (6).

--- a/crates/core/src/serving/crossing.rs
+++ b/crates/core/src/serving/crossing.rs
@@ -1,4 +1,4 @@
-//! How often an aggregator tells the other regions what its group counts.
+//! How often an aggregator sends its summary to the other regions.
 //!
 //! Regions share one narrow link. All aggregators of a region together send no more across than a
 //! budget: each takes an even part of it, and where its summaries do not fit, they cross less often.
--- a/crates/core/src/serving/quota/mod.rs
+++ b/crates/core/src/serving/quota/mod.rs
@@ -55,8 +55,8 @@
 const OVERDUE: std::ops::Range<Millis> = 700..5_000;
 /// The same as sixths of the time that a report takes to reach all nodes, where that is longer.
 const OVERDUE_SIXTHS: Millis = 7;
-/// How long a node admits its share only after it was told that a region is overdue: it is told
-/// again with each report, of which some get lost.
+/// How long a node admits its share only after a report that a region is overdue: each report repeats
+/// it, and some get lost.
 const REGION_OVERDUE_FOR: Millis = 700;
 /// The parts of the tolerated overshoot and slack with which nodes begin that all started again. The
 /// rest covers what they admit before their reports arrive, and further starts of all within a
@@ -108,7 +108,7 @@
     /// Notes that nothing came from a whole region for some periods, as this node or its aggregator
     /// finds.
     ///
-    /// A part of all nodes then uses what no report says. Until others are told that these are out of
+    /// A part of all nodes then uses what no report says. Until these count everywhere as out of
     /// reach, a node admits its share of the rate only, and takes over the level that its aggregator
     /// estimates.
     pub fn note_overdue_region(&mut self, now: Millis) {
--- a/crates/core/src/serving/spill.rs
+++ b/crates/core/src/serving/spill.rs
@@ -6,7 +6,7 @@
 //! leaves its objective in reach, and where the budget of the link allows it.
 //!
 //! Each node has a share of the budget, by how many nodes its region has. The budget counts the
-//! requests' own bytes, there and back; what nodes tell each other has the rest of the link.
+//! requests' own bytes, there and back; what nodes exchange among themselves has the rest of the link.
 //!
 //! Called once for each choice; a deployment of one region never gets past [`Offer::get_cause`].
 
@@ -23,7 +23,7 @@
 const TRIPS_OF_REQUEST: Millis = 2;
 /// Round trips for the question for the loads of far servers.
 const TRIPS_OF_QUESTION: Millis = 1;
-/// How long a region is not asked again that did not answer: a request held for an answer that does
+/// How long no loads are requested from a region that did not answer: a request held for an answer that does
 /// not come may miss its objective, and regions that were cut off stay so for seconds.
 const SILENT_FOR: Millis = 1_000;
 /// Bytes a second of a megabit a second.
@@ -67,7 +67,7 @@
 }
 
 impl Offer {
-    /// Tells what a choice among some candidates offers.
+    /// Returns what a choice among some candidates offers.
     pub fn of(choice: &Choice<'_>, candidates: &[Candidate<'_>]) -> Self {
         let server = match choice {
             Choice::Server(server) => *server,
@@ -113,7 +113,7 @@
     pub round_trip: Millis,
     /// How long the request's body takes at the rate of the budget.
     pub transfer: Millis,
-    /// Whether the loads there must be asked for before the choice.
+    /// Whether the loads there are requested before the choice.
     pub is_asked: bool,
 }
 
--- a/crates/gateway/src/exchange/pick.rs
+++ b/crates/gateway/src/exchange/pick.rs
@@ -63,7 +63,7 @@
     /// The region and why the request leaves for it; `None` for the node's own one.
     far: Option<(&'a str, Cause)>,
     criteria: Criteria,
-    /// Whether the loads must be asked for.
+    /// Whether the loads are requested first.
     is_asked: bool,
 }
 
@@ -266,7 +266,7 @@
 /// Picks one of the servers of a region that are allowed.
 ///
 /// Where nodes report in groups, this node asks for the loads of a few servers first, and of more
-/// where none of these can serve in time. Far servers are asked for once only: each question costs
+/// where none of these can serve in time. Loads of far servers are requested once only: each time costs
 /// the request a round trip.
 async fn pick_allowed(
     node: &Node,
@@ -299,7 +299,7 @@
     found
 }
 
-/// Returns `true` if more servers should be asked for. A full server is the last choice of a region;
+/// Returns `true` if the loads of more servers are worth a request. A full server is the last choice of a region;
 /// where there is another one, the request would leave for it.
 fn is_worth_more(node: &Node, offer: Offer) -> bool {
     match offer {
@@ -369,7 +369,7 @@
         || state.held.is_full(now, service, id, exchange.body_bytes as u64)
 }
 
-/// Tells what the node knows of a server.
+/// Returns what the node knows of a server.
 pub(super) fn weigh<'a>(
     state: &State,
     throughput: Option<&Throughput>,
--- a/crates/gateway/src/node/peers/loads.rs
+++ b/crates/gateway/src/node/peers/loads.rs
@@ -1,12 +1,14 @@
 //! Keeps and asks for the loads of servers, where nodes report in groups.
 //!
 //! Each server's load is kept by one of the aggregators of its region, which all nodes find by
-//! themselves. Nodes
-//! tell it at once what they send to the server, and soon what ends there. Before a node chooses, it
-//! asks for the loads of the few servers that it considers. What that costs depends on the requests
-//! and not on the number of nodes, and the answer is some milliseconds old.
+//! themselves. Nodes report to it at once what they send to the server, and soon what ends there.
+//! Before a node chooses, it asks for the loads of the few servers that it considers. What that costs
+//! depends on the requests and not on the number of nodes, and the answer is some milliseconds old.
+//!
+//! Answers from other regions are waited for as long as measured round trips say. Each answer is a
+//! measurement ([`super::carry::note_round_trip`]), also one that comes too late.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -37,9 +39,6 @@
 const GATHER: Duration = Duration::from_millis(40);
 /// Changes that wait to be sent; more are dropped, and are repeated with all the others.
 const MOST_CHANGES: usize = 1_024;
-/// An answer from another region that comes within this time still tells how far away that is: where
-/// the way has become longer, all answers come later than they are waited for.
-const LATE_WITHIN: Millis = 1_000;
 /// Answers are kept under this name, which no node bears.
 const ANSWERS: &str = "";
 
@@ -56,22 +55,21 @@
     answers_missing: usize,
     is_any_answered: bool,
     done: Sender<()>,
-    asked_at: Millis,
-    /// Who was asked in other regions.
-    far: Vec<Far>,
 }
 
-/// A node that was asked in another region.
-#[derive(Clone, Debug)]
-struct Far {
-    address: SocketAddr,
-    region: String,
+/// A question that waits for its answers, until it is dropped: its caller may leave meanwhile.
+struct Waiting<'a> {
+    pending: &'a Pending,
+    number: u32,
+    done: Receiver<()>,
 }
 
 /// A change of what this node has in flight at a server.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Change {
     server: u64,
+    /// The server's data centre, where there are several regions.
+    data_centre: String,
     /// Whether a request is being sent there, which others must know before they choose.
     is_urgent: bool,
 }
@@ -84,44 +82,23 @@
 }
 
 impl Pending {
-    fn begin(&self, now: Millis, answers_missing: usize, far: Vec<Far>) -> (u32, Receiver<()>) {
-        let (done, receiver) = async_channel::bounded(1);
+    fn begin(&self, answers_missing: usize) -> Waiting<'_> {
+        let (sender, done) = async_channel::bounded(1);
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let mut waiting = lock(&self.waiting);
-        // Those whose far answers never came, and those whose caller left meanwhile.
-        waiting.retain(|_, question| now < question.asked_at + LATE_WITHIN);
-        let is_any_answered = false;
-        let question = Question { answers_missing, is_any_answered, done, asked_at: now, far };
-        waiting.insert(number, question);
-        (number, receiver)
+        let question = Question { answers_missing, is_any_answered: false, done: sender };
+        lock(&self.waiting).insert(number, question);
+        Waiting { pending: self, number, done }
     }
 
-    /// Takes an answer; returns the region that it comes from, where that is another one, and how
-    /// long it took.
-    fn answer(&self, now: Millis, number: u32, from: SocketAddr) -> Option<(String, Millis)> {
+    fn answer(&self, number: u32) {
         let mut waiting = lock(&self.waiting);
-        let question = waiting.get_mut(&number)?;
+        let Some(question) = waiting.get_mut(&number) else { return };
         question.answers_missing = question.answers_missing.saturating_sub(1);
         question.is_any_answered = true;
         if question.answers_missing == 0 {
             // The one who asks may have given up.
             let _ = question.done.try_send(());
         }
-        let place = question.far.iter().position(|far| far.address == from)?;
-        let far = question.far.swap_remove(place);
-        Some((far.region, now.saturating_sub(question.asked_at)))
-    }
-
-    /// Ends a question, of which late answers of other regions are still taken; returns `true` if
-    /// there was any answer.
-    fn end(&self, number: u32) -> bool {
-        let mut waiting = lock(&self.waiting);
-        let Some(question) = waiting.get(&number) else { return false };
-        let is_any_answered = question.is_any_answered;
-        if question.far.is_empty() {
-            waiting.remove(&number);
-        }
-        is_any_answered
     }
 
     fn change(&self, change: Change) {
@@ -131,6 +108,19 @@
     }
 }
 
+impl Waiting<'_> {
+    fn is_any_answered(&self) -> bool {
+        let waiting = lock(&self.pending.waiting);
+        waiting.get(&self.number).is_some_and(|question| question.is_any_answered)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        lock(&self.pending.waiting).remove(&self.number);
+    }
+}
+
 /// Servers whose load one node keeps, by short name.
 #[derive(Debug, Default)]
 struct Kept {
@@ -152,31 +142,24 @@
     if by_owner.is_empty() {
         return true;
     }
-    let far = list_far(&by_owner);
-    let within = get_wait(node, &far);
-    let (question, done) = node.pending_loads.begin(node.now(), by_owner.len(), far);
+    let within = get_wait(node, &by_owner);
+    let waiting = node.pending_loads.begin(by_owner.len());
+    let question = waiting.number;
     for (owner, Kept { servers, .. }) in by_owner {
         let message = Message::AskLoads { question, node: node.incarnation.node.clone(), servers };
         node.link.send(node.now(), owner, &message).await;
     }
-    if runtime::within(within, done.recv()).await.is_none() {
+    if runtime::within(within, waiting.done.recv()).await.is_none() {
         node.metrics.unanswered_load_questions.inc();
     }
-    node.pending_loads.end(question)
-}
-
-fn list_far(by_owner: &BTreeMap<SocketAddr, Kept>) -> Vec<Far> {
-    let far = |(address, kept): (&SocketAddr, &Kept)| {
-        Some(Far { address: *address, region: kept.far_region.clone()? })
-    };
-    by_owner.iter().filter_map(far).collect()
+    waiting.is_any_answered()
 }
 
 /// Returns how long answers are waited for, some of which come from other regions.
-fn get_wait(node: &Node, far: &[Far]) -> Duration {
+fn get_wait(node: &Node, by_owner: &BTreeMap<SocketAddr, Kept>) -> Duration {
     let near = ANSWERS_WITHIN.as_millis() as Millis;
-    let longest =
-        node.with(|state| far.iter().map(|far| state.distances.get_wait(&far.region, near)).max());
+    let far = by_owner.values().filter_map(|kept| kept.far_region.as_deref());
+    let longest = node.with(|state| far.map(|region| state.distances.get_wait(region, near)).max());
     longest.map_or(ANSWERS_WITHIN, Duration::from_millis)
 }
 
@@ -197,12 +180,21 @@
 }
 
 /// Returns the data centres of all servers by short name; none where there is one region only.
-fn get_data_centres<'a>(node: &Node, state: &'a State) -> HashMap<u64, &'a str> {
+fn get_data_centres(node: &Node, state: &State) -> HashMap<u64, String> {
     if !node.topology.is_multi_region() {
         return HashMap::new();
     }
     let servers = state.directory.iter();
-    servers.map(|server| (short_id(&server.id), server.data_centre.as_str())).collect()
+    servers.map(|server| (short_id(&server.id), server.data_centre.clone())).collect()
+}
+
+/// Returns a server's data centre; none where there is one region only, or where it is gone.
+fn get_data_centre(node: &Node, server: &str) -> String {
+    if !node.topology.is_multi_region() {
+        return String::new();
+    }
+    node.with(|state| state.directory.get(server).map(|known| known.data_centre.clone()))
+        .unwrap_or_default()
 }
 
 /// Answers another node with what all but that one have in flight.
@@ -225,17 +217,14 @@
 }
 
 /// Takes an answer.
-pub(super) fn take(node: &Node, from: SocketAddr, question: u32, loads: Vec<(u64, Load)>) {
-    let now = node.now();
-    let valid_until = now + ANSWER_VALID_FOR;
+pub(super) fn take(node: &Node, question: u32, loads: Vec<(u64, Load)>) {
+    let valid_until = node.now() + ANSWER_VALID_FOR;
     node.with(|state| {
         for (server, load) in loads {
             state.loads.merge_server(valid_until, ANSWERS, server, load);
         }
     });
-    if let Some((region, round_trip)) = node.pending_loads.answer(now, question, from) {
-        node.with(|state| state.distances.note(&region, round_trip));
-    }
+    node.pending_loads.answer(question);
 }
 
 /// Takes what another node has in flight at servers whose load this node keeps.
@@ -251,7 +240,8 @@
 /// Notes that what this node has in flight at a server has changed.
 pub(crate) fn note_change(node: &Node, server: &str, is_urgent: bool) {
     if node.with(|state| state.members.is_grouped()) {
-        node.pending_loads.change(Change { server: short_id(server), is_urgent });
+        let data_centre = get_data_centre(node, server);
+        node.pending_loads.change(Change { server: short_id(server), data_centre, is_urgent });
     }
 }
 
@@ -260,8 +250,11 @@
     if !turn.is_multiple_of(REPEAT_TURNS) {
         return;
     }
-    for (server, _) in node.with(|state| state.loads.get_own()) {
-        node.pending_loads.change(Change { server, is_urgent: false });
+    let (own, mut data_centres) =
+        node.with(|state| (state.loads.get_own(), get_data_centres(node, state)));
+    for (server, _) in own {
+        let data_centre = data_centres.remove(&server).unwrap_or_default();
+        node.pending_loads.change(Change { server, data_centre, is_urgent: false });
     }
 }
 
@@ -269,30 +262,26 @@
 pub(super) async fn send_changes(node: Arc<Node>) {
     let changes = &node.pending_loads.changes.1;
     while let Ok(first) = changes.recv().await {
-        let mut servers = BTreeSet::from([first.server]);
+        let mut servers = BTreeMap::from([(first.server, first.data_centre)]);
         let until = node.now() + GATHER.as_millis() as Millis;
         let mut is_urgent = first.is_urgent;
         while !is_urgent {
             let left = Duration::from_millis(until.saturating_sub(node.now()));
             let Some(Ok(next)) = runtime::within(left, changes.recv()).await else { break };
-            servers.insert(next.server);
+            servers.insert(next.server, next.data_centre);
             is_urgent = next.is_urgent;
         }
         while let Ok(next) = changes.try_recv() {
-            servers.insert(next.server);
+            servers.insert(next.server, next.data_centre);
         }
         send_own(&node, servers).await;
     }
 }
 
-async fn send_own(node: &Node, servers: BTreeSet<u64>) {
-    let by_owner = node.with(|state| {
-        let data_centres = get_data_centres(node, state);
-        let changed = servers
-            .into_iter()
-            .map(|server| (server, data_centres.get(&server).copied().unwrap_or_default()));
-        sort_by_owner(&state.members, changed)
-    });
+/// Sends what this node has in flight at some servers, given with their data centres.
+async fn send_own(node: &Node, servers: BTreeMap<u64, String>) {
+    let changed = servers.iter().map(|(server, data_centre)| (*server, data_centre.as_str()));
+    let by_owner = node.with(|state| sort_by_owner(&state.members, changed));
     for (owner, Kept { servers, .. }) in by_owner {
         let loads = node.with(|state| {
             servers.into_iter().map(|server| (server, state.loads.get_own_of(server))).collect()
--- a/crates/gateway/src/node/peers/mod.rs
+++ b/crates/gateway/src/node/peers/mod.rs
@@ -65,7 +65,7 @@
             Message::AskLoads { question, node: asking, servers } => {
                 loads::answer(&node, from, question, &asking, &servers).await;
             }
-            Message::Loads { question, loads } => loads::take(&node, from, question, loads),
+            Message::Loads { question, loads } => loads::take(&node, question, loads),
             Message::AskQuota { question, account, units } => {
                 quota::answer(&node, from, question, account, units).await;
             }
--- a/crates/gateway/src/node/peers/news.rs
+++ b/crates/gateway/src/node/peers/news.rs
@@ -24,7 +24,7 @@
 /// request to be told at once.
 const REPORT_AT_ONCE_PART: f64 = 0.1;
 /// The part of the time in which a configuration must be in force for which a carrier waits before it
-/// gets from another region what this one's readers did not get: they are told by the table service
+/// gets from another region what this one's readers did not get: these have it from the table service
 /// at once, and the rest must do for the way.
 const FAR_NEWS_PART: f64 = 0.25;
 
@@ -111,7 +111,7 @@
     }
 }
 
-/// Gives this region's readers time where another one has news of a table: a document crosses only
+/// Leaves this region's readers time where another one has news of a table: a document crosses only
 /// where they do not get it themselves.
 async fn wait_for_readers(node: &Node, from: SocketAddr) {
     if node.link.get_far_region(from).is_some() {
