docs(members): what the look-up of a load's owner takes

Measured with the bench 'owner of a load in one of two regions' (dev profile, which is optimized; the machine was busy): 173 ns among 83 nodes, 221 among 300, 277 among 1,000.

--- a/crates/core/src/serving/members/owner.rs
+++ b/crates/core/src/serving/members/owner.rs
@@ -36,6 +36,9 @@
     }
 
     /// Finds the name of the aggregator of a region that owns a key; this node's own name too.
+    ///
+    /// The aggregators are kept by region, because each request looks up some servers: that takes
+    /// 0.17 us among 83 nodes and 0.28 us among 1,000 (benches/serving.rs, optimized, a busy machine).
     fn find_owner_in(&self, key: u64, region: &str) -> Option<&str> {
         let names = self.view.ranking.by_region.get(region)?;
         succession::owner_of_number(key, names.iter().map(String::as_str))
