fix(dispatch): send nothing after the request's time has passed while servers were picked

A question to another region may take 300 ms. A request whose time ended meanwhile was still sent, with a deadline of nothing: a wasted attempt.

--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -187,6 +187,10 @@
     let pick = pick::pick(node, exchange, attempts)
         .await
         .map_err(|unserved| progress.stop(unserved.reason, unserved.retry_after))?;
+    // Servers of other regions may have been asked meanwhile. Nothing is sent without time to answer.
+    if exchange.get_left(node.now()) == 0 {
+        return Err(progress.stop(Refusal::TooLate, 0));
+    }
     if progress.sent > 0 {
         take_repeat(node, exchange, progress, now)?;
     }
