refactor(memory): a file for each job of the accountant

serving/memory.rs had 580 lines: holders, shares, pools, evictions, releases and readiness in one file. Each has a file of its own now, and mod.rs is the map. No line of code is changed but for the visibility within the module.

--- /dev/null
+++ b/crates/core/src/serving/memory/eviction.rs
@@ -0,0 +1,89 @@
+//! Refuses growth where there is no room, and picks uploads whose memory makes room.
+
+use std::cmp::Reverse;
+
+use super::accountant::Accountant;
+use super::holder::{Holder, HolderId};
+use super::kind::Kind;
+use super::release::LEAST_RETRY_AFTER;
+use crate::Millis;
+
+/// Why bytes were not reserved.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Shortage {
+    /// When to retry, in milliseconds from now.
+    pub retry_after: Millis,
+    /// Uploads to let go: their bytes are free once they are dropped.
+    pub let_go: Vec<HolderId>,
+}
+
+impl Accountant {
+    /// Notes that an account waits, and picks uploads whose bytes make the room.
+    pub(super) fn refuse(&mut self, now: Millis, id: HolderId, bytes: u64) -> Shortage {
+        let Some(holder) = self.holders.get(&id).cloned() else { return Shortage::default() };
+        let shortfall = self.get_shortfall(now, &holder, bytes);
+        let is_beyond_share = self.is_beyond_share(now, &holder, bytes);
+        if holder.kind == Kind::RequestBody {
+            self.shares.entry(holder.account.clone()).or_default().wait_for(now, bytes);
+        }
+        let let_go = match is_beyond_share {
+            true => Vec::new(),
+            false => self.let_go(now, Some((id, &holder)), shortfall),
+        };
+        let retry_after = match let_go.is_empty() {
+            true => self.releases.estimate(now, bytes),
+            false => LEAST_RETRY_AFTER,
+        };
+        Shortage { retry_after, let_go }
+    }
+
+    /// Lets resting uploads go that make room for so many bytes; none where they are not enough.
+    ///
+    /// Those of accounts beyond their share go first, then the less urgent, then those that have
+    /// rested for longest, then the largest. A body is let go only for one at least as urgent, or
+    /// for an account that holds less.
+    pub(super) fn let_go(
+        &mut self,
+        now: Millis,
+        wanted_by: Option<(HolderId, &Holder)>,
+        bytes: u64,
+    ) -> Vec<HolderId> {
+        let fair = self.get_fair_share(now);
+        let is_over = |holder: &Holder| self.get_share_held(&holder.account) > fair;
+        let may_go = |id: &HolderId, holder: &Holder| {
+            let Some((wanter_id, wanter)) = wanted_by else { return true };
+            let is_for_body = wanter.kind == Kind::RequestBody;
+            let is_before = !is_for_body || wanter.urgency <= holder.urgency;
+            wanter_id != *id && (is_before || is_over(holder))
+        };
+        let resting = self.holders.iter().filter(|(_, holder)| holder.is_resting(now));
+        let mut resting: Vec<_> = resting
+            .filter(|(id, holder)| may_go(id, holder))
+            .map(|(id, holder)| {
+                let urgency = Reverse(holder.urgency);
+                let size = Reverse(holder.reserved);
+                (!is_over(holder), urgency, holder.progressed_at, size, *id)
+            })
+            .collect();
+        resting.sort();
+        let leaving = self.holders.values().filter(|holder| holder.is_let_go);
+        let mut made: u64 = leaving.map(|holder| holder.reserved).sum();
+        let mut picked = Vec::new();
+        for (_, _, _, Reverse(reserved), id) in resting {
+            if made >= bytes {
+                break;
+            }
+            made += reserved;
+            picked.push(id);
+        }
+        if made < bytes && wanted_by.is_some() {
+            return Vec::new();
+        }
+        for id in &picked {
+            if let Some(holder) = self.holders.get_mut(id) {
+                holder.is_let_go = true;
+            }
+        }
+        picked
+    }
+}
