fix(memory): a body that never fits keeps no memory from others; fix(exchange): time-outs hold while callers rest

Found in a review of both parts.

- An account that was refused counts as waiting for 3.5 s, and as much as it wants is kept free for it.
Where that is more than the pool holds, for a large body or with a capacity that samples have lowered, nobody else got any memory beyond the small pool for as long as its caller came back.
Such a wait counts no longer.
Two tests failed first: 0 bodies of 4 MB were let in instead of 9.
- An upload that ended after it was picked to make room still counted as about to release its memory, so that no further one was picked; and one that was picked before it waited for its body missed the signal.
The test of the former failed first for a bound of its own that was too strict (one upload; two were picked); as it stands it was not run on the code before.
The latter has a test of what it reads, none of the signal.
The reader now starts once more when the time is over.
A server whose bytes always wait no longer hides the timer either.
- Whether a server that gets its work back gradually is avoided was drawn for each server, at the shortlist and again at the choice, so that such a server got the square of its share where loads are asked for.
One draw for the whole choice agrees in both, and costs one random number; a service with one server is served as before.
No test: the draw is in the gateway.

--- a/crates/core/src/serving/memory/accountant.rs
+++ b/crates/core/src/serving/memory/accountant.rs
@@ -143,9 +143,16 @@
     pub fn note_whole(&mut self, id: HolderId) {
         if let Some(holder) = self.holders.get_mut(&id) {
             holder.is_uploading = false;
+            // Its memory stays in use for the request, and counts no longer as about to be free.
+            holder.is_let_go = false;
         }
     }
 
+    /// Returns `true` if a holder was picked to make room.
+    pub fn is_let_go(&self, id: HolderId) -> bool {
+        self.holders.get(&id).is_some_and(|holder| holder.is_let_go)
+    }
+
     /// Releases some of a holder's bytes.
     pub fn shrink(&mut self, now: Millis, id: HolderId, bytes: u64) {
         let Some(holder) = self.holders.get_mut(&id) else { return };
--- a/crates/core/src/serving/memory/eviction.rs
+++ b/crates/core/src/serving/memory/eviction.rs
@@ -23,7 +23,7 @@
         let Some(holder) = self.holders.get(&id).cloned() else { return Shortage::default() };
         let shortfall = self.get_shortfall(now, &holder, bytes);
         let is_beyond_share = self.is_beyond_share(now, &holder, bytes);
-        if holder.kind == Kind::RequestBody {
+        if holder.kind == Kind::RequestBody && bytes <= self.get_most_for_body() {
             self.shares.entry(holder.account.clone()).or_default().wait_for(now, bytes);
         }
         let let_go = match is_beyond_share {
--- a/crates/core/src/serving/memory/room.rs
+++ b/crates/core/src/serving/memory/room.rs
@@ -55,6 +55,13 @@
         (self.get_capacity() as f64 * BODY_PART) as u64
     }
 
+    /// Returns the length up to which a body of any priority fits while nothing else is held. A longer
+    /// one does not count as waiting: what is kept free for it would serve nobody.
+    pub(super) fn get_most_for_body(&self) -> u64 {
+        let pool = self.get_body_capacity().saturating_sub(self.get_small_pool());
+        (pool as f64 * (1.0 - KEPT_PART)) as u64
+    }
+
     fn get_small_pool(&self) -> u64 {
         (self.get_body_capacity() as f64 * KEPT_PART) as u64
     }
@@ -62,9 +69,9 @@
     /// Returns the bytes that are kept free for the account that has waited for longest within its
     /// share, where it is another one.
     fn get_wanted_before(&self, now: Millis, account: &str) -> u64 {
-        let fair = self.get_fair_share(now);
+        let (fair, most) = (self.get_fair_share(now), self.get_most_for_body());
         let waiting = self.shares.iter().filter_map(|(name, share)| {
-            let wait = share.wait.filter(|wait| now < wait.until)?;
+            let wait = share.wait.filter(|wait| now < wait.until && wait.bytes <= most)?;
             let is_within = share.held == 0 || share.held + wait.bytes <= fair;
             is_within.then_some((wait.since, name, wait.bytes))
         });
--- a/crates/core/tests/serving/memory.rs
+++ b/crates/core/tests/serving/memory.rs
@@ -54,6 +54,47 @@
     assert!(memory.get_total() <= CAPACITY);
 }
 
+#[test]
+fn a_body_that_can_never_fit_keeps_no_memory_from_others() {
+    let mut memory = accountant();
+    assert!(begin(&mut memory, 0, &body("huge"), CAPACITY).is_err());
+    assert_eq!(fill(&mut memory, 10, &body("acme"), LARGE).len(), 9);
+}
+
+#[test]
+fn a_body_that_no_longer_fits_keeps_no_memory_from_others() {
+    let mut memory = accountant();
+    memory.observe(0, Some(130_000_000));
+    assert!(begin(&mut memory, 0, &body("large"), LARGE).is_err());
+    assert!(begin(&mut memory, 10, &body("acme"), 1_000_000).is_ok());
+}
+
+#[test]
+fn an_upload_that_is_to_go_is_known_until_it_ends() {
+    let mut memory = accountant();
+    let held = fill(&mut memory, 0, &body("acme"), LARGE);
+    let shortage = begin(&mut memory, 500, &body("blue"), LARGE).expect_err("no room");
+    let is_known = |memory: &Accountant| held.iter().any(|id| memory.is_let_go(*id));
+    assert!(is_known(&memory));
+    for id in shortage.let_go {
+        memory.close(510, id);
+    }
+    assert!(!is_known(&memory));
+}
+
+#[test]
+fn an_upload_that_ends_before_it_is_evicted_makes_no_room() {
+    let mut memory = accountant();
+    fill(&mut memory, 0, &body("acme"), LARGE);
+    let shortage = begin(&mut memory, 500, &body("blue"), LARGE).expect_err("no room");
+    for id in &shortage.let_go {
+        memory.note_whole(*id);
+    }
+    let next = begin(&mut memory, 510, &body("blue"), LARGE).expect_err("no room");
+    assert!(!next.let_go.is_empty());
+    assert!(next.let_go.iter().all(|id| !shortage.let_go.contains(id)), "{next:?}");
+}
+
 #[test]
 fn slow_readers_of_answers_do_not_keep_out_requests() {
     let mut memory = accountant();
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -183,7 +183,8 @@
     if !node.is_fresh() {
         return Err(progress.stop(Refusal::Stale, ROOM_RETRY_AFTER));
     }
-    let attempts = Attempts { tried: &progress.tried, began: progress.began };
+    let attempts =
+        Attempts { tried: &progress.tried, began: progress.began, ramp_draw: fastrand::f64() };
     let pick = pick::pick(node, exchange, attempts)
         .await
         .map_err(|unserved| progress.stop(unserved.reason, unserved.retry_after))?;
--- a/crates/gateway/src/exchange/feed.rs
+++ b/crates/gateway/src/exchange/feed.rs
@@ -35,6 +35,8 @@
     id: u64,
     request: String,
     passage: Arc<Passage>,
+    /// When the server's answer is cut off if it has not ended.
+    due: Millis,
     flow: Mutex<Flow>,
 }
 
@@ -84,9 +86,9 @@
 }
 
 /// Passes on what a server sends.
-pub(super) fn open(node: &Arc<Node>, reader: Reader, source: Source) -> Body {
+pub(super) fn open(node: &Arc<Node>, reader: Reader, source: Source, due: Millis) -> Body {
     let held = Reservation::new(node, Kind::ReadAhead);
-    let feed = Feed::new(node, reader, held);
+    let feed = Feed::new(node, reader, held, due);
     lock(&feed.flow).source = Some(source);
     Body::stream(FeedBody(feed), None)
 }
@@ -97,7 +99,7 @@
     if bytes.len() <= PIECE_BYTES {
         return Body::from(bytes);
     }
-    let feed = Feed::new(node, Reader::of(&record), held);
+    let feed = Feed::new(node, Reader::of(&record), held, Millis::MAX);
     let mut flow = lock(&feed.flow);
     flow.buffer.push(bytes);
     flow.record = Some(Box::new(record));
@@ -107,7 +109,7 @@
 }
 
 impl Feed {
-    fn new(node: &Arc<Node>, reader: Reader, held: Reservation) -> Arc<Self> {
+    fn new(node: &Arc<Node>, reader: Reader, held: Reservation, due: Millis) -> Arc<Self> {
         let Reader { request, passage, peer } = reader;
         passage.open();
         let bound = get_bound(node.with(|state| state.memory.get_capacity()));
@@ -126,7 +128,7 @@
             peer,
         };
         let flow = Mutex::new(flow);
-        node.feeds.add(|id| Self { node: node.clone(), id, request, passage, flow })
+        node.feeds.add(|id| Self { node: node.clone(), id, request, passage, due, flow })
     }
 
     /// Returns the id of the request.
@@ -185,8 +187,9 @@
             false => flow.progress.note_look(since),
         }
         let is_short = !flow.settle();
-        let is_room = flow.buffer.is_reading() && !is_short;
-        if flow.is_open() && is_room && !flow.is_asking && !flow.is_reading {
+        // Once the time is over, the source only ends, for which no room is needed.
+        let is_worth_reading = now >= self.due || (flow.buffer.is_reading() && !is_short);
+        if flow.is_open() && is_worth_reading && !flow.is_asking && !flow.is_reading {
             flow.is_reading = true;
             let feed = self.clone();
             let reading = future::poll_fn(move |context| feed.poll_ahead(context));
@@ -201,7 +204,8 @@
     fn poll_ahead(&self, context: &mut Context<'_>) -> Poll<()> {
         let mut flow = lock(&self.flow);
         while !flow.is_asking && flow.is_open() {
-            if !flow.buffer.is_reading() || !flow.settle() {
+            let is_due = self.node.now() >= self.due;
+            if !is_due && (!flow.buffer.is_reading() || !flow.settle()) {
                 break;
             }
             let Poll::Ready(step) = flow.poll_source(context) else { return Poll::Pending };
--- a/crates/gateway/src/exchange/pick.rs
+++ b/crates/gateway/src/exchange/pick.rs
@@ -29,6 +29,10 @@
     pub tried: &'a [String],
     /// Since when the caller waits.
     pub began: Millis,
+    /// Random, from 0 to 1: whether the request goes to servers that get their work back gradually.
+    /// One draw for all servers and steps of a choice, so that the servers whose loads are asked for
+    /// are those that may be chosen.
+    pub ramp_draw: f64,
 }
 
 /// A server for an attempt.
@@ -225,7 +229,7 @@
     side: Side,
     place: &Place<'_>,
 ) -> Found {
-    let allowed = Allowed::new(node, exchange, attempts.tried, side);
+    let allowed = Allowed::new(node, exchange, attempts, side);
     let found = pick_allowed(node, exchange, &allowed, place).await;
     let other = match (side, found.offer) {
         (Side::Canary | Side::Target, Offer::Busy(_) | Offer::None) => Side::Rest,
@@ -233,7 +237,7 @@
         (Side::RestFirst, Offer::None) => Side::Target,
         _ => return found,
     };
-    let allowed = Allowed::new(node, exchange, attempts.tried, other);
+    let allowed = Allowed::new(node, exchange, attempts, other);
     let second = pick_allowed(node, exchange, &allowed, place).await;
     // Servers of the first choice that are busy are worth a later try.
     if second.offer == Offer::None { found } else { second }
@@ -244,22 +248,22 @@
     side: Side,
     /// The only ones, where the side is [`Side::Canary`].
     canaries: Vec<String>,
-    tried: &'a [String],
+    attempts: Attempts<'a>,
 }
 
 impl<'a> Allowed<'a> {
-    fn new(node: &Node, exchange: &Exchange, tried: &'a [String], side: Side) -> Self {
+    fn new(node: &Node, exchange: &Exchange, attempts: Attempts<'a>, side: Side) -> Self {
         let canaries = match side {
             Side::Canary => rollouts::list_canaries(node, &exchange.service),
             _ => Vec::new(),
         };
-        Self { side, canaries, tried }
+        Self { side, canaries, attempts }
     }
 
     fn is_allowed(&self, state: &State, server: &Server) -> bool {
         let is_chosen = self.side != Side::Canary || self.canaries.contains(&server.id);
         let is_of_side = state.rollouts.is_allowed(self.side, server);
-        is_chosen && is_of_side && !self.tried.contains(&server.id)
+        is_chosen && is_of_side && !self.attempts.tried.contains(&server.id)
     }
 }
 
@@ -277,12 +281,13 @@
     let is_allowed = |state: &State, server: &Server| {
         allowed.is_allowed(state, server) && place.holds(node, server)
     };
+    let ramp_draw = allowed.attempts.ramp_draw;
     if !place.is_asked {
-        return pick_among(node, exchange, &place.criteria, is_allowed);
+        return pick_among(node, exchange, &place.criteria, ramp_draw, is_allowed);
     }
     let mut found = Found::NOTHING;
     for is_wide in [false, true] {
-        let listed = list_candidates(node, exchange, is_wide, is_allowed);
+        let listed = list_candidates(node, exchange, is_wide, ramp_draw, is_allowed);
         let is_answered = ask_loads(node, &listed).await;
         if let Some((region, cause)) = place.far {
             node.with(|state| state.links.note_answer(node.now(), region, is_answered));
@@ -290,8 +295,9 @@
                 return Found::NOTHING;
             }
         }
-        found =
-            pick_among(node, exchange, &place.criteria, |_, server| listed.contains(&server.id));
+        found = pick_among(node, exchange, &place.criteria, ramp_draw, |_, server| {
+            listed.contains(&server.id)
+        });
         if place.far.is_some() || !is_worth_more(node, found.offer) {
             break;
         }
@@ -314,6 +320,7 @@
     node: &Node,
     exchange: &Exchange,
     is_wide: bool,
+    ramp_draw: f64,
     is_allowed: impl Fn(&State, &Server) -> bool,
 ) -> Vec<String> {
     let now = node.now();
@@ -322,7 +329,7 @@
             let ready = state.directory.iter_ready(&exchange.service);
             ready.filter(|server| is_allowed(state, server))
         };
-        let sound = untried().filter(|server| !is_avoided(state, exchange, now, server));
+        let sound = untried().filter(|server| !is_avoided(state, exchange, ramp_draw, now, server));
         let draw = fastrand::u64(..);
         let mut listed = shortlist(sound, &exchange.criteria, draw, is_wide);
         if listed.is_empty() {
@@ -337,6 +344,7 @@
     node: &Node,
     exchange: &Exchange,
     criteria: &Criteria,
+    ramp_draw: f64,
     is_candidate: impl Fn(&State, &Server) -> bool,
 ) -> Found {
     let now = node.now();
@@ -346,7 +354,7 @@
         let candidates: Vec<Candidate<'_>> = ready
             .filter(|server| is_candidate(state, server))
             .map(|server| Candidate {
-                is_ejected: is_avoided(state, exchange, now, server),
+                is_ejected: is_avoided(state, exchange, ramp_draw, now, server),
                 ..weigh(state, throughput, now, server)
             })
             .collect();
@@ -362,10 +370,16 @@
 
 /// Returns `true` if a server gets the request only where no other is left: it is ejected, gets its
 /// work back gradually, or holds as many bytes as it may.
-fn is_avoided(state: &State, exchange: &Exchange, now: Millis, server: &Server) -> bool {
+fn is_avoided(
+    state: &State,
+    exchange: &Exchange,
+    ramp_draw: f64,
+    now: Millis,
+    server: &Server,
+) -> bool {
     let (id, service) = (&server.id, &server.service);
     state.health.is_ejected(now, id)
-        || state.health.is_ramping(now, id, fastrand::f64())
+        || state.health.is_ramping(now, id, ramp_draw)
         || state.held.is_full(now, service, id, exchange.body_bytes as u64)
 }
 
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -33,8 +33,9 @@
             record.end(status, "left");
             let reader = Reader::of(&record);
             let open = Open { status, server, first, rest, load };
+            let due = exchange.due;
             let source = source::read(node.clone(), exchange, record, open);
-            feed::open(&node, reader, source)
+            feed::open(&node, reader, source, due)
         }
     };
     close_if_stopping(&node, &mut response);
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -181,6 +181,10 @@
     }
 
     async fn receive(&mut self) -> Next {
+        // A server whose bytes always wait would never let the timer be polled.
+        if self.exchange.get_left(self.node.now()) == 0 {
+            return Next::Due;
+        }
         let Some(reply) = self.reply.as_mut() else { return Next::Broken };
         let due = &mut self.due;
         let received = async {
--- a/crates/gateway/src/node/memory.rs
+++ b/crates/gateway/src/node/memory.rs
@@ -59,7 +59,12 @@
     /// Returns the signal that this upload is let go.
     pub(crate) fn watch(&mut self) -> Stop {
         self.has_stop = true;
-        lock(&self.node.uploads.0).entry(self.id).or_default().clone()
+        let stop = lock(&self.node.uploads.0).entry(self.id).or_default().clone();
+        // It may have been picked before it was watched.
+        if self.node.with(|state| state.memory.is_let_go(self.id)) {
+            stop.give();
+        }
+        stop
     }
 
     /// Reserves more bytes; returns `false`, and reserves nothing, where there is no room for them.
