refactor(memory): uploads are evicted and callers disconnected, no longer let go

The field has terms for both, and "let go" stood for either. Log: upload_let_go is upload_evicted, caller_let_go is caller_disconnected; metrics: uploads_let_go is uploads_evicted, callers_let_go is callers_disconnected; the outcome let_go is disconnected. The tests changed in these names only.

--- a/crates/core/src/serving/memory/accountant.rs
+++ b/crates/core/src/serving/memory/accountant.rs
@@ -91,7 +91,7 @@
             received: 0,
             progressed_at: now,
             is_uploading: claim.kind == Kind::RequestBody,
-            is_let_go: false,
+            is_evicted: false,
             is_small: claim.kind == Kind::RequestBody,
         };
         self.holders.insert(id, holder);
@@ -139,18 +139,18 @@
         }
     }
 
-    /// Notes that a body is whole: it is not let go any more.
+    /// Notes that a body is whole: it is not evicted any more.
     pub fn note_whole(&mut self, id: HolderId) {
         if let Some(holder) = self.holders.get_mut(&id) {
             holder.is_uploading = false;
             // Its memory stays in use for the request, and counts no longer as about to be free.
-            holder.is_let_go = false;
+            holder.is_evicted = false;
         }
     }
 
     /// Returns `true` if a holder was picked to make room.
-    pub fn is_let_go(&self, id: HolderId) -> bool {
-        self.holders.get(&id).is_some_and(|holder| holder.is_let_go)
+    pub fn is_evicted(&self, id: HolderId) -> bool {
+        self.holders.get(&id).is_some_and(|holder| holder.is_evicted)
     }
 
     /// Releases some of a holder's bytes.
--- a/crates/core/src/serving/memory/eviction.rs
+++ b/crates/core/src/serving/memory/eviction.rs
@@ -13,8 +13,8 @@
 pub struct Shortage {
     /// When to retry, in milliseconds from now.
     pub retry_after: Millis,
-    /// Uploads to let go: their bytes are free once they are dropped.
-    pub let_go: Vec<HolderId>,
+    /// Uploads to evict: their bytes are free once they are dropped.
+    pub evicted: Vec<HolderId>,
 }
 
 impl Accountant {
@@ -26,23 +26,23 @@
         if holder.kind == Kind::RequestBody && bytes <= self.get_most_for_body() {
             self.shares.entry(holder.account.clone()).or_default().wait_for(now, bytes);
         }
-        let let_go = match is_beyond_share {
+        let evicted = match is_beyond_share {
             true => Vec::new(),
-            false => self.let_go(now, Some((id, &holder)), shortfall),
+            false => self.evict(now, Some((id, &holder)), shortfall),
         };
-        let retry_after = match let_go.is_empty() {
+        let retry_after = match evicted.is_empty() {
             true => self.releases.estimate(now, bytes),
             false => LEAST_RETRY_AFTER,
         };
-        Shortage { retry_after, let_go }
+        Shortage { retry_after, evicted }
     }
 
-    /// Lets resting uploads go that make room for so many bytes; none where they are not enough.
+    /// Evicts resting uploads that make room for so many bytes; none where they are not enough.
     ///
     /// Those of accounts beyond their share go first, then the less urgent, then those that have
-    /// rested for longest, then the largest. A body is let go only for one at least as urgent, or
+    /// rested for longest, then the largest. A body is evicted only for one at least as urgent, or
     /// for an account that holds less.
-    pub(super) fn let_go(
+    pub(super) fn evict(
         &mut self,
         now: Millis,
         wanted_by: Option<(HolderId, &Holder)>,
@@ -66,7 +66,7 @@
             })
             .collect();
         resting.sort();
-        let leaving = self.holders.values().filter(|holder| holder.is_let_go);
+        let leaving = self.holders.values().filter(|holder| holder.is_evicted);
         let mut made: u64 = leaving.map(|holder| holder.reserved).sum();
         let mut picked = Vec::new();
         for (_, _, _, Reverse(reserved), id) in resting {
@@ -81,7 +81,7 @@
         }
         for id in &picked {
             if let Some(holder) = self.holders.get_mut(id) {
-                holder.is_let_go = true;
+                holder.is_evicted = true;
             }
         }
         picked
--- a/crates/core/src/serving/memory/holder.rs
+++ b/crates/core/src/serving/memory/holder.rs
@@ -35,7 +35,7 @@
     pub(super) progressed_at: Millis,
     /// Whether bytes of the body are still to come.
     pub(super) is_uploading: bool,
-    pub(super) is_let_go: bool,
+    pub(super) is_evicted: bool,
     pub(super) is_small: bool,
 }
 
@@ -46,7 +46,7 @@
 
     pub(super) fn is_resting(&self, now: Millis) -> bool {
         let rested = now.saturating_sub(self.progressed_at);
-        self.is_uploading && !self.is_let_go && rested >= RESTS_AFTER
+        self.is_uploading && !self.is_evicted && rested >= RESTS_AFTER
     }
 
     /// Returns the bytes that are reserved and that no memory was taken for yet.
--- a/crates/core/src/serving/memory/mod.rs
+++ b/crates/core/src/serving/memory/mod.rs
@@ -8,7 +8,7 @@
 //!   have a pool of their own besides;
 //! - the account that has waited for longest gets what is released first, and one that holds its
 //!   share already gets no more while another one waits;
-//! - an upload that rests is let go for one that has yet to begin.
+//! - an upload that rests is evicted for one that has yet to begin.
 //!
 //! The process takes more memory than is reserved: for its sockets, and what the allocator keeps.
 //! Samples of its resident memory lower what may be reserved by what they show beyond the sum.
--- a/crates/core/src/serving/memory/pressure.rs
+++ b/crates/core/src/serving/memory/pressure.rs
@@ -58,7 +58,7 @@
         self.is_short
     }
 
-    /// Takes a sample of the process's resident memory; returns uploads to let go.
+    /// Takes a sample of the process's resident memory; returns uploads to evict.
     pub fn observe(&mut self, now: Millis, resident: Option<u64>) -> Vec<HolderId> {
         let untouched: u64 = self.holders.values().map(Holder::get_untouched).sum();
         let touched = self.get_total().saturating_sub(untouched);
@@ -69,6 +69,6 @@
         let bound = if self.is_short { self.leaves_at * RELIEF_PART } else { self.leaves_at };
         self.is_short = part >= bound;
         let excess = self.get_total().saturating_sub(self.get_capacity());
-        if excess == 0 { Vec::new() } else { self.let_go(now, None, excess) }
+        if excess == 0 { Vec::new() } else { self.evict(now, None, excess) }
     }
 }
--- a/crates/core/src/serving/memory/release.rs
+++ b/crates/core/src/serving/memory/release.rs
@@ -3,7 +3,7 @@
 use crate::Millis;
 
 /// The bounds of `Retry-After`, in milliseconds: small bodies end in the least, and resting uploads
-/// are let go in the most.
+/// are evicted in the most.
 pub(super) const LEAST_RETRY_AFTER: Millis = 100;
 pub(super) const MOST_RETRY_AFTER: Millis = 3_000;
 /// The time over which the rate of releases is measured.
--- a/crates/core/src/serving/read_ahead.rs
+++ b/crates/core/src/serving/read_ahead.rs
@@ -1,9 +1,9 @@
-//! How much of an answer is read before its caller takes it, and when a caller is let go.
+//! How much of an answer is read before its caller takes it, and when a caller is disconnected.
 //!
 //! An answer is read as fast as its server sends it, so that a caller's pause neither costs the
 //! answer nor keeps the server's slot. What the caller has not taken is held up to a bound; then
 //! reading stops until the caller has taken half of it. A caller that takes next to nothing of what
-//! is held for it is let go.
+//! is held for it is disconnected.
 
 use std::collections::VecDeque;
 
@@ -23,7 +23,7 @@
 /// Bytes that a caller must take within [`PROGRESS_WITHIN`]. Slower, even an answer of 100 kB would
 /// lie here for an hour.
 pub const LEAST_TAKEN: usize = 256;
-/// How long a caller must have taken nothing to be let go where memory is short or the node is about
+/// How long a caller must have taken nothing to be disconnected where memory is short or the node is about
 /// to stop, in milliseconds: a caller that reads at all takes something within it.
 pub const RESTING_AFTER: Millis = 1_000;
 /// The longest time that one look at a caller counts for, in milliseconds. After a pause of the whole
@@ -142,7 +142,7 @@
     pub resting: Millis,
 }
 
-/// Picks the callers to let go so that `missing` bytes become free: those that rest, the slowest and
+/// Picks the callers to disconnect so that `missing` bytes become free: those that rest, the slowest and
 /// largest first. A caller that reads is never picked.
 pub fn pick_resting(callers: &[Caller], missing: usize) -> Vec<u64> {
     let mut resting: Vec<&Caller> =
--- a/crates/core/tests/serving/memory.rs
+++ b/crates/core/tests/serving/memory.rs
@@ -74,9 +74,9 @@
     let mut memory = accountant();
     let held = fill(&mut memory, 0, &body("acme"), LARGE);
     let shortage = begin(&mut memory, 500, &body("blue"), LARGE).expect_err("no room");
-    let is_known = |memory: &Accountant| held.iter().any(|id| memory.is_let_go(*id));
+    let is_known = |memory: &Accountant| held.iter().any(|id| memory.is_evicted(*id));
     assert!(is_known(&memory));
-    for id in shortage.let_go {
+    for id in shortage.evicted {
         memory.close(510, id);
     }
     assert!(!is_known(&memory));
@@ -87,12 +87,12 @@
     let mut memory = accountant();
     fill(&mut memory, 0, &body("acme"), LARGE);
     let shortage = begin(&mut memory, 500, &body("blue"), LARGE).expect_err("no room");
-    for id in &shortage.let_go {
+    for id in &shortage.evicted {
         memory.note_whole(*id);
     }
     let next = begin(&mut memory, 510, &body("blue"), LARGE).expect_err("no room");
-    assert!(!next.let_go.is_empty());
-    assert!(next.let_go.iter().all(|id| !shortage.let_go.contains(id)), "{next:?}");
+    assert!(!next.evicted.is_empty());
+    assert!(next.evicted.iter().all(|id| !shortage.evicted.contains(id)), "{next:?}");
 }
 
 #[test]
@@ -128,24 +128,24 @@
         }
     }
     let shortage = begin(&mut memory, 2_000, &body("acme"), LARGE).expect_err("no room");
-    assert_eq!(shortage, Shortage { retry_after: 100, let_go: vec![uploads[0]] });
+    assert_eq!(shortage, Shortage { retry_after: 100, evicted: vec![uploads[0]] });
     // Nobody else goes while its bytes are on their way back.
     let shortage = begin(&mut memory, 2_010, &body("acme"), LARGE).expect_err("no room");
-    assert_eq!(shortage.let_go, []);
+    assert_eq!(shortage.evicted, []);
     memory.close(2_020, uploads[0]);
     assert!(begin(&mut memory, 2_020, &body("acme"), LARGE).is_ok());
 }
 
 #[test]
-fn a_whole_body_and_one_that_is_more_urgent_are_not_let_go() {
+fn a_whole_body_and_one_that_is_more_urgent_are_not_evicted() {
     let mut memory = accountant();
     let uploads = fill(&mut memory, 0, &body("acme"), LARGE);
     uploads[1..].iter().for_each(|upload| memory.note_whole(*upload));
     let later = Claim { urgency: 3, ..body("acme") };
     let shortage = begin(&mut memory, 5_000, &later, LARGE).expect_err("no room");
-    assert_eq!(shortage.let_go, []);
+    assert_eq!(shortage.evicted, []);
     let shortage = begin(&mut memory, 5_000, &body("acme"), LARGE).expect_err("no room");
-    assert_eq!(shortage.let_go, [uploads[0]]);
+    assert_eq!(shortage.evicted, [uploads[0]]);
 }
 
 #[test]
@@ -193,13 +193,13 @@
 }
 
 #[test]
-fn resting_uploads_are_let_go_where_the_process_grows() {
+fn resting_uploads_are_evicted_where_the_process_grows() {
     let mut memory = accountant();
     let uploads = fill(&mut memory, 0, &body("acme"), LARGE);
     assert_eq!(memory.observe(1_000, Some(60_000_000)), []);
-    let let_go = memory.observe(1_250, Some(115_000_000));
-    assert_eq!(let_go.len(), 4, "37.7 MB are held, and 21 MB fit");
-    assert!(let_go.iter().all(|id| uploads.contains(id)));
+    let evicted = memory.observe(1_250, Some(115_000_000));
+    assert_eq!(evicted.len(), 4, "37.7 MB are held, and 21 MB fit");
+    assert!(evicted.iter().all(|id| uploads.contains(id)));
 }
 
 #[test]
@@ -244,7 +244,7 @@
             Err(shortage) => {
                 refused += 1;
                 assert!((100..=3_000).contains(&shortage.retry_after));
-                for id in shortage.let_go {
+                for id in shortage.evicted {
                     resting.retain(|known| *known != id);
                     memory.close(now, id);
                 }
--- a/crates/core/tests/serving/read_ahead.rs
+++ b/crates/core/tests/serving/read_ahead.rs
@@ -26,7 +26,7 @@
 }
 
 #[test]
-fn a_caller_that_takes_nothing_is_let_go_after_ten_seconds() {
+fn a_caller_that_takes_nothing_is_disconnected_after_ten_seconds() {
     let mut progress = Progress::default();
     (0..99).for_each(|_| progress.note_look(100));
     assert!(!progress.is_over());
@@ -66,7 +66,7 @@
 }
 
 #[test]
-fn a_pause_of_the_process_lets_nobody_go() {
+fn a_pause_of_the_process_disconnects_nobody() {
     let mut progress = Progress::default();
     progress.note_look(60_000);
     assert!(!progress.is_over());
@@ -121,7 +121,7 @@
         prop_assert_eq!(got, text);
     }
 
-    /// Of callers that read none is let go, whatever is missing.
+    /// Of callers that read none is disconnected, whatever is missing.
     #[test]
     fn callers_that_read_are_kept(
         callers in proptest::collection::vec((1usize..1_000_000, 0u64..20_000), 0..30),
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -115,8 +115,8 @@
         may_have_run: bool,
         why: &'a str,
     },
-    /// An upload was let go: it came too slowly, or its memory was needed.
-    UploadLetGo { request: &'a str, received: u64, length: Option<u64>, why: &'a str },
+    /// An upload was evicted: it came too slowly, or its memory was needed.
+    UploadEvicted { request: &'a str, received: u64, length: Option<u64>, why: &'a str },
     /// Callers should go to other nodes for want of memory, or no longer.
     MemoryPressureChanged {
         is_short: bool,
@@ -125,8 +125,8 @@
         capacity: u64,
         resident: Option<u64>,
     },
-    /// A caller that did not read its answer was let go.
-    CallerLetGo { request: &'a str, reason: &'a str, held_bytes: usize, resting_ms: u64 },
+    /// A caller that did not read its answer was disconnected.
+    CallerDisconnected { request: &'a str, reason: &'a str, held_bytes: usize, resting_ms: u64 },
     /// A server ended a connection while it held much: less is sent to the service's servers.
     HeldBoundLowered { server: &'a str, service: &'a str, held_bytes: u64, bound_bytes: u64 },
     /// A request under which two servers ended goes to no third one.
--- a/crates/gateway/src/exchange/callers.rs
+++ b/crates/gateway/src/exchange/callers.rs
@@ -1,4 +1,4 @@
-//! Looks after callers that read slowly: reads ahead for them, and lets go those that do not read.
+//! Reads ahead for callers that read slowly, and disconnects those that do not read.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +14,8 @@
 /// The time between two looks at all callers: a small part of what servers wait for a reader, and of
 /// the time after which a caller counts as resting.
 const LOOK: Duration = Duration::from_millis(100);
-/// The part of the memory for callers and servers in use from which callers that rest are let go.
+/// The part of the memory for callers and servers that is in use when callers at rest are
+/// disconnected.
 const PRESSED_PART: f64 = 0.9;
 /// The part that is in use afterwards.
 const EASED_PART: f64 = 0.8;
@@ -28,13 +29,13 @@
     });
 }
 
-/// Lets all callers go that rest; called shortly before the node ends.
-pub fn let_resting_go(node: &Node) {
+/// Disconnects all callers that rest; called shortly before the node ends.
+pub fn disconnect_resting(node: &Node) {
     let now = node.now();
     for feed in node.feeds.list() {
         let look = feed.look(now);
         if look.caller.resting >= RESTING_AFTER {
-            let_go(node, &feed, &look, "stopping");
+            disconnect(node, &feed, &look, "stopping");
         }
     }
 }
@@ -44,7 +45,7 @@
     let feeds = node.feeds.list();
     let looked: Vec<(&Arc<Feed>, Look)> = feeds.iter().map(|feed| (feed, feed.look(now))).collect();
     for (feed, look) in looked.iter().filter(|(_, look)| look.is_over) {
-        let_go(node, feed, look, "no_progress");
+        disconnect(node, feed, look, "no_progress");
     }
     let is_short = looked.iter().any(|(_, look)| look.is_short);
     let missing = find_missing(node, is_short);
@@ -55,7 +56,7 @@
         looked.iter().filter(|(_, look)| !look.is_over).map(|(_, look)| look.caller).collect();
     let picked = pick_resting(&callers, missing);
     for (feed, look) in looked.iter().filter(|(_, look)| picked.contains(&look.caller.id)) {
-        let_go(node, feed, look, "memory");
+        disconnect(node, feed, look, "memory");
     }
 }
 
@@ -69,14 +70,14 @@
     (total - capacity * EASED_PART) as usize
 }
 
-fn let_go(node: &Node, feed: &Arc<Feed>, look: &Look, reason: &'static str) {
-    event::emit(&Event::CallerLetGo {
+fn disconnect(node: &Node, feed: &Arc<Feed>, look: &Look, reason: &'static str) {
+    event::emit(&Event::CallerDisconnected {
         request: feed.get_request(),
         reason,
         held_bytes: look.caller.bytes,
         resting_ms: look.caller.resting,
     });
     let labels = ReasonLabels { reason: reason.to_owned() };
-    node.metrics.callers_let_go.get_or_create(&labels).inc();
-    feed.let_go(reason);
+    node.metrics.callers_disconnected.get_or_create(&labels).inc();
+    feed.disconnect(reason);
 }
--- a/crates/gateway/src/exchange/feed.rs
+++ b/crates/gateway/src/exchange/feed.rs
@@ -219,9 +219,9 @@
     }
 
     /// Ends the answer and its run; its caller's connection is cut.
-    pub(super) fn let_go(&self, reason: &'static str) {
+    pub(super) fn disconnect(&self, reason: &'static str) {
         let mut flow = lock(&self.flow);
-        self.passage.let_go();
+        self.passage.disconnect();
         let ended = flow.end();
         flow.error = Some(io::Error::new(io::ErrorKind::TimedOut, reason));
         let peer = flow.peer.take();
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -10,7 +10,7 @@
 //! | `relay` | makes the caller's response from an answer |
 //! | `source` | reads the answer from its server, and lets another server go on with it |
 //! | `feed` | passes the answer on, and reads ahead while the caller does not read |
-//! | `callers` | lets callers go that do not read |
+//! | `callers` | disconnects callers that do not read |
 //! | `respond` | writes refusals, and tells of each request's end |
 
 mod admission;
@@ -37,7 +37,7 @@
 use respond::Record;
 use upload::Arriving;
 
-pub use callers::{let_resting_go, watch as watch_callers};
+pub use callers::{disconnect_resting, watch as watch_callers};
 pub use feed::Feeds;
 
 /// Answers a caller's request.
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -48,7 +48,7 @@
     None,
     Open,
     Finished,
-    LetGo,
+    Disconnected,
 }
 
 impl Passage {
@@ -70,9 +70,9 @@
         lock(&self.passed).stage = Stage::Finished;
     }
 
-    /// Notes that the caller was let go.
-    pub fn let_go(&self) {
-        lock(&self.passed).stage = Stage::LetGo;
+    /// Notes that the caller was disconnected.
+    pub fn disconnect(&self) {
+        lock(&self.passed).stage = Stage::Disconnected;
     }
 
     /// Notes a piece that is passed on, and the pause before it.
@@ -87,7 +87,7 @@
     /// Returns the outcome of a request, given that of its server's answer.
     fn judge(&self, answer: &'static str) -> &'static str {
         match self.get().stage {
-            Stage::LetGo => "let_go",
+            Stage::Disconnected => "disconnected",
             Stage::Open if answer == ANSWERED => "left",
             _ => answer,
         }
--- a/crates/gateway/src/exchange/upload.rs
+++ b/crates/gateway/src/exchange/upload.rs
@@ -102,7 +102,7 @@
     /// # Errors
     ///
     /// Returns [`Refusal::BodyTimeout`] where it comes too slowly, [`Refusal::NoMemory`] where it
-    /// is let go, [`Refusal::BodyTooLong`] and [`Refusal::BadRequest`].
+    /// is evicted, [`Refusal::BodyTooLong`] and [`Refusal::BadRequest`].
     pub async fn read(mut self, arriving: &mut Arriving) -> Result<Bytes, Failed> {
         let Some(mut reservation) = self.reservation.take() else { return Ok(Bytes::new()) };
         arriving.is_begun = true;
@@ -125,9 +125,9 @@
                 Next::End => break,
                 Next::Broken => return Err(Refusal::BadRequest.into()),
                 Next::Tick if wait.as_mut().is_none_or(|wait| !wait.is_too_slow(received)) => {}
-                Next::Tick => return Err(self.let_go(received, TOO_SLOW)),
-                Next::Due => return Err(self.let_go(received, "deadline")),
-                Next::LetGo => return Err(self.let_go(received, NO_MEMORY)),
+                Next::Tick => return Err(self.evict(received, TOO_SLOW)),
+                Next::Due => return Err(self.evict(received, "deadline")),
+                Next::Evicted => return Err(self.evict(received, NO_MEMORY)),
             }
         }
         reservation.note_whole();
@@ -145,11 +145,11 @@
         }
     }
 
-    fn let_go(&self, received: u64, why: &'static str) -> Failed {
+    fn evict(&self, received: u64, why: &'static str) -> Failed {
         let labels = ReasonLabels { reason: why.to_owned() };
-        self.node.metrics.uploads_let_go.get_or_create(&labels).inc();
+        self.node.metrics.uploads_evicted.get_or_create(&labels).inc();
         let (request, length) = (self.request, self.length);
-        event::emit(&Event::UploadLetGo { request, received, length, why });
+        event::emit(&Event::UploadEvicted { request, received, length, why });
         match why {
             NO_MEMORY => Failed { reason: Refusal::NoMemory, retry_after: RETRY_AFTER },
             _ => Refusal::BodyTimeout.into(),
@@ -157,11 +157,11 @@
     }
 }
 
-/// Why an upload is let go.
+/// Why an upload is evicted.
 const TOO_SLOW: &str = "too_slow";
 const NO_MEMORY: &str = "no_memory";
 
-/// `Retry-After` of an upload that was let go, in milliseconds: the one that it made room for has
+/// `Retry-After` of an upload that was evicted, in milliseconds: the one that it made room for has
 /// come by then, where it comes at a usual speed.
 const RETRY_AFTER: Millis = 1_000;
 
@@ -182,7 +182,7 @@
     Data(Bytes),
     End,
     Broken,
-    LetGo,
+    Evicted,
     Tick,
     Due,
 }
@@ -206,7 +206,7 @@
     async fn end(&mut self) -> Next {
         let stopped = async {
             self.stop.given().await;
-            Next::LetGo
+            Next::Evicted
         };
         let due = async {
             (&mut self.due).await;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -118,12 +118,12 @@
     pub capacity_need: Family<CapacityLabels, Gauge>,
     /// Servers of both kinds that the plan holds in a region, at the holder of the duties.
     pub capacity_planned: Family<CapacityLabels, Gauge>,
-    /// Uploads that were let go.
-    pub uploads_let_go: Family<ReasonLabels, Counter>,
+    /// Uploads that were evicted.
+    pub uploads_evicted: Family<ReasonLabels, Counter>,
     /// Bytes of answers that were read before their callers asked for them.
     pub read_ahead: Counter,
-    /// Callers that were let go because they did not read.
-    pub callers_let_go: Family<ReasonLabels, Counter>,
+    /// Callers that were disconnected because they did not read.
+    pub callers_disconnected: Family<ReasonLabels, Counter>,
     /// Requests that went to no third server after two had ended under them.
     pub requests_stopped: Counter,
     gauges: Gauges,
@@ -188,9 +188,9 @@
             link_full: Family::default(),
             capacity_need: Family::default(),
             capacity_planned: Family::default(),
-            uploads_let_go: Family::default(),
+            uploads_evicted: Family::default(),
             read_ahead: Counter::default(),
-            callers_let_go: Family::default(),
+            callers_disconnected: Family::default(),
             requests_stopped: Counter::default(),
             gauges: Gauges::default(),
         };
@@ -271,9 +271,9 @@
             self.link_full.clone(),
         );
         registry.register(
-            "uploads_let_go",
+            "uploads_evicted",
             "Bodies that came too slowly, or whose memory was needed",
-            self.uploads_let_go.clone(),
+            self.uploads_evicted.clone(),
         );
         registry.register_with_unit(
             "read_ahead",
@@ -282,9 +282,9 @@
             self.read_ahead.clone(),
         );
         registry.register(
-            "callers_let_go",
+            "callers_disconnected",
             "Callers that did not read",
-            self.callers_let_go.clone(),
+            self.callers_disconnected.clone(),
         );
         registry.register(
             "requests_stopped",
--- a/crates/gateway/src/node/memory.rs
+++ b/crates/gateway/src/node/memory.rs
@@ -1,7 +1,7 @@
 //! Memory that is held for callers and servers.
 //!
 //! The decisions are those of [`keeljunction_core::serving::memory`]; this module ties what is
-//! reserved to the life of what holds it, wakes uploads that are let go, and tells the accountant
+//! reserved to the life of what holds it, wakes uploads that are evicted, and tells the accountant
 //! how much memory the process has.
 
 use std::collections::HashMap;
@@ -19,15 +19,15 @@
 /// The time between two samples of the resident memory: at the bandwidth of a small VM's link, 10
 /// to 200 Mbit/s, at most some megabytes come meanwhile.
 const SAMPLE_PAUSE: Duration = Duration::from_millis(250);
-/// The time in which uploads that are let go give their memory back.
+/// The time in which uploads that are evicted give their memory back.
 const GIVE_BACK: Duration = Duration::from_millis(20);
 
-/// Signals to uploads that they are let go.
+/// Signals to uploads that they are evicted.
 #[derive(Default)]
 pub(crate) struct Uploads(Mutex<HashMap<HolderId, Stop>>);
 
 impl Uploads {
-    fn let_go(&self, ids: &[HolderId]) {
+    fn evict(&self, ids: &[HolderId]) {
         let stops = lock(&self.0);
         for stop in ids.iter().filter_map(|id| stops.get(id)) {
             stop.give();
@@ -56,12 +56,12 @@
         Self { node: node.clone(), id, bytes: 0, has_stop: false }
     }
 
-    /// Returns the signal that this upload is let go.
+    /// Returns the signal that this upload is evicted.
     pub(crate) fn watch(&mut self) -> Stop {
         self.has_stop = true;
         let stop = lock(&self.node.uploads.0).entry(self.id).or_default().clone();
         // It may have been picked before it was watched.
-        if self.node.with(|state| state.memory.is_let_go(self.id)) {
+        if self.node.with(|state| state.memory.is_evicted(self.id)) {
             stop.give();
         }
         stop
@@ -88,14 +88,14 @@
                 Ok(())
             }
             Err(shortage) => {
-                self.node.uploads.let_go(&shortage.let_go);
-                let is_made = !shortage.let_go.is_empty();
+                self.node.uploads.evict(&shortage.evicted);
+                let is_made = !shortage.evicted.is_empty();
                 Err(NoRoom { retry_after: shortage.retry_after, is_made })
             }
         }
     }
 
-    /// Reserves more bytes, and waits for uploads that are let go for them.
+    /// Reserves more bytes, and waits for uploads that are evicted for them.
     ///
     /// # Errors
     ///
@@ -117,7 +117,7 @@
         self.node.with(|state| state.memory.note_received(now, self.id, bytes));
     }
 
-    /// Notes that a body is whole: it is not let go any more.
+    /// Notes that a body is whole: it is not evicted any more.
     pub(crate) fn note_whole(&self) {
         self.node.with(|state| state.memory.note_whole(self.id));
     }
@@ -163,12 +163,12 @@
 
 fn observe(node: &Node) {
     let (now, resident) = (node.now(), read_resident_bytes());
-    let (was_short, is_short, used, let_go) = node.with(|state| {
+    let (was_short, is_short, used, evicted) = node.with(|state| {
         let was_short = state.memory.is_short();
-        let let_go = state.memory.observe(now, resident);
-        (was_short, state.memory.is_short(), state.memory.get_use(), let_go)
+        let evicted = state.memory.observe(now, resident);
+        (was_short, state.memory.is_short(), state.memory.get_use(), evicted)
     });
-    node.uploads.let_go(&let_go);
+    node.uploads.evict(&evicted);
     if was_short != is_short {
         let Use { reserved, capacity, resident, part } = used;
         event::emit(&Event::MemoryPressureChanged { is_short, part, reserved, capacity, resident });
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -94,7 +94,7 @@
     pub(super) pending_loads: loads::Pending,
     /// Requests about which the owners of their client accounts were asked.
     pub(super) pending_decisions: quota::Pending,
-    /// Signals to uploads that are let go.
+    /// Signals to uploads that are evicted.
     pub(crate) uploads: Uploads,
     /// What the node knows of the deployment.
     pub state: Mutex<State>,
--- a/crates/gateway/src/node/stop.rs
+++ b/crates/gateway/src/node/stop.rs
@@ -15,8 +15,8 @@
 const END_MARGIN: Duration = Duration::from_millis(500);
 /// Time after the last answer in which a caller that has just read it may ask again.
 const LINGER: Duration = Duration::from_millis(300);
-/// Time before the end of the grace at which callers that do not read are let go: their answers
-/// cannot be delivered any more, and the node ends as a whole.
+/// Time before the end of the grace at which callers that do not read are disconnected: their
+/// answers cannot be delivered any more, and the node ends as a whole.
 const RELEASE_MARGIN: Duration = Duration::from_millis(800);
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -35,7 +35,7 @@
     let drained = runtime::within(grace - notices, async {
         while node.get_in_flight() > 0 {
             if Instant::now() >= release_at {
-                exchange::let_resting_go(node);
+                exchange::disconnect_resting(node);
             }
             runtime::sleep(LOOK).await;
         }
