fix(exchange): an answer that breaks off before it is passed on lowers the server's bound too

A server that ended in the middle of an answer lowered the bound of what may lie at its service's servers only where the answer was a stream, or too long to be held back. One that broke off an answer that was still held back did not. The test failed first: no held_bound_lowered was logged.

--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -202,7 +202,10 @@
         return Err((fault, None));
     }
     let mut held = Reservation::new(node, Kind::ReadAhead);
-    let body = read_first(exchange, reply, &mut held).await.ok_or((Failed::Broken, None))?;
+    let Some(body) = read_first(exchange, reply, &mut held).await else {
+        note_end(node, order.server);
+        return Err((Failed::Broken, None));
+    };
     node.count_crossing(data_centre, 0, body.count_bytes());
     load.note_first_token();
     // A sample tells how fast a server reads, and not how far away it is.
