--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -7,7 +7,7 @@
 //! | [`topology`], [`distance`] | which region a data centre stands in, and how far away that is |
 //! | [`memory`] | who may hold how much of a node's memory |
 //! | [`upload`] | whether a request's body comes fast enough |
-//! | [`read_ahead`] | how much of an answer is read before its caller takes it, and when a caller is disconnected |
+//! | [`read_ahead`] | how much of an answer is read ahead, and when a caller is disconnected |
 //! | [`held`] | how many bytes of requests may lie at one server |
 //! | [`directory`] | which servers there are and which may get new work |
 //! | [`load`] | how busy each server is, by this node's and its peers' counts |
--- a/crates/core/src/serving/read_ahead.rs
+++ b/crates/core/src/serving/read_ahead.rs
@@ -23,8 +23,8 @@
 /// Bytes that a caller must take within [`PROGRESS_WITHIN`]. Slower, even an answer of 100 kB would
 /// lie here for an hour.
 pub const LEAST_TAKEN: usize = 256;
-/// How long a caller must have taken nothing to be disconnected where memory is short or the node is about
-/// to stop, in milliseconds: a caller that reads at all takes something within it.
+/// How long a caller must have taken nothing to be disconnected where memory is short or the node
+/// is about to stop, in milliseconds: a caller that reads at all takes something within it.
 pub const RESTING_AFTER: Millis = 1_000;
 /// The longest time that one look at a caller counts for, in milliseconds. After a pause of the whole
 /// process, its callers' silence says nothing of them.
@@ -142,8 +142,8 @@
     pub resting: Millis,
 }
 
-/// Picks the callers to disconnect so that `missing` bytes become free: those that rest, the slowest and
-/// largest first. A caller that reads is never picked.
+/// Picks the callers to disconnect so that `missing` bytes become free: those that rest, the
+/// slowest and largest first. A caller that reads is never picked.
 pub fn pick_resting(callers: &[Caller], missing: usize) -> Vec<u64> {
     let mut resting: Vec<&Caller> =
         callers.iter().filter(|c| c.bytes > 0 && c.resting >= RESTING_AFTER).collect();
