fix(regions): a region without a budget for its link refuses requests and does not end

Cause: with regions.spill_mbps 0 the time of a body over the link was the largest number, and adding the round trips to it overflowed: the first request with a body that only another region could serve ended the process where overflow is checked, and went on with a way of a few milliseconds elsewhere. Retry-After of such a refusal was 1 ms. Change: sums of times saturate; without a budget the way takes no time of its own and the budget refuses, with the Retry-After of a region without servers. Weighed: leave the time infinite; the refusal would then be no_server for requests with a body and link_full for those without.

--- a/crates/core/src/serving/spill.rs
+++ b/crates/core/src/serving/spill.rs
@@ -26,6 +26,9 @@
 /// How long a region is not asked again that did not answer: a request held for an answer that does
 /// not come may miss its objective, and regions that were cut off stay so for seconds.
 const SILENT_FOR: Millis = 1_000;
+/// `Retry-After` where there is no budget at all, in milliseconds: it does not recover, and callers
+/// come back for servers of their own region, after about what a list takes to reach all nodes.
+const NO_BUDGET_RETRY_AFTER: Millis = 700;
 /// Bytes a second of a megabit a second.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
@@ -121,7 +124,8 @@
     /// Returns the time from now until the first byte of an answer, without the server's own.
     pub fn get_travel(&self) -> Millis {
         let question = if self.is_asked { TRIPS_OF_QUESTION } else { 0 };
-        (TRIPS_OF_REQUEST + question) * self.round_trip + self.transfer
+        let trips = (TRIPS_OF_REQUEST + question) * self.round_trip;
+        trips.saturating_add(self.transfer)
     }
 
     /// Returns `true` if an idle server at its end serves the request in time: within its objective
@@ -129,11 +133,13 @@
     /// late answer is better than none, but not than a refusal after which a retry finds room.
     pub fn is_borne(&self, criteria: &Criteria, cause: Cause) -> bool {
         let reading = criteria.estimate_idle().unwrap_or(0);
-        let from_now = self.get_travel() + reading;
+        let from_now = self.get_travel().saturating_add(reading);
         let is_within = from_now < self.left;
         match (cause, criteria.ttft_objective) {
             (Cause::NoServer, _) | (_, 0) => is_within,
-            (Cause::Full, objective) => is_within && self.waited + from_now <= objective,
+            (Cause::Full, objective) => {
+                is_within && self.waited.saturating_add(from_now) <= objective
+            }
         }
     }
 
@@ -141,7 +147,8 @@
     /// is out of reach stays as it is: the request is late, and is refused only where servers are busy
     /// for longer than that.
     pub fn shorten(&self, criteria: &Criteria) -> Criteria {
-        let left = criteria.ttft_objective.saturating_sub(self.waited + self.get_travel());
+        let used = self.waited.saturating_add(self.get_travel());
+        let left = criteria.ttft_objective.saturating_sub(used);
         let ttft_objective = if left == 0 { criteria.ttft_objective } else { left };
         Criteria { ttft_objective, ..*criteria }
     }
@@ -189,6 +196,9 @@
     ///
     /// Returns the milliseconds after which one may.
     pub fn check(&mut self, now: Millis, region: &str, nodes: usize) -> Result<(), Millis> {
+        if self.rate <= 0.0 {
+            return Err(NO_BUDGET_RETRY_AFTER);
+        }
         let share = self.rate / nodes.max(1) as f64;
         let link = self.get_link(now, region);
         link.bytes.set(now, share, share);
@@ -196,7 +206,7 @@
             return Ok(());
         }
         let lacking = -link.bytes.available;
-        Err((lacking / share.max(f64::MIN_POSITIVE) * 1_000.0).ceil() as Millis + 1)
+        Err(((lacking / share * 1_000.0).ceil() as Millis).saturating_add(1))
     }
 
     /// Counts bytes of a request or its answer that crossed to or from a region. An answer is paid
@@ -205,9 +215,13 @@
         self.get_link(now, region).bytes.available -= bytes as f64;
     }
 
-    /// Returns how long a body takes at the rate of the whole budget.
+    /// Returns how long a body takes at the rate of the whole budget; nothing without a budget, where
+    /// [`check`](Self::check) refuses.
     pub fn get_transfer(&self, bytes: usize) -> Millis {
-        (bytes as f64 / self.rate.max(f64::MIN_POSITIVE) * 1_000.0) as Millis
+        if self.rate <= 0.0 {
+            return 0;
+        }
+        (bytes as f64 / self.rate * 1_000.0) as Millis
     }
 
     /// Notes whether a region answered the question for the loads of its servers.
--- a/crates/core/tests/serving/spill.rs
+++ b/crates/core/tests/serving/spill.rs
@@ -271,3 +271,28 @@
         prop_assert!(sent as f64 <= allowed + 1.0, "{sent} sent, {allowed} allowed");
     }
 }
+
+#[test]
+fn without_a_budget_nothing_crosses_however_long_a_body_is() {
+    let mut links = Links::new(0.0);
+    for bytes in [0, 1, 4_000_000] {
+        let way = Way { transfer: links.get_transfer(bytes), ..WAY };
+        // The budget says no, and not the way: a caller is told that the link is full.
+        assert!(way.is_borne(&CRITERIA, Cause::NoServer), "{bytes} bytes");
+        assert_eq!(way.get_travel(), 180);
+    }
+    // It does not recover: callers come back as for servers of their own region.
+    assert_eq!(links.check(0, "b", 2), Err(700));
+    links.count(0, "b", 1_000);
+    assert_eq!(links.check(5_000, "b", 2), Err(700));
+}
+
+#[test]
+fn a_body_that_takes_for_ever_over_a_small_budget_stays() {
+    let links = Links::new(1e-300);
+    let way = Way { transfer: links.get_transfer(1), ..WAY };
+
+    assert!(!way.is_borne(&CRITERIA, Cause::NoServer));
+    assert!(!way.is_borne(&CRITERIA, Cause::Full));
+    assert_eq!(way.shorten(&CRITERIA).ttft_objective, 500);
+}
