fix(rollout): a region moves across once the new version is accepted, before the old servers stop

Cause: where the servers of an accepted version stand in the other region only, requests stayed with the old servers of their own region until the roll-out was completed. Ruled out: a second attempt across only, which a request that may not be repeated does not have. Change: once a version is accepted, its servers in another region come before old ones in the own region.

--- a/crates/core/src/serving/rollout/book.rs
+++ b/crates/core/src/serving/rollout/book.rs
@@ -319,6 +319,14 @@
         }
     }
 
+    /// Returns `true` if the newest version of a service was found to be good: its traffic moves, or
+    /// has moved, to that version.
+    pub fn is_accepted(&self, now: Millis, service: &str) -> bool {
+        let rollout = self.rollouts.get(service);
+        let stage = rollout.map(|rollout| rollout.get_stage(now));
+        matches!(stage, Some(Stage::Shifting | Stage::Completed))
+    }
+
     /// Decides the same for a further attempt: after a failure the version that is known to work
     /// is preferred.
     pub fn pick_retry_side(&self, now: Millis, service: &str) -> Side {
--- a/crates/gateway/src/exchange/pick.rs
+++ b/crates/gateway/src/exchange/pick.rs
@@ -63,12 +63,15 @@
 }
 
 /// The servers of one region, as a choice sees them.
+#[derive(Clone, Copy)]
 struct Place<'a> {
     /// The region and why the request leaves for it; `None` for the node's own one.
     far: Option<(&'a str, Cause)>,
     criteria: Criteria,
     /// Whether the loads are requested first.
     is_asked: bool,
+    /// Whether only servers of the version that was picked are considered.
+    is_version_fixed: bool,
 }
 
 impl Place<'_> {
@@ -89,7 +92,15 @@
     let side = rollouts::pick_side(node, &exchange.service, attempts.tried.is_empty());
     let (is_asked, criteria) =
         node.with(|state| (state.members.is_grouped(), get_criteria(state, exchange)));
-    let near = Place { far: None, criteria, is_asked };
+    let near = Place { far: None, criteria, is_asked, is_version_fixed: false };
+    if is_version_elsewhere(node, exchange, side) {
+        let near = Place { is_version_fixed: true, ..near };
+        let cause = Cause::NoServer;
+        let crossing = Crossing { node, exchange, attempts, side, cause, near };
+        if let Ok(pick) = crossing.run(Found::NOTHING).await {
+            return Ok(pick);
+        }
+    }
     let found = pick_in(node, exchange, attempts, side, &near).await;
     match found.offer.get_cause() {
         Some(cause) if node.topology.is_multi_region() => {
@@ -100,6 +111,23 @@
     }
 }
 
+/// Returns `true` if an accepted version of the service has servers in other regions only.
+///
+/// The servers of other versions stop as soon as the roll-out is completed, without a drain: a region
+/// that stays with its own until then loses the requests that are sent there before it hears of that.
+fn is_version_elsewhere(node: &Node, exchange: &Exchange, side: Side) -> bool {
+    if !node.topology.is_multi_region() || !matches!(side, Side::Target | Side::TargetFirst) {
+        return false;
+    }
+    let now = node.now();
+    node.with(|state| {
+        let ready = state.directory.iter_ready(&exchange.service);
+        let mut of_version = ready.filter(|server| state.rollouts.is_allowed(side, server));
+        let is_near = |server: &Server| !node.is_crossing(&server.data_centre);
+        state.rollouts.is_accepted(now, &exchange.service) && !of_version.any(is_near)
+    })
+}
+
 /// Ends a choice in one region.
 fn conclude(found: Found) -> Result<Pick, Unserved> {
     match (found.server, found.offer) {
@@ -171,6 +199,7 @@
             far: Some((region, self.cause)),
             criteria: way.shorten(&self.near.criteria),
             is_asked: way.is_asked,
+            is_version_fixed: self.near.is_version_fixed,
         };
         pick_in(self.node, self.exchange, self.attempts, self.side, &place).await
     }
@@ -231,6 +260,9 @@
 ) -> Found {
     let allowed = Allowed::new(node, exchange, attempts, side);
     let found = pick_allowed(node, exchange, &allowed, place).await;
+    if place.is_version_fixed {
+        return found;
+    }
     let other = match (side, found.offer) {
         (Side::Canary | Side::Target, Offer::Busy(_) | Offer::None) => Side::Rest,
         (Side::TargetFirst, Offer::None) => Side::Rest,
