fix(regions): the way to another region is measured from the first answer on

Cause: answers are measured only if their sender is known to stand in another region, and that list was brought up to date once a second: an answer before that was not measured, and the guess of 100 ms stayed. Change: a node is noted with its first summary.

--- a/crates/gateway/src/node/peers/carry.rs
+++ b/crates/gateway/src/node/peers/carry.rs
@@ -144,6 +144,10 @@
 fn note_crossed(node: &Node, (run, sent_at): (u32, Millis), summary: &Summary) -> bool {
     let now = node.now();
     let entry = &summary.sender.entry;
+    if let Some(region) = node.topology.get_region(&entry.data_centre) {
+        // The list is brought up to date only from time to time: an answer may come before that.
+        node.link.note_far(entry.address, region);
+    }
     node.with(|state| state.members.note_crossed(now, entry, run, sent_at))
 }
 
--- a/crates/gateway/src/node/peers/link.rs
+++ b/crates/gateway/src/node/peers/link.rs
@@ -83,6 +83,11 @@
         *lock(&self.far) = far;
     }
 
+    /// Notes that a node stands in another region.
+    pub fn note_far(&self, address: SocketAddr, region: &str) {
+        lock(&self.far).entry(address).or_insert_with(|| region.to_owned());
+    }
+
     /// Returns the region of a node, where that is another one than this node's.
     pub fn get_far_region(&self, address: SocketAddr) -> Option<String> {
         lock(&self.far).get(&address).cloned()
