refactor(spill): is_in_time, open_link, counts that are no milliseconds

What stopped the reader: `is_borne` is a metaphor for "in time"; `get_link` inserts the link that it gets; round trips were counted in `Millis`; a constant stood in the middle of the file; the comment on connections to far servers ("rest longer than they are kept") was not to be understood; the check's `nodes` was not explained. Constants of the distances and of the crossing period say what they bound. No change of behaviour.

--- a/crates/core/src/serving/crossing.rs
+++ b/crates/core/src/serving/crossing.rs
@@ -7,8 +7,8 @@
 use crate::Millis;
 
 /// The longest time between two summaries that cross, in milliseconds. A node of which nothing was
-/// heard for 2 s is out of reach: three of four may get lost, or one and a carrier with it. A budget
-/// that is too small for this is not kept.
+/// heard for 2 s is out of reach: at this period three of four summaries may get lost. A budget that is
+/// too small for this is not kept.
 const LONGEST_PERIOD: Millis = 500;
 /// The time for which an unused part of the budget is kept, in milliseconds: a turn that comes some
 /// milliseconds early must not wait for the next one.
@@ -22,7 +22,7 @@
     /// Bits that this aggregator may send by now; below 0 where it sent more than its part.
     available: f64,
     filled_at: Millis,
-    /// Bytes that it had sent to other regions when it was last looked at.
+    /// Bytes that it had sent to other regions at the last call of [`Crossing::is_due`].
     crossed: u64,
     sent_at: Option<Millis>,
     period: Millis,
@@ -32,6 +32,7 @@
     /// Makes the pace for a region that may send so many kilobits a second to the others.
     pub fn new(kbps: f64) -> Self {
         Self {
+            // A kilobit a second is a bit a millisecond.
             bits_per_ms: kbps,
             available: 0.0,
             filled_at: 0,
--- a/crates/core/src/serving/distance.rs
+++ b/crates/core/src/serving/distance.rs
@@ -14,10 +14,11 @@
 /// How many deviations above the smoothed round trip an answer is waited for, as TCP has it
 /// (RFC 6298).
 const DEVIATIONS: f64 = 4.0;
-/// The round trip to another region that was not measured yet, in milliseconds: that of regions on
-/// one continent. Too long a wait costs a request this time once; too short a one is never answered.
+/// The round trip that is assumed until the first measurement, in milliseconds: that of regions on
+/// one continent. A wait that is too long costs one request this time. One that is too short ends
+/// before the answer comes.
 const UNMEASURED: Millis = 100;
-/// The longest wait for an answer, in milliseconds: a link that is full delays a request no longer.
+/// The longest wait for an answer, in milliseconds: it bounds what a full link adds to a request.
 const LONGEST_WAIT: Millis = 300;
 
 /// Round trips from this node to the other regions.
--- a/crates/core/src/serving/spill.rs
+++ b/crates/core/src/serving/spill.rs
@@ -17,20 +17,22 @@
 use crate::Millis;
 use crate::bucket::Bucket;
 
-/// Round trips from the choice of a far server to the first byte of its answer: the connection and
-/// the request. Connections to far servers rest longer than they are kept, because few requests
-/// cross.
-const TRIPS_OF_REQUEST: Millis = 2;
+/// Round trips from the choice of a far server to the first byte of its answer: one for a new
+/// connection and one for the request. Few requests cross, so that an idle connection is often gone.
+const TRIPS_OF_REQUEST: u64 = 2;
 /// Round trips for the question for the loads of far servers.
-const TRIPS_OF_QUESTION: Millis = 1;
-/// How long no loads are requested from a region that did not answer: a request held for an answer that does
-/// not come may miss its objective, and regions that were cut off stay so for seconds.
+const TRIPS_OF_QUESTION: u64 = 1;
+/// How long no loads are requested from a region that did not answer, in milliseconds. A request that
+/// waits for an answer that does not come may miss its objective, and a region that is cut off stays
+/// so for seconds.
 const SILENT_FOR: Millis = 1_000;
 /// `Retry-After` where there is no budget at all, in milliseconds: it does not recover, and callers
 /// come back for servers of their own region, after about what a list takes to reach all nodes.
 const NO_BUDGET_RETRY_AFTER: Millis = 700;
-/// Bytes a second of a megabit a second.
+/// Bytes in a megabit.
 const BYTES_PER_MBIT: f64 = 125_000.0;
+/// The name of the region of all data centres that the settings do not name.
+const UNKNOWN_REGION: &str = "unknown";
 
 /// What the servers of one region can do for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -128,10 +130,11 @@
         trips.saturating_add(self.transfer)
     }
 
-    /// Returns `true` if an idle server at its end serves the request in time: within its objective
-    /// where the own region is only full, and before its caller gives up where there is no server. A
-    /// late answer is better than none, but not than a refusal after which a retry finds room.
-    pub fn is_borne(&self, criteria: &Criteria, cause: Cause) -> bool {
+    /// Returns `true` if an idle server of the other region serves the request in time.
+    ///
+    /// Where the own region is only full, that is within the objective: a retry may find room at home.
+    /// Where it has no server, it is before the caller gives up: a late answer is better than none.
+    pub fn is_in_time(&self, criteria: &Criteria, cause: Cause) -> bool {
         let reading = criteria.estimate_idle().unwrap_or(0);
         let from_now = self.get_travel().saturating_add(reading);
         let is_within = from_now < self.left;
@@ -143,9 +146,10 @@
         }
     }
 
-    /// Returns the criteria for the choice there: the way takes its time off the objective. One that
-    /// is out of reach stays as it is: the request is late, and is refused only where servers are busy
-    /// for longer than that.
+    /// Returns the criteria for the choice there, with the objective less the time on the way.
+    ///
+    /// An objective that cannot be met any more stays as it is: the request is late, and is refused
+    /// only where servers are busy for longer than that.
     pub fn shorten(&self, criteria: &Criteria) -> Criteria {
         let used = self.waited.saturating_add(self.get_travel());
         let left = criteria.ttft_objective.saturating_sub(used);
@@ -190,17 +194,18 @@
         Self { rate: spill_mbps * BYTES_PER_MBIT, by_region: BTreeMap::new() }
     }
 
-    /// Asks whether a request may cross to a region, from a region of so many nodes.
+    /// Checks whether the budget lets a request cross to a region; `nodes` is the number of nodes of
+    /// this node's own region, which share the budget.
     ///
     /// # Errors
     ///
-    /// Returns the milliseconds after which one may.
+    /// Returns the milliseconds until the budget has recovered.
     pub fn check(&mut self, now: Millis, region: &str, nodes: usize) -> Result<(), Millis> {
         if self.rate <= 0.0 {
             return Err(NO_BUDGET_RETRY_AFTER);
         }
         let share = self.rate / nodes.max(1) as f64;
-        let link = self.get_link(now, region);
+        let link = self.open_link(now, region);
         link.bytes.set(now, share, share);
         if link.bytes.available > 0.0 {
             return Ok(());
@@ -212,7 +217,7 @@
     /// Counts bytes of a request or its answer that crossed to or from a region. An answer is paid
     /// for as it comes: the budget may fall below zero, and recovers before anything more crosses.
     pub fn count(&mut self, now: Millis, region: &str, bytes: usize) {
-        self.get_link(now, region).bytes.available -= bytes as f64;
+        self.open_link(now, region).bytes.available -= bytes as f64;
     }
 
     /// Returns how long a body takes at the rate of the whole budget; nothing without a budget, where
@@ -227,7 +232,7 @@
     /// Notes whether a region answered the question for the loads of its servers.
     pub fn note_answer(&mut self, now: Millis, region: &str, is_answered: bool) {
         let silent_until = if is_answered { 0 } else { now + SILENT_FOR };
-        self.get_link(now, region).silent_until = silent_until;
+        self.open_link(now, region).silent_until = silent_until;
     }
 
     /// Returns `true` if a region did not answer the latest question, a short time ago.
@@ -235,23 +240,20 @@
         self.by_region.get(region).is_some_and(|link| now < link.silent_until)
     }
 
-    fn get_link(&mut self, now: Millis, region: &str) -> &mut Link {
+    /// Returns the link to a region, new with a full budget where it was not used yet.
+    fn open_link(&mut self, now: Millis, region: &str) -> &mut Link {
         let rate = self.rate;
         let full = || Link { bytes: Bucket::new(now, rate), silent_until: 0 };
         self.by_region.entry(region.to_owned()).or_insert_with(full)
     }
 }
 
-/// Stands for the region of data centres that the settings do not name.
-const UNKNOWN_REGION: &str = "unknown";
-
 /// Returns the region of a data centre, for a deployment of more than one.
 pub fn get_region<'a>(topology: &'a Topology, data_centre: &str) -> &'a str {
     topology.get_region(data_centre).unwrap_or(UNKNOWN_REGION)
 }
 
-/// Lists the regions other than a node's own, the nearest first; last what stands in none that is
-/// known.
+/// Lists the regions other than a node's own, the nearest first and the unknown region last.
 pub fn list_far(topology: &Topology, mut get_round_trip: impl FnMut(&str) -> Millis) -> Vec<&str> {
     let regions = topology.list_regions().into_iter();
     let mut far: Vec<&str> = regions.filter(|region| *region != topology.get_own()).collect();
--- a/crates/core/tests/serving/spill.rs
+++ b/crates/core/tests/serving/spill.rs
@@ -105,25 +105,25 @@
     // A question, a connection and a request, 60 ms each, and 100 ms of reading.
     assert_eq!(WAY.get_travel(), 180);
     let with = |ttft_objective| Criteria { ttft_objective, ..CRITERIA };
-    assert!(WAY.is_borne(&with(280), Cause::Full));
-    assert!(!WAY.is_borne(&with(279), Cause::Full));
+    assert!(WAY.is_in_time(&with(280), Cause::Full));
+    assert!(!WAY.is_in_time(&with(279), Cause::Full));
 
     let known = Way { is_asked: false, ..WAY };
-    assert!(known.is_borne(&with(220), Cause::Full));
+    assert!(known.is_in_time(&with(220), Cause::Full));
 
     let late = Way { waited: 300, ..WAY };
-    assert!(!late.is_borne(&with(500), Cause::Full));
+    assert!(!late.is_in_time(&with(500), Cause::Full));
 
     let long = Way { transfer: 221, ..WAY };
-    assert!(!long.is_borne(&with(500), Cause::Full));
+    assert!(!long.is_in_time(&with(500), Cause::Full));
 }
 
 #[test]
 fn a_region_without_servers_is_left_also_where_the_answer_is_late() {
     let short = Criteria { ttft_objective: 50, ..CRITERIA };
-    assert!(WAY.is_borne(&short, Cause::NoServer));
-    assert!(!Way { left: 280, ..WAY }.is_borne(&short, Cause::NoServer));
-    assert!(Way { left: 281, ..WAY }.is_borne(&short, Cause::NoServer));
+    assert!(WAY.is_in_time(&short, Cause::NoServer));
+    assert!(!Way { left: 280, ..WAY }.is_in_time(&short, Cause::NoServer));
+    assert!(Way { left: 281, ..WAY }.is_in_time(&short, Cause::NoServer));
 }
 
 #[test]
@@ -278,7 +278,7 @@
     for bytes in [0, 1, 4_000_000] {
         let way = Way { transfer: links.get_transfer(bytes), ..WAY };
         // The budget says no, and not the way: a caller is told that the link is full.
-        assert!(way.is_borne(&CRITERIA, Cause::NoServer), "{bytes} bytes");
+        assert!(way.is_in_time(&CRITERIA, Cause::NoServer), "{bytes} bytes");
         assert_eq!(way.get_travel(), 180);
     }
     // It does not recover: callers come back as for servers of their own region.
@@ -292,7 +292,7 @@
     let links = Links::new(1e-300);
     let way = Way { transfer: links.get_transfer(1), ..WAY };
 
-    assert!(!way.is_borne(&CRITERIA, Cause::NoServer));
-    assert!(!way.is_borne(&CRITERIA, Cause::Full));
+    assert!(!way.is_in_time(&CRITERIA, Cause::NoServer));
+    assert!(!way.is_in_time(&CRITERIA, Cause::Full));
     assert_eq!(way.shorten(&CRITERIA).ttft_objective, 500);
 }
--- a/crates/gateway/src/exchange/pick.rs
+++ b/crates/gateway/src/exchange/pick.rs
@@ -225,7 +225,7 @@
                 is_asked: self.near.is_asked && !is_silent,
             };
             let is_lost = is_silent && self.cause == Cause::Full;
-            if is_lost || !way.is_borne(&self.near.criteria, self.cause) {
+            if is_lost || !way.is_in_time(&self.near.criteria, self.cause) {
                 return Gate::Closed;
             }
             let nodes = state.members.count_own_region();
