refactor(held): LEAST_SUSPECT, and an eighth that is a number of answers

What stopped the reader: `MUCH` named no quantity; `read_ahead::ANSWER_PART` was called a part and was the divisor 8, beside `memory::room::ANSWER_PART`, which is a part; the maps of `held::Book` did not say their keys; "names it" said nothing of the number. No change of behaviour.

--- a/crates/core/src/serving/held.rs
+++ b/crates/core/src/serving/held.rs
@@ -9,19 +9,21 @@
 
 use crate::Millis;
 
-/// Bytes held at a server from which its end is taken for a lack of memory: some tens of usual
+/// The least bytes held at a server whose end is taken for a lack of memory: some tens of usual
 /// requests, or a single large one.
-pub const MUCH: u64 = 32 * 1024;
+pub const LEAST_SUSPECT: u64 = 32 * 1024;
 /// The time in which a bound doubles, in milliseconds: a server that ended is back by then, and the
 /// node that lowered its bound too far works at it again within a minute.
 const DOUBLES_IN: Millis = 5_000;
 /// Times that a bound doubles before it is forgotten.
 const DOUBLINGS: u32 = 8;
 
-/// What this node has lying at each server, and how much may.
+/// The bytes of this node's requests that each server holds, and the bounds of the services.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
+    /// The bytes held at each server, by its id.
     servers: HashMap<String, u64>,
+    /// The bound for each server of a service, by the service.
     bounds: HashMap<String, Bound>,
 }
 
@@ -67,17 +69,17 @@
         self.servers.values().sum()
     }
 
-    /// Notes that a server ended a connection before its answer was whole; returns the new bound where it
-    /// held much.
+    /// Notes that a server ended a connection before its answer was whole; returns the new bound, or
+    /// `None` where the server held too little to lower it.
     ///
-    /// The bound falls to half of what was held, and no lower than [`MUCH`].
+    /// The bound falls to half of what was held, and no lower than [`LEAST_SUSPECT`].
     pub fn note_end(&mut self, now: Millis, service: &str, id: &str) -> Option<u64> {
         let held = self.get(id);
-        if held < MUCH {
+        if held < LEAST_SUSPECT {
             return None;
         }
         let before = self.get_bound(now, service).unwrap_or(u64::MAX);
-        let bytes = (held / 2).max(MUCH).min(before);
+        let bytes = (held / 2).max(LEAST_SUSPECT).min(before);
         self.bounds.insert(service.to_owned(), Bound { bytes, lowered_at: now });
         Some(bytes)
     }
--- a/crates/core/src/serving/read_ahead.rs
+++ b/crates/core/src/serving/read_ahead.rs
@@ -11,9 +11,9 @@
 
 use crate::Millis;
 
-/// The part of a node's memory for callers and servers that one answer may hold: eight callers that
-/// rest at the same time keep long answers whole, and one alone cannot take the node's memory.
-const ANSWER_PART: u64 = 8;
+/// How many answers at their bound fill a node's memory for callers and servers: eight callers may
+/// rest at the same time before the memory is used up, and one alone cannot take it.
+const ANSWERS_HELD: u64 = 8;
 /// Bytes that one read of an answer may bring: as much as the HTTP library reads at a time. Reading
 /// goes on only where they fit.
 pub const READ_BYTES: usize = 420 * 1024;
@@ -30,9 +30,9 @@
 /// process, its callers' silence says nothing of them.
 const LONGEST_LOOK: Millis = 500;
 
-/// Returns the bytes of one answer that a node may hold, of those that it may hold for all.
+/// Returns the bytes that a node may hold of one answer, where it may hold `capacity` bytes in all.
 pub fn get_bound(capacity: u64) -> usize {
-    usize::try_from(capacity / ANSWER_PART).unwrap_or(usize::MAX)
+    usize::try_from(capacity / ANSWERS_HELD).unwrap_or(usize::MAX)
 }
 
 /// The part of an answer that was read and that its caller has not taken.
@@ -134,7 +134,7 @@
 /// A caller for whom bytes are held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Caller {
-    /// Names it.
+    /// Its number, unique within the node.
     pub id: u64,
     /// The bytes that are held for it.
     pub bytes: usize,
