refactor(memory): one constant for each reserve, a tick is noted by note_tick

What stopped the reader: `KEPT_PART` was two things (the pool of small bodies, and what is left to the most urgent); doc comments covered two fields or constants at once, or none; `window` was an index and had the type of a time; `Pace::is_too_slow` changed the pace while it looked like a question, and `Progress::is_over` did not say what is over. No change of behaviour.

--- a/crates/core/src/serving/memory/accountant.rs
+++ b/crates/core/src/serving/memory/accountant.rs
@@ -13,16 +13,19 @@
 /// The bytes that a node holds, and how many it may hold.
 #[derive(Clone, Debug)]
 pub struct Accountant {
+    /// The bytes that may be held while the process takes no others.
     pub(super) capacity: u64,
     /// Memory of the process, beyond which it is killed.
     pub(super) limit: u64,
-    /// The resident memory, and what of it was not reserved, in the last sample.
+    /// The resident memory in the last sample.
     pub(super) resident: Option<u64>,
+    /// What of the resident memory was not reserved in the last sample.
     pub(super) unreserved: u64,
     pub(super) held: BTreeMap<Kind, u64>,
     /// What is held of small bodies.
     pub(super) small_held: u64,
     pub(super) holders: HashMap<HolderId, Holder>,
+    /// What each client account holds and waits for.
     pub(super) shares: HashMap<String, Share>,
     pub(super) next_id: u64,
     pub(super) releases: Releases,
@@ -35,9 +38,9 @@
     /// Makes an accountant of a node that may hold so many bytes, and whose process is killed beyond
     /// `limit` bytes.
     ///
-    /// `draw`, from 0 to 1, spreads the nodes of a data centre: they call themselves not ready at
-    /// different levels, and half of them never do for their memory. Balancers fall back to all
-    /// nodes once half of them are not ready.
+    /// `draw` is random, from 0 to 1, and sets the level at which this node calls itself not ready.
+    /// The nodes of a data centre thus leave one after another, and half of them never do for their
+    /// memory: balancers fall back to all nodes once half of them are not ready.
     ///
     /// # Examples
     ///
--- a/crates/core/src/serving/memory/holder.rs
+++ b/crates/core/src/serving/memory/holder.rs
@@ -23,7 +23,7 @@
     pub urgency: u32,
 }
 
-/// One that holds bytes.
+/// A body, an answer or a part of the node itself for which bytes are held.
 #[derive(Clone, Debug)]
 pub(super) struct Holder {
     pub(super) kind: Kind,
@@ -32,18 +32,23 @@
     pub(super) reserved: u64,
     /// Bytes of a body that have come.
     pub(super) received: u64,
+    /// When bytes of the body came last.
     pub(super) progressed_at: Millis,
     /// Whether bytes of the body are still to come.
     pub(super) is_uploading: bool,
+    /// Whether it was picked to make room.
     pub(super) is_evicted: bool,
+    /// Whether it is a body that is small up to now.
     pub(super) is_small: bool,
 }
 
 impl Holder {
+    /// Returns `true` if the body is still small with so many bytes more.
     pub(super) fn is_small_with(&self, bytes: u64) -> bool {
         self.is_small && self.reserved.saturating_add(bytes) <= SMALL_BODY_BYTES
     }
 
+    /// Returns `true` if bytes of the body are to come and none came for a while.
     pub(super) fn is_resting(&self, now: Millis) -> bool {
         let rested = now.saturating_sub(self.progressed_at);
         self.is_uploading && !self.is_evicted && rested >= RESTS_AFTER
--- a/crates/core/src/serving/memory/pressure.rs
+++ b/crates/core/src/serving/memory/pressure.rs
@@ -9,9 +9,10 @@
 /// The part of the process's memory up to which its resident memory may grow: the rest is for what
 /// comes between two samples, as buffers of new connections.
 const RESIDENT_PART: f64 = 0.85;
-/// The levels, as parts of the memory in use, at which nodes call themselves not ready. Those that
-/// draw one above 1, half of them, never do: balancers go back to all nodes once half are out.
+/// The lowest level, as a part of the memory in use, at which a node calls itself not ready.
 const LEAVES_FROM: f64 = 0.6;
+/// The highest such level. A node that draws one above 1, as half of them do, is never not ready for
+/// its memory: balancers fall back to all nodes once half of them are not ready.
 const LEAVES_TO: f64 = 1.4;
 /// The part of its level below which a node is ready again: one that comes and goes at each body
 /// would move its callers each time.
@@ -58,7 +59,8 @@
         self.is_short
     }
 
-    /// Takes a sample of the process's resident memory; returns uploads to evict.
+    /// Takes a sample of the process's resident memory: it lowers the capacity and decides whether
+    /// the node is short. Returns uploads to evict where more is held than the new capacity.
     pub fn observe(&mut self, now: Millis, resident: Option<u64>) -> Vec<HolderId> {
         let untouched: u64 = self.holders.values().map(Holder::get_untouched).sum();
         let touched = self.get_total().saturating_sub(untouched);
--- a/crates/core/src/serving/memory/release.rs
+++ b/crates/core/src/serving/memory/release.rs
@@ -2,22 +2,26 @@
 
 use crate::Millis;
 
-/// The bounds of `Retry-After`, in milliseconds: small bodies end in the least, and resting uploads
-/// are evicted in the most.
+/// The shortest `Retry-After`, in milliseconds: most small bodies have ended by then.
 pub(super) const LEAST_RETRY_AFTER: Millis = 100;
+/// The longest `Retry-After`, in milliseconds: uploads that rest are evicted by then.
 pub(super) const MOST_RETRY_AFTER: Millis = 3_000;
-/// The time over which the rate of releases is measured.
+/// The time over which the rate of releases is measured, in milliseconds.
 const RATE_WINDOW: Millis = 1_000;
 
 /// How many bytes were released of late.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Releases {
-    window: Millis,
+    /// The number of the window of the latest release, counted from time 0.
+    window: u64,
+    /// Bytes released in that window.
     bytes: u64,
+    /// Bytes released in the window before it.
     bytes_before: u64,
 }
 
 impl Releases {
+    /// Counts bytes that are released now.
     pub(super) fn add(&mut self, now: Millis, bytes: u64) {
         let window = now / RATE_WINDOW;
         if window != self.window {
--- a/crates/core/src/serving/memory/room.rs
+++ b/crates/core/src/serving/memory/room.rs
@@ -13,8 +13,10 @@
 pub(super) const BODY_PART: f64 = 0.7;
 /// The part of the capacity that answers may hold: slow readers must not keep out all requests.
 const ANSWER_PART: f64 = 0.5;
-/// The part of the bodies' memory that is for small ones, and of the rest for the most urgent.
-const KEPT_PART: f64 = 0.15;
+/// The part of the bodies' memory that is kept for small ones: hundreds of them fit in it.
+const SMALL_PART: f64 = 0.15;
+/// The part of the other bodies' memory that is kept for those of the highest priority.
+const URGENT_PART: f64 = 0.15;
 /// The part of the bodies' memory that one account may hold while another one holds some: a second
 /// account finds room at once.
 const MOST_SHARE: f64 = 0.75;
@@ -42,7 +44,7 @@
         if holder.is_small_with(bytes) && self.small_held + bytes <= small_pool {
             return 0;
         }
-        let of_urgency = if holder.urgency == 0 { 1.0 } else { 1.0 - KEPT_PART };
+        let of_urgency = if holder.urgency == 0 { 1.0 } else { 1.0 - URGENT_PART };
         let pool = self.get_body_capacity().saturating_sub(small_pool) as f64 * of_urgency;
         let small_beyond = self.small_held.saturating_sub(small_pool);
         let large = self.get_held(Kind::RequestBody) - self.small_held;
@@ -59,11 +61,11 @@
     /// one does not count as waiting: what is kept free for it would serve nobody.
     pub(super) fn get_most_for_body(&self) -> u64 {
         let pool = self.get_body_capacity().saturating_sub(self.get_small_pool());
-        (pool as f64 * (1.0 - KEPT_PART)) as u64
+        (pool as f64 * (1.0 - URGENT_PART)) as u64
     }
 
     fn get_small_pool(&self) -> u64 {
-        (self.get_body_capacity() as f64 * KEPT_PART) as u64
+        (self.get_body_capacity() as f64 * SMALL_PART) as u64
     }
 
     /// Returns the bytes that are kept free for the account that has waited for longest within its
--- a/crates/core/src/serving/memory/share.rs
+++ b/crates/core/src/serving/memory/share.rs
@@ -3,7 +3,8 @@
 use super::release::MOST_RETRY_AFTER;
 use crate::Millis;
 
-/// An account that was refused counts as waiting for this time, in which its caller comes back.
+/// How long an account that was refused counts as waiting, in milliseconds: its caller retries
+/// within the longest `Retry-After` and half a second.
 const WAITS_FOR: Millis = MOST_RETRY_AFTER + 500;
 
 /// What an account holds and waits for.
@@ -18,6 +19,7 @@
 pub(super) struct Wait {
     pub(super) since: Millis,
     pub(super) until: Millis,
+    /// The largest growth that was refused.
     pub(super) bytes: u64,
 }
 
--- a/crates/core/src/serving/read_ahead.rs
+++ b/crates/core/src/serving/read_ahead.rs
@@ -126,7 +126,7 @@
     }
 
     /// Returns `true` if the caller took too little for too long.
-    pub fn is_over(&self) -> bool {
+    pub fn is_too_slow(&self) -> bool {
         self.waiting >= PROGRESS_WITHIN
     }
 }
--- a/crates/core/src/serving/upload.rs
+++ b/crates/core/src/serving/upload.rs
@@ -7,8 +7,8 @@
 
 use crate::Millis;
 
-/// The least bytes a second of an upload: a poor mobile link brings as many; at fewer, a body of a
-/// few hundred kilobytes outlasts the deadlines of its callers.
+/// The least bytes a second of an upload. A poor mobile link brings as many. At fewer, a body of a
+/// few hundred kilobytes takes longer than its caller's deadline.
 const LEAST_BYTES_PER_SECOND: u64 = 8_000;
 /// The ticks of a window. A node that slept meanwhile counts one tick for its sleep, so that its
 /// callers are not blamed for it.
@@ -24,8 +24,8 @@
 }
 
 impl Pace {
-    /// Begins a body. In each `window` it has to bring the least rate's bytes, or the rest of its
-    /// length where that is known and less.
+    /// Begins a body. In each `window`, in milliseconds, it has to bring the least rate's bytes, or
+    /// the rest of its length where that is known and less.
     pub fn new(window: Millis, length: Option<u64>) -> Self {
         Self { window, length, marks: VecDeque::from([0]) }
     }
@@ -43,12 +43,12 @@
     /// use keeljunction_core::serving::upload::Pace;
     ///
     /// let mut pace = Pace::new(4_000, None);
-    /// assert!(!pace.is_too_slow(10));
-    /// assert!(!pace.is_too_slow(10));
-    /// assert!(!pace.is_too_slow(10));
-    /// assert!(pace.is_too_slow(10));
+    /// assert!(!pace.note_tick(10));
+    /// assert!(!pace.note_tick(10));
+    /// assert!(!pace.note_tick(10));
+    /// assert!(pace.note_tick(10));
     /// ```
-    pub fn is_too_slow(&mut self, received: u64) -> bool {
+    pub fn note_tick(&mut self, received: u64) -> bool {
         self.marks.push_back(received);
         if self.marks.len() as u64 <= TICKS {
             return false;
--- a/crates/core/tests/serving/read_ahead.rs
+++ b/crates/core/tests/serving/read_ahead.rs
@@ -29,9 +29,9 @@
 fn a_caller_that_takes_nothing_is_disconnected_after_ten_seconds() {
     let mut progress = Progress::default();
     (0..99).for_each(|_| progress.note_look(100));
-    assert!(!progress.is_over());
+    assert!(!progress.is_too_slow());
     progress.note_look(100);
-    assert!(progress.is_over());
+    assert!(progress.is_too_slow());
 }
 
 #[test]
@@ -41,7 +41,7 @@
         progress.note_look(100);
         progress.note_taken(1);
     }
-    assert!(progress.is_over());
+    assert!(progress.is_too_slow());
     assert_eq!(progress.get_resting(), 0);
 }
 
@@ -51,7 +51,7 @@
     for _ in 0..50 {
         (0..80).for_each(|_| progress.note_look(100));
         progress.note_taken(300);
-        assert!(!progress.is_over());
+        assert!(!progress.is_too_slow());
     }
 }
 
@@ -62,14 +62,14 @@
         progress.note_look(100);
         progress.note_asked();
     }
-    assert!(!progress.is_over());
+    assert!(!progress.is_too_slow());
 }
 
 #[test]
 fn a_pause_of_the_process_disconnects_nobody() {
     let mut progress = Progress::default();
     progress.note_look(60_000);
-    assert!(!progress.is_over());
+    assert!(!progress.is_too_slow());
     assert_eq!(progress.get_resting(), 500);
 }
 
--- a/crates/gateway/src/exchange/feed.rs
+++ b/crates/gateway/src/exchange/feed.rs
@@ -197,7 +197,7 @@
         }
         let (bytes, resting) = (flow.buffer.get_bytes(), flow.progress.get_resting());
         let caller = Caller { id: self.id, bytes, resting };
-        Look { caller, is_over: flow.progress.is_over(), is_short }
+        Look { caller, is_over: flow.progress.is_too_slow(), is_short }
     }
 
     /// Reads the server until the caller asks, the buffer is full, or the answer has ended.
--- a/crates/gateway/src/exchange/upload.rs
+++ b/crates/gateway/src/exchange/upload.rs
@@ -124,7 +124,7 @@
                 }
                 Next::End if self.length.is_none() => break,
                 Next::End | Next::Broken => return Err(Refusal::BadRequest.into()),
-                Next::Tick if wait.as_mut().is_none_or(|wait| !wait.is_too_slow(received)) => {}
+                Next::Tick if wait.as_mut().is_none_or(|wait| !wait.note_tick(received)) => {}
                 Next::Tick => return Err(self.evict(received, TOO_SLOW)),
                 Next::Due => return Err(self.evict(received, "deadline")),
                 Next::Evicted => return Err(self.evict(received, NO_MEMORY)),
@@ -198,9 +198,9 @@
 
 impl Wait {
     /// Notes a tick, and returns `true` if too little has come.
-    fn is_too_slow(&mut self, received: u64) -> bool {
+    fn note_tick(&mut self, received: u64) -> bool {
         self.tick.set_after(Duration::from_millis(self.pace.get_tick()));
-        self.pace.is_too_slow(received)
+        self.pace.note_tick(received)
     }
 
     async fn end(&mut self) -> Next {
