--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -72,7 +72,7 @@
     pub is_spot_exhausted: bool,
     /// On-demand servers that were ordered, or are there, in all its data centres.
     pub on_demand_held: u32,
-    /// Servers' worth of its work that may be done in other regions.
+    /// How many servers of its need may stand in other regions: the work of more cannot cross.
     pub crossing: u32,
 }
 
@@ -129,9 +129,10 @@
 
 /// Plans the servers of a service in all regions.
 ///
-/// Servers stand where requests arrive. What a region cannot hold, for its data centres are full or
-/// none of its servers accepts requests, is planned for regions that have room, as far as requests can
-/// cross. A region that has lost all servers keeps its own plan besides, which brings it back.
+/// Servers stand where requests arrive. A region cannot hold its need if its data centres are full or
+/// none of its servers accepts requests. The rest is planned for regions that have room, as far as
+/// requests can cross. A region that has lost all servers keeps its own plan besides, so that it gets
+/// servers again.
 pub fn plan_regions(
     policy: &Policy,
     scaling: &Scaling,
@@ -155,15 +156,15 @@
 ) -> BTreeMap<&'a str, u32> {
     let mut moved: BTreeMap<&str, u32> =
         snapshots.keys().map(|region| (region.as_str(), 0)).collect();
-    let hold = |snapshot: &Snapshot<'_>| match snapshot.count_accepting() {
+    let count_places = |snapshot: &Snapshot<'_>| match snapshot.count_accepting() {
         0 => 0,
         _ => scaling.max * snapshot.inventory.len() as u32,
     };
     for (from, lacking) in snapshots {
-        let mut left = lacking.need.saturating_sub(hold(lacking)).min(lacking.crossing);
+        let mut left = lacking.need.saturating_sub(count_places(lacking)).min(lacking.crossing);
         for (to, snapshot) in snapshots.iter().filter(|(to, _)| *to != from) {
             let taken = moved.entry(to).or_default();
-            let room = hold(snapshot).saturating_sub(snapshot.need + *taken);
+            let room = count_places(snapshot).saturating_sub(snapshot.need + *taken);
             let moves = left.min(room);
             *taken += moves;
             left -= moves;
@@ -172,12 +173,12 @@
     moved
 }
 
-/// The size of a prompt's token as text on a link: about four letters.
+/// Bits of a prompt's token as text on a link: about four letters.
 const BITS_PER_TOKEN: f64 = 32.0;
+/// Bits in a megabit.
 const BITS_PER_MEGABIT: f64 = 1e6;
 
-/// Returns how many servers' worth of a region's work may go to another region at the bandwidth that
-/// is left for that.
+/// Counts the servers of a region's need whose work may go to other regions at `spill_mbps`.
 pub fn count_crossing(need: u32, tokens_per_second: f64, spill_mbps: f64) -> u32 {
     let mbps = tokens_per_second * BITS_PER_TOKEN / BITS_PER_MEGABIT;
     let part = if mbps > spill_mbps { spill_mbps / mbps } else { 1.0 };
@@ -222,9 +223,7 @@
 ///
 /// On-demand servers go before spot servers, in dearer data centres before cheaper ones. An
 /// on-demand server that has to stay takes the place of one that would be ordered elsewhere.
-///
-/// The price: some 180 server seconds (15%) more until the fourth second of traffic at a start of 112
-/// servers, 105 (17%) at one of 60, on the mean of nine and three starts.
+/// `docs/design/starts.md` says what that costs.
 fn limit_releases(
     plan: &mut Plan,
     data_centres: &[&str],
@@ -246,10 +245,21 @@
         }
         kept
     };
-    let mut kept = limit(&mut plan.on_demand, |held| held.on_demand);
+    let kept = limit(&mut plan.on_demand, |held| held.on_demand);
     limit(&mut plan.spot, |held| held.spot);
+    cancel_orders(&mut plan.on_demand, data_centres, inventory, kept);
+}
+
+/// Takes up to `kept` on-demand servers that are not there yet out of a plan, in dearer data centres
+/// first: as many that are there stay in their place.
+fn cancel_orders(
+    on_demand: &mut BTreeMap<String, u32>,
+    data_centres: &[&str],
+    inventory: &BTreeMap<String, Inventory>,
+    mut kept: u32,
+) {
     for data_centre in data_centres.iter().rev() {
-        let Some(count) = plan.on_demand.get_mut(*data_centre) else { continue };
+        let Some(count) = on_demand.get_mut(*data_centre) else { continue };
         let present = inventory.get(*data_centre).map_or(0, |held| held.on_demand);
         let not_ordered = count.saturating_sub(present).min(kept);
         *count -= not_ordered;
@@ -398,14 +408,14 @@
     }
 }
 
-/// The time without a new server after which a list that is confirmed since counts as complete.
+/// The time without a new server after which a list that is confirmed since counts as complete, in
+/// milliseconds.
 const SETTLE: Millis = 1_500;
 
 /// The servers of a service as a new holder of the duty finds them: they list themselves one by one.
 ///
 /// Before the first request the number found is the best estimate of the need. Taken from a part of
-/// the list, it would give up the rest: one of ten starts of 112 servers refused 1,263 requests in its
-/// first four seconds for that, and none does now.
+/// the list, it would give up the other servers (`docs/design/starts.md`).
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Found {
     count: u32,
@@ -415,8 +425,8 @@
 impl Found {
     /// Notes the servers that are listed now; returns the most that were listed.
     ///
-    /// `is_idle` tells that the service had no request yet: until then, servers that list
-    /// themselves late count too.
+    /// `is_idle` is `true` if the service had no request yet: until it has one, servers that list
+    /// themselves late count too. `known_at` is when the list was last known to be the newest.
     pub fn follow(
         &mut self,
         now: Millis,
@@ -439,7 +449,7 @@
     }
 }
 
-/// How much longer than its boot an ordered server may take before it is given up.
+/// How much longer than its boot an ordered server may take before it is given up, in milliseconds.
 const BOOT_SLACK: Millis = 3_000;
 
 /// An order of servers of one kind in a data centre that the platform took.
@@ -455,7 +465,7 @@
 impl Order {
     /// Makes an order of `count` servers while `present` accept requests.
     ///
-    /// Those do not boot: a wave that takes them right after the order must show at once.
+    /// Those that are present do not count as starting, also if they are taken away right after.
     pub fn new(now: Millis, count: u32, present: u32) -> Self {
         Self { count, at: now, most_seen: present }
     }
--- a/crates/core/src/serving/demand.rs
+++ b/crates/core/src/serving/demand.rs
@@ -48,18 +48,19 @@
     pub in_flight: u32,
 }
 
-/// What is asked of each service, over all nodes.
+/// The demand for each service, over all nodes.
 #[derive(Clone, Debug, Default)]
 pub struct DemandBook {
     /// The region that this node stands in.
     region: String,
-    own: BTreeMap<String, Own>,
+    /// What arrived at this node itself, by service.
+    own: BTreeMap<String, Counts>,
     peers: BTreeMap<(String, u64), Peer>,
-    /// What the nodes that report to this one were asked for since it heard them first.
+    /// The demand at the nodes that report to this one, since it heard them first.
     group: BTreeMap<Key, DemandTotals>,
-    /// What all other nodes were asked for since this node heard them first.
+    /// The demand at all other nodes, since this node heard them first.
     others: BTreeMap<Key, DemandTotals>,
-    /// Services of which some node was asked for something, also before this node heard it.
+    /// Services that had a request at some node, also before this node heard that node.
     touched: BTreeSet<String>,
     samples: BTreeMap<String, VecDeque<(Millis, RegionTotals)>>,
 }
@@ -70,10 +71,12 @@
 /// The demand for a service in each region.
 pub type RegionTotals = BTreeMap<String, DemandTotals>;
 
-/// The demand for a service that arrived at this node.
+/// The counts of one service and one region.
 #[derive(Clone, Copy, Debug, Default)]
-struct Own {
+struct Counts {
+    /// The demand since the start of the node that counts.
     totals: DemandTotals,
+    /// Requests in flight at servers now.
     in_flight: u32,
 }
 
@@ -82,15 +85,16 @@
 struct Peer {
     is_member: bool,
     reported_at: Millis,
-    latest: BTreeMap<Key, Own>,
+    latest: BTreeMap<Key, Counts>,
 }
 
-/// How long a peer's requests in flight count after its last report. It is out of reach then.
-const IN_FLIGHT_VALID_FOR: Millis = 2_000;
+/// The silence after which a peer is out of reach, in milliseconds. Its requests in flight no longer
+/// count then.
+const OUT_OF_REACH_AFTER: Millis = 2_000;
 
-/// How long samples are kept.
+/// How long samples are kept, in milliseconds.
 const KEPT: Millis = 30_000;
-/// The time that a rate must cover at least.
+/// The least time that a rate must cover, in milliseconds.
 const LEAST_COVERED: Millis = 1_500;
 
 impl DemandBook {
@@ -133,7 +137,7 @@
     }
 
     /// Returns the demand at this node itself, if the key names its own region.
-    fn get_own(&self, (service, region): &Key) -> Own {
+    fn get_own(&self, (service, region): &Key) -> Counts {
         let own = self.own.get(service).filter(|_| *region == self.region);
         own.copied().unwrap_or_default()
     }
@@ -143,7 +147,7 @@
     ///
     /// Requests that arrived there before it was first heard do not count: they would look like demand
     /// of that moment to a node that has just started. Neither do those that arrived while it was out
-    /// of reach: after a minute's cut they would look like fifteen times the demand.
+    /// of reach: after a cut of a minute they would look like many times the demand.
     pub fn merge(
         &mut self,
         now: Millis,
@@ -153,7 +157,7 @@
     ) {
         let key = (from.0.to_owned(), from.1);
         let known = self.peers.get(&key);
-        let is_in_reach = known.is_some_and(|peer| now < peer.reported_at + IN_FLIGHT_VALID_FOR);
+        let is_in_reach = known.is_some_and(|peer| now < peer.reported_at + OUT_OF_REACH_AFTER);
         let peer = self.peers.entry(key).or_default();
         peer.reported_at = now;
         peer.is_member = is_member;
@@ -162,7 +166,7 @@
                 self.touched.insert(service.clone());
             }
             let key = (service.clone(), report.region.clone());
-            let latest = Own { totals: report.totals, in_flight: report.in_flight };
+            let latest = Counts { totals: report.totals, in_flight: report.in_flight };
             let before = peer.latest.insert(key.clone(), latest);
             let before = before.map_or_else(DemandTotals::default, |before| before.totals);
             if !is_in_reach {
@@ -194,7 +198,7 @@
 
     fn sum_in_flight(&self, now: Millis, key: &Key, counts: fn(&Peer) -> bool) -> u32 {
         let peers = self.peers.values().filter(|peer| counts(peer));
-        let recent = peers.filter(|peer| now < peer.reported_at + IN_FLIGHT_VALID_FOR);
+        let recent = peers.filter(|peer| now < peer.reported_at + OUT_OF_REACH_AFTER);
         recent.filter_map(|peer| peer.latest.get(key)).map(|latest| latest.in_flight).sum()
     }
 
--- a/crates/core/src/serving/health.rs
+++ b/crates/core/src/serving/health.rs
@@ -17,7 +17,7 @@
 const TOLERATED: u32 = 1;
 
 /// The time in which a server that was out of reach gets its share of the work back, in
-/// milliseconds: a few times the longest answers of plain services.
+/// milliseconds: a few times as long as the longest answers of plain services take.
 const RAMP: Millis = 2_000;
 
 /// What the latest answers of each server showed.
@@ -30,7 +30,7 @@
 struct Record {
     failures: u32,
     ejected_until: Millis,
-    /// When the server gets all of its work back.
+    /// When the server gets all of its work back; 0 if it was not out of reach.
     ramped_at: Millis,
 }
 
@@ -63,9 +63,10 @@
         }
     }
 
-    /// Returns `true` if a request should go elsewhere while the server gets its work back.
+    /// Returns `true` if a request should go elsewhere while the server gets its work back gradually.
     ///
-    /// `draw` is random, from 0 to 1: the share of such requests falls to none within two seconds.
+    /// `draw` is random, from 0 to 1. After the ejection all requests go elsewhere; the part that does
+    /// falls to none evenly within two seconds.
     pub fn is_ramping(&self, now: Millis, id: &str, draw: f64) -> bool {
         let Some(record) = self.servers.get(id) else { return false };
         let left = record.ramped_at.saturating_sub(now).min(RAMP);
