docs(quota): what a sixth is of, who owns in a region alone; pick_retry_side says what it decides

What stopped the reader: `OVERDUE_SIXTHS` had neither reason nor reference; "whose nodes each take their own owner" says that each node has one, and a region has; `pick_retry_side` "decides the same" as a function that no longer stands above it; a line of the module comment ran over the width.

--- a/crates/core/src/serving/quota/decision.rs
+++ b/crates/core/src/serving/quota/decision.rs
@@ -2,11 +2,11 @@
 //!
 //! A node admits by itself while the bucket is well filled. Once it is low the account's owner
 //! decides, which all nodes find by rendezvous hashing. What the owner admits counts as its own use,
-//! whichever node the request came to: it is reported once, and a node whose question or answer gets lost uses
-//! less than was counted. Two nodes that both take themselves for the owner see each other's use in
-//! their reports. An owner decides only while it hears most of the nodes, and at the fraction of the
-//! rate that stands for those; where it does not, and where it does not answer, nodes admit their
-//! local shares.
+//! whichever node the request came to. It is reported once, and a node whose question or answer gets
+//! lost uses less than was counted. Two nodes that both take themselves for the owner see each other's
+//! use in their reports. An owner decides only while it hears most of the nodes, and at the fraction
+//! of the rate that stands for those. Where it hears fewer, or does not answer, nodes admit their local
+//! shares.
 //!
 //! What this buys, on a quiet day of 78 nodes and 16 client accounts whose prompts have some thousand
 //! to 60,000 tokens, played once without processor time: refusals fall from 0.041 to 0.025 of what
@@ -121,8 +121,9 @@
         }
     }
 
-    /// Decides as the owner in a region that is out of touch with all others, whose nodes each take
-    /// their own owner: the regions have no node in common, and each has its fraction of the rate.
+    /// Decides as the owner in a region that hears no other one, whether or not it hears most nodes.
+    ///
+    /// Each region then has an owner and a fraction of the rate of its own: no node is in two regions.
     pub fn decide_alone(
         &mut self,
         now: Millis,
--- a/crates/core/src/serving/quota/mod.rs
+++ b/crates/core/src/serving/quota/mod.rs
@@ -53,10 +53,11 @@
 /// The age of the last report of a group at which it is overdue: after some periods, until it has
 /// been charged for and is counted as out of reach for long.
 const OVERDUE: std::ops::Range<Millis> = 700..5_000;
-/// The same as sixths of the time that a report takes to reach all nodes, where that is longer.
-const OVERDUE_SIXTHS: Millis = 7;
-/// How long a node admits its share only after a report that a region is overdue: each report repeats
-/// it, and some get lost.
+/// The age at which it is overdue where reports take longer, in sixths of the time that they take to
+/// reach all nodes. Groups of one region take 600 ms: that is the same 700 ms.
+const OVERDUE_SIXTHS: u64 = 7;
+/// How long a node admits only its share after a report that a region is overdue, in milliseconds.
+/// Each report repeats that, and some reports get lost.
 const REGION_OVERDUE_FOR: Millis = 700;
 /// The parts of the tolerated overshoot and slack with which nodes begin that all started again. The
 /// rest covers what they admit before their reports arrive, and further starts of all within a
@@ -108,8 +109,8 @@
     /// Notes that nothing came from a whole region for some periods, as this node or its aggregator
     /// finds.
     ///
-    /// A part of all nodes then uses what no report says. Until these count everywhere as out of
-    /// reach, a node admits its share of the rate only, and takes over the level that its aggregator
+    /// The nodes there then use units that no report names. Until all nodes count them as out of
+    /// reach, a node admits only its share of the rate, and takes over the level that its aggregator
     /// estimates.
     pub fn note_overdue_region(&mut self, now: Millis) {
         self.region_overdue_until = now + REGION_OVERDUE_FOR;
@@ -454,9 +455,9 @@
 
 /// Charges what others admitted.
 ///
-/// Nodes that were out of reach used what was reserved for them, with which the bucket was not
-/// refilled: what they report of a long time may be many times the burst. Nothing is charged beyond
-/// what all nodes can have admitted too much.
+/// Nodes that were out of reach used a part of the rate that did not refill this bucket meanwhile.
+/// What they report of a long time may be many times the burst. The debt is therefore bounded by the
+/// burst and the tolerated excess.
 fn charge(tolerance: Tolerance, bucket: &mut Bucket, admitted: i64) {
     let admitted = admitted as f64;
     let Some((rate, capacity)) = bucket.get_limits() else {
--- a/crates/core/src/serving/rollout/book.rs
+++ b/crates/core/src/serving/rollout/book.rs
@@ -327,8 +327,8 @@
         matches!(stage, Some(Stage::Shifting | Stage::Completed))
     }
 
-    /// Decides the same for a further attempt: after a failure the version that is known to work
-    /// is preferred.
+    /// Decides which servers of a service a further attempt of a request may go to: after a failure
+    /// the version that is known to work is preferred.
     pub fn pick_retry_side(&self, now: Millis, service: &str) -> Side {
         let Some(rollout) = self.rollouts.get(service) else { return Side::Any };
         match rollout.get_stage(now) {
