--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -194,10 +194,11 @@
         return Plan::default();
     }
     let need = snapshot.need.max(scaling.min * data_centres.len() as u32).min(most);
+    let spare = snapshot.count_accepting().saturating_sub(need);
     if scaling.spot_price.is_none() {
         let on_demand = fill(&data_centres, need, scaling.max, &BTreeMap::new());
         let mut plan = Plan { on_demand, spot: BTreeMap::new() };
-        limit_releases(&mut plan, &data_centres, inventory, need);
+        limit_releases(&mut plan, &data_centres, inventory, spare);
         return plan;
     }
     let spot = (f64::from(need) * policy.spot_part).ceil() as u32;
@@ -215,11 +216,11 @@
     });
     let spot = spot.collect();
     let mut plan = Plan { on_demand, spot };
-    limit_releases(&mut plan, &data_centres, inventory, need);
+    limit_releases(&mut plan, &data_centres, inventory, spare);
     plan
 }
 
-/// Limits what a plan releases to the servers beyond the need that accept requests now.
+/// Limits what a plan releases to `spare` servers: those beyond the need that accept requests now.
 ///
 /// On-demand servers go before spot servers, in dearer data centres before cheaper ones. An
 /// on-demand server that has to stay takes the place of one that would be ordered elsewhere.
@@ -228,10 +229,8 @@
     plan: &mut Plan,
     data_centres: &[&str],
     inventory: &BTreeMap<String, Inventory>,
-    need: u32,
+    mut spare: u32,
 ) {
-    let accepting: u32 = inventory.values().map(|held| held.on_demand + held.spot).sum();
-    let mut spare = accepting.saturating_sub(need);
     let mut limit = |planned: &mut BTreeMap<String, u32>, get: fn(&Inventory) -> u32| {
         let mut kept = 0;
         for data_centre in data_centres.iter().rev() {
