--- a/crates/core/src/serving/quota/decision.rs
+++ b/crates/core/src/serving/quota/decision.rs
@@ -121,7 +121,8 @@
         }
     }
 
-    /// Decides as the owner in a region that hears no other one, whether or not it hears most nodes.
+    /// Decides as the owner without the check that most nodes of all regions are heard: for a region
+    /// that hears no other one.
     ///
     /// Each region then has an owner and a fraction of the rate of its own: no node is in two regions.
     pub fn decide_alone(
