refactor(metrics): labels, gauges and registry, a file each

One file of 456 lines held the label types, the counters, the gauges that are read from the node's state, and their registration: a reader looked for the counters between two halves of the gauges. ReasonLabels named two of its four uses. Names of metrics and labels are as before.

--- /dev/null
+++ b/crates/gateway/src/metrics/registry.rs
@@ -0,0 +1,212 @@
+//! The counters and histograms of a node, and the registry that renders them with the gauges.
+
+use std::fmt::Write;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+
+use super::gauges::Gauges;
+use super::labels::{
+    CapacityLabels, ReasonLabels, RegionLabels, RequestLabels, ServiceLabels, SpillLabels,
+};
+use crate::node::Node;
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCIES: [f64; 13] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1.0, 2.0, 5.0, 10.0, 20.0];
+
+/// All metrics of a node.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests that ended.
+    pub requests: Family<RequestLabels, Counter>,
+    /// Time from a request's arrival to the first token of its answer, in seconds.
+    pub first_token: Family<ServiceLabels, Histogram>,
+    /// The longest pause between two pieces of one answer, in seconds.
+    pub longest_gap: Family<ServiceLabels, Histogram>,
+    /// Time from a request's arrival to the end of its answer, in seconds.
+    pub total: Family<ServiceLabels, Histogram>,
+    /// Attempts beyond the first.
+    pub retries: Family<ReasonLabels, Counter>,
+    /// Attempts that failed.
+    pub failed_attempts: Family<ReasonLabels, Counter>,
+    /// Streams that another server went on with.
+    pub resumed: Counter,
+    /// Questions for the loads of servers that were not answered in time.
+    pub unanswered_load_questions: Counter,
+    /// Questions to owners of client accounts that were not answered in time.
+    pub unanswered_quota_questions: Counter,
+    /// Bytes of requests that were sent to other regions.
+    pub region_bytes_sent: Family<RegionLabels, Counter>,
+    /// Bytes of answers that came from other regions.
+    pub region_bytes_received: Family<RegionLabels, Counter>,
+    /// Attempts in other regions.
+    pub spilled: Family<SpillLabels, Counter>,
+    /// Attempts in other regions that the budget of the link did not allow.
+    pub link_full: Family<RegionLabels, Counter>,
+    /// Servers that the demand of a region needs, at the holder of the duties.
+    pub capacity_need: Family<CapacityLabels, Gauge>,
+    /// Servers of both kinds that the plan holds in a region, at the holder of the duties.
+    pub capacity_planned: Family<CapacityLabels, Gauge>,
+    /// Uploads that were evicted.
+    pub uploads_evicted: Family<ReasonLabels, Counter>,
+    /// Bytes of answers that were read ahead of their callers.
+    pub read_ahead: Counter,
+    /// Callers that were disconnected because they did not read.
+    pub callers_disconnected: Family<ReasonLabels, Counter>,
+    /// Requests that went to no third server after two had ended under them.
+    pub requests_stopped: Counter,
+    gauges: Gauges,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let histogram = || Histogram::new(LATENCIES);
+        let mut metrics = Self {
+            registry: Registry::with_prefix("keeljunction"),
+            requests: Family::default(),
+            first_token: Family::new_with_constructor(histogram),
+            longest_gap: Family::new_with_constructor(histogram),
+            total: Family::new_with_constructor(histogram),
+            retries: Family::default(),
+            failed_attempts: Family::default(),
+            resumed: Counter::default(),
+            unanswered_load_questions: Counter::default(),
+            unanswered_quota_questions: Counter::default(),
+            region_bytes_sent: Family::default(),
+            region_bytes_received: Family::default(),
+            spilled: Family::default(),
+            link_full: Family::default(),
+            capacity_need: Family::default(),
+            capacity_planned: Family::default(),
+            uploads_evicted: Family::default(),
+            read_ahead: Counter::default(),
+            callers_disconnected: Family::default(),
+            requests_stopped: Counter::default(),
+            gauges: Gauges::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests that ended", self.requests.clone());
+        registry.register(
+            "capacity_need",
+            "Servers that a region's demand needs",
+            self.capacity_need.clone(),
+        );
+        registry.register(
+            "capacity_planned",
+            "Servers that the plan holds in a region",
+            self.capacity_planned.clone(),
+        );
+        registry.register_with_unit(
+            "first_token",
+            "Arrival to first token of the answer",
+            Unit::Seconds,
+            self.first_token.clone(),
+        );
+        registry.register_with_unit(
+            "longest_gap",
+            "Longest pause between two pieces of one answer",
+            Unit::Seconds,
+            self.longest_gap.clone(),
+        );
+        registry.register_with_unit(
+            "request_duration",
+            "Arrival to end of the answer",
+            Unit::Seconds,
+            self.total.clone(),
+        );
+        registry.register("retries", "Attempts beyond the first", self.retries.clone());
+        registry.register("failed_attempts", "Attempts that failed", self.failed_attempts.clone());
+        registry.register(
+            "resumed_streams",
+            "Streams gone on with elsewhere",
+            self.resumed.clone(),
+        );
+        registry.register(
+            "unanswered_load_questions",
+            "Questions for the loads of servers that were not answered in time",
+            self.unanswered_load_questions.clone(),
+        );
+        registry.register(
+            "unanswered_quota_questions",
+            "Questions to owners of client accounts that were not answered in time",
+            self.unanswered_quota_questions.clone(),
+        );
+        registry.register_with_unit(
+            "region_sent",
+            "Bodies of requests that went to another region",
+            Unit::Bytes,
+            self.region_bytes_sent.clone(),
+        );
+        registry.register_with_unit(
+            "region_received",
+            "Bodies of answers that came from another region",
+            Unit::Bytes,
+            self.region_bytes_received.clone(),
+        );
+        registry.register(
+            "spilled_attempts",
+            "Attempts in another region, by what the own one lacked",
+            self.spilled.clone(),
+        );
+        registry.register(
+            "link_full_attempts",
+            "Attempts in another region that the budget of the link did not allow",
+            self.link_full.clone(),
+        );
+        registry.register(
+            "uploads_evicted",
+            "Bodies that came too slowly, or whose memory was needed",
+            self.uploads_evicted.clone(),
+        );
+        registry.register_with_unit(
+            "read_ahead",
+            "Parts of answers read before their callers asked for them",
+            Unit::Bytes,
+            self.read_ahead.clone(),
+        );
+        registry.register(
+            "callers_disconnected",
+            "Callers that did not read",
+            self.callers_disconnected.clone(),
+        );
+        registry.register(
+            "requests_stopped",
+            "Requests that went to no third server after two had ended under them",
+            self.requests_stopped.clone(),
+        );
+        self.gauges.register(registry);
+    }
+
+    /// Registers the counter of the bytes of datagrams to nodes of other regions. The link between
+    /// nodes counts them.
+    pub(crate) fn register_crossed(&mut self, crossed: Family<RegionLabels, Counter>) {
+        self.registry.register_with_unit(
+            "control_crossed",
+            "Datagrams sent to nodes of other regions",
+            Unit::Bytes,
+            crossed,
+        );
+    }
+
+    /// Renders all metrics as text.
+    pub fn render(&self, node: &Node) -> String {
+        self.gauges.update(node);
+        let mut text = String::new();
+        if encode(&mut text, &self.registry).is_err() {
+            let _ = writeln!(text, "# the metrics could not be written");
+        }
+        text
+    }
+}
