refactor(exchange): an answer's state and the list of answers leave feed.rs

feed.rs held three types of one job each: the feed, the state that the caller's connection and the task share, and the node's list of feeds. A 'reader' was the caller, the task that reads ahead, and in the glossary a node that reads tables: it is now Recipient and `reading`. 'Asked' did not say who asks whom: the caller's connection polls and waits (is_caller_waiting, note_waiting). Progress.waiting, the time since enough was taken, read as the opposite. 'Connection: close' was set in two places. The drop order of what ends is unchanged.

--- a/crates/core/src/serving/read_ahead.rs
+++ b/crates/core/src/serving/read_ahead.rs
@@ -20,8 +20,8 @@
 /// The time within which a caller must take [`LEAST_TAKEN`] of what is held for it, in milliseconds:
 /// longer than a person's pause or a lost packet's repeats, shorter than most callers' deadlines.
 pub const PROGRESS_WITHIN: Millis = 10_000;
-/// Bytes that a caller must take within [`PROGRESS_WITHIN`]. Slower, even an answer of 100 kB would
-/// lie here for an hour.
+/// Bytes that a caller must take within [`PROGRESS_WITHIN`]. At this rate an answer of 100 kB is held
+/// for an hour.
 pub const LEAST_TAKEN: usize = 256;
 /// How long a caller must have taken nothing to be disconnected where memory is short or the node
 /// is about to stop, in milliseconds: a caller that reads at all takes something within it.
@@ -90,10 +90,11 @@
 /// How a caller takes what is held for it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Progress {
-    /// Time in which bytes were there and the caller took none.
+    /// Time in which bytes were there and the caller took none, in milliseconds.
     resting: Millis,
-    /// Time since the caller took [`LEAST_TAKEN`].
-    waiting: Millis,
+    /// Time since the caller last took [`LEAST_TAKEN`], in milliseconds.
+    since_progress: Millis,
+    /// Bytes taken meanwhile.
     taken: usize,
 }
 
@@ -107,16 +108,16 @@
         }
     }
 
-    /// Notes a look at a caller that has not asked for more since it took the last piece, the time
-    /// since the look before.
+    /// Notes a look at a caller that has not polled for more since it took the last piece. `since` is
+    /// the time since the look before, in milliseconds.
     pub fn note_look(&mut self, since: Millis) {
         let since = since.min(LONGEST_LOOK);
         self.resting += since;
-        self.waiting += since;
+        self.since_progress += since;
     }
 
     /// Notes that the caller waits for the server.
-    pub fn note_asked(&mut self) {
+    pub fn note_waiting(&mut self) {
         *self = Self::default();
     }
 
@@ -127,7 +128,7 @@
 
     /// Returns `true` if the caller took too little for too long.
     pub fn is_over(&self) -> bool {
-        self.waiting >= PROGRESS_WITHIN
+        self.since_progress >= PROGRESS_WITHIN
     }
 }
 
--- a/crates/core/tests/serving/read_ahead.rs
+++ b/crates/core/tests/serving/read_ahead.rs
@@ -60,7 +60,7 @@
     let mut progress = Progress::default();
     for _ in 0..200 {
         progress.note_look(100);
-        progress.note_asked();
+        progress.note_waiting();
     }
     assert!(!progress.is_over());
 }
--- a/crates/gateway/src/exchange/feed.rs
+++ b/crates/gateway/src/exchange/feed.rs
@@ -1,32 +1,33 @@
 //! The body of an answer between its server and its caller.
 //!
-//! While the caller keeps up, its connection reads the server itself: no task and no copy lies
-//! between them. Where the caller has not asked for more by the next look, a task reads ahead into a
-//! buffer, whose bytes are reserved, until the caller asks again.
+//! While the caller keeps up, its connection polls the server's answer directly, without a task or
+//! a copy in between. Where the caller's connection has not polled for more by the next look, a task
+//! reads ahead into a buffer, whose bytes are reserved, until the connection polls again.
 //!
-//! Invariants: bytes leave in the order in which they came; only one of both sides reads the server
-//! at a time, under the lock; what was not passed on to its end cuts the caller's connection.
+//! Invariants: bytes leave in the order in which they came; the caller's connection and the task
+//! read the server one at a time, under the lock; an answer that is not passed on to its end cuts the
+//! caller's connection.
 
 use std::io;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, Weak};
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 
-use async_executor::Task;
 use bytes::Bytes;
 use futures_lite::{Stream, future};
 use keeljunction_core::Millis;
 use keeljunction_core::serving::memory::Kind;
-use keeljunction_core::serving::read_ahead::{Buffer, Caller, Progress, get_bound};
+use keeljunction_core::serving::read_ahead::{Buffer, Caller, get_bound};
 
+use super::flow::Flow;
 use super::respond::{Passage, Record};
 use super::source::{Source, Step};
 use crate::http::{Body, Peer};
 use crate::node::{Node, Reservation};
 use crate::runtime::{self, lock};
 
-/// Bytes that are given to a caller's connection at a time. What it has been given is out of sight,
-/// so that it shows soon whether the caller reads.
+/// The most bytes that are passed to a caller's connection at a time. What the connection holds is
+/// out of sight: with small pieces a caller that stops reading shows soon.
 const PIECE_BYTES: usize = 16 * 1024;
 
 /// An answer on its way to its caller.
@@ -35,71 +36,52 @@
     id: u64,
     request: String,
     passage: Arc<Passage>,
-    /// When the server's answer is cut off if it has not ended.
+    /// The time on the node's clock at which the server's answer is cut off.
     due: Millis,
     flow: Mutex<Flow>,
 }
 
-struct Flow {
-    source: Option<Source>,
-    /// The record of the request, once its server's answer has ended.
-    record: Option<Box<Record>>,
-    /// Whether the server's answer has ended.
-    is_ended: bool,
-    buffer: Buffer,
-    held: Reservation,
-    error: Option<io::Error>,
-    /// Whether the caller has asked for more and waits for the server.
-    is_asking: bool,
-    /// The task that reads ahead, while [`Flow::is_reading`].
-    reader: Option<Task<()>>,
-    is_reading: bool,
-    progress: Progress,
-    looked_at: Millis,
-    peer: Option<Peer>,
-}
-
 /// What a look at an answer showed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Look {
-    /// Its caller.
+    /// The caller, with the bytes that are held for it.
     pub caller: Caller,
-    /// Whether the caller takes too little for too long.
+    /// Whether the caller took too little for too long.
     pub is_over: bool,
-    /// Whether memory is missing for what was read.
+    /// Whether there is no memory for what was read.
     pub is_short: bool,
 }
 
-/// Who reads an answer.
-pub(super) struct Reader {
+/// The request that an answer belongs to, and its caller's connection.
+pub(super) struct Recipient {
     request: String,
     passage: Arc<Passage>,
     peer: Option<Peer>,
 }
 
-impl Reader {
-    /// Returns the reader of a request's answer.
+impl Recipient {
+    /// Returns the recipient of a request's answer.
     pub fn of(record: &Record) -> Self {
         let (passage, peer) = (record.passage.clone(), record.peer.clone());
         Self { request: record.id.clone(), passage, peer }
     }
 }
 
-/// Passes on what a server sends.
-pub(super) fn open(node: &Arc<Node>, reader: Reader, source: Source, due: Millis) -> Body {
+/// Returns the body that passes on what a server sends until `due`.
+pub(super) fn open(node: &Arc<Node>, recipient: Recipient, source: Source, due: Millis) -> Body {
     let held = Reservation::new(node, Kind::ReadAhead);
-    let feed = Feed::new(node, reader, held, due);
+    let feed = Feed::new(node, recipient, held, due);
     lock(&feed.flow).source = Some(source);
     Body::stream(FeedBody(feed), None)
 }
 
-/// Passes on an answer that was read whole, with what is held for it.
+/// Returns the body that passes on an answer that was read whole. `held` is its reservation.
 pub(super) fn whole(node: &Arc<Node>, bytes: Bytes, held: Reservation, record: Record) -> Body {
     let length = bytes.len() as u64;
     if bytes.len() <= PIECE_BYTES {
         return Body::from(bytes);
     }
-    let feed = Feed::new(node, Reader::of(&record), held, Millis::MAX);
+    let feed = Feed::new(node, Recipient::of(&record), held, Millis::MAX);
     let mut flow = lock(&feed.flow);
     flow.buffer.push(bytes);
     flow.record = Some(Box::new(record));
@@ -109,24 +91,11 @@
 }
 
 impl Feed {
-    fn new(node: &Arc<Node>, reader: Reader, held: Reservation, due: Millis) -> Arc<Self> {
-        let Reader { request, passage, peer } = reader;
+    fn new(node: &Arc<Node>, recipient: Recipient, held: Reservation, due: Millis) -> Arc<Self> {
+        let Recipient { request, passage, peer } = recipient;
         passage.open();
         let bound = get_bound(node.with(|state| state.memory.get_capacity()));
-        let flow = Flow {
-            source: None,
-            record: None,
-            is_ended: false,
-            buffer: Buffer::new(bound),
-            held,
-            error: None,
-            is_asking: false,
-            reader: None,
-            is_reading: false,
-            progress: Progress::default(),
-            looked_at: node.now(),
-            peer,
-        };
+        let flow = Flow::new(Buffer::new(bound), held, peer, node.now());
         let flow = Mutex::new(flow);
         node.feeds.add(|id| Self { node: node.clone(), id, request, passage, due, flow })
     }
@@ -136,18 +105,18 @@
         &self.request
     }
 
-    /// Gives the caller what is there, or asks the server for more.
+    /// Returns the next piece for the caller: from the buffer, or else from the server.
     fn poll_next(&self, context: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
         let mut flow = lock(&self.flow);
-        flow.is_asking = false;
+        flow.is_caller_waiting = false;
         if flow.buffer.is_empty() && flow.is_open() {
             match flow.poll_source(context) {
                 Poll::Pending => {
-                    flow.is_asking = true;
-                    flow.progress.note_asked();
-                    // The reader would wait for a wake-up that now goes to the caller.
-                    flow.reader = None;
-                    flow.is_reading = false;
+                    flow.is_caller_waiting = true;
+                    flow.progress.note_waiting();
+                    // The server now wakes the caller's connection, and no longer this task.
+                    flow.reading = None;
+                    flow.is_reading_ahead = false;
                     return Poll::Pending;
                 }
                 Poll::Ready(Some(Step::Piece(piece))) if piece.len() <= PIECE_BYTES => {
@@ -159,7 +128,7 @@
         if let Some(piece) = flow.buffer.pop(PIECE_BYTES) {
             flow.settle();
             if flow.buffer.is_empty() && flow.is_ended && flow.error.is_none() {
-                // Nobody asks for more where the length is known.
+                // Where the length is known, the connection does not poll after the last byte.
                 self.passage.finish();
             }
             return Poll::Ready(Some(Ok(self.pass_on(&mut flow, piece))));
@@ -177,33 +146,34 @@
         piece
     }
 
-    /// Looks whether the caller takes what is there, and reads ahead where it does not.
+    /// Notes whether the caller takes what is there, and starts to read ahead where it does not.
     pub(super) fn look(self: &Arc<Self>, now: Millis) -> Look {
         let mut flow = lock(&self.flow);
         let since = now.saturating_sub(flow.looked_at);
         flow.looked_at = now;
-        match flow.is_asking {
-            true => flow.progress.note_asked(),
+        match flow.is_caller_waiting {
+            true => flow.progress.note_waiting(),
             false => flow.progress.note_look(since),
         }
         let is_short = !flow.settle();
-        // Once the time is over, the source only ends, for which no room is needed.
+        // After `due` the source only ends, which needs no room.
         let is_worth_reading = now >= self.due || (flow.buffer.is_reading() && !is_short);
-        if flow.is_open() && is_worth_reading && !flow.is_asking && !flow.is_reading {
-            flow.is_reading = true;
+        if flow.is_open() && is_worth_reading && !flow.is_caller_waiting && !flow.is_reading_ahead {
+            flow.is_reading_ahead = true;
             let feed = self.clone();
             let reading = future::poll_fn(move |context| feed.poll_ahead(context));
-            flow.reader = Some(runtime::task(reading));
+            flow.reading = Some(runtime::task(reading));
         }
         let (bytes, resting) = (flow.buffer.get_bytes(), flow.progress.get_resting());
         let caller = Caller { id: self.id, bytes, resting };
         Look { caller, is_over: flow.progress.is_over(), is_short }
     }
 
-    /// Reads the server until the caller asks, the buffer is full, or the answer has ended.
+    /// Reads the server until the caller's connection polls, the buffer is full, or the answer has
+    /// ended.
     fn poll_ahead(&self, context: &mut Context<'_>) -> Poll<()> {
         let mut flow = lock(&self.flow);
-        while !flow.is_asking && flow.is_open() {
+        while !flow.is_caller_waiting && flow.is_open() {
             let is_due = self.node.now() >= self.due;
             if !is_due && (!flow.buffer.is_reading() || !flow.settle()) {
                 break;
@@ -214,71 +184,26 @@
             }
             flow.take(step);
         }
-        flow.is_reading = false;
+        flow.is_reading_ahead = false;
         Poll::Ready(())
     }
 
-    /// Ends the answer and its run; its caller's connection is cut.
+    /// Ends the answer and its run at the server, and resets the caller's connection.
     pub(super) fn disconnect(&self, reason: &'static str) {
         let mut flow = lock(&self.flow);
         self.passage.disconnect();
-        let ended = flow.end();
+        let leftover = flow.end();
         flow.error = Some(io::Error::new(io::ErrorKind::TimedOut, reason));
         let peer = flow.peer.take();
         drop(flow);
-        drop(ended);
+        drop(leftover);
         if let Some(peer) = peer {
             peer.cut();
         }
     }
 }
 
-impl Flow {
-    /// Returns `true` if more may come of the server.
-    fn is_open(&self) -> bool {
-        self.source.is_some() && !self.is_ended && self.error.is_none()
-    }
-
-    fn poll_source(&mut self, context: &mut Context<'_>) -> Poll<Option<Step>> {
-        match self.source.as_mut() {
-            Some(source) => source.as_mut().poll_next(context),
-            None => Poll::Ready(None),
-        }
-    }
-
-    /// Takes what came of the server.
-    fn take(&mut self, step: Option<Step>) {
-        match step {
-            Some(Step::Piece(piece)) => self.buffer.push(piece),
-            Some(Step::End(end, record)) => {
-                self.is_ended = true;
-                self.error = end.err();
-                self.record = Some(record);
-            }
-            None => self.is_ended = true,
-        }
-        self.settle();
-    }
-
-    /// Reserves what the buffer holds, or releases what it holds no longer; returns `false` where
-    /// there is no room.
-    fn settle(&mut self) -> bool {
-        let (bytes, reserved) = (self.buffer.get_bytes() as u64, self.held.get_bytes());
-        if reserved > bytes {
-            self.held.shrink(reserved - bytes);
-        }
-        reserved >= bytes || self.held.grow(bytes - reserved)
-    }
-
-    /// Takes out all that must be dropped outside the lock.
-    fn end(&mut self) -> (Option<Source>, Option<Box<Record>>, Option<Task<()>>) {
-        self.buffer = Buffer::new(0);
-        self.settle();
-        (self.source.take(), self.record.take(), self.reader.take())
-    }
-}
-
-/// The caller's side of a feed. The run ends when it is dropped.
+/// A feed as the body of the caller's response. Dropping it ends the run at the server.
 struct FeedBody(Arc<Feed>);
 
 impl Stream for FeedBody {
@@ -292,37 +217,7 @@
 impl Drop for FeedBody {
     fn drop(&mut self) {
         self.0.node.feeds.remove(self.0.id);
-        let ended = lock(&self.0.flow).end();
-        drop(ended);
-    }
-}
-
-/// All answers on their way.
-#[derive(Default)]
-pub struct Feeds(Mutex<Known>);
-
-#[derive(Default)]
-struct Known {
-    next: u64,
-    feeds: std::collections::HashMap<u64, Weak<Feed>>,
-}
-
-impl Feeds {
-    fn add(&self, make: impl FnOnce(u64) -> Feed) -> Arc<Feed> {
-        let mut known = lock(&self.0);
-        known.next += 1;
-        let id = known.next;
-        let feed = Arc::new(make(id));
-        known.feeds.insert(id, Arc::downgrade(&feed));
-        feed
-    }
-
-    fn remove(&self, id: u64) {
-        lock(&self.0).feeds.remove(&id);
-    }
-
-    /// Lists them.
-    pub(super) fn list(&self) -> Vec<Arc<Feed>> {
-        lock(&self.0).feeds.values().filter_map(Weak::upgrade).collect()
+        let leftover = lock(&self.0.flow).end();
+        drop(leftover);
     }
 }
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -10,14 +10,18 @@
 //! | `relay` | makes the caller's response from an answer |
 //! | `source` | reads the answer from its server, and lets another server go on with it |
 //! | `feed` | passes the answer on, and reads ahead while the caller does not read |
+//! | `flow` | holds the state of an answer that is passed on |
+//! | `feeds` | lists the answers that are passed on |
 //! | `callers` | disconnects callers that do not read |
-//! | `respond` | writes refusals, and tells of each request's end |
+//! | `respond` | writes refusals, and logs and counts the end of each request |
 
 mod admission;
 mod attempt;
 mod callers;
 mod dispatch;
 mod feed;
+mod feeds;
+mod flow;
 mod pick;
 mod relay;
 mod respond;
@@ -27,22 +31,21 @@
 use std::sync::Arc;
 
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response};
 use keeljunction_core::serving::configuration::RouteKind;
 
 use crate::http::Body;
 use crate::node::Node;
 use admission::Exchange;
-use respond::Record;
+use respond::{Record, close_after};
 use upload::Arriving;
 
 pub use callers::{disconnect_resting, watch as watch_callers};
-pub use feed::Feeds;
+pub use feeds::Feeds;
 
 /// Answers a caller's request.
 ///
-/// Dropping the future, or the body that it gives, cancels what is still running: the caller has
+/// Dropping the future, or the body of the response, cancels what is still running: the caller has
 /// left.
 pub async fn answer(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
     let (mut parts, body) = request.into_parts();
@@ -79,8 +82,3 @@
     }
     response
 }
-
-/// Tells the caller that its connection closes after the answer.
-fn close_after(response: &mut Response<Body>) {
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-}
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -1,4 +1,4 @@
-//! Makes the caller's response from an answer.
+//! Makes the caller's response from a server's answer.
 
 use std::sync::Arc;
 
@@ -7,13 +7,13 @@
 
 use super::admission::{Exchange, HOP_BY_HOP};
 use super::attempt::{Answer, AnswerBody};
-use super::feed::{self, Reader};
+use super::feed::{self, Recipient};
 use super::respond::{ANSWERED, Record, close_if_stopping};
 use super::source::{self, Open};
 use crate::http::Body;
 use crate::node::Node;
 
-/// Makes the caller's response from an answer.
+/// Returns the caller's response, which passes on a server's answer.
 pub(super) fn pass_on(
     node: Arc<Node>,
     exchange: Arc<Exchange>,
@@ -31,17 +31,18 @@
         }
         AnswerBody::Open { first, rest } => {
             record.end(status, "left");
-            let reader = Reader::of(&record);
+            let recipient = Recipient::of(&record);
             let open = Open { status, server, first, rest, load };
             let due = exchange.due;
             let source = source::read(node.clone(), exchange, record, open);
-            feed::open(&node, reader, source, due)
+            feed::open(&node, recipient, source, due)
         }
     };
     close_if_stopping(&node, &mut response);
     response
 }
 
+/// Makes a response without a body, without the headers that hold for one connection only.
 fn head(parts: &Parts) -> Response<Body> {
     let mut response = Response::new(Body::empty());
     *response.status_mut() = parts.status;
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -1,4 +1,4 @@
-//! Writes refusals, and tells of each request's end.
+//! Writes refusals, and logs and counts the end of each request.
 
 use std::sync::{Arc, Mutex};
 
@@ -15,7 +15,7 @@
 use crate::port::RequestHead;
 use crate::runtime::lock;
 
-/// A refusal with what the caller is told.
+/// A refusal, as it is answered to the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Refused {
     /// Why.
@@ -97,7 +97,7 @@
 /// The outcome of a request whose answer came whole.
 pub(super) const ANSWERED: &str = "answered";
 
-/// What is known of a request until it ends; tells of its end when it is dropped.
+/// What is known of a request until it ends. Dropping it logs and counts the end.
 pub(super) struct Record {
     node: Arc<Node>,
     _guard: InFlight,
@@ -224,9 +224,14 @@
     }
 }
 
-/// Tells the caller that its connection closes, where the node is about to end.
+/// Announces to the caller that its connection closes after the response.
+pub(super) fn close_after(response: &mut Response<Body>) {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
+/// Announces that the connection closes, where the node is about to end.
 pub(super) fn close_if_stopping(node: &Node, response: &mut Response<Body>) {
     if node.is_stopping() {
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        close_after(response);
     }
 }
