refactor(exchange): dispatch.rs keeps the attempts only; one type for why there is no answer

dispatch.rs also held how far the attempts have come and what is recorded of each: these are progress.rs and notes.rs. Three private types of the same two fields (dispatch::Stop, pick::Unserved, upload::Failed), one with the name of a signal and one with that of a failed attempt, are rejection::Rejection. 'Is asked' and 'has asked' did not say who asks whom for what: loads are requested, a caller expects 'continue'. Constants stand at the top, with their reasons. No decision has changed.

--- a/crates/core/src/serving/spill.rs
+++ b/crates/core/src/serving/spill.rs
@@ -117,13 +117,13 @@
     /// How long the request's body takes at the rate of the budget.
     pub transfer: Millis,
     /// Whether the loads there are requested before the choice.
-    pub is_asked: bool,
+    pub is_load_requested: bool,
 }
 
 impl Way {
     /// Returns the time from now until the first byte of an answer, without the server's own.
     pub fn get_travel(&self) -> Millis {
-        let question = if self.is_asked { TRIPS_OF_QUESTION } else { 0 };
+        let question = if self.is_load_requested { TRIPS_OF_QUESTION } else { 0 };
         let trips = (TRIPS_OF_REQUEST + question) * self.round_trip;
         trips.saturating_add(self.transfer)
     }
--- a/crates/core/tests/serving/spill.rs
+++ b/crates/core/tests/serving/spill.rs
@@ -24,7 +24,8 @@
 };
 
 /// A way of 30 ms each way, whose loads are asked for: 180 ms until the first byte.
-const WAY: Way = Way { waited: 0, left: 10_000, round_trip: 60, transfer: 0, is_asked: true };
+const WAY: Way =
+    Way { waited: 0, left: 10_000, round_trip: 60, transfer: 0, is_load_requested: true };
 
 fn topology(own: &str, regions: &[(&str, &str)]) -> Topology {
     let regions = regions
@@ -108,7 +109,7 @@
     assert!(WAY.is_borne(&with(280), Cause::Full));
     assert!(!WAY.is_borne(&with(279), Cause::Full));
 
-    let known = Way { is_asked: false, ..WAY };
+    let known = Way { is_load_requested: false, ..WAY };
     assert!(known.is_borne(&with(220), Cause::Full));
 
     let late = Way { waited: 300, ..WAY };
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -66,7 +66,7 @@
 impl Exchange {
     /// Admits a request, or says why not. Nothing was sent to a server in either case.
     ///
-    /// What the head tells is checked before the body is read.
+    /// The head is checked before the body is read.
     pub async fn admit(
         node: &Arc<Node>,
         parts: Parts,
@@ -115,14 +115,12 @@
         let name = record.account.as_deref().unwrap_or("");
         let upload = Upload::begin(node, &id, name, urgency, arriving, bounds)
             .await
-            .map_err(|failed| refuse(failed.reason, failed.retry_after))?;
+            .map_err(|rejection| rejection.with_left(deadline))?;
         let charge = consume_quota(node, account.as_ref(), head.prompt.as_ref())
             .await
             .map_err(|wait| refuse(Refusal::OverQuota, wait.max(QUOTA_RETRY_AFTER)))?;
-        let body = upload
-            .read(arriving)
-            .await
-            .map_err(|failed| refuse(failed.reason, failed.retry_after))?;
+        let body =
+            upload.read(arriving).await.map_err(|rejection| rejection.with_left(deadline))?;
         let prompt = head.prompt.as_ref();
         let work = size_work(prompt, urgency);
         count_demand(node, &service, prompt, &work);
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -3,80 +3,27 @@
 use std::sync::Arc;
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::refusal::Refusal;
 use keeljunction_core::serving::rollout::Phase;
-use keeljunction_core::serving::spill::{Cause, get_region};
 
 use super::admission::Exchange;
 use super::attempt::{self, Answer, Failed, Order};
+use super::notes::{note_choice, note_failure};
 use super::pick::{self, Attempts, Pick};
+use super::progress::Progress;
+use super::rejection::Rejection;
 use super::respond::{Record, Refused};
 use crate::event::{self, Event};
-use crate::metrics::{ReasonLabels, SpillLabels};
-use crate::node::{Node, report_begun, rollouts};
+use crate::metrics::ReasonLabels;
+use crate::node::{Node, rollouts};
 
-/// `Retry-After` where the server that was asked was full, in milliseconds.
+/// `Retry-After` where the server of the last attempt was full, in milliseconds.
 const ROOM_RETRY_AFTER: Millis = 250;
-/// Attempts at connecting, which send nothing and so count for no bound of the operator's.
+/// Attempts that may fail to connect, besides the route's `max_attempts`: they send nothing, and each
+/// takes up to 250 ms.
 const MOST_CONNECTS: u32 = 3;
-
-/// Why there is no further attempt, and after how many milliseconds the caller should retry.
-#[derive(Clone, Copy, Debug)]
-struct Stop {
-    reason: Refusal,
-    retry_after: Millis,
-}
-
-/// How far the attempts at a request have come.
-struct Progress {
-    /// Since when the caller waits.
-    began: Millis,
-    tried: Vec<String>,
-    sent: u32,
-    last: Option<Failed>,
-    may_have_run: bool,
-    /// Servers that ended the connection before they answered.
-    ended: Vec<String>,
-}
-
-impl Progress {
-    fn new(began: Millis) -> Self {
-        Self {
-            began,
-            tried: Vec::new(),
-            sent: 0,
-            last: None,
-            may_have_run: false,
-            ended: Vec::new(),
-        }
-    }
-
-    fn note(&mut self, failed: Failed) {
-        if failed != Failed::NotConnected {
-            self.sent += 1;
-        }
-        if failed == Failed::Ended {
-            self.ended.extend(self.tried.last().cloned());
-        }
-        self.may_have_run |= failed.may_have_run();
-        self.last = Some(failed);
-    }
-
-    /// Returns why the request ends here and when to retry, given both where nothing was tried.
-    fn stop(&self, otherwise: Refusal, retry_after: Millis) -> Stop {
-        Stop { reason: self.get_refusal(otherwise), retry_after }
-    }
-
-    fn get_refusal(&self, otherwise: Refusal) -> Refusal {
-        match self.last {
-            Some(Failed::Timeout) => Refusal::Timeout,
-            _ if self.may_have_run => Refusal::BrokenAnswer,
-            Some(_) => Refusal::NotAccepted,
-            None => otherwise,
-        }
-    }
-}
+/// Servers that may end under a request before it is sent to no further one: one may end by chance.
+const SERVERS_ENDED: usize = 2;
 
 /// Sends the request to one server after another, as far as its route and the budget allow.
 pub(super) async fn run(
@@ -90,7 +37,7 @@
     loop {
         let pick = match next_attempt(node, exchange, &progress).await {
             Ok(pick) => pick,
-            Err(stop) => return give_up(node, exchange, stop, spare),
+            Err(rejection) => return give_up(node, exchange, rejection, spare),
         };
         note_choice(node, exchange, record, &pick);
         let within = exchange.get_left(node.now());
@@ -102,7 +49,11 @@
     }
 }
 
-/// Sends the request to a server; gives the server's own answer where it failed the request.
+/// Sends the request to a server.
+///
+/// # Errors
+///
+/// Returns the server's own answer where it failed the request, and `None` where there is no answer.
 async fn try_server(
     node: &Arc<Node>,
     exchange: &Exchange,
@@ -134,7 +85,7 @@
     }
 }
 
-/// Lets another server go on with a stream after an event; `None` where none does.
+/// Resumes a stream at another server after its last event; returns `None` where no server does.
 pub(super) async fn resume(
     node: &Arc<Node>,
     exchange: &Exchange,
@@ -147,7 +98,7 @@
         sent: tried.len() as u32,
         last: Some(Failed::Broken),
         may_have_run: true,
-        // Its caller waits since the stream broke off.
+        // The caller waits since the stream broke off.
         ..Progress::new(node.now())
     };
     loop {
@@ -164,33 +115,37 @@
 }
 
 /// Picks the server of the next attempt, or says why there is none.
-async fn next_attempt(node: &Node, exchange: &Exchange, progress: &Progress) -> Result<Pick, Stop> {
+async fn next_attempt(
+    node: &Node,
+    exchange: &Exchange,
+    progress: &Progress,
+) -> Result<Pick, Rejection> {
     let now = node.now();
     if exchange.get_left(now) == 0 {
         let reason = if progress.sent > 0 { Refusal::Timeout } else { Refusal::TooLate };
-        return Err(Stop { reason, retry_after: 0 });
+        return Err(reason.into());
     }
     let route = &exchange.route;
     let is_barred = progress.may_have_run && !route.kind.is_repeatable();
     let is_spent = progress.sent >= route.max_attempts.max(1);
     let is_hopeless = progress.tried.len() as u32 >= route.max_attempts + MOST_CONNECTS;
     if is_barred || is_spent || is_hopeless {
-        return Err(progress.stop(Refusal::NotAccepted, ROOM_RETRY_AFTER));
+        return Err(progress.reject(Refusal::NotAccepted, ROOM_RETRY_AFTER));
     }
-    if has_brought_down(node, exchange, progress) {
-        return Err(progress.stop(Refusal::BrokenAnswer, 0));
+    if has_ended_servers(node, exchange, progress) {
+        return Err(progress.reject(Refusal::BrokenAnswer, 0));
     }
     if !node.is_fresh() {
-        return Err(progress.stop(Refusal::Stale, ROOM_RETRY_AFTER));
+        return Err(progress.reject(Refusal::Stale, ROOM_RETRY_AFTER));
     }
     let attempts =
         Attempts { tried: &progress.tried, began: progress.began, ramp_draw: fastrand::f64() };
     let pick = pick::pick(node, exchange, attempts)
         .await
-        .map_err(|unserved| progress.stop(unserved.reason, unserved.retry_after))?;
-    // Servers of other regions may have been asked meanwhile. Nothing is sent without time to answer.
+        .map_err(|rejection| progress.reject(rejection.reason, rejection.retry_after))?;
+    // The choice may have waited for loads. Nothing is sent that no time is left to answer.
     if exchange.get_left(node.now()) == 0 {
-        return Err(progress.stop(Refusal::TooLate, 0));
+        return Err(progress.reject(Refusal::TooLate, 0));
     }
     if progress.sent > 0 {
         take_repeat(node, exchange, progress, now)?;
@@ -204,25 +159,22 @@
     exchange: &Exchange,
     progress: &Progress,
     now: Millis,
-) -> Result<(), Stop> {
+) -> Result<(), Rejection> {
     let is_allowed = node.with(|state| {
         let nodes = state.members.get_reach(now).all;
         state.budget.take(now, &exchange.service, nodes)
     });
     if !is_allowed {
-        return Err(progress.stop(Refusal::NotAccepted, ROOM_RETRY_AFTER));
+        return Err(progress.reject(Refusal::NotAccepted, ROOM_RETRY_AFTER));
     }
     let reason = progress.last.map_or("", Failed::as_str).to_owned();
     node.metrics.retries.get_or_create(&ReasonLabels { reason }).inc();
     Ok(())
 }
 
-/// Servers that may end under a request before it is sent to no further one: one may end by chance.
-const SERVERS_ENDED: usize = 2;
-
-/// Returns `true` if servers ended under the request, and so would the next one: they are ejected or
-/// gone since.
-fn has_brought_down(node: &Node, exchange: &Exchange, progress: &Progress) -> bool {
+/// Returns `true` if [`SERVERS_ENDED`] servers ended under the request and are ejected or gone since:
+/// the next one would probably end too. Logs and counts that.
+fn has_ended_servers(node: &Node, exchange: &Exchange, progress: &Progress) -> bool {
     if progress.ended.len() < SERVERS_ENDED {
         return false;
     }
@@ -244,88 +196,15 @@
     true
 }
 
-fn note_choice(node: &Node, exchange: &Exchange, record: &mut Record, pick: &Pick) {
-    record.attempts += 1;
-    let server = &pick.server;
-    let now = node.now();
-    let (candidates, chosen, criteria) = node.with(|state| {
-        let throughput = state.throughputs.get(&exchange.service);
-        let candidates = state.directory.iter_ready(&exchange.service).count();
-        let chosen = pick::weigh(state, throughput, now, server);
-        (candidates, chosen, pick::get_criteria(state, exchange))
-    });
-    let expected_ms = criteria.estimate(&chosen);
-    if let Some(reading_ms) = expected_ms.filter(|_| exchange.has_engine) {
-        report_begun(node, &server.id, &exchange.work, reading_ms);
-    }
-    let is_multi_region = node.topology.is_multi_region();
-    let region = is_multi_region.then(|| get_region(&node.topology, &server.data_centre));
-    let spill = pick.spill.map(Cause::as_str);
-    if let (Some(region), Some(reason)) = (region, spill) {
-        node.metrics.spilled.get_or_create(&SpillLabels::of(region, reason)).inc();
-    }
-    event::emit(&Event::ServerChosen {
-        request: &record.id,
-        server: &server.id,
-        server_version: &server.version,
-        service: &exchange.service,
-        attempt: record.attempts,
-        candidates,
-        prompt_tokens: criteria.prompt_tokens,
-        waiting_tokens: chosen.load.get_waiting_tokens(),
-        slowness: chosen.slowness,
-        expected_ms,
-        left_ms: exchange.get_left(now),
-        version: record.version.unwrap_or(0),
-        age_ms: record.age,
-        region,
-        spill,
-    });
-}
-
-fn note_failure(
-    node: &Node,
-    exchange: &Exchange,
-    record: &Record,
-    server: &Server,
-    failed: Failed,
-) {
-    let now = node.now();
-    let pause = node.with(|state| match failed {
-        Failed::NotConnected => {
-            state.health.fail_to_connect(now, &server.id);
-            None
-        }
-        Failed::Declined | Failed::OtherServer => None,
-        Failed::Ended | Failed::Broken | Failed::ServerError | Failed::Timeout => {
-            state.health.fail(now, &server.id)
-        }
-    });
-    if let Some(ejected_for_ms) = pause {
-        event::emit(&Event::ServerEjected { server: &server.id, ejected_for_ms });
-    }
-    let reason = failed.as_str();
-    let labels = ReasonLabels { reason: reason.to_owned() };
-    node.metrics.failed_attempts.get_or_create(&labels).inc();
-    event::emit(&Event::AttemptFailed {
-        request: exchange.head.id.as_deref().unwrap_or(""),
-        server: &server.id,
-        attempt: record.attempts,
-        may_have_run: failed.may_have_run(),
-        why: reason,
-    });
-}
-
-/// Ends without a sound answer: a server's own failure is passed on as it is.
+/// Ends without a sound answer: passes on a server's own failure as it is, or else refuses.
 fn give_up(
     node: &Node,
     exchange: &Exchange,
-    stop: Stop,
+    rejection: Rejection,
     spare: Option<Box<Answer>>,
 ) -> Result<Answer, Refused> {
     if let Some(answer) = spare {
         return Ok(*answer);
     }
-    let Stop { reason, retry_after } = stop;
-    Err(Refused { reason, retry_after, left: exchange.get_left(node.now()) })
+    Err(rejection.with_left(exchange.get_left(node.now())))
 }
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -5,14 +5,17 @@
 //! | `admission` | checks the request and finds its route, client account and time |
 //! | `upload` | reads the body within the node's memory and the caller's time |
 //! | `dispatch` | sends the request to servers until there is an answer |
+//! | `progress` | holds how far the attempts have come |
 //! | `pick` | picks the server of an attempt |
 //! | `attempt` | sends the request to one server and judges what comes back |
+//! | `notes` | records attempts in state, logs and metrics |
 //! | `relay` | makes the caller's response from an answer |
 //! | `source` | reads the answer from its server, and lets another server go on with it |
 //! | `feed` | passes the answer on, and reads ahead while the caller does not read |
 //! | `flow` | holds the state of an answer that is passed on |
 //! | `feeds` | lists the answers that are passed on |
 //! | `callers` | disconnects callers that do not read |
+//! | `rejection` | says why a request ends without an answer |
 //! | `respond` | writes refusals, and logs and counts the end of each request |
 
 mod admission;
@@ -22,7 +25,10 @@
 mod feed;
 mod feeds;
 mod flow;
+mod notes;
 mod pick;
+mod progress;
+mod rejection;
 mod relay;
 mod respond;
 mod source;
--- a/crates/gateway/src/exchange/pick.rs
+++ b/crates/gateway/src/exchange/pick.rs
@@ -14,6 +14,7 @@
 use keeljunction_core::serving::throughput::Throughput;
 
 use super::admission::Exchange;
+use super::rejection::Rejection;
 use crate::metrics::RegionLabels;
 use crate::node::state::State;
 use crate::node::{Node, ask_loads, rollouts};
@@ -29,8 +30,8 @@
     pub tried: &'a [String],
     /// Since when the caller waits.
     pub began: Millis,
-    /// Random, from 0 to 1: whether the request goes to servers that get their work back gradually.
-    /// One draw for all servers and steps of a choice, so that the servers whose loads are asked for
+    /// Random, from 0 to 1: decides whether the request goes to servers that get their work back
+    /// gradually. All steps of a choice share one draw, so that the servers whose loads are requested
     /// are those that may be chosen.
     pub ramp_draw: f64,
 }
@@ -43,15 +44,6 @@
     pub spill: Option<Cause>,
 }
 
-/// Why there is no server for an attempt.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Unserved {
-    /// Why.
-    pub reason: Refusal,
-    /// Milliseconds after which to retry.
-    pub retry_after: Millis,
-}
-
 /// What the servers of one region offer, with the best of them.
 struct Found {
     offer: Offer,
@@ -62,19 +54,20 @@
     const NOTHING: Self = Self { offer: Offer::None, server: None };
 }
 
-/// The servers of one region, as a choice sees them.
+/// The servers of one region that a choice considers, and how.
 #[derive(Clone, Copy)]
 struct Place<'a> {
     /// The region and why the request leaves for it; `None` for the node's own one.
     far: Option<(&'a str, Cause)>,
     criteria: Criteria,
-    /// Whether the loads are requested first.
-    is_asked: bool,
+    /// Whether loads are requested from the nodes that keep them before the choice.
+    is_load_requested: bool,
     /// Whether only servers of the version that was picked are considered.
     is_version_fixed: bool,
 }
 
 impl Place<'_> {
+    /// Returns `true` if a server stands in the region.
     fn holds(&self, node: &Node, server: &Server) -> bool {
         match self.far {
             Some((region, _)) => get_region(&node.topology, &server.data_centre) == region,
@@ -88,11 +81,11 @@
     node: &Node,
     exchange: &Exchange,
     attempts: Attempts<'_>,
-) -> Result<Pick, Unserved> {
+) -> Result<Pick, Rejection> {
     let side = rollouts::pick_side(node, &exchange.service, attempts.tried.is_empty());
-    let (is_asked, criteria) =
+    let (is_load_requested, criteria) =
         node.with(|state| (state.members.is_grouped(), get_criteria(state, exchange)));
-    let near = Place { far: None, criteria, is_asked, is_version_fixed: false };
+    let near = Place { far: None, criteria, is_load_requested, is_version_fixed: false };
     if is_version_elsewhere(node, exchange, side) {
         let near = Place { is_version_fixed: true, ..near };
         let cause = Cause::NoServer;
@@ -113,8 +106,8 @@
 
 /// Returns `true` if an accepted version of the service has servers in other regions only.
 ///
-/// The servers of other versions stop as soon as the roll-out is completed, without a drain: a region
-/// that stays with its own until then loses the requests that are sent there before it hears of that.
+/// The servers of other versions stop as soon as the roll-out is completed, without a drain. A region
+/// that used them until then would lose the requests that it sends before it hears of that.
 fn is_version_elsewhere(node: &Node, exchange: &Exchange, side: Side) -> bool {
     if !node.topology.is_multi_region() || !matches!(side, Side::Target | Side::TargetFirst) {
         return false;
@@ -128,12 +121,12 @@
     })
 }
 
-/// Ends a choice in one region.
-fn conclude(found: Found) -> Result<Pick, Unserved> {
+/// Returns the result of a choice that stays in the node's own region.
+fn conclude(found: Found) -> Result<Pick, Rejection> {
     match (found.server, found.offer) {
         (Some(server), _) => Ok(Pick { server, spill: None }),
-        (None, Offer::Busy(retry_after)) => Err(Unserved { reason: Refusal::Busy, retry_after }),
-        (None, _) => Err(Unserved { reason: Refusal::NoServer, retry_after: SERVER_RETRY_AFTER }),
+        (None, Offer::Busy(retry_after)) => Err(Rejection { reason: Refusal::Busy, retry_after }),
+        (None, _) => Err(Rejection { reason: Refusal::NoServer, retry_after: SERVER_RETRY_AFTER }),
     }
 }
 
@@ -147,17 +140,17 @@
     near: Place<'a>,
 }
 
-/// Whether a way to another region is open to a request.
+/// Whether a request may go to another region.
 enum Gate {
     Open(Way),
     Closed,
-    /// The link's budget is used up; the time after which it is not.
+    /// The link's budget is used up; the time until it recovers, in milliseconds.
     LinkFull(Millis),
 }
 
 impl Crossing<'_> {
     /// Tries the other regions, the nearest first.
-    async fn run(self, found: Found) -> Result<Pick, Unserved> {
+    async fn run(self, found: Found) -> Result<Pick, Rejection> {
         let node = self.node;
         let regions = node.with(|state| {
             list_far(&node.topology, |region| state.distances.get_round_trip(region))
@@ -165,7 +158,7 @@
         let mut offer = found.offer;
         let mut link_wait: Option<Millis> = None;
         for region in regions {
-            let way = match self.look(region) {
+            let way = match self.check(region) {
                 Gate::Open(way) => way,
                 Gate::Closed => continue,
                 Gate::LinkFull(wait) => {
@@ -188,23 +181,25 @@
                     Offer::Busy(busy) => busy.min(wait),
                     _ => wait,
                 };
-                Err(Unserved { reason: Refusal::LinkFull, retry_after })
+                Err(Rejection { reason: Refusal::LinkFull, retry_after })
             }
             _ => conclude(Found { offer, ..found }),
         }
     }
 
+    /// Picks a server of another region, within what the way there leaves of the objective.
     async fn pick_far(&self, region: &str, way: &Way) -> Found {
         let place = Place {
             far: Some((region, self.cause)),
             criteria: way.shorten(&self.near.criteria),
-            is_asked: way.is_asked,
+            is_load_requested: way.is_load_requested,
             is_version_fixed: self.near.is_version_fixed,
         };
         pick_in(self.node, self.exchange, self.attempts, self.side, &place).await
     }
 
-    fn look(&self, region: &str) -> Gate {
+    /// Checks whether another region has a server, may answer in time, and is within the budget.
+    fn check(&self, region: &str) -> Gate {
         let node = self.node;
         let now = node.now();
         let gate = node.with(|state| {
@@ -222,7 +217,7 @@
                 left: self.exchange.get_left(now),
                 round_trip: state.distances.get_round_trip(region),
                 transfer: state.links.get_transfer(self.exchange.body_bytes),
-                is_asked: self.near.is_asked && !is_silent,
+                is_load_requested: self.near.is_load_requested && !is_silent,
             };
             let is_lost = is_silent && self.cause == Cause::Full;
             if is_lost || !way.is_borne(&self.near.criteria, self.cause) {
@@ -314,7 +309,7 @@
         allowed.is_allowed(state, server) && place.holds(node, server)
     };
     let ramp_draw = allowed.attempts.ramp_draw;
-    if !place.is_asked {
+    if !place.is_load_requested {
         return pick_among(node, exchange, &place.criteria, ramp_draw, is_allowed);
     }
     let mut found = Found::NOTHING;
@@ -337,8 +332,8 @@
     found
 }
 
-/// Returns `true` if the loads of more servers are worth a request. A full server is the last choice of a region;
-/// where there is another one, the request would leave for it.
+/// Returns `true` if the loads of more servers are worth a request. A full server is the last choice
+/// of a region; where there is another one, the request would leave for it.
 fn is_worth_more(node: &Node, offer: Offer) -> bool {
     match offer {
         Offer::Busy(_) => true,
@@ -347,7 +342,7 @@
     }
 }
 
-/// Draws the servers to ask for: of those that are not ejected, where there are any.
+/// Draws the servers whose loads are requested: of those that are not ejected, where there are any.
 fn list_candidates(
     node: &Node,
     exchange: &Exchange,
--- a/crates/gateway/src/exchange/upload.rs
+++ b/crates/gateway/src/exchange/upload.rs
@@ -18,6 +18,7 @@
 use keeljunction_core::serving::refusal::Refusal;
 use keeljunction_core::serving::upload::Pace;
 
+use super::rejection::Rejection;
 use crate::event::{self, Event};
 use crate::http::Stop;
 use crate::metrics::ReasonLabels;
@@ -25,37 +26,32 @@
 use crate::node::memory::Reservation;
 use crate::runtime;
 
-/// The least step in which a body without a length grows, in bytes: what is read at once.
+/// The least step by which a body without a length grows, in bytes: the size of one read.
 const LEAST_STEP: u64 = 16 * 1024;
-/// The part of what is held by which it grows: few steps for long bodies, and little in vain.
+/// The divisor of what is held that gives the step: a body grows by a quarter, in few steps and with
+/// little memory unused.
 const STEP_PART: u64 = 4;
-/// The time for which what a caller still sends is read and dropped after a refusal. A connection
-/// that closes with unread bytes is reset, which takes the refusal from its caller.
+/// How long what a caller still sends after a refusal is read and dropped. A connection that closes
+/// with unread bytes is reset, and the refusal is lost.
 const DRAIN_WITHIN: Duration = Duration::from_secs(2);
-
-/// Why there is no body, and after how many milliseconds the caller should retry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Failed {
-    /// Why.
-    pub reason: Refusal,
-    /// When to retry.
-    pub retry_after: Millis,
-}
-
-impl From<Refusal> for Failed {
-    fn from(reason: Refusal) -> Self {
-        Self { reason, retry_after: 0 }
-    }
-}
+/// `Retry-After` of an evicted upload, in milliseconds: at a usual speed the body that needed its
+/// memory has come by then.
+const RETRY_AFTER: Millis = 1_000;
+/// Why an upload is evicted, in logs and metrics: it is slower than the least rate.
+const TOO_SLOW: &str = "too_slow";
+/// Its time is over.
+const DEADLINE: &str = "deadline";
+/// It rested, and its memory was needed.
+const NO_MEMORY: &str = "no_memory";
 
 /// What a body may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Bounds {
-    /// Its bytes.
+    /// The most bytes.
     pub bytes: u64,
-    /// The time in which it has to bring the least rate's bytes.
+    /// The window over which the least rate is measured, in milliseconds.
     pub window: Millis,
-    /// The time until it is whole.
+    /// The time within which it must be whole, in milliseconds.
     pub within: Millis,
 }
 
@@ -65,7 +61,7 @@
     request: &'a str,
     bounds: Bounds,
     length: Option<u64>,
-    /// None where there is no body.
+    /// `None` where there is no body.
     reservation: Option<Reservation>,
 }
 
@@ -82,7 +78,7 @@
         urgency: u32,
         arriving: &Arriving,
         bounds: Bounds,
-    ) -> Result<Self, Failed> {
+    ) -> Result<Self, Rejection> {
         let length = arriving.body.size_hint().exact();
         let reservation = match length {
             Some(0) => None,
@@ -103,7 +99,7 @@
     ///
     /// Returns [`Refusal::BodyTimeout`] where it comes too slowly, [`Refusal::NoMemory`] where it
     /// is evicted, [`Refusal::BodyTooLong`] and [`Refusal::BadRequest`].
-    pub async fn read(mut self, arriving: &mut Arriving) -> Result<Bytes, Failed> {
+    pub async fn read(mut self, arriving: &mut Arriving) -> Result<Bytes, Rejection> {
         let Some(mut reservation) = self.reservation.take() else { return Ok(Bytes::new()) };
         arriving.is_begun = true;
         let mut content = Vec::with_capacity(reservation.get_bytes() as usize);
@@ -126,7 +122,7 @@
                 Next::End | Next::Broken => return Err(Refusal::BadRequest.into()),
                 Next::Tick if wait.as_mut().is_none_or(|wait| !wait.is_too_slow(received)) => {}
                 Next::Tick => return Err(self.evict(received, TOO_SLOW)),
-                Next::Due => return Err(self.evict(received, "deadline")),
+                Next::Due => return Err(self.evict(received, DEADLINE)),
                 Next::Evicted => return Err(self.evict(received, NO_MEMORY)),
             }
         }
@@ -145,26 +141,19 @@
         }
     }
 
-    fn evict(&self, received: u64, why: &'static str) -> Failed {
+    /// Logs and counts an eviction, and returns the rejection of the request.
+    fn evict(&self, received: u64, why: &'static str) -> Rejection {
         let labels = ReasonLabels { reason: why.to_owned() };
         self.node.metrics.uploads_evicted.get_or_create(&labels).inc();
         let (request, length) = (self.request, self.length);
         event::emit(&Event::UploadEvicted { request, received, length, why });
         match why {
-            NO_MEMORY => Failed { reason: Refusal::NoMemory, retry_after: RETRY_AFTER },
+            NO_MEMORY => Rejection { reason: Refusal::NoMemory, retry_after: RETRY_AFTER },
             _ => Refusal::BodyTimeout.into(),
         }
     }
 }
 
-/// Why an upload is evicted.
-const TOO_SLOW: &str = "too_slow";
-const NO_MEMORY: &str = "no_memory";
-
-/// `Retry-After` of an upload that was evicted, in milliseconds: the one that it made room for has
-/// come by then, where it comes at a usual speed.
-const RETRY_AFTER: Millis = 1_000;
-
 /// A body with the memory that is reserved for it.
 struct Held {
     content: Vec<u8>,
@@ -187,8 +176,7 @@
     Due,
 }
 
-/// What ends the wait for more of a body; made only where a body does not come with its head, as
-/// most do.
+/// What ends the wait for more of a body. Most bodies come with their head and need none.
 struct Wait {
     stop: Stop,
     tick: Timer,
@@ -220,6 +208,7 @@
     }
 }
 
+/// Returns what comes next of a body.
 async fn next(
     body: &mut Incoming,
     wait: &mut Option<Wait>,
@@ -234,8 +223,8 @@
     future::or(next_data(body), wait.end()).await
 }
 
-/// Looks for data that is there already: the connection that the body comes by reads on only after
-/// the first look.
+/// Polls for data that has come already, twice: the connection task reads on only after the first
+/// poll.
 async fn poll_twice(body: &mut Incoming) -> Option<Next> {
     if let Some(next) = future::poll_once(next_data(body)).await {
         return Some(next);
@@ -258,18 +247,18 @@
     }
 }
 
-async fn grow(reservation: &mut Reservation, bytes: u64) -> Result<(), Failed> {
+async fn grow(reservation: &mut Reservation, bytes: u64) -> Result<(), Rejection> {
     let grown = reservation.grow_or_wait(bytes).await;
-    grown.map_err(|retry_after| Failed { reason: Refusal::NoMemory, retry_after })
+    grown.map_err(|retry_after| Rejection { reason: Refusal::NoMemory, retry_after })
 }
 
-/// Lets a body grow to so many bytes at least.
+/// Reserves memory and makes room for `needed` bytes, and at most `most`.
 async fn make_room(
     reservation: &mut Reservation,
     content: &mut Vec<u8>,
     needed: u64,
     most: u64,
-) -> Result<(), Failed> {
+) -> Result<(), Rejection> {
     let held = reservation.get_bytes();
     if needed <= held {
         return Ok(());
@@ -284,14 +273,16 @@
 /// The body of a request, until it is read or its connection ends.
 pub(super) struct Arriving {
     body: Incoming,
-    has_asked: bool,
+    /// Whether the caller waits for `100 Continue` before it sends the body.
+    expects_continue: bool,
+    /// Whether some of it may have been read.
     is_begun: bool,
 }
 
 impl Arriving {
-    /// Takes a body that nothing was read of. A caller that expects to be told sends nothing before.
+    /// Takes a body of which nothing was read.
     pub fn new(body: Incoming, headers: &HeaderMap) -> Self {
-        Self { body, has_asked: headers.contains_key(EXPECT), is_begun: false }
+        Self { body, expects_continue: headers.contains_key(EXPECT), is_begun: false }
     }
 
     /// Returns `true` if some of it may have been read.
@@ -301,16 +292,16 @@
 
     /// Reads and drops for a while what a refused caller still sends.
     ///
-    /// A caller that has asked is told not to send: reading would tell it to.
+    /// A caller that still waits for `100 Continue` sends nothing, and reading would send it that.
     pub fn drain(self) {
-        let is_told = self.has_asked && !self.is_begun;
-        if self.body.is_end_stream() || is_told {
+        let is_waiting = self.expects_continue && !self.is_begun;
+        if self.body.is_end_stream() || is_waiting {
             return;
         }
         let mut body = self.body;
         runtime::spawn(async move {
             let drained = async { while let Some(Ok(_)) = body.frame().await {} };
-            // Where the time is over, the connection closes with the body.
+            // After that the body is dropped, which closes the connection.
             let _ = runtime::within(DRAIN_WITHIN, drained).await;
         });
     }
