--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -25,7 +25,7 @@
 
 /// An answer whose head is sound, and of which at least a first token is there.
 pub(super) struct Answer {
-    /// The server that gives it.
+    /// The server that sends it.
     pub server: Server,
     /// Status and headers.
     pub parts: Parts,
@@ -33,7 +33,7 @@
     pub body: AnswerBody,
     /// Counts the request at the server until it is dropped.
     pub load: LoadGuard,
-    /// What is held of the body.
+    /// The memory that is reserved for what was read of the body.
     pub held: Reservation,
 }
 
@@ -189,7 +189,7 @@
         true => (Failed::NotConnected, None),
         false => {
             if note_end(node, order.server) {
-                // What ended under much fails whatever else it holds: it is ejected at once.
+                // The server's other requests fail with it: it is ejected at once.
                 node.with(|state| state.health.fail_to_connect(node.now(), &order.server.id));
             }
             (Failed::Ended, None)
@@ -197,7 +197,7 @@
     })?;
     node.count_crossing(data_centre, exchange.body_bytes, 0);
     let (parts, reply) = response.into_parts();
-    let fault = judge(node, exchange, order.server, &parts);
+    let fault = check_head(node, exchange, order.server, &parts);
     if let Some(fault) = fault.filter(|fault| *fault != Failed::ServerError) {
         return Err((fault, None));
     }
@@ -208,7 +208,7 @@
     };
     node.count_crossing(data_centre, 0, body.count_bytes());
     load.note_first_token();
-    // A sample tells how fast a server reads, and not how far away it is.
+    // A sample is of how fast a server reads; a round trip to another region would distort it.
     let is_sample = !node.is_crossing(data_centre);
     if is_sample && exchange.has_engine && order.last_event.is_none() {
         let sample = Sample {
@@ -233,8 +233,8 @@
     node.with(|state| state.throughputs.entry(service.to_owned()).or_default().add(now, sample));
 }
 
-/// Notes that a server ended a connection before its answer was whole; returns `true` if it held
-/// much. One that is leaving, or gone, ends for another reason.
+/// Notes that a server ended a connection before its answer was whole; returns `true` if that lowered
+/// the bound on what it may hold. A server that is leaving or gone ends for another reason.
 pub(super) fn note_end(node: &Node, server: &Server) -> bool {
     let (now, id) = (node.now(), &server.id);
     let (held_bytes, bound) = node.with(|state| {
@@ -298,8 +298,8 @@
     Some(request)
 }
 
-/// Finds what is wrong with the head of an answer, and notes what it tells of the server.
-fn judge(node: &Node, exchange: &Exchange, server: &Server, parts: &Parts) -> Option<Failed> {
+/// Returns what is wrong with the head of an answer; notes a server that another one replaced.
+fn check_head(node: &Node, exchange: &Exchange, server: &Server, parts: &Parts) -> Option<Failed> {
     let head = (node.platform.dialect.read_answer)(parts);
     let fault = find_fault(exchange, parts, &head);
     if fault == Some(Failed::OtherServer) {
@@ -309,6 +309,7 @@
     fault
 }
 
+/// Returns what is wrong with the head of an answer.
 fn find_fault(exchange: &Exchange, parts: &Parts, head: &AnswerHead) -> Option<Failed> {
     let status = parts.status;
     if head.is_other_server {
--- a/crates/gateway/src/exchange/callers.rs
+++ b/crates/gateway/src/exchange/callers.rs
@@ -11,13 +11,12 @@
 use crate::node::Node;
 use crate::runtime;
 
-/// The time between two looks at all callers: a small part of what servers wait for a reader, and of
-/// the time after which a caller counts as resting.
+/// The time between two looks at all callers: a small part of the seconds after which servers cut off
+/// an answer that nobody reads, and of the second after which a caller counts as resting.
 const LOOK: Duration = Duration::from_millis(100);
-/// The part of the memory for callers and servers that is in use when callers at rest are
-/// disconnected.
+/// The part of the memory for callers and servers above which callers at rest are disconnected.
 const PRESSED_PART: f64 = 0.9;
-/// The part that is in use afterwards.
+/// The part down to which they are disconnected; the gap spares a series of single disconnections.
 const EASED_PART: f64 = 0.8;
 
 /// Looks after callers for as long as the node runs.
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -32,7 +32,7 @@
 pub(super) struct Open {
     /// Its status.
     pub status: u16,
-    /// The server that gives it.
+    /// The server that sends it.
     pub server: Server,
     /// What has come.
     pub first: Bytes,
@@ -79,7 +79,7 @@
     exchange.route.kind == RouteKind::Streaming { resumable: true }
 }
 
-/// An answer that is being read.
+/// An answer that is being read, from one server or from several in turn.
 struct Relay {
     node: Arc<Node>,
     exchange: Arc<Exchange>,
--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -39,9 +39,10 @@
 const PROBE_AFTER: Duration = Duration::from_secs(1);
 /// Probes without an answer after which the system closes a connection.
 const PROBES: u32 = 2;
-/// Taken off the time that a server tells, so that no request crosses its close.
+/// Taken off the time-out that a server announces, so that no request is sent while it closes.
 const KEEP_MARGIN: Duration = Duration::from_millis(700);
-/// How long sent bytes may stay unacknowledged before the system gives a connection up.
+/// How long sent bytes may stay unacknowledged before the system closes a connection, in
+/// milliseconds.
 const UNACKNOWLEDGED_MS: u32 = 3_000;
 
 /// Explains why there is no response.
@@ -233,14 +234,14 @@
 
 /// Reads how long a server keeps an idle connection.
 fn keep_for(headers: &HeaderMap) -> Duration {
-    let told = headers.get(hyper::header::HeaderName::from_static("keep-alive"));
-    let parameters = told.and_then(|value| value.to_str().ok()).unwrap_or("");
+    let announced = headers.get(hyper::header::HeaderName::from_static("keep-alive"));
+    let parameters = announced.and_then(|value| value.to_str().ok()).unwrap_or("");
     let seconds = parameters.split(',').find_map(|parameter| {
         let (name, value) = parameter.trim().split_once('=')?;
         let is_timeout = name.trim().eq_ignore_ascii_case("timeout");
         is_timeout.then(|| value.trim().parse().ok())?
     });
-    seconds.map_or(KEEP_FOR, |told| Duration::from_secs(told).saturating_sub(KEEP_MARGIN))
+    seconds.map_or(KEEP_FOR, |seconds| Duration::from_secs(seconds).saturating_sub(KEEP_MARGIN))
 }
 
 /// The body of a response. The connection is kept once it has been read to its end, and closed at
--- a/crates/gateway/src/http/server.rs
+++ b/crates/gateway/src/http/server.rs
@@ -20,10 +20,10 @@
 use super::{Body, Peer};
 use crate::runtime;
 
-/// Tells how long a connection may rest before the next request's head is whole.
+/// Returns how long a connection may rest before the next request's head is whole.
 pub type HeadWithin = Arc<dyn Fn() -> Duration + Send + Sync>;
 
-/// Time for a request's head to arrive where nothing else is told.
+/// Time for a request's head to arrive where no other time is set.
 const HEAD_WITHIN: Duration = Duration::from_secs(10);
 
 /// The time between two looks at a connection on which unread bytes wait: a part of the half second
@@ -45,7 +45,7 @@
     }
 }
 
-/// Tells connections to end after the request that they are at.
+/// A signal that is given once, and that any number of tasks wait for.
 #[derive(Clone, Debug)]
 pub struct Stop {
     sender: async_channel::Sender<Infallible>,
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -17,33 +17,35 @@
 use crate::port::{CapacityOrder, DutyHolder};
 use crate::runtime;
 
+/// How long the answer of the platform's control service is waited for.
 const CALL_WITHIN: Duration = Duration::from_millis(500);
-/// The span over which the demand is taken.
+/// The span over which the demand is measured, in milliseconds.
 const DEMAND_SPAN: Millis = 4_000;
-/// The span in which the largest need counts, so that servers go slowly.
+/// The span in which the largest need counts, in milliseconds: servers are given up slowly.
 const FALL_SPAN: Millis = 8_000;
-/// The pause after an order was refused or not answered.
+/// The pause after an order was refused or not answered, in milliseconds.
 const REFUSED_PAUSE: Millis = 2_000;
 /// The pause between orders of spot servers while the list of servers grows: a tenth of a usual boot,
 /// so that few calls are made and few on-demand servers wait for their replacement.
 const LIST_PAUSE: Millis = 500;
+/// The HTTP status of an accepted order.
 const STATUS_OK: u16 = 200;
 
-/// Servers of one kind in a data centre.
+/// A service, a data centre, and whether its spot servers are meant.
 type Place = (String, String, bool);
 
 /// The servers of each data centre, by region.
 type Inventories = BTreeMap<String, BTreeMap<String, Inventory>>;
 
-/// What a holder knows of the orders.
+/// The orders of the holder of the duties, and what they go by.
 #[derive(Debug, Default)]
 pub struct CapacityDuty {
     fence: Option<u64>,
     ordered: BTreeMap<Place, Order>,
     paused_until: BTreeMap<Place, Millis>,
-    /// By service.
+    /// The largest needs of late, by service.
     needs: BTreeMap<String, Needs>,
-    /// By service and region.
+    /// On-demand servers as they were found, by service and region.
     found: BTreeMap<(String, String), Found>,
     /// When spot servers may be ordered next while the list of servers grows.
     next_list_order: BTreeMap<String, Millis>,
@@ -67,6 +69,7 @@
         }
     }
 
+    /// Orders what the plan of one service lacks.
     async fn step_service(
         &mut self,
         node: &Node,
@@ -102,8 +105,32 @@
         }
         // A region that serves on its own keeps what it has, where its need was never known.
         inventories.retain(|region, _| needs.contains_key(region) || !unheard.contains(region));
-        let snapshot = |(region, inventory)| {
-            let region: &String = region;
+        let snapshots =
+            self.make_snapshots(node, name, &inventories, &needs, demands.as_ref(), now);
+        let plan = plan_regions(&policy, scaling, &snapshots);
+        set_metrics(node, name, &needs, &plan);
+        let inventory = inventories.values().flat_map(BTreeMap::clone).collect();
+        for order in self.list_changes(name, &plan, &inventory, now) {
+            // On-demand servers that have not listed themselves yet must not be given up.
+            if !is_complete && !order.is_spot {
+                continue;
+            }
+            let held = inventory.get(&order.data_centre).copied().unwrap_or_default();
+            self.send(node, order, &held).await;
+        }
+    }
+
+    /// Returns what the plan of each region goes by.
+    fn make_snapshots<'a>(
+        &self,
+        node: &Node,
+        name: &str,
+        inventories: &'a Inventories,
+        needs: &BTreeMap<String, u32>,
+        demands: Option<&BTreeMap<String, Demand>>,
+        now: Millis,
+    ) -> BTreeMap<String, Snapshot<'a>> {
+        let snapshot = |(region, inventory): (&String, &'a BTreeMap<String, Inventory>)| {
             let need = needs.get(region).copied().unwrap_or(0);
             let snapshot = Snapshot {
                 inventory,
@@ -112,24 +139,13 @@
                 on_demand_held: self.count_on_demand(name, inventory),
                 crossing: count_crossing(
                     need,
-                    get_tokens_per_second(demands.as_ref(), region),
+                    get_tokens_per_second(demands, region),
                     node.settings.regions.spill_mbps,
                 ),
             };
             (region.clone(), snapshot)
         };
-        let snapshots = inventories.iter().map(snapshot).collect();
-        let plan = plan_regions(&policy, scaling, &snapshots);
-        report(node, name, &needs, &plan);
-        let inventory = inventories.values().flat_map(BTreeMap::clone).collect();
-        for order in self.list_changes(name, &plan, &inventory, now) {
-            // On-demand servers that have not listed themselves yet must not be given up.
-            if !is_complete && !order.is_spot {
-                continue;
-            }
-            let held = inventory.get(&order.data_centre).copied().unwrap_or_default();
-            self.send(node, order, &held).await;
-        }
+        inventories.iter().map(snapshot).collect()
     }
 
     /// Returns `true` if spot servers may be ordered from a list that still grows.
@@ -259,6 +275,7 @@
         orders
     }
 
+    /// Returns `true` if an order for `count` servers is to be sent now.
     fn is_due(&self, place: &Place, count: u32, held: &Inventory, now: Millis) -> bool {
         if self.paused_until.get(place).is_some_and(|until| now < *until) {
             return false;
@@ -275,6 +292,7 @@
         }
     }
 
+    /// Sends an order and notes whether it was accepted.
     async fn send(&mut self, node: &Node, order: CapacityOrder, held: &Inventory) {
         let now = node.now();
         let Some(fence) = node.with(|state| state.lease.get_fence(now)) else { return };
@@ -331,8 +349,8 @@
     demands.and_then(|demands| demands.get(region)).map_or(0.0, |demand| demand.tokens_per_second)
 }
 
-/// Lists the regions of which nobody is heard and whose servers accept requests. Callers there are
-/// served, which nobody reports. Where no server is left, their demand moves with them.
+/// Lists the regions of which no node is heard and whose servers accept requests: their callers are
+/// still served there. Where no server is left, the demand moves to other regions.
 fn list_unheard(node: &Node, inventories: &Inventories) -> BTreeSet<String> {
     let lost = node.with(|state| state.members.list_lost_regions()).into_iter();
     let is_serving = |region: &String| {
@@ -347,8 +365,8 @@
     node.topology.get_region(data_centre).unwrap_or_default()
 }
 
-/// Shows operators what each region needs and what the plan holds there.
-fn report(node: &Node, name: &str, needs: &BTreeMap<String, u32>, plan: &Plan) {
+/// Sets the metrics of what each region needs and what the plan holds there.
+fn set_metrics(node: &Node, name: &str, needs: &BTreeMap<String, u32>, plan: &Plan) {
     let labels =
         |region: &str| CapacityLabels { service: name.to_owned(), region: region.to_owned() };
     for (region, need) in needs {
--- a/crates/gateway/src/node/crossing.rs
+++ b/crates/gateway/src/node/crossing.rs
@@ -1,4 +1,4 @@
-//! Counts what requests send to other regions and get from there.
+//! Whether traffic leaves the node's region, how far it goes, and the bytes of it.
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::spill::get_region;
--- a/crates/gateway/src/node/memory.rs
+++ b/crates/gateway/src/node/memory.rs
@@ -1,8 +1,8 @@
 //! Memory that is held for callers and servers.
 //!
 //! The decisions are those of [`keeljunction_core::serving::memory`]; this module ties what is
-//! reserved to the life of what holds it, wakes uploads that are evicted, and tells the accountant
-//! how much memory the process has.
+//! reserved to the life of what holds it, wakes uploads that are evicted, and passes samples of the
+//! process's resident memory to the accountant.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -19,8 +19,8 @@
 /// The time between two samples of the resident memory: at the bandwidth of a small VM's link, 10
 /// to 200 Mbit/s, at most some megabytes come meanwhile.
 const SAMPLE_PAUSE: Duration = Duration::from_millis(250);
-/// The time in which uploads that are evicted give their memory back.
-const GIVE_BACK: Duration = Duration::from_millis(20);
+/// How long to wait for evicted uploads to release their memory: their tasks only have to be woken.
+const RELEASED_WITHIN: Duration = Duration::from_millis(20);
 
 /// Signals to uploads that they are evicted.
 #[derive(Default)]
@@ -40,6 +40,7 @@
     node: Arc<Node>,
     id: HolderId,
     bytes: u64,
+    /// Whether a signal of eviction was taken.
     has_stop: bool,
 }
 
@@ -105,7 +106,7 @@
             Ok(()) => Ok(()),
             Err(NoRoom { retry_after, is_made: false }) => Err(retry_after),
             Err(NoRoom { is_made: true, .. }) => {
-                runtime::sleep(GIVE_BACK).await;
+                runtime::sleep(RELEASED_WITHIN).await;
                 self.try_grow(bytes).map_err(|no_room| no_room.retry_after)
             }
         }
@@ -150,10 +151,11 @@
 #[derive(Clone, Copy, Debug)]
 struct NoRoom {
     retry_after: Millis,
+    /// Whether uploads are being evicted for them.
     is_made: bool,
 }
 
-/// Tells the accountant of the process's memory, for ever.
+/// Passes samples of the resident memory to the accountant for as long as the process runs.
 pub(super) async fn watch(node: Arc<Node>) {
     loop {
         observe(&node);
@@ -161,6 +163,7 @@
     }
 }
 
+/// Passes on one sample, evicts uploads, and logs where the node becomes short of memory or no longer is.
 fn observe(node: &Node) {
     let (now, resident) = (node.now(), read_resident_bytes());
     let (was_short, is_short, used, evicted) = node.with(|state| {
@@ -175,7 +178,7 @@
     }
 }
 
-/// Reads the resident memory of the process, in bytes; `None` where the system does not tell.
+/// Reads the resident memory of the process, in bytes; `None` where the system does not provide it.
 pub(crate) fn read_resident_bytes() -> Option<u64> {
     let text = std::fs::read_to_string("/proc/self/statm").ok()?;
     let pages: u64 = text.split(' ').nth(1)?.parse().ok()?;
--- a/crates/gateway/src/node/peers/link.rs
+++ b/crates/gateway/src/node/peers/link.rs
@@ -16,13 +16,15 @@
 use crate::metrics::RegionLabels;
 use crate::runtime::{self, lock};
 
+/// The most bytes that a UDP datagram over IPv4 carries.
 const LONGEST_DATAGRAM: usize = 65_507;
+/// The pause after an error of the socket, so that a lasting one does not keep the processor busy.
 const AFTER_ERROR: Duration = Duration::from_millis(50);
 /// The part of the link that datagrams to many nodes may take.
 const LINK_PART: f64 = 0.4;
-/// Bytes that are sent without a pause.
+/// Bytes that are sent without a pause: some eight full packets.
 const BYTES_AT_ONCE: usize = 12 * 1_024;
-/// Shorter pauses are not worth a wake-up.
+/// The shortest pause, in milliseconds; a shorter one is not worth a wake-up.
 const LEAST_PAUSE_MS: f64 = 1.0;
 /// Addresses whose newest datagram is remembered; all are forgotten where there are more, and
 /// learnt again with the next ones.
@@ -31,7 +33,7 @@
 /// The socket for datagrams between nodes.
 ///
 /// Each datagram carries the time of the newest one that its sender got from its recipient. Only
-/// that tells the recipient how old its content can be at most: the way may have taken long.
+/// that shows the recipient how old its content can be at most: the datagram may have been delayed.
 #[derive(Debug)]
 pub struct Link {
     socket: Async<UdpSocket>,
@@ -40,8 +42,9 @@
     newest: Mutex<HashMap<SocketAddr, (u32, Millis)>>,
     /// The nodes of other regions, with their regions.
     far: Mutex<BTreeMap<SocketAddr, String>>,
-    /// Bytes sent to each other region, and to all of them.
+    /// Bytes sent to each other region.
     crossed_by_region: Family<RegionLabels, Counter>,
+    /// Bytes sent to all other regions.
     crossed: AtomicU64,
 }
 
@@ -98,6 +101,7 @@
         self.crossed_by_region.clone()
     }
 
+    /// Counts bytes that were sent to a node, if it stands in another region.
     fn count_crossed(&self, to: SocketAddr, bytes: usize) {
         let Some(region) = self.get_far_region(to) else { return };
         self.crossed.fetch_add(bytes as u64, Ordering::Relaxed);
--- a/crates/gateway/src/node/peers/loads.rs
+++ b/crates/gateway/src/node/peers/loads.rs
@@ -28,9 +28,9 @@
 /// from other regions are waited for as long as measured round trips say. A server whose load is not
 /// known by then is judged by what this node sent there itself.
 const ANSWERS_WITHIN: Duration = Duration::from_millis(25);
-/// How long an answer counts.
+/// How long an answer counts, in milliseconds.
 const ANSWER_VALID_FOR: Millis = 100;
-/// What a node has in flight counts for this long after it was told, where nothing more is heard.
+/// How long a peer's load counts after its last message, in milliseconds.
 const CHANGE_VALID_FOR: Millis = 2_500;
 /// Reports between two repetitions of all that this node has in flight.
 const REPEAT_TURNS: u64 = 4;
@@ -96,14 +96,14 @@
         question.answers_missing = question.answers_missing.saturating_sub(1);
         question.is_any_answered = true;
         if question.answers_missing == 0 {
-            // The one who asks may have given up.
+            // The receiver may be gone: the request's caller may have left.
             let _ = question.done.try_send(());
         }
     }
 
     fn change(&self, change: Change) {
         if self.changes.0.try_send(change).is_err() {
-            log::debug!("a changed load is told with the others");
+            log::debug!("a changed load is sent with the next repetition");
         }
     }
 }
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -87,7 +87,7 @@
         /// The summary.
         summary: Box<Summary>,
     },
-    /// Tells the node that keeps the load of some servers what the sender has in flight there.
+    /// What the sender has in flight at some servers, for the node that keeps their load.
     LoadChanged {
         /// The sender's name.
         node: String,
@@ -118,7 +118,7 @@
     pub quota: quota::Report,
     /// Requests that began, in the latest windows.
     pub usage: Vec<(WindowNumber, Counts)>,
-    /// What was asked of each service.
+    /// The demand for each service.
     pub demand: Vec<(String, demand::Report)>,
     /// How fast servers read prompts, by service.
     pub throughputs: Vec<(String, Vec<Sample>)>,
@@ -126,7 +126,7 @@
     pub rollouts: Vec<rollout::Report>,
 }
 
-/// What a node tells its aggregator.
+/// The report of a node to its aggregator.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Who sends it.
@@ -135,7 +135,7 @@
     pub totals: Totals,
 }
 
-/// What an aggregator tells the others.
+/// The summary of an aggregator to the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
     /// Who sends it.
@@ -154,7 +154,7 @@
     pub versions: Versions,
 }
 
-/// What an aggregator tells the nodes of its group.
+/// The overview of an aggregator for the nodes of its group.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Overview {
     /// Who sends it.
--- a/crates/gateway/src/node/peers/mod.rs
+++ b/crates/gateway/src/node/peers/mod.rs
@@ -1,12 +1,12 @@
-//! What nodes tell each other.
+//! Exchanges datagrams with the other nodes.
 //!
 //! | module | does |
 //! |---|---|
-//! | `message` | says what the datagrams hold |
-//! | `link` | sends and receives them |
+//! | `message` | defines the messages |
+//! | `link` | sends and receives datagrams |
 //! | `register` | finds the other nodes in a table of the platform |
 //! | `report` | exchanges counts some times a second |
-//! | `carry` | tells other regions, and carries what they tell |
+//! | `carry` | sends summaries to other regions, and passes theirs on in this one |
 //! | `loads` | keeps and asks for the loads of servers, where nodes report in groups |
 //! | `quota` | asks the owner of a client account whether a request is within its limit |
 //! | `versions` | confirms what this node knows of the platform's tables, or gets what it lacks |
@@ -34,7 +34,7 @@
 use super::{Node, staleness};
 use crate::runtime;
 
-/// Starts to talk with other nodes.
+/// Starts the exchange with other nodes.
 pub(super) fn start(node: &Arc<Node>) {
     runtime::spawn(register::run(node.clone()));
     runtime::spawn(listen(node.clone()));
--- a/crates/gateway/src/node/peers/news.rs
+++ b/crates/gateway/src/node/peers/news.rs
@@ -51,8 +51,8 @@
     to
 }
 
-/// Tells the other nodes of a request that is sent to a server, where its prompt will keep the
-/// server busy for long. In groups nodes ask for the loads of servers instead.
+/// Announces to the other nodes a request that is sent to a server, where its prompt keeps the server
+/// busy for long. In groups nodes request the loads of servers instead.
 pub(crate) fn report_begun(node: &Node, server: &str, work: &Work, reading_ms: Millis) {
     let (is_grouped, period) =
         node.with(|state| (state.members.is_grouped(), state.members.get_period()));
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -51,9 +51,10 @@
 /// A server that does not take a connection within this time is passed over: the way there takes
 /// some milliseconds, and a lost opening packet is sent again only after a second.
 const CONNECT_WITHIN: Duration = Duration::from_millis(250);
-/// How long connections may rest where no configuration tells it, in milliseconds.
+/// How long callers are taken to use a connection that rests, where no configuration is known, in
+/// milliseconds.
 const REST_WHILE_UNKNOWN: Millis = 15_000;
-/// How many times as long as the configuration tells a connection may rest.
+/// A connection that rests is kept open this many times as long as callers use it.
 const REST_FACTOR: u32 = 2;
 /// The fraction of the operator's retry budget that nodes use: callers' own retries and lost answers
 /// add to it at the edges of windows.
@@ -68,7 +69,7 @@
 
 /// A node: its settings, its adapter, and what it knows.
 pub struct Node {
-    /// What the node was told at its start.
+    /// The settings.
     pub settings: Settings,
     /// The adapter to the platform.
     pub platform: Platform,
@@ -84,13 +85,13 @@
     pub metrics: Metrics,
     /// Answers on their way to callers.
     pub feeds: Feeds,
-    /// Given when the listeners must close.
+    /// The signal on which the listeners close.
     pub closing: Stop,
     /// Datagrams between nodes.
     pub(super) link: Link,
     /// News for other nodes that wait to be sent.
     pub(super) news: (Sender<News>, Receiver<News>),
-    /// What is being asked and told of the loads of servers.
+    /// Requests for loads that wait for answers, and changed loads that wait to be sent.
     pub(super) pending_loads: loads::Pending,
     /// Requests about which the owners of their client accounts were asked.
     pub(super) pending_decisions: quota::Pending,
@@ -142,7 +143,7 @@
     pub loads: LoadBook,
     /// What the servers' answers showed.
     pub health: Health,
-    /// The bytes that lie at each server.
+    /// Bytes of requests that each server holds for this node.
     pub held: held::Book,
     /// What client accounts have used.
     pub quotas: Quotas,
@@ -160,9 +161,9 @@
     pub members: Members,
     /// Round trips to other regions.
     pub distances: Distances,
-    /// What may cross to other regions.
+    /// The budgets of the links to other regions.
     pub links: Links,
-    /// What crosses to other regions.
+    /// Summaries that this node sends to other regions.
     pub(super) carrying: Carrying,
     /// Memory that is held for callers and servers.
     pub memory: Accountant,
@@ -294,8 +295,8 @@
 
     /// Returns how long a caller's new connection may rest between two requests.
     ///
-    /// The configuration tells how long callers use connections that rest. A later one may tell a
-    /// longer time, and a connection must not close while its caller may use it.
+    /// The configuration holds how long callers use connections that rest. A later one may hold a longer
+    /// time, and a connection must not close while its caller may use it.
     pub fn get_rest_bound(&self) -> Duration {
         let known = self.with(|state| state.configuration.as_ref().map(|c| c.limits.idle));
         Duration::from_millis(known.unwrap_or(REST_WHILE_UNKNOWN)) * REST_FACTOR
