--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -5,20 +5,30 @@
 //! | `admission` | checks the request and finds its route, client account and time |
 //! | `upload` | reads the body within the node's memory and the caller's time |
 //! | `dispatch` | sends the request to servers until there is an answer |
+//! | `progress` | holds how far the attempts have come |
 //! | `pick` | picks the server of an attempt |
 //! | `attempt` | sends the request to one server and judges what comes back |
+//! | `notes` | records attempts in state, logs and metrics |
 //! | `relay` | makes the caller's response from an answer |
 //! | `source` | reads the answer from its server, and lets another server go on with it |
 //! | `feed` | passes the answer on, and reads ahead while the caller does not read |
+//! | `flow` | holds the state of an answer that is passed on |
+//! | `feeds` | lists the answers that are passed on |
 //! | `callers` | disconnects callers that do not read |
-//! | `respond` | writes refusals, and tells of each request's end |
+//! | `rejection` | says why a request ends without an answer |
+//! | `respond` | writes refusals, and logs and counts the end of each request |
 
 mod admission;
 mod attempt;
 mod callers;
 mod dispatch;
 mod feed;
+mod feeds;
+mod flow;
+mod notes;
 mod pick;
+mod progress;
+mod rejection;
 mod relay;
 mod respond;
 mod source;
@@ -27,22 +37,21 @@
 use std::sync::Arc;
 
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response};
 use keeljunction_core::serving::configuration::RouteKind;
 
 use crate::http::Body;
 use crate::node::Node;
 use admission::Exchange;
-use respond::Record;
+use respond::{Record, close_after};
 use upload::Arriving;
 
 pub use callers::{disconnect_resting, watch as watch_callers};
-pub use feed::Feeds;
+pub use feeds::Feeds;
 
 /// Answers a caller's request.
 ///
-/// Dropping the future, or the body that it gives, cancels what is still running: the caller has
+/// Dropping the future, or the body of the response, cancels what is still running: the caller has
 /// left.
 pub async fn answer(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
     let (mut parts, body) = request.into_parts();
@@ -79,8 +88,3 @@
     }
     response
 }
-
-/// Tells the caller that its connection closes after the answer.
-fn close_after(response: &mut Response<Body>) {
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-}
