feat(gateway): log which servers ended, and under which requests

Cause: the logs could not tell whether one content, repeated under new ids, ends the servers, or whether servers end by themselves: nothing named a request's content, and a connection that broke off looked the same whether the server had ended or only the connection.

Change: a fingerprint of client account, host, path and body stands in the line of each request that is not answered. Where a connection breaks off in the middle of an answer the node looks whether the server still listens; one that does not is logged and counted (server_down, servers_down_total), with the fingerprints of the requests that were cut off there. An answer whose connection ended before its first token fails as `cut`, apart from malformed ones.

Cost: one connection attempt for each server whose connections break off.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -23,6 +23,7 @@
 //! | [`event_stream`] | where the events of a stream begin and end |
 //! | [`demand`], [`throughput`], [`capacity`] | how many servers to order, where, and of which kind |
 //! | [`rollout`] | how the traffic of a service moves to servers of another version |
+//! | [`quarantine`] | which requests end the servers that run them |
 //! | [`refusal`] | why a request was refused, and when to retry |
 
 pub mod capacity;
@@ -41,6 +42,7 @@
 pub mod load;
 pub mod members;
 pub mod memory;
+pub mod quarantine;
 pub mod quota;
 pub mod read_ahead;
 pub mod refusal;
--- /dev/null
+++ b/crates/core/src/serving/quarantine/fingerprint.rs
@@ -0,0 +1,53 @@
+//! Names the content of a request.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Names the content of a request: the same caller that sends the same body to the same path gives
+/// the same fingerprint at each node, whatever id the request bears.
+///
+/// It is a hash of 64 bits: with the few hundred that are remembered at a time, one request in some
+/// 10^16 is taken for another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint(u64);
+
+/// What of a request its fingerprint is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct Content<'a> {
+    /// The client account; empty where the route needs none.
+    pub account: &'a str,
+    /// The host.
+    pub host: &'a str,
+    /// The path and query.
+    pub path: &'a str,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+impl Fingerprint {
+    /// Computes the fingerprint of a request.
+    pub fn new(content: &Content<'_>) -> Self {
+        let account = xxh3_64(content.account.as_bytes());
+        let host = xxh3_64_with_seed(content.host.as_bytes(), account);
+        let path = xxh3_64_with_seed(content.path.as_bytes(), host);
+        Self(xxh3_64_with_seed(content.body, path))
+    }
+
+    /// Makes the fingerprint with a number.
+    pub fn from_number(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the fingerprint as a number.
+    pub fn get_number(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- a/crates/gateway/benches/log.rs
+++ b/crates/gateway/benches/log.rs
@@ -32,6 +32,7 @@
 
 fn ended(outcome: &'static str) -> Event<'static> {
     Event::RequestEnded {
+        fingerprint: None,
         request: "9c41d07be2a35f68",
         route: Some("r-kyzd2ha"),
         account: Some("acme"),
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -131,9 +131,19 @@
     HeldBoundLowered { server: &'a str, service: &'a str, held_bytes: u64, bound_bytes: u64 },
     /// A request under which two servers ended goes to no third one.
     RequestStopped { request: &'a str, body_bytes: usize, attempts: u32 },
+    /// A server does not listen any more, after a connection to it broke off.
+    ServerDown {
+        server: &'a str,
+        service: &'a str,
+        /// This node's requests that it may have ended under.
+        running: Vec<Running>,
+    },
     /// A request came to its end.
     RequestEnded {
         request: &'a str,
+        /// Names the content of a request that was not answered: the same for all its repeats.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        fingerprint: Option<String>,
         route: Option<&'a str>,
         account: Option<&'a str>,
         status: u16,
@@ -148,6 +158,15 @@
     },
 }
 
+/// A request under which a server may have ended.
+#[derive(Clone, Debug, Serialize)]
+pub struct Running {
+    /// Names the request's content.
+    pub fingerprint: String,
+    /// The time since it was sent to the server, in milliseconds.
+    pub sent_ms_ago: u64,
+}
+
 impl Event<'_> {
     /// Returns `true` if the event is of the kind that comes with each request that goes as usual, and
     /// may be sampled under load.
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -12,10 +12,12 @@
 use keeljunction_core::serving::configuration::{Account, Configuration, QuotaUnit, Route};
 use keeljunction_core::serving::demand::DemandTotals;
 use keeljunction_core::serving::load::{PRIORITIES, Work};
+use keeljunction_core::serving::quarantine::{Content, Fingerprint};
 use keeljunction_core::serving::refusal::Refusal;
 
 use super::respond::{Record, Refused};
 use super::upload::{Arriving, Bounds, Upload};
+use crate::node::crashes::CutRun;
 use crate::node::{self, Node};
 use crate::port::{Prompt, RequestHead};
 use crate::runtime::lock;
@@ -55,6 +57,8 @@
     pub work: Work,
     /// What bears on the choice of a server.
     pub criteria: Criteria,
+    /// Names the request's content.
+    pub fingerprint: Fingerprint,
     /// The whole body, until no attempt can need it any more.
     body: Mutex<Bytes>,
     /// The body's length, also once it was released.
@@ -121,6 +125,8 @@
             .map_err(|wait| refuse(Refusal::OverQuota, wait.max(QUOTA_RETRY_AFTER)))?;
         let body =
             upload.read(arriving).await.map_err(|rejection| rejection.with_left(deadline))?;
+        let fingerprint = compute_fingerprint(&parts, name, &body);
+        record.fingerprint = Some(fingerprint);
         let prompt = head.prompt.as_ref();
         let work = size_work(prompt, urgency);
         count_demand(node, &service, prompt, &work);
@@ -138,6 +144,7 @@
             due: now + deadline.min(route.timeout),
             work,
             criteria: make_criteria(head.prompt.as_ref(), &work, &route),
+            fingerprint,
             route,
             head,
             charge: charge.keep(),
@@ -159,6 +166,12 @@
         }
     }
 
+    /// Returns what is known of a run of the request that broke off now, given when it was sent and
+    /// since when its answer came.
+    pub fn cut_run(&self, began_at: Millis, answering_since: Option<Millis>) -> CutRun {
+        CutRun { fingerprint: self.fingerprint, began_at, answering_since }
+    }
+
     /// Gives the client account's units back where the request did not run.
     pub fn refund_quota(&self, reason: Refusal) {
         if !reason.may_have_run() {
@@ -221,9 +234,18 @@
 const HEADER_FRAME_BYTES: usize = 4;
 
 fn find_route(configuration: &Configuration, parts: &Parts) -> Option<Arc<Route>> {
+    configuration.find_route(get_host(parts)?, parts.uri.path()).cloned()
+}
+
+fn get_host(parts: &Parts) -> Option<&str> {
     let named = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
-    let host = parts.uri.host().or(named)?;
-    configuration.find_route(host, parts.uri.path()).cloned()
+    parts.uri.host().or(named)
+}
+
+fn compute_fingerprint(parts: &Parts, account: &str, body: &[u8]) -> Fingerprint {
+    let host = get_host(parts).unwrap_or("");
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    Fingerprint::new(&Content { account, host, path, body })
 }
 
 fn authenticate<'a>(
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -16,7 +16,7 @@
 use super::admission::Exchange;
 use crate::event::{self, Event};
 use crate::http::{Body, Reply};
-use crate::node::{Node, Reservation, note_load_change, watch};
+use crate::node::{Node, Reservation, crashes, note_load_change, watch};
 use crate::port::{AnswerHead, Dispatch};
 use crate::runtime;
 
@@ -73,7 +73,10 @@
     OtherServer,
     /// The connection ended before the head of an answer came.
     Ended,
-    /// The answer broke off, or what came is not an answer to this request.
+    /// The connection ended after the head of an answer and before its first token; before the end
+    /// of an answer that is no stream.
+    Cut,
+    /// What came is not an answer to this request.
     Broken,
     /// The server failed the request.
     ServerError,
@@ -84,7 +87,7 @@
 impl Failed {
     /// Returns `true` if the request may have run.
     pub fn may_have_run(self) -> bool {
-        matches!(self, Self::Ended | Self::Broken | Self::ServerError | Self::Timeout)
+        !matches!(self, Self::NotConnected | Self::Declined | Self::OtherServer)
     }
 
     /// Names the failure in logs and metrics.
@@ -94,6 +97,7 @@
             Self::Declined => "declined",
             Self::OtherServer => "other_server",
             Self::Ended => "ended",
+            Self::Cut => "cut",
             Self::Broken => "broken",
             Self::ServerError => "server_error",
             Self::Timeout => "timeout",
@@ -108,6 +112,7 @@
     server: String,
     work: Work,
     body_bytes: u64,
+    began_at: Millis,
     had_first_token: bool,
 }
 
@@ -121,7 +126,14 @@
         });
         note_load_change(node, &server.id, true);
         let (service, server) = (server.service.clone(), server.id.clone());
-        Self { node: node.clone(), service, server, work, body_bytes, had_first_token: false }
+        let began_at = node.now();
+        let node = node.clone();
+        Self { node, service, server, work, body_bytes, began_at, had_first_token: false }
+    }
+
+    /// Returns when the request was sent.
+    pub fn get_begin(&self) -> Millis {
+        self.began_at
     }
 
     /// Notes the first token of the answer.
@@ -166,8 +178,10 @@
     let within = Duration::from_millis(order.within);
     let answered = runtime::within(within, exchange_with(node, exchange, order)).await;
     let answered = answered.unwrap_or(Err((Failed::Timeout, None)));
-    let has_begun =
-        matches!(&answered, Ok(_) | Err((Failed::ServerError | Failed::Broken | Failed::Ended, _)));
+    let has_begun = match &answered {
+        Ok(_) => true,
+        Err((failed, _)) => failed.may_have_run() && *failed != Failed::Timeout,
+    };
     if has_begun && order.last_event.is_none() {
         exchange.count_usage(node);
     }
@@ -192,6 +206,7 @@
                 // The server's other requests fail with it: it is ejected at once.
                 node.with(|state| state.health.fail_to_connect(node.now(), &order.server.id));
             }
+            crashes::note_cut(node, order.server, exchange.cut_run(sent_at, None));
             (Failed::Ended, None)
         }
     })?;
@@ -204,7 +219,8 @@
     let mut held = Reservation::new(node, Kind::ReadAhead);
     let Some(body) = read_first(exchange, reply, &mut held).await else {
         note_end(node, order.server);
-        return Err((Failed::Broken, None));
+        crashes::note_cut(node, order.server, exchange.cut_run(sent_at, None));
+        return Err((Failed::Cut, None));
     };
     node.count_crossing(data_centre, 0, body.count_bytes());
     load.note_first_token();
--- a/crates/gateway/src/exchange/notes.rs
+++ b/crates/gateway/src/exchange/notes.rs
@@ -66,7 +66,7 @@
             None
         }
         Failed::Declined | Failed::OtherServer => None,
-        Failed::Ended | Failed::Broken | Failed::ServerError | Failed::Timeout => {
+        Failed::Ended | Failed::Cut | Failed::Broken | Failed::ServerError | Failed::Timeout => {
             state.health.fail(now, &server.id)
         }
     });
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -5,6 +5,7 @@
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use keeljunction_core::Millis;
+use keeljunction_core::serving::quarantine::Fingerprint;
 use keeljunction_core::serving::refusal::Refusal;
 
 use crate::event::{self, Event};
@@ -120,6 +121,8 @@
     pub passage: Arc<Passage>,
     /// The caller's connection.
     pub peer: Option<Peer>,
+    /// Names the request's content, once its body is there.
+    pub fingerprint: Option<Fingerprint>,
     status: u16,
     outcome: &'static str,
     retry_after: Option<u64>,
@@ -143,6 +146,7 @@
             attempts: 0,
             passage: Arc::new(Passage::new(arrived)),
             peer: None,
+            fingerprint: None,
             status: 0,
             outcome: "left",
             retry_after: None,
@@ -207,8 +211,10 @@
                 metrics.longest_gap.get_or_create(&labels).observe(gap as f64 / 1_000.0);
             }
         }
+        let fingerprint = self.fingerprint.filter(|_| self.outcome != ANSWERED);
         event::emit(&Event::RequestEnded {
             request: &self.id,
+            fingerprint: fingerprint.map(|fingerprint| fingerprint.to_string()),
             route: self.route.as_deref(),
             account: self.account.as_deref(),
             status: self.status,
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -26,7 +26,7 @@
 use super::respond::{ANSWERED, Record};
 use crate::event::{self, Event};
 use crate::http::Reply;
-use crate::node::{Node, rollouts};
+use crate::node::{Node, crashes, rollouts};
 
 /// An answer that has begun.
 pub(super) struct Open {
@@ -263,6 +263,10 @@
     /// Lets another server go on after the last whole event, where the route allows it.
     async fn go_on_elsewhere(&mut self) {
         attempt::note_end(&self.node, &self.pace.server);
+        if let Some(load) = &self.load {
+            let run = self.exchange.cut_run(load.get_begin(), Some(self.pace.began_at));
+            crashes::note_cut(&self.node, &self.pace.server, run);
+        }
         self.reply = None;
         self.load = None;
         event::emit(&Event::AttemptFailed {
--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -168,6 +168,14 @@
         }
     }
 
+    /// Returns `true` if something listens at an address: a connection can be made, which is closed
+    /// again.
+    pub async fn is_listening(&self, address: SocketAddr) -> bool {
+        self.opened.fetch_add(1, Ordering::Relaxed);
+        let connecting = runtime::within(self.connect_within, TcpStream::connect(address)).await;
+        matches!(connecting, Some(Ok(_)))
+    }
+
     fn take_idle(&self, to: SocketAddr) -> Option<Connection> {
         let mut idle = runtime::lock(&self.idle);
         let kept = idle.get_mut(&to)?;
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -60,6 +60,8 @@
     pub callers_disconnected: Family<ReasonLabels, Counter>,
     /// Requests that went to no third server after two had ended under them.
     pub requests_stopped: Counter,
+    /// Servers that did not listen any more after a connection to them broke off.
+    pub servers_down: Family<ServiceLabels, Counter>,
     gauges: Gauges,
 }
 
@@ -87,6 +89,7 @@
             read_ahead: Counter::default(),
             callers_disconnected: Family::default(),
             requests_stopped: Counter::default(),
+            servers_down: Family::default(),
             gauges: Gauges::default(),
         };
         metrics.register();
@@ -186,6 +189,11 @@
             "Requests that went to no third server after two had ended under them",
             self.requests_stopped.clone(),
         );
+        registry.register(
+            "servers_down",
+            "Servers that did not listen any more after a connection to them broke off",
+            self.servers_down.clone(),
+        );
         self.gauges.register(registry);
     }
 
--- /dev/null
+++ b/crates/gateway/src/node/crashes.rs
@@ -0,0 +1,81 @@
+//! Finds out which servers ended, and under which requests.
+//!
+//! A connection that breaks off in the middle of an answer may have been reset by itself, so that the
+//! node looks whether its server still listens. One that does not has ended under the requests whose
+//! connections broke off at that moment: one of them may be the cause.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use keeljunction_core::Millis;
+use keeljunction_core::serving::directory::Server;
+use keeljunction_core::serving::quarantine::{Fingerprint, SUSPECTED_FOR};
+
+use super::Node;
+use crate::event::{self, Event, Running};
+use crate::metrics::ServiceLabels;
+use crate::runtime::{self, lock};
+
+/// The pause before the look at a server, in which the other connections that ended with it are
+/// noticed: on a small VM some tens of tasks take their turns.
+const GATHER: Duration = Duration::from_millis(40);
+/// The most requests that are noted of one server; it works on fewer at once.
+const MOST_RUNS: usize = 64;
+
+/// Runs that broke off, by the id of the server, until the node has looked at it.
+pub(crate) type Pending = Mutex<HashMap<String, Vec<CutRun>>>;
+
+/// A run of a request whose connection broke off.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CutRun {
+    /// Names the request's content.
+    pub fingerprint: Fingerprint,
+    /// When it was sent to the server.
+    pub began_at: Millis,
+    /// Since when its answer came.
+    pub answering_since: Option<Millis>,
+}
+
+/// Notes that the connection of a run broke off, and looks at the server soon.
+///
+/// A server that is leaving or gone ends for another reason.
+pub(crate) fn note_cut(node: &Arc<Node>, server: &Server, run: CutRun) {
+    let now = node.now();
+    let is_suspect = run.answering_since.is_none_or(|since| now < since + SUSPECTED_FOR);
+    let is_leaving = |state: &mut super::state::State| {
+        state.directory.get(&server.id).is_none_or(|known| known.is_leaving)
+    };
+    if !is_suspect || node.with(is_leaving) {
+        return;
+    }
+    let mut pending = lock(&node.cut_runs);
+    let is_first = !pending.contains_key(&server.id);
+    let runs = pending.entry(server.id.clone()).or_default();
+    if runs.len() < MOST_RUNS {
+        runs.push(run);
+    }
+    if is_first {
+        runtime::spawn(look(node.clone(), server.clone()));
+    }
+}
+
+/// Looks whether a server still listens.
+async fn look(node: Arc<Node>, server: Server) {
+    runtime::sleep(GATHER).await;
+    let is_listening = node.servers.is_listening(server.address).await;
+    let runs = lock(&node.cut_runs).remove(&server.id).unwrap_or_default();
+    if is_listening {
+        return;
+    }
+    let now = node.now();
+    node.with(|state| state.health.fail_to_connect(now, &server.id));
+    let labels = ServiceLabels { service: server.service.clone() };
+    node.metrics.servers_down.get_or_create(&labels).inc();
+    let running = runs.iter().map(|run| Running {
+        fingerprint: run.fingerprint.to_string(),
+        sent_ms_ago: now.saturating_sub(run.began_at),
+    });
+    let running = running.collect();
+    event::emit(&Event::ServerDown { server: &server.id, service: &server.service, running });
+}
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -8,6 +8,7 @@
 //! | `staleness` | says how old the knowledge of the platform's tables is |
 //! | `peers` | exchanges what nodes tell each other |
 //! | [`memory`] | reserves memory for what is held for callers and servers |
+//! | `crashes` | finds out which servers ended, and under which requests |
 //! | `crossing` | counts what requests send to other regions and get from there |
 //! | [`document`] | packs what peers get from each other |
 //! | `connections` | keeps the connections to servers that rest within the node's share |
@@ -16,6 +17,7 @@
 
 mod capacity_duty;
 mod connections;
+pub(crate) mod crashes;
 mod crossing;
 pub mod document;
 pub mod duty;
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -27,6 +27,7 @@
 use keeljunction_core::serving::topology::Topology;
 use keeljunction_core::serving::usage::{Incarnation, Ledger, window_at};
 
+use super::crashes;
 use super::document::Document;
 use super::memory::Uploads;
 use super::peers::carry::Carrying;
@@ -95,6 +96,8 @@
     pub(super) pending_loads: loads::Pending,
     /// Requests about which the owners of their client accounts were asked.
     pub(super) pending_decisions: quota::Pending,
+    /// Runs that broke off at servers that may have ended.
+    pub(super) cut_runs: crashes::Pending,
     /// Signals to uploads that are evicted.
     pub(crate) uploads: Uploads,
     /// What the node knows of the deployment.
@@ -270,6 +273,7 @@
             news: async_channel::bounded(NEWS_WAITING),
             pending_loads: loads::Pending::default(),
             pending_decisions: quota::Pending::default(),
+            cut_runs: crashes::Pending::default(),
             uploads: Uploads::default(),
             state: Mutex::new(state),
             fetching: Fetching::default(),
