fix(gateway): refuse at all nodes a request that ends each server that begins it

Cause: what a node knew of the servers that had ended under a request lived as long as one attempt of its caller: under the next id, or at another node, it began anew. The bound of two servers within one id took no effect either, since it counted connections that end before the head of an answer, and these servers end after it.

Ruled out: too much memory held at servers (servers ended that held a single small request); servers that end by themselves (the same content ran at each).

Change: each node reports servers that ended, with the fingerprints of its requests that were cut off there, to the aggregator that owns the service. That keeper takes for the cause what ran at the most of the servers that ended, one after the other, and was never answered whole; what ran beside it is explained. Verdicts go to all nodes as news and with the reports, and lie in the platform's table, from which a keeper that starts reads them. The refusal is 503 before anything is sent, with the time for which it holds as Retry-After. Evidence, verdicts and memory of answers are bounded and end after ten minutes, one minute for answers. An answer that breaks off before its first token counts within one id too, also where a stream is resumed.

--- a/crates/core/src/serving/quarantine/mod.rs
+++ b/crates/core/src/serving/quarantine/mod.rs
@@ -1,12 +1,43 @@
-//! Which requests end the servers that run them.
+//! Which requests end the servers that run them, and are refused for it.
+//!
+//! A request may end each server that begins it: its content meets a fault of the server's program. Its
+//! caller repeats it under a new id, at any node, so that one such request may end all servers of a service
+//! again and again. Requests that merely ran beside it end with the same servers, and many requests end at
+//! once where a data centre is lost.
+//!
+//! Each node reports the ends of servers that it notices, with the fingerprints of its requests that were
+//! cut off there, to the aggregator that owns the service. That one, the keeper, sees all requests that
+//! ran at a server when it ended, and looks for the fewest requests that explain the ends (`evidence`).
+//! What it decides goes to all nodes, which refuse the request from then on.
 //!
 //! | module | does |
 //! |---|---|
 //! | `fingerprint` | names the content of a request |
+//! | `report` | says what a node reports of an end, and repeats it until its keeper has it |
+//! | `evidence` | decides, at the keeper, which request ends servers |
+//! | `verdict` | says what was decided of a request |
+//! | `list` | holds what was decided, at each node |
+//! | `book` | holds all of it, at each node |
+//! | `answered` | remembers requests that were answered whole |
+//!
+//! All of it is bounded and forgotten with time. A keeper that ends loses its evidence; the nodes report
+//! to the next one what they reported within the last minute.
 
+mod answered;
+mod book;
+mod evidence;
 mod fingerprint;
+mod list;
+mod report;
+mod verdict;
 
+pub use answered::Answered;
+pub use book::{Book, Merged};
+pub use evidence::Evidence;
 pub use fingerprint::{Content, Fingerprint};
+pub use list::List;
+pub use report::{End, Outbox, Run};
+pub use verdict::{Standing, Verdict};
 
 use crate::Millis;
 
@@ -14,3 +45,6 @@
 /// milliseconds. A request that ends a server does so when the server begins to run it: in a recorded
 /// day with 52 ends, each came before the first piece. Long streams beside it are not suspected.
 pub const SUSPECTED_FOR: Millis = 1_000;
+/// How long a request is refused, in milliseconds: a caller that repeats it costs three servers in ten
+/// minutes at the most, and a request that a new version of the servers can run waits no longer.
+pub const QUARANTINED_FOR: Millis = 600_000;
--- a/crates/core/src/serving/refusal.rs
+++ b/crates/core/src/serving/refusal.rs
@@ -40,6 +40,8 @@
     TooLate,
     /// The time ran out after the request was sent to a server.
     Timeout,
+    /// Servers ended under the same request before.
+    Quarantined,
     /// A server broke off, or answered with something that is not an answer to this request.
     BrokenAnswer,
 }
@@ -64,6 +66,7 @@
             | Self::LinkFull
             | Self::NotAccepted
             | Self::NoMemory
+            | Self::Quarantined
             | Self::TooLate => 503,
         }
     }
@@ -92,6 +95,7 @@
             Self::NotAccepted => "not_accepted",
             Self::TooLate => "too_late",
             Self::Timeout => "timeout",
+            Self::Quarantined => "quarantined",
             Self::BrokenAnswer => "broken_answer",
         }
     }
@@ -99,8 +103,12 @@
     /// Computes when the caller should retry, where a later try can succeed.
     ///
     /// `hint` is the time after which room is expected. The wait stays inside a third of the time
-    /// that the caller has left, beyond which callers ignore `Retry-After`.
+    /// that the caller has left, beyond which callers ignore `Retry-After`; that of a request that is
+    /// quarantined is told as it is, so that no caller comes back before.
     pub fn get_retry_after(self, hint: Millis, left: Millis) -> Option<Duration> {
+        if self == Self::Quarantined {
+            return Some(Duration::from_millis(hint));
+        }
         let is_passing = matches!(
             self,
             Self::OverQuota
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -16,6 +16,7 @@
 mod members;
 mod memory;
 mod owner;
+mod quarantine;
 mod quota;
 mod quota_cluster;
 mod read_ahead;
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -138,6 +138,18 @@
         /// This node's requests that it may have ended under.
         running: Vec<Running>,
     },
+    /// It was decided whether a request ends servers: by this node as the keeper of the service, or by
+    /// another one.
+    RequestJudged {
+        /// Names the request's content.
+        fingerprint: String,
+        /// The service, as it is named between nodes.
+        service: u64,
+        standing: &'a str,
+        servers_ended: u32,
+        left_ms: u64,
+        is_keeper: bool,
+    },
     /// A request came to its end.
     RequestEnded {
         request: &'a str,
@@ -163,8 +175,8 @@
 pub struct Running {
     /// Names the request's content.
     pub fingerprint: String,
-    /// The time since it was sent to the server, in milliseconds.
-    pub sent_ms_ago: u64,
+    /// The time between its being sent to the server and the server's end, in milliseconds.
+    pub ran_ms: u64,
 }
 
 impl Event<'_> {
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -127,6 +127,10 @@
             upload.read(arriving).await.map_err(|rejection| rejection.with_left(deadline))?;
         let fingerprint = compute_fingerprint(&parts, name, &body);
         record.fingerprint = Some(fingerprint);
+        let refused_for = node.with(|state| state.quarantine.get_refused_for(now, fingerprint));
+        if let Some(refused_for) = refused_for {
+            return Err(refuse(Refusal::Quarantined, refused_for));
+        }
         let prompt = head.prompt.as_ref();
         let work = size_work(prompt, urgency);
         count_demand(node, &service, prompt, &work);
@@ -168,8 +172,13 @@
 
     /// Returns what is known of a run of the request that broke off now, given when it was sent and
     /// since when its answer came.
-    pub fn cut_run(&self, began_at: Millis, answering_since: Option<Millis>) -> CutRun {
-        CutRun { fingerprint: self.fingerprint, began_at, answering_since }
+    pub fn cut_run(
+        &self,
+        cut_at: Millis,
+        began_at: Millis,
+        answering_since: Option<Millis>,
+    ) -> CutRun {
+        CutRun { fingerprint: self.fingerprint, began_at, cut_at, answering_since }
     }
 
     /// Gives the client account's units back where the request did not run.
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -10,7 +10,7 @@
 use super::attempt::{self, Answer, Failed, Order};
 use super::notes::{note_choice, note_failure};
 use super::pick::{self, Attempts, Pick};
-use super::progress::Progress;
+use super::progress::{Progress, Tried};
 use super::rejection::Rejection;
 use super::respond::{Record, Refused};
 use crate::event::{self, Event};
@@ -61,7 +61,7 @@
     progress: &mut Progress,
     order: &Order<'_>,
 ) -> Result<Answer, Option<Box<Answer>>> {
-    progress.tried.push(order.server.id.clone());
+    progress.tried.all.push(order.server.id.clone());
     node.with(|state| state.rollouts.count_sent(order.server));
     let sent_at = node.now();
     match attempt::send(node, exchange, order).await {
@@ -90,12 +90,12 @@
     node: &Arc<Node>,
     exchange: &Exchange,
     record: &mut Record,
-    tried: &mut Vec<String>,
+    tried: &mut Tried,
     last_event: Option<u64>,
 ) -> Option<Answer> {
     let mut progress = Progress {
         tried: tried.clone(),
-        sent: tried.len() as u32,
+        sent: tried.all.len() as u32,
         last: Some(Failed::Broken),
         may_have_run: true,
         // The caller waits since the stream broke off.
@@ -128,10 +128,15 @@
     let route = &exchange.route;
     let is_barred = progress.may_have_run && !route.kind.is_repeatable();
     let is_spent = progress.sent >= route.max_attempts.max(1);
-    let is_hopeless = progress.tried.len() as u32 >= route.max_attempts + MOST_CONNECTS;
+    let is_hopeless = progress.tried.all.len() as u32 >= route.max_attempts + MOST_CONNECTS;
     if is_barred || is_spent || is_hopeless {
         return Err(progress.reject(Refusal::NotAccepted, ROOM_RETRY_AFTER));
     }
+    let refused_for =
+        node.with(|state| state.quarantine.get_refused_for(now, exchange.fingerprint));
+    if let Some(refused_for) = refused_for {
+        return Err(progress.reject_quarantined(refused_for));
+    }
     if has_ended_servers(node, exchange, progress) {
         return Err(progress.reject(Refusal::BrokenAnswer, 0));
     }
@@ -139,7 +144,7 @@
         return Err(progress.reject(Refusal::Stale, ROOM_RETRY_AFTER));
     }
     let attempts =
-        Attempts { tried: &progress.tried, began: progress.began, ramp_draw: fastrand::f64() };
+        Attempts { tried: &progress.tried.all, began: progress.began, ramp_draw: fastrand::f64() };
     let pick = pick::pick(node, exchange, attempts)
         .await
         .map_err(|rejection| progress.reject(rejection.reason, rejection.retry_after))?;
@@ -175,14 +180,14 @@
 /// Returns `true` if [`SERVERS_ENDED`] servers ended under the request and are ejected or gone since:
 /// the next one would probably end too. Logs and counts that.
 fn has_ended_servers(node: &Node, exchange: &Exchange, progress: &Progress) -> bool {
-    if progress.ended.len() < SERVERS_ENDED {
+    if progress.tried.ended.len() < SERVERS_ENDED {
         return false;
     }
     let now = node.now();
     let down = node.with(|state| {
         let is_down =
             |id: &&String| state.health.is_ejected(now, id) || state.directory.get(id).is_none();
-        progress.ended.iter().filter(is_down).count()
+        progress.tried.ended.iter().filter(is_down).count()
     });
     if down < SERVERS_ENDED {
         return false;
--- a/crates/gateway/src/exchange/progress.rs
+++ b/crates/gateway/src/exchange/progress.rs
@@ -11,28 +11,28 @@
     /// Since when the caller waits, on the node's clock.
     pub began: Millis,
     /// Servers that were tried.
-    pub tried: Vec<String>,
+    pub tried: Tried,
     /// Attempts of which something was sent.
     pub sent: u32,
     /// How the last attempt failed.
     pub last: Option<Failed>,
     /// Whether the request may have run at a server.
     pub may_have_run: bool,
-    /// Servers that ended the connection before they answered.
+}
+
+/// The servers that a request was sent to, by id.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Tried {
+    /// All of them.
+    pub all: Vec<String>,
+    /// Those that ended the connection before the first token of an answer.
     pub ended: Vec<String>,
 }
 
 impl Progress {
     /// Makes the state before the first attempt.
     pub fn new(began: Millis) -> Self {
-        Self {
-            began,
-            tried: Vec::new(),
-            sent: 0,
-            last: None,
-            may_have_run: false,
-            ended: Vec::new(),
-        }
+        Self { began, tried: Tried::default(), sent: 0, last: None, may_have_run: false }
     }
 
     /// Notes that the attempt at the server that was tried last failed.
@@ -40,8 +40,8 @@
         if failed != Failed::NotConnected {
             self.sent += 1;
         }
-        if failed == Failed::Ended {
-            self.ended.extend(self.tried.last().cloned());
+        if matches!(failed, Failed::Ended | Failed::Cut) {
+            self.tried.ended.extend(self.tried.all.last().cloned());
         }
         self.may_have_run |= failed.may_have_run();
         self.last = Some(failed);
@@ -52,6 +52,15 @@
         Rejection { reason: self.get_refusal(otherwise), retry_after }
     }
 
+    /// Returns the rejection of a request that is quarantined. Only one that has not run since it came
+    /// is told so.
+    pub fn reject_quarantined(&self, refused_for: Millis) -> Rejection {
+        match self.may_have_run {
+            true => Refusal::BrokenAnswer.into(),
+            false => Rejection { reason: Refusal::Quarantined, retry_after: refused_for },
+        }
+    }
+
     fn get_refusal(&self, otherwise: Refusal) -> Refusal {
         match self.last {
             Some(Failed::Timeout) => Refusal::Timeout,
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -11,7 +11,7 @@
 use super::respond::{ANSWERED, Record, close_if_stopping};
 use super::source::{self, Open};
 use crate::http::Body;
-use crate::node::Node;
+use crate::node::{self, Node};
 
 /// Returns the caller's response, which passes on a server's answer.
 pub(super) fn pass_on(
@@ -25,6 +25,7 @@
     let mut response = head(&parts);
     *response.body_mut() = match body {
         AnswerBody::Whole(bytes) => {
+            node::note_answered(&node, exchange.fingerprint);
             record.note_piece();
             record.end(status, ANSWERED);
             feed::whole(&node, bytes, held, record)
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -23,10 +23,11 @@
 use super::admission::Exchange;
 use super::attempt::{self, Answer, AnswerBody, LoadGuard};
 use super::dispatch;
+use super::progress::Tried;
 use super::respond::{ANSWERED, Record};
 use crate::event::{self, Event};
 use crate::http::Reply;
-use crate::node::{Node, crashes, rollouts};
+use crate::node::{self, Node, crashes, rollouts};
 
 /// An answer that has begun.
 pub(super) struct Open {
@@ -63,7 +64,7 @@
         sequence: Sequence::after(exchange.head.last_event),
         ready: VecDeque::new(),
         reply: Some(rest),
-        tried: vec![server.id.clone()],
+        tried: Tried { all: vec![server.id.clone()], ended: Vec::new() },
         pace: Pace::new(node.now(), server),
         due: Timer::after(due),
         load: Some(load),
@@ -89,7 +90,7 @@
     sequence: Sequence,
     ready: VecDeque<Bytes>,
     reply: Option<Reply>,
-    tried: Vec<String>,
+    tried: Tried,
     pace: Pace,
     due: Timer,
     load: Option<LoadGuard>,
@@ -245,6 +246,7 @@
         match is_cut {
             true => self.stop(End::Broken("an event is cut")),
             false => {
+                node::note_answered(&self.node, self.exchange.fingerprint);
                 self.record.end(self.status, ANSWERED);
                 self.stop(End::Whole);
             }
@@ -264,14 +266,15 @@
     async fn go_on_elsewhere(&mut self) {
         attempt::note_end(&self.node, &self.pace.server);
         if let Some(load) = &self.load {
-            let run = self.exchange.cut_run(load.get_begin(), Some(self.pace.began_at));
+            let since = Some(self.pace.began_at);
+            let run = self.exchange.cut_run(self.node.now(), load.get_begin(), since);
             crashes::note_cut(&self.node, &self.pace.server, run);
         }
         self.reply = None;
         self.load = None;
         event::emit(&Event::AttemptFailed {
             request: &self.record.id,
-            server: self.tried.last().map_or("", String::as_str),
+            server: self.tried.all.last().map_or("", String::as_str),
             attempt: self.record.attempts,
             may_have_run: true,
             why: "broke_off",
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -35,6 +35,7 @@
     region_round_trip: Family<RegionLabels, Gauge<f64, AtomicU64>>,
     read_ahead: Gauge<i64, AtomicI64>,
     held_at_servers: Gauge<i64, AtomicI64>,
+    quarantined: Gauge<i64, AtomicI64>,
 }
 
 impl Gauges {
@@ -124,6 +125,11 @@
             Unit::Bytes,
             self.held_at_servers.clone(),
         );
+        registry.register(
+            "quarantined_requests",
+            "Requests that are refused because servers ended under them",
+            self.quarantined.clone(),
+        );
     }
 
     /// Sets all gauges to the state of the node.
@@ -139,6 +145,7 @@
         node.with(|state| {
             self.read_ahead.set(state.memory.get_held(Kind::ReadAhead) as i64);
             self.held_at_servers.set(state.held.get_total() as i64);
+            self.quarantined.set(state.quarantine.count_refused(now) as i64);
             let age = state.freshness.get_age(now);
             self.configuration_age.set(age.map_or(-1.0, |age| age as f64 / 1_000.0));
             let version = state.configuration.as_ref().map_or(0, |known| known.version);
--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -10,9 +10,10 @@
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::Server;
-use keeljunction_core::serving::quarantine::{Fingerprint, SUSPECTED_FOR};
+use keeljunction_core::serving::load::short_id;
+use keeljunction_core::serving::quarantine::{End, Fingerprint, Run, SUSPECTED_FOR};
 
-use super::Node;
+use super::{Node, peers};
 use crate::event::{self, Event, Running};
 use crate::metrics::ServiceLabels;
 use crate::runtime::{self, lock};
@@ -33,6 +34,8 @@
     pub fingerprint: Fingerprint,
     /// When it was sent to the server.
     pub began_at: Millis,
+    /// When its connection broke off.
+    pub cut_at: Millis,
     /// Since when its answer came.
     pub answering_since: Option<Millis>,
 }
@@ -41,8 +44,7 @@
 ///
 /// A server that is leaving or gone ends for another reason.
 pub(crate) fn note_cut(node: &Arc<Node>, server: &Server, run: CutRun) {
-    let now = node.now();
-    let is_suspect = run.answering_since.is_none_or(|since| now < since + SUSPECTED_FOR);
+    let is_suspect = run.answering_since.is_none_or(|since| run.cut_at < since + SUSPECTED_FOR);
     let is_leaving = |state: &mut super::state::State| {
         state.directory.get(&server.id).is_none_or(|known| known.is_leaving)
     };
@@ -72,10 +74,31 @@
     node.with(|state| state.health.fail_to_connect(now, &server.id));
     let labels = ServiceLabels { service: server.service.clone() };
     node.metrics.servers_down.get_or_create(&labels).inc();
-    let running = runs.iter().map(|run| Running {
-        fingerprint: run.fingerprint.to_string(),
-        sent_ms_ago: now.saturating_sub(run.began_at),
-    });
+    let running = runs
+        .iter()
+        .map(|run| Running { fingerprint: run.fingerprint.to_string(), ran_ms: run.get_span() });
     let running = running.collect();
     event::emit(&Event::ServerDown { server: &server.id, service: &server.service, running });
+    node.with(|state| state.quarantine.note_end(now, make_report(now, &server, &runs)));
+    peers::quarantine::send_ends(&node).await;
+}
+
+/// Makes the report of a server that ended.
+fn make_report(now: Millis, server: &Server, runs: &[CutRun]) -> End {
+    let ended_at = runs.iter().map(|run| run.cut_at).min().unwrap_or(now);
+    let runs = runs.iter();
+    let runs = runs.map(|run| Run { fingerprint: run.fingerprint, ran_for: run.get_span() });
+    End {
+        service: short_id(&server.service),
+        server: short_id(&server.id),
+        age: now.saturating_sub(ended_at),
+        runs: runs.collect(),
+    }
+}
+
+impl CutRun {
+    /// Returns the milliseconds between its being sent and the end of its connection.
+    fn get_span(&self) -> Millis {
+        self.cut_at.saturating_sub(self.began_at)
+    }
 }
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -12,6 +12,7 @@
 //! | `crossing` | counts what requests send to other regions and get from there |
 //! | [`document`] | packs what peers get from each other |
 //! | `connections` | keeps the connections to servers that rest within the node's share |
+//! | `quarantine_rows` | keeps which requests end servers in the platform's table |
 //! | [`duty`] | holds the lease and makes the calls that one node at a time may make |
 //! | [`stop`] | ends the node without cutting an answer |
 
@@ -25,6 +26,7 @@
 pub mod memory;
 mod pause;
 mod peers;
+mod quarantine_rows;
 mod rollout_duty;
 pub(crate) mod rollouts;
 pub mod serve;
@@ -37,5 +39,6 @@
 pub use memory::Reservation;
 pub(crate) use peers::loads::{ask as ask_loads, note_change as note_load_change};
 pub(crate) use peers::news::report_begun;
+pub(crate) use peers::quarantine::note_answered;
 pub(crate) use peers::quota::consume as consume_units;
 pub use state::Node;
--- a/crates/gateway/src/node/peers/carry.rs
+++ b/crates/gateway/src/node/peers/carry.rs
@@ -134,7 +134,7 @@
 /// Takes a summary that a carrier of this region passed on.
 ///
 /// When the carrier last heard of this node says nothing of the one who sent the summary.
-pub(super) fn take_carried(node: &Node, sent: (u32, Millis), summary: Summary) {
+pub(super) fn take_carried(node: &Arc<Node>, sent: (u32, Millis), summary: Summary) {
     if note_crossed(node, sent, &summary) {
         report::take_summary(node, None, summary);
     }
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -5,6 +5,7 @@
 use keeljunction_core::serving::freshness::Versions;
 use keeljunction_core::serving::load::{Load, Work};
 use keeljunction_core::serving::members::{Entry, Overview as Reach};
+use keeljunction_core::serving::quarantine::{End, Fingerprint, Verdict};
 use keeljunction_core::serving::quota::Decision;
 use keeljunction_core::serving::rollout::{self, Announcement};
 use keeljunction_core::serving::throughput::Sample;
@@ -13,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The format of the datagrams; others are ignored.
-const FORMAT: u8 = 9;
+const FORMAT: u8 = 10;
 
 /// What every datagram begins with.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -87,6 +88,10 @@
         /// The summary.
         summary: Box<Summary>,
     },
+    /// A server that ended, for the keeper of its service.
+    ServerEnded(End),
+    /// A server answered a request whole that is suspected or refused, for the keeper of its service.
+    RequestAnswered(Fingerprint),
     /// What the sender has in flight at some servers, for the node that keeps their load.
     LoadChanged {
         /// The sender's name.
@@ -150,6 +155,8 @@
     pub group_age: Millis,
     /// Nodes that are new to it.
     pub joined: Vec<Entry>,
+    /// Some of the requests that it knows to end servers, or not to.
+    pub verdicts: Vec<Verdict>,
     /// Which versions of the platform's tables it knows.
     pub versions: Versions,
 }
@@ -173,6 +180,8 @@
     pub is_region_overdue: bool,
     /// Nodes that are new to it.
     pub joined: Vec<Entry>,
+    /// Some of the requests that it knows to end servers, or not to.
+    pub verdicts: Vec<Verdict>,
     /// Which versions of the platform's tables it knows.
     pub versions: Versions,
 }
@@ -187,6 +196,8 @@
         /// Its version.
         version: u64,
     },
+    /// It was decided whether a request ends servers.
+    RequestJudged(Verdict),
     /// A roll-out was ordered, or its stage has advanced.
     RolloutChanged(Announcement),
     /// The sender has sent a request to a server whose prompt takes long to read.
--- a/crates/gateway/src/node/peers/news.rs
+++ b/crates/gateway/src/node/peers/news.rs
@@ -1,5 +1,5 @@
 //! Passes on what must not wait for the next report: changed servers, a new configuration, long
-//! prompts.
+//! prompts, requests that end servers.
 //!
 //! Where nodes report in groups, news goes from a node to its aggregator, from there to the other
 //! aggregators, and from each of these to its group. An aggregator passes on what is new to it, and
@@ -14,8 +14,8 @@
 use keeljunction_core::serving::load::{Work, short_id};
 use keeljunction_core::serving::rollout::Announcement;
 
-use super::calls;
 use super::message::{Message, News};
+use super::{calls, quarantine};
 use crate::node::state::State;
 use crate::node::{Node, rollouts, watch};
 use crate::runtime;
@@ -71,6 +71,11 @@
             let until = node.now() + reading_ms;
             node.with(|state| state.loads.merge_begun(until, &peer, server, &work));
         }
+        News::RequestJudged(verdict) => {
+            if quarantine::take_verdict(node, verdict) {
+                pass_on(node, from, news).await;
+            }
+        }
         News::RolloutChanged(announcement) => take_rollout(node, from, announcement).await,
         News::ServersChanged(batch) => take_servers(node, from, batch).await,
         News::ConfigurationChanged { version } => {
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -16,7 +16,7 @@
 use keeljunction_core::serving::usage::{Counts, Incarnation, WindowNumber};
 
 use super::message::{Message, Overview, Report, Sender, Summary, Totals};
-use super::{carry, loads, versions};
+use super::{carry, loads, quarantine, versions};
 use crate::event::{self, Event};
 use crate::node::state::State;
 use crate::node::{Node, rollouts, staleness, watch};
@@ -58,6 +58,7 @@
         if is_grouped {
             loads::repeat(&node, turn);
         }
+        quarantine::step(&node).await;
         turn += 1;
         let spent = Duration::from_millis(node.now().saturating_sub(now));
         let period = node.with(|state| state.members.get_period());
@@ -184,6 +185,7 @@
             lost_regions: state.members.list_lost_regions(),
             is_region_overdue,
             joined: joined.clone(),
+            verdicts: state.quarantine.list_some(now, turn as usize),
             versions,
         };
         let is_grouped = state.members.is_grouped();
@@ -200,6 +202,7 @@
             group,
             group_age,
             joined,
+            verdicts: overview.verdicts.clone(),
             versions,
         };
         let aggregators = state.members.list_exchange(now);
@@ -260,9 +263,10 @@
 
 /// Takes over what another aggregator counts for its group; `asked_at` where it came from there
 /// directly.
-pub(super) fn take_summary(node: &Node, asked_at: Option<Millis>, summary: Summary) {
+pub(super) fn take_summary(node: &Arc<Node>, asked_at: Option<Millis>, summary: Summary) {
     let now = node.now();
-    let Summary { sender, totals, loads, group, group_age, joined, versions: _ } = summary;
+    let Summary { sender, totals, loads, group, group_age, joined, verdicts, versions: _ } =
+        summary;
     if sender.entry.name == node.incarnation.node {
         return;
     }
@@ -293,6 +297,7 @@
             state.loads.merge(valid_until, name, loads);
         }
     });
+    quarantine::take_verdicts(node, verdicts);
 }
 
 /// Keeps samples for the nodes of this node's group, up to as many as an overview holds.
@@ -311,7 +316,8 @@
     overview: Overview,
 ) {
     let now = node.now();
-    let Overview { sender, quota, throughputs, reach, silent, joined, versions, .. } = overview;
+    let Overview { sender, quota, throughputs, reach, silent, joined, verdicts, versions, .. } =
+        overview;
     let (lost_regions, is_region_overdue) = (overview.lost_regions, overview.is_region_overdue);
     node.with(|state| {
         let arrived = hear(state, now, &sender, Role::Aggregator, asked_at);
@@ -331,6 +337,7 @@
             samples.into_iter().for_each(|sample| throughput.merge(now, sample));
         }
     });
+    quarantine::take_verdicts(node, verdicts);
     versions::take(node, from, asked_at, &versions);
 }
 
--- a/crates/gateway/src/node/serve.rs
+++ b/crates/gateway/src/node/serve.rs
@@ -13,7 +13,7 @@
 
 use super::peers::link::Link;
 use super::state::{BYTES_PER_MB, Start};
-use super::{Node, connections, duty, listeners, memory, peers, stop, watch};
+use super::{Node, connections, duty, listeners, memory, peers, quarantine_rows, stop, watch};
 use crate::event::{self, Event};
 use crate::exchange;
 use crate::http::{Limits, Server, Stop};
@@ -76,6 +76,7 @@
     let called = node.clone();
     runtime::spawn(peer_calls.serve(move |request| peers::calls::serve(called.clone(), request)));
     runtime::spawn(duty::run(node.clone()));
+    runtime::spawn(quarantine_rows::run(node.clone()));
     runtime::spawn(memory::watch(node.clone()));
     exchange::watch_callers(&node);
     let (asked, shown, answering) = (node.clone(), node.clone(), node.clone());
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -20,6 +20,7 @@
 use keeljunction_core::serving::load::{LoadBook, short_id};
 use keeljunction_core::serving::members::{Entry, Members};
 use keeljunction_core::serving::memory::Accountant;
+use keeljunction_core::serving::quarantine;
 use keeljunction_core::serving::quota::{Quotas, Tolerance};
 use keeljunction_core::serving::rollout;
 use keeljunction_core::serving::spill::Links;
@@ -148,6 +149,8 @@
     pub health: Health,
     /// Bytes of requests that each server holds for this node.
     pub held: held::Book,
+    /// Requests that end servers.
+    pub quarantine: quarantine::Book,
     /// What client accounts have used.
     pub quotas: Quotas,
     /// Repeats.
@@ -238,6 +241,7 @@
             loads: LoadBook::default(),
             health: Health::default(),
             held: held::Book::default(),
+            quarantine: quarantine::Book::default(),
             quotas: Quotas::new(clock.now(), tolerance),
             budget: Budget::new(allowance),
             usage: Ledger::default(),
