--- a/crates/core/src/serving/quarantine/evidence.rs
+++ b/crates/core/src/serving/quarantine/evidence.rs
@@ -23,10 +23,10 @@
 /// Ends in a row after which requests are refused that ran together at each of these servers, so that
 /// nothing tells which of them is the cause.
 const ENDS_TO_REFUSE_ALL: u32 = 5;
-/// How long an end is left to rest before anyone is refused for it, in milliseconds: reports of other
-/// nodes, and answers of nodes that have served a suspected request, come within two reports and the
-/// way from another region.
-const RESTS_FOR: Millis = 500;
+/// How long an end is left to rest before anyone is refused for it, in milliseconds. Other nodes report
+/// it meanwhile, and those that have served a suspected request say so: both are sent at once, 40 ms
+/// after a connection broke off, and cross three nodes and a region at the most.
+const RESTS_FOR: Millis = 300;
 /// Ends of one server within this time are one end, of which several nodes report: a server takes
 /// longer to start.
 const SAME_END: Millis = 1_000;
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -17,6 +17,7 @@
 mod memory;
 mod owner;
 mod quarantine;
+mod quarantine_trials;
 mod quota;
 mod quota_cluster;
 mod read_ahead;
