--- a/crates/core/src/serving/quarantine/book.rs
+++ b/crates/core/src/serving/quarantine/book.rs
@@ -133,12 +133,6 @@
         self.list.get_refused_for(now, fingerprint)
     }
 
-    /// Returns `true` if servers ended under a request, and it is not known whether it is the cause.
-    pub fn is_suspected(&self, now: Millis, fingerprint: Fingerprint) -> bool {
-        let verdict = self.list.get(now, fingerprint);
-        verdict.is_some_and(|verdict| verdict.standing == Standing::Suspected)
-    }
-
     /// Lists some verdicts for other nodes; each turn gives the next ones.
     pub fn list_some(&self, now: Millis, turn: usize) -> Vec<Verdict> {
         self.list.list_some(now, turn)
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -137,10 +137,6 @@
     if let Some(refused_for) = refused_for {
         return Err(progress.reject_quarantined(refused_for));
     }
-    let is_suspected = node.with(|state| state.quarantine.is_suspected(now, exchange.fingerprint));
-    if is_suspected && !progress.tried.ended.is_empty() {
-        return Err(progress.reject(Refusal::BrokenAnswer, 0));
-    }
     if has_ended_servers(node, exchange, progress) {
         return Err(progress.reject(Refusal::BrokenAnswer, 0));
     }
