--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -127,8 +127,7 @@
             upload.read(arriving).await.map_err(|rejection| rejection.with_left(deadline))?;
         let fingerprint = compute_fingerprint(&parts, name, &body);
         record.fingerprint = Some(fingerprint);
-        let refused_for = node.with(|state| state.quarantine.get_refused_for(now, fingerprint));
-        if let Some(refused_for) = refused_for {
+        if let Some(refused_for) = node.get_quarantine(fingerprint) {
             return Err(refuse(Refusal::Quarantined, refused_for));
         }
         let prompt = head.prompt.as_ref();
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -132,9 +132,7 @@
     if is_barred || is_spent || is_hopeless {
         return Err(progress.reject(Refusal::NotAccepted, ROOM_RETRY_AFTER));
     }
-    let refused_for =
-        node.with(|state| state.quarantine.get_refused_for(now, exchange.fingerprint));
-    if let Some(refused_for) = refused_for {
+    if let Some(refused_for) = node.get_quarantine(exchange.fingerprint) {
         return Err(progress.reject_quarantined(refused_for));
     }
     if has_ended_servers(node, exchange, progress) {
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -25,7 +25,7 @@
     let mut response = head(&parts);
     *response.body_mut() = match body {
         AnswerBody::Whole(bytes) => {
-            node::note_answered(&node, exchange.fingerprint);
+            note_success(&node, &exchange, status);
             record.note_piece();
             record.end(status, ANSWERED);
             feed::whole(&node, bytes, held, record)
@@ -43,6 +43,14 @@
     response
 }
 
+/// Notes that a server answered a request whole: the request does not end servers. A failure does not
+/// show that, since a server may say it of a request that it has not begun.
+pub(super) fn note_success(node: &Arc<Node>, exchange: &Exchange, status: u16) {
+    if (200..300).contains(&status) {
+        node::note_answered(node, exchange.fingerprint);
+    }
+}
+
 /// Makes a response without a body, without the headers that hold for one connection only.
 fn head(parts: &Parts) -> Response<Body> {
     let mut response = Response::new(Body::empty());
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -24,10 +24,11 @@
 use super::attempt::{self, Answer, AnswerBody, LoadGuard};
 use super::dispatch;
 use super::progress::Tried;
+use super::relay;
 use super::respond::{ANSWERED, Record};
 use crate::event::{self, Event};
 use crate::http::Reply;
-use crate::node::{self, Node, crashes, rollouts};
+use crate::node::{Node, crashes, rollouts};
 
 /// An answer that has begun.
 pub(super) struct Open {
@@ -246,7 +247,7 @@
         match is_cut {
             true => self.stop(End::Broken("an event is cut")),
             false => {
-                node::note_answered(&self.node, self.exchange.fingerprint);
+                relay::note_success(&self.node, &self.exchange, self.status);
                 self.record.end(self.status, ANSWERED);
                 self.stop(End::Whole);
             }
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -20,7 +20,7 @@
 use keeljunction_core::serving::load::{LoadBook, short_id};
 use keeljunction_core::serving::members::{Entry, Members};
 use keeljunction_core::serving::memory::Accountant;
-use keeljunction_core::serving::quarantine;
+use keeljunction_core::serving::quarantine::{self, Fingerprint};
 use keeljunction_core::serving::quota::{Quotas, Tolerance};
 use keeljunction_core::serving::rollout;
 use keeljunction_core::serving::spill::Links;
@@ -337,6 +337,13 @@
         knows && !self.is_stopping() && self.is_fresh() && !self.is_short_of_memory()
     }
 
+    /// Returns the milliseconds for which a request is still refused because servers ended under it;
+    /// `None` where it is served.
+    pub fn get_quarantine(&self, fingerprint: Fingerprint) -> Option<Millis> {
+        let now = self.now();
+        self.with(|state| state.quarantine.get_refused_for(now, fingerprint))
+    }
+
     /// Returns `true` if callers should go to other nodes, for want of memory.
     pub fn is_short_of_memory(&self) -> bool {
         self.with(|state| state.memory.is_short())
