--- a/crates/core/benches/serving.rs
+++ b/crates/core/benches/serving.rs
@@ -11,6 +11,9 @@
 use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::load::{Load, LoadBook, Work, short_id};
 use keeljunction_core::serving::members::{Entry, Members};
+use keeljunction_core::serving::quarantine::{
+    Book, Content, End, Fingerprint, Run, Standing, Verdict,
+};
 use keeljunction_core::serving::quota::{Limit, Quotas, Reach, Report, Source, Tolerance, Units};
 use keeljunction_core::serving::spill::Offer;
 use keeljunction_core::serving::topology::Topology;
@@ -204,9 +207,50 @@
     }
 }
 
+/// What requests that end servers cost each request, and their keeper where its tables are full.
+fn quarantine(criterion: &mut Criterion) {
+    let body = vec![b'x'; 4_096];
+    let content = Content { account: "acme", host: "gauges.example", path: "/x/y", body: &body };
+    criterion.bench_function("quarantine, fingerprint of 4 KB", |bencher| {
+        bencher.iter(|| black_box(Fingerprint::new(&content)));
+    });
+    let mut book = Book::default();
+    for number in 0..256 {
+        let verdict = Verdict {
+            fingerprint: Fingerprint::from_number(number * 7),
+            service: 1,
+            standing: Standing::Quarantined,
+            left: 600_000,
+            servers_ended: 3,
+        };
+        book.merge(1_000, verdict);
+    }
+    criterion.bench_function("quarantine, a request beside a full list", |bencher| {
+        bencher.iter(|| {
+            black_box(book.get_refused_for(2_000, Fingerprint::from_number(8)));
+            black_box(book.note_answered(2_000, Fingerprint::from_number(8)))
+        });
+    });
+    let end = |server: u64| {
+        let run = |number| Run { fingerprint: Fingerprint::from_number(number), ran_for: 50 };
+        End { service: 1, server, age: 0, runs: (server * 16..server * 16 + 16).map(run).collect() }
+    };
+    for server in 0..512 {
+        book.take_end(10_000 + server, &end(server));
+    }
+    let mut server = 512;
+    criterion.bench_function("quarantine, an end at a full keeper", |bencher| {
+        bencher.iter(|| {
+            server += 1;
+            book.take_end(20_000 + server, &end(server));
+            black_box(book.judge(20_000 + server))
+        });
+    });
+}
+
 criterion_group! {
     name = serving;
     config = Criterion::default().sample_size(30).measurement_time(std::time::Duration::from_millis(600)).warm_up_time(std::time::Duration::from_millis(200));
-    targets = choice, regions, reports, quota
+    targets = choice, regions, reports, quota, quarantine
 }
 criterion_main!(serving);
--- a/crates/core/src/serving/quarantine/mod.rs
+++ b/crates/core/src/serving/quarantine/mod.rs
@@ -42,8 +42,9 @@
 use crate::Millis;
 
 /// How long after the first piece of its answer a request is still suspected where its server ends, in
-/// milliseconds. A request that ends a server does so when the server begins to run it: in a recorded
-/// day with 52 ends, each came before the first piece. Long streams beside it are not suspected.
+/// milliseconds. A request that ends a server does so when the server begins to run it: in 19 ends of a
+/// recorded day that had one request in common, its first piece had not come. Long streams beside it are
+/// not suspected.
 pub const SUSPECTED_FOR: Millis = 1_000;
 /// How long a request is refused, in milliseconds: a caller that repeats it costs three servers in ten
 /// minutes at the most, and a request that a new version of the servers can run waits no longer.
