fix(servers): a server that starts again under its id, and entries of other writers

Cause: an id stood for one start of a server. One that had begun to leave never came back; an entry of another writer that named an unknown or no state was taken for a ready server; an entry that could not be read left the server of before in use, with a log line for each read.

Change: a server's incarnation is the time of its start. A newer one takes the place of the older, whose health, throughput, trial counts and connections are dropped; a late entry, a 421, a failure or a success of the older one changes nothing. What nodes have in flight is counted until it ends, as before.

--- a/crates/core/benches/serving.rs
+++ b/crates/core/benches/serving.rs
@@ -26,6 +26,7 @@
 fn servers(count: usize) -> Vec<Server> {
     let server = |number: usize| Server {
         id: format!("i-{number:010x}"),
+        incarnation: 0,
         service: "llm".to_owned(),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         data_centre: format!("z{}", number % 6),
--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -4,6 +4,7 @@
 //! entries may lapse; those of servers that live are back soon after its return. Until then a
 //! server whose entry is missing, and that had not said that it leaves, still gets work.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -14,8 +15,11 @@
 /// A server as it describes itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Server {
-    /// Names this start of the server; no other start bears it.
+    /// Names the server; it may start again under the same id.
     pub id: String,
+    /// Which start of the server this is: its time, in milliseconds since the Unix epoch, or 0 where it
+    /// does not say. What is known of an earlier one holds no more.
+    pub incarnation: u64,
     /// The service that it belongs to.
     pub service: String,
     /// Where it listens.
@@ -79,7 +83,7 @@
         let gone: Vec<String> =
             self.servers.keys().filter(|id| !listed.contains_key(*id)).cloned().collect();
         let mut changes: Vec<Change> = gone.iter().filter_map(|id| self.remove(id)).collect();
-        changes.extend(listed.into_values().filter_map(|server| self.put(server)));
+        changes.extend(listed.into_values().flat_map(|server| self.put(server)));
         changes
     }
 
@@ -99,9 +103,9 @@
         }
         self.version = known.max(batch.version);
         let newer = batch.entries.into_iter().filter(|entry| entry.version > known);
-        let changes = newer.filter_map(|entry| match entry.server {
+        let changes = newer.flat_map(|entry| match entry.server {
             Some(server) => self.put(server),
-            None => self.remove(&entry.id),
+            None => self.remove(&entry.id).into_iter().collect(),
         });
         Some(changes.collect())
     }
@@ -139,16 +143,23 @@
         Some(Change::Gone(server))
     }
 
-    /// Notes that a server showed in an answer that it is leaving, or that another took its place.
-    pub fn note_leaving(&mut self, id: &str) -> Option<Change> {
-        if let Some(server) = self.lapsed.remove(id) {
-            return Some(Change::Gone(server));
+    /// Notes that an incarnation of a server showed in an answer that it is leaving, or that another
+    /// server took its place.
+    pub fn note_leaving(&mut self, id: &str, incarnation: u64) -> Option<Change> {
+        if self.lapsed.get(id).is_some_and(|server| server.incarnation == incarnation) {
+            return self.lapsed.remove(id).map(Change::Gone);
         }
-        let server = self.servers.get_mut(id).filter(|server| !server.is_leaving)?;
+        let known = self.servers.get_mut(id).filter(|known| known.incarnation == incarnation);
+        let server = known.filter(|server| !server.is_leaving)?;
         server.is_leaving = true;
         Some(Change::Leaving(server.clone()))
     }
 
+    /// Returns `true` if a server has started again since.
+    pub fn is_superseded(&self, server: &Server) -> bool {
+        self.get(&server.id).is_some_and(|known| known.incarnation > server.incarnation)
+    }
+
     /// Returns a server by its id.
     pub fn get(&self, id: &str) -> Option<&Server> {
         self.servers.get(id)
@@ -170,21 +181,34 @@
         self.servers.values()
     }
 
-    fn put(&mut self, server: Server) -> Option<Change> {
+    fn put(&mut self, server: Server) -> Vec<Change> {
         let lapsed = self.lapsed.remove(&server.id);
-        let before = self.servers.insert(server.id.clone(), server.clone()).or(lapsed);
-        match before {
-            Some(before) if before.is_leaving => {
-                // A server that has begun to leave never comes back; a late entry is passed over.
-                if let Some(kept) = self.servers.get_mut(&server.id) {
-                    kept.is_leaving = true;
-                }
-                None
+        let Some(before) = self.servers.remove(&server.id).or(lapsed) else {
+            return vec![self.add(server)];
+        };
+        match server.incarnation.cmp(&before.incarnation) {
+            Ordering::Greater => vec![Change::Gone(before), self.add(server)],
+            // A late entry of an incarnation that is gone.
+            Ordering::Less => {
+                self.servers.insert(before.id.clone(), before);
+                Vec::new()
+            }
+            Ordering::Equal => {
+                // A server that has begun to leave comes back as another incarnation only.
+                let is_leaving = before.is_leaving || server.is_leaving;
+                let server = Server { is_leaving, ..server };
+                self.servers.insert(server.id.clone(), server.clone());
+                let has_begun = is_leaving && !before.is_leaving;
+                has_begun.then_some(Change::Leaving(server)).into_iter().collect()
             }
-            Some(_) if server.is_leaving => Some(Change::Leaving(server)),
-            Some(_) => None,
-            None if server.is_leaving => Some(Change::Leaving(server)),
-            None => Some(Change::Joined(server)),
+        }
+    }
+
+    fn add(&mut self, server: Server) -> Change {
+        self.servers.insert(server.id.clone(), server.clone());
+        match server.is_leaving {
+            true => Change::Leaving(server),
+            false => Change::Joined(server),
         }
     }
 }
--- a/crates/core/tests/serving/directory.rs
+++ b/crates/core/tests/serving/directory.rs
@@ -52,8 +52,8 @@
 fn an_answer_that_shows_another_server_takes_the_old_one_out() {
     let mut directory = Directory::default();
     directory.replace(1, vec![server("a", "z1")]);
-    assert!(directory.note_leaving("a").is_some());
-    assert!(directory.note_leaving("a").is_none());
+    assert!(directory.note_leaving("a", 0).is_some());
+    assert!(directory.note_leaving("a", 0).is_none());
     assert!(ready(&directory).is_empty());
 }
 
@@ -136,7 +136,7 @@
     directory.note_away();
     directory.note_return(10_000);
     directory.update(removed(2, "a"));
-    assert_eq!(directory.note_leaving("a"), Some(Change::Gone(server("a", "z1"))));
+    assert_eq!(directory.note_leaving("a", 0), Some(Change::Gone(server("a", "z1"))));
     assert!(ready(&directory).is_empty());
 }
 
@@ -160,3 +160,47 @@
     directory.note_return(20_000);
     assert_eq!(directory.replace(5, Vec::new()), [Change::Gone(server("a", "z1"))]);
 }
+
+fn started(at: u64) -> Server {
+    Server { incarnation: at, ..server("a", "z1") }
+}
+
+#[test]
+fn a_server_that_starts_again_joins_anew_and_its_late_entries_change_nothing() {
+    let mut directory = Directory::default();
+    directory.replace(1, vec![started(10)]);
+    let leaving = Server { is_leaving: true, ..started(10) };
+    assert_eq!(directory.replace(2, vec![leaving.clone()]), [Change::Leaving(leaving.clone())]);
+    let again = started(20);
+    let changes = directory.replace(3, vec![again.clone()]);
+    assert_eq!(changes, [Change::Gone(leaving.clone()), Change::Joined(again.clone())]);
+    assert_eq!(directory.replace(4, vec![leaving]), []);
+    assert_eq!(directory.note_leaving("a", 10), None);
+    assert_eq!(directory.get("a"), Some(&again));
+    assert!(directory.is_superseded(&started(10)));
+    assert!(!directory.is_superseded(&again));
+}
+
+#[test]
+fn a_server_that_starts_again_while_its_entry_had_lapsed_takes_the_place_of_the_old_one() {
+    let mut directory = Directory::default();
+    directory.replace(1, vec![started(10)]);
+    directory.note_away();
+    directory.note_return(1_000);
+    assert_eq!(directory.replace(2, vec![]), []);
+    let changes = directory.replace(3, vec![started(20)]);
+    assert_eq!(changes, [Change::Gone(started(10)), Change::Joined(started(20))]);
+    assert_eq!(directory.expire_lapsed(9_000), []);
+}
+
+#[test]
+fn batches_in_any_order_leave_the_newest_start() {
+    let entry = |version, server| Entry { id: "a".to_owned(), version, server: Some(server) };
+    for [first, second] in [[10, 20], [20, 10]] {
+        let mut directory = Directory::default();
+        directory.replace(1, vec![]);
+        let entries = vec![entry(2, started(first)), entry(3, started(second))];
+        directory.update(Batch { after: 1, version: 3, entries });
+        assert_eq!(directory.get("a").map(|server| server.incarnation), Some(20));
+    }
+}
--- a/crates/core/tests/serving/support.rs
+++ b/crates/core/tests/serving/support.rs
@@ -6,6 +6,7 @@
 pub fn server(id: &str, data_centre: &str) -> Server {
     Server {
         id: id.to_owned(),
+        incarnation: 0,
         service: "llm".to_owned(),
         address: "127.0.0.1:8000".parse().expect("an address"),
         data_centre: data_centre.to_owned(),
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -319,7 +319,8 @@
     let head = (node.platform.dialect.read_answer)(parts);
     let fault = find_fault(exchange, parts, &head);
     if fault == Some(Failed::OtherServer) {
-        let change = node.with(|state| state.directory.note_leaving(&server.id));
+        let change =
+            node.with(|state| state.directory.note_leaving(&server.id, server.incarnation));
         watch::apply(node, change.into_iter().collect());
     }
     fault
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -66,7 +66,11 @@
     let sent_at = node.now();
     match attempt::send(node, exchange, order).await {
         Ok(answer) => {
-            node.with(|state| state.health.succeed(&order.server.id));
+            node.with(|state| {
+                if !state.directory.is_superseded(order.server) {
+                    state.health.succeed(&order.server.id);
+                }
+            });
             let on_the_way = node.get_round_trip(&order.server.data_centre);
             let latency = (node.now() - sent_at).saturating_sub(on_the_way);
             let route = &exchange.route.name;
--- a/crates/gateway/src/exchange/notes.rs
+++ b/crates/gateway/src/exchange/notes.rs
@@ -61,6 +61,8 @@
 ) {
     let now = node.now();
     let pause = node.with(|state| match failed {
+        // What came of an earlier start of the server says nothing of this one.
+        _ if state.directory.is_superseded(server) => None,
         Failed::NotConnected => {
             state.health.fail_to_connect(now, &server.id);
             None
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -36,6 +36,7 @@
     read_ahead: Gauge<i64, AtomicI64>,
     held_at_servers: Gauge<i64, AtomicI64>,
     quarantined: Gauge<i64, AtomicI64>,
+    skipped_entries: Gauge<i64, AtomicI64>,
 }
 
 impl Gauges {
@@ -130,6 +131,11 @@
             "Requests that are refused because servers ended under them",
             self.quarantined.clone(),
         );
+        registry.register(
+            "server_entries_skipped",
+            "Entries of servers that cannot be read, at a node that reads them for all",
+            self.skipped_entries.clone(),
+        );
     }
 
     /// Sets all gauges to the state of the node.
@@ -145,6 +151,7 @@
         node.with(|state| {
             self.read_ahead.set(state.memory.get_held(Kind::ReadAhead) as i64);
             self.held_at_servers.set(state.held.get_total() as i64);
+            self.skipped_entries.set(state.skipped_entries.count() as i64);
             self.quarantined.set(state.quarantine.count_refused(now) as i64);
             let age = state.freshness.get_age(now);
             self.configuration_age.set(age.map_or(-1.0, |age| age as f64 / 1_000.0));
--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::directory::Server;
+use keeljunction_core::serving::directory::{Directory, Server};
 use keeljunction_core::serving::load::short_id;
 use keeljunction_core::serving::quarantine::{End, Fingerprint, Run, SUSPECTED_FOR};
 
@@ -45,10 +45,7 @@
 /// A server that is leaving or gone ends for another reason.
 pub(crate) fn note_cut(node: &Arc<Node>, server: &Server, run: CutRun) {
     let is_suspect = run.answering_since.is_none_or(|since| run.cut_at < since + SUSPECTED_FOR);
-    let is_leaving = |state: &mut super::state::State| {
-        state.directory.get(&server.id).is_none_or(|known| known.is_leaving)
-    };
-    if !is_suspect || node.with(is_leaving) {
+    if !is_suspect || node.with(|state| is_leaving(&state.directory, server)) {
         return;
     }
     let mut pending = lock(&node.cut_runs);
@@ -62,12 +59,18 @@
     }
 }
 
-/// Looks whether a server still listens.
+/// Returns `true` if a server is leaving or gone. One that has started again since has ended before.
+fn is_leaving(directory: &Directory, server: &Server) -> bool {
+    let Some(known) = directory.get(&server.id) else { return true };
+    known.is_leaving && !directory.is_superseded(server)
+}
+
+/// Looks whether a server still listens, and has not started again.
 async fn look(node: Arc<Node>, server: Server) {
     runtime::sleep(GATHER).await;
     let is_listening = node.servers.is_listening(server.address).await;
     let runs = lock(&node.cut_runs).remove(&server.id).unwrap_or_default();
-    if is_listening {
+    if is_listening && !node.with(|state| state.directory.is_superseded(&server)) {
         return;
     }
     let now = node.now();
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -5,6 +5,7 @@
 //! | [`state`] | holds what the node knows |
 //! | [`serve`] | starts the node and runs it until it has stopped |
 //! | [`watch`] | follows the configuration and the list of servers |
+//! | [`skipped`] | remembers which entries of the platform's tables cannot be read |
 //! | `staleness` | says how old the knowledge of the platform's tables is |
 //! | `peers` | exchanges what nodes tell each other |
 //! | [`memory`] | reserves memory for what is held for callers and servers |
@@ -30,6 +31,7 @@
 mod rollout_duty;
 pub(crate) mod rollouts;
 pub mod serve;
+pub mod skipped;
 mod staleness;
 pub mod state;
 pub mod stop;
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -37,6 +37,7 @@
 use super::peers::message::News;
 use super::peers::quota;
 use super::peers::report::{Audience, Samples};
+use super::skipped;
 use crate::exchange::Feeds;
 use crate::http::{Client, Stop};
 use crate::metrics::Metrics;
@@ -143,6 +144,8 @@
     pub servers_freshness: Freshness,
     /// Whether the list of servers has been read.
     pub has_servers: bool,
+    /// Entries of the list that cannot be read.
+    pub skipped_entries: skipped::Entries,
     /// How busy the servers are.
     pub loads: LoadBook,
     /// What the servers' answers showed.
@@ -238,6 +241,7 @@
             directory: Directory::default(),
             servers_freshness: Freshness::default(),
             has_servers: false,
+            skipped_entries: skipped::Entries::default(),
             loads: LoadBook::default(),
             health: Health::default(),
             held: held::Book::default(),
--- a/crates/gateway/src/node/watch.rs
+++ b/crates/gateway/src/node/watch.rs
@@ -185,6 +185,7 @@
         let asked_at = node.now();
         match read(&node, TableName::Servers).await {
             Ok(rows) => {
+                node.with(|state| state.skipped_entries.retain(&rows.rows));
                 let servers = rows.rows.iter().filter_map(|row| decode_server(&node, row));
                 replace_servers(&node, rows.version, servers.collect());
                 node.with(|state| state.servers_freshness.confirm(asked_at));
@@ -353,14 +354,12 @@
 
 /// Takes over changed entries, and sends them to all peers.
 fn update_servers(node: &Node, rows: &Rows) {
-    let entries = rows.rows.iter().filter_map(|row| {
-        let server = match row.value {
-            None => None,
-            Some(_) => Some(decode_server(node, row)?),
-        };
+    let entries = rows.rows.iter().map(|row| {
+        // An entry that cannot be read names no server to use, like one that is gone.
+        let server = decode_server(node, row);
         // A row that came without its version is taken as changed last.
         let version = if row.version == 0 { rows.version } else { row.version };
-        Some(Entry { id: row.key.clone(), version, server })
+        Entry { id: row.key.clone(), version, server }
     });
     // Nothing changed between this list and the rows: the watch goes on where it left off.
     let after = node.with(|state| state.directory.get_version());
@@ -372,11 +371,22 @@
     apply(node, changes.unwrap_or_default());
 }
 
-fn decode_server(node: &Node, row: &Row) -> Option<keeljunction_core::serving::directory::Server> {
-    match (node.platform.decode_server)(&row.key, row.value.as_deref()?) {
-        Ok(server) => Some(server),
-        Err(error) => {
-            event::emit(&Event::DocumentRejected { error: error.to_string() });
+/// Reads a server's entry; `None` where it is gone or cannot be read, which is logged once.
+fn decode_server(node: &Node, row: &Row) -> Option<Server> {
+    let decoded = row.value.as_deref().map(|value| (node.platform.decode_server)(&row.key, value));
+    match decoded {
+        Some(Err(error)) => {
+            if node.with(|state| state.skipped_entries.note(&row.key, row.version)) {
+                event::emit(&Event::DocumentRejected { error: error.to_string() });
+            }
+            None
+        }
+        Some(Ok(server)) => {
+            node.with(|state| state.skipped_entries.forget(&row.key));
+            Some(server)
+        }
+        None => {
+            node.with(|state| state.skipped_entries.forget(&row.key));
             None
         }
     }
