fix(gateway): a suspended machine's time counts for all that the node believes

Cause: all spans were measured on the steady clock, which leaves out the time of a suspension: a node that wakes took its lease, configuration, list of servers, limits and connections for as fresh as before.

Change: one clock (CLOCK_BOOTTIME), read in one place; sleeps that bound a wait are checked against it when a suspension is noticed; the ticks of uploads and the sampling of log lines stay on the system's timers, where a late wake breaks nothing. A process that stood still for a second or more, suspended or not, is logged with the length of each (paused) and counted (pauses_total).

A process on a clock that a test moves was not built.

--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -27,6 +27,7 @@
 mod rollout_trials;
 mod spill;
 mod support;
+mod suspension;
 mod throughput;
 mod topology;
 mod upload;
--- /dev/null
+++ b/crates/core/tests/serving/suspension.rs
@@ -0,0 +1,74 @@
+//! A node whose machine was suspended: what it believed before holds no longer than it may.
+
+use std::net::SocketAddr;
+
+use keeljunction_core::serving::duty_lease::{DutyLease, LeaseRow, TableClock};
+use keeljunction_core::serving::freshness::Freshness;
+use keeljunction_core::serving::health::Health;
+use keeljunction_core::serving::members::{Entry, Heard, Members, Role};
+use keeljunction_core::serving::quarantine::{Book, Fingerprint, Standing, Verdict};
+use proptest::prelude::*;
+
+const LEASE: u64 = 3_000;
+const MARGIN: u64 = 600;
+const FRESH: u64 = 4_750;
+const SLEEPS_AT: u64 = 100_000;
+
+fn entry(name: &str, port: u16) -> Entry {
+    let address = SocketAddr::from(([10, 0, 0, 1], port));
+    Entry { name: name.to_owned(), address, data_centre: "z1".to_owned(), link_mbps: 10 }
+}
+
+proptest! {
+    #[test]
+    fn a_holder_of_the_duties_acts_no_longer_than_its_lease(slept in 500_u64..60_000) {
+        let mut lease = DutyLease::new("a".to_owned(), 1, LEASE, MARGIN);
+        let row =
+            LeaseRow { holder: "a".to_owned(), incarnation: 1, term: 4, ends_at: 100 + LEASE };
+        lease.confirm(&row, TableClock { asked_at: SLEEPS_AT, table_time: 100 });
+        let may_act = slept < LEASE - MARGIN;
+        prop_assert_eq!(lease.get_fence(SLEEPS_AT + slept).is_some(), may_act);
+    }
+
+    #[test]
+    fn a_configuration_is_confirmed_before_it_is_acted_on(slept in 500_u64..60_000) {
+        let mut freshness = Freshness::default();
+        freshness.confirm(SLEEPS_AT);
+        prop_assert_eq!(freshness.is_within(SLEEPS_AT + slept, FRESH), slept <= FRESH);
+        // An answer that a peer gave before is as old as it was then, and the sleep besides.
+        freshness.confirm_by_peer(SLEEPS_AT, 400);
+        prop_assert_eq!(freshness.get_age(SLEEPS_AT + slept), Some(slept));
+    }
+
+    #[test]
+    fn a_node_hears_nobody_until_it_has_looked_again(slept in 2_000_u64..60_000) {
+        let mut members = Members::new(0, entry("a", 1), &[]);
+        members.take_list(0, Vec::new(), true);
+        for number in 0..5 {
+            let other = entry(&format!("n-{number}"), 10 + number);
+            let role = Role::Aggregator;
+            let heard =
+                Heard { entry: &other, incarnation: 1, is_stopping: false, role, holder_age: None };
+            members.hear(SLEEPS_AT, &heard);
+        }
+        members.refresh(SLEEPS_AT);
+        prop_assert_eq!(members.get_reach(SLEEPS_AT).heard, 6);
+        prop_assert_eq!(members.get_reach(SLEEPS_AT + slept).heard, 1);
+        members.refresh(SLEEPS_AT + slept);
+        prop_assert_eq!(members.get_reach(SLEEPS_AT + slept).heard, 1);
+    }
+
+    #[test]
+    fn ejections_and_refusals_end_while_the_machine_is_suspended(slept in 500_u64..60_000) {
+        let mut health = Health::default();
+        health.fail_to_connect(SLEEPS_AT, "s");
+        prop_assert!(health.is_ejected(SLEEPS_AT, "s"));
+        prop_assert!(!health.is_ejected(SLEEPS_AT + slept, "s"));
+        let mut book = Book::default();
+        let fingerprint = Fingerprint::from_number(5);
+        let standing = Standing::Quarantined;
+        book.merge(SLEEPS_AT, Verdict { fingerprint, service: 1, standing, left: 20_000, servers_ended: 3 });
+        let left = book.get_refused_for(SLEEPS_AT + slept, fingerprint);
+        prop_assert_eq!(left, 20_000_u64.checked_sub(slept).filter(|left| *left > 0));
+    }
+}
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -25,6 +25,8 @@
     Stopping { in_flight: usize },
     /// The node ends.
     Stopped { is_whole: bool, in_flight: usize },
+    /// The process stood still, its machine suspended for a part of that.
+    Paused { paused_ms: u64, suspended_ms: u64 },
     /// The settings were read again.
     Reloaded { is_changed: bool },
     /// A configuration is in force.
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -10,7 +10,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::{Stream, future, stream};
 use http_body_util::BodyExt;
@@ -29,6 +28,7 @@
 use crate::event::{self, Event};
 use crate::http::Reply;
 use crate::node::{Node, crashes, rollouts};
+use crate::runtime;
 
 /// An answer that has begun.
 pub(super) struct Open {
@@ -67,7 +67,7 @@
         reply: Some(rest),
         tried: Tried { all: vec![server.id.clone()], ended: Vec::new() },
         pace: Pace::new(node.now(), server),
-        due: Timer::after(due),
+        due: Box::pin(runtime::sleep(due)),
         load: Some(load),
         node,
         exchange,
@@ -93,7 +93,7 @@
     reply: Option<Reply>,
     tried: Tried,
     pace: Pace,
-    due: Timer,
+    due: Pin<Box<dyn Future<Output = ()> + Send>>,
     load: Option<LoadGuard>,
     end: Option<End>,
 }
--- a/crates/gateway/src/exchange/upload.rs
+++ b/crates/gateway/src/exchange/upload.rs
@@ -3,6 +3,7 @@
 //! A declared length is reserved before anything is read; a body without one grows in steps, each
 //! of which is reserved first. What is read is released with the last copy of the body.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -136,7 +137,7 @@
         Wait {
             stop: reservation.watch(),
             tick: Timer::after(Duration::from_millis(pace.get_tick())),
-            due: Timer::after(within),
+            due: Box::pin(runtime::sleep(within)),
             pace,
         }
     }
@@ -179,8 +180,9 @@
 /// What ends the wait for more of a body. Most bodies come with their head and need none.
 struct Wait {
     stop: Stop,
+    /// Only wakes the wait: a tick that comes late, after a suspension too, counts as one.
     tick: Timer,
-    due: Timer,
+    due: Pin<Box<dyn Future<Output = ()> + Send>>,
     pace: Pace,
 }
 
--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_executor::Task;
 use async_net::TcpStream;
@@ -77,10 +77,10 @@
 /// A connection whose socket closes as soon as it is dropped.
 struct Connection {
     sender: SendRequest<Body>,
-    /// When the server may close it.
-    until: Instant,
+    /// When the server may close it, on the clock that counts suspensions.
+    until: Duration,
     /// Since when it rests.
-    rests_since: Instant,
+    rests_since: Duration,
     _driver: Task<()>,
 }
 
@@ -179,7 +179,7 @@
     fn take_idle(&self, to: SocketAddr) -> Option<Connection> {
         let mut idle = runtime::lock(&self.idle);
         let kept = idle.get_mut(&to)?;
-        let now = Instant::now();
+        let now = runtime::boot_time();
         kept.retain(|connection| connection.is_usable(now, self.rest));
         // The one that was used last: those that are not needed rest until the server closes them.
         kept.pop()
@@ -202,7 +202,7 @@
         let driver = runtime::task(async move {
             let _ = connection.await;
         });
-        let now = Instant::now();
+        let now = runtime::boot_time();
         Ok(Connection { sender, until: now + KEEP_FOR, rests_since: now, _driver: driver })
     }
 
@@ -212,7 +212,7 @@
         mut connection: Connection,
         response: Response<Incoming>,
     ) -> Response<Reply> {
-        connection.until = Instant::now() + keep_for(response.headers());
+        connection.until = runtime::boot_time() + keep_for(response.headers());
         let idle = self.idle.clone();
         let idle_per_address = self.idle_per_address.clone();
         response.map(|body| Reply {
@@ -224,8 +224,8 @@
 }
 
 impl Connection {
-    fn is_usable(&self, now: Instant, rest: Duration) -> bool {
-        let has_rested_long = now.duration_since(self.rests_since) >= rest;
+    fn is_usable(&self, now: Duration, rest: Duration) -> bool {
+        let has_rested_long = now.saturating_sub(self.rests_since) >= rest;
         self.sender.is_ready() && now < self.until && !has_rested_long
     }
 }
@@ -297,7 +297,7 @@
             if kept.connection.sender.ready().await.is_ok() {
                 let mut idle = runtime::lock(&kept.idle);
                 let connections = idle.entry(kept.to).or_default();
-                kept.connection.rests_since = Instant::now();
+                kept.connection.rests_since = runtime::boot_time();
                 if connections.len() < kept.idle_per_address.load(Ordering::Relaxed) {
                     connections.push(kept.connection);
                 }
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -62,6 +62,8 @@
     pub requests_stopped: Counter,
     /// Servers that did not listen any more after a connection to them broke off.
     pub servers_down: Family<ServiceLabels, Counter>,
+    /// Times that the process stood still for a second or more.
+    pub pauses: Counter,
     gauges: Gauges,
 }
 
@@ -90,6 +92,7 @@
             callers_disconnected: Family::default(),
             requests_stopped: Counter::default(),
             servers_down: Family::default(),
+            pauses: Counter::default(),
             gauges: Gauges::default(),
         };
         metrics.register();
@@ -194,6 +197,11 @@
             "Servers that did not listen any more after a connection to them broke off",
             self.servers_down.clone(),
         );
+        registry.register(
+            "pauses",
+            "Times that the process stood still for a second or more, or its machine was suspended",
+            self.pauses.clone(),
+        );
         self.gauges.register(registry);
     }
 
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -7,6 +7,7 @@
 //! | [`watch`] | follows the configuration and the list of servers |
 //! | [`skipped`] | remembers which entries of the platform's tables cannot be read |
 //! | `staleness` | says how old the knowledge of the platform's tables is |
+//! | `pauses` | notices that the process stood still |
 //! | `peers` | exchanges what nodes tell each other |
 //! | [`memory`] | reserves memory for what is held for callers and servers |
 //! | `crashes` | finds out which servers ended, and under which requests |
@@ -26,6 +27,7 @@
 mod listeners;
 pub mod memory;
 mod pause;
+mod pauses;
 mod peers;
 mod quarantine_rows;
 mod rollout_duty;
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -18,6 +18,7 @@
 use super::message::{Message, Overview, Report, Sender, Summary, Totals};
 use super::{carry, loads, quarantine, versions};
 use crate::event::{self, Event};
+use crate::node::pauses::Pauses;
 use crate::node::state::State;
 use crate::node::{Node, rollouts, staleness, watch};
 use crate::runtime;
@@ -45,8 +46,10 @@
 /// Reports for as long as the process runs.
 pub(super) async fn run(node: Arc<Node>) {
     let mut turn = 0;
+    let mut pauses = Pauses::begin(node.now());
     loop {
         let now = node.now();
+        pauses.look(&node, now);
         watch::expire_lapsed(&node);
         node.with(|state| refresh(state, now));
         carry::refresh(&node, turn);
--- a/crates/gateway/src/node/stop.rs
+++ b/crates/gateway/src/node/stop.rs
@@ -1,7 +1,7 @@
 //! Ends the node without cutting an answer.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::Node;
 use crate::event::{self, Event};
@@ -31,10 +31,10 @@
     let notices = BALANCER_NOTICES.min(grace / 2);
     runtime::sleep(notices).await;
     node.closing.give();
-    let release_at = Instant::now() + (grace - notices).saturating_sub(RELEASE_MARGIN);
+    let release_at = runtime::boot_time() + (grace - notices).saturating_sub(RELEASE_MARGIN);
     let drained = runtime::within(grace - notices, async {
         while node.get_in_flight() > 0 {
-            if Instant::now() >= release_at {
+            if runtime::boot_time() >= release_at {
                 exchange::disconnect_resting(node);
             }
             runtime::sleep(LOOK).await;
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -1,12 +1,18 @@
-//! The one executor, timers, and bounds on time.
+//! The one executor, the clock, timers, and bounds on time.
+//!
+//! All spans are measured on one clock, which counts the time that the machine is suspended: what a node
+//! believed before holds no longer than it may. The system's timers leave that time out, so that sleeps
+//! are checked against the clock when a suspension is noticed.
 
 use std::future::Future;
 use std::sync::Mutex;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_executor::{Executor, Task};
 use async_io::Timer;
+use event_listener::Event;
+use rustix::time::{ClockId, clock_gettime};
 
 static EXECUTOR: Executor<'static> = Executor::new();
 
@@ -44,9 +50,71 @@
     output
 }
 
-/// Waits for a time.
+/// Wakes all sleeps after a suspension of the machine.
+static RESUMED: Event = Event::new();
+
+/// Waits for a time, in which a suspension of the machine counts.
 pub async fn sleep(time: Duration) {
-    Timer::after(time).await;
+    let until = boot_time() + time;
+    loop {
+        let resumed = RESUMED.listen();
+        let left = until.saturating_sub(boot_time());
+        let timer = async {
+            Timer::after(left).await;
+            true
+        };
+        let woken = async {
+            resumed.await;
+            false
+        };
+        if futures_lite::future::or(timer, woken).await {
+            return;
+        }
+    }
+}
+
+/// Returns the time since the machine's start, in which a suspension counts.
+pub fn boot_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    // Neither part is negative on this clock.
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs() as u32)
+}
+
+/// Notices that the machine was suspended.
+#[derive(Clone, Copy, Debug)]
+pub struct Suspension {
+    boot: Duration,
+    steady: Duration,
+}
+
+impl Suspension {
+    /// The least difference of the two clocks that is taken for a suspension: both are read one after
+    /// the other, on a VM whose processor may be away in between.
+    const LEAST: Duration = Duration::from_millis(50);
+
+    /// Begins at a time on the clock that counts suspensions, and on the one that does not.
+    pub fn new(boot: Duration, steady: Duration) -> Self {
+        Self { boot, steady }
+    }
+
+    /// Returns how long the machine was suspended since the last look, if it was.
+    pub fn look(&mut self, boot: Duration, steady: Duration) -> Option<Duration> {
+        let counted = boot.saturating_sub(self.boot);
+        let suspended = counted.saturating_sub(steady.saturating_sub(self.steady));
+        *self = Self { boot, steady };
+        (suspended >= Self::LEAST).then_some(suspended)
+    }
+}
+
+/// Returns the time of the system's timers, which leave suspensions out.
+pub fn steady_time() -> Duration {
+    let time = clock_gettime(ClockId::Monotonic);
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs() as u32)
+}
+
+/// Lets all sleeps check how much of their time is left.
+pub fn wake_sleeps() {
+    RESUMED.notify(usize::MAX);
 }
 
 /// Waits for a future for a time at most; `None` once the time is over.
@@ -72,16 +140,16 @@
     });
 }
 
-/// A monotonic clock in milliseconds since it was made.
+/// A monotonic clock in milliseconds since it was made. It counts the time that the machine is suspended.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Clock {
     /// Starts a clock. It starts well above zero, so that spans can be taken off it.
     pub fn new() -> Self {
-        Self { start: Instant::now() }
+        Self { start: boot_time() }
     }
 
     /// Returns what the clock showed at its start.
@@ -91,7 +159,7 @@
 
     /// Returns the milliseconds since the start.
     pub fn now(&self) -> u64 {
-        CLOCK_START_MS + self.start.elapsed().as_millis() as u64
+        CLOCK_START_MS + boot_time().saturating_sub(self.start).as_millis() as u64
     }
 }
 
