fix(duty): a lease row that cannot be read is replaced after a lease's length

Cause: such a row was taken for none, so that each write was refused for its version and no node did the duties any more. Found by a test that puts bytes of another writer in the places of the product's own rows; the others held.

Change: whoever wrote the row may hold the lease for its length; after that it is taken over, with a fence above the row's version, which rises faster than any fence. Tests: foreign_bytes::* (decoders under arbitrary bytes and changed documents, rows and datagrams of others).

--- a/crates/gateway/src/node/duty.rs
+++ b/crates/gateway/src/node/duty.rs
@@ -33,9 +33,18 @@
     clock: TableClock,
 }
 
+/// A row that cannot be read.
+#[derive(Clone, Copy, Debug)]
+struct Unreadable {
+    version: u64,
+    /// When it was first seen, on the table service's clock.
+    seen_at: Millis,
+}
+
 /// Holds the lease where it is free, and does the duties while it is held.
 pub async fn run(node: Arc<Node>) {
     let mut known: Option<Known> = None;
+    let mut unreadable = None;
     // Nodes that start together would all write the row at once.
     let mut look_at: Millis = node.now() + fastrand::u64(..FIRST_LOOK_WITHIN);
     let mut usage = usage_duty::UsageDuty::default();
@@ -45,7 +54,7 @@
     loop {
         let now = node.now();
         if now >= look_at && !is_left_to_others(&node, now) {
-            look_at = now + keep(&node, &mut known).await;
+            look_at = now + keep(&node, &mut known, &mut unreadable).await;
         }
         let fence = node.with(|state| state.lease.get_fence(node.now()));
         if fence != held_before {
@@ -81,14 +90,18 @@
 /// Takes or renews the lease; returns the time after which to look again.
 ///
 /// After a write whose outcome is not known the row is read before anything else is tried.
-async fn keep(node: &Node, known: &mut Option<Known>) -> Millis {
+async fn keep(
+    node: &Node,
+    known: &mut Option<Known>,
+    unreadable: &mut Option<Unreadable>,
+) -> Millis {
     let retry = TICK.as_millis() as Millis;
     if node.is_stopping() {
         return node.settings.bounds.lease_ms;
     }
     let current = match known.take() {
         Some(current) => current,
-        None => match read(node).await {
+        None => match read(node, unreadable).await {
             Ok(current) => current,
             Err(_) => return retry,
         },
@@ -129,23 +142,43 @@
 }
 
 /// Reads the lease's row; a row that is this node's confirms its lease.
-async fn read(node: &Node) -> Result<Known, TableError> {
+async fn read(node: &Node, unreadable: &mut Option<Unreadable>) -> Result<Known, TableError> {
     let asked_at = node.now();
     let reading = (node.platform.table.read)(TableName::Own(TABLE));
     let answer = runtime::within(ANSWER_WITHIN, reading).await;
     let rows =
         answer.unwrap_or_else(|| Err(TableError::Unanswered("no answer in time".to_owned())))?;
     let clock = TableClock { asked_at, table_time: rows.table_time };
-    let Some((row, version)) = rows.rows.iter().find_map(decode) else {
+    let Some(found) = rows.rows.iter().find(|row| row.key == KEY) else {
         return Ok(Known { row: None, version: 0, clock });
     };
+    let row = match decode(found) {
+        Some(row) => row,
+        None => replace_unreadable(node, unreadable, found, clock),
+    };
     node.with(|state| state.lease.confirm(&row, clock));
-    Ok(Known { row: Some(row), version, clock })
+    Ok(Known { row: Some(row), version: found.version, clock })
 }
 
-fn decode(row: &Row) -> Option<(LeaseRow, u64)> {
-    if row.key != KEY {
-        return None;
-    }
-    Some((serde_json::from_slice(row.value.as_deref()?).ok()?, row.version))
+fn decode(row: &Row) -> Option<LeaseRow> {
+    serde_json::from_slice(row.value.as_deref()?).ok()
+}
+
+/// Returns a row in the place of one that cannot be read: whoever wrote it may hold the lease for its
+/// length from now on. The version of a row is higher than any fence that was ever written there.
+fn replace_unreadable(
+    node: &Node,
+    unreadable: &mut Option<Unreadable>,
+    found: &Row,
+    clock: TableClock,
+) -> LeaseRow {
+    let known = unreadable.filter(|known| known.version == found.version);
+    let seen = known.unwrap_or_else(|| {
+        let error = format!("the row {KEY} of {TABLE} cannot be read");
+        event::emit(&Event::DocumentRejected { error });
+        Unreadable { version: found.version, seen_at: clock.table_time }
+    });
+    *unreadable = Some(seen);
+    let ends_at = seen.seen_at + node.settings.bounds.lease_ms;
+    LeaseRow { holder: String::new(), incarnation: 0, term: found.version, ends_at }
 }
