--- a/crates/gateway/src/node/watch.rs
+++ b/crates/gateway/src/node/watch.rs
@@ -182,13 +182,8 @@
             runtime::sleep(LOOK).await;
             continue;
         }
-        let asked_at = node.now();
-        match read(&node, TableName::Servers).await {
-            Ok(rows) => {
-                node.with(|state| state.skipped_entries.retain(&rows.rows));
-                let servers = rows.rows.iter().filter_map(|row| decode_server(&node, row));
-                replace_servers(&node, rows.version, servers.collect());
-                node.with(|state| state.servers_freshness.confirm(asked_at));
+        match read_servers(&node).await {
+            Ok(version) => {
                 pause.reset();
                 let bound = node.settings.bounds.drain_ms;
                 let watch = Watch {
@@ -197,7 +192,7 @@
                     gather: Some(part_of(bound, GATHER_PART)),
                     is_wanted: is_reader,
                 };
-                follow(&node, &watch, rows.version, |rows, asked_at| {
+                follow(&node, &watch, version, |rows, asked_at| {
                     update_servers(&node, rows);
                     node.with(|state| state.servers_freshness.confirm(asked_at));
                 })
@@ -212,6 +207,46 @@
     }
 }
 
+/// Brings the list of servers up to date; returns the version from which it is to be followed.
+///
+/// A node that has a list asks for its changes only. A list of 3,000 servers is a megabyte, and nodes
+/// whose lists grow old together, behind an aggregator that is late, would all read it at once.
+async fn read_servers(node: &Node) -> Result<u64, TableError> {
+    let asked_at = node.now();
+    let known = node.with(|state| state.has_servers.then(|| state.directory.get_version()));
+    let version = match known {
+        Some(version) => match read_changes(node, version).await {
+            Err(TableError::HistoryGone) => read_all_servers(node).await?,
+            read => read?,
+        },
+        None => read_all_servers(node).await?,
+    };
+    node.with(|state| state.servers_freshness.confirm(asked_at));
+    Ok(version)
+}
+
+/// Reads the changes of the list of servers since a version.
+async fn read_changes(node: &Node, from: u64) -> Result<u64, TableError> {
+    let watching = (node.platform.table.watch)(TableName::Servers, from, Duration::ZERO);
+    let answer = runtime::within(ANSWER_WITHIN, watching).await;
+    let unanswered = || Err(TableError::Unanswered("no answer in time".to_owned()));
+    let rows = answer.unwrap_or_else(unanswered)?;
+    note_servers_known(node);
+    let batch = make_batch(node, &rows);
+    let changes = node.with(|state| state.directory.update(batch));
+    apply(node, changes.unwrap_or_default());
+    Ok(rows.version.max(from))
+}
+
+/// Reads the list of servers whole.
+async fn read_all_servers(node: &Node) -> Result<u64, TableError> {
+    let rows = read(node, TableName::Servers).await?;
+    node.with(|state| state.skipped_entries.retain(&rows.rows));
+    let servers = rows.rows.iter().filter_map(|row| decode_server(node, row));
+    replace_servers(node, rows.version, servers.collect());
+    Ok(rows.version)
+}
+
 /// Returns `true` if this node has to read a table itself.
 fn is_due(node: &Node, is_old: fn(&Node) -> bool) -> bool {
     is_reader(node) || is_old(node)
@@ -333,18 +368,26 @@
 
 /// Takes over a whole list of servers, where it is not older than the one known.
 pub(super) fn replace_servers(node: &Node, version: u64, servers: Vec<Server>) {
-    let now = node.now();
-    let was_known = !staleness::is_servers_old(node);
+    note_servers_known(node);
     let changes = node.with(|state| {
-        if state.has_servers && !was_known {
-            state.directory.note_return(now);
-        }
         state.has_servers = true;
         state.directory.replace(version, servers)
     });
     apply(node, changes);
 }
 
+/// Notes that the list of servers is known again, where it had grown old.
+fn note_servers_known(node: &Node) {
+    let now = node.now();
+    if staleness::is_servers_old(node) {
+        node.with(|state| {
+            if state.has_servers {
+                state.directory.note_return(now);
+            }
+        });
+    }
+}
+
 /// Gives up servers whose entries lapsed and did not come back.
 pub(super) fn expire_lapsed(node: &Node) {
     let now = node.now();
@@ -354,6 +397,16 @@
 
 /// Takes over changed entries, and sends them to all peers.
 fn update_servers(node: &Node, rows: &Rows) {
+    let batch = make_batch(node, rows);
+    if !batch.entries.is_empty() {
+        node.push(News::ServersChanged(batch.clone()));
+    }
+    let changes = node.with(|state| state.directory.update(batch));
+    apply(node, changes.unwrap_or_default());
+}
+
+/// Makes the changes of this node's list that the rows hold.
+fn make_batch(node: &Node, rows: &Rows) -> Batch {
     let entries = rows.rows.iter().map(|row| {
         // An entry that cannot be read names no server to use, like one that is gone.
         let server = decode_server(node, row);
@@ -363,12 +416,7 @@
     });
     // Nothing changed between this list and the rows: the watch goes on where it left off.
     let after = node.with(|state| state.directory.get_version());
-    let batch = Batch { after, version: rows.version, entries: entries.collect() };
-    if !batch.entries.is_empty() {
-        node.push(News::ServersChanged(batch.clone()));
-    }
-    let changes = node.with(|state| state.directory.update(batch));
-    apply(node, changes.unwrap_or_default());
+    Batch { after, version: rows.version, entries: entries.collect() }
 }
 
 /// Reads a server's entry; `None` where it is gone or cannot be read, which is logged once.
