refactor(node): following the tables, a file each; one function waits for a call's answer

No behaviour has changed: watch.rs (467 lines) is configuration.rs, servers.rs and what both use; six copies of the wait for the table service are one.

--- a/crates/gateway/src/node/duty.rs
+++ b/crates/gateway/src/node/duty.rs
@@ -8,7 +8,7 @@
 
 use super::{Node, capacity_duty, rollout_duty, usage_duty};
 use crate::event::{self, Event};
-use crate::port::{Condition, Row, TableError, TableName, Transaction, Write};
+use crate::port::{Condition, Row, TableError, TableName, Transaction, Write, answer_within};
 use crate::runtime;
 
 pub(super) const TABLE: &str = "leases";
@@ -145,9 +145,7 @@
 async fn read(node: &Node, unreadable: &mut Option<Unreadable>) -> Result<Known, TableError> {
     let asked_at = node.now();
     let reading = (node.platform.table.read)(TableName::Own(TABLE));
-    let answer = runtime::within(ANSWER_WITHIN, reading).await;
-    let rows =
-        answer.unwrap_or_else(|| Err(TableError::Unanswered("no answer in time".to_owned())))?;
+    let rows = answer_within(ANSWER_WITHIN, reading).await?;
     let clock = TableClock { asked_at, table_time: rows.table_time };
     let Some(found) = rows.rows.iter().find(|row| row.key == KEY) else {
         return Ok(Known { row: None, version: 0, clock });
--- a/crates/gateway/src/node/peers/register.rs
+++ b/crates/gateway/src/node/peers/register.rs
@@ -8,7 +8,7 @@
 use crate::event::{self, Event};
 use crate::node::Node;
 use crate::node::pause::{Pause, jitter};
-use crate::port::{Row, TableError, TableName, Transaction, Write};
+use crate::port::{Row, TableError, TableName, Transaction, Write, answer_within};
 use crate::runtime;
 
 /// The table in which nodes list themselves.
@@ -73,11 +73,12 @@
         .map_err(|error| TableError::Unanswered(format!("not sent: {error}")))?;
     let write = Write { table: TableName::Own(TABLE), key: entry.name, value: Some(value) };
     let transaction = Transaction { conditions: Vec::new(), writes: vec![write] };
-    call((node.platform.table.commit)(transaction)).await.map(|_| ())
+    answer_within(CALL_WITHIN, (node.platform.table.commit)(transaction)).await.map(|_| ())
 }
 
 async fn read(node: &Node, is_whole: bool) -> Result<bool, TableError> {
-    let rows = call((node.platform.table.read)(TableName::Own(TABLE))).await?;
+    let rows =
+        answer_within(CALL_WITHIN, (node.platform.table.read)(TableName::Own(TABLE))).await?;
     let entries: Vec<Entry> = rows.rows.iter().filter_map(decode).collect();
     let is_listed = entries.contains(&node.get_entry());
     let now = node.now();
@@ -86,11 +87,6 @@
     Ok(is_listed)
 }
 
-async fn call<T>(calling: crate::port::TableFuture<T>) -> Result<T, TableError> {
-    let answer = runtime::within(CALL_WITHIN, calling).await;
-    answer.unwrap_or_else(|| Err(TableError::Unanswered("no answer in time".to_owned())))
-}
-
 fn decode(row: &Row) -> Option<Entry> {
     let value = row.value.as_deref()?;
     let decoded = serde_json::from_slice(value);
--- a/crates/gateway/src/node/quarantine_rows.rs
+++ b/crates/gateway/src/node/quarantine_rows.rs
@@ -15,7 +15,7 @@
 use super::pause::Pause;
 use super::{Node, peers};
 use crate::event::{self, Event};
-use crate::port::{Row, TableError, TableName, Transaction, Write};
+use crate::port::{Row, TableError, TableName, Transaction, Write, answer_within};
 use crate::runtime;
 
 const TABLE: &str = "quarantine";
@@ -97,7 +97,7 @@
 async fn load(node: &Arc<Node>) -> Result<TableClock, TableError> {
     let asked_at = node.now();
     let reading = (node.platform.table.read)(TableName::Own(TABLE));
-    let rows = runtime::within(CALL_WITHIN, reading).await.unwrap_or_else(|| Err(unanswered()))?;
+    let rows = answer_within(CALL_WITHIN, reading).await?;
     let mut removals = Vec::new();
     for row in &rows.rows {
         match decode(row) {
@@ -122,12 +122,7 @@
 async fn commit(node: &Node, writes: Vec<Write>) -> Result<(), TableError> {
     let transaction = Transaction { conditions: Vec::new(), writes };
     let committing = (node.platform.table.commit)(transaction);
-    let done = runtime::within(CALL_WITHIN, committing).await;
-    done.unwrap_or_else(|| Err(unanswered())).map(|_| ())
-}
-
-fn unanswered() -> TableError {
-    TableError::Unanswered("no answer in time".to_owned())
+    answer_within(CALL_WITHIN, committing).await.map(|_| ())
 }
 
 fn make_write(verdict: &Verdict, until: Millis) -> Write {
--- /dev/null
+++ b/crates/gateway/src/node/watch/configuration.rs
@@ -0,0 +1,223 @@
+//! Adopts the newest configuration, and confirms that it is the newest.
+//!
+//! A silent watch proves nothing, so that the configuration is read whole again some times in the
+//! revocation bound: only such a read confirms that what the node holds is the newest.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use keeljunction_core::Millis;
+
+use super::{ANSWER_WITHIN, LOOK, Watch, follow, is_due, is_reader, note_failure, part_of, read};
+use crate::event::{self, Event};
+use crate::node::document::Document;
+use crate::node::pause::{Pause, jitter};
+use crate::node::peers::message::News;
+use crate::node::state::ConfigurationRow;
+use crate::node::{Node, rollouts, staleness};
+use crate::port::{Condition, Row, TableError, TableName, Transaction, answer_within};
+use crate::runtime;
+
+/// How long a watch of the configuration is held where nothing changes, as a part of the bound in
+/// which a new one must be in force. Reads confirm it besides.
+const CONFIGURATION_HOLD_PART: f64 = 0.8;
+/// The time between two reads by a node that knows no configuration and does not read for all: the
+/// readers tell it too, where it hears other nodes.
+const UNCONFIGURED_PAUSE: Millis = 15_000;
+const UNCONFIGURED_PAUSE_ALONE: Millis = 3_000;
+/// How long a node that has a configuration from another node waits for a report that says how old
+/// it is, before it confirms the configuration itself.
+const UNCONFIRMED_FOR: Millis = 1_000;
+/// The time between two confirmations of the configuration, as a part of the time in which a new
+/// one must be in force.
+const CONFIRM_PART: f64 = 0.25;
+/// The same where nodes report in groups, and what a reader knows passes two nodes on its way.
+const CONFIRM_PART_GROUPED: f64 = 0.125;
+/// Confirmations in each freshness bound, at the least.
+const CONFIRMS_IN_BOUND: u32 = 4;
+
+/// Follows the configuration for ever, where this node reads for all or knows none yet.
+pub async fn configuration(node: Arc<Node>) {
+    let mut pause = Pause::default();
+    let mut read_at = None;
+    loop {
+        let now = node.now();
+        let is_needed = lacks_configuration(&node) && is_read_due(&node, now, read_at);
+        if !is_reader(&node) && !is_needed {
+            runtime::sleep(LOOK).await;
+            continue;
+        }
+        match read(&node, TableName::Configuration).await {
+            Ok(rows) => {
+                adopt_and_push(&node, &rows.rows);
+                confirm_configuration(&node, now);
+                pause.reset();
+                read_at = Some(now);
+                follow_configuration(&node, rows.version).await;
+            }
+            Err(error) => note_failure("configuration", &error),
+        }
+        pause.wait().await;
+    }
+}
+
+/// Returns `true` if a node that knows no configuration reads it again.
+fn is_read_due(node: &Node, now: Millis, read_at: Option<Millis>) -> bool {
+    let is_alone = node.with(|state| state.members.get_reach(now).heard <= 1);
+    let pause = if is_alone { UNCONFIGURED_PAUSE_ALONE } else { UNCONFIGURED_PAUSE };
+    read_at.is_none_or(|at| now >= at + pause)
+}
+
+/// Follows the configuration while this node reads for all.
+async fn follow_configuration(node: &Node, from: u64) {
+    let table = TableName::Configuration;
+    let hold = part_of(node.settings.bounds.config_apply_ms, CONFIGURATION_HOLD_PART);
+    let watch = Watch { table, hold, gather: None, is_wanted: is_reader };
+    follow(node, &watch, from, |rows, _| adopt_and_push(node, &rows.rows)).await;
+}
+
+/// Reads the configuration again and again, to know that it is the newest.
+pub async fn freshness(node: Arc<Node>) {
+    let bound = Duration::from_millis(node.get_fresh_bound()) / CONFIRMS_IN_BOUND;
+    let mut pause = Pause::default();
+    let mut unconfirmed_since = None;
+    loop {
+        let now = node.now();
+        let since = *unconfirmed_since.get_or_insert(now);
+        if !is_unconfirmed(&node) {
+            unconfirmed_since = None;
+        }
+        // Until there is one, the first configuration is waited for and not asked for again.
+        let is_told_soon = is_unconfirmed(&node) && now < since + UNCONFIRMED_FOR;
+        let is_waiting = !is_reader(&node) && (lacks_configuration(&node) || is_told_soon);
+        if is_waiting || !is_due(&node, staleness::is_configuration_old) {
+            runtime::sleep(LOOK).await;
+            continue;
+        }
+        match confirm(&node).await {
+            Ok(()) => {
+                pause.reset();
+                let is_grouped = node.with(|state| state.members.is_grouped());
+                let part = if is_grouped { CONFIRM_PART_GROUPED } else { CONFIRM_PART };
+                let period = part_of(node.settings.bounds.config_apply_ms, part);
+                runtime::sleep(jitter(period.min(bound))).await;
+            }
+            Err(error) => {
+                note_failure("freshness", &error);
+                pause.wait().await;
+            }
+        }
+    }
+}
+
+/// Confirms that the configuration in force is the newest, or adopts the newer one.
+///
+/// Where the row is known, a condition on its version answers in a few bytes; the configuration may
+/// be long.
+async fn confirm(node: &Node) -> Result<(), TableError> {
+    let asked_at = node.now();
+    let rows = match known_row(node) {
+        Some(row) => match confirm_row(node, &row).await {
+            Ok(()) => Vec::new(),
+            Err(TableError::Conflict(rows)) => rows.rows,
+            // The condition itself may be what is refused.
+            Err(TableError::Refused(_)) => read(node, TableName::Configuration).await?.rows,
+            Err(error) => return Err(error),
+        },
+        None => read(node, TableName::Configuration).await?.rows,
+    };
+    adopt_and_push(node, &rows);
+    confirm_configuration(node, asked_at);
+    Ok(())
+}
+
+/// Notes that the configuration in force was the newest at a time.
+fn confirm_configuration(node: &Node, asked_at: Millis) {
+    node.with(|state| {
+        if state.configuration.is_some() {
+            state.freshness.confirm(asked_at);
+        }
+    });
+}
+
+/// Returns the row of the configuration in force, where this node has read it itself.
+fn known_row(node: &Node) -> Option<ConfigurationRow> {
+    node.with(|state| {
+        let version = state.configuration.as_ref()?.version;
+        state.configuration_row.clone().filter(|row| row.version == version)
+    })
+}
+
+/// Asks whether the configuration's row has not changed, by a transaction that writes nothing.
+async fn confirm_row(node: &Node, row: &ConfigurationRow) -> Result<(), TableError> {
+    let condition = Condition {
+        table: TableName::Configuration,
+        key: row.key.clone(),
+        version: row.row_version,
+    };
+    let transaction = Transaction { conditions: vec![condition], writes: Vec::new() };
+    let committing = (node.platform.table.commit)(transaction);
+    answer_within(ANSWER_WITHIN, committing).await.map(|_| ())
+}
+
+/// Returns `true` if this node does not know of any time at which its configuration was the newest.
+fn is_unconfirmed(node: &Node) -> bool {
+    let now = node.now();
+    node.with(|state| state.freshness.get_age(now).is_none())
+}
+
+fn lacks_configuration(node: &Node) -> bool {
+    node.with(|state| state.configuration.is_none())
+}
+
+/// Adopts the configuration in the rows, and tells all peers where it is newer.
+fn adopt_and_push(node: &Node, rows: &[Row]) {
+    if let Some(version) = adopt_configuration(node, rows) {
+        node.push(News::ConfigurationChanged { version });
+    }
+}
+
+/// Adopts the configuration in the rows, where it is newer than the one in force; returns the
+/// version where it is.
+pub(in crate::node) fn adopt_configuration(node: &Node, rows: &[Row]) -> Option<u64> {
+    let known = known_row(node);
+    let is_known = |row: &&Row| {
+        let is_same = known.as_ref().is_some_and(|known| known.row_version == row.version);
+        is_same && row.version > 0
+    };
+    let unknown = rows.iter().filter(|row| !is_known(row));
+    unknown.filter_map(|row| adopt_row(node, row)).last()
+}
+
+fn adopt_row(node: &Node, row: &Row) -> Option<u64> {
+    if (node.platform.rollouts.is_order)(&row.key) {
+        rollouts::take_order(node, row);
+        return None;
+    }
+    let value = row.value.as_deref()?;
+    let configuration = match (node.platform.decode_configuration)(value) {
+        Ok(configuration) => configuration,
+        Err(error) => {
+            event::emit(&Event::DocumentRejected { error: error.to_string() });
+            return None;
+        }
+    };
+    let version = configuration.version;
+    let before = node.with(|state| {
+        let before = state.configuration.as_ref().map(|known| known.version);
+        if before < Some(version) {
+            state.configuration = Some(Arc::new(configuration));
+            state.configuration_document = Some(Arc::new(Document::new(value.to_vec())));
+        }
+        if before <= Some(version) && row.version > 0 {
+            let (key, row_version) = (row.key.clone(), row.version);
+            state.configuration_row = Some(ConfigurationRow { key, row_version, version });
+        }
+        before
+    });
+    if before >= Some(version) {
+        return None;
+    }
+    event::emit(&Event::ConfigurationAdopted { version, before });
+    Some(version)
+}
--- /dev/null
+++ b/crates/gateway/src/node/watch/servers.rs
@@ -0,0 +1,193 @@
+//! Keeps the list of servers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use keeljunction_core::serving::directory::{Batch, Change, Entry, Server};
+
+use super::{ANSWER_WITHIN, LOOK, Watch, follow, is_due, is_reader, note_failure, part_of, read};
+use crate::event::{self, Event};
+use crate::node::pause::Pause;
+use crate::node::peers::message::News;
+use crate::node::{Node, staleness};
+use crate::port::{Row, Rows, TableError, TableName, answer_within};
+use crate::runtime;
+
+/// How long a watch of the servers is held where nothing changes, as a part of the drain bound:
+/// its answer shows that the list was the newest when it was asked, so that the list's age swings
+/// between one hold and two.
+const SERVERS_HOLD_PART: f64 = 0.22;
+/// The pause after changes in which further ones gather, as a part of the drain bound: servers come
+/// and go in waves, and each call costs.
+const GATHER_PART: f64 = 0.08;
+
+/// Follows the list of servers for ever, where this node reads for all or its own list is old.
+pub async fn servers(node: Arc<Node>) {
+    let mut pause = Pause::default();
+    loop {
+        if !is_due(&node, staleness::is_servers_old) {
+            runtime::sleep(LOOK).await;
+            continue;
+        }
+        match read_servers(&node).await {
+            Ok(version) => {
+                pause.reset();
+                let bound = node.settings.bounds.drain_ms;
+                let watch = Watch {
+                    table: TableName::Servers,
+                    hold: part_of(bound, SERVERS_HOLD_PART),
+                    gather: Some(part_of(bound, GATHER_PART)),
+                    is_wanted: is_reader,
+                };
+                follow(&node, &watch, version, |rows, asked_at| {
+                    update_servers(&node, rows);
+                    node.with(|state| state.servers_freshness.confirm(asked_at));
+                })
+                .await;
+            }
+            Err(error) => {
+                note_failure("servers", &error);
+                node.with(|state| state.directory.note_away());
+            }
+        }
+        pause.wait().await;
+    }
+}
+
+/// Brings the list of servers up to date; returns the version from which it is to be followed.
+///
+/// A node that has a list asks for its changes only. A list of 3,000 servers is a megabyte, and nodes
+/// whose lists grow old together, behind an aggregator that is late, would all read it at once.
+async fn read_servers(node: &Node) -> Result<u64, TableError> {
+    let asked_at = node.now();
+    let known = node.with(|state| state.has_servers.then(|| state.directory.get_version()));
+    let version = match known {
+        Some(version) => match read_changes(node, version).await {
+            Err(TableError::HistoryGone) => read_all_servers(node).await?,
+            read => read?,
+        },
+        None => read_all_servers(node).await?,
+    };
+    node.with(|state| state.servers_freshness.confirm(asked_at));
+    Ok(version)
+}
+
+/// Reads the changes of the list of servers since a version.
+async fn read_changes(node: &Node, from: u64) -> Result<u64, TableError> {
+    let watching = (node.platform.table.watch)(TableName::Servers, from, Duration::ZERO);
+    let rows = answer_within(ANSWER_WITHIN, watching).await?;
+    note_servers_known(node);
+    let batch = make_batch(node, &rows);
+    let changes = node.with(|state| state.directory.update(batch));
+    apply(node, changes.unwrap_or_default());
+    Ok(rows.version.max(from))
+}
+
+/// Reads the list of servers whole.
+async fn read_all_servers(node: &Node) -> Result<u64, TableError> {
+    let rows = read(node, TableName::Servers).await?;
+    node.with(|state| state.skipped_entries.retain(&rows.rows));
+    let servers = rows.rows.iter().filter_map(|row| decode_server(node, row));
+    replace_servers(node, rows.version, servers.collect());
+    Ok(rows.version)
+}
+
+/// Takes over a whole list of servers, where it is not older than the one known.
+pub(in crate::node) fn replace_servers(node: &Node, version: u64, servers: Vec<Server>) {
+    note_servers_known(node);
+    let changes = node.with(|state| {
+        state.has_servers = true;
+        state.directory.replace(version, servers)
+    });
+    apply(node, changes);
+}
+
+/// Notes that the list of servers is known again, where it had grown old.
+fn note_servers_known(node: &Node) {
+    let now = node.now();
+    if staleness::is_servers_old(node) {
+        node.with(|state| {
+            if state.has_servers {
+                state.directory.note_return(now);
+            }
+        });
+    }
+}
+
+/// Gives up servers whose entries lapsed and did not come back.
+pub(in crate::node) fn expire_lapsed(node: &Node) {
+    let now = node.now();
+    let changes = node.with(|state| state.directory.expire_lapsed(now));
+    apply(node, changes);
+}
+
+/// Takes over changed entries, and sends them to all peers.
+fn update_servers(node: &Node, rows: &Rows) {
+    let batch = make_batch(node, rows);
+    if !batch.entries.is_empty() {
+        node.push(News::ServersChanged(batch.clone()));
+    }
+    let changes = node.with(|state| state.directory.update(batch));
+    apply(node, changes.unwrap_or_default());
+}
+
+/// Makes the changes of this node's list that the rows hold.
+fn make_batch(node: &Node, rows: &Rows) -> Batch {
+    let entries = rows.rows.iter().map(|row| {
+        // An entry that cannot be read names no server to use, like one that is gone.
+        let server = decode_server(node, row);
+        // A row that came without its version is taken as changed last.
+        let version = if row.version == 0 { rows.version } else { row.version };
+        Entry { id: row.key.clone(), version, server }
+    });
+    // Nothing changed between this list and the rows: the watch goes on where it left off.
+    let after = node.with(|state| state.directory.get_version());
+    Batch { after, version: rows.version, entries: entries.collect() }
+}
+
+/// Reads a server's entry; `None` where it is gone or cannot be read, which is logged once.
+fn decode_server(node: &Node, row: &Row) -> Option<Server> {
+    let decoded = row.value.as_deref().map(|value| (node.platform.decode_server)(&row.key, value));
+    match decoded {
+        Some(Err(error)) => {
+            if node.with(|state| state.skipped_entries.note(&row.key, row.version)) {
+                event::emit(&Event::DocumentRejected { error: error.to_string() });
+            }
+            None
+        }
+        Some(Ok(server)) => {
+            node.with(|state| state.skipped_entries.forget(&row.key));
+            Some(server)
+        }
+        None => {
+            node.with(|state| state.skipped_entries.forget(&row.key));
+            None
+        }
+    }
+}
+
+/// Acts on changes of the list of servers.
+pub fn apply(node: &Node, changes: Vec<Change>) {
+    for change in changes {
+        let (state, server) = match &change {
+            Change::Joined(server) => ("joined", server),
+            Change::Leaving(server) => ("leaving", server),
+            Change::Gone(server) => ("gone", server),
+        };
+        if let Change::Gone(server) = &change {
+            node.servers.forget(server.address);
+            node.with(|known| known.forget_server(server));
+        }
+        if let Change::Joined(server) = &change {
+            let now = node.now();
+            node.with(|known| known.rollouts.note_joined(now, server));
+        }
+        event::emit(&Event::ServerChanged {
+            server: &server.id,
+            service: &server.service,
+            data_centre: &server.data_centre,
+            state,
+            leaves_in_ms: server.leaves_within,
+        });
+    }
+}
--- a/crates/gateway/src/port/mod.rs
+++ b/crates/gateway/src/port/mod.rs
@@ -14,6 +14,7 @@
 pub use rollouts::{RolloutRow, Rollouts};
 pub use table::{
     Condition, Row, Rows, Table, TableError, TableFuture, TableName, Transaction, Write,
+    answer_within,
 };
 
 /// An adapter to a platform.
--- a/crates/gateway/src/port/table.rs
+++ b/crates/gateway/src/port/table.rs
@@ -7,6 +7,8 @@
 
 use keeljunction_core::Millis;
 
+use crate::runtime;
+
 /// A call to the table service in progress.
 pub type TableFuture<T> = Pin<Box<dyn Future<Output = Result<T, TableError>> + Send>>;
 
@@ -20,6 +22,16 @@
     pub commit: Box<dyn Fn(Transaction) -> TableFuture<Rows> + Send + Sync>,
 }
 
+/// Waits for the answer of a call, for a time at most.
+///
+/// # Errors
+///
+/// Returns the call's error, and [`TableError::Unanswered`] where the time is over.
+pub async fn answer_within(time: Duration, call: TableFuture<Rows>) -> Result<Rows, TableError> {
+    let answer = runtime::within(time, call).await;
+    answer.unwrap_or_else(|| Err(TableError::Unanswered("no answer in time".to_owned())))
+}
+
 /// A table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TableName {
