--- a/crates/gateway/src/node/watch/servers.rs
+++ b/crates/gateway/src/node/watch/servers.rs
@@ -1,16 +1,15 @@
 //! Keeps the list of servers.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use keeljunction_core::serving::directory::{Batch, Change, Entry, Server};
 
-use super::{ANSWER_WITHIN, LOOK, Watch, follow, is_due, is_reader, note_failure, part_of, read};
+use super::{LOOK, Watch, follow, is_due, is_reader, note_failure, part_of, read};
 use crate::event::{self, Event};
 use crate::node::pause::Pause;
 use crate::node::peers::message::News;
 use crate::node::{Node, staleness};
-use crate::port::{Row, Rows, TableError, TableName, answer_within};
+use crate::port::{Row, Rows, TableError, TableName};
 use crate::runtime;
 
 /// How long a watch of the servers is held where nothing changes, as a part of the drain bound:
@@ -54,41 +53,14 @@
     }
 }
 
-/// Brings the list of servers up to date; returns the version from which it is to be followed.
-///
-/// A node that has a list asks for its changes only. A list of 3,000 servers is a megabyte, and nodes
-/// whose lists grow old together, behind an aggregator that is late, would all read it at once.
+/// Reads the list of servers whole; returns its version.
 async fn read_servers(node: &Node) -> Result<u64, TableError> {
     let asked_at = node.now();
-    let known = node.with(|state| state.has_servers.then(|| state.directory.get_version()));
-    let version = match known {
-        Some(version) => match read_changes(node, version).await {
-            Err(TableError::HistoryGone) => read_all_servers(node).await?,
-            read => read?,
-        },
-        None => read_all_servers(node).await?,
-    };
-    node.with(|state| state.servers_freshness.confirm(asked_at));
-    Ok(version)
-}
-
-/// Reads the changes of the list of servers since a version.
-async fn read_changes(node: &Node, from: u64) -> Result<u64, TableError> {
-    let watching = (node.platform.table.watch)(TableName::Servers, from, Duration::ZERO);
-    let rows = answer_within(ANSWER_WITHIN, watching).await?;
-    note_servers_known(node);
-    let batch = make_batch(node, &rows);
-    let changes = node.with(|state| state.directory.update(batch));
-    apply(node, changes.unwrap_or_default());
-    Ok(rows.version.max(from))
-}
-
-/// Reads the list of servers whole.
-async fn read_all_servers(node: &Node) -> Result<u64, TableError> {
     let rows = read(node, TableName::Servers).await?;
     node.with(|state| state.skipped_entries.retain(&rows.rows));
     let servers = rows.rows.iter().filter_map(|row| decode_server(node, row));
     replace_servers(node, rows.version, servers.collect());
+    node.with(|state| state.servers_freshness.confirm(asked_at));
     Ok(rows.version)
 }
 
