fix(members): a node that missed the news of another learns of it later

Cause, read from the code: entries of nodes that join are passed on for ten seconds, and a node that misses them never learns of these nodes. Change: once a second each report holds one known entry, the next one each time. The new test of the core failed before.

--- a/crates/core/src/serving/members/query.rs
+++ b/crates/core/src/serving/members/query.rs
@@ -29,6 +29,10 @@
 /// How long an entry that is new to a node is passed on: 300 that are new at once take thirteen
 /// messages of 0.4 s each, and some of these get lost.
 const PASSED_ON_FOR: Millis = 10_000;
+/// Turns of reports in which one known entry is repeated: a node that missed all messages about another
+/// one learns of it all the same. With one entry a second from each of seven aggregators a list of 44
+/// nodes is through in some 7 s; it costs some 60 bytes in every fifth message.
+const REPEAT_TURNS: usize = 5;
 /// The most entries that are passed on in one message.
 const MOST_PASSED_ON: usize = 24;
 /// The most silent nodes that are named in one message.
@@ -149,8 +153,29 @@
 
     /// Lists the entries to pass on: those that were new to this node lately, and those of regions out
     /// of reach, of which a node that starts meanwhile may hear nowhere else. Each turn gives the next
-    /// ones, because one message may not hold all.
+    /// ones, because one message may not hold all. Once in a second any known entry is among them.
     pub fn list_joined(&self, now: Millis, turn: usize) -> Vec<Entry> {
+        let mut joined = self.list_recent(now, turn);
+        if joined.len() < MOST_PASSED_ON {
+            joined.extend(self.repeat_known(now, turn));
+        }
+        joined
+    }
+
+    /// Returns one entry of all that were heard or heard of lately, the next one each
+    /// [`REPEAT_TURNS`]. Each node begins at another one.
+    fn repeat_known(&self, now: Millis, turn: usize) -> Option<Entry> {
+        if !turn.is_multiple_of(REPEAT_TURNS) {
+            return None;
+        }
+        let is_live = |member: &&Member| now < member.known_at + PASSED_ON_FOR;
+        let live: Vec<&Member> = self.known.values().filter(is_live).collect();
+        let first = short_id(&self.own.name) as usize;
+        let place = first.wrapping_add(turn / REPEAT_TURNS).checked_rem(live.len())?;
+        live.get(place).map(|member| member.entry.clone())
+    }
+
+    fn list_recent(&self, now: Millis, turn: usize) -> Vec<Entry> {
         let recent = self.known.values().filter(|member| {
             now < member.entered_at + PASSED_ON_FOR || self.is_lost(&member.entry)
         });
--- a/crates/core/tests/serving/groups.rs
+++ b/crates/core/tests/serving/groups.rs
@@ -382,6 +382,25 @@
     }
 }
 
+/// Found by the property above among random scenarios: 530,800 units in eight seconds, of 496,400 that are
+/// tolerated. The account's limit is less than one prompt a second for most nodes, one in eight reports is
+/// lost, and an aggregator is away for 2.8 s; the owner is not asked.
+#[test]
+fn a_small_account_stays_within_its_limit_while_an_aggregator_is_away() {
+    let scenario = Scenario {
+        limit: SMALL,
+        pressure: 4.684927633308742,
+        surge_at: 0,
+        lost: 0.11810876252658747,
+        late: 1,
+        ends: vec![(5_460, 4, 2_800)],
+        is_owner_asked: false,
+        seed: 2077869934757989726,
+    };
+    let (most, allowed) = (get_most(&scenario.play().admitted), get_allowed(SMALL));
+    assert!(most <= allowed, "{most} of {allowed}");
+}
+
 /// A calm day of all nodes, at a part of the limit.
 fn calm(pressure: f64, is_owner_asked: bool, seed: u64) -> Scenario {
     Scenario {
--- a/crates/core/tests/serving/members.rs
+++ b/crates/core/tests/serving/members.rs
@@ -357,6 +357,21 @@
     assert_eq!(names.len(), 59);
 }
 
+#[test]
+fn a_node_that_missed_the_news_of_another_learns_of_it_later() {
+    let mut members = member_of_sixty(0);
+    for node in sixty() {
+        members.hear(59_000, &heard(&node));
+    }
+    let passed = (0..300).flat_map(|turn| members.list_joined(60_000, turn));
+    let names: std::collections::BTreeSet<String> = passed.map(|entry| entry.name).collect();
+    assert_eq!(names.len(), 59, "all others, long after they joined");
+    let most = (0..300).map(|turn| members.list_joined(60_000, turn).len()).max();
+    assert_eq!(most, Some(1));
+    // Those that were not heard for some time are not repeated.
+    assert!((0..300).all(|turn| members.list_joined(90_000, turn).is_empty()));
+}
+
 #[test]
 fn the_age_at_which_a_holder_was_heard_adds_up() {
     let mut members = member_of_sixty(0);
