--- a/crates/core/benches/serving.rs
+++ b/crates/core/benches/serving.rs
@@ -12,7 +12,7 @@
 use keeljunction_core::serving::load::{Load, LoadBook, Work, short_id};
 use keeljunction_core::serving::members::{Entry, Members};
 use keeljunction_core::serving::quarantine::{
-    Book, Content, End, Fingerprint, Run, Standing, Verdict,
+    Book, Content, Crash, Fingerprint, Run, Standing, Verdict,
 };
 use keeljunction_core::serving::quota::{Limit, Quotas, Reach, Report, Source, Tolerance, Units};
 use keeljunction_core::serving::spill::Offer;
@@ -208,7 +208,7 @@
     }
 }
 
-/// What requests that end servers cost each request, and their keeper where its tables are full.
+/// What requests that crash servers cost each request, and their keeper where its tables are full.
 fn quarantine(criterion: &mut Criterion) {
     let body = vec![b'x'; 4_096];
     let content = Content { account: "acme", host: "gauges.example", path: "/x/y", body: &body };
@@ -222,7 +222,7 @@
             service: 1,
             standing: Standing::Quarantined,
             left: 600_000,
-            servers_ended: 3,
+            servers_crashed: 3,
         };
         book.merge(1_000, verdict);
     }
@@ -234,16 +234,21 @@
     });
     let end = |server: u64| {
         let run = |number| Run { fingerprint: Fingerprint::from_number(number), ran_for: 50 };
-        End { service: 1, server, age: 0, runs: (server * 16..server * 16 + 16).map(run).collect() }
+        Crash {
+            service: 1,
+            server,
+            age: 0,
+            runs: (server * 16..server * 16 + 16).map(run).collect(),
+        }
     };
     for server in 0..512 {
-        book.take_end(10_000 + server, &end(server));
+        book.take_report(10_000 + server, &end(server));
     }
     let mut server = 512;
     criterion.bench_function("quarantine, an end at a full keeper", |bencher| {
         bencher.iter(|| {
             server += 1;
-            book.take_end(20_000 + server, &end(server));
+            book.take_report(20_000 + server, &end(server));
             black_box(book.judge(20_000 + server))
         });
     });
--- a/crates/core/src/serving/quarantine/answered.rs
+++ b/crates/core/src/serving/quarantine/answered.rs
@@ -3,8 +3,8 @@
 use super::Fingerprint;
 use crate::Millis;
 
-/// How long a whole answer shows that a request does not end servers, in milliseconds: callers repeat
-/// a popular request many times in a minute, and a version of the servers that it does end may start
+/// How long a whole answer shows that a request does not crash servers, in milliseconds: callers repeat
+/// a popular request many times in a minute, and a version of the servers that it does crash may start
 /// at any time.
 pub(super) const SHOWN_FOR: Millis = 60_000;
 /// Places in the table; 49 KB. A node of the two-year size answers some 400 requests a minute.
--- a/crates/core/src/serving/quarantine/book.rs
+++ b/crates/core/src/serving/quarantine/book.rs
@@ -1,16 +1,16 @@
-//! All that a node knows of requests that end servers.
+//! All that a node knows of requests that crash servers.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use super::answered::SHOWN_FOR;
-use super::{Answered, End, Evidence, Fingerprint, List, Outbox, Standing, Verdict};
+use super::{Answered, Crash, Evidence, Fingerprint, List, Outbox, Standing, Verdict};
 use crate::Millis;
 
 /// The most verdicts that wait to be written to the platform's table.
 const MOST_UNSAVED: usize = 64;
 
-/// All that a node knows of requests that end servers.
+/// All that a node knows of requests that crash servers.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
     list: List,
@@ -31,12 +31,12 @@
 }
 
 impl Book {
-    /// Notes that a server ended under requests of this node. Those that were answered whole lately do
-    /// not end servers.
-    pub fn note_end(&mut self, now: Millis, mut end: End) {
-        end.runs.retain(|run| !self.answered.is_known(now, run.fingerprint));
-        if !end.runs.is_empty() {
-            self.outbox.push(now, end);
+    /// Notes that a server crashed under requests of this node. Those that were answered whole lately do
+    /// not crash servers.
+    pub fn note_crash(&mut self, now: Millis, mut crash: Crash) {
+        crash.runs.retain(|run| !self.answered.is_known(now, run.fingerprint));
+        if !crash.runs.is_empty() {
+            self.outbox.push(now, crash);
         }
     }
 
@@ -46,21 +46,21 @@
         &mut self,
         now: Millis,
         find_keeper: impl Fn(u64) -> Option<SocketAddr>,
-    ) -> Vec<(SocketAddr, End)> {
+    ) -> Vec<(SocketAddr, Crash)> {
         let due = self.outbox.take_due(now, find_keeper);
         let mut to_send = Vec::new();
-        for (keeper, end) in due {
+        for (keeper, crash) in due {
             match keeper {
-                Some(keeper) => to_send.push((keeper, end)),
-                None => self.evidence.note(now, &end, &self.answered),
+                Some(keeper) => to_send.push((keeper, crash)),
+                None => self.evidence.note(now, &crash, &self.answered),
             }
         }
         to_send
     }
 
     /// Takes a report, as the keeper.
-    pub fn take_end(&mut self, now: Millis, end: &End) {
-        self.evidence.note(now, end, &self.answered);
+    pub fn take_report(&mut self, now: Millis, crash: &Crash) {
+        self.evidence.note(now, crash, &self.answered);
     }
 
     /// Notes that a server answered a request whole at this node; returns the short name of its service
--- a/crates/core/src/serving/quarantine/evidence.rs
+++ b/crates/core/src/serving/quarantine/evidence.rs
@@ -1,58 +1,58 @@
-//! Decides, at the keeper, which request ends servers.
+//! Decides, at the keeper, which request crashes servers.
 //!
-//! The ends of servers are explained by as few requests as possible. A request under which servers ended
-//! one after the other is taken for the cause where no other one ran at as many of the servers that ended;
-//! the others that ran there are judged by the ends that are left. A request that ran beside the cause has
-//! fewer ends than that one, and none once the cause is known.
+//! Crashes of servers are explained by as few requests as possible. A request under which servers crashed
+//! one after the other is taken for the cause where no other one ran at as many of the servers that crashed;
+//! the others that ran there are judged by the crashes that are left. A request that ran beside the cause has
+//! fewer crashes than that one, and none once the cause is known.
 //!
-//! Weighed and measured against counting three ends for each request by itself, at each node and at the
+//! Weighed and measured against counting three crashes for each request by itself, at each node and at the
 //! keeper (`tests/serving/quarantine_trials.rs`).
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use super::{Answered, End, Fingerprint, QUARANTINED_FOR, Standing, Verdict};
+use super::{Answered, Crash, Fingerprint, QUARANTINED_FOR, Standing, Verdict};
 use crate::Millis;
 
-/// Ends in a row under a request that nothing else explains, before it is refused. One may happen by
+/// Crashes in a row under a request that nothing else explains, before it is refused. One may happen by
 /// chance, and two where a caller comes back while a data centre is lost.
-const ENDS_TO_REFUSE: u32 = 3;
+const CRASHES_TO_REFUSE: u32 = 3;
 /// The same of a request that was refused before: it has shown what it does.
-const ENDS_TO_REFUSE_AGAIN: u32 = 1;
-/// Ends in a row before all nodes are told to say if they have answered the request whole.
-const ENDS_TO_SUSPECT: u32 = 2;
-/// Ends in a row after which requests are refused that ran together at each of these servers, so that
+const CRASHES_TO_REFUSE_AGAIN: u32 = 1;
+/// Crashes in a row before all nodes are told to say if they have answered the request whole.
+const CRASHES_TO_SUSPECT: u32 = 2;
+/// Crashes in a row after which requests are refused that ran together at each of these servers, so that
 /// nothing tells which of them is the cause.
-const ENDS_TO_REFUSE_ALL: u32 = 5;
-/// How long an end is left to rest before anyone is refused for it, in milliseconds. Other nodes report
+const CRASHES_TO_REFUSE_ALL: u32 = 5;
+/// The time after a crash before anyone is refused for it, in milliseconds. Other nodes report
 /// it meanwhile, and those that have served a suspected request say so: both are sent at once, 40 ms
 /// after a connection broke off, and cross three nodes and a region at the most.
-const RESTS_FOR: Millis = 300;
-/// Ends of one server within this time are one end, of which several nodes report: a server takes
+const SETTLES_AFTER: Millis = 300;
+/// Crashes of one server within this time are one crash, of which several nodes report: a server takes
 /// longer to start.
-const SAME_END: Millis = 1_000;
-/// How long an end is remembered, in milliseconds: as long as a request is refused.
+const SAME_CRASH: Millis = 1_000;
+/// How long a crash is remembered, in milliseconds: as long as a request is refused.
 const REMEMBERED_FOR: Millis = QUARANTINED_FOR;
 /// How long a suspicion is told, in milliseconds: some times what an answer takes.
 const SUSPICION_TOLD_FOR: Millis = 60_000;
-/// The most ends that are remembered, which is most of the servers of the two-year size.
-const MOST_ENDS: usize = 512;
-/// The most runs that are remembered, over all ends: 0.3 MB.
+/// The most crashes that are remembered, which is most of the servers of the two-year size.
+const MOST_CRASHES: usize = 512;
+/// The most runs that are remembered, over all crashes: 0.3 MB.
 const MOST_RUNS: usize = 8_192;
 
-/// What the keeper knows of servers that ended.
+/// What the keeper knows of servers that crashed.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
-    ends: VecDeque<Ended>,
+    crashes: VecDeque<Case>,
     /// Requests that are or were refused, with the time until which that is remembered.
     refused: BTreeMap<Fingerprint, Millis>,
     suspected: BTreeSet<Fingerprint>,
-    /// Whether ends were added that nobody was judged for.
+    /// Whether crashes were added that nobody was judged for.
     is_open: bool,
 }
 
-/// A server that ended.
+/// A server that crashed.
 #[derive(Clone, Debug)]
-struct Ended {
+struct Case {
     service: u64,
     server: u64,
     at: Millis,
@@ -60,22 +60,22 @@
     runs: BTreeMap<Fingerprint, Millis>,
 }
 
-/// A request under which servers ended.
+/// A request under which servers crashed.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     service: u64,
-    /// The places of the ends in [`Evidence::ends`].
+    /// The places of the crashes in [`Evidence::crashes`].
     places: Vec<usize>,
-    /// Ends of which each came to a run that was sent after the one before.
-    ends_in_row: u32,
-    last_end: Option<Millis>,
+    /// Crashes of which each came to a run that was sent after the one before.
+    crashes_in_row: u32,
+    last_crash: Option<Millis>,
 }
 
 impl Evidence {
     /// Takes a report of a node, without the requests that were answered whole lately.
-    pub fn note(&mut self, now: Millis, end: &End, answered: &Answered) {
-        let at = now.saturating_sub(end.age);
-        let runs: Vec<(Fingerprint, Millis)> = end
+    pub fn note(&mut self, now: Millis, crash: &Crash, answered: &Answered) {
+        let at = now.saturating_sub(crash.age);
+        let runs: Vec<(Fingerprint, Millis)> = crash
             .runs
             .iter()
             .filter(|run| !answered.is_known(now, run.fingerprint))
@@ -86,14 +86,14 @@
         }
         self.is_open = true;
         let is_same =
-            |known: &&mut Ended| known.server == end.server && known.at.abs_diff(at) < SAME_END;
-        match self.ends.iter_mut().find(is_same) {
+            |known: &&mut Case| known.server == crash.server && known.at.abs_diff(at) < SAME_CRASH;
+        match self.crashes.iter_mut().find(is_same) {
             Some(known) => runs.into_iter().for_each(|(fingerprint, sent_at)| {
                 known.runs.entry(fingerprint).or_insert(sent_at);
             }),
-            None => self.ends.push_back(Ended {
-                service: end.service,
-                server: end.server,
+            None => self.crashes.push_back(Case {
+                service: crash.service,
+                server: crash.server,
                 at,
                 runs: runs.into_iter().collect(),
             }),
@@ -101,26 +101,26 @@
         self.forget(now);
     }
 
-    /// Forgets what is old, and the oldest ends where there are too many.
+    /// Forgets what is old, and the oldest crashes where there are too many.
     fn forget(&mut self, now: Millis) {
-        self.ends.retain(|end| now < end.at + REMEMBERED_FOR);
+        self.crashes.retain(|crash| now < crash.at + REMEMBERED_FOR);
         self.refused.retain(|_, until| now < *until);
-        let mut runs: usize = self.ends.iter().map(|end| end.runs.len()).sum();
-        while self.ends.len() > MOST_ENDS || runs > MOST_RUNS {
-            let Some(oldest) = self.ends.pop_front() else { break };
+        let mut runs: usize = self.crashes.iter().map(|crash| crash.runs.len()).sum();
+        while self.crashes.len() > MOST_CRASHES || runs > MOST_RUNS {
+            let Some(oldest) = self.crashes.pop_front() else { break };
             runs -= oldest.runs.len();
         }
-        let ends = &self.ends;
-        self.suspected.retain(|known| ends.iter().any(|end| end.runs.contains_key(known)));
+        let crashes = &self.crashes;
+        self.suspected.retain(|known| crashes.iter().any(|crash| crash.runs.contains_key(known)));
     }
 
     /// Notes that a server answered a request whole; returns `true` if the request was suspected or is
     /// refused.
     pub fn note_answered(&mut self, fingerprint: Fingerprint) -> bool {
-        for end in &mut self.ends {
-            end.runs.remove(&fingerprint);
+        for crash in &mut self.crashes {
+            crash.runs.remove(&fingerprint);
         }
-        self.ends.retain(|end| !end.runs.is_empty());
+        self.crashes.retain(|crash| !crash.runs.is_empty());
         let was_suspected = self.suspected.remove(&fingerprint);
         self.refused.remove(&fingerprint).is_some() || was_suspected
     }
@@ -138,11 +138,11 @@
         if !self.is_open {
             return Vec::new();
         }
-        self.is_open = self.ends.iter().any(|end| now < end.at + RESTS_FOR);
+        self.is_open = self.crashes.iter().any(|crash| now < crash.at + SETTLES_AFTER);
         let mut verdicts = self.suspect(now);
-        // Each request that is found to be a cause leaves fewer ends to be explained.
+        // Each request that is found to be a cause leaves fewer crashes to be explained.
         loop {
-            let suspects = self.gather(|end| now >= end.at + RESTS_FOR);
+            let suspects = self.gather(|crash| now >= crash.at + SETTLES_AFTER);
             let found: Vec<Fingerprint> = suspects
                 .keys()
                 .filter(|fingerprint| self.is_cause(**fingerprint, &suspects))
@@ -161,10 +161,10 @@
 
     /// Decides which requests are suspected that were not before.
     fn suspect(&mut self, now: Millis) -> Vec<Verdict> {
-        let suspects = self.gather(|end| now >= end.at);
+        let suspects = self.gather(|crash| now >= crash.at);
         let mut verdicts = Vec::new();
         for (fingerprint, suspect) in &suspects {
-            if suspect.ends_in_row >= ENDS_TO_SUSPECT && self.suspected.insert(*fingerprint) {
+            if suspect.crashes_in_row >= CRASHES_TO_SUSPECT && self.suspected.insert(*fingerprint) {
                 let (standing, left) = (Standing::Suspected, SUSPICION_TOLD_FOR);
                 verdicts.push(make_verdict(*fingerprint, &suspects, standing, left));
             }
@@ -172,40 +172,40 @@
         verdicts
     }
 
-    /// Gathers the requests that ran where servers ended, without ends that a refused one explains.
-    fn gather(&self, is_taken: impl Fn(&Ended) -> bool) -> BTreeMap<Fingerprint, Suspect> {
-        let mut places: Vec<usize> = (0..self.ends.len()).collect();
+    /// Gathers the requests that ran where servers crashed, without crashes that a refused one explains.
+    fn gather(&self, is_taken: impl Fn(&Case) -> bool) -> BTreeMap<Fingerprint, Suspect> {
+        let mut places: Vec<usize> = (0..self.crashes.len()).collect();
         places.retain(|place| {
-            let end = &self.ends[*place];
-            is_taken(end) && !end.runs.keys().any(|run| self.is_explained_by(*run, end))
+            let crash = &self.crashes[*place];
+            is_taken(crash) && !crash.runs.keys().any(|run| self.is_explained_by(*run, crash))
         });
-        places.sort_by_key(|place| self.ends[*place].at);
+        places.sort_by_key(|place| self.crashes[*place].at);
         let mut suspects: BTreeMap<Fingerprint, Suspect> = BTreeMap::new();
         for place in places {
-            let end = &self.ends[place];
-            for (fingerprint, sent_at) in &end.runs {
+            let crash = &self.crashes[place];
+            for (fingerprint, sent_at) in &crash.runs {
                 let suspect = suspects.entry(*fingerprint).or_default();
-                suspect.service = end.service;
+                suspect.service = crash.service;
                 suspect.places.push(place);
-                // Runs that were sent before the last end may all have ended by one cause, such as the
+                // Runs that were sent before the last crash may all have been cut off by one cause, such as the
                 // loss of a data centre.
-                if suspect.last_end.is_none_or(|last| *sent_at >= last) {
-                    suspect.ends_in_row += 1;
-                    suspect.last_end = Some(end.at);
+                if suspect.last_crash.is_none_or(|last| *sent_at >= last) {
+                    suspect.crashes_in_row += 1;
+                    suspect.last_crash = Some(crash.at);
                 }
             }
         }
         suspects
     }
 
-    /// Returns `true` if a request that is refused ran at a server when it ended.
-    fn is_explained_by(&self, fingerprint: Fingerprint, end: &Ended) -> bool {
-        // A request whose refusal has ended, and under which a server ends again, is judged anew.
+    /// Returns `true` if a request that is refused ran at a server when it crashed.
+    fn is_explained_by(&self, fingerprint: Fingerprint, crash: &Case) -> bool {
+        // A request whose refusal has ended, and under which a server crashes again, is judged anew.
         let until = self.refused.get(&fingerprint);
-        until.is_some_and(|until| end.at + REMEMBERED_FOR < *until)
+        until.is_some_and(|until| crash.at + REMEMBERED_FOR < *until)
     }
 
-    /// Returns `true` if a request is taken for the cause of the ends under it.
+    /// Returns `true` if a request is taken for the cause of the crashes under it.
     fn is_cause(
         &self,
         fingerprint: Fingerprint,
@@ -213,14 +213,14 @@
     ) -> bool {
         let Some(suspect) = suspects.get(&fingerprint) else { return false };
         let was_refused = self.refused.contains_key(&fingerprint);
-        let needed = if was_refused { ENDS_TO_REFUSE_AGAIN } else { ENDS_TO_REFUSE };
-        if suspect.ends_in_row < needed {
+        let needed = if was_refused { CRASHES_TO_REFUSE_AGAIN } else { CRASHES_TO_REFUSE };
+        if suspect.crashes_in_row < needed {
             return false;
         }
-        let beside = suspect.places.iter().flat_map(|place| self.ends[*place].runs.keys());
+        let beside = suspect.places.iter().flat_map(|place| self.crashes[*place].runs.keys());
         let others = beside.filter(|other| **other != fingerprint);
         let mut rivals = others.filter_map(|other| suspects.get(other));
-        match was_refused || suspect.ends_in_row >= ENDS_TO_REFUSE_ALL {
+        match was_refused || suspect.crashes_in_row >= CRASHES_TO_REFUSE_ALL {
             true => !rivals.any(|rival| rival.explains_more_than(suspect)),
             false => !rivals.any(|rival| rival.places.len() >= suspect.places.len()),
         }
@@ -228,7 +228,7 @@
 }
 
 impl Suspect {
-    /// Returns `true` if this request ran wherever the other one did when servers ended, and at more.
+    /// Returns `true` if this request ran wherever the other one did when servers crashed, and at more.
     fn explains_more_than(&self, other: &Self) -> bool {
         let runs_at = |place: &usize| self.places.contains(place);
         self.places.len() > other.places.len() && other.places.iter().all(runs_at)
@@ -247,6 +247,6 @@
         service: suspect.map_or(0, |suspect| suspect.service),
         standing,
         left,
-        servers_ended: suspect.map_or(0, |suspect| suspect.ends_in_row),
+        servers_crashed: suspect.map_or(0, |suspect| suspect.crashes_in_row),
     }
 }
--- a/crates/core/src/serving/quarantine/list.rs
+++ b/crates/core/src/serving/quarantine/list.rs
@@ -1,11 +1,11 @@
-//! What a node knows of requests that end servers.
+//! What a node knows of requests that crash servers.
 
 use std::collections::BTreeMap;
 
 use super::{Fingerprint, Standing, Verdict};
 use crate::Millis;
 
-/// The most requests that are listed; each of those that are refused has ended three servers.
+/// The most requests that are listed; each of those that are refused has crashed three servers.
 const MOST_LISTED: usize = 256;
 /// The most verdicts in one report, some 200 bytes. A node that has just started knows all of a full list
 /// after 32 reports, which are some 7 s.
--- a/crates/core/src/serving/quarantine/mod.rs
+++ b/crates/core/src/serving/quarantine/mod.rs
@@ -1,20 +1,20 @@
-//! Which requests end the servers that run them, and are refused for it.
+//! Which requests crash the servers that run them, and are refused for it.
 //!
-//! A request may end each server that begins it: its content meets a fault of the server's program. Its
-//! caller repeats it under a new id, at any node, so that one such request may end all servers of a service
-//! again and again. Requests that merely ran beside it end with the same servers, and many requests end at
+//! A request may crash each server that begins it: its content meets a fault of the server's program. Its
+//! caller repeats it under a new id, at any node, so that one such request may crash all servers of a service
+//! again and again. Requests that merely ran beside it are cut off with the same servers, and many requests are cut off at
 //! once where a data centre is lost.
 //!
-//! Each node reports the ends of servers that it notices, with the fingerprints of its requests that were
+//! Each node reports crashes of servers that it notices, with the fingerprints of its requests that were
 //! cut off there, to the aggregator that owns the service. That one, the keeper, sees all requests that
-//! ran at a server when it ended, and looks for the fewest requests that explain the ends (`evidence`).
+//! ran at a server when it crashed, and looks for the fewest requests that explain the crashes (`evidence`).
 //! What it decides goes to all nodes, which refuse the request from then on.
 //!
 //! | module | does |
 //! |---|---|
 //! | `fingerprint` | names the content of a request |
-//! | `report` | says what a node reports of an end, and repeats it until its keeper has it |
-//! | `evidence` | decides, at the keeper, which request ends servers |
+//! | `report` | says what a node reports of a crash, and repeats it until its keeper has it |
+//! | `evidence` | decides, at the keeper, which request crashes servers |
 //! | `verdict` | says what was decided of a request |
 //! | `list` | holds what was decided, at each node |
 //! | `book` | holds all of it, at each node |
@@ -36,13 +36,13 @@
 pub use evidence::Evidence;
 pub use fingerprint::{Content, Fingerprint};
 pub use list::List;
-pub use report::{End, Outbox, Run};
+pub use report::{Crash, Outbox, Run};
 pub use verdict::{Standing, Verdict};
 
 use crate::Millis;
 
-/// How long after the first piece of its answer a request is still suspected where its server ends, in
-/// milliseconds. A request that ends a server does so when the server begins to run it: in 19 ends of a
+/// How long after the first piece of its answer a request is still suspected where its server crashes, in
+/// milliseconds. A request that crashes a server does so when the server begins to run it: in 19 crashes of a
 /// recorded day that had one request in common, its first piece had not come. Long streams beside it are
 /// not suspected.
 pub const SUSPECTED_FOR: Millis = 1_000;
--- a/crates/core/src/serving/quarantine/report.rs
+++ b/crates/core/src/serving/quarantine/report.rs
@@ -1,4 +1,4 @@
-//! What a node reports of a server that ended.
+//! What a node reports of a server that crashed.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -11,34 +11,34 @@
 /// How long reports are kept for a keeper that takes the place of another, in milliseconds: as long as
 /// nodes believe that one which is silent may come back.
 const KEPT_FOR: Millis = 60_000;
-/// The most reports that are kept: the ends of all servers of a large data centre.
+/// The most reports that are kept: the crashes of all servers of a large data centre.
 const MOST_KEPT: usize = 128;
 /// How often each report is sent to a keeper: datagrams get lost.
 const TIMES_SENT: u32 = 3;
 
-/// A request that was cut off where a server ended. Its time is a span, since nodes' clocks differ.
+/// A request that was cut off where a server crashed. Its time is a span, since nodes' clocks differ.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Run {
     /// Names the request's content.
     pub fingerprint: Fingerprint,
-    /// Milliseconds between its being sent to the server and the server's end.
+    /// Milliseconds between its being sent to the server and the server's crash.
     pub ran_for: Millis,
 }
 
-/// A server that ended, with the requests of one node that were cut off there.
+/// A server that crashed, with the requests of one node that were cut off there.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct End {
+pub struct Crash {
     /// The short name of the service.
     pub service: u64,
     /// The short name of the server.
     pub server: u64,
-    /// Milliseconds since the end.
+    /// Milliseconds since the crash.
     pub age: Millis,
     /// The requests.
     pub runs: Vec<Run>,
 }
 
-/// The ends that this node has noticed, until their keepers have them.
+/// The crashes that this node has noticed, until their keepers have them.
 #[derive(Clone, Debug, Default)]
 pub struct Outbox {
     kept: VecDeque<Kept>,
@@ -46,8 +46,8 @@
 
 #[derive(Clone, Debug)]
 struct Kept {
-    end: End,
-    ended_at: Millis,
+    crash: Crash,
+    crashed_at: Millis,
     /// Whom it was sent to last; `None` for this node itself.
     keeper: Option<SocketAddr>,
     times_sent: u32,
@@ -55,12 +55,12 @@
 
 impl Outbox {
     /// Takes a report that is to be sent.
-    pub fn push(&mut self, now: Millis, end: End) {
+    pub fn push(&mut self, now: Millis, crash: Crash) {
         if self.kept.len() == MOST_KEPT {
             self.kept.pop_front();
         }
-        let ended_at = now.saturating_sub(end.age);
-        self.kept.push_back(Kept { end, ended_at, keeper: None, times_sent: 0 });
+        let crashed_at = now.saturating_sub(crash.age);
+        self.kept.push_back(Kept { crash, crashed_at, keeper: None, times_sent: 0 });
     }
 
     /// Takes out what is to be sent now, with the address of its keeper, or without where this node
@@ -69,19 +69,19 @@
         &mut self,
         now: Millis,
         find_keeper: impl Fn(u64) -> Option<SocketAddr>,
-    ) -> Vec<(Option<SocketAddr>, End)> {
-        self.kept.retain(|kept| now < kept.ended_at + KEPT_FOR);
+    ) -> Vec<(Option<SocketAddr>, Crash)> {
+        self.kept.retain(|kept| now < kept.crashed_at + KEPT_FOR);
         let mut due = Vec::new();
         for kept in &mut self.kept {
-            let keeper = find_keeper(kept.end.service);
+            let keeper = find_keeper(kept.crash.service);
             if keeper != kept.keeper {
                 kept.keeper = keeper;
                 kept.times_sent = 0;
             }
             if kept.times_sent < TIMES_SENT {
                 kept.times_sent += 1;
-                let age = now.saturating_sub(kept.ended_at);
-                due.push((keeper, End { age, ..kept.end.clone() }));
+                let age = now.saturating_sub(kept.crashed_at);
+                due.push((keeper, Crash { age, ..kept.crash.clone() }));
             }
         }
         due
--- a/crates/core/src/serving/quarantine/verdict.rs
+++ b/crates/core/src/serving/quarantine/verdict.rs
@@ -5,14 +5,14 @@
 use super::Fingerprint;
 use crate::Millis;
 
-/// Whether a request ends servers, in the order in which one takes precedence over another.
+/// Whether a request crashes servers, in the order in which one takes precedence over another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Standing {
-    /// Two servers ended under it. It is served; a node that has its whole answer says so.
+    /// Two servers crashed under it. It is served; a node that has its whole answer says so.
     Suspected,
-    /// It ends servers, and is refused.
+    /// It crashes servers, and is refused.
     Quarantined,
-    /// A server has answered it whole: it does not end servers.
+    /// A server has answered it whole: it does not crash servers.
     Cleared,
 }
 
@@ -38,6 +38,6 @@
     pub standing: Standing,
     /// Milliseconds for which it still holds.
     pub left: Millis,
-    /// Servers that ended under the request, one after the other.
-    pub servers_ended: u32,
+    /// Servers that crashed under the request, one after the other.
+    pub servers_crashed: u32,
 }
--- a/crates/core/src/serving/refusal.rs
+++ b/crates/core/src/serving/refusal.rs
@@ -40,7 +40,7 @@
     TooLate,
     /// The time ran out after the request was sent to a server.
     Timeout,
-    /// Servers ended under the same request before.
+    /// Servers crashed under the same request before.
     Quarantined,
     /// A server broke off, or answered with something that is not an answer to this request.
     BrokenAnswer,
--- a/crates/core/tests/serving/quarantine_trials.rs
+++ b/crates/core/tests/serving/quarantine_trials.rs
@@ -1,6 +1,6 @@
-//! Requests that end servers, in fleets of several sizes: how many servers end under them, and how many
+//! Requests that crash servers, in fleets of several sizes: how many servers crash under them, and how many
 //! other requests are refused. The keeper that looks for the fewest causes is compared with counting three
-//! ends for each request by itself, at each node and at a keeper.
+//! crashes for each request by itself, at each node and at a keeper.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -8,15 +8,15 @@
 use fastrand::Rng;
 use keeljunction_core::Millis;
 use keeljunction_core::serving::quarantine::{
-    Book, End, Fingerprint, Run, SUSPECTED_FOR, Standing, Verdict,
+    Book, Crash, Fingerprint, Run, SUSPECTED_FOR, Standing, Verdict,
 };
 
 /// Who decides which request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Way {
-    /// Each node refuses what three servers ended under at this node.
+    /// Each node refuses what three servers crashed under at this node.
     EachNode,
-    /// A keeper refuses what three servers ended under, whatever ran beside it.
+    /// A keeper refuses what three servers crashed under, whatever ran beside it.
     Counting,
     /// The keeper of the product.
     Keeper,
@@ -29,7 +29,7 @@
     servers: usize,
     /// Requests in flight at each server.
     in_flight: usize,
-    /// The time between two repeats of each request that ends servers, in milliseconds.
+    /// The time between two repeats of each request that crashes servers, in milliseconds.
     repeats: Millis,
     /// How many such requests there are.
     causes: u64,
@@ -40,7 +40,7 @@
 const TICK: Millis = 10;
 const LASTS: Millis = 15_000;
 const SERVICE: u64 = 7;
-/// How long a server that ended is away.
+/// How long a server that crashed is away.
 const AWAY: Millis = 2_500;
 /// A report of a node takes so long to the keeper, and a verdict to all nodes: some tens of milliseconds
 /// until it is sent, three nodes on small VMs, and the way from another region.
@@ -71,10 +71,10 @@
 /// What came of a trial.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Outcome {
-    /// Servers that ended under a cause.
-    ended: usize,
-    /// Those that ended later than all nodes must know of the cause.
-    ended_late: usize,
+    /// Servers that crashed under a cause.
+    crashed: usize,
+    /// Those that crashed later than all nodes must know of the cause.
+    crashed_late: usize,
     /// Other requests that were refused.
     others_refused: usize,
 }
@@ -88,12 +88,12 @@
     servers: Vec<Server>,
     nodes: Vec<Book>,
     keeper: Book,
-    /// What counting knows: servers that ended under a request, by node.
+    /// What counting knows: servers that crashed under a request, by node.
     counts: BTreeMap<(usize, u64), BTreeSet<(usize, Millis)>>,
-    to_keeper: VecDeque<(Millis, End)>,
+    to_keeper: VecDeque<(Millis, Crash)>,
     to_nodes: VecDeque<(Millis, Verdict)>,
-    /// When servers ended under each cause.
-    ends: BTreeMap<u64, Vec<Millis>>,
+    /// When servers crashed under each cause.
+    crashes: BTreeMap<u64, Vec<Millis>>,
     others_refused: BTreeSet<u64>,
 }
 
@@ -111,21 +111,21 @@
             counts: BTreeMap::new(),
             to_keeper: VecDeque::new(),
             to_nodes: VecDeque::new(),
-            ends: BTreeMap::new(),
+            crashes: BTreeMap::new(),
             others_refused: BTreeSet::new(),
         };
         while trial.now < LASTS {
             trial.now += TICK;
             trial.step();
         }
-        let ends = trial.ends.values();
-        let late = ends.clone().map(|ends| {
-            let known_at = ends.get(2).map_or(Millis::MAX, |third| third + KNOWN_WITHIN);
-            ends.iter().filter(|at| **at > known_at).count()
+        let all = trial.crashes.values();
+        let late = all.clone().map(|crashes| {
+            let known_at = crashes.get(2).map_or(Millis::MAX, |third| third + KNOWN_WITHIN);
+            crashes.iter().filter(|at| **at > known_at).count()
         });
         Outcome {
-            ended: ends.map(Vec::len).sum(),
-            ended_late: late.sum(),
+            crashed: all.map(Vec::len).sum(),
+            crashed_late: late.sum(),
             others_refused: trial.others_refused.len(),
         }
     }
@@ -150,10 +150,10 @@
         }
         if self.setup.has_loss && (self.now == 4_000 || self.now == 9_000) {
             for server in 0..self.setup.servers * 3 / 10 {
-                self.end(server, None);
+                self.crash(server, None);
             }
         }
-        self.end_under_causes();
+        self.crash_under_causes();
     }
 
     /// Sends a request to a server that is up.
@@ -176,7 +176,8 @@
 
     fn is_refused(&self, request: u64, node: usize) -> bool {
         let fingerprint = Fingerprint::from_number(request);
-        let counted = |node| self.counts.get(&(node, request)).is_some_and(|ends| ends.len() >= 3);
+        let counted =
+            |node| self.counts.get(&(node, request)).is_some_and(|crashes| crashes.len() >= 3);
         match self.way {
             Way::EachNode => counted(node),
             Way::Counting => counted(0),
@@ -185,21 +186,21 @@
     }
 
     /// Ends servers at which a cause begins to run.
-    fn end_under_causes(&mut self) {
+    fn crash_under_causes(&mut self) {
         for server in 0..self.servers.len() {
             let causes = self.setup.causes;
             let begun =
                 |attempt: &&Attempt| attempt.request <= causes && self.now >= attempt.first_at;
             let cause = self.servers[server].attempts.iter().find(begun).map(|a| a.request);
             if let Some(cause) = cause {
-                self.ends.entry(cause).or_default().push(self.now);
-                self.end(server, Some(cause));
+                self.crashes.entry(cause).or_default().push(self.now);
+                self.crash(server, Some(cause));
             }
         }
     }
 
     /// Ends a server: its requests are reported, and the others are sent elsewhere up to twice.
-    fn end(&mut self, server: usize, cause: Option<u64>) {
+    fn crash(&mut self, server: usize, cause: Option<u64>) {
         self.servers[server].away_until = self.now + AWAY;
         let cut = std::mem::take(&mut self.servers[server].attempts);
         let mut by_node: BTreeMap<usize, Vec<Run>> = BTreeMap::new();
@@ -214,11 +215,11 @@
             }
         }
         for (node, runs) in by_node {
-            let end = End { service: SERVICE, server: server as u64, age: 0, runs };
-            self.nodes[node].note_end(self.now, end);
+            let crash = Crash { service: SERVICE, server: server as u64, age: 0, runs };
+            self.nodes[node].note_crash(self.now, crash);
             let keeper = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
-            for (_, end) in self.nodes[node].take_due(self.now, |_| Some(keeper)) {
-                self.to_keeper.push_back((self.now + ON_THE_WAY, end));
+            for (_, crash) in self.nodes[node].take_due(self.now, |_| Some(keeper)) {
+                self.to_keeper.push_back((self.now + ON_THE_WAY, crash));
             }
         }
         for attempt in cut {
@@ -248,8 +249,8 @@
     /// Lets reports and verdicts arrive.
     fn deliver(&mut self) {
         while self.to_keeper.front().is_some_and(|(at, _)| *at <= self.now) {
-            let Some((_, end)) = self.to_keeper.pop_front() else { break };
-            self.keeper.take_end(self.now, &End { age: ON_THE_WAY, ..end });
+            let Some((_, crash)) = self.to_keeper.pop_front() else { break };
+            self.keeper.take_report(self.now, &Crash { age: ON_THE_WAY, ..crash });
         }
         while self.to_nodes.front().is_some_and(|(at, _)| *at <= self.now) {
             let Some((_, verdict)) = self.to_nodes.pop_front() else { break };
@@ -261,7 +262,7 @@
         }
         if self.now.is_multiple_of(200) {
             for verdict in self.keeper.judge(self.now) {
-                assert!(verdict.standing != Standing::Quarantined || verdict.servers_ended >= 3);
+                assert!(verdict.standing != Standing::Quarantined || verdict.servers_crashed >= 3);
                 self.to_nodes.push_back((self.now + ON_THE_WAY, verdict));
             }
         }
@@ -280,8 +281,8 @@
 fn sum(setup: Setup, way: Way, seeds: u64) -> Outcome {
     (0..seeds).map(|seed| Trial::run(setup, way, seed)).fold(Outcome::default(), |sum, trial| {
         Outcome {
-            ended: sum.ended + trial.ended,
-            ended_late: sum.ended_late + trial.ended_late,
+            crashed: sum.crashed + trial.crashed,
+            crashed_late: sum.crashed_late + trial.crashed_late,
             others_refused: sum.others_refused + trial.others_refused,
         }
     })
@@ -293,7 +294,7 @@
         for seed in 0..10 {
             let outcome = Trial::run(setup, Way::Keeper, seed);
             let allowed = 3 * setup.causes as usize;
-            assert!(outcome.ended_late <= allowed, "{setup:?} {seed}: {outcome:?}");
+            assert!(outcome.crashed_late <= allowed, "{setup:?} {seed}: {outcome:?}");
             assert_eq!(outcome.others_refused, 0, "{setup:?} {seed}: {outcome:?}");
         }
     }
@@ -304,7 +305,7 @@
     let setup = SETUPS[2];
     let [alone, counting, keeper] =
         [Way::EachNode, Way::Counting, Way::Keeper].map(|way| sum(setup, way, 10));
-    assert!(alone.ended > 2 * keeper.ended, "{alone:?} {keeper:?}");
+    assert!(alone.crashed > 2 * keeper.crashed, "{alone:?} {keeper:?}");
     assert!(counting.others_refused > 0, "{counting:?}");
 }
 
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -131,16 +131,16 @@
     CallerDisconnected { request: &'a str, reason: &'a str, held_bytes: usize, resting_ms: u64 },
     /// A server ended a connection while it held much: less is sent to the service's servers.
     HeldBoundLowered { server: &'a str, service: &'a str, held_bytes: u64, bound_bytes: u64 },
-    /// A request under which two servers ended goes to no third one.
+    /// A request under which two servers crashed goes to no third one.
     RequestStopped { request: &'a str, body_bytes: usize, attempts: u32 },
     /// A server does not listen any more, after a connection to it broke off.
     ServerDown {
         server: &'a str,
         service: &'a str,
-        /// This node's requests that it may have ended under.
+        /// This node's requests that it may have crashed under.
         running: Vec<Running>,
     },
-    /// It was decided whether a request ends servers: by this node as the keeper of the service, or by
+    /// It was decided whether a request crashes servers: by this node as the keeper of the service, or by
     /// another one.
     RequestJudged {
         /// Names the request's content.
@@ -148,7 +148,7 @@
         /// The service, as it is named between nodes.
         service: u64,
         standing: &'a str,
-        servers_ended: u32,
+        servers_crashed: u32,
         left_ms: u64,
         is_keeper: bool,
     },
@@ -172,12 +172,12 @@
     },
 }
 
-/// A request under which a server may have ended.
+/// A request under which a server may have crashed.
 #[derive(Clone, Debug, Serialize)]
 pub struct Running {
     /// Names the request's content.
     pub fingerprint: String,
-    /// The time between its being sent to the server and the server's end, in milliseconds.
+    /// The time between its being sent to the server and the crash, in milliseconds.
     pub ran_ms: u64,
 }
 
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -22,7 +22,7 @@
 /// Attempts that may fail to connect, besides the route's `max_attempts`: they send nothing, and each
 /// takes up to 250 ms.
 const MOST_CONNECTS: u32 = 3;
-/// Servers that may end under a request before it is sent to no further one: one may end by chance.
+/// Servers that may crash under a request before it is sent to no further one: one may crash by chance.
 const SERVERS_ENDED: usize = 2;
 
 /// Sends the request to one server after another, as far as its route and the budget allow.
@@ -179,7 +179,7 @@
     Ok(())
 }
 
-/// Returns `true` if [`SERVERS_ENDED`] servers ended under the request and are ejected or gone since:
+/// Returns `true` if [`SERVERS_ENDED`] servers crashed under the request and are ejected or gone since:
 /// the next one would probably end too. Logs and counts that.
 fn has_ended_servers(node: &Node, exchange: &Exchange, progress: &Progress) -> bool {
     if progress.tried.ended.len() < SERVERS_ENDED {
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -43,7 +43,7 @@
     response
 }
 
-/// Notes that a server answered a request whole: the request does not end servers. A failure does not
+/// Notes that a server answered a request whole: the request does not crash servers. A failure does not
 /// show that, since a server may say it of a request that it has not begun.
 pub(super) fn note_success(node: &Arc<Node>, exchange: &Exchange, status: u16) {
     if (200..300).contains(&status) {
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -128,7 +128,7 @@
         );
         registry.register(
             "quarantined_requests",
-            "Requests that are refused because servers ended under them",
+            "Requests that are refused because servers crashed under them",
             self.quarantined.clone(),
         );
         registry.register(
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -58,7 +58,7 @@
     pub read_ahead: Counter,
     /// Callers that were disconnected because they did not read.
     pub callers_disconnected: Family<ReasonLabels, Counter>,
-    /// Requests that went to no third server after two had ended under them.
+    /// Requests that went to no third server after two had crashed under them.
     pub requests_stopped: Counter,
     /// Servers that did not listen any more after a connection to them broke off.
     pub servers_down: Family<ServiceLabels, Counter>,
@@ -189,7 +189,7 @@
         );
         registry.register(
             "requests_stopped",
-            "Requests that went to no third server after two had ended under them",
+            "Requests that went to no third server after two had crashed under them",
             self.requests_stopped.clone(),
         );
         registry.register(
--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -1,7 +1,7 @@
-//! Finds out which servers ended, and under which requests.
+//! Finds out which servers crashed, and under which requests.
 //!
 //! A connection that breaks off in the middle of an answer may have been reset by itself, so that the
-//! node looks whether its server still listens. One that does not has ended under the requests whose
+//! node looks whether its server still listens. One that does not has crashed under the requests whose
 //! connections broke off at that moment: one of them may be the cause.
 
 use std::collections::HashMap;
@@ -11,7 +11,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::{Directory, Server};
 use keeljunction_core::serving::load::short_id;
-use keeljunction_core::serving::quarantine::{End, Fingerprint, Run, SUSPECTED_FOR};
+use keeljunction_core::serving::quarantine::{Crash, Fingerprint, Run, SUSPECTED_FOR};
 
 use super::{Node, peers};
 use crate::event::{self, Event, Running};
@@ -42,7 +42,7 @@
 
 /// Notes that the connection of a run broke off, and looks at the server soon.
 ///
-/// A server that is leaving or gone ends for another reason.
+/// A server that is leaving or gone breaks off for another reason.
 pub(crate) fn note_cut(node: &Arc<Node>, server: &Server, run: CutRun) {
     let is_suspect = run.answering_since.is_none_or(|since| run.cut_at < since + SUSPECTED_FOR);
     if !is_suspect || node.with(|state| is_leaving(&state.directory, server)) {
@@ -59,7 +59,7 @@
     }
 }
 
-/// Returns `true` if a server is leaving or gone. One that has started again since has ended before.
+/// Returns `true` if a server is leaving or gone. One that has started again since has crashed before.
 fn is_leaving(directory: &Directory, server: &Server) -> bool {
     let Some(known) = directory.get(&server.id) else { return true };
     known.is_leaving && !directory.is_superseded(server)
@@ -82,19 +82,19 @@
         .map(|run| Running { fingerprint: run.fingerprint.to_string(), ran_ms: run.get_span() });
     let running = running.collect();
     event::emit(&Event::ServerDown { server: &server.id, service: &server.service, running });
-    node.with(|state| state.quarantine.note_end(now, make_report(now, &server, &runs)));
-    peers::quarantine::send_ends(&node).await;
+    node.with(|state| state.quarantine.note_crash(now, make_report(now, &server, &runs)));
+    peers::quarantine::send_reports(&node).await;
 }
 
-/// Makes the report of a server that ended.
-fn make_report(now: Millis, server: &Server, runs: &[CutRun]) -> End {
-    let ended_at = runs.iter().map(|run| run.cut_at).min().unwrap_or(now);
+/// Makes the report of a server that crashed.
+fn make_report(now: Millis, server: &Server, runs: &[CutRun]) -> Crash {
+    let crashed_at = runs.iter().map(|run| run.cut_at).min().unwrap_or(now);
     let runs = runs.iter();
     let runs = runs.map(|run| Run { fingerprint: run.fingerprint, ran_for: run.get_span() });
-    End {
+    Crash {
         service: short_id(&server.service),
         server: short_id(&server.id),
-        age: now.saturating_sub(ended_at),
+        age: now.saturating_sub(crashed_at),
         runs: runs.collect(),
     }
 }
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -10,11 +10,11 @@
 //! | `pauses` | notices that the process stood still |
 //! | `peers` | exchanges what nodes tell each other |
 //! | [`memory`] | reserves memory for what is held for callers and servers |
-//! | `crashes` | finds out which servers ended, and under which requests |
+//! | `crashes` | finds out which servers crashed, and under which requests |
 //! | `crossing` | counts what requests send to other regions and get from there |
 //! | [`document`] | packs what peers get from each other |
 //! | `connections` | keeps the connections to servers that rest within the node's share |
-//! | `quarantine_rows` | keeps which requests end servers in the platform's table |
+//! | `quarantine_rows` | keeps which requests crash servers in the platform's table |
 //! | [`duty`] | holds the lease and makes the calls that one node at a time may make |
 //! | [`stop`] | ends the node without cutting an answer |
 
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -5,7 +5,7 @@
 use keeljunction_core::serving::freshness::Versions;
 use keeljunction_core::serving::load::{Load, Work};
 use keeljunction_core::serving::members::{Entry, Overview as Reach};
-use keeljunction_core::serving::quarantine::{End, Fingerprint, Verdict};
+use keeljunction_core::serving::quarantine::{Crash, Fingerprint, Verdict};
 use keeljunction_core::serving::quota::Decision;
 use keeljunction_core::serving::rollout::{self, Announcement};
 use keeljunction_core::serving::throughput::Sample;
@@ -88,8 +88,8 @@
         /// The summary.
         summary: Box<Summary>,
     },
-    /// A server that ended, for the keeper of its service.
-    ServerEnded(End),
+    /// A server that crashed, for the keeper of its service.
+    ServerCrashed(Crash),
     /// A server answered a request whole that is suspected or refused, for the keeper of its service.
     RequestAnswered(Fingerprint),
     /// What the sender has in flight at some servers, for the node that keeps their load.
@@ -155,7 +155,7 @@
     pub group_age: Millis,
     /// Nodes that are new to it.
     pub joined: Vec<Entry>,
-    /// Some of the requests that it knows to end servers, or not to.
+    /// Some of the requests that it knows to crash servers, or not to.
     pub verdicts: Vec<Verdict>,
     /// Which versions of the platform's tables it knows.
     pub versions: Versions,
@@ -180,7 +180,7 @@
     pub is_region_overdue: bool,
     /// Nodes that are new to it.
     pub joined: Vec<Entry>,
-    /// Some of the requests that it knows to end servers, or not to.
+    /// Some of the requests that it knows to crash servers, or not to.
     pub verdicts: Vec<Verdict>,
     /// Which versions of the platform's tables it knows.
     pub versions: Versions,
@@ -196,7 +196,7 @@
         /// Its version.
         version: u64,
     },
-    /// It was decided whether a request ends servers.
+    /// It was decided whether a request crashes servers.
     RequestJudged(Verdict),
     /// A roll-out was ordered, or its stage has advanced.
     RolloutChanged(Announcement),
--- a/crates/gateway/src/node/peers/mod.rs
+++ b/crates/gateway/src/node/peers/mod.rs
@@ -9,7 +9,7 @@
 //! | `carry` | sends summaries to other regions, and passes theirs on in this one |
 //! | `loads` | keeps and asks for the loads of servers, where nodes report in groups |
 //! | `quota` | asks the owner of a client account whether a request is within its limit |
-//! | `quarantine` | exchanges which requests end servers |
+//! | `quarantine` | exchanges which requests crash servers |
 //! | `versions` | confirms what this node knows of the platform's tables, or gets what it lacks |
 //! | `news` | passes on what must not wait for the next report |
 //! | `calls` | gets what does not fit a datagram |
@@ -74,7 +74,7 @@
             Message::Quota { question, account, units, decision } => {
                 quota::take(&node, question, &account, units, decision);
             }
-            Message::ServerEnded(end) => quarantine::take_end(&node, &end),
+            Message::ServerCrashed(end) => quarantine::take_report(&node, &end),
             Message::RequestAnswered(fingerprint) => {
                 quarantine::take_answered(&node, fingerprint);
             }
--- a/crates/gateway/src/node/peers/news.rs
+++ b/crates/gateway/src/node/peers/news.rs
@@ -1,5 +1,5 @@
 //! Passes on what must not wait for the next report: changed servers, a new configuration, long
-//! prompts, requests that end servers.
+//! prompts, requests that crash servers.
 //!
 //! Where nodes report in groups, news goes from a node to its aggregator, from there to the other
 //! aggregators, and from each of these to its group. An aggregator passes on what is new to it, and
--- a/crates/gateway/src/node/peers/quarantine.rs
+++ b/crates/gateway/src/node/peers/quarantine.rs
@@ -1,4 +1,4 @@
-//! Exchanges with other nodes which requests end servers (see
+//! Exchanges with other nodes which requests crash servers (see
 //! [`keeljunction_core::serving::quarantine`]).
 //!
 //! Reports go to the keeper of the service, the aggregator that owns its name. What the keeper decides
@@ -7,7 +7,7 @@
 
 use std::sync::Arc;
 
-use keeljunction_core::serving::quarantine::{End, Fingerprint, Standing, Verdict};
+use keeljunction_core::serving::quarantine::{Crash, Fingerprint, Standing, Verdict};
 
 use super::message::{Message, News};
 use crate::event::{self, Event};
@@ -17,29 +17,29 @@
 
 /// Sends reports that are due, and judges as the keeper; once in each period of reports.
 pub(super) async fn step(node: &Node) {
-    send_ends(node).await;
+    send_reports(node).await;
     let now = node.now();
     for verdict in node.with(|state| state.quarantine.judge(now)) {
         announce(node, verdict);
     }
 }
 
-/// Sends the reports of servers that ended to the keepers of their services.
-pub(in crate::node) async fn send_ends(node: &Node) {
+/// Sends the reports of servers that crashed to the keepers of their services.
+pub(in crate::node) async fn send_reports(node: &Node) {
     let now = node.now();
     let due = node.with(|state| {
         let State { quarantine, members, .. } = state;
         quarantine.take_due(now, |service| members.find_owner(service))
     });
-    for (keeper, end) in due {
-        node.link.send(now, keeper, &Message::ServerEnded(end)).await;
+    for (keeper, crash) in due {
+        node.link.send(now, keeper, &Message::ServerCrashed(crash)).await;
     }
 }
 
-/// Takes the report of a server that ended, as the keeper.
-pub(super) fn take_end(node: &Node, end: &End) {
+/// Takes the report of a server that crashed, as the keeper.
+pub(super) fn take_report(node: &Node, crash: &Crash) {
     let now = node.now();
-    node.with(|state| state.quarantine.take_end(now, end));
+    node.with(|state| state.quarantine.take_report(now, crash));
 }
 
 /// Notes that a server answered a request whole, and tells the keeper where the request is suspected.
@@ -111,7 +111,7 @@
         fingerprint: verdict.fingerprint.to_string(),
         service: verdict.service,
         standing: verdict.standing.as_str(),
-        servers_ended: verdict.servers_ended,
+        servers_crashed: verdict.servers_crashed,
         left_ms: verdict.left,
         is_keeper,
     });
--- a/crates/gateway/src/node/quarantine_rows.rs
+++ b/crates/gateway/src/node/quarantine_rows.rs
@@ -1,4 +1,4 @@
-//! Keeps which requests end servers in the platform's table, so that all nodes may end at once.
+//! Keeps which requests crash servers in the platform's table, so that all nodes may end at once.
 //!
 //! The keepers of the services write what they decide, a row for each request that is refused. A node
 //! that becomes a keeper reads the rows once, tells the other nodes, and removes rows that have ended. A
@@ -32,8 +32,8 @@
     service: u64,
     /// The time on the table service's clock until which the request is refused.
     until: Millis,
-    /// Servers that ended under the request.
-    servers_ended: u32,
+    /// Servers that crashed under the request.
+    servers_crashed: u32,
 }
 
 /// A time on the table service's clock, with the time on this node's clock.
@@ -130,8 +130,8 @@
     if verdict.standing == Standing::Cleared {
         return make_removal(key);
     }
-    let Verdict { service, servers_ended, .. } = *verdict;
-    let value = serde_json::to_vec(&Refused { service, until, servers_ended }).ok();
+    let Verdict { service, servers_crashed, .. } = *verdict;
+    let value = serde_json::to_vec(&Refused { service, until, servers_crashed }).ok();
     Write { table: TableName::Own(TABLE), key, value }
 }
 
@@ -140,8 +140,8 @@
 }
 
 fn make_verdict(fingerprint: Fingerprint, refused: Refused, left: Millis) -> Verdict {
-    let Refused { service, servers_ended, .. } = refused;
-    Verdict { fingerprint, service, standing: Standing::Quarantined, left, servers_ended }
+    let Refused { service, servers_crashed, .. } = refused;
+    Verdict { fingerprint, service, standing: Standing::Quarantined, left, servers_crashed }
 }
 
 fn decode(row: &Row) -> Option<(Fingerprint, Refused)> {
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -152,7 +152,7 @@
     pub health: Health,
     /// Bytes of requests that each server holds for this node.
     pub held: held::Book,
-    /// Requests that end servers.
+    /// Requests that crash servers.
     pub quarantine: quarantine::Book,
     /// What client accounts have used.
     pub quotas: Quotas,
@@ -341,7 +341,7 @@
         knows && !self.is_stopping() && self.is_fresh() && !self.is_short_of_memory()
     }
 
-    /// Returns the milliseconds for which a request is still refused because servers ended under it;
+    /// Returns the milliseconds for which a request is still refused because servers crashed under it;
     /// `None` where it is served.
     pub fn get_quarantine(&self, fingerprint: Fingerprint) -> Option<Millis> {
         let now = self.now();
