--- a/crates/core/src/serving/quarantine/evidence.rs
+++ b/crates/core/src/serving/quarantine/evidence.rs
@@ -39,6 +39,9 @@
 /// The most runs that are remembered, over all crashes: 0.3 MB.
 const MOST_RUNS: usize = 8_192;
 
+/// The most requests that are remembered as refused: twice those that are refused at a time.
+const MOST_REFUSED: usize = 512;
+
 /// What the keeper knows of servers that crashed.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
@@ -129,8 +132,21 @@
     pub fn note_refused(&mut self, now: Millis, verdict: &Verdict) {
         if verdict.standing == Standing::Quarantined {
             let until = now + verdict.left + REMEMBERED_FOR;
-            self.refused.entry(verdict.fingerprint).or_insert(until);
+            self.remember_refused(now, verdict.fingerprint, until);
+        }
+    }
+
+    /// Remembers that a request is refused; forgets the one that ends first where there are too many.
+    fn remember_refused(&mut self, now: Millis, fingerprint: Fingerprint, until: Millis) {
+        self.refused.retain(|_, until| now < *until);
+        if self.refused.len() >= MOST_REFUSED {
+            let first = self.refused.iter().min_by_key(|(_, until)| **until);
+            if let Some(first) = first.map(|(fingerprint, _)| *fingerprint) {
+                self.refused.remove(&first);
+            }
         }
+        let known = self.refused.entry(fingerprint).or_insert(until);
+        *known = until.max(*known);
     }
 
     /// Decides which requests are suspected or refused from now on.
@@ -152,7 +168,7 @@
                 return verdicts;
             }
             for fingerprint in found {
-                self.refused.insert(fingerprint, now + QUARANTINED_FOR + REMEMBERED_FOR);
+                self.remember_refused(now, fingerprint, now + QUARANTINED_FOR + REMEMBERED_FOR);
                 let (standing, left) = (Standing::Quarantined, QUARANTINED_FOR);
                 verdicts.push(make_verdict(fingerprint, &suspects, standing, left));
             }
