feat(log): an answer that breaks off after it has begun is logged with what was read and held

A resting caller's answer was cut short in the tests, and nothing told the hypotheses apart: the server's patience, the route's time-out, a reader that had stopped for want of memory, or one that was never woken. `answer_cut` names why it ended, the bytes read and held, whether reading had stopped at the bound, and how long nothing was read.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -129,6 +129,21 @@
     },
     /// A caller that did not read its answer was disconnected.
     CallerDisconnected { request: &'a str, reason: &'a str, held_bytes: usize, resting_ms: u64 },
+    /// An answer that had begun broke off: its server or its connection ended, or its time-out passed.
+    AnswerCut {
+        request: &'a str,
+        why: &'a str,
+        /// Bytes that were read from the server.
+        read_bytes: u64,
+        /// Those of them that the caller had not taken.
+        held_bytes: usize,
+        /// Whether reading had stopped because as much was held as may be.
+        is_held_full: bool,
+        /// Time since the last bytes were read.
+        unread_ms: u64,
+        /// Time since the caller took some.
+        resting_ms: u64,
+    },
     /// A server ended a connection while it held much: less is sent to the service's servers.
     HeldBoundLowered { server: &'a str, service: &'a str, held_bytes: u64, bound_bytes: u64 },
     /// A request under which two servers crashed goes to no third one.
--- a/crates/gateway/src/exchange/feed.rs
+++ b/crates/gateway/src/exchange/feed.rs
@@ -22,6 +22,7 @@
 use super::flow::Flow;
 use super::respond::{Passage, Record};
 use super::source::{Source, Step};
+use crate::event::{self, Event};
 use crate::http::{Body, Peer};
 use crate::node::{Node, Reservation};
 use crate::runtime::{self, lock};
@@ -110,7 +111,7 @@
         let mut flow = lock(&self.flow);
         flow.is_caller_waiting = false;
         if flow.buffer.is_empty() && flow.is_open() {
-            match flow.poll_source(context) {
+            match flow.poll_source(self.node.now(), context) {
                 Poll::Pending => {
                     flow.is_caller_waiting = true;
                     flow.progress.note_waiting();
@@ -122,7 +123,7 @@
                 Poll::Ready(Some(Step::Piece(piece))) if piece.len() <= PIECE_BYTES => {
                     return Poll::Ready(Some(Ok(self.pass_on(&mut flow, piece))));
                 }
-                Poll::Ready(step) => flow.take(step),
+                Poll::Ready(step) => self.take(&mut flow, step),
             }
         }
         if let Some(piece) = flow.buffer.pop(PIECE_BYTES) {
@@ -140,6 +141,22 @@
         Poll::Ready(None)
     }
 
+    /// Takes what came from the server, and logs an answer that breaks off.
+    fn take(&self, flow: &mut Flow, step: Option<Step>) {
+        if let Some(Step::End(Err(error), _)) = &step {
+            event::emit(&Event::AnswerCut {
+                request: &self.request,
+                why: &error.to_string(),
+                read_bytes: flow.read_bytes,
+                held_bytes: flow.buffer.get_bytes(),
+                is_held_full: !flow.buffer.is_reading(),
+                unread_ms: self.node.now().saturating_sub(flow.read_at),
+                resting_ms: flow.progress.get_resting(),
+            });
+        }
+        flow.take(step);
+    }
+
     fn pass_on(&self, flow: &mut Flow, piece: Bytes) -> Bytes {
         flow.progress.note_taken(piece.len());
         self.passage.note_piece(self.node.now());
@@ -174,15 +191,16 @@
     fn poll_ahead(&self, context: &mut Context<'_>) -> Poll<()> {
         let mut flow = lock(&self.flow);
         while !flow.is_caller_waiting && flow.is_open() {
-            let is_due = self.node.now() >= self.due;
+            let now = self.node.now();
+            let is_due = now >= self.due;
             if !is_due && (!flow.buffer.is_reading() || !flow.settle()) {
                 break;
             }
-            let Poll::Ready(step) = flow.poll_source(context) else { return Poll::Pending };
+            let Poll::Ready(step) = flow.poll_source(now, context) else { return Poll::Pending };
             if let Some(Step::Piece(piece)) = &step {
                 self.node.metrics.read_ahead.inc_by(piece.len() as u64);
             }
-            flow.take(step);
+            self.take(&mut flow, step);
         }
         flow.is_reading_ahead = false;
         Poll::Ready(())
--- a/crates/gateway/src/exchange/flow.rs
+++ b/crates/gateway/src/exchange/flow.rs
@@ -36,6 +36,10 @@
     pub progress: Progress,
     /// The time of the last look.
     pub looked_at: Millis,
+    /// Bytes of the answer that were read from its server.
+    pub read_bytes: u64,
+    /// When the server last sent some of them.
+    pub read_at: Millis,
     /// The caller's connection.
     pub peer: Option<Peer>,
 }
@@ -63,6 +67,8 @@
             is_reading_ahead: false,
             progress: Progress::default(),
             looked_at: now,
+            read_bytes: 0,
+            read_at: now,
             peer,
         }
     }
@@ -73,11 +79,14 @@
     }
 
     /// Polls the server for the next step of its answer.
-    pub fn poll_source(&mut self, context: &mut Context<'_>) -> Poll<Option<Step>> {
-        match self.source.as_mut() {
-            Some(source) => source.as_mut().poll_next(context),
-            None => Poll::Ready(None),
+    pub fn poll_source(&mut self, now: Millis, context: &mut Context<'_>) -> Poll<Option<Step>> {
+        let Some(source) = self.source.as_mut() else { return Poll::Ready(None) };
+        let polled = source.as_mut().poll_next(context);
+        if let Poll::Ready(Some(Step::Piece(piece))) = &polled {
+            self.read_bytes += piece.len() as u64;
+            self.read_at = now;
         }
+        polled
     }
 
     /// Puts a piece into the buffer, or notes the end.
