fix(quota): an owner admits only what is left while all nodes have just started

Cause: found while the same fault was looked for elsewhere. An owner admits a request of any size while a unit is left. All nodes start again, the debt is forgotten, and they begin with 77,714 units each time.

Change: while no node knows what was used in the window, all of a request's units must be left, or as many as the nodes began with.

--- a/crates/core/src/serving/quota/decision.rs
+++ b/crates/core/src/serving/quota/decision.rs
@@ -142,15 +142,28 @@
         // use what this node admits, and one large prompt would count as a rate.
         let level = self.whole.get(account).map_or(0.0, |bucket| bucket.available);
         let left = level + self.get_headroom(now, limit, reach);
-        if left >= LEAST_LEFT {
+        let needed = self.get_needed(now, units, limit);
+        if left >= needed {
             self.admit(account, units);
             return Decision::Admitted;
         }
         let rate = limit.rate_per_second * reach.get_fraction();
-        let retry_after = self.book(now, account, LEAST_LEFT - left, units, rate);
+        let retry_after = self.book(now, account, needed - left, units, rate);
         Decision::Refused { retry_after }
     }
 
+    /// Returns the units that must be left for an owner to admit a request.
+    ///
+    /// While all nodes have just started, all of the request's, or as many as they began with: a debt
+    /// would be forgotten where they all start again. Two nodes of an account of 36,000 units a second
+    /// that started three times within a window admitted 514,400 units in it, of 496,400 tolerated.
+    fn get_needed(&self, now: Millis, units: u64, limit: Limit) -> f64 {
+        match self.is_window_known(now) {
+            true => LEAST_LEFT,
+            false => (units as f64).min(self.get_fresh(limit)).max(LEAST_LEFT),
+        }
+    }
+
     /// Returns the units by which an owner lets the bucket fall below zero.
     ///
     /// None while all nodes have just started: what they used before is not known then, and they
--- a/crates/core/tests/serving/quota_cluster.rs
+++ b/crates/core/tests/serving/quota_cluster.rs
@@ -230,3 +230,26 @@
         prop_assert!(most <= allowed, "{most} of {allowed}");
     }
 }
+
+/// Found by the property above: 514,400 units in eight seconds, of 496,400 that are tolerated.
+///
+/// What happens: both nodes start three times within the window, and begin with 77,714 units each time. At
+/// the end of the first life the owner admits a prompt of 30,000 with 12 units left, and the debt is
+/// forgotten with that life. A print of all decisions showed the bucket at -31,969 before the first end.
+#[test]
+fn a_small_account_stays_within_its_limit_where_all_nodes_start_three_times() {
+    let scenario = Scenario {
+        limit: SMALL,
+        nodes: 2,
+        pressure: 4.641440566016924,
+        all_end: vec![4_020, 5_370],
+        one_ends: Vec::new(),
+        down: 560,
+        cuts: Vec::new(),
+        lost: 0.0,
+        is_owner_asked: true,
+        seed: 41845244663829231,
+    };
+    let (most, allowed) = (scenario.get_most(), get_allowed(SMALL));
+    assert!(most <= allowed, "{most} of {allowed}");
+}
