fix(quota): a node's share is computed from figures of the same time

Symptom: an aggregator that ends within half a second of a surge to six times the limit: 5,274,800 units of 5,090,000.

Cause: a node divided its own newest figure by what its aggregator had last reported of the others. A print of all decisions: seven nodes of 42 took 0.13 to 0.57 of the rate each.

Change: where there is an aggregator, the node's own figure is that which the aggregator had counted.

--- a/crates/core/src/serving/quota/mod.rs
+++ b/crates/core/src/serving/quota/mod.rs
@@ -78,6 +78,9 @@
     /// When this node began to count its own units from none.
     counted_since: Millis,
     own_rates: Rates,
+    /// Units that this node was requested for a millisecond as of its aggregator's last report, by client
+    /// account.
+    own_at_aggregator: BTreeMap<String, f64>,
     peers: BTreeMap<(Source, String, u64), Rates>,
     /// Units that the nodes of this node's group were heard to admit, by client account.
     group: BTreeMap<String, i64>,
@@ -99,6 +102,7 @@
             own: Report::default(),
             counted_since: now,
             own_rates: Rates::new(now),
+            own_at_aggregator: BTreeMap::new(),
             peers: BTreeMap::new(),
             group: BTreeMap::new(),
             others: BTreeMap::new(),
@@ -227,6 +231,10 @@
             units.level = units.level.map(|level| level - uncounted);
         }
         self.merge(now, Source::Aggregator, from, &others);
+        self.own_at_aggregator = arrived
+            .iter()
+            .map(|(account, units)| (account.clone(), units.requested_per_second as f64 / 1_000.0))
+            .collect();
         if now < self.region_overdue_until {
             self.lower_levels(now, &others);
         }
@@ -420,11 +428,14 @@
     /// Returns what the client account requests of all nodes that are heard, in units a
     /// millisecond.
     fn get_all_requested(&self, now: Millis, account: &str) -> f64 {
-        let requested = |(key, rates): (&(Source, String, u64), &Rates)| {
-            rates.get_requested(now, account, key.0)
-        };
-        let peers: f64 = self.peers.iter().map(requested).sum();
-        self.own_rates.get_requested(now, account, Source::Peer) + peers
+        let own = self.own_rates.get_requested(now, account, Source::Peer);
+        own + self.get_others_requested(now, account)
+    }
+
+    /// Returns what the client account requests of all other nodes that are heard, in units a millisecond.
+    fn get_others_requested(&self, now: Millis, account: &str) -> f64 {
+        let peers = self.peers.iter();
+        peers.map(|((source, _, _), rates)| rates.get_requested(now, account, *source)).sum()
     }
 
     /// Returns `true` if this node, or one that it hears, has run for a whole window: some node then
@@ -440,12 +451,26 @@
     /// While this node is new its peers may be too, and may not have reported yet what is requested
     /// of them: an even share is no node's loss then.
     fn get_share(&self, now: Millis, account: &str, reach: Reach) -> f64 {
-        let own = self.own_rates.get_requested(now, account, Source::Peer);
+        let own = self.get_own_requested(now, account);
         let is_new = now < self.started_at + NEW_FOR;
         if own <= 0.0 || is_new {
             return 1.0 / reach.heard.max(1) as f64;
         }
-        own / self.get_all_requested(now, account)
+        own / (own + self.get_others_requested(now, account))
+    }
+
+    /// Returns what the client account requests of this node, in units a millisecond, as of the time of
+    /// what is known of the others.
+    ///
+    /// An aggregator's report is some hundred milliseconds old, and older once the aggregator falls silent.
+    /// Where an account begins to send much, the newest figure of this node beside an old one of the
+    /// others is a share many times too large: 7 nodes of 42 took 0.13 to 0.57 of the rate each.
+    fn get_own_requested(&self, now: Millis, account: &str) -> f64 {
+        let has_aggregator = self.peers.keys().any(|(source, _, _)| *source == Source::Aggregator);
+        match has_aggregator {
+            true => self.own_at_aggregator.get(account).copied().unwrap_or(0.0),
+            false => self.own_rates.get_requested(now, account, Source::Peer),
+        }
     }
 }
 
