fix(http): a connection goes on after a write that was blocked and resumed in one turn

Symptom: slow_peers::a_caller_that_rests_gets_its_whole_answer got a part of its answer; in the field, a caller that reads again after a rest is disconnected as one that does not read.

Cause: the HTTP library flushes once more after a blocked write. Where the socket becomes writable just then, the flush succeeds and drops the wake with more of the body to write. Shown by answer_ms 104 (all bytes were with the node), caller_disconnected no_progress with 1.5 to 9.8 MB held, an empty send queue and no EPOLLOUT among the events that were waited for. Ruled out by the same lines: the server's patience, the route's time-out, memory, a blocked log.

Change: the socket notes a write that succeeds after a blocked one, and the driver polls the connection again. Both ends of HTTP/1.1 connections use it. request_ended tells answer_ms.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -180,6 +180,8 @@
         attempts: u32,
         first_token_ms: Option<u64>,
         longest_gap_ms: Option<u64>,
+        /// Time until the server's answer had ended; beyond it, `total_ms` is the caller's time.
+        answer_ms: Option<u64>,
         total_ms: u64,
         retry_after_ms: Option<u64>,
         version: Option<u64>,
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -27,6 +27,7 @@
         AnswerBody::Whole(bytes) => {
             note_success(&node, &exchange, status);
             record.note_piece();
+            record.note_answer_end();
             record.end(status, ANSWERED);
             feed::whole(&node, bytes, held, record)
         }
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -125,6 +125,8 @@
     pub fingerprint: Option<Fingerprint>,
     status: u16,
     outcome: &'static str,
+    /// Time from the request's arrival until its server's answer had ended.
+    answer_time: Option<Millis>,
     retry_after: Option<u64>,
 }
 
@@ -149,6 +151,7 @@
             fingerprint: None,
             status: 0,
             outcome: "left",
+            answer_time: None,
             retry_after: None,
         }
     }
@@ -169,6 +172,11 @@
         self.outcome = outcome;
     }
 
+    /// Notes that the server's answer has ended; its caller may take the rest of it later.
+    pub fn note_answer_end(&mut self) {
+        self.answer_time = Some(self.node.now().saturating_sub(self.arrived));
+    }
+
     /// Makes the response of a refusal.
     pub fn refuse(mut self, refused: Refused) -> Response<Body> {
         self.end(refused.reason.get_status(), refused.reason.as_str());
@@ -222,6 +230,7 @@
             attempts: self.attempts,
             first_token_ms: first_token,
             longest_gap_ms: longest_gap,
+            answer_ms: self.answer_time,
             total_ms: total,
             retry_after_ms: self.retry_after,
             version: self.version,
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -255,6 +255,7 @@
     }
 
     fn stop(&mut self, end: End) {
+        self.record.note_answer_end();
         if let End::Broken(why) = end {
             self.record.end(self.status, if why == "timeout" { "cut_by_timeout" } else { "cut" });
         }
--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
@@ -18,9 +18,8 @@
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
 use rustix::net::sockopt;
-use smol_hyper::rt::FuturesIo;
 
-use super::Body;
+use super::{Body, Socket, drive};
 use crate::runtime;
 
 /// The most idle connections kept to one address where nothing else is set.
@@ -197,10 +196,12 @@
         if let Err(error) = watch_for_silence(&stream) {
             log::warn!("a connection to {to} that goes silent shows late: {error}");
         }
-        let made = http1::handshake(FuturesIo::new(stream)).await;
+        let socket = Socket::new(stream);
+        let writes = socket.get_writes();
+        let made = http1::handshake(socket).await;
         let (sender, connection) = made.map_err(|error| Failure::NotSent(error.to_string()))?;
         let driver = runtime::task(async move {
-            let _ = connection.await;
+            let _ = drive(pin!(connection), &writes).await;
         });
         let now = runtime::boot_time();
         Ok(Connection { sender, until: now + KEEP_FOR, rests_since: now, _driver: driver })
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -4,8 +4,10 @@
 mod client;
 mod peer;
 mod server;
+mod socket;
 
 pub use body::{Body, read};
 pub use client::{Client, Failure, Reply};
 pub use peer::Peer;
 pub use server::{Limits, Open, Server, Stop};
+pub use socket::{Socket, Writes, drive};
--- a/crates/gateway/src/http/server.rs
+++ b/crates/gateway/src/http/server.rs
@@ -15,9 +15,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use smol_hyper::rt::SmolTimer;
 
-use super::{Body, Peer};
+use super::{Body, Peer, Socket, drive};
 use crate::runtime;
 
 /// Returns how long a connection may rest before the next request's head is whole.
@@ -215,10 +215,12 @@
     let mut builder = http1::Builder::new();
     builder.timer(SmolTimer::new()).header_read_timeout(head_within);
     builder.max_buf_size(limits.head_bytes.max(8192));
-    let mut connection = pin!(builder.serve_connection(FuturesIo::new(stream), service));
+    let socket = Socket::new(stream);
+    let writes = socket.get_writes();
+    let mut connection = pin!(builder.serve_connection(socket, service));
     let stopping = pin!(stop.given());
     let ended = async {
-        let _ = connection.as_mut().await;
+        let _ = drive(connection.as_mut(), &writes).await;
         false
     };
     let stopped = async {
@@ -227,6 +229,6 @@
     };
     if future::or(ended, stopped).await {
         connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+        let _ = drive(connection, &writes).await;
     }
 }
