--- a/crates/core/src/serving/demand.rs
+++ b/crates/core/src/serving/demand.rs
@@ -10,7 +10,7 @@
 
 use crate::Millis;
 
-/// What one incarnation of a node was asked for since its start. The numbers only grow.
+/// The demand that one incarnation of a node has seen since its start. The numbers only grow.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DemandTotals {
     /// Requests.
@@ -42,7 +42,7 @@
 pub struct Report {
     /// The region where the requests arrived; empty where no regions are known.
     pub region: String,
-    /// What it was asked for since its start.
+    /// Its demand since its start.
     pub totals: DemandTotals,
     /// Requests that it has in flight at servers now.
     pub in_flight: u32,
@@ -177,7 +177,7 @@
         }
     }
 
-    /// Forgets an incarnation of a peer that is gone; what it was asked for still counts.
+    /// Forgets an incarnation of a peer that is gone; its demand still counts.
     pub fn forget(&mut self, peer: &str, incarnation: u64) {
         self.peers.remove(&(peer.to_owned(), incarnation));
     }
@@ -211,7 +211,7 @@
         }
     }
 
-    /// Returns `true` if no node that is known was asked for anything of a service.
+    /// Returns `true` if no known node has seen a request for a service.
     pub fn is_untouched(&self, service: &str) -> bool {
         !self.touched.contains(service)
     }
--- a/crates/core/src/serving/duty_lease.rs
+++ b/crates/core/src/serving/duty_lease.rs
@@ -3,7 +3,7 @@
 //! The lease is a row of the platform's table. It names its holder, a term that rises with each
 //! new holder (the fence of its calls), and when it ends on the table's own steady clock, so that
 //! no two clocks are compared. A holder knows how far that clock can have come at most, from the
-//! last answer and the time since it asked, and stops a margin before the end.
+//! last answer and the time since its last call, and stops a margin before the end.
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/core/src/serving/load.rs
+++ b/crates/core/src/serving/load.rs
@@ -2,7 +2,7 @@
 //!
 //! A server's own report is old when it arrives, and all nodes act on the same one. A node's own
 //! counts are exact, and its peers tell theirs some times a second. A prompt that takes long to
-//! read is told at once, because many nodes would choose the same server until they hear of it.
+//! read is reported at once, because many nodes would choose the same server until they hear of it.
 
 use std::collections::HashMap;
 
--- a/crates/core/src/serving/members/regions.rs
+++ b/crates/core/src/serving/members/regions.rs
@@ -133,8 +133,8 @@
     /// Notes which regions are out of reach, and keeps their nodes: nothing is known of them
     /// meanwhile, so that none is taken for silent or gone.
     ///
-    /// A node that does not aggregate hears no other region, and leaves the regions as its aggregator
-    /// told it.
+    /// A node that does not aggregate hears no other region, and keeps the regions that its aggregator
+    /// reported.
     pub(super) fn note_lost_regions(&mut self, now: Millis) {
         if !self.topology.is_multi_region() {
             return;
--- a/crates/core/src/serving/memory/mod.rs
+++ b/crates/core/src/serving/memory/mod.rs
@@ -13,7 +13,7 @@
 //! The process takes more memory than is reserved: for its sockets, and what the allocator keeps.
 //! Samples of its resident memory lower what may be reserved by what they show beyond the sum.
 //!
-//! A node tells the accountant of each body and read-ahead, and asks it whether it is ready.
+//! A node reports each body and read-ahead to the accountant, which decides whether the node is ready.
 //!
 //! | module | holds |
 //! |---|---|
--- a/crates/core/src/serving/quarantine/book.rs
+++ b/crates/core/src/serving/quarantine/book.rs
@@ -21,12 +21,12 @@
     unsaved: VecDeque<Verdict>,
 }
 
-/// What came of a verdict that another node told.
+/// What came of a verdict that another node sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Merged {
     /// Whether it is news, to be passed on.
     pub is_news: bool,
-    /// Whether this node has answered the request whole, of which the keeper is to be told.
+    /// Whether this node has answered the request whole, which the keeper must be notified of.
     pub is_answered_here: bool,
 }
 
@@ -64,7 +64,7 @@
     }
 
     /// Notes that a server answered a request whole at this node; returns the short name of its service
-    /// where the keeper is to be told, once.
+    /// where the keeper must be notified, once.
     pub fn note_answered(&mut self, now: Millis, fingerprint: Fingerprint) -> Option<u64> {
         self.answered.note(now, fingerprint);
         let verdict = self.list.get(now, fingerprint)?;
@@ -76,7 +76,7 @@
     }
 
     /// Takes the word of a node that a request was answered whole, as the keeper; returns the verdict
-    /// that all nodes are told.
+    /// that all nodes are notified of.
     pub fn take_answered(&mut self, now: Millis, fingerprint: Fingerprint) -> Option<Verdict> {
         self.answered.note(now, fingerprint);
         if !self.evidence.note_answered(fingerprint) {
--- a/crates/core/src/serving/quarantine/evidence.rs
+++ b/crates/core/src/serving/quarantine/evidence.rs
@@ -18,10 +18,10 @@
 const CRASHES_TO_REFUSE: u32 = 3;
 /// The same of a request that was refused before: it has shown what it does.
 const CRASHES_TO_REFUSE_AGAIN: u32 = 1;
-/// Crashes in a row before all nodes are told to say if they have answered the request whole.
+/// Crashes in a row after which all nodes must report whether they have answered the request whole.
 const CRASHES_TO_SUSPECT: u32 = 2;
 /// Crashes in a row after which requests are refused that ran together at each of these servers, so that
-/// nothing tells which of them is the cause.
+/// nothing shows which of them is the cause.
 const CRASHES_TO_REFUSE_ALL: u32 = 5;
 /// The time after a crash before anyone is refused for it, in milliseconds. Other nodes report
 /// it meanwhile, and those that have served a suspected request say so: both are sent at once, 40 ms
@@ -32,7 +32,7 @@
 const SAME_CRASH: Millis = 1_000;
 /// How long a crash is remembered, in milliseconds: as long as a request is refused.
 const REMEMBERED_FOR: Millis = QUARANTINED_FOR;
-/// How long a suspicion is told, in milliseconds: some times what an answer takes.
+/// How long a suspicion is repeated, in milliseconds: some times what an answer takes.
 const SUSPICION_TOLD_FOR: Millis = 60_000;
 /// The most crashes that are remembered, which is most of the servers of the two-year size.
 const MOST_CRASHES: usize = 512;
--- a/crates/core/src/serving/refusal.rs
+++ b/crates/core/src/serving/refusal.rs
@@ -104,7 +104,7 @@
     ///
     /// `hint` is the time after which room is expected. The wait stays inside a third of the time
     /// that the caller has left, beyond which callers ignore `Retry-After`; that of a request that is
-    /// quarantined is told as it is, so that no caller comes back before.
+    /// quarantined is sent as it is, so that no caller comes back before.
     pub fn get_retry_after(self, hint: Millis, left: Millis) -> Option<Duration> {
         if self == Self::Quarantined {
             return Some(Duration::from_millis(hint));
--- a/crates/core/src/serving/usage.rs
+++ b/crates/core/src/serving/usage.rs
@@ -204,8 +204,8 @@
 /// Returns `true` if the counts of a window may be reported.
 ///
 /// `age` is the time since the window ended, and `due` the time after its end at which the report
-/// must be there. While `is_node_missing`, a node that served in the window may not have told its
-/// last counts, because it is cut off: it tells them when it is heard again.
+/// must be there. While `is_node_missing`, a node that served in the window may not have reported
+/// its last counts, because it is cut off: it reports them when it is heard again.
 pub fn is_settled(age: Millis, due: Millis, is_node_missing: bool) -> bool {
     let part = if is_node_missing { LAST_PART } else { SETTLE_PART };
     age as f64 >= due as f64 * part
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -1,6 +1,6 @@
 //! All events that a node logs, as types.
 //!
-//! One line tells one decision that touches a request or changes what the node believes: its
+//! One line describes one decision that touches a request or changes what the node believes: its
 //! inputs, their age or version, and its outcome. Times are in milliseconds.
 
 use std::net::SocketAddr;
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -59,7 +59,7 @@
     }
 }
 
-/// A failure, with the server's own answer where it gave one.
+/// A failure, with the server's own answer where there is one.
 pub(super) type Failure = (Failed, Option<Box<Answer>>);
 
 /// Why there is no sound answer.
--- a/crates/gateway/src/exchange/progress.rs
+++ b/crates/gateway/src/exchange/progress.rs
@@ -53,7 +53,7 @@
     }
 
     /// Returns the rejection of a request that is quarantined. Only one that has not run since it came
-    /// is told so.
+    /// is notified of it.
     pub fn reject_quarantined(&self, refused_for: Millis) -> Rejection {
         match self.may_have_run {
             true => Refusal::BrokenAnswer.into(),
--- a/crates/gateway/src/http/server.rs
+++ b/crates/gateway/src/http/server.rs
@@ -108,7 +108,7 @@
         Ok(Self { listener, limits, head_within, stop, open: Open::default() })
     }
 
-    /// Sets how long connections that come from now on may rest; asked anew for each of them.
+    /// Sets how long connections that come from now on may rest; the closure runs for each of them.
     pub fn with_head_within(self, head_within: HeadWithin) -> Self {
         Self { head_within, ..self }
     }
--- a/crates/gateway/src/http/socket.rs
+++ b/crates/gateway/src/http/socket.rs
@@ -3,7 +3,7 @@
 //!
 //! The library flushes once more after a write that was blocked, before it gives up its turn. Where the
 //! socket has become writable meanwhile, that flush succeeds, and the socket drops the wake that the
-//! blocked write had asked for. The library then has more of the body to write, and nothing wakes it: the
+//! blocked write had registered. The library then has more of the body to write, and nothing wakes it: the
 //! answer stands still until its caller is taken for one that does not read. A connection in which a
 //! write succeeded after a blocked one is therefore polled again.
 //!
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,11 +6,11 @@
 //!
 //! | module | does |
 //! |---|---|
-//! | [`settings`] | what a node is told |
+//! | [`settings`] | the settings of a node |
 //! | [`port`] | what an adapter to a platform provides |
 //! | [`node`] | what a node knows, and the tasks that keep it up to date |
 //! | [`exchange`] | one request, from its head to its final outcome |
-//! | [`event`], [`log`](mod@log), [`metrics`] | what a node tells of its decisions |
+//! | [`event`], [`log`](mod@log), [`metrics`] | what a node reports of its decisions |
 //! | [`trace`] | gathers what was logged of one request |
 //! | [`http`], [`runtime`] | plumbing |
 
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -2,7 +2,7 @@
 //!
 //! Lines go through a bounded queue to a thread of their own, so that a standard output that
 //! stands still delays no request. Events that come with every request are sampled beyond a
-//! number of lines a second; a summary line tells how many were left out, and how many lines a
+//! number of lines a second; a summary line counts those left out, and how many lines a
 //! full queue cost. Failures are never sampled.
 
 use std::io::Write;
@@ -131,7 +131,7 @@
 }
 
 impl Log {
-    /// Returns `true` if one more sampled line fits this second; tells what the last one left out.
+    /// Returns `true` if one more sampled line fits this second; logs how many the last one left out.
     fn admit(&self) -> bool {
         let mut window = lock(&self.window);
         if window.began.elapsed() >= Duration::from_secs(1) {
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -178,7 +178,7 @@
         );
         registry.register_with_unit(
             "read_ahead",
-            "Parts of answers read before their callers asked for them",
+            "Parts of answers read before their callers were ready for them",
             Unit::Bytes,
             self.read_ahead.clone(),
         );
--- a/crates/gateway/src/node/document.rs
+++ b/crates/gateway/src/node/document.rs
@@ -27,7 +27,7 @@
         Self { text, packed: OnceLock::new() }
     }
 
-    /// Returns the document as peers get it; it is packed when it is first asked for.
+    /// Returns the document as peers get it; it is packed at the first use.
     pub fn get_packed(&self) -> Bytes {
         self.packed.get_or_init(|| pack(&self.text)).clone()
     }
--- a/crates/gateway/src/node/pauses.rs
+++ b/crates/gateway/src/node/pauses.rs
@@ -1,7 +1,7 @@
 //! Notices that the process stood still: its machine was suspended, or it got no processor.
 //!
 //! All that the node believes is judged by its age on a clock that counts such a pause, so that nothing has
-//! to be undone: what has grown too old is confirmed before it is acted on. Here the pause is told, and
+//! to be undone: what has grown too old is confirmed before it is acted on. Here the pause is logged, and
 //! timers that left a suspension out are woken.
 
 use std::time::Duration;
--- a/crates/gateway/src/node/peers/link.rs
+++ b/crates/gateway/src/node/peers/link.rs
@@ -18,7 +18,7 @@
 
 /// The most bytes that a UDP datagram over IPv4 carries.
 const LONGEST_DATAGRAM: usize = 65_507;
-/// The pause after an error of the socket, so that a lasting one does not keep the processor busy.
+/// The pause after an error of the socket, so that a permanent one does not keep the processor busy.
 const AFTER_ERROR: Duration = Duration::from_millis(50);
 /// The part of the link that datagrams to many nodes may take.
 const LINK_PART: f64 = 0.4;
--- a/crates/gateway/src/node/peers/loads.rs
+++ b/crates/gateway/src/node/peers/loads.rs
@@ -133,11 +133,11 @@
 /// over; `false` where nobody answered.
 pub(crate) async fn ask(node: &Node, servers: &[String]) -> bool {
     let by_owner = node.with(|state| {
-        let asked = servers.iter().map(|id| {
+        let requested = servers.iter().map(|id| {
             let server = state.directory.get(id);
             (short_id(id), server.map_or("", |server| server.data_centre.as_str()))
         });
-        sort_by_owner(&state.members, asked)
+        sort_by_owner(&state.members, requested)
     });
     if by_owner.is_empty() {
         return true;
--- a/crates/gateway/src/node/peers/news.rs
+++ b/crates/gateway/src/node/peers/news.rs
@@ -21,7 +21,7 @@
 use crate::runtime;
 
 /// The part of the period between two reports that a prompt takes to read, at the least, for its
-/// request to be told at once.
+/// request to be notified at once.
 const REPORT_AT_ONCE_PART: f64 = 0.1;
 /// The part of the time in which a configuration must be in force for which a carrier waits before it
 /// gets from another region what this one's readers did not get: these have it from the table service
--- a/crates/gateway/src/node/peers/quarantine.rs
+++ b/crates/gateway/src/node/peers/quarantine.rs
@@ -42,7 +42,7 @@
     node.with(|state| state.quarantine.take_report(now, crash));
 }
 
-/// Notes that a server answered a request whole, and tells the keeper where the request is suspected.
+/// Notes that a server answered a request whole, and notifies the keeper where the request is suspected.
 pub(crate) fn note_answered(node: &Arc<Node>, fingerprint: Fingerprint) {
     let now = node.now();
     let service = node.with(|state| state.quarantine.note_answered(now, fingerprint));
@@ -51,7 +51,7 @@
     }
 }
 
-/// Tells the keeper of a service that a request was answered whole.
+/// Notifies the keeper of a service that a request was answered whole.
 async fn tell_answered(node: Arc<Node>, service: u64, fingerprint: Fingerprint) {
     match node.with(|state| state.members.find_owner(service)) {
         Some(keeper) => {
@@ -70,7 +70,7 @@
     }
 }
 
-/// Tells all nodes what this one decided as the keeper.
+/// Sends all nodes what this one decided as the keeper.
 fn announce(node: &Node, verdict: Verdict) {
     log(&verdict, true);
     node.push(News::RequestJudged(verdict));
@@ -96,7 +96,7 @@
     }
 }
 
-/// Takes a verdict from the platform's table, and tells all nodes where it is news.
+/// Takes a verdict from the platform's table, and sends it to all nodes where it is news.
 pub(in crate::node) fn take_kept(node: &Arc<Node>, verdict: Verdict) {
     if take_verdict(node, verdict) {
         node.push(News::RequestJudged(verdict));
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -218,7 +218,7 @@
     }
 }
 
-/// Keeps the buckets of all client accounts, whose levels the nodes of the group are told.
+/// Keeps the buckets of all client accounts, whose levels are sent to the nodes of the group.
 fn track_accounts(state: &mut State, now: Millis) {
     if !state.members.is_grouped() {
         return;
--- a/crates/gateway/src/node/peers/versions.rs
+++ b/crates/gateway/src/node/peers/versions.rs
@@ -46,33 +46,33 @@
         if !is_ageing {
             continue;
         }
-        let asked = list_asked(&node, now).into_iter().chain(list_asked_far(&node, now));
-        for address in asked.collect::<Vec<SocketAddr>>() {
+        let targets = list_targets(&node, now).into_iter().chain(list_far_targets(&node, now));
+        for address in targets.collect::<Vec<SocketAddr>>() {
             node.link.send(now, address, &Message::AskVersions).await;
         }
     }
 }
 
 /// Lists whom to ask: an aggregator asks the readers, and another node its aggregator, so that the
-/// readers are asked by few.
-fn list_asked(node: &Node, now: Millis) -> Vec<SocketAddr> {
+/// few nodes query the readers.
+fn list_targets(node: &Node, now: Millis) -> Vec<SocketAddr> {
     let is_old = staleness::is_configuration_old(node) || staleness::is_servers_old(node);
     node.with(|state| {
-        let mut asked = match state.members.get_own_aggregator() {
+        let mut targets = match state.members.get_own_aggregator() {
             Some(aggregator) => vec![aggregator.address],
             None => state.members.get_readers(),
         };
         if is_old {
             let heard = state.members.get_heard(now);
-            asked.extend(fastrand::choice(heard));
-            asked.extend(fastrand::choice(state.members.get_readers()));
+            targets.extend(fastrand::choice(heard));
+            targets.extend(fastrand::choice(state.members.get_readers()));
         }
-        asked
+        targets
     })
 }
 
 /// Lists whom a reader asks in other regions: it did not reach the table service for a while.
-fn list_asked_far(node: &Node, now: Millis) -> Vec<SocketAddr> {
+fn list_far_targets(node: &Node, now: Millis) -> Vec<SocketAddr> {
     let is_ageing = staleness::is_configuration_older_than(node, AGEING_PART_FAR)
         || staleness::is_servers_older_than(node, AGEING_PART_FAR);
     node.with(|state| match is_ageing && state.members.is_reader(now) {
--- a/crates/gateway/src/node/quarantine_rows.rs
+++ b/crates/gateway/src/node/quarantine_rows.rs
@@ -1,7 +1,7 @@
 //! Keeps which requests crash servers in the platform's table, so that all nodes may end at once.
 //!
 //! The keepers of the services write what they decide, a row for each request that is refused. A node
-//! that becomes a keeper reads the rows once, tells the other nodes, and removes rows that have ended. A
+//! that becomes a keeper reads the rows once, sends them to the other nodes, and removes rows that have ended. A
 //! row may be written twice without harm.
 
 use std::sync::Arc;
--- a/crates/gateway/src/node/serve.rs
+++ b/crates/gateway/src/node/serve.rs
@@ -79,8 +79,8 @@
     runtime::spawn(quarantine_rows::run(node.clone()));
     runtime::spawn(memory::watch(node.clone()));
     exchange::watch_callers(&node);
-    let (asked, shown, answering) = (node.clone(), node.clone(), node.clone());
-    runtime::spawn(readiness.serve(move |request| listeners::readiness(asked.clone(), request)));
+    let (checked, shown, answering) = (node.clone(), node.clone(), node.clone());
+    runtime::spawn(readiness.serve(move |request| listeners::readiness(checked.clone(), request)));
     runtime::spawn(metrics.serve(move |request| listeners::metrics(shown.clone(), request)));
     let resting = node.clone();
     let callers = callers.with_head_within(Arc::new(move || resting.get_rest_bound()));
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -96,7 +96,7 @@
     pub(super) news: (Sender<News>, Receiver<News>),
     /// Requests for loads that wait for answers, and changed loads that wait to be sent.
     pub(super) pending_loads: loads::Pending,
-    /// Requests about which the owners of their client accounts were asked.
+    /// Requests that the owners of their client accounts decide about.
     pub(super) pending_decisions: quota::Pending,
     /// Runs that broke off at servers that may have ended.
     pub(super) cut_runs: crashes::Pending,
@@ -160,7 +160,7 @@
     pub budget: Budget,
     /// Requests that began.
     pub usage: Ledger,
-    /// Tokens asked for, by service.
+    /// Tokens requested, by service.
     pub demand: DemandBook,
     /// Moves of services to other versions.
     pub rollouts: rollout::Book,
--- a/crates/gateway/src/node/watch/configuration.rs
+++ b/crates/gateway/src/node/watch/configuration.rs
@@ -87,7 +87,7 @@
         if !is_unconfirmed(&node) {
             unconfirmed_since = None;
         }
-        // Until there is one, the first configuration is waited for and not asked for again.
+        // Until there is one, the first configuration is awaited and not requested again.
         let is_told_soon = is_unconfirmed(&node) && now < since + UNCONFIRMED_FOR;
         let is_waiting = !is_reader(&node) && (lacks_configuration(&node) || is_told_soon);
         if is_waiting || !is_due(&node, staleness::is_configuration_old) {
@@ -170,7 +170,7 @@
     node.with(|state| state.configuration.is_none())
 }
 
-/// Adopts the configuration in the rows, and tells all peers where it is newer.
+/// Adopts the configuration in the rows, and notifies all peers where it is newer.
 fn adopt_and_push(node: &Node, rows: &[Row]) {
     if let Some(version) = adopt_configuration(node, rows) {
         node.push(News::ConfigurationChanged { version });
--- a/crates/gateway/src/node/watch/mod.rs
+++ b/crates/gateway/src/node/watch/mod.rs
@@ -60,7 +60,7 @@
 }
 
 /// Follows a table's changes while that is wanted, until the watch fails. `take` gets the rows, and
-/// when they were asked for.
+/// when they were requested.
 async fn follow(node: &Node, watch: &Watch, from: u64, mut take: impl FnMut(&Rows, Millis)) {
     let mut version = from;
     while (watch.is_wanted)(node) {
--- a/crates/gateway/src/node/watch/servers.rs
+++ b/crates/gateway/src/node/watch/servers.rs
@@ -13,7 +13,7 @@
 use crate::runtime;
 
 /// How long a watch of the servers is held where nothing changes, as a part of the drain bound:
-/// its answer shows that the list was the newest when it was asked, so that the list's age swings
+/// its answer shows that the list was the newest at the call, so that the list's age swings
 /// between one hold and two.
 const SERVERS_HOLD_PART: f64 = 0.22;
 /// The pause after changes in which further ones gather, as a part of the drain bound: servers come
--- a/crates/gateway/src/port/dialect.rs
+++ b/crates/gateway/src/port/dialect.rs
@@ -78,6 +78,6 @@
     pub is_other_server: bool,
     /// Whether the body is encoded, and so not what the server made.
     pub is_encoded: bool,
-    /// Requests that wait at the server, where it tells.
+    /// Requests that wait at the server, where it reports them.
     pub waiting: Option<u32>,
 }
--- a/crates/gateway/src/port/table.rs
+++ b/crates/gateway/src/port/table.rs
@@ -103,7 +103,7 @@
 pub enum TableError {
     /// A condition did not hold; the rows as they are.
     Conflict(Rows),
-    /// The changes asked for are no longer kept; read anew.
+    /// The requested changes are no longer kept; read anew.
     HistoryGone,
     /// The service refused; nothing was done.
     Refused(u16),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,4 +1,4 @@
-//! What a node is told: a YAML document, checked whole before anything starts.
+//! The settings of a node: a YAML document, checked whole before anything starts.
 
 use std::collections::BTreeMap;
 use std::fs;
--- a/crates/keeljunction/src/node/gossip.rs
+++ b/crates/keeljunction/src/node/gossip.rs
@@ -62,7 +62,7 @@
     news_of(node, &members)
 }
 
-/// Writes the news for a node that probes. One that is not thought alive is told so, each time,
+/// Writes the news for a node that probes. One that is not thought alive is notified of it, each time,
 /// since it can refute only what it hears: news sent while it slept were lost.
 pub fn news_for(node: &Node, from: &str) -> wire::News {
     let mut news = news(node);
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! It reads prompts one after another at a rate, the most urgent first, then gives a token of
 //! each stream every few milliseconds. The answer follows from the prompt alone, so that a whole
-//! answer can be told from one with a seam. It caches prompt prefixes in limited memory, tells of
+//! answer differs visibly from one with a seam. It caches prompt prefixes in limited memory, reports
 //! that late and with gaps, and reports its load with a lag.
 
 mod attempt;
