refactor(quota): what a node admits by itself has a file and short functions of its own

Cause: decision.rs held an owner's decisions and those of the local share, one of them 50 lines long. Change: local_share.rs with the share as a struct, its computation and its use apart; no behaviour.

--- a/crates/core/src/serving/quota/decision.rs
+++ b/crates/core/src/serving/quota/decision.rs
@@ -17,18 +17,7 @@
 use super::limit::{Limit, Reach};
 use super::{LEAST_LEFT, Quotas, get_raised_part};
 use crate::Millis;
-use crate::bucket::Bucket;
 
-/// The part of the local share that is admitted, less what pays back what was admitted beyond the
-/// limit.
-const SHARE_ADMITTED: f64 = 1.0;
-/// How much less of the share is admitted for each burst that was admitted beyond the limit.
-const PAY_BACK_PART: f64 = 0.15;
-/// The least part of the local share that is admitted while paying back.
-const LEAST_SHARE_ADMITTED: f64 = 0.5;
-/// The part of the tolerated slack that nodes may admit in advance at the start of their local
-/// shares, over all nodes.
-const ADVANCE_PART: f64 = 0.3;
 /// The part of the tolerated excess that is not kept for what nodes admit before others know of it:
 /// the owner lets the bucket fall below zero by it, less what the limit is raised by already. On a
 /// quiet day of 78 nodes and 16 client accounts it lowers the refusals from 0.025 to 0.020 of all
@@ -168,7 +157,7 @@
     ///
     /// None while all nodes have just started: what they used before is not known then, and they
     /// begin with a part of the tolerance already.
-    fn get_headroom(&self, now: Millis, limit: Limit, reach: Reach) -> f64 {
+    pub(super) fn get_headroom(&self, now: Millis, limit: Limit, reach: Reach) -> f64 {
         if !self.is_window_known(now) {
             return 0.0;
         }
@@ -176,68 +165,6 @@
         self.tolerance.get_excess(limit) * part * reach.get_fraction()
     }
 
-    /// Takes note that the owner of a client account decides about its requests: nothing of the
-    /// local share is saved up meanwhile.
-    pub fn restart_local_share(&mut self, now: Millis, account: &str) {
-        if let Some(bucket) = self.local_share.get_mut(account) {
-            // What was admitted in advance is paid back as before.
-            bucket.stop_saving(now);
-        }
-    }
-
-    /// Consumes units of this node's local share, where no owner decided.
-    ///
-    /// # Errors
-    ///
-    /// Returns the milliseconds after which there is something left of the share.
-    pub fn consume_local_share(
-        &mut self,
-        now: Millis,
-        account: &str,
-        units: u64,
-        limit: Limit,
-        reach: Reach,
-    ) -> Result<(), Millis> {
-        let limit = self.tolerance.raise(limit, get_raised_part(reach));
-        let rate = limit.rate_per_second * reach.get_fraction();
-        let left = self.refill_whole(now, account, limit, reach);
-        if reach.all == 1 {
-            return Err(get_wait(LEAST_LEFT - left, rate));
-        }
-        let is_overdue = reach.is_grouped && self.is_any_overdue(now, reach);
-        let low = self.get_low(now, account, limit.get_capacity(), reach);
-        if !is_overdue && left >= units as f64 + low {
-            // A large request that the bucket holds, and whose owner was not reached.
-            self.admit(account, units);
-            return Ok(());
-        }
-        let beyond = (-left / limit.get_capacity()).max(0.0);
-        let admitted = (SHARE_ADMITTED - PAY_BACK_PART * beyond).max(LEAST_SHARE_ADMITTED);
-        let share_rate = admitted * rate * self.get_share(now, account, reach);
-        // The first request pays in advance: of many nodes, each would admit one too many
-        // otherwise.
-        let advance = self.tolerance.slack * ADVANCE_PART / reach.all as f64;
-        let headroom = self.get_headroom(now, limit, reach);
-        let debt = (units as f64 - advance).max(0.0);
-        let bucket = self.local_share.entry(account.to_owned());
-        let bucket = bucket.or_insert(Bucket::new(now, -debt));
-        bucket.set(now, share_rate, share_rate.max(LEAST_LEFT));
-        if bucket.available < LEAST_LEFT {
-            return Err(get_wait(LEAST_LEFT - bucket.available, share_rate));
-        }
-        // Each of many nodes would admit one large request in advance otherwise, and pay it back long
-        // after the window: 42 nodes of an account of 36,000 units a second admitted 530,800 units in
-        // eight seconds, of 496,400 tolerated.
-        let is_saved_up = units as f64 <= bucket.available + advance;
-        let lacking = units as f64 - left - headroom;
-        if !is_saved_up && lacking > 0.0 {
-            return Err(get_wait(lacking, rate));
-        }
-        bucket.available -= units as f64;
-        self.admit(account, units);
-        Ok(())
-    }
-
     /// Books units for a caller that is refused, behind those that were refused before it; returns
     /// when they are there.
     fn book(&mut self, now: Millis, account: &str, lacking: f64, units: u64, rate: f64) -> Millis {
@@ -250,6 +177,7 @@
     }
 }
 
-fn get_wait(lacking: f64, rate: f64) -> Millis {
+/// Returns the milliseconds in which units that lack are gained.
+pub(super) fn get_wait(lacking: f64, rate: f64) -> Millis {
     (lacking / rate * 1_000.0).ceil() as Millis
 }
--- a/crates/core/src/serving/quota/mod.rs
+++ b/crates/core/src/serving/quota/mod.rs
@@ -21,6 +21,7 @@
 
 mod decision;
 mod limit;
+mod local_share;
 mod report;
 
 use std::collections::BTreeMap;
@@ -445,33 +446,6 @@
         let started = self.peers.values().map(|peer| peer.started_at).min();
         now >= started.unwrap_or(Millis::MAX).min(self.started_at).saturating_add(length)
     }
-
-    /// Returns this node's share of what the client account requests of all nodes that are heard.
-    ///
-    /// While this node is new its peers may be too, and may not have reported yet what is requested
-    /// of them: an even share is no node's loss then.
-    fn get_share(&self, now: Millis, account: &str, reach: Reach) -> f64 {
-        let own = self.get_own_requested(now, account);
-        let is_new = now < self.started_at + NEW_FOR;
-        if own <= 0.0 || is_new {
-            return 1.0 / reach.heard.max(1) as f64;
-        }
-        own / (own + self.get_others_requested(now, account))
-    }
-
-    /// Returns what the client account requests of this node, in units a millisecond, as of the time of
-    /// what is known of the others.
-    ///
-    /// An aggregator's report is some hundred milliseconds old, and older once the aggregator falls silent.
-    /// Where an account begins to send much, the newest figure of this node beside an old one of the
-    /// others is a share many times too large: 7 nodes of 42 took 0.13 to 0.57 of the rate each.
-    fn get_own_requested(&self, now: Millis, account: &str) -> f64 {
-        let has_aggregator = self.peers.keys().any(|(source, _, _)| *source == Source::Aggregator);
-        match has_aggregator {
-            true => self.own_at_aggregator.get(account).copied().unwrap_or(0.0),
-            false => self.own_rates.get_requested(now, account, Source::Peer),
-        }
-    }
 }
 
 fn get_raised_part(reach: Reach) -> f64 {
