--- a/crates/core/src/serving/quota/local_share.rs
+++ b/crates/core/src/serving/quota/local_share.rs
@@ -26,8 +26,9 @@
     rate: f64,
     /// Units that the node may admit in advance.
     advance: f64,
-    /// Units that are left of the whole account, with those by which its bucket may fall below zero.
-    bearable: f64,
+    /// The largest request that the whole account bears: the units that are left of its bucket, and those by
+    /// which it may fall below zero.
+    room: f64,
     /// Units a second of the whole account that stand for the nodes that are heard.
     whole_rate: f64,
 }
@@ -89,7 +90,7 @@
         Share {
             rate: admitted * whole_rate * self.get_share(now, account, reach),
             advance: self.tolerance.slack * ADVANCE_PART / reach.all as f64,
-            bearable: left + self.get_headroom(now, limit, reach),
+            room: left + self.get_headroom(now, limit, reach),
             whole_rate,
         }
     }
@@ -116,8 +117,8 @@
         // after the window: 42 nodes of an account of 36,000 units a second admitted 530,800 units in
         // eight seconds, of 496,400 tolerated.
         let is_saved_up = units <= bucket.available + share.advance;
-        if !is_saved_up && units > share.bearable {
-            return Err(get_wait(units - share.bearable, share.whole_rate));
+        if !is_saved_up && units > share.room {
+            return Err(get_wait(units - share.room, share.whole_rate));
         }
         bucket.available -= units;
         Ok(())
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -1,4 +1,5 @@
-//! HTTP by `hyper` on the project's executor: bodies, a client with kept connections, a server.
+//! HTTP by `hyper` on the project's executor: bodies, a client with kept connections, a server, and the
+//! sockets under both.
 
 mod body;
 mod client;
