fix(members): regions of which only one hears the other count each other as out of reach

Ruled out: the owner's decisions themselves, each is right by what its region hears.

Change: a summary that crosses names the regions from which nothing arrives at its sender. One that names the recipient's own region is not taken over, so that both count each other as out of reach. What arrives is noted apart from what is taken over: else neither would ever say again that it hears the other.

--- a/crates/core/src/serving/members/mod.rs
+++ b/crates/core/src/serving/members/mod.rs
@@ -10,7 +10,9 @@
 //! other region an aggregator sends its summary to one of two carriers by turns, which are two of the
 //! aggregators there, and these pass it on in their region as it came. A region of which nobody is
 //! heard is out of reach: its nodes aggregate and own nothing meanwhile, and count as serving for as
-//! long as that lasts.
+//! long as that lasts. Where only one way between two regions is cut, the region whose summaries still
+//! arrive says so in them, and they are not taken over: either both regions hear each other or neither
+//! does, and never do both admit what the other one's nodes use.
 //!
 //! Nothing that has to hold depends on the list being right. A node that hears few others takes
 //! part of the limits only (see [`super::quota`]).
@@ -147,6 +149,8 @@
     /// The run of its process and the time there of its newest summary, where it stands in another
     /// region.
     newest: Option<(u32, Millis)>,
+    /// When its newest summary crossed from another region, whether it was taken over or not.
+    crossed_at: Option<Millis>,
 }
 
 impl Members {
@@ -314,6 +318,7 @@
             group: Vec::new(),
             group_age: 0,
             newest: None,
+            crossed_at: None,
         }
     }
 }
--- a/crates/core/src/serving/members/regions.rs
+++ b/crates/core/src/serving/members/regions.rs
@@ -89,10 +89,26 @@
         let is_known = member.newest.is_some_and(|(known, at)| known == run && sent_at <= at);
         if !is_known {
             member.newest = Some((run, sent_at));
+            member.crossed_at = Some(now);
         }
         !is_known
     }
 
+    /// Lists the regions from which no summary arrives, also none that is not taken over.
+    ///
+    /// Summaries that cross name these, so that a region learns that only its own way is cut.
+    pub fn list_unheard_regions(&self, now: Millis) -> Vec<String> {
+        let Some(since) = self.aggregating_since else { return self.list_lost_regions() };
+        let within = self.get_heard_within();
+        let is_arriving = |member: &Member| member.crossed_at.is_some_and(|at| now < at + within);
+        self.find_silent_regions(now, since, is_arriving).into_iter().collect()
+    }
+
+    /// Returns `true` if a node that does not hear these regions hears the one of this node.
+    pub fn is_own_region_heard(&self, unheard_regions: &[String]) -> bool {
+        !unheard_regions.iter().any(|region| region == self.topology.get_own())
+    }
+
     /// Returns `true` if some region is overdue: nothing came from it for some periods, and not all
     /// nodes count it as out of reach yet.
     pub fn is_region_overdue(&self, now: Millis) -> bool {
@@ -140,7 +156,8 @@
             return;
         }
         let Some(since) = self.aggregating_since else { return };
-        self.lost_regions = self.find_lost_regions(now, since);
+        self.lost_regions =
+            self.find_silent_regions(now, since, |member| self.is_heard(now, member));
         for member in self.known.values_mut() {
             if self.topology.is_in_any(&self.lost_regions, &member.entry.data_centre) {
                 member.known_at = now;
@@ -149,19 +166,24 @@
         }
     }
 
-    /// Finds the regions of which nobody is heard. A node that began to aggregate at `since` finds no
-    /// further ones until it has had the time to hear them.
-    fn find_lost_regions(&self, now: Millis, since: Millis) -> BTreeSet<String> {
+    /// Finds the regions of which `is_heard` holds for no node. A node that began to aggregate at
+    /// `since` finds no further ones until it has had the time to hear them.
+    fn find_silent_regions(
+        &self,
+        now: Millis,
+        since: Millis,
+        is_heard: impl Fn(&Member) -> bool,
+    ) -> BTreeSet<String> {
         let far = self.known.values().filter_map(|member| {
             let region = self.get_far_region(&member.entry)?;
-            Some((region, self.is_heard(now, member)))
+            Some((region, is_heard(member)))
         });
-        let mut is_heard: BTreeMap<&str, bool> = BTreeMap::new();
+        let mut is_any_heard: BTreeMap<&str, bool> = BTreeMap::new();
         for (region, heard) in far {
-            *is_heard.entry(region).or_default() |= heard;
+            *is_any_heard.entry(region).or_default() |= heard;
         }
         let has_listened = now >= since + self.get_heard_within();
-        let silent = is_heard.into_iter().filter(|(_, is_heard)| !is_heard);
+        let silent = is_any_heard.into_iter().filter(|(_, is_heard)| !is_heard);
         let lost = silent.filter(|(region, _)| has_listened || self.lost_regions.contains(*region));
         lost.map(|(region, _)| region.to_owned()).collect()
     }
--- a/crates/core/tests/serving/regions.rs
+++ b/crates/core/tests/serving/regions.rs
@@ -109,6 +109,7 @@
     counts: Counts,
     group: Vec<u64>,
     group_age: u64,
+    unheard_regions: Vec<String>,
 }
 
 /// A datagram on its way.
@@ -253,14 +254,16 @@
             Datagram::Summary(summary) => {
                 let is_near = self.members.get_topology().is_near(&summary.entry.data_centre);
                 let is_new = is_near || self.note(now, &summary);
-                if is_new {
+                if is_near {
                     self.take_summary(now, summary.clone());
+                } else if is_new {
+                    self.take_over(now, summary.clone());
                 }
                 return (is_new && !is_near).then_some(summary);
             }
             Datagram::Carried(summary) => {
                 if self.note(now, &summary) {
-                    self.take_summary(now, summary);
+                    self.take_over(now, summary);
                 }
             }
             Datagram::Overview(told) => self.take_told(now, *told),
@@ -268,6 +271,12 @@
         None
     }
 
+    fn take_over(&mut self, now: u64, summary: Summary) {
+        if self.members.is_own_region_heard(&summary.unheard_regions) {
+            self.take_summary(now, summary);
+        }
+    }
+
     fn note(&mut self, now: u64, summary: &Summary) -> bool {
         self.members.note_crossed(now, &summary.entry, summary.run, summary.sent_at)
     }
@@ -313,8 +322,18 @@
         let counts = usage.first().map(|(_, counts)| counts.clone()).unwrap_or_default();
         let (group, group_age) = self.members.get_group(now);
         let (run, sent_at) = (self.run, now);
-        let summary =
-            Summary { entry, incarnation, run, sent_at, report, counts, group, group_age };
+        let unheard_regions = self.members.list_unheard_regions(now);
+        let summary = Summary {
+            entry,
+            incarnation,
+            run,
+            sent_at,
+            report,
+            counts,
+            group,
+            group_age,
+            unheard_regions,
+        };
         let mut sent: Vec<(SocketAddr, Datagram)> = Vec::new();
         for to in self.pick_carriers(now).into_iter().chain(self.members.list_exchange(now)) {
             sent.push((to, Datagram::Summary(summary.clone())));
@@ -684,7 +703,8 @@
 /// What happens: one way between the regions is cut for 9.4 s. Region 0 hears region 1 and admits the whole
 /// rate; region 1 does not hear region 0 and admits its half. A print of all decisions showed the owner of
 /// region 0 with `heard` 48 of 48, that of region 1 with 24 of 48 and `alone`, both admitting prompts of
-/// 30,000 units between 13 s and 16 s.
+/// 30,000 units between 13 s and 16 s. Since then a summary names the regions that its sender does not
+/// hear: region 0 learns that its own way is cut, and takes its half too.
 #[test]
 fn a_small_account_stays_within_its_limit_while_one_way_between_regions_is_cut() {
     let scenario = Scenario {
--- a/crates/gateway/src/node/peers/carry.rs
+++ b/crates/gateway/src/node/peers/carry.rs
@@ -126,7 +126,7 @@
         if node.with(|state| state.members.is_crossing()) {
             runtime::spawn(pass_on(node.clone(), sent, summary.clone()));
         }
-        report::take_summary(node, asked_at, summary);
+        take_over(node, asked_at, summary);
     }
     versions::confirm(node, asked_at, &reported);
 }
@@ -136,7 +136,15 @@
 /// When the carrier last heard of this node says nothing of the one who sent the summary.
 pub(super) fn take_carried(node: &Arc<Node>, sent: (u32, Millis), summary: Summary) {
     if note_crossed(node, sent, &summary) {
-        report::take_summary(node, None, summary);
+        take_over(node, None, summary);
+    }
+}
+
+/// Takes over a summary of another region, unless its sender does not hear this one: that counts as
+/// out of reach for both then.
+fn take_over(node: &Arc<Node>, asked_at: Option<Millis>, summary: Summary) {
+    if node.with(|state| state.members.is_own_region_heard(&summary.unheard_regions)) {
+        report::take_summary(node, asked_at, summary);
     }
 }
 
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The format of the datagrams; others are ignored.
-const FORMAT: u8 = 10;
+const FORMAT: u8 = 11;
 
 /// What every datagram begins with.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -153,6 +153,8 @@
     pub group: Vec<u64>,
     /// Milliseconds since the one of them was heard that has been silent for longest.
     pub group_age: Millis,
+    /// Regions from which nothing arrives at it.
+    pub unheard_regions: Vec<String>,
     /// Nodes that are new to it.
     pub joined: Vec<Entry>,
     /// Some of the requests that it knows to crash servers, or not to.
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -204,6 +204,7 @@
             loads: if is_grouped { Vec::new() } else { state.loads.get_own() },
             group,
             group_age,
+            unheard_regions: state.members.list_unheard_regions(now),
             joined,
             verdicts: overview.verdicts.clone(),
             versions,
@@ -268,8 +269,7 @@
 /// directly.
 pub(super) fn take_summary(node: &Arc<Node>, asked_at: Option<Millis>, summary: Summary) {
     let now = node.now();
-    let Summary { sender, totals, loads, group, group_age, joined, verdicts, versions: _ } =
-        summary;
+    let Summary { sender, totals, loads, group, group_age, joined, verdicts, .. } = summary;
     if sender.entry.name == node.incarnation.node {
         return;
     }
