perf(directory): nodes get the changes of the list of servers since a version

A batch of more than some hundred entries did not fit a datagram at all, so that each wave of servers meant whole lists for all nodes. A node whose list was old read it whole from the store, in 20 calls at this size. Each node logged each server. Ruled out: requests (there were none yet).

Change: an entry keeps the version at which it changed, removals are remembered, and a peer that knows a version gets what changed since; batches are split into parts of 64 entries; a node with a list reads only changes from the store; many changes at once are one log line. Servers lie by service, so that a service with few servers is listed without the others.

--- a/crates/core/benches/serving.rs
+++ b/crates/core/benches/serving.rs
@@ -6,11 +6,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use criterion::{Criterion, criterion_group, criterion_main};
+use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
 use keeljunction_core::serving::choice::{Candidate, Criteria, choose, shortlist};
-use keeljunction_core::serving::directory::Server;
+use keeljunction_core::serving::directory::{Batch, Directory, Entry, Server};
 use keeljunction_core::serving::load::{Load, LoadBook, Work, short_id};
-use keeljunction_core::serving::members::{Entry, Members};
+use keeljunction_core::serving::members::{self, Members};
 use keeljunction_core::serving::quarantine::{
     Book, Content, Crash, Fingerprint, Run, Standing, Verdict,
 };
@@ -19,7 +19,12 @@
 use keeljunction_core::serving::topology::Topology;
 
 /// Nodes, and servers before which they stand.
-const SIZES: [(usize, usize); 4] = [(7, 18), (83, 112), (300, 200), (1_000, 600)];
+const SIZES: [(usize, usize); 6] =
+    [(7, 18), (83, 112), (300, 200), (1_000, 600), (1_000, 10_000), (2_000, 20_000)];
+/// The numbers of nodes alone.
+const NODES: [usize; 5] = [7, 83, 300, 1_000, 2_000];
+/// Servers of a list that changes.
+const LISTS: [usize; 3] = [200, 10_000, 20_000];
 /// Servers at which a node has requests in flight.
 const BUSY: usize = 7;
 
@@ -40,8 +45,8 @@
     (0..count).map(server).collect()
 }
 
-fn entries(count: usize) -> Vec<Entry> {
-    let entry = |number: usize| Entry {
+fn entries(count: usize) -> Vec<members::Entry> {
+    let entry = |number: usize| members::Entry {
         name: format!("front-hall-{}-{number}", number % 6),
         address: SocketAddr::from(([10, 0, 0, 1], number as u16)),
         data_centre: format!("z{}", number % 6),
@@ -88,7 +93,7 @@
             bencher.iter(|| {
                 random += 1;
                 let listed = match is_grouped {
-                    true => shortlist(servers.iter(), &criteria, random, false),
+                    true => shortlist(servers.iter(), &criteria, random, false, |_| true),
                     false => servers.iter().collect(),
                 };
                 let candidates: Vec<Candidate<'_>> = listed.into_iter().map(weigh).collect();
@@ -136,7 +141,7 @@
             bencher.iter(|| {
                 random += 1;
                 let near = servers.iter().filter(|server| topology.is_near(&server.data_centre));
-                let listed = shortlist(near, &criteria, random, false);
+                let listed = shortlist(near, &criteria, random, false, |_| true);
                 let candidates: Vec<Candidate<'_>> = listed.into_iter().map(weigh).collect();
                 let choice = choose(&candidates, &criteria, random);
                 black_box(Offer::of(&choice, &candidates));
@@ -153,8 +158,54 @@
     }
 }
 
+/// A list of servers of which few have changed.
+fn directory(criterion: &mut Criterion) {
+    for count in LISTS {
+        let mut directory = Directory::default();
+        directory.replace(1, servers(count));
+        let name = format!("the whole list again, {count} servers");
+        criterion.bench_function(&name, |bencher| {
+            bencher.iter_batched(
+                || servers(count),
+                |servers| black_box(directory.replace(1, servers)),
+                BatchSize::LargeInput,
+            );
+        });
+        let mut version = 1;
+        criterion.bench_function(&format!("one change, {count} servers"), |bencher| {
+            bencher.iter(|| {
+                version += 1;
+                let id = format!("i-{:010x}", version % 7);
+                let entry = Entry { id, version, server: None };
+                directory.update(Batch { after: version - 1, version, entries: vec![entry] });
+                black_box(directory.get_update(Some(version - 1)));
+            });
+        });
+    }
+}
+
+/// Ranks among nodes that join one after the other.
+fn joining(criterion: &mut Criterion) {
+    for nodes in [83, 1_000, 2_000] {
+        let mut members = members(nodes);
+        let newcomers = entries(nodes + 1_000);
+        let mut number = nodes;
+        criterion.bench_function(&format!("a node that joins {nodes} others"), |bencher| {
+            bencher.iter(|| {
+                number = if number + 1 < newcomers.len() { number + 1 } else { nodes };
+                let newcomer = members::Entry {
+                    link_mbps: 20 + (number % 2) as u32,
+                    ..newcomers[nodes].clone()
+                };
+                members.take_entries(0, &[newcomer]);
+                members.refresh(black_box(0));
+            });
+        });
+    }
+}
+
 fn reports(criterion: &mut Criterion) {
-    for (nodes, _) in SIZES {
+    for nodes in NODES {
         let mut members = members(nodes);
         let mut now = 0;
         criterion.bench_function(&format!("refresh of the members, {nodes} nodes"), |bencher| {
@@ -186,7 +237,7 @@
 
 fn quota(criterion: &mut Criterion) {
     let limit = Limit { rate_per_second: 1e9, burst: 1e9 };
-    for (nodes, _) in SIZES {
+    for nodes in NODES {
         let is_grouped = members(nodes).is_grouped();
         // In groups a node hears its aggregator only, and an aggregator the others and its group.
         let heard = if is_grouped { (nodes as f64).sqrt().ceil() as usize * 2 } else { nodes };
@@ -257,6 +308,6 @@
 criterion_group! {
     name = serving;
     config = Criterion::default().sample_size(30).measurement_time(std::time::Duration::from_millis(600)).warm_up_time(std::time::Duration::from_millis(200));
-    targets = choice, regions, reports, quota, quarantine
+    targets = choice, regions, directory, joining, reports, quota, quarantine
 }
 criterion_main!(serving);
--- a/crates/core/tests/serving/directory.rs
+++ b/crates/core/tests/serving/directory.rs
@@ -1,4 +1,4 @@
-use keeljunction_core::serving::directory::{Batch, Change, Directory, Entry, Server};
+use keeljunction_core::serving::directory::{Batch, Change, Directory, Entry, Server, Update};
 
 use crate::support::server;
 
@@ -204,3 +204,97 @@
         assert_eq!(directory.get("a").map(|server| server.incarnation), Some(20));
     }
 }
+
+/// A list of so many servers, read whole at version 1.
+fn of_size(count: usize) -> Directory {
+    let mut directory = Directory::default();
+    directory.replace(1, (0..count).map(|number| server(&format!("s{number}"), "z1")).collect());
+    directory
+}
+
+#[test]
+fn what_a_peer_lacks_grows_with_the_changes_and_not_with_the_list() {
+    for count in [1_000, 10_000, 20_000] {
+        let mut directory = of_size(count);
+        for number in 0..30 {
+            directory.update(removed(2 + 2 * number, &format!("s{number}")));
+            let mut leaving = server(&format!("s{}", number + 100), "z1");
+            leaving.is_leaving = true;
+            directory.update(listed(3 + 2 * number, leaving));
+        }
+        let Update::Changes(all) = directory.get_update(Some(1)) else { panic!("the whole list") };
+        assert_eq!((all.after, all.version, all.entries.len()), (1, 61, 60));
+        let Update::Changes(last) = directory.get_update(Some(59)) else {
+            panic!("the whole list")
+        };
+        assert_eq!(last.entries.len(), 2);
+    }
+}
+
+#[test]
+fn a_node_without_a_list_or_with_one_from_before_what_is_remembered_gets_the_whole() {
+    let mut directory = Directory::default();
+    directory.replace(7, vec![server("a", "z1")]);
+    for after in [None, Some(6)] {
+        let Update::Whole { version, servers } = directory.get_update(after) else {
+            panic!("changes after {after:?}")
+        };
+        assert_eq!((version, servers.len()), (7, 1));
+    }
+}
+
+#[test]
+fn a_peer_that_takes_what_it_lacks_knows_the_same_servers() {
+    let mut random = fastrand::Rng::with_seed(7);
+    let mut known = of_size(400);
+    let mut peer = of_size(400);
+    for version in 2..600 {
+        let id = format!("s{}", random.usize(..500));
+        match random.bool() {
+            true => known.update(removed(version, &id)),
+            false => known.update(listed(version, server(&id, "z1"))),
+        };
+        if random.u8(..40) == 0 {
+            peer.take(known.get_update(Some(peer.get_version()))).expect("no gap");
+            assert!(known.iter().eq(peer.iter()), "at {version}");
+        }
+    }
+}
+
+#[test]
+fn a_peer_that_was_away_while_most_servers_were_replaced_knows_the_same_servers() {
+    let mut known = of_size(1_000);
+    let mut peer = of_size(1_000);
+    for number in 0..2_000 {
+        known.update(removed(2 + 2 * number, &format!("s{number}")));
+        known.update(listed(3 + 2 * number, server(&format!("s{}", number + 1_000), "z1")));
+    }
+    peer.take(known.get_update(Some(1))).expect("no gap");
+    assert!(known.iter().eq(peer.iter()));
+}
+
+#[test]
+fn a_long_batch_is_split_into_parts_that_follow_each_other() {
+    let entry = |version, number: usize| Entry { id: format!("s{number}"), version, server: None };
+    let mut entries: Vec<Entry> = (0..10_000).map(|n| entry(2 + n as u64 / 3, n)).collect();
+    entries.reverse();
+    let parts = Batch { after: 1, version: 5_000, entries }.split(64);
+    assert_eq!(parts.len(), 152);
+    assert!(parts.iter().all(|part| part.entries.len() <= 66));
+    assert_eq!((parts[0].after, parts[151].version), (1, 5_000));
+    assert!(parts.windows(2).all(|pair| pair[0].version == pair[1].after));
+    let mut directory = of_size(10_000);
+    for part in parts {
+        directory.update(part).expect("no gap");
+    }
+    assert_eq!((directory.count(), directory.get_version()), (0, 5_000));
+}
+
+#[test]
+fn a_service_with_few_servers_is_listed_without_the_others() {
+    let mut directory = of_size(10_000);
+    let other = Server { service: "api".to_owned(), ..server("x", "z1") };
+    directory.update(listed(2, other));
+    assert_eq!(directory.iter_ready("api").count(), 1);
+    assert_eq!(directory.iter_ready("llm").count(), 10_000);
+}
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -45,6 +45,8 @@
         state: &'a str,
         leaves_in_ms: Option<u64>,
     },
+    /// Many servers joined, began to leave, or are gone.
+    ServersChanged { joined: usize, leaving: usize, gone: usize },
     /// A server is passed over for what its answers showed.
     ServerEjected { server: &'a str, ejected_for_ms: u64 },
     /// The duty lease was taken, renewed after a gap, or lost.
--- a/crates/gateway/src/node/peers/calls.rs
+++ b/crates/gateway/src/node/peers/calls.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use keeljunction_core::serving::directory::Server;
 
 use crate::http::{Body, read};
 use crate::node::{Node, document, watch};
@@ -18,6 +17,8 @@
 
 const CONFIGURATION_PATH: &str = "/configuration";
 const SERVERS_PATH: &str = "/servers";
+/// The part of the query of [`SERVERS_PATH`] that gives the version from which changes are wanted.
+const AFTER: &str = "after=";
 const LONGEST_ANSWER: usize = 16 << 20;
 /// How long a call may take, as a part of the time in which a configuration must be in force: a
 /// long document takes a while over a narrow link, and a peer may be silent.
@@ -33,7 +34,7 @@
             let document = node.with(|state| state.configuration_document.clone());
             document.map(|document| document.get_packed())
         }
-        SERVERS_PATH => list_servers(&node),
+        SERVERS_PATH => get_update(&node, read_after(request.uri().query())),
         _ => None,
     };
     let Some(document) = document else {
@@ -44,12 +45,24 @@
     Response::new(Body::from(document))
 }
 
-fn list_servers(node: &Node) -> Option<Bytes> {
-    let list = node.with(|state| {
-        let servers: Vec<Server> = state.directory.iter().cloned().collect();
-        state.has_servers.then_some((state.directory.get_version(), servers))
-    });
-    postcard::to_stdvec(&list?).ok().map(Bytes::from)
+/// Reads from a query the version up to which a peer knows the list; `None` where it knows none.
+fn read_after(query: Option<&str>) -> Option<u64> {
+    query?.strip_prefix(AFTER)?.parse().ok()
+}
+
+/// Encodes what a peer lacks of the list of servers.
+fn get_update(node: &Node, after: Option<u64>) -> Option<Bytes> {
+    let encoded = node.with(|state| {
+        let is_known = state.directory.is_known();
+        is_known.then(|| postcard::to_stdvec(&state.directory.get_update(after)))
+    })?;
+    match encoded {
+        Ok(encoded) => Some(Bytes::from(encoded)),
+        Err(error) => {
+            log::error!("the list of servers cannot be encoded: {error}");
+            None
+        }
+    }
 }
 
 /// Gets a peer's configuration and adopts it where it is newer.
@@ -79,13 +92,19 @@
     }
 }
 
-/// Gets a peer's list of servers and takes it over where it is not older.
+/// Gets from a peer what this node lacks of the list of servers.
 pub(super) async fn get_servers(node: Arc<Node>, from: SocketAddr) {
     let Some(_call) = Call::begin(&node.fetching.servers) else { return };
-    let Some(document) = fetch(&node, from, SERVERS_PATH).await else { return };
-    let decoded: Result<(u64, Vec<Server>), _> = postcard::from_bytes(&document);
-    if let Ok((version, servers)) = decoded {
-        watch::replace_servers(&node, version, servers);
+    let after =
+        node.with(|state| state.directory.is_known().then(|| state.directory.get_version()));
+    let path = match after {
+        Some(version) => format!("{SERVERS_PATH}?{AFTER}{version}"),
+        None => SERVERS_PATH.to_owned(),
+    };
+    let Some(document) = fetch(&node, from, &path).await else { return };
+    match postcard::from_bytes(&document) {
+        Ok(update) => watch::take_update(&node, update),
+        Err(error) => log::warn!("the list of servers of {from} cannot be read: {error}"),
     }
 }
 
--- a/crates/gateway/src/node/peers/news.rs
+++ b/crates/gateway/src/node/peers/news.rs
@@ -101,10 +101,7 @@
     let news = News::ServersChanged(batch.clone());
     let (changes, is_new) = node.with(|state| {
         let before = state.directory.get_version();
-        let changes = match state.has_servers {
-            true => state.directory.update(batch),
-            false => None,
-        };
+        let changes = state.directory.update(batch);
         (changes, state.directory.get_version() > before)
     });
     match changes {
@@ -128,7 +125,7 @@
 /// Gets the list of servers where this node's is older than a version.
 async fn get_servers(node: Arc<Node>, from: SocketAddr, version: u64) {
     wait_for_readers(&node, from).await;
-    if node.with(|state| !state.has_servers || state.directory.get_version() < version) {
+    if node.with(|state| !state.directory.is_known() || state.directory.get_version() < version) {
         calls::get_servers(node, from).await;
     }
 }
--- a/crates/gateway/src/node/peers/versions.rs
+++ b/crates/gateway/src/node/peers/versions.rs
@@ -114,8 +114,8 @@
         }
     }
     if let Some((version, age)) = versions.servers {
-        let is_known =
-            node.with(|state| state.has_servers && state.directory.get_version() >= version);
+        let is_known = node
+            .with(|state| state.directory.is_known() && state.directory.get_version() >= version);
         let reported = Reported { version, age, asked_at };
         match is_known {
             true => confirm_servers(node, &reported),
@@ -160,7 +160,7 @@
     let Some(asked_at) = reported.asked_at else { return };
     node.with(|state| {
         // The list that was got may be newer than the one that was reported, and never older.
-        if state.has_servers && state.directory.get_version() >= reported.version {
+        if state.directory.is_known() && state.directory.get_version() >= reported.version {
             state.servers_freshness.confirm_by_peer(asked_at, reported.age);
         }
     });
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -142,8 +142,6 @@
     pub directory: Directory,
     /// When the list of servers was last known to be the newest.
     pub servers_freshness: Freshness,
-    /// Whether the list of servers has been read.
-    pub has_servers: bool,
     /// Entries of the list that cannot be read.
     pub skipped_entries: skipped::Entries,
     /// How busy the servers are.
@@ -240,7 +238,6 @@
             freshness: Freshness::default(),
             directory: Directory::default(),
             servers_freshness: Freshness::default(),
-            has_servers: false,
             skipped_entries: skipped::Entries::default(),
             loads: LoadBook::default(),
             health: Health::default(),
@@ -337,7 +334,7 @@
 
     /// Returns `true` if the node should get new connections.
     pub fn is_ready(&self) -> bool {
-        let knows = self.with(|state| state.configuration.is_some() && state.has_servers);
+        let knows = self.with(|state| state.configuration.is_some() && state.directory.is_known());
         knows && !self.is_stopping() && self.is_fresh() && !self.is_short_of_memory()
     }
 
--- a/crates/gateway/src/node/watch/mod.rs
+++ b/crates/gateway/src/node/watch/mod.rs
@@ -22,7 +22,7 @@
 pub(super) use configuration::adopt_configuration;
 pub use configuration::{configuration, freshness};
 pub use servers::{apply, servers};
-pub(super) use servers::{expire_lapsed, replace_servers};
+pub(super) use servers::{expire_lapsed, take_update};
 
 /// The time between two looks whether this node has to read.
 const LOOK: Duration = Duration::from_millis(100);
--- a/crates/gateway/src/node/watch/servers.rs
+++ b/crates/gateway/src/node/watch/servers.rs
@@ -1,15 +1,17 @@
 //! Keeps the list of servers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use keeljunction_core::serving::directory::{Batch, Change, Entry, Server};
+use keeljunction_core::Millis;
+use keeljunction_core::serving::directory::{Batch, Change, Entry, Server, Update};
 
-use super::{LOOK, Watch, follow, is_due, is_reader, note_failure, part_of, read};
+use super::{ANSWER_WITHIN, LOOK, Watch, follow, is_due, is_reader, note_failure, part_of, read};
 use crate::event::{self, Event};
 use crate::node::pause::Pause;
 use crate::node::peers::message::News;
 use crate::node::{Node, staleness};
-use crate::port::{Row, Rows, TableError, TableName};
+use crate::port::{Row, Rows, TableError, TableName, answer_within};
 use crate::runtime;
 
 /// How long a watch of the servers is held where nothing changes, as a part of the drain bound:
@@ -19,6 +21,10 @@
 /// The pause after changes in which further ones gather, as a part of the drain bound: servers come
 /// and go in waves, and each call costs.
 const GATHER_PART: f64 = 0.08;
+/// Entries that are sent in one datagram: some 80 bytes each.
+const MOST_IN_DATAGRAM: usize = 64;
+/// Changes that come at once and are logged one by one.
+const MOST_LOGGED: usize = 16;
 
 /// Follows the list of servers for ever, where this node reads for all or its own list is old.
 pub async fn servers(node: Arc<Node>) {
@@ -28,7 +34,7 @@
             runtime::sleep(LOOK).await;
             continue;
         }
-        match read_servers(&node).await {
+        match catch_up(&node).await {
             Ok(version) => {
                 pause.reset();
                 let bound = node.settings.bounds.drain_ms;
@@ -39,8 +45,7 @@
                     is_wanted: is_reader,
                 };
                 follow(&node, &watch, version, |rows, asked_at| {
-                    update_servers(&node, rows);
-                    node.with(|state| state.servers_freshness.confirm(asked_at));
+                    update_servers(&node, rows, asked_at);
                 })
                 .await;
             }
@@ -53,6 +58,27 @@
     }
 }
 
+/// Brings the list of servers up to date; returns its version.
+///
+/// A node that knows a list reads only what has changed since: the whole list takes a call for each
+/// few hundred servers.
+async fn catch_up(node: &Node) -> Result<u64, TableError> {
+    let known =
+        node.with(|state| state.directory.is_known().then(|| state.directory.get_version()));
+    let Some(after) = known else { return read_servers(node).await };
+    let asked_at = node.now();
+    let watching = (node.platform.table.watch)(TableName::Servers, after, Duration::ZERO);
+    match answer_within(ANSWER_WITHIN, watching).await {
+        Ok(rows) => {
+            note_servers_known(node);
+            update_servers(node, &rows, asked_at);
+            Ok(rows.version.max(after))
+        }
+        Err(TableError::HistoryGone) => read_servers(node).await,
+        Err(error) => Err(error),
+    }
+}
+
 /// Reads the list of servers whole; returns its version.
 async fn read_servers(node: &Node) -> Result<u64, TableError> {
     let asked_at = node.now();
@@ -65,21 +91,25 @@
 }
 
 /// Takes over a whole list of servers, where it is not older than the one known.
-pub(in crate::node) fn replace_servers(node: &Node, version: u64, servers: Vec<Server>) {
+fn replace_servers(node: &Node, version: u64, servers: Vec<Server>) {
     note_servers_known(node);
-    let changes = node.with(|state| {
-        state.has_servers = true;
-        state.directory.replace(version, servers)
-    });
+    let changes = node.with(|state| state.directory.replace(version, servers));
     apply(node, changes);
 }
 
+/// Takes over what a peer knows of the list of servers and this node lacked.
+pub(in crate::node) fn take_update(node: &Node, update: Update<'_>) {
+    note_servers_known(node);
+    let changes = node.with(|state| state.directory.take(update));
+    apply(node, changes.unwrap_or_default());
+}
+
 /// Notes that the list of servers is known again, where it had grown old.
 fn note_servers_known(node: &Node) {
     let now = node.now();
     if staleness::is_servers_old(node) {
         node.with(|state| {
-            if state.has_servers {
+            if state.directory.is_known() {
                 state.directory.note_return(now);
             }
         });
@@ -93,14 +123,17 @@
     apply(node, changes);
 }
 
-/// Takes over changed entries, and sends them to all peers.
-fn update_servers(node: &Node, rows: &Rows) {
+/// Takes over entries that changed since a call that began at `asked_at`, and sends them to all peers
+/// where this node reads for them.
+fn update_servers(node: &Node, rows: &Rows, asked_at: Millis) {
     let batch = make_batch(node, rows);
-    if !batch.entries.is_empty() {
-        node.push(News::ServersChanged(batch.clone()));
+    if !batch.entries.is_empty() && is_reader(node) {
+        let parts = batch.clone().split(MOST_IN_DATAGRAM);
+        parts.into_iter().for_each(|part| node.push(News::ServersChanged(part)));
     }
     let changes = node.with(|state| state.directory.update(batch));
     apply(node, changes.unwrap_or_default());
+    node.with(|state| state.servers_freshness.confirm(asked_at));
 }
 
 /// Makes the changes of this node's list that the rows hold.
@@ -140,20 +173,35 @@
 
 /// Acts on changes of the list of servers.
 pub fn apply(node: &Node, changes: Vec<Change>) {
+    let now = node.now();
+    for change in &changes {
+        match change {
+            Change::Gone(server) => {
+                node.servers.forget(server.address);
+                node.with(|known| known.forget_server(server));
+            }
+            Change::Joined(server) => node.with(|known| known.rollouts.note_joined(now, server)),
+            Change::Leaving(_) => {}
+        }
+    }
+    log_changes(&changes);
+}
+
+/// Logs each change; of many only how many there are of each kind, because all nodes log the same.
+fn log_changes(changes: &[Change]) {
+    if changes.len() > MOST_LOGGED {
+        return event::emit(&Event::ServersChanged {
+            joined: changes.iter().filter(|change| matches!(change, Change::Joined(_))).count(),
+            leaving: changes.iter().filter(|change| matches!(change, Change::Leaving(_))).count(),
+            gone: changes.iter().filter(|change| matches!(change, Change::Gone(_))).count(),
+        });
+    }
     for change in changes {
-        let (state, server) = match &change {
+        let (state, server) = match change {
             Change::Joined(server) => ("joined", server),
             Change::Leaving(server) => ("leaving", server),
             Change::Gone(server) => ("gone", server),
         };
-        if let Change::Gone(server) = &change {
-            node.servers.forget(server.address);
-            node.with(|known| known.forget_server(server));
-        }
-        if let Change::Joined(server) = &change {
-            let now = node.now();
-            node.with(|known| known.rollouts.note_joined(now, server));
-        }
         event::emit(&Event::ServerChanged {
             server: &server.id,
             service: &server.service,
