perf(members): a node that joins no longer sorts all nodes by name

Cause: each node ranks all others again in each period in which one joined.

Change: the place of a node in the order is computed once, and only the first of each data centre are sorted. The order is the same.

--- a/crates/core/src/serving/members/ranking.rs
+++ b/crates/core/src/serving/members/ranking.rs
@@ -40,20 +40,31 @@
     }
     let first = |members: Vec<&'a Entry>| {
         let count = members.len().div_ceil(size);
-        let ordered = order_by_link(AGGREGATORS_KEY, members);
-        ordered.into_iter().take(count)
+        first_by_link(AGGREGATORS_KEY, members, count)
     };
     data_centres.into_values().flat_map(first).collect()
 }
 
 /// Orders nodes by their links, the widest first, and in rendezvous order of a key beyond that.
 pub(super) fn order_by_link<'a>(key: &str, nodes: Vec<&'a Entry>) -> Vec<&'a Entry> {
-    let order = succession::order(key, nodes.iter().map(|node| node.name.as_str()));
-    let places: BTreeMap<&str, usize> =
-        order.into_iter().enumerate().map(|(place, name)| (name, place)).collect();
-    let mut ordered = nodes;
-    ordered.sort_by_key(|node| (Reverse(node.link_mbps), places.get(node.name.as_str()).copied()));
-    ordered
+    let count = nodes.len();
+    first_by_link(key, nodes, count)
+}
+
+/// Returns the first nodes of that order.
+///
+/// The order is computed again whenever a node joins, so that only the first are sorted, by keys that
+/// are computed once.
+fn first_by_link<'a>(key: &str, nodes: Vec<&'a Entry>, count: usize) -> Vec<&'a Entry> {
+    let weigh = succession::weigher(key);
+    let place = |node: &'a Entry| (Reverse((node.link_mbps, weigh(&node.name), &node.name)), node);
+    let mut placed: Vec<_> = nodes.into_iter().map(place).collect();
+    if count < placed.len() {
+        placed.select_nth_unstable_by(count, |one, other| one.0.cmp(&other.0));
+        placed.truncate(count);
+    }
+    placed.sort_unstable_by(|one, other| one.0.cmp(&other.0));
+    placed.into_iter().map(|(_, node)| node).collect()
 }
 
 /// Lists the names of the aggregators of each region.
