perf(choice): a choice looks at the servers that it draws and no others

Cause: a choice asked of each server of a service whether it is allowed, ejected, ramping and full, hashed each id some times, and picked from the shortlist by a walk over all servers.

Change: servers are drawn first and looked at then; the listed ones are looked up by id.

--- a/crates/core/src/serving/choice.rs
+++ b/crates/core/src/serving/choice.rs
@@ -151,33 +151,71 @@
 /// Servers drawn at random on a shortlist. Of two the less busy one is far better than one, and
 /// each further one adds less; a third makes up for one whose load does not become known in time.
 const SHORTLISTED_RANDOM: usize = 3;
+/// Servers in the order of a prefix that are looked at together.
+const LOOKED_AT_ONCE: usize = 8;
 /// How many times as many servers are drawn where none of a first shortlist can serve in time.
 const WIDER: usize = 4;
 
 /// Draws the few servers whose loads a node asks for, where it does not know those of all: the ones
 /// that a shared prefix prefers, and some at random.
+///
+/// `is_usable` is called for the servers that are drawn and no others: of thousands of servers, what it
+/// costs to look at all of them would be most of the choice.
 pub fn shortlist<'a>(
     servers: impl Iterator<Item = &'a Server>,
     criteria: &Criteria,
     random: u64,
     is_wide: bool,
+    is_usable: impl Fn(&Server) -> bool,
 ) -> Vec<&'a Server> {
     let mut rest: Vec<&Server> = servers.collect();
     let mut drawn = Vec::new();
     if let Some(part) = criteria.shared_prefix {
-        draw(&mut rest, &mut drawn, part, SHORTLISTED_PREFERRED);
+        drawn = draw_preferred(&mut rest, part, &is_usable);
     }
     let count = SHORTLISTED_RANDOM * if is_wide { WIDER } else { 1 };
-    draw(&mut rest, &mut drawn, random, count);
+    drawn.extend(draw_random(&mut rest, random, count, &is_usable));
+    drawn
+}
+
+/// Takes the first usable servers in the order of a prefix from a list.
+fn draw_preferred<'a>(
+    rest: &mut Vec<&'a Server>,
+    part: u64,
+    is_usable: impl Fn(&Server) -> bool,
+) -> Vec<&'a Server> {
+    let mut weighed: Vec<(u64, &Server)> =
+        rest.iter().map(|server| (weight(part, &server.id), *server)).collect();
+    let mut drawn: Vec<&Server> = Vec::new();
+    while drawn.len() < SHORTLISTED_PREFERRED && !weighed.is_empty() {
+        // The heaviest few are moved to the end, and looked at from there.
+        let lighter = weighed.len().saturating_sub(LOOKED_AT_ONCE);
+        weighed.select_nth_unstable_by_key(lighter, |(weight, _)| *weight);
+        let mut heaviest = weighed.split_off(lighter);
+        heaviest.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        let usable = heaviest.into_iter().map(|(_, server)| server).filter(|s| is_usable(s));
+        drawn.extend(usable.take(SHORTLISTED_PREFERRED - drawn.len()));
+    }
+    rest.retain(|server| !drawn.iter().any(|drawn| std::ptr::eq(*drawn, *server)));
     drawn
 }
 
-/// Moves the first servers in the order of a key from one list to another.
-fn draw<'a>(rest: &mut Vec<&'a Server>, drawn: &mut Vec<&'a Server>, key: u64, count: usize) {
-    if rest.len() > count {
-        rest.select_nth_unstable_by_key(count, |server| std::cmp::Reverse(weight(key, &server.id)));
+/// Takes some usable servers from a list at random.
+fn draw_random<'a>(
+    rest: &mut Vec<&'a Server>,
+    random: u64,
+    count: usize,
+    is_usable: impl Fn(&Server) -> bool,
+) -> Vec<&'a Server> {
+    let mut random = fastrand::Rng::with_seed(random);
+    let mut drawn = Vec::new();
+    while drawn.len() < count && !rest.is_empty() {
+        let server = rest.swap_remove(random.usize(..rest.len()));
+        if is_usable(server) {
+            drawn.push(server);
+        }
     }
-    drawn.extend(rest.drain(..count.min(rest.len())));
+    drawn
 }
 
 /// Finds the first server in the order of a prefix that is not much busier than the mean.
--- a/crates/core/tests/serving/choice.rs
+++ b/crates/core/tests/serving/choice.rs
@@ -195,7 +195,7 @@
     for part in 0..20 {
         let criteria =
             Criteria { shared_prefix: Some(part), prompt_tokens: 100, ..Criteria::default() };
-        let drawn = shortlist(servers.iter(), &criteria, part * 7 + 1, false);
+        let drawn = shortlist(servers.iter(), &criteria, part * 7 + 1, false, |_| true);
         let mut ids: Vec<&str> = drawn.iter().map(|server| server.id.as_str()).collect();
         assert!(ids.contains(&chosen(&all, &criteria).as_str()));
         ids.sort_unstable();
@@ -208,7 +208,7 @@
 fn a_shortlist_without_a_prefix_is_drawn_anew_each_time() {
     let servers = names(200);
     let drawn = |random| -> Vec<&str> {
-        let drawn = shortlist(servers.iter(), &Criteria::default(), random, false);
+        let drawn = shortlist(servers.iter(), &Criteria::default(), random, false, |_| true);
         drawn.into_iter().map(|server| server.id.as_str()).collect()
     };
     assert_eq!(drawn(1).len(), 3);
@@ -220,7 +220,51 @@
 fn a_shortlist_of_few_servers_holds_them_all_and_a_wide_one_more() {
     let few = names(3);
     let criteria = Criteria { shared_prefix: Some(1), ..Criteria::default() };
-    assert_eq!(shortlist(few.iter(), &criteria, 1, false).len(), 3);
-    assert_eq!(shortlist(few[..0].iter(), &criteria, 1, false).len(), 0);
-    assert_eq!(shortlist(names(200).iter(), &criteria, 1, true).len(), 14);
+    assert_eq!(shortlist(few.iter(), &criteria, 1, false, |_| true).len(), 3);
+    assert_eq!(shortlist(few[..0].iter(), &criteria, 1, false, |_| true).len(), 0);
+    assert_eq!(shortlist(names(200).iter(), &criteria, 1, true, |_| true).len(), 14);
+}
+
+#[test]
+fn a_choice_looks_at_few_of_many_servers() {
+    let criteria = Criteria { shared_prefix: Some(7), ..Criteria::default() };
+    for count in [1_000, 10_000, 20_000] {
+        let servers = names(count);
+        let looked_at = std::cell::Cell::new(0);
+        let is_usable = |server: &Server| {
+            looked_at.set(looked_at.get() + 1);
+            !server.id.ends_with('0')
+        };
+        for random in 0..100 {
+            let drawn = shortlist(servers.iter(), &criteria, random, false, is_usable);
+            assert_eq!(drawn.len(), 5);
+        }
+        assert!(looked_at.get() <= 100 * 20, "{} of {count}", looked_at.get());
+    }
+}
+
+#[test]
+fn the_servers_that_a_prefix_prefers_are_those_of_all_usable_ones() {
+    let criteria = Criteria { shared_prefix: Some(7), ..Criteria::default() };
+    let servers = names(10_000);
+    let first = shortlist(servers.iter(), &criteria, 1, false, |_| true);
+    let others = shortlist(servers.iter(), &criteria, 2, false, |_| true);
+    assert_eq!(first[..2], others[..2]);
+    // Where the first are not usable, the next ones are drawn, as if those were not there.
+    let without = servers.iter().filter(|server| !first[..2].contains(server));
+    let next = shortlist(without, &criteria, 1, false, |_| true);
+    let is_usable = |server: &Server| !first[..2].contains(&server);
+    let drawn = shortlist(servers.iter(), &criteria, 1, false, is_usable);
+    assert_eq!(drawn[..2], next[..2]);
+}
+
+#[test]
+fn a_single_usable_server_of_many_is_found() {
+    let criteria = Criteria { shared_prefix: Some(7), ..Criteria::default() };
+    let servers = names(10_000);
+    for shared_prefix in [None, Some(7)] {
+        let criteria = Criteria { shared_prefix, ..criteria };
+        let drawn = shortlist(servers.iter(), &criteria, 1, false, |s| s.id == servers[4_321].id);
+        assert_eq!(drawn, [&servers[4_321]]);
+    }
 }
--- a/crates/gateway/src/exchange/pick/region.rs
+++ b/crates/gateway/src/exchange/pick/region.rs
@@ -134,9 +134,7 @@
                 return Found::NOTHING;
             }
         }
-        found = pick_among(node, exchange, &place.criteria, ramp_draw, |_, server| {
-            listed.contains(&server.id)
-        });
+        found = pick_listed(node, exchange, &place.criteria, ramp_draw, &listed);
         if place.far.is_some() || !is_worth_more(node, found.offer) {
             break;
         }
@@ -164,21 +162,21 @@
 ) -> Vec<String> {
     let now = node.now();
     node.with(|state| {
-        let untried = || {
-            let ready = state.directory.iter_ready(&exchange.service);
-            ready.filter(|server| is_allowed(state, server))
+        let ready = || state.directory.iter_ready(&exchange.service);
+        let is_untried = |server: &Server| is_allowed(state, server);
+        let is_sound = |server: &Server| {
+            is_untried(server) && !is_avoided(state, exchange, ramp_draw, now, server)
         };
-        let sound = untried().filter(|server| !is_avoided(state, exchange, ramp_draw, now, server));
         let draw = fastrand::u64(..);
-        let mut listed = shortlist(sound, &exchange.criteria, draw, is_wide);
+        let mut listed = shortlist(ready(), &exchange.criteria, draw, is_wide, is_sound);
         if listed.is_empty() {
-            listed = shortlist(untried(), &exchange.criteria, draw, is_wide);
+            listed = shortlist(ready(), &exchange.criteria, draw, is_wide, is_untried);
         }
         listed.into_iter().map(|server| server.id.clone()).collect()
     })
 }
 
-/// Picks one of some servers by what this node knows of their loads.
+/// Picks one of all servers that are candidates, by what this node knows of their loads.
 fn pick_among(
     node: &Node,
     exchange: &Exchange,
@@ -186,27 +184,52 @@
     ramp_draw: f64,
     is_candidate: impl Fn(&State, &Server) -> bool,
 ) -> Found {
-    let now = node.now();
     node.with(|state| {
-        let throughput = state.throughputs.get(&exchange.service);
         let ready = state.directory.iter_ready(&exchange.service);
-        let candidates: Vec<Candidate<'_>> = ready
-            .filter(|server| is_candidate(state, server))
-            .map(|server| Candidate {
-                is_ejected: is_avoided(state, exchange, ramp_draw, now, server),
-                ..weigh(state, throughput, now, server)
-            })
-            .collect();
-        let choice = choose(&candidates, criteria, fastrand::u64(..));
-        let offer = Offer::of(&choice, &candidates);
-        let server = match choice {
-            Choice::Server(server) => Some(server.clone()),
-            Choice::Busy(_) | Choice::None => None,
-        };
-        Found { offer, server }
+        let servers = ready.filter(|server| is_candidate(state, server));
+        pick_one(node, state, exchange, criteria, ramp_draw, servers)
+    })
+}
+
+/// Picks one of the listed servers that still take work.
+fn pick_listed(
+    node: &Node,
+    exchange: &Exchange,
+    criteria: &Criteria,
+    ramp_draw: f64,
+    listed: &[String],
+) -> Found {
+    node.with(|state| {
+        let servers = listed.iter().filter_map(|id| state.directory.get_ready(id));
+        pick_one(node, state, exchange, criteria, ramp_draw, servers)
     })
 }
 
+fn pick_one<'a>(
+    node: &Node,
+    state: &State,
+    exchange: &Exchange,
+    criteria: &Criteria,
+    ramp_draw: f64,
+    servers: impl Iterator<Item = &'a Server>,
+) -> Found {
+    let now = node.now();
+    let throughput = state.throughputs.get(&exchange.service);
+    let candidates: Vec<Candidate<'_>> = servers
+        .map(|server| Candidate {
+            is_ejected: is_avoided(state, exchange, ramp_draw, now, server),
+            ..weigh(state, throughput, now, server)
+        })
+        .collect();
+    let choice = choose(&candidates, criteria, fastrand::u64(..));
+    let offer = Offer::of(&choice, &candidates);
+    let server = match choice {
+        Choice::Server(server) => Some(server.clone()),
+        Choice::Busy(_) | Choice::None => None,
+    };
+    Found { offer, server }
+}
+
 /// Returns `true` if a server gets the request only where no other is left: it is ejected, gets its
 /// work back gradually, or holds as many bytes as it may.
 fn is_avoided(
