fix(capacity): surplus on-demand servers are given up while the list of servers still grows

Ruled out: refused orders.

Change: where the demand is known and the spot servers that accept requests carry the need alone, on-demand servers beyond the usual part are given up at once. Nothing changes where the list is complete before the first request, as on all smaller deployments.

--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -77,6 +77,15 @@
 }
 
 impl Snapshot<'_> {
+    /// Returns `true` if the spot servers that accept requests carry the need of all data centres alone.
+    ///
+    /// On-demand servers may then be given up while the list of servers still grows. Of an order for
+    /// fewer, nobody knows whether those stay that have listed themselves.
+    pub fn is_carried_by_spot(&self, scaling: &Scaling) -> bool {
+        let least = scaling.min * self.inventory.len() as u32;
+        self.inventory.values().map(|held| held.spot).sum::<u32>() >= self.need.max(least)
+    }
+
     /// Counts the servers that accept requests.
     fn count_accepting(&self) -> u32 {
         self.inventory.values().map(|held| held.on_demand + held.spot).sum()
--- a/crates/core/tests/serving/capacity.rs
+++ b/crates/core/tests/serving/capacity.rs
@@ -442,3 +442,26 @@
         prop_assert!(after >= before.min(demand.clamp(3, 12)));
     }
 }
+
+/// The load of a large service at its start: thousands of servers list themselves at the store's pace, and
+/// are not all listed when the first requests come, which need a few of them.
+#[test]
+fn a_list_that_still_grows_holds_up_no_release_where_spot_servers_carry_the_need() {
+    let scaling = Scaling { min: 38, max: 3_282, ..scaling(Some(0.2)) };
+    let held = |spot| {
+        let data_centre = Inventory { on_demand: 1_280, spot, spot_booting: 0 };
+        ["cheap", "dear"].map(|name| (name.to_owned(), data_centre)).into()
+    };
+    for (need, spot, is_carried) in
+        [(60, 900, true), (60, 38, true), (60, 37, false), (2_600, 900, false)]
+    {
+        let inventory = held(spot);
+        let snapshot = calm(&inventory, need);
+        assert_eq!(snapshot.is_carried_by_spot(&scaling), is_carried, "{need} {spot}");
+    }
+    // What is then planned leaves the usual part on demand, and more spot servers than are needed.
+    let inventory = held(900);
+    let plan = plan(&POLICY, &scaling, &calm(&inventory, 60));
+    assert_eq!(plan.on_demand.values().sum::<u32>(), 38);
+    assert!(plan.spot.values().sum::<u32>() >= 76);
+}
--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -111,8 +111,13 @@
         set_metrics(node, name, &needs, &plan);
         let inventory = inventories.values().flat_map(BTreeMap::clone).collect();
         for order in self.list_changes(name, &plan, &inventory, now) {
-            // On-demand servers that have not listed themselves yet must not be given up.
-            if !is_complete && !order.is_spot {
+            // On-demand servers that have not listed themselves yet must not be given up, unless they
+            // are known to be too many.
+            let is_surplus = demands.is_some() && {
+                let snapshot = snapshots.get(get_region(node, &order.data_centre));
+                snapshot.is_some_and(|snapshot| snapshot.is_carried_by_spot(scaling))
+            };
+            if !is_complete && !order.is_spot && !is_surplus {
                 continue;
             }
             let held = inventory.get(&order.data_centre).copied().unwrap_or_default();
