perf(register): a node that starts reads a sample of the list of nodes

Cause: each node read the whole list of nodes, twice at the first start: rows grow with the nodes and readers do too.

Change: rows lie in the order of their names' hashes. A node reads the 128 that follow its own, a random sample by which it hears of all others through their aggregators, and estimates from their distance how many nodes there are; until its list is complete it assumes that all of these serve, so that a share of a limit is never one of 128 nodes. At the first start of all there is nothing to read before a node has listed itself.

Not measured at 986 nodes yet.

--- a/crates/core/src/serving/members/mod.rs
+++ b/crates/core/src/serving/members/mod.rs
@@ -26,6 +26,7 @@
 //! | `owner` | says which aggregator keeps the load of a server |
 //! | `regions` | says which regions are out of reach and who carries what crosses between them |
 //! | `roster` | spreads the list of all nodes |
+//! | `sample` | finds some nodes and their number at a start |
 
 mod entry;
 mod owner;
@@ -33,6 +34,7 @@
 mod ranking;
 mod regions;
 mod roster;
+pub mod sample;
 mod view;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -98,6 +100,8 @@
     names: BTreeMap<u64, String>,
     seeds: Vec<SocketAddr>,
     is_listed: bool,
+    /// How many nodes a sample of the list showed, and when.
+    estimated: Option<(Millis, usize)>,
     /// Whether the list that was read is not one that nodes still add themselves to.
     is_list_whole: bool,
     holder_heard_at: Option<Millis>,
@@ -178,6 +182,7 @@
             names: BTreeMap::new(),
             seeds: Vec::new(),
             is_listed: false,
+            estimated: None,
             is_list_whole: false,
             holder_heard_at: None,
             overview: None,
--- /dev/null
+++ b/crates/core/src/serving/members/sample.rs
@@ -0,0 +1,41 @@
+//! A part of the list of nodes, by which a node that starts finds the others.
+//!
+//! Rows of nodes lie in the order of their names' hashes. Some neighbours in that order are a random sample
+//! of all nodes, and how close they lie to each other shows how many there are. What a start costs the
+//! table service so grows with the nodes, and not with their square.
+
+use super::entry::Entry;
+use super::{Members, short_id};
+use crate::Millis;
+
+/// How long the number of nodes that a sample shows counts: until then the list may not be complete.
+const COUNTS_FOR: Millis = 10_000;
+
+/// Returns the key of a node's row.
+pub fn make_key(name: &str) -> String {
+    format!("{:016x}", short_id(name))
+}
+
+/// Estimates how many rows there are, from the keys of some that follow each other, the first of which
+/// may be the first after `from` and the last of which may lie beyond the end of the order.
+pub fn estimate_count(from: &str, last: &str, count: usize) -> usize {
+    let number = |key: &str| u64::from_str_radix(key, 16).ok();
+    let Some((from, last)) = number(from).zip(number(last)) else { return count };
+    let span = last.wrapping_sub(from).max(1);
+    let all = count as f64 * (u64::MAX as f64 / span as f64);
+    (all as usize).max(count)
+}
+
+impl Members {
+    /// Takes over a sample of the list of all nodes, of which there are about `count`.
+    pub fn take_sample(&mut self, now: Millis, entries: Vec<Entry>, count: usize, is_whole: bool) {
+        self.estimated = Some((now, count));
+        self.take_list(now, entries, is_whole);
+    }
+
+    /// Returns how many nodes a sample showed lately; 0 where there was none.
+    pub(super) fn get_estimated(&self, now: Millis) -> usize {
+        let lately = self.estimated.filter(|(at, _)| now < at + COUNTS_FOR);
+        lately.map_or(0, |(_, count)| count)
+    }
+}
--- a/crates/core/tests/serving/fleet.rs
+++ b/crates/core/tests/serving/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use keeljunction_core::serving::load::short_id;
+use keeljunction_core::serving::members::sample::{estimate_count, make_key};
 use keeljunction_core::serving::members::{Entry, Heard, Members, Role};
 
 const PERIOD: u64 = 200;
@@ -191,3 +192,27 @@
     let after = fleet.step();
     assert!(most(&after) <= most(&before).map(|most| most * 5 / 4), "{:?}", most(&after));
 }
+
+#[test]
+fn a_sample_of_the_list_shows_how_many_nodes_there_are() {
+    for size in [300, 1_000, 2_000, 10_000] {
+        let mut keys: Vec<String> = (0..size).map(|number| make_key(&entry(number).name)).collect();
+        keys.sort_unstable();
+        for from in (0..size).step_by(size / 30) {
+            let own = &keys[from];
+            let last = &keys[(from + 127) % size];
+            let estimated = estimate_count(own, last, 128);
+            assert!((size * 2 / 3..size * 3 / 2).contains(&estimated), "{estimated} of {size}");
+        }
+    }
+}
+
+/// A node that has just started and knows part of the list must not take a share of a limit for so few.
+#[test]
+fn a_node_with_a_sample_assumes_that_all_nodes_serve() {
+    let mut members = Members::new(0, entry(0), &[]);
+    members.take_sample(100, (1..128).map(entry).collect(), 986, true);
+    assert_eq!((members.get_reach(200).heard, members.get_reach(200).all), (1, 986));
+    members.refresh(10_200);
+    assert_eq!(members.get_reach(10_200).all, 128);
+}
--- a/crates/gateway/src/node/peers/register.rs
+++ b/crates/gateway/src/node/peers/register.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use keeljunction_core::serving::members::Entry;
+use keeljunction_core::serving::members::{Entry, sample};
 
 use crate::event::{self, Event};
 use crate::node::Node;
 use crate::node::pause::{Pause, jitter};
-use crate::port::{Row, TableError, TableName, Transaction, Write, answer_within};
+use crate::port::{Row, Selection, TableError, TableName, Transaction, Write, answer_within};
 use crate::runtime;
 
 /// The table in which nodes list themselves.
@@ -21,6 +21,8 @@
 const LIST_AGAIN: Duration = Duration::from_millis(1_500);
 /// The time after which a node that had to list itself reads the list once more.
 const READ_TWICE_AFTER: Duration = Duration::from_millis(1_000);
+/// Rows that a node reads at its start: enough to hear of all others through these.
+const SAMPLE: usize = 128;
 /// The time between two looks at the list.
 const LOOK_AGAIN: Duration = Duration::from_secs(60);
 
@@ -30,7 +32,8 @@
 /// At the first start of all nodes the list fills while they read it: a node that had to list itself
 /// therefore reads it again, unless it has found an aggregator, which passes on what it misses.
 pub(super) async fn run(node: Arc<Node>) {
-    if !read_until_done(&node, false).await {
+    let is_first_start = node.settings.node.is_first_start;
+    if is_first_start || !read_until_done(&node, Part::Sample { is_settled: false }).await {
         runtime::sleep(LISTED_WITHIN.mul_f64(fastrand::f64())).await;
         while let Err(error) = list(&node).await {
             note_failure("list this node", &error);
@@ -38,22 +41,36 @@
         }
         runtime::sleep(jitter(READ_TWICE_AFTER)).await;
         if is_alone(&node) || !node.with(|state| state.members.is_grouped()) {
-            read_until_done(&node, true).await;
+            read_until_done(&node, Part::Sample { is_settled: true }).await;
         }
     }
     loop {
         runtime::sleep(jitter(LOOK_AGAIN)).await;
         if node.with(|state| state.members.is_reader(node.now())) || is_alone(&node) {
-            read_until_done(&node, true).await;
+            read_until_done(&node, Part::Whole).await;
         }
     }
 }
 
+/// The part of the list that is read.
+#[derive(Clone, Copy, Debug)]
+enum Part {
+    /// The rows that follow this node's own; `is_settled` where those that started together with this node
+    /// had the time to list themselves.
+    Sample { is_settled: bool },
+    /// All rows.
+    Whole,
+}
+
 /// Reads the list, again after each failure; returns whether this node is listed as it is.
-async fn read_until_done(node: &Node, is_whole: bool) -> bool {
+async fn read_until_done(node: &Node, part: Part) -> bool {
     let mut pause = Pause::default();
     loop {
-        match read(node, is_whole).await {
+        let reading = match part {
+            Part::Sample { is_settled } => read_sample(node, is_settled).await,
+            Part::Whole => read_whole(node).await,
+        };
+        match reading {
             Ok(is_listed) => return is_listed,
             Err(error) => note_failure("read nodes", &error),
         }
@@ -71,22 +88,54 @@
     let entry = node.get_entry();
     let value = serde_json::to_vec(&entry)
         .map_err(|error| TableError::Unanswered(format!("not sent: {error}")))?;
-    let write = Write { table: TableName::Own(TABLE), key: entry.name, value: Some(value) };
+    let key = sample::make_key(&entry.name);
+    let write = Write { table: TableName::Own(TABLE), key, value: Some(value) };
     let transaction = Transaction { conditions: Vec::new(), writes: vec![write] };
     answer_within(CALL_WITHIN, (node.platform.table.commit)(transaction)).await.map(|_| ())
 }
 
-async fn read(node: &Node, is_whole: bool) -> Result<bool, TableError> {
-    let rows =
-        answer_within(CALL_WITHIN, (node.platform.table.read)(TableName::Own(TABLE))).await?;
-    let entries: Vec<Entry> = rows.rows.iter().filter_map(decode).collect();
+async fn read_whole(node: &Node) -> Result<bool, TableError> {
+    let reading = (node.platform.table.read)(TableName::Own(TABLE));
+    let rows = answer_within(CALL_WITHIN, reading).await?.rows;
+    let entries: Vec<Entry> = rows.iter().filter_map(decode).collect();
+    let is_listed = entries.contains(&node.get_entry());
+    let now = node.now();
+    node.with(|state| state.members.take_list(now, entries, true));
+    Ok(is_listed)
+}
+
+/// Reads the rows that follow this node's own, beyond the last one from the first one on.
+async fn read_sample(node: &Node, is_settled: bool) -> Result<bool, TableError> {
+    let own_key = sample::make_key(&node.incarnation.node);
+    let mut rows = read_from(node, &own_key, SAMPLE).await?;
+    let mut is_all = false;
+    if rows.len() < SAMPLE {
+        let first = read_from(node, "", SAMPLE).await?;
+        let before = first.iter().take_while(|row| row.key < own_key).count();
+        // The rows up to this node's own were all given, and are fewer than were asked for.
+        is_all = before < SAMPLE;
+        rows.extend(first.into_iter().take(before));
+    }
+    let last = rows.last().map_or("", |row| row.key.as_str());
+    let count = match is_all {
+        true => rows.len(),
+        false => sample::estimate_count(&own_key, last, rows.len()),
+    };
+    let entries: Vec<Entry> = rows.iter().filter_map(decode).collect();
     let is_listed = entries.contains(&node.get_entry());
     let now = node.now();
     // A node that is listed already has run before, and so have the others.
-    node.with(|state| state.members.take_list(now, entries, is_whole || is_listed));
+    let is_whole = is_settled || is_listed;
+    node.with(|state| state.members.take_sample(now, entries, count, is_whole));
     Ok(is_listed)
 }
 
+async fn read_from(node: &Node, key: &str, most: usize) -> Result<Vec<Row>, TableError> {
+    let selection = Selection { table: TableName::Own(TABLE), from: key.to_owned(), most };
+    let reading = (node.platform.table.read_some)(selection);
+    Ok(answer_within(CALL_WITHIN, reading).await?.rows)
+}
+
 fn decode(row: &Row) -> Option<Entry> {
     let value = row.value.as_deref()?;
     let decoded = serde_json::from_slice(value);
--- a/crates/gateway/src/port/mod.rs
+++ b/crates/gateway/src/port/mod.rs
@@ -13,7 +13,7 @@
 pub use dialect::{AnswerHead, Dialect, Dispatch, Prompt, PromptPart, RequestHead};
 pub use rollouts::{RolloutRow, Rollouts};
 pub use table::{
-    Condition, Row, Rows, Table, TableError, TableFuture, TableName, Transaction, Write,
+    Condition, Row, Rows, Selection, Table, TableError, TableFuture, TableName, Transaction, Write,
     answer_within,
 };
 
--- a/crates/gateway/src/port/table.rs
+++ b/crates/gateway/src/port/table.rs
@@ -16,6 +16,8 @@
 pub struct Table {
     /// Reads all rows of a table.
     pub read: Box<dyn Fn(TableName) -> TableFuture<Rows> + Send + Sync>,
+    /// Reads some rows of a table.
+    pub read_some: Box<dyn Fn(Selection) -> TableFuture<Rows> + Send + Sync>,
     /// Waits for rows that changed after a version, for a time at most.
     pub watch: Box<dyn Fn(TableName, u64, Duration) -> TableFuture<Rows> + Send + Sync>,
     /// Writes rows, all or none.
@@ -45,6 +47,17 @@
     Own(&'static str),
 }
 
+/// Some rows of a table that follow each other in the order of their keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Selection {
+    /// The table.
+    pub table: TableName,
+    /// The first key; empty for the table's first row.
+    pub from: String,
+    /// How many rows, at the most.
+    pub most: usize,
+}
+
 /// A row.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Row {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -46,6 +46,9 @@
     pub name: String,
     /// The data centre that it stands in.
     pub data_centre: String,
+    /// Whether all nodes start for the first time: none is listed yet.
+    #[serde(default)]
+    pub is_first_start: bool,
 }
 
 /// Where the node listens.
