fix(usage): the running counts of a large fleet fit one row

Cause: the row that keeps the counts of windows that are not reported yet holds each aggregator's counts of each client account, most of them 0 or 1. With 68 groups and 333 accounts three windows are some 70 kB, beyond what a row may hold: the write is refused, what a killed holder counted is lost, and the next step reads the table again.

Change: the row is packed as documents between nodes are. A row of before is not read; it lives for a few seconds.

--- a/crates/gateway/src/node/document.rs
+++ b/crates/gateway/src/node/document.rs
@@ -33,7 +33,8 @@
     }
 }
 
-fn pack(text: &[u8]) -> Bytes {
+/// Packs bytes.
+pub fn pack(text: &[u8]) -> Bytes {
     let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
     // Writing to memory does not fail.
     let _ = encoder.write_all(text);
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -13,7 +13,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::usage::{Counts, Kept, WindowNumber, is_settled, window_at};
 
-use super::Node;
+use super::{Node, document};
 use crate::event::{self, Event};
 use crate::port::{
     Condition, DutyHolder, Row, TableError, TableName, Transaction, UsageReport, Write,
@@ -108,8 +108,7 @@
         let table = TableName::Own(TABLE);
         let key = RUNNING_KEY.to_owned();
         let condition = Condition { table, key: key.clone(), version: self.running.version };
-        let write =
-            Write { table: TableName::Own(TABLE), key, value: postcard::to_stdvec(&kept).ok() };
+        let write = Write { table: TableName::Own(TABLE), key, value: encode_running(&kept) };
         let transaction = Transaction { conditions: vec![condition], writes: vec![write] };
         let committing = (node.platform.table.commit)(transaction);
         match runtime::within(CALL_WITHIN, committing).await {
@@ -202,8 +201,16 @@
     format!("{window:020}")
 }
 
+/// Encodes counts for one row: most of them are small, and packed they take a fraction of the bytes.
+pub fn encode_running(kept: &Kept) -> Option<Vec<u8>> {
+    let encoded = postcard::to_stdvec(kept);
+    let encoded =
+        encoded.inspect_err(|error| log::error!("running counts cannot be encoded: {error}"));
+    Some(document::pack(&encoded.ok()?).to_vec())
+}
+
 fn decode_running(row: &Row) -> Option<Kept> {
-    postcard::from_bytes(row.value.as_deref()?).ok()
+    postcard::from_bytes(&document::unpack(row.value.as_deref()?)?).ok()
 }
 
 fn decode(row: &Row) -> Option<(WindowNumber, Counts)> {
