fix(watch): a list of several pages is read page by page, and by few nodes

Cause: a whole read had 700 ms for all its pages: 20 of them at 9,998 servers, 40 at twice as many, on 0.12 of a core. Where all nodes had ended, each of them read all pages at its start: the calls and bytes grow with nodes times servers (986 x 20 calls of some 100 kB, worked out).

Change: each page has its own time. A node that starts among many and finds a second page leaves the list to the readers for 4 s, and gets it from its aggregator. A list of one page is read at once by each node as before.

--- a/crates/gateway/src/node/duty.rs
+++ b/crates/gateway/src/node/duty.rs
@@ -8,7 +8,7 @@
 
 use super::{Node, capacity_duty, rollout_duty, usage_duty};
 use crate::event::{self, Event};
-use crate::port::{Condition, Row, TableError, TableName, Transaction, Write, answer_within};
+use crate::port::{Condition, Row, TableError, TableName, Transaction, Write};
 use crate::runtime;
 
 pub(super) const TABLE: &str = "leases";
@@ -144,8 +144,7 @@
 /// Reads the lease's row; a row that is this node's confirms its lease.
 async fn read(node: &Node, unreadable: &mut Option<Unreadable>) -> Result<Known, TableError> {
     let asked_at = node.now();
-    let reading = (node.platform.table.read)(TableName::Own(TABLE));
-    let rows = answer_within(ANSWER_WITHIN, reading).await?;
+    let rows = node.platform.table.read_all(TableName::Own(TABLE), ANSWER_WITHIN).await?;
     let clock = TableClock { asked_at, table_time: rows.table_time };
     let Some(found) = rows.rows.iter().find(|row| row.key == KEY) else {
         return Ok(Known { row: None, version: 0, clock });
--- a/crates/gateway/src/node/peers/register.rs
+++ b/crates/gateway/src/node/peers/register.rs
@@ -95,8 +95,7 @@
 }
 
 async fn read_whole(node: &Node) -> Result<bool, TableError> {
-    let reading = (node.platform.table.read)(TableName::Own(TABLE));
-    let rows = answer_within(CALL_WITHIN, reading).await?.rows;
+    let rows = node.platform.table.read_all(TableName::Own(TABLE), CALL_WITHIN).await?.rows;
     let entries: Vec<Entry> = rows.iter().filter_map(decode).collect();
     let is_listed = entries.contains(&node.get_entry());
     let now = node.now();
--- a/crates/gateway/src/node/quarantine_rows.rs
+++ b/crates/gateway/src/node/quarantine_rows.rs
@@ -96,8 +96,7 @@
 /// Takes over the rows that hold, and removes the others.
 async fn load(node: &Arc<Node>) -> Result<TableClock, TableError> {
     let asked_at = node.now();
-    let reading = (node.platform.table.read)(TableName::Own(TABLE));
-    let rows = answer_within(CALL_WITHIN, reading).await?;
+    let rows = node.platform.table.read_all(TableName::Own(TABLE), CALL_WITHIN).await?;
     let mut removals = Vec::new();
     for row in &rows.rows {
         match decode(row) {
--- a/crates/gateway/src/node/rollout_duty.rs
+++ b/crates/gateway/src/node/rollout_duty.rs
@@ -96,8 +96,8 @@
             return true;
         }
         let asked_at = node.now();
-        let reading = (node.platform.table.read)(TableName::Own(TABLE));
-        let Some(Ok(rows)) = runtime::within(CALL_WITHIN, reading).await else { return false };
+        let reading = node.platform.table.read_all(TableName::Own(TABLE), CALL_WITHIN);
+        let Ok(rows) = reading.await else { return false };
         *self = Self {
             fence,
             clock: Some(TableClock { asked_at, table_time: rows.table_time }),
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -80,8 +80,8 @@
         if fence == self.fence {
             return true;
         }
-        let reading = (node.platform.table.read)(TableName::Own(TABLE));
-        let Some(Ok(rows)) = runtime::within(CALL_WITHIN, reading).await else { return false };
+        let reading = node.platform.table.read_all(TableName::Own(TABLE), CALL_WITHIN);
+        let Ok(rows) = reading.await else { return false };
         self.frozen = rows.rows.iter().filter_map(decode).collect();
         let running = rows.rows.iter().find(|row| row.key == RUNNING_KEY);
         self.running.version = running.map_or(0, |row| row.version);
--- a/crates/gateway/src/node/watch/mod.rs
+++ b/crates/gateway/src/node/watch/mod.rs
@@ -16,7 +16,7 @@
 
 use super::Node;
 use crate::event::{self, Event};
-use crate::port::{Rows, TableError, TableName, answer_within};
+use crate::port::{Rows, TableError, TableName};
 use crate::runtime;
 
 pub(super) use configuration::adopt_configuration;
@@ -41,7 +41,7 @@
 }
 
 async fn read(node: &Node, table: TableName) -> Result<Rows, TableError> {
-    answer_within(ANSWER_WITHIN, (node.platform.table.read)(table)).await
+    node.platform.table.read_all(table, ANSWER_WITHIN).await
 }
 
 /// How a table is followed.
--- a/crates/gateway/src/node/watch/servers.rs
+++ b/crates/gateway/src/node/watch/servers.rs
@@ -6,7 +6,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::{Batch, Change, Entry, Server, Update};
 
-use super::{ANSWER_WITHIN, LOOK, Watch, follow, is_due, is_reader, note_failure, part_of, read};
+use super::{ANSWER_WITHIN, LOOK, Watch, follow, is_due, is_reader, note_failure, part_of};
 use crate::event::{self, Event};
 use crate::node::pause::Pause;
 use crate::node::peers::message::News;
@@ -21,6 +21,9 @@
 /// The pause after changes in which further ones gather, as a part of the drain bound: servers come
 /// and go in waves, and each call costs.
 const GATHER_PART: f64 = 0.08;
+/// How long after its start a node waits for others to give it a list of several pages: readers begin a
+/// second after their start, and two nodes pass it on.
+const LONG_LIST_WITHIN: Millis = 4_000;
 /// Entries that are sent in one datagram: some 80 bytes each.
 const MOST_IN_DATAGRAM: usize = 64;
 /// Changes that come at once and are logged one by one.
@@ -29,13 +32,19 @@
 /// Follows the list of servers for ever, where this node reads for all or its own list is old.
 pub async fn servers(node: Arc<Node>) {
     let mut pause = Pause::default();
+    let mut is_long = false;
     loop {
-        if !is_due(&node, staleness::is_servers_old) {
+        let is_left = is_long && is_left_to_readers(&node);
+        if is_left || !is_due(&node, staleness::is_servers_old) {
             runtime::sleep(LOOK).await;
             continue;
         }
         match catch_up(&node).await {
-            Ok(version) => {
+            Ok(None) => {
+                is_long = true;
+                continue;
+            }
+            Ok(Some(version)) => {
                 pause.reset();
                 let bound = node.settings.bounds.drain_ms;
                 let watch = Watch {
@@ -58,11 +67,11 @@
     }
 }
 
-/// Brings the list of servers up to date; returns its version.
+/// Brings the list of servers up to date; returns its version, or `None` where that is left to others.
 ///
 /// A node that knows a list reads only what has changed since: the whole list takes a call for each
 /// few hundred servers.
-async fn catch_up(node: &Node) -> Result<u64, TableError> {
+async fn catch_up(node: &Node) -> Result<Option<u64>, TableError> {
     let known =
         node.with(|state| state.directory.is_known().then(|| state.directory.get_version()));
     let Some(after) = known else { return read_servers(node).await };
@@ -72,22 +81,34 @@
         Ok(rows) => {
             note_servers_known(node);
             update_servers(node, &rows, asked_at);
-            Ok(rows.version.max(after))
+            Ok(Some(rows.version.max(after)))
         }
         Err(TableError::HistoryGone) => read_servers(node).await,
         Err(error) => Err(error),
     }
 }
 
-/// Reads the list of servers whole; returns its version.
-async fn read_servers(node: &Node) -> Result<u64, TableError> {
+/// Reads the list of servers whole; returns its version, or `None` where that is left to others.
+async fn read_servers(node: &Node) -> Result<Option<u64>, TableError> {
     let asked_at = node.now();
-    let rows = read(node, TableName::Servers).await?;
+    let table = TableName::Servers;
+    let first = node.platform.table.read_first(table, ANSWER_WITHIN).await?;
+    if first.has_more && is_left_to_readers(node) {
+        return Ok(None);
+    }
+    let rows = node.platform.table.read_rest(table, ANSWER_WITHIN, first).await?;
     node.with(|state| state.skipped_entries.retain(&rows.rows));
     let servers = rows.rows.iter().filter_map(|row| decode_server(node, row));
     replace_servers(node, rows.version, servers.collect());
     node.with(|state| state.servers_freshness.confirm(asked_at));
-    Ok(rows.version)
+    Ok(Some(rows.version))
+}
+
+/// Returns `true` if this node waits for a long list until its aggregator gives it: where many nodes start
+/// at once, reading it is left to the readers.
+fn is_left_to_readers(node: &Node) -> bool {
+    let is_starting = node.now() < node.clock.get_start() + LONG_LIST_WITHIN;
+    is_starting && !is_reader(node) && node.with(|state| state.members.is_grouped())
 }
 
 /// Takes over a whole list of servers, where it is not older than the one known.
--- a/crates/gateway/src/port/table.rs
+++ b/crates/gateway/src/port/table.rs
@@ -9,14 +9,15 @@
 
 use crate::runtime;
 
+/// Rows that are read with one call: the most that the table service gives.
+const PAGE: usize = 500;
+
 /// A call to the table service in progress.
 pub type TableFuture<T> = Pin<Box<dyn Future<Output = Result<T, TableError>> + Send>>;
 
 /// The calls of a table service. All reads are linearizable.
 pub struct Table {
-    /// Reads all rows of a table.
-    pub read: Box<dyn Fn(TableName) -> TableFuture<Rows> + Send + Sync>,
-    /// Reads some rows of a table.
+    /// Reads some rows of a table, or fewer where an answer does not hold them.
     pub read_some: Box<dyn Fn(Selection) -> TableFuture<Rows> + Send + Sync>,
     /// Waits for rows that changed after a version, for a time at most.
     pub watch: Box<dyn Fn(TableName, u64, Duration) -> TableFuture<Rows> + Send + Sync>,
@@ -24,6 +25,54 @@
     pub commit: Box<dyn Fn(Transaction) -> TableFuture<Rows> + Send + Sync>,
 }
 
+impl Table {
+    /// Reads all rows of a table, page by page, and waits for each page for a time at most: a long table
+    /// takes as much longer as it has more pages.
+    ///
+    /// Later pages are of a later moment. The version is the first one's, from which a watch misses nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the first call that fails.
+    pub async fn read_all(&self, table: TableName, within: Duration) -> Result<Rows, TableError> {
+        let first = self.read_first(table, within).await?;
+        self.read_rest(table, within, first).await
+    }
+
+    /// Reads the first page of a table.
+    ///
+    /// # Errors
+    ///
+    /// Returns the call's error.
+    pub async fn read_first(&self, table: TableName, within: Duration) -> Result<Rows, TableError> {
+        let selection = Selection { table, from: String::new(), most: PAGE };
+        answer_within(within, (self.read_some)(selection)).await
+    }
+
+    /// Reads the pages after the first one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the first call that fails.
+    pub async fn read_rest(
+        &self,
+        table: TableName,
+        within: Duration,
+        first: Rows,
+    ) -> Result<Rows, TableError> {
+        let mut whole = first;
+        while let Some(last) = whole.rows.last().filter(|_| whole.has_more) {
+            // The key that comes right after the last one.
+            let from = format!("{}\0", last.key);
+            let selection = Selection { table, from, most: PAGE };
+            let page = answer_within(within, (self.read_some)(selection)).await?;
+            whole.has_more = page.has_more;
+            whole.rows.extend(page.rows);
+        }
+        Ok(whole)
+    }
+}
+
 /// Waits for the answer of a call, for a time at most.
 ///
 /// # Errors
@@ -78,6 +127,8 @@
     pub version: u64,
     /// The table service's steady clock.
     pub table_time: Millis,
+    /// Whether further rows follow these in the table.
+    pub has_more: bool,
 }
 
 /// Writes under conditions, all or none.
