--- a/crates/core/src/serving/members/view.rs
+++ b/crates/core/src/serving/members/view.rs
@@ -89,23 +89,34 @@
             self.followed = None;
         }
         let candidates = self.list_candidates(now);
-        let fingerprint = candidates.iter().fold(0, |sum: u64, member| {
+        let fingerprint = self.compute_fingerprint(now, &candidates);
+        if self.view.ranking.fingerprint != Some(fingerprint) {
+            let ranking = self.make_ranking(now, fingerprint, &candidates);
+            self.apply(now, ranking);
+        }
+    }
+
+    /// Computes what stands for all that a ranking depends on.
+    fn compute_fingerprint(&self, now: Millis, candidates: &[&Member]) -> u64 {
+        let own = match self.get_followed() {
+            None => 0,
+            Some(followed) => 1 + u64::from(self.is_own_in(followed)),
+        };
+        candidates.iter().fold(own, |sum: u64, member| {
             let is_passed_over = u64::from(now < member.passed_over_until);
             let is_lost = u64::from(self.is_lost(&member.entry));
             let stands_for = member.short.rotate_left(1) ^ u64::from(member.entry.link_mbps);
             sum.wrapping_add(stands_for ^ (is_passed_over << 63) ^ (is_lost << 62))
-        });
-        let is_own_followed = self.is_own_followed();
-        let fingerprint =
-            fingerprint.wrapping_add(is_own_followed.map_or(0, |is| 1 + u64::from(is)));
-        if self.view.ranking.fingerprint == Some(fingerprint) {
-            return;
-        }
+        })
+    }
+
+    fn make_ranking(&self, now: Millis, fingerprint: u64, candidates: &[&Member]) -> Ranking {
         let mut entries: Vec<&Entry> = candidates.iter().map(|member| &member.entry).collect();
-        if is_own_followed != Some(false) {
+        let followed = self.get_followed();
+        if followed.is_none_or(|followed| self.is_own_in(followed)) {
             entries.push(&self.own);
         }
-        let mut aggregators = match is_own_followed {
+        let mut aggregators = match followed {
             Some(_) => entries,
             None => ranking::list_aggregators(&entries),
         };
@@ -120,38 +131,44 @@
             true => None,
             false => self.pick_aggregator(now, &others),
         };
-        let aggregators = others.into_iter().map(|entry| entry.name.clone()).collect();
-        let fingerprint = Some(fingerprint);
-        let ranking = Ranking {
-            fingerprint,
+        Ranking {
+            fingerprint: Some(fingerprint),
             is_aggregator,
             ranked,
-            aggregators,
+            aggregators: others.into_iter().map(|entry| entry.name.clone()).collect(),
             by_region,
             far,
             own_aggregator,
-        };
-        self.apply(now, ranking);
+        }
     }
 
     /// Lists the nodes that may be aggregators, this one left out: those that this node's aggregator
     /// ranks, or all that are usable where it has none or is one itself.
     fn list_candidates(&self, now: Millis) -> Vec<&Member> {
-        match &self.followed {
+        match self.get_followed() {
             Some(followed) => {
-                let names = followed.iter().filter_map(|short| self.names.get(short));
-                let members = names.filter_map(|name| self.known.get(name));
-                members.filter(|member| !member.is_silent).collect()
+                self.iter_named(followed).filter(|member| !member.is_silent).collect()
             }
             None => self.known.values().filter(|member| self.is_usable(now, member)).collect(),
         }
     }
 
-    /// Returns whether the aggregators that this node follows include itself; `None` where it ranks
-    /// nodes itself.
-    fn is_own_followed(&self) -> Option<bool> {
-        let own = short_id(&self.own.name);
-        self.followed.as_ref().map(|followed| followed.contains(&own))
+    /// Returns the aggregators that this node's own one ranks; `None` where this node ranks nodes itself,
+    /// which it does also while it knows none of those.
+    fn get_followed(&self) -> Option<&[u64]> {
+        let followed = self.followed.as_deref()?;
+        let is_any_known = self.is_own_in(followed) || self.iter_named(followed).next().is_some();
+        is_any_known.then_some(followed)
+    }
+
+    fn is_own_in(&self, nodes: &[u64]) -> bool {
+        nodes.contains(&short_id(&self.own.name))
+    }
+
+    /// Lists the known nodes of some short names.
+    fn iter_named(&self, shorts: &[u64]) -> impl Iterator<Item = &Member> {
+        let names = shorts.iter().filter_map(|short| self.names.get(short));
+        names.filter_map(|name| self.known.get(name))
     }
 
     /// Picks the aggregator that this node reports to: one that did not fall silent lately, where
