--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity/mod.rs
@@ -12,11 +12,29 @@
 //! These are released when spot servers accept requests in their place, not when they are ordered:
 //! no plan releases servers while those that would be left, and accept requests now, are fewer than
 //! the need.
+//!
+//! | module | does |
+//! |---|---|
+//! | this one | plans |
+//! | `need` | computes how many servers the demand needs, and follows its peaks |
+//! | `placement` | spreads servers over data centres |
+//! | `found` | counts the servers that a new holder of the duties finds |
+//! | `order` | follows an order until its servers accept requests |
+
+mod found;
+mod need;
+mod order;
+mod placement;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use super::configuration::Scaling;
-use crate::Millis;
+
+pub use self::found::Found;
+pub use self::need::{Demand, Needs, PeakWindow, count_crossing, needs};
+pub use self::order::Order;
+
+use self::placement::{by_price, fill, spread};
 
 /// How much to hold, as fractions of the need.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -92,19 +110,6 @@
     }
 }
 
-/// The demand for a service in one region.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Demand {
-    /// Prompt tokens a second.
-    pub tokens_per_second: f64,
-    /// Prompt tokens that a server reads in a second.
-    pub server_tokens_per_second: f64,
-    /// Requests in flight.
-    pub in_flight: f64,
-    /// Requests that a server works on at once.
-    pub slots: f64,
-}
-
 /// Servers to hold in each data centre.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Plan {
@@ -114,28 +119,6 @@
     pub spot: BTreeMap<String, u32>,
 }
 
-/// Computes how many servers a service needs in each region.
-///
-/// The room for bursts follows the load of all regions together, split by their loads: what is too
-/// much for one region may go to another.
-pub fn needs(policy: &Policy, demands: &BTreeMap<String, Demand>) -> BTreeMap<String, u32> {
-    let reading = |demand: &Demand| demand.tokens_per_second / demand.server_tokens_per_second;
-    let filled = |demand: &Demand| demand.in_flight / demand.slots.max(1.0);
-    let all_reading: f64 = demands.values().map(reading).sum();
-    let all_filled: f64 = demands.values().map(filled).sum();
-    let with_bursts = |work: f64, all: f64, part: f64| {
-        let share = if all > 0.0 { work / all } else { 0.0 };
-        work / part + policy.burst_servers * all.sqrt() * share
-    };
-    let need = |demand: &Demand| {
-        let by_tokens = with_bursts(reading(demand), all_reading, policy.target_utilization);
-        let by_slots = with_bursts(filled(demand), all_filled, policy.target_occupancy);
-        let need = by_tokens.max(by_slots);
-        if need.is_finite() { need.ceil().max(1.0) as u32 } else { 1 }
-    };
-    demands.iter().map(|(region, demand)| (region.clone(), need(demand))).collect()
-}
-
 /// Plans the servers of a service in all regions.
 ///
 /// Servers stand where requests arrive. A region cannot hold its need if its data centres are full or
@@ -182,18 +165,6 @@
     moved
 }
 
-/// Bits of a prompt's token as text on a link: about four letters.
-const BITS_PER_TOKEN: f64 = 32.0;
-/// Bits in a megabit.
-const BITS_PER_MEGABIT: f64 = 1e6;
-
-/// Counts the servers of a region's need whose work may go to other regions at `spill_mbps`.
-pub fn count_crossing(need: u32, tokens_per_second: f64, spill_mbps: f64) -> u32 {
-    let mbps = tokens_per_second * BITS_PER_TOKEN / BITS_PER_MEGABIT;
-    let part = if mbps > spill_mbps { spill_mbps / mbps } else { 1.0 };
-    (f64::from(need) * part) as u32
-}
-
 /// Plans the servers of a service in the data centres of one region.
 pub fn plan(policy: &Policy, scaling: &Scaling, snapshot: &Snapshot<'_>) -> Plan {
     let inventory = snapshot.inventory;
@@ -295,198 +266,3 @@
 fn held_spot((data_centre, inventory): (&String, &Inventory)) -> (String, u32) {
     (data_centre.clone(), inventory.spot + inventory.spot_booting)
 }
-
-/// Lists the data centres by price, the cheapest first.
-fn by_price<'a>(scaling: &Scaling, inventory: &'a BTreeMap<String, Inventory>) -> Vec<&'a str> {
-    let price =
-        |data_centre: &str| scaling.data_centre_prices.get(data_centre).copied().unwrap_or(1.0);
-    let mut data_centres: Vec<&str> = inventory.keys().map(String::as_str).collect();
-    data_centres.sort_by(|a, b| price(a).total_cmp(&price(b)).then(a.cmp(b)));
-    data_centres
-}
-
-/// On-demand servers stand in two data centres at least, where there are two.
-const LEAST_PARTS: usize = 2;
-
-/// Fills data centres from the cheapest on, none of them with more than its part of all but one, as
-/// far as there is room; what finds none is spread over all.
-fn fill(
-    data_centres: &[&str],
-    count: u32,
-    most: u32,
-    taken: &BTreeMap<String, u32>,
-) -> BTreeMap<String, u32> {
-    let parts = data_centres.len().saturating_sub(1).max(LEAST_PARTS) as u32;
-    let part = count.div_ceil(parts);
-    let mut filled = BTreeMap::new();
-    let mut left = count;
-    for data_centre in data_centres {
-        let room = most.saturating_sub(taken.get(*data_centre).copied().unwrap_or(0));
-        let held = part.min(room).min(left);
-        filled.insert((*data_centre).to_owned(), held);
-        left -= held;
-    }
-    if left > 0 { spread(data_centres, count, most, taken) } else { filled }
-}
-
-/// Spreads servers, one in each data centre in turn from the cheapest, up to `most` beside those
-/// `taken`.
-fn spread(
-    data_centres: &[&str],
-    count: u32,
-    most: u32,
-    taken: &BTreeMap<String, u32>,
-) -> BTreeMap<String, u32> {
-    let mut spread: BTreeMap<String, u32> =
-        data_centres.iter().map(|data_centre| ((*data_centre).to_owned(), 0)).collect();
-    let mut left = count;
-    while left > 0 {
-        let before = left;
-        for data_centre in data_centres {
-            let held = spread.entry((*data_centre).to_owned()).or_default();
-            let room = most.saturating_sub(taken.get(*data_centre).copied().unwrap_or(0));
-            if left > 0 && *held < room {
-                *held += 1;
-                left -= 1;
-            }
-        }
-        if left == before {
-            break;
-        }
-    }
-    spread
-}
-
-/// The largest of the latest values, so that a plan follows a rise at once and a fall slowly.
-#[derive(Clone, Debug, Default)]
-pub struct PeakWindow {
-    values: Vec<(Millis, u32)>,
-}
-
-impl PeakWindow {
-    /// Notes a value and returns the largest within `span`.
-    pub fn follow(&mut self, now: Millis, value: u32, span: Millis) -> u32 {
-        self.values.push((now, value));
-        self.values.retain(|(at, _)| at + span >= now);
-        self.get_largest().unwrap_or(value)
-    }
-
-    /// Keeps the largest value as if it had been noted now.
-    fn hold(&mut self, now: Millis) {
-        if let Some(largest) = self.get_largest() {
-            self.values = vec![(now, largest)];
-        }
-    }
-
-    fn get_largest(&self) -> Option<u32> {
-        self.values.iter().map(|(_, value)| *value).max()
-    }
-}
-
-/// The needs of a service by region, which rise at once and fall slowly.
-#[derive(Clone, Debug, Default)]
-pub struct Needs {
-    by_region: BTreeMap<String, PeakWindow>,
-}
-
-impl Needs {
-    /// Notes what the demand needs now and returns the largest need within `span`, of all regions
-    /// whose need is known.
-    ///
-    /// The need of regions that are not heard stays as it was: requests go on there, and nobody
-    /// reports them. Without this, the servers of a region that serves on its own would be given up.
-    pub fn follow(
-        &mut self,
-        now: Millis,
-        needs: &BTreeMap<String, u32>,
-        unheard: &BTreeSet<&str>,
-        span: Millis,
-    ) -> BTreeMap<String, u32> {
-        let heard = needs.iter().filter(|(region, _)| !unheard.contains(region.as_str()));
-        for (region, need) in heard {
-            self.by_region.entry(region.clone()).or_default().follow(now, *need, span);
-        }
-        for region in unheard {
-            if let Some(window) = self.by_region.get_mut(*region) {
-                window.hold(now);
-            }
-        }
-        let known = self.by_region.iter();
-        known.filter_map(|(region, window)| Some((region.clone(), window.get_largest()?))).collect()
-    }
-}
-
-/// The time without a new server after which a list that is confirmed since counts as complete, in
-/// milliseconds.
-const SETTLE: Millis = 1_500;
-
-/// The servers of a service as a new holder of the duty finds them: they list themselves one by one.
-///
-/// Before the first request the number found is the best estimate of the need. Taken from a part of
-/// the list, it would give up the other servers (`docs/design/starts.md`).
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Found {
-    count: u32,
-    grown_at: Option<Millis>,
-}
-
-impl Found {
-    /// Notes the servers that are listed now; returns the most that were listed.
-    ///
-    /// `is_idle` is `true` if the service had no request yet: until it has one, servers that list
-    /// themselves late count too. `known_at` is when the list was last known to be the newest.
-    pub fn follow(
-        &mut self,
-        now: Millis,
-        listed: u32,
-        is_idle: bool,
-        known_at: Option<Millis>,
-    ) -> u32 {
-        let is_open = is_idle || !self.is_complete(known_at);
-        if self.grown_at.is_none() || (is_open && listed > self.count) {
-            *self = Self { count: listed, grown_at: Some(now) };
-        }
-        self.count
-    }
-
-    /// Returns `true` if the list had stopped to grow for a while when it was last known to be the
-    /// newest, at `known_at`. The silence of a list that is not confirmed proves nothing.
-    pub fn is_complete(&self, known_at: Option<Millis>) -> bool {
-        let complete_at = self.grown_at.map(|at| at + SETTLE);
-        complete_at.zip(known_at).is_some_and(|(complete_at, known_at)| known_at >= complete_at)
-    }
-}
-
-/// How much longer than its boot an ordered server may take before it is given up, in milliseconds.
-const BOOT_SLACK: Millis = 3_000;
-
-/// An order of servers of one kind in a data centre that the platform took.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Order {
-    count: u32,
-    at: Millis,
-    /// The most servers that accepted requests at once since then: what is fewer later was taken
-    /// away.
-    most_seen: u32,
-}
-
-impl Order {
-    /// Makes an order of `count` servers while `present` accept requests.
-    ///
-    /// Those that are present do not count as starting, also if they are taken away right after.
-    pub fn new(now: Millis, count: u32, present: u32) -> Self {
-        Self { count, at: now, most_seen: present }
-    }
-
-    /// Returns the servers that were ordered.
-    pub fn get_count(&self) -> u32 {
-        self.count
-    }
-
-    /// Notes how many accept requests now; returns how many are still starting.
-    pub fn follow(&mut self, now: Millis, present: u32, boot: Millis) -> u32 {
-        self.most_seen = self.most_seen.max(present);
-        let is_booting = now < self.at + boot + BOOT_SLACK;
-        if is_booting { self.count.saturating_sub(self.most_seen) } else { 0 }
-    }
-}
