fix(capacity): surplus is released only where the demand was followed for its whole span

Cause: after all nodes had started again, a new holder measured the demand over a shorter time, found it low, and gave up on-demand servers that were needed.

Change: a holder must have known the demand for the span of its measurement.

--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -45,6 +45,8 @@
     paused_until: BTreeMap<Place, Millis>,
     /// The largest needs of late, by service.
     needs: BTreeMap<String, Needs>,
+    /// Since when this holder has known the demand, by service.
+    demand_known_since: BTreeMap<String, Millis>,
     /// On-demand servers as they were found, by service and region.
     found: BTreeMap<(String, String), Found>,
     /// When spot servers may be ordered next while the list of servers grows.
@@ -83,6 +85,7 @@
         let is_mixed = inventories.values().flat_map(BTreeMap::values).any(|held| held.spot > 0);
         let policy = node.settings.capacity.get_policy();
         let demands = get_demands(node, name, service, now);
+        let is_demand_followed = self.follow_demand(name, demands.is_some(), now);
         let unheard = list_unheard(node, &inventories);
         let (needs, policy) = match &demands {
             Some(demands) => {
@@ -113,11 +116,9 @@
         for order in self.list_changes(name, &plan, &inventory, now) {
             // On-demand servers that have not listed themselves yet must not be given up, unless they
             // are known to be too many.
-            let is_surplus = demands.is_some() && {
-                let snapshot = snapshots.get(get_region(node, &order.data_centre));
-                snapshot.is_some_and(|snapshot| snapshot.is_carried_by_spot(scaling))
-            };
-            if !is_complete && !order.is_spot && !is_surplus {
+            let snapshot = snapshots.get(get_region(node, &order.data_centre));
+            let is_carried = snapshot.is_some_and(|snapshot| snapshot.is_carried_by_spot(scaling));
+            if !is_complete && !order.is_spot && !(is_demand_followed && is_carried) {
                 continue;
             }
             let held = inventory.get(&order.data_centre).copied().unwrap_or_default();
@@ -125,6 +126,17 @@
         }
     }
 
+    /// Returns `true` if this holder has known the demand for a whole span of its measurement: that of a
+    /// shorter time after all nodes started again is too low.
+    fn follow_demand(&mut self, name: &str, is_known: bool, now: Millis) -> bool {
+        if !is_known {
+            self.demand_known_since.remove(name);
+            return false;
+        }
+        let since = self.demand_known_since.entry(name.to_owned()).or_insert(now);
+        now >= *since + DEMAND_SPAN
+    }
+
     /// Returns what the plan of each region goes by.
     fn make_snapshots<'a>(
         &self,
