fix(members): a sample counts until most of the nodes are known; aggregators read a long list at a start

Cause: a sample shows the number of nodes within some tenths, and counted for ten seconds: a node took a smaller share of each limit than it should. The readers begin a second after their start, so that all others waited longer for a long list than it takes to read.

Change: the estimate counts until three quarters of it are known. At a start the aggregators read a list of several pages, and the others wait for 2 s at the most instead of 4.

Result: fleet::* pass.

--- a/crates/core/src/serving/members/query.rs
+++ b/crates/core/src/serving/members/query.rs
@@ -62,7 +62,7 @@
             Some((_, overview)) if !self.view.is_aggregating => overview.all,
             _ => self.view.nodes + self.count_unknown_seeds(),
         };
-        let known = known.max(self.get_estimated(now));
+        let known = self.correct_count(now, known);
         let is_unlisted = !self.is_listed && now < self.started_at + UNLISTED_FOR;
         let is_recent = now < self.view.at + self.get_heard_within();
         Reach {
--- a/crates/core/src/serving/members/sample.rs
+++ b/crates/core/src/serving/members/sample.rs
@@ -10,6 +10,9 @@
 
 /// How long the number of nodes that a sample shows counts: until then the list may not be complete.
 const COUNTS_FOR: Millis = 10_000;
+/// The part of the nodes that a sample showed from which the known ones count: a sample of a hundred is
+/// off by some tenths, and the list is nearly complete by then.
+const MOST_KNOWN_PART: f64 = 0.75;
 
 /// Returns the key of a node's row.
 pub fn make_key(name: &str) -> String {
@@ -33,9 +36,12 @@
         self.take_list(now, entries, is_whole);
     }
 
-    /// Returns how many nodes a sample showed lately; 0 where there was none.
-    pub(super) fn get_estimated(&self, now: Millis) -> usize {
+    /// Returns how many nodes there are where `known` of them are known: as many as a sample showed
+    /// lately, until most of these are known.
+    pub(super) fn correct_count(&self, now: Millis, known: usize) -> usize {
         let lately = self.estimated.filter(|(at, _)| now < at + COUNTS_FOR);
-        lately.map_or(0, |(_, count)| count)
+        let estimated = lately.map_or(0, |(_, count)| count);
+        let is_most_known = known as f64 >= estimated as f64 * MOST_KNOWN_PART;
+        if is_most_known { known } else { estimated }
     }
 }
--- a/crates/core/tests/serving/fleet.rs
+++ b/crates/core/tests/serving/fleet.rs
@@ -215,4 +215,7 @@
     assert_eq!((members.get_reach(200).heard, members.get_reach(200).all), (1, 986));
     members.refresh(10_200);
     assert_eq!(members.get_reach(10_200).all, 128);
+    // Once most of them are known, those count: the sample is not exact.
+    members.take_sample(20_000, (1..128).map(entry).collect(), 150, true);
+    assert_eq!(members.get_reach(20_000).all, 128);
 }
--- a/crates/gateway/src/node/watch/servers.rs
+++ b/crates/gateway/src/node/watch/servers.rs
@@ -21,9 +21,9 @@
 /// The pause after changes in which further ones gather, as a part of the drain bound: servers come
 /// and go in waves, and each call costs.
 const GATHER_PART: f64 = 0.08;
-/// How long after its start a node waits for others to give it a list of several pages: readers begin a
-/// second after their start, and two nodes pass it on.
-const LONG_LIST_WITHIN: Millis = 4_000;
+/// How long after its start a node waits for its aggregator to give it a list of several pages, in
+/// milliseconds.
+const LONG_LIST_WITHIN: Millis = 2_000;
 /// Entries that are sent in one datagram: some 80 bytes each.
 const MOST_IN_DATAGRAM: usize = 64;
 /// Changes that come at once and are logged one by one.
@@ -34,7 +34,7 @@
     let mut pause = Pause::default();
     let mut is_long = false;
     loop {
-        let is_left = is_long && is_left_to_readers(&node);
+        let is_left = is_long && is_left_to_aggregator(&node);
         if is_left || !is_due(&node, staleness::is_servers_old) {
             runtime::sleep(LOOK).await;
             continue;
@@ -93,7 +93,7 @@
     let asked_at = node.now();
     let table = TableName::Servers;
     let first = node.platform.table.read_first(table, ANSWER_WITHIN).await?;
-    if first.has_more && is_left_to_readers(node) {
+    if first.has_more && is_left_to_aggregator(node) {
         return Ok(None);
     }
     let rows = node.platform.table.read_rest(table, ANSWER_WITHIN, first).await?;
@@ -104,11 +104,12 @@
     Ok(Some(rows.version))
 }
 
-/// Returns `true` if this node waits for a long list until its aggregator gives it: where many nodes start
-/// at once, reading it is left to the readers.
-fn is_left_to_readers(node: &Node) -> bool {
+/// Returns `true` if this node waits until its aggregator gives it a long list: where many nodes start at
+/// once, only the aggregators read it.
+fn is_left_to_aggregator(node: &Node) -> bool {
     let is_starting = node.now() < node.clock.get_start() + LONG_LIST_WITHIN;
-    is_starting && !is_reader(node) && node.with(|state| state.members.is_grouped())
+    let is_member = node.with(|state| state.members.is_grouped() && !state.members.is_aggregator());
+    is_starting && is_member
 }
 
 /// Takes over a whole list of servers, where it is not older than the one known.
