--- a/crates/gateway/src/node/capacity_duty.rs
+++ b/crates/gateway/src/node/capacity_duty.rs
@@ -118,7 +118,8 @@
             // are known to be too many.
             let snapshot = snapshots.get(get_region(node, &order.data_centre));
             let is_carried = snapshot.is_some_and(|snapshot| snapshot.is_carried_by_spot(scaling));
-            if !is_complete && !order.is_spot && !(is_demand_followed && is_carried) {
+            let is_surplus = is_demand_followed && is_carried;
+            if !is_complete && !order.is_spot && !is_surplus {
                 continue;
             }
             let held = inventory.get(&order.data_centre).copied().unwrap_or_default();
