fix(register): a node that starts reads the first 500 rows of the list of nodes, with one call

Cause: where all nodes had started again, each knew 128 others, and lists took 2 to 3 s to be complete.

Change: all nodes read the same first rows in the order of hashes, as many as one call gives. Up to 500 nodes that is the whole list, as before; of more it is a sample that is the same for all, so that they rank the same aggregators at once. At 986 nodes a start reads some 100 kB in one call (worked out), at 8 nodes what it read before.

--- a/crates/core/src/serving/members/sample.rs
+++ b/crates/core/src/serving/members/sample.rs
@@ -1,8 +1,8 @@
 //! A part of the list of nodes, by which a node that starts finds the others.
 //!
-//! Rows of nodes lie in the order of their names' hashes. Some neighbours in that order are a random sample
-//! of all nodes, and how close they lie to each other shows how many there are. What a start costs the
-//! table service so grows with the nodes, and not with their square.
+//! Rows of nodes lie in the order of their names' hashes. The first ones in that order are a random sample
+//! of all nodes, the same for all that read it, and the last of their keys shows how many there are. What a
+//! start costs the table service so grows with the nodes, and not with their square.
 
 use super::entry::Entry;
 use super::{Members, short_id};
@@ -10,8 +10,8 @@
 
 /// How long the number of nodes that a sample shows counts: until then the list may not be complete.
 const COUNTS_FOR: Millis = 10_000;
-/// The part of the nodes that a sample showed from which the known ones count: a sample of a hundred is
-/// off by some tenths, and the list is nearly complete by then.
+/// The part of the nodes that a sample showed from which the known ones count: a sample is
+/// off by some hundredths, and the list is nearly complete by then.
 const MOST_KNOWN_PART: f64 = 0.75;
 
 /// Returns the key of a node's row.
@@ -19,18 +19,16 @@
     format!("{:016x}", short_id(name))
 }
 
-/// Estimates how many rows there are, from the keys of some that follow each other, the first of which
-/// may be the first after `from` and the last of which may lie beyond the end of the order.
-pub fn estimate_count(from: &str, last: &str, count: usize) -> usize {
-    let number = |key: &str| u64::from_str_radix(key, 16).ok();
-    let Some((from, last)) = number(from).zip(number(last)) else { return count };
-    let span = last.wrapping_sub(from).max(1);
-    let all = count as f64 * (u64::MAX as f64 / span as f64);
+/// Estimates how many rows there are, from the last key of the first so many.
+pub fn estimate_count(last: &str, count: usize) -> usize {
+    let Ok(last) = u64::from_str_radix(last, 16) else { return count };
+    let all = count as f64 * (u64::MAX as f64 / last.max(1) as f64);
     (all as usize).max(count)
 }
 
 impl Members {
-    /// Takes over a sample of the list of all nodes, of which there are about `count`.
+    /// Takes over a sample of the list of all nodes, of which there are about `count`; `is_whole` where those
+    /// that started together with this one had the time to add themselves.
     pub fn take_sample(&mut self, now: Millis, entries: Vec<Entry>, count: usize, is_whole: bool) {
         self.estimated = Some((now, count));
         self.take_list(now, entries, is_whole);
--- a/crates/core/tests/serving/fleet.rs
+++ b/crates/core/tests/serving/fleet.rs
@@ -195,15 +195,11 @@
 
 #[test]
 fn a_sample_of_the_list_shows_how_many_nodes_there_are() {
-    for size in [300, 1_000, 2_000, 10_000] {
+    for size in [600, 1_000, 2_000, 10_000] {
         let mut keys: Vec<String> = (0..size).map(|number| make_key(&entry(number).name)).collect();
         keys.sort_unstable();
-        for from in (0..size).step_by(size / 30) {
-            let own = &keys[from];
-            let last = &keys[(from + 127) % size];
-            let estimated = estimate_count(own, last, 128);
-            assert!((size * 2 / 3..size * 3 / 2).contains(&estimated), "{estimated} of {size}");
-        }
+        let estimated = estimate_count(&keys[499], 500);
+        assert!((size * 4 / 5..size * 5 / 4).contains(&estimated), "{estimated} of {size}");
     }
 }
 
--- a/crates/gateway/src/node/peers/register.rs
+++ b/crates/gateway/src/node/peers/register.rs
@@ -8,7 +8,7 @@
 use crate::event::{self, Event};
 use crate::node::Node;
 use crate::node::pause::{Pause, jitter};
-use crate::port::{Row, Selection, TableError, TableName, Transaction, Write, answer_within};
+use crate::port::{Row, Rows, Selection, TableError, TableName, Transaction, Write, answer_within};
 use crate::runtime;
 
 /// The table in which nodes list themselves.
@@ -21,8 +21,8 @@
 const LIST_AGAIN: Duration = Duration::from_millis(1_500);
 /// The time after which a node that had to list itself reads the list once more.
 const READ_TWICE_AFTER: Duration = Duration::from_millis(1_000);
-/// Rows that a node reads at its start: enough to hear of all others through these.
-const SAMPLE: usize = 128;
+/// Rows that a node reads at its start, with one call: it hears of all others through these nodes.
+const SAMPLE: usize = 500;
 /// The time between two looks at the list.
 const LOOK_AGAIN: Duration = Duration::from_secs(60);
 
@@ -55,7 +55,7 @@
 /// The part of the list that is read.
 #[derive(Clone, Copy, Debug)]
 enum Part {
-    /// The rows that follow this node's own; `is_settled` where those that started together with this node
+    /// The first rows; `is_settled` where those that started together with this node
     /// had the time to list themselves.
     Sample { is_settled: bool },
     /// All rows.
@@ -103,24 +103,20 @@
     Ok(is_listed)
 }
 
-/// Reads the rows that follow this node's own, beyond the last one from the first one on.
+/// Reads the first rows, and this node's own where it is not among them.
 async fn read_sample(node: &Node, is_settled: bool) -> Result<bool, TableError> {
     let own_key = sample::make_key(&node.incarnation.node);
-    let mut rows = read_from(node, &own_key, SAMPLE).await?;
-    let mut is_all = false;
-    if rows.len() < SAMPLE {
-        let first = read_from(node, "", SAMPLE).await?;
-        let before = first.iter().take_while(|row| row.key < own_key).count();
-        // The rows up to this node's own were all given, and are fewer than were asked for.
-        is_all = before < SAMPLE;
-        rows.extend(first.into_iter().take(before));
+    let first = read_from(node, "", SAMPLE).await?;
+    let last = first.rows.last().map_or("", |row| row.key.as_str());
+    let mut count = first.rows.len();
+    let mut own = None;
+    if first.has_more {
+        count = sample::estimate_count(last, count);
+        if *last < *own_key {
+            own = read_from(node, &own_key, 1).await?.rows.pop();
+        }
     }
-    let last = rows.last().map_or("", |row| row.key.as_str());
-    let count = match is_all {
-        true => rows.len(),
-        false => sample::estimate_count(&own_key, last, rows.len()),
-    };
-    let entries: Vec<Entry> = rows.iter().filter_map(decode).collect();
+    let entries: Vec<Entry> = first.rows.iter().chain(&own).filter_map(decode).collect();
     let is_listed = entries.contains(&node.get_entry());
     let now = node.now();
     // A node that is listed already has run before, and so have the others.
@@ -129,10 +125,9 @@
     Ok(is_listed)
 }
 
-async fn read_from(node: &Node, key: &str, most: usize) -> Result<Vec<Row>, TableError> {
+async fn read_from(node: &Node, key: &str, most: usize) -> Result<Rows, TableError> {
     let selection = Selection { table: TableName::Own(TABLE), from: key.to_owned(), most };
-    let reading = (node.platform.table.read_some)(selection);
-    Ok(answer_within(CALL_WITHIN, reading).await?.rows)
+    answer_within(CALL_WITHIN, (node.platform.table.read_some)(selection)).await
 }
 
 fn decode(row: &Row) -> Option<Entry> {
