--- a/crates/core/src/serving/members/roster.rs
+++ b/crates/core/src/serving/members/roster.rs
@@ -17,7 +17,7 @@
 /// The time between two calls for what other lists hold.
 const ASKED_EACH: Millis = 400;
 /// A node that was not heard of for this long is not passed on.
-pub(super) const LIVE_FOR: Millis = 10_000;
+const LIVE_FOR: Millis = 10_000;
 
 /// Stands for the list of nodes that a node knows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -76,7 +76,7 @@
     /// Picks a node whose list holds what this one lacks, with the additions that this node has got of
     /// it: its aggregator, or one of the other aggregators in turn.
     ///
-    /// Each call returns another one, and none within [`ASKED_EACH`] of the last. Few nodes, which all hear
+    /// Each call returns another one, and none within 0.4 s of the last. Few nodes, which all hear
     /// each other, need none.
     pub fn pick_roster_source(&mut self, now: Millis) -> Option<(SocketAddr, u64)> {
         let is_early = self.roster_asked_at.is_some_and(|at| now < at + ASKED_EACH);
