fix(directory): a peer takes over the version also where nothing else has changed

A change without effect (an entry that no node could read is removed) raises the version of the one that hears of it. A peer that missed it got no entries, kept its version, and would have asked again in each period.

Change: what a peer gives brings the version with it. Test: directory::a_change_without_effect..., failed first.

--- a/crates/core/src/serving/directory/mod.rs
+++ b/crates/core/src/serving/directory/mod.rs
@@ -120,7 +120,13 @@
     /// Takes over what a peer gave for a version; `None` where changes before it are missing.
     pub fn take(&mut self, update: Update<'_>) -> Option<Vec<Change>> {
         match update {
-            Update::Changes(batch) => self.update(batch),
+            Update::Changes(batch) => {
+                let version = batch.version;
+                let changes = self.update(batch)?;
+                // The peer's version rises with changes only, also with those that had no effect there.
+                self.version = self.version.max(version);
+                Some(changes)
+            }
             Update::Whole { version, servers } => {
                 let servers = servers.into_iter().map(Cow::into_owned).collect();
                 Some(self.replace(version, servers))
--- a/crates/core/tests/serving/directory.rs
+++ b/crates/core/tests/serving/directory.rs
@@ -298,3 +298,15 @@
     assert_eq!(directory.iter_ready("api").count(), 1);
     assert_eq!(directory.iter_ready("llm").count(), 10_000);
 }
+
+/// A peer that stayed behind by such a change would ask for it again and again.
+#[test]
+fn a_change_without_effect_brings_a_peer_up_to_date_too() {
+    let mut known = of_size(10);
+    let mut peer = of_size(10);
+    known.update(removed(2, "never-listed"));
+    known.update(listed(3, server("s1", "z1")));
+    assert_eq!(known.get_version(), 3);
+    peer.take(known.get_update(Some(peer.get_version()))).expect("no gap");
+    assert_eq!(peer.get_version(), 3);
+}
