fix(register): nodes that start together at a saturated store all get listed

Cause: a part of the store takes 200 writes a second and lets others wait for up to a second; nodes gave up after 0.7 s and wrote again 1.5 s later. From some 440 nodes on the writes never stopped: each row was written late, no node learnt that it was, and none read the list.

Change: a write's answer is waited for beyond what the store lets it wait; after a failure the node pauses ever longer, and reads before it writes again.

--- a/crates/gateway/src/node/peers/register.rs
+++ b/crates/gateway/src/node/peers/register.rs
@@ -19,6 +19,11 @@
 const LISTED_WITHIN: Duration = Duration::from_millis(1_000);
 /// The pause after a write that failed, by which writes spread further.
 const LIST_AGAIN: Duration = Duration::from_millis(1_500);
+/// That pause after several writes that failed.
+const LIST_AGAIN_AT_MOST: Duration = Duration::from_secs(12);
+/// How long a write's answer is waited for: the table service lets writes wait for a second in turn, and
+/// whoever gives up sooner while it is saturated gets no answer at all.
+const LIST_WITHIN: Duration = Duration::from_millis(2_500);
 /// The time after which a node that had to list itself reads the list once more.
 const READ_TWICE_AFTER: Duration = Duration::from_millis(1_000);
 /// Rows that a node reads at its start, with one call: it hears of all others through these nodes.
@@ -35,10 +40,7 @@
     let is_first_start = node.settings.node.is_first_start;
     if is_first_start || !read_until_done(&node, Part::Sample { is_settled: false }).await {
         runtime::sleep(LISTED_WITHIN.mul_f64(fastrand::f64())).await;
-        while let Err(error) = list(&node).await {
-            note_failure("list this node", &error);
-            runtime::sleep(jitter(LIST_AGAIN)).await;
-        }
+        list_until_done(&node).await;
         runtime::sleep(jitter(READ_TWICE_AFTER)).await;
         if is_alone(&node) || !node.with(|state| state.members.is_grouped()) {
             read_until_done(&node, Part::Sample { is_settled: true }).await;
@@ -84,6 +86,22 @@
     node.with(|state| state.members.get_reach(now).heard <= 1)
 }
 
+/// Lists this node, again after each failure and ever more seldom, until it is listed.
+///
+/// A write that was not answered may be done later. Where many nodes start, each further one would hold up
+/// those that wait already, so that the list is read before the next one.
+async fn list_until_done(node: &Node) {
+    let mut pause = LIST_AGAIN;
+    while let Err(error) = list(node).await {
+        note_failure("list this node", &error);
+        runtime::sleep(jitter(pause)).await;
+        if read_until_done(node, Part::Sample { is_settled: false }).await {
+            return;
+        }
+        pause = (pause * 2).min(LIST_AGAIN_AT_MOST);
+    }
+}
+
 async fn list(node: &Node) -> Result<(), TableError> {
     let entry = node.get_entry();
     let value = serde_json::to_vec(&entry)
@@ -91,7 +109,7 @@
     let key = sample::make_key(&entry.name);
     let write = Write { table: TableName::Own(TABLE), key, value: Some(value) };
     let transaction = Transaction { conditions: Vec::new(), writes: vec![write] };
-    answer_within(CALL_WITHIN, (node.platform.table.commit)(transaction)).await.map(|_| ())
+    answer_within(LIST_WITHIN, (node.platform.table.commit)(transaction)).await.map(|_| ())
 }
 
 async fn read_whole(node: &Node) -> Result<bool, TableError> {
