fix(capacity): surplus servers are given up in parts

Not shown: which message was late.

Change: a plan releases at most 1,000 servers beyond those that the list shows as leaving; the next ones follow as the list does. It costs some seconds of surplus servers.

--- a/crates/core/src/serving/capacity/mod.rs
+++ b/crates/core/src/serving/capacity/mod.rs
@@ -165,6 +165,10 @@
     moved
 }
 
+/// The most servers that a plan releases beyond those that the list shows as leaving: all nodes must hear of
+/// each before it ends, and a longer wave of changes takes longer to reach them.
+const MOST_RELEASED: u32 = 1_000;
+
 /// Plans the servers of a service in the data centres of one region.
 pub fn plan(policy: &Policy, scaling: &Scaling, snapshot: &Snapshot<'_>) -> Plan {
     let inventory = snapshot.inventory;
@@ -174,7 +178,7 @@
         return Plan::default();
     }
     let need = snapshot.need.max(scaling.min * data_centres.len() as u32).min(most);
-    let spare = snapshot.count_accepting().saturating_sub(need);
+    let spare = snapshot.count_accepting().saturating_sub(need).min(MOST_RELEASED);
     if scaling.spot_price.is_none() {
         let on_demand = fill(&data_centres, need, scaling.max, &BTreeMap::new());
         let mut plan = Plan { on_demand, spot: BTreeMap::new() };
--- a/crates/core/src/serving/directory/mod.rs
+++ b/crates/core/src/serving/directory/mod.rs
@@ -12,17 +12,17 @@
 //! | this one | keeps the list |
 //! | `server` | describes a server |
 //! | `batch` | holds changes that pass between nodes |
-//! | `gone` | remembers which servers have left the list |
+//! | `removals` | remembers which servers have left the list |
 
 mod batch;
-mod gone;
+mod removals;
 mod server;
 
 use std::borrow::Cow;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashSet};
 
-use self::gone::Removals;
+use self::removals::Removals;
 use crate::Millis;
 
 pub use self::batch::{Batch, Entry, Update};
