--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -1,4 +1,4 @@
-//! What a node is told.
+//! The settings of a node.
 
 use keeljunction_core::ErrorKind;
 use keeljunction_gateway::settings::Settings;
