feat(platform): what servers say of the requests that follow is decoded, logged and counted

Change: Server-Limit, Server-Leaving and the Retry-After of a 503 are decoded once, in platform/signal.rs, into a backpressure::Signal. Values that make no sense (negative, not a number, above a million a second, above ten minutes) have no effect or a bounded one, and are logged as header_unreadable. Events server_signal and header_unreadable, metric server_signals{reason}. No decision changes. Test: translations::what_a_server_says..., a_back_off_is_read..., values_that_make_no_sense...

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -14,6 +14,7 @@
 //! | [`choice`] | which server a request goes to |
 //! | [`crossing`] | how often nodes tell other regions what they count |
 //! | [`spill`] | whether a request leaves its region |
+//! | [`backpressure`] | what servers say in their answers about the requests that follow |
 //! | [`health`] | which servers are ejected because of their latest answers |
 //! | [`members`] | which other nodes there are, who aggregates whose reports, and who reads for all |
 //! | [`handover`] | which of a node's counts its peers have taken over |
@@ -26,6 +27,7 @@
 //! | [`quarantine`] | which requests end the servers that run them |
 //! | [`refusal`] | why a request was refused, and when to retry |
 
+pub mod backpressure;
 pub mod capacity;
 pub mod choice;
 pub mod configuration;
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -49,6 +49,18 @@
     ServersChanged { joined: usize, leaving: usize, gone: usize },
     /// A server is passed over for what its answers showed.
     ServerEjected { server: &'a str, ejected_for_ms: u64 },
+    /// A server's answer said something about the requests that follow.
+    ServerSignal {
+        server: &'a str,
+        service: &'a str,
+        status: u16,
+        rate_limit: Option<f64>,
+        back_off_ms: Option<u64>,
+        is_leaving: bool,
+    },
+    /// A header by which a server says something about the requests that follow cannot be read, or is
+    /// read as less than it says.
+    HeaderUnreadable { server: &'a str, header: &'a str, value: &'a str },
     /// The duty lease was taken, renewed after a gap, or lost.
     LeaseChanged { fence: Option<u64> },
     /// The node reports its counts to another aggregator, or aggregates itself.
@@ -206,6 +218,7 @@
     pub fn is_usual(&self) -> bool {
         match self {
             Self::ServerChosen { attempt, .. } => *attempt == 1,
+            Self::ServerSignal { .. } | Self::HeaderUnreadable { .. } => true,
             Self::RequestEnded { outcome, .. } => *outcome == "answered" || *outcome == "left",
             _ => false,
         }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -17,7 +17,7 @@
 use crate::event::{self, Event};
 use crate::http::{Body, Reply};
 use crate::node::{Node, Reservation, crashes, note_load_change, watch};
-use crate::port::{AnswerHead, Dispatch};
+use crate::port::{AnswerHead, Dispatch, UnreadableHeader};
 use crate::runtime;
 
 /// The most bytes of an answer that are held back until it is known to be whole.
@@ -318,6 +318,9 @@
 fn check_head(node: &Node, exchange: &Exchange, server: &Server, parts: &Parts) -> Option<Failed> {
     let head = (node.platform.dialect.read_answer)(parts);
     let fault = find_fault(exchange, parts, &head);
+    if !matches!(fault, Some(Failed::OtherServer | Failed::Broken)) {
+        note_signal(node, server, parts.status.as_u16(), &head);
+    }
     if fault == Some(Failed::OtherServer) {
         let change =
             node.with(|state| state.directory.note_leaving(&server.id, server.incarnation));
@@ -326,6 +329,26 @@
     fault
 }
 
+/// Logs and counts what a server says about the requests that follow.
+fn note_signal(node: &Node, server: &Server, status: u16, head: &AnswerHead) {
+    for UnreadableHeader { name, value } in &head.unreadable {
+        event::emit(&Event::HeaderUnreadable { server: &server.id, header: name, value });
+    }
+    let signal = &head.signal;
+    if signal.is_empty() {
+        return;
+    }
+    node.metrics.count_signal(signal);
+    event::emit(&Event::ServerSignal {
+        server: &server.id,
+        service: &server.service,
+        status,
+        rate_limit: signal.rate_limit,
+        back_off_ms: signal.back_off,
+        is_leaving: signal.is_leaving,
+    });
+}
+
 /// Returns what is wrong with the head of an answer.
 fn find_fault(exchange: &Exchange, parts: &Parts, head: &AnswerHead) -> Option<Failed> {
     let status = parts.status;
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 
+use keeljunction_core::serving::backpressure::Signal;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -62,6 +63,8 @@
     pub requests_stopped: Counter,
     /// Servers that did not listen any more after a connection to them broke off.
     pub servers_down: Family<ServiceLabels, Counter>,
+    /// Answers in which servers said something about the requests that follow, by what they said.
+    pub signals: Family<ReasonLabels, Counter>,
     /// Times that the process stood still for a second or more.
     pub pauses: Counter,
     gauges: Gauges,
@@ -92,6 +95,7 @@
             callers_disconnected: Family::default(),
             requests_stopped: Counter::default(),
             servers_down: Family::default(),
+            signals: Family::default(),
             pauses: Counter::default(),
             gauges: Gauges::default(),
         };
@@ -197,6 +201,11 @@
             "Servers that did not listen any more after a connection to them broke off",
             self.servers_down.clone(),
         );
+        registry.register(
+            "server_signals",
+            "Answers in which servers said something about the requests that follow",
+            self.signals.clone(),
+        );
         registry.register(
             "pauses",
             "Times that the process stood still for a second or more, or its machine was suspended",
@@ -216,6 +225,18 @@
         );
     }
 
+    /// Counts an answer in which a server said something about the requests that follow.
+    pub fn count_signal(&self, signal: &Signal) {
+        let said = [
+            ("rate_limit", signal.rate_limit.is_some()),
+            ("back_off", signal.back_off.is_some()),
+            ("leaving", signal.is_leaving),
+        ];
+        for (reason, _) in said.into_iter().filter(|(_, is_said)| *is_said) {
+            self.signals.get_or_create(&ReasonLabels { reason: reason.to_owned() }).inc();
+        }
+    }
+
     /// Renders all metrics as text.
     pub fn render(&self, node: &Node) -> String {
         self.gauges.update(node);
--- a/crates/gateway/src/port/dialect.rs
+++ b/crates/gateway/src/port/dialect.rs
@@ -3,6 +3,7 @@
 use hyper::HeaderMap;
 use hyper::http::{request, response};
 use keeljunction_core::Millis;
+use keeljunction_core::serving::backpressure::Signal;
 
 /// Translates heads between the callers' and servers' protocol and the product's own terms.
 #[derive(Clone, Copy)]
@@ -66,7 +67,7 @@
 }
 
 /// What a server's head says.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerHead {
     /// The request that the answer belongs to.
     pub request_id: Option<String>,
@@ -80,4 +81,17 @@
     pub is_encoded: bool,
     /// Requests that wait at the server, where it reports them.
     pub waiting: Option<u32>,
+    /// What the server says about the requests that follow.
+    pub signal: Signal,
+    /// Headers of the signal that cannot be read, or are read as less than they say.
+    pub unreadable: Vec<UnreadableHeader>,
+}
+
+/// A header whose value cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableHeader {
+    /// Its name.
+    pub name: String,
+    /// The beginning of its value.
+    pub value: String,
 }
--- a/crates/gateway/src/port/mod.rs
+++ b/crates/gateway/src/port/mod.rs
@@ -10,7 +10,9 @@
 use keeljunction_core::serving::directory::Server;
 
 pub use control::{CapacityOrder, Control, ControlFuture, DutyHolder, UsageReport};
-pub use dialect::{AnswerHead, Dialect, Dispatch, Prompt, PromptPart, RequestHead};
+pub use dialect::{
+    AnswerHead, Dialect, Dispatch, Prompt, PromptPart, RequestHead, UnreadableHeader,
+};
 pub use rollouts::{RolloutRow, Rollouts};
 pub use table::{
     Condition, Row, Rows, Selection, Table, TableError, TableFuture, TableName, Transaction, Write,
