fix(backpressure): a server's rate limit holds over all nodes

Callers and servers saw: two servers that named limits of 2.3 and 1.9 requests a second got 5 a second each from eight nodes, and stayed slow. Cause: no node read the limit, and the choice counted the server's free slots as room. Class: what a server says of itself was not decoded, and everything that kept requests from a server so far is a preference, which ends where no other server is left. Evidence: the rate at the servers is the same before and after they named limits; with the signal logged and no other change, the test servers are chosen after it as before. Ruled out: limits kept by each node for itself (no node knew one), repeats and resumed streams (all attempts were first ones).

Change: a limited server gets requests with permits only. Its owner, the aggregator that keeps its load, has the one bucket of the limit; a node that gets no decision within 40 ms leaves the server out for 200 ms. Whoever hears a part of the nodes gives that part of the rate; a new owner begins with an empty bucket. Nodes hear of limits at once and with each report. A server that is at its limit is no candidate, for first attempts, repeats, resumed streams, servers on trial and other regions alike; where no other one is left, the request is refused at once as throttled, with Retry-After of the first turn, spread. An answer without a limit ends it. Why it works: the permit is taken in the step before the request is sent, from one bucket, and returned where nothing was sent.

Core tests: 1, 8, 83, 300 and 986 nodes, owners that end, halves, nodes that hear nobody, nodes that start.

--- /dev/null
+++ b/crates/core/src/serving/backpressure/book.rs
@@ -0,0 +1,119 @@
+//! All that a node knows of what servers say about the requests that follow.
+
+use std::collections::BTreeSet;
+
+use super::{Decision, Key, Permits, RateLimits, Sighting, Signal};
+use crate::Millis;
+use crate::serving::directory::Server;
+use crate::serving::quota::Reach;
+
+/// The most servers that are remembered for headers that cannot be read.
+const MOST_UNREADABLE: usize = 1_024;
+
+/// All that a node knows of what servers say about the requests that follow.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    limits: RateLimits,
+    /// Of the servers that this node owns.
+    permits: Permits,
+    /// Servers, by short name, whose headers could not be read.
+    unreadable: BTreeSet<u64>,
+}
+
+impl Book {
+    /// Makes the book of a node that knows nothing yet; `draw` is random, from 0 to 1.
+    pub fn new(draw: f64) -> Self {
+        Self { permits: Permits::new(draw), ..Self::default() }
+    }
+
+    /// Notes the signal of an answer to a request that was sent at `sent_at`; returns a sighting of the
+    /// server's limit where that is news for other nodes.
+    pub fn note(
+        &mut self,
+        now: Millis,
+        sent_at: Millis,
+        server: &Server,
+        signal: &Signal,
+    ) -> Option<Sighting> {
+        self.limits.note(now, sent_at, Key::of(server), signal.rate_limit)
+    }
+
+    /// Notes that a header of a server cannot be read; returns `true` if none could not before.
+    pub fn note_unreadable(&mut self, server: &Server) -> bool {
+        if self.unreadable.len() == MOST_UNREADABLE {
+            self.unreadable.clear();
+        }
+        self.unreadable.insert(Key::of(server).server)
+    }
+
+    /// Takes over what another node saw; returns `true` if it is news, to be passed on.
+    pub fn merge(&mut self, now: Millis, sighting: &Sighting) -> bool {
+        self.limits.merge(now, sighting)
+    }
+
+    /// Returns the time until a request may be sent to a server; `None` where it may now.
+    pub fn get_wait(&self, now: Millis, server: &Server) -> Option<Millis> {
+        if self.limits.is_empty() {
+            return None;
+        }
+        self.limits.get_wait(now, Key::of(server))
+    }
+
+    /// Returns what is known of a server that takes requests with permits only.
+    pub fn get_limit(&self, now: Millis, server: &Server) -> Option<Sighting> {
+        self.limits.get(now, Key::of(server))
+    }
+
+    /// Decides about a request to a server, as its owner; `sighting` is what the asking node knows.
+    pub fn decide(&mut self, now: Millis, sighting: &Sighting, reach: Reach) -> Decision {
+        self.limits.merge(now, sighting);
+        let known = self.limits.get_latest(now, sighting.key).unwrap_or(*sighting);
+        match known.rate {
+            Some(rate) => self.permits.decide(now, sighting.key, rate, reach),
+            None => Decision::Unlimited { age: known.age },
+        }
+    }
+
+    /// Takes over the decision of a server's owner; returns `true` if the request may be sent.
+    ///
+    /// Without a decision the server gets no request for `undecided_for` milliseconds.
+    pub fn take_decision(
+        &mut self,
+        now: Millis,
+        key: Key,
+        decision: Decision,
+        undecided_for: Millis,
+    ) -> bool {
+        match decision {
+            Decision::Granted => return true,
+            Decision::Unlimited { age } => {
+                self.limits.merge(now, &Sighting { key, rate: None, age });
+                return true;
+            }
+            Decision::Denied { retry_after } => self.limits.note_denied(now, key, retry_after),
+            Decision::Undecided => self.limits.note_denied(now, key, undecided_for),
+        }
+        false
+    }
+
+    /// Takes back the permit of a request that was not sent, as the owner.
+    pub fn take_back(&mut self, key: Key) {
+        self.permits.take_back(key);
+    }
+
+    /// Lists some of the limits for other nodes; each turn gives the next ones.
+    pub fn list_some(&self, now: Millis, turn: usize) -> Vec<Sighting> {
+        self.limits.list_some(now, turn)
+    }
+
+    /// Counts the servers that are limited.
+    pub fn count_limited(&self) -> usize {
+        self.limits.count()
+    }
+
+    /// Forgets what is too old.
+    pub fn expire(&mut self, now: Millis) {
+        self.limits.expire(now);
+        self.permits.expire(now);
+    }
+}
--- a/crates/core/src/serving/backpressure/mod.rs
+++ b/crates/core/src/serving/backpressure/mod.rs
@@ -1,9 +1,32 @@
 //! Backpressure: what servers say in their answers about the requests that follow.
 //!
-//! | module | holds |
+//! A server may name a rate limit: the requests a second that it takes from all nodes together. One node,
+//! the server's owner, has the bucket of that limit and gives permits to all others; a node sends nothing
+//! to a limited server without one. So the limit holds over any number of nodes, and what it costs depends
+//! on the requests for limited servers alone.
+//!
+//! What a server says bars it from being a candidate at all. Ejection ([`super::health`]) is a preference:
+//! an ejected server is used where no other is left.
+//!
+//! | module | does |
 //! |---|---|
-//! | `signal` | what one answer says |
+//! | `signal` | says what one answer says |
+//! | `key` | names a start of a server |
+//! | `sighting` | says what a node saw of a server's limit |
+//! | `rate_limits` | holds which servers are limited, at each node |
+//! | `permits` | gives permits for limited servers, at their owners |
+//! | `book` | holds all of it, at each node |
 
+mod book;
+mod key;
+mod permits;
+mod rate_limits;
+mod sighting;
 mod signal;
 
+pub use self::book::Book;
+pub use self::key::Key;
+pub use self::permits::{Decision, Permits};
+pub use self::rate_limits::RateLimits;
+pub use self::sighting::Sighting;
 pub use self::signal::Signal;
--- a/crates/core/src/serving/members/owner.rs
+++ b/crates/core/src/serving/members/owner.rs
@@ -35,6 +35,17 @@
         Some(LoadOwner { address: entry.address, far_region: self.get_far_region(entry) })
     }
 
+    /// Returns `true` if this node keeps the load of a server.
+    pub fn is_load_owner(&self, server: u64, data_centre: &str) -> bool {
+        match self.topology.is_multi_region() {
+            true => {
+                let is_known = self.view.ranking.is_aggregator;
+                is_known && self.find_load_owner(server, data_centre).is_none()
+            }
+            false => self.is_owner(server),
+        }
+    }
+
     /// Finds the name of the aggregator of a region that owns a key, which may be this node.
     ///
     /// Each request looks up some servers, so that the aggregators are kept by region.
--- a/crates/core/src/serving/quota/limit.rs
+++ b/crates/core/src/serving/quota/limit.rs
@@ -70,7 +70,7 @@
 
 impl Reach {
     /// Returns the fraction of all nodes that was heard lately.
-    pub(super) fn get_fraction(self) -> f64 {
+    pub(in crate::serving) fn get_fraction(self) -> f64 {
         self.heard.max(1) as f64 / self.all.max(self.heard).max(1) as f64
     }
 
--- a/crates/core/src/serving/refusal.rs
+++ b/crates/core/src/serving/refusal.rs
@@ -29,6 +29,8 @@
     Stale,
     /// The route's service has no server that may get work.
     NoServer,
+    /// The servers take no request now, by what they said in their answers.
+    Throttled,
     /// All servers are busy for longer than the request can wait.
     Busy,
     /// Only servers of another region could serve the request, and the budget of the link there is
@@ -62,6 +64,7 @@
             Self::NotConfigured
             | Self::Stale
             | Self::NoServer
+            | Self::Throttled
             | Self::Busy
             | Self::LinkFull
             | Self::NotAccepted
@@ -90,6 +93,7 @@
             Self::NotConfigured => "not_configured",
             Self::Stale => "stale_configuration",
             Self::NoServer => "no_server",
+            Self::Throttled => "throttled",
             Self::Busy => "busy",
             Self::LinkFull => "link_full",
             Self::NotAccepted => "not_accepted",
@@ -116,6 +120,7 @@
                 | Self::NotConfigured
                 | Self::Stale
                 | Self::NoServer
+                | Self::Throttled
                 | Self::Busy
                 | Self::LinkFull
                 | Self::NotAccepted
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -1,5 +1,6 @@
 //! Decisions for relayed exchanges, by behaviour and by properties.
 
+mod backpressure;
 mod capacity;
 mod choice;
 mod configuration;
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -218,7 +218,6 @@
     pub fn is_usual(&self) -> bool {
         match self {
             Self::ServerChosen { attempt, .. } => *attempt == 1,
-            Self::ServerSignal { .. } | Self::HeaderUnreadable { .. } => true,
             Self::RequestEnded { outcome, .. } => *outcome == "answered" || *outcome == "left",
             _ => false,
         }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -14,10 +14,11 @@
 use keeljunction_core::serving::throughput::Sample;
 
 use super::admission::Exchange;
+use super::signals;
 use crate::event::{self, Event};
 use crate::http::{Body, Reply};
 use crate::node::{Node, Reservation, crashes, note_load_change, watch};
-use crate::port::{AnswerHead, Dispatch, UnreadableHeader};
+use crate::port::{AnswerHead, Dispatch};
 use crate::runtime;
 
 /// The most bytes of an answer that are held back until it is known to be whole.
@@ -212,7 +213,7 @@
     })?;
     node.count_crossing(data_centre, exchange.body_bytes, 0);
     let (parts, reply) = response.into_parts();
-    let fault = check_head(node, exchange, order.server, &parts);
+    let fault = check_head(node, exchange, order.server, sent_at, &parts);
     if let Some(fault) = fault.filter(|fault| *fault != Failed::ServerError) {
         return Err((fault, None));
     }
@@ -315,11 +316,17 @@
 }
 
 /// Returns what is wrong with the head of an answer; notes a server that another one replaced.
-fn check_head(node: &Node, exchange: &Exchange, server: &Server, parts: &Parts) -> Option<Failed> {
+fn check_head(
+    node: &Node,
+    exchange: &Exchange,
+    server: &Server,
+    sent_at: Millis,
+    parts: &Parts,
+) -> Option<Failed> {
     let head = (node.platform.dialect.read_answer)(parts);
     let fault = find_fault(exchange, parts, &head);
-    if !matches!(fault, Some(Failed::OtherServer | Failed::Broken)) {
-        note_signal(node, server, parts.status.as_u16(), &head);
+    if !head.is_other_server && !is_foreign(exchange, &head) {
+        signals::note(node, server, sent_at, parts.status, fault, &head);
     }
     if fault == Some(Failed::OtherServer) {
         let change =
@@ -329,26 +336,6 @@
     fault
 }
 
-/// Logs and counts what a server says about the requests that follow.
-fn note_signal(node: &Node, server: &Server, status: u16, head: &AnswerHead) {
-    for UnreadableHeader { name, value } in &head.unreadable {
-        event::emit(&Event::HeaderUnreadable { server: &server.id, header: name, value });
-    }
-    let signal = &head.signal;
-    if signal.is_empty() {
-        return;
-    }
-    node.metrics.count_signal(signal);
-    event::emit(&Event::ServerSignal {
-        server: &server.id,
-        service: &server.service,
-        status,
-        rate_limit: signal.rate_limit,
-        back_off_ms: signal.back_off,
-        is_leaving: signal.is_leaving,
-    });
-}
-
 /// Returns what is wrong with the head of an answer.
 fn find_fault(exchange: &Exchange, parts: &Parts, head: &AnswerHead) -> Option<Failed> {
     let status = parts.status;
@@ -358,8 +345,7 @@
     if head.is_not_executed {
         return Some(Failed::Declined);
     }
-    let is_foreign = head.request_id.is_some() && head.request_id != exchange.head.id;
-    if is_foreign || head.is_encoded || status.is_informational() {
+    if is_foreign(exchange, head) || head.is_encoded || status.is_informational() {
         return Some(Failed::Broken);
     }
     if status.is_success() && !head.is_sealed {
@@ -371,3 +357,8 @@
     }
     status.is_server_error().then_some(Failed::ServerError)
 }
+
+/// Returns `true` if an answer belongs to another request.
+fn is_foreign(exchange: &Exchange, head: &AnswerHead) -> bool {
+    head.request_id.is_some() && head.request_id != exchange.head.id
+}
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -15,7 +15,7 @@
 use super::respond::{Record, Refused};
 use crate::event::{self, Event};
 use crate::metrics::ReasonLabels;
-use crate::node::{Node, rollouts};
+use crate::node::{Node, permits, rollouts};
 
 /// `Retry-After` where the server of the last attempt was full, in milliseconds.
 const ROOM_RETRY_AFTER: Millis = 250;
@@ -40,16 +40,15 @@
             Err(rejection) => return give_up(node, exchange, rejection, spare),
         };
         note_choice(node, exchange, record, &pick);
-        let within = exchange.get_left(node.now());
-        let order = Order { server: &pick.server, last_event: None, within };
-        match try_server(node, exchange, record, &mut progress, &order).await {
+        match try_server(node, exchange, record, &mut progress, &pick, None).await {
             Ok(answer) => return Ok(answer),
             Err(answer) => spare = answer.or(spare),
         }
     }
 }
 
-/// Sends the request to a server.
+/// Sends the request to the server that was picked, from the event after `last_event` on where a stream
+/// goes on.
 ///
 /// # Errors
 ///
@@ -59,29 +58,35 @@
     exchange: &Exchange,
     record: &mut Record,
     progress: &mut Progress,
-    order: &Order<'_>,
+    pick: &Pick,
+    last_event: Option<u64>,
 ) -> Result<Answer, Option<Box<Answer>>> {
-    progress.tried.all.push(order.server.id.clone());
-    node.with(|state| state.rollouts.count_sent(order.server));
+    let server = &pick.server;
+    progress.tried.all.push(server.id.clone());
+    node.with(|state| state.rollouts.count_sent(server));
     let sent_at = node.now();
-    match attempt::send(node, exchange, order).await {
+    let order = Order { server, last_event, within: exchange.get_left(sent_at) };
+    match attempt::send(node, exchange, &order).await {
         Ok(answer) => {
             node.with(|state| {
-                if !state.directory.is_superseded(order.server) {
-                    state.health.succeed(&order.server.id);
+                if !state.directory.is_superseded(server) {
+                    state.health.succeed(&server.id);
                 }
             });
-            let on_the_way = node.get_round_trip(&order.server.data_centre);
+            let on_the_way = node.get_round_trip(&server.data_centre);
             let latency = (node.now() - sent_at).saturating_sub(on_the_way);
             let route = &exchange.route.name;
-            rollouts::note_success(node, order.server, route, Phase::FirstToken, latency);
+            rollouts::note_success(node, server, route, Phase::FirstToken, latency);
             Ok(answer)
         }
         Err((failed, answer)) => {
-            note_failure(node, exchange, record, order.server, failed);
+            if failed == Failed::NotConnected {
+                permits::give_back(node, server, pick.permit).await;
+            }
+            note_failure(node, exchange, record, server, failed);
             if failed.may_have_run() {
                 let route = &exchange.route.name;
-                rollouts::note_failure(node, order.server, route, Phase::FirstToken);
+                rollouts::note_failure(node, server, route, Phase::FirstToken);
             }
             progress.note(failed);
             Err(answer)
@@ -108,9 +113,8 @@
     loop {
         let pick = next_attempt(node, exchange, &progress).await.ok()?;
         note_choice(node, exchange, record, &pick);
-        let within = exchange.get_left(node.now());
-        let order = Order { server: &pick.server, last_event, within };
-        let tried_server = try_server(node, exchange, record, &mut progress, &order).await;
+        let tried_server =
+            try_server(node, exchange, record, &mut progress, &pick, last_event).await;
         tried.clone_from(&progress.tried);
         if let Ok(answer) = tried_server {
             return Some(answer);
@@ -145,19 +149,37 @@
     if !node.is_fresh() {
         return Err(progress.reject(Refusal::Stale, ROOM_RETRY_AFTER));
     }
-    let attempts =
-        Attempts { tried: &progress.tried.all, began: progress.began, ramp_draw: fastrand::f64() };
-    let pick = pick::pick(node, exchange, attempts)
+    let attempts = Attempts {
+        tried: &progress.tried.all,
+        began: progress.began,
+        ramp_draw: fastrand::f64(),
+        skips_limited: false,
+    };
+    let pick = pick::pick_permitted(node, exchange, attempts)
         .await
         .map_err(|rejection| progress.reject(rejection.reason, rejection.retry_after))?;
+    if let Err(rejection) = check_dispatch(node, exchange, progress, now) {
+        permits::give_back(node, &pick.server, pick.permit).await;
+        return Err(rejection);
+    }
+    Ok(pick)
+}
+
+/// Checks whether a request may be sent to the server that was picked since `began`.
+fn check_dispatch(
+    node: &Node,
+    exchange: &Exchange,
+    progress: &Progress,
+    began: Millis,
+) -> Result<(), Rejection> {
     // The choice may have waited for loads. Nothing is sent that no time is left to answer.
     if exchange.get_left(node.now()) == 0 {
         return Err(progress.reject(Refusal::TooLate, 0));
     }
-    if progress.sent > 0 {
-        take_repeat(node, exchange, progress, now)?;
+    match progress.sent {
+        0 => Ok(()),
+        _ => take_repeat(node, exchange, progress, began),
     }
-    Ok(pick)
 }
 
 /// Takes a repeat from the budget that all nodes share.
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -8,6 +8,7 @@
 //! | `progress` | holds how far the attempts have come |
 //! | `pick` | picks the server of an attempt |
 //! | `attempt` | sends the request to one server and judges what comes back |
+//! | `signals` | takes over what servers say about the requests that follow |
 //! | `notes` | records attempts in state, logs and metrics |
 //! | `relay` | makes the caller's response from an answer |
 //! | `source` | reads the answer from its server, and lets another server go on with it |
@@ -31,6 +32,7 @@
 mod rejection;
 mod relay;
 mod respond;
+mod signals;
 mod source;
 mod upload;
 
--- a/crates/gateway/src/exchange/pick/crossing.rs
+++ b/crates/gateway/src/exchange/pick/crossing.rs
@@ -58,7 +58,7 @@
             let far = self.pick_far(region, &way).await;
             match (settle(offer, far.offer), far.server) {
                 (Settled::Far, Some(server)) => {
-                    return Ok(Pick { server, spill: Some(self.cause) });
+                    return Ok(Pick::new(server, Some(self.cause)));
                 }
                 (Settled::Busy(wait), _) => offer = Offer::Busy(wait),
                 _ => {}
@@ -95,7 +95,9 @@
             let mut ready = state.directory.iter_ready(&self.exchange.service);
             let is_there = |server: &Server| {
                 let is_tried = self.attempts.tried.contains(&server.id);
-                !is_tried && get_region(&node.topology, &server.data_centre) == region
+                !is_tried
+                    && !state.is_barred(now, server)
+                    && get_region(&node.topology, &server.data_centre) == region
             };
             if !ready.any(is_there) {
                 return Gate::Closed;
--- a/crates/gateway/src/exchange/pick/mod.rs
+++ b/crates/gateway/src/exchange/pick/mod.rs
@@ -5,11 +5,13 @@
 //! |---|---|
 //! | `region` | picks a server within one region |
 //! | `crossing` | picks a server of another region |
+//! | `permitted` | picks a server that takes the request, by what servers say in their answers |
 //!
 //! The versions that the request may go to are tried within each region: a roll-out that has begun
 //! in one region draws no requests of another one there.
 
 mod crossing;
+mod permitted;
 mod region;
 
 use keeljunction_core::Millis;
@@ -20,10 +22,11 @@
 
 use super::admission::Exchange;
 use super::rejection::Rejection;
-use crate::node::{Node, rollouts};
+use crate::node::{Node, Permit, rollouts};
 use crossing::Crossing;
 use region::{Found, Place, pick_in};
 
+pub(super) use permitted::pick_permitted;
 pub(super) use region::{get_criteria, weigh};
 
 /// `Retry-After` where no server takes work, in milliseconds: about what a list of servers takes to
@@ -41,6 +44,8 @@
     /// gradually. All steps of a choice share one draw, so that the servers whose loads are requested
     /// are those that may be chosen.
     pub ramp_draw: f64,
+    /// Whether servers are left out that take requests with permits only.
+    pub skips_limited: bool,
 }
 
 /// A server for an attempt.
@@ -49,14 +54,19 @@
     pub server: Server,
     /// Why the request leaves its region, where it does.
     pub spill: Option<Cause>,
+    /// The permit to send the request there.
+    pub permit: Permit,
+}
+
+impl Pick {
+    /// Makes the pick of a server whose permit is not taken yet.
+    fn new(server: Server, spill: Option<Cause>) -> Self {
+        Self { server, spill, permit: Permit::Unlimited }
+    }
 }
 
 /// Picks the server of the next attempt, or says why there is none.
-pub(super) async fn pick(
-    node: &Node,
-    exchange: &Exchange,
-    attempts: Attempts<'_>,
-) -> Result<Pick, Rejection> {
+async fn pick(node: &Node, exchange: &Exchange, attempts: Attempts<'_>) -> Result<Pick, Rejection> {
     let side = rollouts::pick_side(node, &exchange.service, attempts.tried.is_empty());
     let (is_load_requested, criteria) =
         node.with(|state| (state.members.is_grouped(), get_criteria(state, exchange)));
@@ -99,7 +109,7 @@
 /// Returns the result of a choice that stays in the node's own region.
 fn conclude(found: Found) -> Result<Pick, Rejection> {
     match (found.server, found.offer) {
-        (Some(server), _) => Ok(Pick { server, spill: None }),
+        (Some(server), _) => Ok(Pick::new(server, None)),
         (None, Offer::Busy(retry_after)) => Err(Rejection { reason: Refusal::Busy, retry_after }),
         (None, _) => Err(Rejection { reason: Refusal::NoServer, retry_after: SERVER_RETRY_AFTER }),
     }
--- a/crates/gateway/src/exchange/pick/region.rs
+++ b/crates/gateway/src/exchange/pick/region.rs
@@ -88,6 +88,7 @@
     /// The only ones, where the side is [`Side::Canary`].
     canaries: Vec<String>,
     attempts: Attempts<'a>,
+    now: Millis,
 }
 
 impl<'a> Allowed<'a> {
@@ -96,13 +97,20 @@
             Side::Canary => rollouts::list_canaries(node, &exchange.service),
             _ => Vec::new(),
         };
-        Self { side, canaries, attempts }
+        Self { side, canaries, attempts, now: node.now() }
     }
 
     fn is_allowed(&self, state: &State, server: &Server) -> bool {
         let is_chosen = self.side != Side::Canary || self.canaries.contains(&server.id);
         let is_of_side = state.rollouts.is_allowed(self.side, server);
-        is_chosen && is_of_side && !self.attempts.tried.contains(&server.id)
+        let is_tried = self.attempts.tried.contains(&server.id);
+        is_chosen && is_of_side && !is_tried && !self.is_barred(state, server)
+    }
+
+    /// Returns `true` if a server takes no request now, or is left out because of its limit.
+    fn is_barred(&self, state: &State, server: &Server) -> bool {
+        let is_limited = || state.backpressure.get_limit(self.now, server).is_some();
+        state.is_barred(self.now, server) || (self.attempts.skips_limited && is_limited())
     }
 }
 
@@ -200,7 +208,10 @@
     listed: &[String],
 ) -> Found {
     node.with(|state| {
+        let now = node.now();
         let servers = listed.iter().filter_map(|id| state.directory.get_ready(id));
+        // A server may have said something while the loads were waited for.
+        let servers = servers.filter(|server| !state.is_barred(now, server));
         pick_one(node, state, exchange, criteria, ramp_draw, servers)
     })
 }
--- /dev/null
+++ b/crates/gateway/src/exchange/signals.rs
@@ -0,0 +1,54 @@
+//! Takes over what servers say in their answers about the requests that follow.
+
+use hyper::StatusCode;
+use keeljunction_core::Millis;
+use keeljunction_core::serving::directory::Server;
+
+use super::attempt::Failed;
+use crate::event::{self, Event};
+use crate::node::{Node, permits};
+use crate::port::{AnswerHead, UnreadableHeader};
+
+/// Takes over what the answer to a request says that was sent at `sent_at`.
+///
+/// Only an answer that the server gave of its own, without a fault of the head, ends a limit: what
+/// rejects a request may know less than what runs it.
+pub(super) fn note(
+    node: &Node,
+    server: &Server,
+    sent_at: Millis,
+    status: StatusCode,
+    fault: Option<Failed>,
+    head: &AnswerHead,
+) {
+    let AnswerHead { signal, unreadable, .. } = head;
+    note_unreadable(node, server, unreadable);
+    let is_answered = matches!(fault, None | Some(Failed::ServerError));
+    if signal.is_empty() && !is_answered {
+        return;
+    }
+    node.metrics.count_signal(signal);
+    let now = node.now();
+    let seen = node.with(|state| state.backpressure.note(now, sent_at, server, signal));
+    if let Some(sighting) = seen {
+        event::emit(&Event::ServerSignal {
+            server: &server.id,
+            service: &server.service,
+            status: status.as_u16(),
+            rate_limit: signal.rate_limit,
+            back_off_ms: signal.back_off,
+            is_leaving: signal.is_leaving,
+        });
+        permits::announce(node, sighting);
+    }
+}
+
+/// Logs headers that cannot be read, once for each server.
+fn note_unreadable(node: &Node, server: &Server, unreadable: &[UnreadableHeader]) {
+    if unreadable.is_empty() || !node.with(|state| state.backpressure.note_unreadable(server)) {
+        return;
+    }
+    for UnreadableHeader { name, value } in unreadable {
+        event::emit(&Event::HeaderUnreadable { server: &server.id, header: name, value });
+    }
+}
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -36,6 +36,7 @@
     read_ahead: Gauge<i64, AtomicI64>,
     held_at_servers: Gauge<i64, AtomicI64>,
     quarantined: Gauge<i64, AtomicI64>,
+    limited: Gauge<i64, AtomicI64>,
     skipped_entries: Gauge<i64, AtomicI64>,
 }
 
@@ -126,6 +127,11 @@
             Unit::Bytes,
             self.held_at_servers.clone(),
         );
+        registry.register(
+            "limited_servers",
+            "Servers that take requests with permits only",
+            self.limited.clone(),
+        );
         registry.register(
             "quarantined_requests",
             "Requests that are refused because servers crashed under them",
@@ -153,6 +159,7 @@
             self.held_at_servers.set(state.held.get_total() as i64);
             self.skipped_entries.set(state.skipped_entries.count() as i64);
             self.quarantined.set(state.quarantine.count_refused(now) as i64);
+            self.limited.set(state.backpressure.count_limited() as i64);
             let age = state.freshness.get_age(now);
             self.configuration_age.set(age.map_or(-1.0, |age| age as f64 / 1_000.0));
             let version = state.configuration.as_ref().map_or(0, |known| known.version);
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -41,6 +41,10 @@
     pub unanswered_load_questions: Counter,
     /// Questions to owners of client accounts that were not answered in time.
     pub unanswered_quota_questions: Counter,
+    /// Questions to owners of limited servers that were not answered in time.
+    pub unanswered_permit_questions: Counter,
+    /// Permits for limited servers that were denied, or not decided about.
+    pub permits_denied: Counter,
     /// Bytes of requests that were sent to other regions.
     pub region_bytes_sent: Family<RegionLabels, Counter>,
     /// Bytes of answers that came from other regions.
@@ -84,6 +88,8 @@
             resumed: Counter::default(),
             unanswered_load_questions: Counter::default(),
             unanswered_quota_questions: Counter::default(),
+            unanswered_permit_questions: Counter::default(),
+            permits_denied: Counter::default(),
             region_bytes_sent: Family::default(),
             region_bytes_received: Family::default(),
             spilled: Family::default(),
@@ -153,6 +159,16 @@
             "Questions to owners of client accounts that were not answered in time",
             self.unanswered_quota_questions.clone(),
         );
+        registry.register(
+            "unanswered_permit_questions",
+            "Questions to owners of limited servers that were not answered in time",
+            self.unanswered_permit_questions.clone(),
+        );
+        registry.register(
+            "permits_denied",
+            "Permits for limited servers that were denied, or not decided about",
+            self.permits_denied.clone(),
+        );
         registry.register_with_unit(
             "region_sent",
             "Bodies of requests that went to another region",
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -1,6 +1,7 @@
 //! The datagrams between nodes.
 
 use keeljunction_core::Millis;
+use keeljunction_core::serving::backpressure::{self, Key, Sighting};
 use keeljunction_core::serving::directory::Batch;
 use keeljunction_core::serving::freshness::Versions;
 use keeljunction_core::serving::load::{Load, Work};
@@ -14,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The format of the datagrams; others are ignored.
-const FORMAT: u8 = 11;
+const FORMAT: u8 = 12;
 
 /// What every datagram begins with.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,6 +80,26 @@
         /// What the owner decided.
         decision: Decision,
     },
+    /// Asks the owner of a limited server for a permit.
+    AskPermit {
+        /// Names the question at the one who asks.
+        question: u32,
+        /// What the one who asks knows of the server's limit.
+        sighting: Sighting,
+        /// The server's data centre; empty where there is one region only.
+        data_centre: String,
+    },
+    /// Answers that.
+    Permit {
+        /// The question.
+        question: u32,
+        /// The server.
+        key: Key,
+        /// What the owner decided.
+        decision: backpressure::Decision,
+    },
+    /// Returns the permit of a request that was not sent.
+    ReturnPermit(Key),
     /// A summary of an aggregator of another region, as it came there.
     Carried {
         /// The run of the aggregator's process.
@@ -161,6 +182,8 @@
     pub joined: Vec<Entry>,
     /// Some of the requests that it knows to crash servers, or not to.
     pub verdicts: Vec<Verdict>,
+    /// Some of the limits of servers that it knows.
+    pub limits: Vec<Sighting>,
     /// Which versions of the platform's tables it knows.
     pub versions: Versions,
 }
@@ -188,6 +211,8 @@
     pub roster: Roster,
     /// Some of the requests that it knows to crash servers, or not to.
     pub verdicts: Vec<Verdict>,
+    /// Some of the limits of servers that it knows.
+    pub limits: Vec<Sighting>,
     /// Which versions of the platform's tables it knows.
     pub versions: Versions,
 }
@@ -204,6 +229,8 @@
     },
     /// It was decided whether a request crashes servers.
     RequestJudged(Verdict),
+    /// A server names a limit, or none any more.
+    LimitSeen(Sighting),
     /// A roll-out was ordered, or its stage has advanced.
     RolloutChanged(Announcement),
     /// The sender has sent a request to a server whose prompt takes long to read.
--- a/crates/gateway/src/node/peers/mod.rs
+++ b/crates/gateway/src/node/peers/mod.rs
@@ -9,6 +9,8 @@
 //! | `carry` | sends summaries to other regions, and passes theirs on in this one |
 //! | `loads` | keeps and asks for the loads of servers, where nodes report in groups |
 //! | `quota` | asks the owner of a client account whether a request is within its limit |
+//! | `permits` | asks the owners of limited servers for permits |
+//! | `questions` | holds questions that wait for answers |
 //! | `quarantine` | exchanges which requests crash servers |
 //! | `versions` | confirms what this node knows of the platform's tables, or gets what it lacks |
 //! | `news` | passes on what must not wait for the next report |
@@ -23,7 +25,9 @@
 pub(super) mod loads;
 pub(super) mod message;
 pub(super) mod news;
+pub(crate) mod permits;
 pub(crate) mod quarantine;
+pub(super) mod questions;
 pub(crate) mod quota;
 mod register;
 pub(super) mod report;
@@ -74,6 +78,13 @@
             Message::Quota { question, account, units, decision } => {
                 quota::take(&node, question, &account, units, decision);
             }
+            Message::AskPermit { question, sighting, data_centre } => {
+                permits::answer(&node, from, question, &sighting, &data_centre).await;
+            }
+            Message::Permit { question, key, decision } => {
+                permits::take_answer(&node, from, question, key, decision).await;
+            }
+            Message::ReturnPermit(key) => permits::take_back(&node, key),
             Message::ServerCrashed(end) => quarantine::take_report(&node, &end),
             Message::RequestAnswered(fingerprint) => {
                 quarantine::take_answered(&node, fingerprint);
--- a/crates/gateway/src/node/peers/news.rs
+++ b/crates/gateway/src/node/peers/news.rs
@@ -1,5 +1,5 @@
 //! Passes on what must not wait for the next report: changed servers, a new configuration, long
-//! prompts, requests that crash servers.
+//! prompts, limits of servers, requests that crash servers.
 //!
 //! Where nodes report in groups, news goes from a node to its aggregator, from there to the other
 //! aggregators, and from each of these to its group. An aggregator passes on what is new to it, and
@@ -15,7 +15,7 @@
 use keeljunction_core::serving::rollout::Announcement;
 
 use super::message::{Message, News};
-use super::{calls, quarantine};
+use super::{calls, permits, quarantine};
 use crate::node::state::State;
 use crate::node::{Node, rollouts, watch};
 use crate::runtime;
@@ -76,6 +76,11 @@
                 pass_on(node, from, news).await;
             }
         }
+        News::LimitSeen(sighting) => {
+            if permits::take_sighting(node, &sighting) {
+                pass_on(node, from, news).await;
+            }
+        }
         News::RolloutChanged(announcement) => take_rollout(node, from, announcement).await,
         News::ServersChanged(batch) => take_servers(node, from, batch).await,
         News::ConfigurationChanged { version } => {
--- a/crates/gateway/src/node/peers/quota.rs
+++ b/crates/gateway/src/node/peers/quota.rs
@@ -4,13 +4,9 @@
 //! all, which every node finds by itself among the aggregators: what a question costs depends on
 //! the requests and not on the number of nodes.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use async_channel::{Receiver, Sender};
 use keeljunction_core::Millis;
 use keeljunction_core::serving::configuration::Account;
 use keeljunction_core::serving::load::short_id;
@@ -19,7 +15,6 @@
 use super::message::Message;
 use crate::node::Node;
 use crate::node::state::State;
-use crate::runtime::{self, lock};
 
 /// How long a decision is waited for: some times the way there and back within a region, and the
 /// time for which a small VM lets a task wait. The local share is consumed then.
@@ -27,36 +22,6 @@
 /// From another region it is waited for as long as the way there and back is measured to take.
 const DECIDED_WITHIN: Millis = 40;
 
-/// Questions that wait for decisions.
-#[derive(Debug, Default)]
-pub(in crate::node) struct Pending {
-    next: AtomicU32,
-    waiting: Mutex<HashMap<u32, Sender<Decision>>>,
-}
-
-/// A question that waits for its decision, until it is dropped.
-struct Question<'a> {
-    pending: &'a Pending,
-    number: u32,
-    decided: Receiver<Decision>,
-}
-
-impl Pending {
-    fn begin(&self) -> Question<'_> {
-        let (sender, decided) = async_channel::bounded(1);
-        let number = self.next.fetch_add(1, Ordering::Relaxed);
-        lock(&self.waiting).insert(number, sender);
-        Question { pending: self, number, decided }
-    }
-}
-
-impl Drop for Question<'_> {
-    fn drop(&mut self) {
-        // No decision can be put into the channel while its sender is not in the table.
-        lock(&self.pending.waiting).remove(&self.number);
-    }
-}
-
 /// Consumes units of a client account for a request.
 ///
 /// # Errors
@@ -104,9 +69,7 @@
     let message =
         Message::AskQuota { question: question.number, account: account.to_owned(), units };
     node.link.send(node.now(), owner, &message).await;
-    let decided = runtime::within(get_wait(node, owner), question.decided.recv()).await;
-    // A decision may have come at the end of that time.
-    let decided = decided.and_then(Result::ok).or_else(|| question.decided.try_recv().ok());
+    let decided = question.wait(get_wait(node, owner)).await;
     decided.unwrap_or_else(|| {
         node.metrics.unanswered_quota_questions.inc();
         Decision::Undecided
@@ -155,8 +118,7 @@
 /// Takes a decision. One that comes too late is refunded: the request has consumed units of the
 /// local share meanwhile, or was refused.
 pub(super) fn take(node: &Node, question: u32, account: &str, units: u64, decision: Decision) {
-    let waiting = lock(&node.pending_decisions.waiting).remove(&question);
-    let is_taken = waiting.is_some_and(|sender| sender.try_send(decision).is_ok());
+    let is_taken = node.pending_decisions.answer(question, decision);
     if !is_taken && decision == Decision::Admitted {
         node.with(|state| state.quotas.refund(account, units));
     }
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -16,7 +16,7 @@
 use keeljunction_core::serving::usage::{Counts, Incarnation, WindowNumber};
 
 use super::message::{Message, Overview, Report, Sender, Summary, Totals};
-use super::{calls, carry, loads, quarantine, versions};
+use super::{calls, carry, loads, permits, quarantine, versions};
 use crate::event::{self, Event};
 use crate::node::pauses::Pauses;
 use crate::node::state::State;
@@ -82,6 +82,7 @@
 fn refresh(state: &mut State, now: Millis) {
     state.members.refresh(now);
     state.loads.expire(now);
+    state.backpressure.expire(now);
     state.demand.sample_all(now);
     state.throughputs.values_mut().for_each(|throughput| throughput.rate_servers(now));
     let own_aggregator = state.members.get_own_aggregator();
@@ -204,6 +205,7 @@
             aggregators: state.members.list_ranked(),
             roster: state.members.get_roster(),
             verdicts: state.quarantine.list_some(now, turn as usize),
+            limits: state.backpressure.list_some(now, turn as usize),
             versions,
         };
         let is_grouped = state.members.is_grouped();
@@ -223,6 +225,7 @@
             roster: state.members.get_roster(),
             joined,
             verdicts: overview.verdicts.clone(),
+            limits: overview.limits.clone(),
             versions,
         };
         let aggregators = state.members.list_exchange(now);
@@ -285,7 +288,8 @@
 /// directly.
 pub(super) fn take_summary(node: &Arc<Node>, asked_at: Option<Millis>, summary: Summary) {
     let now = node.now();
-    let Summary { sender, totals, loads, group, group_age, roster, joined, verdicts, .. } = summary;
+    let Summary { sender, totals, loads, group, group_age, roster, joined, .. } = summary;
+    let (verdicts, limits) = (summary.verdicts, summary.limits);
     if sender.entry.name == node.incarnation.node {
         return;
     }
@@ -318,6 +322,7 @@
         }
     });
     quarantine::take_verdicts(node, verdicts);
+    permits::take_sightings(node, &limits);
 }
 
 /// Keeps samples for the nodes of this node's group, up to as many as an overview holds.
@@ -336,7 +341,8 @@
     overview: Overview,
 ) {
     let now = node.now();
-    let Overview { sender, quota, throughputs, reach, silent, verdicts, versions, .. } = overview;
+    let Overview { sender, quota, throughputs, reach, silent, versions, .. } = overview;
+    let (verdicts, limits) = (overview.verdicts, overview.limits);
     let (lost_regions, is_region_overdue) = (overview.lost_regions, overview.is_region_overdue);
     let (aggregators, roster) = (overview.aggregators, overview.roster);
     node.with(|state| {
@@ -359,6 +365,7 @@
         }
     });
     quarantine::take_verdicts(node, verdicts);
+    permits::take_sightings(node, &limits);
     versions::take(node, from, asked_at, &versions);
 }
 
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -8,6 +8,7 @@
 use async_channel::{Receiver, Sender};
 use keeljunction_core::Millis;
 use keeljunction_core::retry::{Allowance, Budget};
+use keeljunction_core::serving::backpressure;
 use keeljunction_core::serving::configuration::Configuration;
 use keeljunction_core::serving::demand::DemandBook;
 use keeljunction_core::serving::directory::{Directory, Server};
@@ -21,7 +22,7 @@
 use keeljunction_core::serving::members::{Entry, Members};
 use keeljunction_core::serving::memory::Accountant;
 use keeljunction_core::serving::quarantine::{self, Fingerprint};
-use keeljunction_core::serving::quota::{Quotas, Tolerance};
+use keeljunction_core::serving::quota::{self, Quotas, Tolerance};
 use keeljunction_core::serving::rollout;
 use keeljunction_core::serving::spill::Links;
 use keeljunction_core::serving::throughput::Throughput;
@@ -35,7 +36,7 @@
 use super::peers::link::Link;
 use super::peers::loads;
 use super::peers::message::News;
-use super::peers::quota;
+use super::peers::questions::Questions;
 use super::peers::report::{Audience, Samples};
 use super::skipped;
 use crate::exchange::Feeds;
@@ -97,7 +98,9 @@
     /// Requests for loads that wait for answers, and changed loads that wait to be sent.
     pub(super) pending_loads: loads::Pending,
     /// Requests that the owners of their client accounts decide about.
-    pub(super) pending_decisions: quota::Pending,
+    pub(super) pending_decisions: Questions<quota::Decision>,
+    /// Requests for permits of limited servers that wait for decisions.
+    pub(super) pending_permits: Questions<backpressure::Decision>,
     /// Runs that broke off at servers that may have ended.
     pub(super) cut_runs: crashes::Pending,
     /// Signals to uploads that are evicted.
@@ -148,6 +151,8 @@
     pub loads: LoadBook,
     /// What the servers' answers showed.
     pub health: Health,
+    /// What servers say about the requests that follow.
+    pub backpressure: backpressure::Book,
     /// Bytes of requests that each server holds for this node.
     pub held: held::Book,
     /// Requests that crash servers.
@@ -198,6 +203,18 @@
 }
 
 impl State {
+    /// Returns `true` if a server takes no request now, by what it said in its answers.
+    pub(crate) fn is_barred(&self, now: Millis, server: &Server) -> bool {
+        self.backpressure.get_wait(now, server).is_some()
+    }
+
+    /// Returns the shortest time until a server of a service takes a request again, of those that take
+    /// none now by what they said in their answers; `None` where there is none.
+    pub(crate) fn get_shortest_wait(&self, now: Millis, service: &str) -> Option<Millis> {
+        let servers = self.directory.iter_ready(service);
+        servers.filter_map(|server| self.backpressure.get_wait(now, server)).min()
+    }
+
     /// Counts this node's requests in flight at servers of a service that have another version than
     /// a roll-out moves to.
     pub(super) fn count_on_other_versions(&self, order: &rollout::Order) -> u32 {
@@ -243,6 +260,7 @@
             skipped_entries: skipped::Entries::default(),
             loads: LoadBook::default(),
             health: Health::default(),
+            backpressure: backpressure::Book::new(fastrand::f64()),
             held: held::Book::default(),
             quarantine: quarantine::Book::default(),
             quotas: Quotas::new(clock.now(), tolerance),
@@ -280,7 +298,8 @@
             link,
             news: async_channel::bounded(NEWS_WAITING),
             pending_loads: loads::Pending::default(),
-            pending_decisions: quota::Pending::default(),
+            pending_decisions: Questions::default(),
+            pending_permits: Questions::default(),
             cut_runs: crashes::Pending::default(),
             uploads: Uploads::default(),
             state: Mutex::new(state),
