fix(directory): a server that says in an answer that it leaves gets nothing more

Callers saw nothing; a server that had said that it leaves got requests of five nodes again, 10 and 11 s after two of them had passed such answers on, once the store was back. Cause: nodes knew of leaving servers from the store's entries alone, and the store could not take the server's word before 20.5 s. Class: what a server says of itself was not decoded. Evidence: no node logs a change of the server before that time, and the entry never lapsed; server_signal shows the word in the answers. Two more ways to the same end were found in the code and have tests: an entry that lapses, or is missing from a whole list, and comes back as ready with the same start was taken for a new server.

Change: the word is remembered by id and start, apart from the entries, for ten minutes (1,024 servers at the most), and goes to all nodes as news. An entry of the same start is taken over as leaving, whatever it says; a later start is a new server. Why it works: a leaving server is no candidate anywhere, and nothing that the store says of the same start undoes that.

--- a/crates/core/src/serving/directory/mod.rs
+++ b/crates/core/src/serving/directory/mod.rs
@@ -4,6 +4,9 @@
 //! entries may lapse; those of servers that live are back soon after its return. Until then a
 //! server whose entry is missing, and that had not said that it leaves, still gets work.
 //!
+//! A server may say in an answer that it leaves, while the table service is away or has not taken that yet.
+//! This outlives what its entry says, until the server starts again.
+//!
 //! Nodes give each other the changes since a version: what that costs grows with the changes, and not
 //! with the length of the list.
 //!
@@ -12,9 +15,11 @@
 //! | this one | keeps the list |
 //! | `server` | describes a server |
 //! | `batch` | holds changes that pass between nodes |
+//! | `departures` | remembers which servers said in their answers that they leave |
 //! | `removals` | remembers which servers have left the list |
 
 mod batch;
+mod departures;
 mod removals;
 mod server;
 
@@ -22,6 +27,7 @@
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashSet};
 
+use self::departures::Departures;
 use self::removals::Removals;
 use crate::Millis;
 
@@ -39,6 +45,15 @@
     Gone(Server),
 }
 
+/// What the word of a server did that it leaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Departed {
+    /// Whether it was not known, and is to be passed on.
+    pub is_news: bool,
+    /// What it did to the list.
+    pub change: Option<Change>,
+}
+
 /// The servers of one service by id.
 type Servers = BTreeMap<String, Listed>;
 
@@ -58,6 +73,7 @@
     /// Whether a whole list was taken over.
     is_known: bool,
     removals: Removals,
+    departures: Departures,
     /// Servers whose entries lapsed; this node's own belief, which is not reported to peers.
     lapsed: BTreeMap<String, Server>,
     lapsing_until: Option<Millis>,
@@ -174,6 +190,11 @@
         }
     }
 
+    /// Forgets which servers said long ago that they leave.
+    pub fn expire_departures(&mut self, now: Millis) {
+        self.departures.expire(now);
+    }
+
     /// Gives up the servers whose entries have not come back in time.
     pub fn expire_lapsed(&mut self, now: Millis) -> Vec<Change> {
         if self.lapsing_until.is_none_or(|until| now < until) {
@@ -193,8 +214,13 @@
         Some(Change::Gone(server))
     }
 
-    /// Notes that an incarnation of a server showed in an answer that it is leaving, or that another
-    /// server took its place.
+    /// Notes that an incarnation of a server said in an answer that it leaves.
+    pub fn note_departure(&mut self, now: Millis, id: &str, incarnation: u64) -> Departed {
+        let is_news = self.departures.note(now, id, incarnation);
+        Departed { is_news, change: self.note_leaving(id, incarnation) }
+    }
+
+    /// Notes that an answer showed another server in the place of an incarnation of a server.
     pub fn note_leaving(&mut self, id: &str, incarnation: u64) -> Option<Change> {
         if self.lapsed.get(id).is_some_and(|server| server.incarnation == incarnation) {
             return self.lapsed.remove(id).map(Change::Gone);
@@ -252,8 +278,9 @@
     }
 
     /// Takes over the entry of a server that changed at a version.
-    fn put(&mut self, server: Server, version: u64) -> Vec<Change> {
+    fn put(&mut self, mut server: Server, version: u64) -> Vec<Change> {
         self.removals.forget(&server.id);
+        server.is_leaving |= self.departures.holds(&server.id, server.incarnation);
         if self.get(&server.id) == Some(&server) {
             return Vec::new();
         }
--- a/crates/core/tests/serving/directory.rs
+++ b/crates/core/tests/serving/directory.rs
@@ -310,3 +310,63 @@
     peer.take(known.get_update(Some(peer.get_version()))).expect("no gap");
     assert_eq!(peer.get_version(), 3);
 }
+
+/// Guards against a server that gets requests again after it said that it leaves, because its entry was
+/// missing for a while and came back as ready.
+#[test]
+fn the_word_of_a_server_that_it_leaves_outlives_its_entry() {
+    let mut directory = Directory::default();
+    directory.replace(1, vec![started(10)]);
+    let departed = directory.note_departure(1_000, "a", 10);
+    assert!(departed.is_news && departed.change.is_some());
+    assert!(!directory.note_departure(1_100, "a", 10).is_news);
+    // Its entry is written again, is missing from a whole list, and comes back.
+    directory.update(listed(2, started(10)));
+    assert!(ready(&directory).is_empty());
+    directory.replace(3, Vec::new());
+    directory.update(listed(4, started(10)));
+    assert!(ready(&directory).is_empty());
+    // It lapses while the table service is away.
+    directory.note_away();
+    directory.note_return(2_000);
+    directory.replace(5, Vec::new());
+    assert!(ready(&directory).is_empty());
+    directory.replace(6, vec![started(10)]);
+    assert!(ready(&directory).is_empty());
+    // Its next start is another server.
+    directory.update(listed(7, started(11)));
+    assert_eq!(ready(&directory), ["a"]);
+    // A late answer of the start before changes nothing.
+    assert!(!directory.note_departure(3_000, "a", 10).is_news);
+    assert_eq!(ready(&directory), ["a"]);
+}
+
+#[test]
+fn the_word_of_a_server_that_it_leaves_may_come_before_its_entry_and_goes_to_peers_with_it() {
+    let mut directory = Directory::default();
+    assert!(directory.note_departure(0, "a", 10).is_news);
+    directory.replace(1, vec![started(10)]);
+    assert!(ready(&directory).is_empty());
+    let mut peer = Directory::default();
+    peer.take(directory.get_update(None));
+    assert!(ready(&peer).is_empty());
+}
+
+#[test]
+fn departures_are_forgotten_in_the_end_and_bounded() {
+    let mut directory = Directory::default();
+    directory.note_departure(0, "a", 10);
+    directory.expire_departures(599_999);
+    directory.replace(1, vec![started(10)]);
+    assert!(ready(&directory).is_empty());
+    directory.expire_departures(600_000);
+    directory.replace(2, Vec::new());
+    directory.replace(3, vec![started(10)]);
+    assert_eq!(ready(&directory), ["a"]);
+    // Of more than a thousand the latest are kept.
+    for number in 0..1_030 {
+        assert!(directory.note_departure(700_000 + number, &format!("s-{number}"), 1).is_news);
+    }
+    assert!(directory.note_departure(800_000, "s-0", 1).is_news);
+    assert!(!directory.note_departure(800_000, "s-1029", 1).is_news);
+}
--- a/crates/gateway/src/exchange/signals.rs
+++ b/crates/gateway/src/exchange/signals.rs
@@ -2,11 +2,12 @@
 
 use hyper::StatusCode;
 use keeljunction_core::Millis;
+use keeljunction_core::serving::backpressure::Sighting;
 use keeljunction_core::serving::directory::Server;
 
 use super::attempt::Failed;
 use crate::event::{self, Event};
-use crate::node::{Node, permits};
+use crate::node::{News, Node, watch};
 use crate::port::{AnswerHead, UnreadableHeader};
 
 /// Takes over what the answer to a request says that was sent at `sent_at`.
@@ -30,7 +31,8 @@
     node.metrics.count_signal(signal);
     let now = node.now();
     let seen = node.with(|state| state.backpressure.note(now, sent_at, server, signal));
-    if let Some(sighting) = seen {
+    let departs = signal.is_leaving && watch::take_departure(node, &server.id, server.incarnation);
+    if seen.is_some() || departs {
         event::emit(&Event::ServerSignal {
             server: &server.id,
             service: &server.service,
@@ -39,7 +41,18 @@
             back_off_ms: signal.back_off,
             is_leaving: signal.is_leaving,
         });
-        permits::announce(node, sighting);
+    }
+    announce(node, server, seen, departs);
+}
+
+/// Sends the other nodes what is news for them.
+fn announce(node: &Node, server: &Server, seen: Option<Sighting>, departs: bool) {
+    if let Some(sighting) = seen {
+        node.push(News::LimitSeen(sighting));
+    }
+    if departs {
+        let incarnation = server.incarnation;
+        node.push(News::ServerDeparts { server: server.id.clone(), incarnation });
     }
 }
 
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -42,6 +42,7 @@
 
 pub use memory::Reservation;
 pub(crate) use peers::loads::{ask as ask_loads, note_change as note_load_change};
+pub(crate) use peers::message::News;
 pub(crate) use peers::news::report_begun;
 pub(crate) use peers::permits::{self, Permit};
 pub(crate) use peers::quarantine::note_answered;
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -231,6 +231,13 @@
     RequestJudged(Verdict),
     /// A server names a limit, or none any more.
     LimitSeen(Sighting),
+    /// A server said in an answer that it leaves.
+    ServerDeparts {
+        /// Its id.
+        server: String,
+        /// Which of its starts it is.
+        incarnation: u64,
+    },
     /// A roll-out was ordered, or its stage has advanced.
     RolloutChanged(Announcement),
     /// The sender has sent a request to a server whose prompt takes long to read.
--- a/crates/gateway/src/node/peers/news.rs
+++ b/crates/gateway/src/node/peers/news.rs
@@ -1,5 +1,5 @@
 //! Passes on what must not wait for the next report: changed servers, a new configuration, long
-//! prompts, limits of servers, requests that crash servers.
+//! prompts, limits and departures of servers, requests that crash servers.
 //!
 //! Where nodes report in groups, news goes from a node to its aggregator, from there to the other
 //! aggregators, and from each of these to its group. An aggregator passes on what is new to it, and
@@ -81,6 +81,11 @@
                 pass_on(node, from, news).await;
             }
         }
+        News::ServerDeparts { ref server, incarnation } => {
+            if watch::take_departure(node, server, incarnation) {
+                pass_on(node, from, news).await;
+            }
+        }
         News::RolloutChanged(announcement) => take_rollout(node, from, announcement).await,
         News::ServersChanged(batch) => take_servers(node, from, batch).await,
         News::ConfigurationChanged { version } => {
--- a/crates/gateway/src/node/peers/permits.rs
+++ b/crates/gateway/src/node/peers/permits.rs
@@ -11,7 +11,7 @@
 use keeljunction_core::serving::backpressure::{Decision, Key, Sighting};
 use keeljunction_core::serving::directory::Server;
 
-use super::message::{Message, News};
+use super::message::Message;
 use crate::node::Node;
 use crate::node::state::State;
 
@@ -166,8 +166,3 @@
         take_sighting(node, sighting);
     }
 }
-
-/// Sends all nodes what this one saw of a server's limit.
-pub(crate) fn announce(node: &Node, sighting: Sighting) {
-    node.push(News::LimitSeen(sighting));
-}
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -343,7 +343,7 @@
     }
 
     /// Sends news to the other nodes soon.
-    pub(super) fn push(&self, news: News) {
+    pub(crate) fn push(&self, news: News) {
         if self.news.0.try_send(news).is_err() {
             log::debug!("too much news waits: the rest shows in the next report");
         }
--- a/crates/gateway/src/node/watch/mod.rs
+++ b/crates/gateway/src/node/watch/mod.rs
@@ -21,6 +21,7 @@
 
 pub(super) use configuration::adopt_configuration;
 pub use configuration::{configuration, freshness};
+pub(crate) use servers::take_departure;
 pub use servers::{apply, servers};
 pub(super) use servers::{expire_lapsed, take_update};
 
--- a/crates/gateway/src/node/watch/servers.rs
+++ b/crates/gateway/src/node/watch/servers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::directory::{Batch, Change, Entry, Server, Update};
+use keeljunction_core::serving::directory::{Batch, Change, Departed, Entry, Server, Update};
 
 use super::{ANSWER_WITHIN, LOOK, Watch, follow, is_due, is_reader, note_failure, part_of};
 use crate::event::{self, Event};
@@ -141,10 +141,23 @@
 /// Gives up servers whose entries lapsed and did not come back.
 pub(in crate::node) fn expire_lapsed(node: &Node) {
     let now = node.now();
-    let changes = node.with(|state| state.directory.expire_lapsed(now));
+    let changes = node.with(|state| {
+        state.directory.expire_departures(now);
+        state.directory.expire_lapsed(now)
+    });
     apply(node, changes);
 }
 
+/// Takes the word of a server, in an answer to this node or another one, that it leaves; returns `true` if
+/// that is news.
+pub(crate) fn take_departure(node: &Node, id: &str, incarnation: u64) -> bool {
+    let now = node.now();
+    let Departed { is_news, change } =
+        node.with(|state| state.directory.note_departure(now, id, incarnation));
+    apply(node, change.into_iter().collect());
+    is_news
+}
+
 /// Takes over entries that changed since a call that began at `asked_at`, and sends them to all peers
 /// where this node reads for them.
 fn update_servers(node: &Node, rows: &Rows, asked_at: Millis) {
