fix(backpressure): a server's back-off is kept by the node that got it

Callers saw 503 from a third of the model servers while six others were free: servers that answered 503 with Retry-After: 3 got as many requests as the others or more, 10 of one node in 1.2 s where two are allowed. Cause: a declined attempt had no consequence for the server, and one that answers within a millisecond has the fewest requests in flight, so that the choice prefers it. Class: as of the limit, what a server says of itself was not decoded. Evidence: the rate at the three servers rises after their first 503 (5 to 18 a second); no gap after it, so that nothing was noted and dropped; the six others were neither ejected nor full, so that it was no last choice.

Nothing ends a back-off early. Where all servers are barred, the request is refused at once as throttled (also where its last attempt was declined), with a Retry-After of the first end, spread over callers. Afterwards the server gets its work back gradually, as all nodes may return to it at once. Why it works: the same gate as for limits, looked at in the choice, after the wait for loads, and after the wait for a permit.

--- /dev/null
+++ b/crates/core/src/serving/backpressure/back_offs.rs
@@ -0,0 +1,60 @@
+//! Which servers asked this node for a back-off.
+
+use std::collections::BTreeMap;
+
+use super::Key;
+use crate::Millis;
+
+/// Servers that take no requests from this node for a time.
+#[derive(Clone, Debug, Default)]
+pub struct BackOffs {
+    /// By the servers' short names.
+    servers: BTreeMap<u64, BackOff>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct BackOff {
+    incarnation: u64,
+    until: Millis,
+}
+
+impl BackOffs {
+    /// Notes that a server asked for a back-off; returns its end where it is later than the one known.
+    ///
+    /// Neither an answer that was sent before, nor a shorter back-off, nor a good answer ends one early.
+    pub fn note(&mut self, now: Millis, key: Key, back_off: Millis) -> Option<Millis> {
+        let until = now.saturating_add(back_off);
+        let known = self.servers.get(&key.server);
+        let is_later = known.is_none_or(|known| match known.incarnation == key.incarnation {
+            true => until > known.until,
+            false => key.incarnation > known.incarnation,
+        });
+        if !is_later {
+            return None;
+        }
+        self.servers.insert(key.server, BackOff { incarnation: key.incarnation, until });
+        Some(until)
+    }
+
+    /// Returns the time until the end of a server's back-off; `None` where there is none.
+    pub fn get_wait(&self, now: Millis, key: Key) -> Option<Millis> {
+        let known = self.servers.get(&key.server);
+        let known = known.filter(|known| known.incarnation == key.incarnation)?;
+        known.until.checked_sub(now).filter(|wait| *wait > 0)
+    }
+
+    /// Returns `true` if no server asked for a back-off lately.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
+    /// Counts the servers whose back-offs have not ended.
+    pub fn count(&self, now: Millis) -> usize {
+        self.servers.values().filter(|back_off| now < back_off.until).count()
+    }
+
+    /// Forgets back-offs that have ended.
+    pub fn expire(&mut self, now: Millis) {
+        self.servers.retain(|_, back_off| now < back_off.until);
+    }
+}
--- a/crates/core/src/serving/backpressure/book.rs
+++ b/crates/core/src/serving/backpressure/book.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::{Decision, Key, Permits, RateLimits, Sighting, Signal};
+use super::{BackOffs, Decision, Key, Permits, RateLimits, Sighting, Signal};
 use crate::Millis;
 use crate::serving::directory::Server;
 use crate::serving::quota::Reach;
@@ -14,28 +14,40 @@
 #[derive(Clone, Debug, Default)]
 pub struct Book {
     limits: RateLimits,
+    back_offs: BackOffs,
     /// Of the servers that this node owns.
     permits: Permits,
     /// Servers, by short name, whose headers could not be read.
     unreadable: BTreeSet<u64>,
 }
 
+/// What came of the signal of an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Noted {
+    /// What was seen of the server's limit, where that is news for other nodes.
+    pub limit: Option<Sighting>,
+    /// When the server takes requests of this node again, where that is later than was known.
+    pub back_off_until: Option<Millis>,
+}
+
 impl Book {
     /// Makes the book of a node that knows nothing yet; `draw` is random, from 0 to 1.
     pub fn new(draw: f64) -> Self {
         Self { permits: Permits::new(draw), ..Self::default() }
     }
 
-    /// Notes the signal of an answer to a request that was sent at `sent_at`; returns a sighting of the
-    /// server's limit where that is news for other nodes.
+    /// Notes the signal of an answer to a request that was sent at `sent_at`.
     pub fn note(
         &mut self,
         now: Millis,
         sent_at: Millis,
         server: &Server,
         signal: &Signal,
-    ) -> Option<Sighting> {
-        self.limits.note(now, sent_at, Key::of(server), signal.rate_limit)
+    ) -> Noted {
+        let key = Key::of(server);
+        let back_off = signal.back_off.and_then(|time| self.back_offs.note(now, key, time));
+        let limit = self.limits.note(now, sent_at, key, signal.rate_limit);
+        Noted { limit, back_off_until: back_off }
     }
 
     /// Notes that a header of a server cannot be read; returns `true` if none could not before.
@@ -53,10 +65,11 @@
 
     /// Returns the time until a request may be sent to a server; `None` where it may now.
     pub fn get_wait(&self, now: Millis, server: &Server) -> Option<Millis> {
-        if self.limits.is_empty() {
+        if self.limits.is_empty() && self.back_offs.is_empty() {
             return None;
         }
-        self.limits.get_wait(now, Key::of(server))
+        let key = Key::of(server);
+        self.limits.get_wait(now, key).max(self.back_offs.get_wait(now, key))
     }
 
     /// Returns what is known of a server that takes requests with permits only.
@@ -111,9 +124,15 @@
         self.limits.count()
     }
 
+    /// Counts the servers that take no request from this node for a time.
+    pub fn count_in_back_off(&self, now: Millis) -> usize {
+        self.back_offs.count(now)
+    }
+
     /// Forgets what is too old.
     pub fn expire(&mut self, now: Millis) {
         self.limits.expire(now);
+        self.back_offs.expire(now);
         self.permits.expire(now);
     }
 }
--- a/crates/core/src/serving/backpressure/mod.rs
+++ b/crates/core/src/serving/backpressure/mod.rs
@@ -5,6 +5,9 @@
 //! to a limited server without one. So the limit holds over any number of nodes, and what it costs depends
 //! on the requests for limited servers alone.
 //!
+//! A server may also ask a node for a back-off: it takes no request from this node for a time. Its word that
+//! it leaves is kept with the list of servers ([`super::directory`]).
+//!
 //! What a server says bars it from being a candidate at all. Ejection ([`super::health`]) is a preference:
 //! an ejected server is used where no other is left.
 //!
@@ -14,9 +17,11 @@
 //! | `key` | names a start of a server |
 //! | `sighting` | says what a node saw of a server's limit |
 //! | `rate_limits` | holds which servers are limited, at each node |
+//! | `back_offs` | holds which servers asked this node for a back-off |
 //! | `permits` | gives permits for limited servers, at their owners |
 //! | `book` | holds all of it, at each node |
 
+mod back_offs;
 mod book;
 mod key;
 mod permits;
@@ -24,7 +29,8 @@
 mod sighting;
 mod signal;
 
-pub use self::book::Book;
+pub use self::back_offs::BackOffs;
+pub use self::book::{Book, Noted};
 pub use self::key::Key;
 pub use self::permits::{Decision, Permits};
 pub use self::rate_limits::RateLimits;
--- a/crates/core/src/serving/health.rs
+++ b/crates/core/src/serving/health.rs
@@ -63,6 +63,13 @@
         }
     }
 
+    /// Notes that the server takes no requests until a time. All nodes may return to it then, so that it
+    /// gets its work back gradually.
+    pub fn note_back_off(&mut self, id: &str, until: Millis) {
+        let record = self.servers.entry(id.to_owned()).or_default();
+        record.ramped_at = record.ramped_at.max(until.saturating_add(RAMP));
+    }
+
     /// Returns `true` if a request should go elsewhere while the server gets its work back gradually.
     ///
     /// `draw` is random, from 0 to 1. After the ejection all requests go elsewhere; the part that does
--- a/crates/core/src/serving/refusal.rs
+++ b/crates/core/src/serving/refusal.rs
@@ -4,6 +4,12 @@
 
 use crate::Millis;
 
+/// Returns the longest wait that a caller accepts who has `left` milliseconds left: somewhat less than a
+/// third of them.
+pub fn get_longest_wait(left: Millis) -> Millis {
+    left * 3 / 10
+}
+
 /// Why a request was not served. None of them has run, unless [`Refusal::may_have_run`] says so.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Refusal {
@@ -128,6 +134,6 @@
         if !is_passing {
             return None;
         }
-        Some(Duration::from_millis(hint.min(left * 3 / 10).max(1)))
+        Some(Duration::from_millis(hint.min(get_longest_wait(left)).max(1)))
     }
 }
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -138,7 +138,8 @@
     let is_spent = progress.sent >= route.max_attempts.max(1);
     let is_hopeless = progress.tried.all.len() as u32 >= route.max_attempts + MOST_CONNECTS;
     if is_barred || is_spent || is_hopeless {
-        return Err(progress.reject(Refusal::NotAccepted, ROOM_RETRY_AFTER));
+        let retry_after = pick::get_retry_after(node, exchange, ROOM_RETRY_AFTER);
+        return Err(progress.reject(Refusal::NotAccepted, retry_after));
     }
     if let Some(refused_for) = node.get_quarantine(exchange.fingerprint) {
         return Err(progress.reject_quarantined(refused_for));
--- a/crates/gateway/src/exchange/pick/mod.rs
+++ b/crates/gateway/src/exchange/pick/mod.rs
@@ -26,7 +26,7 @@
 use crossing::Crossing;
 use region::{Found, Place, pick_in};
 
-pub(super) use permitted::pick_permitted;
+pub(super) use permitted::{get_retry_after, pick_permitted};
 pub(super) use region::{get_criteria, weigh};
 
 /// `Retry-After` where no server takes work, in milliseconds: about what a list of servers takes to
--- a/crates/gateway/src/exchange/pick/permitted.rs
+++ b/crates/gateway/src/exchange/pick/permitted.rs
@@ -1,7 +1,7 @@
 //! Picks a server that takes the request, by what servers say in their answers.
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::refusal::Refusal;
+use keeljunction_core::serving::refusal::{Refusal, get_longest_wait};
 
 use super::{Attempts, Pick, pick};
 use crate::exchange::admission::Exchange;
@@ -11,8 +11,8 @@
 /// Limited servers whose permits a request may be denied before it goes to servers without a limit only:
 /// each takes a round trip.
 const MOST_DENIED: usize = 3;
-/// The fraction of the wait for servers that take no request, and the time in milliseconds, over which
-/// callers are spread that come back afterwards.
+/// Callers are spread that come back after the same wait: over this fraction of the wait and this time in
+/// milliseconds.
 const SPREAD_PART: f64 = 0.5;
 const LEAST_SPREAD: Millis = 200;
 
@@ -39,15 +39,40 @@
     if rejection.reason != Refusal::NoServer {
         return rejection;
     }
-    let now = node.now();
-    match node.with(|state| state.get_shortest_wait(now, &exchange.service)) {
-        Some(wait) => Rejection { reason: Refusal::Throttled, retry_after: spread(wait) },
+    match get_throttled_for(node, exchange) {
+        Some(retry_after) => Rejection { reason: Refusal::Throttled, retry_after },
         None => rejection,
     }
 }
 
-/// Spreads callers that come back after the same wait.
-fn spread(wait: Millis) -> Millis {
+/// Returns when the caller of a request that was declined should retry, in milliseconds: after `usual`,
+/// unless no server of the service takes requests before.
+pub(in crate::exchange) fn get_retry_after(
+    node: &Node,
+    exchange: &Exchange,
+    usual: Millis,
+) -> Millis {
+    let now = node.now();
+    let is_throttled = node.with(|state| state.is_all_barred(now, &exchange.service));
+    let throttled_for = if is_throttled { get_throttled_for(node, exchange) } else { None };
+    throttled_for.unwrap_or(usual)
+}
+
+/// Returns when a caller should retry that waits for servers which take no requests now, in milliseconds;
+/// `None` where there are none of them.
+fn get_throttled_for(node: &Node, exchange: &Exchange) -> Option<Millis> {
+    let now = node.now();
+    let wait = node.with(|state| state.get_shortest_wait(now, &exchange.service))?;
+    Some(spread(wait, get_longest_wait(exchange.get_left(now)), fastrand::f64()))
+}
+
+/// Spreads callers that come back after the same wait, by a random `draw` from 0 to 1: later than the wait
+/// where they accept that, and else over the latter half of what they accept.
+fn spread(wait: Millis, longest: Millis, draw: f64) -> Millis {
     let span = (wait as f64 * SPREAD_PART) as Millis + LEAST_SPREAD;
-    wait.saturating_add(fastrand::u64(..span))
+    let (from, to) = match wait < longest {
+        true => (wait, wait.saturating_add(span).min(longest)),
+        false => (longest / 2, longest),
+    };
+    from + ((to - from) as f64 * draw) as Millis
 }
--- a/crates/gateway/src/exchange/signals.rs
+++ b/crates/gateway/src/exchange/signals.rs
@@ -2,7 +2,6 @@
 
 use hyper::StatusCode;
 use keeljunction_core::Millis;
-use keeljunction_core::serving::backpressure::Sighting;
 use keeljunction_core::serving::directory::Server;
 
 use super::attempt::Failed;
@@ -30,9 +29,15 @@
     }
     node.metrics.count_signal(signal);
     let now = node.now();
-    let seen = node.with(|state| state.backpressure.note(now, sent_at, server, signal));
+    let noted = node.with(|state| {
+        let noted = state.backpressure.note(now, sent_at, server, signal);
+        if let Some(until) = noted.back_off_until {
+            state.health.note_back_off(&server.id, until);
+        }
+        noted
+    });
     let departs = signal.is_leaving && watch::take_departure(node, &server.id, server.incarnation);
-    if seen.is_some() || departs {
+    if noted.limit.is_some() || noted.back_off_until.is_some() || departs {
         event::emit(&Event::ServerSignal {
             server: &server.id,
             service: &server.service,
@@ -42,12 +47,7 @@
             is_leaving: signal.is_leaving,
         });
     }
-    announce(node, server, seen, departs);
-}
-
-/// Sends the other nodes what is news for them.
-fn announce(node: &Node, server: &Server, seen: Option<Sighting>, departs: bool) {
-    if let Some(sighting) = seen {
+    if let Some(sighting) = noted.limit {
         node.push(News::LimitSeen(sighting));
     }
     if departs {
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -37,6 +37,7 @@
     held_at_servers: Gauge<i64, AtomicI64>,
     quarantined: Gauge<i64, AtomicI64>,
     limited: Gauge<i64, AtomicI64>,
+    in_back_off: Gauge<i64, AtomicI64>,
     skipped_entries: Gauge<i64, AtomicI64>,
 }
 
@@ -132,6 +133,11 @@
             "Servers that take requests with permits only",
             self.limited.clone(),
         );
+        registry.register(
+            "servers_in_back_off",
+            "Servers that take no request from this node for a time",
+            self.in_back_off.clone(),
+        );
         registry.register(
             "quarantined_requests",
             "Requests that are refused because servers crashed under them",
@@ -159,6 +165,7 @@
             self.held_at_servers.set(state.held.get_total() as i64);
             self.skipped_entries.set(state.skipped_entries.count() as i64);
             self.quarantined.set(state.quarantine.count_refused(now) as i64);
+            self.in_back_off.set(state.backpressure.count_in_back_off(now) as i64);
             self.limited.set(state.backpressure.count_limited() as i64);
             let age = state.freshness.get_age(now);
             self.configuration_age.set(age.map_or(-1.0, |age| age as f64 / 1_000.0));
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -215,6 +215,11 @@
         servers.filter_map(|server| self.backpressure.get_wait(now, server)).min()
     }
 
+    /// Returns `true` if no server of a service takes requests now, by what they said in their answers.
+    pub(crate) fn is_all_barred(&self, now: Millis, service: &str) -> bool {
+        self.directory.iter_ready(service).all(|server| self.is_barred(now, server))
+    }
+
     /// Counts this node's requests in flight at servers of a service that have another version than
     /// a roll-out moves to.
     pub(super) fn count_on_other_versions(&self, order: &rollout::Order) -> u32 {
