refactor(feeds): a node lists the answers that it passes on without knowing how these are made

Change: the list has a module of its own, and holds for each answer what can be done to it. No behaviour changes; slow_peers, memory, disconnects, streams, stops and backpressure passed (53).

--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -14,7 +14,7 @@
 use keeljunction_core::serving::throughput::Sample;
 
 use super::admission::Exchange;
-use super::signals;
+use super::signals::{self, Answered};
 use crate::event::{self, Event};
 use crate::http::{Body, Reply};
 use crate::node::{Node, Reservation, crashes, note_load_change, watch};
@@ -326,7 +326,9 @@
     let head = (node.platform.dialect.read_answer)(parts);
     let fault = find_fault(exchange, parts, &head);
     if !head.is_other_server && !is_foreign(exchange, &head) {
-        signals::note(node, server, sent_at, parts.status, fault, &head);
+        let is_run = matches!(fault, None | Some(Failed::ServerError));
+        let answered = Answered { sent_at, status: parts.status, is_run };
+        signals::note(node, server, &answered, &head);
     }
     if fault == Some(Failed::OtherServer) {
         let change =
--- a/crates/gateway/src/exchange/callers.rs
+++ b/crates/gateway/src/exchange/callers.rs
@@ -5,8 +5,8 @@
 
 use keeljunction_core::serving::read_ahead::{Caller, READ_BYTES, RESTING_AFTER, pick_resting};
 
-use super::feed::{Feed, Look};
 use crate::event::{self, Event};
+use crate::feeds::{Handle, Look};
 use crate::metrics::ReasonLabels;
 use crate::node::Node;
 use crate::runtime;
@@ -32,7 +32,7 @@
 pub fn disconnect_resting(node: &Node) {
     let now = node.now();
     for feed in node.feeds.list() {
-        let look = feed.look(now);
+        let Some(look) = (feed.look)(now) else { continue };
         if look.caller.resting >= RESTING_AFTER {
             disconnect(node, &feed, &look, "stopping");
         }
@@ -42,7 +42,8 @@
 fn look_at_all(node: &Node) {
     let now = node.now();
     let feeds = node.feeds.list();
-    let looked: Vec<(&Arc<Feed>, Look)> = feeds.iter().map(|feed| (feed, feed.look(now))).collect();
+    let looked = feeds.iter().filter_map(|feed| Some((feed, (feed.look)(now)?)));
+    let looked: Vec<(&Arc<Handle>, Look)> = looked.collect();
     for (feed, look) in looked.iter().filter(|(_, look)| look.is_over) {
         disconnect(node, feed, look, "no_progress");
     }
@@ -69,14 +70,14 @@
     (total - capacity * EASED_PART) as usize
 }
 
-fn disconnect(node: &Node, feed: &Arc<Feed>, look: &Look, reason: &'static str) {
+fn disconnect(node: &Node, feed: &Handle, look: &Look, reason: &'static str) {
     event::emit(&Event::CallerDisconnected {
-        request: feed.get_request(),
+        request: &feed.request,
         reason,
         held_bytes: look.caller.bytes,
         resting_ms: look.caller.resting,
     });
     let labels = ReasonLabels { reason: reason.to_owned() };
     node.metrics.callers_disconnected.get_or_create(&labels).inc();
-    feed.disconnect(reason);
+    (feed.disconnect)(reason);
 }
--- a/crates/gateway/src/exchange/feed.rs
+++ b/crates/gateway/src/exchange/feed.rs
@@ -23,6 +23,7 @@
 use super::respond::{Passage, Record};
 use super::source::{Source, Step};
 use crate::event::{self, Event};
+use crate::feeds::{Handle, Look};
 use crate::http::{Body, Peer};
 use crate::node::{Node, Reservation};
 use crate::runtime::{self, lock};
@@ -32,7 +33,7 @@
 const PIECE_BYTES: usize = 16 * 1024;
 
 /// An answer on its way to its caller.
-pub struct Feed {
+struct Feed {
     node: Arc<Node>,
     id: u64,
     request: String,
@@ -42,17 +43,6 @@
     flow: Mutex<Flow>,
 }
 
-/// What a look at an answer showed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Look {
-    /// The caller, with the bytes that are held for it.
-    pub caller: Caller,
-    /// Whether the caller took too little for too long.
-    pub is_over: bool,
-    /// Whether there is no memory for what was read.
-    pub is_short: bool,
-}
-
 /// The request that an answer belongs to, and its caller's connection.
 pub(super) struct Recipient {
     request: String,
@@ -98,12 +88,24 @@
         let bound = get_bound(node.with(|state| state.memory.get_capacity()));
         let flow = Flow::new(Buffer::new(bound), held, peer, node.now());
         let flow = Mutex::new(flow);
-        node.feeds.add(|id| Self { node: node.clone(), id, request, passage, due, flow })
+        let id = node.feeds.make_id();
+        let feed = Arc::new(Self { node: node.clone(), id, request, passage, due, flow });
+        node.feeds.add(id, feed.make_handle());
+        feed
     }
 
-    /// Returns the id of the request.
-    pub(super) fn get_request(&self) -> &str {
-        &self.request
+    /// Makes what the node keeps of the answer, which does not keep the answer itself.
+    fn make_handle(self: &Arc<Self>) -> Handle {
+        let (looking, disconnecting) = (Arc::downgrade(self), Arc::downgrade(self));
+        Handle {
+            request: self.request.clone(),
+            look: Box::new(move |now| looking.upgrade().map(|feed| feed.look(now))),
+            disconnect: Box::new(move |reason| {
+                if let Some(feed) = disconnecting.upgrade() {
+                    feed.disconnect(reason);
+                }
+            }),
+        }
     }
 
     /// Returns the next piece for the caller: from the buffer, or else from the server.
@@ -164,7 +166,7 @@
     }
 
     /// Notes whether the caller takes what is there, and starts to read ahead where it does not.
-    pub(super) fn look(self: &Arc<Self>, now: Millis) -> Look {
+    fn look(self: &Arc<Self>, now: Millis) -> Look {
         let mut flow = lock(&self.flow);
         let since = now.saturating_sub(flow.looked_at);
         flow.looked_at = now;
@@ -207,7 +209,7 @@
     }
 
     /// Ends the answer and its run at the server, and resets the caller's connection.
-    pub(super) fn disconnect(&self, reason: &'static str) {
+    fn disconnect(&self, reason: &'static str) {
         let mut flow = lock(&self.flow);
         self.passage.disconnect();
         let leftover = flow.end();
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -14,7 +14,6 @@
 //! | `source` | reads the answer from its server, and lets another server go on with it |
 //! | `feed` | passes the answer on, and reads ahead while the caller does not read |
 //! | `flow` | holds the state of an answer that is passed on |
-//! | `feeds` | lists the answers that are passed on |
 //! | `callers` | disconnects callers that do not read |
 //! | `rejection` | says why a request ends without an answer |
 //! | `respond` | writes refusals, and logs and counts the end of each request |
@@ -24,7 +23,6 @@
 mod callers;
 mod dispatch;
 mod feed;
-mod feeds;
 mod flow;
 mod notes;
 mod pick;
@@ -49,7 +47,6 @@
 use upload::Arriving;
 
 pub use callers::{disconnect_resting, watch as watch_callers};
-pub use feeds::Feeds;
 
 /// Answers a caller's request.
 ///
--- a/crates/gateway/src/exchange/signals.rs
+++ b/crates/gateway/src/exchange/signals.rs
@@ -4,27 +4,29 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::Server;
 
-use super::attempt::Failed;
 use crate::event::{self, Event};
 use crate::node::{News, Node, watch};
 use crate::port::{AnswerHead, UnreadableHeader};
 
-/// Takes over what the answer to a request says that was sent at `sent_at`.
+/// How a server answered.
+pub(super) struct Answered {
+    /// When the request was sent.
+    pub sent_at: Millis,
+    /// The status of the answer.
+    pub status: StatusCode,
+    /// Whether the server ran the request, and the head of its answer is sound.
+    pub is_run: bool,
+}
+
+/// Takes over what an answer of a server says.
 ///
-/// Only an answer that the server gave of its own, without a fault of the head, ends a limit: what
-/// rejects a request may know less than what runs it.
-pub(super) fn note(
-    node: &Node,
-    server: &Server,
-    sent_at: Millis,
-    status: StatusCode,
-    fault: Option<Failed>,
-    head: &AnswerHead,
-) {
+/// Only an answer to a request that ran ends a limit: what rejects a request may know less than what
+/// runs it.
+pub(super) fn note(node: &Node, server: &Server, answered: &Answered, head: &AnswerHead) {
     let AnswerHead { signal, unreadable, .. } = head;
+    let Answered { sent_at, status, is_run } = *answered;
     note_unreadable(node, server, unreadable);
-    let is_answered = matches!(fault, None | Some(Failed::ServerError));
-    if signal.is_empty() && !is_answered {
+    if signal.is_empty() && !is_run {
         return;
     }
     node.metrics.count_signal(signal);
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -39,7 +39,7 @@
 use super::peers::questions::Questions;
 use super::peers::report::{Audience, Samples};
 use super::skipped;
-use crate::exchange::Feeds;
+use crate::feeds::Feeds;
 use crate::http::{Client, Stop};
 use crate::metrics::Metrics;
 use crate::port::Platform;
