--- a/crates/core/src/serving/backpressure/rate_limits.rs
+++ b/crates/core/src/serving/backpressure/rate_limits.rs
@@ -14,6 +14,9 @@
 /// A rate that differs from the one before by a larger part than this is news for other nodes. Owners hear
 /// of smaller changes with the next request for a permit.
 const CHANGED_PART: f64 = 0.25;
+/// Reports between two that hold sightings, for nodes that start or missed the news: five reports a second
+/// from each aggregator are more than that takes.
+const LISTED_TURNS: usize = 5;
 /// The most sightings in one report.
 const MOST_LISTED: usize = 4;
 
@@ -108,11 +111,14 @@
         record.denied_until.checked_sub(now).filter(|wait| *wait > 0)
     }
 
-    /// Lists some of the limits for other nodes; each turn gives the next ones.
+    /// Lists some of the limits for other nodes, once in [`LISTED_TURNS`] turns; each time the next ones.
     pub fn list_some(&self, now: Millis, turn: usize) -> Vec<Sighting> {
         let limited = || self.servers.iter().filter(|(_, record)| record.rate.is_some());
+        if !turn.is_multiple_of(LISTED_TURNS) {
+            return Vec::new();
+        }
         let count = limited().count();
-        let first = (turn * MOST_LISTED).checked_rem(count).unwrap_or(0);
+        let first = (turn / LISTED_TURNS * MOST_LISTED).checked_rem(count).unwrap_or(0);
         let next = limited().cycle().skip(first).take(count.min(MOST_LISTED));
         next.map(|(server, record)| record.describe(now, *server)).collect()
     }
