fix(directory): departures are repeated with reports for a while

Traced: the nodes had started 2 s before and did not hear each other yet (nodes_heard 1, 1, 1), so that the news reached nobody. Each node stopped with its own first answer, as the rule asks; but what one node knows should reach the others. Ruled out: news between regions (the nodes of one region missed it too).

Change: the departures of the last 30 s, four by turns, go with summaries and overviews. A node that starts, or hears the others late, knows them with the first report. A request asks for up to eight permits within 60 ms, not three, before it goes to servers without a limit. What an earlier start of a server says has no effect on the health of the next one.

--- a/crates/core/src/serving/directory/departures.rs
+++ b/crates/core/src/serving/directory/departures.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::Millis;
 
 /// How long a server's word is remembered, in milliseconds. A server that leaves ends within seconds; its
@@ -10,14 +12,29 @@
 /// The most servers that are remembered, the latest ones: some 60 bytes each.
 const MOST: usize = 1_024;
 
+/// How long departures are repeated to other nodes, in milliseconds: some may have missed the news, or
+/// started since.
+const REPEATED_FOR: Millis = 30_000;
+/// The most departures in one report.
+const MOST_LISTED: usize = 4;
+
+/// The word of a server that it leaves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// Its id.
+    pub server: String,
+    /// Which of its starts it is.
+    pub incarnation: u64,
+}
+
 /// Servers that said in their answers that they leave, whatever their entries say.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Departures {
-    by_id: BTreeMap<String, Departure>,
+    by_id: BTreeMap<String, Record>,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Departure {
+struct Record {
     incarnation: u64,
     noted_at: Millis,
 }
@@ -28,7 +45,7 @@
         if self.by_id.get(id).is_some_and(|known| known.incarnation >= incarnation) {
             return false;
         }
-        self.by_id.insert(id.to_owned(), Departure { incarnation, noted_at: now });
+        self.by_id.insert(id.to_owned(), Record { incarnation, noted_at: now });
         if self.by_id.len() > MOST {
             let oldest = self.by_id.iter().min_by_key(|(_, departure)| departure.noted_at);
             let oldest = oldest.map(|(id, _)| id.clone());
@@ -42,6 +59,20 @@
         self.by_id.get(id).is_some_and(|known| known.incarnation >= incarnation)
     }
 
+    /// Lists some of the latest departures for other nodes; each turn gives the next ones.
+    pub fn list_some(&self, now: Millis, turn: usize) -> Vec<Departure> {
+        let is_recent = |record: &Record| now < record.noted_at + REPEATED_FOR;
+        let recent = || self.by_id.iter().filter(|(_, record)| is_recent(record));
+        let count = recent().count();
+        let first = (turn * MOST_LISTED).checked_rem(count).unwrap_or(0);
+        let next = recent().cycle().skip(first).take(count.min(MOST_LISTED));
+        let describe = |(id, record): (&String, &Record)| Departure {
+            server: id.clone(),
+            incarnation: record.incarnation,
+        };
+        next.map(describe).collect()
+    }
+
     /// Forgets what was noted long ago.
     pub fn expire(&mut self, now: Millis) {
         self.by_id.retain(|_, departure| now < departure.noted_at + KEPT);
--- a/crates/core/src/serving/directory/mod.rs
+++ b/crates/core/src/serving/directory/mod.rs
@@ -32,6 +32,7 @@
 use crate::Millis;
 
 pub use self::batch::{Batch, Entry, Update};
+pub use self::departures::Departure;
 pub use self::server::Server;
 
 /// What a change of the list did to one server.
@@ -190,6 +191,12 @@
         }
     }
 
+    /// Lists some of the servers that said lately that they leave, for other nodes; each turn gives the next
+    /// ones.
+    pub fn list_departures(&self, now: Millis, turn: usize) -> Vec<Departure> {
+        self.departures.list_some(now, turn)
+    }
+
     /// Forgets which servers said long ago that they leave.
     pub fn expire_departures(&mut self, now: Millis) {
         self.departures.expire(now);
--- a/crates/core/tests/serving/directory.rs
+++ b/crates/core/tests/serving/directory.rs
@@ -370,3 +370,19 @@
     assert!(directory.note_departure(800_000, "s-0", 1).is_news);
     assert!(!directory.note_departure(800_000, "s-1029", 1).is_news);
 }
+
+/// Guards against a node that missed the news of a departure, and against reports that grow with the number
+/// of departures.
+#[test]
+fn departures_are_repeated_by_turns_for_a_while() {
+    let mut directory = Directory::default();
+    assert!(directory.list_departures(0, 0).is_empty());
+    (0..9).for_each(|number| drop(directory.note_departure(0, &format!("s-{number}"), 1)));
+    let listed = |turn| directory.list_departures(29_999, turn);
+    let mut seen: Vec<String> = (0..3).flat_map(listed).map(|departure| departure.server).collect();
+    assert_eq!(seen.len(), 12);
+    seen.sort_unstable();
+    seen.dedup();
+    assert_eq!(seen.len(), 9);
+    assert!(directory.list_departures(30_000, 0).is_empty());
+}
--- a/crates/gateway/src/exchange/pick/permitted.rs
+++ b/crates/gateway/src/exchange/pick/permitted.rs
@@ -8,9 +8,11 @@
 use crate::exchange::rejection::Rejection;
 use crate::node::{Node, permits};
 
-/// Limited servers whose permits a request may be denied before it goes to servers without a limit only:
+/// Permits of limited servers that a request may be denied before it goes to servers without a limit only:
 /// each takes a round trip.
-const MOST_DENIED: usize = 3;
+const MOST_DENIED: usize = 8;
+/// The time after which it goes to servers without a limit only, in milliseconds: an owner may be silent.
+const ASKS_FOR: Millis = 60;
 /// Callers are spread that come back after the same wait: over this fraction of the wait and this time in
 /// milliseconds.
 const SPREAD_PART: f64 = 0.5;
@@ -22,15 +24,21 @@
     exchange: &Exchange,
     attempts: Attempts<'_>,
 ) -> Result<Pick, Rejection> {
-    for denied in 0..=MOST_DENIED {
-        let attempts = Attempts { skips_limited: denied == MOST_DENIED, ..attempts };
-        let picked = pick(node, exchange, attempts).await;
+    let began = node.now();
+    let mut denied = 0;
+    loop {
+        let skips_limited = denied == MOST_DENIED || node.now() >= began + ASKS_FOR;
+        let picked = pick(node, exchange, Attempts { skips_limited, ..attempts }).await;
         let picked = picked.map_err(|rejection| explain(node, exchange, rejection))?;
         if let Some(permit) = permits::take(node, &picked.server).await {
             return Ok(Pick { permit, ..picked });
         }
+        if skips_limited {
+            // The server that was picked has just said that it takes no request.
+            return Err(explain(node, exchange, Refusal::NoServer.into()));
+        }
+        denied += 1;
     }
-    Err(explain(node, exchange, Refusal::NoServer.into()))
 }
 
 /// Returns the rejection of a request that no server takes: where servers said when they take requests
--- a/crates/gateway/src/exchange/signals.rs
+++ b/crates/gateway/src/exchange/signals.rs
@@ -2,7 +2,7 @@
 
 use hyper::StatusCode;
 use keeljunction_core::Millis;
-use keeljunction_core::serving::directory::Server;
+use keeljunction_core::serving::directory::{Departure, Server};
 
 use crate::event::{self, Event};
 use crate::node::{News, Node, watch};
@@ -21,12 +21,13 @@
 /// Takes over what an answer of a server says.
 ///
 /// Only an answer to a request that ran ends a limit: what rejects a request may know less than what
-/// runs it.
+/// runs it. What an earlier start of the server said holds no more.
 pub(super) fn note(node: &Node, server: &Server, answered: &Answered, head: &AnswerHead) {
     let AnswerHead { signal, unreadable, .. } = head;
     let Answered { sent_at, status, is_run } = *answered;
     note_unreadable(node, server, unreadable);
-    if signal.is_empty() && !is_run {
+    let is_superseded = node.with(|state| state.directory.is_superseded(server));
+    if is_superseded || (signal.is_empty() && !is_run) {
         return;
     }
     node.metrics.count_signal(signal);
@@ -38,7 +39,8 @@
         }
         noted
     });
-    let departs = signal.is_leaving && watch::take_departure(node, &server.id, server.incarnation);
+    let departure = Departure { server: server.id.clone(), incarnation: server.incarnation };
+    let departs = signal.is_leaving && watch::take_departure(node, &departure);
     if noted.limit.is_some() || noted.back_off_until.is_some() || departs {
         event::emit(&Event::ServerSignal {
             server: &server.id,
@@ -53,8 +55,7 @@
         node.push(News::LimitSeen(sighting));
     }
     if departs {
-        let incarnation = server.incarnation;
-        node.push(News::ServerDeparts { server: server.id.clone(), incarnation });
+        node.push(News::ServerDeparts(departure));
     }
 }
 
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -2,7 +2,7 @@
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::backpressure::{self, Key, Sighting};
-use keeljunction_core::serving::directory::Batch;
+use keeljunction_core::serving::directory::{Batch, Departure};
 use keeljunction_core::serving::freshness::Versions;
 use keeljunction_core::serving::load::{Load, Work};
 use keeljunction_core::serving::members::{Entry, Overview as Reach, Roster};
@@ -184,6 +184,8 @@
     pub verdicts: Vec<Verdict>,
     /// Some of the limits of servers that it knows.
     pub limits: Vec<Sighting>,
+    /// Some of the servers that said lately that they leave.
+    pub departures: Vec<Departure>,
     /// Which versions of the platform's tables it knows.
     pub versions: Versions,
 }
@@ -213,6 +215,8 @@
     pub verdicts: Vec<Verdict>,
     /// Some of the limits of servers that it knows.
     pub limits: Vec<Sighting>,
+    /// Some of the servers that said lately that they leave.
+    pub departures: Vec<Departure>,
     /// Which versions of the platform's tables it knows.
     pub versions: Versions,
 }
@@ -232,12 +236,7 @@
     /// A server names a limit, or none any more.
     LimitSeen(Sighting),
     /// A server said in an answer that it leaves.
-    ServerDeparts {
-        /// Its id.
-        server: String,
-        /// Which of its starts it is.
-        incarnation: u64,
-    },
+    ServerDeparts(Departure),
     /// A roll-out was ordered, or its stage has advanced.
     RolloutChanged(Announcement),
     /// The sender has sent a request to a server whose prompt takes long to read.
--- a/crates/gateway/src/node/peers/news.rs
+++ b/crates/gateway/src/node/peers/news.rs
@@ -81,8 +81,8 @@
                 pass_on(node, from, news).await;
             }
         }
-        News::ServerDeparts { ref server, incarnation } => {
-            if watch::take_departure(node, server, incarnation) {
+        News::ServerDeparts(ref departure) => {
+            if watch::take_departure(node, departure) {
                 pass_on(node, from, news).await;
             }
         }
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -206,6 +206,7 @@
             roster: state.members.get_roster(),
             verdicts: state.quarantine.list_some(now, turn as usize),
             limits: state.backpressure.list_some(now, turn as usize),
+            departures: state.directory.list_departures(now, turn as usize),
             versions,
         };
         let is_grouped = state.members.is_grouped();
@@ -226,6 +227,7 @@
             joined,
             verdicts: overview.verdicts.clone(),
             limits: overview.limits.clone(),
+            departures: overview.departures.clone(),
             versions,
         };
         let aggregators = state.members.list_exchange(now);
@@ -289,7 +291,7 @@
 pub(super) fn take_summary(node: &Arc<Node>, asked_at: Option<Millis>, summary: Summary) {
     let now = node.now();
     let Summary { sender, totals, loads, group, group_age, roster, joined, .. } = summary;
-    let (verdicts, limits) = (summary.verdicts, summary.limits);
+    let (verdicts, limits, departures) = (summary.verdicts, summary.limits, summary.departures);
     if sender.entry.name == node.incarnation.node {
         return;
     }
@@ -323,6 +325,7 @@
     });
     quarantine::take_verdicts(node, verdicts);
     permits::take_sightings(node, &limits);
+    watch::take_departures(node, &departures);
 }
 
 /// Keeps samples for the nodes of this node's group, up to as many as an overview holds.
@@ -343,6 +346,7 @@
     let now = node.now();
     let Overview { sender, quota, throughputs, reach, silent, versions, .. } = overview;
     let (verdicts, limits) = (overview.verdicts, overview.limits);
+    let departures = overview.departures;
     let (lost_regions, is_region_overdue) = (overview.lost_regions, overview.is_region_overdue);
     let (aggregators, roster) = (overview.aggregators, overview.roster);
     node.with(|state| {
@@ -366,6 +370,7 @@
     });
     quarantine::take_verdicts(node, verdicts);
     permits::take_sightings(node, &limits);
+    watch::take_departures(node, &departures);
     versions::take(node, from, asked_at, &versions);
 }
 
--- a/crates/gateway/src/node/watch/mod.rs
+++ b/crates/gateway/src/node/watch/mod.rs
@@ -23,7 +23,7 @@
 pub use configuration::{configuration, freshness};
 pub(crate) use servers::take_departure;
 pub use servers::{apply, servers};
-pub(super) use servers::{expire_lapsed, take_update};
+pub(super) use servers::{expire_lapsed, take_departures, take_update};
 
 /// The time between two looks whether this node has to read.
 const LOOK: Duration = Duration::from_millis(100);
--- a/crates/gateway/src/node/watch/servers.rs
+++ b/crates/gateway/src/node/watch/servers.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::directory::{Batch, Change, Departed, Entry, Server, Update};
+use keeljunction_core::serving::directory::{
+    Batch, Change, Departed, Departure, Entry, Server, Update,
+};
 
 use super::{ANSWER_WITHIN, LOOK, Watch, follow, is_due, is_reader, note_failure, part_of};
 use crate::event::{self, Event};
@@ -148,12 +150,20 @@
     apply(node, changes);
 }
 
+/// Takes the departures that came with a report.
+pub(in crate::node) fn take_departures(node: &Node, departures: &[Departure]) {
+    for departure in departures {
+        take_departure(node, departure);
+    }
+}
+
 /// Takes the word of a server, in an answer to this node or another one, that it leaves; returns `true` if
 /// that is news.
-pub(crate) fn take_departure(node: &Node, id: &str, incarnation: u64) -> bool {
+pub(crate) fn take_departure(node: &Node, departure: &Departure) -> bool {
     let now = node.now();
+    let Departure { server, incarnation } = departure;
     let Departed { is_news, change } =
-        node.with(|state| state.directory.note_departure(now, id, incarnation));
+        node.with(|state| state.directory.note_departure(now, server, *incarnation));
     apply(node, change.into_iter().collect());
     is_news
 }
