style(backpressure): a permit that is not used is returned; servers request back-offs

Cause: read as a newcomer would: two names for one thing (give back, return), and everyday words for a request. Only names and comments change.

--- a/crates/core/src/serving/backpressure/back_offs.rs
+++ b/crates/core/src/serving/backpressure/back_offs.rs
@@ -1,4 +1,4 @@
-//! Which servers asked this node for a back-off.
+//! Which servers take no requests from this node for a time.
 
 use std::collections::BTreeMap;
 
@@ -19,7 +19,7 @@
 }
 
 impl BackOffs {
-    /// Notes that a server asked for a back-off; returns its end where it is later than the one known.
+    /// Notes that a server requests a back-off; returns its end where it is later than the one known.
     ///
     /// Neither an answer that was sent before, nor a shorter back-off, nor a good answer ends one early.
     pub fn note(&mut self, now: Millis, key: Key, back_off: Millis) -> Option<Millis> {
@@ -43,7 +43,7 @@
         known.until.checked_sub(now).filter(|wait| *wait > 0)
     }
 
-    /// Returns `true` if no server asked for a back-off lately.
+    /// Returns `true` if no server has requested a back-off lately.
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty()
     }
--- a/crates/core/src/serving/backpressure/mod.rs
+++ b/crates/core/src/serving/backpressure/mod.rs
@@ -5,8 +5,8 @@
 //! to a limited server without one. So the limit holds over any number of nodes, and what it costs depends
 //! on the requests for limited servers alone.
 //!
-//! A server may also ask a node for a back-off: it takes no request from this node for a time. Its word that
-//! it leaves is kept with the list of servers ([`super::directory`]).
+//! A server may also request a back-off of a node: it takes no request from this node for a time. That a server
+//! leaves is kept with the list of servers ([`super::directory`]).
 //!
 //! What a server says bars it from being a candidate at all. Ejection ([`super::health`]) is a preference:
 //! an ejected server is used where no other is left.
@@ -17,7 +17,7 @@
 //! | `key` | names a start of a server |
 //! | `sighting` | says what a node saw of a server's limit |
 //! | `rate_limits` | holds which servers are limited, at each node |
-//! | `back_offs` | holds which servers asked this node for a back-off |
+//! | `back_offs` | holds which servers take no requests from this node for a time |
 //! | `permits` | gives permits for limited servers, at their owners |
 //! | `book` | holds all of it, at each node |
 
--- a/crates/gateway/src/node/peers/permits.rs
+++ b/crates/gateway/src/node/peers/permits.rs
@@ -50,7 +50,7 @@
     // The server may have said something while the decision was waited for.
     let now = node.now();
     if node.with(|state| state.is_barred(now, server)) {
-        give_back(node, server, permit).await;
+        return_unsent(node, server, permit).await;
         return None;
     }
     Some(permit)
@@ -101,7 +101,7 @@
 }
 
 /// Returns the permit of a request that was not sent.
-pub(crate) async fn give_back(node: &Node, server: &Server, permit: Permit) {
+pub(crate) async fn return_unsent(node: &Node, server: &Server, permit: Permit) {
     let key = Key::of(server);
     match permit {
         Permit::Unlimited => {}
