--- a/crates/core/src/serving/backpressure/rate_limits.rs
+++ b/crates/core/src/serving/backpressure/rate_limits.rs
@@ -111,7 +111,7 @@
         record.denied_until.checked_sub(now).filter(|wait| *wait > 0)
     }
 
-    /// Lists some of the limits for other nodes, once in [`LISTED_TURNS`] turns; each time the next ones.
+    /// Lists some of the limits for other nodes, once in some turns; each time the next ones.
     pub fn list_some(&self, now: Millis, turn: usize) -> Vec<Sighting> {
         let limited = || self.servers.iter().filter(|(_, record)| record.rate.is_some());
         if !turn.is_multiple_of(LISTED_TURNS) {
