feat(gateway): the era of the table service is read, logged and counted

The header of each answer of the store is decoded in platform/ and noted where all its calls are made. Metric store_returns. No decision has changed: a store without the header is in era 0.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -3,6 +3,7 @@
 //! | module | decides |
 //! |---|---|
 //! | [`configuration`] | what a configuration says, and which route and client account a request belongs to |
+//! | [`era`] | which copy of the table service's rows a node deals with |
 //! | [`freshness`] | whether what a node believes is recent enough to act on |
 //! | [`topology`], [`distance`] | which region a data centre stands in, and how far away that is |
 //! | [`memory`] | who may hold how much of a node's memory |
@@ -36,6 +37,7 @@
 pub mod directory;
 pub mod distance;
 pub mod duty_lease;
+pub mod era;
 pub mod event_stream;
 pub mod freshness;
 pub mod handover;
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -35,6 +35,11 @@
     DocumentRejected { error: String },
     /// The configuration is known to be the newest, or no longer.
     FreshnessChanged { is_fresh: bool, age_ms: Option<u64>, bound_ms: u64 },
+    /// The table service is in another era than the node knew: it came back from an older copy of its rows,
+    /// where one is known before it.
+    StoreEraBegun { era: u64, before: Option<u64> },
+    /// An answer of the table service is older than what the node knows, and changes nothing.
+    RowsDropped { table: &'a str, entries: usize, version: u64, known: u64 },
     /// A call of the table service failed.
     TableCallFailed { what: &'a str, error: String },
     /// A server joined, began to leave, or is gone.
@@ -67,6 +72,8 @@
     AggregatorChanged { aggregator: Option<&'a str>, nodes_heard: usize, nodes_known: usize },
     /// No node of another region is heard, or one is again.
     RegionReached { region: &'a str, is_reached: bool },
+    /// A new holder of the duties has read which windows earlier ones have frozen.
+    UsageLoaded { fence: u64, frozen: Vec<u64>, rows: usize, version: u64 },
     /// A window's usage was reported.
     UsageReported { window: u64, requests: u64, fence: u64, status: Option<u16> },
     /// A data centre's number of servers was ordered.
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -69,6 +69,8 @@
     pub servers_down: Family<ServiceLabels, Counter>,
     /// Answers in which servers said something about the requests that follow, by what they said.
     pub signals: Family<ReasonLabels, Counter>,
+    /// Returns of the table service from an older copy of its rows.
+    pub store_returns: Counter,
     /// Times that the process stood still for a second or more.
     pub pauses: Counter,
     gauges: Gauges,
@@ -102,6 +104,7 @@
             requests_stopped: Counter::default(),
             servers_down: Family::default(),
             signals: Family::default(),
+            store_returns: Counter::default(),
             pauses: Counter::default(),
             gauges: Gauges::default(),
         };
@@ -227,6 +230,11 @@
             "Times that the process stood still for a second or more, or its machine was suspended",
             self.pauses.clone(),
         );
+        registry.register(
+            "store_returns",
+            "Returns of the table service from an older copy of its rows",
+            self.store_returns.clone(),
+        );
         self.gauges.register(registry);
     }
 
--- a/crates/gateway/src/node/duty.rs
+++ b/crates/gateway/src/node/duty.rs
@@ -6,7 +6,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::duty_lease::{LeaseRow, Step, TableClock};
 
-use super::{Node, capacity_duty, rollout_duty, usage_duty};
+use super::{Node, capacity_duty, rollout_duty, table, usage_duty};
 use crate::event::{self, Event};
 use crate::port::{Condition, Row, TableError, TableName, Transaction, Write};
 use crate::runtime;
@@ -120,8 +120,7 @@
 /// done.
 async fn write(node: &Node, row: LeaseRow, version: u64) -> Option<Known> {
     let asked_at = node.now();
-    let committing = (node.platform.table.commit)(transaction(&row, version));
-    match runtime::within(ANSWER_WITHIN, committing).await? {
+    match table::commit(node, transaction(&row, version), ANSWER_WITHIN).await {
         Ok(rows) => {
             let clock = TableClock { asked_at, table_time: rows.table_time };
             node.with(|state| state.lease.confirm(&row, clock));
@@ -144,7 +143,7 @@
 /// Reads the lease's row; a row that is this node's confirms its lease.
 async fn read(node: &Node, unreadable: &mut Option<Unreadable>) -> Result<Known, TableError> {
     let asked_at = node.now();
-    let rows = node.platform.table.read_all(TableName::Own(TABLE), ANSWER_WITHIN).await?;
+    let rows = table::read_all(node, TableName::Own(TABLE), ANSWER_WITHIN).await?;
     let clock = TableClock { asked_at, table_time: rows.table_time };
     let Some(found) = rows.rows.iter().find(|row| row.key == KEY) else {
         return Ok(Known { row: None, version: 0, clock });
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -16,6 +16,7 @@
 //! | `connections` | keeps the connections to servers that rest within the node's share |
 //! | `quarantine_rows` | keeps which requests crash servers in the platform's table |
 //! | [`duty`] | holds the lease and makes the calls that one node at a time may make |
+//! | `table` | calls the table service, and follows its eras |
 //! | [`stop`] | ends the node without cutting an answer |
 
 mod capacity_duty;
@@ -37,6 +38,7 @@
 mod staleness;
 pub mod state;
 pub mod stop;
+mod table;
 pub mod usage_duty;
 pub mod watch;
 
--- a/crates/gateway/src/node/peers/register.rs
+++ b/crates/gateway/src/node/peers/register.rs
@@ -6,9 +6,9 @@
 use keeljunction_core::serving::members::{Entry, sample};
 
 use crate::event::{self, Event};
-use crate::node::Node;
 use crate::node::pause::{Pause, jitter};
-use crate::port::{Row, Rows, Selection, TableError, TableName, Transaction, Write, answer_within};
+use crate::node::{Node, table};
+use crate::port::{Row, Rows, Selection, TableError, TableName, Transaction, Write};
 use crate::runtime;
 
 /// The table in which nodes list themselves.
@@ -109,11 +109,11 @@
     let key = sample::make_key(&entry.name);
     let write = Write { table: TableName::Own(TABLE), key, value: Some(value) };
     let transaction = Transaction { conditions: Vec::new(), writes: vec![write] };
-    answer_within(LIST_WITHIN, (node.platform.table.commit)(transaction)).await.map(|_| ())
+    table::commit(node, transaction, LIST_WITHIN).await.map(|_| ())
 }
 
 async fn read_whole(node: &Node) -> Result<bool, TableError> {
-    let rows = node.platform.table.read_all(TableName::Own(TABLE), CALL_WITHIN).await?.rows;
+    let rows = table::read_all(node, TableName::Own(TABLE), CALL_WITHIN).await?.rows;
     let entries: Vec<Entry> = rows.iter().filter_map(decode).collect();
     let is_listed = entries.contains(&node.get_entry());
     let now = node.now();
@@ -145,7 +145,7 @@
 
 async fn read_from(node: &Node, key: &str, most: usize) -> Result<Rows, TableError> {
     let selection = Selection { table: TableName::Own(TABLE), from: key.to_owned(), most };
-    answer_within(CALL_WITHIN, (node.platform.table.read_some)(selection)).await
+    table::read_some(node, selection, CALL_WITHIN).await
 }
 
 fn decode(row: &Row) -> Option<Entry> {
--- a/crates/gateway/src/node/quarantine_rows.rs
+++ b/crates/gateway/src/node/quarantine_rows.rs
@@ -13,9 +13,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::pause::Pause;
-use super::{Node, peers};
+use super::{Node, peers, table};
 use crate::event::{self, Event};
-use crate::port::{Row, TableError, TableName, Transaction, Write, answer_within};
+use crate::port::{Row, TableError, TableName, Transaction, Write};
 use crate::runtime;
 
 const TABLE: &str = "quarantine";
@@ -96,7 +96,7 @@
 /// Takes over the rows that hold, and removes the others.
 async fn load(node: &Arc<Node>) -> Result<TableClock, TableError> {
     let asked_at = node.now();
-    let rows = node.platform.table.read_all(TableName::Own(TABLE), CALL_WITHIN).await?;
+    let rows = table::read_all(node, TableName::Own(TABLE), CALL_WITHIN).await?;
     let mut removals = Vec::new();
     for row in &rows.rows {
         match decode(row) {
@@ -120,8 +120,7 @@
 
 async fn commit(node: &Node, writes: Vec<Write>) -> Result<(), TableError> {
     let transaction = Transaction { conditions: Vec::new(), writes };
-    let committing = (node.platform.table.commit)(transaction);
-    answer_within(CALL_WITHIN, committing).await.map(|_| ())
+    table::commit(node, transaction, CALL_WITHIN).await.map(|_| ())
 }
 
 fn make_write(verdict: &Verdict, until: Millis) -> Write {
--- a/crates/gateway/src/node/rollout_duty.rs
+++ b/crates/gateway/src/node/rollout_duty.rs
@@ -16,11 +16,10 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::Node;
 use super::peers::message::News;
+use super::{Node, table};
 use crate::event::{self, Event};
 use crate::port::{Condition, Row, Rows, TableError, TableName, Transaction, Write};
-use crate::runtime;
 
 const TABLE: &str = "rollouts";
 const CALL_WITHIN: Duration = Duration::from_millis(500);
@@ -96,7 +95,7 @@
             return true;
         }
         let asked_at = node.now();
-        let reading = node.platform.table.read_all(TableName::Own(TABLE), CALL_WITHIN);
+        let reading = table::read_all(node, TableName::Own(TABLE), CALL_WITHIN);
         let Ok(rows) = reading.await else { return false };
         *self = Self {
             fence,
@@ -198,8 +197,7 @@
     async fn write_record(&mut self, node: &Node, service: &str, record: Record) -> bool {
         let version = self.records.get(service).map_or(0, |written| written.version);
         let value = serde_json::to_vec(&record).ok();
-        let Some(Ok(rows)) = commit(node, TableName::Own(TABLE), service, version, value).await
-        else {
+        let Ok(rows) = commit(node, TableName::Own(TABLE), service, version, value).await else {
             return false;
         };
         let written = Written { record, version: rows.version };
@@ -221,18 +219,18 @@
         };
         let row = (node.platform.rollouts.encode_status)(&status);
         let version = self.status_versions.get(&order.service).copied().unwrap_or(0);
-        let table = TableName::Status;
-        let version = match commit(node, table, &row.key, version, Some(row.value)).await {
-            Some(Ok(rows)) => {
-                self.published.insert(order.service.clone(), (order.number, stage));
-                rows.version
-            }
-            // An earlier holder published a status: replace it at the next step.
-            Some(Err(TableError::Conflict(rows))) => {
-                rows.rows.iter().find(|found| found.key == row.key).map_or(0, |row| row.version)
-            }
-            _ => return false,
-        };
+        let version =
+            match commit(node, TableName::Status, &row.key, version, Some(row.value)).await {
+                Ok(rows) => {
+                    self.published.insert(order.service.clone(), (order.number, stage));
+                    rows.version
+                }
+                // An earlier holder published a status: replace it at the next step.
+                Err(TableError::Conflict(rows)) => {
+                    rows.rows.iter().find(|found| found.key == row.key).map_or(0, |row| row.version)
+                }
+                _ => return false,
+            };
         self.status_versions.insert(order.service.clone(), version);
         true
     }
@@ -241,16 +239,16 @@
 /// Writes a row where it has not changed since a version.
 async fn commit(
     node: &Node,
-    table: TableName,
+    name: TableName,
     key: &str,
     version: u64,
     value: Option<Vec<u8>>,
-) -> Option<Result<Rows, TableError>> {
-    let condition = Condition { table, key: key.to_owned(), version };
-    let write = Write { table, key: key.to_owned(), value };
+) -> Result<Rows, TableError> {
+    let condition = Condition { table: name, key: key.to_owned(), version };
+    let write = Write { table: name, key: key.to_owned(), value };
     let transaction = Transaction { conditions: vec![condition], writes: vec![write] };
-    let answer = runtime::within(CALL_WITHIN, (node.platform.table.commit)(transaction)).await;
-    if let Some(Err(error)) = &answer {
+    let answer = table::commit(node, transaction, CALL_WITHIN).await;
+    if let Err(error) = &answer {
         event::emit(&Event::TableCallFailed { what: "roll-out", error: error.to_string() });
     }
     answer
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -14,6 +14,7 @@
 use keeljunction_core::serving::directory::{Directory, Server};
 use keeljunction_core::serving::distance::Distances;
 use keeljunction_core::serving::duty_lease::DutyLease;
+use keeljunction_core::serving::era::Eras;
 use keeljunction_core::serving::freshness::Freshness;
 use keeljunction_core::serving::handover::Handover;
 use keeljunction_core::serving::health::Health;
@@ -133,6 +134,8 @@
 
 /// What a node knows of the deployment.
 pub struct State {
+    /// The eras of the table service.
+    pub eras: Eras,
     /// The configuration in force, once one is known.
     pub configuration: Option<Arc<Configuration>>,
     /// The same, as the operator wrote it, for peers.
@@ -253,6 +256,7 @@
         };
         let margin = (bounds.lease_ms as f64 * LEASE_MARGIN_PART) as Millis;
         let state = State {
+            eras: Eras::default(),
             configuration: None,
             configuration_document: None,
             configuration_row: None,
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -13,7 +13,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::usage::{Counts, Kept, WindowNumber, is_settled, window_at};
 
-use super::{Node, document};
+use super::{Node, document, table};
 use crate::event::{self, Event};
 use crate::port::{
     Condition, DutyHolder, Row, TableError, TableName, Transaction, UsageReport, Write,
@@ -80,7 +80,7 @@
         if fence == self.fence {
             return true;
         }
-        let reading = node.platform.table.read_all(TableName::Own(TABLE), CALL_WITHIN);
+        let reading = table::read_all(node, TableName::Own(TABLE), CALL_WITHIN);
         let Ok(rows) = reading.await else { return false };
         self.frozen = rows.rows.iter().filter_map(decode).collect();
         let running = rows.rows.iter().find(|row| row.key == RUNNING_KEY);
@@ -89,6 +89,12 @@
             node.with(|state| state.usage.merge_kept(&kept));
         }
         self.fence = fence;
+        event::emit(&Event::UsageLoaded {
+            fence: fence.unwrap_or(0),
+            frozen: self.frozen.keys().copied().collect(),
+            rows: rows.rows.len(),
+            version: rows.version,
+        });
         true
     }
 
@@ -105,14 +111,13 @@
         if kept.is_empty() {
             return;
         }
-        let table = TableName::Own(TABLE);
+        let name = TableName::Own(TABLE);
         let key = RUNNING_KEY.to_owned();
-        let condition = Condition { table, key: key.clone(), version: self.running.version };
-        let write = Write { table: TableName::Own(TABLE), key, value: encode_running(&kept) };
+        let condition = Condition { table: name, key: key.clone(), version: self.running.version };
+        let write = Write { table: name, key, value: encode_running(&kept) };
         let transaction = Transaction { conditions: vec![condition], writes: vec![write] };
-        let committing = (node.platform.table.commit)(transaction);
-        match runtime::within(CALL_WITHIN, committing).await {
-            Some(Ok(rows)) => self.running.version = rows.version,
+        match table::commit(node, transaction, CALL_WITHIN).await {
+            Ok(rows) => self.running.version = rows.version,
             // Another holder wrote, or the outcome is not known: read the row before the next try.
             _ => self.fence = None,
         }
@@ -123,13 +128,12 @@
             return true;
         }
         let counts = node.with(|state| state.usage.total(window));
-        let committing = (node.platform.table.commit)(transaction(window, &counts));
-        match runtime::within(CALL_WITHIN, committing).await {
-            Some(Ok(_)) => {
+        match table::commit(node, transaction(window, &counts), CALL_WITHIN).await {
+            Ok(_) => {
                 self.frozen.insert(window, counts);
                 true
             }
-            Some(Err(TableError::Conflict(rows))) => {
+            Err(TableError::Conflict(rows)) => {
                 self.frozen.extend(rows.rows.iter().filter_map(decode));
                 self.frozen.contains_key(&window)
             }
--- a/crates/gateway/src/node/watch/configuration.rs
+++ b/crates/gateway/src/node/watch/configuration.rs
@@ -14,8 +14,8 @@
 use crate::node::pause::{Pause, jitter};
 use crate::node::peers::message::News;
 use crate::node::state::ConfigurationRow;
-use crate::node::{Node, rollouts, staleness};
-use crate::port::{Condition, Row, TableError, TableName, Transaction, answer_within};
+use crate::node::{Node, rollouts, staleness, table};
+use crate::port::{Condition, Row, TableError, TableName, Transaction};
 use crate::runtime;
 
 /// How long a watch of the configuration is held where nothing changes, as a part of the bound in
@@ -156,8 +156,7 @@
         version: row.row_version,
     };
     let transaction = Transaction { conditions: vec![condition], writes: Vec::new() };
-    let committing = (node.platform.table.commit)(transaction);
-    answer_within(ANSWER_WITHIN, committing).await.map(|_| ())
+    table::commit(node, transaction, ANSWER_WITHIN).await.map(|_| ())
 }
 
 /// Returns `true` if this node does not know of any time at which its configuration was the newest.
--- a/crates/gateway/src/node/watch/mod.rs
+++ b/crates/gateway/src/node/watch/mod.rs
@@ -14,7 +14,7 @@
 
 use keeljunction_core::Millis;
 
-use super::Node;
+use super::{Node, table};
 use crate::event::{self, Event};
 use crate::port::{Rows, TableError, TableName};
 use crate::runtime;
@@ -42,7 +42,7 @@
 }
 
 async fn read(node: &Node, table: TableName) -> Result<Rows, TableError> {
-    node.platform.table.read_all(table, ANSWER_WITHIN).await
+    table::read_all(node, table, ANSWER_WITHIN).await
 }
 
 /// How a table is followed.
@@ -66,17 +66,15 @@
     let mut version = from;
     while (watch.is_wanted)(node) {
         let asked_at = node.now();
-        let watching = (node.platform.table.watch)(watch.table, version, watch.hold);
-        match runtime::within(watch.hold + ANSWER_WITHIN, watching).await {
-            Some(Ok(rows)) => {
+        match table::watch(node, watch.table, version, watch.hold, ANSWER_WITHIN).await {
+            Ok(rows) => {
                 take(&rows, asked_at);
                 version = rows.version.max(version);
                 if let Some(pause) = watch.gather.filter(|_| !rows.rows.is_empty()) {
                     runtime::sleep(pause).await;
                 }
             }
-            Some(Err(error)) => return note_failure("watch", &error),
-            None => return note_failure("watch", &TableError::Unanswered("held".to_owned())),
+            Err(error) => return note_failure("watch", &error),
         }
     }
 }
--- a/crates/gateway/src/node/watch/servers.rs
+++ b/crates/gateway/src/node/watch/servers.rs
@@ -12,8 +12,8 @@
 use crate::event::{self, Event};
 use crate::node::pause::Pause;
 use crate::node::peers::message::News;
-use crate::node::{Node, staleness};
-use crate::port::{Row, Rows, TableError, TableName, answer_within};
+use crate::node::{Node, staleness, table};
+use crate::port::{Row, Rows, TableError, TableName};
 use crate::runtime;
 
 /// How long a watch of the servers is held where nothing changes, as a part of the drain bound:
@@ -78,8 +78,7 @@
         node.with(|state| state.directory.is_known().then(|| state.directory.get_version()));
     let Some(after) = known else { return read_servers(node).await };
     let asked_at = node.now();
-    let watching = (node.platform.table.watch)(TableName::Servers, after, Duration::ZERO);
-    match answer_within(ANSWER_WITHIN, watching).await {
+    match table::watch(node, TableName::Servers, after, Duration::ZERO, ANSWER_WITHIN).await {
         Ok(rows) => {
             note_servers_known(node);
             update_servers(node, &rows, asked_at);
@@ -93,14 +92,14 @@
 /// Reads the list of servers whole; returns its version, or `None` where that is left to others.
 async fn read_servers(node: &Node) -> Result<Option<u64>, TableError> {
     let asked_at = node.now();
-    let table = TableName::Servers;
-    let first = node.platform.table.read_first(table, ANSWER_WITHIN).await?;
+    let first = table::read_first(node, TableName::Servers, ANSWER_WITHIN).await?;
     if first.has_more && is_left_to_aggregator(node) {
         return Ok(None);
     }
-    let rows = node.platform.table.read_rest(table, ANSWER_WITHIN, first).await?;
+    let rows = table::read_rest(node, TableName::Servers, ANSWER_WITHIN, first).await?;
     node.with(|state| state.skipped_entries.retain(&rows.rows));
     let servers = rows.rows.iter().filter_map(|row| decode_server(node, row));
+    note_dropped(node, &rows);
     replace_servers(node, rows.version, servers.collect());
     node.with(|state| state.servers_freshness.confirm(asked_at));
     Ok(Some(rows.version))
@@ -114,6 +113,15 @@
     is_starting && is_member
 }
 
+/// Logs rows that are older than the known list.
+fn note_dropped(node: &Node, rows: &Rows) {
+    let known = node.with(|state| state.directory.get_version());
+    if rows.version < known && !rows.rows.is_empty() {
+        let (entries, version) = (rows.rows.len(), rows.version);
+        event::emit(&Event::RowsDropped { table: "servers", entries, version, known });
+    }
+}
+
 /// Takes over a whole list of servers, where it is not older than the one known.
 fn replace_servers(node: &Node, version: u64, servers: Vec<Server>) {
     note_servers_known(node);
@@ -171,6 +179,7 @@
 /// Takes over entries that changed since a call that began at `asked_at`, and sends them to all peers
 /// where this node reads for them.
 fn update_servers(node: &Node, rows: &Rows, asked_at: Millis) {
+    note_dropped(node, rows);
     let batch = make_batch(node, rows);
     if !batch.entries.is_empty() && is_reader(node) {
         let parts = batch.clone().split(MOST_IN_DATAGRAM);
--- a/crates/gateway/src/port/table.rs
+++ b/crates/gateway/src/port/table.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use keeljunction_core::Millis;
+use keeljunction_core::serving::era::Era;
 
 use crate::runtime;
 
@@ -125,6 +126,8 @@
     pub rows: Vec<Row>,
     /// The newest version.
     pub version: u64,
+    /// The era that the table service is in.
+    pub era: Era,
     /// The table service's steady clock.
     pub table_time: Millis,
     /// Whether further rows follow these in the table.
