--- a/crates/core/benches/serving.rs
+++ b/crates/core/benches/serving.rs
@@ -9,6 +9,7 @@
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
 use keeljunction_core::serving::choice::{Candidate, Criteria, choose, shortlist};
 use keeljunction_core::serving::directory::{Batch, Directory, Entry, Server};
+use keeljunction_core::serving::era::Era;
 use keeljunction_core::serving::load::{Load, LoadBook, Work, short_id};
 use keeljunction_core::serving::members::{self, Members};
 use keeljunction_core::serving::quarantine::{
@@ -16,6 +17,7 @@
 };
 use keeljunction_core::serving::quota::{Limit, Quotas, Reach, Report, Source, Tolerance, Units};
 use keeljunction_core::serving::spill::Offer;
+use keeljunction_core::serving::table_version::TableVersion;
 use keeljunction_core::serving::topology::Topology;
 
 /// Nodes, and servers before which they stand.
@@ -28,6 +30,10 @@
 /// Servers at which a node has requests in flight.
 const BUSY: usize = 7;
 
+fn at(number: u64) -> TableVersion {
+    TableVersion::new(Era::UNNAMED, number)
+}
+
 fn servers(count: usize) -> Vec<Server> {
     let server = |number: usize| Server {
         id: format!("i-{number:010x}"),
@@ -162,12 +168,12 @@
 fn directory(criterion: &mut Criterion) {
     for count in LISTS {
         let mut directory = Directory::default();
-        directory.replace(1, servers(count));
+        directory.replace(at(1), servers(count));
         let name = format!("the whole list again, {count} servers");
         criterion.bench_function(&name, |bencher| {
             bencher.iter_batched(
                 || servers(count),
-                |servers| black_box(directory.replace(1, servers)),
+                |servers| black_box(directory.replace(at(1), servers)),
                 BatchSize::LargeInput,
             );
         });
@@ -176,9 +182,10 @@
             bencher.iter(|| {
                 version += 1;
                 let id = format!("i-{:010x}", version % 7);
+                let (after, version) = (at(version - 1), at(version));
                 let entry = Entry { id, version, server: None };
-                directory.update(Batch { after: version - 1, version, entries: vec![entry] });
-                black_box(directory.get_update(Some(version - 1)));
+                directory.update(Batch { after, version, entries: vec![entry] });
+                black_box(directory.get_update(Some(after)));
             });
         });
     }
--- a/crates/core/src/serving/directory/batch.rs
+++ b/crates/core/src/serving/directory/batch.rs
@@ -5,14 +5,15 @@
 use serde::{Deserialize, Serialize};
 
 use super::server::Server;
+use crate::serving::table_version::TableVersion;
 
 /// Entries of the list that changed after a version, up to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
     /// All changes after this version are there.
-    pub after: u64,
+    pub after: TableVersion,
     /// The list's version with these changes.
-    pub version: u64,
+    pub version: TableVersion,
     /// The changed entries.
     pub entries: Vec<Entry>,
 }
@@ -23,7 +24,7 @@
     /// The server's id.
     pub id: String,
     /// The version at which the entry changed.
-    pub version: u64,
+    pub version: TableVersion,
     /// The server as it is now; `None` where it is no longer listed.
     pub server: Option<Server>,
 }
@@ -36,7 +37,7 @@
     /// The whole list.
     Whole {
         /// Its version.
-        version: u64,
+        version: TableVersion,
         /// All servers.
         servers: Vec<Cow<'a, Server>>,
     },
--- a/crates/core/src/serving/directory/mod.rs
+++ b/crates/core/src/serving/directory/mod.rs
@@ -7,6 +7,10 @@
 //! A server may say in an answer that it leaves, while the table service is away or has not taken that yet.
 //! This outlives what its entry says, until the server starts again.
 //!
+//! The table service may come back from an older copy. Its list then lacks servers, and holds others that
+//! have left or said that they leave. What this node knows of these outlives the copy until their entries are
+//! written again.
+//!
 //! Nodes give each other the changes since a version: what that costs grows with the changes, and not
 //! with the length of the list.
 //!
@@ -30,6 +34,7 @@
 use self::departures::Departures;
 use self::removals::Removals;
 use crate::Millis;
+use crate::serving::table_version::TableVersion;
 
 pub use self::batch::{Batch, Entry, Update};
 pub use self::departures::Departure;
@@ -62,7 +67,7 @@
 #[derive(Clone, Debug)]
 struct Listed {
     server: Server,
-    version: u64,
+    version: TableVersion,
 }
 
 /// The servers of all services.
@@ -70,7 +75,7 @@
 pub struct Directory {
     /// By service: a request goes to those of one service, and the others may be many more.
     services: BTreeMap<String, Servers>,
-    version: u64,
+    version: TableVersion,
     /// Whether a whole list was taken over.
     is_known: bool,
     removals: Removals,
@@ -87,7 +92,7 @@
 
 impl Directory {
     /// Returns the version of the list that was read last.
-    pub fn get_version(&self) -> u64 {
+    pub fn get_version(&self) -> TableVersion {
         self.version
     }
 
@@ -97,12 +102,20 @@
     }
 
     /// Takes over a whole list, read at a version; an older one changes nothing.
-    pub fn replace(&mut self, version: u64, servers: Vec<Server>) -> Vec<Change> {
+    ///
+    /// The first list of an era may be that of an older copy. A server that has left since gets nothing
+    /// until its entry is written again.
+    pub fn replace(&mut self, version: TableVersion, mut servers: Vec<Server>) -> Vec<Change> {
         if version < self.version {
             return Vec::new();
         }
+        let is_return = self.is_known && version.era > self.version.era;
+        if is_return {
+            // An older copy also lists servers that have left since.
+            servers.retain(|server| !self.removals.holds(server));
+        }
         self.version = version;
-        if !std::mem::replace(&mut self.is_known, true) {
+        if !std::mem::replace(&mut self.is_known, true) || is_return {
             self.removals.restart(version);
         }
         let listed: HashSet<&str> = servers.iter().map(|server| server.id.as_str()).collect();
@@ -116,7 +129,7 @@
     }
 
     /// Returns what a node lacks that knows the list up to a version, or does not know it at all.
-    pub fn get_update(&self, after: Option<u64>) -> Update<'_> {
+    pub fn get_update(&self, after: Option<TableVersion>) -> Update<'_> {
         let known = after.filter(|after| self.removals.is_complete_after(*after));
         let Some(after) = known else {
             let servers = self.iter().map(Cow::Borrowed).collect();
@@ -191,6 +204,12 @@
         }
     }
 
+    /// Notes that the table service came back from an older copy, which may lack the entries of servers that
+    /// live: they have time to write them again.
+    pub fn note_era(&mut self, now: Millis) {
+        self.lapsing_until = Some(now + LAPSED_FOR);
+    }
+
     /// Lists some of the servers that said lately that they leave, for other nodes; each turn gives the next
     /// ones.
     pub fn list_departures(&self, now: Millis, turn: usize) -> Vec<Departure> {
@@ -211,9 +230,9 @@
         std::mem::take(&mut self.lapsed).into_values().map(Change::Gone).collect()
     }
 
-    fn remove(&mut self, id: &str, version: u64) -> Option<Change> {
+    fn remove(&mut self, id: &str, version: TableVersion) -> Option<Change> {
         let server = self.unlist(id)?;
-        self.removals.note(id, version);
+        self.removals.note(&server, version);
         if self.lapsing_until.is_some() && !server.is_leaving {
             self.lapsed.insert(id.to_owned(), server);
             return None;
@@ -285,7 +304,7 @@
     }
 
     /// Takes over the entry of a server that changed at a version.
-    fn put(&mut self, mut server: Server, version: u64) -> Vec<Change> {
+    fn put(&mut self, mut server: Server, version: TableVersion) -> Vec<Change> {
         self.removals.forget(&server.id);
         server.is_leaving |= self.departures.holds(&server.id, server.incarnation);
         if self.get(&server.id) == Some(&server) {
@@ -314,7 +333,7 @@
         }
     }
 
-    fn add(&mut self, server: Server, version: u64) -> Change {
+    fn add(&mut self, server: Server, version: TableVersion) -> Change {
         self.list(server.clone(), version);
         match server.is_leaving {
             true => Change::Leaving(server),
@@ -322,7 +341,7 @@
         }
     }
 
-    fn list(&mut self, server: Server, version: u64) {
+    fn list(&mut self, server: Server, version: TableVersion) {
         let servers = match self.services.get_mut(&server.service) {
             Some(servers) => servers,
             None => self.services.entry(server.service.clone()).or_default(),
--- a/crates/core/src/serving/directory/removals.rs
+++ b/crates/core/src/serving/directory/removals.rs
@@ -2,6 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use super::server::Server;
+use crate::serving::table_version::TableVersion;
+
 /// The fewest removals that are kept, however short the list is.
 const LEAST_KEPT: usize = 256;
 
@@ -10,15 +13,29 @@
 /// At most as many are kept as there are servers: beyond that, the whole list is the shorter answer.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Removals {
-    by_id: BTreeMap<String, u64>,
+    by_id: BTreeMap<String, Removal>,
     /// All removals after this version are kept.
-    complete_after: u64,
+    complete_after: TableVersion,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Removal {
+    /// Which start of the server was removed.
+    incarnation: u64,
+    version: TableVersion,
 }
 
 impl Removals {
     /// Notes that a server was removed.
-    pub fn note(&mut self, id: &str, version: u64) {
-        self.by_id.insert(id.to_owned(), version);
+    pub fn note(&mut self, server: &Server, version: TableVersion) {
+        let removal = Removal { incarnation: server.incarnation, version };
+        self.by_id.insert(server.id.clone(), removal);
+    }
+
+    /// Returns `true` if this start of a server was removed.
+    pub fn holds(&self, server: &Server) -> bool {
+        let removal = self.by_id.get(&server.id);
+        removal.is_some_and(|removal| removal.incarnation >= server.incarnation)
     }
 
     /// Notes that a server is listed again.
@@ -26,20 +43,23 @@
         self.by_id.remove(id);
     }
 
-    /// Begins anew with a list that was read whole at a version.
-    pub fn restart(&mut self, version: u64) {
-        self.by_id.clear();
+    /// Begins anew with a list that was read whole at a version: who knows an earlier one gets the whole
+    /// list.
+    pub fn restart(&mut self, version: TableVersion) {
         self.complete_after = version;
     }
 
     /// Returns `true` if all removals after a version are known.
-    pub fn is_complete_after(&self, version: u64) -> bool {
+    pub fn is_complete_after(&self, version: TableVersion) -> bool {
         version >= self.complete_after
     }
 
     /// Lists the servers that were removed after a version, with the version of their removal.
-    pub fn iter_after(&self, version: u64) -> impl Iterator<Item = (&String, u64)> {
-        let removals = self.by_id.iter().map(|(id, at)| (id, *at));
+    pub fn iter_after(
+        &self,
+        version: TableVersion,
+    ) -> impl Iterator<Item = (&String, TableVersion)> {
+        let removals = self.by_id.iter().map(|(id, removal)| (id, removal.version));
         removals.filter(move |(_, at)| *at > version)
     }
 
@@ -49,11 +69,12 @@
         if self.by_id.len() <= most {
             return;
         }
-        let mut versions: Vec<u64> = self.by_id.values().copied().collect();
+        let mut versions: Vec<TableVersion> =
+            self.by_id.values().map(|removal| removal.version).collect();
         let middle = versions.len() / 2;
         let (_, limit, _) = versions.select_nth_unstable(middle);
         self.complete_after = self.complete_after.max(*limit);
         let limit = *limit;
-        self.by_id.retain(|_, version| *version > limit);
+        self.by_id.retain(|_, removal| removal.version > limit);
     }
 }
--- a/crates/core/src/serving/era.rs
+++ b/crates/core/src/serving/era.rs
@@ -2,12 +2,24 @@
 //!
 //! The table service may come back from an older copy of its rows. What was written since that copy is
 //! gone, and versions are given out again. Each return begins another era, whose number every answer
-//! carries.
+//! carries. The operator and the servers write again what was lost of theirs; of the nodes' rows nobody
+//! else knows.
+//!
+//! A node that saw an era begin knows its age. One that starts later reads it from a row that the first node
+//! has written ([`Origin`]).
 
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
+use crate::Millis;
+
+/// The time after a return in which the operator and the servers have written again what was lost.
+pub const REWRITTEN_WITHIN: Millis = 2_000;
+
+/// How far the wall clocks of two nodes may differ.
+const CLOCKS_DIFFER_BY: Millis = 4_000;
+
 /// The number of an era of the table service; it rises by one with each return.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -25,10 +37,15 @@
     }
 }
 
-/// The newest era that a node knows.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Eras {
-    current: Option<Era>,
+/// When the first node saw an era.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Origin {
+    /// Milliseconds since then.
+    pub age: Millis,
+    /// That time on the node's wall clock, in milliseconds since the Unix epoch.
+    pub unix_ms: u64,
+    /// Whether the deployment started in this era: nothing was lost before it.
+    pub is_first: bool,
 }
 
 /// An era that a node did not know.
@@ -40,19 +57,104 @@
     pub before: Option<Era>,
 }
 
+/// The newest era that a node knows.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Eras {
+    current: Option<Current>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Current {
+    era: Era,
+    /// When it had begun at the latest; `None` where the node has not seen it begin, nor read its origin.
+    begun_at: Option<Millis>,
+    /// Whether the node knew an earlier one.
+    is_return: bool,
+    origin: Option<Origin>,
+    /// Whether the operator was seen to have written again.
+    is_rewritten: bool,
+}
+
 impl Eras {
     /// Returns the newest era that is known.
-    pub fn get(&self) -> Option<Era> {
-        self.current
+    pub fn get(&self) -> Era {
+        self.current.map_or(Era::UNNAMED, |current| current.era)
+    }
+
+    /// Returns `true` if an era is earlier than the newest one that is known.
+    pub fn is_superseded(&self, era: Era) -> bool {
+        self.current.is_some_and(|current| era < current.era)
     }
 
     /// Notes the era of an answer, or of what another node knows; returns it where it is newer than what
     /// is known.
-    pub fn note(&mut self, era: Era) -> Option<Begun> {
-        if self.current >= Some(era) {
+    pub fn note(&mut self, now: Millis, era: Era) -> Option<Begun> {
+        let before = self.current.map(|current| current.era);
+        if before >= Some(era) {
             return None;
         }
-        let before = self.current.replace(era);
+        let is_return = before.is_some();
+        let begun_at = is_return.then_some(now);
+        self.current =
+            Some(Current { era, begun_at, is_return, origin: None, is_rewritten: false });
         Some(Begun { era, before })
     }
+
+    /// Returns `true` if the node knew an earlier era than the current one.
+    pub fn is_return(&self) -> bool {
+        self.current.is_some_and(|current| current.is_return)
+    }
+
+    /// Notes the origin of an era, where that is the current one.
+    pub fn set_origin(&mut self, now: Millis, era: Era, origin: Origin) {
+        let Some(current) = self.current.as_mut().filter(|current| current.era == era) else {
+            return;
+        };
+        let begun_at = now.saturating_sub(origin.age);
+        current.begun_at = Some(current.begun_at.map_or(begun_at, |known| known.min(begun_at)));
+        current.origin = Some(origin);
+    }
+
+    /// Returns the origin of the current era, where it is known.
+    pub fn get_origin(&self) -> Option<Origin> {
+        self.current?.origin
+    }
+
+    /// Returns the milliseconds since the current era began, at the least; `None` where that is not
+    /// known. Where nothing was ever lost it is as if it had always been.
+    pub fn get_age(&self, now: Millis) -> Option<Millis> {
+        let Some(current) = self.current else { return Some(Millis::MAX) };
+        let is_first = current.origin.is_some_and(|origin| origin.is_first);
+        if is_first || current.era == Era::UNNAMED {
+            return Some(Millis::MAX);
+        }
+        current.begun_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Notes that the operator has written again what it had written in an earlier era.
+    pub fn note_rewritten(&mut self) {
+        if let Some(current) = &mut self.current {
+            current.is_rewritten = true;
+        }
+    }
+
+    /// Returns `true` if the operator and the servers have had the time to write again.
+    pub fn is_settled(&self, now: Millis) -> bool {
+        self.get_age(now).is_some_and(|age| age >= REWRITTEN_WITHIN)
+    }
+
+    /// Returns `true` if the operator's configuration is as new as it ever was.
+    pub fn is_operator_heard(&self, now: Millis) -> bool {
+        self.current.is_some_and(|current| current.is_rewritten) || self.is_settled(now)
+    }
+
+    /// Returns `true` if nothing that could be done at a time of the wall clock, at the earliest, was done in
+    /// an earlier era.
+    pub fn is_surely_after_return(&self, unix_ms: u64) -> bool {
+        if self.get() == Era::UNNAMED {
+            return true;
+        }
+        let Some(origin) = self.get_origin() else { return false };
+        origin.is_first || unix_ms >= origin.unix_ms + CLOCKS_DIFFER_BY
+    }
 }
--- a/crates/core/src/serving/freshness.rs
+++ b/crates/core/src/serving/freshness.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::table_version::TableVersion;
 use crate::Millis;
 
 /// The versions of the platform's tables that a node knows, and how old that knowledge is.
@@ -15,7 +16,7 @@
     /// The configuration's version, and the age of the knowledge that it is the newest.
     pub configuration: Option<(u64, Millis)>,
     /// The version of the list of servers, and the age of the knowledge that it is the newest.
-    pub servers: Option<(u64, Millis)>,
+    pub servers: Option<(TableVersion, Millis)>,
 }
 
 /// Notes when the configuration was last known to be the newest.
--- a/crates/core/src/serving/members/mod.rs
+++ b/crates/core/src/serving/members/mod.rs
@@ -105,6 +105,8 @@
     /// Whether the list that was read is not one that nodes still add themselves to.
     is_list_whole: bool,
     holder_heard_at: Option<Millis>,
+    /// When a node was last found to have started again.
+    replaced_at: Option<Millis>,
     /// What this node's aggregator said last, and when.
     overview: Option<(Millis, Overview)>,
     /// Nodes that this node's aggregator says are silent.
@@ -185,6 +187,7 @@
             estimated: None,
             is_list_whole: false,
             holder_heard_at: None,
+            replaced_at: None,
             overview: None,
             silent_elsewhere: BTreeSet::new(),
             member_since: now,
@@ -289,7 +292,11 @@
         member.is_stopping = heard.is_stopping;
         member.role = heard.role;
         member.is_silent = false;
-        former.filter(|former| *former != heard.incarnation)
+        let replaced = former.filter(|former| *former != heard.incarnation);
+        if replaced.is_some() {
+            self.replaced_at = Some(now);
+        }
+        replaced
     }
 
     /// Notes how long ago the holder of the duties was heard of, by another node.
--- a/crates/core/src/serving/members/query.rs
+++ b/crates/core/src/serving/members/query.rs
@@ -204,6 +204,14 @@
         })
     }
 
+    /// Returns `true` if every node that this one hears by itself was heard after a time, and none has started
+    /// again since another one.
+    pub fn is_whole(&self, heard_since: Millis, running_since: Millis) -> bool {
+        let mut heard = self.known.values().filter_map(|member| member.heard_at);
+        let is_none_replaced = self.replaced_at.is_none_or(|at| at < running_since);
+        is_none_replaced && heard.all(|at| at >= heard_since)
+    }
+
     /// Returns `true` if a node that holds the duties was heard of within a time.
     pub fn is_holder_heard(&self, now: Millis, within: Millis) -> bool {
         self.get_holder_age(now).is_some_and(|age| age < within)
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | [`configuration`] | what a configuration says, and which route and client account a request belongs to |
 //! | [`era`] | which copy of the table service's rows a node deals with |
+//! | [`table_version`] | which of two versions of a row is the newer one |
 //! | [`freshness`] | whether what a node believes is recent enough to act on |
 //! | [`topology`], [`distance`] | which region a data centre stands in, and how far away that is |
 //! | [`memory`] | who may hold how much of a node's memory |
@@ -52,6 +53,7 @@
 pub mod refusal;
 pub mod rollout;
 pub mod spill;
+pub mod table_version;
 pub mod throughput;
 pub mod topology;
 pub mod upload;
--- a/crates/core/src/serving/rollout/book.rs
+++ b/crates/core/src/serving/rollout/book.rs
@@ -8,6 +8,7 @@
 use super::order::{Announcement, Order, Stage};
 use super::tally::{Phase, Series, Tallies};
 use crate::serving::directory::Server;
+use crate::serving::table_version::TableVersion;
 use crate::{Millis, succession};
 
 /// The share of the requests that a version gets in [`Stage::Ramp`]: with what the canary got, a
@@ -43,7 +44,7 @@
     /// The service.
     pub service: String,
     /// The order's number.
-    pub number: u64,
+    pub number: TableVersion,
     /// Answers since the order.
     pub tallies: Tallies,
     /// Requests in flight on other versions.
@@ -156,10 +157,23 @@
     ///
     /// It ends an earlier one for the service: the version of that one is barred unless it was
     /// completed, because nothing shows that it is good.
-    pub fn take_order(&mut self, order: Order) -> bool {
-        let known = self.rollouts.get(&order.service);
-        if known.is_some_and(|known| known.order.number >= order.number) {
-            return false;
+    ///
+    /// After a return of the table service from an older copy, the known order gets another number where
+    /// its row is still there or is written again. A different one may be an earlier order that the copy
+    /// holds, and counts only once the era `is_settled`.
+    pub fn take_order(&mut self, order: Order, is_settled: bool) -> bool {
+        if let Some(known) = self.rollouts.get_mut(&order.service) {
+            if known.order.number >= order.number {
+                return false;
+            }
+            let is_return = known.order.number.era < order.number.era;
+            if known.order.is_same(&order) && (is_return || !is_settled) {
+                known.order.number = order.number;
+                return true;
+            }
+            if is_return && !is_settled {
+                return false;
+            }
         }
         let service = order.service.clone();
         let barred = self.rollouts.remove(&service).map(Rollout::into_barred).unwrap_or_default();
@@ -170,7 +184,7 @@
     }
 
     /// Bars versions of earlier orders, in the roll-out of an order.
-    pub fn bar(&mut self, service: &str, number: u64, versions: &[String]) {
+    pub fn bar(&mut self, service: &str, number: TableVersion, versions: &[String]) {
         let rollout = self.rollouts.get_mut(service);
         if let Some(rollout) = rollout.filter(|rollout| rollout.order.number == number) {
             rollout.bar(versions.iter().cloned());
@@ -188,8 +202,9 @@
         &mut self,
         now: Millis,
         announcement: &Announcement,
+        is_settled: bool,
     ) -> Option<Stage> {
-        self.take_order(announcement.order.clone());
+        self.take_order(announcement.order.clone(), is_settled);
         let rollout = self.rollouts.get_mut(&announcement.order.service)?;
         if rollout.order.number != announcement.order.number {
             return None;
@@ -210,7 +225,13 @@
     }
 
     /// Sets the stage as the holder of the duties, which confirms it.
-    pub fn confirm_stage(&mut self, now: Millis, service: &str, number: u64, stage: Stage) {
+    pub fn confirm_stage(
+        &mut self,
+        now: Millis,
+        service: &str,
+        number: TableVersion,
+        stage: Stage,
+    ) {
         let rollout = self.rollouts.get_mut(service);
         let Some(rollout) = rollout.filter(|rollout| rollout.order.number == number) else {
             return;
--- a/crates/core/src/serving/rollout/order.rs
+++ b/crates/core/src/serving/rollout/order.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Millis;
+use crate::serving::table_version::TableVersion;
 
 /// An order to move a service's traffic to servers of another version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -13,8 +14,17 @@
     pub target_version: String,
     /// The time within which the roll-out should be decided.
     pub duration: Millis,
-    /// Rises with each order for the service.
-    pub number: u64,
+    /// Rises with each order for the service: the version of its row.
+    pub number: TableVersion,
+}
+
+impl Order {
+    /// Returns `true` if another order asks for the same.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.service == other.service
+            && self.target_version == other.target_version
+            && self.duration == other.duration
+    }
 }
 
 /// How far a roll-out has come. Stages only advance, in this order.
--- /dev/null
+++ b/crates/core/src/serving/table_version.rs
@@ -0,0 +1,55 @@
+//! The versions of the table service's rows.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use super::era::Era;
+
+/// A version of the table service's rows.
+///
+/// Numbers are given out again after a return from an older copy, so that a version of a later era is
+/// newer, whatever its number.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct TableVersion {
+    /// The era.
+    pub era: Era,
+    /// Rises with each transaction of the era.
+    pub number: u64,
+}
+
+impl TableVersion {
+    /// Makes a version.
+    pub fn new(era: Era, number: u64) -> Self {
+        Self { era, number }
+    }
+
+    /// Returns what stands for the version of a row that is not there.
+    pub fn absent(era: Era) -> Self {
+        Self { era, number: 0 }
+    }
+
+    /// Returns `true` if it stands for a row that is not there.
+    pub fn is_absent(self) -> bool {
+        self.number == 0
+    }
+}
+
+impl fmt::Display for TableVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.number)
+    }
+}
+
+impl FromStr for TableVersion {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        let (era, number) = text.split_once('.').unwrap_or(("0", text));
+        Ok(Self { era: Era(era.parse()?), number: number.parse()? })
+    }
+}
--- a/crates/core/src/serving/usage.rs
+++ b/crates/core/src/serving/usage.rs
@@ -195,6 +195,63 @@
     total
 }
 
+/// The windows that were frozen, with their counts, as far as a node knows: its own, and those of other
+/// holders of the duties.
+///
+/// The rows that hold them may be gone after a return of the table service. What was reported must then be
+/// reported the same again, or not at all.
+#[derive(Clone, Debug, Default)]
+pub struct Frozen {
+    windows: BTreeMap<WindowNumber, FrozenWindow>,
+}
+
+#[derive(Clone, Debug)]
+struct FrozenWindow {
+    counts: Counts,
+    /// In how many further reports to other nodes it is listed.
+    repeats: u32,
+}
+
+/// Reports in which a frozen window is listed.
+const FROZEN_REPEATS: u32 = 3;
+
+impl Frozen {
+    /// Notes that a window was frozen; returns `true` if that was not known. What was known first stays.
+    pub fn note(&mut self, window: WindowNumber, counts: &Counts) -> bool {
+        if self.windows.contains_key(&window) {
+            return false;
+        }
+        let frozen = FrozenWindow { counts: counts.clone(), repeats: FROZEN_REPEATS };
+        self.windows.insert(window, frozen);
+        true
+    }
+
+    /// Returns the counts that a window was frozen with.
+    pub fn get(&self, window: WindowNumber) -> Option<&Counts> {
+        self.windows.get(&window).map(|frozen| &frozen.counts)
+    }
+
+    /// Lists the frozen windows for a report to other nodes.
+    pub fn list_due(&mut self) -> Vec<(WindowNumber, Counts)> {
+        let due = self.windows.iter_mut().filter(|(_, frozen)| frozen.repeats > 0);
+        due.map(|(window, frozen)| {
+            frozen.repeats -= 1;
+            (*window, frozen.counts.clone())
+        })
+        .collect()
+    }
+
+    /// Lists all windows again in the next reports: another holder may lack their rows.
+    pub fn repeat(&mut self) {
+        self.windows.values_mut().for_each(|frozen| frozen.repeats = FROZEN_REPEATS);
+    }
+
+    /// Forgets the windows before one.
+    pub fn forget_before(&mut self, window: WindowNumber) {
+        self.windows = self.windows.split_off(&window);
+    }
+}
+
 /// Reports in which a window is repeated after its last change: each may get lost.
 const REPEATED_FOR: u64 = 10;
 /// A window that has not changed for longer is in each so many reports: whoever begins to hear this node
--- a/crates/core/tests/serving/directory.rs
+++ b/crates/core/tests/serving/directory.rs
@@ -1,15 +1,18 @@
 use keeljunction_core::serving::directory::{Batch, Change, Directory, Entry, Server, Update};
 
-use crate::support::server;
+use keeljunction_core::serving::era::Era;
+use keeljunction_core::serving::table_version::TableVersion;
+
+use crate::support::{at, server};
 
 fn listed(version: u64, server: Server) -> Batch {
-    let entry = Entry { id: server.id.clone(), version, server: Some(server) };
-    Batch { after: version - 1, version, entries: vec![entry] }
+    let entry = Entry { id: server.id.clone(), version: at(version), server: Some(server) };
+    Batch { after: at(version - 1), version: at(version), entries: vec![entry] }
 }
 
 fn removed(version: u64, id: &str) -> Batch {
-    let entry = Entry { id: id.to_owned(), version, server: None };
-    Batch { after: version - 1, version, entries: vec![entry] }
+    let entry = Entry { id: id.to_owned(), version: at(version), server: None };
+    Batch { after: at(version - 1), version: at(version), entries: vec![entry] }
 }
 
 fn ready(directory: &Directory) -> Vec<&str> {
@@ -19,17 +22,17 @@
 #[test]
 fn a_whole_list_replaces_what_was_known() {
     let mut directory = Directory::default();
-    directory.replace(5, vec![server("a", "z1"), server("b", "z1")]);
-    let changes = directory.replace(6, vec![server("b", "z1"), server("c", "z1")]);
+    directory.replace(at(5), vec![server("a", "z1"), server("b", "z1")]);
+    let changes = directory.replace(at(6), vec![server("b", "z1"), server("c", "z1")]);
     assert_eq!(changes, [Change::Gone(server("a", "z1")), Change::Joined(server("c", "z1"))]);
     assert_eq!(ready(&directory), ["b", "c"]);
-    assert_eq!(directory.get_version(), 6);
+    assert_eq!(directory.get_version(), at(6));
 }
 
 #[test]
 fn a_leaving_server_gets_nothing_and_never_comes_back() {
     let mut directory = Directory::default();
-    directory.replace(1, vec![server("a", "z1")]);
+    directory.replace(at(1), vec![server("a", "z1")]);
     let mut leaving = server("a", "z1");
     leaving.is_leaving = true;
     let changes = directory.update(listed(2, leaving.clone()));
@@ -42,7 +45,7 @@
 #[test]
 fn a_removed_server_is_gone() {
     let mut directory = Directory::default();
-    directory.replace(1, vec![server("a", "z1")]);
+    directory.replace(at(1), vec![server("a", "z1")]);
     let changes = directory.update(removed(2, "a"));
     assert_eq!(changes, Some(vec![Change::Gone(server("a", "z1"))]));
     assert_eq!(directory.update(removed(3, "a")), Some(Vec::new()));
@@ -51,7 +54,7 @@
 #[test]
 fn an_answer_that_shows_another_server_takes_the_old_one_out() {
     let mut directory = Directory::default();
-    directory.replace(1, vec![server("a", "z1")]);
+    directory.replace(at(1), vec![server("a", "z1")]);
     assert!(directory.note_leaving("a", 0).is_some());
     assert!(directory.note_leaving("a", 0).is_none());
     assert!(ready(&directory).is_empty());
@@ -60,47 +63,47 @@
 #[test]
 fn a_batch_after_a_gap_is_not_taken() {
     let mut directory = Directory::default();
-    directory.replace(7, Vec::new());
+    directory.replace(at(7), Vec::new());
     assert_eq!(directory.update(listed(9, server("a", "z1"))), None);
-    assert_eq!(directory.get_version(), 7);
+    assert_eq!(directory.get_version(), at(7));
 }
 
 #[test]
 fn batches_of_several_sources_may_overlap() {
     let mut directory = Directory::default();
-    directory.replace(1, vec![server("a", "z1")]);
+    directory.replace(at(1), vec![server("a", "z1")]);
     directory.update(removed(2, "a"));
     let mut late = listed(1, server("a", "z1"));
-    late.after = 0;
+    late.after = at(0);
     assert_eq!(directory.update(late), Some(Vec::new()));
     assert!(ready(&directory).is_empty());
-    assert_eq!(directory.get_version(), 2);
+    assert_eq!(directory.get_version(), at(2));
 }
 
 #[test]
 fn an_older_list_changes_nothing() {
     let mut directory = Directory::default();
-    directory.replace(7, vec![server("a", "z1")]);
-    assert!(directory.replace(6, Vec::new()).is_empty());
+    directory.replace(at(7), vec![server("a", "z1")]);
+    assert!(directory.replace(at(6), Vec::new()).is_empty());
     assert_eq!(ready(&directory), ["a"]);
 }
 
 #[test]
 fn an_answer_without_changes_leaves_the_version() {
     let mut directory = Directory::default();
-    directory.replace(7, vec![server("a", "z1")]);
-    let nothing = Batch { after: 7, version: 900, entries: Vec::new() };
+    directory.replace(at(7), vec![server("a", "z1")]);
+    let nothing = Batch { after: at(7), version: at(900), entries: Vec::new() };
     assert_eq!(directory.update(nothing), Some(Vec::new()));
-    assert_eq!(directory.get_version(), 7);
+    assert_eq!(directory.get_version(), at(7));
 }
 
 #[test]
 fn entries_that_lapsed_while_the_table_service_was_away_have_time_to_come_back() {
     let mut directory = Directory::default();
-    directory.replace(1, vec![server("a", "z1"), server("b", "z1"), server("c", "z1")]);
+    directory.replace(at(1), vec![server("a", "z1"), server("b", "z1"), server("c", "z1")]);
     directory.note_away();
     directory.note_return(10_000);
-    assert!(directory.replace(5, vec![server("c", "z1")]).is_empty());
+    assert!(directory.replace(at(5), vec![server("c", "z1")]).is_empty());
     assert_eq!(ready(&directory), ["c", "a", "b"]);
     assert!(directory.update(listed(6, server("a", "z1"))).expect("no gap").is_empty());
     assert!(directory.expire_lapsed(11_999).is_empty());
@@ -111,7 +114,7 @@
 #[test]
 fn peers_are_not_told_of_servers_whose_entries_lapsed() {
     let mut directory = Directory::default();
-    directory.replace(1, vec![server("a", "z1")]);
+    directory.replace(at(1), vec![server("a", "z1")]);
     directory.note_away();
     directory.note_return(10_000);
     directory.update(removed(2, "a"));
@@ -123,7 +126,7 @@
 fn a_server_that_had_begun_to_leave_does_not_lapse() {
     let mut directory = Directory::default();
     let leaving = Server { is_leaving: true, ..server("a", "z1") };
-    directory.replace(1, vec![leaving.clone()]);
+    directory.replace(at(1), vec![leaving.clone()]);
     directory.note_away();
     directory.note_return(10_000);
     assert_eq!(directory.update(removed(2, "a")), Some(vec![Change::Gone(leaving)]));
@@ -132,7 +135,7 @@
 #[test]
 fn a_server_whose_entry_lapsed_is_gone_once_another_answers_in_its_place() {
     let mut directory = Directory::default();
-    directory.replace(1, vec![server("a", "z1")]);
+    directory.replace(at(1), vec![server("a", "z1")]);
     directory.note_away();
     directory.note_return(10_000);
     directory.update(removed(2, "a"));
@@ -143,9 +146,9 @@
 #[test]
 fn a_server_that_left_while_the_list_grew_old_gets_nothing() {
     let mut directory = Directory::default();
-    directory.replace(1, vec![server("a", "z1"), server("b", "z1")]);
+    directory.replace(at(1), vec![server("a", "z1"), server("b", "z1")]);
     directory.note_return(10_000);
-    let changes = directory.replace(5, vec![server("b", "z1")]);
+    let changes = directory.replace(at(5), vec![server("b", "z1")]);
     assert_eq!(changes, [Change::Gone(server("a", "z1"))]);
     assert_eq!(ready(&directory), ["b"]);
 }
@@ -153,12 +156,12 @@
 #[test]
 fn one_outage_gives_time_to_come_back_once() {
     let mut directory = Directory::default();
-    directory.replace(1, vec![server("a", "z1")]);
+    directory.replace(at(1), vec![server("a", "z1")]);
     directory.note_away();
     directory.note_return(10_000);
     assert!(directory.expire_lapsed(12_000).is_empty());
     directory.note_return(20_000);
-    assert_eq!(directory.replace(5, Vec::new()), [Change::Gone(server("a", "z1"))]);
+    assert_eq!(directory.replace(at(5), Vec::new()), [Change::Gone(server("a", "z1"))]);
 }
 
 fn started(at: u64) -> Server {
@@ -168,13 +171,13 @@
 #[test]
 fn a_server_that_starts_again_joins_anew_and_its_late_entries_change_nothing() {
     let mut directory = Directory::default();
-    directory.replace(1, vec![started(10)]);
+    directory.replace(at(1), vec![started(10)]);
     let leaving = Server { is_leaving: true, ..started(10) };
-    assert_eq!(directory.replace(2, vec![leaving.clone()]), [Change::Leaving(leaving.clone())]);
+    assert_eq!(directory.replace(at(2), vec![leaving.clone()]), [Change::Leaving(leaving.clone())]);
     let again = started(20);
-    let changes = directory.replace(3, vec![again.clone()]);
+    let changes = directory.replace(at(3), vec![again.clone()]);
     assert_eq!(changes, [Change::Gone(leaving.clone()), Change::Joined(again.clone())]);
-    assert_eq!(directory.replace(4, vec![leaving]), []);
+    assert_eq!(directory.replace(at(4), vec![leaving]), []);
     assert_eq!(directory.note_leaving("a", 10), None);
     assert_eq!(directory.get("a"), Some(&again));
     assert!(directory.is_superseded(&started(10)));
@@ -184,23 +187,24 @@
 #[test]
 fn a_server_that_starts_again_while_its_entry_had_lapsed_takes_the_place_of_the_old_one() {
     let mut directory = Directory::default();
-    directory.replace(1, vec![started(10)]);
+    directory.replace(at(1), vec![started(10)]);
     directory.note_away();
     directory.note_return(1_000);
-    assert_eq!(directory.replace(2, vec![]), []);
-    let changes = directory.replace(3, vec![started(20)]);
+    assert_eq!(directory.replace(at(2), vec![]), []);
+    let changes = directory.replace(at(3), vec![started(20)]);
     assert_eq!(changes, [Change::Gone(started(10)), Change::Joined(started(20))]);
     assert_eq!(directory.expire_lapsed(9_000), []);
 }
 
 #[test]
 fn batches_in_any_order_leave_the_newest_start() {
-    let entry = |version, server| Entry { id: "a".to_owned(), version, server: Some(server) };
+    let entry =
+        |version, server| Entry { id: "a".to_owned(), version: at(version), server: Some(server) };
     for [first, second] in [[10, 20], [20, 10]] {
         let mut directory = Directory::default();
-        directory.replace(1, vec![]);
+        directory.replace(at(1), vec![]);
         let entries = vec![entry(2, started(first)), entry(3, started(second))];
-        directory.update(Batch { after: 1, version: 3, entries });
+        directory.update(Batch { after: at(1), version: at(3), entries });
         assert_eq!(directory.get("a").map(|server| server.incarnation), Some(20));
     }
 }
@@ -208,7 +212,8 @@
 /// A list of so many servers, read whole at version 1.
 fn of_size(count: usize) -> Directory {
     let mut directory = Directory::default();
-    directory.replace(1, (0..count).map(|number| server(&format!("s{number}"), "z1")).collect());
+    directory
+        .replace(at(1), (0..count).map(|number| server(&format!("s{number}"), "z1")).collect());
     directory
 }
 
@@ -222,9 +227,11 @@
             leaving.is_leaving = true;
             directory.update(listed(3 + 2 * number, leaving));
         }
-        let Update::Changes(all) = directory.get_update(Some(1)) else { panic!("the whole list") };
-        assert_eq!((all.after, all.version, all.entries.len()), (1, 61, 60));
-        let Update::Changes(last) = directory.get_update(Some(59)) else {
+        let Update::Changes(all) = directory.get_update(Some(at(1))) else {
+            panic!("the whole list")
+        };
+        assert_eq!((all.after, all.version, all.entries.len()), (at(1), at(61), 60));
+        let Update::Changes(last) = directory.get_update(Some(at(59))) else {
             panic!("the whole list")
         };
         assert_eq!(last.entries.len(), 2);
@@ -234,12 +241,12 @@
 #[test]
 fn a_node_without_a_list_or_with_one_from_before_what_is_remembered_gets_the_whole() {
     let mut directory = Directory::default();
-    directory.replace(7, vec![server("a", "z1")]);
+    directory.replace(at(7), vec![server("a", "z1")]);
     for after in [None, Some(6)] {
-        let Update::Whole { version, servers } = directory.get_update(after) else {
+        let Update::Whole { version, servers } = directory.get_update(after.map(at)) else {
             panic!("changes after {after:?}")
         };
-        assert_eq!((version, servers.len()), (7, 1));
+        assert_eq!((version, servers.len()), (at(7), 1));
     }
 }
 
@@ -269,25 +276,29 @@
         known.update(removed(2 + 2 * number, &format!("s{number}")));
         known.update(listed(3 + 2 * number, server(&format!("s{}", number + 1_000), "z1")));
     }
-    peer.take(known.get_update(Some(1))).expect("no gap");
+    peer.take(known.get_update(Some(at(1)))).expect("no gap");
     assert!(known.iter().eq(peer.iter()));
 }
 
 #[test]
 fn a_long_batch_is_split_into_parts_that_follow_each_other() {
-    let entry = |version, number: usize| Entry { id: format!("s{number}"), version, server: None };
+    let entry = |version, number: usize| Entry {
+        id: format!("s{number}"),
+        version: at(version),
+        server: None,
+    };
     let mut entries: Vec<Entry> = (0..10_000).map(|n| entry(2 + n as u64 / 3, n)).collect();
     entries.reverse();
-    let parts = Batch { after: 1, version: 5_000, entries }.split(64);
+    let parts = Batch { after: at(1), version: at(5_000), entries }.split(64);
     assert_eq!(parts.len(), 152);
     assert!(parts.iter().all(|part| part.entries.len() <= 66));
-    assert_eq!((parts[0].after, parts[151].version), (1, 5_000));
+    assert_eq!((parts[0].after, parts[151].version), (at(1), at(5_000)));
     assert!(parts.windows(2).all(|pair| pair[0].version == pair[1].after));
     let mut directory = of_size(10_000);
     for part in parts {
         directory.update(part).expect("no gap");
     }
-    assert_eq!((directory.count(), directory.get_version()), (0, 5_000));
+    assert_eq!((directory.count(), directory.get_version()), (0, at(5_000)));
 }
 
 #[test]
@@ -306,9 +317,9 @@
     let mut peer = of_size(10);
     known.update(removed(2, "never-listed"));
     known.update(listed(3, server("s1", "z1")));
-    assert_eq!(known.get_version(), 3);
+    assert_eq!(known.get_version(), at(3));
     peer.take(known.get_update(Some(peer.get_version()))).expect("no gap");
-    assert_eq!(peer.get_version(), 3);
+    assert_eq!(peer.get_version(), at(3));
 }
 
 /// Guards against a server that gets requests again after it said that it leaves, because its entry was
@@ -316,22 +327,22 @@
 #[test]
 fn the_word_of_a_server_that_it_leaves_outlives_its_entry() {
     let mut directory = Directory::default();
-    directory.replace(1, vec![started(10)]);
+    directory.replace(at(1), vec![started(10)]);
     let departed = directory.note_departure(1_000, "a", 10);
     assert!(departed.is_news && departed.change.is_some());
     assert!(!directory.note_departure(1_100, "a", 10).is_news);
     // Its entry is written again, is missing from a whole list, and comes back.
     directory.update(listed(2, started(10)));
     assert!(ready(&directory).is_empty());
-    directory.replace(3, Vec::new());
+    directory.replace(at(3), Vec::new());
     directory.update(listed(4, started(10)));
     assert!(ready(&directory).is_empty());
     // It lapses while the table service is away.
     directory.note_away();
     directory.note_return(2_000);
-    directory.replace(5, Vec::new());
+    directory.replace(at(5), Vec::new());
     assert!(ready(&directory).is_empty());
-    directory.replace(6, vec![started(10)]);
+    directory.replace(at(6), vec![started(10)]);
     assert!(ready(&directory).is_empty());
     // Its next start is another server.
     directory.update(listed(7, started(11)));
@@ -345,7 +356,7 @@
 fn the_word_of_a_server_that_it_leaves_may_come_before_its_entry_and_goes_to_peers_with_it() {
     let mut directory = Directory::default();
     assert!(directory.note_departure(0, "a", 10).is_news);
-    directory.replace(1, vec![started(10)]);
+    directory.replace(at(1), vec![started(10)]);
     assert!(ready(&directory).is_empty());
     let mut peer = Directory::default();
     peer.take(directory.get_update(None));
@@ -357,11 +368,11 @@
     let mut directory = Directory::default();
     directory.note_departure(0, "a", 10);
     directory.expire_departures(599_999);
-    directory.replace(1, vec![started(10)]);
+    directory.replace(at(1), vec![started(10)]);
     assert!(ready(&directory).is_empty());
     directory.expire_departures(600_000);
-    directory.replace(2, Vec::new());
-    directory.replace(3, vec![started(10)]);
+    directory.replace(at(2), Vec::new());
+    directory.replace(at(3), vec![started(10)]);
     assert_eq!(ready(&directory), ["a"]);
     // Of more than a thousand the latest are kept.
     for number in 0..1_030 {
@@ -386,3 +397,117 @@
     assert_eq!(seen.len(), 9);
     assert!(directory.list_departures(30_000, 0).is_empty());
 }
+
+/// A version of the table service's second era, after a return from an older copy.
+fn returned(number: u64) -> TableVersion {
+    TableVersion::new(Era(2), number)
+}
+
+fn changed(version: TableVersion, server: Server) -> Batch {
+    let after = TableVersion { number: version.number - 1, ..version };
+    Batch {
+        after,
+        version,
+        entries: vec![Entry { id: server.id.clone(), version, server: Some(server) }],
+    }
+}
+
+// Guards against a list that stands still after a return: versions are given out again, and lower ones are newer.
+#[test]
+fn a_lower_version_of_a_later_era_is_newer() {
+    let mut directory = Directory::default();
+    directory.replace(at(900), vec![started(10)]);
+    directory.note_era(1_000);
+    directory.replace(returned(700), vec![started(10)]);
+    let leaving = Server { is_leaving: true, ..started(10) };
+    let changes = directory.update(changed(returned(701), leaving.clone()));
+    assert_eq!(changes, Some(vec![Change::Leaving(leaving)]));
+    assert_eq!(directory.get_version(), returned(701));
+}
+
+// Guards against late answers and peers that have not heard of the return.
+#[test]
+fn what_is_of_an_earlier_era_changes_nothing() {
+    let mut directory = Directory::default();
+    directory.replace(returned(5), vec![started(10)]);
+    assert_eq!(directory.replace(at(900), Vec::new()), []);
+    assert_eq!(directory.update(removed(901, "a")), Some(Vec::new()));
+    let mut peer = Directory::default();
+    peer.replace(at(900), Vec::new());
+    directory.take(peer.get_update(None));
+    assert_eq!(ready(&directory), ["a"]);
+    assert_eq!(directory.get_version(), returned(5));
+}
+
+#[test]
+fn changes_of_a_later_era_are_not_taken_without_its_whole_list() {
+    let mut directory = Directory::default();
+    directory.replace(at(900), vec![started(10)]);
+    assert_eq!(directory.update(changed(returned(6), started(20))), None);
+    assert_eq!(directory.get_version(), at(900));
+}
+
+#[test]
+fn a_peer_that_knows_an_earlier_era_gets_the_whole_list() {
+    let mut known = Directory::default();
+    known.replace(at(900), vec![started(10)]);
+    known.replace(returned(5), vec![started(20)]);
+    let mut peer = Directory::default();
+    peer.replace(at(900), vec![started(10)]);
+    let update = known.get_update(Some(peer.get_version()));
+    assert!(matches!(update, Update::Whole { .. }), "{update:?}");
+    peer.take(update);
+    assert_eq!(peer.get("a"), known.get("a"));
+    assert_eq!(
+        known.get_update(Some(returned(5))),
+        Update::Changes(Batch { after: returned(5), version: returned(5), entries: Vec::new() })
+    );
+}
+
+// Guards against the loss of servers that have not written their entries again yet.
+#[test]
+fn servers_that_an_older_copy_lacks_get_work_until_they_had_time_to_write_again() {
+    let mut directory = Directory::default();
+    directory.replace(at(900), vec![server("a", "z1"), server("b", "z1")]);
+    directory.note_era(1_000);
+    assert_eq!(directory.replace(returned(700), vec![server("a", "z1")]), []);
+    assert_eq!(ready(&directory), ["a", "b"]);
+    directory.update(changed(returned(701), server("b", "z1")));
+    assert_eq!(directory.expire_lapsed(3_000), []);
+    assert_eq!(ready(&directory), ["a", "b"]);
+}
+
+// Guards against servers that get requests again because an older copy lists them as ready.
+#[test]
+fn a_server_that_left_before_a_return_is_not_ready_again() {
+    let leaving = Server { is_leaving: true, ..started(10) };
+    for is_removed in [false, true] {
+        let mut directory = Directory::default();
+        directory.replace(at(1), vec![started(10)]);
+        directory.update(listed(2, leaving.clone()));
+        if is_removed {
+            directory.update(removed(3, "a"));
+        }
+        for (now, era) in [(1_000, 2), (1_500, 3)] {
+            directory.note_era(now);
+            directory.replace(TableVersion::new(Era(era), 1), vec![started(10)]);
+            assert_eq!(ready(&directory), Vec::<&str>::new(), "era {era}, removed {is_removed}");
+        }
+        let again = TableVersion::new(Era(3), 2);
+        directory.update(changed(again, started(20)));
+        assert_eq!(ready(&directory), ["a"]);
+    }
+}
+
+// A server that was cut off from the table service has lapsed, and lives: it writes again once it is back.
+#[test]
+fn a_server_that_was_removed_before_a_return_is_ready_once_it_writes_again() {
+    let mut directory = Directory::default();
+    directory.replace(at(1), vec![started(10)]);
+    directory.update(removed(2, "a"));
+    directory.note_era(1_000);
+    directory.replace(returned(1), vec![started(10)]);
+    assert_eq!(ready(&directory), Vec::<&str>::new());
+    directory.update(changed(returned(2), started(10)));
+    assert_eq!(ready(&directory), ["a"]);
+}
--- a/crates/core/tests/serving/rollout.rs
+++ b/crates/core/tests/serving/rollout.rs
@@ -6,12 +6,17 @@
     Tallies, Tolerance,
 };
 
-use crate::support::server;
+use crate::support::{at, server};
 
 const TOLERANCE: Tolerance = Tolerance { share: 0.1, slack: 0.0, nodes: 3 };
 
 fn order(number: u64) -> Order {
-    Order { service: "llm".to_owned(), target_version: "v2".to_owned(), duration: 12_000, number }
+    Order {
+        service: "llm".to_owned(),
+        target_version: "v2".to_owned(),
+        duration: 12_000,
+        number: at(number),
+    }
 }
 
 fn told(number: u64, stage: Stage, age: Option<u64>) -> Announcement {
@@ -24,7 +29,7 @@
 
 fn book_at(stage: Stage) -> Book {
     let mut book = Book::default();
-    book.merge_announcement(10_000, &told(7, stage, Some(0)));
+    book.merge_announcement(10_000, &told(7, stage, Some(0)), true);
     book
 }
 
@@ -38,9 +43,9 @@
 #[test]
 fn an_order_that_nobody_has_begun_sends_nothing_to_the_new_version() {
     let mut book = Book::default();
-    assert!(book.take_order(order(7)));
-    assert!(!book.take_order(order(7)));
-    assert!(!book.take_order(order(6)));
+    assert!(book.take_order(order(7), true));
+    assert!(!book.take_order(order(7), true));
+    assert!(!book.take_order(order(6), true));
     assert_eq!(book.pick_side(10_000, "llm", &TOLERANCE, 0.5), Side::RestFirst);
     assert!(!book.is_allowed(Side::RestFirst, &server_of("v2")));
     assert!(book.is_allowed(Side::RestFirst, &server_of("v1")));
@@ -100,12 +105,12 @@
 #[test]
 fn a_stage_never_goes_back() {
     let mut book = book_at(Stage::RolledBack);
-    assert_eq!(book.merge_announcement(10_100, &told(7, Stage::Shifting, Some(0))), None);
+    assert_eq!(book.merge_announcement(10_100, &told(7, Stage::Shifting, Some(0)), true), None);
     assert_eq!(book.pick_side(10_100, "llm", &TOLERANCE, 0.5), Side::Rest);
     // An older order neither; a newer one begins anew.
-    assert_eq!(book.merge_announcement(10_100, &told(6, Stage::Completed, Some(0))), None);
+    assert_eq!(book.merge_announcement(10_100, &told(6, Stage::Completed, Some(0)), true), None);
     assert_eq!(
-        book.merge_announcement(10_100, &told(8, Stage::Canary, Some(0))),
+        book.merge_announcement(10_100, &told(8, Stage::Canary, Some(0)), true),
         Some(Stage::Canary)
     );
 }
@@ -131,11 +136,11 @@
     book.fail(&server_of("v1"), "brief", Phase::FirstToken);
     let mut member = Tallies::default();
     member.get_mut(series(), true).succeed(Some(200));
-    let report = Report { service: "llm".to_owned(), number: 7, tallies: member, in_flight: 2 };
+    let report = Report { service: "llm".to_owned(), number: at(7), tallies: member, in_flight: 2 };
     book.merge(true, ("n-2", 1), std::slice::from_ref(&report));
     // A repeated report counts once; one of another order not at all.
     book.merge(true, ("n-2", 1), std::slice::from_ref(&report));
-    book.merge(false, ("n-3", 1), &[Report { number: 6, ..report }]);
+    book.merge(false, ("n-3", 1), &[Report { number: at(6), ..report }]);
     let sum = book.sum_all("llm", |_| 3).expect("an order");
     assert_eq!((sum.tallies.count_target(), sum.in_flight), (3, 5));
     let (_, pair) = sum.tallies.iter().next().expect("a series");
@@ -246,18 +251,18 @@
         [(Stage::Canary, true), (Stage::RolledBack, true), (Stage::Completed, false)]
     {
         let mut book = book_at(stage);
-        assert!(book.take_order(order_for("v3", 8)));
+        assert!(book.take_order(order_for("v3", 8), true));
         assert_eq!(book.is_allowed(Side::Rest, &server_of("v2")), !is_barred, "{stage:?}");
         assert_eq!(book.is_on_trial(&server_of("v2")), is_barred);
         assert!(book.is_allowed(Side::Rest, &server_of("v1")));
         // Nodes that know the newest order only are told.
         let mut other = Book::default();
         for announcement in book.list_announcements(10_000) {
-            other.merge_announcement(10_000, &announcement);
+            other.merge_announcement(10_000, &announcement, true);
         }
         assert_eq!(other.is_allowed(Side::Any, &server_of("v2")), !is_barred);
         // Ordered again it is on trial again.
-        assert!(book.take_order(order_for("v2", 9)));
+        assert!(book.take_order(order_for("v2", 9), true));
         assert_eq!(book.list_barred("llm"), ["v3"]);
         assert!(book.is_allowed(Side::Target, &server_of("v2")));
     }
--- a/crates/core/tests/serving/support.rs
+++ b/crates/core/tests/serving/support.rs
@@ -1,6 +1,13 @@
 //! What several tests need.
 
 use keeljunction_core::serving::directory::Server;
+use keeljunction_core::serving::era::Era;
+use keeljunction_core::serving::table_version::TableVersion;
+
+/// Makes a version of a table service that names no eras.
+pub fn at(number: u64) -> TableVersion {
+    TableVersion::new(Era::UNNAMED, number)
+}
 
 /// Makes a server that takes work.
 pub fn server(id: &str, data_centre: &str) -> Server {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -38,8 +38,8 @@
     /// The table service is in another era than the node knew: it came back from an older copy of its rows,
     /// where one is known before it.
     StoreEraBegun { era: u64, before: Option<u64> },
-    /// An answer of the table service is older than what the node knows, and changes nothing.
-    RowsDropped { table: &'a str, entries: usize, version: u64, known: u64 },
+    /// An answer of the table service is of an earlier era than the node knows, and changes nothing.
+    RowsDropped { entries: usize, era: u64, known: u64 },
     /// A call of the table service failed.
     TableCallFailed { what: &'a str, error: String },
     /// A server joined, began to leave, or is gone.
@@ -73,7 +73,10 @@
     /// No node of another region is heard, or one is again.
     RegionReached { region: &'a str, is_reached: bool },
     /// A new holder of the duties has read which windows earlier ones have frozen.
-    UsageLoaded { fence: u64, frozen: Vec<u64>, rows: usize, version: u64 },
+    UsageLoaded { fence: u64, frozen: Vec<u64>, rows: usize, version: String },
+    /// A window's usage is not reported: it may have been, with other counts, before the table service came
+    /// back from an older copy.
+    UsageWithheld { window: u64, era: u64 },
     /// A window's usage was reported.
     UsageReported { window: u64, requests: u64, fence: u64, status: Option<u16> },
     /// A data centre's number of servers was ordered.
@@ -89,12 +92,12 @@
         status: Option<u16>,
     },
     /// A roll-out was ordered, or its stage has advanced.
-    RolloutChanged { service: &'a str, target_version: &'a str, order: u64, stage: &'a str },
+    RolloutChanged { service: &'a str, target_version: &'a str, order: String, stage: &'a str },
     /// This node, as the holder of the duties, decided the stage of a roll-out.
     RolloutDecided {
         service: &'a str,
         target_version: &'a str,
-        order: u64,
+        order: String,
         stage: &'a str,
         /// What was found of the new version, or why it was given up.
         why: &'a str,
--- a/crates/gateway/src/node/duty.rs
+++ b/crates/gateway/src/node/duty.rs
@@ -5,6 +5,7 @@
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::duty_lease::{LeaseRow, Step, TableClock};
+use keeljunction_core::serving::table_version::TableVersion;
 
 use super::{Node, capacity_duty, rollout_duty, table, usage_duty};
 use crate::event::{self, Event};
@@ -28,15 +29,15 @@
 struct Known {
     /// `None` where there is no row yet.
     row: Option<LeaseRow>,
-    /// The row's version; 0 where there is none.
-    version: u64,
+    /// The row's version.
+    version: TableVersion,
     clock: TableClock,
 }
 
 /// A row that cannot be read.
 #[derive(Clone, Copy, Debug)]
 struct Unreadable {
-    version: u64,
+    version: TableVersion,
     /// When it was first seen, on the table service's clock.
     seen_at: Millis,
 }
@@ -99,7 +100,8 @@
     if node.is_stopping() {
         return node.settings.bounds.lease_ms;
     }
-    let current = match known.take() {
+    let era = node.with(|state| state.eras.get());
+    let current = match known.take().filter(|known| known.version.era == era) {
         Some(current) => current,
         None => match read(node, unreadable).await {
             Ok(current) => current,
@@ -118,7 +120,7 @@
 
 /// Writes the row where it has not changed since a version; `None` where that is not sure to be
 /// done.
-async fn write(node: &Node, row: LeaseRow, version: u64) -> Option<Known> {
+async fn write(node: &Node, row: LeaseRow, version: TableVersion) -> Option<Known> {
     let asked_at = node.now();
     match table::commit(node, transaction(&row, version), ANSWER_WITHIN).await {
         Ok(rows) => {
@@ -133,7 +135,7 @@
     }
 }
 
-fn transaction(row: &LeaseRow, version: u64) -> Transaction {
+fn transaction(row: &LeaseRow, version: TableVersion) -> Transaction {
     let condition = Condition { table: TableName::Own(TABLE), key: KEY.to_owned(), version };
     let value = serde_json::to_vec(row).ok();
     let write = Write { table: TableName::Own(TABLE), key: KEY.to_owned(), value };
@@ -146,7 +148,7 @@
     let rows = table::read_all(node, TableName::Own(TABLE), ANSWER_WITHIN).await?;
     let clock = TableClock { asked_at, table_time: rows.table_time };
     let Some(found) = rows.rows.iter().find(|row| row.key == KEY) else {
-        return Ok(Known { row: None, version: 0, clock });
+        return Ok(Known { row: None, version: TableVersion::absent(rows.version.era), clock });
     };
     let row = match decode(found) {
         Some(row) => row,
@@ -176,5 +178,5 @@
     });
     *unreadable = Some(seen);
     let ends_at = seen.seen_at + node.settings.bounds.lease_ms;
-    LeaseRow { holder: String::new(), incarnation: 0, term: found.version, ends_at }
+    LeaseRow { holder: String::new(), incarnation: 0, term: found.version.number, ends_at }
 }
--- a/crates/gateway/src/node/peers/calls.rs
+++ b/crates/gateway/src/node/peers/calls.rs
@@ -2,6 +2,7 @@
 //! lists of servers and of nodes.
 
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use keeljunction_core::serving::table_version::TableVersion;
 
 use crate::http::{Body, read};
 use crate::node::{Node, document, watch};
@@ -48,12 +50,12 @@
 }
 
 /// Reads from a query the version up to which a peer knows the list; `None` where it knows none.
-fn read_after(query: Option<&str>) -> Option<u64> {
+fn read_after<T: FromStr>(query: Option<&str>) -> Option<T> {
     query?.strip_prefix(AFTER)?.parse().ok()
 }
 
 /// Encodes what a peer lacks of the list of servers.
-fn get_update(node: &Node, after: Option<u64>) -> Option<Bytes> {
+fn get_update(node: &Node, after: Option<TableVersion>) -> Option<Bytes> {
     let encoded = node.with(|state| {
         let is_known = state.directory.is_known();
         is_known.then(|| postcard::to_stdvec(&state.directory.get_update(after)))
@@ -94,7 +96,7 @@
     let Some(_call) = Call::begin(&node.fetching.configuration) else { return };
     let Some(document) = fetch(&node, from, CONFIGURATION_PATH).await else { return };
     let Some(text) = document::unpack(&document) else { return };
-    let row = Row { key: String::new(), value: Some(text), version: 0 };
+    let row = Row { key: String::new(), value: Some(text), version: TableVersion::default() };
     watch::adopt_configuration(&node, &[row]);
 }
 
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The format of the datagrams; others are ignored.
-const FORMAT: u8 = 12;
+const FORMAT: u8 = 13;
 
 /// What every datagram begins with.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -188,6 +188,8 @@
     pub departures: Vec<Departure>,
     /// Which versions of the platform's tables it knows.
     pub versions: Versions,
+    /// Windows of usage that were frozen lately.
+    pub frozen: Vec<(WindowNumber, Counts)>,
 }
 
 /// The overview of an aggregator for the nodes of its group.
@@ -237,6 +239,8 @@
     LimitSeen(Sighting),
     /// A server said in an answer that it leaves.
     ServerDeparts(Departure),
+    /// A window of usage was frozen, and is about to be reported.
+    UsageFrozen(WindowNumber, Counts),
     /// A roll-out was ordered, or its stage has advanced.
     RolloutChanged(Announcement),
     /// The sender has sent a request to a server whose prompt takes long to read.
--- a/crates/gateway/src/node/peers/news.rs
+++ b/crates/gateway/src/node/peers/news.rs
@@ -13,6 +13,7 @@
 use keeljunction_core::serving::directory::Batch;
 use keeljunction_core::serving::load::{Work, short_id};
 use keeljunction_core::serving::rollout::Announcement;
+use keeljunction_core::serving::table_version::TableVersion;
 
 use super::message::{Message, News};
 use super::{calls, permits, quarantine};
@@ -86,6 +87,11 @@
                 pass_on(node, from, news).await;
             }
         }
+        News::UsageFrozen(window, ref counts) => {
+            if node.with(|state| state.frozen.note(window, counts)) {
+                pass_on(node, from, news).await;
+            }
+        }
         News::RolloutChanged(announcement) => take_rollout(node, from, announcement).await,
         News::ServersChanged(batch) => take_servers(node, from, batch).await,
         News::ConfigurationChanged { version } => {
@@ -133,7 +139,7 @@
 }
 
 /// Gets the list of servers where this node's is older than a version.
-async fn get_servers(node: Arc<Node>, from: SocketAddr, version: u64) {
+async fn get_servers(node: Arc<Node>, from: SocketAddr, version: TableVersion) {
     wait_for_readers(&node, from).await;
     if node.with(|state| !state.directory.is_known() || state.directory.get_version() < version) {
         calls::get_servers(node, from).await;
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -229,6 +229,7 @@
             limits: overview.limits.clone(),
             departures: overview.departures.clone(),
             versions,
+            frozen: state.frozen.list_due(),
         };
         let aggregators = state.members.list_exchange(now);
         (summary, overview, aggregators, state.members.get_group_addresses(now))
@@ -290,7 +291,7 @@
 /// directly.
 pub(super) fn take_summary(node: &Arc<Node>, asked_at: Option<Millis>, summary: Summary) {
     let now = node.now();
-    let Summary { sender, totals, loads, group, group_age, roster, joined, .. } = summary;
+    let Summary { sender, totals, loads, group, group_age, roster, joined, frozen, .. } = summary;
     let (verdicts, limits, departures) = (summary.verdicts, summary.limits, summary.departures);
     if sender.entry.name == node.incarnation.node {
         return;
@@ -309,6 +310,9 @@
         }
         state.demand.merge(now, false, from, &totals.demand);
         state.rollouts.merge(false, from, &totals.rollouts);
+        for (window, counts) in &frozen {
+            state.frozen.note(*window, counts);
+        }
         let is_grouped = state.members.is_grouped();
         for (service, samples) in totals.throughputs {
             let throughput = state.throughputs.entry(service.clone()).or_default();
--- a/crates/gateway/src/node/peers/versions.rs
+++ b/crates/gateway/src/node/peers/versions.rs
@@ -11,12 +11,13 @@
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::freshness::Versions;
+use keeljunction_core::serving::table_version::TableVersion;
 
 use super::calls;
 use super::message::Message;
 use crate::event::{self, Event};
 use crate::node::pause::jitter;
-use crate::node::{Node, staleness};
+use crate::node::{Node, staleness, table};
 use crate::runtime;
 
 /// The time between two looks at how old the knowledge is.
@@ -93,7 +94,8 @@
         confirm_configuration(node, &Reported { version, age, asked_at });
     }
     if let Some((version, age)) = versions.servers {
-        confirm_servers(node, &Reported { version, age, asked_at });
+        table::note_era(node, version.era);
+        confirm_servers(node, version, age, asked_at);
     }
 }
 
@@ -114,17 +116,20 @@
         }
     }
     if let Some((version, age)) = versions.servers {
+        table::note_era(node, version.era);
         let is_known = node
             .with(|state| state.directory.is_known() && state.directory.get_version() >= version);
-        let reported = Reported { version, age, asked_at };
         match is_known {
-            true => confirm_servers(node, &reported),
-            false => runtime::spawn(get_newer_servers(node.clone(), from, reported)),
+            true => confirm_servers(node, version, age, asked_at),
+            false => {
+                let getting = get_newer_servers(node.clone(), from, version, age, asked_at);
+                runtime::spawn(getting);
+            }
         }
     }
 }
 
-/// What a node reported of one table.
+/// What a node reported of the configuration.
 #[derive(Clone, Copy, Debug)]
 struct Reported {
     version: u64,
@@ -141,9 +146,15 @@
 }
 
 /// Gets a newer list of servers from the node that knows it.
-async fn get_newer_servers(node: Arc<Node>, from: SocketAddr, reported: Reported) {
+async fn get_newer_servers(
+    node: Arc<Node>,
+    from: SocketAddr,
+    version: TableVersion,
+    age: Millis,
+    asked_at: Option<Millis>,
+) {
     calls::get_servers(node.clone(), from).await;
-    confirm_servers(&node, &reported);
+    confirm_servers(&node, version, age, asked_at);
 }
 
 fn confirm_configuration(node: &Node, reported: &Reported) {
@@ -156,12 +167,15 @@
     });
 }
 
-fn confirm_servers(node: &Node, reported: &Reported) {
-    let Some(asked_at) = reported.asked_at else { return };
+/// Confirms the list of servers by a peer's. The list that was got may be newer than the one that was
+/// reported, and never older; that a list of an earlier era was the newest says nothing of this one.
+fn confirm_servers(node: &Node, version: TableVersion, age: Millis, asked_at: Option<Millis>) {
+    let Some(asked_at) = asked_at else { return };
     node.with(|state| {
-        // The list that was got may be newer than the one that was reported, and never older.
-        if state.directory.is_known() && state.directory.get_version() >= reported.version {
-            state.servers_freshness.confirm_by_peer(asked_at, reported.age);
+        let known = state.directory.get_version();
+        let is_known = state.directory.is_known() && known >= version;
+        if is_known && known.era == version.era {
+            state.servers_freshness.confirm_by_peer(asked_at, age);
         }
     });
 }
--- a/crates/gateway/src/node/rollout_duty.rs
+++ b/crates/gateway/src/node/rollout_duty.rs
@@ -11,9 +11,11 @@
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::duty_lease::TableClock;
+use keeljunction_core::serving::era::Era;
 use keeljunction_core::serving::rollout::{
     Announcement, Next, Order, Progress, Report, Side, Snapshot, Stage, Status,
 };
+use keeljunction_core::serving::table_version::TableVersion;
 use serde::{Deserialize, Serialize};
 
 use super::peers::message::News;
@@ -30,20 +32,25 @@
 #[derive(Debug, Default)]
 pub struct RolloutDuty {
     fence: Option<u64>,
+    /// The era of the rows that were read.
+    era: Era,
     clock: Option<TableClock>,
     records: BTreeMap<String, Written>,
-    progress: BTreeMap<String, (u64, Progress)>,
+    progress: BTreeMap<String, (TableVersion, Progress)>,
     /// The order and stage of the status that was last published, by service.
-    published: BTreeMap<String, (u64, Stage)>,
+    published: BTreeMap<String, (TableVersion, Stage)>,
     /// The versions of the rows that hold it.
-    status_versions: BTreeMap<String, u64>,
+    status_versions: BTreeMap<String, TableVersion>,
     paused_until: Millis,
 }
 
 /// How far a roll-out has come, as the table keeps it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Record {
+    /// The number of the order, in its era.
     order: u64,
+    #[serde(default)]
+    era: Era,
     target_version: String,
     /// When the first holder began with it, on the table's clock.
     began_at: Millis,
@@ -56,7 +63,13 @@
 #[derive(Clone, Debug)]
 struct Written {
     record: Record,
-    version: u64,
+    version: TableVersion,
+}
+
+impl Record {
+    fn get_order(&self) -> TableVersion {
+        TableVersion::new(self.era, self.order)
+    }
 }
 
 /// Why a stage was decided, for the log.
@@ -99,6 +112,7 @@
         let Ok(rows) = reading.await else { return false };
         *self = Self {
             fence,
+            era: rows.version.era,
             clock: Some(TableClock { asked_at, table_time: rows.table_time }),
             records: rows.rows.iter().filter_map(decode).collect(),
             status_versions: std::mem::take(&mut self.status_versions),
@@ -110,7 +124,7 @@
     /// Advances all roll-outs; returns `false` where a write did not succeed.
     async fn step_all(&mut self, node: &Node, orders: Vec<(Order, Stage)>) -> bool {
         for (order, _) in orders {
-            let known = self.records.get(&order.service).map(|written| written.record.order);
+            let known = self.records.get(&order.service).map(|written| written.record.get_order());
             if known > Some(order.number) {
                 continue;
             }
@@ -126,7 +140,7 @@
         let Some(clock) = self.clock else { return false };
         let table_time = clock.latest_at(now);
         let known = self.records.get(&order.service).map(|written| written.record.clone());
-        let known = known.filter(|record| record.order == order.number);
+        let known = known.filter(|record| record.get_order() == order.number);
         let stage = known.as_ref().map_or(Stage::Pending, |record| record.stage);
         if let Some(known) = &known {
             let (service, number) = (&order.service, order.number);
@@ -160,7 +174,8 @@
         let Some((next, reason)) = get_stage(progress.1.step(&snapshot)) else { return true };
         self.emit(order, next, &reason, &snapshot);
         let record = Record {
-            order: order.number,
+            order: order.number.number,
+            era: order.number.era,
             target_version: order.target_version.clone(),
             began_at,
             stage: next,
@@ -180,7 +195,7 @@
         event::emit(&Event::RolloutDecided {
             service: &order.service,
             target_version: &order.target_version,
-            order: order.number,
+            order: order.number.to_string(),
             stage: stage.as_str(),
             why: reason.why,
             route: reason.route.as_deref(),
@@ -195,7 +210,8 @@
     }
 
     async fn write_record(&mut self, node: &Node, service: &str, record: Record) -> bool {
-        let version = self.records.get(service).map_or(0, |written| written.version);
+        let absent = TableVersion::absent(self.era);
+        let version = self.records.get(service).map_or(absent, |written| written.version);
         let value = serde_json::to_vec(&record).ok();
         let Ok(rows) = commit(node, TableName::Own(TABLE), service, version, value).await else {
             return false;
@@ -218,7 +234,8 @@
             stage,
         };
         let row = (node.platform.rollouts.encode_status)(&status);
-        let version = self.status_versions.get(&order.service).copied().unwrap_or(0);
+        let absent = TableVersion::absent(self.era);
+        let version = self.status_versions.get(&order.service).copied().unwrap_or(absent);
         let version =
             match commit(node, TableName::Status, &row.key, version, Some(row.value)).await {
                 Ok(rows) => {
@@ -227,7 +244,8 @@
                 }
                 // An earlier holder published a status: replace it at the next step.
                 Err(TableError::Conflict(rows)) => {
-                    rows.rows.iter().find(|found| found.key == row.key).map_or(0, |row| row.version)
+                    let found = rows.rows.iter().find(|found| found.key == row.key);
+                    found.map_or(absent, |row| row.version)
                 }
                 _ => return false,
             };
@@ -241,7 +259,7 @@
     node: &Node,
     name: TableName,
     key: &str,
-    version: u64,
+    version: TableVersion,
     value: Option<Vec<u8>>,
 ) -> Result<Rows, TableError> {
     let condition = Condition { table: name, key: key.to_owned(), version };
--- a/crates/gateway/src/node/rollouts.rs
+++ b/crates/gateway/src/node/rollouts.rs
@@ -31,15 +31,16 @@
 
 /// Merges what another node announces of a roll-out; returns `true` if that was new.
 pub(super) fn merge(state: &mut State, now: Millis, announcement: &Announcement) -> bool {
-    let is_new = state.rollouts.take_order(announcement.order.clone());
-    let advanced = state.rollouts.merge_announcement(now, announcement);
+    let is_settled = state.eras.is_settled(now);
+    let is_new = state.rollouts.take_order(announcement.order.clone(), is_settled);
+    let advanced = state.rollouts.merge_announcement(now, announcement, is_settled);
     if !is_new && advanced.is_none() {
         return false;
     }
     event::emit(&Event::RolloutChanged {
         service: &announcement.order.service,
         target_version: &announcement.order.target_version,
-        order: announcement.order.number,
+        order: announcement.order.number.to_string(),
         stage: announcement.stage.as_str(),
     });
     true
--- a/crates/gateway/src/node/skipped.rs
+++ b/crates/gateway/src/node/skipped.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use keeljunction_core::serving::table_version::TableVersion;
+
 use crate::port::Row;
 
 /// The most entries that are remembered; further ones are logged each time that they are read.
@@ -11,12 +13,12 @@
 /// each change of its row.
 #[derive(Debug, Default)]
 pub struct Entries {
-    versions: BTreeMap<String, u64>,
+    versions: BTreeMap<String, TableVersion>,
 }
 
 impl Entries {
     /// Notes that an entry cannot be read; returns `true` if this version of its row is new.
-    pub fn note(&mut self, key: &str, version: u64) -> bool {
+    pub fn note(&mut self, key: &str, version: TableVersion) -> bool {
         let known = self.versions.get(key).copied();
         if known.is_some() || self.versions.len() < MOST_REMEMBERED {
             self.versions.insert(key.to_owned(), version);
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -26,9 +26,10 @@
 use keeljunction_core::serving::quota::{self, Quotas, Tolerance};
 use keeljunction_core::serving::rollout;
 use keeljunction_core::serving::spill::Links;
+use keeljunction_core::serving::table_version::TableVersion;
 use keeljunction_core::serving::throughput::Throughput;
 use keeljunction_core::serving::topology::Topology;
-use keeljunction_core::serving::usage::{Incarnation, Ledger, Outgoing, window_at};
+use keeljunction_core::serving::usage::{Frozen, Incarnation, Ledger, Outgoing, window_at};
 
 use super::crashes;
 use super::document::Document;
@@ -127,7 +128,7 @@
     /// Its key.
     pub key: String,
     /// The version at which the table holds it.
-    pub row_version: u64,
+    pub row_version: TableVersion,
     /// The version of the configuration in it.
     pub version: u64,
 }
@@ -166,6 +167,8 @@
     pub budget: Budget,
     /// Requests that began.
     pub usage: Ledger,
+    /// Windows of them that were frozen.
+    pub frozen: Frozen,
     /// Which windows of them the next summary holds.
     pub(super) outgoing_usage: Outgoing,
     /// Tokens requested, by service.
@@ -275,6 +278,7 @@
             quotas: Quotas::new(clock.now(), tolerance),
             budget: Budget::new(allowance),
             usage: Ledger::default(),
+            frozen: Frozen::default(),
             outgoing_usage: Outgoing::default(),
             members: Members::new(clock.now(), get_entry(&settings), &settings.seeds)
                 .with_topology(topology.clone()),
--- a/crates/gateway/src/node/table.rs
+++ b/crates/gateway/src/node/table.rs
@@ -1,12 +1,37 @@
-//! The calls of the table service. Each answer shows which era the service is in.
+//! Calls the table service, and follows its eras.
+//!
+//! All calls pass here. An answer of an earlier era than the newest one that is known counts as none, and
+//! neither does a write under a condition that names a version of an earlier era: the number may be that of
+//! another row by now.
 
 use std::time::Duration;
 
-use keeljunction_core::serving::era::Era;
+use keeljunction_core::serving::era::{Era, Origin};
+use keeljunction_core::serving::table_version::TableVersion;
+use serde::{Deserialize, Serialize};
 
 use super::Node;
 use crate::event::{self, Event};
-use crate::port::{Rows, Selection, TableError, TableName, Transaction, answer_within};
+use crate::port::{
+    Condition, Row, Rows, Selection, TableError, TableName, Transaction, Write, answer_within,
+};
+use crate::runtime;
+
+/// The table of the eras' origins.
+const ERAS: TableName = TableName::Own("eras");
+/// How long the origin of an era is waited for.
+const ORIGIN_WITHIN: Duration = Duration::from_millis(700);
+
+/// The origin of an era, as its row keeps it.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct OriginRow {
+    /// When the first node saw the era, on the table service's clock.
+    seen_at: u64,
+    /// The same on that node's wall clock, in milliseconds since the Unix epoch.
+    unix_ms: u64,
+    /// Whether the deployment started in this era.
+    is_first: bool,
+}
 
 /// Reads all rows of a table, and waits for each page for a time at most.
 ///
@@ -66,45 +91,137 @@
 ///
 /// # Errors
 ///
-/// Returns the call's error.
+/// Returns the call's error, and [`TableError::HistoryGone`] where the version is of an earlier era.
 pub(super) async fn watch(
     node: &Node,
     table: TableName,
-    after: u64,
+    after: TableVersion,
     hold: Duration,
     within: Duration,
 ) -> Result<Rows, TableError> {
+    if node.with(|state| state.eras.is_superseded(after.era)) {
+        return Err(TableError::HistoryGone);
+    }
     let watching = (node.platform.table.watch)(table, after, hold);
-    take(node, answer_within(hold + within, watching).await)
+    let rows = take(node, answer_within(hold + within, watching).await)?;
+    if rows.version.era != after.era {
+        return Err(TableError::HistoryGone);
+    }
+    Ok(rows)
 }
 
 /// Writes rows, all or none.
 ///
 /// # Errors
 ///
-/// Returns the call's error.
+/// Returns the call's error, and [`TableError::Superseded`] where a condition is of an earlier era than the
+/// table service: the write counts for nothing.
 pub(super) async fn commit(
     node: &Node,
     transaction: Transaction,
     within: Duration,
 ) -> Result<Rows, TableError> {
-    take(node, answer_within(within, (node.platform.table.commit)(transaction)).await)
+    let era = transaction.conditions.first().map(|condition| condition.version.era);
+    if era.is_some_and(|era| node.with(|state| state.eras.is_superseded(era))) {
+        return Err(TableError::Superseded);
+    }
+    let committing = (node.platform.table.commit)(transaction);
+    let answer = take(node, answer_within(within, committing).await);
+    let answered_in = match &answer {
+        Ok(rows) | Err(TableError::Conflict(rows)) => Some(rows.version.era),
+        Err(_) => None,
+    };
+    match era.zip(answered_in) {
+        Some((era, answered_in)) if era != answered_in => Err(TableError::Superseded),
+        _ => answer,
+    }
 }
 
-/// Notes the era that an answer shows.
+/// Notes the era that an answer shows; one of an earlier era counts for nothing.
 fn take(node: &Node, answer: Result<Rows, TableError>) -> Result<Rows, TableError> {
     if let Ok(rows) | Err(TableError::Conflict(rows)) = &answer {
-        note_era(node, rows.era);
+        note_era(node, rows.version.era);
+        let known = node.with(|state| state.eras.get());
+        if rows.version.era < known {
+            event::emit(&Event::RowsDropped {
+                entries: rows.rows.len(),
+                era: rows.version.era.0,
+                known: known.0,
+            });
+            return Err(TableError::Superseded);
+        }
     }
     answer
 }
 
-/// Notes an era that an answer showed.
-fn note_era(node: &Node, era: Era) {
-    let Some(begun) = node.with(|state| state.eras.note(era)) else { return };
+/// Notes an era that an answer showed, or that another node knows.
+pub(super) fn note_era(node: &Node, era: Era) {
+    let now = node.now();
+    let begun = node.with(|state| {
+        let begun = state.eras.note(now, era)?;
+        if begun.before.is_some() {
+            state.directory.note_era(now);
+        }
+        Some(begun)
+    });
+    let Some(begun) = begun else { return };
     let before = begun.before.map(|era| era.0);
     if before.is_some() {
         node.metrics.store_returns.inc();
     }
     event::emit(&Event::StoreEraBegun { era: era.0, before });
 }
+
+/// Makes the origin of the current era known, where nothing shows yet when it began: reads its row, and
+/// writes it where this node is the first.
+///
+/// # Errors
+///
+/// Returns the error of the call that failed.
+pub(super) async fn find_origin(node: &Node) -> Result<(), TableError> {
+    let era = node.with(|state| state.eras.get());
+    if era == Era::UNNAMED || node.with(|state| state.eras.get_origin()).is_some() {
+        return Ok(());
+    }
+    let rows = read_all(node, ERAS, ORIGIN_WITHIN).await?;
+    let found = rows.rows.iter().find(|row| row.key == era.to_string());
+    let origin = match found {
+        Some(row) => decode_origin(row, rows.table_time),
+        None => write_origin(node, &rows).await?,
+    };
+    let age = rows.table_time.saturating_sub(origin.seen_at);
+    let OriginRow { unix_ms, is_first, .. } = origin;
+    let now = node.now();
+    node.with(|state| {
+        state.eras.set_origin(now, rows.version.era, Origin { age, unix_ms, is_first });
+    });
+    Ok(())
+}
+
+/// Writes the origin of an era of which the table, as it was read, holds none.
+async fn write_origin(node: &Node, rows: &Rows) -> Result<OriginRow, TableError> {
+    let era = rows.version.era;
+    let is_start = node.settings.node.is_first_start && rows.rows.is_empty();
+    let is_first = is_start && !node.with(|state| state.eras.is_return());
+    let origin = OriginRow { seen_at: rows.table_time, unix_ms: runtime::unix_ms(), is_first };
+    let key = era.to_string();
+    let version = TableVersion::absent(era);
+    let condition = Condition { table: ERAS, key: key.clone(), version };
+    let write = Write { table: ERAS, key, value: serde_json::to_vec(&origin).ok() };
+    let transaction = Transaction { conditions: vec![condition], writes: vec![write] };
+    match commit(node, transaction, ORIGIN_WITHIN).await {
+        Ok(_) => Ok(origin),
+        Err(TableError::Conflict(found)) if !found.rows.is_empty() => {
+            Ok(decode_origin(&found.rows[0], rows.table_time))
+        }
+        Err(error) => Err(error),
+    }
+}
+
+/// Reads the origin of an era. One that cannot be read might be as late as its reading.
+fn decode_origin(row: &Row, read_at: u64) -> OriginRow {
+    serde_json::from_slice(row.value.as_deref().unwrap_or_default()).unwrap_or_else(|error| {
+        event::emit(&Event::DocumentRejected { error: format!("the origin of an era: {error}") });
+        OriginRow { seen_at: read_at, unix_ms: runtime::unix_ms(), is_first: false }
+    })
+}
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 
 use keeljunction_core::Millis;
+use keeljunction_core::serving::era::Era;
+use keeljunction_core::serving::table_version::TableVersion;
 use keeljunction_core::serving::usage::{Counts, Kept, WindowNumber, is_settled, window_at};
 
 use super::{Node, document, table};
@@ -35,6 +37,8 @@
 #[derive(Debug, Default)]
 pub struct UsageDuty {
     fence: Option<u64>,
+    /// The era of the rows that were read.
+    era: Era,
     frozen: BTreeMap<WindowNumber, Counts>,
     reported: BTreeSet<WindowNumber>,
     paused_until: Millis,
@@ -44,7 +48,7 @@
 /// The row that keeps the counts of windows that are not reported yet.
 #[derive(Debug, Default)]
 struct Running {
-    version: u64,
+    version: TableVersion,
     written_at: Millis,
 }
 
@@ -84,7 +88,8 @@
         let Ok(rows) = reading.await else { return false };
         self.frozen = rows.rows.iter().filter_map(decode).collect();
         let running = rows.rows.iter().find(|row| row.key == RUNNING_KEY);
-        self.running.version = running.map_or(0, |row| row.version);
+        let absent = TableVersion::absent(rows.version.era);
+        self.running.version = running.map_or(absent, |row| row.version);
         if let Some(kept) = running.and_then(decode_running) {
             node.with(|state| state.usage.merge_kept(&kept));
         }
@@ -93,8 +98,9 @@
             fence: fence.unwrap_or(0),
             frozen: self.frozen.keys().copied().collect(),
             rows: rows.rows.len(),
-            version: rows.version,
+            version: rows.version.to_string(),
         });
+        self.era = rows.version.era;
         true
     }
 
@@ -128,7 +134,7 @@
             return true;
         }
         let counts = node.with(|state| state.usage.total(window));
-        match table::commit(node, transaction(window, &counts), CALL_WITHIN).await {
+        match table::commit(node, transaction(window, &counts, self.era), CALL_WITHIN).await {
             Ok(_) => {
                 self.frozen.insert(window, counts);
                 true
@@ -189,8 +195,9 @@
     is_settled(age, due, is_node_missing)
 }
 
-fn transaction(window: WindowNumber, counts: &Counts) -> Transaction {
-    let condition = Condition { table: TableName::Own(TABLE), key: key(window), version: 0 };
+fn transaction(window: WindowNumber, counts: &Counts, era: Era) -> Transaction {
+    let version = TableVersion::absent(era);
+    let condition = Condition { table: TableName::Own(TABLE), key: key(window), version };
     let write = Write {
         table: TableName::Own(TABLE),
         key: key(window),
--- a/crates/gateway/src/node/watch/configuration.rs
+++ b/crates/gateway/src/node/watch/configuration.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use keeljunction_core::Millis;
+use keeljunction_core::serving::table_version::TableVersion;
 
 use super::{ANSWER_WITHIN, LOOK, Watch, follow, is_due, is_reader, note_failure, part_of, read};
 use crate::event::{self, Event};
@@ -49,8 +50,11 @@
         }
         match read(&node, TableName::Configuration).await {
             Ok(rows) => {
+                note_rewritten(&node, &rows.rows);
                 adopt_and_push(&node, &rows.rows);
-                confirm_configuration(&node, now);
+                if let Err(error) = confirm_configuration(&node, now).await {
+                    note_failure("era", &error);
+                }
                 pause.reset();
                 read_at = Some(now);
                 follow_configuration(&node, rows.version).await;
@@ -69,11 +73,15 @@
 }
 
 /// Follows the configuration while this node reads for all.
-async fn follow_configuration(node: &Node, from: u64) {
+async fn follow_configuration(node: &Node, from: TableVersion) {
     let table = TableName::Configuration;
     let hold = part_of(node.settings.bounds.config_apply_ms, CONFIGURATION_HOLD_PART);
     let watch = Watch { table, hold, gather: None, is_wanted: is_reader };
-    follow(node, &watch, from, |rows, _| adopt_and_push(node, &rows.rows)).await;
+    follow(node, &watch, from, |rows, _| {
+        note_rewritten(node, &rows.rows);
+        adopt_and_push(node, &rows.rows);
+    })
+    .await;
 }
 
 /// Reads the configuration again and again, to know that it is the newest.
@@ -126,25 +134,56 @@
         },
         None => read(node, TableName::Configuration).await?.rows,
     };
+    note_rewritten(node, &rows);
     adopt_and_push(node, &rows);
-    confirm_configuration(node, asked_at);
-    Ok(())
+    confirm_configuration(node, asked_at).await
 }
 
 /// Notes that the configuration in force was the newest at a time.
-fn confirm_configuration(node: &Node, asked_at: Millis) {
+///
+/// A table service that has just come back may lack a newer one until the operator has written it again: what
+/// it holds shows nothing until then.
+async fn confirm_configuration(node: &Node, asked_at: Millis) -> Result<(), TableError> {
+    if node.with(|state| state.eras.get_age(asked_at)).is_none() {
+        table::find_origin(node).await?;
+    }
     node.with(|state| {
-        if state.configuration.is_some() {
+        if state.configuration.is_some() && state.eras.is_operator_heard(asked_at) {
             state.freshness.confirm(asked_at);
         }
     });
+    Ok(())
+}
+
+/// Notes that the operator has written again after the table service's return: the row of the configuration
+/// has another number than before, and no older content.
+fn note_rewritten(node: &Node, rows: &[Row]) {
+    let Some(known) = node.with(|state| state.configuration_row.clone()) else { return };
+    let is_rewritten = |row: &&Row| {
+        let (new, old) = (row.version, known.row_version);
+        let is_written_since = new.era > old.era && new.number != old.number;
+        is_written_since && row.key == known.key && read_version(node, row) >= Some(known.version)
+    };
+    if rows.iter().any(|row| is_rewritten(&row)) {
+        node.with(|state| state.eras.note_rewritten());
+    }
 }
 
-/// Returns the row of the configuration in force, where this node has read it itself.
+/// Reads the version of the configuration in a row; `None` where there is none that can be read.
+fn read_version(node: &Node, row: &Row) -> Option<u64> {
+    let decoded = (node.platform.decode_configuration)(row.value.as_deref()?);
+    decoded.ok().map(|configuration| configuration.version)
+}
+
+/// Returns the row of the configuration in force, where this node has read it itself in the table service's
+/// era. While the operator may still write again, all its rows are read.
 fn known_row(node: &Node) -> Option<ConfigurationRow> {
+    let now = node.now();
     node.with(|state| {
         let version = state.configuration.as_ref()?.version;
-        state.configuration_row.clone().filter(|row| row.version == version)
+        let era = state.eras.get();
+        let row = state.configuration_row.clone().filter(|row| row.version == version)?;
+        (row.row_version.era == era && state.eras.is_settled(now)).then_some(row)
     })
 }
 
@@ -182,7 +221,7 @@
     let known = known_row(node);
     let is_known = |row: &&Row| {
         let is_same = known.as_ref().is_some_and(|known| known.row_version == row.version);
-        is_same && row.version > 0
+        is_same && !row.version.is_absent()
     };
     let unknown = rows.iter().filter(|row| !is_known(row));
     unknown.filter_map(|row| adopt_row(node, row)).last()
@@ -208,7 +247,7 @@
             state.configuration = Some(Arc::new(configuration));
             state.configuration_document = Some(Arc::new(Document::new(value.to_vec())));
         }
-        if before <= Some(version) && row.version > 0 {
+        if before <= Some(version) && !row.version.is_absent() {
             let (key, row_version) = (row.key.clone(), row.version);
             state.configuration_row = Some(ConfigurationRow { key, row_version, version });
         }
--- a/crates/gateway/src/node/watch/mod.rs
+++ b/crates/gateway/src/node/watch/mod.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use keeljunction_core::Millis;
+use keeljunction_core::serving::table_version::TableVersion;
 
 use super::{Node, table};
 use crate::event::{self, Event};
@@ -62,7 +63,12 @@
 
 /// Follows a table's changes while that is wanted, until the watch fails. `take` gets the rows, and
 /// when they were requested.
-async fn follow(node: &Node, watch: &Watch, from: u64, mut take: impl FnMut(&Rows, Millis)) {
+async fn follow(
+    node: &Node,
+    watch: &Watch,
+    from: TableVersion,
+    mut take: impl FnMut(&Rows, Millis),
+) {
     let mut version = from;
     while (watch.is_wanted)(node) {
         let asked_at = node.now();
--- a/crates/gateway/src/node/watch/servers.rs
+++ b/crates/gateway/src/node/watch/servers.rs
@@ -7,6 +7,7 @@
 use keeljunction_core::serving::directory::{
     Batch, Change, Departed, Departure, Entry, Server, Update,
 };
+use keeljunction_core::serving::table_version::TableVersion;
 
 use super::{ANSWER_WITHIN, LOOK, Watch, follow, is_due, is_reader, note_failure, part_of};
 use crate::event::{self, Event};
@@ -73,7 +74,7 @@
 ///
 /// A node that knows a list reads only what has changed since: the whole list takes a call for each
 /// few hundred servers.
-async fn catch_up(node: &Node) -> Result<Option<u64>, TableError> {
+async fn catch_up(node: &Node) -> Result<Option<TableVersion>, TableError> {
     let known =
         node.with(|state| state.directory.is_known().then(|| state.directory.get_version()));
     let Some(after) = known else { return read_servers(node).await };
@@ -90,7 +91,7 @@
 }
 
 /// Reads the list of servers whole; returns its version, or `None` where that is left to others.
-async fn read_servers(node: &Node) -> Result<Option<u64>, TableError> {
+async fn read_servers(node: &Node) -> Result<Option<TableVersion>, TableError> {
     let asked_at = node.now();
     let first = table::read_first(node, TableName::Servers, ANSWER_WITHIN).await?;
     if first.has_more && is_left_to_aggregator(node) {
@@ -99,7 +100,6 @@
     let rows = table::read_rest(node, TableName::Servers, ANSWER_WITHIN, first).await?;
     node.with(|state| state.skipped_entries.retain(&rows.rows));
     let servers = rows.rows.iter().filter_map(|row| decode_server(node, row));
-    note_dropped(node, &rows);
     replace_servers(node, rows.version, servers.collect());
     node.with(|state| state.servers_freshness.confirm(asked_at));
     Ok(Some(rows.version))
@@ -113,17 +113,8 @@
     is_starting && is_member
 }
 
-/// Logs rows that are older than the known list.
-fn note_dropped(node: &Node, rows: &Rows) {
-    let known = node.with(|state| state.directory.get_version());
-    if rows.version < known && !rows.rows.is_empty() {
-        let (entries, version) = (rows.rows.len(), rows.version);
-        event::emit(&Event::RowsDropped { table: "servers", entries, version, known });
-    }
-}
-
 /// Takes over a whole list of servers, where it is not older than the one known.
-fn replace_servers(node: &Node, version: u64, servers: Vec<Server>) {
+fn replace_servers(node: &Node, version: TableVersion, servers: Vec<Server>) {
     note_servers_known(node);
     let changes = node.with(|state| state.directory.replace(version, servers));
     apply(node, changes);
@@ -179,7 +170,6 @@
 /// Takes over entries that changed since a call that began at `asked_at`, and sends them to all peers
 /// where this node reads for them.
 fn update_servers(node: &Node, rows: &Rows, asked_at: Millis) {
-    note_dropped(node, rows);
     let batch = make_batch(node, rows);
     if !batch.entries.is_empty() && is_reader(node) {
         let parts = batch.clone().split(MOST_IN_DATAGRAM);
@@ -196,7 +186,7 @@
         // An entry that cannot be read names no server to use, like one that is gone.
         let server = decode_server(node, row);
         // A row that came without its version is taken as changed last.
-        let version = if row.version == 0 { rows.version } else { row.version };
+        let version = if row.version.is_absent() { rows.version } else { row.version };
         Entry { id: row.key.clone(), version, server }
     });
     // Nothing changed between this list and the rows: the watch goes on where it left off.
--- a/crates/gateway/src/port/rollouts.rs
+++ b/crates/gateway/src/port/rollouts.rs
@@ -2,13 +2,14 @@
 
 use keeljunction_core::Error;
 use keeljunction_core::serving::rollout::{Order, Status};
+use keeljunction_core::serving::table_version::TableVersion;
 
 /// The translation of roll-outs, whose orders stand in the table of the configuration.
 pub struct Rollouts {
     /// Returns `true` if a row of that table, given its key, is an order.
     pub is_order: fn(&str) -> bool,
     /// Reads an order, given its key and the version of its row.
-    pub decode: fn(&str, &[u8], u64) -> Result<Order, Error>,
+    pub decode: fn(&str, &[u8], TableVersion) -> Result<Order, Error>,
     /// Writes a status.
     pub encode_status: fn(&Status) -> RolloutRow,
 }
--- a/crates/gateway/src/port/table.rs
+++ b/crates/gateway/src/port/table.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::era::Era;
+use keeljunction_core::serving::table_version::TableVersion;
 
 use crate::runtime;
 
@@ -21,7 +21,7 @@
     /// Reads some rows of a table, or fewer where an answer does not hold them.
     pub read_some: Box<dyn Fn(Selection) -> TableFuture<Rows> + Send + Sync>,
     /// Waits for rows that changed after a version, for a time at most.
-    pub watch: Box<dyn Fn(TableName, u64, Duration) -> TableFuture<Rows> + Send + Sync>,
+    pub watch: Box<dyn Fn(TableName, TableVersion, Duration) -> TableFuture<Rows> + Send + Sync>,
     /// Writes rows, all or none.
     pub commit: Box<dyn Fn(Transaction) -> TableFuture<Rows> + Send + Sync>,
 }
@@ -67,6 +67,9 @@
             let from = format!("{}\0", last.key);
             let selection = Selection { table, from, most: PAGE };
             let page = answer_within(within, (self.read_some)(selection)).await?;
+            if page.version.era != whole.version.era {
+                return Err(TableError::HistoryGone);
+            }
             whole.has_more = page.has_more;
             whole.rows.extend(page.rows);
         }
@@ -116,7 +119,7 @@
     /// Its content; `None` where the row is gone.
     pub value: Option<Vec<u8>>,
     /// The version at which it was last written.
-    pub version: u64,
+    pub version: TableVersion,
 }
 
 /// Rows, with the version and time of the table service.
@@ -125,9 +128,7 @@
     /// The rows.
     pub rows: Vec<Row>,
     /// The newest version.
-    pub version: u64,
-    /// The era that the table service is in.
-    pub era: Era,
+    pub version: TableVersion,
     /// The table service's steady clock.
     pub table_time: Millis,
     /// Whether further rows follow these in the table.
@@ -143,7 +144,7 @@
     pub writes: Vec<Write>,
 }
 
-/// The version that a row must have; 0 where it must not be there.
+/// The version that a row must have; [`TableVersion::absent`] where it must not be there.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Condition {
     /// The table.
@@ -151,7 +152,7 @@
     /// The row's key.
     pub key: String,
     /// The version.
-    pub version: u64,
+    pub version: TableVersion,
 }
 
 /// A row to write, or to remove where there is no value.
@@ -172,6 +173,9 @@
     Conflict(Rows),
     /// The requested changes are no longer kept; read anew.
     HistoryGone,
+    /// The table service has come back from an older copy since the rows were read that a condition names, or
+    /// an answer is of the time before its return. A write may have been done, and is gone.
+    Superseded,
     /// The service refused; nothing was done.
     Refused(u16),
     /// There was no answer; a write may have been done or may still be.
@@ -183,6 +187,7 @@
         match self {
             Self::Conflict(_) => write!(f, "a condition did not hold"),
             Self::HistoryGone => write!(f, "the history is gone"),
+            Self::Superseded => write!(f, "the table service came back from an older copy"),
             Self::Refused(status) => write!(f, "refused with status {status}"),
             Self::Unanswered(why) => write!(f, "no answer: {why}"),
         }
