fix(duty-lease): each era of the table service has a lease of its own, with higher fences

Found while looking for the cause of a list that stood still elsewhere: the copy names the holder before the last one, so that the term of the last one is given out again, and a holder that has not heard of the return acts beside the next one.

The lease is a row under a key of its era: a write of an earlier era that is done late meets another row. A fence orders holders by era, then by term (2^24 terms an era; the plain term where the store names no eras). A holder that sees a later era, in an answer or at another node, holds nothing. The first lease of an era is taken a lease after the era began, when each holder before it has surely stopped; a node that was not there reads when that was from the era's row, and the first node of a deployment does not wait.

A property over returns from older copies, restarts and late writes holds, and finds two holders at once where the wait is left out.

--- a/crates/core/src/serving/duty_lease.rs
+++ b/crates/core/src/serving/duty_lease.rs
@@ -4,11 +4,19 @@
 //! new holder (the fence of its calls), and when it ends on the table's own steady clock, so that
 //! no two clocks are compared. A holder knows how far that clock can have come at most, from the
 //! last answer and the time since its last call, and stops a margin before the end.
+//!
+//! Each era of the table service has a row of its own. A holder of the era before may not have heard of the
+//! return and acts until its lease ends, so that the first lease of an era is taken a lease after the
+//! era began. The fence orders holders by era, and by term within it.
 
 use serde::{Deserialize, Serialize};
 
+use super::era::Era;
 use crate::Millis;
 
+/// Terms of one era: a fence of a later era is higher than all of an earlier one.
+const TERMS_IN_ERA: u64 = 1 << 24;
+
 /// The lease, as the table keeps it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
@@ -44,7 +52,7 @@
 pub enum Step {
     /// Write this row, if the row has not changed since.
     Write(LeaseRow),
-    /// Another node holds it; look again after this time.
+    /// Another node holds it, or may hold that of the era before; look again after this time.
     Wait(Millis),
 }
 
@@ -55,6 +63,8 @@
     incarnation: u64,
     length: Millis,
     margin: Millis,
+    /// The era of the row that is read and written.
+    era: Era,
     held: Option<Held>,
 }
 
@@ -72,18 +82,36 @@
     /// In debug builds, where the margin is not shorter than the lease.
     pub fn new(holder: String, incarnation: u64, length: Millis, margin: Millis) -> Self {
         debug_assert!(margin < length, "the margin must be shorter than the lease");
-        Self { holder, incarnation, length, margin, held: None }
+        Self { holder, incarnation, length, margin, era: Era::UNNAMED, held: None }
     }
 
     /// Returns the fence to send with a call, or `None` where the lease is not surely held.
     pub fn get_fence(&self, now: Millis) -> Option<u64> {
-        self.held.as_ref().filter(|held| now < held.until).map(|held| held.term)
+        let held = self.held.as_ref().filter(|held| now < held.until)?;
+        Some(self.era.0 * TERMS_IN_ERA + held.term)
+    }
+
+    /// Begins with another era; a lease of the one before is held no longer.
+    pub fn begin_era(&mut self, era: Era) {
+        self.era = era;
+        self.held = None;
     }
 
-    /// Decides what to do, given the row as it was read.
-    pub fn decide(&self, now: Millis, row: Option<&LeaseRow>, clock: TableClock) -> Step {
+    /// Decides what to do, given the row of the era as it was read, and how long ago the era began.
+    pub fn decide(
+        &self,
+        now: Millis,
+        row: Option<&LeaseRow>,
+        clock: TableClock,
+        era_age: Millis,
+    ) -> Step {
         let ends_at = clock.latest_at(now) + self.length;
-        let Some(row) = row else { return Step::Write(self.row(1, ends_at)) };
+        let Some(row) = row else {
+            return match self.length.checked_sub(era_age).filter(|left| *left > 0) {
+                Some(left) => Step::Wait(left),
+                None => Step::Write(self.row(1, ends_at)),
+            };
+        };
         if self.is_mine(row) && row.ends_at > clock.table_time {
             return Step::Write(self.row(row.term, ends_at));
         }
@@ -97,8 +125,12 @@
 
     /// Notes the row as the table surely holds it; returns whether this node holds the lease.
     ///
-    /// `clock` is the reading that the row's end was computed from or a later one.
-    pub fn confirm(&mut self, row: &LeaseRow, clock: TableClock) -> bool {
+    /// `clock` is the reading that the row's end was computed from or a later one. A row of another era than
+    /// the lease's changes nothing.
+    pub fn confirm(&mut self, era: Era, row: &LeaseRow, clock: TableClock) -> bool {
+        if era != self.era {
+            return false;
+        }
         if !self.is_mine(row) {
             self.held = None;
             return false;
--- a/crates/core/tests/serving/duty_lease.rs
+++ b/crates/core/tests/serving/duty_lease.rs
@@ -1,8 +1,13 @@
+use std::collections::BTreeMap;
+
 use keeljunction_core::serving::duty_lease::{DutyLease, LeaseRow, Step, TableClock};
+use keeljunction_core::serving::era::{Era, Eras, Origin};
 use proptest::prelude::*;
 
 const LENGTH: u64 = 3_000;
 const MARGIN: u64 = 600;
+/// The age of an era that began long ago.
+const ALWAYS: u64 = u64::MAX;
 
 fn lease(node: &str) -> DutyLease {
     DutyLease::new(node.to_owned(), 1, LENGTH, MARGIN)
@@ -19,26 +24,35 @@
 #[test]
 fn a_free_lease_is_taken_with_a_higher_term() {
     let lease = lease("a");
-    assert_eq!(lease.decide(0, None, clock(0, 100)), Step::Write(row("a", 1, 3_100)));
+    assert_eq!(lease.decide(0, None, clock(0, 100), ALWAYS), Step::Write(row("a", 1, 3_100)));
     let lapsed = row("b", 4, 90);
-    assert_eq!(lease.decide(0, Some(&lapsed), clock(0, 100)), Step::Write(row("a", 5, 3_100)));
+    assert_eq!(
+        lease.decide(0, Some(&lapsed), clock(0, 100), ALWAYS),
+        Step::Write(row("a", 5, 3_100))
+    );
 }
 
 #[test]
 fn a_held_lease_is_waited_for() {
-    assert_eq!(lease("a").decide(0, Some(&row("b", 4, 900)), clock(0, 100)), Step::Wait(800));
+    assert_eq!(
+        lease("a").decide(0, Some(&row("b", 4, 900)), clock(0, 100), ALWAYS),
+        Step::Wait(800)
+    );
 }
 
 #[test]
 fn a_holder_renews_under_the_same_term() {
     let mine = row("a", 4, 900);
-    assert_eq!(lease("a").decide(50, Some(&mine), clock(0, 100)), Step::Write(row("a", 4, 3_150)));
+    assert_eq!(
+        lease("a").decide(50, Some(&mine), clock(0, 100), ALWAYS),
+        Step::Write(row("a", 4, 3_150))
+    );
 }
 
 #[test]
 fn a_holder_stops_a_margin_before_the_end_counted_from_before_it_asked() {
     let mut lease = lease("a");
-    assert!(lease.confirm(&row("a", 4, 3_100), clock(1_000, 100)));
+    assert!(lease.confirm(Era::UNNAMED, &row("a", 4, 3_100), clock(1_000, 100)));
     assert_eq!(lease.get_fence(3_399), Some(4));
     assert_eq!(lease.get_fence(3_400), None);
 }
@@ -46,8 +60,8 @@
 #[test]
 fn another_holders_row_ends_the_lease_at_once() {
     let mut lease = lease("a");
-    lease.confirm(&row("a", 4, 3_100), clock(1_000, 100));
-    assert!(!lease.confirm(&row("b", 5, 9_000), clock(1_100, 200)));
+    lease.confirm(Era::UNNAMED, &row("a", 4, 3_100), clock(1_000, 100));
+    assert!(!lease.confirm(Era::UNNAMED, &row("b", 5, 9_000), clock(1_100, 200)));
     assert_eq!(lease.get_fence(1_200), None);
 }
 
@@ -55,7 +69,32 @@
 fn a_node_that_started_again_takes_its_lease_over_under_a_higher_term() {
     let mut old = row("a", 4, 9_000);
     old.incarnation = 7;
-    assert_eq!(lease("a").decide(0, Some(&old), clock(0, 100)), Step::Write(row("a", 5, 3_100)));
+    assert_eq!(
+        lease("a").decide(0, Some(&old), clock(0, 100), ALWAYS),
+        Step::Write(row("a", 5, 3_100))
+    );
+}
+
+#[test]
+fn the_first_lease_of_an_era_is_taken_a_lease_after_it_began() {
+    let lease = lease("a");
+    assert_eq!(lease.decide(0, None, clock(0, 100), 0), Step::Wait(3_000));
+    assert_eq!(lease.decide(0, None, clock(0, 100), 2_900), Step::Wait(100));
+    assert_eq!(lease.decide(0, None, clock(0, 100), 3_000), Step::Write(row("a", 1, 3_100)));
+}
+
+#[test]
+fn a_holder_that_sees_another_era_holds_nothing_and_its_next_fence_is_higher() {
+    let mut lease = lease("a");
+    lease.begin_era(Era(1));
+    assert!(lease.confirm(Era(1), &row("a", 700, 3_100), clock(0, 100)));
+    let before = lease.get_fence(10).expect("a fence");
+    lease.begin_era(Era(2));
+    assert_eq!(lease.get_fence(10), None);
+    assert!(!lease.confirm(Era(1), &row("a", 700, 9_000), clock(20, 120)));
+    assert_eq!(lease.get_fence(20), None);
+    assert!(lease.confirm(Era(2), &row("a", 1, 9_000), clock(30, 130)));
+    assert!(lease.get_fence(40) > Some(before));
 }
 
 /// One step of a node: it reads, may pause, and writes what it decided; the answer may be lost.
@@ -102,9 +141,9 @@
             now += step.back;
             let lease = &mut leases[step.node];
             if let Some((_, row)) = &read {
-                lease.confirm(row, read_clock);
+                lease.confirm(Era::UNNAMED, row, read_clock);
             }
-            let decided = lease.decide(now, read.as_ref().map(|(_, row)| row), read_clock);
+            let decided = lease.decide(now, read.as_ref().map(|(_, row)| row), read_clock, ALWAYS);
             now += step.pause;
             if let Step::Write(row) = decided {
                 let write_asked_at = now;
@@ -115,7 +154,7 @@
                     table = Some((version, row.clone()));
                     now += step.back;
                     if !step.is_lost {
-                        lease.confirm(&row, write_clock);
+                        lease.confirm(Era::UNNAMED, &row, write_clock);
                     }
                 }
             }
@@ -140,3 +179,129 @@
         }
     }
 }
+
+/// A table service that may come back from an older copy.
+#[derive(Clone, Default)]
+struct Service {
+    era: u64,
+    version: u64,
+    /// The lease of each era.
+    rows: BTreeMap<u64, (u64, LeaseRow)>,
+    /// When each era was seen first.
+    origins: BTreeMap<u64, u64>,
+}
+
+/// A node with what it knows.
+struct Node {
+    name: &'static str,
+    incarnation: u64,
+    lease: DutyLease,
+    eras: Eras,
+}
+
+impl Node {
+    fn start(name: &'static str, incarnation: u64) -> Self {
+        let lease = DutyLease::new(name.to_owned(), incarnation, LENGTH, MARGIN);
+        Self { name, incarnation, lease, eras: Eras::default() }
+    }
+
+    /// Notes the era of an answer, and reads or writes its origin where that is not known.
+    fn note(&mut self, now: u64, service: &mut Service) {
+        let era = Era(service.era);
+        if self.eras.note(now, era).is_some() {
+            self.lease.begin_era(era);
+        }
+        let is_first = service.origins.is_empty() && !self.eras.is_return();
+        let seen_at = *service.origins.entry(service.era).or_insert(now);
+        let origin = Origin { age: now - seen_at, unix_ms: seen_at, is_first };
+        self.eras.set_origin(now, era, origin);
+    }
+}
+
+/// A step of a node, and what happens before it.
+#[derive(Clone, Debug)]
+struct Trouble {
+    step: Move,
+    /// The table service comes back from the copy taken so many steps ago.
+    comes_back: Option<usize>,
+    starts_again: bool,
+}
+
+fn troubles() -> impl Strategy<Value = Vec<Trouble>> {
+    let comes_back = prop_oneof![8 => Just(None), 1 => (0usize..6).prop_map(Some)];
+    let one = (moves(), comes_back, prop::bool::weighted(0.1));
+    let one = one.prop_map(|(steps, comes_back, starts_again)| Trouble {
+        step: steps[0].clone(),
+        comes_back,
+        starts_again,
+    });
+    proptest::collection::vec(one, 1..80)
+}
+
+proptest! {
+    /// Guards against two holders of one fence, or one after the other too soon, over returns from older
+    /// copies, restarts, and writes that arrive in a later era than they were sent in.
+    #[test]
+    fn never_two_holders_over_returns_from_older_copies(troubles in troubles()) {
+        let mut service = Service { era: 1, ..Service::default() };
+        let mut copies: Vec<Service> = Vec::new();
+        let mut nodes: Vec<Node> = ["a", "b", "c"].map(|name| Node::start(name, 1)).into();
+        let mut now = 10_000u64;
+        let mut acts: Vec<(&str, u64, u64)> = Vec::new();
+        for Trouble { step, comes_back, starts_again } in troubles {
+            now += step.wait;
+            copies.push(service.clone());
+            if let Some(ago) = comes_back {
+                let era = service.era + 1;
+                service = copies[copies.len().saturating_sub(ago + 1)].clone();
+                service.era = era;
+            }
+            let node = &mut nodes[step.node];
+            if starts_again {
+                *node = Node::start(node.name, node.incarnation + 1);
+            }
+            let asked_at = now;
+            now += step.to_table;
+            node.note(asked_at, &mut service);
+            let era = service.era;
+            let read_clock = clock(asked_at, now + 5_000);
+            let read = service.rows.get(&era).cloned();
+            now += step.back;
+            if let Some((_, row)) = &read {
+                node.lease.confirm(Era(era), row, read_clock);
+            }
+            let age = node.eras.get_age(now).unwrap_or(0);
+            let decided = node.lease.decide(now, read.as_ref().map(|r| &r.1), read_clock, age);
+            now += step.pause;
+            // A return may come between the reading and the writing, too.
+            if let Some(ago) = comes_back.filter(|_| step.is_lost) {
+                service = copies[copies.len().saturating_sub(ago + 1)].clone();
+                service.era = era + 1;
+            }
+            if let Step::Write(row) = decided {
+                let write_asked_at = now;
+                now += step.to_table;
+                service.version += 1;
+                let (known, version) = (service.rows.get(&era).map(|r| r.0), service.version);
+                if known == read.as_ref().map(|r| r.0) {
+                    service.rows.insert(era, (version, row.clone()));
+                    now += step.back;
+                    let write_clock = clock(write_asked_at, now + 5_000);
+                    if !step.is_lost && service.era == era {
+                        node.lease.confirm(Era(era), &row, write_clock);
+                    }
+                }
+            }
+            let holders: Vec<&Node> =
+                nodes.iter().filter(|node| node.lease.get_fence(now).is_some()).collect();
+            prop_assert!(holders.len() <= 1, "{} hold at {now}", holders.len());
+            let Some(holder) = holders.first() else { continue };
+            let fence = holder.lease.get_fence(now).unwrap_or_default();
+            if let Some((last, last_fence, _)) = acts.last() {
+                prop_assert!(fence >= *last_fence, "{fence} after {last_fence}");
+                prop_assert!(*last == holder.name || fence > *last_fence, "one fence {fence}");
+            }
+            acts.push((holder.name, fence, now));
+        }
+    }
+}
--- a/crates/core/tests/serving/suspension.rs
+++ b/crates/core/tests/serving/suspension.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use keeljunction_core::serving::duty_lease::{DutyLease, LeaseRow, TableClock};
+use keeljunction_core::serving::era::Era;
 use keeljunction_core::serving::freshness::Freshness;
 use keeljunction_core::serving::health::Health;
 use keeljunction_core::serving::members::{Entry, Heard, Members, Role};
@@ -25,7 +26,7 @@
         let mut lease = DutyLease::new("a".to_owned(), 1, LEASE, MARGIN);
         let row =
             LeaseRow { holder: "a".to_owned(), incarnation: 1, term: 4, ends_at: 100 + LEASE };
-        lease.confirm(&row, TableClock { asked_at: SLEEPS_AT, table_time: 100 });
+        lease.confirm(Era::UNNAMED, &row, TableClock { asked_at: SLEEPS_AT, table_time: 100 });
         let may_act = slept < LEASE - MARGIN;
         prop_assert_eq!(lease.get_fence(SLEEPS_AT + slept).is_some(), may_act);
     }
--- a/crates/gateway/src/node/duty.rs
+++ b/crates/gateway/src/node/duty.rs
@@ -32,6 +32,8 @@
     /// The row's version.
     version: TableVersion,
     clock: TableClock,
+    /// Keys of the rows of earlier eras.
+    earlier: Vec<String>,
 }
 
 /// A row that cannot be read.
@@ -109,24 +111,27 @@
         },
     };
     let now = node.now();
-    let decided = node.with(|state| state.lease.decide(now, current.row.as_ref(), current.clock));
+    let decided = node.with(|state| {
+        let era_age = state.eras.get_age(now).unwrap_or(0);
+        state.lease.decide(now, current.row.as_ref(), current.clock, era_age)
+    });
     let row = match decided {
         Step::Wait(time) => return time + retry / 2,
         Step::Write(row) => row,
     };
-    *known = write(node, row, current.version).await;
+    *known = write(node, row, &current).await;
     if known.is_some() { node.settings.bounds.lease_ms / RENEWALS } else { retry }
 }
 
 /// Writes the row where it has not changed since a version; `None` where that is not sure to be
 /// done.
-async fn write(node: &Node, row: LeaseRow, version: TableVersion) -> Option<Known> {
+async fn write(node: &Node, row: LeaseRow, current: &Known) -> Option<Known> {
     let asked_at = node.now();
-    match table::commit(node, transaction(&row, version), ANSWER_WITHIN).await {
+    match table::commit(node, transaction(&row, current), ANSWER_WITHIN).await {
         Ok(rows) => {
             let clock = TableClock { asked_at, table_time: rows.table_time };
-            node.with(|state| state.lease.confirm(&row, clock));
-            Some(Known { row: Some(row), version: rows.version, clock })
+            node.with(|state| state.lease.confirm(rows.version.era, &row, clock));
+            Some(Known { row: Some(row), version: rows.version, clock, earlier: Vec::new() })
         }
         Err(error) => {
             event::emit(&Event::TableCallFailed { what: "lease", error: error.to_string() });
@@ -135,11 +140,14 @@
     }
 }
 
-fn transaction(row: &LeaseRow, version: TableVersion) -> Transaction {
-    let condition = Condition { table: TableName::Own(TABLE), key: KEY.to_owned(), version };
-    let value = serde_json::to_vec(row).ok();
-    let write = Write { table: TableName::Own(TABLE), key: KEY.to_owned(), value };
-    Transaction { conditions: vec![condition], writes: vec![write] }
+fn transaction(row: &LeaseRow, current: &Known) -> Transaction {
+    let (table, version) = (TableName::Own(TABLE), current.version);
+    let key = table::era_key(KEY, version.era);
+    let condition = Condition { table, key: key.clone(), version };
+    let removals = current.earlier.iter().map(|key| Write { table, key: key.clone(), value: None });
+    let mut writes: Vec<Write> = removals.collect();
+    writes.push(Write { table, key, value: serde_json::to_vec(row).ok() });
+    Transaction { conditions: vec![condition], writes }
 }
 
 /// Reads the lease's row; a row that is this node's confirms its lease.
@@ -147,15 +155,24 @@
     let asked_at = node.now();
     let rows = table::read_all(node, TableName::Own(TABLE), ANSWER_WITHIN).await?;
     let clock = TableClock { asked_at, table_time: rows.table_time };
-    let Some(found) = rows.rows.iter().find(|row| row.key == KEY) else {
-        return Ok(Known { row: None, version: TableVersion::absent(rows.version.era), clock });
+    let era = rows.version.era;
+    let key = table::era_key(KEY, era);
+    let earlier = rows.rows.iter().filter(|row| row.key != key);
+    let earlier = earlier.filter(|row| table::split_key(&row.key).is_some_and(|(_, at)| at < era));
+    let earlier: Vec<String> = earlier.map(|row| row.key.clone()).collect();
+    let Some(found) = rows.rows.iter().find(|row| row.key == key) else {
+        // The first lease of an era depends on the era's age.
+        if node.with(|state| state.eras.get_age(asked_at)).is_none() {
+            table::find_origin(node).await?;
+        }
+        return Ok(Known { row: None, version: TableVersion::absent(era), clock, earlier });
     };
     let row = match decode(found) {
         Some(row) => row,
         None => replace_unreadable(node, unreadable, found, clock),
     };
-    node.with(|state| state.lease.confirm(&row, clock));
-    Ok(Known { row: Some(row), version: found.version, clock })
+    node.with(|state| state.lease.confirm(era, &row, clock));
+    Ok(Known { row: Some(row), version: found.version, clock, earlier })
 }
 
 fn decode(row: &Row) -> Option<LeaseRow> {
--- a/crates/gateway/src/node/table.rs
+++ b/crates/gateway/src/node/table.rs
@@ -3,6 +3,9 @@
 //! All calls pass here. An answer of an earlier era than the newest one that is known counts as none, and
 //! neither does a write under a condition that names a version of an earlier era: the number may be that of
 //! another row by now.
+//!
+//! A write that was sent before a return may still be done after it. Rows that are written under a condition
+//! therefore have a key for each era ([`era_key`]), under which nothing of an earlier era is written.
 
 use std::time::Duration;
 
@@ -21,6 +24,8 @@
 const ERAS: TableName = TableName::Own("eras");
 /// How long the origin of an era is waited for.
 const ORIGIN_WITHIN: Duration = Duration::from_millis(700);
+/// Stands between a row's key and its era.
+const ERA_MARK: char = '@';
 
 /// The origin of an era, as its row keeps it.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -159,6 +164,7 @@
     let now = node.now();
     let begun = node.with(|state| {
         let begun = state.eras.note(now, era)?;
+        state.lease.begin_era(era);
         if begun.before.is_some() {
             state.directory.note_era(now);
         }
@@ -172,6 +178,22 @@
     event::emit(&Event::StoreEraBegun { era: era.0, before });
 }
 
+/// Returns the key of a row that is written under a condition in an era.
+pub(super) fn era_key(key: &str, era: Era) -> String {
+    match era {
+        Era::UNNAMED => key.to_owned(),
+        era => format!("{key}{ERA_MARK}{era}"),
+    }
+}
+
+/// Splits the key of a row that is written under a condition; `None` where it is none.
+pub(super) fn split_key(key: &str) -> Option<(&str, Era)> {
+    match key.rsplit_once(ERA_MARK) {
+        Some((key, era)) => Some((key, Era(era.parse().ok()?))),
+        None => Some((key, Era::UNNAMED)),
+    }
+}
+
 /// Makes the origin of the current era known, where nothing shows yet when it began: reads its row, and
 /// writes it where this node is the first.
 ///
