fix(register): a node whose row is gone after a return lists itself again

Found while looking for the same cause elsewhere: a node listed itself once and took the row for lasting. After a return of the store from a copy without it, a node that started later found it only through others. Each node now reads its own row within two seconds after it has learnt of an era, and writes it where it is gone: one call a node.

--- a/crates/gateway/src/node/peers/register.rs
+++ b/crates/gateway/src/node/peers/register.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use keeljunction_core::Millis;
 use keeljunction_core::serving::members::{Entry, sample};
 
 use crate::event::{self, Event};
@@ -28,6 +29,8 @@
 const READ_TWICE_AFTER: Duration = Duration::from_millis(1_000);
 /// Rows that a node reads at its start, with one call: it hears of all others through these nodes.
 const SAMPLE: usize = 500;
+/// The time between two looks whether the table service has come back from an older copy.
+const LOOK_FOR_ERA: Duration = Duration::from_secs(1);
 /// The time between two looks at the list.
 const LOOK_AGAIN: Duration = Duration::from_secs(60);
 
@@ -38,22 +41,57 @@
 /// therefore reads it again, unless it has found an aggregator, which passes on what it misses.
 pub(super) async fn run(node: Arc<Node>) {
     let is_first_start = node.settings.node.is_first_start;
-    if is_first_start || !read_until_done(&node, Part::Sample { is_settled: false }).await {
+    let is_listed =
+        !is_first_start && read_until_done(&node, Part::Sample { is_settled: false }).await;
+    if !is_listed {
         runtime::sleep(LISTED_WITHIN.mul_f64(fastrand::f64())).await;
         list_until_done(&node).await;
+    }
+    let mut listed_in = node.with(|state| state.eras.get());
+    if !is_listed {
         runtime::sleep(jitter(READ_TWICE_AFTER)).await;
         if is_alone(&node) || !node.with(|state| state.members.is_grouped()) {
             read_until_done(&node, Part::Sample { is_settled: true }).await;
         }
     }
+    let mut look_at = node.now() + jitter(LOOK_AGAIN).as_millis() as Millis;
     loop {
-        runtime::sleep(jitter(LOOK_AGAIN)).await;
+        runtime::sleep(jitter(LOOK_FOR_ERA)).await;
+        let era = node.with(|state| state.eras.get());
+        if era != listed_in {
+            list_again(&node).await;
+            listed_in = era;
+        }
+        if node.now() < look_at {
+            continue;
+        }
+        look_at = node.now() + jitter(LOOK_AGAIN).as_millis() as Millis;
         if node.with(|state| state.members.is_reader(node.now())) || is_alone(&node) {
             read_until_done(&node, Part::Whole).await;
         }
     }
 }
 
+/// Lists this node where its row is gone after a return of the table service.
+async fn list_again(node: &Node) {
+    runtime::sleep(LISTED_WITHIN.mul_f64(fastrand::f64())).await;
+    let mut pause = Pause::default();
+    loop {
+        match is_listed(node).await {
+            Ok(true) => return,
+            Ok(false) => return list_until_done(node).await,
+            Err(error) => note_failure("read nodes", &error),
+        }
+        pause.wait().await;
+    }
+}
+
+/// Returns `true` if this node is listed as it is.
+async fn is_listed(node: &Node) -> Result<bool, TableError> {
+    let own = read_from(node, &sample::make_key(&node.incarnation.node), 1).await?;
+    Ok(own.rows.iter().filter_map(decode).any(|entry| entry == node.get_entry()))
+}
+
 /// The part of the list that is read.
 #[derive(Clone, Copy, Debug)]
 enum Part {
