fix(usage): a window whose frozen row is gone is reported as it was frozen, or not at all

The platform got usage of a window twice, with different counts. Cause: the first writer of a window's row wins, and the next holder reports what it finds there; after a return of the store from an older copy it found nothing, and froze what it counted itself.

Class: 'an acknowledged write stays'. What was reported cannot be read back, so that: - rows have a key for each era, and those of all eras count: a late write of an earlier era changes none of this one; - a holder sends frozen counts to the nodes that may follow it before it reports them, and nodes repeat them in reports, also after a return; a later holder writes and reports these; - a window that nobody remembers is reported only where it surely was not before: it was still open when the era began, by its origin in true time and a tolerance for clocks, or each node has run and is heard. The others are withheld (event usage_withheld, metric).

--- a/crates/core/src/serving/members/query.rs
+++ b/crates/core/src/serving/members/query.rs
@@ -205,11 +205,15 @@
     }
 
     /// Returns `true` if every node that this one hears by itself was heard after a time, and none has started
-    /// again since another one.
+    /// again since another one. In groups these are the aggregators and the nodes of the own group.
     pub fn is_whole(&self, heard_since: Millis, running_since: Millis) -> bool {
-        let mut heard = self.known.values().filter_map(|member| member.heard_at);
         let is_none_replaced = self.replaced_at.is_none_or(|at| at < running_since);
-        is_none_replaced && heard.all(|at| at >= heard_since)
+        let is_grouped = self.is_grouped();
+        let is_heard = |member: &Member| match member.heard_at {
+            Some(at) => at >= heard_since,
+            None => is_grouped,
+        };
+        is_none_replaced && self.known.values().all(is_heard)
     }
 
     /// Returns `true` if a node that holds the duties was heard of within a time.
--- a/crates/core/src/serving/usage.rs
+++ b/crates/core/src/serving/usage.rs
@@ -302,6 +302,12 @@
 /// for the calls, and for another holder.
 const LAST_PART: f64 = 0.65;
 
+/// Returns the time after a window's end before which it is not reported; `due` is the time after its end at
+/// which the report must be there.
+pub fn get_settle_time(due: Millis) -> Millis {
+    (due as f64 * SETTLE_PART) as Millis
+}
+
 /// Returns `true` if the counts of a window may be reported.
 ///
 /// `age` is the time since the window ended, and `due` the time after its end at which the report
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -7,6 +7,7 @@
 mod demand;
 mod directory;
 mod duty_lease;
+mod era;
 mod event_stream;
 mod fleet;
 mod freshness;
--- a/crates/core/tests/serving/usage.rs
+++ b/crates/core/tests/serving/usage.rs
@@ -1,5 +1,5 @@
 use keeljunction_core::serving::usage::{
-    Counts, Incarnation, Ledger, Outgoing, is_settled, window_at,
+    Counts, Frozen, Incarnation, Ledger, Outgoing, is_settled, window_at,
 };
 use proptest::prelude::*;
 
@@ -107,3 +107,24 @@
     }
     assert_eq!(outgoing.select(50, late.clone()), late);
 }
+
+#[test]
+fn a_frozen_window_stays_as_it_was_frozen_first() {
+    let counts = |count| Counts::from([("acme".to_owned(), count)]);
+    let mut frozen = Frozen::default();
+    assert!(frozen.note(7, &counts(3)));
+    assert!(!frozen.note(7, &counts(4)));
+    assert_eq!(frozen.get(7), Some(&counts(3)));
+    frozen.forget_before(8);
+    assert_eq!(frozen.get(7), None);
+}
+
+#[test]
+fn frozen_windows_are_listed_in_a_few_reports_and_again_after_a_return() {
+    let mut frozen = Frozen::default();
+    frozen.note(7, &Counts::new());
+    assert_eq!((0..3).map(|_| frozen.list_due().len()).collect::<Vec<_>>(), [1, 1, 1]);
+    assert!(frozen.list_due().is_empty());
+    frozen.repeat();
+    assert_eq!(frozen.list_due(), [(7, Counts::new())]);
+}
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -69,6 +69,8 @@
     pub servers_down: Family<ServiceLabels, Counter>,
     /// Answers in which servers said something about the requests that follow, by what they said.
     pub signals: Family<ReasonLabels, Counter>,
+    /// Windows whose usage was not reported, as it may have been before a return of the table service.
+    pub usage_withheld: Counter,
     /// Returns of the table service from an older copy of its rows.
     pub store_returns: Counter,
     /// Times that the process stood still for a second or more.
@@ -104,6 +106,7 @@
             requests_stopped: Counter::default(),
             servers_down: Family::default(),
             signals: Family::default(),
+            usage_withheld: Counter::default(),
             store_returns: Counter::default(),
             pauses: Counter::default(),
             gauges: Gauges::default(),
@@ -230,6 +233,11 @@
             "Times that the process stood still for a second or more, or its machine was suspended",
             self.pauses.clone(),
         );
+        registry.register(
+            "usage_withheld",
+            "Windows not reported, as they may have been before a return of the table service",
+            self.usage_withheld.clone(),
+        );
         registry.register(
             "store_returns",
             "Returns of the table service from an older copy of its rows",
--- a/crates/gateway/src/node/peers/news.rs
+++ b/crates/gateway/src/node/peers/news.rs
@@ -14,6 +14,7 @@
 use keeljunction_core::serving::load::{Work, short_id};
 use keeljunction_core::serving::rollout::Announcement;
 use keeljunction_core::serving::table_version::TableVersion;
+use keeljunction_core::serving::usage::{Counts, WindowNumber};
 
 use super::message::{Message, News};
 use super::{calls, permits, quarantine};
@@ -45,6 +46,14 @@
     }
 }
 
+/// Sends a frozen window to the nodes that may hold the duties after this one, before it is reported.
+pub(in crate::node) async fn send_frozen(node: &Node, window: WindowNumber, counts: &Counts) {
+    let now = node.now();
+    let to = node.with(|state| list_others(state, now));
+    let news = News::UsageFrozen(window, counts.clone());
+    node.link.send_to_all(now, to, &Message::News(news)).await;
+}
+
 /// Lists the other aggregators of this region, and the carriers of the others.
 fn list_others(state: &State, now: Millis) -> Vec<SocketAddr> {
     let mut to = state.members.list_exchange(now);
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -4,6 +4,10 @@
 //! and then reported as they stand there. A report may be repeated, by this holder or the next;
 //! it is always the same.
 //!
+//! After a return of the table service from an older copy the row of a window may be gone. What nodes
+//! remember stands in for it; a window that may have been reported and that nobody remembers is not reported:
+//! a report that is missing does less harm than two that contradict each other.
+//!
 //! The counts of the windows that are not reported yet are kept in the table too, some times in a
 //! window, by node and incarnation: where all nodes end at once, the next holder goes on from there.
 
@@ -13,12 +17,14 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::era::Era;
 use keeljunction_core::serving::table_version::TableVersion;
-use keeljunction_core::serving::usage::{Counts, Kept, WindowNumber, is_settled, window_at};
+use keeljunction_core::serving::usage::{
+    Counts, Kept, WindowNumber, get_settle_time, is_settled, window_at,
+};
 
-use super::{Node, document, table};
+use super::{Node, document, peers, table};
 use crate::event::{self, Event};
 use crate::port::{
-    Condition, DutyHolder, Row, TableError, TableName, Transaction, UsageReport, Write,
+    Condition, DutyHolder, Row, Rows, TableError, TableName, Transaction, UsageReport, Write,
 };
 use crate::runtime;
 
@@ -30,6 +36,8 @@
 const RUNNING_KEY: &str = "running";
 /// How often that row is written in a window.
 const KEPT_IN_WINDOW: u64 = 5;
+/// The most rows of earlier eras that are removed in one transaction; the platform takes a hundred entries.
+const MOST_REMOVED: usize = 50;
 /// Rows of this many windows are kept.
 const WINDOWS_KEPT: u64 = 8;
 
@@ -40,6 +48,9 @@
     /// The era of the rows that were read.
     era: Era,
     frozen: BTreeMap<WindowNumber, Counts>,
+    /// Keys of rows that are no longer needed.
+    outdated: Vec<String>,
+    withheld: BTreeSet<WindowNumber>,
     reported: BTreeSet<WindowNumber>,
     paused_until: Millis,
     running: Running,
@@ -68,6 +79,9 @@
             if self.reported.contains(&window) {
                 continue;
             }
+            if !self.is_reportable(node, window) {
+                continue;
+            }
             if !self.freeze(node, window).await || !self.report(node, window).await {
                 self.paused_until = node.now() + CALL_WITHIN.as_millis() as Millis;
                 return;
@@ -86,13 +100,11 @@
         }
         let reading = table::read_all(node, TableName::Own(TABLE), CALL_WITHIN);
         let Ok(rows) = reading.await else { return false };
-        self.frozen = rows.rows.iter().filter_map(decode).collect();
-        let running = rows.rows.iter().find(|row| row.key == RUNNING_KEY);
-        let absent = TableVersion::absent(rows.version.era);
-        self.running.version = running.map_or(absent, |row| row.version);
-        if let Some(kept) = running.and_then(decode_running) {
-            node.with(|state| state.usage.merge_kept(&kept));
+        if let Err(error) = table::find_origin(node).await {
+            event::emit(&Event::TableCallFailed { what: "era", error: error.to_string() });
+            return false;
         }
+        self.take_rows(node, &rows);
         self.fence = fence;
         event::emit(&Event::UsageLoaded {
             fence: fence.unwrap_or(0),
@@ -104,6 +116,48 @@
         true
     }
 
+    /// Takes over the rows of all eras.
+    fn take_rows(&mut self, node: &Node, rows: &Rows) {
+        let era = rows.version.era;
+        self.frozen = rows.rows.iter().filter_map(decode).collect();
+        let running_key = table::era_key(RUNNING_KEY, era);
+        let running = rows.rows.iter().find(|row| row.key == running_key);
+        self.running.version = running.map_or(TableVersion::absent(era), |row| row.version);
+        // Counts only grow, so that those of an earlier era add what is not known yet.
+        let is_running = |row: &&Row| {
+            table::split_key(&row.key).is_some_and(|(key, at)| key == RUNNING_KEY && at <= era)
+        };
+        for kept in rows.rows.iter().filter(is_running).filter_map(decode_running) {
+            node.with(|state| state.usage.merge_kept(&kept));
+        }
+        let is_earlier = |row: &&Row| table::split_key(&row.key).is_some_and(|(_, at)| at < era);
+        let earlier = rows.rows.iter().filter(is_earlier).map(|row| row.key.clone());
+        let last = self.frozen.keys().last().copied().unwrap_or(0);
+        let is_needed = |key: &String| {
+            let window = table::split_key(key).and_then(|(key, _)| key.parse::<u64>().ok());
+            window.is_some_and(|window| window + WINDOWS_KEPT > last)
+        };
+        self.outdated = earlier.filter(|key| !is_needed(key)).take(MOST_REMOVED).collect();
+        for (window, counts) in &self.frozen {
+            remember(node, era, *window, counts);
+        }
+    }
+
+    /// Returns `true` if a window was frozen, as far as any node knows, or surely was not. The others are
+    /// withheld.
+    fn is_reportable(&mut self, node: &Node, window: WindowNumber) -> bool {
+        let is_frozen = self.frozen.contains_key(&window)
+            || node.with(|state| state.frozen.get(window).is_some());
+        if is_frozen || is_surely_unreported(node, window) {
+            return true;
+        }
+        if self.withheld.insert(window) {
+            node.metrics.usage_withheld.inc();
+            event::emit(&Event::UsageWithheld { window, era: self.era.0 });
+        }
+        false
+    }
+
     /// Keeps the counts of the windows that are not reported yet, a few times in a window.
     async fn keep_running(&mut self, node: &Node) {
         let now = node.now();
@@ -118,7 +172,7 @@
             return;
         }
         let name = TableName::Own(TABLE);
-        let key = RUNNING_KEY.to_owned();
+        let key = table::era_key(RUNNING_KEY, self.era);
         let condition = Condition { table: name, key: key.clone(), version: self.running.version };
         let write = Write { table: name, key, value: encode_running(&kept) };
         let transaction = Transaction { conditions: vec![condition], writes: vec![write] };
@@ -133,9 +187,15 @@
         if self.frozen.contains_key(&window) {
             return true;
         }
-        let counts = node.with(|state| state.usage.total(window));
-        match table::commit(node, transaction(window, &counts, self.era), CALL_WITHIN).await {
+        let known = node.with(|state| state.frozen.get(window).cloned());
+        let counts = known.unwrap_or_else(|| node.with(|state| state.usage.total(window)));
+        let transaction = transaction(window, &counts, self.era, &self.outdated);
+        match table::commit(node, transaction, CALL_WITHIN).await {
             Ok(_) => {
+                self.outdated.clear();
+                if remember(node, self.era, window, &counts) {
+                    peers::news::send_frozen(node, window, &counts).await;
+                }
                 self.frozen.insert(window, counts);
                 true
             }
@@ -167,6 +227,7 @@
         self.reported.insert(window);
         self.reported = self.reported.split_off(&window.saturating_sub(WINDOWS_KEPT));
         self.frozen = self.frozen.split_off(&window.saturating_sub(WINDOWS_KEPT));
+        self.withheld = self.withheld.split_off(&window.saturating_sub(WINDOWS_KEPT));
         true
     }
 }
@@ -182,7 +243,10 @@
     let first = window_at(now.saturating_sub(due + length), length);
     let known = node.with(|state| state.usage.get_first_window());
     let first = first.max(window_at(started, length).min(known.unwrap_or(u64::MAX)));
-    node.with(|state| state.usage.forget_before(current.saturating_sub(WINDOWS_KEPT)));
+    node.with(|state| {
+        state.usage.forget_before(current.saturating_sub(WINDOWS_KEPT));
+        state.frozen.forget_before(current.saturating_sub(WINDOWS_KEPT));
+    });
     (first..current).filter(|window| is_due(node, *window, now, length, due)).collect()
 }
 
@@ -195,21 +259,49 @@
     is_settled(age, due, is_node_missing)
 }
 
-fn transaction(window: WindowNumber, counts: &Counts, era: Era) -> Transaction {
-    let version = TableVersion::absent(era);
-    let condition = Condition { table: TableName::Own(TABLE), key: key(window), version };
-    let write = Write {
-        table: TableName::Own(TABLE),
-        key: key(window),
-        value: serde_json::to_vec(counts).ok(),
-    };
-    let old = window.saturating_sub(WINDOWS_KEPT);
-    let removal = Write { table: TableName::Own(TABLE), key: key(old), value: None };
-    Transaction { conditions: vec![condition], writes: vec![write, removal] }
+/// Remembers a frozen window, whose row may be gone after a return; returns `true` if that is news. A table
+/// service that names no eras loses nothing.
+fn remember(node: &Node, era: Era, window: WindowNumber, counts: &Counts) -> bool {
+    era != Era::UNNAMED && node.with(|state| state.frozen.note(window, counts))
+}
+
+/// Returns `true` if a window without a row was surely not reported: nothing was lost since, or each node that
+/// may have frozen it would have said so.
+fn is_surely_unreported(node: &Node, window: WindowNumber) -> bool {
+    let bounds = &node.settings.bounds;
+    let length = (bounds.report_window_s * 1_000.0) as u64;
+    let due = (bounds.usage_late_s * 1_000.0) as u64;
+    let ended_at = (window + 1) * length;
+    let now = node.now();
+    let steady_end = now.saturating_sub(runtime::unix_ms().saturating_sub(ended_at));
+    node.with(|state| {
+        if state.eras.is_surely_after_return(ended_at + get_settle_time(due)) {
+            return true;
+        }
+        let Some(era_age) = state.eras.get_age(now) else { return false };
+        let is_here_since = node.clock.get_start() < steady_end.saturating_sub(length);
+        is_here_since && state.members.is_whole(now - era_age, steady_end.saturating_sub(length))
+    })
+}
+
+fn transaction(
+    window: WindowNumber,
+    counts: &Counts,
+    era: Era,
+    outdated: &[String],
+) -> Transaction {
+    let (table, version) = (TableName::Own(TABLE), TableVersion::absent(era));
+    let condition = Condition { table, key: key(window, era), version };
+    let write = Write { table, key: key(window, era), value: serde_json::to_vec(counts).ok() };
+    let old = key(window.saturating_sub(WINDOWS_KEPT), era);
+    let removals = outdated.iter().cloned().chain([old]);
+    let removals = removals.map(|key| Write { table, key, value: None });
+    let writes = [write].into_iter().chain(removals).collect();
+    Transaction { conditions: vec![condition], writes }
 }
 
-fn key(window: WindowNumber) -> String {
-    format!("{window:020}")
+fn key(window: WindowNumber, era: Era) -> String {
+    table::era_key(&format!("{window:020}"), era)
 }
 
 /// Encodes counts for one row: most of them are small, and packed they take a fraction of the bytes.
@@ -226,5 +318,5 @@
 
 fn decode(row: &Row) -> Option<(WindowNumber, Counts)> {
     let counts = serde_json::from_slice(row.value.as_deref()?).ok()?;
-    Some((row.key.parse().ok()?, counts))
+    Some((table::split_key(&row.key)?.0.parse().ok()?, counts))
 }
