fix(quarantine): a keeper writes again what it knows after a return of the table service

Found while looking for the same cause elsewhere: a verdict was written once, and the row taken for lasting. After a return from an older copy and the end of all nodes a request that crashes servers was served again. A node that becomes a keeper after a return, or is one, writes all requests that it refuses; times on the table service's clock are bounded by the ten minutes of a verdict, as a clock may be that of the copy. quarantine::the_refusal_outlasts_a_return_of_the_store... waited 20 s in vain for the row before, and passes.

--- a/crates/core/src/serving/quarantine/book.rs
+++ b/crates/core/src/serving/quarantine/book.rs
@@ -100,6 +100,12 @@
         self.unsaved.push_back(verdict);
     }
 
+    /// Keeps all requests that are refused to be written to the platform's table again, which has lost rows.
+    pub fn save_all(&mut self, now: Millis) {
+        let refused: Vec<Verdict> = self.list.iter_refused(now).collect();
+        refused.into_iter().for_each(|verdict| self.save(verdict));
+    }
+
     /// Takes out the next verdict that is to be written to the platform's table.
     pub fn take_unsaved(&mut self) -> Option<Verdict> {
         self.unsaved.pop_front()
--- a/crates/core/src/serving/quarantine/list.rs
+++ b/crates/core/src/serving/quarantine/list.rs
@@ -70,8 +70,14 @@
 
     /// Counts the requests that are refused.
     pub fn count_refused(&self, now: Millis) -> usize {
-        let entries = self.entries.values().filter(|entry| now < entry.until);
-        entries.filter(|entry| entry.verdict.standing == Standing::Quarantined).count()
+        self.iter_refused(now).count()
+    }
+
+    /// Lists the requests that are refused.
+    pub fn iter_refused(&self, now: Millis) -> impl Iterator<Item = Verdict> {
+        let valid = self.entries.values().filter(move |entry| now < entry.until);
+        let valid = valid.map(move |entry| Verdict { left: entry.until - now, ..entry.verdict });
+        valid.filter(|verdict| verdict.standing == Standing::Quarantined)
     }
 
     /// Lists some verdicts for other nodes; each turn gives the next ones.
--- a/crates/gateway/src/node/quarantine_rows.rs
+++ b/crates/gateway/src/node/quarantine_rows.rs
@@ -2,14 +2,16 @@
 //!
 //! The keepers of the services write what they decide, a row for each request that is refused. A node
 //! that becomes a keeper reads the rows once, sends them to the other nodes, and removes rows that have ended. A
-//! row may be written twice without harm.
+//! row may be written twice without harm. After a return of the table service from an older copy a keeper
+//! writes again what it knows.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use keeljunction_core::Millis;
+use keeljunction_core::serving::era::Era;
 use keeljunction_core::serving::load::short_id;
-use keeljunction_core::serving::quarantine::{Fingerprint, Standing, Verdict};
+use keeljunction_core::serving::quarantine::{Fingerprint, QUARANTINED_FOR, Standing, Verdict};
 use serde::{Deserialize, Serialize};
 
 use super::pause::Pause;
@@ -39,6 +41,7 @@
 /// A time on the table service's clock, with the time on this node's clock.
 #[derive(Clone, Copy, Debug)]
 struct TableClock {
+    era: Era,
     table_time: Millis,
     node_time: Millis,
 }
@@ -66,9 +69,17 @@
 
 /// Reads the rows, once this node keeps evidence; after that, writes what it has decided.
 async fn step(node: &Arc<Node>, clock: &mut Option<TableClock>) -> Result<(), TableError> {
-    let Some(known) = *clock else {
+    let era = node.with(|state| state.eras.get());
+    let Some(known) = clock.filter(|known| known.era == era) else {
         if is_keeper(node) {
             *clock = Some(load(node).await?);
+            let now = node.now();
+            node.with(|state| {
+                if state.eras.is_return() {
+                    // The rows of what was decided before may be gone.
+                    state.quarantine.save_all(now);
+                }
+            });
         }
         return Ok(());
     };
@@ -101,7 +112,8 @@
     for row in &rows.rows {
         match decode(row) {
             Some((fingerprint, refused)) if rows.table_time < refused.until => {
-                let left = refused.until - rows.table_time;
+                // The clock of an older copy may be behind the one that the row was written by.
+                let left = (refused.until - rows.table_time).min(QUARANTINED_FOR);
                 peers::quarantine::take_kept(node, make_verdict(fingerprint, refused, left));
             }
             Some(_) => removals.push(make_removal(row.key.clone())),
@@ -115,7 +127,7 @@
     if !removals.is_empty() {
         commit(node, removals).await?;
     }
-    Ok(TableClock { table_time: rows.table_time, node_time: asked_at })
+    Ok(TableClock { era: rows.version.era, table_time: rows.table_time, node_time: asked_at })
 }
 
 async fn commit(node: &Node, writes: Vec<Write>) -> Result<(), TableError> {
--- a/crates/gateway/src/node/rollout_duty.rs
+++ b/crates/gateway/src/node/rollout_duty.rs
@@ -5,6 +5,9 @@
 //! halfway leaves a row from which the next one goes on; it counts answers anew from what the nodes
 //! report, and never takes a verdict back. Only a roll-back is announced to nodes before it is written:
 //! nothing more should reach a bad version, and a stage never goes back.
+//!
+//! After a return of the table service from an older copy a row may hold an earlier stage than the nodes know, or
+//! be gone. What is known goes on, and is written again under the order's new number.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -110,12 +113,17 @@
         let asked_at = node.now();
         let reading = table::read_all(node, TableName::Own(TABLE), CALL_WITHIN);
         let Ok(rows) = reading.await else { return false };
+        let era = rows.version.era;
+        let is_return = era != self.era;
         *self = Self {
             fence,
-            era: rows.version.era,
+            era,
             clock: Some(TableClock { asked_at, table_time: rows.table_time }),
-            records: rows.rows.iter().filter_map(decode).collect(),
-            status_versions: std::mem::take(&mut self.status_versions),
+            records: decode_all(&rows),
+            status_versions: match is_return {
+                true => BTreeMap::new(),
+                false => std::mem::take(&mut self.status_versions),
+            },
             ..Self::default()
         };
         true
@@ -123,25 +131,35 @@
 
     /// Advances all roll-outs; returns `false` where a write did not succeed.
     async fn step_all(&mut self, node: &Node, orders: Vec<(Order, Stage)>) -> bool {
-        for (order, _) in orders {
+        for (order, known_stage) in orders {
             let known = self.records.get(&order.service).map(|written| written.record.get_order());
             if known > Some(order.number) {
                 continue;
             }
-            if !self.step_one(node, &order).await || !self.publish_status(node, &order).await {
+            if !self.step_one(node, &order, known_stage).await
+                || !self.publish_status(node, &order).await
+            {
                 return false;
             }
         }
         true
     }
 
-    async fn step_one(&mut self, node: &Node, order: &Order) -> bool {
+    /// Returns the record of an order, also where the order got its number in an earlier era.
+    fn find_record(&self, order: &Order) -> Option<&Record> {
+        let record = &self.records.get(&order.service)?.record;
+        let is_earlier = record.era < order.number.era;
+        let is_carried = is_earlier && record.target_version == order.target_version;
+        (is_carried || record.get_order() == order.number).then_some(record)
+    }
+
+    /// Advances a roll-out of which the nodes know a stage; returns `false` where a write did not succeed.
+    async fn step_one(&mut self, node: &Node, order: &Order, known_stage: Stage) -> bool {
         let now = node.now();
         let Some(clock) = self.clock else { return false };
         let table_time = clock.latest_at(now);
-        let known = self.records.get(&order.service).map(|written| written.record.clone());
-        let known = known.filter(|record| record.get_order() == order.number);
-        let stage = known.as_ref().map_or(Stage::Pending, |record| record.stage);
+        let known = self.find_record(order).cloned();
+        let stage = known.as_ref().map_or(Stage::Pending, |record| record.stage).max(known_stage);
         if let Some(known) = &known {
             let (service, number) = (&order.service, order.number);
             node.with(|state| {
@@ -151,10 +169,17 @@
         } else if let Some(earlier) = self.records.get(&order.service) {
             bar_earlier(node, order, &earlier.record);
         }
+        let began_at = known.as_ref().map_or(table_time, |record| record.began_at);
+        let is_written = known
+            .as_ref()
+            .is_some_and(|record| record.get_order() == order.number && record.stage == stage);
+        if stage > Stage::Pending && !is_written {
+            let record = make_record(node, order, began_at, stage);
+            return self.write_record(node, &order.service, record).await;
+        }
         if stage.is_final() {
             return true;
         }
-        let began_at = known.as_ref().map_or(table_time, |record| record.began_at);
         let elapsed = table_time.saturating_sub(began_at);
         let Some(report) = sum_all(node, order) else { return true };
         let (target_servers, other_servers) = count_servers(node, order);
@@ -173,14 +198,7 @@
         }
         let Some((next, reason)) = get_stage(progress.1.step(&snapshot)) else { return true };
         self.emit(order, next, &reason, &snapshot);
-        let record = Record {
-            order: order.number.number,
-            era: order.number.era,
-            target_version: order.target_version.clone(),
-            began_at,
-            stage: next,
-            barred: node.with(|state| state.rollouts.list_barred(&order.service)),
-        };
+        let record = make_record(node, order, began_at, next);
         if next == Stage::RolledBack {
             announce(node, order, next);
         }
@@ -213,7 +231,8 @@
         let absent = TableVersion::absent(self.era);
         let version = self.records.get(service).map_or(absent, |written| written.version);
         let value = serde_json::to_vec(&record).ok();
-        let Ok(rows) = commit(node, TableName::Own(TABLE), service, version, value).await else {
+        let key = table::era_key(service, self.era);
+        let Ok(rows) = commit(node, TableName::Own(TABLE), &key, version, value).await else {
             return false;
         };
         let written = Written { record, version: rows.version };
@@ -254,6 +273,17 @@
     }
 }
 
+fn make_record(node: &Node, order: &Order, began_at: Millis, stage: Stage) -> Record {
+    Record {
+        order: order.number.number,
+        era: order.number.era,
+        target_version: order.target_version.clone(),
+        began_at,
+        stage,
+        barred: node.with(|state| state.rollouts.list_barred(&order.service)),
+    }
+}
+
 /// Writes a row where it has not changed since a version.
 async fn commit(
     node: &Node,
@@ -328,13 +358,27 @@
     })
 }
 
-fn decode(row: &Row) -> Option<(String, Written)> {
-    match serde_json::from_slice(row.value.as_deref()?) {
-        Ok(record) => Some((row.key.clone(), Written { record, version: row.version })),
-        Err(error) => {
-            let error = format!("the record of a roll-out cannot be read: {error}");
-            event::emit(&Event::DocumentRejected { error });
-            None
+/// Decodes the newest record of each service. One of an earlier era is replaced by a row of this one.
+fn decode_all(rows: &Rows) -> BTreeMap<String, Written> {
+    let era = rows.version.era;
+    let mut newest: BTreeMap<String, (Era, Written)> = BTreeMap::new();
+    for row in &rows.rows {
+        let Some((service, written_in)) = table::split_key(&row.key) else { continue };
+        let Some(record) = decode(row).filter(|_| written_in <= era) else { continue };
+        let version = if written_in == era { row.version } else { TableVersion::absent(era) };
+        let known = newest.get(service).map(|(known, _)| *known);
+        if known < Some(written_in) {
+            newest.insert(service.to_owned(), (written_in, Written { record, version }));
         }
     }
+    newest.into_iter().map(|(service, (_, written))| (service, written)).collect()
+}
+
+fn decode(row: &Row) -> Option<Record> {
+    let decoded = serde_json::from_slice(row.value.as_deref()?);
+    let report = |error: &serde_json::Error| {
+        let error = format!("the record of a roll-out cannot be read: {error}");
+        event::emit(&Event::DocumentRejected { error });
+    };
+    decoded.inspect_err(report).ok()
 }
