fix(rollout): an order that is written again goes on, and a stage never goes back

Found while looking for the same cause elsewhere: an order's number is the version of its row, and its record in the table says how far it has come.

An order that asks for the same as the known one keeps its stage under the new number; a different one, which may be an earlier order that the copy holds, counts only once the operator had time to write again.

--- a/crates/core/tests/serving/rollout.rs
+++ b/crates/core/tests/serving/rollout.rs
@@ -1,10 +1,12 @@
 //! Which servers requests go to while the traffic of a service moves to another version.
 
 use keeljunction_core::serving::directory::Server;
+use keeljunction_core::serving::era::Era;
 use keeljunction_core::serving::rollout::{
     Announcement, Book, Next, Order, Phase, Progress, Report, Series, Side, Snapshot, Stage,
     Tallies, Tolerance,
 };
+use keeljunction_core::serving::table_version::TableVersion;
 
 use crate::support::{at, server};
 
@@ -267,3 +269,35 @@
         assert!(book.is_allowed(Side::Target, &server_of("v2")));
     }
 }
+
+fn returned(version: &str, number: u64) -> Order {
+    let number = TableVersion::new(Era(2), number);
+    Order { target_version: version.to_owned(), number, ..order(0) }
+}
+
+// Guards against a roll-out that begins anew because its order's row has another version after a return of the
+// table service from an older copy.
+#[test]
+fn an_order_that_is_written_again_after_a_return_goes_on() {
+    let mut book = Book::default();
+    book.merge_announcement(10_000, &told(7, Stage::RolledBack, Some(0)), true);
+    for number in [3, 5] {
+        assert!(book.take_order(returned("v2", number), false));
+        let (order, stage) = book.list_orders().remove(0);
+        assert_eq!((order.number, stage), (TableVersion::new(Era(2), number), Stage::RolledBack));
+    }
+    // Once all is written again, the same order is a further one.
+    assert!(book.take_order(returned("v2", 9), true));
+    assert_eq!(book.list_orders()[0].1, Stage::Pending);
+}
+
+// Guards against an earlier order that an older copy still holds.
+#[test]
+fn another_order_counts_after_a_return_once_the_operator_has_written_again() {
+    let mut book = Book::default();
+    book.merge_announcement(10_000, &told(7, Stage::Shifting, Some(0)), true);
+    assert!(!book.take_order(returned("v1", 3), false));
+    assert_eq!(book.list_orders()[0].0.target_version, "v2");
+    assert!(book.take_order(returned("v3", 4), true));
+    assert_eq!(book.list_orders()[0].0.target_version, "v3");
+}
