--- a/crates/core/src/serving/duty_lease.rs
+++ b/crates/core/src/serving/duty_lease.rs
@@ -88,7 +88,8 @@
     /// Returns the fence to send with a call, or `None` where the lease is not surely held.
     pub fn get_fence(&self, now: Millis) -> Option<u64> {
         let held = self.held.as_ref().filter(|held| now < held.until)?;
-        Some(self.era.0 * TERMS_IN_ERA + held.term)
+        let eras_before = self.era.get_number().map_or(0, |number| number + 1);
+        Some(eras_before * TERMS_IN_ERA + held.term)
     }
 
     /// Begins with another era; a lease of the one before is held no longer.
--- a/crates/core/src/serving/era.rs
+++ b/crates/core/src/serving/era.rs
@@ -8,8 +8,6 @@
 //! A node that saw an era begin knows its age. One that starts later reads it from a row that the first node
 //! has written ([`Origin`]).
 
-use std::fmt;
-
 use serde::{Deserialize, Serialize};
 
 use crate::Millis;
@@ -20,20 +18,25 @@
 /// How far the wall clocks of two nodes may differ.
 const CLOCKS_DIFFER_BY: Millis = 4_000;
 
-/// The number of an era of the table service; it rises by one with each return.
+/// An era of the table service: a number that rises by one with each return, or none where the service does
+/// not name eras.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-pub struct Era(pub u64);
+pub struct Era(Option<u64>);
 
 impl Era {
     /// The era of a table service that does not name any.
-    pub const UNNAMED: Self = Self(0);
-}
+    pub const UNNAMED: Self = Self(None);
+
+    /// Makes the era of a number.
+    pub fn named(number: u64) -> Self {
+        Self(Some(number))
+    }
 
-impl fmt::Display for Era {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
+    /// Returns its number; `None` where the table service names no eras.
+    pub fn get_number(self) -> Option<u64> {
+        self.0
     }
 }
 
--- a/crates/core/src/serving/table_version.rs
+++ b/crates/core/src/serving/table_version.rs
@@ -41,7 +41,10 @@
 
 impl fmt::Display for TableVersion {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}", self.era, self.number)
+        match self.era.get_number() {
+            Some(era) => write!(f, "{era}.{}", self.number),
+            None => write!(f, "{}", self.number),
+        }
     }
 }
 
@@ -49,7 +52,10 @@
     type Err = ParseIntError;
 
     fn from_str(text: &str) -> Result<Self, ParseIntError> {
-        let (era, number) = text.split_once('.').unwrap_or(("0", text));
-        Ok(Self { era: Era(era.parse()?), number: number.parse()? })
+        let (era, number) = match text.split_once('.') {
+            Some((era, number)) => (Era::named(era.parse()?), number),
+            None => (Era::UNNAMED, text),
+        };
+        Ok(Self { era, number: number.parse()? })
     }
 }
--- a/crates/core/tests/serving/directory.rs
+++ b/crates/core/tests/serving/directory.rs
@@ -400,7 +400,7 @@
 
 /// A version of the table service's second era, after a return from an older copy.
 fn returned(number: u64) -> TableVersion {
-    TableVersion::new(Era(2), number)
+    TableVersion::new(Era::named(2), number)
 }
 
 fn changed(version: TableVersion, server: Server) -> Batch {
@@ -490,10 +490,10 @@
         }
         for (now, era) in [(1_000, 2), (1_500, 3)] {
             directory.note_era(now);
-            directory.replace(TableVersion::new(Era(era), 1), vec![started(10)]);
+            directory.replace(TableVersion::new(Era::named(era), 1), vec![started(10)]);
             assert_eq!(ready(&directory), Vec::<&str>::new(), "era {era}, removed {is_removed}");
         }
-        let again = TableVersion::new(Era(3), 2);
+        let again = TableVersion::new(Era::named(3), 2);
         directory.update(changed(again, started(20)));
         assert_eq!(ready(&directory), ["a"]);
     }
--- a/crates/core/tests/serving/duty_lease.rs
+++ b/crates/core/tests/serving/duty_lease.rs
@@ -86,14 +86,14 @@
 #[test]
 fn a_holder_that_sees_another_era_holds_nothing_and_its_next_fence_is_higher() {
     let mut lease = lease("a");
-    lease.begin_era(Era(1));
-    assert!(lease.confirm(Era(1), &row("a", 700, 3_100), clock(0, 100)));
+    lease.begin_era(Era::named(1));
+    assert!(lease.confirm(Era::named(1), &row("a", 700, 3_100), clock(0, 100)));
     let before = lease.get_fence(10).expect("a fence");
-    lease.begin_era(Era(2));
+    lease.begin_era(Era::named(2));
     assert_eq!(lease.get_fence(10), None);
-    assert!(!lease.confirm(Era(1), &row("a", 700, 9_000), clock(20, 120)));
+    assert!(!lease.confirm(Era::named(1), &row("a", 700, 9_000), clock(20, 120)));
     assert_eq!(lease.get_fence(20), None);
-    assert!(lease.confirm(Era(2), &row("a", 1, 9_000), clock(30, 130)));
+    assert!(lease.confirm(Era::named(2), &row("a", 1, 9_000), clock(30, 130)));
     assert!(lease.get_fence(40) > Some(before));
 }
 
@@ -207,7 +207,7 @@
 
     /// Notes the era of an answer, and reads or writes its origin where that is not known.
     fn note(&mut self, now: u64, service: &mut Service) {
-        let era = Era(service.era);
+        let era = Era::named(service.era);
         if self.eras.note(now, era).is_some() {
             self.lease.begin_era(era);
         }
@@ -268,7 +268,7 @@
             let read = service.rows.get(&era).cloned();
             now += step.back;
             if let Some((_, row)) = &read {
-                node.lease.confirm(Era(era), row, read_clock);
+                node.lease.confirm(Era::named(era), row, read_clock);
             }
             let age = node.eras.get_age(now).unwrap_or(0);
             let decided = node.lease.decide(now, read.as_ref().map(|r| &r.1), read_clock, age);
@@ -288,7 +288,7 @@
                     now += step.back;
                     let write_clock = clock(write_asked_at, now + 5_000);
                     if !step.is_lost && service.era == era {
-                        node.lease.confirm(Era(era), &row, write_clock);
+                        node.lease.confirm(Era::named(era), &row, write_clock);
                     }
                 }
             }
--- a/crates/core/tests/serving/era.rs
+++ b/crates/core/tests/serving/era.rs
@@ -5,12 +5,15 @@
 #[test]
 fn an_era_is_news_once_and_an_earlier_one_never() {
     let mut eras = Eras::default();
-    assert_eq!(eras.note(0, Era(2)), Some(Begun { era: Era(2), before: None }));
-    assert_eq!(eras.note(10, Era(2)), None);
-    assert_eq!(eras.note(20, Era(1)), None);
-    assert!(eras.is_superseded(Era(1)));
-    assert_eq!(eras.note(30, Era(4)), Some(Begun { era: Era(4), before: Some(Era(2)) }));
-    assert_eq!(eras.get(), Era(4));
+    assert_eq!(eras.note(0, Era::named(2)), Some(Begun { era: Era::named(2), before: None }));
+    assert_eq!(eras.note(10, Era::named(2)), None);
+    assert_eq!(eras.note(20, Era::named(1)), None);
+    assert!(eras.is_superseded(Era::named(1)));
+    assert_eq!(
+        eras.note(30, Era::named(4)),
+        Some(Begun { era: Era::named(4), before: Some(Era::named(2)) })
+    );
+    assert_eq!(eras.get(), Era::named(4));
 }
 
 #[test]
@@ -25,8 +28,8 @@
 #[test]
 fn a_node_that_saw_an_era_begin_waits_until_it_is_settled() {
     let mut eras = Eras::default();
-    eras.note(0, Era(1));
-    eras.note(10_000, Era(2));
+    eras.note(0, Era::named(1));
+    eras.note(10_000, Era::named(2));
     assert!(!eras.is_settled(11_999));
     assert!(eras.is_settled(12_000));
 }
@@ -34,10 +37,10 @@
 #[test]
 fn a_node_that_starts_later_knows_nothing_of_an_eras_age_until_it_reads_its_origin() {
     let mut eras = Eras::default();
-    eras.note(10_000, Era(2));
+    eras.note(10_000, Era::named(2));
     assert_eq!(eras.get_age(60_000), None);
     assert!(!eras.is_settled(60_000));
-    eras.set_origin(10_100, Era(2), READ_FROM_ROW);
+    eras.set_origin(10_100, Era::named(2), READ_FROM_ROW);
     assert_eq!(eras.get_age(10_100), Some(500));
     assert!(!eras.is_settled(11_599));
     assert!(eras.is_settled(11_600));
@@ -46,16 +49,16 @@
 #[test]
 fn an_origin_of_another_era_changes_nothing() {
     let mut eras = Eras::default();
-    eras.note(10_000, Era(2));
-    eras.set_origin(10_100, Era(1), READ_FROM_ROW);
+    eras.note(10_000, Era::named(2));
+    eras.set_origin(10_100, Era::named(1), READ_FROM_ROW);
     assert_eq!(eras.get_origin(), None);
 }
 
 #[test]
 fn the_first_era_of_a_deployment_is_settled() {
     let mut eras = Eras::default();
-    eras.note(0, Era(1));
-    eras.set_origin(10, Era(1), Origin { is_first: true, ..READ_FROM_ROW });
+    eras.note(0, Era::named(1));
+    eras.set_origin(10, Era::named(1), Origin { is_first: true, ..READ_FROM_ROW });
     assert!(eras.is_settled(10));
     assert!(eras.is_surely_after_return(0));
 }
@@ -63,22 +66,22 @@
 #[test]
 fn the_operators_word_settles_its_own_rows_alone() {
     let mut eras = Eras::default();
-    eras.note(0, Era(1));
-    eras.note(10_000, Era(2));
+    eras.note(0, Era::named(1));
+    eras.note(10_000, Era::named(2));
     eras.note_rewritten();
     assert!(eras.is_operator_heard(10_100));
     assert!(!eras.is_settled(10_100));
-    eras.note(10_200, Era(3));
+    eras.note(10_200, Era::named(3));
     assert!(!eras.is_operator_heard(10_200));
 }
 
 #[test]
 fn what_could_be_done_before_an_era_may_have_been_done_in_an_earlier_one() {
     let mut eras = Eras::default();
-    eras.note(0, Era(1));
-    eras.note(10_000, Era(2));
+    eras.note(0, Era::named(1));
+    eras.note(10_000, Era::named(2));
     assert!(!eras.is_surely_after_return(9_000_000));
-    eras.set_origin(10_100, Era(2), READ_FROM_ROW);
+    eras.set_origin(10_100, Era::named(2), READ_FROM_ROW);
     assert!(!eras.is_surely_after_return(1_003_999));
     assert!(eras.is_surely_after_return(1_004_000));
 }
--- a/crates/core/tests/serving/rollout.rs
+++ b/crates/core/tests/serving/rollout.rs
@@ -271,7 +271,7 @@
 }
 
 fn returned(version: &str, number: u64) -> Order {
-    let number = TableVersion::new(Era(2), number);
+    let number = TableVersion::new(Era::named(2), number);
     Order { target_version: version.to_owned(), number, ..order(0) }
 }
 
@@ -284,7 +284,10 @@
     for number in [3, 5] {
         assert!(book.take_order(returned("v2", number), false));
         let (order, stage) = book.list_orders().remove(0);
-        assert_eq!((order.number, stage), (TableVersion::new(Era(2), number), Stage::RolledBack));
+        assert_eq!(
+            (order.number, stage),
+            (TableVersion::new(Era::named(2), number), Stage::RolledBack)
+        );
     }
     // Once all is written again, the same order is a further one.
     assert!(book.take_order(returned("v2", 9), true));
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -35,11 +35,11 @@
     DocumentRejected { error: String },
     /// The configuration is known to be the newest, or no longer.
     FreshnessChanged { is_fresh: bool, age_ms: Option<u64>, bound_ms: u64 },
-    /// The table service is in another era than the node knew: it came back from an older copy of its rows,
-    /// where one is known before it.
-    StoreEraBegun { era: u64, before: Option<u64> },
+    /// The table service is in another era than the node knew: where that is a return, it came back from an
+    /// older copy of its rows.
+    StoreEraBegun { era: Option<u64>, before: Option<u64>, is_return: bool },
     /// An answer of the table service is of an earlier era than the node knows, and changes nothing.
-    RowsDropped { entries: usize, era: u64, known: u64 },
+    RowsDropped { entries: usize, era: Option<u64>, known: Option<u64> },
     /// A call of the table service failed.
     TableCallFailed { what: &'a str, error: String },
     /// A server joined, began to leave, or is gone.
@@ -76,7 +76,7 @@
     UsageLoaded { fence: u64, frozen: Vec<u64>, rows: usize, version: String },
     /// A window's usage is not reported: it may have been, with other counts, before the table service came
     /// back from an older copy.
-    UsageWithheld { window: u64, era: u64 },
+    UsageWithheld { window: u64, era: Option<u64> },
     /// A window's usage was reported.
     UsageReported { window: u64, requests: u64, fence: u64, status: Option<u16> },
     /// A data centre's number of servers was ordered.
--- a/crates/gateway/src/node/table.rs
+++ b/crates/gateway/src/node/table.rs
@@ -150,8 +150,8 @@
         if rows.version.era < known {
             event::emit(&Event::RowsDropped {
                 entries: rows.rows.len(),
-                era: rows.version.era.0,
-                known: known.0,
+                era: rows.version.era.get_number(),
+                known: known.get_number(),
             });
             return Err(TableError::Superseded);
         }
@@ -172,25 +172,26 @@
         Some(begun)
     });
     let Some(begun) = begun else { return };
-    let before = begun.before.map(|era| era.0);
-    if before.is_some() {
+    let is_return = begun.before.is_some();
+    if is_return {
         node.metrics.store_returns.inc();
     }
-    event::emit(&Event::StoreEraBegun { era: era.0, before });
+    let before = begun.before.and_then(Era::get_number);
+    event::emit(&Event::StoreEraBegun { era: era.get_number(), before, is_return });
 }
 
 /// Returns the key of a row that is written under a condition in an era.
 pub(super) fn era_key(key: &str, era: Era) -> String {
-    match era {
-        Era::UNNAMED => key.to_owned(),
-        era => format!("{key}{ERA_MARK}{era}"),
+    match era.get_number() {
+        None => key.to_owned(),
+        Some(number) => format!("{key}{ERA_MARK}{number}"),
     }
 }
 
 /// Splits the key of a row that is written under a condition; `None` where it is none.
 pub(super) fn split_key(key: &str) -> Option<(&str, Era)> {
     match key.rsplit_once(ERA_MARK) {
-        Some((key, era)) => Some((key, Era(era.parse().ok()?))),
+        Some((key, era)) => Some((key, Era::named(era.parse().ok()?))),
         None => Some((key, Era::UNNAMED)),
     }
 }
@@ -207,7 +208,8 @@
         return Ok(());
     }
     let rows = read_all(node, ERAS, ORIGIN_WITHIN).await?;
-    let found = rows.rows.iter().find(|row| row.key == era.to_string());
+    let key = origin_key(rows.version.era);
+    let found = rows.rows.iter().find(|row| row.key == key);
     let origin = match found {
         Some(row) => decode_origin(row, rows.table_time),
         None => write_origin(node, &rows).await?,
@@ -227,7 +229,7 @@
     let is_start = node.settings.node.is_first_start && rows.rows.is_empty();
     let is_first = is_start && !node.with(|state| state.eras.is_return());
     let origin = OriginRow { seen_at: rows.table_time, unix_ms: runtime::unix_ms(), is_first };
-    let key = era.to_string();
+    let key = origin_key(era);
     let version = TableVersion::absent(era);
     let condition = Condition { table: ERAS, key: key.clone(), version };
     let write = Write { table: ERAS, key, value: serde_json::to_vec(&origin).ok() };
@@ -241,6 +243,11 @@
     }
 }
 
+/// Returns the key of an era's origin.
+fn origin_key(era: Era) -> String {
+    era.get_number().unwrap_or_default().to_string()
+}
+
 /// Reads the origin of an era. One that cannot be read might be as late as its reading.
 fn decode_origin(row: &Row, read_at: u64) -> OriginRow {
     serde_json::from_slice(row.value.as_deref().unwrap_or_default()).unwrap_or_else(|error| {
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -153,7 +153,7 @@
         }
         if self.withheld.insert(window) {
             node.metrics.usage_withheld.inc();
-            event::emit(&Event::UsageWithheld { window, era: self.era.0 });
+            event::emit(&Event::UsageWithheld { window, era: self.era.get_number() });
         }
         false
     }
