fix(era): a list that comes from a peer begins an era too, and no return begins a first one

Read in the code: a batch or list of a later era that came from a peer before its report was taken without giving the missing servers time to write again; and the origin that a node wrote which started after a return, from a copy without any origin, counted as that of the first era at nodes that had seen the return.

--- a/crates/core/src/serving/directory/batch.rs
+++ b/crates/core/src/serving/directory/batch.rs
@@ -43,6 +43,16 @@
     },
 }
 
+impl Update<'_> {
+    /// Returns the version of the list with what is given.
+    pub fn get_version(&self) -> TableVersion {
+        match self {
+            Self::Changes(batch) => batch.version,
+            Self::Whole { version, .. } => *version,
+        }
+    }
+}
+
 impl Batch {
     /// Splits the batch, so that each part has at most about `most` entries and fits one datagram.
     ///
--- a/crates/core/src/serving/era.rs
+++ b/crates/core/src/serving/era.rs
@@ -113,6 +113,8 @@
         let Some(current) = self.current.as_mut().filter(|current| current.era == era) else {
             return;
         };
+        // A node that starts after a return may take an era for the first one.
+        let origin = Origin { is_first: origin.is_first && !current.is_return, ..origin };
         let begun_at = now.saturating_sub(origin.age);
         current.begun_at = Some(current.begun_at.map_or(begun_at, |known| known.min(begun_at)));
         current.origin = Some(origin);
--- a/crates/core/tests/serving/era.rs
+++ b/crates/core/tests/serving/era.rs
@@ -85,3 +85,14 @@
     assert!(!eras.is_surely_after_return(1_003_999));
     assert!(eras.is_surely_after_return(1_004_000));
 }
+
+// A node that starts after a return finds no origin of an earlier era where the copy holds none.
+#[test]
+fn a_node_that_saw_a_return_does_not_take_the_era_for_the_first_one() {
+    let mut eras = Eras::default();
+    eras.note(0, Era::named(1));
+    eras.note(10_000, Era::named(2));
+    eras.set_origin(10_100, Era::named(2), Origin { is_first: true, ..READ_FROM_ROW });
+    assert!(!eras.is_settled(10_100));
+    assert!(!eras.is_surely_after_return(0));
+}
--- a/crates/gateway/src/node/peers/news.rs
+++ b/crates/gateway/src/node/peers/news.rs
@@ -19,7 +19,7 @@
 use super::message::{Message, News};
 use super::{calls, permits, quarantine};
 use crate::node::state::State;
-use crate::node::{Node, rollouts, watch};
+use crate::node::{Node, rollouts, table, watch};
 use crate::runtime;
 
 /// The part of the period between two reports that a prompt takes to read, at the least, for its
@@ -123,6 +123,7 @@
 /// Takes changes of the list of servers, or gets the whole list where some are missing.
 async fn take_servers(node: &Arc<Node>, from: SocketAddr, batch: Batch) {
     let version = batch.version;
+    table::note_era(node, version.era);
     let news = News::ServersChanged(batch.clone());
     let (changes, is_new) = node.with(|state| {
         let before = state.directory.get_version();
--- a/crates/gateway/src/node/watch/servers.rs
+++ b/crates/gateway/src/node/watch/servers.rs
@@ -122,6 +122,7 @@
 
 /// Takes over what a peer knows of the list of servers and this node lacked.
 pub(in crate::node) fn take_update(node: &Node, update: Update<'_>) {
+    table::note_era(node, update.get_version().era);
     note_servers_known(node);
     let changes = node.with(|state| state.directory.take(update));
     apply(node, changes.unwrap_or_default());
