refactor(node): what a node keeps has files of its own, without the tasks that use it

The state of a node imported the tasks that keep it up to date for a few types, so that 17 files of the node formed one circle of imports, 18 with the calls of the table service. Those types now stand in audience, carrying, pending_loads, cut_runs and uploads, which know no node: the circle has four files (state, memory, and the metrics that read them). No change of behaviour.

--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -17,7 +17,7 @@
 
 use super::respond::{Record, Refused};
 use super::upload::{Arriving, Bounds, Upload};
-use crate::node::crashes::CutRun;
+use crate::node::cut_runs::CutRun;
 use crate::node::{self, Node};
 use crate::port::{Prompt, RequestHead};
 use crate::runtime::lock;
--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -4,15 +4,15 @@
 //! node looks whether its server still listens. One that does not has crashed under the requests whose
 //! connections broke off at that moment: one of them may be the cause.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::{Directory, Server};
 use keeljunction_core::serving::load::short_id;
-use keeljunction_core::serving::quarantine::{Crash, Fingerprint, Run, SUSPECTED_FOR};
+use keeljunction_core::serving::quarantine::{Crash, Run, SUSPECTED_FOR};
 
+use super::cut_runs::CutRun;
 use super::{Node, peers};
 use crate::event::{self, Event, Running};
 use crate::metrics::ServiceLabels;
@@ -24,22 +24,6 @@
 /// The most requests that are noted of one server; it works on fewer at once.
 const MOST_RUNS: usize = 64;
 
-/// Runs that broke off, by the id of the server, until the node has looked at it.
-pub(crate) type Pending = Mutex<HashMap<String, Vec<CutRun>>>;
-
-/// A run of a request whose connection broke off.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct CutRun {
-    /// Names the request's content.
-    pub fingerprint: Fingerprint,
-    /// When it was sent to the server.
-    pub began_at: Millis,
-    /// When its connection broke off.
-    pub cut_at: Millis,
-    /// Since when its answer came.
-    pub answering_since: Option<Millis>,
-}
-
 /// Notes that the connection of a run broke off, and looks at the server soon.
 ///
 /// A server that is leaving or gone breaks off for another reason.
@@ -98,10 +82,3 @@
         runs: runs.collect(),
     }
 }
-
-impl CutRun {
-    /// Returns the milliseconds between its being sent and the end of its connection.
-    fn get_span(&self) -> Millis {
-        self.cut_at.saturating_sub(self.began_at)
-    }
-}
--- a/crates/gateway/src/node/memory.rs
+++ b/crates/gateway/src/node/memory.rs
@@ -4,8 +4,7 @@
 //! reserved to the life of what holds it, wakes uploads that are evicted, and passes samples of the
 //! process's resident memory to the accountant.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use keeljunction_core::Millis;
@@ -22,19 +21,6 @@
 /// How long to wait for evicted uploads to release their memory: their tasks only have to be woken.
 const RELEASED_WITHIN: Duration = Duration::from_millis(20);
 
-/// Signals to uploads that they are evicted.
-#[derive(Default)]
-pub(crate) struct Uploads(Mutex<HashMap<HolderId, Stop>>);
-
-impl Uploads {
-    fn evict(&self, ids: &[HolderId]) {
-        let stops = lock(&self.0);
-        for stop in ids.iter().filter_map(|id| stops.get(id)) {
-            stop.give();
-        }
-    }
-}
-
 /// Bytes that are held until this is dropped.
 pub struct Reservation {
     node: Arc<Node>,
--- a/crates/gateway/src/node/peers/carry.rs
+++ b/crates/gateway/src/node/peers/carry.rs
@@ -10,11 +10,9 @@
 use std::sync::Arc;
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::crossing::Crossing;
 
 use super::message::{Message, Summary};
-use super::report::{self, Samples};
-use super::versions;
+use super::{audience, report, versions};
 use crate::event::{self, Event};
 use crate::node::Node;
 use crate::node::state::State;
@@ -24,30 +22,6 @@
 /// list changes when nodes come and go.
 const LOOK_TURNS: u64 = 5;
 
-/// What this node sends to other regions.
-#[derive(Debug)]
-pub(in crate::node) struct Carrying {
-    pace: Crossing,
-    /// Summaries that crossed, which are sent to the carriers by turns.
-    sent: usize,
-    /// Samples that wait for the next summary that crosses.
-    samples: Samples,
-    /// Regions of which nobody is heard, as they were logged.
-    lost: BTreeSet<String>,
-}
-
-impl Carrying {
-    /// Makes the state of a node whose region may send so many kilobits a second to the others.
-    pub(in crate::node) fn new(control_kbps: f64) -> Self {
-        Self {
-            pace: Crossing::new(control_kbps),
-            sent: 0,
-            samples: Samples::new(),
-            lost: BTreeSet::new(),
-        }
-    }
-}
-
 /// Brings up to date, once in each period, which nodes stand in other regions and how long their
 /// messages take.
 pub(super) fn refresh(node: &Node, turn: u64) {
@@ -85,7 +59,7 @@
             return Vec::new();
         }
         for (service, samples) in own.iter().cloned() {
-            report::pass_on(&mut state.carrying.samples, service, samples);
+            audience::pass_on(&mut state.carrying.samples, service, samples);
         }
         let senders = state.members.count_near_aggregators();
         if !state.carrying.pace.is_due(now, crossed, senders) {
--- a/crates/gateway/src/node/peers/loads.rs
+++ b/crates/gateway/src/node/peers/loads.rs
@@ -10,19 +10,18 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::{Receiver, Sender};
 use keeljunction_core::Millis;
 use keeljunction_core::serving::load::{Load, short_id};
 use keeljunction_core::serving::members::Members;
 
 use super::message::Message;
+use super::pending_loads::Change;
 use crate::node::Node;
 use crate::node::state::State;
-use crate::runtime::{self, lock};
+use crate::runtime;
 
 /// How long answers from the own region are waited for: some times the way there and back. Those
 /// from other regions are waited for as long as measured round trips say. A server whose load is not
@@ -37,90 +36,9 @@
 /// First tokens and ends of requests gather for this long: a server looks busier than it is
 /// meanwhile.
 const GATHER: Duration = Duration::from_millis(40);
-/// Changes that wait to be sent; more are dropped, and are repeated with all the others.
-const MOST_CHANGES: usize = 1_024;
 /// Answers are kept under this name, which no node bears.
 const ANSWERS: &str = "";
 
-/// Questions that wait for answers, and changes that wait to be sent.
-#[derive(Debug)]
-pub(in crate::node) struct Pending {
-    next: AtomicU32,
-    waiting: Mutex<HashMap<u32, Question>>,
-    changes: (Sender<Change>, Receiver<Change>),
-}
-
-#[derive(Debug)]
-struct Question {
-    answers_missing: usize,
-    is_any_answered: bool,
-    done: Sender<()>,
-}
-
-/// A question that waits for its answers, until it is dropped: its caller may leave meanwhile.
-struct Waiting<'a> {
-    pending: &'a Pending,
-    number: u32,
-    done: Receiver<()>,
-}
-
-/// A change of what this node has in flight at a server.
-#[derive(Clone, Debug)]
-struct Change {
-    server: u64,
-    /// The server's data centre, where there are several regions.
-    data_centre: String,
-    /// Whether a request is being sent there, which others must know before they choose.
-    is_urgent: bool,
-}
-
-impl Default for Pending {
-    fn default() -> Self {
-        let changes = async_channel::bounded(MOST_CHANGES);
-        Self { next: AtomicU32::default(), waiting: Mutex::default(), changes }
-    }
-}
-
-impl Pending {
-    fn begin(&self, answers_missing: usize) -> Waiting<'_> {
-        let (sender, done) = async_channel::bounded(1);
-        let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let question = Question { answers_missing, is_any_answered: false, done: sender };
-        lock(&self.waiting).insert(number, question);
-        Waiting { pending: self, number, done }
-    }
-
-    fn answer(&self, number: u32) {
-        let mut waiting = lock(&self.waiting);
-        let Some(question) = waiting.get_mut(&number) else { return };
-        question.answers_missing = question.answers_missing.saturating_sub(1);
-        question.is_any_answered = true;
-        if question.answers_missing == 0 {
-            // The receiver may be gone: the request's caller may have left.
-            let _ = question.done.try_send(());
-        }
-    }
-
-    fn change(&self, change: Change) {
-        if self.changes.0.try_send(change).is_err() {
-            log::debug!("a changed load is sent with the next repetition");
-        }
-    }
-}
-
-impl Waiting<'_> {
-    fn is_any_answered(&self) -> bool {
-        let waiting = lock(&self.pending.waiting);
-        waiting.get(&self.number).is_some_and(|question| question.is_any_answered)
-    }
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        lock(&self.pending.waiting).remove(&self.number);
-    }
-}
-
 /// Servers whose load one node keeps, by short name.
 #[derive(Debug, Default)]
 struct Kept {
--- a/crates/gateway/src/node/peers/mod.rs
+++ b/crates/gateway/src/node/peers/mod.rs
@@ -6,7 +6,10 @@
 //! | `link` | sends and receives datagrams |
 //! | `register` | finds the other nodes in a table of the platform |
 //! | `report` | exchanges counts some times a second |
+//! | `audience` | says whom a node reports to, and holds samples for the next report |
 //! | `carry` | sends summaries to other regions, and passes theirs on in this one |
+//! | `carrying` | holds what is kept of summaries for other regions |
+//! | `pending_loads` | holds questions for loads, and changed loads |
 //! | `loads` | keeps and asks for the loads of servers, where nodes report in groups |
 //! | `quota` | asks the owner of a client account whether a request is within its limit |
 //! | `permits` | asks the owners of limited servers for permits |
@@ -19,12 +22,15 @@
 //! Nothing that has to hold depends on one datagram arriving: what is not heard makes a node more
 //! careful, never less.
 
+pub(super) mod audience;
 pub(super) mod calls;
-pub(super) mod carry;
+mod carry;
+pub(super) mod carrying;
 pub(super) mod link;
 pub(super) mod loads;
 pub(super) mod message;
 pub(super) mod news;
+pub(super) mod pending_loads;
 pub(crate) mod permits;
 pub(crate) mod quarantine;
 pub(super) mod questions;
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -12,9 +12,9 @@
 use keeljunction_core::serving::handover::Snapshot;
 use keeljunction_core::serving::members::{Heard, Role};
 use keeljunction_core::serving::quota::{Limit, Source};
-use keeljunction_core::serving::throughput::Sample;
 use keeljunction_core::serving::usage::{Counts, Incarnation, WindowNumber};
 
+use super::audience::{Audience, Samples, pass_on};
 use super::message::{Message, Overview, Report, Sender, Summary, Totals};
 use super::{calls, carry, loads, permits, quarantine, versions};
 use crate::event::{self, Event};
@@ -27,21 +27,6 @@
 const COUNTS_LAST_PERIODS: u32 = 7;
 /// Windows of usage in each report.
 const WINDOWS_REPORTED: usize = 4;
-/// Samples of how fast servers read prompts in each overview, of all nodes.
-const MOST_SAMPLES_PASSED_ON: usize = 24;
-
-/// Samples by service, on their way to other nodes.
-pub(in crate::node) type Samples = Vec<(String, Vec<Sample>)>;
-
-/// Whom a node reports its counts to.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(in crate::node) enum Audience {
-    /// The other aggregators, or all other nodes where there are no groups.
-    #[default]
-    Aggregators,
-    /// Its aggregator, by name.
-    Aggregator(String),
-}
 
 /// Reports for as long as the process runs.
 pub(super) async fn run(node: Arc<Node>) {
@@ -332,14 +317,6 @@
     watch::take_departures(node, &departures);
 }
 
-/// Keeps samples for the nodes of this node's group, up to as many as an overview holds.
-pub(super) fn pass_on(kept: &mut Samples, service: String, samples: Vec<Sample>) {
-    let count: usize = kept.iter().map(|(_, samples)| samples.len()).sum();
-    if count < MOST_SAMPLES_PASSED_ON {
-        kept.push((service, samples));
-    }
-}
-
 /// Takes over what this node's aggregator says of the whole.
 pub(super) fn take_overview(
     node: &Arc<Node>,
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -31,16 +31,16 @@
 use keeljunction_core::serving::topology::Topology;
 use keeljunction_core::serving::usage::{Frozen, Incarnation, Ledger, Outgoing, window_at};
 
-use super::crashes;
+use super::cut_runs;
 use super::document::Document;
-use super::memory::Uploads;
-use super::peers::carry::Carrying;
+use super::peers::audience::{Audience, Samples};
+use super::peers::carrying::Carrying;
 use super::peers::link::Link;
-use super::peers::loads;
 use super::peers::message::News;
+use super::peers::pending_loads;
 use super::peers::questions::Questions;
-use super::peers::report::{Audience, Samples};
 use super::skipped;
+use super::uploads::Uploads;
 use crate::feeds::Feeds;
 use crate::http::{Client, Stop};
 use crate::metrics::Metrics;
@@ -98,13 +98,13 @@
     /// News for other nodes that wait to be sent.
     pub(super) news: (Sender<News>, Receiver<News>),
     /// Requests for loads that wait for answers, and changed loads that wait to be sent.
-    pub(super) pending_loads: loads::Pending,
+    pub(super) pending_loads: pending_loads::Pending,
     /// Requests that the owners of their client accounts decide about.
     pub(super) pending_decisions: Questions<quota::Decision>,
     /// Requests for permits of limited servers that wait for decisions.
     pub(super) pending_permits: Questions<backpressure::Decision>,
     /// Runs that broke off at servers that may have ended.
-    pub(super) cut_runs: crashes::Pending,
+    pub(super) cut_runs: cut_runs::Pending,
     /// Signals to uploads that are evicted.
     pub(crate) uploads: Uploads,
     /// What the node knows of the deployment.
@@ -310,10 +310,10 @@
             closing,
             link,
             news: async_channel::bounded(NEWS_WAITING),
-            pending_loads: loads::Pending::default(),
+            pending_loads: pending_loads::Pending::default(),
             pending_decisions: Questions::default(),
             pending_permits: Questions::default(),
-            cut_runs: crashes::Pending::default(),
+            cut_runs: cut_runs::Pending::default(),
             uploads: Uploads::default(),
             state: Mutex::new(state),
             fetching: Fetching::default(),
