--- a/crates/gateway/src/node/duty.rs
+++ b/crates/gateway/src/node/duty.rs
@@ -7,7 +7,7 @@
 use keeljunction_core::serving::duty_lease::{LeaseRow, Step, TableClock};
 use keeljunction_core::serving::table_version::TableVersion;
 
-use super::{Node, capacity_duty, rollout_duty, table, usage_duty};
+use super::{Node, capacity_duty, era_origin, rollout_duty, table, usage_duty};
 use crate::event::{self, Event};
 use crate::port::{Condition, Row, TableError, TableName, Transaction, Write};
 use crate::runtime;
@@ -163,7 +163,7 @@
     let Some(found) = rows.rows.iter().find(|row| row.key == key) else {
         // The first lease of an era depends on the era's age.
         if node.with(|state| state.eras.get_age(asked_at)).is_none() {
-            table::find_origin(node).await?;
+            era_origin::find(node).await?;
         }
         return Ok(Known { row: None, version: TableVersion::absent(era), clock, earlier });
     };
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -17,6 +17,7 @@
 //! | `connections` | keeps the connections to servers that rest within the node's share |
 //! | `quarantine_rows` | keeps which requests crash servers in the platform's table |
 //! | [`duty`] | holds the lease and makes the calls that one node at a time may make |
+//! | `era_origin` | keeps when the eras of the table service began |
 //! | `table` | calls the table service, and follows its eras |
 //! | [`stop`] | ends the node without cutting an answer |
 
@@ -27,6 +28,7 @@
 pub(crate) mod cut_runs;
 pub mod document;
 pub mod duty;
+mod era_origin;
 mod listeners;
 pub mod memory;
 mod pause;
--- a/crates/gateway/src/node/table.rs
+++ b/crates/gateway/src/node/table.rs
@@ -9,36 +9,20 @@
 
 use std::time::Duration;
 
-use keeljunction_core::serving::era::{Era, Origin};
+use keeljunction_core::serving::era::Era;
 use keeljunction_core::serving::table_version::TableVersion;
-use serde::{Deserialize, Serialize};
 
 use super::Node;
 use crate::event::{self, Event};
-use crate::port::{
-    Condition, Row, Rows, Selection, TableError, TableName, Transaction, Write, answer_within,
-};
-use crate::runtime;
+use crate::port::{Rows, Selection, TableError, TableName, Transaction, answer_within};
 
-/// The table of the eras' origins.
-const ERAS: TableName = TableName::Own("eras");
-/// How long the origin of an era is waited for.
-const ORIGIN_WITHIN: Duration = Duration::from_millis(700);
 /// Stands between a row's key and its era.
 const ERA_MARK: char = '@';
 
-/// The origin of an era, as its row keeps it.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-struct OriginRow {
-    /// When the first node saw the era, on the table service's clock.
-    seen_at: u64,
-    /// The same on that node's wall clock, in milliseconds since the Unix epoch.
-    unix_ms: u64,
-    /// Whether the deployment started in this era.
-    is_first: bool,
-}
-
-/// Reads all rows of a table, and waits for each page for a time at most.
+/// Reads all rows of a table, page by page, and waits for each page for a time at most: a long table takes as much
+/// longer as it has more pages.
+///
+/// Later pages are of a later moment. The version is the first one's, from which a watch misses nothing.
 ///
 /// # Errors
 ///
@@ -48,7 +32,8 @@
     table: TableName,
     within: Duration,
 ) -> Result<Rows, TableError> {
-    take(node, node.platform.table.read_all(table, within).await)
+    let first = read_first(node, table, within).await?;
+    read_rest(node, table, within, first).await
 }
 
 /// Reads the first page of a table.
@@ -195,63 +180,3 @@
         None => Some((key, Era::UNNAMED)),
     }
 }
-
-/// Makes the origin of the current era known, where nothing shows yet when it began: reads its row, and
-/// writes it where this node is the first.
-///
-/// # Errors
-///
-/// Returns the error of the call that failed.
-pub(super) async fn find_origin(node: &Node) -> Result<(), TableError> {
-    let era = node.with(|state| state.eras.get());
-    if era == Era::UNNAMED || node.with(|state| state.eras.get_origin()).is_some() {
-        return Ok(());
-    }
-    let rows = read_all(node, ERAS, ORIGIN_WITHIN).await?;
-    let key = origin_key(rows.version.era);
-    let found = rows.rows.iter().find(|row| row.key == key);
-    let origin = match found {
-        Some(row) => decode_origin(row, rows.table_time),
-        None => write_origin(node, &rows).await?,
-    };
-    let age = rows.table_time.saturating_sub(origin.seen_at);
-    let OriginRow { unix_ms, is_first, .. } = origin;
-    let now = node.now();
-    node.with(|state| {
-        state.eras.set_origin(now, rows.version.era, Origin { age, unix_ms, is_first });
-    });
-    Ok(())
-}
-
-/// Writes the origin of an era of which the table, as it was read, holds none.
-async fn write_origin(node: &Node, rows: &Rows) -> Result<OriginRow, TableError> {
-    let era = rows.version.era;
-    let is_start = node.settings.node.is_first_start && rows.rows.is_empty();
-    let is_first = is_start && !node.with(|state| state.eras.is_return());
-    let origin = OriginRow { seen_at: rows.table_time, unix_ms: runtime::unix_ms(), is_first };
-    let key = origin_key(era);
-    let version = TableVersion::absent(era);
-    let condition = Condition { table: ERAS, key: key.clone(), version };
-    let write = Write { table: ERAS, key, value: serde_json::to_vec(&origin).ok() };
-    let transaction = Transaction { conditions: vec![condition], writes: vec![write] };
-    match commit(node, transaction, ORIGIN_WITHIN).await {
-        Ok(_) => Ok(origin),
-        Err(TableError::Conflict(found)) if !found.rows.is_empty() => {
-            Ok(decode_origin(&found.rows[0], rows.table_time))
-        }
-        Err(error) => Err(error),
-    }
-}
-
-/// Returns the key of an era's origin.
-fn origin_key(era: Era) -> String {
-    era.get_number().unwrap_or_default().to_string()
-}
-
-/// Reads the origin of an era. One that cannot be read might be as late as its reading.
-fn decode_origin(row: &Row, read_at: u64) -> OriginRow {
-    serde_json::from_slice(row.value.as_deref().unwrap_or_default()).unwrap_or_else(|error| {
-        event::emit(&Event::DocumentRejected { error: format!("the origin of an era: {error}") });
-        OriginRow { seen_at: read_at, unix_ms: runtime::unix_ms(), is_first: false }
-    })
-}
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -21,7 +21,7 @@
     Counts, Kept, WindowNumber, get_settle_time, is_settled, window_at,
 };
 
-use super::{Node, document, peers, table};
+use super::{Node, document, era_origin, peers, table};
 use crate::event::{self, Event};
 use crate::port::{
     Condition, DutyHolder, Row, Rows, TableError, TableName, Transaction, UsageReport, Write,
@@ -100,7 +100,7 @@
         }
         let reading = table::read_all(node, TableName::Own(TABLE), CALL_WITHIN);
         let Ok(rows) = reading.await else { return false };
-        if let Err(error) = table::find_origin(node).await {
+        if let Err(error) = era_origin::find(node).await {
             event::emit(&Event::TableCallFailed { what: "era", error: error.to_string() });
             return false;
         }
--- a/crates/gateway/src/node/watch/configuration.rs
+++ b/crates/gateway/src/node/watch/configuration.rs
@@ -15,7 +15,7 @@
 use crate::node::pause::{Pause, jitter};
 use crate::node::peers::message::News;
 use crate::node::state::ConfigurationRow;
-use crate::node::{Node, rollouts, staleness, table};
+use crate::node::{Node, era_origin, rollouts, staleness, table};
 use crate::port::{Condition, Row, TableError, TableName, Transaction};
 use crate::runtime;
 
@@ -145,7 +145,7 @@
 /// it holds shows nothing until then.
 async fn confirm_configuration(node: &Node, asked_at: Millis) -> Result<(), TableError> {
     if node.with(|state| state.eras.get_age(asked_at)).is_none() {
-        table::find_origin(node).await?;
+        era_origin::find(node).await?;
     }
     node.with(|state| {
         if state.configuration.is_some() && state.eras.is_operator_heard(asked_at) {
--- a/crates/gateway/src/port/table.rs
+++ b/crates/gateway/src/port/table.rs
@@ -27,19 +27,6 @@
 }
 
 impl Table {
-    /// Reads all rows of a table, page by page, and waits for each page for a time at most: a long table
-    /// takes as much longer as it has more pages.
-    ///
-    /// Later pages are of a later moment. The version is the first one's, from which a watch misses nothing.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of the first call that fails.
-    pub async fn read_all(&self, table: TableName, within: Duration) -> Result<Rows, TableError> {
-        let first = self.read_first(table, within).await?;
-        self.read_rest(table, within, first).await
-    }
-
     /// Reads the first page of a table.
     ///
     /// # Errors
