fix(usage): frozen windows are remembered within a bound, and repeated by the node that froze them

Read in the code while working out its bytes: only the holder forgot frozen windows, so that every other node kept all it ever heard of; and each node that heard of one repeated it in three reports, which at 31 aggregators with 333 client accounts is some 67 KB/s for each. The latest eight are kept; the node that froze a window lists it three times, the others once after a return. Core tests for both.

--- a/crates/core/src/serving/usage.rs
+++ b/crates/core/src/serving/usage.rs
@@ -212,17 +212,31 @@
     repeats: u32,
 }
 
-/// Reports in which a frozen window is listed.
+/// Reports in which the node that froze a window lists it.
 const FROZEN_REPEATS: u32 = 3;
+/// Frozen windows that are remembered, the latest ones: reports are due some windows after their end.
+const MOST_FROZEN: usize = 8;
 
 impl Frozen {
-    /// Notes that a window was frozen; returns `true` if that was not known. What was known first stays.
-    pub fn note(&mut self, window: WindowNumber, counts: &Counts) -> bool {
+    /// Notes that this node has frozen a window, or has found its row; returns `true` if that was not known.
+    /// What was known first stays.
+    pub fn note_own(&mut self, window: WindowNumber, counts: &Counts) -> bool {
+        self.note(window, counts, FROZEN_REPEATS)
+    }
+
+    /// Notes that another node has frozen a window. What was known first stays.
+    pub fn note_heard(&mut self, window: WindowNumber, counts: &Counts) {
+        self.note(window, counts, 0);
+    }
+
+    fn note(&mut self, window: WindowNumber, counts: &Counts, repeats: u32) -> bool {
         if self.windows.contains_key(&window) {
             return false;
         }
-        let frozen = FrozenWindow { counts: counts.clone(), repeats: FROZEN_REPEATS };
-        self.windows.insert(window, frozen);
+        self.windows.insert(window, FrozenWindow { counts: counts.clone(), repeats });
+        while self.windows.len() > MOST_FROZEN {
+            self.windows.pop_first();
+        }
         true
     }
 
@@ -241,14 +255,10 @@
         .collect()
     }
 
-    /// Lists all windows again in the next reports: another holder may lack their rows.
+    /// Lists all windows in the next report: another holder may lack their rows. Each node that knows them does
+    /// so once.
     pub fn repeat(&mut self) {
-        self.windows.values_mut().for_each(|frozen| frozen.repeats = FROZEN_REPEATS);
-    }
-
-    /// Forgets the windows before one.
-    pub fn forget_before(&mut self, window: WindowNumber) {
-        self.windows = self.windows.split_off(&window);
+        self.windows.values_mut().for_each(|frozen| frozen.repeats = frozen.repeats.max(1));
     }
 }
 
--- a/crates/core/tests/serving/usage.rs
+++ b/crates/core/tests/serving/usage.rs
@@ -112,19 +112,27 @@
 fn a_frozen_window_stays_as_it_was_frozen_first() {
     let counts = |count| Counts::from([("acme".to_owned(), count)]);
     let mut frozen = Frozen::default();
-    assert!(frozen.note(7, &counts(3)));
-    assert!(!frozen.note(7, &counts(4)));
+    frozen.note_heard(7, &counts(3));
+    assert!(!frozen.note_own(7, &counts(4)));
     assert_eq!(frozen.get(7), Some(&counts(3)));
-    frozen.forget_before(8);
-    assert_eq!(frozen.get(7), None);
 }
 
 #[test]
-fn frozen_windows_are_listed_in_a_few_reports_and_again_after_a_return() {
+fn the_latest_frozen_windows_are_remembered() {
     let mut frozen = Frozen::default();
-    frozen.note(7, &Counts::new());
-    assert_eq!((0..3).map(|_| frozen.list_due().len()).collect::<Vec<_>>(), [1, 1, 1]);
-    assert!(frozen.list_due().is_empty());
-    frozen.repeat();
-    assert_eq!(frozen.list_due(), [(7, Counts::new())]);
+    (0..100).for_each(|window| frozen.note_heard(window, &Counts::new()));
+    assert_eq!((frozen.get(91), frozen.get(92)), (None, Some(&Counts::new())));
+}
+
+#[test]
+fn the_node_that_froze_a_window_lists_it_in_a_few_reports_and_all_do_so_once_after_a_return() {
+    let mut own = Frozen::default();
+    own.note_own(7, &Counts::new());
+    assert_eq!((0..5).map(|_| own.list_due().len()).collect::<Vec<_>>(), [1, 1, 1, 0, 0]);
+    let mut other = Frozen::default();
+    other.note_heard(7, &Counts::new());
+    assert!(other.list_due().is_empty());
+    other.repeat();
+    assert_eq!(other.list_due(), [(7, Counts::new())]);
+    assert!(other.list_due().is_empty());
 }
--- a/crates/gateway/src/node/peers/news.rs
+++ b/crates/gateway/src/node/peers/news.rs
@@ -96,10 +96,8 @@
                 pass_on(node, from, news).await;
             }
         }
-        News::UsageFrozen(window, ref counts) => {
-            if node.with(|state| state.frozen.note(window, counts)) {
-                pass_on(node, from, news).await;
-            }
+        News::UsageFrozen(window, counts) => {
+            node.with(|state| state.frozen.note_heard(window, &counts));
         }
         News::RolloutChanged(announcement) => take_rollout(node, from, announcement).await,
         News::ServersChanged(batch) => take_servers(node, from, batch).await,
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -296,7 +296,7 @@
         state.demand.merge(now, false, from, &totals.demand);
         state.rollouts.merge(false, from, &totals.rollouts);
         for (window, counts) in &frozen {
-            state.frozen.note(*window, counts);
+            state.frozen.note_heard(*window, counts);
         }
         let is_grouped = state.members.is_grouped();
         for (service, samples) in totals.throughputs {
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -243,10 +243,7 @@
     let first = window_at(now.saturating_sub(due + length), length);
     let known = node.with(|state| state.usage.get_first_window());
     let first = first.max(window_at(started, length).min(known.unwrap_or(u64::MAX)));
-    node.with(|state| {
-        state.usage.forget_before(current.saturating_sub(WINDOWS_KEPT));
-        state.frozen.forget_before(current.saturating_sub(WINDOWS_KEPT));
-    });
+    node.with(|state| state.usage.forget_before(current.saturating_sub(WINDOWS_KEPT)));
     (first..current).filter(|window| is_due(node, *window, now, length, due)).collect()
 }
 
@@ -262,7 +259,7 @@
 /// Remembers a frozen window, whose row may be gone after a return; returns `true` if that is news. A table
 /// service that names no eras loses nothing.
 fn remember(node: &Node, era: Era, window: WindowNumber, counts: &Counts) -> bool {
-    era != Era::UNNAMED && node.with(|state| state.frozen.note(window, counts))
+    era != Era::UNNAMED && node.with(|state| state.frozen.note_own(window, counts))
 }
 
 /// Returns `true` if a window without a row was surely not reported: nothing was lost since, or each node that
