--- a/crates/core/src/serving/usage.rs
+++ b/crates/core/src/serving/usage.rs
@@ -214,6 +214,8 @@
 
 /// Reports in which the node that froze a window lists it.
 const FROZEN_REPEATS: u32 = 3;
+/// The most frozen windows in one report: each holds a count for every client account.
+const MOST_LISTED: usize = 2;
 /// Frozen windows that are remembered, the latest ones: reports are due some windows after their end.
 const MOST_FROZEN: usize = 8;
 
@@ -245,17 +247,18 @@
         self.windows.get(&window).map(|frozen| &frozen.counts)
     }
 
-    /// Lists the frozen windows for a report to other nodes.
+    /// Lists some frozen windows for a report to other nodes, the latest first.
     pub fn list_due(&mut self) -> Vec<(WindowNumber, Counts)> {
-        let due = self.windows.iter_mut().filter(|(_, frozen)| frozen.repeats > 0);
-        due.map(|(window, frozen)| {
-            frozen.repeats -= 1;
-            (*window, frozen.counts.clone())
-        })
-        .collect()
+        let due = self.windows.iter_mut().rev().filter(|(_, frozen)| frozen.repeats > 0);
+        due.take(MOST_LISTED)
+            .map(|(window, frozen)| {
+                frozen.repeats -= 1;
+                (*window, frozen.counts.clone())
+            })
+            .collect()
     }
 
-    /// Lists all windows in the next report: another holder may lack their rows. Each node that knows them does
+    /// Lists all windows again, in the next reports: another holder may lack their rows. Each node that knows them does
     /// so once.
     pub fn repeat(&mut self) {
         self.windows.values_mut().for_each(|frozen| frozen.repeats = frozen.repeats.max(1));
--- a/crates/core/tests/serving/usage.rs
+++ b/crates/core/tests/serving/usage.rs
@@ -136,3 +136,12 @@
     assert_eq!(other.list_due(), [(7, Counts::new())]);
     assert!(other.list_due().is_empty());
 }
+
+#[test]
+fn a_report_lists_a_few_frozen_windows_the_latest_first() {
+    let mut frozen = Frozen::default();
+    (1..=5).for_each(|window| frozen.note_heard(window, &Counts::new()));
+    frozen.repeat();
+    let mut list = || frozen.list_due().into_iter().map(|(window, _)| window).collect::<Vec<_>>();
+    assert_eq!([list(), list(), list(), list()], [vec![5, 4], vec![3, 2], vec![1], vec![]]);
+}
