fix(usage): rows and counts are kept for all windows whose reports are due

Callers' operators saw: a window of usage was reported a second time, as {} instead of {acme: 14}, by the next holder of the duties. Cause: rows of frozen windows and counts were kept for eight windows. How many are due follows from two settings: with windows of 0.5 s and reports due after 10 s it is 21, and the next holder found neither rows nor counts of the earliest ones. Ruled out: a return of the store, there is none in the test. Change: count_kept works the number out from both settings, for rows, counts and the memory of frozen windows; for windows of 5 s it is eight as before.

--- a/crates/core/src/serving/usage.rs
+++ b/crates/core/src/serving/usage.rs
@@ -200,8 +200,10 @@
 ///
 /// The rows that hold them may be gone after a return of the table service. What was reported must then be
 /// reported the same again, or not at all.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Frozen {
+    /// How many windows are remembered, the latest ones.
+    most: usize,
     windows: BTreeMap<WindowNumber, FrozenWindow>,
 }
 
@@ -216,10 +218,14 @@
 const FROZEN_REPEATS: u32 = 3;
 /// The most frozen windows in one report: each holds a count for every client account.
 const MOST_LISTED: usize = 2;
-/// Frozen windows that are remembered, the latest ones: reports are due some windows after their end.
-const MOST_FROZEN: usize = 8;
 
 impl Frozen {
+    /// Makes a memory of so many windows.
+    pub fn new(most: u64) -> Self {
+        let most = usize::try_from(most).unwrap_or(usize::MAX);
+        Self { most, windows: BTreeMap::new() }
+    }
+
     /// Notes that this node has frozen a window, or has found its row; returns `true` if that was not known.
     /// What was known first stays.
     pub fn note_own(&mut self, window: WindowNumber, counts: &Counts) -> bool {
@@ -236,7 +242,7 @@
             return false;
         }
         self.windows.insert(window, FrozenWindow { counts: counts.clone(), repeats });
-        while self.windows.len() > MOST_FROZEN {
+        while self.windows.len() > self.most {
             self.windows.pop_first();
         }
         true
@@ -315,6 +321,10 @@
 /// for the calls, and for another holder.
 const LAST_PART: f64 = 0.65;
 
+/// Windows that are kept beside those whose reports are due: the current one, the one before it, and some for clocks
+/// that differ.
+const KEPT_BEYOND_DUE: u64 = 6;
+
 /// Returns the time after a window's end before which it is not reported; `due` is the time after its end at
 /// which the report must be there.
 pub fn get_settle_time(due: Millis) -> Millis {
@@ -331,6 +341,12 @@
     age as f64 >= due as f64 * part
 }
 
+/// Returns for how many windows rows and counts are kept; `due` is the time after a window's end at which its report
+/// must be there. Any holder that may still report a window finds what was reported of it.
+pub fn count_kept(due: Millis, length: Millis) -> u64 {
+    due.div_ceil(length.max(1)) + KEPT_BEYOND_DUE
+}
+
 /// Computes the window that a wall-clock time lies in.
 pub fn window_at(unix_ms: u64, length_ms: u64) -> WindowNumber {
     unix_ms / length_ms.max(1)
--- a/crates/core/tests/serving/usage.rs
+++ b/crates/core/tests/serving/usage.rs
@@ -1,5 +1,5 @@
 use keeljunction_core::serving::usage::{
-    Counts, Frozen, Incarnation, Ledger, Outgoing, is_settled, window_at,
+    Counts, Frozen, Incarnation, Ledger, Outgoing, count_kept, is_settled, window_at,
 };
 use proptest::prelude::*;
 
@@ -111,7 +111,7 @@
 #[test]
 fn a_frozen_window_stays_as_it_was_frozen_first() {
     let counts = |count| Counts::from([("acme".to_owned(), count)]);
-    let mut frozen = Frozen::default();
+    let mut frozen = Frozen::new(8);
     frozen.note_heard(7, &counts(3));
     assert!(!frozen.note_own(7, &counts(4)));
     assert_eq!(frozen.get(7), Some(&counts(3)));
@@ -119,17 +119,17 @@
 
 #[test]
 fn the_latest_frozen_windows_are_remembered() {
-    let mut frozen = Frozen::default();
+    let mut frozen = Frozen::new(8);
     (0..100).for_each(|window| frozen.note_heard(window, &Counts::new()));
     assert_eq!((frozen.get(91), frozen.get(92)), (None, Some(&Counts::new())));
 }
 
 #[test]
 fn the_node_that_froze_a_window_lists_it_in_a_few_reports_and_all_do_so_once_after_a_return() {
-    let mut own = Frozen::default();
+    let mut own = Frozen::new(8);
     own.note_own(7, &Counts::new());
     assert_eq!((0..5).map(|_| own.list_due().len()).collect::<Vec<_>>(), [1, 1, 1, 0, 0]);
-    let mut other = Frozen::default();
+    let mut other = Frozen::new(8);
     other.note_heard(7, &Counts::new());
     assert!(other.list_due().is_empty());
     other.repeat();
@@ -139,9 +139,16 @@
 
 #[test]
 fn a_report_lists_a_few_frozen_windows_the_latest_first() {
-    let mut frozen = Frozen::default();
+    let mut frozen = Frozen::new(8);
     (1..=5).for_each(|window| frozen.note_heard(window, &Counts::new()));
     frozen.repeat();
     let mut list = || frozen.list_due().into_iter().map(|(window, _)| window).collect::<Vec<_>>();
     assert_eq!([list(), list(), list(), list()], [vec![5, 4], vec![3, 2], vec![1], vec![]]);
 }
+
+#[test]
+fn all_windows_that_are_due_are_kept() {
+    assert_eq!(count_kept(10_000, 5_000), 8);
+    assert_eq!(count_kept(10_000, 500), 26);
+    assert_eq!(count_kept(500, 5_000), 7);
+}
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -29,7 +29,9 @@
 use keeljunction_core::serving::table_version::TableVersion;
 use keeljunction_core::serving::throughput::Throughput;
 use keeljunction_core::serving::topology::Topology;
-use keeljunction_core::serving::usage::{Frozen, Incarnation, Ledger, Outgoing, window_at};
+use keeljunction_core::serving::usage::{
+    Frozen, Incarnation, Ledger, Outgoing, count_kept, window_at,
+};
 
 use super::cut_runs;
 use super::document::Document;
@@ -246,6 +248,8 @@
         let Start { incarnation, clock, link, topology } = start;
         let topology = Arc::new(topology);
         let bounds = settings.bounds;
+        let due = (bounds.usage_late_s * 1_000.0) as Millis;
+        let windows_kept = count_kept(due, (bounds.report_window_s * 1_000.0) as Millis);
         let allowance = Allowance {
             ratio: bounds.retry_budget_ratio,
             least: bounds.budget_min_retries,
@@ -278,7 +282,7 @@
             quotas: Quotas::new(clock.now(), tolerance),
             budget: Budget::new(allowance),
             usage: Ledger::default(),
-            frozen: Frozen::default(),
+            frozen: Frozen::new(windows_kept),
             outgoing_usage: Outgoing::default(),
             members: Members::new(clock.now(), get_entry(&settings), &settings.seeds)
                 .with_topology(topology.clone()),
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -18,7 +18,7 @@
 use keeljunction_core::serving::era::Era;
 use keeljunction_core::serving::table_version::TableVersion;
 use keeljunction_core::serving::usage::{
-    Counts, Kept, WindowNumber, get_settle_time, is_settled, window_at,
+    Counts, Kept, WindowNumber, count_kept, get_settle_time, is_settled, window_at,
 };
 
 use super::{Node, document, era_origin, peers, table};
@@ -38,8 +38,6 @@
 const KEPT_IN_WINDOW: u64 = 5;
 /// The most rows of earlier eras that are removed in one transaction; the platform takes a hundred entries.
 const MOST_REMOVED: usize = 50;
-/// Rows of this many windows are kept.
-const WINDOWS_KEPT: u64 = 8;
 
 /// What a holder knows of the reports.
 #[derive(Debug, Default)]
@@ -133,9 +131,10 @@
         let is_earlier = |row: &&Row| table::split_key(&row.key).is_some_and(|(_, at)| at < era);
         let earlier = rows.rows.iter().filter(is_earlier).map(|row| row.key.clone());
         let last = self.frozen.keys().last().copied().unwrap_or(0);
+        let kept = count_windows_kept(node);
         let is_needed = |key: &String| {
             let window = table::split_key(key).and_then(|(key, _)| key.parse::<u64>().ok());
-            window.is_some_and(|window| window + WINDOWS_KEPT > last)
+            window.is_some_and(|window| window + kept > last)
         };
         self.outdated = earlier.filter(|key| !is_needed(key)).take(MOST_REMOVED).collect();
         for (window, counts) in &self.frozen {
@@ -189,7 +188,8 @@
         }
         let known = node.with(|state| state.frozen.get(window).cloned());
         let counts = known.unwrap_or_else(|| node.with(|state| state.usage.total(window)));
-        let transaction = transaction(window, &counts, self.era, &self.outdated);
+        let old = window.saturating_sub(count_windows_kept(node));
+        let transaction = transaction(window, &counts, self.era, &self.outdated, old);
         match table::commit(node, transaction, CALL_WITHIN).await {
             Ok(_) => {
                 self.outdated.clear();
@@ -225,9 +225,10 @@
             return false;
         }
         self.reported.insert(window);
-        self.reported = self.reported.split_off(&window.saturating_sub(WINDOWS_KEPT));
-        self.frozen = self.frozen.split_off(&window.saturating_sub(WINDOWS_KEPT));
-        self.withheld = self.withheld.split_off(&window.saturating_sub(WINDOWS_KEPT));
+        let first = window.saturating_sub(count_windows_kept(node));
+        self.reported = self.reported.split_off(&first);
+        self.frozen = self.frozen.split_off(&first);
+        self.withheld = self.withheld.split_off(&first);
         true
     }
 }
@@ -243,10 +244,17 @@
     let first = window_at(now.saturating_sub(due + length), length);
     let known = node.with(|state| state.usage.get_first_window());
     let first = first.max(window_at(started, length).min(known.unwrap_or(u64::MAX)));
-    node.with(|state| state.usage.forget_before(current.saturating_sub(WINDOWS_KEPT)));
+    let kept = count_windows_kept(node);
+    node.with(|state| state.usage.forget_before(current.saturating_sub(kept)));
     (first..current).filter(|window| is_due(node, *window, now, length, due)).collect()
 }
 
+fn count_windows_kept(node: &Node) -> u64 {
+    let bounds = &node.settings.bounds;
+    let due = (bounds.usage_late_s * 1_000.0) as Millis;
+    count_kept(due, (bounds.report_window_s * 1_000.0) as Millis)
+}
+
 fn is_due(node: &Node, window: WindowNumber, now: u64, length: u64, due: Millis) -> bool {
     let age = now.saturating_sub((window + 1) * length);
     let steady = node.now();
@@ -286,11 +294,12 @@
     counts: &Counts,
     era: Era,
     outdated: &[String],
+    old: WindowNumber,
 ) -> Transaction {
     let (table, version) = (TableName::Own(TABLE), TableVersion::absent(era));
     let condition = Condition { table, key: key(window, era), version };
     let write = Write { table, key: key(window, era), value: serde_json::to_vec(counts).ok() };
-    let old = key(window.saturating_sub(WINDOWS_KEPT), era);
+    let old = key(old, era);
     let removals = outdated.iter().cloned().chain([old]);
     let removals = removals.map(|key| Write { table, key, value: None });
     let writes = [write].into_iter().chain(removals).collect();
