fix(usage): what may have been reported before a return is known for sure, or withheld

What could be seen: usage of a window sent twice with other counts, after a return of the table service from an older copy. Cause, four ways found by reading, one class (what nodes remember stands in for acknowledged rows, and had gaps): - A holder that met another one's row when freezing reported it and did not remember it. - A node counted as one that would have said what it reported once it was heard after the return. A holder of the era before may report until its lease ends, later than that; and the counts, repeated three times, may all get lost. - A frozen row of an earlier era counted as proof. It may have been written late, after the return, beside another row that was reported. - In groups a node that has just become an aggregator took nodes that it never heard for whole. Ruled out: a second writer within an era, the first one wins there. Change: what is reported is remembered and sent to the other aggregators just before. Each summary names the windows that its sender knows as frozen (a few bytes), so that lost counts leave a mark. Others must be heard after the lease of the era before has ended. Rows of earlier eras prove nothing. usage_withheld is logged and counted once a window is given up, not when it is first put off. The other ways have core tests of members and frozen windows; of these no failing run with processes was made. usage has a folder, with a file per type.

--- a/crates/core/src/serving/members/query.rs
+++ b/crates/core/src/serving/members/query.rs
@@ -205,15 +205,18 @@
     }
 
     /// Returns `true` if every node that this one hears by itself was heard after a time, and none has started
-    /// again since another one. In groups these are the aggregators and the nodes of the own group.
+    /// again since another one. In groups these are the aggregators and the nodes of the own group, and this node must
+    /// have aggregated since then: those it did not hear before may be gone unnoticed.
     pub fn is_whole(&self, heard_since: Millis, running_since: Millis) -> bool {
         let is_none_replaced = self.replaced_at.is_none_or(|at| at < running_since);
         let is_grouped = self.is_grouped();
+        let is_hearing_all =
+            !is_grouped || self.aggregating_since.is_some_and(|at| at < running_since);
         let is_heard = |member: &Member| match member.heard_at {
             Some(at) => at >= heard_since,
             None => is_grouped,
         };
-        is_none_replaced && self.known.values().all(is_heard)
+        is_none_replaced && is_hearing_all && self.known.values().all(is_heard)
     }
 
     /// Returns `true` if a node that holds the duties was heard of within a time.
--- a/crates/core/src/serving/usage.rs
+++ b/crates/core/src/serving/usage/mod.rs
@@ -3,6 +3,9 @@
 //! Each incarnation of a node counts for itself and its counts only grow. Nodes exchange them, and keep
 //! the largest that they saw of every incarnation, so that the counts of a node survive it.
 
+mod frozen;
+mod window_set;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
@@ -10,6 +13,9 @@
 
 use crate::Millis;
 
+pub use self::frozen::Frozen;
+pub use self::window_set::WindowSet;
+
 /// The number of a window: window `k` begins `k` times its length after the Unix epoch.
 pub type WindowNumber = u64;
 
@@ -195,82 +201,6 @@
     total
 }
 
-/// The windows that were frozen, with their counts, as far as a node knows: its own, and those of other
-/// holders of the duties.
-///
-/// The rows that hold them may be gone after a return of the table service. What was reported must then be
-/// reported the same again, or not at all.
-#[derive(Clone, Debug)]
-pub struct Frozen {
-    /// How many windows are remembered, the latest ones.
-    most: usize,
-    windows: BTreeMap<WindowNumber, FrozenWindow>,
-}
-
-#[derive(Clone, Debug)]
-struct FrozenWindow {
-    counts: Counts,
-    /// In how many further reports to other nodes it is listed.
-    repeats: u32,
-}
-
-/// Reports in which the node that froze a window lists it.
-const FROZEN_REPEATS: u32 = 3;
-/// The most frozen windows in one report: each holds a count for every client account.
-const MOST_LISTED: usize = 2;
-
-impl Frozen {
-    /// Makes a memory of so many windows.
-    pub fn new(most: u64) -> Self {
-        let most = usize::try_from(most).unwrap_or(usize::MAX);
-        Self { most, windows: BTreeMap::new() }
-    }
-
-    /// Notes that this node has frozen a window, or has found its row; returns `true` if that was not known.
-    /// What was known first stays.
-    pub fn note_own(&mut self, window: WindowNumber, counts: &Counts) -> bool {
-        self.note(window, counts, FROZEN_REPEATS)
-    }
-
-    /// Notes that another node has frozen a window. What was known first stays.
-    pub fn note_heard(&mut self, window: WindowNumber, counts: &Counts) {
-        self.note(window, counts, 0);
-    }
-
-    fn note(&mut self, window: WindowNumber, counts: &Counts, repeats: u32) -> bool {
-        if self.windows.contains_key(&window) {
-            return false;
-        }
-        self.windows.insert(window, FrozenWindow { counts: counts.clone(), repeats });
-        while self.windows.len() > self.most {
-            self.windows.pop_first();
-        }
-        true
-    }
-
-    /// Returns the counts that a window was frozen with.
-    pub fn get(&self, window: WindowNumber) -> Option<&Counts> {
-        self.windows.get(&window).map(|frozen| &frozen.counts)
-    }
-
-    /// Lists some frozen windows for a report to other nodes, the latest first.
-    pub fn list_due(&mut self) -> Vec<(WindowNumber, Counts)> {
-        let due = self.windows.iter_mut().rev().filter(|(_, frozen)| frozen.repeats > 0);
-        due.take(MOST_LISTED)
-            .map(|(window, frozen)| {
-                frozen.repeats -= 1;
-                (*window, frozen.counts.clone())
-            })
-            .collect()
-    }
-
-    /// Lists all windows again, in the next reports: another holder may lack their rows. Each node that knows them does
-    /// so once.
-    pub fn repeat(&mut self) {
-        self.windows.values_mut().for_each(|frozen| frozen.repeats = frozen.repeats.max(1));
-    }
-}
-
 /// Reports in which a window is repeated after its last change: each may get lost.
 const REPEATED_FOR: u64 = 10;
 /// A window that has not changed for longer is in each so many reports: whoever begins to hear this node
--- a/crates/core/tests/serving/members.rs
+++ b/crates/core/tests/serving/members.rs
@@ -394,3 +394,41 @@
     members.refresh(2_400);
     assert!(!members.is_aggregator());
 }
+
+// Guards against a window of usage that is counted anew though a node that ended has reported it.
+#[test]
+fn a_group_is_whole_where_each_node_was_heard_lately_and_none_has_started_again() {
+    let mut members = members_of("own", 10, 3);
+    assert!(members.is_whole(1_000, 500));
+    // The others said nothing since.
+    members.hear(2_000, &heard(&entry("node-0", 10, 100)));
+    assert!(!members.is_whole(1_500, 500));
+    for number in 1..3 {
+        members.hear(2_000, &heard(&entry(&format!("node-{number}"), 10, 100 + number)));
+    }
+    assert!(members.is_whole(1_500, 500));
+    let started = entry("node-1", 10, 101);
+    members.hear(2_100, &Heard { incarnation: 2, ..heard(&started) });
+    assert!(!members.is_whole(1_500, 500));
+    assert!(members.is_whole(1_500, 2_200));
+}
+
+// Guards against the same in groups: a node that becomes an aggregator did not hear all others before.
+#[test]
+fn a_new_aggregator_does_not_know_whether_the_nodes_are_whole() {
+    let mut members = members_of("own", 100, 60);
+    let wide: Vec<Entry> =
+        (0..20).map(|number| entry(&format!("wide-{number}"), 1_000, 900 + number)).collect();
+    wide.iter().for_each(|entry| {
+        members.hear(1_000, &heard(entry));
+    });
+    members.refresh(1_050);
+    assert!(members.is_grouped() && !members.is_aggregator());
+    wide.iter().for_each(|entry| {
+        members.hear(1_400, &Heard { is_stopping: true, ..heard(entry) });
+    });
+    members.refresh(1_450);
+    assert!(members.is_grouped() && members.is_aggregator());
+    assert!(!members.is_whole(1_000, 1_400));
+    assert!(members.is_whole(1_000, 1_500));
+}
--- a/crates/core/tests/serving/usage.rs
+++ b/crates/core/tests/serving/usage.rs
@@ -1,5 +1,5 @@
 use keeljunction_core::serving::usage::{
-    Counts, Frozen, Incarnation, Ledger, Outgoing, count_kept, is_settled, window_at,
+    Counts, Frozen, Incarnation, Ledger, Outgoing, WindowSet, count_kept, is_settled, window_at,
 };
 use proptest::prelude::*;
 
@@ -152,3 +152,26 @@
     assert_eq!(count_kept(10_000, 500), 26);
     assert_eq!(count_kept(500, 5_000), 7);
 }
+
+// Guards against a window that is counted anew because the counts that it was frozen with got lost on their way.
+#[test]
+fn a_window_that_another_node_knows_as_frozen_is_named_without_its_counts() {
+    let mut own = Frozen::new(8);
+    [3, 7, 9].into_iter().for_each(|window| assert!(own.note_own(window, &Counts::new())));
+    let mut other = Frozen::new(8);
+    other.note_named(own.get_names());
+    assert!([3, 7, 9].into_iter().all(|window| other.is_named(window)));
+    assert!([2, 4, 8, 10].into_iter().all(|window| !other.is_named(window)));
+    assert_eq!(other.get(7), None);
+    assert_eq!(other.get_names(), WindowSet::default());
+}
+
+#[test]
+fn a_set_of_windows_holds_those_near_the_last_one() {
+    let windows: WindowSet = [100, 37, 36, 0].into_iter().collect();
+    assert_eq!(windows.iter().collect::<Vec<_>>(), [100, 37]);
+    assert_eq!(WindowSet::default().iter().count(), 0);
+    let first: WindowSet = [0].into_iter().collect();
+    assert_eq!(first.iter().collect::<Vec<_>>(), [0]);
+    assert!(!first.has(1));
+}
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -10,7 +10,7 @@
 use keeljunction_core::serving::quota::Decision;
 use keeljunction_core::serving::rollout::{self, Announcement};
 use keeljunction_core::serving::throughput::Sample;
-use keeljunction_core::serving::usage::{Counts, WindowNumber};
+use keeljunction_core::serving::usage::{Counts, WindowNumber, WindowSet};
 use keeljunction_core::serving::{demand, quota};
 use serde::{Deserialize, Serialize};
 
@@ -188,7 +188,9 @@
     pub departures: Vec<Departure>,
     /// Which versions of the platform's tables it knows.
     pub versions: Versions,
-    /// Windows of usage that were frozen lately.
+    /// Windows of usage that it knows as frozen.
+    pub frozen_windows: WindowSet,
+    /// The counts of some of them.
     pub frozen: Vec<(WindowNumber, Counts)>,
 }
 
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -214,6 +214,7 @@
             limits: overview.limits.clone(),
             departures: overview.departures.clone(),
             versions,
+            frozen_windows: state.frozen.get_names(),
             frozen: state.frozen.list_due(),
         };
         let aggregators = state.members.list_exchange(now);
@@ -276,8 +277,9 @@
 /// directly.
 pub(super) fn take_summary(node: &Arc<Node>, asked_at: Option<Millis>, summary: Summary) {
     let now = node.now();
-    let Summary { sender, totals, loads, group, group_age, roster, joined, frozen, .. } = summary;
+    let Summary { sender, totals, loads, group, group_age, roster, joined, .. } = summary;
     let (verdicts, limits, departures) = (summary.verdicts, summary.limits, summary.departures);
+    let (frozen_windows, frozen) = (summary.frozen_windows, summary.frozen);
     if sender.entry.name == node.incarnation.node {
         return;
     }
@@ -295,6 +297,7 @@
         }
         state.demand.merge(now, false, from, &totals.demand);
         state.rollouts.merge(false, from, &totals.rollouts);
+        state.frozen.note_named(frozen_windows);
         for (window, counts) in &frozen {
             state.frozen.note_heard(*window, counts);
         }
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -46,9 +46,14 @@
     /// The era of the rows that were read.
     era: Era,
     frozen: BTreeMap<WindowNumber, Counts>,
+    /// Windows that have rows of an earlier era.
+    in_earlier_eras: BTreeSet<WindowNumber>,
     /// Keys of rows that are no longer needed.
     outdated: Vec<String>,
+    /// Windows that may have been reported with counts that this node does not know.
     withheld: BTreeSet<WindowNumber>,
+    /// Windows whose counts were sent to the nodes that may hold the duties next.
+    announced: BTreeSet<WindowNumber>,
     reported: BTreeSet<WindowNumber>,
     paused_until: Millis,
     running: Running,
@@ -73,11 +78,14 @@
             return;
         }
         self.keep_running(node).await;
-        for window in due_windows(node) {
+        let first = get_first_due(node);
+        self.give_up_before(node, first);
+        for window in list_due(node, first) {
             if self.reported.contains(&window) {
                 continue;
             }
             if !self.is_reportable(node, window) {
+                self.withheld.insert(window);
                 continue;
             }
             if !self.freeze(node, window).await || !self.report(node, window).await {
@@ -114,10 +122,12 @@
         true
     }
 
-    /// Takes over the rows of all eras.
+    /// Takes over the rows of an era, and the running counts of all.
+    ///
+    /// A frozen row of an earlier era may be one that was written too late, after a return: its window is reported
+    /// only where a node remembers the counts.
     fn take_rows(&mut self, node: &Node, rows: &Rows) {
         let era = rows.version.era;
-        self.frozen = rows.rows.iter().filter_map(decode).collect();
         let running_key = table::era_key(RUNNING_KEY, era);
         let running = rows.rows.iter().find(|row| row.key == running_key);
         self.running.version = running.map_or(TableVersion::absent(era), |row| row.version);
@@ -128,33 +138,37 @@
         for kept in rows.rows.iter().filter(is_running).filter_map(decode_running) {
             node.with(|state| state.usage.merge_kept(&kept));
         }
-        let is_earlier = |row: &&Row| table::split_key(&row.key).is_some_and(|(_, at)| at < era);
-        let earlier = rows.rows.iter().filter(is_earlier).map(|row| row.key.clone());
-        let last = self.frozen.keys().last().copied().unwrap_or(0);
-        let kept = count_windows_kept(node);
-        let is_needed = |key: &String| {
-            let window = table::split_key(key).and_then(|(key, _)| key.parse::<u64>().ok());
-            window.is_some_and(|window| window + kept > last)
-        };
-        self.outdated = earlier.filter(|key| !is_needed(key)).take(MOST_REMOVED).collect();
+        let keys = rows.rows.iter().filter_map(|row| Some((row, FrozenKey::parse(&row.key)?)));
+        let (current, earlier): (Vec<_>, Vec<_>) =
+            keys.filter(|(_, key)| key.era <= era).partition(|(_, key)| key.era == era);
+        self.frozen = current.into_iter().filter_map(|(row, _)| decode(row)).collect();
         for (window, counts) in &self.frozen {
             remember(node, era, *window, counts);
         }
+        self.in_earlier_eras = earlier.iter().map(|(_, key)| key.window).collect();
+        let kept = self.in_earlier_eras.iter().chain(self.frozen.keys()).max().copied();
+        let first = kept.unwrap_or(0).saturating_sub(count_windows_kept(node));
+        let outdated = earlier.iter().filter(|(_, key)| key.window < first);
+        let running = rows.rows.iter().filter(is_running).filter(|row| row.key != running_key);
+        let keys = outdated.map(|(row, _)| *row).chain(running).map(|row| row.key.clone());
+        self.outdated = keys.take(MOST_REMOVED).collect();
+        self.withheld.clear();
     }
 
-    /// Returns `true` if a window was frozen, as far as any node knows, or surely was not. The others are
-    /// withheld.
-    fn is_reportable(&mut self, node: &Node, window: WindowNumber) -> bool {
+    /// Returns `true` if the counts of a window are known as they were frozen, or if it surely was not reported.
+    fn is_reportable(&self, node: &Node, window: WindowNumber) -> bool {
         let is_frozen = self.frozen.contains_key(&window)
             || node.with(|state| state.frozen.get(window).is_some());
-        if is_frozen || is_surely_unreported(node, window) {
-            return true;
-        }
-        if self.withheld.insert(window) {
+        is_frozen || (!self.in_earlier_eras.contains(&window) && is_surely_unreported(node, window))
+    }
+
+    /// Gives up the windows before one that were withheld until their reports were of no more use.
+    fn give_up_before(&mut self, node: &Node, first: WindowNumber) {
+        let due = self.withheld.split_off(&first);
+        for window in std::mem::replace(&mut self.withheld, due) {
             node.metrics.usage_withheld.inc();
             event::emit(&Event::UsageWithheld { window, era: self.era.get_number() });
         }
-        false
     }
 
     /// Keeps the counts of the windows that are not reported yet, a few times in a window.
@@ -188,17 +202,14 @@
         }
         let known = node.with(|state| state.frozen.get(window).cloned());
         let counts = known.unwrap_or_else(|| node.with(|state| state.usage.total(window)));
-        let old = window.saturating_sub(count_windows_kept(node));
-        let transaction = transaction(window, &counts, self.era, &self.outdated, old);
+        let transaction = self.make_transaction(node, window, &counts);
         match table::commit(node, transaction, CALL_WITHIN).await {
             Ok(_) => {
                 self.outdated.clear();
-                if remember(node, self.era, window, &counts) {
-                    peers::news::send_frozen(node, window, &counts).await;
-                }
                 self.frozen.insert(window, counts);
                 true
             }
+            // Another holder froze it first.
             Err(TableError::Conflict(rows)) => {
                 self.frozen.extend(rows.rows.iter().filter_map(decode));
                 self.frozen.contains_key(&window)
@@ -211,8 +222,27 @@
         }
     }
 
+    /// Makes the transaction that freezes a window, and removes rows that are no longer needed.
+    fn make_transaction(&self, node: &Node, window: WindowNumber, counts: &Counts) -> Transaction {
+        let (table, version) = (TableName::Own(TABLE), TableVersion::absent(self.era));
+        let key = FrozenKey { window, era: self.era }.encode();
+        let condition = Condition { table, key: key.clone(), version };
+        let write = Write { table, key, value: serde_json::to_vec(counts).ok() };
+        let old = window.saturating_sub(count_windows_kept(node));
+        let old = FrozenKey { window: old, era: self.era }.encode();
+        let removals = self.outdated.iter().cloned().chain([old]);
+        let removals = removals.map(|key| Write { table, key, value: None });
+        let writes = [write].into_iter().chain(removals).collect();
+        Transaction { conditions: vec![condition], writes }
+    }
+
+    /// Reports a frozen window. Its counts go to the nodes that may hold the duties next before that.
     async fn report(&mut self, node: &Node, window: WindowNumber) -> bool {
         let Some(counts) = self.frozen.get(&window).cloned() else { return false };
+        remember(node, self.era, window, &counts);
+        if self.era != Era::UNNAMED && self.announced.insert(window) {
+            peers::news::send_frozen(node, window, &counts).await;
+        }
         let Some(fence) = node.with(|state| state.lease.get_fence(node.now())) else {
             return false;
         };
@@ -225,36 +255,49 @@
             return false;
         }
         self.reported.insert(window);
+        self.withheld.remove(&window);
         let first = window.saturating_sub(count_windows_kept(node));
         self.reported = self.reported.split_off(&first);
+        self.announced = self.announced.split_off(&first);
         self.frozen = self.frozen.split_off(&first);
-        self.withheld = self.withheld.split_off(&first);
         true
     }
 }
 
-/// Lists the windows that have ended and settled and whose reports are still worth something.
-fn due_windows(node: &Node) -> Vec<WindowNumber> {
-    let bounds = &node.settings.bounds;
-    let length = (bounds.report_window_s * 1_000.0) as u64;
-    let due = (bounds.usage_late_s * 1_000.0) as u64;
+/// Returns the length of a window in milliseconds.
+fn get_length(node: &Node) -> Millis {
+    (node.settings.bounds.report_window_s * 1_000.0) as Millis
+}
+
+/// Returns the time after a window's end at which its report must be there, in milliseconds.
+fn get_due(node: &Node) -> Millis {
+    (node.settings.bounds.usage_late_s * 1_000.0) as Millis
+}
+
+fn count_windows_kept(node: &Node) -> u64 {
+    count_kept(get_due(node), get_length(node))
+}
+
+/// Returns the first window whose report is still worth something.
+fn get_first_due(node: &Node) -> WindowNumber {
+    let (length, due) = (get_length(node), get_due(node));
     let now = runtime::unix_ms();
     let started = now.saturating_sub(node.now().saturating_sub(node.clock.get_start()));
-    let current = window_at(now, length);
-    let first = window_at(now.saturating_sub(due + length), length);
     let known = node.with(|state| state.usage.get_first_window());
-    let first = first.max(window_at(started, length).min(known.unwrap_or(u64::MAX)));
+    let first = window_at(now.saturating_sub(due + length), length);
+    first.max(window_at(started, length).min(known.unwrap_or(u64::MAX)))
+}
+
+/// Lists the windows from one on that have ended and settled.
+fn list_due(node: &Node, first: WindowNumber) -> Vec<WindowNumber> {
+    let (length, due) = (get_length(node), get_due(node));
+    let now = runtime::unix_ms();
+    let current = window_at(now, length);
     let kept = count_windows_kept(node);
     node.with(|state| state.usage.forget_before(current.saturating_sub(kept)));
     (first..current).filter(|window| is_due(node, *window, now, length, due)).collect()
 }
 
-fn count_windows_kept(node: &Node) -> u64 {
-    let bounds = &node.settings.bounds;
-    let due = (bounds.usage_late_s * 1_000.0) as Millis;
-    count_kept(due, (bounds.report_window_s * 1_000.0) as Millis)
-}
-
 fn is_due(node: &Node, window: WindowNumber, now: u64, length: u64, due: Millis) -> bool {
     let age = now.saturating_sub((window + 1) * length);
     let steady = node.now();
@@ -271,43 +314,42 @@
 }
 
 /// Returns `true` if a window without a row was surely not reported: nothing was lost since, or each node that
-/// may have frozen it would have said so.
+/// may have reported it was heard after it could do so last, and does not know it.
 fn is_surely_unreported(node: &Node, window: WindowNumber) -> bool {
-    let bounds = &node.settings.bounds;
-    let length = (bounds.report_window_s * 1_000.0) as u64;
-    let due = (bounds.usage_late_s * 1_000.0) as u64;
+    let length = get_length(node);
     let ended_at = (window + 1) * length;
     let now = node.now();
-    let steady_end = now.saturating_sub(runtime::unix_ms().saturating_sub(ended_at));
+    let began_at = now.saturating_sub(runtime::unix_ms().saturating_sub(ended_at) + length);
     node.with(|state| {
-        if state.eras.is_surely_after_return(ended_at + get_settle_time(due)) {
+        if state.eras.is_surely_after_return(ended_at + get_settle_time(get_due(node))) {
             return true;
         }
+        if state.frozen.is_named(window) {
+            return false;
+        }
         let Some(era_age) = state.eras.get_age(now) else { return false };
-        let is_here_since = node.clock.get_start() < steady_end.saturating_sub(length);
-        is_here_since && state.members.is_whole(now - era_age, steady_end.saturating_sub(length))
+        // A holder of the era before acts until its lease ends.
+        let released_at = now.saturating_sub(era_age) + state.lease.get_length();
+        node.clock.get_start() < began_at && state.members.is_whole(released_at, began_at)
     })
 }
 
-fn transaction(
+/// The key of a frozen window's row.
+struct FrozenKey {
     window: WindowNumber,
-    counts: &Counts,
     era: Era,
-    outdated: &[String],
-    old: WindowNumber,
-) -> Transaction {
-    let (table, version) = (TableName::Own(TABLE), TableVersion::absent(era));
-    let condition = Condition { table, key: key(window, era), version };
-    let write = Write { table, key: key(window, era), value: serde_json::to_vec(counts).ok() };
-    let old = key(old, era);
-    let removals = outdated.iter().cloned().chain([old]);
-    let removals = removals.map(|key| Write { table, key, value: None });
-    let writes = [write].into_iter().chain(removals).collect();
-    Transaction { conditions: vec![condition], writes }
 }
 
-fn key(window: WindowNumber, era: Era) -> String {
-    table::era_key(&format!("{window:020}"), era)
+impl FrozenKey {
+    fn encode(&self) -> String {
+        table::era_key(&format!("{:020}", self.window), self.era)
+    }
+
+    /// Parses a key; `None` where it is that of another row.
+    fn parse(key: &str) -> Option<Self> {
+        let (window, era) = table::split_key(key)?;
+        Some(Self { window: window.parse().ok()?, era })
+    }
 }
 
 /// Encodes counts for one row: most of them are small, and packed they take a fraction of the bytes.
@@ -324,5 +366,5 @@
 
 fn decode(row: &Row) -> Option<(WindowNumber, Counts)> {
     let counts = serde_json::from_slice(row.value.as_deref()?).ok()?;
-    Some((table::split_key(&row.key)?.0.parse().ok()?, counts))
+    Some((FrozenKey::parse(&row.key)?.window, counts))
 }
