fix(directory): departures that an older copy lacks are repeated to nodes that start after the return

Callers' requests reached a server that had left before a return of the table service: 64 in 3.5 s, from a node that started just after it. Cause: the copy lists the server as ready. Nodes that run know better and keep it to themselves: only departures that were said in answers are repeated with reports, not those said in entries. Ruled out: that the entry is written again in time, as servers have up to two seconds for that and the rule's time runs on. Change: where a node takes over the first list of an era, it notes as departures the servers that it knows to leave and that the copy lists as ready. They go to the others with the reports of the next 30 s. A server that was removed without having begun to leave may live and is left out.

--- a/crates/core/src/serving/directory/departures.rs
+++ b/crates/core/src/serving/directory/departures.rs
@@ -1,4 +1,4 @@
-//! Servers that said in their answers that they leave.
+//! Servers that said that they leave, in their answers or before a return of the table service.
 
 use std::collections::BTreeMap;
 
@@ -27,7 +27,7 @@
     pub incarnation: u64,
 }
 
-/// Servers that said in their answers that they leave, whatever their entries say.
+/// Servers that said that they leave, whatever their entries say.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Departures {
     by_id: BTreeMap<String, Record>,
@@ -54,6 +54,14 @@
         true
     }
 
+    /// Notes that an incarnation of a server leaves, and lists it for other nodes again.
+    pub fn repeat(&mut self, now: Millis, id: &str, incarnation: u64) {
+        self.note(now, id, incarnation);
+        if let Some(record) = self.by_id.get_mut(id) {
+            record.noted_at = now;
+        }
+    }
+
     /// Returns `true` if an incarnation of a server leaves.
     pub fn holds(&self, id: &str, incarnation: u64) -> bool {
         self.by_id.get(id).is_some_and(|known| known.incarnation >= incarnation)
--- a/crates/core/src/serving/directory/mod.rs
+++ b/crates/core/src/serving/directory/mod.rs
@@ -83,6 +83,8 @@
     /// Servers whose entries lapsed; this node's own belief, which is not reported to peers.
     lapsed: BTreeMap<String, Server>,
     lapsing_until: Option<Millis>,
+    /// When the table service was last known to have come back from an older copy.
+    returned_at: Millis,
     /// Whether the last call to the table service failed.
     is_away: bool,
 }
@@ -111,6 +113,7 @@
         }
         let is_return = self.is_known && version.era > self.version.era;
         if is_return {
+            self.repeat_departures(&servers);
             // An older copy also lists servers that have left since.
             servers.retain(|server| !self.removals.holds(server));
         }
@@ -128,6 +131,21 @@
         changes
     }
 
+    /// Repeats to other nodes that servers leave which an older copy lists as ready: nodes that started after the
+    /// return know the copy only.
+    fn repeat_departures(&mut self, copy: &[Server]) {
+        for server in copy.iter().filter(|server| !server.is_leaving) {
+            let known =
+                self.get(&server.id).filter(|known| known.incarnation == server.incarnation);
+            let is_leaving = known.is_some_and(|known| known.is_leaving)
+                || self.removals.has_left(server)
+                || self.departures.holds(&server.id, server.incarnation);
+            if is_leaving {
+                self.departures.repeat(self.returned_at, &server.id, server.incarnation);
+            }
+        }
+    }
+
     /// Returns what a node lacks that knows the list up to a version, or does not know it at all.
     pub fn get_update(&self, after: Option<TableVersion>) -> Update<'_> {
         let known = after.filter(|after| self.removals.is_complete_after(*after));
@@ -207,6 +225,7 @@
     /// Notes that the table service came back from an older copy, which may lack the entries of servers that
     /// live: they have time to write them again.
     pub fn note_era(&mut self, now: Millis) {
+        self.returned_at = now;
         self.lapsing_until = Some(now + LAPSED_FOR);
     }
 
--- a/crates/core/src/serving/directory/removals.rs
+++ b/crates/core/src/serving/directory/removals.rs
@@ -22,13 +22,16 @@
 struct Removal {
     /// Which start of the server was removed.
     incarnation: u64,
+    /// Whether it had begun to leave before.
+    was_leaving: bool,
     version: TableVersion,
 }
 
 impl Removals {
     /// Notes that a server was removed.
     pub fn note(&mut self, server: &Server, version: TableVersion) {
-        let removal = Removal { incarnation: server.incarnation, version };
+        let (incarnation, was_leaving) = (server.incarnation, server.is_leaving);
+        let removal = Removal { incarnation, was_leaving, version };
         self.by_id.insert(server.id.clone(), removal);
     }
 
@@ -38,6 +41,11 @@
         removal.is_some_and(|removal| removal.incarnation >= server.incarnation)
     }
 
+    /// Returns `true` if this start of a server was removed after it had begun to leave.
+    pub fn has_left(&self, server: &Server) -> bool {
+        self.holds(server) && self.by_id.get(&server.id).is_some_and(|removal| removal.was_leaving)
+    }
+
     /// Notes that a server is listed again.
     pub fn forget(&mut self, id: &str) {
         self.by_id.remove(id);
--- a/crates/core/tests/serving/directory.rs
+++ b/crates/core/tests/serving/directory.rs
@@ -511,3 +511,29 @@
     directory.update(changed(returned(2), started(10)));
     assert_eq!(ready(&directory), ["a"]);
 }
+
+// Guards against requests of a node that starts after a return to a server that left before it.
+#[test]
+fn servers_that_left_and_that_an_older_copy_lists_as_ready_are_named_to_other_nodes() {
+    let departed = |directory: &Directory, now| -> Vec<String> {
+        let departures = directory.list_departures(now, 0).into_iter();
+        departures.map(|departure| departure.server).collect()
+    };
+    let mut directory = Directory::default();
+    let servers = || ["a", "b", "c", "d"].map(|id| server(id, "z1")).to_vec();
+    directory.replace(at(1), servers());
+    for (version, id) in [(2, "a"), (3, "b")] {
+        directory.update(listed(version, Server { is_leaving: true, ..server(id, "z1") }));
+    }
+    directory.update(removed(4, "b"));
+    directory.update(removed(5, "c"));
+    assert_eq!(departed(&directory, 900), Vec::<String>::new());
+    for (now, era) in [(1_000, 2), (60_000, 3)] {
+        directory.note_era(now);
+        directory.replace(TableVersion::new(Era::named(era), 1), servers());
+        assert_eq!(departed(&directory, now), ["a", "b"], "era {era}");
+    }
+    // One that had not begun to leave may live.
+    directory.update(changed(TableVersion::new(Era::named(3), 2), server("c", "z1")));
+    assert_eq!(ready(&directory), ["c", "d"]);
+}
