fix(rollout): a status that a late write may have replaced after a return is written again

Operators could read a stage of a roll-out that was no longer true, until the next stage. Cause: a write that was sent before a return of the table service may be done after it, on a row whose version was given out again; the row of the status is the operator's and cannot have a key for each era. Ruled out: to read the row instead, which costs the same call. Change: for ten seconds after a return the holder writes the status each second under the condition of its version; a conflict shows that it was replaced, and the next step writes it. What is known of a status is one type.

--- a/crates/gateway/src/node/rollout_duty.rs
+++ b/crates/gateway/src/node/rollout_duty.rs
@@ -30,6 +30,10 @@
 const CALL_WITHIN: Duration = Duration::from_millis(500);
 /// The pause after a call of the table service failed.
 const FAILED_PAUSE: Millis = 300;
+/// The time after a return of the table service within which a write that was sent before it may still be done.
+const LATE_WRITES_WITHIN: Millis = 10_000;
+/// The time between two writes of a status in that time.
+const STATUS_AGAIN: Millis = 1_000;
 
 /// What the holder of the duties knows of the roll-outs.
 #[derive(Debug, Default)]
@@ -40,10 +44,8 @@
     clock: Option<TableClock>,
     records: BTreeMap<String, Written>,
     progress: BTreeMap<String, (TableVersion, Progress)>,
-    /// The order and stage of the status that was last published, by service.
-    published: BTreeMap<String, (TableVersion, Stage)>,
-    /// The versions of the rows that hold it.
-    status_versions: BTreeMap<String, TableVersion>,
+    /// The statuses as they were last published, by service.
+    statuses: BTreeMap<String, Published>,
     paused_until: Millis,
 }
 
@@ -69,6 +71,17 @@
     version: TableVersion,
 }
 
+/// The status of a roll-out as the operator reads it.
+#[derive(Clone, Copy, Debug)]
+struct Published {
+    /// The version of its row.
+    version: TableVersion,
+    /// The order and stage that this holder has written there; `None` where it has written nothing yet.
+    written: Option<(TableVersion, Stage)>,
+    /// When it was last written, on this node's clock.
+    written_at: Millis,
+}
+
 impl Record {
     fn get_order(&self) -> TableVersion {
         TableVersion::new(self.era, self.order)
@@ -120,9 +133,9 @@
             era,
             clock: Some(TableClock { asked_at, table_time: rows.table_time }),
             records: decode_all(&rows),
-            status_versions: match is_return {
+            statuses: match is_return {
                 true => BTreeMap::new(),
-                false => std::mem::take(&mut self.status_versions),
+                false => forget_written(std::mem::take(&mut self.statuses)),
             },
             ..Self::default()
         };
@@ -240,37 +253,54 @@
         true
     }
 
-    /// Publishes the stage that is written, where that was not done yet.
+    /// Publishes the stage that is written, where that was not done yet, or where a late write may have replaced it.
     async fn publish_status(&mut self, node: &Node, order: &Order) -> bool {
-        let Some(written) = self.records.get(&order.service) else { return true };
-        let stage = written.record.stage;
-        if self.published.get(&order.service) == Some(&(order.number, stage)) {
+        let Some(record) = self.records.get(&order.service) else { return true };
+        let stage = record.record.stage;
+        let absent = TableVersion::absent(self.era);
+        let known = self.statuses.get(&order.service).copied();
+        let mut status =
+            known.unwrap_or(Published { version: absent, written: None, written_at: 0 });
+        let is_written = status.written == Some((order.number, stage));
+        if is_written && !self.is_status_due_again(node, &status) {
             return true;
         }
-        let status = Status {
+        let row = (node.platform.rollouts.encode_status)(&Status {
             service: order.service.clone(),
             target_version: order.target_version.clone(),
             stage,
-        };
-        let row = (node.platform.rollouts.encode_status)(&status);
-        let absent = TableVersion::absent(self.era);
-        let version = self.status_versions.get(&order.service).copied().unwrap_or(absent);
-        let version =
-            match commit(node, TableName::Status, &row.key, version, Some(row.value)).await {
-                Ok(rows) => {
-                    self.published.insert(order.service.clone(), (order.number, stage));
-                    rows.version
-                }
-                // An earlier holder published a status: replace it at the next step.
-                Err(TableError::Conflict(rows)) => {
-                    let found = rows.rows.iter().find(|found| found.key == row.key);
-                    found.map_or(absent, |row| row.version)
-                }
-                _ => return false,
-            };
-        self.status_versions.insert(order.service.clone(), version);
+        });
+        match commit(node, TableName::Status, &row.key, status.version, Some(row.value)).await {
+            Ok(rows) => {
+                let written = Some((order.number, stage));
+                status = Published { version: rows.version, written, written_at: node.now() };
+            }
+            // Another writer replaced it: write it again with the next step.
+            Err(TableError::Conflict(rows)) => {
+                let found = rows.rows.iter().find(|found| found.key == row.key);
+                let version = found.map_or(absent, |row| row.version);
+                status = Published { version, written: None, ..status };
+            }
+            Err(_) => return false,
+        }
+        self.statuses.insert(order.service.clone(), status);
         true
     }
+
+    /// Returns `true` if a status that is written should be written again: its row has the same key in all eras, so
+    /// that an earlier stage may have been written there late.
+    fn is_status_due_again(&self, node: &Node, status: &Published) -> bool {
+        let now = node.now();
+        let era_age = node.with(|state| state.eras.get_age(now));
+        let is_return_recent = era_age.is_some_and(|age| age < LATE_WRITES_WITHIN);
+        is_return_recent && now >= status.written_at + STATUS_AGAIN
+    }
+}
+
+/// Forgets what this holder wrote, and keeps the versions of the rows.
+fn forget_written(statuses: BTreeMap<String, Published>) -> BTreeMap<String, Published> {
+    let forget = |(service, status)| (service, Published { written: None, ..status });
+    statuses.into_iter().map(forget).collect()
 }
 
 fn make_record(node: &Node, order: &Order, began_at: Millis, stage: Stage) -> Record {
