fix(rollout): an order that is read just after a return counts once the era is settled

Operators saw: an order that is given within two seconds of a return of the table service is never begun. Cause: until the era is settled a different order may be an earlier one that the copy holds, and is passed over. Nobody read the row again: from then on the configuration is confirmed by a condition on its own row, and the watch had passed the order's version. Found by reading; class: what is dropped for its era must be read again or kept. Change: such an order is kept, taken once the era is settled unless the known one was written again meanwhile, and announced.

--- a/crates/core/src/serving/rollout/book.rs
+++ b/crates/core/src/serving/rollout/book.rs
@@ -91,6 +91,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Book {
     rollouts: BTreeMap<String, Rollout>,
+    /// Orders that count once the era is settled, by service.
+    deferred: BTreeMap<String, Order>,
     /// When servers that have just started are as fast as others, by id.
     warm_at: HashMap<String, Millis>,
 }
@@ -160,7 +162,7 @@
     ///
     /// After a return of the table service from an older copy, the known order gets another number where
     /// its row is still there or is written again. A different one may be an earlier order that the copy
-    /// holds, and counts only once the era `is_settled`.
+    /// holds, and counts only once the era `is_settled`: see [`Self::take_deferred`].
     pub fn take_order(&mut self, order: Order, is_settled: bool) -> bool {
         if let Some(known) = self.rollouts.get_mut(&order.service) {
             if known.order.number >= order.number {
@@ -172,6 +174,7 @@
                 return true;
             }
             if is_return && !is_settled {
+                self.deferred.insert(order.service.clone(), order);
                 return false;
             }
         }
@@ -183,6 +186,13 @@
         true
     }
 
+    /// Takes the orders that were seen before the era was settled, and that no later one has replaced; returns those
+    /// that are newer than what is known.
+    pub fn take_deferred(&mut self) -> Vec<Order> {
+        let deferred = std::mem::take(&mut self.deferred).into_values();
+        deferred.filter(|order| self.take_order(order.clone(), true)).collect()
+    }
+
     /// Bars versions of earlier orders, in the roll-out of an order.
     pub fn bar(&mut self, service: &str, number: TableVersion, versions: &[String]) {
         let rollout = self.rollouts.get_mut(service);
--- a/crates/core/tests/serving/rollout.rs
+++ b/crates/core/tests/serving/rollout.rs
@@ -304,3 +304,22 @@
     assert!(book.take_order(returned("v3", 4), true));
     assert_eq!(book.list_orders()[0].0.target_version, "v3");
 }
+
+// Guards against an order that is never begun: it was read before the era was settled.
+#[test]
+fn an_order_that_is_read_before_an_era_is_settled_counts_later_unless_the_known_one_is_written_again()
+ {
+    let mut book = Book::default();
+    book.merge_announcement(10_000, &told(7, Stage::Shifting, Some(0)), true);
+    assert!(!book.take_order(returned("v3", 4), false));
+    assert_eq!(book.take_deferred(), [returned("v3", 4)]);
+    assert_eq!(book.list_orders()[0].0.target_version, "v3");
+    assert!(book.take_deferred().is_empty());
+
+    let mut book = Book::default();
+    book.merge_announcement(10_000, &told(7, Stage::Shifting, Some(0)), true);
+    assert!(!book.take_order(returned("v1", 3), false));
+    assert!(book.take_order(returned("v2", 5), false));
+    assert!(book.take_deferred().is_empty());
+    assert_eq!(book.list_orders(), [(returned("v2", 5), Stage::Shifting)]);
+}
--- a/crates/gateway/src/node/rollouts.rs
+++ b/crates/gateway/src/node/rollouts.rs
@@ -2,7 +2,7 @@
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::Server;
-use keeljunction_core::serving::rollout::{Announcement, Phase, Side, Stage, Tolerance};
+use keeljunction_core::serving::rollout::{Announcement, Order, Phase, Side, Stage, Tolerance};
 
 use super::Node;
 use super::peers::message::News;
@@ -29,6 +29,21 @@
     }
 }
 
+/// Takes the orders that were read before the era was settled, and announces them.
+pub(super) fn take_deferred(node: &Node) {
+    let now = node.now();
+    let orders = node.with(|state| match state.eras.is_settled(now) {
+        true => state.rollouts.take_deferred(),
+        false => Vec::new(),
+    });
+    for order in orders {
+        emit_changed(&order, Stage::Pending);
+        let announcement =
+            Announcement { order, stage: Stage::Pending, age: None, barred: Vec::new() };
+        node.push(News::RolloutChanged(announcement));
+    }
+}
+
 /// Merges what another node announces of a roll-out; returns `true` if that was new.
 pub(super) fn merge(state: &mut State, now: Millis, announcement: &Announcement) -> bool {
     let is_settled = state.eras.is_settled(now);
@@ -37,13 +52,17 @@
     if !is_new && advanced.is_none() {
         return false;
     }
+    emit_changed(&announcement.order, announcement.stage);
+    true
+}
+
+fn emit_changed(order: &Order, stage: Stage) {
     event::emit(&Event::RolloutChanged {
-        service: &announcement.order.service,
-        target_version: &announcement.order.target_version,
-        order: announcement.order.number.to_string(),
-        stage: announcement.stage.as_str(),
+        service: &order.service,
+        target_version: &order.target_version,
+        order: order.number.to_string(),
+        stage: stage.as_str(),
     });
-    true
 }
 
 /// Decides which servers of a service a request may go to.
--- a/crates/gateway/src/node/watch/configuration.rs
+++ b/crates/gateway/src/node/watch/configuration.rs
@@ -136,6 +136,7 @@
     };
     note_rewritten(node, &rows);
     adopt_and_push(node, &rows);
+    rollouts::take_deferred(node);
     confirm_configuration(node, asked_at).await
 }
 
