refactor(gateway): versions of peers, rows of usage and statuses of roll-outs have types and files of their own

The keys and encodings of usage rows, and the statuses of roll-outs with their repetition after a return, leave the two duties, whose files had grown past what one reads at once.

--- a/crates/core/src/serving/freshness.rs
+++ b/crates/core/src/serving/freshness.rs
@@ -13,10 +13,19 @@
 /// The versions of the platform's tables that a node knows, and how old that knowledge is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versions {
-    /// The configuration's version, and the age of the knowledge that it is the newest.
-    pub configuration: Option<(u64, Millis)>,
-    /// The version of the list of servers, and the age of the knowledge that it is the newest.
-    pub servers: Option<(TableVersion, Millis)>,
+    /// That of the configuration.
+    pub configuration: Option<Known<u64>>,
+    /// That of the list of servers.
+    pub servers: Option<Known<TableVersion>>,
+}
+
+/// A version that a node knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known<V> {
+    /// The version.
+    pub version: V,
+    /// Milliseconds since the node knew it to be the newest.
+    pub age: Millis,
 }
 
 /// Notes when the configuration was last known to be the newest.
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -22,7 +22,7 @@
 use crate::port::{Prompt, RequestHead};
 use crate::runtime::lock;
 
-/// The time that a caller is taken to wait where it does not say.
+/// The time that a caller is assumed to wait where it does not say.
 const DEFAULT_DEADLINE: Millis = 30_000;
 /// The least `Retry-After` of a client account beyond its limit, in milliseconds: what is refilled
 /// at once goes to those that came first.
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -36,6 +36,7 @@
 mod peers;
 mod quarantine_rows;
 mod rollout_duty;
+mod rollout_status;
 pub(crate) mod rollouts;
 pub mod serve;
 pub mod skipped;
@@ -44,7 +45,8 @@
 pub mod stop;
 mod table;
 mod uploads;
-pub mod usage_duty;
+mod usage_duty;
+pub mod usage_rows;
 pub mod watch;
 
 pub use memory::Reservation;
--- a/crates/gateway/src/node/peers/versions.rs
+++ b/crates/gateway/src/node/peers/versions.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::freshness::Versions;
+use keeljunction_core::serving::freshness::{Known, Versions};
 use keeljunction_core::serving::table_version::TableVersion;
 
 use super::calls;
@@ -85,17 +85,12 @@
 /// Takes what an aggregator of another region knows: it confirms what this node has. What this node
 /// lacks, its own region's readers get.
 pub(super) fn confirm(node: &Node, asked_at: Option<Millis>, versions: &Versions) {
-    let is_known = |version: u64| {
-        node.with(|state| {
-            state.configuration.as_ref().is_some_and(|known| known.version >= version)
-        })
-    };
-    if let Some((version, age)) = versions.configuration.filter(|(version, _)| is_known(*version)) {
-        confirm_configuration(node, &Reported { version, age, asked_at });
+    if let Some(known) = versions.configuration {
+        confirm_configuration(node, asked_at, known);
     }
-    if let Some((version, age)) = versions.servers {
-        table::note_era(node, version.era);
-        confirm_servers(node, version, age, asked_at);
+    if let Some(known) = versions.servers {
+        table::note_era(node, known.version.era);
+        confirm_servers(node, asked_at, known);
     }
 }
 
@@ -107,75 +102,68 @@
     asked_at: Option<Millis>,
     versions: &Versions,
 ) {
-    if let Some((version, age)) = versions.configuration {
-        let known = node.with(|state| state.configuration.as_ref().map(|known| known.version));
-        let reported = Reported { version, age, asked_at };
-        match known >= Some(version) {
-            true => confirm_configuration(node, &reported),
-            false => runtime::spawn(get_newer_configuration(node.clone(), from, reported)),
+    if let Some(known) = versions.configuration {
+        match has_configuration(node, known.version) {
+            true => confirm_configuration(node, asked_at, known),
+            false => runtime::spawn(get_newer_configuration(node.clone(), from, asked_at, known)),
         }
     }
-    if let Some((version, age)) = versions.servers {
-        table::note_era(node, version.era);
-        let is_known = node
-            .with(|state| state.directory.is_known() && state.directory.get_version() >= version);
-        match is_known {
-            true => confirm_servers(node, version, age, asked_at),
-            false => {
-                let getting = get_newer_servers(node.clone(), from, version, age, asked_at);
-                runtime::spawn(getting);
-            }
+    if let Some(known) = versions.servers {
+        table::note_era(node, known.version.era);
+        let has_servers = node.with(|state| {
+            state.directory.is_known() && state.directory.get_version() >= known.version
+        });
+        match has_servers {
+            true => confirm_servers(node, asked_at, known),
+            false => runtime::spawn(get_newer_servers(node.clone(), from, asked_at, known)),
         }
     }
 }
 
-/// What a node reported of the configuration.
-#[derive(Clone, Copy, Debug)]
-struct Reported {
-    version: u64,
-    /// How long before its report the node knew the version to be the newest.
-    age: Millis,
-    /// A time before the report, on this node's clock.
-    asked_at: Option<Millis>,
+/// Returns `true` if this node's configuration has a version, or a newer one.
+fn has_configuration(node: &Node, version: u64) -> bool {
+    node.with(|state| state.configuration.as_ref().is_some_and(|own| own.version >= version))
 }
 
 /// Gets a newer configuration from the node that knows it.
-async fn get_newer_configuration(node: Arc<Node>, from: SocketAddr, reported: Reported) {
+async fn get_newer_configuration(
+    node: Arc<Node>,
+    from: SocketAddr,
+    asked_at: Option<Millis>,
+    known: Known<u64>,
+) {
     calls::get_configuration(node.clone(), from).await;
-    confirm_configuration(&node, &reported);
+    confirm_configuration(&node, asked_at, known);
 }
 
 /// Gets a newer list of servers from the node that knows it.
 async fn get_newer_servers(
     node: Arc<Node>,
     from: SocketAddr,
-    version: TableVersion,
-    age: Millis,
     asked_at: Option<Millis>,
+    known: Known<TableVersion>,
 ) {
     calls::get_servers(node.clone(), from).await;
-    confirm_servers(&node, version, age, asked_at);
+    confirm_servers(&node, asked_at, known);
 }
 
-fn confirm_configuration(node: &Node, reported: &Reported) {
-    let Some(asked_at) = reported.asked_at else { return };
-    node.with(|state| {
-        let known = state.configuration.as_ref().map(|known| known.version);
-        if known >= Some(reported.version) {
-            state.freshness.confirm_by_peer(asked_at, reported.age);
-        }
-    });
+/// Confirms this node's configuration by what a peer knows; one that is older than that stays unconfirmed.
+fn confirm_configuration(node: &Node, asked_at: Option<Millis>, known: Known<u64>) {
+    let Some(asked_at) = asked_at.filter(|_| has_configuration(node, known.version)) else {
+        return;
+    };
+    node.with(|state| state.freshness.confirm_by_peer(asked_at, known.age));
 }
 
 /// Confirms the list of servers by a peer's. The list that was got may be newer than the one that was
 /// reported, and never older; that a list of an earlier era was the newest says nothing of this one.
-fn confirm_servers(node: &Node, version: TableVersion, age: Millis, asked_at: Option<Millis>) {
+fn confirm_servers(node: &Node, asked_at: Option<Millis>, known: Known<TableVersion>) {
     let Some(asked_at) = asked_at else { return };
     node.with(|state| {
-        let known = state.directory.get_version();
-        let is_known = state.directory.is_known() && known >= version;
-        if is_known && known.era == version.era {
-            state.servers_freshness.confirm_by_peer(asked_at, age);
+        let own = state.directory.get_version();
+        let is_current = state.directory.is_known() && own >= known.version;
+        if is_current && own.era == known.version.era {
+            state.servers_freshness.confirm_by_peer(asked_at, known.age);
         }
     });
 }
--- a/crates/gateway/src/node/rollout_duty.rs
+++ b/crates/gateway/src/node/rollout_duty.rs
@@ -16,12 +16,13 @@
 use keeljunction_core::serving::duty_lease::TableClock;
 use keeljunction_core::serving::era::Era;
 use keeljunction_core::serving::rollout::{
-    Announcement, Next, Order, Progress, Report, Side, Snapshot, Stage, Status,
+    Announcement, Next, Order, Progress, Report, Side, Snapshot, Stage,
 };
 use keeljunction_core::serving::table_version::TableVersion;
 use serde::{Deserialize, Serialize};
 
 use super::peers::message::News;
+use super::rollout_status::Statuses;
 use super::{Node, table};
 use crate::event::{self, Event};
 use crate::port::{Condition, Row, Rows, TableError, TableName, Transaction, Write};
@@ -30,10 +31,6 @@
 const CALL_WITHIN: Duration = Duration::from_millis(500);
 /// The pause after a call of the table service failed.
 const FAILED_PAUSE: Millis = 300;
-/// The time after a return of the table service within which a write that was sent before it may still be done.
-const LATE_WRITES_WITHIN: Millis = 10_000;
-/// The time between two writes of a status in that time.
-const STATUS_AGAIN: Millis = 1_000;
 
 /// What the holder of the duties knows of the roll-outs.
 #[derive(Debug, Default)]
@@ -44,8 +41,7 @@
     clock: Option<TableClock>,
     records: BTreeMap<String, Written>,
     progress: BTreeMap<String, (TableVersion, Progress)>,
-    /// The statuses as they were last published, by service.
-    statuses: BTreeMap<String, Published>,
+    statuses: Statuses,
     paused_until: Millis,
 }
 
@@ -71,17 +67,6 @@
     version: TableVersion,
 }
 
-/// The status of a roll-out as the operator reads it.
-#[derive(Clone, Copy, Debug)]
-struct Published {
-    /// The version of its row.
-    version: TableVersion,
-    /// The order and stage that this holder has written there; `None` where it has written nothing yet.
-    written: Option<(TableVersion, Stage)>,
-    /// When it was last written, on this node's clock.
-    written_at: Millis,
-}
-
 impl Record {
     fn get_order(&self) -> TableVersion {
         TableVersion::new(self.era, self.order)
@@ -134,8 +119,8 @@
             clock: Some(TableClock { asked_at, table_time: rows.table_time }),
             records: decode_all(&rows),
             statuses: match is_return {
-                true => BTreeMap::new(),
-                false => forget_written(std::mem::take(&mut self.statuses)),
+                true => Statuses::default(),
+                false => std::mem::take(&mut self.statuses).forget_written(),
             },
             ..Self::default()
         };
@@ -149,8 +134,7 @@
             if known > Some(order.number) {
                 continue;
             }
-            if !self.step_one(node, &order, known_stage).await
-                || !self.publish_status(node, &order).await
+            if !self.step_one(node, &order, known_stage).await || !self.publish(node, &order).await
             {
                 return false;
             }
@@ -158,6 +142,12 @@
         true
     }
 
+    /// Publishes the stage that is written.
+    async fn publish(&mut self, node: &Node, order: &Order) -> bool {
+        let Some(written) = self.records.get(&order.service) else { return true };
+        self.statuses.publish(node, self.era, order, written.record.stage).await
+    }
+
     /// Returns the record of an order, also where the order got its number in an earlier era.
     fn find_record(&self, order: &Order) -> Option<&Record> {
         let record = &self.records.get(&order.service)?.record;
@@ -252,55 +242,6 @@
         self.records.insert(service.to_owned(), written);
         true
     }
-
-    /// Publishes the stage that is written, where that was not done yet, or where a late write may have replaced it.
-    async fn publish_status(&mut self, node: &Node, order: &Order) -> bool {
-        let Some(record) = self.records.get(&order.service) else { return true };
-        let stage = record.record.stage;
-        let absent = TableVersion::absent(self.era);
-        let known = self.statuses.get(&order.service).copied();
-        let mut status =
-            known.unwrap_or(Published { version: absent, written: None, written_at: 0 });
-        let is_written = status.written == Some((order.number, stage));
-        if is_written && !self.is_status_due_again(node, &status) {
-            return true;
-        }
-        let row = (node.platform.rollouts.encode_status)(&Status {
-            service: order.service.clone(),
-            target_version: order.target_version.clone(),
-            stage,
-        });
-        match commit(node, TableName::Status, &row.key, status.version, Some(row.value)).await {
-            Ok(rows) => {
-                let written = Some((order.number, stage));
-                status = Published { version: rows.version, written, written_at: node.now() };
-            }
-            // Another writer replaced it: write it again with the next step.
-            Err(TableError::Conflict(rows)) => {
-                let found = rows.rows.iter().find(|found| found.key == row.key);
-                let version = found.map_or(absent, |row| row.version);
-                status = Published { version, written: None, ..status };
-            }
-            Err(_) => return false,
-        }
-        self.statuses.insert(order.service.clone(), status);
-        true
-    }
-
-    /// Returns `true` if a status that is written should be written again: its row has the same key in all eras, so
-    /// that an earlier stage may have been written there late.
-    fn is_status_due_again(&self, node: &Node, status: &Published) -> bool {
-        let now = node.now();
-        let era_age = node.with(|state| state.eras.get_age(now));
-        let is_return_recent = era_age.is_some_and(|age| age < LATE_WRITES_WITHIN);
-        is_return_recent && now >= status.written_at + STATUS_AGAIN
-    }
-}
-
-/// Forgets what this holder wrote, and keeps the versions of the rows.
-fn forget_written(statuses: BTreeMap<String, Published>) -> BTreeMap<String, Published> {
-    let forget = |(service, status)| (service, Published { written: None, ..status });
-    statuses.into_iter().map(forget).collect()
 }
 
 fn make_record(node: &Node, order: &Order, began_at: Millis, stage: Stage) -> Record {
@@ -315,7 +256,7 @@
 }
 
 /// Writes a row where it has not changed since a version.
-async fn commit(
+pub(super) async fn commit(
     node: &Node,
     name: TableName,
     key: &str,
--- a/crates/gateway/src/node/staleness.rs
+++ b/crates/gateway/src/node/staleness.rs
@@ -1,7 +1,7 @@
 //! How old the knowledge of the platform's tables may be, and how old it is.
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::freshness::Versions;
+use keeljunction_core::serving::freshness::{Known, Versions};
 
 use super::Node;
 
@@ -18,11 +18,12 @@
 pub(super) fn get_versions(node: &Node) -> Versions {
     let now = node.now();
     node.with(|state| {
-        let version = state.configuration.as_ref().map(|known| known.version);
+        let configuration = state.configuration.as_ref().zip(state.freshness.get_age(now));
         let servers_age = state.servers_freshness.get_age(now);
         Versions {
-            configuration: version.zip(state.freshness.get_age(now)),
-            servers: servers_age.map(|age| (state.directory.get_version(), age)),
+            configuration: configuration
+                .map(|(configuration, age)| Known { version: configuration.version, age }),
+            servers: servers_age.map(|age| Known { version: state.directory.get_version(), age }),
         }
     })
 }
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -18,23 +18,21 @@
 use keeljunction_core::serving::era::Era;
 use keeljunction_core::serving::table_version::TableVersion;
 use keeljunction_core::serving::usage::{
-    Counts, Kept, WindowNumber, count_kept, get_settle_time, is_settled, window_at,
+    Counts, WindowNumber, count_kept, get_settle_time, is_settled, window_at,
 };
 
-use super::{Node, document, era_origin, peers, table};
+use super::usage_rows::{self, FrozenKey, TABLE};
+use super::{Node, era_origin, peers, table};
 use crate::event::{self, Event};
 use crate::port::{
-    Condition, DutyHolder, Row, Rows, TableError, TableName, Transaction, UsageReport, Write,
+    Condition, DutyHolder, Rows, TableError, TableName, Transaction, UsageReport, Write,
 };
 use crate::runtime;
 
-const TABLE: &str = "usage";
 const CALL_WITHIN: Duration = Duration::from_millis(500);
-/// A digest this long after a window's end holds all counts of the window: clocks may disagree.
-const TOLD_AFTER: Millis = 200;
-/// The key of the row that keeps the counts of windows that are not reported yet.
-const RUNNING_KEY: &str = "running";
-/// How often that row is written in a window.
+/// A report this long after a window's end holds all counts of the window: clocks may disagree.
+const ARRIVED_AFTER: Millis = 200;
+/// How often the running counts are written in a window.
 const KEPT_IN_WINDOW: u64 = 5;
 /// The most rows of earlier eras that are removed in one transaction; the platform takes a hundred entries.
 const MOST_REMOVED: usize = 50;
@@ -128,30 +126,23 @@
     /// only where a node remembers the counts.
     fn take_rows(&mut self, node: &Node, rows: &Rows) {
         let era = rows.version.era;
-        let running_key = table::era_key(RUNNING_KEY, era);
-        let running = rows.rows.iter().find(|row| row.key == running_key);
-        self.running.version = running.map_or(TableVersion::absent(era), |row| row.version);
+        let rows = usage_rows::sort(&rows.rows, era);
+        self.running.version = rows.running.map_or(TableVersion::absent(era), |row| row.version);
         // Counts only grow, so that those of an earlier era add what is not known yet.
-        let is_running = |row: &&Row| {
-            table::split_key(&row.key).is_some_and(|(key, at)| key == RUNNING_KEY && at <= era)
-        };
-        for kept in rows.rows.iter().filter(is_running).filter_map(decode_running) {
+        let all_running = rows.earlier_running.iter().copied().chain(rows.running);
+        for kept in all_running.filter_map(usage_rows::decode_running) {
             node.with(|state| state.usage.merge_kept(&kept));
         }
-        let keys = rows.rows.iter().filter_map(|row| Some((row, FrozenKey::parse(&row.key)?)));
-        let (current, earlier): (Vec<_>, Vec<_>) =
-            keys.filter(|(_, key)| key.era <= era).partition(|(_, key)| key.era == era);
-        self.frozen = current.into_iter().filter_map(|(row, _)| decode(row)).collect();
+        self.frozen = rows.frozen.into_iter().filter_map(usage_rows::decode).collect();
         for (window, counts) in &self.frozen {
             remember(node, era, *window, counts);
         }
-        self.in_earlier_eras = earlier.iter().map(|(_, key)| key.window).collect();
-        let kept = self.in_earlier_eras.iter().chain(self.frozen.keys()).max().copied();
-        let first = kept.unwrap_or(0).saturating_sub(count_windows_kept(node));
-        let outdated = earlier.iter().filter(|(_, key)| key.window < first);
-        let running = rows.rows.iter().filter(is_running).filter(|row| row.key != running_key);
-        let keys = outdated.map(|(row, _)| *row).chain(running).map(|row| row.key.clone());
-        self.outdated = keys.take(MOST_REMOVED).collect();
+        self.in_earlier_eras = rows.earlier_frozen.iter().map(|(_, key)| key.window).collect();
+        let last = self.in_earlier_eras.iter().chain(self.frozen.keys()).max().copied();
+        let first = last.unwrap_or(0).saturating_sub(count_windows_kept(node));
+        let outdated = rows.earlier_frozen.iter().filter(|(_, key)| key.window < first);
+        let outdated = outdated.map(|(row, _)| *row).chain(rows.earlier_running);
+        self.outdated = outdated.map(|row| row.key.clone()).take(MOST_REMOVED).collect();
         self.withheld.clear();
     }
 
@@ -185,9 +176,9 @@
             return;
         }
         let name = TableName::Own(TABLE);
-        let key = table::era_key(RUNNING_KEY, self.era);
+        let key = usage_rows::make_running_key(self.era);
         let condition = Condition { table: name, key: key.clone(), version: self.running.version };
-        let write = Write { table: name, key, value: encode_running(&kept) };
+        let write = Write { table: name, key, value: usage_rows::encode_running(&kept) };
         let transaction = Transaction { conditions: vec![condition], writes: vec![write] };
         match table::commit(node, transaction, CALL_WITHIN).await {
             Ok(rows) => self.running.version = rows.version,
@@ -211,7 +202,7 @@
             }
             // Another holder froze it first.
             Err(TableError::Conflict(rows)) => {
-                self.frozen.extend(rows.rows.iter().filter_map(decode));
+                self.frozen.extend(rows.rows.iter().filter_map(usage_rows::decode));
                 self.frozen.contains_key(&window)
             }
             _ => {
@@ -303,7 +294,7 @@
     let steady = node.now();
     let ended_at = steady.saturating_sub(age);
     let is_node_missing =
-        node.with(|state| state.members.is_any_unheard_since(steady, ended_at + TOLD_AFTER));
+        node.with(|state| state.members.is_any_unheard_since(steady, ended_at + ARRIVED_AFTER));
     is_settled(age, due, is_node_missing)
 }
 
@@ -333,38 +324,3 @@
         node.clock.get_start() < began_at && state.members.is_whole(released_at, began_at)
     })
 }
-
-/// The key of a frozen window's row.
-struct FrozenKey {
-    window: WindowNumber,
-    era: Era,
-}
-
-impl FrozenKey {
-    fn encode(&self) -> String {
-        table::era_key(&format!("{:020}", self.window), self.era)
-    }
-
-    /// Parses a key; `None` where it is that of another row.
-    fn parse(key: &str) -> Option<Self> {
-        let (window, era) = table::split_key(key)?;
-        Some(Self { window: window.parse().ok()?, era })
-    }
-}
-
-/// Encodes counts for one row: most of them are small, and packed they take a fraction of the bytes.
-pub fn encode_running(kept: &Kept) -> Option<Vec<u8>> {
-    let encoded = postcard::to_stdvec(kept);
-    let encoded =
-        encoded.inspect_err(|error| log::error!("running counts cannot be encoded: {error}"));
-    Some(document::pack(&encoded.ok()?).to_vec())
-}
-
-fn decode_running(row: &Row) -> Option<Kept> {
-    postcard::from_bytes(&document::unpack(row.value.as_deref()?)?).ok()
-}
-
-fn decode(row: &Row) -> Option<(WindowNumber, Counts)> {
-    let counts = serde_json::from_slice(row.value.as_deref()?).ok()?;
-    Some((FrozenKey::parse(&row.key)?.window, counts))
-}
--- a/crates/gateway/tests/usage.rs
+++ b/crates/gateway/tests/usage.rs
@@ -1,7 +1,7 @@
 //! The row that keeps the counts of windows that are not reported yet.
 
 use keeljunction_core::serving::usage::{Counts, Incarnation, Ledger};
-use keeljunction_gateway::node::usage_duty::encode_running;
+use keeljunction_gateway::node::usage_rows::encode_running;
 
 /// What the platform's table service takes as the value of one row, in bytes.
 const LONGEST_ROW: usize = 65_536;
