fix(era): the first era of a deployment has an age too

Cause: a node that had seen no other era, where the copy held no row of any origin, took its era for the deployment's first one, in which nothing was lost, and took the lease at once; its holder of the era before had not heard of the return. In the product that needs the deployment's first start and a copy from before the first write: a node that did not reach the store in the era before cannot tell the two apart. Ruled out: a wrong model; the product asked for the first start besides, which is true for the whole life of those processes. Change: no era counts as the first one. Windows without requests are given up without a word, and a window that is too old for a summary to name is not taken for unreported.

--- a/crates/core/src/serving/era.rs
+++ b/crates/core/src/serving/era.rs
@@ -47,8 +47,6 @@
     pub age: Millis,
     /// That time on the node's wall clock, in milliseconds since the Unix epoch.
     pub unix_ms: u64,
-    /// Whether the deployment started in this era: nothing was lost before it.
-    pub is_first: bool,
 }
 
 /// An era that a node did not know.
@@ -113,8 +111,6 @@
         let Some(current) = self.current.as_mut().filter(|current| current.era == era) else {
             return;
         };
-        // A node that starts after a return may take an era for the first one.
-        let origin = Origin { is_first: origin.is_first && !current.is_return, ..origin };
         let begun_at = now.saturating_sub(origin.age);
         current.begun_at = Some(current.begun_at.map_or(begun_at, |known| known.min(begun_at)));
         current.origin = Some(origin);
@@ -126,11 +122,13 @@
     }
 
     /// Returns the milliseconds since the current era began, at the least; `None` where that is not
-    /// known. Where nothing was ever lost it is as if it had always been.
+    /// known. A table service that names no eras loses nothing.
+    ///
+    /// The first era of a deployment has an age too: a node that has seen no other one cannot tell it from an era that
+    /// began with a copy from before the first write.
     pub fn get_age(&self, now: Millis) -> Option<Millis> {
         let Some(current) = self.current else { return Some(Millis::MAX) };
-        let is_first = current.origin.is_some_and(|origin| origin.is_first);
-        if is_first || current.era == Era::UNNAMED {
+        if current.era == Era::UNNAMED {
             return Some(Millis::MAX);
         }
         current.begun_at.map(|at| now.saturating_sub(at))
@@ -160,6 +158,6 @@
             return true;
         }
         let Some(origin) = self.get_origin() else { return false };
-        origin.is_first || unix_ms >= origin.unix_ms + CLOCKS_DIFFER_BY
+        unix_ms >= origin.unix_ms + CLOCKS_DIFFER_BY
     }
 }
--- a/crates/core/src/serving/usage/window_set.rs
+++ b/crates/core/src/serving/usage/window_set.rs
@@ -13,6 +13,9 @@
 }
 
 impl WindowSet {
+    /// How many windows a set reaches back, its last one included.
+    pub const SPAN: u64 = u64::BITS as u64;
+
     /// Returns `true` if a window is one of them.
     pub fn has(&self, window: WindowNumber) -> bool {
         let place = self.last.checked_sub(window).and_then(|place| u32::try_from(place).ok());
@@ -22,14 +25,13 @@
     /// Lists them, the last one first.
     pub fn iter(&self) -> impl Iterator<Item = WindowNumber> {
         let set = *self;
-        let windows =
-            (0..u64::from(u64::BITS)).filter_map(move |place| set.last.checked_sub(place));
+        let windows = (0..Self::SPAN).filter_map(move |place| set.last.checked_sub(place));
         windows.filter(move |window| set.has(*window))
     }
 }
 
 impl FromIterator<WindowNumber> for WindowSet {
-    /// Makes the set of some windows; those of more than 63 windows before the last one are left out.
+    /// Makes the set of some windows; those that lie [`WindowSet::SPAN`] or more before the last one are left out.
     fn from_iter<T: IntoIterator<Item = WindowNumber>>(windows: T) -> Self {
         let windows: Vec<WindowNumber> = windows.into_iter().collect();
         let last = windows.iter().max().copied().unwrap_or(0);
--- a/crates/gateway/src/node/era_origin.rs
+++ b/crates/gateway/src/node/era_origin.rs
@@ -25,8 +25,6 @@
     seen_at: Millis,
     /// The same on that node's wall clock, in milliseconds since the Unix epoch.
     unix_ms: u64,
-    /// Whether the deployment started in this era.
-    is_first: bool,
 }
 
 /// Makes the origin of the current era known, where nothing shows yet when it began: reads its row, and
@@ -48,10 +46,10 @@
         None => write(node, &rows).await?,
     };
     let age = rows.table_time.saturating_sub(origin.seen_at);
-    let OriginRow { unix_ms, is_first, .. } = origin;
     let now = node.now();
     node.with(|state| {
-        state.eras.set_origin(now, rows.version.era, Origin { age, unix_ms, is_first });
+        let origin = Origin { age, unix_ms: origin.unix_ms };
+        state.eras.set_origin(now, rows.version.era, origin);
     });
     Ok(())
 }
@@ -59,9 +57,7 @@
 /// Writes the origin of an era of which the table, as it was read, holds none.
 async fn write(node: &Node, rows: &Rows) -> Result<OriginRow, TableError> {
     let era = rows.version.era;
-    let is_start = node.settings.node.is_first_start && rows.rows.is_empty();
-    let is_first = is_start && !node.with(|state| state.eras.is_return());
-    let origin = OriginRow { seen_at: rows.table_time, unix_ms: runtime::unix_ms(), is_first };
+    let origin = OriginRow { seen_at: rows.table_time, unix_ms: runtime::unix_ms() };
     let key = make_key(era);
     let version = TableVersion::absent(era);
     let condition = Condition { table: TABLE, key: key.clone(), version };
@@ -85,6 +81,6 @@
 fn decode(row: &Row, read_at: Millis) -> OriginRow {
     serde_json::from_slice(row.value.as_deref().unwrap_or_default()).unwrap_or_else(|error| {
         event::emit(&Event::DocumentRejected { error: format!("the origin of an era: {error}") });
-        OriginRow { seen_at: read_at, unix_ms: runtime::unix_ms(), is_first: false }
+        OriginRow { seen_at: read_at, unix_ms: runtime::unix_ms() }
     })
 }
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -18,7 +18,7 @@
 use keeljunction_core::serving::era::Era;
 use keeljunction_core::serving::table_version::TableVersion;
 use keeljunction_core::serving::usage::{
-    Counts, WindowNumber, count_kept, get_settle_time, is_settled, window_at,
+    Counts, WindowNumber, WindowSet, count_kept, get_settle_time, is_settled, window_at,
 };
 
 use super::usage_rows::{self, FrozenKey, TABLE};
@@ -153,10 +153,14 @@
         is_frozen || (!self.in_earlier_eras.contains(&window) && is_surely_unreported(node, window))
     }
 
-    /// Gives up the windows before one that were withheld until their reports were of no more use.
+    /// Gives up the windows before one that were withheld until their reports were of no more use. One without
+    /// requests is no loss.
     fn give_up_before(&mut self, node: &Node, first: WindowNumber) {
         let due = self.withheld.split_off(&first);
-        for window in std::mem::replace(&mut self.withheld, due) {
+        let given_up = std::mem::replace(&mut self.withheld, due).into_iter();
+        let has_requests =
+            |window: &WindowNumber| node.with(|state| !state.usage.total(*window).is_empty());
+        for window in given_up.filter(has_requests) {
             node.metrics.usage_withheld.inc();
             event::emit(&Event::UsageWithheld { window, era: self.era.get_number() });
         }
@@ -315,7 +319,9 @@
         if state.eras.is_surely_after_return(ended_at + get_settle_time(get_due(node))) {
             return true;
         }
-        if state.frozen.is_named(window) {
+        let is_too_old_to_be_named =
+            window + WindowSet::SPAN <= window_at(runtime::unix_ms(), length);
+        if is_too_old_to_be_named || state.frozen.is_named(window) {
             return false;
         }
         let Some(era_age) = state.eras.get_age(now) else { return false };
