--- a/crates/gateway/src/node/era_origin.rs
+++ b/crates/gateway/src/node/era_origin.rs
@@ -12,7 +12,7 @@
 
 use super::{Node, table};
 use crate::event::{self, Event};
-use crate::port::{Condition, Row, Rows, TableError, TableName, Transaction, Write};
+use crate::port::{Row, Rows, TableError, TableName};
 use crate::runtime;
 
 const TABLE: TableName = TableName::Own("eras");
@@ -60,10 +60,8 @@
     let origin = OriginRow { seen_at: rows.table_time, unix_ms: runtime::unix_ms() };
     let key = make_key(era);
     let version = TableVersion::absent(era);
-    let condition = Condition { table: TABLE, key: key.clone(), version };
-    let write = Write { table: TABLE, key, value: serde_json::to_vec(&origin).ok() };
-    let transaction = Transaction { conditions: vec![condition], writes: vec![write] };
-    match table::commit(node, transaction, CALL_WITHIN).await {
+    let value = serde_json::to_vec(&origin).ok();
+    match table::replace(node, TABLE, &key, version, value, CALL_WITHIN).await {
         Ok(_) => Ok(origin),
         Err(TableError::Conflict(found)) if !found.rows.is_empty() => {
             Ok(decode(&found.rows[0], rows.table_time))
--- a/crates/gateway/src/node/rollout_duty.rs
+++ b/crates/gateway/src/node/rollout_duty.rs
@@ -25,7 +25,7 @@
 use super::rollout_status::Statuses;
 use super::{Node, table};
 use crate::event::{self, Event};
-use crate::port::{Condition, Row, Rows, TableError, TableName, Transaction, Write};
+use crate::port::{Row, Rows, TableError, TableName};
 
 const TABLE: &str = "rollouts";
 const CALL_WITHIN: Duration = Duration::from_millis(500);
@@ -235,7 +235,9 @@
         let version = self.records.get(service).map_or(absent, |written| written.version);
         let value = serde_json::to_vec(&record).ok();
         let key = table::era_key(service, self.era);
-        let Ok(rows) = commit(node, TableName::Own(TABLE), &key, version, value).await else {
+        let writing =
+            table::replace(node, TableName::Own(TABLE), &key, version, value, CALL_WITHIN);
+        let Ok(rows) = writing.await.inspect_err(note_failure) else {
             return false;
         };
         let written = Written { record, version: rows.version };
@@ -244,6 +246,10 @@
     }
 }
 
+fn note_failure(error: &TableError) {
+    event::emit(&Event::TableCallFailed { what: "roll-out", error: error.to_string() });
+}
+
 fn make_record(node: &Node, order: &Order, began_at: Millis, stage: Stage) -> Record {
     Record {
         order: order.number.number,
@@ -255,24 +261,6 @@
     }
 }
 
-/// Writes a row where it has not changed since a version.
-pub(super) async fn commit(
-    node: &Node,
-    name: TableName,
-    key: &str,
-    version: TableVersion,
-    value: Option<Vec<u8>>,
-) -> Result<Rows, TableError> {
-    let condition = Condition { table: name, key: key.to_owned(), version };
-    let write = Write { table: name, key: key.to_owned(), value };
-    let transaction = Transaction { conditions: vec![condition], writes: vec![write] };
-    let answer = table::commit(node, transaction, CALL_WITHIN).await;
-    if let Err(error) = &answer {
-        event::emit(&Event::TableCallFailed { what: "roll-out", error: error.to_string() });
-    }
-    answer
-}
-
 /// Returns the stage that follows, and why; `None` where it stays.
 fn get_stage(next: Next) -> Option<(Stage, Reason)> {
     let reason = |why| Reason { why, route: None, in_flight: 0 };
--- a/crates/gateway/src/node/rollout_status.rs
+++ b/crates/gateway/src/node/rollout_status.rs
@@ -5,16 +5,18 @@
 //! holder of the duties therefore writes the status again and again.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::era::Era;
 use keeljunction_core::serving::rollout::{Order, Stage, Status};
 use keeljunction_core::serving::table_version::TableVersion;
 
-use super::Node;
-use super::rollout_duty::commit;
+use super::{Node, table};
+use crate::event::{self, Event};
 use crate::port::{TableError, TableName};
 
+const CALL_WITHIN: Duration = Duration::from_millis(500);
 /// The time after a return of the table service within which a write that was sent before it may still be done.
 const LATE_WRITES_WITHIN: Millis = 10_000;
 /// The time between two writes of a status in that time.
@@ -57,7 +59,9 @@
             target_version: order.target_version.clone(),
             stage,
         });
-        match commit(node, TableName::Status, &row.key, status.version, Some(row.value)).await {
+        let (name, value) = (TableName::Status, Some(row.value));
+        let writing = table::replace(node, name, &row.key, status.version, value, CALL_WITHIN);
+        match writing.await.inspect_err(note_failure) {
             Ok(rows) => {
                 let written = Some((order.number, stage));
                 status = Published { version: rows.version, written, written_at: node.now() };
@@ -82,3 +86,7 @@
     let is_return_recent = era_age.is_some_and(|age| age < LATE_WRITES_WITHIN);
     is_return_recent && now >= status.written_at + STATUS_AGAIN
 }
+
+fn note_failure(error: &TableError) {
+    event::emit(&Event::TableCallFailed { what: "status of a roll-out", error: error.to_string() });
+}
--- a/crates/gateway/src/node/table.rs
+++ b/crates/gateway/src/node/table.rs
@@ -14,7 +14,9 @@
 
 use super::Node;
 use crate::event::{self, Event};
-use crate::port::{Rows, Selection, TableError, TableName, Transaction, answer_within};
+use crate::port::{
+    Condition, Rows, Selection, TableError, TableName, Transaction, Write, answer_within,
+};
 
 /// Stands between a row's key and its era.
 const ERA_MARK: char = '@';
@@ -127,6 +129,24 @@
     }
 }
 
+/// Writes a row, or removes it, where it has not changed since a version.
+///
+/// # Errors
+///
+/// Returns the same as [`commit`].
+pub(super) async fn replace(
+    node: &Node,
+    table: TableName,
+    key: &str,
+    version: TableVersion,
+    value: Option<Vec<u8>>,
+    within: Duration,
+) -> Result<Rows, TableError> {
+    let condition = Condition { table, key: key.to_owned(), version };
+    let write = Write { table, key: key.to_owned(), value };
+    commit(node, Transaction { conditions: vec![condition], writes: vec![write] }, within).await
+}
+
 /// Notes the era that an answer shows; one of an earlier era counts for nothing.
 fn take(node: &Node, answer: Result<Rows, TableError>) -> Result<Rows, TableError> {
     if let Ok(rows) | Err(TableError::Conflict(rows)) = &answer {
--- a/crates/gateway/src/node/usage_duty.rs
+++ b/crates/gateway/src/node/usage_duty.rs
@@ -181,10 +181,8 @@
         }
         let name = TableName::Own(TABLE);
         let key = usage_rows::make_running_key(self.era);
-        let condition = Condition { table: name, key: key.clone(), version: self.running.version };
-        let write = Write { table: name, key, value: usage_rows::encode_running(&kept) };
-        let transaction = Transaction { conditions: vec![condition], writes: vec![write] };
-        match table::commit(node, transaction, CALL_WITHIN).await {
+        let (version, value) = (self.running.version, usage_rows::encode_running(&kept));
+        match table::replace(node, name, &key, version, value, CALL_WITHIN).await {
             Ok(rows) => self.running.version = rows.version,
             // Another holder wrote, or the outcome is not known: read the row before the next try.
             _ => self.fence = None,
