--- a/crates/core/tests/serving/era.rs
+++ b/crates/core/tests/serving/era.rs
@@ -76,3 +76,25 @@
     assert!(!eras.is_surely_after_return(1_003_999));
     assert!(eras.is_surely_after_return(1_004_000));
 }
+
+// Guards against a node that takes an era for the deployment's first one, in which nothing was lost: a copy from before
+// the first write holds no origin of an earlier era either.
+#[test]
+fn an_era_that_may_be_the_first_one_is_settled_as_late_as_any() {
+    let mut eras = Eras::default();
+    eras.note(0, Era::named(1));
+    eras.set_origin(10, Era::named(1), Origin { age: 0, ..READ_FROM_ROW });
+    assert!(!eras.is_settled(2_009));
+    assert!(eras.is_settled(2_010));
+    assert!(!eras.is_surely_after_return(0));
+}
+
+#[test]
+fn a_node_that_saw_a_return_does_not_take_the_era_for_the_first_one() {
+    let mut eras = Eras::default();
+    eras.note(0, Era::named(1));
+    eras.note(10_000, Era::named(2));
+    eras.set_origin(10_100, Era::named(2), READ_FROM_ROW);
+    assert!(!eras.is_settled(10_100));
+    assert!(!eras.is_surely_after_return(0));
+}
