feat(retry): log each decision of the retry budget

The users saw more retries than the budget of all nodes allows. The log could not tell whether nodes forget what they spent at a restart or divide the budget by different numbers of nodes: it named neither the divisor nor the allowance of the process. The new event retry_decided holds both.

No change of behaviour.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -75,6 +75,13 @@
         true
     }
 
+    /// Returns the number of requests to a service in the window that ends now.
+    pub fn count_recent_requests(&mut self, now: Millis, service: &str) -> usize {
+        let Some(usage) = self.services.get_mut(service) else { return 0 };
+        expire(&mut usage.requests, now, self.allowance.window);
+        usage.requests.len()
+    }
+
     /// Returns the number of retries remaining in the window that ends now.
     pub fn get_remaining(&mut self, now: Millis, service: &str, nodes: usize) -> f64 {
         let Allowance { ratio, min_retries, window, usable_fraction } = self.allowance;
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -140,6 +140,18 @@
         may_have_run: bool,
         why: &'a str,
     },
+    /// The retry budget allowed or denied another attempt.
+    RetryDecided {
+        request: &'a str,
+        service: &'a str,
+        is_allowed: bool,
+        /// Nodes that share the budget, as far as this node knows.
+        nodes: usize,
+        /// Requests of this process to the service in the window of the budget.
+        requests: usize,
+        /// Further retries that the budget of this process allows now.
+        remaining: f64,
+    },
     /// An upload was evicted because it was too slow or its memory was needed.
     UploadEvicted { request: &'a str, received: u64, length: Option<u64>, why: &'a str },
     /// Memory pressure, under which callers should use other nodes, began or ended.
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -193,9 +193,16 @@
     progress: &AttemptProgress,
     now: Millis,
 ) -> Result<(), Rejection> {
+    let (service, request) = (&exchange.service, exchange.head.id.as_deref().unwrap_or(""));
     let is_allowed = node.with(|state| {
         let nodes = state.members.get_reachability(now).known;
-        state.retry_budget.take(now, &exchange.service, nodes)
+        let is_allowed = state.retry_budget.take(now, service, nodes);
+        let requests = state.retry_budget.count_recent_requests(now, service);
+        let remaining = state.retry_budget.get_remaining(now, service, nodes);
+        let event =
+            Event::RetryDecided { request, service, is_allowed, nodes, requests, remaining };
+        event::emit(&event);
+        is_allowed
     });
     if !is_allowed {
         return Err(progress.reject(Refusal::NotAccepted, FULL_RETRY_AFTER_MS));
