--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,8 @@
 	  then binary="-p standin --test faults"; \
 	  elif [ -f crates/core/tests/serving/$${test%%::*}.rs ]; \
 	  then binary="-p keeljunction-core --test serving"; \
+	  elif [ -f crates/core/tests/core/$${test%%::*}.rs ]; \
+	  then binary="-p keeljunction-core --test core"; \
 	  else binary="-p keeljunction-platform --test platform"; fi; \
 	  $(CARGO) test -q $$binary -- --exact $$test || echo "known red, failed: $$test"; \
 	done
--- a/crates/core/tests/core/retry.rs
+++ b/crates/core/tests/core/retry.rs
@@ -96,3 +96,119 @@
         prop_assert!((50..=5_000).contains(&wait));
     }
 }
+
+/// A change of the nodes that share a budget.
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    /// A request arrives at a node, and all retries that its budget allows are taken.
+    Request(usize),
+    /// A process is killed and starts again.
+    Restart(usize),
+    /// All processes are killed and start again.
+    RestartAll,
+    /// A node leaves, and its clients go to the others.
+    Stop(usize),
+    /// A node joins.
+    Join,
+    /// A node hears only some of the others from now on.
+    Cut(usize, usize),
+    /// All nodes hear each other again.
+    Heal,
+    /// A process stands still, and goes on after the given time.
+    Suspend(usize, u64),
+}
+
+/// A process of a node, with its view of the others.
+struct Process {
+    budget: Budget,
+    /// The number of nodes that it knows, or `None` if it knows all.
+    known: Option<usize>,
+    suspended_until: u64,
+}
+
+impl Process {
+    fn start() -> Self {
+        Self { budget: Budget::new(ALLOWANCE), known: None, suspended_until: 0 }
+    }
+}
+
+/// Retries and requests of all processes that ever ran.
+#[derive(Default)]
+struct Totals {
+    requests: Vec<u64>,
+    retries: Vec<u64>,
+}
+
+fn apply(change: Change, now: u64, processes: &mut Vec<Process>, totals: &mut Totals) {
+    let (count, pick) = (processes.len(), |index: usize| index % processes.len());
+    match change {
+        Change::Request(index) => {
+            totals.requests.push(now);
+            let process = &mut processes[index % count];
+            if now >= process.suspended_until {
+                process.budget.count_request(now, "llm");
+                while process.budget.take(now, "llm", process.known.unwrap_or(count)) {
+                    totals.retries.push(now);
+                }
+            }
+        }
+        Change::Restart(index) => {
+            let index = pick(index);
+            processes[index] = Process::start();
+        }
+        Change::RestartAll => processes.iter_mut().for_each(|process| *process = Process::start()),
+        Change::Stop(index) if count > 1 => drop(processes.swap_remove(pick(index))),
+        Change::Join => processes.push(Process::start()),
+        Change::Cut(index, known) => {
+            let index = pick(index);
+            processes[index].known = Some(1 + known % count);
+        }
+        Change::Heal => processes.iter_mut().for_each(|process| process.known = None),
+        Change::Suspend(index, time) => {
+            let index = pick(index);
+            processes[index].suspended_until = now + time;
+        }
+        Change::Stop(_) => {}
+    }
+}
+
+fn arbitrary_change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        60 => (0usize..20).prop_map(Change::Request),
+        2 => (0usize..20).prop_map(Change::Restart),
+        1 => Just(Change::RestartAll),
+        1 => (0usize..20).prop_map(Change::Stop),
+        1 => Just(Change::Join),
+        2 => ((0usize..20), (0usize..20)).prop_map(|(index, known)| Change::Cut(index, known)),
+        1 => Just(Change::Heal),
+        1 => ((0usize..20), (0u64..30_000)).prop_map(|(index, time)| Change::Suspend(index, time)),
+    ]
+}
+
+proptest! {
+    /// Guards against processes that take a budget of all nodes as unspent after a start, or divide
+    /// it by another number of nodes than the others do.
+    #[test]
+    fn retries_stay_within_the_allowance_while_nodes_start_stop_join_and_are_cut_off(
+        changes in proptest::collection::vec((0u64..60, arbitrary_change()), 1..1_500),
+        initial_nodes in 1usize..12,
+    ) {
+        let mut processes: Vec<Process> = (0..initial_nodes).map(|_| Process::start()).collect();
+        let (mut totals, mut now) = (Totals::default(), 20_000);
+        for (step, change) in changes {
+            now += step;
+            apply(change, now, &mut processes, &mut totals);
+        }
+        let count_until = |times: &[u64], end: u64| {
+            times.iter().filter(|at| **at <= end && **at + ALLOWANCE.window > end).count()
+        };
+        for end in &totals.retries {
+            let ends = [*end, end - ALLOWANCE.window / 2, end - ALLOWANCE.window];
+            let requests = ends.map(|end| count_until(&totals.requests, end));
+            let requests = requests.into_iter().max().unwrap_or(0) as f64;
+            let allowed = ALLOWANCE.ratio * requests + ALLOWANCE.min_retries;
+            let retries = count_until(&totals.retries, *end);
+            prop_assert!(retries as f64 <= allowed, "{} retries, {} allowed", retries, allowed);
+        }
+    }
+}
