fix(retry): let requests pay for the retries of all nodes

Cause: each process counted its own sliding window and took a part of the fixed number, divided by the nodes that it knew. A process that started had both anew, and one that knew no other yet took the whole number. Ruled out: arrivals that nobody counts.

Now a request earns a part of the ratio, a process keeps no more than another part of the ratio times its requests in the last window, and the fixed number gives one retry to a process that has run for a whole window.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -1,29 +1,97 @@
 //! The retry budget and the retry backoff.
 //!
-//! All nodes share one budget per service: a ratio of its requests plus a fixed number of retries
-//! per window, so that a wave of failures cannot multiply the load on the remaining servers. Nodes
-//! do not coordinate. Each node uses the ratio of its own requests and an equal share of the fixed
-//! number, so the total stays within the budget under any network partition.
+//! A budget limits the retries to a service to a ratio of its requests plus a fixed number per
+//! window, so that a wave of failures cannot multiply the load on the remaining servers. It belongs
+//! to one process or to all nodes together.
+//!
+//! Nodes that share a budget do not coordinate, and a process knows nothing of what an earlier one
+//! spent. The total stays within the allowance all the same, because each process spends only what
+//! its own requests pay for:
+//!
+//! - a request earns a part of the ratio, and a process keeps unused retries up to another part of
+//!   the ratio times its requests in the last window. In any window, all processes together use at
+//!   most the first part of the requests in that window and the second part of those in the window
+//!   before it. The two parts add up to less than the ratio;
+//! - a process that has run for a whole window may take one retry of the fixed number before
+//!   requests have paid for it. All processes that do so within a window ran at its start, so they
+//!   are no more than the nodes at that time.
+//!
+//! Neither depends on when processes start, join or stop, or on which others they hear.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::Millis;
 
-/// The retries that the operator allows over all nodes.
+/// The part of a shared ratio that requests earn.
+const EARNED_FRACTION: f64 = 0.7;
+/// The part of a shared ratio, times the requests of the last window, that a process keeps. The
+/// rest of the ratio is a margin for retries that reach their servers late.
+const KEPT_FRACTION: f64 = 0.25;
+/// Retries of a shared fixed number that a process takes per window.
+const SHARED_FIXED_RETRIES: f64 = 1.0;
+/// The fixed number is used only if it is this many times the number of known nodes: a node may know
+/// only some of the others.
+const MIN_FIXED_PER_NODE: f64 = 2.0;
+/// Tolerance for rounding in a sum of earned parts.
+const ROUNDING: f64 = 1e-9;
+
+/// The retries that a process may use.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Allowance {
-    /// Retries per request.
-    pub ratio: f64,
-    /// Additional retries per window, independent of the number of requests.
-    pub min_retries: f64,
     /// Length of the sliding window, in milliseconds.
-    pub window: Millis,
-    /// The fraction of the allowance that may be used. The rest is a margin for retries by callers
-    /// and lost responses that add up at window boundaries.
-    pub usable_fraction: f64,
+    window: Millis,
+    /// Most retries per request in the window.
+    ratio: f64,
+    /// Retries that a request earns.
+    earned_ratio: f64,
+    /// Most unused retries that are kept, per request in the window.
+    kept_ratio: f64,
+    fixed: Fixed,
+}
+
+/// Retries per window that requests do not have to pay for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fixed {
+    /// A number for this process alone.
+    Own(f64),
+    /// A number for all nodes together.
+    Shared(f64),
+}
+
+impl Allowance {
+    /// Creates the allowance of a single process: `ratio` retries per request and `min_retries`
+    /// more, per window.
+    pub const fn own(ratio: f64, min_retries: f64, window: Millis) -> Self {
+        let fixed = Fixed::Own(min_retries);
+        Self { window, ratio, earned_ratio: ratio, kept_ratio: ratio, fixed }
+    }
+
+    /// Creates the allowance of one of the processes that share `ratio` retries per request and
+    /// `min_retries` more, per window.
+    pub const fn shared(ratio: f64, min_retries: f64, window: Millis) -> Self {
+        Self {
+            window,
+            ratio: ratio * (EARNED_FRACTION + KEPT_FRACTION),
+            earned_ratio: ratio * EARNED_FRACTION,
+            kept_ratio: ratio * KEPT_FRACTION,
+            fixed: Fixed::Shared(min_retries),
+        }
+    }
+
+    /// Returns the retries per window that requests do not have to pay for, at a process that has
+    /// run for `age` and knows `nodes` nodes.
+    fn get_fixed_retries(&self, age: Millis, nodes: usize) -> f64 {
+        match self.fixed {
+            Fixed::Own(retries) => retries,
+            Fixed::Shared(retries) => {
+                let is_enough = retries >= MIN_FIXED_PER_NODE * nodes as f64;
+                if age >= self.window && is_enough { SHARED_FIXED_RETRIES } else { 0.0 }
+            }
+        }
+    }
 }
 
-/// The retry budget of one node, per service, over a sliding window.
+/// The retry budget of one process, per service.
 ///
 /// # Examples
 ///
@@ -31,7 +99,7 @@
 /// use keeljunction_core::retry::{Allowance, Budget};
 ///
 /// // A tenth of the requests, plus one, in any ten seconds.
-/// let mut budget = Budget::new(Allowance { ratio: 0.1, min_retries: 1.0, window: 10_000, usable_fraction: 1.0 });
+/// let mut budget = Budget::new(0, Allowance::own(0.1, 1.0, 10_000));
 /// assert!(budget.take(0, "llm", 1));
 /// assert!(!budget.take(0, "llm", 1));
 /// for _ in 0..10 {
@@ -41,6 +109,7 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct Budget {
+    started_at: Millis,
     allowance: Allowance,
     services: BTreeMap<String, Usage>,
 }
@@ -48,55 +117,91 @@
 #[derive(Clone, Debug, Default)]
 struct Usage {
     requests: VecDeque<Millis>,
-    retries: VecDeque<Millis>,
+    retries: VecDeque<Retry>,
+    /// Retries that requests have earned and that are not used.
+    kept: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Retry {
+    at: Millis,
+    /// Whether it was taken of the fixed number.
+    is_fixed: bool,
 }
 
 impl Budget {
-    /// Creates an unused budget.
-    pub fn new(allowance: Allowance) -> Self {
-        Self { allowance, services: BTreeMap::new() }
+    /// Creates the budget of a process that starts now.
+    pub fn new(now: Millis, allowance: Allowance) -> Self {
+        Self { started_at: now, allowance, services: BTreeMap::new() }
     }
 
     /// Records a request to a service.
     pub fn count_request(&mut self, now: Millis, service: &str) {
-        let window = self.allowance.window;
-        let usage = self.services.entry(service.to_owned()).or_default();
+        let Allowance { earned_ratio, kept_ratio, .. } = self.allowance;
+        let usage = self.get_usage(now, service);
         usage.requests.push_back(now);
-        expire(&mut usage.requests, now, window);
+        usage.kept += earned_ratio;
+        usage.limit_kept(kept_ratio);
     }
 
-    /// Takes one retry and returns `true` if the budget of this node, one of `nodes`, allows it.
+    /// Takes one retry and returns `true` if the budget allows it. `nodes` is the number of nodes
+    /// that share the budget, as far as known.
     pub fn take(&mut self, now: Millis, service: &str, nodes: usize) -> bool {
-        let remaining = self.get_remaining(now, service, nodes);
-        if remaining < 1.0 {
+        if self.get_remaining(now, service, nodes) < 1.0 {
             return false;
         }
-        self.services.entry(service.to_owned()).or_default().retries.push_back(now);
+        let usage = self.get_usage(now, service);
+        let is_fixed = usage.count_kept() < 1.0;
+        if !is_fixed {
+            usage.kept -= 1.0;
+        }
+        usage.retries.push_back(Retry { at: now, is_fixed });
         true
     }
 
     /// Returns the number of requests to a service in the window that ends now.
     pub fn count_recent_requests(&mut self, now: Millis, service: &str) -> usize {
-        let Some(usage) = self.services.get_mut(service) else { return 0 };
-        expire(&mut usage.requests, now, self.allowance.window);
-        usage.requests.len()
+        self.get_usage(now, service).requests.len()
     }
 
-    /// Returns the number of retries remaining in the window that ends now.
+    /// Returns the number of retries that may be taken now.
     pub fn get_remaining(&mut self, now: Millis, service: &str, nodes: usize) -> f64 {
-        let Allowance { ratio, min_retries, window, usable_fraction } = self.allowance;
+        let age = now.saturating_sub(self.started_at);
+        let fixed = self.allowance.get_fixed_retries(age, nodes);
+        let ratio = self.allowance.ratio;
+        let usage = self.get_usage(now, service);
+        let fixed_used = usage.retries.iter().filter(|retry| retry.is_fixed).count() as f64;
+        let fixed_remaining = (fixed - fixed_used).max(0.0);
+        let in_window = ratio * usage.requests.len() as f64 + fixed - usage.retries.len() as f64;
+        // A part of a retry from each source does not add up to one.
+        let remaining = usage.count_kept() + fixed_remaining.floor();
+        remaining.min(in_window + ROUNDING)
+    }
+
+    /// Returns the usage of a service in the window that ends now.
+    fn get_usage(&mut self, now: Millis, service: &str) -> &mut Usage {
+        let Allowance { window, kept_ratio, .. } = self.allowance;
         let usage = self.services.entry(service.to_owned()).or_default();
-        expire(&mut usage.requests, now, window);
-        expire(&mut usage.retries, now, window);
-        let own_min_retries = min_retries / nodes.max(1) as f64;
-        let allowed = ratio * usage.requests.len() as f64 + own_min_retries;
-        allowed * usable_fraction - usage.retries.len() as f64
+        let is_expired = |at: Millis| at + window <= now;
+        while usage.requests.front().is_some_and(|at| is_expired(*at)) {
+            usage.requests.pop_front();
+        }
+        while usage.retries.front().is_some_and(|retry| is_expired(retry.at)) {
+            usage.retries.pop_front();
+        }
+        usage.limit_kept(kept_ratio);
+        usage
     }
 }
 
-fn expire(times: &mut VecDeque<Millis>, now: Millis, window: Millis) {
-    while times.front().is_some_and(|at| at + window <= now) {
-        times.pop_front();
+impl Usage {
+    /// Returns the number of whole retries that are kept.
+    fn count_kept(&self) -> f64 {
+        (self.kept + ROUNDING).floor()
+    }
+
+    fn limit_kept(&mut self, kept_ratio: f64) {
+        self.kept = self.kept.min(kept_ratio * self.requests.len() as f64);
     }
 }
 
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -64,9 +64,6 @@
 const DEFAULT_CLIENT_IDLE_MS: Millis = 15_000;
 /// The idle timeout of a connection, as a multiple of the time for which clients reuse it.
 const IDLE_TIMEOUT_FACTOR: u32 = 2;
-/// The fraction of the operator's retry budget that nodes use. Retries by clients and lost
-/// responses add to it at the edges of windows.
-const RETRY_BUDGET_FRACTION: f64 = 0.7;
 /// Bytes per megabyte in the settings.
 pub(super) const BYTES_PER_MB: f64 = 1_000_000.0;
 /// The fraction of the process's memory that may buffer data of clients and servers. The rest is
@@ -257,12 +254,11 @@
         let due = (bounds.usage_late_s * 1_000.0) as Millis;
         let windows_kept =
             count_retained_windows(due, (bounds.report_window_s * 1_000.0) as Millis);
-        let allowance = Allowance {
-            ratio: bounds.retry_budget_ratio,
-            min_retries: bounds.budget_min_retries,
-            window: (bounds.budget_window_s * 1_000.0) as Millis,
-            usable_fraction: RETRY_BUDGET_FRACTION,
-        };
+        let allowance = Allowance::shared(
+            bounds.retry_budget_ratio,
+            bounds.budget_min_retries,
+            (bounds.budget_window_s * 1_000.0) as Millis,
+        );
         let tolerance = Tolerance {
             window_seconds: bounds.quota_window_s,
             overshoot: bounds.quota_overshoot,
@@ -287,7 +283,7 @@
             in_flight_bytes: in_flight_bytes::Limiter::default(),
             quarantine: quarantine::Tracker::default(),
             quotas: Quotas::new(clock.now(), tolerance),
-            retry_budget: Budget::new(allowance),
+            retry_budget: Budget::new(clock.now(), allowance),
             usage: Ledger::default(),
             frozen_usage: FrozenWindows::new(windows_kept),
             outgoing_usage: ReportFilter::default(),
--- a/crates/keeljunction/src/node/state.rs
+++ b/crates/keeljunction/src/node/state.rs
@@ -117,12 +117,12 @@
             dead_retention: DEAD_MEMBER_RETENTION_MS,
         };
         let http = http::Client::new(CONNECT_TIMEOUT);
-        let allowance = Allowance {
-            ratio: settings.routing.retry_per_mille as f64 / 1_000.0,
-            min_retries: settings.routing.retry_burst as f64,
-            window: RETRY_BUDGET_WINDOW_MS,
-            usable_fraction: 1.0,
-        };
+        let allowance = Allowance::own(
+            settings.routing.retry_per_mille as f64 / 1_000.0,
+            settings.routing.retry_burst as f64,
+            RETRY_BUDGET_WINDOW_MS,
+        );
+        let budget = Budget::new(clock.now(), allowance);
         Arc::new(Self {
             clock,
             metric: Metric::new(settings.statsd),
@@ -138,7 +138,7 @@
             stopped: http::StopSignal::new(),
             urgent: async_channel::bounded(1),
             active: Mutex::default(),
-            budget: Mutex::new(Budget::new(allowance)),
+            budget: Mutex::new(budget),
             in_flight: Mutex::default(),
             is_stopping: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
