feat(gateway): let a node connect from an address of its choice

A machine with several addresses could not say which of them servers see. Tests need that to cut single nodes off from servers on one loopback interface. Without the setting nothing changes.

--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::{Pin, pin};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -11,13 +11,15 @@
 use std::time::Duration;
 
 use async_executor::Task;
+use async_io::Async;
 use async_net::TcpStream;
 use bytes::Bytes;
 use hyper::body::{Body as HttpBody, Frame, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
-use rustix::net::sockopt;
+use rustix::io::Errno;
+use rustix::net::{self, AddressFamily, SocketFlags, SocketType, sockopt};
 
 use super::{Body, Socket, drive};
 use crate::runtime;
@@ -91,6 +93,7 @@
 pub struct Client {
     idle: IdleConnections,
     connect_timeout: Duration,
+    source: Option<IpAddr>,
     idle_timeout: Duration,
     max_idle_per_address: Arc<AtomicUsize>,
     opened: Arc<AtomicU64>,
@@ -102,6 +105,7 @@
         Self {
             idle: IdleConnections::default(),
             connect_timeout,
+            source: None,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             max_idle_per_address: Arc::new(AtomicUsize::new(DEFAULT_MAX_IDLE_PER_ADDRESS)),
             opened: Arc::default(),
@@ -113,6 +117,11 @@
         Self { idle_timeout, ..self }
     }
 
+    /// Sets the address from which connections are opened, if the system should not choose it.
+    pub fn with_source(self, source: Option<IpAddr>) -> Self {
+        Self { source, ..self }
+    }
+
     /// Sets the maximum number of idle connections to one address.
     ///
     /// A server limits the connections of all nodes together, so the idle connections of this node
@@ -171,8 +180,18 @@
     /// closed again.
     pub async fn is_listening(&self, address: SocketAddr) -> bool {
         self.opened.fetch_add(1, Ordering::Relaxed);
-        let connecting = runtime::timeout(self.connect_timeout, TcpStream::connect(address)).await;
-        matches!(connecting, Some(Ok(_)))
+        matches!(self.open(address).await, Some(Ok(_)))
+    }
+
+    /// Opens a connection. Returns `None` after the time-out.
+    async fn open(&self, to: SocketAddr) -> Option<io::Result<TcpStream>> {
+        let connecting = async {
+            match self.source {
+                Some(source) => connect_from(source, to).await,
+                None => TcpStream::connect(to).await,
+            }
+        };
+        runtime::timeout(self.connect_timeout, connecting).await
     }
 
     fn take_idle(&self, to: SocketAddr) -> Option<Connection> {
@@ -186,8 +205,7 @@
     }
 
     async fn connect(&self, to: SocketAddr) -> Result<Connection, SendError> {
-        let connecting = runtime::timeout(self.connect_timeout, TcpStream::connect(to)).await;
-        let stream = match connecting {
+        let stream = match self.open(to).await {
             Some(Ok(stream)) => stream,
             Some(Err(error)) => return Err(SendError::NotSent(error.to_string())),
             None => return Err(SendError::NotSent("no connection in time".to_owned())),
@@ -238,6 +256,24 @@
     }
 }
 
+/// Opens a connection from an address of this machine.
+async fn connect_from(source: IpAddr, to: SocketAddr) -> io::Result<TcpStream> {
+    let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
+    let socket = net::socket_with(family, SocketType::STREAM, flags, None)?;
+    net::bind(&socket, &SocketAddr::new(source, 0))?;
+    match net::connect(&socket, &to) {
+        Ok(()) | Err(Errno::INPROGRESS) => {}
+        Err(error) => return Err(error.into()),
+    }
+    let stream = Async::new(std::net::TcpStream::from(socket))?;
+    stream.writable().await?;
+    match stream.get_ref().take_error()? {
+        Some(error) => Err(error),
+        None => Ok(TcpStream::from(stream)),
+    }
+}
+
 /// Lets the system close a connection whose peer no longer responds, in use or idle.
 fn detect_dead_peer(stream: &TcpStream) -> io::Result<()> {
     sockopt::set_tcp_user_timeout(stream, TCP_USER_TIMEOUT_MS)?;
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -303,6 +303,7 @@
                 margin,
             ),
         };
+        let http_client = Client::new(CONNECT_TIMEOUT).with_source(settings.node.source_address);
         let mut metrics = Metrics::default();
         metrics.register_cross_region_bytes(link.get_cross_region_bytes_by_region());
         Arc::new(Self {
@@ -311,7 +312,7 @@
             clock,
             topology,
             incarnation,
-            http_client: Client::new(CONNECT_TIMEOUT),
+            http_client,
             metrics,
             active_responses: ActiveResponses::default(),
             listener_stop,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 
 use keeljunction_core::serving::capacity::Policy;
@@ -46,6 +46,10 @@
     pub name: String,
     /// The data centre that it runs in.
     pub data_centre: String,
+    /// The address from which it connects to servers and other nodes, on a machine with several;
+    /// chosen by the system if omitted.
+    #[serde(default)]
+    pub source_address: Option<IpAddr>,
     /// Whether the whole cluster starts for the first time, so that no node is listed yet.
     #[serde(default)]
     pub is_first_start: bool,
