fix(retry): let the first process of a node retry its first requests

The first process of a node, one whose row is not in the table of nodes when it starts, takes up to three retries of half of the fixed number at once; a process that starts again waits for a window, as before. So a node takes its part once per window.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -12,11 +12,14 @@
 //!   the ratio times its requests in the last window. In any window, all processes together use at
 //!   most the first part of the requests in that window and the second part of those in the window
 //!   before it. The two parts add up to less than the ratio;
-//! - a process that has run for a whole window may take one retry of the fixed number before
-//!   requests have paid for it. All processes that do so within a window ran at its start, so they
-//!   are no more than the nodes at that time.
+//! - a process takes up to three retries of the fixed number per window before requests have paid
+//!   for them, and all nodes that it knows no more than half of the number: from its start if it is
+//!   the first one of its node, and otherwise after a whole window, as an earlier process may have
+//!   taken them. So a node takes its part once per window, however often it starts. The other half
+//!   is for nodes that join or are not known, and for retries that reach their servers late.
 //!
-//! Neither depends on when processes start, join or stop, or on which others they hear.
+//! Neither depends on how often processes start. A node that knows few of the others takes at most
+//! three.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -27,11 +30,11 @@
 /// The part of a shared ratio, times the requests of the last window, that a process keeps. The
 /// rest of the ratio is a margin for retries that reach their servers late.
 const KEPT_FRACTION: f64 = 0.25;
-/// Retries of a shared fixed number that a process takes per window.
-const SHARED_FIXED_RETRIES: f64 = 1.0;
-/// The fixed number is used only if it is this many times the number of known nodes: a node may know
-/// only some of the others.
-const MIN_FIXED_PER_NODE: f64 = 2.0;
+/// Most retries of a shared fixed number that a process takes per window.
+const MAX_SHARED_FIXED_RETRIES: f64 = 3.0;
+/// The part of a shared fixed number that the known nodes take together. The rest is for nodes that
+/// are not known and for those that join.
+const SHARED_FIXED_FRACTION: f64 = 0.5;
 /// Tolerance for rounding in a sum of earned parts.
 const ROUNDING: f64 = 1e-9;
 
@@ -78,14 +81,15 @@
         }
     }
 
-    /// Returns the retries per window that requests do not have to pay for, at a process that has
-    /// run for `age` and knows `nodes` nodes.
-    fn get_fixed_retries(&self, age: Millis, nodes: usize) -> f64 {
+    /// Returns the retries per window that requests do not have to pay for, at a process that knows
+    /// `nodes` nodes. `may_share` is set if no earlier process of its node has taken them.
+    fn get_fixed_retries(&self, may_share: bool, nodes: usize) -> f64 {
         match self.fixed {
             Fixed::Own(retries) => retries,
+            Fixed::Shared(_) if !may_share => 0.0,
             Fixed::Shared(retries) => {
-                let is_enough = retries >= MIN_FIXED_PER_NODE * nodes as f64;
-                if age >= self.window && is_enough { SHARED_FIXED_RETRIES } else { 0.0 }
+                let share = SHARED_FIXED_FRACTION * retries / nodes.max(1) as f64;
+                share.floor().min(MAX_SHARED_FIXED_RETRIES)
             }
         }
     }
@@ -109,7 +113,8 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct Budget {
-    started_at: Millis,
+    /// When no retry of an earlier process of this node is left in the window.
+    sole_from: Millis,
     allowance: Allowance,
     services: BTreeMap<String, Usage>,
 }
@@ -132,7 +137,12 @@
 impl Budget {
     /// Creates the budget of a process that starts now.
     pub fn new(now: Millis, allowance: Allowance) -> Self {
-        Self { started_at: now, allowance, services: BTreeMap::new() }
+        Self { sole_from: now + allowance.window, allowance, services: BTreeMap::new() }
+    }
+
+    /// Records that no process of this node has run before this one.
+    pub fn record_first_run(&mut self, now: Millis) {
+        self.sole_from = self.sole_from.min(now);
     }
 
     /// Records a request to a service.
@@ -166,8 +176,7 @@
 
     /// Returns the number of retries that may be taken now.
     pub fn get_remaining(&mut self, now: Millis, service: &str, nodes: usize) -> f64 {
-        let age = now.saturating_sub(self.started_at);
-        let fixed = self.allowance.get_fixed_retries(age, nodes);
+        let fixed = self.allowance.get_fixed_retries(now >= self.sole_from, nodes);
         let ratio = self.allowance.ratio;
         let usage = self.get_usage(now, service);
         let fixed_used = usage.retries.iter().filter(|retry| retry.is_fixed).count() as f64;
--- a/crates/gateway/src/node/peers/discovery.rs
+++ b/crates/gateway/src/node/peers/discovery.rs
@@ -178,12 +178,26 @@
     let entries: Vec<Entry> = first.rows.iter().chain(&own).filter_map(decode).collect();
     let is_registered = entries.contains(&node.get_entry());
     let now = node.now();
+    let has_own_row = first.rows.iter().chain(&own).any(|row| row.key == own_key);
+    if !is_settled && !has_own_row {
+        record_first_run(node, now);
+    }
     // A node that is registered already has run before, and so have the others.
     let is_whole = is_settled || is_registered;
     node.with(|state| state.members.merge_sample(now, entries, count, is_whole));
     Ok(is_registered)
 }
 
+/// Records that no process of this node has run before, as it is not in the table. A restore of the
+/// table service may have lost its row.
+fn record_first_run(node: &Node, now: Millis) {
+    node.with(|state| {
+        if state.eras.get().get_number().is_none() {
+            state.retry_budget.record_first_run(now);
+        }
+    });
+}
+
 async fn read_from(node: &Node, key: &str, limit: usize) -> Result<Rows, TableError> {
     let selection = RowRange { table: TableName::Internal(TABLE), from: key.to_owned(), limit };
     table::read_some(node, selection, CALL_TIMEOUT).await
