fix(gateway): send requests through peers if the node is cut off from servers

Cause: a node took its own view of servers for their state. It had no way to a server but a connection of its own, tried five servers in vain for each request, and reported servers as crashed that were well. Ruled out: rejections while connections live (all attempts ended in not_connected), and readiness as a remedy, since the balancer uses all nodes of a data centre where most are not ready.

Two servers that cannot be connected to, or 0.4 s without any response, lead to probes of others. A node that reaches fewer than half of them sends its requests through peers, which pass them on unchanged; all decisions on a request stay at the node that its caller is connected to. Probes find the end of the cut. Messages between nodes are unchanged, and a peer of a version before answers 404, which counts as nothing sent.

--- a/crates/core/src/serving/members/query.rs
+++ b/crates/core/src/serving/members/query.rs
@@ -279,6 +279,17 @@
         heard.map(|member| member.entry.address).collect()
     }
 
+    /// Iterates over the nodes that may relay requests to servers: those that are neither stopping
+    /// nor silent. In a small cluster, they were also heard recently.
+    pub fn iter_relays(&self, now: Millis) -> impl Iterator<Item = &Entry> {
+        let is_grouped = self.view.is_grouped;
+        let members = self.known.values().filter(move |member| {
+            let is_silent = member.is_silent || self.silent_by_aggregator.contains(&member.short);
+            !member.is_stopping && !is_silent && (is_grouped || self.is_heard(now, member))
+        });
+        members.map(|member| &member.entry)
+    }
+
     /// Lists the addresses of the nodes in this node's group.
     pub fn get_group_addresses(&self, now: Millis) -> Vec<SocketAddr> {
         self.iter_group(now).map(|entry| entry.address).collect()
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -18,6 +18,7 @@
 //! | [`spill`] | whether a request leaves its region |
 //! | [`backpressure`] | rate limits and back-offs that servers report in their responses |
 //! | [`health`] | outlier ejection of servers |
+//! | [`server_path`] | whether this node reaches the servers, and which peers relay its requests if not |
 //! | [`members`] | the other nodes, their aggregators, and who reads the tables for all |
 //! | [`report_log`] | a node's reports until they are acknowledged |
 //! | [`quota`] | whether a client account is within its quota over all nodes |
@@ -51,6 +52,7 @@
 pub mod report_log;
 pub mod rollout;
 pub mod round_trip;
+pub mod server_path;
 pub mod spill;
 pub mod summary_pacer;
 pub mod table_version;
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -28,6 +28,7 @@
 mod regions;
 mod rollout;
 mod rollout_trials;
+mod server_path;
 mod spill;
 mod support;
 mod suspension;
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -132,6 +132,12 @@
         /// Why the request was sent to another region, if it was.
         spill: Option<&'a str>,
     },
+    /// The node is cut off from the servers of a service, and sends its requests through peers.
+    ServersCutOff { service: &'a str },
+    /// The node reaches the servers of a service again.
+    ServersReached { service: &'a str, cut_ms: u64 },
+    /// A request was offered to a peer because this node is cut off from the server.
+    RequestRelayed { server: &'a str, peer: SocketAddr, outcome: &'a str },
     /// An attempt failed.
     AttemptFailed {
         request: &'a str,
@@ -241,6 +247,7 @@
     pub fn is_routine(&self) -> bool {
         match self {
             Self::ServerChosen { attempt, .. } => *attempt == 1,
+            Self::RequestRelayed { outcome, .. } => *outcome == "relayed",
             Self::RequestEnded { outcome, .. } => *outcome == "answered" || *outcome == "left",
             _ => false,
         }
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -17,6 +17,7 @@
 
 use super::respond::{RefusalResponse, RequestRecord};
 use super::upload::{BodyLimits, IncomingBody, Upload};
+use crate::http::remove_hop_by_hop;
 use crate::node::interrupted_attempts::InterruptedAttempt;
 use crate::node::{self, Node};
 use crate::port::{Prompt, RequestHead};
@@ -142,10 +143,12 @@
         let cost = estimate_cost(prompt, urgency);
         count_demand(node, &service, prompt, &cost);
         let engine = configuration.services.get(&service).and_then(|known| known.engine.as_ref());
+        let mut headers = parts.headers;
+        remove_hop_by_hop(&mut headers);
         Ok(Self {
             method: parts.method,
             uri: parts.uri,
-            headers: remove_hop_by_hop(parts.headers),
+            headers,
             body_bytes: body.len(),
             body: Mutex::new(body),
             is_model_service: engine.is_some(),
@@ -303,39 +306,6 @@
     Ok(charge)
 }
 
-/// Removes the hop-by-hop headers and the framing of the body, which is written anew.
-fn remove_hop_by_hop(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in named {
-        headers.remove(&name);
-    }
-    for name in HOP_BY_HOP {
-        headers.remove(*name);
-    }
-    headers
-}
-
-/// Headers that apply to a single connection.
-pub(super) const HOP_BY_HOP: &[&str] = &[
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-    "content-length",
-];
-
 fn estimate_cost(prompt: Option<&Prompt>, urgency: u32) -> RequestCost {
     prompt.map_or(RequestCost::default(), |prompt| RequestCost {
         prompt_tokens: get_unshared_tokens(prompt),
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -15,6 +15,7 @@
 
 use super::admission::Exchange;
 use super::signals::{self, ResponseInfo};
+use super::way;
 use crate::event::{self, Event};
 use crate::http::{Body, ResponseBody};
 use crate::node::{Node, ReservationGuard, crashes, record_load_change, watch};
@@ -194,13 +195,11 @@
     exchange: &Exchange,
     params: &AttemptParams<'_>,
 ) -> Result<ServerResponse, FailedAttempt> {
-    let request =
-        build_request(node, exchange, params).ok_or((AttemptError::NotConnected, None))?;
     let is_alone =
         node.with(|state| state.loads.total(&params.server.id).get_waiting_tokens() == 0);
     let mut load = LoadGuard::begin(node, params.server, exchange);
     let sent_at = node.now();
-    let sending = node.http_client.send(params.server.address, request);
+    let sending = way::send(node, params.server, || build_request(node, exchange, params));
     let data_centre = &params.server.data_centre;
     let response = sending.await.map_err(|error| match error.is_not_sent() {
         true => (AttemptError::NotConnected, None),
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -15,7 +15,7 @@
 use super::respond::{RefusalResponse, RequestRecord};
 use crate::event::{self, Event};
 use crate::metrics::ReasonLabels;
-use crate::node::{Node, permits, rollouts};
+use crate::node::{Node, permits, rollouts, server_paths};
 
 /// `Retry-After` in milliseconds if the server of the last attempt had no capacity.
 const FULL_RETRY_AFTER_MS: Millis = 250;
@@ -87,7 +87,7 @@
             record_failure(node, exchange, record, server, error);
             if error.may_have_run() {
                 let route = &exchange.route.name;
-                rollouts::record_failure(node, server, route, Phase::FirstToken);
+                server_paths::report_failure(node, server, route, Phase::FirstToken);
             }
             progress.record_failure(error);
             Err(response)
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -8,6 +8,7 @@
 //! | `progress` | tracks the attempts made so far |
 //! | `pick` | picks the server for an attempt |
 //! | `attempt` | sends the request to one server and checks its response |
+//! | `way` | sends it directly, or through a peer if the node is cut off from the servers |
 //! | `signals` | applies the load signals in server responses |
 //! | `notes` | records attempts in the node's state, logs and metrics |
 //! | `relay` | builds the caller's response from a server's response |
@@ -33,6 +34,7 @@
 mod signals;
 mod source;
 mod upload;
+mod way;
 
 use std::sync::Arc;
 
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -5,12 +5,12 @@
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Response};
 
-use super::admission::{Exchange, HOP_BY_HOP};
+use super::admission::Exchange;
 use super::attempt::{ServerBody, ServerResponse};
 use super::feed::{self, Recipient};
 use super::respond::{ANSWERED, RequestRecord, announce_close_if_stopping};
 use super::source::{self, PartialResponse};
-use crate::http::Body;
+use crate::http::{Body, remove_standard_hop_by_hop};
 use crate::node::{self, Node};
 
 /// Returns the caller's response, which forwards the server's response.
@@ -57,9 +57,7 @@
     let mut response = Response::new(Body::empty());
     *response.status_mut() = parts.status;
     let mut headers: HeaderMap = parts.headers.clone();
-    for name in HOP_BY_HOP {
-        headers.remove(*name);
-    }
+    remove_standard_hop_by_hop(&mut headers);
     *response.headers_mut() = headers;
     response
 }
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -27,7 +27,7 @@
 use super::respond::{ANSWERED, RequestRecord};
 use crate::event::{self, Event};
 use crate::http::ResponseBody;
-use crate::node::{Node, crashes, rollouts};
+use crate::node::{Node, crashes, rollouts, server_paths};
 use crate::runtime;
 
 /// A response whose body has started.
@@ -227,7 +227,7 @@
                 let Some(mean) = self.timing.get_mean() else { return };
                 rollouts::record_success(&self.node, server, route, Phase::Stream, mean);
             }
-            false => rollouts::record_failure(&self.node, server, route, Phase::Stream),
+            false => server_paths::report_failure(&self.node, server, route, Phase::Stream),
         }
     }
 
--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -14,7 +14,7 @@
 use async_io::Async;
 use async_net::TcpStream;
 use bytes::Bytes;
-use hyper::body::{Body as HttpBody, Frame, Incoming};
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
@@ -73,6 +73,14 @@
 
 impl std::error::Error for SendError {}
 
+/// The outcome of sending a request on an idle connection.
+pub enum ReuseOutcome {
+    /// The request was sent.
+    Sent(Result<Response<ResponseBody>, SendError>),
+    /// There was no usable connection; the request was not sent.
+    NoConnection(Request<Body>),
+}
+
 type IdleConnections = Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>;
 
 /// A connection whose socket closes as soon as it is dropped.
@@ -155,16 +163,10 @@
         to: SocketAddr,
         request: Request<Body>,
     ) -> Result<Response<ResponseBody>, SendError> {
-        let mut request = request;
-        while let Some(mut connection) = self.take_idle(to) {
-            match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.keep_connection(to, connection, response)),
-                Err(mut error) => match error.take_message() {
-                    Some(unsent) => request = unsent,
-                    None => return Err(SendError::MaybeSent(error.into_error().to_string())),
-                },
-            }
-        }
+        let request = match self.send_on_idle(to, request).await {
+            ReuseOutcome::Sent(result) => return result,
+            ReuseOutcome::NoConnection(request) => request,
+        };
         let mut connection = self.connect(to).await?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(self.keep_connection(to, connection, response)),
@@ -176,6 +178,27 @@
         }
     }
 
+    /// Sends a request on an idle connection and waits for the response head, if there is one.
+    pub async fn send_on_idle(&self, to: SocketAddr, request: Request<Body>) -> ReuseOutcome {
+        let mut request = request;
+        while let Some(mut connection) = self.take_idle(to) {
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => {
+                    let response = self.keep_connection(to, connection, response);
+                    return ReuseOutcome::Sent(Ok(response));
+                }
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => {
+                        let why = error.into_error().to_string();
+                        return ReuseOutcome::Sent(Err(SendError::MaybeSent(why)));
+                    }
+                },
+            }
+        }
+        ReuseOutcome::NoConnection(request)
+    }
+
     /// Returns `true` if an address accepts connections. The connection opened for the check is
     /// closed again.
     pub async fn is_listening(&self, address: SocketAddr) -> bool {
@@ -331,6 +354,10 @@
     fn is_end_stream(&self) -> bool {
         self.body.is_end_stream()
     }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
 
 impl Drop for ResponseBody {
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -17,4 +17,4 @@
     AccountLabels, CapacityLabels, MemoryKindLabels, ReasonLabels, RegionLabels, RequestLabels,
     ServiceLabels, SpillLabels,
 };
-pub use registry::Metrics;
+pub use registry::{Metrics, ReasonCounters};
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -20,6 +20,9 @@
 const LATENCY_BUCKETS: [f64; 13] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1.0, 2.0, 5.0, 10.0, 20.0];
 
+/// Counters by reason.
+pub type ReasonCounters = Family<ReasonLabels, Counter>;
+
 /// All metrics of a node.
 pub struct Metrics {
     registry: Registry,
@@ -35,6 +38,10 @@
     pub retries: Family<ReasonLabels, Counter>,
     /// Failed attempts.
     pub failed_attempts: Family<ReasonLabels, Counter>,
+    /// Requests that this node sent to servers through peers, by outcome.
+    pub relayed_by_peers: ReasonCounters,
+    /// Requests that this node relayed to servers for peers, by outcome.
+    pub relayed_for_peers: ReasonCounters,
     /// Streams resumed on another server.
     pub resumed: Counter,
     /// Queries for the loads of servers that timed out.
@@ -90,6 +97,8 @@
             total: Family::new_with_constructor(histogram),
             retries: Family::default(),
             failed_attempts: Family::default(),
+            relayed_by_peers: Family::default(),
+            relayed_for_peers: Family::default(),
             resumed: Counter::default(),
             unanswered_load_questions: Counter::default(),
             unanswered_quota_questions: Counter::default(),
@@ -151,6 +160,16 @@
         );
         registry.register("retries", "Attempts beyond the first", self.retries.clone());
         registry.register("failed_attempts", "Attempts that failed", self.failed_attempts.clone());
+        registry.register(
+            "relayed_by_peers",
+            "Requests sent to servers through peers, by outcome",
+            self.relayed_by_peers.clone(),
+        );
+        registry.register(
+            "relayed_for_peers",
+            "Requests relayed to servers for peers, by outcome",
+            self.relayed_for_peers.clone(),
+        );
         registry.register(
             "resumed_streams",
             "Streams gone on with elsewhere",
--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -13,7 +13,7 @@
 use keeljunction_core::serving::quarantine::{Crash, InterruptedRequest, SUSPICION_PERIOD_MS};
 
 use super::interrupted_attempts::InterruptedAttempt;
-use super::{Node, peers};
+use super::{Node, peers, server_paths};
 use crate::event::{self, Event};
 use crate::metrics::ServiceLabels;
 use crate::runtime::{self, lock};
@@ -64,6 +64,9 @@
     if is_listening && !node.with(|state| state.directory.is_superseded(&server)) {
         return;
     }
+    if !server_paths::confirm_crash(&node, &server).await {
+        return;
+    }
     let now = node.now();
     node.with(|state| state.health.record_connect_failure(now, &server.id));
     let labels = ServiceLabels { service: server.service.clone() };
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -8,6 +8,7 @@
 //! | [`skipped`] | tracks table entries that could not be decoded |
 //! | `staleness` | reports the age of the node's copies of the platform's tables |
 //! | `pause_detector` | detects that the process was paused or its machine suspended |
+//! | `server_paths` | detects that this node is cut off from the servers of a service |
 //! | `peers` | exchanges messages with the other nodes |
 //! | [`memory`] | reserves memory for buffers of clients and servers |
 //! | `interrupted_attempts`, `eviction_signals` | hold per-request state of `crashes`, [`memory`] |
@@ -40,6 +41,7 @@
 mod rollout_status;
 pub(crate) mod rollouts;
 pub mod serve;
+pub(crate) mod server_paths;
 pub mod skipped;
 mod staleness;
 pub mod state;
@@ -56,4 +58,5 @@
 pub(crate) use peers::permits::{self, Permit};
 pub(crate) use peers::quarantine::record_request_completed;
 pub(crate) use peers::quota::consume as consume_units;
+pub(crate) use peers::server_relay::send as send_through_peer;
 pub use state::Node;
--- a/crates/gateway/src/node/peers/calls.rs
+++ b/crates/gateway/src/node/peers/calls.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Response, StatusCode};
 use keeljunction_core::serving::table_version::TableVersion;
 
+use super::server_relay;
 use crate::http::{Body, read_body};
 use crate::node::{Node, document, watch};
 use crate::port::Row;
@@ -32,6 +33,9 @@
 
 /// Serves documents to peers.
 pub(in crate::node) async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+    if server_relay::is_relayed(&request) {
+        return server_relay::serve(node, request).await;
+    }
     let document = match request.uri().path() {
         CONFIGURATION_PATH => {
             let document = node.with(|state| state.configuration_document.clone());
--- a/crates/gateway/src/node/peers/mod.rs
+++ b/crates/gateway/src/node/peers/mod.rs
@@ -17,6 +17,7 @@
 //! | `quarantine` | exchanges verdicts on requests that crash servers |
 //! | `versions` | confirms or updates the node's copies of the platform's tables |
 //! | `notifications` | sends and forwards changes that must not wait for the next report |
+//! | `server_relay` | relays requests to servers for nodes that are cut off from them |
 //! | `calls` | fetches content that does not fit a datagram |
 //!
 //! No guarantee depends on the delivery of a single datagram: a lost message makes a node more
@@ -36,6 +37,7 @@
 pub(super) mod relay_state;
 pub(super) mod report;
 pub(super) mod report_target;
+pub(crate) mod server_relay;
 mod summary_relay;
 mod versions;
 
--- a/crates/gateway/src/node/serve.rs
+++ b/crates/gateway/src/node/serve.rs
@@ -13,7 +13,9 @@
 
 use super::peers::link::Link;
 use super::state::{BYTES_PER_MB, ProcessContext};
-use super::{Node, connections, leader, listeners, memory, peers, quarantine_rows, stop, watch};
+use super::{
+    Node, connections, leader, listeners, memory, peers, quarantine_rows, server_paths, stop, watch,
+};
 use crate::event::{self, Event};
 use crate::exchange;
 use crate::http::{Limits, Server, StopSignal};
@@ -72,6 +74,7 @@
     runtime::spawn(watch::confirm_freshness(node.clone()));
     runtime::spawn(watch::watch_servers(node.clone()));
     runtime::spawn(connections::run(node.clone()));
+    runtime::spawn(server_paths::run(node.clone()));
     peers::start(&node);
     let peer_node = node.clone();
     runtime::spawn(
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -25,6 +25,7 @@
 use keeljunction_core::serving::report_log::ReportLog;
 use keeljunction_core::serving::rollout;
 use keeljunction_core::serving::round_trip::RoundTrips;
+use keeljunction_core::serving::server_path::Paths;
 use keeljunction_core::serving::spill::LinkBudgets;
 use keeljunction_core::serving::table_version::TableVersion;
 use keeljunction_core::serving::throughput::Throughput;
@@ -42,6 +43,7 @@
 use super::peers::pending_queries::PendingQueries;
 use super::peers::relay_state::RelayState;
 use super::peers::report_target::{ReportTarget, Samples};
+use super::peers::server_relay::ActiveRelays;
 use super::skipped;
 use crate::active_responses::ActiveResponses;
 use crate::http::{Client, StopSignal};
@@ -110,6 +112,8 @@
     pub state: Mutex<State>,
     /// Fetches from peers that are in progress.
     pub(super) active_fetches: ActiveFetches,
+    /// Requests that this node relays for others.
+    pub(super) active_relays: ActiveRelays,
     is_stopping: AtomicBool,
     in_flight: AtomicUsize,
 }
@@ -156,6 +160,8 @@
     pub health: Health,
     /// Backpressure that the servers signalled in their responses.
     pub backpressure: backpressure::Tracker,
+    /// The paths to the servers.
+    pub paths: Paths,
     /// Bytes of requests from this node that each server holds.
     pub in_flight_bytes: in_flight_bytes::Limiter,
     /// Requests that crash servers.
@@ -280,6 +286,7 @@
             loads: LoadTracker::default(),
             health: Health::default(),
             backpressure: backpressure::Tracker::new(fastrand::f64()),
+            paths: Paths::default(),
             in_flight_bytes: in_flight_bytes::Limiter::default(),
             quarantine: quarantine::Tracker::default(),
             quotas: Quotas::new(clock.now(), tolerance),
@@ -325,6 +332,7 @@
             eviction_signals: EvictionSignals::default(),
             state: Mutex::new(state),
             active_fetches: ActiveFetches::default(),
+            active_relays: ActiveRelays::default(),
             is_stopping: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         })
