fix(rollout): give the slack of a rollout to each node once

Five nodes that all restart three times sent 100 requests to a version that may be bad, where the slack of all nodes together is 50; the new test failed so before.

A process uses slack only if it has run for longer than the rollout takes, so that no earlier process of its node can have used it in the same rollout. The share of its own requests needs no memory and stays.

--- a/crates/core/src/serving/rollout/exposure.rs
+++ b/crates/core/src/serving/rollout/exposure.rs
@@ -1,10 +1,12 @@
 //! Limits the share of a service's requests that a version gets before the verdict.
 
+use crate::Millis;
+
 /// The fraction of the tolerated share that the canary gets. The rest covers nodes whose requests
 /// are lost in transit while their canary's requests arrive.
 const SHARE_FRACTION: f64 = 0.8;
-/// The fraction of the tolerated slack that all nodes use together: nodes that restart use their
-/// part of it again.
+/// The fraction of the tolerated slack that all nodes use together. The rest covers nodes that know
+/// few of the others.
 const SLACK_FRACTION: f64 = 0.5;
 
 /// The number of requests, over all nodes, that may reach a version that may be bad.
@@ -16,6 +18,8 @@
     pub slack: f64,
     /// Nodes that may be serving, which share the slack.
     pub nodes: usize,
+    /// How long this process has run.
+    pub age: Millis,
 }
 
 /// The requests that a node has sent to a service since it learned of a rollout.
@@ -42,9 +46,15 @@
         self.sent_to_target
     }
 
-    /// Returns `true` if one more request to the target version is within the tolerance.
-    pub fn has_room(&self, tolerance: &Tolerance) -> bool {
+    /// Returns `true` if one more request to the target version of a rollout of this duration is
+    /// within the tolerance.
+    ///
+    /// A process that may have started during the rollout uses no slack, because an earlier process
+    /// of its node may have used it.
+    pub fn has_room(&self, tolerance: &Tolerance, duration: Millis) -> bool {
+        let has_slack = tolerance.age > duration;
         let slack = tolerance.slack * SLACK_FRACTION / tolerance.nodes.max(1) as f64;
+        let slack = if has_slack { slack } else { 0.0 };
         let limit = tolerance.share * SHARE_FRACTION * (self.sent + 1) as f64 + slack;
         (self.sent_to_target + 1) as f64 <= limit
     }
--- a/crates/core/src/serving/rollout/registry.rs
+++ b/crates/core/src/serving/rollout/registry.rs
@@ -127,6 +127,11 @@
         self.barred
     }
 
+    /// Returns `true` if one more request to the target version is within the tolerance.
+    fn has_room(&self, tolerance: &Tolerance) -> bool {
+        self.exposure.has_room(tolerance, self.order.duration)
+    }
+
     /// Returns the filter after a completed rollout. The other servers stop at once, but remain
     /// listed for some time.
     fn pick_completed_filter(&self, now: Millis) -> VersionFilter {
@@ -347,7 +352,7 @@
         let Some(rollout) = self.rollouts.get(service) else { return VersionFilter::Any };
         match rollout.get_stage(now) {
             Stage::Pending => VersionFilter::PreferOthers,
-            Stage::Canary if rollout.exposure.has_room(tolerance) => VersionFilter::Canary,
+            Stage::Canary if rollout.has_room(tolerance) => VersionFilter::Canary,
             Stage::Ramp if random < RAMP_SHARE => VersionFilter::Target,
             Stage::Canary | Stage::Ramp | Stage::RolledBack => VersionFilter::Others,
             Stage::Shifting => VersionFilter::Target,
--- a/crates/core/tests/serving/rollout.rs
+++ b/crates/core/tests/serving/rollout.rs
@@ -10,7 +10,7 @@
 
 use crate::support::{at, server};
 
-const TOLERANCE: Tolerance = Tolerance { share: 0.1, slack: 0.0, nodes: 3 };
+const TOLERANCE: Tolerance = Tolerance { share: 0.1, slack: 0.0, nodes: 3, age: 60_000 };
 
 fn order(number: u64) -> Order {
     Order {
@@ -80,6 +80,24 @@
     assert_eq!(sent, 5);
 }
 
+/// Guards against nodes that take the slack of a rollout again each time they start.
+#[test]
+fn restarts_of_all_nodes_during_a_rollout_stay_within_the_tolerated_slack() {
+    let (nodes, slack) = (5, 50.0);
+    let mut sent = 0;
+    for age in [60_000, 1_000, 1_000, 1_000] {
+        for _ in 0..nodes {
+            let mut registry = registry_at(Stage::Canary);
+            let tolerance = Tolerance { slack, nodes, age, ..TOLERANCE };
+            while registry.pick_filter(10_000, "llm", &tolerance, 0.5) == VersionFilter::Canary {
+                registry.count_sent(&make_server("v2"));
+                sent += 1;
+            }
+        }
+    }
+    assert!(f64::from(sent) <= slack, "{sent} requests to the target version");
+}
+
 #[test]
 fn a_stage_that_was_not_confirmed_recently_sends_nothing_to_the_target_version() {
     for stage in [Stage::Canary, Stage::Shifting] {
--- a/crates/core/tests/serving/rollout_trials.rs
+++ b/crates/core/tests/serving/rollout_trials.rs
@@ -85,7 +85,7 @@
     fn run(&self) -> Outcome {
         let mut random = fastrand::Rng::with_seed(self.seed);
         let mut exposures = vec![Exposure::default(); self.nodes];
-        let tolerance = Tolerance { share: SHARE, slack: SLACK, nodes: self.nodes };
+        let tolerance = Tolerance { share: SHARE, slack: SLACK, nodes: self.nodes, age: 60_000 };
         let mut tallies = Tallies::default();
         let mut reported: VecDeque<Tallies> = VecDeque::new();
         let mut progress = Progress::default();
@@ -115,7 +115,7 @@
                 let known = known.map_or(Stage::Pending, |(_, stage)| *stage);
                 let exposure = &mut exposures[random.usize(..self.nodes)];
                 let is_target = match known {
-                    Stage::Canary => at >= BOOT_TIME && exposure.has_room(&tolerance),
+                    Stage::Canary => at >= BOOT_TIME && exposure.has_room(&tolerance, 0),
                     Stage::Ramp => random.f64() < 0.3,
                     Stage::Shifting | Stage::Completed => true,
                     Stage::Pending | Stage::RolledBack => false,
--- a/crates/gateway/src/node/rollouts.rs
+++ b/crates/gateway/src/node/rollouts.rs
@@ -94,7 +94,8 @@
 fn get_tolerance(node: &Node, state: &State, now: Millis) -> Tolerance {
     let bounds = &node.settings.bounds;
     let nodes = state.members.get_reachability(now).known;
-    Tolerance { share: bounds.expose_share, slack: bounds.canary_slack, nodes }
+    let age = now.saturating_sub(node.clock.get_start());
+    Tolerance { share: bounds.expose_share, slack: bounds.canary_slack, nodes, age }
 }
 
 /// Records the success of a response, or of a phase of it.
