refactor: end the circles of imports in exchange, memory and the relay

exchange/relay, source and feed imported each other for one function that records a success; it is with the other records now. memory/budget and eviction shared a type, budget and pressure a draw; both have places that import neither. The count of relayed requests is apart from the relay, which state.rs need not know. No change of behaviour: memory, streams and cuts pass with real processes, and the core's memory tests.

--- a/crates/core/src/serving/memory/budget.rs
+++ b/crates/core/src/serving/memory/budget.rs
@@ -2,14 +2,19 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::eviction::Shortage;
 use super::kind::Kind;
-use super::pressure::draw_unready_level;
 use super::release::Releases;
 use super::reservation::{Requester, Reservation, ReservationId};
 use super::share::Share;
+use super::shortage::Shortage;
 use crate::Millis;
 
+/// The lowest utilization at which a node reports that it is not ready.
+const MIN_UNREADY_LEVEL: f64 = 0.6;
+/// The highest such utilization. Half of the nodes draw one above 1 and never become unready
+/// because of memory: load balancers fall back to all nodes once half of them are not ready.
+const MAX_UNREADY_LEVEL: f64 = 1.4;
+
 /// The bytes that a node has reserved, and the bytes that it may reserve.
 #[derive(Clone, Debug)]
 pub struct MemoryBudget {
@@ -184,3 +189,8 @@
         self.reservations.remove(&id);
     }
 }
+
+/// Draws the utilization at which a node reports that it is not ready. `draw` is from 0 to 1.
+fn draw_unready_level(draw: f64) -> f64 {
+    MIN_UNREADY_LEVEL + draw * (MAX_UNREADY_LEVEL - MIN_UNREADY_LEVEL)
+}
--- a/crates/core/src/serving/memory/eviction.rs
+++ b/crates/core/src/serving/memory/eviction.rs
@@ -6,17 +6,9 @@
 use super::kind::Kind;
 use super::release::MIN_RETRY_AFTER_MS;
 use super::reservation::{Reservation, ReservationId};
+use super::shortage::Shortage;
 use crate::Millis;
 
-/// The reason why bytes were not reserved.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Shortage {
-    /// The time after which to retry, in milliseconds.
-    pub retry_after: Millis,
-    /// The uploads to evict. Their bytes are free once they are dropped.
-    pub evicted: Vec<ReservationId>,
-}
-
 impl MemoryBudget {
     /// Records that an account waits, and picks uploads to evict for it.
     pub(super) fn refuse(&mut self, now: Millis, id: ReservationId, bytes: u64) -> Shortage {
--- a/crates/core/src/serving/memory/mod.rs
+++ b/crates/core/src/serving/memory/mod.rs
@@ -25,6 +25,7 @@
 //! | `share` | the bytes that each account holds and waits for |
 //! | `room` | pools and fair shares |
 //! | `eviction` | refusals, and the uploads evicted to make room |
+//! | `shortage` | why bytes were not reserved |
 //! | `release` | the release rate, for `Retry-After` |
 //! | `pressure` | memory usage, samples, and readiness |
 
@@ -36,9 +37,10 @@
 mod reservation;
 mod room;
 mod share;
+mod shortage;
 
 pub use budget::MemoryBudget;
-pub use eviction::Shortage;
 pub use kind::Kind;
 pub use pressure::Usage;
 pub use reservation::{Requester, ReservationId};
+pub use shortage::Shortage;
--- a/crates/core/src/serving/memory/pressure.rs
+++ b/crates/core/src/serving/memory/pressure.rs
@@ -9,11 +9,6 @@
 /// The fraction of the process's memory limit that its resident memory may reach. The rest covers
 /// growth between two samples, such as the buffers of new connections.
 const MAX_RESIDENT_FRACTION: f64 = 0.85;
-/// The lowest utilization at which a node reports that it is not ready.
-const MIN_UNREADY_LEVEL: f64 = 0.6;
-/// The highest such utilization. Half of the nodes draw one above 1 and never become unready
-/// because of memory: load balancers fall back to all nodes once half of them are not ready.
-const MAX_UNREADY_LEVEL: f64 = 1.4;
 /// The fraction of its unready level below which a node is ready again. A node that toggled with
 /// each body would move its callers each time.
 const READY_RATIO: f64 = 0.7;
@@ -31,11 +26,6 @@
     pub part: f64,
 }
 
-/// Draws the utilization at which a node reports that it is not ready. `draw` is from 0 to 1.
-pub(super) fn draw_unready_level(draw: f64) -> f64 {
-    MIN_UNREADY_LEVEL + draw * (MAX_UNREADY_LEVEL - MIN_UNREADY_LEVEL)
-}
-
 impl MemoryBudget {
     /// Returns the bytes that may be reserved now: fewer than the capacity if the process uses
     /// other memory.
--- a/crates/gateway/src/exchange/notes.rs
+++ b/crates/gateway/src/exchange/notes.rs
@@ -1,5 +1,7 @@
 //! Records attempts in the node's state, its logs and its metrics.
 
+use std::sync::Arc;
+
 use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::spill::{Cause, get_region};
 
@@ -9,7 +11,7 @@
 use super::respond::RequestRecord;
 use crate::event::{self, Event};
 use crate::metrics::{ReasonLabels, SpillLabels};
-use crate::node::{Node, notify_request_started};
+use crate::node::{self, Node, notify_request_started};
 
 /// Logs and counts the choice of a server, and reports a long prompt to the other nodes.
 pub(super) fn record_choice(
@@ -93,3 +95,11 @@
         why: reason,
     });
 }
+
+/// Records that a server completed the request, so the request does not crash servers. An error
+/// status does not show that, because a server may return it before it starts the request.
+pub(super) fn record_success(node: &Arc<Node>, exchange: &Exchange, status: u16) {
+    if (200..300).contains(&status) {
+        node::record_request_completed(node, exchange.fingerprint);
+    }
+}
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -8,10 +8,11 @@
 use super::admission::Exchange;
 use super::attempt::{ServerBody, ServerResponse};
 use super::feed::{self, Recipient};
+use super::notes;
 use super::respond::{ANSWERED, RequestRecord, announce_close_if_stopping};
 use super::source::{self, PartialResponse};
 use crate::http::{Body, remove_standard_hop_by_hop};
-use crate::node::{self, Node};
+use crate::node::Node;
 
 /// Returns the caller's response, which forwards the server's response.
 pub(super) fn relay(
@@ -25,7 +26,7 @@
     let mut response = response_head(&parts);
     *response.body_mut() = match body {
         ServerBody::Complete(bytes) => {
-            record_success(&node, &exchange, status);
+            notes::record_success(&node, &exchange, status);
             record.record_chunk();
             record.record_response_end();
             record.set_outcome(status, ANSWERED);
@@ -44,14 +45,6 @@
     response
 }
 
-/// Records that a server completed the request, so the request does not crash servers. An error
-/// status does not show that, because a server may return it before it starts the request.
-pub(super) fn record_success(node: &Arc<Node>, exchange: &Exchange, status: u16) {
-    if (200..300).contains(&status) {
-        node::record_request_completed(node, exchange.fingerprint);
-    }
-}
-
 /// Builds a response without a body and without hop-by-hop headers.
 fn response_head(parts: &Parts) -> Response<Body> {
     let mut response = Response::new(Body::empty());
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -22,8 +22,8 @@
 use super::admission::Exchange;
 use super::attempt::{self, LoadGuard, ServerBody, ServerResponse};
 use super::dispatch;
+use super::notes;
 use super::progress::Tried;
-use super::relay;
 use super::respond::{ANSWERED, RequestRecord};
 use crate::event::{self, Event};
 use crate::http::ResponseBody;
@@ -257,7 +257,7 @@
         match is_truncated {
             true => self.stop(StreamEnd::Broken("an event is cut")),
             false => {
-                relay::record_success(&self.node, &self.exchange, self.status);
+                notes::record_success(&self.node, &self.exchange, self.status);
                 self.record.set_outcome(self.status, ANSWERED);
                 self.stop(StreamEnd::Complete);
             }
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -8,6 +8,7 @@
 //! | [`skipped`] | tracks table entries that could not be decoded |
 //! | `staleness` | reports the age of the node's copies of the platform's tables |
 //! | `pause_detector` | detects that the process was paused or its machine suspended |
+//! | `active_relays` | counts the requests that this node relays for others |
 //! | `server_paths` | detects that this node is cut off from the servers of a service |
 //! | `peers` | exchanges messages with the other nodes |
 //! | [`memory`] | reserves memory for buffers of clients and servers |
@@ -22,6 +23,7 @@
 //! | `table` | calls the table service and tracks its eras |
 //! | [`stop`] | shuts the node down without interrupting responses |
 
+mod active_relays;
 mod back_off;
 mod capacity_controller;
 mod connections;
--- a/crates/gateway/src/node/peers/server_relay.rs
+++ b/crates/gateway/src/node/peers/server_relay.rs
@@ -9,7 +9,6 @@
 use std::io;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
 use futures_lite::{Stream, StreamExt, stream};
@@ -31,9 +30,6 @@
 const SERVER_HEADER: HeaderName = HeaderName::from_static("keeljunction-relay-server");
 /// The outcome of relaying a request.
 const OUTCOME_HEADER: HeaderName = HeaderName::from_static("keeljunction-relay-outcome");
-/// Requests that a node relays at the same time. Their bodies are streamed, so each needs little
-/// memory.
-const MAX_RELAYED_REQUESTS: usize = 128;
 /// Peers that may fail to connect to a server before it counts as gone. A single one may be cut off
 /// as well.
 const MAX_UNREACHABLE_OFFERS: usize = 2;
@@ -81,10 +77,6 @@
     }
 }
 
-/// The number of requests that this node relays for others.
-#[derive(Debug, Default)]
-pub(in crate::node) struct ActiveRelays(AtomicUsize);
-
 /// A relayed request, until its response has ended.
 struct RelayGuard {
     node: Arc<Node>,
@@ -94,15 +86,14 @@
 impl RelayGuard {
     /// Counts a request, or returns `None` if this node relays too many.
     fn begin(node: &Arc<Node>) -> Option<Self> {
-        let guard = Self { node: node.clone(), _in_flight: node.track_request() };
-        let before = node.active_relays.0.fetch_add(1, Ordering::SeqCst);
-        (before < MAX_RELAYED_REQUESTS).then_some(guard)
+        let is_counted = node.active_relays.begin();
+        is_counted.then(|| Self { node: node.clone(), _in_flight: node.track_request() })
     }
 }
 
 impl Drop for RelayGuard {
     fn drop(&mut self) {
-        self.node.active_relays.0.fetch_sub(1, Ordering::SeqCst);
+        self.node.active_relays.end();
     }
 }
 
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -34,6 +34,7 @@
     FrozenWindows, Incarnation, Ledger, ReportFilter, count_retained_windows, window_at,
 };
 
+use super::active_relays::ActiveRelays;
 use super::document::Document;
 use super::eviction_signals::EvictionSignals;
 use super::interrupted_attempts;
@@ -43,7 +44,6 @@
 use super::peers::pending_queries::PendingQueries;
 use super::peers::relay_state::RelayState;
 use super::peers::report_target::{ReportTarget, Samples};
-use super::peers::server_relay::ActiveRelays;
 use super::skipped;
 use crate::active_responses::ActiveResponses;
 use crate::http::{Client, StopSignal};
