fix(retry): leave a lone node enough retries for its first requests

Up to eight now, and no more than half of the fixed number for all known nodes: at seven nodes and 54 retries three, as before.

In the relay, an outcome that is not known counts as one that may have run, and servers to probe are picked without copying the list.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -12,14 +12,14 @@
 //!   the ratio times its requests in the last window. In any window, all processes together use at
 //!   most the first part of the requests in that window and the second part of those in the window
 //!   before it. The two parts add up to less than the ratio;
-//! - a process takes up to three retries of the fixed number per window before requests have paid
+//! - a process takes up to eight retries of the fixed number per window before requests have paid
 //!   for them, and all nodes that it knows no more than half of the number: from its start if it is
 //!   the first one of its node, and otherwise after a whole window, as an earlier process may have
 //!   taken them. So a node takes its part once per window, however often it starts. The other half
 //!   is for nodes that join or are not known, and for retries that reach their servers late.
 //!
 //! Neither depends on how often processes start. A node that knows few of the others takes at most
-//! three.
+//! eight.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -31,7 +31,7 @@
 /// rest of the ratio is a margin for retries that reach their servers late.
 const KEPT_FRACTION: f64 = 0.25;
 /// Most retries of a shared fixed number that a process takes per window.
-const MAX_SHARED_FIXED_RETRIES: f64 = 3.0;
+const MAX_SHARED_FIXED_RETRIES: f64 = 8.0;
 /// The part of a shared fixed number that the known nodes take together. The rest is for nodes that
 /// are not known and for those that join.
 const SHARED_FIXED_FRACTION: f64 = 0.5;
--- a/crates/core/src/serving/server_path/mod.rs
+++ b/crates/core/src/serving/server_path/mod.rs
@@ -55,6 +55,12 @@
         self.services.get(service).is_some_and(Path::is_cut_off)
     }
 
+    /// Returns `true` if a server, given by its short id, could not be connected to since the last
+    /// response of the service.
+    pub fn is_unreachable(&self, service: &str, server: u64) -> bool {
+        self.services.get(service).is_some_and(|path| path.is_unreachable(server))
+    }
+
     /// Iterates over the services from whose servers this node is cut off.
     pub fn iter_cut_off(&self) -> impl Iterator<Item = &str> {
         self.services.iter().filter(|(_, path)| path.is_cut_off()).map(|(name, _)| name.as_str())
--- a/crates/gateway/src/node/peers/server_relay.rs
+++ b/crates/gateway/src/node/peers/server_relay.rs
@@ -7,7 +7,6 @@
 //! peer.
 
 use std::io;
-
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -70,10 +69,11 @@
     }
 
     /// Removes the outcome from a peer's response. Returns `None` if there is none, because the
-    /// peer's version does not relay requests.
+    /// peer's version does not relay requests. An unknown outcome may mean that the request has run.
     fn take<T>(response: &mut Response<T>) -> Option<Self> {
         let value = response.headers_mut().remove(OUTCOME_HEADER)?;
-        Self::ALL.into_iter().find(|outcome| value.as_bytes() == outcome.as_str().as_bytes())
+        let known = Self::ALL.into_iter().find(|outcome| value == outcome.as_str());
+        Some(known.unwrap_or(Self::Unanswered))
     }
 }
 
@@ -104,7 +104,7 @@
 
 /// Passes a request of another node to its server.
 pub(super) async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
-    let (outcome, response) = match relay(&node, request).await {
+    let (outcome, mut response) = match relay(&node, request).await {
         Ok(response) => (Outcome::Relayed, response),
         Err(outcome) => {
             let mut response = Response::new(Body::empty());
@@ -113,7 +113,6 @@
         }
     };
     count(&node.metrics.relayed_for_peers, outcome);
-    let mut response = response;
     let value = HeaderValue::from_static(outcome.as_str());
     response.headers_mut().insert(OUTCOME_HEADER, value);
     response
--- a/crates/gateway/src/node/server_paths.rs
+++ b/crates/gateway/src/node/server_paths.rs
@@ -26,8 +26,8 @@
 const PROBED_SERVERS: usize = 3;
 /// Time without a response from any server of a service after which its servers are checked.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Delay of the report that an attempt failed. If the node is cut off from the servers, that is
-/// detected meanwhile: it takes one silent connection, or two that are refused.
+/// Delay of the report that an attempt failed. If the node is cut off from the servers, it finds
+/// that out meanwhile.
 const FAILURE_REPORT_DELAY: Duration = Duration::from_millis(400);
 
 /// Returns the way that a request to a service takes.
@@ -129,18 +129,15 @@
 /// Picks some random ready servers that pass a filter, preferably those that were not found
 /// unreachable.
 fn pick_ready(node: &Node, filter: impl Fn(&Server) -> bool) -> Vec<Server> {
-    let mut servers: Vec<(bool, Server)> = node.with(|state| {
+    node.with(|state| {
         let ready = state.directory.iter().filter(|server| !server.is_leaving && filter(server));
-        let ready: Vec<Server> = ready.cloned().collect();
-        let paths = &mut state.paths;
-        let is_unreachable =
-            |server: &Server| paths.get(&server.service).is_unreachable(short_id(&server.id));
-        ready.iter().map(is_unreachable).zip(ready.iter().cloned()).collect()
-    });
-    Rng::new().shuffle(&mut servers);
-    servers.sort_by_key(|(is_unreachable, _)| *is_unreachable);
-    servers.truncate(PROBED_SERVERS);
-    servers.into_iter().map(|(_, server)| server).collect()
+        let mut servers: Vec<&Server> = ready.collect();
+        Rng::new().shuffle(&mut servers);
+        servers.sort_by_cached_key(|server| {
+            state.paths.is_unreachable(&server.service, short_id(&server.id))
+        });
+        servers.into_iter().take(PROBED_SERVERS).cloned().collect()
+    })
 }
 
 /// Returns `true` if a server that does not listen has crashed, because another one is reached. If
