docs: plainer comments of the relay, and what the fixed number rests on

Read once more as a newcomer: sole_from is fixed_from, which says what begins then, and four comments are in plain words.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -82,7 +82,8 @@
     }
 
     /// Returns the retries per window that requests do not have to pay for, at a process that knows
-    /// `nodes` nodes. `may_share` is set if no earlier process of its node has taken them.
+    /// `nodes` nodes. `may_share` is set if no earlier process of its node has taken
+    /// them in the same window.
     fn get_fixed_retries(&self, may_share: bool, nodes: usize) -> f64 {
         match self.fixed {
             Fixed::Own(retries) => retries,
@@ -113,8 +114,9 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct Budget {
-    /// When no retry of an earlier process of this node is left in the window.
-    sole_from: Millis,
+    /// From when this process may take retries of a shared fixed number. Until then, an earlier
+    /// process of its node may have taken some in the same window.
+    fixed_from: Millis,
     allowance: Allowance,
     services: BTreeMap<String, Usage>,
 }
@@ -137,12 +139,12 @@
 impl Budget {
     /// Creates the budget of a process that starts now.
     pub fn new(now: Millis, allowance: Allowance) -> Self {
-        Self { sole_from: now + allowance.window, allowance, services: BTreeMap::new() }
+        Self { fixed_from: now + allowance.window, allowance, services: BTreeMap::new() }
     }
 
     /// Records that no process of this node has run before this one.
     pub fn record_first_run(&mut self, now: Millis) {
-        self.sole_from = self.sole_from.min(now);
+        self.fixed_from = self.fixed_from.min(now);
     }
 
     /// Records a request to a service.
@@ -176,7 +178,7 @@
 
     /// Returns the number of retries that may be taken now.
     pub fn get_remaining(&mut self, now: Millis, service: &str, nodes: usize) -> f64 {
-        let fixed = self.allowance.get_fixed_retries(now >= self.sole_from, nodes);
+        let fixed = self.allowance.get_fixed_retries(now >= self.fixed_from, nodes);
         let ratio = self.allowance.ratio;
         let usage = self.get_usage(now, service);
         let fixed_used = usage.retries.iter().filter(|retry| retry.is_fixed).count() as f64;
--- a/crates/gateway/src/node/peers/server_relay.rs
+++ b/crates/gateway/src/node/peers/server_relay.rs
@@ -1,10 +1,10 @@
 //! Relays requests to servers for nodes that are cut off from them.
 //!
 //! A node sends the request to a peer's address for other nodes, with the server's ID in a header.
-//! The peer passes it on unchanged, and the response back with a header that says what happened. The
-//! node that received the request from its caller keeps all decisions: admission, the choice of the
-//! server, permits, retries, and what the caller is told. A peer never passes a request to another
-//! peer.
+//! The peer forwards it unchanged, and returns the response with the outcome in a header. The node
+//! that received the request from its caller keeps all decisions: admission, the choice of the
+//! server, permits, retries, and the response to the caller. A peer never forwards a request to
+//! another peer.
 
 use std::io;
 use std::sync::Arc;
--- a/crates/gateway/src/node/server_paths.rs
+++ b/crates/gateway/src/node/server_paths.rs
@@ -1,8 +1,8 @@
 //! Detects that this node is cut off from the servers of a service, and when the cut ends.
 //!
 //! [`keeljunction_core::serving::server_path`] decides; this module probes servers and applies the
-//! consequences. What a cut-off node observes of servers says nothing about them, so it reports
-//! neither crashes nor failures of versions meanwhile.
+//! consequences. The failures that a cut-off node observes are caused by the cut, so it reports
+//! neither crashes of servers nor failures of versions meanwhile.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,7 +20,7 @@
 use crate::event::{self, Event};
 use crate::runtime;
 
-/// Interval between two looks at which probes are due.
+/// Interval between two checks for due probes.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Servers in a round of probes.
 const PROBED_SERVERS: usize = 3;
