--- a/crates/gateway/benches/log.rs
+++ b/crates/gateway/benches/log.rs
@@ -41,6 +41,7 @@
         attempts: 1,
         first_token_ms: Some(25),
         longest_gap_ms: Some(180),
+        framing: Some("length"),
         answer_ms: Some(90),
         total_ms: 1_500,
         retry_after_ms: None,
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -224,6 +224,8 @@
         attempts: u32,
         first_token_ms: Option<u64>,
         longest_gap_ms: Option<u64>,
+        /// What declares the end of the server's response, if one has begun.
+        framing: Option<&'a str>,
         /// Time until the server's response ended. The rest of `total_ms` was spent writing to the caller.
         answer_ms: Option<u64>,
         total_ms: u64,
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -11,13 +11,14 @@
 use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::load::{RequestCost, short_id};
 use keeljunction_core::serving::memory::Kind;
+use keeljunction_core::serving::response_body::Framing;
 use keeljunction_core::serving::throughput::Sample;
 
 use super::admission::Exchange;
 use super::signals::{self, ResponseInfo};
 use super::way;
 use crate::event::{self, Event};
-use crate::http::{Body, ResponseBody};
+use crate::http::{Body, ResponseBody, get_framing};
 use crate::node::{Node, ReservationGuard, crashes, record_load_change, watch};
 use crate::port::{ForwardContext, ResponseHead};
 use crate::runtime;
@@ -31,6 +32,8 @@
     pub server: Server,
     /// Status and headers.
     pub parts: Parts,
+    /// What declares the end of the body.
+    pub framing: Framing,
     /// The response body.
     pub body: ServerBody,
     /// Counts the request in the server's load until dropped.
@@ -220,6 +223,7 @@
     })?;
     node.count_cross_region_bytes(data_centre, exchange.body_bytes, 0);
     let (parts, response_body) = response.into_parts();
+    let framing = get_framing(&parts, &response_body);
     let fault = check_head(node, exchange, params.server, sent_at, &parts);
     if let Some(fault) = fault.filter(|fault| *fault != AttemptError::ServerError) {
         return Err((fault, None));
@@ -248,7 +252,8 @@
         };
         record_throughput(node, &exchange.service, sample);
     }
-    let response = ServerResponse { server: params.server.clone(), parts, body, load, reservation };
+    let server = params.server.clone();
+    let response = ServerResponse { server, parts, framing, body, load, reservation };
     match fault {
         // The caller receives the server's error response if no later attempt succeeds.
         Some(fault) => Err((fault, Some(Box::new(response)))),
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -21,7 +21,8 @@
     response: ServerResponse,
     mut record: RequestRecord,
 ) -> Response<Body> {
-    let ServerResponse { server, parts, body, load, reservation } = response;
+    let ServerResponse { server, parts, framing, body, load, reservation } = response;
+    record.framing = Some(framing);
     let status = parts.status.as_u16();
     let mut response = response_head(&parts);
     *response.body_mut() = match body {
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -7,6 +7,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::quarantine::Fingerprint;
 use keeljunction_core::serving::refusal::Refusal;
+use keeljunction_core::serving::response_body::Framing;
 
 use crate::event::{self, Event};
 use crate::http::{Body, ConnectionHandle};
@@ -121,6 +122,8 @@
     pub delivery: Arc<Delivery>,
     /// The caller's connection.
     pub connection: Option<ConnectionHandle>,
+    /// What declares the end of the server's response, if one has begun.
+    pub framing: Option<Framing>,
     /// Fingerprint of the request's content, once the body has arrived.
     pub fingerprint: Option<Fingerprint>,
     status: u16,
@@ -148,6 +151,7 @@
             attempts: 0,
             delivery: Arc::new(Delivery::new(arrived_at)),
             connection: None,
+            framing: None,
             fingerprint: None,
             status: 0,
             outcome: "left",
@@ -230,6 +234,7 @@
             attempts: self.attempts,
             first_token_ms: first_token,
             longest_gap_ms: longest_gap,
+            framing: self.framing.map(Framing::as_str),
             answer_ms: self.response_time,
             total_ms: total,
             retry_after_ms: self.retry_after,
--- a/crates/gateway/src/http/headers.rs
+++ b/crates/gateway/src/http/headers.rs
@@ -1,6 +1,9 @@
-//! Headers that apply to a single connection.
+//! Headers that apply to a single connection, and the framing of a body.
 
+use hyper::body::Body as HttpBody;
 use hyper::header::{self, HeaderMap};
+use hyper::http::response::Parts;
+use keeljunction_core::serving::response_body::Framing;
 
 /// Names of headers that apply to a single connection, and of those that frame the body.
 const HOP_BY_HOP: &[&str] = &[
@@ -39,3 +42,15 @@
         headers.remove(*name);
     }
 }
+
+/// Returns what declares the end of a received response body. The library has checked that the
+/// headers are consistent, and knows the length of a body that cannot have chunks.
+pub fn get_framing(parts: &Parts, body: &impl HttpBody) -> Framing {
+    if parts.headers.contains_key(header::TRANSFER_ENCODING) {
+        return Framing::Chunks;
+    }
+    match body.size_hint().exact() {
+        Some(_) => Framing::Length,
+        None => Framing::Connection,
+    }
+}
