fix(gateway): treat a stream that ends inside an event as broken

Cause: the clean end of a connection was taken for the end of the response. A server that stops closes its connections as well, so a stream without a length or chunks that was closed inside an event was framed as complete on routes without resumable, was cut without being resumed on resumable ones, and counted as a success for rollouts.

Ruled out: an error of the socket that a write consumed.

Change: core's response_body decides in one place whether a body is complete at its regular end, from what declares the end and, for streams, from a scanner of event boundaries with a few bytes of state (LF, CRLF, CR, comments). exchange/server_body reads each response body through it, so a body that ended early has the consequences of an interrupted one: retry, resumption, crash report, rollout, log. A body that is not an event stream, such as an error response on a resumable route, is no longer split into events.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -24,7 +24,7 @@
 //! | [`quota`] | whether a client account is within its quota over all nodes |
 //! | [`usage`] | how many requests of each client account began in each window |
 //! | [`duty_lease`] | which node makes the calls that only one node at a time may make |
-//! | [`response_body`] | how the end of a response body is declared |
+//! | [`response_body`] | whether a response body is complete when it has ended |
 //! | [`event_stream`] | splits event streams into events and checks their order |
 //! | [`demand`], [`throughput`], [`capacity`] | how many servers to order, where, and of which kind |
 //! | [`rollout`] | moves the traffic of a service to servers of another version |
--- a/crates/core/src/serving/response_body.rs
+++ b/crates/core/src/serving/response_body.rs
@@ -1,4 +1,17 @@
-//! How the end of a response body is declared.
+//! Whether a response body is complete when it has ended.
+//!
+//! | what declares the end | complete if |
+//! |---|---|
+//! | a length | all bytes have arrived |
+//! | chunks | the last chunk has arrived |
+//! | the connection | it was closed and not reset, and a stream has at least one event |
+//!
+//! The HTTP library reports a missing byte, a missing last chunk and a reset as errors. It reports
+//! the close of a connection as a regular end, although a server that stops closes its connections
+//! as well. In addition, a stream of events is complete only if its last event is, however its end
+//! was declared.
+
+use super::event_stream::Scanner;
 
 /// What declares the end of a response body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -7,7 +20,7 @@
     Length,
     /// A last chunk.
     Chunks,
-    /// The end of the connection, which a server that stops also brings about.
+    /// The end of the connection.
     Connection,
 }
 
@@ -21,3 +34,59 @@
         }
     }
 }
+
+/// What a response body consists of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Content {
+    /// Any bytes.
+    Opaque,
+    /// A stream of events.
+    Events,
+}
+
+/// Why a body is incomplete although its end was regular.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Truncation {
+    /// The body ended inside an event.
+    InsideEvent,
+    /// The connection was closed before the first event of a stream.
+    NoEvent,
+}
+
+/// Checks whether a body was complete at its regular end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndCheck {
+    framing: Framing,
+    events: Option<Scanner>,
+}
+
+impl EndCheck {
+    /// Creates the check of a body of which nothing was read.
+    pub fn new(framing: Framing, content: Content) -> Self {
+        let events = (content == Content::Events).then(Scanner::default);
+        Self { framing, events }
+    }
+
+    /// Records bytes of the body.
+    pub fn push(&mut self, bytes: &[u8]) {
+        if let Some(events) = &mut self.events {
+            events.push(bytes);
+        }
+    }
+
+    /// Checks the body at its regular end.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the body is incomplete.
+    pub fn check_end(&self) -> Result<(), Truncation> {
+        let Some(events) = &self.events else { return Ok(()) };
+        if events.is_inside_event() {
+            return Err(Truncation::InsideEvent);
+        }
+        match self.framing == Framing::Connection && !events.has_event() {
+            true => Err(Truncation::NoEvent),
+            false => Ok(()),
+        }
+    }
+}
--- a/crates/core/tests/serving/event_stream.rs
+++ b/crates/core/tests/serving/event_stream.rs
@@ -1,4 +1,4 @@
-use keeljunction_core::serving::event_stream::{Sequence, SequenceCheck, Splitter};
+use keeljunction_core::serving::event_stream::{Scanner, Sequence, SequenceCheck, Splitter};
 use proptest::prelude::*;
 
 #[test]
@@ -43,7 +43,83 @@
     assert_eq!(Sequence::default().check(1), SequenceCheck::Next);
 }
 
+/// Returns `true` if a stream that ends with this text ends inside an event.
+fn is_inside_event(text: &str) -> bool {
+    let mut scanner = Scanner::default();
+    scanner.push(text.as_bytes());
+    scanner.is_inside_event()
+}
+
+#[test]
+fn a_stream_ends_inside_an_event_at_each_byte_but_the_last() {
+    for line_end in ["\n", "\r\n", "\r"] {
+        let event = format!("id: 7{line_end}: comment{line_end}data: x{line_end}{line_end}");
+        let before = format!("data: y{line_end}{line_end}");
+        for length in 1..event.len() {
+            let text = format!("{before}{}", &event[..length]);
+            assert!(is_inside_event(&text), "{text:?}");
+        }
+        assert!(!is_inside_event(&format!("{before}{event}")), "{event:?}");
+    }
+}
+
+#[test]
+fn comments_and_blank_lines_between_events_belong_to_no_event() {
+    let texts =
+        ["", ": ping\n", ": ping\r\n", "data: x\n\n: ping\n", "data: x\n\n\n", "data: x\r\r: p\r"];
+    for text in texts {
+        assert!(!is_inside_event(text), "{text:?}");
+    }
+    assert!(is_inside_event("data: x\n\n: pi"));
+}
+
+#[test]
+fn a_stream_of_comments_has_no_event() {
+    let mut scanner = Scanner::default();
+    scanner.push(b": ping\n\n: ping\n\n");
+    assert!(!scanner.has_event());
+    scanner.push(b"data: x\n\n");
+    assert!(scanner.has_event());
+}
+
+#[test]
+fn events_whose_lines_end_with_a_carriage_return_alone_are_split_at_once() {
+    let mut splitter = Splitter::default();
+    splitter.push(b"id: 1\rdata: x\r\r");
+    let event = splitter.next_event().expect("a complete event");
+    assert_eq!((event.id, &event.bytes[..]), (Some(1), &b"id: 1\rdata: x\r\r"[..]));
+}
+
+#[test]
+fn a_comment_between_events_is_passed_on_at_once() {
+    let mut splitter = Splitter::default();
+    splitter.push(b": ping\n");
+    assert_eq!(splitter.next_event().map(|event| event.bytes), Some((&b": ping\n"[..]).into()));
+}
+
+#[test]
+fn a_byte_order_mark_does_not_hide_the_first_number() {
+    let mut splitter = Splitter::default();
+    splitter.push(b"\xef\xbb\xbfid: 1\ndata: x\n\n");
+    assert_eq!(splitter.next_event().and_then(|event| event.id), Some(1));
+}
+
 proptest! {
+    /// No byte is lost or changed, whatever the stream consists of and however it is split into pieces.
+    #[test]
+    fn all_bytes_are_passed_on(pieces in proptest::collection::vec("[:a\n\r]{0,6}", 0..40)) {
+        let mut splitter = Splitter::default();
+        let mut passed = Vec::new();
+        for piece in &pieces {
+            splitter.push(piece.as_bytes());
+            while let Some(event) = splitter.next_event() {
+                passed.extend_from_slice(&event.bytes);
+            }
+        }
+        passed.extend_from_slice(splitter.get_rest());
+        prop_assert_eq!(passed, pieces.concat().into_bytes());
+    }
+
     /// The same events are returned however a stream is split into pieces, and no byte is lost.
     #[test]
     fn events_do_not_depend_on_the_pieces(cuts in proptest::collection::vec(1usize..12, 1..60)) {
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -26,6 +26,7 @@
 mod read_ahead;
 mod refusal;
 mod regions;
+mod response_body;
 mod rollout;
 mod rollout_trials;
 mod server_path;
--- /dev/null
+++ b/crates/core/tests/serving/response_body.rs
@@ -0,0 +1,41 @@
+use keeljunction_core::serving::response_body::{Content, EndCheck, Framing, Truncation};
+
+const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Connection];
+
+fn check(framing: Framing, content: Content, body: &str) -> Result<(), Truncation> {
+    let mut check = EndCheck::new(framing, content);
+    for byte in body.as_bytes() {
+        check.push(&[*byte]);
+    }
+    check.check_end()
+}
+
+#[test]
+fn opaque_bodies_are_complete_at_their_regular_end() {
+    for framing in FRAMINGS {
+        for body in ["", "level 3.2 m", "data: x\n"] {
+            assert_eq!(check(framing, Content::Opaque, body), Ok(()));
+        }
+    }
+}
+
+#[test]
+fn a_stream_that_ends_inside_an_event_is_truncated_however_it_is_framed() {
+    for framing in FRAMINGS {
+        let ended = check(framing, Content::Events, "data: x\n\ndata: y\n");
+        assert_eq!(ended, Err(Truncation::InsideEvent), "{framing:?}");
+        assert_eq!(check(framing, Content::Events, "data: x\n\n: ping\n"), Ok(()), "{framing:?}");
+    }
+}
+
+#[test]
+fn only_a_declared_end_completes_a_stream_without_any_event() {
+    for (framing, expected) in [
+        (Framing::Length, Ok(())),
+        (Framing::Chunks, Ok(())),
+        (Framing::Connection, Err(Truncation::NoEvent)),
+    ] {
+        assert_eq!(check(framing, Content::Events, ""), expected, "{framing:?}");
+        assert_eq!(check(framing, Content::Events, ": ping\n\n"), expected, "{framing:?}");
+    }
+}
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -4,21 +4,21 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Request};
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::load::{RequestCost, short_id};
 use keeljunction_core::serving::memory::Kind;
-use keeljunction_core::serving::response_body::Framing;
+use keeljunction_core::serving::response_body::{Content, Framing};
 use keeljunction_core::serving::throughput::Sample;
 
 use super::admission::Exchange;
+use super::server_body::{BodyReader, Cut, get_content};
 use super::signals::{self, ResponseInfo};
 use super::way;
 use crate::event::{self, Event};
-use crate::http::{Body, ResponseBody, get_framing};
+use crate::http::{Body, get_framing};
 use crate::node::{Node, ReservationGuard, crashes, record_load_change, watch};
 use crate::port::{ForwardContext, ResponseHead};
 use crate::runtime;
@@ -34,6 +34,8 @@
     pub parts: Parts,
     /// What declares the end of the body.
     pub framing: Framing,
+    /// What the body consists of.
+    pub content: Content,
     /// The response body.
     pub body: ServerBody,
     /// Counts the request in the server's load until dropped.
@@ -51,7 +53,7 @@
         /// The part received so far.
         received: Bytes,
         /// The remaining body.
-        rest: ResponseBody,
+        rest: BodyReader,
     },
 }
 
@@ -224,12 +226,14 @@
     node.count_cross_region_bytes(data_centre, exchange.body_bytes, 0);
     let (parts, response_body) = response.into_parts();
     let framing = get_framing(&parts, &response_body);
+    let content = get_content(&parts, exchange.route.kind.is_streaming());
     let fault = check_head(node, exchange, params.server, sent_at, &parts);
     if let Some(fault) = fault.filter(|fault| *fault != AttemptError::ServerError) {
         return Err((fault, None));
     }
     let mut reservation = ReservationGuard::new(node, Kind::ReadAhead);
-    let Some(body) = read_start(exchange, response_body, &mut reservation).await else {
+    let reader = BodyReader::new(response_body, framing, content);
+    let Ok(body) = read_start(exchange, reader, &mut reservation).await else {
         record_disconnect(node, params.server);
         crashes::record_interrupted_attempt(
             node,
@@ -253,7 +257,7 @@
         record_throughput(node, &exchange.service, sample);
     }
     let server = params.server.clone();
-    let response = ServerResponse { server, parts, framing, body, load, reservation };
+    let response = ServerResponse { server, parts, framing, content, body, load, reservation };
     match fault {
         // The caller receives the server's error response if no later attempt succeeds.
         Some(fault) => Err((fault, Some(Box::new(response)))),
@@ -285,31 +289,31 @@
     true
 }
 
-/// Reads the first token of a stream, or the whole body of any other response. Returns `None` if
-/// the body is interrupted.
+/// Reads the first token of a stream, or the whole body of any other response.
 ///
 /// Buffered bytes are reserved. A response that does not fit into the memory budget is streamed.
+///
+/// # Errors
+///
+/// Returns the reason why the body is incomplete.
 async fn read_start(
     exchange: &Exchange,
-    mut body: ResponseBody,
+    mut body: BodyReader,
     reservation: &mut ReservationGuard,
-) -> Option<ServerBody> {
+) -> Result<ServerBody, Cut> {
     let is_streaming = exchange.route.kind.is_streaming();
     let mut content = BytesMut::new();
-    loop {
-        let Some(frame) = body.frame().await else {
-            return Some(ServerBody::Complete(content.freeze()));
-        };
-        let Ok(data) = frame.ok()?.into_data() else { continue };
+    while let Some(data) = body.read().await? {
         content.extend_from_slice(&data);
         if is_streaming {
-            return Some(ServerBody::Partial { received: content.freeze(), rest: body });
+            return Ok(ServerBody::Partial { received: content.freeze(), rest: body });
         }
         let is_reserved = reservation.grow(data.len() as u64);
         if !is_reserved || content.len() > MAX_BUFFERED_BYTES {
-            return Some(ServerBody::Partial { received: content.freeze(), rest: body });
+            return Ok(ServerBody::Partial { received: content.freeze(), rest: body });
         }
     }
+    Ok(ServerBody::Complete(content.freeze()))
 }
 
 fn build_request(
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -8,6 +8,7 @@
 //! | `progress` | tracks the attempts made so far |
 //! | `pick` | picks the server for an attempt |
 //! | `attempt` | sends the request to one server and checks its response |
+//! | `server_body` | reads the body of a response and decides whether it is complete |
 //! | `way` | sends it directly, or through a peer if the node is cut off from the servers |
 //! | `signals` | applies the load signals in server responses |
 //! | `notes` | records attempts in the node's state, logs and metrics |
@@ -31,6 +32,7 @@
 mod rejection;
 mod relay;
 mod respond;
+mod server_body;
 mod signals;
 mod source;
 mod upload;
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -21,7 +21,7 @@
     response: ServerResponse,
     mut record: RequestRecord,
 ) -> Response<Body> {
-    let ServerResponse { server, parts, framing, body, load, reservation } = response;
+    let ServerResponse { server, parts, framing, content, body, load, reservation } = response;
     record.framing = Some(framing);
     let status = parts.status.as_u16();
     let mut response = response_head(&parts);
@@ -36,7 +36,7 @@
         ServerBody::Partial { received, rest } => {
             record.set_outcome(status, "left");
             let recipient = Recipient::for_record(&record);
-            let partial = PartialResponse { status, server, received, rest, load };
+            let partial = PartialResponse { status, server, content, received, rest, load };
             let deadline = exchange.deadline;
             let source = source::read(node.clone(), exchange, record, partial);
             feed::stream_body(&node, recipient, source, deadline)
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -1,8 +1,8 @@
 //! Reads a response body from its server.
 //!
 //! A resumable stream is split into events, so that another server can resume it after the last
-//! complete event. Other bodies are forwarded unchanged. An interrupted body ends with an error,
-//! which resets the caller's connection, so that a partial body never looks complete.
+//! complete event. Other bodies are forwarded unchanged. An incomplete body ends with an error, so
+//! that it does not look complete to the caller.
 
 use std::collections::VecDeque;
 use std::io;
@@ -12,11 +12,11 @@
 
 use bytes::Bytes;
 use futures_lite::{Stream, future, stream};
-use http_body_util::BodyExt;
 use keeljunction_core::Millis;
 use keeljunction_core::serving::configuration::RouteKind;
 use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::event_stream::{Sequence, SequenceCheck, Splitter};
+use keeljunction_core::serving::response_body::Content;
 use keeljunction_core::serving::rollout::Phase;
 
 use super::admission::Exchange;
@@ -25,8 +25,8 @@
 use super::notes;
 use super::progress::Tried;
 use super::respond::{ANSWERED, RequestRecord};
+use super::server_body::{BodyReader, Cut};
 use crate::event::{self, Event};
-use crate::http::ResponseBody;
 use crate::node::{Node, crashes, rollouts, server_paths};
 use crate::runtime;
 
@@ -36,10 +36,12 @@
     pub status: u16,
     /// The server that sends the response.
     pub server: Server,
+    /// What the body consists of.
+    pub content: Content,
     /// The part of the body received so far.
     pub received: Bytes,
     /// The remaining body.
-    pub rest: ResponseBody,
+    pub rest: BodyReader,
     /// Counts the request in the server's load.
     pub load: LoadGuard,
 }
@@ -62,11 +64,11 @@
     record: RequestRecord,
     partial: PartialResponse,
 ) -> Source {
-    let PartialResponse { status, server, received, rest, load } = partial;
+    let PartialResponse { status, server, content, received, rest, load } = partial;
     let time_remaining = Duration::from_millis(exchange.get_time_remaining(node.now()));
     let reader = StreamReader {
         status,
-        splitter: is_resumable(&exchange).then(Splitter::default),
+        splitter: is_resumable(&exchange, content).then(Splitter::default),
         sequence: Sequence::after(exchange.head.last_event_id),
         pending: VecDeque::new(),
         body: Some(rest),
@@ -82,8 +84,9 @@
     Box::pin(reader.into_stream(received))
 }
 
-fn is_resumable(exchange: &Exchange) -> bool {
-    exchange.route.kind == RouteKind::Streaming { resumable: true }
+fn is_resumable(exchange: &Exchange, content: Content) -> bool {
+    let is_resumable_route = exchange.route.kind == RouteKind::Streaming { resumable: true };
+    is_resumable_route && content == Content::Events
 }
 
 /// Reads a response body from one server, or from several in turn.
@@ -95,7 +98,7 @@
     splitter: Option<Splitter>,
     sequence: Sequence,
     pending: VecDeque<Bytes>,
-    body: Option<ResponseBody>,
+    body: Option<BodyReader>,
     tried: Tried,
     timing: StreamTiming,
     deadline: Pin<Box<dyn Future<Output = ()> + Send>>,
@@ -138,7 +141,7 @@
 enum ServerEvent {
     Data(Bytes),
     Complete,
-    Broken,
+    Broken(Cut),
     TimedOut,
 }
 
@@ -183,9 +186,9 @@
                     self.finish();
                 }
                 ServerEvent::TimedOut => self.stop(StreamEnd::Broken("timeout")),
-                ServerEvent::Broken => {
+                ServerEvent::Broken(cut) => {
                     self.record_stream_end(false);
-                    self.resume_on_other_server().await;
+                    self.resume_on_other_server(cut).await;
                 }
             }
         }
@@ -197,19 +200,13 @@
         if self.exchange.get_time_remaining(self.node.now()) == 0 {
             return ServerEvent::TimedOut;
         }
-        let Some(body) = self.body.as_mut() else { return ServerEvent::Broken };
+        let Some(body) = self.body.as_mut() else { return ServerEvent::Broken(Cut::Interrupted) };
         let deadline = &mut self.deadline;
         let received = async {
-            loop {
-                match body.frame().await {
-                    None => return ServerEvent::Complete,
-                    Some(Err(_)) => return ServerEvent::Broken,
-                    Some(Ok(frame)) => {
-                        if let Ok(data) = frame.into_data() {
-                            return ServerEvent::Data(data);
-                        }
-                    }
-                }
+            match body.read().await {
+                Ok(Some(data)) => ServerEvent::Data(data),
+                Ok(None) => ServerEvent::Complete,
+                Err(cut) => ServerEvent::Broken(cut),
             }
         };
         let timed_out = async {
@@ -251,17 +248,11 @@
         }
     }
 
-    /// Ends the body. A partial event at its end is an error.
+    /// Ends a complete body.
     fn finish(&mut self) {
-        let is_truncated = self.splitter.as_ref().is_some_and(|s| !s.get_rest().is_empty());
-        match is_truncated {
-            true => self.stop(StreamEnd::Broken("an event is cut")),
-            false => {
-                notes::record_success(&self.node, &self.exchange, self.status);
-                self.record.set_outcome(self.status, ANSWERED);
-                self.stop(StreamEnd::Complete);
-            }
-        }
+        notes::record_success(&self.node, &self.exchange, self.status);
+        self.record.set_outcome(self.status, ANSWERED);
+        self.stop(StreamEnd::Complete);
     }
 
     fn stop(&mut self, end: StreamEnd) {
@@ -276,7 +267,7 @@
     }
 
     /// Resumes the stream on another server after the last complete event, if the route allows it.
-    async fn resume_on_other_server(&mut self) {
+    async fn resume_on_other_server(&mut self, cut: Cut) {
         attempt::record_disconnect(&self.node, &self.timing.server);
         if let Some(load) = &self.load {
             let response_started_at = Some(self.timing.started_at);
@@ -294,7 +285,7 @@
             server: self.tried.all.last().map_or("", String::as_str),
             attempt: self.record.attempts,
             may_have_run: true,
-            why: "broke_off",
+            why: cut.as_str(),
         });
         let Some(splitter) = self.splitter.as_mut() else {
             return self.stop(StreamEnd::Broken("the server broke off"));
