fix(gateway): do not continue a stream with an error response

Cause: when a stream was resumed at another server, the response of that server was taken for its continuation whatever its status and type. An answer 404 ended the caller's stream as complete after the events of the first server; the text of a longer error response would have been appended to them.

Ruled out: the end check of bodies, which is right for the error response by itself.

Change: a resumed stream goes on only with a successful event stream. Any other response is a failed attempt, and the next server is tried within the limits of attempts and retries.

--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -44,6 +44,13 @@
     pub reservation: ReservationGuard,
 }
 
+impl ServerResponse {
+    /// Returns `true` if the response is a successful stream of events.
+    pub fn is_event_stream(&self) -> bool {
+        self.parts.status.is_success() && self.content == Content::Events
+    }
+}
+
 /// The body of a server's response.
 pub(super) enum ServerBody {
     /// The complete body.
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -117,9 +117,12 @@
         let tried_server =
             try_server(node, exchange, record, &mut progress, &pick, last_event_id).await;
         tried.clone_from(&progress.tried);
-        if let Ok(response) = tried_server {
+        let Ok(response) = tried_server else { continue };
+        if response.is_event_stream() {
             return Some(response);
         }
+        record_failure(node, exchange, record, &pick.server, AttemptError::Broken);
+        progress.record_failure(AttemptError::Broken);
     }
 }
 
