fix(gateway): bound the memory of an event that is not complete yet

Cause: on resumable routes an event is kept until it is complete, without a bound and without a reservation, so that an event without an end grows with what its server sends.

Change: an event of more than 64 KiB is passed on in parts as they arrive. If its server breaks off inside it, the stream ends as broken, because the caller has a part of the event that no server can continue; shorter events are resumed as before.

--- a/crates/core/src/serving/event_stream/mod.rs
+++ b/crates/core/src/serving/event_stream/mod.rs
@@ -15,4 +15,4 @@
 
 pub use self::scanner::Scanner;
 pub use self::sequence::{Sequence, SequenceCheck};
-pub use self::splitter::{Event, Splitter};
+pub use self::splitter::{Event, MAX_PENDING_BYTES, Splitter};
--- a/crates/core/src/serving/event_stream/splitter.rs
+++ b/crates/core/src/serving/event_stream/splitter.rs
@@ -4,16 +4,21 @@
 
 use super::scanner::Scanner;
 
+/// The maximum number of bytes of an incomplete event that are kept until the event is complete.
+pub const MAX_PENDING_BYTES: usize = 64 * 1024;
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
-/// A complete event, and its number if it has one. A comment or a blank line between two events is
-/// passed on like an event without a number.
+/// An event or a part of it. A comment or a blank line between two events is passed on like an event
+/// without a number.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
-    /// The number in the event's `id` line.
+    /// The number in the event's `id` line, if these bytes contain that line.
     pub id: Option<u64>,
-    /// The event's bytes, with the blank line that ends it.
+    /// The event's bytes, with the blank line that ends it if the event is complete.
     pub bytes: Bytes,
+    /// Whether the event ends with these bytes. The parts of a longer event than
+    /// [`MAX_PENDING_BYTES`] are passed on as they arrive.
+    pub is_complete: bool,
 }
 
 /// Splits the bytes of a stream into events.
@@ -31,19 +36,17 @@
         self.pending.extend_from_slice(bytes);
     }
 
-    /// Returns the next complete event.
+    /// Returns the next complete event, or the next part of a long one.
     pub fn next_event(&mut self) -> Option<Event> {
-        match self.scanner.read_to_boundary(&self.pending[self.scanned..]) {
-            Some(read) => {
-                let bytes = self.pending.split_to(self.scanned + read).freeze();
-                self.scanned = 0;
-                Some(Event { id: read_id(&bytes), bytes })
-            }
-            None => {
-                self.scanned = self.pending.len();
-                None
-            }
+        let read = self.scanner.read_to_boundary(&self.pending[self.scanned..]);
+        let length = read.map_or(self.pending.len(), |read| self.scanned + read);
+        if read.is_none() && length <= MAX_PENDING_BYTES {
+            self.scanned = length;
+            return None;
         }
+        self.scanned = 0;
+        let bytes = self.pending.split_to(length).freeze();
+        Some(Event { id: read_id(&bytes), bytes, is_complete: read.is_some() })
     }
 
     /// Returns the bytes of an incomplete event.
--- a/crates/core/tests/serving/event_stream.rs
+++ b/crates/core/tests/serving/event_stream.rs
@@ -1,4 +1,6 @@
-use keeljunction_core::serving::event_stream::{Scanner, Sequence, SequenceCheck, Splitter};
+use keeljunction_core::serving::event_stream::{
+    MAX_PENDING_BYTES, Scanner, Sequence, SequenceCheck, Splitter,
+};
 use proptest::prelude::*;
 
 #[test]
@@ -97,6 +99,24 @@
     assert_eq!(splitter.next_event().map(|event| event.bytes), Some((&b": ping\n"[..]).into()));
 }
 
+#[test]
+fn a_long_event_is_passed_on_in_parts() {
+    let mut splitter = Splitter::default();
+    splitter.push(b"id: 3\ndata: ");
+    let mut passed = 0;
+    for _ in 0..100 {
+        splitter.push(&[b'x'; MAX_PENDING_BYTES / 10]);
+        while let Some(event) = splitter.next_event() {
+            assert_eq!((event.id, event.is_complete), ((passed == 0).then_some(3), false));
+            passed += event.bytes.len();
+        }
+        assert!(splitter.get_rest().len() <= MAX_PENDING_BYTES);
+    }
+    splitter.push(b"\n\nid: 4\n\n");
+    assert!(splitter.next_event().is_some_and(|event| event.is_complete && event.id.is_none()));
+    assert_eq!(splitter.next_event().and_then(|event| event.id), Some(4));
+}
+
 #[test]
 fn a_byte_order_mark_does_not_hide_the_first_number() {
     let mut splitter = Splitter::default();
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -70,6 +70,7 @@
         status,
         splitter: is_resumable(&exchange, content).then(Splitter::default),
         sequence: Sequence::after(exchange.head.last_event_id),
+        open_event: None,
         pending: VecDeque::new(),
         body: Some(rest),
         tried: Tried { all: vec![server.id.clone()], disconnected: Vec::new() },
@@ -97,6 +98,8 @@
     status: u16,
     splitter: Option<Splitter>,
     sequence: Sequence,
+    /// The result for the event of which a part was received, if its parts are passed on separately.
+    open_event: Option<SequenceCheck>,
     pending: VecDeque<Bytes>,
     body: Option<BodyReader>,
     tried: Tried,
@@ -236,8 +239,11 @@
         };
         splitter.push(&data);
         while let Some(event) = splitter.next_event() {
-            let verdict = event.id.map_or(SequenceCheck::Next, |id| self.sequence.check(id));
-            match verdict {
+            let checked = self.open_event.take().unwrap_or_else(|| {
+                event.id.map_or(SequenceCheck::Next, |id| self.sequence.check(id))
+            });
+            self.open_event = (!event.is_complete).then_some(checked);
+            match checked {
                 SequenceCheck::Next => self.pending.push_back(event.bytes),
                 SequenceCheck::Duplicate => {}
                 SequenceCheck::Gap => {
@@ -290,6 +296,10 @@
         let Some(splitter) = self.splitter.as_mut() else {
             return self.stop(StreamEnd::Broken("the server broke off"));
         };
+        // The caller has a part of this event, which no server can continue.
+        if self.open_event.take() == Some(SequenceCheck::Next) {
+            return self.stop(StreamEnd::Broken("the server broke off inside a long event"));
+        }
         *splitter = Splitter::default();
         let last_event_id = self.sequence.get_last();
         let resumed = dispatch::resume(
