--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -119,6 +119,8 @@
         server_version: &'a str,
         service: &'a str,
         attempt: u32,
+        /// The last event that the caller has, if the attempt continues a stream.
+        resumed_after: Option<u64>,
         candidates: usize,
         prompt_tokens: u64,
         waiting_tokens: u64,
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -40,7 +40,7 @@
             Ok(pick) => pick,
             Err(rejection) => return give_up(node, exchange, rejection, fallback),
         };
-        record_choice(node, exchange, record, &pick);
+        record_choice(node, exchange, record, &pick, exchange.head.last_event_id);
         match try_server(node, exchange, record, &mut progress, &pick, None).await {
             Ok(response) => return Ok(response),
             Err(response) => fallback = response.or(fallback),
@@ -113,7 +113,7 @@
     };
     loop {
         let pick = next_attempt(node, exchange, &progress).await.ok()?;
-        record_choice(node, exchange, record, &pick);
+        record_choice(node, exchange, record, &pick, last_event_id);
         let tried_server =
             try_server(node, exchange, record, &mut progress, &pick, last_event_id).await;
         tried.clone_from(&progress.tried);
--- a/crates/gateway/src/exchange/notes.rs
+++ b/crates/gateway/src/exchange/notes.rs
@@ -19,6 +19,7 @@
     exchange: &Exchange,
     record: &mut RequestRecord,
     pick: &Pick,
+    resumed_after: Option<u64>,
 ) {
     record.attempts += 1;
     let server = &pick.server;
@@ -45,6 +46,7 @@
         server_version: &server.version,
         service: &exchange.service,
         attempt: record.attempts,
+        resumed_after,
         candidates,
         prompt_tokens: criteria.prompt_tokens,
         waiting_tokens: chosen.load.get_waiting_tokens(),
