fix(http): reset broken responses to callers of HTTP/1.0

Cause: a response to a caller of HTTP/1.0 has no chunks, so without a length its end is that of its connection. When its server broke off, its time-out passed or the node was killed, the socket was closed like after a complete response, and the caller saw a clean end.

Ruled out: the body's error is not lost. The library drops the socket after it and shuts the socket down only after it has flushed a complete response; the system ends both with the same segment.

Change: a response whose end only its connection declares begins with a linger time of zero on its caller's socket, so that any close is a reset, also that of a killed process. The socket takes it back when the library shuts it down. Other responses are not touched.

--- a/crates/gateway/src/http/server.rs
+++ b/crates/gateway/src/http/server.rs
@@ -11,10 +11,10 @@
 
 use async_net::{TcpListener, TcpStream};
 use futures_lite::future;
-use hyper::body::Incoming;
+use hyper::body::{Body as HttpBody, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use smol_hyper::rt::SmolTimer;
 
 use super::{Body, ConnectionHandle, Socket, drive};
@@ -200,6 +200,12 @@
     }
 }
 
+/// Returns `true` if only the end of the connection declares the end of a response. HTTP/1.0 has no
+/// chunks, so that its caller takes any end for that of the response, except for a reset.
+fn is_ended_by_connection(version: Version, body: &Body) -> bool {
+    version == Version::HTTP_10 && body.size_hint().exact().is_none()
+}
+
 async fn serve_connection<F, Fut>(
     stream: TcpStream,
     handler: F,
@@ -215,14 +221,23 @@
     let connection_handle = ConnectionHandle::new(&stream);
     let service = service_fn(|mut request: Request<Incoming>| {
         request.extensions_mut().insert(connection_handle.clone());
+        let version = request.version();
         let response = handler(request);
         let closed = wait_for_close(watched_stream.clone());
-        future::or(async { Ok(response.await) }, async { Err(closed.await) })
+        let connection_handle = connection_handle.clone();
+        let responded = async move {
+            let response = response.await;
+            if is_ended_by_connection(version, response.body()) {
+                connection_handle.reject_end();
+            }
+            Ok(response)
+        };
+        future::or(responded, async { Err(closed.await) })
     });
     let mut builder = http1::Builder::new();
     builder.timer(SmolTimer::new()).header_read_timeout(head_timeout);
     builder.max_buf_size(limits.head_bytes.max(8192));
-    let socket = Socket::new(stream);
+    let socket = Socket::new(stream).with_connection_handle(connection_handle.clone());
     let write_state = socket.get_write_state();
     let mut connection = pin!(builder.serve_connection(socket, service));
     let stopping = pin!(stop.wait());
--- a/crates/gateway/src/http/socket.rs
+++ b/crates/gateway/src/http/socket.rs
@@ -21,6 +21,8 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use smol_hyper::rt::FuturesIo;
 
+use super::ConnectionHandle;
+
 /// No write of the current turn was blocked.
 const CLEAR: u8 = 0;
 /// A write was blocked, and none has succeeded since.
@@ -57,12 +59,22 @@
 pub struct Socket<T> {
     inner: FuturesIo<T>,
     write_state: WriteState,
+    connection_handle: Option<ConnectionHandle>,
 }
 
 impl<T> Socket<T> {
     /// Wraps a socket.
     pub fn new(inner: T) -> Self {
-        Self { inner: FuturesIo::new(inner), write_state: WriteState::default() }
+        Self {
+            inner: FuturesIo::new(inner),
+            write_state: WriteState::default(),
+            connection_handle: None,
+        }
+    }
+
+    /// Sets the handle that accepts the end of the connection once all responses are written.
+    pub fn with_connection_handle(self, connection_handle: ConnectionHandle) -> Self {
+        Self { connection_handle: Some(connection_handle), ..self }
     }
 
     /// Returns the write state for the driver of the connection.
@@ -96,7 +108,12 @@
         Pin::new(&mut self.inner).poll_flush(context)
     }
 
+    /// Shuts the socket down. The library does that only after it has written and flushed the whole
+    /// response; after an error, it drops the socket.
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if let Some(connection_handle) = &self.connection_handle {
+            connection_handle.accept_end();
+        }
         Pin::new(&mut self.inner).poll_shutdown(context)
     }
 }
