fix(http): disconnect callers with a reset alone

Cause: `ConnectionHandle::reset` set a linger time of zero and shut the socket down to wake its connection. The shutdown sends an end at once if nothing is unsent; the reset followed only when the last handle was dropped. A caller without chunks that reads in between sees a clean end.

Ruled out: a platform test of a caller that reads nothing for 14 s passed before too, because the unsent data kept the end back; the fault needs an empty send buffer.

Change: the handle dissolves the socket's association, which sends only the reset and wakes the connection with an error. The old way remains for systems that refuse this.

--- a/crates/gateway/src/http/connection_handle.rs
+++ b/crates/gateway/src/http/connection_handle.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use async_net::TcpStream;
+use rustix::net::connect_unspec;
 use rustix::net::sockopt::{set_socket_linger, set_socket_send_buffer_size};
 
 /// Size of the system's send buffer for a caller; the system counts about as much again for itself.
@@ -53,9 +54,11 @@
     /// Closes the connection at once and discards unsent data. The caller sees a reset instead of a
     /// response that looks complete.
     pub fn reset(&self) {
-        if let Err(error) = set_socket_linger(&self.stream, Some(Duration::ZERO)) {
-            log::debug!("cannot discard the unsent data of a connection: {error}");
-        }
+        // A shutdown would send an end first, which is all that a caller sees that reads before the
+        // reset. A dissolved association sends only the reset.
+        let Err(error) = connect_unspec(&self.stream) else { return };
+        log::debug!("cannot reset a connection before it is closed: {error}");
+        self.reject_end();
         if let Err(error) = self.stream.shutdown(Shutdown::Both) {
             log::debug!("the connection was already closed: {error}");
         }
