fix(peers): pass on what declares the end of a relayed response

Cause: a peer that relays a request writes the server's body anew, in chunks or, if it is empty, with a length. The node behind it took that framing for the server's, so that the end of a connection looked like a declared end.

Ruled out: a break that the peer notices is not lost. Its error leaves the last chunk out; streams cut inside chunks, reset streams and reset or truncated plain bodies were never complete before either.

Change: the peer names the server's framing in `keeljunction-relay-framing`, in place of any such header of the server. The node removes the header, attaches the framing to the response, and `get_framing` prefers it. Responses of older peers have no such header and are taken as before.

Measured: `the_framing_of_a_relayed_response_is_that_of_its_server` failed before (chunks instead of connection) and passes after.

--- a/crates/gateway/src/http/headers.rs
+++ b/crates/gateway/src/http/headers.rs
@@ -44,8 +44,12 @@
 }
 
 /// Returns what declares the end of a received response body. The library has checked that the
-/// headers are consistent, and knows the length of a body that cannot have chunks.
+/// headers are consistent, and knows the length of a body that cannot have chunks. A framing among
+/// the extensions is that of the server behind a peer.
 pub fn get_framing(parts: &Parts, body: &impl HttpBody) -> Framing {
+    if let Some(framing) = parts.extensions.get() {
+        return *framing;
+    }
     if parts.headers.contains_key(header::TRANSFER_ENCODING) {
         return Framing::Chunks;
     }
--- a/crates/gateway/src/node/peers/server_relay.rs
+++ b/crates/gateway/src/node/peers/server_relay.rs
@@ -17,10 +17,11 @@
 use hyper::{Request, Response, StatusCode};
 use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::load::short_id;
+use keeljunction_core::serving::response_body::Framing;
 use keeljunction_core::serving::server_path::{Candidate, Refusal};
 
 use crate::event::{self, Event};
-use crate::http::{Body, ResponseBody, SendError, remove_standard_hop_by_hop};
+use crate::http::{Body, ResponseBody, SendError, get_framing, remove_standard_hop_by_hop};
 use crate::metrics::{ReasonCounters, ReasonLabels};
 use crate::node::state::InFlightGuard;
 use crate::node::{Node, server_paths};
@@ -29,6 +30,10 @@
 const SERVER_HEADER: HeaderName = HeaderName::from_static("keeljunction-relay-server");
 /// The outcome of relaying a request.
 const OUTCOME_HEADER: HeaderName = HeaderName::from_static("keeljunction-relay-outcome");
+/// What declared the end of the body when the server sent it; older peers do not say. A peer sends
+/// a body that ended with its connection in chunks, after which it would look declared.
+const FRAMING_HEADER: HeaderName = HeaderName::from_static("keeljunction-relay-framing");
+const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Connection];
 /// Peers that may fail to connect to a server before it counts as gone. A single one may be cut off
 /// as well.
 const MAX_UNREACHABLE_OFFERS: usize = 2;
@@ -138,9 +143,11 @@
     match node.http_client.send(server.address, request).await {
         Ok(response) => {
             server_paths::record_response(node, &server.service);
-            let mut response = response.map(|body| forward_body(body, guard));
-            remove_standard_hop_by_hop(response.headers_mut());
-            Ok(response)
+            let (mut parts, body) = response.into_parts();
+            let framing = get_framing(&parts, &body);
+            remove_standard_hop_by_hop(&mut parts.headers);
+            parts.headers.insert(FRAMING_HEADER, HeaderValue::from_static(framing.as_str()));
+            Ok(Response::from_parts(parts, forward_body(body, guard)))
         }
         Err(error) if error.is_not_sent() => {
             server_paths::record_unreachable(node, &server);
@@ -238,6 +245,7 @@
         record_refusal(node, peer, Refusal::Unsupported);
         return Offer::Declined;
     };
+    restore_framing(&mut response, peer);
     count(&node.metrics.relayed_by_peers, outcome);
     event::emit(&Event::RequestRelayed {
         server: &server.id,
@@ -264,6 +272,17 @@
     }
 }
 
+/// Moves the server's framing from a peer's header to the extensions of the response.
+fn restore_framing<T>(response: &mut Response<T>, peer: Candidate) {
+    let Some(value) = response.headers_mut().remove(FRAMING_HEADER) else { return };
+    match FRAMINGS.into_iter().find(|framing| value == framing.as_str()) {
+        Some(framing) => {
+            response.extensions_mut().insert(framing);
+        }
+        None => log::warn!("the peer {} reports an unknown framing: {value:?}", peer.address),
+    }
+}
+
 /// Records that peers could not connect to a server.
 fn record_unreachable(node: &Node, server: &Server) {
     let now = node.now();
