fix(directory): report that a server runs another version of its software

Cause: an entry whose incarnation is unknown (0) and whose version or service differs from the one before replaced it without a change, because changes followed from incarnations and departures only. What follows from changes (health, rollouts, and now the history of versions) missed the new software.

Ruled out: comparing whole entries, because slots or warm-up times change within one process.

Change: an entry of the same incarnation with another service or version counts as another process: the server is gone, and joins anew. A server that is leaving stays so.

--- a/crates/core/src/serving/directory/mod.rs
+++ b/crates/core/src/serving/directory/mod.rs
@@ -343,6 +343,8 @@
         let Some(before) = self.delist(&server.id).or(lapsed) else {
             return vec![self.add(server, version)];
         };
+        let is_other_software =
+            (&server.service, &server.version) != (&before.service, &before.version);
         match server.incarnation.cmp(&before.incarnation) {
             Ordering::Greater => vec![Change::Gone(before), self.add(server, version)],
             // A late entry of a former incarnation.
@@ -354,6 +356,10 @@
                 // A server that has started to leave can only come back as another incarnation.
                 let is_leaving = before.is_leaving || server.is_leaving;
                 let server = Server { is_leaving, ..server };
+                // The incarnation may be unknown.
+                if is_other_software {
+                    return vec![Change::Gone(before), self.add(server, version)];
+                }
                 let has_started_to_leave = is_leaving && !before.is_leaving;
                 let change = has_started_to_leave.then(|| Change::Leaving(server.clone()));
                 self.list(server, version);
--- a/crates/core/tests/serving/directory.rs
+++ b/crates/core/tests/serving/directory.rs
@@ -42,6 +42,18 @@
     assert!(ready(&directory).is_empty());
 }
 
+// Guards against missing that a server runs other software if it does not tell its incarnation: the
+// entry was replaced without a change.
+#[test]
+fn a_server_of_another_version_replaces_the_one_before() {
+    let mut directory = Directory::default();
+    directory.replace(at(1), vec![server("a", "z1")]);
+    let other = Server { version: "v-next".to_owned(), ..server("a", "z1") };
+    let changes = directory.apply_batch(listed(2, other.clone()));
+    assert_eq!(changes, Some(vec![Change::Gone(server("a", "z1")), Change::Joined(other)]));
+    assert_eq!(ready(&directory), ["a"]);
+}
+
 #[test]
 fn a_removed_server_is_gone() {
     let mut directory = Directory::default();
