feat(versions): track which software versions may be running streams, in rows of the store

Cause: a stream may go on only at the version that began it. To tell that only one version can have begun it, a node must know the versions of the last 60 s, also after a restart of all nodes.

Change: `VersionHistory` keeps the listed versions of a service and those listed within MAX_STREAM_AGE_MS; the gateway updates it from changes of the server list, only for services to which a version was added or from which one was removed. One row a service in the table `versions` holds the possible versions. `stream_origins` is a stub.

Ruled out: clocks in the row (several clocks, restored copies); the owner of the service as its writer (each change of the aggregators would need a read).

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -29,6 +29,7 @@
 //! | [`demand`], [`throughput`], [`capacity`] | how many servers to order, where, and of which kind |
 //! | [`rollout`] | moves the traffic of a service to servers of another version |
 //! | [`quarantine`] | which requests crash the servers that run them |
+//! | [`version_history`] | which software versions of a service may still be running streams |
 //! | [`refusal`] | reasons for refusing a request, and when to retry |
 
 pub mod backpressure;
@@ -62,3 +63,4 @@
 pub mod topology;
 pub mod upload;
 pub mod usage;
+pub mod version_history;
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -37,3 +37,4 @@
 mod topology;
 mod upload;
 mod usage;
+mod version_history;
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -52,6 +52,12 @@
     },
     /// Many servers joined, began to leave, or left.
     ServersChanged { joined: usize, leaving: usize, gone: usize },
+    /// Several software versions of a service may be running streams. If `is_complete` is not set, there
+    /// may be others.
+    VersionsMixed { service: &'a str, versions: Vec<&'a str>, is_complete: bool },
+    /// This node, as the holder of the duty lease, wrote the software versions of a service that may be
+    /// running streams.
+    VersionsWritten { service: &'a str, versions: Vec<&'a str> },
     /// A server was ejected because of its responses.
     ServerEjected { server: &'a str, ejected_for_ms: u64 },
     /// A server sent a backpressure signal with a response.
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -18,6 +18,8 @@
 //! | [`document`] | compresses documents that nodes fetch from each other |
 //! | `connections` | limits idle connections to the node's share of each server |
 //! | `quarantine_rows` | persists quarantined requests in a table of the platform |
+//! | `versions` | tracks which software versions of each service may be running streams |
+//! | `version_rows` | persists these versions in a table of the platform |
 //! | [`leader`] | holds the duty lease and runs the tasks of its holder |
 //! | `era_origin` | persists when the eras of the table service began |
 //! | `table` | calls the table service and tracks its eras |
@@ -48,9 +50,12 @@
 mod staleness;
 pub mod state;
 pub mod stop;
+mod stream_origins;
 mod table;
 mod usage_reporter;
 pub mod usage_rows;
+mod version_rows;
+mod versions;
 pub mod watch;
 
 pub use memory::ReservationGuard;
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -33,6 +33,7 @@
 use keeljunction_core::serving::usage::{
     FrozenWindows, Incarnation, Ledger, ReportFilter, count_retained_windows, window_at,
 };
+use keeljunction_core::serving::version_history::VersionHistory;
 
 use super::active_relays::ActiveRelays;
 use super::document::Document;
@@ -104,6 +105,8 @@
     pub(super) pending_decisions: PendingQueries<quota::Decision>,
     /// Permit requests that await the decision of the server's owner.
     pub(super) pending_permits: PendingQueries<backpressure::Decision>,
+    /// The queue of services that became mixed.
+    pub(super) mixed_services: (Sender<String>, Receiver<String>),
     /// Attempts whose connection broke at a server that may have crashed.
     pub(super) interrupted_attempts: interrupted_attempts::Pending,
     /// Signals to uploads that are evicted from memory.
@@ -152,6 +155,8 @@
     pub directory: Directory,
     /// When the server list was last confirmed to be the newest.
     pub servers_freshness: Freshness,
+    /// The software versions that may be running streams, by service.
+    pub version_history: VersionHistory,
     /// Entries of the server list that could not be decoded.
     pub skipped_entries: skipped::Entries,
     /// The load of the servers.
@@ -282,6 +287,7 @@
             freshness: Freshness::default(),
             directory: Directory::default(),
             servers_freshness: Freshness::default(),
+            version_history: VersionHistory::default(),
             skipped_entries: skipped::Entries::default(),
             loads: LoadTracker::default(),
             health: Health::default(),
@@ -325,6 +331,7 @@
             listener_stop,
             link,
             notifications: async_channel::bounded(NOTIFICATION_CAPACITY),
+            mixed_services: async_channel::unbounded(),
             pending_loads: pending_loads::Pending::default(),
             pending_decisions: PendingQueries::default(),
             pending_permits: PendingQueries::default(),
--- /dev/null
+++ b/crates/gateway/src/node/versions.rs
@@ -0,0 +1,98 @@
+//! Tracks which software versions of each service may be running streams.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use keeljunction_core::Millis;
+use keeljunction_core::serving::directory::Change;
+
+use super::state::State;
+use super::{Node, stream_origins};
+use crate::event::{self, Event};
+
+/// Records the listed versions of the services that a change of the server list affects.
+pub(super) fn observe(node: &Node, changes: &[Change]) {
+    let now = node.now();
+    let services = node.with(|state| {
+        if state.directory.is_known() {
+            state.version_history.record_list_known(now);
+        }
+        list_affected(state, changes)
+    });
+    if services.is_empty() {
+        return;
+    }
+    update(node, now, |state| {
+        for service in &services {
+            let listed = list_versions(state, service);
+            state.version_history.observe(now, service, &listed);
+        }
+        services
+    });
+}
+
+/// Changes the history, and reports those of the changed services that became mixed.
+pub(super) fn update(
+    node: &Node,
+    now: Millis,
+    change: impl FnOnce(&mut State) -> BTreeSet<String>,
+) {
+    let mixed = node.with(|state| {
+        let before = state.version_history.clone();
+        let mut services = change(state);
+        services.retain(|service| {
+            !before.is_mixed(now, service) && state.version_history.is_mixed(now, service)
+        });
+        services
+    });
+    for service in mixed {
+        emit_mixed(node, now, &service);
+        if node.mixed_services.0.try_send(service).is_err() {
+            log::error!("the queue of mixed services is closed");
+        }
+    }
+}
+
+/// Sends the records of each service that becomes mixed to other nodes.
+pub(super) async fn publish_mixed(node: Arc<Node>) {
+    while let Ok(service) = node.mixed_services.1.recv().await {
+        stream_origins::publish_service(&node, &service);
+    }
+}
+
+fn list_affected(state: &State, changes: &[Change]) -> BTreeSet<String> {
+    let affected = changes.iter().filter(|change| is_affected(state, change));
+    let services: BTreeSet<&str> = affected.map(get_service).collect();
+    services.into_iter().map(str::to_owned).collect()
+}
+
+/// Returns `true` if a change of the server list adds a version to its service, or removes one. The
+/// list may hold thousands of servers, and most of their changes do neither.
+fn is_affected(state: &State, change: &Change) -> bool {
+    match change {
+        Change::Joined(server) | Change::Leaving(server) => {
+            !state.version_history.is_listed(&server.service, &server.version)
+        }
+        Change::Gone(server) => {
+            let mut listed = state.directory.iter_service(&server.service);
+            listed.all(|other| other.version != server.version)
+        }
+    }
+}
+
+fn list_versions(state: &State, service: &str) -> BTreeSet<String> {
+    let servers = state.directory.iter_service(service);
+    let versions: BTreeSet<&str> = servers.map(|server| server.version.as_str()).collect();
+    versions.into_iter().map(str::to_owned).collect()
+}
+
+fn get_service(change: &Change) -> &str {
+    let (Change::Joined(server) | Change::Leaving(server) | Change::Gone(server)) = change;
+    &server.service
+}
+
+fn emit_mixed(node: &Node, now: Millis, service: &str) {
+    let possible = node.with(|state| state.version_history.get_possible(now, service));
+    let versions = possible.versions.iter().map(String::as_str).collect();
+    event::emit(&Event::VersionsMixed { service, versions, is_complete: possible.is_complete });
+}
--- a/crates/gateway/src/node/watch/servers.rs
+++ b/crates/gateway/src/node/watch/servers.rs
@@ -15,7 +15,7 @@
 use crate::event::{self, Event};
 use crate::node::back_off::BackOff;
 use crate::node::peers::message::Notification;
-use crate::node::{Node, staleness, table};
+use crate::node::{Node, staleness, table, versions};
 use crate::port::{Row, Rows, TableError, TableName};
 use crate::runtime;
 
@@ -234,6 +234,7 @@
             Change::Leaving(_) => {}
         }
     }
+    versions::observe(node, &changes);
     log_changes(&changes);
 }
 
