feat(origin): records, holders and decision of a stream's software version

Cause: servers of several software versions serve side by side, and nothing keeps a stream at the version that began it.

--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -8,7 +8,7 @@
 /// Returns the weight function of a key. The node with the highest weight owns the key.
 pub fn make_weight_fn(key: &str) -> impl Fn(&str) -> u64 {
     let seed = xxh3_64_with_seed(key.as_bytes(), 0);
-    move |name| weight(seed, name)
+    move |name| weigh(seed, name)
 }
 
 /// Returns the names ranked by their weight for a key, the owner first.
@@ -26,7 +26,7 @@
 
 /// Returns the owner of a key that is a uniformly distributed number, such as a hash.
 pub fn owner_of_hash<'a>(key: u64, names: impl Iterator<Item = &'a str>) -> Option<&'a str> {
-    names.max_by_key(|name| (weight(key, name), *name))
+    names.max_by_key(|name| (weigh(key, name), *name))
 }
 
 /// Returns the node that keeps the replica of a request's record.
@@ -45,6 +45,7 @@
     ranked.iter().find(is_remote).or(ranked.first()).copied()
 }
 
-fn weight(seed: u64, name: &str) -> u64 {
-    xxh3_64_with_seed(name.as_bytes(), seed)
+/// Returns the weight of a name for a key that is a uniformly distributed number, such as a hash.
+pub fn weigh(key: u64, name: &str) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), key)
 }
--- a/crates/core/src/serving/configuration.rs
+++ b/crates/core/src/serving/configuration.rs
@@ -84,6 +84,11 @@
     pub fn is_streaming(self) -> bool {
         matches!(self, Self::Streaming { .. })
     }
+
+    /// Returns `true` if another server may go on with an interrupted response.
+    pub fn is_resumable(self) -> bool {
+        self == Self::Streaming { resumable: true }
+    }
 }
 
 /// A pool of servers.
--- a/crates/core/src/serving/members/mod.rs
+++ b/crates/core/src/serving/members/mod.rs
@@ -27,11 +27,13 @@
 //! | `view` | computes once per period which nodes are reachable and which aggregate |
 //! | `query` | answers queries of senders and deciders |
 //! | `owner` | finds the aggregator that tracks the load of a server |
+//! | `holders` | finds the nodes that hold the record of a stream's origin |
 //! | `regions` | detects unreachable regions and selects the carriers between regions |
 //! | `roster` | synchronises the list of all nodes |
 //! | `sample` | finds some nodes, and estimates their number, at startup |
 
 mod entry;
+mod holders;
 mod owner;
 mod query;
 mod ranking;
--- a/crates/core/src/serving/refusal.rs
+++ b/crates/core/src/serving/refusal.rs
@@ -53,6 +53,10 @@
     Quarantined,
     /// The server's response was interrupted or is not valid for this request.
     BrokenAnswer,
+    /// The request resumes a stream, and it is not known which software version began it.
+    UnknownStream,
+    /// The request resumes a stream whose software version has no server any more.
+    VersionGone,
 }
 
 impl Refusal {
@@ -77,6 +81,8 @@
             | Self::NotAccepted
             | Self::NoMemory
             | Self::Quarantined
+            | Self::UnknownStream
+            | Self::VersionGone
             | Self::TooLate => 503,
         }
     }
@@ -108,6 +114,8 @@
             Self::Timeout => "timeout",
             Self::Quarantined => "quarantined",
             Self::BrokenAnswer => "broken_answer",
+            Self::UnknownStream => "unknown_stream",
+            Self::VersionGone => "version_gone",
         }
     }
 
--- a/crates/core/src/serving/rollout/registry.rs
+++ b/crates/core/src/serving/rollout/registry.rs
@@ -381,6 +381,33 @@
         }
     }
 
+    /// Picks the servers of a software version for a request that resumes a stream of that version;
+    /// returns `None` if the version gets no requests now.
+    ///
+    /// A canary gets no more than its share.
+    pub fn pick_resume_filter(
+        &self,
+        now: Millis,
+        service: &str,
+        software_version: &str,
+        tolerance: &Tolerance,
+    ) -> Option<VersionFilter> {
+        let Some(rollout) = self.rollouts.get(service) else { return Some(VersionFilter::Any) };
+        let is_target = rollout.order.target_version == software_version;
+        let is_full =
+            is_target && rollout.get_stage(now) == Stage::Canary && !rollout.has_room(tolerance);
+        let is_allowed = !is_full && !self.is_withdrawn(now, service, software_version);
+        is_allowed.then_some(VersionFilter::Any)
+    }
+
+    /// Returns `true` if a software version is barred, or was rolled back.
+    pub fn is_withdrawn(&self, now: Millis, service: &str, software_version: &str) -> bool {
+        let Some(rollout) = self.rollouts.get(service) else { return false };
+        let is_target = rollout.order.target_version == software_version;
+        let is_rolled_back = is_target && rollout.get_stage(now) == Stage::RolledBack;
+        is_rolled_back || rollout.barred.contains(software_version)
+    }
+
     /// Counts a request that is sent to a server.
     pub fn count_sent(&mut self, server: &Server) {
         let is_target = self.is_target(server);
--- /dev/null
+++ b/crates/core/src/serving/stream_origin/decision.rs
@@ -0,0 +1,77 @@
+//! Decides who may go on with a stream.
+
+use std::collections::BTreeSet;
+
+use super::answer::Answer;
+use super::origin::Origin;
+
+/// Who may go on with a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Servers of the origin that this node has recorded.
+    Local(Origin),
+    /// Servers of the origin that another node has recorded.
+    Holder(Origin),
+    /// Servers of the only possible origin.
+    OnlyVersion(Origin),
+    /// Nobody, because different origins are recorded.
+    Ambiguous,
+    /// Nobody, because nothing is recorded and several origins are possible.
+    Unknown,
+}
+
+impl Decision {
+    /// Returns the name of the decision in logs and metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Local(_) => "local",
+            Self::Holder(_) => "holder",
+            Self::OnlyVersion(_) => "only_version",
+            Self::Ambiguous => "ambiguous",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// Returns the origin whose servers may go on.
+    pub fn get_origin(&self) -> Option<&Origin> {
+        match self {
+            Self::Local(origin) | Self::Holder(origin) | Self::OnlyVersion(origin) => Some(origin),
+            Self::Ambiguous | Self::Unknown => None,
+        }
+    }
+}
+
+/// Decides who may go on with a stream, from what this node knows and from the answers of others.
+pub fn decide(own: &Answer, answers: &[Answer]) -> Decision {
+    match own {
+        Answer::Known(origin) => return Decision::Local(origin.clone()),
+        Answer::Ambiguous => return Decision::Ambiguous,
+        Answer::Unknown(_) => {}
+    }
+    if answers.contains(&Answer::Ambiguous) {
+        return Decision::Ambiguous;
+    }
+    let recorded = answers.iter().filter_map(|answer| match answer {
+        Answer::Known(origin) => Some(origin),
+        Answer::Ambiguous | Answer::Unknown(_) => None,
+    });
+    let recorded: BTreeSet<&Origin> = recorded.collect();
+    match (recorded.first(), recorded.len()) {
+        (Some(origin), 1) => Decision::Holder((*origin).clone()),
+        (Some(_), _) => Decision::Ambiguous,
+        (None, _) => find_only_possible(own, answers)
+            .map_or(Decision::Unknown, |origin| Decision::OnlyVersion(origin.clone())),
+    }
+}
+
+/// Returns the only origin that is possible according to all answers, if one of them is complete.
+fn find_only_possible<'a>(own: &'a Answer, answers: &'a [Answer]) -> Option<&'a Origin> {
+    let possible = answers.iter().chain([own]).filter_map(|answer| match answer {
+        Answer::Unknown(possible) => Some(possible),
+        Answer::Known(_) | Answer::Ambiguous => None,
+    });
+    let is_complete = possible.clone().any(|possible| possible.is_complete);
+    let origins: BTreeSet<&Origin> = possible.flat_map(|possible| &possible.origins).collect();
+    let is_only = is_complete && origins.len() == 1;
+    origins.into_iter().next().filter(|_| is_only)
+}
--- /dev/null
+++ b/crates/core/src/serving/stream_origin/mod.rs
@@ -0,0 +1,35 @@
+//! The software version that began a stream, so that only servers of this version go on with it.
+//!
+//! Servers of several software versions may serve side by side. What two versions write does not
+//! fit together. A node that begins a stream keeps its origin. While several versions of the service
+//! are possible, it also sends the origin to a few other nodes, which the node that resumes the
+//! stream asks.
+//!
+//! | module | responsibility |
+//! |---|---|
+//! | `key` | identifies a stream |
+//! | `origin` | names the service and the software version that began a stream |
+//! | `registry` | keeps the origins of streams |
+//! | `record` | describes a kept origin, to be sent to other nodes |
+//! | `batch` | packs records into datagrams |
+//! | `possible` | lists the origins that a stream of unknown origin may have |
+//! | `answer` | defines what a node knows of a stream's origin |
+//! | `decision` | decides who may go on with a stream |
+
+mod answer;
+mod batch;
+mod decision;
+mod key;
+mod origin;
+mod possible;
+mod record;
+mod registry;
+
+pub use self::answer::Answer;
+pub use self::batch::{Batch, MAX_BATCHED_STREAMS, Stream};
+pub use self::decision::{Decision, decide};
+pub use self::key::Key;
+pub use self::origin::Origin;
+pub use self::possible::PossibleOrigins;
+pub use self::record::{Record, Standing};
+pub use self::registry::{MAX_RECORDS, Registry};
--- /dev/null
+++ b/crates/core/tests/serving/holders.rs
@@ -0,0 +1,119 @@
+//! Which nodes hold the record of a stream's origin.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use keeljunction_core::serving::members::{Entry, Heartbeat, Members, Role};
+use proptest::prelude::*;
+
+fn entry(number: u16, data_centre: u8) -> Entry {
+    Entry {
+        name: format!("node-{number}"),
+        address: SocketAddr::from(([10, 0, 0, 1], 100 + number)),
+        data_centre: format!("z{data_centre}"),
+        link_mbps: 10,
+    }
+}
+
+/// Returns a node's view of nodes in the given data centres; the first one is the node itself.
+fn members(data_centres: &[u8]) -> Members {
+    let entries = data_centres.iter().enumerate();
+    let entries: Vec<Entry> = entries.map(|(at, centre)| entry(at as u16, *centre)).collect();
+    let mut members = Members::new(0, entries[0].clone(), &[]);
+    members.merge_list(0, entries, true);
+    members
+}
+
+fn count_by_data_centre(holders: &[&Entry]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for holder in holders {
+        *counts.entry(holder.data_centre.clone()).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn records_lie_in_three_data_centres_and_are_spread_over_the_nodes() {
+    let data_centres: Vec<u8> = (0..60).map(|number| number % 4).collect();
+    let members = members(&data_centres);
+    let mut held: BTreeMap<String, usize> = BTreeMap::new();
+    for key in 0..2_000u64 {
+        let key = key.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let holders = members.list_record_holders(key);
+        assert_eq!(count_by_data_centre(&holders).len(), 3);
+        assert_eq!(members.list_asked_holders(key).len(), 6);
+        holders.iter().for_each(|holder| *held.entry(holder.name.clone()).or_default() += 1);
+    }
+    assert_eq!(held.len(), 60);
+    assert!(held.values().all(|count| *count < 200), "{held:?}");
+}
+
+#[test]
+fn this_node_is_ranked_like_the_others() {
+    let members = members(&[0; 10]);
+    let own = (0..100u64).filter(|key| {
+        members.list_record_holders(*key).iter().any(|holder| members.is_own(holder))
+    });
+    assert!((10..60).contains(&own.count()));
+}
+
+#[test]
+fn a_stopping_node_holds_nothing() {
+    let mut members = members(&[0; 4]);
+    let stopping = entry(1, 0);
+    let heartbeat = Heartbeat {
+        entry: &stopping,
+        incarnation: 1,
+        is_stopping: true,
+        role: Role::Aggregator,
+        holder_age: None,
+    };
+    members.record_heartbeat(0, &heartbeat);
+    for key in 0..100 {
+        assert!(!members.list_asked_holders(key).contains(&&stopping));
+        assert_eq!(members.list_record_holders(key).len(), 3);
+    }
+}
+
+#[test]
+fn a_single_node_holds_its_records_alone() {
+    let members = members(&[0]);
+    assert_eq!(members.list_asked_holders(7), [&entry(0, 0)]);
+}
+
+proptest! {
+    #[test]
+    fn every_holder_of_a_record_is_asked(
+        data_centres in prop::collection::vec(0u8..5, 1..40),
+        key in any::<u64>(),
+    ) {
+        let members = members(&data_centres);
+        let holders = members.list_record_holders(key);
+        let asked = members.list_asked_holders(key);
+        prop_assert!(holders.iter().all(|holder| asked.contains(holder)));
+        prop_assert!(holders.len() <= 3 && asked.len() <= 6);
+        let present: BTreeSet<u8> = data_centres.iter().copied().collect();
+        if present.len() >= 3 {
+            prop_assert!(count_by_data_centre(&holders).values().all(|count| *count == 1));
+            prop_assert!(count_by_data_centre(&asked).values().all(|count| *count <= 2));
+            prop_assert_eq!(holders.len(), 3);
+        }
+        if present.len() == 1 {
+            prop_assert_eq!(holders.len(), data_centres.len().min(3));
+            prop_assert_eq!(asked.len(), data_centres.len().min(6));
+        }
+    }
+
+    #[test]
+    fn nodes_agree_on_the_holders(
+        data_centres in prop::collection::vec(0u8..4, 2..20),
+        key in any::<u64>(),
+    ) {
+        let first = members(&data_centres);
+        let entries = data_centres.iter().enumerate();
+        let entries: Vec<Entry> = entries.map(|(at, centre)| entry(at as u16, *centre)).collect();
+        let mut last = Members::new(0, entries[entries.len() - 1].clone(), &[]);
+        last.merge_list(0, entries, true);
+        prop_assert_eq!(first.list_record_holders(key), last.list_record_holders(key));
+    }
+}
--- a/crates/core/tests/serving/refusal.rs
+++ b/crates/core/tests/serving/refusal.rs
@@ -40,3 +40,12 @@
         assert_eq!(refusal.get_retry_after(400, 15_000), None);
     }
 }
+
+#[test]
+fn a_stream_that_cannot_go_on_has_not_run_and_has_no_retry_time() {
+    for refusal in [Refusal::UnknownStream, Refusal::VersionGone] {
+        assert_eq!(refusal.get_status(), 503);
+        assert!(!refusal.may_have_run());
+        assert_eq!(refusal.get_retry_after(400, 15_000), None);
+    }
+}
--- a/crates/core/tests/serving/rollout.rs
+++ b/crates/core/tests/serving/rollout.rs
@@ -366,3 +366,42 @@
     assert!(registry.apply_deferred().is_empty());
     assert_eq!(registry.list_orders(), [(restored("v2", 5), Stage::Shifting)]);
 }
+
+#[test]
+fn a_stream_goes_on_at_its_software_version_unless_that_was_withdrawn() {
+    let pick = |registry: &Registry, version: &str| {
+        registry.pick_resume_filter(10_000, "llm", version, &TOLERANCE)
+    };
+    let any = Some(VersionFilter::Any);
+    assert_eq!(pick(&Registry::default(), "v1"), any);
+    for stage in [Stage::Pending, Stage::Ramp, Stage::Shifting, Stage::Completed] {
+        assert_eq!(pick(&registry_at(stage), "v1"), any);
+        assert_eq!(pick(&registry_at(stage), "v2"), any);
+    }
+    let registry = registry_at(Stage::RolledBack);
+    assert_eq!((pick(&registry, "v1"), pick(&registry, "v2")), (any, None));
+    assert!(registry.is_withdrawn(10_000, "llm", "v2"));
+    let mut registry = Registry::default();
+    let barring = Announcement {
+        barred: vec!["v0".to_owned()],
+        ..make_announcement(7, Stage::Canary, Some(0))
+    };
+    registry.merge_announcement(10_000, &barring, true);
+    assert!(registry.is_withdrawn(10_000, "llm", "v0"));
+    assert_eq!(pick(&registry, "v0"), None);
+}
+
+#[test]
+fn resumed_streams_take_no_more_of_a_canary_than_its_share() {
+    let mut registry = registry_at(Stage::Canary);
+    let mut sent = 0;
+    for _ in 0..1_000 {
+        let resumed = registry.pick_resume_filter(10_000, "llm", "v2", &TOLERANCE);
+        let version = if resumed.is_some() { "v2" } else { "v1" };
+        sent += u64::from(resumed.is_some());
+        registry.count_sent(&make_server(version));
+    }
+    assert_eq!(sent, 80);
+    assert!(registry.pick_resume_filter(10_000, "llm", "v1", &TOLERANCE).is_some());
+    assert!(!registry.is_withdrawn(10_000, "llm", "v2"));
+}
