feat(origin): keep a stream at the software version that began it

Cause: a node resumed a stream at any server of the service, and a caller that took a stream up was sent to any server, of whatever version. Change: the node pins a resumable stream to the version of its first 2xx response, records it and, while several versions are possible, sends the record to its holders before the response goes out and again each second.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -194,6 +194,18 @@
         /// Time since bytes were last written to the caller.
         resting_ms: u64,
     },
+    /// A request resumed a stream of an earlier request, or was refused because no server may go on.
+    StreamResumed {
+        request: &'a str,
+        /// The request that began the stream.
+        resumes: Option<&'a str>,
+        /// How the software version was found, or why the request was refused.
+        how: &'a str,
+        service: Option<&'a str>,
+        version: Option<&'a str>,
+        /// Time for which other nodes were asked.
+        asked_ms: Option<u64>,
+    },
     /// A server closed a connection while it held many bytes; the bound of bytes in flight to the
     /// service's servers was lowered.
     HeldBoundLowered { server: &'a str, service: &'a str, held_bytes: u64, bound_bytes: u64 },
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -1,7 +1,7 @@
 //! Validates a request and determines its route, client account and deadline.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 
 use bytes::Bytes;
 use hyper::HeaderMap;
@@ -11,10 +11,13 @@
 use keeljunction_core::serving::choice::Criteria;
 use keeljunction_core::serving::configuration::{Account, Configuration, QuotaUnit, Route};
 use keeljunction_core::serving::demand::DemandTotals;
+use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::load::{PRIORITIES, RequestCost};
 use keeljunction_core::serving::quarantine::{Content, Fingerprint};
 use keeljunction_core::serving::refusal::Refusal;
 
+use super::origin::{self, ResumeRequest};
+use super::pin::Pin;
 use super::respond::{RefusalResponse, RequestRecord};
 use super::upload::{BodyLimits, IncomingBody, Upload};
 use crate::http::remove_hop_by_hop;
@@ -54,6 +57,10 @@
     pub urgency: u32,
     /// Time at which the final response is due.
     pub deadline: Millis,
+    /// Time until which the caller may resume the response at any node.
+    pub caller_deadline: Millis,
+    /// The software version that the response stays at, once one has begun it.
+    pub pin: OnceLock<Pin>,
     /// Estimated cost of the request for a server.
     pub cost: RequestCost,
     /// Criteria for the choice of a server.
@@ -111,9 +118,21 @@
             .map_err(|reason| reject(reason, 0))?
             .cloned();
         record.account = account.as_ref().map(|account| account.name.clone());
-        let service =
-            route.pick_service(fastrand::f64()).ok_or(reject(Refusal::NoServer, 1_000))?;
-        let service = service.to_owned();
+        let caller_deadline = now + deadline_ms;
+        let resume_request = ResumeRequest {
+            head: &head,
+            route: &route,
+            account: record.account.as_deref().unwrap_or(""),
+            caller_deadline,
+        };
+        let pin = origin::find(node, &resume_request).await.map_err(|reason| reject(reason, 0))?;
+        let service = match pin.as_ref().and_then(Pin::get_service) {
+            Some(service) => service.to_owned(),
+            None => {
+                let picked = route.pick_service(fastrand::f64());
+                picked.ok_or(reject(Refusal::NoServer, 1_000))?.to_owned()
+            }
+        };
         record.service = Some(service.clone());
         let priority = account.as_ref().map_or(0, |account| account.priority);
         let urgency = priority * ACCOUNT_PRIORITY_FACTOR + route.priority;
@@ -156,6 +175,8 @@
             account: account.map(|account| account.name),
             urgency,
             deadline: now + deadline_ms.min(route.timeout),
+            caller_deadline,
+            pin: pin.map_or_else(OnceLock::new, OnceLock::from),
             cost,
             criteria: make_criteria(head.prompt.as_ref(), &cost, &route),
             fingerprint,
@@ -171,6 +192,11 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// Returns `true` if the request may be sent to a server of this software version.
+    pub fn is_pin_met(&self, server: &Server) -> bool {
+        self.pin.get().is_none_or(|pin| pin.is_allowed(server))
+    }
+
     /// Counts one request of the client account when a server has started to run it. Retries of the
     /// request are not counted again.
     pub fn count_usage(&self, node: &Node) {
--- /dev/null
+++ b/crates/gateway/src/exchange/begin.rs
@@ -0,0 +1,46 @@
+//! Pins a stream that begins to the software version of its server, and records its origin.
+
+use std::sync::Arc;
+
+use keeljunction_core::serving::directory::Server;
+use keeljunction_core::serving::stream_origin::{Key, Origin};
+
+use super::admission::Exchange;
+use super::attempt::ServerResponse;
+use super::pin::Pin;
+use crate::node::state::State;
+use crate::node::{Node, stream_origins};
+
+/// Pins a stream that begins now to the software version of its server, and records its origin.
+///
+/// If several versions are possible, the record is sent to its holders before this returns, so that
+/// a caller that has received an event can resume the stream at any node.
+pub(super) async fn record(node: &Arc<Node>, exchange: &Exchange, response: &ServerResponse) {
+    let is_begun = response.parts.status.is_success() && exchange.route.kind.is_resumable();
+    if !is_begun || exchange.pin.get().is_some() {
+        return;
+    }
+    let pin = match node.with(|state| is_version_certain(state, &response.server)) {
+        true => pin_to_server(node, exchange, &response.server).await,
+        false => Pin::Unpinnable,
+    };
+    if exchange.pin.set(pin).is_err() {
+        log::error!("the stream of a request was pinned twice");
+    }
+}
+
+async fn pin_to_server(node: &Arc<Node>, exchange: &Exchange, server: &Server) -> Pin {
+    let origin = Origin::new(&server.service, &server.version);
+    let id = exchange.head.id.as_deref().unwrap_or("");
+    let key = Key::new(exchange.account.as_deref().unwrap_or(""), id);
+    let running = stream_origins::begin(node, key, &origin, exchange.caller_deadline).await;
+    Pin::Pinned { origin, _running: Some(running) }
+}
+
+/// Returns `true` if the server has the software version that the directory showed when it was
+/// picked: no later incarnation of another version has taken its place.
+fn is_version_certain(state: &State, server: &Server) -> bool {
+    let current = state.directory.get(&server.id);
+    let is_same = current.is_some_and(|current| current.version == server.version);
+    is_same || !state.directory.is_superseded(server)
+}
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -8,6 +8,7 @@
 
 use super::admission::Exchange;
 use super::attempt::{self, AttemptError, AttemptParams, ServerResponse};
+use super::begin;
 use super::notes::{record_choice, record_failure};
 use super::pick::{self, Attempts, Pick};
 use super::progress::{AttemptProgress, Tried};
@@ -42,7 +43,10 @@
         };
         record_choice(node, exchange, record, &pick, exchange.head.last_event_id);
         match try_server(node, exchange, record, &mut progress, &pick, None).await {
-            Ok(response) => return Ok(response),
+            Ok(response) => {
+                begin::record(node, exchange, &response).await;
+                return Ok(response);
+            }
             Err(response) => fallback = response.or(fallback),
         }
     }
@@ -155,6 +159,9 @@
     if !node.is_configuration_fresh() {
         return Err(progress.reject(Refusal::Stale, FULL_RETRY_AFTER_MS));
     }
+    if exchange.pin.get().is_some_and(|pin| pin.is_gone(node)) {
+        return Err(progress.reject(Refusal::VersionGone, 0));
+    }
     let attempts = Attempts {
         tried: &progress.tried.all,
         waiting_since: progress.waiting_since,
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -4,6 +4,9 @@
 //! |---|---|
 //! | `admission` | validates the request and determines its route, client account and deadline |
 //! | `upload` | reads the request body within the memory budget and the time limit |
+//! | `origin` | finds the software version that began a stream which the request resumes |
+//! | `pin` | holds the software version that a stream stays at |
+//! | `begin` | pins a stream that begins, and records its origin |
 //! | `dispatch` | sends the request to servers until one responds |
 //! | `progress` | tracks the attempts made so far |
 //! | `pick` | picks the server for an attempt |
@@ -22,12 +25,15 @@
 
 mod admission;
 mod attempt;
+mod begin;
 mod callers;
 mod dispatch;
 mod feed;
 mod flow;
 mod notes;
+mod origin;
 mod pick;
+mod pin;
 mod progress;
 mod rejection;
 mod relay;
--- a/crates/gateway/src/exchange/notes.rs
+++ b/crates/gateway/src/exchange/notes.rs
@@ -26,7 +26,8 @@
     let now = node.now();
     let (candidates, chosen, criteria) = node.with(|state| {
         let throughput = state.throughputs.get(&exchange.service);
-        let candidates = state.directory.iter_ready(&exchange.service).count();
+        let ready = state.directory.iter_ready(&exchange.service);
+        let candidates = ready.filter(|server| exchange.is_pin_met(server)).count();
         let chosen = pick::make_candidate(state, throughput, now, server);
         (candidates, chosen, pick::get_criteria(state, exchange))
     });
--- a/crates/gateway/src/exchange/pick/mod.rs
+++ b/crates/gateway/src/exchange/pick/mod.rs
@@ -67,7 +67,9 @@
 
 /// Picks the server for the next attempt, or returns why there is none.
 async fn pick(node: &Node, exchange: &Exchange, attempts: Attempts<'_>) -> Result<Pick, Rejection> {
-    let version_filter = rollouts::pick_filter(node, &exchange.service, attempts.tried.is_empty());
+    let Some(version_filter) = pick_version_filter(node, exchange, attempts) else {
+        return into_result(RegionPick::NONE);
+    };
     let (is_load_requested, criteria) =
         node.with(|state| (state.members.is_grouped(), get_criteria(state, exchange)));
     let local_scope =
@@ -92,6 +94,20 @@
     }
 }
 
+/// Picks the side of a rollout whose servers may receive the request, or returns `None` if the
+/// software version that the request is pinned to gets no requests now.
+fn pick_version_filter(
+    node: &Node,
+    exchange: &Exchange,
+    attempts: Attempts<'_>,
+) -> Option<VersionFilter> {
+    let service = &exchange.service;
+    match exchange.pin.get() {
+        Some(pin) => rollouts::pick_resume_filter(node, service, pin.get_version()?),
+        None => Some(rollouts::pick_filter(node, service, attempts.tried.is_empty())),
+    }
+}
+
 /// Returns `true` if an accepted version of the service has servers only in other regions.
 ///
 /// The servers of other versions stop without a drain as soon as the rollout is completed. A
--- a/crates/gateway/src/exchange/pick/permitted.rs
+++ b/crates/gateway/src/exchange/pick/permitted.rs
@@ -1,6 +1,7 @@
 //! Picks a server that accepts requests, according to its rate limit and backoff.
 
 use keeljunction_core::Millis;
+use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::refusal::{Refusal, get_max_wait};
 
 use super::{Attempts, Pick, pick};
@@ -63,7 +64,9 @@
     default: Millis,
 ) -> Millis {
     let now = node.now();
-    let is_throttled = node.with(|state| state.is_service_throttled(now, &exchange.service));
+    let is_candidate = |server: &Server| exchange.is_pin_met(server);
+    let is_throttled =
+        node.with(|state| state.is_service_throttled(now, &exchange.service, is_candidate));
     let throttled_retry_after =
         if is_throttled { get_throttled_retry_after(node, exchange) } else { None };
     throttled_retry_after.unwrap_or(default)
@@ -73,7 +76,9 @@
 /// at their rate limit, or `None` if there are no such servers.
 fn get_throttled_retry_after(node: &Node, exchange: &Exchange) -> Option<Millis> {
     let now = node.now();
-    let wait = node.with(|state| state.get_min_throttle_wait(now, &exchange.service))?;
+    let is_candidate = |server: &Server| exchange.is_pin_met(server);
+    let wait =
+        node.with(|state| state.get_min_throttle_wait(now, &exchange.service, is_candidate))?;
     Some(add_jitter(wait, get_max_wait(exchange.get_time_remaining(now)), fastrand::f64()))
 }
 
--- a/crates/gateway/src/exchange/pick/region.rs
+++ b/crates/gateway/src/exchange/pick/region.rs
@@ -89,6 +89,7 @@
     version_filter: VersionFilter,
     /// The only allowed servers if the filter is [`VersionFilter::Canary`].
     canaries: Vec<String>,
+    exchange: &'a Exchange,
     attempts: Attempts<'a>,
     now: Millis,
 }
@@ -96,7 +97,7 @@
 impl<'a> ServerFilter<'a> {
     fn new(
         node: &Node,
-        exchange: &Exchange,
+        exchange: &'a Exchange,
         attempts: Attempts<'a>,
         version_filter: VersionFilter,
     ) -> Self {
@@ -104,7 +105,7 @@
             VersionFilter::Canary => rollouts::list_canaries(node, &exchange.service),
             _ => Vec::new(),
         };
-        Self { version_filter, canaries, attempts, now: node.now() }
+        Self { version_filter, canaries, exchange, attempts, now: node.now() }
     }
 
     fn is_allowed(&self, state: &State, server: &Server) -> bool {
@@ -112,7 +113,12 @@
             self.version_filter != VersionFilter::Canary || self.canaries.contains(&server.id);
         let passes_version_filter = state.rollouts.is_allowed(self.version_filter, server);
         let is_tried = self.attempts.tried.contains(&server.id);
-        is_chosen && passes_version_filter && !is_tried && !self.is_unavailable(state, server)
+        let is_pin_met = self.exchange.is_pin_met(server);
+        is_chosen
+            && passes_version_filter
+            && is_pin_met
+            && !is_tried
+            && !self.is_unavailable(state, server)
     }
 
     /// Returns `true` if the server is throttled, or is skipped because it has a rate limit.
--- a/crates/gateway/src/exchange/pick/remote.rs
+++ b/crates/gateway/src/exchange/pick/remote.rs
@@ -100,6 +100,7 @@
             let is_candidate = |server: &Server| {
                 let is_tried = self.attempts.tried.contains(&server.id);
                 !is_tried
+                    && self.exchange.is_pin_met(server)
                     && !state.is_throttled(now, server)
                     && get_region(&node.topology, &server.data_centre) == region
             };
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -39,6 +39,7 @@
     limited: Gauge<i64, AtomicI64>,
     in_back_off: Gauge<i64, AtomicI64>,
     skipped_entries: Gauge<i64, AtomicI64>,
+    stream_records: Gauge<i64, AtomicI64>,
 }
 
 impl Gauges {
@@ -148,6 +149,11 @@
             "Entries of servers that cannot be read, at a node that reads them for all",
             self.skipped_entries.clone(),
         );
+        registry.register(
+            "stream_records",
+            "Streams whose software version this node has recorded",
+            self.stream_records.clone(),
+        );
     }
 
     /// Sets all gauges to the state of the node.
@@ -164,6 +170,7 @@
             self.read_ahead.set(state.memory.get_held(Kind::ReadAhead) as i64);
             self.held_at_servers.set(state.in_flight_bytes.get_total() as i64);
             self.skipped_entries.set(state.skipped_entries.count() as i64);
+            self.stream_records.set(state.stream_origins.len() as i64);
             self.quarantined.set(state.quarantine.count_quarantined(now) as i64);
             self.in_back_off.set(state.backpressure.count_in_back_off(now) as i64);
             self.limited.set(state.backpressure.count_limited() as i64);
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -44,6 +44,8 @@
     pub relayed_for_peers: ReasonCounters,
     /// Streams resumed on another server.
     pub resumed: Counter,
+    /// Requests that resume streams, by who may go on.
+    pub stream_resumes: ReasonCounters,
     /// Queries for the loads of servers that timed out.
     pub unanswered_load_questions: Counter,
     /// Queries to the owners of client accounts that timed out.
@@ -100,6 +102,7 @@
             relayed_by_peers: Family::default(),
             relayed_for_peers: Family::default(),
             resumed: Counter::default(),
+            stream_resumes: Family::default(),
             unanswered_load_questions: Counter::default(),
             unanswered_quota_questions: Counter::default(),
             unanswered_permit_questions: Counter::default(),
@@ -175,6 +178,11 @@
             "Streams gone on with elsewhere",
             self.resumed.clone(),
         );
+        registry.register(
+            "stream_resumes",
+            "Requests that take up streams of earlier requests, by how their software version was found",
+            self.stream_resumes.clone(),
+        );
         registry.register(
             "unanswered_load_questions",
             "Questions for the loads of servers that were not answered in time",
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -23,6 +23,7 @@
 //! | [`leader`] | holds the duty lease and runs the tasks of its holder |
 //! | `era_origin` | persists when the eras of the table service began |
 //! | `table` | calls the table service and tracks its eras |
+//! | `stream_origins` | records which software version began each stream |
 //! | [`stop`] | shuts the node down without interrupting responses |
 
 mod active_relays;
@@ -50,7 +51,7 @@
 mod staleness;
 pub mod state;
 pub mod stop;
-mod stream_origins;
+pub(crate) mod stream_origins;
 mod table;
 mod usage_reporter;
 pub mod usage_rows;
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -9,6 +9,7 @@
 use keeljunction_core::serving::quarantine::{Crash, Fingerprint, Verdict};
 use keeljunction_core::serving::quota::Decision;
 use keeljunction_core::serving::rollout::{self, Announcement};
+use keeljunction_core::serving::stream_origin::{self, Answer};
 use keeljunction_core::serving::throughput::Sample;
 use keeljunction_core::serving::usage::{Counts, WindowNumber, WindowSet};
 use keeljunction_core::serving::{demand, quota};
@@ -122,6 +123,24 @@
         /// The loads, by short name of the server.
         loads: Vec<(u64, Load)>,
     },
+    /// The origins of streams, for the nodes that hold them.
+    StreamOrigins(Vec<stream_origin::Batch>),
+    /// Asks a holder for the origin of a stream.
+    QueryStreamOrigin {
+        /// Identifies the query at its sender.
+        query_id: u32,
+        /// The stream.
+        key: stream_origin::Key,
+        /// The services that may have begun the stream.
+        services: Vec<String>,
+    },
+    /// The answer to `QueryStreamOrigin`.
+    StreamOrigin {
+        /// The query.
+        query_id: u32,
+        /// What the holder knows.
+        answer: Answer,
+    },
 }
 
 /// The sender of a report.
--- a/crates/gateway/src/node/peers/mod.rs
+++ b/crates/gateway/src/node/peers/mod.rs
@@ -13,6 +13,7 @@
 //! | `pending_loads` | holds pending load queries and load changes |
 //! | `quota` | asks the owner of a client account whether a request is within its limit |
 //! | `permits` | acquires permits from the owners of limited servers |
+//! | `stream_origins` | sends and asks for the software versions that began streams |
 //! | `pending_queries` | holds queries that await an answer |
 //! | `quarantine` | exchanges verdicts on requests that crash servers |
 //! | `versions` | confirms or updates the node's copies of the platform's tables |
@@ -38,6 +39,7 @@
 pub(super) mod report;
 pub(super) mod report_target;
 pub(crate) mod server_relay;
+pub(super) mod stream_origins;
 mod summary_relay;
 mod versions;
 
@@ -104,6 +106,13 @@
                 quarantine::handle_completed(&node, fingerprint);
             }
             Message::LoadChanged { node: peer, loads } => loads::handle_change(&node, &peer, loads),
+            Message::StreamOrigins(batches) => stream_origins::handle_origins(&node, &batches),
+            Message::QueryStreamOrigin { query_id, key, services } => {
+                stream_origins::answer_query(&node, from, query_id, key, &services).await;
+            }
+            Message::StreamOrigin { query_id, answer } => {
+                stream_origins::handle_answer(&node, query_id, answer);
+            }
         }
     }
 }
--- a/crates/gateway/src/node/peers/pending_queries.rs
+++ b/crates/gateway/src/node/peers/pending_queries.rs
@@ -13,10 +13,16 @@
 #[derive(Debug)]
 pub(in crate::node) struct PendingQueries<T> {
     next: AtomicU32,
-    waiting: Mutex<HashMap<u32, Sender<T>>>,
+    waiting: Mutex<HashMap<u32, Waiting<T>>>,
 }
 
-/// A query that awaits its answer until it is dropped.
+#[derive(Debug)]
+struct Waiting<T> {
+    answers_missing: usize,
+    sender: Sender<T>,
+}
+
+/// A query that awaits its answers until it is dropped.
 pub(super) struct PendingQuery<'a, T> {
     queries: &'a PendingQueries<T>,
     /// Identifies the query at its sender.
@@ -31,23 +37,34 @@
 }
 
 impl<T> PendingQueries<T> {
-    /// Registers a query.
+    /// Registers a query to one node.
     pub(super) fn begin(&self) -> PendingQuery<'_, T> {
-        let (sender, answer) = async_channel::bounded(1);
+        self.begin_many(1)
+    }
+
+    /// Registers a query to several nodes.
+    pub(super) fn begin_many(&self, nodes: usize) -> PendingQuery<'_, T> {
+        let (sender, answer) = async_channel::bounded(nodes.max(1));
         let id = self.next.fetch_add(1, Ordering::Relaxed);
-        lock(&self.waiting).insert(id, sender);
+        lock(&self.waiting).insert(id, Waiting { answers_missing: nodes, sender });
         PendingQuery { queries: self, id, answer }
     }
 
     /// Delivers an answer; returns `false` if the query is no longer pending.
     pub(super) fn deliver(&self, id: u32, answer: T) -> bool {
-        let waiting = lock(&self.waiting).remove(&id);
-        waiting.is_some_and(|sender| sender.try_send(answer).is_ok())
+        let mut waiting = lock(&self.waiting);
+        let Some(query) = waiting.get_mut(&id) else { return false };
+        query.answers_missing = query.answers_missing.saturating_sub(1);
+        let is_taken = query.sender.try_send(answer).is_ok();
+        if query.answers_missing == 0 {
+            waiting.remove(&id);
+        }
+        is_taken
     }
 }
 
 impl<T> PendingQuery<'_, T> {
-    /// Waits for the answer; returns `None` if it does not arrive in time.
+    /// Waits for the next answer; returns `None` if it does not arrive in time.
     pub(super) async fn wait(&self, within: Duration) -> Option<T> {
         let answer = runtime::timeout(within, self.answer.recv()).await;
         // The answer may have arrived just as the timeout expired.
--- /dev/null
+++ b/crates/gateway/src/node/peers/stream_origins.rs
@@ -0,0 +1,113 @@
+//! Sends the origins of streams to the nodes that hold them, and asks these nodes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use keeljunction_core::Millis;
+use keeljunction_core::serving::members::{Entry, Members};
+use keeljunction_core::serving::stream_origin::{Answer, Batch, Key, PossibleOrigins};
+
+use super::message::Message;
+use crate::node::Node;
+use crate::node::state::State;
+
+/// The timeout for the answers of all holders: several round trips within a region, and the
+/// scheduling delay of a task on a small VM.
+///
+/// For holders in other regions the timeout follows the measured round-trip times.
+const ASK_TIMEOUT_MS: Millis = 40;
+
+/// Lists the addresses of the other nodes that hold the record of a stream.
+pub(in crate::node) fn list_record_holders(node: &Node, key: Key) -> Vec<SocketAddr> {
+    node.with(|state| {
+        let holders = state.members.list_record_holders(key.get_number());
+        list_others(&state.members, &holders)
+    })
+}
+
+fn list_others(members: &Members, holders: &[&Entry]) -> Vec<SocketAddr> {
+    let others = holders.iter().filter(|holder| !members.is_own(holder));
+    others.map(|holder| holder.address).collect()
+}
+
+/// Sends the origins of streams to one of their holders.
+pub(in crate::node) async fn send(node: &Node, holder: SocketAddr, batches: Vec<Batch>) {
+    node.link.send(node.now(), holder, &Message::StreamOrigins(batches)).await;
+}
+
+/// Asks the holders of a stream's record at once. Returns when the first one has a record, when all
+/// have answered, or after the timeout.
+pub(in crate::node) async fn ask(node: &Node, key: Key, services: &[&str]) -> Vec<Answer> {
+    let holders = node.with(|state| {
+        let holders = state.members.list_asked_holders(key.get_number());
+        list_others(&state.members, &holders)
+    });
+    let query = node.pending_stream_origins.begin_many(holders.len());
+    let services = services.iter().map(|service| (*service).to_owned()).collect();
+    let message = Message::QueryStreamOrigin { query_id: query.id, key, services };
+    let asked_at = node.now();
+    for holder in &holders {
+        node.link.send(asked_at, *holder, &message).await;
+    }
+    let deadline = asked_at + get_timeout(node, &holders);
+    let mut answers = Vec::new();
+    while answers.len() < holders.len() && !answers.iter().any(Answer::is_recorded) {
+        let remaining = Duration::from_millis(deadline.saturating_sub(node.now()));
+        let Some(answer) = query.wait(remaining).await else { break };
+        answers.push(answer);
+    }
+    answers
+}
+
+/// Returns the timeout for the answers of all holders.
+fn get_timeout(node: &Node, holders: &[SocketAddr]) -> Millis {
+    let regions = holders.iter().filter_map(|holder| node.link.get_remote_region(*holder));
+    let regions: Vec<String> = regions.collect();
+    node.with(|state| {
+        let timeouts =
+            regions.iter().map(|region| state.round_trips.get_timeout(region, ASK_TIMEOUT_MS));
+        timeouts.max().unwrap_or(ASK_TIMEOUT_MS)
+    })
+}
+
+/// Returns what this node knows of a stream's origin.
+pub(in crate::node) fn get_answer(
+    state: &State,
+    now: Millis,
+    key: Option<Key>,
+    services: &[&str],
+) -> Answer {
+    if let Some(standing) = key.and_then(|key| state.stream_origins.find(now, key)) {
+        return standing.into();
+    }
+    let possible =
+        services.iter().map(|service| (*service, state.version_history.get_possible(now, service)));
+    Answer::Unknown(PossibleOrigins::collect(possible))
+}
+
+/// Merges the origins that another node sent.
+pub(super) fn handle_origins(node: &Node, batches: &[Batch]) {
+    let now = node.now();
+    node.with(|state| batches.iter().for_each(|batch| state.stream_origins.merge(now, batch)));
+}
+
+/// Answers the query of another node.
+pub(super) async fn answer_query(
+    node: &Node,
+    from: SocketAddr,
+    query_id: u32,
+    key: Key,
+    services: &[String],
+) {
+    let now = node.now();
+    let services: Vec<&str> = services.iter().map(String::as_str).collect();
+    let answer = node.with(|state| get_answer(state, now, Some(key), &services));
+    node.link.send(now, from, &Message::StreamOrigin { query_id, answer }).await;
+}
+
+/// Handles an answer. One that arrives too late, or after the first record, is not needed.
+pub(super) fn handle_answer(node: &Node, query_id: u32, answer: Answer) {
+    if !node.pending_stream_origins.deliver(query_id, answer) {
+        log::debug!("an answer about the origin of a stream was not needed any more");
+    }
+}
--- a/crates/gateway/src/node/rollouts.rs
+++ b/crates/gateway/src/node/rollouts.rs
@@ -80,6 +80,20 @@
     })
 }
 
+/// Picks the servers that may go on with a stream of a software version; returns `None` if the
+/// rollout lets this version have no requests now.
+pub(crate) fn pick_resume_filter(
+    node: &Node,
+    service: &str,
+    software_version: &str,
+) -> Option<VersionFilter> {
+    let now = node.now();
+    node.with(|state| {
+        let tolerance = get_tolerance(node, state, now);
+        state.rollouts.pick_resume_filter(now, service, software_version, &tolerance)
+    })
+}
+
 /// Lists the servers that may receive canary requests.
 pub(crate) fn list_canaries(node: &Node, service: &str) -> Vec<String> {
     let now = node.now();
--- a/crates/gateway/src/node/serve.rs
+++ b/crates/gateway/src/node/serve.rs
@@ -15,7 +15,7 @@
 use super::state::{BYTES_PER_MB, ProcessContext};
 use super::{
     Node, connections, leader, listeners, memory, peers, quarantine_rows, server_paths, stop,
-    version_rows, versions, watch,
+    stream_origins, version_rows, watch,
 };
 use crate::event::{self, Event};
 use crate::exchange;
@@ -85,8 +85,9 @@
     runtime::spawn(quarantine_rows::run(node.clone()));
     runtime::spawn(version_rows::read(node.clone()));
     runtime::spawn(version_rows::write(node.clone()));
-    runtime::spawn(versions::publish_mixed(node.clone()));
     runtime::spawn(memory::watch(node.clone()));
+    runtime::spawn(stream_origins::run_publications(node.clone()));
+    runtime::spawn(stream_origins::run_repetitions(node.clone()));
     exchange::watch_callers(&node);
     let (readiness_node, metrics_node, client_node) = (node.clone(), node.clone(), node.clone());
     runtime::spawn(
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -27,6 +27,7 @@
 use keeljunction_core::serving::round_trip::RoundTrips;
 use keeljunction_core::serving::server_path::Paths;
 use keeljunction_core::serving::spill::LinkBudgets;
+use keeljunction_core::serving::stream_origin;
 use keeljunction_core::serving::table_version::TableVersion;
 use keeljunction_core::serving::throughput::Throughput;
 use keeljunction_core::serving::topology::Topology;
@@ -46,6 +47,7 @@
 use super::peers::relay_state::RelayState;
 use super::peers::report_target::{ReportTarget, Samples};
 use super::skipped;
+use super::stream_origins::Publications;
 use crate::active_responses::ActiveResponses;
 use crate::http::{Client, StopSignal};
 use crate::metrics::Metrics;
@@ -105,8 +107,10 @@
     pub(super) pending_decisions: PendingQueries<quota::Decision>,
     /// Permit requests that await the decision of the server's owner.
     pub(super) pending_permits: PendingQueries<backpressure::Decision>,
-    /// The queue of services that became mixed.
-    pub(super) mixed_services: (Sender<String>, Receiver<String>),
+    /// Queries for the origins of streams that await the answers of their holders.
+    pub(super) pending_stream_origins: PendingQueries<stream_origin::Answer>,
+    /// Services whose streams' origins are to be sent to their holders.
+    pub(super) stream_publications: Publications,
     /// Attempts whose connection broke at a server that may have crashed.
     pub(super) interrupted_attempts: interrupted_attempts::Pending,
     /// Signals to uploads that are evicted from memory.
@@ -205,6 +209,8 @@
     pub(super) samples: Samples,
     /// The lease of the duties.
     pub lease: DutyLease,
+    /// The origins of streams.
+    pub stream_origins: stream_origin::Registry,
 }
 
 impl State {
@@ -225,16 +231,27 @@
         self.backpressure.get_wait(now, server).is_some()
     }
 
-    /// Returns the shortest time until a throttled server of a service accepts requests, or `None`
-    /// if no ready server is throttled.
-    pub(crate) fn get_min_throttle_wait(&self, now: Millis, service: &str) -> Option<Millis> {
-        let servers = self.directory.iter_ready(service);
+    /// Returns the shortest time until a throttled server of a service accepts requests, out of those
+    /// that `is_candidate` selects, or `None` if none of these is throttled.
+    pub(crate) fn get_min_throttle_wait(
+        &self,
+        now: Millis,
+        service: &str,
+        is_candidate: impl Fn(&Server) -> bool,
+    ) -> Option<Millis> {
+        let servers = self.directory.iter_ready(service).filter(|server| is_candidate(server));
         servers.filter_map(|server| self.backpressure.get_wait(now, server)).min()
     }
 
-    /// Returns `true` if all ready servers of a service are throttled.
-    pub(crate) fn is_service_throttled(&self, now: Millis, service: &str) -> bool {
-        self.directory.iter_ready(service).all(|server| self.is_throttled(now, server))
+    /// Returns `true` if all ready servers of a service that `is_candidate` selects are throttled.
+    pub(crate) fn is_service_throttled(
+        &self,
+        now: Millis,
+        service: &str,
+        is_candidate: impl Fn(&Server) -> bool,
+    ) -> bool {
+        let mut servers = self.directory.iter_ready(service).filter(|server| is_candidate(server));
+        servers.all(|server| self.is_throttled(now, server))
     }
 
     /// Counts this node's in-flight requests at servers that do not have the target version of a
@@ -315,6 +332,7 @@
                 bounds.lease_ms,
                 margin,
             ),
+            stream_origins: stream_origin::Registry::default(),
         };
         let http_client = Client::new(CONNECT_TIMEOUT).with_source(settings.node.source_address);
         let mut metrics = Metrics::default();
@@ -331,10 +349,11 @@
             listener_stop,
             link,
             notifications: async_channel::bounded(NOTIFICATION_CAPACITY),
-            mixed_services: async_channel::unbounded(),
             pending_loads: pending_loads::Pending::default(),
             pending_decisions: PendingQueries::default(),
             pending_permits: PendingQueries::default(),
+            pending_stream_origins: PendingQueries::default(),
+            stream_publications: Publications::default(),
             interrupted_attempts: interrupted_attempts::Pending::default(),
             eviction_signals: EvictionSignals::default(),
             state: Mutex::new(state),
--- a/crates/gateway/src/node/versions.rs
+++ b/crates/gateway/src/node/versions.rs
@@ -1,7 +1,6 @@
 //! Tracks which software versions of each service may be running streams.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::Change;
@@ -47,16 +46,7 @@
     });
     for service in mixed {
         emit_mixed(node, now, &service);
-        if node.mixed_services.0.try_send(service).is_err() {
-            log::error!("the queue of mixed services is closed");
-        }
-    }
-}
-
-/// Sends the records of each service that becomes mixed to other nodes.
-pub(super) async fn publish_mixed(node: Arc<Node>) {
-    while let Ok(service) = node.mixed_services.1.recv().await {
-        stream_origins::publish_service(&node, &service);
+        stream_origins::publish_service(node, &service);
     }
 }
 
--- a/crates/gateway/src/port/header_codec.rs
+++ b/crates/gateway/src/port/header_codec.rs
@@ -29,6 +29,8 @@
     pub prompt: Option<Prompt>,
     /// The last event that the caller has received.
     pub last_event_id: Option<u64>,
+    /// The id of the request that began the stream that the caller resumes.
+    pub resumes: Option<String>,
 }
 
 /// Size and parts of a prompt.
