fix(gateway): refuse a stream whose version went during the attempts as gone

Cause: after a declined attempt the request got not_accepted with a Retry-After of 1 ms, though no server of its software version was left. The changed refusal itself is not covered by a test of its own.

--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -160,7 +160,7 @@
         return Err(progress.reject(Refusal::Stale, FULL_RETRY_AFTER_MS));
     }
     if exchange.pin.get().is_some_and(|pin| pin.is_gone(node)) {
-        return Err(progress.reject(Refusal::VersionGone, 0));
+        return Err(progress.reject_version_gone());
     }
     let attempts = Attempts {
         tried: &progress.tried.all,
--- a/crates/gateway/src/exchange/progress.rs
+++ b/crates/gateway/src/exchange/progress.rs
@@ -67,6 +67,15 @@
         }
     }
 
+    /// Returns the rejection of a request whose software version has no server left. The caller learns
+    /// of that only if the request has not run since it arrived.
+    pub fn reject_version_gone(&self) -> Rejection {
+        match self.may_have_run {
+            true => self.reject(Refusal::BrokenAnswer, 0),
+            false => Refusal::VersionGone.into(),
+        }
+    }
+
     fn get_refusal(&self, default_reason: Refusal) -> Refusal {
         match self.last_error {
             Some(AttemptError::Timeout) => Refusal::Timeout,
