fix(gateway): pin no stream to a server whose version changed meanwhile

Cause: an entry of unknown incarnation (0) that shows another version was not taken as a replacement, so the stream would have been recorded with the former version. Change: a stream is recorded only if the directory still shows the version that the server was picked by, whatever the incarnation.

--- a/crates/gateway/src/exchange/begin.rs
+++ b/crates/gateway/src/exchange/begin.rs
@@ -38,9 +38,8 @@
 }
 
 /// Returns `true` if the server has the software version that the directory showed when it was
-/// picked: no later incarnation of another version has taken its place.
+/// picked, and was not replaced meanwhile. Its incarnation may be unknown.
 fn is_version_certain(state: &State, server: &Server) -> bool {
     let current = state.directory.get(&server.id);
-    let is_same = current.is_some_and(|current| current.version == server.version);
-    is_same || !state.directory.is_superseded(server)
+    current.is_none_or(|current| current.version == server.version)
 }
