fix(origin): wait longer for holders before a stream is refused

Cause: the answers of all holders were awaited for 40 ms, also where the stream would be refused without a further answer.

Change: while nothing but a refusal would follow, the wait is 150 ms. Where one version alone is possible, it stays at 40 ms, so that a holder that has ended delays no resume there.

A slow holder has no test of its own.

--- a/crates/gateway/src/node/peers/stream_origins.rs
+++ b/crates/gateway/src/node/peers/stream_origins.rs
@@ -5,7 +5,9 @@
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::members::{Entry, Members};
-use keeljunction_core::serving::stream_origin::{Answer, Batch, Key, PossibleOrigins};
+use keeljunction_core::serving::stream_origin::{
+    Answer, Batch, Decision, Key, PossibleOrigins, decide,
+};
 
 use super::message::Message;
 use crate::node::Node;
@@ -16,6 +18,8 @@
 ///
 /// For holders in other regions the timeout follows the measured round-trip times.
 const ASK_TIMEOUT_MS: Millis = 40;
+/// The timeout while the stream would be refused without a further answer.
+const UNDECIDED_ASK_TIMEOUT_MS: Millis = 150;
 
 /// Lists the addresses of the other nodes that hold the record of a stream.
 pub(in crate::node) fn list_record_holders(node: &Node, key: Key) -> Vec<SocketAddr> {
@@ -36,8 +40,13 @@
 }
 
 /// Asks the holders of a stream's record at once. Returns when the first one has a record, when all
-/// have answered, or after the timeout.
-pub(in crate::node) async fn ask(node: &Node, key: Key, services: &[&str]) -> Vec<Answer> {
+/// have answered, or after the timeout. `own` is what this node knows.
+pub(in crate::node) async fn ask(
+    node: &Node,
+    key: Key,
+    services: &[&str],
+    own: &Answer,
+) -> Vec<Answer> {
     let holders = node.with(|state| {
         let holders = state.members.list_asked_holders(key.get_number());
         list_others(&state.members, &holders)
@@ -49,11 +58,13 @@
     for holder in &holders {
         node.link.send(asked_at, *holder, &message).await;
     }
-    let deadline = asked_at + get_timeout(node, &holders);
+    let timeout = get_timeout(node, &holders);
     let mut answers = Vec::new();
     while answers.len() < holders.len() && !answers.iter().any(Answer::is_recorded) {
-        let remaining = Duration::from_millis(deadline.saturating_sub(node.now()));
-        let Some(answer) = query.wait(remaining).await else { break };
+        let is_undecided = decide(own, &answers) == Decision::Unknown;
+        let timeout = if is_undecided { timeout.max(UNDECIDED_ASK_TIMEOUT_MS) } else { timeout };
+        let remaining = (asked_at + timeout).saturating_sub(node.now());
+        let Some(answer) = query.wait(Duration::from_millis(remaining)).await else { break };
         answers.push(answer);
     }
     answers
--- a/crates/gateway/src/node/stream_origins.rs
+++ b/crates/gateway/src/node/stream_origins.rs
@@ -87,7 +87,7 @@
     let Some(key) = key.filter(|_| !own.is_recorded()) else {
         return Finding { decision: decide(&own, &[]), asked_ms: None };
     };
-    let answers = peers::ask(node, key, services).await;
+    let answers = peers::ask(node, key, services, &own).await;
     Finding { decision: decide(&own, &answers), asked_ms: Some(node.now() - now) }
 }
 
