fix(http): take a body whose transfer coding has no chunks for one that ends with its connection

Cause: get_framing took any Transfer-Encoding for chunks. The library reads a body whose last coding is another one (identity, gzip) until the end of the connection, so that a stream closed before its first event counted as a declared, complete one.

Ruled out: HTTP/1.0 (the library rejects a transfer coding there), HEAD, 204 and 304 (length 0).

Change: only a last coding of chunks declares the end, by the rule that the library uses.

--- a/crates/gateway/src/http/headers.rs
+++ b/crates/gateway/src/http/headers.rs
@@ -1,7 +1,7 @@
 //! Headers that apply to a single connection, and the framing of a body.
 
 use hyper::body::Body as HttpBody;
-use hyper::header::{self, HeaderMap};
+use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
 use keeljunction_core::serving::response_body::Framing;
 
@@ -50,11 +50,19 @@
     if let Some(framing) = parts.extensions.get() {
         return *framing;
     }
-    if parts.headers.contains_key(header::TRANSFER_ENCODING) {
-        return Framing::Chunks;
+    let codings = parts.headers.get_all(header::TRANSFER_ENCODING);
+    if let Some(codings) = codings.iter().next_back() {
+        return if ends_with_chunked(codings) { Framing::Chunks } else { Framing::Connection };
     }
     match body.size_hint().exact() {
         Some(_) => Framing::Length,
         None => Framing::Connection,
     }
 }
+
+/// Returns `true` if the last transfer coding is chunks. The library reads a body with any other one
+/// until the end of the connection.
+fn ends_with_chunked(codings: &HeaderValue) -> bool {
+    let last = codings.to_str().ok().and_then(|codings| codings.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
