fix(gateway): go on with no error response at another server

Cause: whether a response can be resumed depended on the route and the type of its body, and not on its status. An error response of type text/event-stream that ended inside an event went on with the events of a successful response of another server. It is not pinned to a software version either, so that these events could come from several versions.

Ruled out: pinning error responses; what follows would still not belong to the status.

Change: only a successful response is resumed; an error response that is cut resets its caller.

--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -68,7 +68,7 @@
     let time_remaining = Duration::from_millis(exchange.get_time_remaining(node.now()));
     let reader = StreamReader {
         status,
-        splitter: is_resumable(&exchange, content).then(Splitter::default),
+        splitter: is_resumable(&exchange, status, content).then(Splitter::default),
         sequence: Sequence::after(exchange.head.last_event_id),
         open_event: None,
         pending: VecDeque::new(),
@@ -85,9 +85,12 @@
     Box::pin(reader.into_stream(received))
 }
 
-fn is_resumable(exchange: &Exchange, content: Content) -> bool {
+/// Returns `true` if another server may go on with a response. An error response is pinned to no
+/// software version, and what another server sends does not belong to its status.
+fn is_resumable(exchange: &Exchange, status: u16, content: Content) -> bool {
     let is_resumable_route = exchange.route.kind == RouteKind::Streaming { resumable: true };
-    is_resumable_route && content == Content::Events
+    let is_success = (200..300).contains(&status);
+    is_resumable_route && is_success && content == Content::Events
 }
 
 /// Reads a response body from one server, or from several in turn.
