fix(peers): relay a request only to the software version that was picked

Cause: a node that is cut off from the servers names the server by its ID alone. A peer with a newer list sent the request to whatever process had taken that ID since, so that a stream went on at another version, or was recorded as begun at the wrong one.

Ruled out: the incarnation instead of the version, which may be unknown, and differs although the version is the same.

Change: a header names the software version; a peer that lists another one answers unknown_server. Nodes of the version before send none, and are served as before.

--- a/crates/gateway/src/node/peers/server_relay.rs
+++ b/crates/gateway/src/node/peers/server_relay.rs
@@ -1,6 +1,7 @@
 //! Relays requests to servers for nodes that are cut off from them.
 //!
-//! A node sends the request to a peer's address for other nodes, with the server's ID in a header.
+//! A node sends the request to a peer's address for other nodes, with the server's ID and software
+//! version in headers.
 //! The peer forwards it unchanged, and returns the response with the outcome in a header. The node
 //! that received the request from its caller keeps all decisions: admission, the choice of the
 //! server, permits, retries, and the response to the caller. A peer never forwards a request to
@@ -28,6 +29,9 @@
 
 /// The ID of the server that a request is relayed to.
 const SERVER_HEADER: HeaderName = HeaderName::from_static("keeljunction-relay-server");
+/// The software version of that server, which may have been replaced under its ID; older nodes do not
+/// say.
+const VERSION_HEADER: HeaderName = HeaderName::from_static("keeljunction-relay-version");
 /// The outcome of relaying a request.
 const OUTCOME_HEADER: HeaderName = HeaderName::from_static("keeljunction-relay-outcome");
 /// What declared the end of the body when the server sent it; older peers do not say. A peer sends
@@ -45,7 +49,7 @@
     Relayed,
     /// The peer does not relay requests now; nothing was sent.
     Unavailable,
-    /// The peer does not list the server as ready; nothing was sent.
+    /// The peer does not list the server as ready at this software version; nothing was sent.
     UnknownServer,
     /// The peer could not connect to the server; nothing was sent.
     Unreachable,
@@ -129,8 +133,12 @@
 ) -> Result<Response<Body>, Outcome> {
     let id = request.headers_mut().remove(SERVER_HEADER);
     let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("");
+    let version = request.headers_mut().remove(VERSION_HEADER);
     let server = node.with(|state| state.directory.get_ready(id).cloned());
-    let server = server.ok_or(Outcome::UnknownServer)?;
+    let is_picked = |server: &Server| {
+        version.as_ref().is_none_or(|version| version.as_bytes() == server.version.as_bytes())
+    };
+    let server = server.filter(is_picked).ok_or(Outcome::UnknownServer)?;
     let is_available = !node.is_stopping()
         && !node.is_short_of_memory()
         && !server_paths::is_cut_off(node, &server.service);
@@ -310,10 +318,13 @@
     })
 }
 
-/// Adds the header that names the server. Returns `None` if its ID cannot be part of a header.
+/// Adds the headers that name the server and its software version. Returns `None` if one of them
+/// cannot be part of a header.
 fn address_to(server: &Server, mut request: Request<Body>) -> Option<Request<Body>> {
     let value = HeaderValue::from_str(&server.id).ok()?;
+    let version = HeaderValue::from_bytes(server.version.as_bytes()).ok()?;
     request.headers_mut().insert(SERVER_HEADER, value);
+    request.headers_mut().insert(VERSION_HEADER, version);
     Some(request)
 }
 
