fix(origin): recognise other software under the ID of a server at each step of an attempt

Cause: a server may be replaced by one of another version under its ID while a request is on its way. Three steps missed that. The response to a request that resumes a stream was not checked at all. After loads were queried, the servers of the shortlist were looked up by ID again without the check of the pin.

Ruled out: comparing addresses or whole entries, which change within one process.

Change: the directory tells whether other software is listed under a server's ID and not as an earlier incarnation. Streams that begin and responses that resume are checked with it; the shortlist is checked for the pin again. A response that fails the check is broken, and the next server is tried.

No end-to-end test replaces a server within an attempt: the two latter steps are from reading.

--- a/crates/core/src/serving/directory/mod.rs
+++ b/crates/core/src/serving/directory/mod.rs
@@ -291,6 +291,15 @@
         self.get(&server.id).is_some_and(|known| known.incarnation > server.incarnation)
     }
 
+    /// Returns `true` if other software may have taken the place of a server since: another service or
+    /// software version is listed under its ID, and not as that of an earlier incarnation.
+    pub fn is_software_replaced(&self, server: &Server) -> bool {
+        self.get(&server.id).is_some_and(|known| {
+            known.incarnation >= server.incarnation
+                && (&known.service, &known.version) != (&server.service, &server.version)
+        })
+    }
+
     /// Returns a server by its ID.
     pub fn get(&self, id: &str) -> Option<&Server> {
         self.services.values().find_map(|servers| servers.get(id)).map(|listed| &listed.server)
--- a/crates/core/tests/serving/directory.rs
+++ b/crates/core/tests/serving/directory.rs
@@ -196,6 +196,27 @@
     assert!(!directory.is_superseded(&again));
 }
 
+// Guards against a stream of one software version being taken for one of another, because the process
+// that began or resumed it was replaced under its ID.
+#[test]
+fn other_software_under_the_id_of_a_server_replaces_it_even_if_its_start_is_unknown() {
+    let next = |at| Server { version: "v-next".to_owned(), ..started(at) };
+    let other_service = Server { service: "other".to_owned(), ..started(20) };
+    let cases = [
+        (started(0), next(0), true),
+        (started(10), next(20), true),
+        (started(10), other_service, true),
+        (started(10), started(20), false),
+        (started(20), next(10), false),
+    ];
+    for (before, listed, expected) in cases {
+        let mut directory = Directory::default();
+        assert!(!directory.is_software_replaced(&before));
+        directory.replace(at(1), vec![listed]);
+        assert_eq!(directory.is_software_replaced(&before), expected, "{before:?}");
+    }
+}
+
 #[test]
 fn a_server_restarted_with_a_lapsed_entry_replaces_the_old_one() {
     let mut directory = Directory::default();
--- a/crates/gateway/src/exchange/begin.rs
+++ b/crates/gateway/src/exchange/begin.rs
@@ -8,7 +8,6 @@
 use super::admission::Exchange;
 use super::attempt::ServerResponse;
 use super::pin::Pin;
-use crate::node::state::State;
 use crate::node::{Node, stream_origins};
 
 /// Pins a stream that begins now to the software version of its server, and records its origin.
@@ -20,9 +19,9 @@
     if !is_begun || exchange.pin.get().is_some() {
         return;
     }
-    let pin = match node.with(|state| is_version_certain(state, &response.server)) {
-        true => pin_to_server(node, exchange, &response.server).await,
-        false => Pin::Unpinnable,
+    let pin = match node.with(|state| state.directory.is_software_replaced(&response.server)) {
+        true => Pin::Unpinnable,
+        false => pin_to_server(node, exchange, &response.server).await,
     };
     if exchange.pin.set(pin).is_err() {
         log::error!("the stream of a request was pinned twice");
@@ -36,10 +35,3 @@
     let running = stream_origins::begin(node, key, &origin, exchange.caller_deadline).await;
     Pin::Pinned { origin, _running: Some(running) }
 }
-
-/// Returns `true` if the server has the software version that the directory showed when it was
-/// picked, and was not replaced meanwhile. Its incarnation may be unknown.
-fn is_version_certain(state: &State, server: &Server) -> bool {
-    let current = state.directory.get(&server.id);
-    current.is_none_or(|current| current.version == server.version)
-}
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -7,7 +7,7 @@
 use keeljunction_core::serving::rollout::Phase;
 
 use super::admission::Exchange;
-use super::attempt::{self, AttemptError, AttemptParams, ServerResponse};
+use super::attempt::{self, AttemptError, AttemptParams, FailedAttempt, ServerResponse};
 use super::begin;
 use super::notes::{record_choice, record_failure};
 use super::pick::{self, Attempts, Pick};
@@ -71,7 +71,8 @@
     let sent_at = node.now();
     let params =
         AttemptParams { server, last_event_id, timeout: exchange.get_time_remaining(sent_at) };
-    match attempt::send(node, exchange, &params).await {
+    let sent = attempt::send(node, exchange, &params).await;
+    match sent.and_then(|response| check_software(node, exchange, response)) {
         Ok(response) => {
             node.with(|state| {
                 if !state.directory.is_superseded(server) {
@@ -99,6 +100,21 @@
     }
 }
 
+/// Checks that a response to a request that resumes a stream comes from the picked software version:
+/// the server may have been replaced under its ID while the request was on its way.
+fn check_software(
+    node: &Node,
+    exchange: &Exchange,
+    response: ServerResponse,
+) -> Result<ServerResponse, FailedAttempt> {
+    let is_pinned = exchange.pin.get().is_some();
+    let server = &response.server;
+    match is_pinned && node.with(|state| state.directory.is_software_replaced(server)) {
+        true => Err((AttemptError::Broken, None)),
+        false => Ok(response),
+    }
+}
+
 /// Resumes a stream on another server after its last event. Returns `None` if no server resumes it.
 pub(super) async fn resume(
     node: &Arc<Node>,
--- a/crates/gateway/src/exchange/pick/region.rs
+++ b/crates/gateway/src/exchange/pick/region.rs
@@ -224,8 +224,10 @@
     node.with(|state| {
         let now = node.now();
         let servers = listed.iter().filter_map(|id| state.directory.get_ready(id));
-        // A server may have entered backoff while the loads were queried.
-        let servers = servers.filter(|server| !state.is_throttled(now, server));
+        // A server may have entered backoff, or been replaced by one of another software version under
+        // its ID, while the loads were queried.
+        let servers = servers
+            .filter(|server| !state.is_throttled(now, server) && exchange.is_pin_met(server));
         pick_one(node, state, exchange, criteria, ramp_draw, servers)
     })
 }
