perf(versions): look for the servers of a vanished version once for each batch of changes

Cause: each server that was gone had the service's list searched for another one of its version, under the lock of the node's state. If the version had vanished, each search went through the whole list: a completed rollout removes thousands of servers at once.

Ruled out: a count of servers for each version, which would have to be kept in step with the list.

Change: the changes are reduced to their services and versions before the search.

--- a/crates/gateway/src/node/versions.rs
+++ b/crates/gateway/src/node/versions.rs
@@ -50,24 +50,23 @@
     }
 }
 
+/// Lists the services of which a version was added by changes of the server list, or removed. Most
+/// changes do neither.
 fn list_affected(state: &State, changes: &[Change]) -> BTreeSet<String> {
-    let affected = changes.iter().filter(|change| is_affected(state, change));
-    let services: BTreeSet<&str> = affected.map(get_service).collect();
+    // Thousands of servers of one version may change at once.
+    let software: BTreeSet<(&str, &str, bool)> = changes.iter().map(describe).collect();
+    let affected = software.into_iter().filter(|(service, version, is_gone)| match is_gone {
+        true => state.directory.iter_service(service).all(|other| other.version != *version),
+        false => !state.version_history.is_listed(service, version),
+    });
+    let services: BTreeSet<&str> = affected.map(|(service, ..)| service).collect();
     services.into_iter().map(str::to_owned).collect()
 }
 
-/// Returns `true` if a change of the server list adds a version to its service, or removes one. The
-/// list may hold thousands of servers, and most of their changes do neither.
-fn is_affected(state: &State, change: &Change) -> bool {
-    match change {
-        Change::Joined(server) | Change::Leaving(server) => {
-            !state.version_history.is_listed(&server.service, &server.version)
-        }
-        Change::Gone(server) => {
-            let mut listed = state.directory.iter_service(&server.service);
-            listed.all(|other| other.version != server.version)
-        }
-    }
+/// Returns the service and the software version of a changed server, and whether it is gone.
+fn describe(change: &Change) -> (&str, &str, bool) {
+    let (Change::Joined(server) | Change::Leaving(server) | Change::Gone(server)) = change;
+    (&server.service, &server.version, matches!(change, Change::Gone(_)))
 }
 
 fn list_versions(state: &State, service: &str) -> BTreeSet<String> {
@@ -76,11 +75,6 @@
     versions.into_iter().map(str::to_owned).collect()
 }
 
-fn get_service(change: &Change) -> &str {
-    let (Change::Joined(server) | Change::Leaving(server) | Change::Gone(server)) = change;
-    &server.service
-}
-
 fn emit_mixed(node: &Node, now: Millis, service: &str) {
     let possible = node.with(|state| state.version_history.get_possible(now, service));
     let versions = possible.versions.iter().map(String::as_str).collect();
