fix(origin): keep the record of a stream while it runs

Cause: a record expired 60 s after its stream had begun, also while the stream ran on. A caller of a longer stream could not take it up, and once its version had been gone for 60 s, the only remaining version would have been chosen.

Change: the 60 s begin when the stream stops running at its node; the caller's deadline still ends the record.

--- a/crates/core/src/serving/stream_origin/registry.rs
+++ b/crates/core/src/serving/stream_origin/registry.rs
@@ -29,6 +29,8 @@
     expires_at: Millis,
     /// Responses of this node that belong to the stream and have not ended.
     running: u32,
+    /// Time until which the caller may resume the stream, if a response of this node belongs to it.
+    caller_deadline: Millis,
     /// Whether this node began or resumed the stream.
     is_own: bool,
 }
@@ -37,17 +39,20 @@
     /// Records the origin of a stream that this node begins or resumes. The record counts as running
     /// until [`Registry::end`] is called.
     ///
-    /// It expires at `expires_at`, after [`MAX_STREAM_AGE_MS`] at the latest.
-    pub fn begin(&mut self, now: Millis, key: Key, origin: &Origin, expires_at: Millis) {
+    /// It expires at `caller_deadline`, and at the latest [`MAX_STREAM_AGE_MS`] after the stream has
+    /// stopped running.
+    pub fn begin(&mut self, now: Millis, key: Key, origin: &Origin, caller_deadline: Millis) {
         let standing = self.intern(origin);
-        let entry = self.store(now, key, standing, expires_at);
+        let entry = self.store(now, key, standing, caller_deadline);
         entry.running += 1;
+        entry.caller_deadline = entry.caller_deadline.max(caller_deadline);
         entry.is_own = true;
     }
 
     /// Records that a response of this node that belongs to the stream has ended.
-    pub fn end(&mut self, key: Key) {
+    pub fn end(&mut self, now: Millis, key: Key) {
         if let Some(entry) = self.entries.get_mut(&key) {
+            entry.expires_at = entry.get_expiry(now);
             entry.running = entry.running.saturating_sub(1);
         }
     }
@@ -71,7 +76,7 @@
 
     /// Returns the record of a stream, to be sent to other nodes.
     pub fn get_record(&self, now: Millis, key: Key) -> Option<Record> {
-        let entry = self.entries.get(&key).filter(|entry| now < entry.expires_at)?;
+        let entry = self.entries.get(&key).filter(|entry| now < entry.get_expiry(now))?;
         Some(entry.describe(now, key))
     }
 
@@ -88,7 +93,7 @@
     /// Discards expired records from the oldest on.
     pub fn expire(&mut self, now: Millis) {
         while let Some(key) = self.order.front() {
-            if self.entries.get(key).is_some_and(|entry| now < entry.expires_at) {
+            if self.entries.get(key).is_some_and(|entry| now < entry.get_expiry(now)) {
                 break;
             }
             self.remove_oldest();
@@ -124,9 +129,10 @@
             standing: standing.clone(),
             expires_at,
             running: 0,
+            caller_deadline: 0,
             is_own: false,
         });
-        if now >= entry.expires_at {
+        if now >= entry.get_expiry(now) {
             entry.standing = standing;
         } else if entry.standing != standing {
             entry.standing = Standing::Ambiguous;
@@ -151,15 +157,23 @@
     }
 
     fn list(&self, now: Millis, is_listed: impl Fn(&Entry) -> bool) -> Vec<Record> {
-        let kept = self.entries.iter().filter(|(_, entry)| now < entry.expires_at);
+        let kept = self.entries.iter().filter(|(_, entry)| now < entry.get_expiry(now));
         let listed = kept.filter(|(_, entry)| is_listed(entry));
         listed.map(|(key, entry)| entry.describe(now, *key)).collect()
     }
 }
 
 impl Entry {
+    /// Returns when the record expires if nothing changes after `now`.
+    fn get_expiry(&self, now: Millis) -> Millis {
+        match self.running {
+            0 => self.expires_at,
+            _ => self.expires_at.max(self.caller_deadline.min(now + MAX_STREAM_AGE_MS)),
+        }
+    }
+
     fn describe(&self, now: Millis, key: Key) -> Record {
-        let expires_in = self.expires_at.saturating_sub(now);
+        let expires_in = self.get_expiry(now).saturating_sub(now);
         Record { key, standing: self.standing.clone(), expires_in }
     }
 
--- a/crates/gateway/src/node/stream_origins.rs
+++ b/crates/gateway/src/node/stream_origins.rs
@@ -44,7 +44,8 @@
 
 impl Drop for RunningStream {
     fn drop(&mut self) {
-        self.node.with(|state| state.stream_origins.end(self.key));
+        let now = self.node.now();
+        self.node.with(|state| state.stream_origins.end(now, self.key));
     }
 }
 
