fix(gateway): take a plain response with a length on a streaming route for what it is

Cause: a successful response without a content type on a streaming route was taken for a stream of events, so that a plain one was cut as one that ends inside an event.

Change: without a content type, a body whose length is known in advance is no stream of events.

--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -233,7 +233,7 @@
     node.count_cross_region_bytes(data_centre, exchange.body_bytes, 0);
     let (parts, response_body) = response.into_parts();
     let framing = get_framing(&parts, &response_body);
-    let content = get_content(&parts, exchange.route.kind.is_streaming());
+    let content = get_content(&parts, framing, exchange.route.kind.is_streaming());
     let fault = check_head(node, exchange, params.server, sent_at, &parts);
     if let Some(fault) = fault.filter(|fault| *fault != AttemptError::ServerError) {
         return Err((fault, None));
--- a/crates/gateway/src/exchange/server_body.rs
+++ b/crates/gateway/src/exchange/server_body.rs
@@ -66,16 +66,16 @@
     }
 }
 
-/// Returns what a response body consists of. A successful response on a streaming route is a stream
-/// of events unless its head names another type.
-pub(super) fn get_content(parts: &Parts, is_streaming_route: bool) -> Content {
+/// Returns what a response body consists of. If the head names no type, a successful response on a
+/// streaming route is a stream of events, unless its length is known in advance.
+pub(super) fn get_content(parts: &Parts, framing: Framing, is_streaming_route: bool) -> Content {
     let is_event_stream = match parts.headers.get(CONTENT_TYPE).map(|value| value.to_str()) {
         Some(Ok(name)) => {
             let name = name.split(';').next().unwrap_or("").trim();
             name.eq_ignore_ascii_case(EVENT_STREAM)
         }
         Some(Err(_)) => false,
-        None => is_streaming_route && parts.status.is_success(),
+        None => is_streaming_route && parts.status.is_success() && framing != Framing::Length,
     };
     if is_event_stream { Content::Events } else { Content::Opaque }
 }
