--- a/crates/core/src/serving/configuration.rs
+++ b/crates/core/src/serving/configuration.rs
@@ -85,7 +85,7 @@
         matches!(self, Self::Streaming { .. })
     }
 
-    /// Returns `true` if another server may go on with an interrupted response.
+    /// Returns `true` if another server may continue an interrupted response.
     pub fn is_resumable(self) -> bool {
         self == Self::Streaming { resumable: true }
     }
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -26,8 +26,7 @@
 //! | [`duty_lease`] | which node makes the calls that only one node at a time may make |
 //! | [`response_body`] | whether a response body is complete when it has ended |
 //! | [`event_stream`] | splits event streams into events and checks their order |
-//! | [`version_history`] | which software versions of a service may have begun a stream |
-//! | [`stream_origin`] | which software version began a stream, and may go on with it |
+//! | [`stream_origin`] | which software version began a stream, and may continue it |
 //! | [`demand`], [`throughput`], [`capacity`] | how many servers to order, where, and of which kind |
 //! | [`rollout`] | moves the traffic of a service to servers of another version |
 //! | [`quarantine`] | which requests crash the servers that run them |
--- a/crates/core/src/serving/stream_origin/decision.rs
+++ b/crates/core/src/serving/stream_origin/decision.rs
@@ -1,11 +1,11 @@
-//! Decides who may go on with a stream.
+//! Decides which servers may continue a stream.
 
 use std::collections::BTreeSet;
 
 use super::answer::Answer;
 use super::origin::Origin;
 
-/// Who may go on with a stream.
+/// Which servers may continue a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
     /// Servers of the origin that this node has recorded.
@@ -32,7 +32,7 @@
         }
     }
 
-    /// Returns the origin whose servers may go on.
+    /// Returns the origin whose servers may continue a stream.
     pub fn get_origin(&self) -> Option<&Origin> {
         match self {
             Self::Local(origin) | Self::Holder(origin) | Self::OnlyVersion(origin) => Some(origin),
@@ -41,7 +41,7 @@
     }
 }
 
-/// Decides who may go on with a stream, from what this node knows and from the answers of others.
+/// Decides which servers may continue a stream, from what this node knows and from the answers of others.
 pub fn decide(own: &Answer, answers: &[Answer]) -> Decision {
     match own {
         Answer::Known(origin) => return Decision::Local(origin.clone()),
--- a/crates/core/src/serving/stream_origin/mod.rs
+++ b/crates/core/src/serving/stream_origin/mod.rs
@@ -1,4 +1,4 @@
-//! The software version that began a stream, so that only servers of this version go on with it.
+//! The software version that began a stream, so that only servers of this version continue it.
 //!
 //! Servers of several software versions may serve side by side. What two versions write does not
 //! fit together. A node that begins a stream keeps its origin. While several versions of the service
@@ -14,7 +14,7 @@
 //! | `batch` | packs records into datagrams |
 //! | `possible` | lists the origins that a stream of unknown origin may have |
 //! | `answer` | defines what a node knows of a stream's origin |
-//! | `decision` | decides who may go on with a stream |
+//! | `decision` | decides which servers may continue a stream |
 
 mod answer;
 mod batch;
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -194,7 +194,7 @@
         /// Time since bytes were last written to the caller.
         resting_ms: u64,
     },
-    /// A request resumed a stream of an earlier request, or was refused because no server may go on.
+    /// A request resumed a stream of an earlier request, or was refused because no server may continue it.
     StreamResumed {
         request: &'a str,
         /// The request that began the stream.
--- a/crates/gateway/src/exchange/origin.rs
+++ b/crates/gateway/src/exchange/origin.rs
@@ -30,7 +30,7 @@
 ///
 /// # Errors
 ///
-/// Returns the reason for refusing the request if no server may go on with the stream.
+/// Returns the reason for refusing the request if no server may continue the stream.
 pub(super) async fn find(
     node: &Arc<Node>,
     request: &ResumeRequest<'_>,
@@ -53,7 +53,7 @@
     Ok(Some(Pin::Pinned { origin, _running: running }))
 }
 
-/// Returns the origin whose servers go on with a stream.
+/// Returns the origin whose servers continue a stream.
 fn check(node: &Node, services: &[&str], decision: &Decision) -> Result<Origin, Refusal> {
     let origin = decision.get_origin().ok_or(Refusal::UnknownStream)?;
     if !services.contains(&origin.service.as_str()) {
--- a/crates/gateway/src/exchange/pin.rs
+++ b/crates/gateway/src/exchange/pin.rs
@@ -6,7 +6,7 @@
 use crate::node::Node;
 use crate::node::stream_origins::RunningStream;
 
-/// The servers that may go on with a stream.
+/// The servers that may continue a stream.
 pub(super) enum Pin {
     /// Those of the software version that began it.
     Pinned {
@@ -20,7 +20,7 @@
 }
 
 impl Pin {
-    /// Returns `true` if a server may go on with the stream.
+    /// Returns `true` if a server may continue the stream.
     pub fn is_allowed(&self, server: &Server) -> bool {
         match self {
             Self::Pinned { origin, .. } => {
@@ -40,7 +40,7 @@
         self.get_origin().map(|origin| origin.version.as_str())
     }
 
-    /// Returns `true` if no server is left that may go on with the stream.
+    /// Returns `true` if no server is left that may continue the stream.
     pub fn is_gone(&self, node: &Node) -> bool {
         self.get_origin().is_none_or(|origin| !has_server(node, origin))
     }
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -85,7 +85,7 @@
     Box::pin(reader.into_stream(received))
 }
 
-/// Returns `true` if another server may go on with a response. An error response is pinned to no
+/// Returns `true` if another server may continue a response. An error response is pinned to no
 /// software version, and what another server sends does not belong to its status.
 fn is_resumable(exchange: &Exchange, status: u16, content: Content) -> bool {
     let is_resumable_route = exchange.route.kind == RouteKind::Streaming { resumable: true };
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -44,7 +44,7 @@
     pub relayed_for_peers: ReasonCounters,
     /// Streams resumed on another server.
     pub resumed: Counter,
-    /// Requests that resume streams, by who may go on.
+    /// Requests that resume streams, by how their origin was found.
     pub stream_resumes: ReasonCounters,
     /// Queries for the loads of servers that timed out.
     pub unanswered_load_questions: Counter,
--- a/crates/gateway/src/node/rollouts.rs
+++ b/crates/gateway/src/node/rollouts.rs
@@ -80,7 +80,7 @@
     })
 }
 
-/// Picks the servers that may go on with a stream of a software version; returns `None` if the
+/// Picks the servers that may continue a stream of a software version; returns `None` if the
 /// rollout lets this version have no requests now.
 pub(crate) fn pick_resume_filter(
     node: &Node,
--- a/crates/gateway/src/node/stream_origins.rs
+++ b/crates/gateway/src/node/stream_origins.rs
@@ -52,7 +52,7 @@
 /// The origin of a stream that a request resumes.
 #[derive(Debug)]
 pub(crate) struct Finding {
-    /// Who may go on with the stream.
+    /// Who may continue the stream.
     pub decision: Decision,
     /// The time that other nodes were asked for, in milliseconds.
     pub asked_ms: Option<Millis>,
