fix(backpressure): grant the slots of brittle servers to the requests of all nodes

Cause: no code read the signal. Each node picked a server by loads that are up to 200 ms old, so several nodes used the same slot; a rejected request went to another server, which was full as well; and a crash sent its load to the others. Evidence: of 60 rejections at 60% of the load 35 were of first attempts, and all eight servers were down within 0.2 s.

Ruled out by a model: an equal share of the slots for each node spares the servers, but serves 12 to 71 in 100 of a load that fits.

Change: the owner of a brittle server sums what all nodes state to have there and grants its slots; rejections lower a server's bound. Nodes that know nothing ask too.

--- a/crates/core/src/serving/backpressure/signal.rs
+++ b/crates/core/src/serving/backpressure/signal.rs
@@ -12,11 +12,14 @@
     pub back_off: Option<Millis>,
     /// Whether the server is leaving.
     pub is_leaving: bool,
+    /// Rejections per second that the server bears, if it is brittle: it crashes above that.
+    pub max_rejections: Option<u32>,
 }
 
 impl Signal {
     /// Returns `true` if the response has no backpressure signal.
     pub fn is_empty(&self) -> bool {
-        self.rate_limit.is_none() && self.back_off.is_none() && !self.is_leaving
+        let Self { rate_limit, back_off, is_leaving, max_rejections } = self;
+        rate_limit.is_none() && back_off.is_none() && !is_leaving && max_rejections.is_none()
     }
 }
--- a/crates/core/tests/serving/backpressure.rs
+++ b/crates/core/tests/serving/backpressure.rs
@@ -58,7 +58,7 @@
         let server = make_server("s-1");
         let mut random = Rng::with_seed(seed);
         let known = (0..nodes).map(|_| {
-            let mut known = Tracker::new(random.f64());
+            let mut known = Tracker::new(random.f64(), random.u64(..));
             known.record(0, 0, &server, &signal(Some(limit)));
             known
         });
@@ -338,7 +338,7 @@
 fn the_longer_of_a_back_off_and_a_denial_applies() {
     let mut tracker = Tracker::default();
     let server = make_server("s-1");
-    let both = Signal { rate_limit: Some(1.0), back_off: Some(3_000), is_leaving: false };
+    let both = Signal { rate_limit: Some(1.0), back_off: Some(3_000), ..Signal::default() };
     tracker.record(0, 0, &server, &both);
     let denied = Decision::Denied { retry_after: 500 };
     assert!(!tracker.apply_decision(0, InstanceKey::of(&server), denied, UNDECIDED_PERIOD_MS));
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -1,6 +1,8 @@
 //! Unit and property tests of the decisions for relayed exchanges.
 
 mod backpressure;
+mod brittle_fleet;
+mod brittle_servers;
 mod capacity;
 mod choice;
 mod configuration;
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -19,7 +19,7 @@
 use super::way;
 use crate::event::{self, Event};
 use crate::http::{Body, get_framing};
-use crate::node::{Node, ReservationGuard, crashes, record_load_change, watch};
+use crate::node::{Node, ReservationGuard, crashes, record_load_change, slots, watch};
 use crate::port::{ForwardContext, ResponseHead};
 use crate::runtime;
 
@@ -138,6 +138,7 @@
             state.loads.begin(&server.id, &cost);
             state.demand.begin_request(&server.service);
         });
+        slots::record_begin(node, &server.id);
         record_load_change(node, &server.id, true);
         let (service, server) = (server.service.clone(), server.id.clone());
         let started_at = node.now();
@@ -168,6 +169,7 @@
             state.loads.end(&self.server, &self.cost, had_first_token);
             state.demand.end_request(&self.service);
         });
+        slots::record_end(&self.node, short_id(&self.server));
         record_load_change(&self.node, &self.server, false);
     }
 }
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -87,7 +87,7 @@
         }
         Err((error, response)) => {
             if error == AttemptError::NotConnected {
-                permits::release_unused(node, server, pick.permit).await;
+                permits::return_unused(node, server, pick.permit).await;
             }
             record_failure(node, exchange, record, server, error);
             if error.may_have_run() {
@@ -188,7 +188,7 @@
         .await
         .map_err(|rejection| progress.reject(rejection.reason, rejection.retry_after))?;
     if let Err(rejection) = check_before_send(node, exchange, progress, now) {
-        permits::release_unused(node, &pick.server, pick.permit).await;
+        permits::release(node, &pick.server, pick.permit).await;
         return Err(rejection);
     }
     Ok(pick)
--- a/crates/gateway/src/exchange/pick/region.rs
+++ b/crates/gateway/src/exchange/pick/region.rs
@@ -121,9 +121,9 @@
             && !self.is_unavailable(state, server)
     }
 
-    /// Returns `true` if the server is throttled, or is skipped because it has a rate limit.
+    /// Returns `true` if the server is throttled, or is skipped because it requires a permit.
     fn is_unavailable(&self, state: &State, server: &Server) -> bool {
-        let is_limited = || state.backpressure.get_limit(self.now, server).is_some();
+        let is_limited = || state.backpressure.requires_permit(self.now, server);
         state.is_throttled(self.now, server) || (self.attempts.skips_limited && is_limited())
     }
 }
--- a/crates/gateway/src/exchange/signals.rs
+++ b/crates/gateway/src/exchange/signals.rs
@@ -5,7 +5,7 @@
 use keeljunction_core::serving::directory::{Departure, Server};
 
 use crate::event::{self, Event};
-use crate::node::{Node, Notification, watch};
+use crate::node::{Node, Notification, slots, watch};
 use crate::port::{ResponseHead, UnreadableHeader};
 
 /// A response that carries a signal.
@@ -36,6 +36,9 @@
     if is_superseded || (signal.is_empty() && !has_run) {
         return;
     }
+    if status == StatusCode::SERVICE_UNAVAILABLE && head.is_not_executed {
+        slots::record_rejection(node, server);
+    }
     node.metrics.count_signal(signal);
     let now = node.now();
     let update = node.with(|state| {
@@ -47,7 +50,11 @@
     });
     let departure = Departure { server: server.id.clone(), incarnation: server.incarnation };
     let is_new_departure = signal.is_leaving && watch::apply_departure(node, &departure);
-    if update.limit.is_some() || update.back_off_until.is_some() || is_new_departure {
+    let is_news = update.limit.is_some()
+        || update.back_off_until.is_some()
+        || update.brittleness.is_some()
+        || is_new_departure;
+    if is_news {
         event::emit(&Event::ServerSignal {
             server: &server.id,
             service: &server.service,
@@ -55,11 +62,15 @@
             rate_limit: signal.rate_limit,
             back_off_ms: signal.back_off,
             is_leaving: signal.is_leaving,
+            max_rejections: signal.max_rejections,
         });
     }
     if let Some(observation) = update.limit {
         node.notify_peers(Notification::LimitObserved(observation));
     }
+    if let Some(observation) = update.brittleness {
+        slots::notify(node, observation);
+    }
     if is_new_departure {
         node.notify_peers(Notification::ServerLeaving(departure));
     }
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -38,6 +38,8 @@
     quarantined: Gauge<i64, AtomicI64>,
     limited: Gauge<i64, AtomicI64>,
     in_back_off: Gauge<i64, AtomicI64>,
+    brittle_services: Gauge<i64, AtomicI64>,
+    bounded_servers: Gauge<i64, AtomicI64>,
     skipped_entries: Gauge<i64, AtomicI64>,
     stream_records: Gauge<i64, AtomicI64>,
 }
@@ -139,6 +141,16 @@
             "Servers that take no request from this node for a time",
             self.in_back_off.clone(),
         );
+        registry.register(
+            "brittle_services",
+            "Services whose servers bear only a few rejections per second",
+            self.brittle_services.clone(),
+        );
+        registry.register(
+            "bounded_servers",
+            "Brittle servers of this node that get fewer requests than they have slots",
+            self.bounded_servers.clone(),
+        );
         registry.register(
             "quarantined_requests",
             "Requests that are refused because servers crashed under them",
@@ -173,6 +185,8 @@
             self.stream_records.set(state.stream_origins.len() as i64);
             self.quarantined.set(state.quarantine.count_quarantined(now) as i64);
             self.in_back_off.set(state.backpressure.count_in_back_off(now) as i64);
+            self.brittle_services.set(state.backpressure.count_brittle(now) as i64);
+            self.bounded_servers.set(state.backpressure.count_bounded() as i64);
             self.limited.set(state.backpressure.count_limited() as i64);
             let age = state.freshness.get_age(now);
             self.configuration_age.set(age.map_or(-1.0, |age| age as f64 / 1_000.0));
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -54,6 +54,10 @@
     pub unanswered_permit_questions: Counter,
     /// Permits for rate-limited servers that were denied or not decided in time.
     pub permits_denied: Counter,
+    /// Slots of brittle servers that were denied or not decided in time.
+    pub slots_denied: Counter,
+    /// Requests that brittle servers rejected for lack of room.
+    pub brittle_rejections: Counter,
     /// Bytes of requests sent to other regions.
     pub region_bytes_sent: Family<RegionLabels, Counter>,
     /// Bytes of responses received from other regions.
@@ -107,6 +111,8 @@
             unanswered_quota_questions: Counter::default(),
             unanswered_permit_questions: Counter::default(),
             permits_denied: Counter::default(),
+            slots_denied: Counter::default(),
+            brittle_rejections: Counter::default(),
             region_bytes_sent: Family::default(),
             region_bytes_received: Family::default(),
             spilled: Family::default(),
@@ -203,6 +209,16 @@
             "Permits for limited servers that were denied, or not decided about",
             self.permits_denied.clone(),
         );
+        registry.register(
+            "slots_denied",
+            "Slots of brittle servers that were denied, or not decided about",
+            self.slots_denied.clone(),
+        );
+        registry.register(
+            "brittle_rejections",
+            "Requests that brittle servers rejected for lack of room",
+            self.brittle_rejections.clone(),
+        );
         registry.register_with_unit(
             "region_sent",
             "Bodies of requests that went to another region",
@@ -291,6 +307,7 @@
             ("rate_limit", signal.rate_limit.is_some()),
             ("back_off", signal.back_off.is_some()),
             ("leaving", signal.is_leaving),
+            ("brittle", signal.max_rejections.is_some()),
         ];
         for (reason, _) in signals.into_iter().filter(|(_, is_set)| *is_set) {
             self.signals.get_or_create(&ReasonLabels { reason: reason.to_owned() }).inc();
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -67,4 +67,5 @@
 pub(crate) use peers::quarantine::record_request_completed;
 pub(crate) use peers::quota::consume as consume_units;
 pub(crate) use peers::server_relay::send as send_through_peer;
+pub(crate) use peers::slots;
 pub use state::Node;
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -1,7 +1,9 @@
 //! The datagrams between nodes.
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::backpressure::{self, InstanceKey, Observation};
+use keeljunction_core::serving::backpressure::{
+    self, Brittleness, Holding, InstanceKey, Observation, SlotRequest,
+};
 use keeljunction_core::serving::directory::{Batch, Departure};
 use keeljunction_core::serving::freshness::Versions;
 use keeljunction_core::serving::load::{Load, RequestCost};
@@ -141,6 +143,33 @@
         /// What the holder knows.
         answer: Answer,
     },
+    /// Requests a slot from the owner of a server.
+    RequestSlot {
+        /// Identifies the request at its sender.
+        query_id: u32,
+        /// The request.
+        request: SlotRequest,
+        /// The server's data centre; empty with a single region.
+        data_centre: String,
+    },
+    /// The answer to `RequestSlot`.
+    Slot {
+        /// The request.
+        query_id: u32,
+        /// The owner's decision.
+        decision: backpressure::Decision,
+    },
+    /// The sender's requests at servers, for the owner of the servers.
+    SlotsHeld(Vec<Holding>),
+    /// A brittle server rejected a request for lack of room; for the owner of the server.
+    SlotRejected {
+        /// The server.
+        key: InstanceKey,
+        /// Rejections per second that the server bears.
+        max_rejections: u32,
+    },
+    /// The services known to the sender whose servers are brittle.
+    BrittleServices(Vec<Brittleness>),
 }
 
 /// The sender of a report.
@@ -277,6 +306,8 @@
         /// The expected prefill time of its prompt.
         prefill_ms: Millis,
     },
+    /// The servers of a service have become brittle, or are no longer.
+    BrittlenessChanged(Brittleness),
 }
 
 /// An encoded message, to which a header for each recipient is added.
--- a/crates/gateway/src/node/peers/mod.rs
+++ b/crates/gateway/src/node/peers/mod.rs
@@ -39,6 +39,7 @@
 pub(super) mod report;
 pub(super) mod report_target;
 pub(crate) mod server_relay;
+pub(crate) mod slots;
 pub(super) mod stream_origins;
 mod summary_relay;
 mod versions;
@@ -58,6 +59,7 @@
     runtime::spawn(versions::run(node.clone()));
     runtime::spawn(notifications::send(node.clone()));
     runtime::spawn(loads::send_changes(node.clone()));
+    runtime::spawn(slots::send_changes(node.clone()));
 }
 
 async fn listen(node: Arc<Node>) {
@@ -101,6 +103,21 @@
                 permits::handle_decision(&node, from, query_id, key, decision).await;
             }
             Message::ReleasePermit(key) => permits::handle_release(&node, key),
+            Message::RequestSlot { query_id, request, data_centre } => {
+                slots::answer_request(&node, from, query_id, &request, &data_centre).await;
+            }
+            Message::Slot { query_id, decision } => {
+                slots::handle_decision(&node, query_id, decision);
+            }
+            Message::SlotsHeld(holdings) => slots::handle_holdings(&node, &holdings),
+            Message::SlotRejected { key, max_rejections } => {
+                slots::handle_rejection(&node, key, max_rejections);
+            }
+            Message::BrittleServices(observations) => {
+                for observation in &observations {
+                    slots::apply_brittleness(&node, observation);
+                }
+            }
             Message::ServerCrashed(end) => quarantine::handle_report(&node, &end),
             Message::RequestCompleted(fingerprint) => {
                 quarantine::handle_completed(&node, fingerprint);
--- a/crates/gateway/src/node/peers/notifications.rs
+++ b/crates/gateway/src/node/peers/notifications.rs
@@ -17,7 +17,7 @@
 use keeljunction_core::serving::usage::{Counts, WindowNumber};
 
 use super::message::{Message, Notification};
-use super::{calls, permits, quarantine};
+use super::{calls, permits, quarantine, slots};
 use crate::node::state::State;
 use crate::node::{Node, rollouts, table, watch};
 use crate::runtime;
@@ -55,7 +55,7 @@
 }
 
 /// Lists the other aggregators of this region and the carriers of the other regions.
-fn list_aggregators(state: &State, now: Millis) -> Vec<SocketAddr> {
+pub(super) fn list_aggregators(state: &State, now: Millis) -> Vec<SocketAddr> {
     let mut to = state.members.list_exchange_peers(now);
     to.extend(state.members.list_carriers(now, 0).concat());
     to
@@ -96,6 +96,11 @@
                 forward(node, from, notification).await;
             }
         }
+        Notification::BrittlenessChanged(observation) => {
+            if slots::apply_brittleness(node, &observation) {
+                forward(node, from, notification).await;
+            }
+        }
         Notification::ServerLeaving(ref departure) => {
             if watch::apply_departure(node, departure) {
                 forward(node, from, notification).await;
--- a/crates/gateway/src/node/peers/permits.rs
+++ b/crates/gateway/src/node/peers/permits.rs
@@ -13,6 +13,7 @@
 use keeljunction_core::serving::directory::Server;
 
 use super::message::Message;
+use super::slots;
 use crate::node::Node;
 use crate::node::state::State;
 
@@ -21,7 +22,7 @@
 const DECISION_TIMEOUT_MS: Millis = 40;
 /// How long a node that got no decision sends nothing to the server: one report period, after which
 /// it may have found another owner.
-const UNDECIDED_BACK_OFF_MS: Millis = 200;
+pub(super) const UNDECIDED_BACK_OFF_MS: Millis = 200;
 
 /// A permit to send a request to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,15 +34,28 @@
 }
 
 /// The node that owns a server.
-struct Owner {
-    address: SocketAddr,
+pub(super) struct Owner {
+    /// Its address for other nodes.
+    pub(super) address: SocketAddr,
     /// Its region; `None` if it is this node's region.
     remote_region: Option<String>,
 }
 
-/// Acquires a permit to send a request to a server; returns `None` if the server does not accept
-/// one now.
+/// Acquires a permit to send a request to a server, and a slot if it is brittle; returns `None` if
+/// the server does not accept one now.
 pub(crate) async fn acquire(node: &Node, server: &Server) -> Option<Permit> {
+    if !slots::acquire(node, server).await {
+        return None;
+    }
+    let permit = acquire_permit(node, server).await;
+    if permit.is_none() {
+        slots::release(node, server);
+    }
+    permit
+}
+
+/// Acquires a permit to send a request to a server, if the server is rate-limited.
+async fn acquire_permit(node: &Node, server: &Server) -> Option<Permit> {
     let now = node.now();
     let observation = node.with(|state| state.backpressure.get_limit(now, server));
     let permit = match observation {
@@ -51,22 +65,39 @@
     // The server may have requested a backoff while the decision was pending.
     let now = node.now();
     if node.with(|state| state.is_throttled(now, server)) {
-        release_unused(node, server, permit).await;
+        return_unused(node, server, permit).await;
         return None;
     }
     Some(permit)
 }
 
-/// Acquires a permit from the owner of a limited server.
-async fn acquire_counted(node: &Node, server: &Server, observation: Observation) -> Option<Permit> {
-    let owner = node.with(|state| {
-        let found = state.members.find_load_owner(observation.key.server, &server.data_centre)?;
+/// Finds the node that owns a server, or `None` if this node does.
+pub(super) fn find_owner(node: &Node, key: InstanceKey, data_centre: &str) -> Option<Owner> {
+    node.with(|state| {
+        let found = state.members.find_load_owner(key.server, data_centre)?;
         let remote_region = found.remote_region.map(str::to_owned);
         Some(Owner { address: found.address, remote_region })
-    });
+    })
+}
+
+/// Returns the data centre that a message to an owner names; empty with a single region.
+pub(super) fn get_region_hint(node: &Node, data_centre: &str) -> String {
+    match node.topology.is_multi_region() {
+        true => data_centre.to_owned(),
+        false => String::new(),
+    }
+}
+
+/// Acquires a permit from the owner of a limited server.
+async fn acquire_counted(node: &Node, server: &Server, observation: Observation) -> Option<Permit> {
+    let owner = find_owner(node, observation.key, &server.data_centre);
     let now = node.now();
     let decision = match &owner {
-        Some(owner) => request_from_owner(node, owner, server, observation).await,
+        Some(owner) => {
+            let data_centre = get_region_hint(node, &server.data_centre);
+            let make = |query_id| Message::RequestPermit { query_id, observation, data_centre };
+            request_decision(node, owner, make).await
+        }
         None => node.with(|state| decide(state, now, &server.data_centre, &observation)),
     };
     let now = node.now();
@@ -83,20 +114,15 @@
     })
 }
 
-/// Requests a decision from the owner of a server; undecided if it does not answer in time.
-async fn request_from_owner(
+/// Requests a decision from the owner of a server, with the message that `make` creates for a query
+/// ID; undecided if the owner does not answer in time.
+pub(super) async fn request_decision(
     node: &Node,
     owner: &Owner,
-    server: &Server,
-    observation: Observation,
+    make: impl FnOnce(u32) -> Message,
 ) -> Decision {
     let query = node.pending_permits.begin();
-    let data_centre = match node.topology.is_multi_region() {
-        true => server.data_centre.clone(),
-        false => String::new(),
-    };
-    let message = Message::RequestPermit { query_id: query.id, observation, data_centre };
-    node.link.send(node.now(), owner.address, &message).await;
+    node.link.send(node.now(), owner.address, &make(query.id)).await;
     let wait = owner.remote_region.as_deref().map_or(DECISION_TIMEOUT_MS, |region| {
         node.with(|state| state.round_trips.get_timeout(region, DECISION_TIMEOUT_MS))
     });
@@ -107,8 +133,14 @@
     })
 }
 
-/// Returns the permit of a request that was not sent.
-pub(crate) async fn release_unused(node: &Node, server: &Server, permit: Permit) {
+/// Releases the permit and the slot of a server to which the request is not going to be sent.
+pub(crate) async fn release(node: &Node, server: &Server, permit: Permit) {
+    slots::release(node, server);
+    return_unused(node, server, permit).await;
+}
+
+/// Returns the permit of a request that was not sent, whose slot is no longer claimed.
+pub(crate) async fn return_unused(node: &Node, server: &Server, permit: Permit) {
     let key = InstanceKey::of(server);
     match permit {
         Permit::Unlimited => {}
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -17,7 +17,7 @@
 
 use super::message::{Message, Overview, Report, Sender, Summary, Totals};
 use super::report_target::{ReportTarget, Samples, buffer_samples};
-use super::{calls, loads, permits, quarantine, summary_relay, versions};
+use super::{calls, loads, permits, quarantine, slots, summary_relay, versions};
 use crate::event::{self, Event};
 use crate::node::pause_detector::PauseDetector;
 use crate::node::state::State;
@@ -49,6 +49,7 @@
             fetch_roster_delta(&node, now);
         }
         quarantine::step(&node).await;
+        slots::step(&node, turn).await;
         turn += 1;
         let spent = Duration::from_millis(node.now().saturating_sub(now));
         let period = node.with(|state| state.members.get_period());
@@ -69,6 +70,7 @@
     state.members.refresh(now);
     state.loads.expire(now);
     state.backpressure.expire(now);
+    state.backpressure.record_owners(now, &state.members.list_aggregator_ids());
     state.demand.sample_all(now);
     state.throughputs.values_mut().for_each(|throughput| throughput.rate_servers(now));
     let own_aggregator = state.members.get_own_aggregator();
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -46,6 +46,7 @@
 use super::peers::pending_queries::PendingQueries;
 use super::peers::relay_state::RelayState;
 use super::peers::report_target::{ReportTarget, Samples};
+use super::peers::slots;
 use super::skipped;
 use super::stream_origins::Publications;
 use crate::active_responses::ActiveResponses;
@@ -107,6 +108,8 @@
     pub(super) pending_decisions: PendingQueries<quota::Decision>,
     /// Permit requests that await the decision of the server's owner.
     pub(super) pending_permits: PendingQueries<backpressure::Decision>,
+    /// Changes of the slots that this node uses, to be sent to the owners of the servers.
+    pub(super) slot_changes: (Sender<slots::Change>, Receiver<slots::Change>),
     /// Queries for the origins of streams that await the answers of their holders.
     pub(super) pending_stream_origins: PendingQueries<stream_origin::Answer>,
     /// Services whose streams' origins are to be sent to their holders.
@@ -308,7 +311,7 @@
             skipped_entries: skipped::Entries::default(),
             loads: LoadTracker::default(),
             health: Health::default(),
-            backpressure: backpressure::Tracker::new(fastrand::f64()),
+            backpressure: backpressure::Tracker::new(fastrand::f64(), incarnation.number),
             paths: Paths::default(),
             in_flight_bytes: in_flight_bytes::Limiter::default(),
             quarantine: quarantine::Tracker::default(),
@@ -352,6 +355,7 @@
             pending_loads: pending_loads::Pending::default(),
             pending_decisions: PendingQueries::default(),
             pending_permits: PendingQueries::default(),
+            slot_changes: async_channel::bounded(slots::CHANGE_CAPACITY),
             pending_stream_origins: PendingQueries::default(),
             stream_publications: Publications::default(),
             interrupted_attempts: interrupted_attempts::Pending::default(),
