fix(backpressure): let a brittle server's bound rise every 1.5 s

Cause: for about a second after a start of all nodes, two nodes may both own a server; the rejections that follow halve a server of two slots for 2 s.

Change: the bound rises after 1.5 s without a rejection, which still leaves at most two rejections in a second.

--- a/crates/core/src/serving/backpressure/slot_pools.rs
+++ b/crates/core/src/serving/backpressure/slot_pools.rs
@@ -40,7 +40,7 @@
 /// the window. The rest is for requests in transit, and for owners that do not know of each other.
 const TOLERATED_REJECTIONS_DIVISOR: u32 = 2;
 /// The time without a rejection after which one more slot is granted, up to all.
-const RAISE_INTERVAL_MS: Millis = 2_000;
+const RAISE_INTERVAL_MS: Millis = 1_500;
 /// How long an unused pool is kept.
 const IDLE_TTL_MS: Millis = 60_000;
 
