fix(quarantine): refuse a part of prompts that crashes servers

Callers lost their streams again and again: requests with one part in their prompts, no two alike, crashed each server that began to respond.

Cause: blame falls on the whole request. Ruled out: crashes that are not seen (all 11 servers until 18 s were reported), and a late owner (each request with three crashes was refused within 0.4 s).

Change: the parts of a prompt but the last are fingerprinted, reported, suspected, cleared by what was completed, judged and refused like requests, in the same analysis: a part explains crashes of requests, and a quarantined request does not count for a part. A node refuses the request before its body is read. Interruptions at servers that listen again are evidence against parts, not against requests. An empty response that ends with its connection completes nothing.

--- a/crates/core/src/serving/quarantine/crash_analyzer.rs
+++ b/crates/core/src/serving/quarantine/crash_analyzer.rs
@@ -1,16 +1,21 @@
-//! Decides, at a service's owner, which request crashes servers.
+//! Decides, at a service's owner, which request or part of prompts crashes servers.
 //!
 //! The analysis explains the crashes by as few requests as possible. A request with several
 //! consecutive crashes counts as the cause if no other request ran at as many of the crashed
 //! servers; the others are judged by the remaining crashes. A request that merely ran next to the
-//! cause has fewer crashes than the cause, and none once the cause is known.
+//! cause has fewer crashes than the cause, and none once the cause is known. The same holds for parts
+//! that prompts share (`part_suspects`): a part that explains crashes clears the requests, and a
+//! request is not the cause while a part of others explains its crashes as well.
 //!
 //! The alternative, counting three crashes for each request separately, at each node and at the
 //! owner, is measured against this in `tests/serving/quarantine_trials.rs`.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use super::{CompletedRequests, Crash, Fingerprint, QUARANTINE_PERIOD_MS, Standing, Verdict};
+use super::part_suspects::{self, PartSuspect, PartSuspects};
+use super::{
+    CompletedRequests, Crash, Fingerprint, PromptCrash, QUARANTINE_PERIOD_MS, Standing, Verdict,
+};
 use crate::Millis;
 
 /// Consecutive crashes of a request, with no other explanation, after which it is quarantined. One
@@ -57,12 +62,33 @@
 
 /// The crash of a server.
 #[derive(Clone, Debug)]
-struct Record {
-    service: u64,
+pub(super) struct Record {
+    pub service: u64,
     server: u64,
-    at: Millis,
+    pub at: Millis,
     /// The interrupted requests, with the times at which they were sent.
     runs: BTreeMap<Fingerprint, Millis>,
+    /// The parts of interrupted prompts.
+    pub parts: BTreeMap<Fingerprint, Vec<Run>>,
+}
+
+/// An interrupted request with a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Run {
+    pub request: Fingerprint,
+    pub sent_at: Millis,
+}
+
+impl Record {
+    /// Returns the number of remembered requests and parts.
+    fn count_entries(&self) -> usize {
+        self.runs.len() + self.parts.values().map(Vec::len).sum::<usize>()
+    }
+
+    /// Returns `true` if nothing is suspected any more.
+    fn is_empty(&self) -> bool {
+        self.runs.is_empty() && self.parts.is_empty()
+    }
 }
 
 /// A request that was running when servers crashed.
@@ -89,43 +115,77 @@
         if runs.is_empty() {
             return;
         }
-        self.has_unjudged = true;
-        let is_same =
-            |old: &&mut Record| old.server == crash.server && old.at.abs_diff(at) < DEDUP_WINDOW_MS;
-        match self.crashes.iter_mut().find(is_same) {
-            Some(known) => runs.into_iter().for_each(|(fingerprint, sent_at)| {
-                known.runs.entry(fingerprint).or_insert(sent_at);
-            }),
-            None => self.crashes.push_back(Record {
-                service: crash.service,
-                server: crash.server,
-                at,
-                runs: runs.into_iter().collect(),
-            }),
+        let known = self.get_record(crash.service, crash.server, at);
+        for (fingerprint, sent_at) in runs {
+            known.runs.entry(fingerprint).or_insert(sent_at);
+        }
+        self.expire(now);
+    }
+
+    /// Records the parts in a node's report, without those of prompts that were completed recently.
+    pub fn record_prompts(
+        &mut self,
+        now: Millis,
+        crash: &PromptCrash,
+        completed: &CompletedRequests,
+    ) {
+        let at = now.saturating_sub(crash.age);
+        let mut parts: Vec<(Fingerprint, Run)> = Vec::new();
+        for prompt in &crash.prompts {
+            let run = Run { request: prompt.request, sent_at: at.saturating_sub(prompt.ran_for) };
+            let suspected = prompt.parts.iter().filter(|part| !completed.is_known(now, **part));
+            parts.extend(suspected.map(|part| (*part, run)));
+        }
+        if parts.is_empty() {
+            return;
+        }
+        let known = self.get_record(crash.service, crash.server, at);
+        for (part, run) in parts {
+            let runs = known.parts.entry(part).or_default();
+            if !runs.iter().any(|known| known.request == run.request) {
+                runs.push(run);
+            }
         }
         self.expire(now);
     }
 
+    /// Returns the record of a crash, and creates it if it is new.
+    fn get_record(&mut self, service: u64, server: u64, at: Millis) -> &mut Record {
+        self.has_unjudged = true;
+        let is_same = |old: &Record| old.server == server && old.at.abs_diff(at) < DEDUP_WINDOW_MS;
+        let index = self.crashes.iter().position(is_same).unwrap_or_else(|| {
+            let (runs, parts) = (BTreeMap::new(), BTreeMap::new());
+            self.crashes.push_back(Record { service, server, at, runs, parts });
+            self.crashes.len() - 1
+        });
+        &mut self.crashes[index]
+    }
+
     /// Removes expired crashes, and the oldest ones above the capacity.
     fn expire(&mut self, now: Millis) {
         self.crashes.retain(|crash| now < crash.at + EVIDENCE_TTL_MS);
         self.quarantined.retain(|_, until| now < *until);
-        let mut runs: usize = self.crashes.iter().map(|crash| crash.runs.len()).sum();
-        while self.crashes.len() > CRASH_CAPACITY || runs > RUN_CAPACITY {
+        let mut entries: usize = self.crashes.iter().map(Record::count_entries).sum();
+        while self.crashes.len() > CRASH_CAPACITY || entries > RUN_CAPACITY {
             let Some(oldest) = self.crashes.pop_front() else { break };
-            runs -= oldest.runs.len();
+            entries -= oldest.count_entries();
         }
         let crashes = &self.crashes;
-        self.suspected.retain(|known| crashes.iter().any(|crash| crash.runs.contains_key(known)));
+        self.suspected.retain(|known| {
+            let is_in =
+                |crash: &Record| crash.runs.contains_key(known) || crash.parts.contains_key(known);
+            crashes.iter().any(is_in)
+        });
     }
 
-    /// Records that a server completed a request. Returns `true` if it was suspected or
-    /// quarantined.
+    /// Records that a server completed a request, or one with a part. Returns `true` if it was
+    /// suspected or quarantined.
     pub fn record_completion(&mut self, fingerprint: Fingerprint) -> bool {
         for crash in &mut self.crashes {
             crash.runs.remove(&fingerprint);
+            crash.parts.remove(&fingerprint);
         }
-        self.crashes.retain(|crash| !crash.runs.is_empty());
+        self.crashes.retain(|crash| !crash.is_empty());
         let was_suspected = self.suspected.remove(&fingerprint);
         self.quarantined.remove(&fingerprint).is_some() || was_suspected
     }
@@ -152,36 +212,96 @@
         *known = until.max(*known);
     }
 
-    /// Returns the requests that become suspected or quarantined.
+    /// Returns the requests and parts that become suspected or quarantined.
     pub fn judge(&mut self, now: Millis) -> Vec<Verdict> {
         if !self.has_unjudged {
             return Vec::new();
         }
         self.has_unjudged = self.crashes.iter().any(|crash| now < crash.at + SETTLE_PERIOD_MS);
         let mut verdicts = self.find_suspected(now);
+        verdicts.extend(self.find_suspected_parts(now));
         // Each cause that is found leaves fewer crashes to explain.
         loop {
-            let suspects = self.collect_suspects(|crash| now >= crash.at + SETTLE_PERIOD_MS);
+            let found = self.find_part_causes(now);
+            if found.is_empty() {
+                break;
+            }
+            verdicts.extend(found);
+        }
+        loop {
+            let is_settled = |crash: &Record| now >= crash.at + SETTLE_PERIOD_MS;
+            let suspects = self.collect_suspects(is_settled);
+            let parts = self.collect_parts(is_settled);
             let found: Vec<Fingerprint> = suspects
                 .keys()
-                .filter(|fingerprint| self.is_cause(**fingerprint, &suspects))
+                .filter(|fingerprint| self.is_cause(**fingerprint, &suspects, &parts))
                 .copied()
                 .collect();
             if found.is_empty() {
                 return verdicts;
             }
             for fingerprint in found {
-                self.remember_quarantined(
-                    now,
-                    fingerprint,
-                    now + QUARANTINE_PERIOD_MS + EVIDENCE_TTL_MS,
-                );
+                self.quarantine(now, fingerprint);
                 let (standing, left) = (Standing::Quarantined, QUARANTINE_PERIOD_MS);
                 verdicts.push(make_verdict(fingerprint, &suspects, standing, left));
             }
         }
     }
 
+    fn quarantine(&mut self, now: Millis, fingerprint: Fingerprint) {
+        let until = now + QUARANTINE_PERIOD_MS + EVIDENCE_TTL_MS;
+        self.remember_quarantined(now, fingerprint, until);
+    }
+
+    /// Returns the parts that become suspected.
+    fn find_suspected_parts(&mut self, now: Millis) -> Vec<Verdict> {
+        let suspects = self.collect_parts(|crash| now >= crash.at);
+        let mut verdicts = Vec::new();
+        for (part, suspect) in &suspects {
+            if suspect.indexes.len() >= SUSPICION_THRESHOLD as usize && self.suspected.insert(*part)
+            {
+                verdicts.push(Verdict {
+                    fingerprint: *part,
+                    service: suspect.service,
+                    standing: Standing::Suspected,
+                    left: SUSPICION_TTL_MS,
+                    servers_crashed: suspect.crashes,
+                });
+            }
+        }
+        verdicts
+    }
+
+    /// Quarantines the parts that are the causes of crashes.
+    fn find_part_causes(&mut self, now: Millis) -> Vec<Verdict> {
+        let suspects = self.collect_parts(|crash| now >= crash.at + SETTLE_PERIOD_MS);
+        let is_cause = |(part, suspect): &(&Fingerprint, &PartSuspect)| {
+            suspect.is_cause(**part, &suspects, self.quarantined.contains_key(part))
+        };
+        let causes: Vec<_> = suspects.iter().filter(is_cause).collect();
+        causes.iter().for_each(|(part, _)| self.quarantine(now, **part));
+        let verdicts = causes.into_iter().map(|(part, suspect)| Verdict {
+            fingerprint: *part,
+            service: suspect.service,
+            standing: Standing::Quarantined,
+            left: QUARANTINE_PERIOD_MS,
+            servers_crashed: suspect.crashes,
+        });
+        verdicts.collect()
+    }
+
+    /// Collects the parts that ran at crashed servers, without the crashes that a quarantined part
+    /// explains.
+    fn collect_parts(&self, is_included: impl Fn(&Record) -> bool) -> PartSuspects {
+        let included = self.crashes.iter().enumerate().filter(|(_, crash)| {
+            is_included(crash) && !crash.parts.keys().any(|part| self.is_caused_by(*part, crash))
+        });
+        let mut ordered: Vec<(usize, &Record)> = included.collect();
+        ordered.sort_by_key(|(_, crash)| crash.at);
+        let is_explained = |request, crash: &Record| self.is_caused_by(request, crash);
+        part_suspects::collect(ordered.into_iter(), is_explained)
+    }
+
     /// Returns the requests that become suspected.
     fn find_suspected(&mut self, now: Millis) -> Vec<Verdict> {
         let suspects = self.collect_suspects(|crash| now >= crash.at);
@@ -206,7 +326,8 @@
         let mut indexes: Vec<usize> = (0..self.crashes.len()).collect();
         indexes.retain(|index| {
             let crash = &self.crashes[*index];
-            is_included(crash) && !crash.runs.keys().any(|run| self.is_caused_by(*run, crash))
+            let mut causes = crash.runs.keys().chain(crash.parts.keys());
+            is_included(crash) && !causes.any(|cause| self.is_caused_by(*cause, crash))
         });
         indexes.sort_by_key(|index| self.crashes[*index].at);
         let mut suspects: BTreeMap<Fingerprint, Suspect> = BTreeMap::new();
@@ -239,6 +360,7 @@
         &self,
         fingerprint: Fingerprint,
         suspects: &BTreeMap<Fingerprint, Suspect>,
+        parts: &PartSuspects,
     ) -> bool {
         let Some(suspect) = suspects.get(&fingerprint) else { return false };
         let was_quarantined = self.quarantined.contains_key(&fingerprint);
@@ -247,10 +369,19 @@
         if suspect.consecutive_crashes < threshold {
             return false;
         }
+        // Nothing shows yet whether a part of other requests is the cause.
+        let is_rival = |part: &PartSuspect| {
+            !part.requests.contains(&fingerprint)
+                && suspect.indexes.iter().all(|index| part.indexes.contains(index))
+        };
+        let is_certain = suspect.consecutive_crashes >= GROUP_QUARANTINE_THRESHOLD;
+        if !was_quarantined && !is_certain && parts.values().any(is_rival) {
+            return false;
+        }
         let concurrent = suspect.indexes.iter().flat_map(|index| self.crashes[*index].runs.keys());
         let others = concurrent.filter(|other| **other != fingerprint);
         let mut rivals = others.filter_map(|other| suspects.get(other));
-        match was_quarantined || suspect.consecutive_crashes >= GROUP_QUARANTINE_THRESHOLD {
+        match was_quarantined || is_certain {
             true => !rivals.any(|rival| rival.explains_more_than(suspect)),
             false => !rivals.any(|rival| rival.indexes.len() >= suspect.indexes.len()),
         }
--- a/crates/core/src/serving/quarantine/fingerprint.rs
+++ b/crates/core/src/serving/quarantine/fingerprint.rs
@@ -1,11 +1,11 @@
-//! Identifies the content of a request.
+//! Identifies the content of a request, or a part of its prompt.
 
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// Identifies the content of a request: the same caller that sends the same body to the same path
+/// Identifies the content of a request, or a part of prompts. The same caller that sends the same body to the same path
 /// has the same fingerprint at every node, whatever the request's id.
 ///
 /// The fingerprint is a 64-bit hash. With a few hundred remembered at a time, one request in some
@@ -13,6 +13,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Fingerprint(u64);
 
+/// Keeps the fingerprints of parts apart from those of requests.
+const PART_SEED: u64 = 0x7061_7274;
+
 /// The content that a fingerprint is computed from.
 #[derive(Clone, Copy, Debug)]
 pub struct Content<'a> {
@@ -35,6 +38,11 @@
         Self(xxh3_64_with_seed(content.body, path))
     }
 
+    /// Computes the fingerprint of a part of prompts.
+    pub fn of_part(id: u64) -> Self {
+        Self(xxh3_64_with_seed(&id.to_le_bytes(), PART_SEED))
+    }
+
     /// Creates a fingerprint from its number.
     pub fn from_number(number: u64) -> Self {
         Self(number)
--- a/crates/core/src/serving/quarantine/mod.rs
+++ b/crates/core/src/serving/quarantine/mod.rs
@@ -5,9 +5,11 @@
 //! crash all servers of a service again and again. Requests that merely ran next to it are cut off
 //! with the same servers, and many requests are cut off at once when a data centre is lost.
 //!
+//! The cause may also be a part that the prompts of many requests share, of which no two are alike.
+//!
 //! Each node reports the server crashes that it notices, with the fingerprints of its interrupted
-//! requests, to the aggregator that owns the service. This owner sees all requests that ran at a
-//! server when it crashed, and looks for the smallest set of requests that explains the crashes
+//! requests and the parts of their prompts, to the aggregator that owns the service. This owner sees all requests that ran at a
+//! server when it crashed, and looks for the smallest set of requests and parts that explains them
 //! (`crash_analyzer`). Its verdicts are gossiped to all nodes, which refuse quarantined requests
 //! from then on.
 //!
@@ -15,7 +17,8 @@
 //! |---|---|
 //! | `fingerprint` | identifies the content of a request |
 //! | `report` | the report of a crash, and its resending until the owner has it |
-//! | `crash_analyzer` | decides, at the owner, which request crashes servers |
+//! | `crash_analyzer` | decides, at the owner, which request or part crashes servers |
+//! | `part_suspects` | the parts of the prompts that ran at crashed servers |
 //! | `verdict` | the decision on a request |
 //! | `verdict_cache` | the verdicts that a node knows |
 //! | `tracker` | the whole quarantine state of a node |
@@ -27,6 +30,7 @@
 mod completed_requests;
 mod crash_analyzer;
 mod fingerprint;
+mod part_suspects;
 mod report;
 mod tracker;
 mod verdict;
@@ -35,7 +39,7 @@
 pub use completed_requests::CompletedRequests;
 pub use crash_analyzer::CrashAnalyzer;
 pub use fingerprint::{Content, Fingerprint};
-pub use report::{Crash, InterruptedRequest, Outbox};
+pub use report::{Crash, InterruptedPrompt, InterruptedRequest, Outbox, PromptCrash, Report};
 pub use tracker::{MergeOutcome, Tracker};
 pub use verdict::{Standing, Verdict};
 pub use verdict_cache::VerdictCache;
--- a/crates/core/src/serving/quarantine/report.rs
+++ b/crates/core/src/serving/quarantine/report.rs
@@ -1,4 +1,4 @@
-//! A node's report of a server crash.
+//! A node's reports of a server crash.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -39,6 +39,63 @@
     pub runs: Vec<InterruptedRequest>,
 }
 
+/// An interrupted request whose prompt has parts that it may share with others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InterruptedPrompt {
+    /// The fingerprint of the request.
+    pub request: Fingerprint,
+    /// The fingerprints of the parts.
+    pub parts: Vec<Fingerprint>,
+    /// Milliseconds between the dispatch of the request and the interruption.
+    pub ran_for: Millis,
+}
+
+/// A server that crashed or reset its connections, with the prompts of one node that it
+/// interrupted. A server that restarts at once looks like one that resets its connections.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptCrash {
+    /// The short id of the service.
+    pub service: u64,
+    /// The short id of the server.
+    pub server: u64,
+    /// Milliseconds since the interruption.
+    pub age: Millis,
+    /// The interrupted prompts.
+    pub prompts: Vec<InterruptedPrompt>,
+}
+
+/// A report for the owner of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Report {
+    /// A crash with the requests that it interrupted.
+    Requests(Crash),
+    /// The parts of the prompts that were interrupted.
+    Prompts(PromptCrash),
+}
+
+impl Report {
+    fn get_service(&self) -> u64 {
+        match self {
+            Self::Requests(crash) => crash.service,
+            Self::Prompts(crash) => crash.service,
+        }
+    }
+
+    fn get_age(&self) -> Millis {
+        match self {
+            Self::Requests(crash) => crash.age,
+            Self::Prompts(crash) => crash.age,
+        }
+    }
+
+    fn with_age(&self, age: Millis) -> Self {
+        match self {
+            Self::Requests(crash) => Self::Requests(Crash { age, ..crash.clone() }),
+            Self::Prompts(crash) => Self::Prompts(PromptCrash { age, ..crash.clone() }),
+        }
+    }
+}
+
 /// The crashes that this node noticed, until the owners of their services have them.
 #[derive(Clone, Debug, Default)]
 pub struct Outbox {
@@ -47,7 +104,7 @@
 
 #[derive(Clone, Debug)]
 struct Pending {
-    crash: Crash,
+    report: Report,
     crashed_at: Millis,
     /// The owner it was last sent to, or `None` for this node itself.
     owner: Option<SocketAddr>,
@@ -56,12 +113,12 @@
 
 impl Outbox {
     /// Adds a report to be sent.
-    pub fn push(&mut self, now: Millis, crash: Crash) {
+    pub fn push(&mut self, now: Millis, report: Report) {
         if self.pending.len() == OUTBOX_CAPACITY {
             self.pending.pop_front();
         }
-        let crashed_at = now.saturating_sub(crash.age);
-        self.pending.push_back(Pending { crash, crashed_at, owner: None, sends: 0 });
+        let crashed_at = now.saturating_sub(report.get_age());
+        self.pending.push_back(Pending { report, crashed_at, owner: None, sends: 0 });
     }
 
     /// Returns the reports to send now, with the address of their owner, or with `None` if this
@@ -70,11 +127,11 @@
         &mut self,
         now: Millis,
         find_owner: impl Fn(u64) -> Option<SocketAddr>,
-    ) -> Vec<(Option<SocketAddr>, Crash)> {
+    ) -> Vec<(Option<SocketAddr>, Report)> {
         self.pending.retain(|pending| now < pending.crashed_at + REPORT_TTL_MS);
         let mut due = Vec::new();
         for pending in &mut self.pending {
-            let owner = find_owner(pending.crash.service);
+            let owner = find_owner(pending.report.get_service());
             if owner != pending.owner {
                 pending.owner = owner;
                 pending.sends = 0;
@@ -82,7 +139,7 @@
             if pending.sends < MAX_SENDS {
                 pending.sends += 1;
                 let age = now.saturating_sub(pending.crashed_at);
-                due.push((owner, Crash { age, ..pending.crash.clone() }));
+                due.push((owner, pending.report.with_age(age)));
             }
         }
         due
--- a/crates/core/src/serving/quarantine/tracker.rs
+++ b/crates/core/src/serving/quarantine/tracker.rs
@@ -5,7 +5,8 @@
 
 use super::completed_requests::COMPLETION_TTL_MS;
 use super::{
-    CompletedRequests, Crash, CrashAnalyzer, Fingerprint, Outbox, Standing, Verdict, VerdictCache,
+    CompletedRequests, Crash, CrashAnalyzer, Fingerprint, Outbox, PromptCrash, Report, Standing,
+    Verdict, VerdictCache,
 };
 use crate::Millis;
 
@@ -17,6 +18,8 @@
 pub struct Tracker {
     verdicts: VerdictCache,
     completed: CompletedRequests,
+    /// Parts of prompts that were completed recently. There are far fewer of them than requests.
+    completed_parts: CompletedRequests,
     outbox: Outbox,
     analyzer: CrashAnalyzer,
     /// Verdicts of this node, as the owner, that the table service does not have yet.
@@ -38,23 +41,39 @@
     pub fn record_crash(&mut self, now: Millis, mut crash: Crash) {
         crash.runs.retain(|run| !self.completed.is_known(now, run.fingerprint));
         if !crash.runs.is_empty() {
-            self.outbox.push(now, crash);
+            self.outbox.push(now, Report::Requests(crash));
         }
     }
 
+    /// Records that a server crashed or reset its connections while it ran prompts of this node.
+    /// Parts of prompts that were completed recently do not crash servers and are left out. Returns
+    /// `true` if there are others.
+    pub fn record_prompt_crash(&mut self, now: Millis, mut crash: PromptCrash) -> bool {
+        for prompt in &mut crash.prompts {
+            prompt.parts.retain(|part| !self.completed_parts.is_known(now, *part));
+        }
+        crash.prompts.retain(|prompt| !prompt.parts.is_empty());
+        let is_suspicious = !crash.prompts.is_empty();
+        if is_suspicious {
+            self.outbox.push(now, Report::Prompts(crash));
+        }
+        is_suspicious
+    }
+
     /// Returns the reports to send to the owners of their services now. `find_owner` returns the
     /// owner's address for the short id of a service, or `None` if this node is the owner.
     pub fn take_due(
         &mut self,
         now: Millis,
         find_owner: impl Fn(u64) -> Option<SocketAddr>,
-    ) -> Vec<(SocketAddr, Crash)> {
+    ) -> Vec<(SocketAddr, Report)> {
         let due = self.outbox.take_due(now, find_owner);
         let mut to_send = Vec::new();
-        for (owner, crash) in due {
-            match owner {
-                Some(owner) => to_send.push((owner, crash)),
-                None => self.analyzer.record(now, &crash, &self.completed),
+        for (owner, report) in due {
+            match (owner, report) {
+                (Some(owner), report) => to_send.push((owner, report)),
+                (None, Report::Requests(crash)) => self.merge_report(now, &crash),
+                (None, Report::Prompts(crash)) => self.merge_prompt_report(now, &crash),
             }
         }
         to_send
@@ -65,10 +84,28 @@
         self.analyzer.record(now, crash, &self.completed);
     }
 
+    /// Merges a report of prompts, as the owner.
+    pub fn merge_prompt_report(&mut self, now: Millis, crash: &PromptCrash) {
+        self.analyzer.record_prompts(now, crash, &self.completed_parts);
+    }
+
+    /// Records that a server completed a request of this node whose prompt has a part. Returns the
+    /// short id of the service if the owner must be notified, which happens once.
+    pub fn record_part_completion(&mut self, now: Millis, part: Fingerprint) -> Option<u64> {
+        self.completed_parts.record(now, part);
+        self.clear_verdict(now, part)
+    }
+
     /// Records that a server completed a request of this node. Returns the short id of its service
     /// if the owner must be notified, which happens once.
     pub fn record_completion(&mut self, now: Millis, fingerprint: Fingerprint) -> Option<u64> {
         self.completed.record(now, fingerprint);
+        self.clear_verdict(now, fingerprint)
+    }
+
+    /// Clears a request or part that was completed here. Returns the short id of the service if there
+    /// was a verdict.
+    fn clear_verdict(&mut self, now: Millis, fingerprint: Fingerprint) -> Option<u64> {
         let verdict = self.verdicts.get(now, fingerprint)?;
         if verdict.standing == Standing::Cleared {
             return None;
@@ -77,10 +114,11 @@
         Some(verdict.service)
     }
 
-    /// Merges a node's notice that a request was completed, as the owner. Returns the verdict to
-    /// send to all nodes.
+    /// Merges a node's notice that a request, or one with a part, was completed, as the owner. Returns
+    /// the verdict to send to all nodes.
     pub fn merge_completion(&mut self, now: Millis, fingerprint: Fingerprint) -> Option<Verdict> {
         self.completed.record(now, fingerprint);
+        self.completed_parts.record(now, fingerprint);
         if !self.analyzer.record_completion(fingerprint) {
             return None;
         }
@@ -127,7 +165,8 @@
 
     /// Merges a verdict of another node or of the table service.
     pub fn merge(&mut self, now: Millis, verdict: Verdict) -> MergeOutcome {
-        let is_answered_here = self.completed.is_known(now, verdict.fingerprint);
+        let is_answered_here = self.completed.is_known(now, verdict.fingerprint)
+            || self.completed_parts.is_known(now, verdict.fingerprint);
         let is_news = self.verdicts.merge(now, verdict);
         if is_news {
             self.analyzer.record_quarantined(now, &verdict);
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -24,6 +24,7 @@
 mod owner;
 mod quarantine;
 mod quarantine_trials;
+mod quarantined_parts;
 mod quota;
 mod quota_cluster;
 mod read_ahead;
--- a/crates/core/tests/serving/quarantine.rs
+++ b/crates/core/tests/serving/quarantine.rs
@@ -4,8 +4,8 @@
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::quarantine::{
-    Content, Crash, Fingerprint, InterruptedRequest, QUARANTINE_PERIOD_MS, Standing, Tracker,
-    Verdict,
+    Content, Crash, Fingerprint, InterruptedRequest, QUARANTINE_PERIOD_MS, Report, Standing,
+    Tracker, Verdict,
 };
 
 const SERVICE: u64 = 7;
@@ -190,7 +190,11 @@
     }
     assert_eq!(node.take_due(2_600, |_| Some(first)), []);
     let due = node.take_due(30_000, |_| Some(second));
-    let ages: Vec<_> = due.iter().map(|(owner, crash)| (*owner, crash.age)).collect();
+    let get_age = |report: &Report| match report {
+        Report::Requests(crash) => crash.age,
+        Report::Prompts(crash) => crash.age,
+    };
+    let ages: Vec<_> = due.iter().map(|(owner, report)| (*owner, get_age(report))).collect();
     assert_eq!(ages, [(second, 29_000), (second, 28_000)]);
     assert_eq!(node.take_due(62_500, |_| Some(first)), []);
 }
--- a/crates/core/tests/serving/quarantine_trials.rs
+++ b/crates/core/tests/serving/quarantine_trials.rs
@@ -8,7 +8,7 @@
 use fastrand::Rng;
 use keeljunction_core::Millis;
 use keeljunction_core::serving::quarantine::{
-    Crash, Fingerprint, InterruptedRequest, SUSPICION_PERIOD_MS, Standing, Tracker, Verdict,
+    Crash, Fingerprint, InterruptedRequest, Report, SUSPICION_PERIOD_MS, Standing, Tracker, Verdict,
 };
 
 /// The policy that decides which requests are quarantined.
@@ -225,7 +225,8 @@
             let crash = Crash { service: SERVICE, server: server as u64, age: 0, runs };
             self.nodes[node].record_crash(self.now, crash);
             let owner = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
-            for (_, crash) in self.nodes[node].take_due(self.now, |_| Some(owner)) {
+            for (_, report) in self.nodes[node].take_due(self.now, |_| Some(owner)) {
+                let Report::Requests(crash) = report else { continue };
                 self.to_owner.push_back((self.now + TRANSIT_TIME_MS, crash));
             }
         }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -220,10 +220,10 @@
         /// Requests of this node that may have caused the crash.
         running: Vec<InterruptedRequest>,
     },
-    /// A verdict on whether a request crashes servers, made by this node as the owner of the service, or
+    /// A verdict on whether a request, or a part of prompts, crashes servers, made by this node as the owner of the service, or
     /// by another node.
     RequestJudged {
-        /// The fingerprint of the request's content.
+        /// The fingerprint of the request's content, or of the part.
         fingerprint: String,
         /// The ID of the service in messages between nodes.
         service: u64,
@@ -262,6 +262,9 @@
 pub struct InterruptedRequest {
     /// The fingerprint of the request's content.
     pub fingerprint: String,
+    /// The fingerprints of the parts that its prompt may share with others.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<String>,
     /// The time from sending the request to the server until the crash, in milliseconds.
     pub ran_ms: u64,
 }
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -67,6 +67,8 @@
     pub criteria: Criteria,
     /// Fingerprint of the request's content.
     pub fingerprint: Fingerprint,
+    /// Fingerprints of the parts that its prompt may share with others.
+    pub shared_parts: Arc<[Fingerprint]>,
     /// The whole body, until it is released because no further attempt can need it.
     body: Mutex<Bytes>,
     /// Length of the body, kept after the body is released.
@@ -134,6 +136,11 @@
             }
         };
         record.service = Some(service.clone());
+        let shared_parts = list_shared_parts(head.prompt.as_ref());
+        if let Some((part, quarantined_for)) = node.find_quarantined(&shared_parts) {
+            record.fingerprint = Some(part);
+            return Err(reject(Refusal::Quarantined, quarantined_for));
+        }
         let priority = account.as_ref().map_or(0, |account| account.priority);
         let urgency = priority * ACCOUNT_PRIORITY_FACTOR + route.priority;
         let limits = BodyLimits {
@@ -155,7 +162,7 @@
             .map_err(|rejection| rejection.with_time_remaining(deadline_ms))?;
         let fingerprint = compute_fingerprint(&parts, name, &body);
         record.fingerprint = Some(fingerprint);
-        if let Some(quarantined_for) = node.get_quarantine_remaining(fingerprint) {
+        if let Some((_, quarantined_for)) = node.find_quarantined(&[fingerprint]) {
             return Err(reject(Refusal::Quarantined, quarantined_for));
         }
         let prompt = head.prompt.as_ref();
@@ -180,6 +187,7 @@
             cost,
             criteria: make_criteria(head.prompt.as_ref(), &cost, &route),
             fingerprint,
+            shared_parts,
             route,
             head,
             charge: charge.commit(),
@@ -206,6 +214,13 @@
         }
     }
 
+    /// Returns the milliseconds for which the request, or a part of its prompt, is still quarantined.
+    pub fn get_quarantine_remaining(&self, node: &Node) -> Option<Millis> {
+        let found = node.find_quarantined(&[self.fingerprint]);
+        let found = found.or_else(|| node.find_quarantined(&self.shared_parts));
+        found.map(|(_, quarantined_for)| quarantined_for)
+    }
+
     /// Describes an attempt that was interrupted now, given when it was sent and when its response
     /// started.
     pub fn get_interrupted_attempt(
@@ -216,6 +231,7 @@
     ) -> InterruptedAttempt {
         InterruptedAttempt {
             fingerprint: self.fingerprint,
+            shared_parts: self.shared_parts.clone(),
             sent_at,
             interrupted_at,
             response_started_at,
@@ -269,6 +285,9 @@
     }
 }
 
+/// Maximum number of parts of a prompt that are suspected of crashing servers.
+const MAX_SHARED_PARTS: usize = 32;
+
 /// Number of route priorities that one client account priority counts for.
 const ACCOUNT_PRIORITY_FACTOR: u32 = 3;
 
@@ -298,6 +317,14 @@
     Fingerprint::new(&Content { account, host, path, body })
 }
 
+/// Returns the fingerprints of all parts of a prompt but the last, which belongs to this request alone.
+fn list_shared_parts(prompt: Option<&Prompt>) -> Arc<[Fingerprint]> {
+    let Some((_, shared)) = prompt.and_then(|prompt| prompt.parts.split_last()) else {
+        return Arc::default();
+    };
+    shared.iter().take(MAX_SHARED_PARTS).map(|part| Fingerprint::of_part(part.id)).collect()
+}
+
 fn authenticate<'a>(
     configuration: &'a Configuration,
     route: &Route,
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -166,7 +166,7 @@
         let retry_after = pick::get_retry_after(node, exchange, FULL_RETRY_AFTER_MS);
         return Err(progress.reject(Refusal::NotAccepted, retry_after));
     }
-    if let Some(quarantined_for) = node.get_quarantine_remaining(exchange.fingerprint) {
+    if let Some(quarantined_for) = exchange.get_quarantine_remaining(node) {
         return Err(progress.reject_quarantined(quarantined_for));
     }
     if has_crashed_servers(node, exchange, progress) {
--- a/crates/gateway/src/exchange/notes.rs
+++ b/crates/gateway/src/exchange/notes.rs
@@ -99,10 +99,11 @@
     });
 }
 
-/// Records that a server completed the request, so the request does not crash servers. An error
+/// Records that a server completed the request, so neither it nor its parts crash servers. An error
 /// status does not show that, because a server may return it before it starts the request.
 pub(super) fn record_success(node: &Arc<Node>, exchange: &Exchange, status: u16) {
     if (200..300).contains(&status) {
         node::record_request_completed(node, exchange.fingerprint);
+        node::record_parts_completed(node, &exchange.shared_parts);
     }
 }
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -4,6 +4,7 @@
 
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Response};
+use keeljunction_core::serving::response_body::Framing;
 
 use super::admission::Exchange;
 use super::attempt::{ServerBody, ServerResponse};
@@ -27,7 +28,10 @@
     let mut response = response_head(&parts);
     *response.body_mut() = match body {
         ServerBody::Complete(bytes) => {
-            notes::record_success(&node, &exchange, status);
+            // A server that crashes after the head of such a response ends it as well.
+            if framing != Framing::Connection || !bytes.is_empty() {
+                notes::record_success(&node, &exchange, status);
+            }
             record.record_chunk();
             record.record_response_end();
             record.set_outcome(status, ANSWERED);
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -80,6 +80,8 @@
     pub requests_stopped: Counter,
     /// Servers that stopped listening after a connection to them was interrupted.
     pub servers_down: Family<ServiceLabels, Counter>,
+    /// Servers that still listened after prompts that no server has completed were interrupted.
+    pub servers_reset: Family<ServiceLabels, Counter>,
     /// Responses with a backpressure signal, by kind of signal.
     pub signals: Family<ReasonLabels, Counter>,
     /// Windows whose usage was not reported, because it may already have been reported before the table
@@ -124,6 +126,7 @@
             callers_disconnected: Family::default(),
             requests_stopped: Counter::default(),
             servers_down: Family::default(),
+            servers_reset: Family::default(),
             signals: Family::default(),
             usage_withheld: Counter::default(),
             store_returns: Counter::default(),
@@ -267,6 +270,11 @@
             "Servers that did not listen any more after a connection to them broke off",
             self.servers_down.clone(),
         );
+        registry.register(
+            "servers_reset",
+            "Servers that listened after prompts that none has answered broke off",
+            self.servers_reset.clone(),
+        );
         registry.register(
             "server_signals",
             "Answers in which servers said something about the requests that follow",
--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -3,6 +3,10 @@
 //! A connection that breaks in the middle of a response may have been reset on its own, so the node
 //! probes whether the server still listens. If it does not, it crashed while serving the requests
 //! whose connections broke at that moment, and one of them may be the cause.
+//!
+//! A server that restarts within that time still listens. It is reported with the parts of its
+//! prompts only: these need crashes of several requests and no completed response anywhere, whereas
+//! a single request may be interrupted some times by servers that reset connections.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +14,9 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::{Directory, Server};
 use keeljunction_core::serving::load::short_id;
-use keeljunction_core::serving::quarantine::{Crash, InterruptedRequest, SUSPICION_PERIOD_MS};
+use keeljunction_core::serving::quarantine::{
+    Crash, Fingerprint, InterruptedPrompt, InterruptedRequest, PromptCrash, SUSPICION_PERIOD_MS,
+};
 
 use super::interrupted_attempts::InterruptedAttempt;
 use super::{Node, peers, server_paths};
@@ -62,6 +68,7 @@
     let is_listening = node.http_client.is_listening(server.address).await;
     let attempts = lock(&node.interrupted_attempts).remove(&server.id).unwrap_or_default();
     if is_listening && !node.with(|state| state.directory.is_superseded(&server)) {
+        report_reset(&node, &server, &attempts).await;
         return;
     }
     if !server_paths::confirm_crash(&node, &server).await {
@@ -73,14 +80,43 @@
     node.metrics.servers_down.get_or_create(&labels).inc();
     let running = attempts.iter().map(|attempt| event::InterruptedRequest {
         fingerprint: attempt.fingerprint.to_string(),
+        parts: attempt.shared_parts.iter().map(Fingerprint::to_string).collect(),
         ran_ms: attempt.get_duration(),
     });
     let running = running.collect();
     event::emit(&Event::ServerDown { server: &server.id, service: &server.service, running });
-    node.with(|state| state.quarantine.record_crash(now, make_crash(now, &server, &attempts)));
+    node.with(|state| {
+        state.quarantine.record_crash(now, make_crash(now, &server, &attempts));
+        state.quarantine.record_prompt_crash(now, make_prompt_crash(now, &server, &attempts));
+    });
     peers::quarantine::send_reports(&node).await;
 }
 
+/// Reports the parts of prompts that were interrupted at a server that listens.
+async fn report_reset(node: &Arc<Node>, server: &Server, attempts: &[InterruptedAttempt]) {
+    if server_paths::is_cut_off(node, &server.service) {
+        return;
+    }
+    let now = node.now();
+    let crash = make_prompt_crash(now, server, attempts);
+    if node.with(|state| state.quarantine.record_prompt_crash(now, crash)) {
+        let labels = ServiceLabels { service: server.service.clone() };
+        node.metrics.servers_reset.get_or_create(&labels).inc();
+        peers::quarantine::send_reports(node).await;
+    }
+}
+
+/// Builds the report of the prompts that were interrupted at a server.
+fn make_prompt_crash(now: Millis, server: &Server, attempts: &[InterruptedAttempt]) -> PromptCrash {
+    let Crash { service, server, age, .. } = make_crash(now, server, attempts);
+    let prompts = attempts.iter().map(|attempt| InterruptedPrompt {
+        request: attempt.fingerprint,
+        parts: attempt.shared_parts.to_vec(),
+        ran_for: attempt.get_duration(),
+    });
+    PromptCrash { service, server, age, prompts: prompts.collect() }
+}
+
 /// Builds the report of a crashed server.
 fn make_crash(now: Millis, server: &Server, attempts: &[InterruptedAttempt]) -> Crash {
     let crashed_at = attempts.iter().map(|attempt| attempt.interrupted_at).min().unwrap_or(now);
--- a/crates/gateway/src/node/interrupted_attempts.rs
+++ b/crates/gateway/src/node/interrupted_attempts.rs
@@ -1,7 +1,7 @@
 //! Attempts whose connection broke at servers that may have crashed.
 
 use std::collections::HashMap;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::quarantine::Fingerprint;
@@ -10,10 +10,12 @@
 pub(crate) type Pending = Mutex<HashMap<String, Vec<InterruptedAttempt>>>;
 
 /// An attempt at a request whose connection to the server broke.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct InterruptedAttempt {
     /// The fingerprint of the request's content.
     pub fingerprint: Fingerprint,
+    /// The fingerprints of the parts that its prompt may share with others.
+    pub shared_parts: Arc<[Fingerprint]>,
     /// When the request was sent to the server.
     pub sent_at: Millis,
     /// When the connection broke.
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -64,7 +64,7 @@
 pub(crate) use peers::message::Notification;
 pub(crate) use peers::notifications::notify_request_started;
 pub(crate) use peers::permits::{self, Permit};
-pub(crate) use peers::quarantine::record_request_completed;
+pub(crate) use peers::quarantine::{record_parts_completed, record_request_completed};
 pub(crate) use peers::quota::consume as consume_units;
 pub(crate) use peers::server_relay::send as send_through_peer;
 pub(crate) use peers::slots;
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -8,7 +8,7 @@
 use keeljunction_core::serving::freshness::Versions;
 use keeljunction_core::serving::load::{Load, RequestCost};
 use keeljunction_core::serving::members::{Entry, Overview as Reachability, RosterSummary};
-use keeljunction_core::serving::quarantine::{Crash, Fingerprint, Verdict};
+use keeljunction_core::serving::quarantine::{Crash, Fingerprint, PromptCrash, Verdict};
 use keeljunction_core::serving::quota::Decision;
 use keeljunction_core::serving::rollout::{self, Announcement};
 use keeljunction_core::serving::stream_origin::{self, Answer};
@@ -170,6 +170,8 @@
     },
     /// The services known to the sender whose servers are brittle.
     BrittleServices(Vec<Brittleness>),
+    /// The parts of prompts that were interrupted at a server, for the owner of its service.
+    PromptsInterrupted(PromptCrash),
 }
 
 /// The sender of a report.
--- a/crates/gateway/src/node/peers/mod.rs
+++ b/crates/gateway/src/node/peers/mod.rs
@@ -119,6 +119,7 @@
                 }
             }
             Message::ServerCrashed(end) => quarantine::handle_report(&node, &end),
+            Message::PromptsInterrupted(crash) => quarantine::handle_prompt_report(&node, &crash),
             Message::RequestCompleted(fingerprint) => {
                 quarantine::handle_completed(&node, fingerprint);
             }
--- a/crates/gateway/src/node/peers/quarantine.rs
+++ b/crates/gateway/src/node/peers/quarantine.rs
@@ -7,7 +7,9 @@
 
 use std::sync::Arc;
 
-use keeljunction_core::serving::quarantine::{Crash, Fingerprint, Standing, Verdict};
+use keeljunction_core::serving::quarantine::{
+    Crash, Fingerprint, PromptCrash, Report, Standing, Verdict,
+};
 
 use super::message::{Message, Notification};
 use crate::event::{self, Event};
@@ -31,11 +33,21 @@
         let State { quarantine, members, .. } = state;
         quarantine.take_due(now, |service| members.find_owner(service))
     });
-    for (owner, crash) in due {
-        node.link.send(now, owner, &Message::ServerCrashed(crash)).await;
+    for (owner, report) in due {
+        let message = match report {
+            Report::Requests(crash) => Message::ServerCrashed(crash),
+            Report::Prompts(crash) => Message::PromptsInterrupted(crash),
+        };
+        node.link.send(now, owner, &message).await;
     }
 }
 
+/// Handles a report of interrupted prompts, as the owner.
+pub(super) fn handle_prompt_report(node: &Node, crash: &PromptCrash) {
+    let now = node.now();
+    node.with(|state| state.quarantine.merge_prompt_report(now, crash));
+}
+
 /// Handles the report of a crashed server, as the owner.
 pub(super) fn handle_report(node: &Node, crash: &Crash) {
     let now = node.now();
@@ -52,6 +64,18 @@
     }
 }
 
+/// Records that a server completed the response to a prompt with these parts, and notifies the owner
+/// if one of them is suspected.
+pub(crate) fn record_parts_completed(node: &Arc<Node>, parts: &[Fingerprint]) {
+    let now = node.now();
+    for part in parts {
+        let service = node.with(|state| state.quarantine.record_part_completion(now, *part));
+        if let Some(service) = service {
+            runtime::spawn(notify_completed(node.clone(), service, *part));
+        }
+    }
+}
+
 /// Notifies the owner of a service that a request was completed.
 async fn notify_completed(node: Arc<Node>, service: u64, fingerprint: Fingerprint) {
     match node.with(|state| state.members.find_owner(service)) {
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -419,11 +419,20 @@
         knows && !self.is_stopping() && self.is_configuration_fresh() && !self.is_short_of_memory()
     }
 
-    /// Returns how many milliseconds a request stays quarantined because servers crashed while
-    /// serving it; `None` if it is not quarantined.
-    pub fn get_quarantine_remaining(&self, fingerprint: Fingerprint) -> Option<Millis> {
+    /// Finds the first of some requests or parts of prompts that is quarantined because servers
+    /// crashed while serving it, and for how many milliseconds it stays so.
+    pub fn find_quarantined(&self, fingerprints: &[Fingerprint]) -> Option<(Fingerprint, Millis)> {
+        if fingerprints.is_empty() {
+            return None;
+        }
         let now = self.now();
-        self.with(|state| state.quarantine.get_quarantine_remaining(now, fingerprint))
+        self.with(|state| {
+            let remaining = |fingerprint: &Fingerprint| {
+                let left = state.quarantine.get_quarantine_remaining(now, *fingerprint)?;
+                Some((*fingerprint, left))
+            };
+            fingerprints.iter().find_map(remaining)
+        })
     }
 
     /// Returns `true` if the node lacks memory and clients should use other nodes.
