fix(quarantine): write the verdicts of a node that is no longer the owner

Seen by the test of a restart of all nodes (known red): a verdict that was decided within about a second after a start was never written, so that all nodes forgot it with their processes.

Cause: a node writes verdicts only after it has read the rows, and it reads them only while it owns a service. The owner of the first second, which knows few others, ceases to be the owner before that; the next one knows the verdict from gossip and has nothing to decide. Evidence: the node that decided three verdicts logged "owner false, no clock" at each step for 20 s, and no row was written.

Change: a node with unwritten verdicts reads the rows and writes them, owner or not. Rows are keyed by fingerprint, so two writers agree.

--- a/crates/core/src/serving/quarantine/tracker.rs
+++ b/crates/core/src/serving/quarantine/tracker.rs
@@ -151,6 +151,11 @@
         self.unsaved.pop_front()
     }
 
+    /// Returns `true` if verdicts wait to be written to the table service.
+    pub fn has_unsaved(&self) -> bool {
+        !self.unsaved.is_empty()
+    }
+
     /// Decides, as the owner, which requests become suspected or quarantined.
     pub fn judge(&mut self, now: Millis) -> Vec<Verdict> {
         let mut verdicts = self.analyzer.judge(now);
--- a/crates/gateway/src/node/quarantine_rows.rs
+++ b/crates/gateway/src/node/quarantine_rows.rs
@@ -70,11 +70,12 @@
     }
 }
 
-/// Loads the rows when this node becomes an owner; afterwards, writes its decisions.
+/// Loads the rows when this node becomes an owner or has decided; afterwards, writes its decisions.
 async fn step(node: &Arc<Node>, clock: &mut Option<ClockReading>) -> Result<(), TableError> {
     let era = node.with(|state| state.eras.get());
     let Some(known) = clock.filter(|known| known.era == era) else {
-        if is_owner(node) {
+        // A node that has decided may have ceased to be the owner before it read the rows.
+        if is_owner(node) || node.with(|state| state.quarantine.has_unsaved()) {
             *clock = Some(load(node).await?);
             let now = node.now();
             node.with(|state| {
