fix(quarantine): blame no part for connections that servers reset while none serves

Found by reading, before the soak got crashing parts: where servers reset all connections and listen, parts that no node has completed lately (all nodes have just started) gathered evidence of interruptions and would be refused, though nothing points to them.

Change: an interruption at a server that listens is evidence only if this node completed another prompt in the last 2 s.

--- a/crates/core/src/serving/quarantine/tracker.rs
+++ b/crates/core/src/serving/quarantine/tracker.rs
@@ -13,6 +13,10 @@
 /// The number of verdicts that wait to be written to the table service.
 const UNSAVED_CAPACITY: usize = 64;
 
+/// The time since the last completed prompt within which interruptions at servers that listen may be
+/// crashes.
+const SERVING_PERIOD_MS: Millis = 2_000;
+
 /// Tracks the requests that crash servers, at one node.
 #[derive(Clone, Debug, Default)]
 pub struct Tracker {
@@ -20,6 +24,8 @@
     completed: CompletedRequests,
     /// Parts of prompts that were completed recently. There are far fewer of them than requests.
     completed_parts: CompletedRequests,
+    /// When a prompt with parts was last completed.
+    last_completed_at: Option<Millis>,
     outbox: Outbox,
     analyzer: CrashAnalyzer,
     /// Verdicts of this node, as the owner, that the table service does not have yet.
@@ -45,9 +51,19 @@
         }
     }
 
-    /// Records that a server crashed or reset its connections while it ran prompts of this node.
-    /// Parts of prompts that were completed recently do not crash servers and are left out. Returns
-    /// `true` if there are others.
+    /// Records that a server reset connections while it ran prompts of this node, and listens. Returns
+    /// `true` if that may have been a crash because of a part.
+    ///
+    /// A server that restarts at once still serves other prompts. If none was completed lately, the
+    /// servers or the network may be at fault.
+    pub fn record_prompt_reset(&mut self, now: Millis, crash: PromptCrash) -> bool {
+        let is_serving =
+            self.last_completed_at.is_some_and(|at| now < at.saturating_add(SERVING_PERIOD_MS));
+        is_serving && self.record_prompt_crash(now, crash)
+    }
+
+    /// Records that a server crashed while it ran prompts of this node. Parts of prompts that were
+    /// completed recently do not crash servers and are left out. Returns `true` if there are others.
     pub fn record_prompt_crash(&mut self, now: Millis, mut crash: PromptCrash) -> bool {
         for prompt in &mut crash.prompts {
             prompt.parts.retain(|part| !self.completed_parts.is_known(now, *part));
@@ -93,6 +109,7 @@
     /// short id of the service if the owner must be notified, which happens once.
     pub fn record_part_completion(&mut self, now: Millis, part: Fingerprint) -> Option<u64> {
         self.completed_parts.record(now, part);
+        self.last_completed_at = Some(now);
         self.clear_verdict(now, part)
     }
 
--- a/crates/core/tests/serving/quarantined_parts.rs
+++ b/crates/core/tests/serving/quarantined_parts.rs
@@ -359,6 +359,17 @@
     assert_eq!(judge(&mut owner, &crashes), []);
 }
 
+#[test]
+fn interruptions_at_servers_that_listen_count_only_while_other_prompts_are_completed() {
+    let mut node = Tracker::default();
+    assert!(!node.record_prompt_reset(1_000, crash(1, 500, &[5, 6])));
+    node.record_part_completion(1_500, part(6));
+    assert!(node.record_prompt_reset(2_000, crash(1, 501, &[5, 6])));
+    assert!(!node.record_prompt_reset(9_000, crash(1, 502, &[5, 6])));
+    // A server that no longer listens has crashed.
+    assert!(node.record_prompt_crash(9_000, crash(1, 503, &[5, 6])));
+}
+
 #[test]
 fn two_parts_that_always_come_together_are_both_quarantined() {
     let mut owner = Tracker::default();
--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -5,8 +5,8 @@
 //! whose connections broke at that moment, and one of them may be the cause.
 //!
 //! A server that restarts within that time still listens. It is reported with the parts of its
-//! prompts only: these need crashes of several requests and no completed response anywhere, whereas
-//! a single request may be interrupted some times by servers that reset connections.
+//! prompts only, and while other prompts are completed: parts need crashes of several requests and no
+//! completed response anywhere, whereas a single request may be interrupted some times by chance.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -99,7 +99,7 @@
     }
     let now = node.now();
     let crash = make_prompt_crash(now, server, attempts);
-    if node.with(|state| state.quarantine.record_prompt_crash(now, crash)) {
+    if node.with(|state| state.quarantine.record_prompt_reset(now, crash)) {
         let labels = ServiceLabels { service: server.service.clone() };
         node.metrics.servers_reset.get_or_create(&labels).inc();
         peers::quarantine::send_reports(node).await;
