fix(backpressure): an owner that comes back to a server waits for the counts

Found by reading: the pool of a server stays for a minute, its counts for 2 s. An owner that loses a server to another node and gets it back within the minute took its old pool for current and granted all slots at once, while the other owner's grants were in use.

Change: pools that were not used for a second are dropped when the owners change, so that the node waits until all counts were repeated, as any new owner does.

--- a/crates/core/src/serving/backpressure/slot_pools.rs
+++ b/crates/core/src/serving/backpressure/slot_pools.rs
@@ -18,6 +18,8 @@
 const HOLDER_TTL_MS: Millis = 2_000;
 /// How long a new owner grants nothing: by then all nodes have repeated their counts to it.
 const SETTLE_PERIOD_MS: Millis = 700;
+/// How long after its last use a pool counts as current when the owners of servers change.
+const CURRENT_PERIOD_MS: Millis = 1_000;
 /// How long after servers became brittle their queues still bear requests that the owner has not
 /// heard of.
 const ONSET_PERIOD_MS: Millis = 2_000;
@@ -127,6 +129,8 @@
         if self.owners != owners {
             self.owners = owners.to_vec();
             self.owners_changed_at = now;
+            // Another node may have granted the slots meanwhile.
+            self.pools.retain(|_, pool| now < pool.used_at + CURRENT_PERIOD_MS);
         }
     }
 
