--- a/crates/core/src/serving/quarantine/crash_analyzer.rs
+++ b/crates/core/src/serving/quarantine/crash_analyzer.rs
@@ -12,6 +12,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use super::crash_record::{Record, Run};
 use super::part_suspects::{self, PartSuspect, PartSuspects};
 use super::{
     CompletedRequests, Crash, Fingerprint, PromptCrash, QUARANTINE_PERIOD_MS, Standing, Verdict,
@@ -60,37 +61,6 @@
     has_unjudged: bool,
 }
 
-/// The crash of a server.
-#[derive(Clone, Debug)]
-pub(super) struct Record {
-    pub service: u64,
-    server: u64,
-    pub at: Millis,
-    /// The interrupted requests, with the times at which they were sent.
-    runs: BTreeMap<Fingerprint, Millis>,
-    /// The parts of interrupted prompts.
-    pub parts: BTreeMap<Fingerprint, Vec<Run>>,
-}
-
-/// An interrupted request with a part.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Run {
-    pub request: Fingerprint,
-    pub sent_at: Millis,
-}
-
-impl Record {
-    /// Returns the number of remembered requests and parts.
-    fn count_entries(&self) -> usize {
-        self.runs.len() + self.parts.values().map(Vec::len).sum::<usize>()
-    }
-
-    /// Returns `true` if nothing is suspected any more.
-    fn is_empty(&self) -> bool {
-        self.runs.is_empty() && self.parts.is_empty()
-    }
-}
-
 /// A request that was running when servers crashed.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
--- a/crates/core/src/serving/quarantine/mod.rs
+++ b/crates/core/src/serving/quarantine/mod.rs
@@ -18,6 +18,7 @@
 //! | `fingerprint` | identifies the content of a request |
 //! | `report` | the report of a crash, and its resending until the owner has it |
 //! | `crash_analyzer` | decides, at the owner, which request or part crashes servers |
+//! | `crash_record` | a crash, with the requests and parts that it interrupted |
 //! | `part_suspects` | the parts of the prompts that ran at crashed servers |
 //! | `verdict` | the decision on a request |
 //! | `verdict_cache` | the verdicts that a node knows |
@@ -29,6 +30,7 @@
 
 mod completed_requests;
 mod crash_analyzer;
+mod crash_record;
 mod fingerprint;
 mod part_suspects;
 mod report;
--- a/crates/core/src/serving/quarantine/part_suspects.rs
+++ b/crates/core/src/serving/quarantine/part_suspects.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::Fingerprint;
-use super::crash_analyzer::{Record, Run};
+use super::crash_record::{Record, Run};
 use crate::Millis;
 
 /// Crashes of a part, with no other explanation, after which it is quarantined. They are fewer than
