--- a/crates/core/src/serving/backpressure/brittle_services.rs
+++ b/crates/core/src/serving/backpressure/brittle_services.rs
@@ -23,7 +23,7 @@
 pub enum Robustness {
     /// No response and no other node has shown it.
     Unknown,
-    /// The servers bear only a few rejections per second.
+    /// The servers tolerate only a few rejections per second.
     Brittle(Brittleness),
     /// The servers report nothing.
     Robust(Brittleness),
@@ -41,7 +41,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Record {
-    /// Rejections per second that each server bears, or `None` if the servers are not brittle.
+    /// Rejections per second that each server tolerates, or `None` if the servers are not brittle.
     max_rejections: Option<u32>,
     /// When the servers became brittle, or robust.
     since: Millis,
--- a/crates/core/src/serving/backpressure/brittleness.rs
+++ b/crates/core/src/serving/backpressure/brittleness.rs
@@ -10,7 +10,7 @@
 pub struct Brittleness {
     /// The short id of the service.
     pub service: u64,
-    /// Rejections per second that each server bears, or `None` if the servers are not brittle.
+    /// Rejections per second that each server tolerates, or `None` if the servers are not brittle.
     pub max_rejections: Option<u32>,
     /// The time since the servers became brittle, in milliseconds.
     pub brittle_for: Millis,
--- a/crates/core/src/serving/backpressure/signal.rs
+++ b/crates/core/src/serving/backpressure/signal.rs
@@ -12,7 +12,7 @@
     pub back_off: Option<Millis>,
     /// Whether the server is leaving.
     pub is_leaving: bool,
-    /// Rejections per second that the server bears, if it is brittle: it crashes above that.
+    /// Rejections per second that the server tolerates, if it is brittle: it crashes above that.
     pub max_rejections: Option<u32>,
 }
 
--- a/crates/core/src/serving/backpressure/slot_pools.rs
+++ b/crates/core/src/serving/backpressure/slot_pools.rs
@@ -20,7 +20,7 @@
 const SETTLE_PERIOD_MS: Millis = 700;
 /// How long after its last use a pool counts as current when the owners of servers change.
 const CURRENT_PERIOD_MS: Millis = 1_000;
-/// How long after servers became brittle their queues still bear requests that the owner has not
+/// How long after servers became brittle their queues still take requests that the owner has not
 /// heard of.
 const ONSET_PERIOD_MS: Millis = 2_000;
 /// One slot in this many is left free, because new connections and health checks take slots for a
@@ -38,7 +38,7 @@
 /// How long nothing is granted after a rejection: requests whose slots were granted before may be
 /// rejected as well.
 const REJECTION_PAUSE_MS: Millis = 100;
-/// The fraction of the rejections that a server bears after which nothing is granted for the rest of
+/// The fraction of the tolerated rejections after which nothing is granted for the rest of
 /// the window. The rest is for requests in transit, and for owners that do not know of each other.
 const TOLERATED_REJECTIONS_DIVISOR: u32 = 2;
 /// The time without a rejection after which one more slot is granted, up to all.
@@ -170,7 +170,7 @@
         }
     }
 
-    /// Returns the number of servers of which fewer slots are granted than they announce.
+    /// Returns the number of servers that are granted fewer requests than they announce slots.
     pub fn count_bounded(&self) -> usize {
         self.pools.values().filter(|pool| pool.bound.is_some()).count()
     }
--- a/crates/core/src/serving/backpressure/tracker.rs
+++ b/crates/core/src/serving/backpressure/tracker.rs
@@ -155,7 +155,7 @@
         self.limits.get_gossip_batch(now, turn)
     }
 
-    /// Returns whether the servers of a service are brittle, as far as this node knows.
+    /// Returns what this node knows of whether the servers of a service are brittle.
     pub fn get_robustness(&self, now: Millis, service: &str) -> Robustness {
         self.brittle_services.get(now, short_id(service))
     }
--- a/crates/core/src/serving/quarantine/part_suspects.rs
+++ b/crates/core/src/serving/quarantine/part_suspects.rs
@@ -39,7 +39,7 @@
     pub indexes: BTreeSet<usize>,
     /// The requests whose prompts have the part.
     pub requests: BTreeSet<Fingerprint>,
-    /// Its crashes, of which those at the same moment count once.
+    /// Its crashes; those at the same moment count once.
     pub crashes: u32,
     /// Of these, crashes that no quarantined request explains.
     unexplained: u32,
--- a/crates/core/tests/serving/brittle_fleet.rs
+++ b/crates/core/tests/serving/brittle_fleet.rs
@@ -1,7 +1,7 @@
 //! A simulated fleet with brittle servers, for the tests of slots.
 //!
 //! Nodes exchange messages that take some milliseconds and may be lost. A server rejects what it
-//! has no slot for, and crashes if it rejects more than it bears in a second.
+//! has no slot for, and crashes if it rejects more than it tolerates in a second.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
@@ -50,7 +50,7 @@
     pub slots: u32,
     /// How long a request runs, in milliseconds.
     pub run_ms: u64,
-    /// Rejections per second that a server bears.
+    /// Rejections per second that a server tolerates.
     pub max_rejections: u32,
     /// The load as a fraction of what all servers can run.
     pub load: f64,
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -68,7 +68,7 @@
         rate_limit: Option<f64>,
         back_off_ms: Option<u64>,
         is_leaving: bool,
-        /// Rejections per second that the server bears, if it is brittle.
+        /// Rejections per second that the server tolerates, if it is brittle.
         max_rejections: Option<u32>,
     },
     /// A server's backpressure header could not be parsed, or its value was reduced to the maximum.
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -165,7 +165,7 @@
     SlotRejected {
         /// The server.
         key: InstanceKey,
-        /// Rejections per second that the server bears.
+        /// Rejections per second that the server tolerates.
         max_rejections: u32,
     },
     /// The services known to the sender whose servers are brittle.
--- a/crates/gateway/src/node/peers/slots.rs
+++ b/crates/gateway/src/node/peers/slots.rs
@@ -42,7 +42,7 @@
         key: InstanceKey,
         /// The server's data centre.
         data_centre: String,
-        /// Rejections per second that the server bears.
+        /// Rejections per second that the server tolerates.
         max_rejections: u32,
     },
 }
