test(review): streams of a frozen node go on nowhere once a second version serves

Streams that began at one node while one software version served have their only record there. That node is frozen for 6 s and servers of a second version come: both other nodes refuse to go on with any of them, while three servers of their version serve and new streams begin.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
+exec python3 -B "$(dirname "$0")/case.py"
