--- a/review/standins.py
+++ b/review/standins.py
@@ -5,6 +5,7 @@
 import http.server
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -14,6 +15,7 @@
 import tempfile
 import threading
 import time
+import traceback
 import urllib.parse
 import uuid
 
@@ -168,7 +170,8 @@
         return 200, {}
 
 
-class ThreadingServer(socketserver.ThreadingMixIn, http.server.HTTPServer):
+class ThreadingServer(socketserver.ThreadingMixIn, socketserver.TCPServer):
+    allow_reuse_address = True
     daemon_threads = True
     request_queue_size = 512
 
@@ -408,13 +411,27 @@
 # --- nodes ------------------------------------------------------------------------------------
 
 
+TAKEN_PORTS = set()
+
+
+def is_free(port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
+
+
 def free_ports(count):
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
+    """Finds free ports below those that the system gives to connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randint(20000, 32000)
+        if port not in TAKEN_PORTS and is_free(port):
+            TAKEN_PORTS.add(port)
+            ports.append(port)
     return ports
 
 
@@ -563,24 +580,25 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+# A case that takes longer than this could not run.
+MOST_S = 110
+
+
 def main(folder, play):
     """Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
     `play(case)` returns the breaches, as texts."""
-    case = None
+    case, status = None, 2
+
+    def stop(*_):
+        raise CannotRun("stopped, or out of time")
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, stop)
+    signal.alarm(MOST_S)
     try:
         case = Case(folder)
         case.record(f"TROUBLE={1 if TROUBLE else 0}")
         breaches = play(case)
-    except CannotRun as error:
-        print(f"could not run: {error}")
-        if case:
-            case.record(f"could not run: {error}")
-        status = 2
-    except Exception:
-        import traceback
-        traceback.print_exc()
-        status = 2
-    else:
         for breach in breaches:
             case.record(f"BROKEN: {breach}")
         for breach in breaches[:5]:
@@ -588,8 +606,14 @@
         print(f"{len(breaches)} breaches")
         case.record(f"{len(breaches)} breaches")
         status = 1 if breaches else 0
-    finally:
+    except CannotRun as error:
+        print(f"could not run: {error}")
         if case:
-            case.close()
+            case.record(f"could not run: {error}")
+    except Exception:
+        traceback.print_exc()
+    signal.alarm(0)
+    if case:
+        case.close()
     sys.stdout.flush()
     os._exit(status)
