fix(gateway): count a response only for the request whose ID it carries

Cause: what a response said was acted on before it was known whose it was. A second copy of a rejection, sent when the next request has arrived, was taken for the response to that request: 421 and Not-Executed were looked at before the ID, a response without an ID passed, a foreign 421 marked a live server as leaving, and a peer that relays compared nothing.

Change: backend::Client is the only way to a server, directly or through a peer. It returns a backend::Response, which exists only if it carries the ID of the request; any other closes its connection and counts as "may have run". Peers repeat the ID in all outcomes of a relay.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -156,6 +156,14 @@
         may_have_run: bool,
         why: &'a str,
     },
+    /// The response on the connection of a request carries another ID, or none. The connection was
+    /// closed.
+    ResponseMismatched {
+        request: &'a str,
+        server: &'a str,
+        why: &'a str,
+        received_id: Option<&'a str>,
+    },
     /// The retry budget allowed or denied another attempt.
     RetryDecided {
         request: &'a str,
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -17,6 +17,7 @@
 use super::server_body::{BodyReader, Cut, get_content};
 use super::signals::{self, ResponseInfo};
 use super::way;
+use crate::backend::SendError;
 use crate::event::{self, Event};
 use crate::http::{Body, get_framing};
 use crate::node::{Node, ReservationGuard, crashes, record_load_change, slots, watch};
@@ -85,6 +86,8 @@
     Declined,
     /// Another server is listening at the address.
     OtherServer,
+    /// The response on the connection belongs to another request, or to none.
+    OtherRequest,
     /// The connection closed before the response head.
     Ended,
     /// The connection closed after the response head, but before the first token of a stream or
@@ -110,6 +113,7 @@
             Self::NotConnected => "not_connected",
             Self::Declined => "declined",
             Self::OtherServer => "other_server",
+            Self::OtherRequest => "other_request",
             Self::Ended => "ended",
             Self::Cut => "cut",
             Self::Broken => "broken",
@@ -215,28 +219,14 @@
     let sent_at = node.now();
     let sending = way::send(node, params.server, || build_request(node, exchange, params));
     let data_centre = &params.server.data_centre;
-    let response = sending.await.map_err(|error| match error.is_not_sent() {
-        true => (AttemptError::NotConnected, None),
-        false => {
-            if record_disconnect(node, params.server) {
-                // Losing the connection fails the server's other requests too, so eject it at once.
-                node.with(|state| {
-                    state.health.record_connect_failure(node.now(), &params.server.id)
-                });
-            }
-            crashes::record_interrupted_attempt(
-                node,
-                params.server,
-                exchange.get_interrupted_attempt(node.now(), sent_at, None),
-            );
-            (AttemptError::Ended, None)
-        }
+    let response = sending.await.map_err(|error| {
+        (record_send_error(node, exchange, params.server, sent_at, error), None)
     })?;
     node.count_cross_region_bytes(data_centre, exchange.body_bytes, 0);
     let (parts, response_body) = response.into_parts();
     let framing = get_framing(&parts, &response_body);
     let content = get_content(&parts, framing, exchange.route.kind.is_streaming());
-    let fault = check_head(node, exchange, params.server, sent_at, &parts);
+    let fault = check_head(node, params.server, sent_at, &parts);
     if let Some(fault) = fault.filter(|fault| *fault != AttemptError::ServerError) {
         return Err((fault, None));
     }
@@ -274,6 +264,40 @@
     }
 }
 
+/// Records why a request has no response, and returns the error of the attempt.
+fn record_send_error(
+    node: &Arc<Node>,
+    exchange: &Exchange,
+    server: &Server,
+    sent_at: Millis,
+    error: SendError,
+) -> AttemptError {
+    match error {
+        SendError::NotSent(_) => AttemptError::NotConnected,
+        SendError::Mismatched(mismatch) => {
+            event::emit(&Event::ResponseMismatched {
+                request: exchange.head.id.as_deref().unwrap_or(""),
+                server: &server.id,
+                why: mismatch.as_str(),
+                received_id: mismatch.get_received_id(),
+            });
+            AttemptError::OtherRequest
+        }
+        SendError::MaybeSent(_) => {
+            if record_disconnect(node, server) {
+                // Losing the connection fails the server's other requests too, so eject it at once.
+                node.with(|state| state.health.record_connect_failure(node.now(), &server.id));
+            }
+            crashes::record_interrupted_attempt(
+                node,
+                server,
+                exchange.get_interrupted_attempt(node.now(), sent_at, None),
+            );
+            AttemptError::Ended
+        }
+    }
+}
+
 /// Adds a sample of how fast the service's servers process prompts.
 fn record_throughput(node: &Node, service: &str, sample: Sample) {
     let now = node.now();
@@ -355,14 +379,13 @@
 /// address is marked as leaving.
 fn check_head(
     node: &Node,
-    exchange: &Exchange,
     server: &Server,
     sent_at: Millis,
     parts: &Parts,
 ) -> Option<AttemptError> {
     let head = (node.platform.header_codec.decode_response)(parts);
-    let fault = find_fault(exchange, parts, &head);
-    if !head.is_wrong_server && !is_for_other_request(exchange, &head) {
+    let fault = find_fault(parts, &head);
+    if !head.is_wrong_server {
         let has_run = matches!(fault, None | Some(AttemptError::ServerError));
         let response_info = ResponseInfo { sent_at, status: parts.status, has_run };
         signals::apply(node, server, &response_info, &head);
@@ -376,7 +399,7 @@
 }
 
 /// Returns what is wrong with a response head.
-fn find_fault(exchange: &Exchange, parts: &Parts, head: &ResponseHead) -> Option<AttemptError> {
+fn find_fault(parts: &Parts, head: &ResponseHead) -> Option<AttemptError> {
     let status = parts.status;
     if head.is_wrong_server {
         return Some(AttemptError::OtherServer);
@@ -384,7 +407,7 @@
     if head.is_not_executed {
         return Some(AttemptError::Declined);
     }
-    if is_for_other_request(exchange, head) || head.is_encoded || status.is_informational() {
+    if head.is_encoded || status.is_informational() {
         return Some(AttemptError::Broken);
     }
     if status.is_success() && !head.is_sealed {
@@ -396,8 +419,3 @@
     }
     status.is_server_error().then_some(AttemptError::ServerError)
 }
-
-/// Returns `true` if a response belongs to another request.
-fn is_for_other_request(exchange: &Exchange, head: &ResponseHead) -> bool {
-    head.request_id.is_some() && head.request_id != exchange.head.id
-}
--- a/crates/gateway/src/exchange/notes.rs
+++ b/crates/gateway/src/exchange/notes.rs
@@ -78,7 +78,8 @@
             None
         }
         AttemptError::Declined | AttemptError::OtherServer => None,
-        AttemptError::Ended
+        AttemptError::OtherRequest
+        | AttemptError::Ended
         | AttemptError::Cut
         | AttemptError::Broken
         | AttemptError::ServerError
--- a/crates/gateway/src/exchange/way.rs
+++ b/crates/gateway/src/exchange/way.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 
 use futures_lite::future;
-use hyper::{Request, Response};
+use hyper::Request;
 use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::server_path::Way;
 
-use crate::http::{Body, ResponseBody, ReuseOutcome, SendError};
+use crate::backend::{Response, SendError};
+use crate::http::Body;
 use crate::node::{Node, send_through_peer, server_paths};
 
 /// Sends a request and waits for the response head. `build` creates the request, once for each try
@@ -21,7 +22,7 @@
     node: &Arc<Node>,
     server: &Server,
     build: impl Fn() -> Option<Request<Body>>,
-) -> Result<Response<ResponseBody>, SendError> {
+) -> Result<Response, SendError> {
     let service = &server.service;
     let request = build().ok_or_else(|| SendError::NotSent("malformed request".to_owned()))?;
     match server_paths::get_way(node, service) {
@@ -34,10 +35,10 @@
             }
             result => return result,
         },
-        Way::Kept => match node.http_client.send_on_idle(server.address, request).await {
-            ReuseOutcome::Sent(Err(error)) if error.is_not_sent() => {}
-            ReuseOutcome::Sent(result) => return record(node, service, result),
-            ReuseOutcome::NoConnection(_) => {}
+        Way::Kept => match node.backend.send_on_idle(server.address, request).await {
+            Some(Err(error)) if error.is_not_sent() => {}
+            Some(result) => return record(node, service, result),
+            None => {}
         },
         Way::Relay => {}
     }
@@ -48,9 +49,9 @@
     node: &Arc<Node>,
     server: &Server,
     request: Request<Body>,
-) -> Result<Response<ResponseBody>, SendError> {
+) -> Result<Response, SendError> {
     let service = &server.service;
-    let sending = node.http_client.send(server.address, request);
+    let sending = node.backend.send(server.address, request);
     let silence = server_paths::watch_silence(node, service, node.now());
     record(node, service, future::or(sending, silence).await)
 }
@@ -59,8 +60,8 @@
 fn record(
     node: &Node,
     service: &str,
-    result: Result<Response<ResponseBody>, SendError>,
-) -> Result<Response<ResponseBody>, SendError> {
+    result: Result<Response, SendError>,
+) -> Result<Response, SendError> {
     if result.is_ok() {
         server_paths::record_response(node, service);
     }
--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -336,6 +336,13 @@
     max_idle_per_address: Arc<AtomicUsize>,
 }
 
+impl ResponseBody {
+    /// Closes the connection without reading the rest of the body.
+    pub fn close_connection(mut self) {
+        self.kept = None;
+    }
+}
+
 impl HttpBody for ResponseBody {
     type Data = Bytes;
     type Error = hyper::Error;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,12 +10,14 @@
 //! | [`port`] | the interface of a platform adapter |
 //! | [`node`] | the state of a node, and the tasks that keep it up to date |
 //! | [`exchange`] | the handling of one request, from its head to its outcome |
+//! | [`backend`] | calls to backend servers, whose responses are matched to their requests |
 //! | [`active_responses`] | a registry of the responses that are being relayed |
 //! | [`event`], [`log`](mod@log), [`metrics`] | events, logs and metrics |
 //! | [`trace`] | collects the log lines of one request |
 //! | [`http`], [`runtime`] | HTTP, the executor and timers |
 
 pub mod active_responses;
+pub mod backend;
 pub mod event;
 pub mod exchange;
 pub mod http;
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -172,7 +172,7 @@
     pub fn update(&self, node: &Node) {
         let now = node.now();
         self.in_flight.set(node.get_in_flight() as i64);
-        self.connections_opened.set(node.http_client.get_opened_count() as i64);
+        self.connections_opened.set(node.get_http_client().get_opened_count() as i64);
         let (sampled_out, dropped) = crate::log::get_suppressed_counts();
         self.sampled_out_lines.set(sampled_out as i64);
         self.dropped_lines.set(dropped as i64);
--- a/crates/gateway/src/node/connections.rs
+++ b/crates/gateway/src/node/connections.rs
@@ -28,7 +28,7 @@
         if let Some((configuration, nodes)) = known
             && let Some(max) = get_max_idle(&configuration, nodes)
         {
-            node.http_client.set_max_idle_per_address(max);
+            node.get_http_client().set_max_idle_per_address(max);
         }
         runtime::sleep(UPDATE_INTERVAL).await;
     }
--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -65,7 +65,7 @@
 /// Probes whether a server still listens and has not restarted.
 async fn probe(node: Arc<Node>, server: Server) {
     runtime::sleep(CORRELATION_DELAY).await;
-    let is_listening = node.http_client.is_listening(server.address).await;
+    let is_listening = node.get_http_client().is_listening(server.address).await;
     let attempts = lock(&node.interrupted_attempts).remove(&server.id).unwrap_or_default();
     if is_listening && !node.with(|state| state.directory.is_superseded(&server)) {
         report_reset(&node, &server, &attempts).await;
--- a/crates/gateway/src/node/peers/calls.rs
+++ b/crates/gateway/src/node/peers/calls.rs
@@ -142,7 +142,7 @@
     let request = Request::get(path).header("host", from.to_string());
     let request = request.body(Body::empty()).ok()?;
     let fetching = async {
-        let response = node.http_client.send(from, request).await.ok()?;
+        let response = node.get_http_client().send(from, request).await.ok()?;
         if response.status() != StatusCode::OK {
             return None;
         }
--- a/crates/gateway/src/node/peers/server_relay.rs
+++ b/crates/gateway/src/node/peers/server_relay.rs
@@ -21,8 +21,9 @@
 use keeljunction_core::serving::response_body::Framing;
 use keeljunction_core::serving::server_path::{Candidate, Refusal};
 
+use crate::backend::{self, Mismatch, SendError};
 use crate::event::{self, Event};
-use crate::http::{Body, ResponseBody, SendError, get_framing, remove_standard_hop_by_hop};
+use crate::http::{Body, get_framing, remove_standard_hop_by_hop};
 use crate::metrics::{ReasonCounters, ReasonLabels};
 use crate::node::state::InFlightGuard;
 use crate::node::{Node, server_paths};
@@ -55,15 +56,18 @@
     Unreachable,
     /// The server did not respond, and may have run the request.
     Unanswered,
+    /// The server's response belongs to another request, or to none. It may have run this one.
+    Mismatched,
 }
 
 impl Outcome {
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 6] = [
         Self::Relayed,
         Self::Unavailable,
         Self::UnknownServer,
         Self::Unreachable,
         Self::Unanswered,
+        Self::Mismatched,
     ];
 
     /// Returns the outcome's name in headers, logs and metrics.
@@ -74,12 +78,13 @@
             Self::UnknownServer => "unknown_server",
             Self::Unreachable => "unreachable",
             Self::Unanswered => "unanswered",
+            Self::Mismatched => "mismatched",
         }
     }
 
     /// Removes the outcome from a peer's response. Returns `None` if there is none, because the
     /// peer's version does not relay requests. An unknown outcome may mean that the request has run.
-    fn take<T>(response: &mut Response<T>) -> Option<Self> {
+    fn take(response: &mut backend::Response) -> Option<Self> {
         let value = response.headers_mut().remove(OUTCOME_HEADER)?;
         let known = Self::ALL.into_iter().find(|outcome| value == outcome.as_str());
         Some(known.unwrap_or(Self::Unanswered))
@@ -111,13 +116,19 @@
     request.headers().contains_key(SERVER_HEADER)
 }
 
-/// Passes a request of another node to its server.
+/// Passes a request of another node to its server. The response carries the request's ID even if it
+/// is not the server's.
 pub(super) async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let id_header = &node.platform.header_codec.request_id;
+    let id = request.headers().get(id_header).cloned();
     let (outcome, mut response) = match relay(&node, request).await {
         Ok(response) => (Outcome::Relayed, response),
         Err(outcome) => {
             let mut response = Response::new(Body::empty());
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            if let Some(id) = id {
+                response.headers_mut().insert(id_header, id);
+            }
             (outcome, response)
         }
     };
@@ -146,9 +157,11 @@
         return Err(Outcome::Unavailable);
     }
     let guard = RelayGuard::begin(node).ok_or(Outcome::Unavailable)?;
+    let request_id = request.headers().get(&node.platform.header_codec.request_id);
+    let request_id = request_id.and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
     remove_standard_hop_by_hop(request.headers_mut());
     let request = request.map(|body| forward_body(body, ()));
-    match node.http_client.send(server.address, request).await {
+    match node.backend.send(server.address, request).await {
         Ok(response) => {
             server_paths::record_response(node, &server.service);
             let (mut parts, body) = response.into_parts();
@@ -161,6 +174,15 @@
             server_paths::record_unreachable(node, &server);
             Err(Outcome::Unreachable)
         }
+        Err(SendError::Mismatched(mismatch)) => {
+            event::emit(&Event::ResponseMismatched {
+                request: &request_id,
+                server: &server.id,
+                why: mismatch.as_str(),
+                received_id: mismatch.get_received_id(),
+            });
+            Err(Outcome::Mismatched)
+        }
         Err(_) => Err(Outcome::Unanswered),
     }
 }
@@ -203,11 +225,11 @@
     node: &Arc<Node>,
     server: &Server,
     build: impl Fn() -> Option<Request<Body>>,
-) -> Result<Response<ResponseBody>, SendError> {
+) -> Result<backend::Response, SendError> {
     let mut unreachable = 0;
     for peer in pick_peers(node) {
         let Some(request) = build().and_then(|request| address_to(server, request)) else { break };
-        let sent = node.http_client.send(peer.address, request).await;
+        let sent = node.backend.send(peer.address, request).await;
         match interpret(node, server, peer, sent) {
             Offer::Declined => {}
             Offer::Unreachable => unreachable += 1,
@@ -228,7 +250,7 @@
     /// The peer could not connect to the server.
     Unreachable,
     /// The attempt has ended.
-    Ended(Box<Result<Response<ResponseBody>, SendError>>),
+    Ended(Box<Result<backend::Response, SendError>>),
 }
 
 /// Applies the response of a peer.
@@ -236,7 +258,7 @@
     node: &Node,
     server: &Server,
     peer: Candidate,
-    sent: Result<Response<ResponseBody>, SendError>,
+    sent: Result<backend::Response, SendError>,
 ) -> Offer {
     let mut response = match sent {
         Ok(response) => response,
@@ -277,11 +299,14 @@
             let why = format!("the peer {} got no response", peer.address);
             Offer::Ended(Box::new(Err(SendError::MaybeSent(why))))
         }
+        Outcome::Mismatched => {
+            Offer::Ended(Box::new(Err(SendError::Mismatched(Mismatch::ReportedByPeer))))
+        }
     }
 }
 
 /// Moves the server's framing from a peer's header to the extensions of the response.
-fn restore_framing<T>(response: &mut Response<T>, peer: Candidate) {
+fn restore_framing(response: &mut backend::Response, peer: Candidate) {
     let Some(value) = response.headers_mut().remove(FRAMING_HEADER) else { return };
     match FRAMINGS.into_iter().find(|framing| value == framing.as_str()) {
         Some(framing) => {
--- a/crates/gateway/src/node/server_paths.rs
+++ b/crates/gateway/src/node/server_paths.rs
@@ -115,7 +115,7 @@
 
 /// Counts the servers that accept connections, probing all of them at the same time.
 async fn count_listening(node: &Node, servers: &[Server]) -> usize {
-    let probes = servers.iter().map(|server| node.http_client.is_listening(server.address));
+    let probes = servers.iter().map(|server| node.get_http_client().is_listening(server.address));
     join_all(probes).await.into_iter().filter(|is_listening| *is_listening).count()
 }
 
@@ -123,7 +123,7 @@
 fn close_idle(node: &Node, service: &str) {
     let addresses: Vec<_> = node
         .with(|state| state.directory.iter_service(service).map(|server| server.address).collect());
-    addresses.into_iter().for_each(|address| node.http_client.close_idle(address));
+    addresses.into_iter().for_each(|address| node.get_http_client().close_idle(address));
 }
 
 /// Picks some random ready servers that pass a filter, preferably those that were not found
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -50,6 +50,7 @@
 use super::skipped;
 use super::stream_origins::Publications;
 use crate::active_responses::ActiveResponses;
+use crate::backend;
 use crate::http::{Client, StopSignal};
 use crate::metrics::Metrics;
 use crate::port::Platform;
@@ -90,8 +91,8 @@
     pub topology: Arc<Topology>,
     /// This incarnation of the node.
     pub incarnation: Incarnation,
-    /// The HTTP client for servers and peers.
-    pub http_client: Client,
+    /// The client for requests to servers, directly or through peers.
+    pub backend: backend::Client,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Responses in transit to clients.
@@ -338,6 +339,7 @@
             stream_origins: stream_origin::Registry::default(),
         };
         let http_client = Client::new(CONNECT_TIMEOUT).with_source(settings.node.source_address);
+        let backend = backend::Client::new(http_client, platform.header_codec.request_id.clone());
         let mut metrics = Metrics::default();
         metrics.register_cross_region_bytes(link.get_cross_region_bytes_by_region());
         Arc::new(Self {
@@ -346,7 +348,7 @@
             clock,
             topology,
             incarnation,
-            http_client,
+            backend,
             metrics,
             active_responses: ActiveResponses::default(),
             listener_stop,
@@ -440,6 +442,11 @@
         self.with(|state| state.memory.is_under_pressure())
     }
 
+    /// Returns the HTTP client for anything but requests to servers.
+    pub(crate) fn get_http_client(&self) -> &Client {
+        self.backend.get_http()
+    }
+
     /// Returns `true` if the node is shutting down.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::SeqCst)
--- a/crates/gateway/src/node/watch/servers.rs
+++ b/crates/gateway/src/node/watch/servers.rs
@@ -227,7 +227,7 @@
     for change in &changes {
         match change {
             Change::Gone(server) => {
-                node.http_client.close_idle(server.address);
+                node.get_http_client().close_idle(server.address);
                 node.with(|known| known.forget_server(server));
             }
             Change::Joined(server) => node.with(|known| known.rollouts.record_joined(now, server)),
--- a/crates/gateway/src/port/header_codec.rs
+++ b/crates/gateway/src/port/header_codec.rs
@@ -1,18 +1,21 @@
 //! Decodes and encodes the heads of requests and responses.
 
 use hyper::HeaderMap;
+use hyper::header::HeaderName;
 use hyper::http::{request, response};
 use keeljunction_core::Millis;
 use keeljunction_core::serving::backpressure::Signal;
 
 /// Translates between the HTTP headers of callers and servers and the gateway's own types.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 pub struct HeaderCodec {
+    /// The header with the ID of a request, which servers repeat in their responses.
+    pub request_id: HeaderName,
     /// Decodes the head of a caller's request.
     pub decode_request: fn(&request::Parts) -> RequestHead,
     /// Converts a caller's headers into the headers for a server.
     pub encode_request: fn(&mut HeaderMap, &ForwardContext<'_>),
-    /// Decodes the head of a server's response.
+    /// Decodes the head of a server's response, which carries the ID of its request.
     pub decode_response: fn(&response::Parts) -> ResponseHead,
 }
 
@@ -71,8 +74,6 @@
 /// Decoded head of a server's response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
-    /// Id of the request that the response belongs to.
-    pub request_id: Option<String>,
     /// Whether the server sealed the response.
     pub is_sealed: bool,
     /// Whether the server reports that it did not run the request.
