fix(serve): match responses of engines and services to their calls

The same cause in `keeljunction serve`: a second copy of a rejection made the next attempt on its connection count as not sent, so that another engine ran it as well; the copy of a plain response answered the next request; an order counted as accepted by the response to a load report.

Cause: calls bore no ID that servers repeat.

Change: each call carries an ID of its own (x-call-id), which engines and services repeat, and goes through the gateway's backend::Client.

--- a/crates/keeljunction/src/backend/engine.rs
+++ b/crates/keeljunction/src/backend/engine.rs
@@ -8,8 +8,10 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use super::{ATTEMPT_HEADER, KEY_HEADER, PREFILL_HEADER, PRIORITY_HEADER, Tokens};
-use crate::http::{self, Body, SendError};
+use super::{
+    ATTEMPT_HEADER, Client, KEY_HEADER, PREFILL_HEADER, PRIORITY_HEADER, SendError, Tokens, call,
+};
+use crate::http::{self, Body};
 use crate::runtime;
 
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
@@ -75,8 +77,8 @@
 
 /// A client for one model engine.
 pub struct Engine<'a> {
-    /// The HTTP client.
-    pub http: &'a http::Client,
+    /// The client for backend servers.
+    pub client: &'a Client,
     /// The address of the engine.
     pub address: SocketAddr,
     /// The timeout for a response header, and for a complete short response.
@@ -137,10 +139,11 @@
     pub async fn order(&self, order: &Value) -> OrderResult {
         let request = self.request(Method::POST, "/orders").body(Body::from(order.to_string()));
         let Ok(request) = request else { return OrderResult::Failed };
-        let sent = runtime::timeout(self.timeout, self.http.send(self.address, request)).await;
-        match sent {
-            Some(Ok(response)) if response.status() == StatusCode::OK => OrderResult::Accepted,
-            Some(Ok(response)) if response.status() == StatusCode::CONFLICT => OrderResult::Fenced,
+        let sending = call::send(self.client, self.address, request);
+        let sent = runtime::timeout(self.timeout, sending).await;
+        match sent.map(|sent| sent.map(|response| response.into_parts().0.status)) {
+            Some(Ok(StatusCode::OK)) => OrderResult::Accepted,
+            Some(Ok(StatusCode::CONFLICT)) => OrderResult::Fenced,
             _ => OrderResult::Failed,
         }
     }
@@ -175,9 +178,10 @@
 
     async fn exchange(&self, request: Request<Body>) -> Result<Bytes, SendError> {
         let exchange = async {
-            let response = self.http.send(self.address, request).await?;
-            let status = response.status();
-            let content = http::read_body(response.into_body(), MAX_RESPONSE_BYTES).await;
+            let response = call::send(self.client, self.address, request).await?;
+            let (head, body) = response.into_parts();
+            let status = head.status;
+            let content = http::read_body(body, MAX_RESPONSE_BYTES).await;
             let content = content.ok_or_else(|| SendError::MaybeSent("broke off".to_owned()))?;
             if status == StatusCode::OK { Ok(content) } else { Err(error_status(status)) }
         };
@@ -189,20 +193,16 @@
         request: Result<Request<Body>, hyper::http::Error>,
     ) -> Result<Response<Tokens>, SendError> {
         let request = request.map_err(not_sent)?;
-        let sent = runtime::timeout(self.timeout, self.http.send(self.address, request)).await;
-        let response = sent.unwrap_or_else(|| Err(timed_out()))?;
-        match response.status() {
-            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-                return Err(SendError::NotSent(format!(
-                    "rejected with status {}",
-                    response.status()
-                )));
-            }
-            _ => {}
+        let sending = call::send(self.client, self.address, request);
+        let sent = runtime::timeout(self.timeout, sending).await;
+        let (head, body) = sent.unwrap_or_else(|| Err(timed_out()))?.into_parts();
+        let status = head.status;
+        if matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) {
+            return Err(SendError::NotSent(format!("rejected with status {status}")));
         }
-        let prefill = response.headers().get(PREFILL_HEADER).and_then(|value| value.to_str().ok());
+        let prefill = head.headers.get(PREFILL_HEADER).and_then(|value| value.to_str().ok());
         let prefill = prefill.and_then(|value| value.parse().ok()).unwrap_or(0);
-        Ok(response.map(|body| Tokens::new(body, prefill)))
+        Ok(Response::from_parts(head, Tokens::new(body, prefill)))
     }
 }
 
--- a/crates/keeljunction/src/backend/plain.rs
+++ b/crates/keeljunction/src/backend/plain.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use hyper::Request;
 
-use super::{ATTEMPT_HEADER, KEY_HEADER};
-use crate::http::{self, Body, SendError};
+use super::{ATTEMPT_HEADER, Client, KEY_HEADER, SendError, call};
+use crate::http::{self, Body};
 use crate::runtime;
 
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -50,7 +50,7 @@
     /// [`SendError::MaybeSent`] for any other failure or after the timeout.
     pub async fn send(
         &self,
-        http: &http::Client,
+        client: &Client,
         address: SocketAddr,
         timeout: Duration,
     ) -> Result<Reply, SendError> {
@@ -66,12 +66,12 @@
         let request = request.body(Body::from(self.body.clone()));
         let request = request.map_err(|error| SendError::NotSent(error.to_string()))?;
         let exchange = async {
-            let response = http.send(address, request).await?;
-            let status = response.status().as_u16();
-            let media_type = response.headers().get("content-type");
+            let (head, body) = call::send(client, address, request).await?.into_parts();
+            let status = head.status.as_u16();
+            let media_type = head.headers.get("content-type");
             let media_type = media_type.and_then(|value| value.to_str().ok());
             let media_type = media_type.unwrap_or(DEFAULT_MEDIA_TYPE).to_owned();
-            let body = http::read_body(response.into_body(), MAX_RESPONSE_BYTES).await;
+            let body = http::read_body(body, MAX_RESPONSE_BYTES).await;
             let body =
                 body.ok_or_else(|| SendError::MaybeSent("incomplete response".to_owned()))?;
             Ok(Reply { status, media_type, body })
--- a/crates/keeljunction/src/node/attempt.rs
+++ b/crates/keeljunction/src/node/attempt.rs
@@ -10,14 +10,13 @@
 
 use super::answer::{Attempt, done};
 use super::{Answer, Node, ending, grant};
-use crate::backend::{Engine, EngineRequest, Piece, PlainRequest, Tokens};
-use crate::http::SendError;
+use crate::backend::{Engine, EngineRequest, Piece, PlainRequest, SendError, Tokens};
 use crate::runtime;
 
 /// Returns a client for the engine at an address.
 pub fn engine(node: &Node, address: SocketAddr) -> Engine<'_> {
     let timeout = Duration::from_millis(node.settings.limits.idle_ms);
-    Engine { http: &node.http, address, timeout }
+    Engine { client: &node.backend, address, timeout }
 }
 
 /// Sends a request to a model engine and follows its tokens.
@@ -60,7 +59,7 @@
             End::Finished
         }
         Err(SendError::NotSent(why)) => not_sent(&why),
-        Err(SendError::MaybeSent(why)) => interrupted(&why),
+        Err(error) => interrupted(&error.to_string()),
     }
 }
 
@@ -96,7 +95,7 @@
         key: &request.key,
     };
     let remaining = Duration::from_millis(request.deadline.saturating_sub(node.now()));
-    let sent = plain.send(&node.http, address, remaining).await;
+    let sent = plain.send(&node.backend, address, remaining).await;
     record_sent(answer, sent.as_ref().err());
     match sent {
         Ok(reply) => {
@@ -105,7 +104,7 @@
             End::Finished
         }
         Err(SendError::NotSent(why)) => not_sent(&why),
-        Err(SendError::MaybeSent(why)) => interrupted(&why),
+        Err(error) => interrupted(&error.to_string()),
     }
 }
 
--- a/crates/keeljunction/src/node/state.rs
+++ b/crates/keeljunction/src/node/state.rs
@@ -18,6 +18,7 @@
 use super::claims::Claims;
 use super::grant::GrantTable;
 use super::request::Id;
+use crate::backend;
 use crate::http;
 use crate::metric::Metric;
 use crate::peer::{Pool, wire};
@@ -75,7 +76,7 @@
     /// The client for the platform.
     pub platform: platform::Client,
     /// The client for backend servers.
-    pub http: http::Client,
+    pub backend: backend::Client,
     /// The connection pool for peers.
     pub peers: Pool,
     /// The known nodes.
@@ -127,7 +128,7 @@
             clock,
             metric: Metric::new(settings.statsd),
             platform: platform::Client::new(settings.platform.clone(), http.clone()),
-            http,
+            backend: backend::make_client(http),
             peers: Pool::new(&settings.peer_credential),
             members: Mutex::new(List::new(local, timing)),
             directory: Mutex::default(),
--- a/crates/standin/src/reply.rs
+++ b/crates/standin/src/reply.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use keeljunction::backend::CALL_HEADER;
 use keeljunction::http::{Body, Limits, Server, StopSignal};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -55,7 +56,8 @@
 
 /// Serves on loopback until the process ends.
 ///
-/// Prints the listen address to standard output as one line of JSON.
+/// Prints the listen address to standard output as one line of JSON. Each response repeats the ID of
+/// its call.
 pub async fn serve<F, Fut>(port: u16, on_listening: impl FnOnce(SocketAddr), handler: F)
 where
     F: Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
@@ -70,5 +72,18 @@
         println!("{}", serde_json::json!({ "address": address }));
         on_listening(address);
     }
-    server.serve(handler).await;
+    server.serve(move |request| repeat_call_id(request, handler.clone())).await;
+}
+
+async fn repeat_call_id<F, Fut>(request: Request<Incoming>, handler: F) -> Response<Body>
+where
+    F: Fn(Request<Incoming>) -> Fut,
+    Fut: Future<Output = Response<Body>>,
+{
+    let id = request.headers().get(CALL_HEADER).cloned();
+    let mut response = handler(request).await;
+    if let Some(id) = id {
+        response.headers_mut().insert(CALL_HEADER, id);
+    }
+    response
 }
