fix(shutdown): exit only once nothing is open

Cause: the end of the process hung on a count of requests, a fixed linger and a bounded flush, one after the other. The count is 0 between two things still to come: heads half read, connections handed over late.

Evidence: on the node logs `stopped` with is_whole true and in_flight 4, 2.9 s after `stopping` with in_flight 0. Ruled out: a listener that closes too early (all callers had sent a first line). Beside it the HTTP library closes new silent connections and kept ones with part of a head.

Change: one account (node::stop::Obligations) of the listener, connections by phase, requests, relays and queued messages, waited for as one condition, within a Schedule from the grace period and the time for heads. A request that outlasts the process by its route's recent response times is refused at once (503 `stopping`). Signals are registered before the listeners are bound. The last counts of usage are sent, and peers' connections closed, before the exit. `keeljunction serve` counts requests that it has read and not admitted, and lets heads be completed.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -25,6 +25,7 @@
 //! | [`usage`] | how many requests of each client account began in each window |
 //! | [`duty_lease`] | which node makes the calls that only one node at a time may make |
 //! | [`response_body`] | whether a response body is complete when it has ended |
+//! | [`response_times`] | estimates how long the responses on a route take |
 //! | [`event_stream`] | splits event streams into events and checks their order |
 //! | [`stream_origin`] | which software version began a stream, and may continue it |
 //! | [`demand`], [`throughput`], [`capacity`] | how many servers to order, where, and of which kind |
@@ -54,6 +55,7 @@
 pub mod refusal;
 pub mod report_log;
 pub mod response_body;
+pub mod response_times;
 pub mod rollout;
 pub mod round_trip;
 pub mod server_path;
--- a/crates/core/src/serving/refusal.rs
+++ b/crates/core/src/serving/refusal.rs
@@ -28,6 +28,8 @@
     BodyTimeout,
     /// The node has no memory for the body.
     NoMemory,
+    /// The node is shutting down, and the response would take longer than that.
+    Stopping,
     /// The client account has exceeded its quota.
     OverQuota,
     /// The node has no configuration yet.
@@ -80,6 +82,7 @@
             | Self::LinkFull
             | Self::NotAccepted
             | Self::NoMemory
+            | Self::Stopping
             | Self::Quarantined
             | Self::UnknownStream
             | Self::VersionGone
@@ -102,6 +105,7 @@
             Self::BodyTooLong => "body_too_long",
             Self::BodyTimeout => "body_timeout",
             Self::NoMemory => "no_memory",
+            Self::Stopping => "stopping",
             Self::OverQuota => "over_quota",
             Self::NotConfigured => "not_configured",
             Self::Stale => "stale_configuration",
@@ -132,6 +136,7 @@
             self,
             Self::OverQuota
                 | Self::NoMemory
+                | Self::Stopping
                 | Self::NotConfigured
                 | Self::Stale
                 | Self::NoServer
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -31,6 +31,7 @@
 mod refusal;
 mod regions;
 mod response_body;
+mod response_times;
 mod rollout;
 mod rollout_trials;
 mod server_path;
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -7,6 +7,8 @@
 
 use serde::Serialize;
 
+use crate::node::stop::Obligations;
+
 /// A logged event.
 #[allow(missing_docs, reason = "field names say what they hold and carry their units")]
 #[derive(Clone, Debug, Serialize)]
@@ -22,9 +24,9 @@
         metrics: SocketAddr,
     },
     /// The node began to shut down.
-    Stopping { in_flight: usize },
-    /// The node shut down.
-    Stopped { is_whole: bool, in_flight: usize },
+    Stopping { in_flight: usize, open: Obligations },
+    /// The node shut down. Unless `is_whole` is set, it left something open.
+    Stopped { is_whole: bool, in_flight: usize, open: Obligations, stopped_after_ms: u64 },
     /// The process was paused; for `suspended_ms` of that, its machine was suspended.
     Paused { paused_ms: u64, suspended_ms: u64 },
     /// The settings were reloaded.
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -31,6 +31,8 @@
 /// Minimum `Retry-After` of a client account over its quota. Units that are refilled earlier go to
 /// the requests that arrived first.
 const MIN_QUOTA_RETRY_AFTER_MS: Millis = 500;
+/// `Retry-After` if this node is shutting down. Other nodes can serve the request at once.
+const STOPPING_RETRY_AFTER_MS: Millis = 1;
 /// `Retry-After` if this node's configuration is missing or stale. It covers two rounds of queries
 /// to other nodes.
 const STALE_RETRY_AFTER_MS: Millis = 400;
@@ -120,6 +122,9 @@
             .map_err(|reason| reject(reason, 0))?
             .cloned();
         record.account = account.as_ref().map(|account| account.name.clone());
+        if !can_end_before_exit(node, &route, deadline_ms) {
+            return Err(reject(Refusal::Stopping, STOPPING_RETRY_AFTER_MS));
+        }
         let caller_deadline = now + deadline_ms;
         let resume_request = ResumeRequest {
             head: &head,
@@ -291,6 +296,14 @@
 /// Number of route priorities that one client account priority counts for.
 const ACCOUNT_PRIORITY_FACTOR: u32 = 3;
 
+/// Returns `false` if the node is shutting down, and a response on this route usually takes longer
+/// than that.
+fn can_end_before_exit(node: &Node, route: &Route, deadline_ms: Millis) -> bool {
+    let Some(remaining) = node.get_time_until_exit(node.now()) else { return true };
+    let estimate = node.with(|state| state.response_times.estimate(&route.name)).unwrap_or(0);
+    estimate.min(route.timeout).min(deadline_ms) <= remaining
+}
+
 /// Returns the size of the request head on the wire, in bytes.
 fn get_head_bytes(parts: &Parts) -> usize {
     let line =
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -223,6 +223,10 @@
                 metrics.longest_gap.get_or_create(&labels).observe(gap as f64 / 1_000.0);
             }
         }
+        if let (ANSWERED, Some(route), Some(time)) = (self.outcome, &self.route, self.response_time)
+        {
+            self.node.with(|state| state.response_times.record(route, time));
+        }
         let fingerprint = self.fingerprint.filter(|_| self.outcome != ANSWERED);
         event::emit(&Event::RequestEnded {
             request: &self.id,
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -4,13 +4,18 @@
 mod body;
 mod client;
 mod connection_handle;
+mod connections;
 mod headers;
 mod server;
+mod shutdown;
 mod socket;
+mod tracked;
 
 pub use body::{Body, read_body};
 pub use client::{Client, ResponseBody, ReuseOutcome, SendError};
 pub use connection_handle::ConnectionHandle;
+pub use connections::{Connections, Phase, PhaseCounts};
 pub use headers::{get_framing, remove_hop_by_hop, remove_standard_hop_by_hop};
-pub use server::{ConnectionCount, Limits, Server, StopSignal};
+pub use server::{Limits, Server};
+pub use shutdown::{Shutdown, StopSignal};
 pub use socket::{Socket, WriteState, drive};
--- a/crates/gateway/src/http/server.rs
+++ b/crates/gateway/src/http/server.rs
@@ -1,12 +1,10 @@
 //! An HTTP server that can shut down gracefully.
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use async_net::{TcpListener, TcpStream};
@@ -17,7 +15,9 @@
 use hyper::{Request, Response, Version};
 use smol_hyper::rt::SmolTimer;
 
-use super::{Body, ConnectionHandle, Socket, drive};
+use super::connections::Connection;
+use super::tracked::{TrackedBody, TrackedStream};
+use super::{Body, ConnectionHandle, Connections, Phase, Shutdown, Socket, drive};
 use crate::runtime;
 
 /// Returns the time that a connection may take until the next request's head is complete.
@@ -45,55 +45,13 @@
     }
 }
 
-/// A signal that is sent once and that any number of tasks can wait for.
-#[derive(Clone, Debug)]
-pub struct StopSignal {
-    sender: async_channel::Sender<Infallible>,
-    receiver: async_channel::Receiver<Infallible>,
-}
-
-impl StopSignal {
-    /// Creates a signal that has not been sent.
-    pub fn new() -> Self {
-        let (sender, receiver) = async_channel::bounded(1);
-        Self { sender, receiver }
-    }
-
-    /// Sends the signal. It cannot be withdrawn.
-    pub fn send(&self) {
-        self.sender.close();
-    }
-
-    /// Waits until the signal is sent.
-    pub async fn wait(&self) {
-        let _ = self.receiver.recv().await;
-    }
-}
-
-impl Default for StopSignal {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
-/// The number of open connections.
-#[derive(Clone, Debug, Default)]
-pub struct ConnectionCount(Arc<AtomicUsize>);
-
-impl ConnectionCount {
-    /// Returns the number of open connections.
-    pub fn get(&self) -> usize {
-        self.0.load(Ordering::SeqCst)
-    }
-}
-
 /// A listening HTTP server.
 pub struct Server {
     listener: TcpListener,
     limits: Limits,
     head_timeout: HeadTimeout,
-    stop: StopSignal,
-    connection_count: ConnectionCount,
+    shutdown: Shutdown,
+    connections: Connections,
 }
 
 impl Server {
@@ -102,16 +60,12 @@
     /// # Errors
     ///
     /// Returns the system's error if the address cannot be bound.
-    pub async fn bind(address: SocketAddr, limits: Limits, stop: StopSignal) -> io::Result<Self> {
+    pub async fn bind(address: SocketAddr, limits: Limits, shutdown: Shutdown) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let head_timeout: HeadTimeout = Arc::new(|| DEFAULT_HEAD_TIMEOUT);
-        Ok(Self {
-            listener,
-            limits,
-            head_timeout,
-            stop,
-            connection_count: ConnectionCount::default(),
-        })
+        let connections = Connections::default();
+        connections.set_accepting(true);
+        Ok(Self { listener, limits, head_timeout, shutdown, connections })
     }
 
     /// Sets the head time-out of new connections. The function is called for each of them.
@@ -128,12 +82,13 @@
         self.listener.local_addr()
     }
 
-    /// Returns the counter of open connections.
-    pub fn get_connection_count(&self) -> ConnectionCount {
-        self.connection_count.clone()
+    /// Returns the open connections.
+    pub fn get_connections(&self) -> Connections {
+        self.connections.clone()
     }
 
-    /// Handles requests until the stop signal is sent.
+    /// Handles requests until the server's shutdown closes the listener. Connections that are still
+    /// open then are served to their end.
     pub async fn serve<F, Fut>(self, handler: F)
     where
         F: Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
@@ -141,11 +96,14 @@
     {
         loop {
             let accepted = future::or(async { Some(self.listener.accept().await) }, async {
-                self.stop.wait().await;
+                self.shutdown.accepting.wait().await;
                 None
             });
             match accepted.await {
-                None => return self.accept_pending(handler).await,
+                None => {
+                    self.accept_pending(handler).await;
+                    return self.connections.set_accepting(false);
+                }
                 Some(Ok((stream, _))) => self.spawn_connection(stream, handler.clone()),
                 Some(Err(error)) => {
                     log::warn!("cannot accept a connection: {error}");
@@ -171,17 +129,16 @@
         F: Fn(Request<Incoming>) -> Fut + Send + Sync + 'static,
         Fut: Future<Output = Response<Body>> + Send + 'static,
     {
-        if self.connection_count.get() >= self.limits.connections {
+        if self.connections.count().get_total() >= self.limits.connections {
             return;
         }
-        self.connection_count.0.fetch_add(1, Ordering::SeqCst);
-        let (connection_count, stop, limits) =
-            (self.connection_count.clone(), self.stop.clone(), self.limits);
-        let head_timeout = (self.head_timeout)();
-        runtime::spawn(async move {
-            serve_connection(stream, handler, limits, head_timeout, stop).await;
-            connection_count.0.fetch_sub(1, Ordering::SeqCst);
-        });
+        let accepted = Accepted {
+            connection: self.connections.begin(),
+            limits: self.limits,
+            head_timeout: (self.head_timeout)(),
+            shutdown: self.shutdown.clone(),
+        };
+        runtime::spawn(serve_connection(stream, handler, accepted));
     }
 }
 
@@ -206,20 +163,27 @@
     version == Version::HTTP_10 && body.size_hint().exact().is_none()
 }
 
-async fn serve_connection<F, Fut>(
-    stream: TcpStream,
-    handler: F,
+/// A connection that was accepted, and what applies to it.
+struct Accepted {
+    connection: Connection,
     limits: Limits,
     head_timeout: Duration,
-    stop: StopSignal,
-) where
+    shutdown: Shutdown,
+}
+
+async fn serve_connection<F, Fut>(stream: TcpStream, handler: F, accepted: Accepted)
+where
     F: Fn(Request<Incoming>) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Response<Body>> + Send + 'static,
 {
-    let _ = stream.set_nodelay(true);
+    let Accepted { connection, limits, head_timeout, shutdown } = accepted;
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("cannot disable the delay of small packets: {error}");
+    }
     let watched_stream = stream.clone();
     let connection_handle = ConnectionHandle::new(&stream);
     let service = service_fn(|mut request: Request<Incoming>| {
+        let guard = connection.begin_response();
         request.extensions_mut().insert(connection_handle.clone());
         let version = request.version();
         let response = handler(request);
@@ -230,27 +194,76 @@
             if is_ended_by_connection(version, response.body()) {
                 connection_handle.reject_end();
             }
-            Ok(response)
+            Ok(response.map(|body| TrackedBody::new(body, guard)))
         };
         future::or(responded, async { Err(closed.await) })
     });
     let mut builder = http1::Builder::new();
     builder.timer(SmolTimer::new()).header_read_timeout(head_timeout);
     builder.max_buf_size(limits.head_bytes.max(8192));
-    let socket = Socket::new(stream).with_connection_handle(connection_handle.clone());
+    let tracked_stream = TrackedStream::new(stream, connection.clone());
+    let socket = Socket::new(tracked_stream).with_connection_handle(connection_handle.clone());
     let write_state = socket.get_write_state();
-    let mut connection = pin!(builder.serve_connection(socket, service));
-    let stopping = pin!(stop.wait());
+    let mut http_connection = pin!(builder.serve_connection(socket, service));
+    let stopping = wait_for_shutdown(&shutdown, &connection, &watched_stream);
     let ended = async {
-        let _ = drive(connection.as_mut(), &write_state).await;
-        false
-    };
-    let stopped = async {
-        stopping.await;
-        true
+        let _ = drive(http_connection.as_mut(), &write_state).await;
+        None
     };
-    if future::or(ended, stopped).await {
-        connection.as_mut().graceful_shutdown();
-        let _ = drive(connection, &write_state).await;
+    match future::or(ended, async { Some(stopping.await) }).await {
+        None | Some(Stop::Abandon) => {}
+        Some(Stop::AfterResponse) => {
+            http_connection.as_mut().graceful_shutdown();
+            let _ = drive(http_connection, &write_state).await;
+        }
     }
 }
+
+/// How a connection ends because its server shuts down.
+enum Stop {
+    /// It is closed after the response that is under way, or at once if there is none.
+    AfterResponse,
+    /// It is closed although part of a request head has arrived.
+    Abandon,
+}
+
+/// Waits until the connection is to be closed because its server shuts down.
+///
+/// Once the listener has closed, a connection with part of a request head, or a new one, whose
+/// client is about to send one, may complete it until the shutdown's last step. The HTTP library
+/// would close it at once.
+async fn wait_for_shutdown(
+    shutdown: &Shutdown,
+    connection: &Connection,
+    stream: &TcpStream,
+) -> Stop {
+    shutdown.accepting.wait().await;
+    loop {
+        let phase = connection.get_phase();
+        let is_awaited = match phase {
+            Phase::New | Phase::ReadingHead => true,
+            Phase::Idle => has_unread_bytes(stream).await,
+            Phase::Responding => false,
+        };
+        if !is_awaited {
+            return Stop::AfterResponse;
+        }
+        let changed = async {
+            connection.wait_for_change(phase).await;
+            true
+        };
+        let expired = async {
+            shutdown.reading.wait().await;
+            false
+        };
+        if !future::or(changed, expired).await {
+            return Stop::Abandon;
+        }
+    }
+}
+
+/// Returns `true` if bytes have arrived that were not read yet.
+async fn has_unread_bytes(stream: &TcpStream) -> bool {
+    let mut byte = [0; 1];
+    matches!(future::poll_once(stream.peek(&mut byte)).await, Some(Ok(1..)))
+}
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -26,6 +26,9 @@
 
 /// The number of report periods for which a node's counts stay valid.
 const COUNTS_TTL_PERIODS: u32 = 7;
+/// The number of reports that are sent at the end of a shutdown, and the pause after each.
+const LAST_REPORTS: usize = 2;
+const LAST_REPORT_INTERVAL: Duration = Duration::from_millis(20);
 /// The maximum number of usage windows in a report.
 const MAX_REPORTED_WINDOWS: usize = 4;
 
@@ -40,10 +43,7 @@
         node.with(|state| refresh(state, now));
         summary_relay::refresh(&node, turn);
         let is_grouped = node.with(|state| state.members.is_grouped());
-        match node.with(|state| state.report_target.clone()) {
-            ReportTarget::AllAggregators => report_to_aggregators(&node, now, turn).await,
-            ReportTarget::OwnAggregator(name) => report_to_aggregator(&node, now, &name).await,
-        }
+        send(&node, now, turn).await;
         if is_grouped {
             loads::repeat_own(&node, turn);
             fetch_roster_delta(&node, now);
@@ -57,6 +57,22 @@
     }
 }
 
+/// Sends what the others must know of this node before its process exits. A datagram may be lost, so
+/// it is sent more than once.
+pub(in crate::node) async fn send_last(node: &Node) {
+    for _ in 0..LAST_REPORTS {
+        send(node, node.now(), 0).await;
+        runtime::sleep(LAST_REPORT_INTERVAL).await;
+    }
+}
+
+async fn send(node: &Node, now: Millis, turn: u64) {
+    match node.with(|state| state.report_target.clone()) {
+        ReportTarget::AllAggregators => report_to_aggregators(node, now, turn).await,
+        ReportTarget::OwnAggregator(name) => report_to_aggregator(node, now, &name).await,
+    }
+}
+
 /// Fetches missing entries of the roster from another node.
 fn fetch_roster_delta(node: &Arc<Node>, now: Millis) {
     if let Some((from, after)) = node.with(|state| state.members.pick_roster_source(now)) {
--- a/crates/gateway/src/node/serve.rs
+++ b/crates/gateway/src/node/serve.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
@@ -12,14 +11,14 @@
 use keeljunction_core::{Error, ErrorKind};
 
 use super::peers::link::Link;
-use super::state::{BYTES_PER_MB, ProcessContext};
+use super::state::{BYTES_PER_MB, Listener, ProcessContext};
 use super::{
-    Node, connections, leader, listeners, memory, peers, quarantine_rows, server_paths, stop,
+    Node, connections, leader, listeners, memory, quarantine_rows, server_paths, stop,
     stream_origins, version_rows, watch,
 };
 use crate::event::{self, Event};
 use crate::exchange;
-use crate::http::{Limits, Server, StopSignal};
+use crate::http::{Limits, Server, Shutdown};
 use crate::port::Platform;
 use crate::runtime::{self, Clock};
 use crate::settings::Settings;
@@ -34,8 +33,6 @@
 const BYTES_PER_CONNECTION: f64 = 50_000.0;
 /// The minimum number of accepted connections, which leaves room for operators and probes.
 const MIN_CONNECTIONS: usize = 100;
-/// The timeout for writing out in-flight responses at the very end.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Runs a node until it has stopped.
 ///
@@ -43,25 +40,31 @@
 ///
 /// Returns [`ErrorKind::Unavailable`] if a listener cannot be bound to its address.
 pub async fn serve(settings: Settings, path: PathBuf, platform: Platform) -> Result<(), Error> {
+    let signals = register_signals()?;
     let mut settings = settings;
-    let listener_stop = StopSignal::new();
+    let shutdown = Shutdown::default();
     let (callers, at) =
-        bind("listen.callers", settings.listen.callers, &settings, &listener_stop).await?;
+        bind("listen.callers", settings.listen.callers, &settings, &shutdown).await?;
     settings.listen.callers = at;
-    let never = StopSignal::new();
+    let clients = Listener { shutdown, connections: callers.get_connections() };
+    let never = Shutdown::default();
     let (readiness, at) =
         bind("listen.readiness", settings.listen.readiness, &settings, &never).await?;
     settings.listen.readiness = at;
     let (metrics, at) = bind("listen.metrics", settings.listen.metrics, &settings, &never).await?;
     settings.listen.metrics = at;
-    let (peer_calls, at) = bind("listen.peers", settings.listen.peers, &settings, &never).await?;
+    let shutdown = Shutdown::default();
+    let (peer_calls, at) =
+        bind("listen.peers", settings.listen.peers, &settings, &shutdown).await?;
     settings.listen.peers = at;
+    let peers = Listener { shutdown, connections: peer_calls.get_connections() };
     let incarnation = Incarnation { node: settings.node.name.clone(), number: fastrand::u64(..) };
     let link = Link::bind(at, incarnation.number, settings.limits.link_mbps)
         .map_err(|error| make_bind_error("listen.peers", at, &error))?;
     let topology = settings.get_topology()?;
-    let context = ProcessContext { incarnation, clock: Clock::new(), link, topology };
-    let node = Node::new(settings, platform, listener_stop, context);
+    let clock = Clock::new();
+    let context = ProcessContext { incarnation, clock, link, topology, clients, peers };
+    let node = Node::new(settings, platform, context);
     let listen = &node.settings.listen;
     event::emit(&Event::Started {
         node: &node.incarnation.node,
@@ -76,10 +79,10 @@
     runtime::spawn(watch::watch_servers(node.clone()));
     runtime::spawn(connections::run(node.clone()));
     runtime::spawn(server_paths::run(node.clone()));
-    peers::start(&node);
+    super::peers::start(&node);
     let peer_node = node.clone();
     runtime::spawn(
-        peer_calls.serve(move |request| peers::calls::serve(peer_node.clone(), request)),
+        peer_calls.serve(move |request| super::peers::calls::serve(peer_node.clone(), request)),
     );
     runtime::spawn(leader::run(node.clone()));
     runtime::spawn(quarantine_rows::run(node.clone()));
@@ -96,15 +99,8 @@
     runtime::spawn(metrics.serve(move |request| listeners::metrics(metrics_node.clone(), request)));
     let timeout_node = node.clone();
     let callers = callers.with_head_timeout(Arc::new(move || timeout_node.get_idle_timeout()));
-    let open = callers.get_connection_count();
     runtime::spawn(callers.serve(move |request| exchange::handle(client_node.clone(), request)));
-    run_until_stopped(&node, path).await?;
-    runtime::timeout(FLUSH_TIMEOUT, async {
-        while open.get() > 0 {
-            runtime::sleep(Duration::from_millis(10)).await;
-        }
-    })
-    .await;
+    run_until_stopped(&node, signals, path).await;
     crate::log::flush();
     Ok(())
 }
@@ -122,20 +118,24 @@
     key: &'static str,
     address: SocketAddr,
     settings: &Settings,
-    stop: &StopSignal,
+    shutdown: &Shutdown,
 ) -> Result<(Server, SocketAddr), Error> {
     let limits = Limits { connections: count_connections(settings), ..Limits::default() };
-    let bound = Server::bind(address, limits, stop.clone()).await;
+    let bound = Server::bind(address, limits, shutdown.clone()).await;
     let server = bound.map_err(|error| make_bind_error(key, address, &error))?;
     let at = server.get_address().map_err(|error| make_bind_error(key, address, &error))?;
     Ok((server, at))
 }
 
-/// Waits for a stop signal, and then until the node has stopped.
-async fn run_until_stopped(node: &Arc<Node>, path: PathBuf) -> Result<(), Error> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|error| {
+/// Registers the handlers of the signals that stop the node or reload its settings.
+fn register_signals() -> Result<Signals, Error> {
+    Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|error| {
         Error::new(ErrorKind::Unavailable, format!("cannot register signal handlers: {error}"))
-    })?;
+    })
+}
+
+/// Waits for a stop signal, and then until the node has stopped.
+async fn run_until_stopped(node: &Arc<Node>, mut signals: Signals, path: PathBuf) {
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Hup) => reload(node, &path),
@@ -143,7 +143,6 @@
         }
     }
     stop::run(node).await;
-    Ok(())
 }
 
 /// Reloads the settings. Those bound to sockets or a lease take effect at the next start.
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -1,8 +1,8 @@
 //! The node and its view of the deployment.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
@@ -23,6 +23,7 @@
 use keeljunction_core::serving::quarantine::{self, Fingerprint};
 use keeljunction_core::serving::quota::{self, Quotas, Tolerance};
 use keeljunction_core::serving::report_log::ReportLog;
+use keeljunction_core::serving::response_times::ResponseTimes;
 use keeljunction_core::serving::rollout;
 use keeljunction_core::serving::round_trip::RoundTrips;
 use keeljunction_core::serving::server_path::Paths;
@@ -48,10 +49,11 @@
 use super::peers::report_target::{ReportTarget, Samples};
 use super::peers::slots;
 use super::skipped;
+use super::stop::Schedule;
 use super::stream_origins::Publications;
 use crate::active_responses::ActiveResponses;
 use crate::backend;
-use crate::http::{Client, StopSignal};
+use crate::http::{Client, Connections, Shutdown};
 use crate::metrics::Metrics;
 use crate::port::Platform;
 use crate::runtime::{self, Clock, lock};
@@ -69,6 +71,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long clients are assumed to reuse an idle connection while no configuration is known.
 const DEFAULT_CLIENT_IDLE_MS: Millis = 15_000;
+/// How long clients are assumed to take for a request head while no configuration is known.
+const DEFAULT_CLIENT_HEAD_MS: Millis = 3_000;
 /// The idle timeout of a connection, as a multiple of the time for which clients reuse it.
 const IDLE_TIMEOUT_FACTOR: u32 = 2;
 /// Bytes per megabyte in the settings.
@@ -97,8 +101,14 @@
     pub metrics: Metrics,
     /// Responses in transit to clients.
     pub active_responses: ActiveResponses,
-    /// The signal that closes the client listener.
-    pub listener_stop: StopSignal,
+    /// The shutdown of the listener for clients.
+    pub shutdown: Shutdown,
+    /// The connections of clients.
+    pub connections: Connections,
+    /// The shutdown of the listener for peers.
+    pub(super) peer_shutdown: Shutdown,
+    /// The connections of peers.
+    pub(super) peer_connections: Connections,
     /// The datagram socket for messages between nodes.
     pub(super) link: Link,
     /// The queue of notifications to other nodes.
@@ -125,7 +135,8 @@
     pub(super) active_fetches: ActiveFetches,
     /// Requests that this node relays for others.
     pub(super) active_relays: ActiveRelays,
-    is_stopping: AtomicBool,
+    /// Time on the node's clock at which the process exits, once it is shutting down.
+    stop_deadline: OnceLock<Millis>,
     in_flight: AtomicUsize,
 }
 
@@ -191,6 +202,8 @@
     pub(super) outgoing_usage: ReportFilter,
     /// Requested tokens, by service.
     pub demand: DemandTracker,
+    /// How long the responses on each route take.
+    pub response_times: ResponseTimes,
     /// Rollouts of services to other versions.
     pub rollouts: rollout::Registry,
     /// The prompt processing rate of servers, by service.
@@ -274,13 +287,8 @@
 
 impl Node {
     /// Creates a node with an empty view of the deployment.
-    pub fn new(
-        settings: Settings,
-        platform: Platform,
-        listener_stop: StopSignal,
-        context: ProcessContext,
-    ) -> Arc<Self> {
-        let ProcessContext { incarnation, clock, link, topology } = context;
+    pub fn new(settings: Settings, platform: Platform, context: ProcessContext) -> Arc<Self> {
+        let ProcessContext { incarnation, clock, link, topology, clients, peers } = context;
         let topology = Arc::new(topology);
         let bounds = settings.bounds;
         let due = (bounds.usage_late_s * 1_000.0) as Millis;
@@ -303,6 +311,7 @@
             configuration_document: None,
             configuration_row: None,
             demand: DemandTracker::new(topology.get_own_region()),
+            response_times: ResponseTimes::default(),
             rollouts: rollout::Registry::default(),
             throughputs: HashMap::new(),
             freshness: Freshness::default(),
@@ -351,7 +360,10 @@
             backend,
             metrics,
             active_responses: ActiveResponses::default(),
-            listener_stop,
+            shutdown: clients.shutdown,
+            connections: clients.connections,
+            peer_shutdown: peers.shutdown,
+            peer_connections: peers.connections,
             link,
             notifications: async_channel::bounded(NOTIFICATION_CAPACITY),
             pending_loads: pending_loads::Pending::default(),
@@ -365,7 +377,7 @@
             state: Mutex::new(state),
             active_fetches: ActiveFetches::default(),
             active_relays: ActiveRelays::default(),
-            is_stopping: AtomicBool::new(false),
+            stop_deadline: OnceLock::new(),
             in_flight: AtomicUsize::new(0),
         })
     }
@@ -449,12 +461,22 @@
 
     /// Returns `true` if the node is shutting down.
     pub fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::SeqCst)
+        self.stop_deadline.get().is_some()
     }
 
-    /// Begins the shutdown; returns `false` if it had already begun.
-    pub fn begin_stop(&self) -> bool {
-        !self.is_stopping.swap(true, Ordering::SeqCst)
+    /// Begins the shutdown, and returns when its steps happen, or `None` if it had already begun.
+    pub fn begin_stop(&self) -> Option<Schedule> {
+        let grace = Duration::from_secs_f64(self.settings.bounds.grace_s);
+        let known = self.with(|state| state.configuration.as_ref().map(|c| c.limits.head_timeout));
+        let head_timeout = Duration::from_millis(known.unwrap_or(DEFAULT_CLIENT_HEAD_MS));
+        let schedule = Schedule::new(grace, head_timeout);
+        let deadline = self.now() + schedule.ends_after.as_millis() as Millis;
+        self.stop_deadline.set(deadline).is_ok().then_some(schedule)
+    }
+
+    /// Returns the time until the process exits, or `None` if it is not shutting down.
+    pub fn get_time_until_exit(&self, now: Millis) -> Option<Millis> {
+        self.stop_deadline.get().map(|deadline| deadline.saturating_sub(now))
     }
 
     /// Returns the number of requests whose responses have not ended.
@@ -486,6 +508,18 @@
     pub link: Link,
     /// The region of each data centre.
     pub topology: Topology,
+    /// The listener for clients.
+    pub clients: Listener,
+    /// The listener for peers.
+    pub peers: Listener,
+}
+
+/// The shutdown and the connections of a listener.
+pub struct Listener {
+    /// The steps of its shutdown.
+    pub shutdown: Shutdown,
+    /// Its connections.
+    pub connections: Connections,
 }
 
 /// Creates the memory budget. The memory level at which clients should use other nodes is
--- a/crates/gateway/src/node/stop/mod.rs
+++ b/crates/gateway/src/node/stop/mod.rs
@@ -1,48 +1,81 @@
 //! Shuts the node down without interrupting responses.
+//!
+//! | time | step |
+//! |---|---|
+//! | stop signal | the node is unready, and each response closes its connection |
+//! | [`Schedule::accepts_for`] | the load balancer has noticed: the listener and idle connections close |
+//! | [`Schedule::reads_heads_for`] | connections whose request head is incomplete close |
+//! | [`Schedule::disconnects_after`] | clients that do not read are disconnected |
+//! | [`Schedule::ends_after`] | the process exits, whatever is still open |
+//!
+//! Once the listener is closed, the process exits as soon as it has no [`Obligations`]. A request that
+//! would outlast the shutdown is rejected at once, so that its client can use another node.
+
+mod obligations;
+mod schedule;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::Node;
+pub use obligations::Obligations;
+pub use schedule::Schedule;
+
+use super::{Node, peers};
 use crate::event::{self, Event};
 use crate::exchange;
 use crate::runtime;
 
-/// The time for the load balancer to detect that the node is not ready: two probes, a second apart,
-/// and a margin.
-const BALANCER_DETECTION_PERIOD: Duration = Duration::from_millis(2_600);
-/// The part of the grace period reserved for the process to exit.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
-/// The time after the last response during which a client that has just read it may send another
-/// request.
-const LINGER_PERIOD: Duration = Duration::from_millis(300);
-/// The time before the end of the grace period at which clients that do not read are disconnected.
-/// Their responses cannot be delivered any more, and the node can shut down cleanly.
-const DISCONNECT_MARGIN: Duration = Duration::from_millis(800);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// The timeout for closing the connections of peers, which have no request under way.
+const PEER_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Shuts down: becomes unready at once, serves new requests until the load balancer has noticed,
-/// and then waits for in-flight responses, up to the grace period.
+/// Shuts down: serves new requests until the load balancer has noticed, and then all that are under
+/// way, up to the grace period.
 pub async fn run(node: &Arc<Node>) {
-    if !node.begin_stop() {
-        return;
+    let Some(schedule) = node.begin_stop() else { return };
+    let obligations = Obligations::list(node);
+    event::emit(&Event::Stopping { in_flight: obligations.requests, open: obligations });
+    let started_at = runtime::boottime_now();
+    runtime::sleep(schedule.accepts_for).await;
+    node.shutdown.accepting.send();
+    let is_whole = drain(node, &schedule, started_at).await;
+    peers::report::send_last(node).await;
+    close_peer_connections(node).await;
+    let open = Obligations::list(node);
+    let stopped_after_ms = (runtime::boottime_now() - started_at).as_millis() as u64;
+    event::emit(&Event::Stopped { is_whole, in_flight: open.requests, open, stopped_after_ms });
+}
+
+/// Waits until the node has no obligations. Returns `false` if it still has some at the end.
+async fn drain(node: &Arc<Node>, schedule: &Schedule, started_at: Duration) -> bool {
+    while !Obligations::list(node).is_empty() {
+        let elapsed = runtime::boottime_now().saturating_sub(started_at);
+        if elapsed >= schedule.ends_after {
+            return false;
+        }
+        if elapsed >= schedule.reads_heads_for {
+            node.shutdown.reading.send();
+        }
+        if elapsed >= schedule.disconnects_after {
+            exchange::disconnect_stalled(node);
+        }
+        runtime::sleep(POLL_INTERVAL).await;
     }
-    event::emit(&Event::Stopping { in_flight: node.get_in_flight() });
-    let grace = Duration::from_secs_f64(node.settings.bounds.grace_s).saturating_sub(EXIT_MARGIN);
-    let detection_period = BALANCER_DETECTION_PERIOD.min(grace / 2);
-    runtime::sleep(detection_period).await;
-    node.listener_stop.send();
-    let disconnect_at =
-        runtime::boottime_now() + (grace - detection_period).saturating_sub(DISCONNECT_MARGIN);
-    let drained = runtime::timeout(grace - detection_period, async {
-        while node.get_in_flight() > 0 {
-            if runtime::boottime_now() >= disconnect_at {
-                exchange::disconnect_stalled(node);
-            }
+    true
+}
+
+/// Closes the connections of peers, so that they send no request on one that is about to break.
+async fn close_peer_connections(node: &Node) {
+    node.peer_shutdown.accepting.send();
+    node.peer_shutdown.reading.send();
+    let closed = runtime::timeout(PEER_CLOSE_TIMEOUT, async {
+        while node.peer_connections.is_accepting() || node.peer_connections.count().get_total() > 0
+        {
             runtime::sleep(POLL_INTERVAL).await;
         }
-        runtime::sleep(LINGER_PERIOD).await;
     });
-    let is_whole = drained.await.is_some();
-    event::emit(&Event::Stopped { is_whole, in_flight: node.get_in_flight() });
+    if closed.await.is_none() {
+        let open = node.peer_connections.count().get_total();
+        log::warn!("{open} connections of peers were still open at the end of the shutdown");
+    }
 }
--- a/crates/gateway/tests/client.rs
+++ b/crates/gateway/tests/client.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use hyper::{Request, Response};
-use keeljunction_gateway::http::{Body, Client, Limits, Server, StopSignal, read_body};
+use keeljunction_gateway::http::{Body, Client, Limits, Server, Shutdown, read_body};
 use keeljunction_gateway::runtime;
 
 /// Starts a server that responds to every request.
 async fn serve() -> SocketAddr {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let server = Server::bind(any, Limits::default(), StopSignal::new())
+    let server = Server::bind(any, Limits::default(), Shutdown::default())
         .await
         .expect("a listener on a free port");
     let address = server.get_address().expect("an address");
--- a/crates/keeljunction/src/caller/handler.rs
+++ b/crates/keeljunction/src/caller/handler.rs
@@ -40,6 +40,7 @@
 async fn respond_to(node: &Arc<Node>, request: Request<Incoming>) -> Response<Body> {
     let started = node.now();
     node.metric.count("requests", 1);
+    let _guard = node.begin_request();
     if node.is_closed() {
         return reject_stopping(node);
     }
--- a/crates/keeljunction/src/node/serve.rs
+++ b/crates/keeljunction/src/node/serve.rs
@@ -13,19 +13,16 @@
 use super::service::Service;
 use super::{Node, adoption, claims, control, gossip, housekeeping, settlement, stop, watch};
 use crate::caller;
-use crate::http::{Limits, Server, StopSignal};
+use crate::http::{Limits, Server, Shutdown};
 use crate::peer::Listener;
 use crate::runtime;
 use crate::settings::Settings;
 
-/// Time for responses in flight to be written at the end of the shutdown.
-const FLUSH_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after the last answer in which responses still carry `Connection: close`.
 ///
 /// A client that has just read its answer may be about to send the next request on the same
 /// connection.
 const FINAL_GRACE_PERIOD: Duration = Duration::from_millis(250);
-const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The addresses that a node listens on. The node prints them to standard output at startup.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -47,10 +44,10 @@
     let listen = settings.listen.clone();
     let limits =
         Limits { head_bytes: settings.limits.head_bytes, connections: settings.limits.connections };
-    let stop = StopSignal::new();
-    let bound = Server::bind(listen.caller, limits, stop.clone()).await;
+    let shutdown = Shutdown::default();
+    let bound = Server::bind(listen.caller, limits, shutdown.clone()).await;
     let callers = bound.map_err(|error| listen_error("listen.caller", listen.caller, &error))?;
-    let bound = Server::bind(listen.operator, limits, StopSignal::new()).await;
+    let bound = Server::bind(listen.operator, limits, Shutdown::default()).await;
     let operators =
         bound.map_err(|error| listen_error("listen.operator", listen.operator, &error))?;
     let bound = Listener::bind(listen.peer, &settings.peer_credential).await;
@@ -60,7 +57,7 @@
     let node = Node::new(settings, listening.peer.to_string());
     spawn_tasks(&node);
     runtime::spawn(peers.serve(Service::new(node.clone())));
-    let connections = callers.get_connection_count();
+    let connections = callers.get_connections();
     let (caller_node, operator_node) = (node.clone(), node.clone());
     runtime::spawn(callers.serve(move |request| caller::answer(caller_node.clone(), request)));
     runtime::spawn(
@@ -71,14 +68,9 @@
     runtime::spawn(wait_for_signal(node.clone()));
     node.stopped.wait().await;
     runtime::sleep(FINAL_GRACE_PERIOD).await;
-    stop.send();
-    let flushed = runtime::timeout(FLUSH_TIMEOUT, async {
-        while connections.get() > 0 {
-            runtime::sleep(POLL_INTERVAL).await;
-        }
-    });
-    if flushed.await.is_none() {
-        log::warn!("{} connections were still open at shutdown", connections.get());
+    shutdown.accepting.send();
+    if !stop::close_connections(&connections, &shutdown).await {
+        log::warn!("connections were still open at shutdown: {:?}", connections.count());
     }
     log::info!("node {} has stopped", node.get_name());
     Ok(())
--- a/crates/keeljunction/src/node/state.rs
+++ b/crates/keeljunction/src/node/state.rs
@@ -99,6 +99,7 @@
     in_flight: Mutex<HashMap<String, usize>>,
     is_stopping: AtomicBool,
     is_closed: AtomicBool,
+    handled_requests: AtomicUsize,
     running: AtomicUsize,
 }
 
@@ -143,6 +144,7 @@
             in_flight: Mutex::default(),
             is_stopping: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
+            handled_requests: AtomicUsize::new(0),
             running: AtomicUsize::new(0),
             settings,
         })
@@ -261,6 +263,18 @@
         !self.is_stopping.swap(true, Ordering::SeqCst)
     }
 
+    /// Counts a request until its response begins, when the guard is dropped. It is counted
+    /// before it checks whether the node is closed.
+    pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
+        self.handled_requests.fetch_add(1, Ordering::SeqCst);
+        RequestGuard { node: self.clone() }
+    }
+
+    /// Returns the number of requests whose responses have not begun.
+    pub fn count_requests(&self) -> usize {
+        self.handled_requests.load(Ordering::SeqCst)
+    }
+
     /// Returns `true` if the node rejects new requests.
     pub fn is_closed(&self) -> bool {
         self.is_closed.load(Ordering::SeqCst)
@@ -301,3 +315,14 @@
         }
     }
 }
+
+/// Counts a request whose response has not begun until dropped.
+pub struct RequestGuard {
+    node: Arc<Node>,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.node.handled_requests.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- a/crates/standin/src/reply.rs
+++ b/crates/standin/src/reply.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use keeljunction::backend::CALL_HEADER;
-use keeljunction::http::{Body, Limits, Server, StopSignal};
+use keeljunction::http::{Body, Limits, Server, Shutdown};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -64,7 +64,7 @@
     Fut: Future<Output = Response<Body>> + Send + 'static,
 {
     let address = SocketAddr::from(([127, 0, 0, 1], port));
-    let server = match Server::bind(address, Limits::default(), StopSignal::new()).await {
+    let server = match Server::bind(address, Limits::default(), Shutdown::default()).await {
         Ok(server) => server,
         Err(error) => return eprintln!("failed to listen on {address}: {error}"),
     };
--- a/crates/standin/tests/faults/planned_stop.rs
+++ b/crates/standin/tests/faults/planned_stop.rs
@@ -1,8 +1,10 @@
 //! A planned stop interrupts no request in flight.
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::Duration;
 
 use async_executor::Task;
@@ -121,3 +123,50 @@
         },
     );
 }
+
+/// A request that a node which is stopping rejects.
+const LATE_REQUEST: &[u8] =
+    b"POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\n{}";
+/// Time after which the node has closed its listener, but may not have exited.
+const DURING_STOP: Duration = Duration::from_millis(1_200);
+
+/// Sends the first bytes of a request on a connection, which may have carried another one before, and
+/// the rest during the stop. Returns what the node answers to it.
+fn send_around_stop(to: SocketAddr, first_bytes: usize, is_kept: bool) -> String {
+    let mut stream = TcpStream::connect(to).expect("a connection");
+    stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a time-out");
+    let mut buffer = [0; 4096];
+    if is_kept {
+        stream.write_all(LATE_REQUEST).expect("a request");
+        let read = stream.read(&mut buffer).expect("an answer");
+        assert!(read > 0, "the node closed the connection before the stop");
+    }
+    stream.write_all(&LATE_REQUEST[..first_bytes]).expect("the first part");
+    thread::sleep(DURING_STOP);
+    let _ = stream.write_all(&LATE_REQUEST[first_bytes..]);
+    let read = stream.read(&mut buffer).unwrap_or(0);
+    String::from_utf8_lossy(&buffer[..read]).into_owned()
+}
+
+/// Guards against a connection that a stopping node closes while its client sends a request head.
+#[test]
+fn a_request_head_that_is_completed_during_a_stop_is_answered() {
+    on_cluster(ClusterConfig::default(), async |mut cluster| {
+        let to = cluster.nodes[0].get_client_address();
+        let cases = [(30, false), (0, false), (30, true)];
+        let clients: Vec<_> = cases
+            .into_iter()
+            .map(|(first_bytes, is_kept)| {
+                thread::spawn(move || send_around_stop(to, first_bytes, is_kept))
+            })
+            .collect();
+        runtime::sleep(Duration::from_millis(200)).await;
+        cluster.nodes[0].process.terminate();
+        let status = cluster.nodes[0].process.wait(Duration::from_secs(15)).await;
+        assert!(status.is_some_and(|status| status.success()));
+        for (client, case) in clients.into_iter().zip(cases) {
+            let answer = client.join().expect("a client");
+            assert!(answer.starts_with("HTTP/1.1 503"), "{case:?}: {answer:?}");
+        }
+    });
+}
