--- a/crates/keeljunction/src/node/stop.rs
+++ b/crates/keeljunction/src/node/stop.rs
@@ -56,7 +56,7 @@
 }
 
 /// Closes the connections of clients: idle ones at once, the others after their responses. Returns
-/// `false` if some are still open after [`FLUSH_TIMEOUT`].
+/// `false` if some are still open after a time-out.
 pub async fn close_connections(connections: &Connections, shutdown: &Shutdown) -> bool {
     let closed = async {
         while connections.is_accepting() || connections.count().get_total() > 0 {
