--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -40,6 +40,9 @@
 const KEEPALIVE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered probes after which the system closes a connection.
 const MAX_KEEPALIVE_PROBES: u32 = 2;
+/// Maximum time for which a connection is reused if the server announces a longer one. An idle
+/// connection is closed earlier by [`DEFAULT_IDLE_TIMEOUT`].
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3_600);
 /// Margin subtracted from the time-out that a server announces, so that no request is sent while
 /// the server closes the connection.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
@@ -307,7 +310,7 @@
     Ok(())
 }
 
-/// Returns how long a server keeps an idle connection.
+/// Returns how long a server keeps an idle connection, at most [`MAX_KEEP_ALIVE`].
 fn parse_keep_alive(headers: &HeaderMap) -> Duration {
     let announced = headers.get(hyper::header::HeaderName::from_static("keep-alive"));
     let parameters = announced.and_then(|value| value.to_str().ok()).unwrap_or("");
@@ -317,7 +320,7 @@
         is_timeout.then(|| value.trim().parse().ok())?
     });
     seconds.map_or(DEFAULT_KEEP_ALIVE, |seconds| {
-        Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN)
+        Duration::from_secs(seconds).min(MAX_KEEP_ALIVE).saturating_sub(KEEP_ALIVE_MARGIN)
     })
 }
 
