fix(relay): answer a peer in HTTP/1.1 whatever the server speaks

Cause: the peer answers in the version of its server. A response of HTTP/1.0 without a length ends with its connection, so that a failed body looks like the end of one.

Ruled out: the check of the body's end at the node, which gets a clean end.

Change: the peer's response is HTTP/1.1, in chunks, which a failed body cuts.

--- a/crates/gateway/src/node/peers/server_relay.rs
+++ b/crates/gateway/src/node/peers/server_relay.rs
@@ -15,7 +15,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Incoming};
 use hyper::header::{HeaderName, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::load::short_id;
 use keeljunction_core::serving::response_body::Framing;
@@ -166,6 +166,8 @@
             server_paths::record_response(node, &server.service);
             let (mut parts, body) = response.into_parts();
             let framing = get_framing(&parts, &body);
+            // A response of HTTP/1.0 without a length ends with its connection, whatever the reason.
+            parts.version = Version::HTTP_11;
             remove_standard_hop_by_hop(&mut parts.headers);
             parts.headers.insert(FRAMING_HEADER, HeaderValue::from_static(framing.as_str()));
             Ok(Response::from_parts(parts, forward_body(body, guard)))
