fix(streams): send the records of streams to their holders at all times

Cause: the record of a stream went to its holders only while several versions were possible. A node that stands still, is cut off or is killed around that moment never sends it. Ruled out: holders that rank other nodes than the asker (there was one record in all).

Change: while one version is possible, records go to the holders in batches 250 ms apart. Weighed against it: to conclude from a missing record that the stream began at the first version, which costs nothing and is wrong where all three holders of a record are lost together (docs/design/stream-versions.md).

Computed for 986 nodes: 1.5 KB/s each way.

--- a/crates/core/src/serving/stream_origin/registry.rs
+++ b/crates/core/src/serving/stream_origin/registry.rs
@@ -21,6 +21,8 @@
     order: VecDeque<Key>,
     /// The origins of all entries, each held once.
     origins: BTreeSet<Arc<Origin>>,
+    /// Streams whose records are to be sent with the next batch.
+    unsent: Vec<Key>,
 }
 
 #[derive(Debug)]
@@ -49,6 +51,17 @@
         entry.is_own = true;
     }
 
+    /// Adds a stream to the next batch.
+    pub fn queue(&mut self, key: Key) {
+        self.unsent.push(key);
+    }
+
+    /// Takes the records of the streams that were queued since the last batch.
+    pub fn take_queued(&mut self, now: Millis) -> Vec<Record> {
+        let keys = std::mem::take(&mut self.unsent);
+        keys.into_iter().filter_map(|key| self.get_record(now, key)).collect()
+    }
+
     /// Records that a response of this node that belongs to the stream has ended.
     pub fn end(&mut self, now: Millis, key: Key) {
         if let Some(entry) = self.entries.get_mut(&key) {
--- a/crates/gateway/src/node/stream_origins.rs
+++ b/crates/gateway/src/node/stream_origins.rs
@@ -1,5 +1,6 @@
 //! Records which software version began each stream, and sends the records to the nodes that hold
-//! them while several versions of a service are possible.
+//! them: before the first event while several versions of a service are possible, and in batches
+//! otherwise, in case that another version appears while this node cannot send them.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,6 +16,9 @@
 use super::state::State;
 use crate::runtime;
 
+/// The time between two batches of the records of services with one possible version. Records that
+/// are younger are lost if the node fails.
+const BATCH_INTERVAL: Duration = Duration::from_millis(250);
 /// The time between two repetitions of the records of running streams.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// The number of records whose holders are found before other tasks run.
@@ -61,7 +65,7 @@
 /// Records the origin of a stream that this node begins or resumes.
 ///
 /// If several versions of the service are possible, the record is sent to its holders before this
-/// returns.
+/// returns, and with the next batch otherwise.
 pub(crate) async fn begin(
     node: &Arc<Node>,
     key: Key,
@@ -71,8 +75,11 @@
     let now = node.now();
     let published = node.with(|state| {
         state.stream_origins.begin(now, key, origin, expires_at);
-        let is_mixed = state.version_history.is_mixed(now, &origin.service);
-        is_mixed.then(|| state.stream_origins.get_record(now, key)).flatten()
+        if !state.version_history.is_mixed(now, &origin.service) {
+            state.stream_origins.queue(key);
+            return None;
+        }
+        state.stream_origins.get_record(now, key)
     });
     if let Some(record) = published {
         publish(node, vec![record]).await;
@@ -110,6 +117,15 @@
     }
 }
 
+/// Sends the queued records in batches, until the process ends.
+pub(super) async fn run_batches(node: Arc<Node>) {
+    loop {
+        runtime::sleep(BATCH_INTERVAL).await;
+        let now = node.now();
+        publish(&node, node.with(|state| state.stream_origins.take_queued(now))).await;
+    }
+}
+
 /// Sends the records of running streams again and again, until the process ends: datagrams get lost,
 /// and holders restart.
 pub(super) async fn run_repetitions(node: Arc<Node>) {
