fix(quarantine): write verdicts that were decided together in one transaction

Cause: several parts of the prompts are judged at once (the one that crashes servers and others that come with it), and each verdict was written in a transaction of its own. A restart of all nodes between two of them keeps some: the test went on when one row was there.

Change: all verdicts that wait are written in one transaction, up to 90.

--- a/crates/core/src/serving/quarantine/tracker.rs
+++ b/crates/core/src/serving/quarantine/tracker.rs
@@ -163,9 +163,11 @@
         quarantined.into_iter().for_each(|verdict| self.save(verdict));
     }
 
-    /// Returns the next verdict to be written to the table service.
-    pub fn take_unsaved(&mut self) -> Option<Verdict> {
-        self.unsaved.pop_front()
+    /// Takes the next verdicts to be written to the table service, at most `max`. The first ones come
+    /// first.
+    pub fn take_unsaved(&mut self, max: usize) -> Vec<Verdict> {
+        let count = self.unsaved.len().min(max);
+        self.unsaved.drain(..count).collect()
     }
 
     /// Returns `true` if verdicts wait to be written to the table service.
--- a/crates/gateway/src/node/quarantine_rows.rs
+++ b/crates/gateway/src/node/quarantine_rows.rs
@@ -6,6 +6,7 @@
 //! nodes, and removes expired rows. Writing a row twice is harmless. After the table service was
 //! restored from an older copy, an owner writes what it knows again.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,8 +28,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// The interval between checks for rows to read or write.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
-/// The maximum number of rows removed in one transaction; the platform accepts a hundred.
-const MAX_REMOVALS: usize = 90;
+/// The maximum number of rows written or removed in one transaction; the platform accepts a hundred.
+const MAX_WRITES: usize = 90;
 
 /// The row of a refused request. Its key is the fingerprint of the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -87,14 +88,27 @@
         }
         return Ok(());
     };
-    while let Some(verdict) = node.with(|state| state.quarantine.take_unsaved()) {
-        let until = known.get(node.now()) + verdict.left;
-        if let Err(error) = commit(node, vec![make_write(&verdict, until)]).await {
-            node.with(|state| state.quarantine.save(verdict));
+    loop {
+        // Verdicts that were decided together outlast the nodes together.
+        let verdicts = node.with(|state| state.quarantine.take_unsaved(MAX_WRITES));
+        if verdicts.is_empty() {
+            return Ok(());
+        }
+        if let Err(error) = commit(node, make_writes(node, known, &verdicts)).await {
+            node.with(|state| {
+                verdicts.into_iter().for_each(|verdict| state.quarantine.save(verdict));
+            });
             return Err(error);
         }
     }
-    Ok(())
+}
+
+/// Makes the writes of verdicts, the last one for each fingerprint.
+fn make_writes(node: &Node, clock: ClockReading, verdicts: &[Verdict]) -> Vec<Write> {
+    let now = clock.get(node.now());
+    let last: BTreeMap<Fingerprint, &Verdict> =
+        verdicts.iter().map(|verdict| (verdict.fingerprint, verdict)).collect();
+    last.into_values().map(|verdict| make_write(verdict, now + verdict.left)).collect()
 }
 
 /// Returns `true` if this node owns a service.
@@ -128,7 +142,7 @@
             }
         }
     }
-    removals.truncate(MAX_REMOVALS);
+    removals.truncate(MAX_WRITES);
     if !removals.is_empty() {
         commit(node, removals).await?;
     }
