refactor(gateway): one dispatcher for messages of peers, and smaller modules

The messages of other nodes are handed on in peers/dispatcher, so that peers/mod only starts tasks. attempt, admission and state held several things each: the error of an attempt, the guard of a server's load, the quota charge of a request and the process context have modules of their own.

No behaviour changes.

--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -9,7 +9,7 @@
 use hyper::{Method, Uri, header};
 use keeljunction_core::Millis;
 use keeljunction_core::serving::choice::Criteria;
-use keeljunction_core::serving::configuration::{Account, Configuration, QuotaUnit, Route};
+use keeljunction_core::serving::configuration::{Account, Configuration, Route};
 use keeljunction_core::serving::demand::DemandTotals;
 use keeljunction_core::serving::directory::Server;
 use keeljunction_core::serving::load::{PRIORITIES, RequestCost};
@@ -18,11 +18,12 @@
 
 use super::origin::{self, ResumeRequest};
 use super::pin::Pin;
+use super::quota_charge::{QuotaCharge, consume_quota};
 use super::respond::{RefusalResponse, RequestRecord};
 use super::upload::{BodyLimits, IncomingBody, Upload};
 use crate::http::remove_hop_by_hop;
+use crate::node::Node;
 use crate::node::interrupted_attempts::InterruptedAttempt;
-use crate::node::{self, Node};
 use crate::port::{Prompt, RequestHead};
 use crate::runtime::lock;
 
@@ -261,35 +262,6 @@
     }
 }
 
-/// Quota units taken from a client account. They are refunded if this is dropped before the request
-/// is admitted, because the caller disconnected or the body did not arrive.
-struct QuotaCharge {
-    node: Arc<Node>,
-    units: Option<(String, u64)>,
-    is_committed: bool,
-}
-
-impl QuotaCharge {
-    fn commit(mut self) -> Self {
-        self.is_committed = true;
-        self
-    }
-
-    fn refund(&self) {
-        if let Some((account, units)) = &self.units {
-            self.node.with(|state| state.quotas.refund(account, *units));
-        }
-    }
-}
-
-impl Drop for QuotaCharge {
-    fn drop(&mut self) {
-        if !self.is_committed {
-            self.refund();
-        }
-    }
-}
-
 /// Maximum number of parts of a prompt that are suspected of crashing servers.
 const MAX_SHARED_PARTS: usize = 32;
 
@@ -354,24 +326,6 @@
     }
 }
 
-async fn consume_quota(
-    node: &Arc<Node>,
-    account: Option<&Account>,
-    prompt: Option<&Prompt>,
-) -> Result<QuotaCharge, Millis> {
-    let mut charge = QuotaCharge { node: node.clone(), units: None, is_committed: false };
-    let Some(account) = account else { return Ok(charge) };
-    let units = match account.unit {
-        QuotaUnit::Requests => 1,
-        QuotaUnit::Tokens { default } => {
-            prompt.map_or(default, |prompt| prompt.input_tokens + prompt.output_tokens)
-        }
-    };
-    node::consume_units(node, account, units).await?;
-    charge.units = Some((account.name.clone(), units));
-    Ok(charge)
-}
-
 fn estimate_cost(prompt: Option<&Prompt>, urgency: u32) -> RequestCost {
     prompt.map_or(RequestCost::default(), |prompt| RequestCost {
         prompt_tokens: get_unshared_tokens(prompt),
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -8,19 +8,21 @@
 use hyper::{HeaderMap, Request};
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::Server;
-use keeljunction_core::serving::load::{RequestCost, short_id};
+use keeljunction_core::serving::load::short_id;
 use keeljunction_core::serving::memory::Kind;
 use keeljunction_core::serving::response_body::{Content, Framing};
 use keeljunction_core::serving::throughput::Sample;
 
 use super::admission::Exchange;
+use super::attempt_error::AttemptError;
+use super::load_guard::LoadGuard;
 use super::server_body::{BodyReader, Cut, get_content};
 use super::signals::{self, ResponseInfo};
 use super::way;
 use crate::backend::SendError;
 use crate::event::{self, Event};
 use crate::http::{Body, get_framing};
-use crate::node::{Node, ReservationGuard, crashes, record_load_change, slots, watch};
+use crate::node::{Node, ReservationGuard, crashes, watch};
 use crate::port::{ForwardContext, ResponseHead};
 use crate::runtime;
 
@@ -77,107 +79,6 @@
 /// A failed attempt, with the server's error response if there is one.
 pub(super) type FailedAttempt = (AttemptError, Option<Box<ServerResponse>>);
 
-/// Reason why an attempt did not give a valid response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum AttemptError {
-    /// The connection failed; nothing was sent.
-    NotConnected,
-    /// The server reports that it did not run the request.
-    Declined,
-    /// Another server is listening at the address.
-    OtherServer,
-    /// The response on the connection belongs to another request, or to none.
-    OtherRequest,
-    /// The connection closed before the response head.
-    Ended,
-    /// The connection closed after the response head, but before the first token of a stream or
-    /// before the end of any other response.
-    Cut,
-    /// The response is not valid for this request.
-    Broken,
-    /// The server returned a server error.
-    ServerError,
-    /// The attempt timed out.
-    Timeout,
-}
-
-impl AttemptError {
-    /// Returns `true` if the request may have run.
-    pub fn may_have_run(self) -> bool {
-        !matches!(self, Self::NotConnected | Self::Declined | Self::OtherServer)
-    }
-
-    /// Returns the name of the error in logs and metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::NotConnected => "not_connected",
-            Self::Declined => "declined",
-            Self::OtherServer => "other_server",
-            Self::OtherRequest => "other_request",
-            Self::Ended => "ended",
-            Self::Cut => "cut",
-            Self::Broken => "broken",
-            Self::ServerError => "server_error",
-            Self::Timeout => "timeout",
-        }
-    }
-}
-
-/// Counts a request in a server's load until dropped.
-pub(super) struct LoadGuard {
-    node: Arc<Node>,
-    service: String,
-    server: String,
-    cost: RequestCost,
-    body_bytes: u64,
-    started_at: Millis,
-    had_first_token: bool,
-}
-
-impl LoadGuard {
-    fn begin(node: &Arc<Node>, server: &Server, exchange: &Exchange) -> Self {
-        let (cost, body_bytes) = (exchange.cost, exchange.body_bytes as u64);
-        node.with(|state| {
-            state.in_flight_bytes.begin(&server.id, body_bytes);
-            state.loads.begin(&server.id, &cost);
-            state.demand.begin_request(&server.service);
-        });
-        slots::record_begin(node, &server.id);
-        record_load_change(node, &server.id, true);
-        let (service, server) = (server.service.clone(), server.id.clone());
-        let started_at = node.now();
-        let node = node.clone();
-        Self { node, service, server, cost, body_bytes, started_at, had_first_token: false }
-    }
-
-    /// Returns the time when the request was sent.
-    pub fn get_start(&self) -> Millis {
-        self.started_at
-    }
-
-    /// Records the first token of the response.
-    pub fn record_first_token(&mut self) {
-        if !self.had_first_token {
-            self.had_first_token = true;
-            self.node.with(|state| state.loads.record_first_token(&self.server, &self.cost));
-            record_load_change(&self.node, &self.server, false);
-        }
-    }
-}
-
-impl Drop for LoadGuard {
-    fn drop(&mut self) {
-        let had_first_token = self.had_first_token;
-        self.node.with(|state| {
-            state.in_flight_bytes.end(&self.server, self.body_bytes);
-            state.loads.end(&self.server, &self.cost, had_first_token);
-            state.demand.end_request(&self.service);
-        });
-        slots::record_end(&self.node, short_id(&self.server));
-        record_load_change(&self.node, &self.server, false);
-    }
-}
-
 /// Parameters of one attempt.
 pub(super) struct AttemptParams<'a> {
     /// The server.
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -7,7 +7,8 @@
 use keeljunction_core::serving::rollout::Phase;
 
 use super::admission::Exchange;
-use super::attempt::{self, AttemptError, AttemptParams, FailedAttempt, ServerResponse};
+use super::attempt::{self, AttemptParams, FailedAttempt, ServerResponse};
+use super::attempt_error::AttemptError;
 use super::begin;
 use super::notes::{record_choice, record_failure};
 use super::pick::{self, Attempts, Pick};
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -3,6 +3,7 @@
 //! | module | purpose |
 //! |---|---|
 //! | `admission` | validates the request and determines its route, client account and deadline |
+//! | `quota_charge` | takes the request's quota units from its client account |
 //! | `upload` | reads the request body within the memory budget and the time limit |
 //! | `origin` | finds the software version that began a stream which the request resumes |
 //! | `pin` | holds the software version that a stream stays at |
@@ -11,6 +12,8 @@
 //! | `progress` | tracks the attempts made so far |
 //! | `pick` | picks the server for an attempt |
 //! | `attempt` | sends the request to one server and checks its response |
+//! | `attempt_error` | holds the reason why an attempt gave no valid response |
+//! | `load_guard` | counts a request in the load of its server |
 //! | `server_body` | reads the body of a response and decides whether it is complete |
 //! | `way` | sends it directly, or through a peer if the node is cut off from the servers |
 //! | `signals` | applies the load signals in server responses |
@@ -25,16 +28,19 @@
 
 mod admission;
 mod attempt;
+mod attempt_error;
 mod begin;
 mod callers;
 mod dispatch;
 mod feed;
 mod flow;
+mod load_guard;
 mod notes;
 mod origin;
 mod pick;
 mod pin;
 mod progress;
+mod quota_charge;
 mod rejection;
 mod relay;
 mod respond;
--- a/crates/gateway/src/exchange/notes.rs
+++ b/crates/gateway/src/exchange/notes.rs
@@ -6,7 +6,7 @@
 use keeljunction_core::serving::spill::{Cause, get_region};
 
 use super::admission::Exchange;
-use super::attempt::AttemptError;
+use super::attempt_error::AttemptError;
 use super::pick::{self, Pick};
 use super::respond::RequestRecord;
 use crate::event::{self, Event};
--- a/crates/gateway/src/exchange/progress.rs
+++ b/crates/gateway/src/exchange/progress.rs
@@ -3,7 +3,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::refusal::Refusal;
 
-use super::attempt::AttemptError;
+use super::attempt_error::AttemptError;
 use super::rejection::Rejection;
 
 /// State of the attempts at a request.
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -20,8 +20,9 @@
 use keeljunction_core::serving::rollout::Phase;
 
 use super::admission::Exchange;
-use super::attempt::{self, LoadGuard, ServerBody, ServerResponse};
+use super::attempt::{self, ServerBody, ServerResponse};
 use super::dispatch;
+use super::load_guard::LoadGuard;
 use super::notes;
 use super::progress::Tried;
 use super::respond::{ANSWERED, RequestRecord};
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -3,6 +3,7 @@
 //! | module | purpose |
 //! |---|---|
 //! | [`state`] | holds the node's view of the deployment |
+//! | `process_context` | holds what exists before the node, for one run of its process |
 //! | [`serve`] | starts the node and runs it until it has stopped |
 //! | [`watch`] | follows the configuration and the server list |
 //! | [`skipped`] | tracks table entries that could not be decoded |
@@ -41,6 +42,7 @@
 pub mod memory;
 mod pause_detector;
 mod peers;
+mod process_context;
 mod quarantine_rows;
 mod rollout_controller;
 mod rollout_status;
--- a/crates/gateway/src/node/serve.rs
+++ b/crates/gateway/src/node/serve.rs
@@ -11,9 +11,10 @@
 use keeljunction_core::{Error, ErrorKind};
 
 use super::peers::link::Link;
-use super::state::{BYTES_PER_MB, Listener, ProcessContext};
+use super::process_context::{Listener, ProcessContext};
+use super::state::BYTES_PER_MB;
 use super::{
-    Node, connections, leader, listeners, memory, quarantine_rows, server_paths, stop,
+    Node, connections, leader, listeners, memory, peers, quarantine_rows, server_paths, stop,
     stream_origins, version_rows, watch,
 };
 use crate::event::{self, Event};
@@ -57,13 +58,14 @@
     let (peer_calls, at) =
         bind("listen.peers", settings.listen.peers, &settings, &shutdown).await?;
     settings.listen.peers = at;
-    let peers = Listener { shutdown, connections: peer_calls.get_connections() };
+    let peer_listener = Listener { shutdown, connections: peer_calls.get_connections() };
     let incarnation = Incarnation { node: settings.node.name.clone(), number: fastrand::u64(..) };
     let link = Link::bind(at, incarnation.number, settings.limits.link_mbps)
         .map_err(|error| make_bind_error("listen.peers", at, &error))?;
     let topology = settings.get_topology()?;
     let clock = Clock::new();
-    let context = ProcessContext { incarnation, clock, link, topology, clients, peers };
+    let context =
+        ProcessContext { incarnation, clock, link, topology, clients, peers: peer_listener };
     let node = Node::new(settings, platform, context);
     let listen = &node.settings.listen;
     event::emit(&Event::Started {
@@ -79,10 +81,10 @@
     runtime::spawn(watch::watch_servers(node.clone()));
     runtime::spawn(connections::run(node.clone()));
     runtime::spawn(server_paths::run(node.clone()));
-    super::peers::start(&node);
+    peers::start(&node);
     let peer_node = node.clone();
     runtime::spawn(
-        peer_calls.serve(move |request| super::peers::calls::serve(peer_node.clone(), request)),
+        peer_calls.serve(move |request| peers::calls::serve(peer_node.clone(), request)),
     );
     runtime::spawn(leader::run(node.clone()));
     runtime::spawn(quarantine_rows::run(node.clone()));
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -48,6 +48,7 @@
 use super::peers::relay_state::RelayState;
 use super::peers::report_target::{ReportTarget, Samples};
 use super::peers::slots;
+use super::process_context::ProcessContext;
 use super::skipped;
 use super::stop::Schedule;
 use super::stream_origins::Publications;
@@ -498,30 +499,6 @@
     }
 }
 
-/// Resources of one process run that exist before the node.
-pub struct ProcessContext {
-    /// The incarnation of the node.
-    pub incarnation: Incarnation,
-    /// The monotonic clock.
-    pub clock: Clock,
-    /// The datagram socket for messages between nodes.
-    pub link: Link,
-    /// The region of each data centre.
-    pub topology: Topology,
-    /// The listener for clients.
-    pub clients: Listener,
-    /// The listener for peers.
-    pub peers: Listener,
-}
-
-/// The shutdown and the connections of a listener.
-pub struct Listener {
-    /// The steps of its shutdown.
-    pub shutdown: Shutdown,
-    /// Its connections.
-    pub connections: Connections,
-}
-
 /// Creates the memory budget. The memory level at which clients should use other nodes is
 /// randomized for each run of a node.
 fn make_memory_budget(settings: &Settings, seed: u64) -> MemoryBudget {
