--- a/crates/gateway/src/http/connections.rs
+++ b/crates/gateway/src/http/connections.rs
@@ -1,4 +1,4 @@
-//! The open connections of a server, and what each of them is doing.
+//! The open connections of a server, and the phase of each.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
@@ -6,7 +6,7 @@
 use event_listener::Event;
 use serde::Serialize;
 
-/// What a connection is doing.
+/// The phase of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
     /// No byte has arrived yet.
--- a/crates/gateway/src/http/server.rs
+++ b/crates/gateway/src/http/server.rs
@@ -163,7 +163,7 @@
     version == Version::HTTP_10 && body.size_hint().exact().is_none()
 }
 
-/// A connection that was accepted, and what applies to it.
+/// A connection that was accepted, with its limits and the shutdown of its server.
 struct Accepted {
     connection: Connection,
     limits: Limits,
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -3,7 +3,7 @@
 //! | module | purpose |
 //! |---|---|
 //! | [`state`] | holds the node's view of the deployment |
-//! | `process_context` | holds what exists before the node, for one run of its process |
+//! | `process_context` | holds the resources of a process that exist before its node |
 //! | [`serve`] | starts the node and runs it until it has stopped |
 //! | [`watch`] | follows the configuration and the server list |
 //! | [`skipped`] | tracks table entries that could not be decoded |
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -57,8 +57,8 @@
     }
 }
 
-/// Sends what the others must know of this node before its process exits. A datagram may be lost, so
-/// it is sent more than once.
+/// Sends the last counts of this node before its process exits. A datagram may be lost, so they are
+/// sent more than once.
 pub(in crate::node) async fn send_last(node: &Node) {
     for _ in 0..LAST_REPORTS {
         send(node, node.now(), 0).await;
--- a/crates/gateway/src/node/process_context.rs
+++ b/crates/gateway/src/node/process_context.rs
@@ -1,4 +1,4 @@
-//! What exists before the node, for one run of its process.
+//! The resources of one run of a process that exist before its node.
 
 use keeljunction_core::serving::topology::Topology;
 use keeljunction_core::serving::usage::Incarnation;
--- a/crates/gateway/src/node/stop/obligations.rs
+++ b/crates/gateway/src/node/stop/obligations.rs
@@ -1,11 +1,11 @@
-//! What a process must complete before it exits.
+//! The work that a process must complete before it exits.
 
 use serde::Serialize;
 
 use crate::http::PhaseCounts;
 use crate::node::Node;
 
-/// What a process must complete before it exits.
+/// The work that a process must complete before it exits.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Obligations {
     /// Whether the listener may still hand over connections of clients.
