fix(streams): keep three confirmed copies of each stream's record

Streams were refused (503 `unknown_stream`) at all nodes but the one that began them: 16 of 16 where that node stood still right after their first events and a second software version came.

Cause: a record was sent to its holders once, in a batch up to 250 ms after the first event, and nobody looked at whether it had arrived or was still there. A node that fails earlier, a lost datagram, a holder that leaves, an empty list of nodes at that moment, and a copy that expires after 60 s while its stream still runs each left the record at one node.

Ruled out: repeating the records of running streams each second, 15 KB/s at 986 nodes of the 8 KB/s for all control; concluding the version from a missing record, which mixes versions where all holders were lost together.

Change: copies go to three other nodes before the first event, and each holder confirms its copy. The node that began the stream compares the confirmed copies at live nodes with the three that should exist until the record expires, and sends what is missing. The batches, the repetitions each second while several versions serve, and the publication when a second one appears are gone. `stream_resumed` has `nodes_asked` and `nodes_answered`; metrics `stream_copies` by reason and `uncopied_streams`.

--- a/crates/core/src/serving/members/holders.rs
+++ b/crates/core/src/serving/members/holders.rs
@@ -1,46 +1,97 @@
 //! Which nodes hold the record of a stream's origin.
 //!
-//! Holders are ranked by rendezvous hashing of the record's key over all known nodes, and lie in
-//! different data centres while there are several. More nodes are asked than hold a record, because
+//! Nodes are ranked by rendezvous hashing of the record's key over all known nodes. Copies lie in
+//! different data centres while there are several. More nodes are asked than hold a copy, because
 //! nodes may differ in which others they know.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::Members;
 use super::entry::Entry;
-use crate::rendezvous;
+use crate::serving::load::short_id;
+use crate::serving::stream_origin::{COPIES, HolderId};
+use crate::{Millis, rendezvous};
 
-/// The number of nodes that hold a record.
-const RECORD_HOLDERS: usize = 3;
 /// The number of nodes that are asked for a record.
 const ASKED_HOLDERS: usize = 6;
 
+/// The nodes that are not stopping, to be ranked for several records.
+#[derive(Debug)]
+pub struct HolderRanking<'a> {
+    own: &'a Entry,
+    /// The nodes, including this one.
+    nodes: Vec<&'a Entry>,
+    data_centres: usize,
+}
+
 impl Members {
-    /// Lists the nodes that hold the record of a key; this node may be one of them.
-    pub fn list_record_holders(&self, key: u64) -> Vec<&Entry> {
-        self.rank_holders(key, RECORD_HOLDERS)
+    /// Returns the nodes to be ranked, as they are known now.
+    pub fn get_holder_ranking(&self) -> HolderRanking<'_> {
+        let others = self.known.values().filter(|member| !member.is_stopping);
+        let nodes: Vec<&Entry> = others.map(|member| &member.entry).chain([&self.own]).collect();
+        let data_centres: BTreeSet<&str> =
+            nodes.iter().map(|entry| entry.data_centre.as_str()).collect();
+        HolderRanking { own: &self.own, data_centres: data_centres.len(), nodes }
     }
 
-    /// Lists the nodes that are asked for the record of a key; this node may be one of them.
-    pub fn list_asked_holders(&self, key: u64) -> Vec<&Entry> {
-        self.rank_holders(key, ASKED_HOLDERS)
+    /// Returns `true` if a node that holds copies is still a member that can be reached, as far as
+    /// this node knows.
+    pub fn is_live_holder(&self, now: Millis, holder: HolderId) -> bool {
+        let member = self.names.get(&holder).and_then(|name| self.known.get(name));
+        member.is_some_and(|member| {
+            let is_silent = member.is_silent || self.silent_by_aggregator.contains(&member.short);
+            let is_heard = self.view.is_grouped || self.is_heard(now, member);
+            !member.is_stopping && !is_silent && is_heard
+        })
+    }
+
+    /// Returns the description of another node that holds copies.
+    pub fn get_holder(&self, holder: HolderId) -> Option<&Entry> {
+        let member = self.names.get(&holder).and_then(|name| self.known.get(name));
+        member.map(|member| &member.entry)
     }
 
     /// Returns `true` if an entry describes this node.
     pub fn is_own(&self, entry: &Entry) -> bool {
         entry.name == self.own.name
     }
+}
 
-    /// Ranks the nodes that are not stopping, and takes the first ones of each data centre.
-    fn rank_holders(&self, key: u64, count: usize) -> Vec<&Entry> {
-        let others = self.known.values().filter(|member| !member.is_stopping);
-        let nodes = others.map(|member| &member.entry).chain([&self.own]);
+impl<'a> HolderRanking<'a> {
+    /// Lists the other nodes that hold a copy of a record of this node, in different data centres
+    /// if possible.
+    pub fn list_copy_holders(&self, key: u64) -> Vec<&'a Entry> {
+        self.rank(key, COPIES, |entry| entry.name != self.own.name)
+    }
+
+    /// Lists the nodes that are asked for the record of a key; this node may be one of them.
+    pub fn list_asked_holders(&self, key: u64) -> Vec<&'a Entry> {
+        self.rank(key, ASKED_HOLDERS, |_| true)
+    }
+
+    /// Ranks the other nodes that may hold a copy of this node's record: those that should, and then
+    /// those that are asked as well.
+    pub fn list_candidates(&self, key: u64) -> Vec<HolderId> {
+        let mut candidates = self.list_copy_holders(key);
+        let asked = self.list_asked_holders(key).into_iter();
+        let others = asked.filter(|entry| entry.name != self.own.name);
+        let others: Vec<&Entry> = others.filter(|entry| !candidates.contains(entry)).collect();
+        candidates.extend(others);
+        candidates.into_iter().map(|entry| short_id(&entry.name)).collect()
+    }
+
+    /// Ranks the nodes that `is_candidate` selects, and takes the first ones of each data centre.
+    fn rank(
+        &self,
+        key: u64,
+        count: usize,
+        is_candidate: impl Fn(&Entry) -> bool,
+    ) -> Vec<&'a Entry> {
+        let candidates = self.nodes.iter().filter(|entry| is_candidate(entry));
         let mut ranked: Vec<(u64, &Entry)> =
-            nodes.map(|entry| (rendezvous::weigh(key, &entry.name), entry)).collect();
+            candidates.map(|entry| (rendezvous::weigh(key, &entry.name), *entry)).collect();
         ranked.sort_unstable_by(|one, other| (other.0, &other.1.name).cmp(&(one.0, &one.1.name)));
-        let data_centres: BTreeSet<&str> =
-            ranked.iter().map(|(_, entry)| entry.data_centre.as_str()).collect();
-        let most = count.div_ceil(data_centres.len());
+        let most = count.div_ceil(self.data_centres.max(1));
         let mut taken: BTreeMap<&str, usize> = BTreeMap::new();
         let mut holders = Vec::with_capacity(count);
         for (_, entry) in ranked {
--- a/crates/core/src/serving/members/mod.rs
+++ b/crates/core/src/serving/members/mod.rs
@@ -53,6 +53,7 @@
 use crate::Millis;
 
 pub use self::entry::Entry;
+pub use self::holders::HolderRanking;
 pub use self::owner::LoadOwner;
 pub use self::roster::{RosterDelta, RosterEntry, RosterSummary};
 
--- a/crates/core/src/serving/stream_origin/mod.rs
+++ b/crates/core/src/serving/stream_origin/mod.rs
@@ -1,9 +1,8 @@
 //! The software version that began a stream, so that only servers of this version continue it.
 //!
 //! Servers of several software versions may serve side by side. What two versions write does not
-//! fit together. A node that begins a stream keeps its origin. While several versions of the service
-//! are possible, it also sends the origin to a few other nodes, which the node that resumes the
-//! stream asks.
+//! fit together. A node that begins a stream keeps its origin and sends copies to a few other nodes,
+//! which the node that resumes the stream asks.
 //!
 //! | module | responsibility |
 //! |---|---|
@@ -11,6 +10,7 @@
 //! | `origin` | names the service and the software version that began a stream |
 //! | `registry` | keeps the origins of streams |
 //! | `record` | describes a kept origin, to be sent to other nodes |
+//! | `replication` | tracks which other nodes hold a copy of a record |
 //! | `batch` | packs records into datagrams |
 //! | `possible` | lists the origins that a stream of unknown origin may have |
 //! | `answer` | defines what a node knows of a stream's origin |
@@ -24,6 +24,7 @@
 mod possible;
 mod record;
 mod registry;
+mod replication;
 
 pub use self::answer::Answer;
 pub use self::batch::{Batch, MAX_BATCHED_STREAMS, Stream};
@@ -33,3 +34,4 @@
 pub use self::possible::PossibleOrigins;
 pub use self::record::{Record, Standing};
 pub use self::registry::{MAX_RECORDS, Registry};
+pub use self::replication::{COPIES, HolderId};
--- a/crates/core/src/serving/stream_origin/registry.rs
+++ b/crates/core/src/serving/stream_origin/registry.rs
@@ -7,6 +7,7 @@
 use super::key::Key;
 use super::origin::Origin;
 use super::record::{Record, Standing};
+use super::replication::{HolderId, Replication};
 use crate::Millis;
 use crate::serving::version_history::MAX_STREAM_AGE_MS;
 
@@ -21,8 +22,10 @@
     order: VecDeque<Key>,
     /// The origins of all entries, each held once.
     origins: BTreeSet<Arc<Origin>>,
-    /// Streams whose records are to be sent with the next batch.
-    unsent: Vec<Key>,
+    /// The copies of the records of streams that this node began or resumed.
+    replications: HashMap<Key, Replication>,
+    /// These streams by the time at which their copies are to be checked.
+    due: BTreeSet<(Millis, Key)>,
 }
 
 #[derive(Debug)]
@@ -33,8 +36,6 @@
     running: u32,
     /// Time until which the caller may resume the stream, if a response of this node belongs to it.
     caller_deadline: Millis,
-    /// Whether this node began or resumed the stream.
-    is_own: bool,
 }
 
 impl Registry {
@@ -48,18 +49,52 @@
         let entry = self.store(now, key, standing, caller_deadline);
         entry.running += 1;
         entry.caller_deadline = entry.caller_deadline.max(caller_deadline);
-        entry.is_own = true;
+        let replication = self.replications.entry(key).or_default();
+        self.due.insert((replication.get_due_at(), key));
     }
 
-    /// Adds a stream to the next batch.
-    pub fn queue(&mut self, key: Key) {
-        self.unsent.push(key);
+    /// Lists the streams of this node whose copies are to be checked.
+    pub fn list_due(&self, now: Millis) -> Vec<Key> {
+        let due = self.due.iter().take_while(|(due_at, _)| *due_at <= now);
+        due.map(|(_, key)| *key).collect()
     }
 
-    /// Takes the records of the streams that were queued since the last batch.
-    pub fn take_queued(&mut self, now: Millis) -> Vec<Record> {
-        let keys = std::mem::take(&mut self.unsent);
-        keys.into_iter().filter_map(|key| self.get_record(now, key)).collect()
+    /// Checks the copies of a stream's record, and returns the nodes that get one now.
+    ///
+    /// `is_live` tells whether a holder is still a member. `rank` lists the other nodes in the order
+    /// in which they are asked for the record.
+    pub fn plan_copies(
+        &mut self,
+        now: Millis,
+        key: Key,
+        is_live: impl Fn(HolderId) -> bool,
+        rank: impl FnOnce() -> Vec<HolderId>,
+    ) -> Vec<HolderId> {
+        let expiry = self.entries.get(&key).map(|entry| entry.get_expiry(now));
+        let expiry = expiry.filter(|expiry| now < *expiry);
+        let Some(replication) = self.replications.get_mut(&key) else { return Vec::new() };
+        self.due.remove(&(replication.get_due_at(), key));
+        let Some(expiry) = expiry else {
+            self.replications.remove(&key);
+            return Vec::new();
+        };
+        let recipients = replication.plan(now, expiry, is_live, rank);
+        self.due.insert((replication.get_due_at(), key));
+        recipients
+    }
+
+    /// Records that a node holds copies of records.
+    pub fn confirm(&mut self, holder: HolderId, keys: &[Key]) {
+        for key in keys {
+            if let Some(replication) = self.replications.get_mut(key) {
+                replication.confirm(holder);
+            }
+        }
+    }
+
+    /// Returns the number of this node's records that fewer nodes hold than should.
+    pub fn count_incomplete(&self) -> usize {
+        self.replications.values().filter(|replication| !replication.is_complete()).count()
     }
 
     /// Records that a response of this node that belongs to the stream has ended.
@@ -93,14 +128,10 @@
         Some(entry.describe(now, key))
     }
 
-    /// Lists the records of streams that run at this node, of the services that `is_wanted` selects.
-    pub fn list_running(&self, now: Millis, is_wanted: impl Fn(&str) -> bool) -> Vec<Record> {
-        self.list(now, |entry| entry.running > 0 && entry.is_of(&is_wanted))
-    }
-
-    /// Lists the records of a service's streams that this node began or resumed.
-    pub fn list_service(&self, now: Millis, service: &str) -> Vec<Record> {
-        self.list(now, |entry| entry.is_own && entry.is_of(|of| of == service))
+    /// Lists all records.
+    pub fn list(&self, now: Millis) -> Vec<Record> {
+        let kept = self.entries.iter().filter(|(_, entry)| now < entry.get_expiry(now));
+        kept.map(|(key, entry)| entry.describe(now, *key)).collect()
     }
 
     /// Discards expired records from the oldest on.
@@ -143,7 +174,6 @@
             expires_at,
             running: 0,
             caller_deadline: 0,
-            is_own: false,
         });
         if now >= entry.get_expiry(now) {
             entry.standing = standing;
@@ -155,8 +185,10 @@
     }
 
     fn remove_oldest(&mut self) {
-        if let Some(key) = self.order.pop_front() {
-            self.entries.remove(&key);
+        let Some(key) = self.order.pop_front() else { return };
+        self.entries.remove(&key);
+        if let Some(replication) = self.replications.remove(&key) {
+            self.due.remove(&(replication.get_due_at(), key));
         }
     }
 
@@ -168,12 +200,6 @@
         self.origins.insert(origin.clone());
         Standing::Known(origin)
     }
-
-    fn list(&self, now: Millis, is_listed: impl Fn(&Entry) -> bool) -> Vec<Record> {
-        let kept = self.entries.iter().filter(|(_, entry)| now < entry.get_expiry(now));
-        let listed = kept.filter(|(_, entry)| is_listed(entry));
-        listed.map(|(key, entry)| entry.describe(now, *key)).collect()
-    }
 }
 
 impl Entry {
@@ -189,12 +215,4 @@
         let expires_in = self.get_expiry(now).saturating_sub(now);
         Record { key, standing: self.standing.clone(), expires_in }
     }
-
-    /// Returns `true` if the stream's service is wanted. An ambiguous origin belongs to each service.
-    fn is_of(&self, is_wanted: impl Fn(&str) -> bool) -> bool {
-        match &self.standing {
-            Standing::Known(origin) => is_wanted(&origin.service),
-            Standing::Ambiguous => true,
-        }
-    }
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -217,6 +217,10 @@
         version: Option<&'a str>,
         /// Time for which other nodes were asked.
         asked_ms: Option<u64>,
+        /// The number of nodes that were asked.
+        nodes_asked: Option<usize>,
+        /// The number of nodes that answered in time, or until the first record.
+        nodes_answered: Option<usize>,
     },
     /// A server closed a connection while it held many bytes; the bound of bytes in flight to the
     /// service's servers was lowered.
--- a/crates/gateway/src/exchange/begin.rs
+++ b/crates/gateway/src/exchange/begin.rs
@@ -12,8 +12,8 @@
 
 /// Pins a stream that begins now to the software version of its server, and records its origin.
 ///
-/// If several versions are possible, the record is sent to its holders before this returns, so that
-/// a caller that has received an event can resume the stream at any node.
+/// Copies of the record are sent to other nodes before this returns, so that a caller that has
+/// received an event can resume the stream at any node.
 pub(super) async fn record(node: &Arc<Node>, exchange: &Exchange, response: &ServerResponse) {
     let is_begun = response.parts.status.is_success() && exchange.route.kind.is_resumable();
     if !is_begun || exchange.pin.get().is_some() {
--- a/crates/gateway/src/exchange/origin.rs
+++ b/crates/gateway/src/exchange/origin.rs
@@ -80,6 +80,8 @@
         how,
         service: origin.map(|origin| origin.service.as_str()),
         version: origin.map(|origin| origin.version.as_str()),
-        asked_ms: finding.asked_ms,
+        asked_ms: finding.search.map(|search| search.took),
+        nodes_asked: finding.search.map(|search| search.asked),
+        nodes_answered: finding.search.map(|search| search.answered),
     });
 }
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -42,6 +42,7 @@
     bounded_servers: Gauge<i64, AtomicI64>,
     skipped_entries: Gauge<i64, AtomicI64>,
     stream_records: Gauge<i64, AtomicI64>,
+    uncopied_streams: Gauge<i64, AtomicI64>,
 }
 
 impl Gauges {
@@ -166,6 +167,11 @@
             "Streams whose software version this node has recorded",
             self.stream_records.clone(),
         );
+        registry.register(
+            "uncopied_streams",
+            "Streams of this node whose software version fewer other nodes have recorded than should",
+            self.uncopied_streams.clone(),
+        );
     }
 
     /// Sets all gauges to the state of the node.
@@ -183,6 +189,7 @@
             self.held_at_servers.set(state.in_flight_bytes.get_total() as i64);
             self.skipped_entries.set(state.skipped_entries.count() as i64);
             self.stream_records.set(state.stream_origins.len() as i64);
+            self.uncopied_streams.set(state.stream_origins.count_incomplete() as i64);
             self.quarantined.set(state.quarantine.count_quarantined(now) as i64);
             self.in_back_off.set(state.backpressure.count_in_back_off(now) as i64);
             self.brittle_services.set(state.backpressure.count_brittle(now) as i64);
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -46,6 +46,8 @@
     pub resumed: Counter,
     /// Requests that resume streams, by how their origin was found.
     pub stream_resumes: ReasonCounters,
+    /// Copies of streams' origins sent to other nodes, by reason.
+    pub stream_copies: ReasonCounters,
     /// Queries for the loads of servers that timed out.
     pub unanswered_load_questions: Counter,
     /// Queries to the owners of client accounts that timed out.
@@ -109,6 +111,7 @@
             relayed_for_peers: Family::default(),
             resumed: Counter::default(),
             stream_resumes: Family::default(),
+            stream_copies: Family::default(),
             unanswered_load_questions: Counter::default(),
             unanswered_quota_questions: Counter::default(),
             unanswered_permit_questions: Counter::default(),
@@ -192,6 +195,11 @@
             "Requests that take up streams of earlier requests, by how their software version was found",
             self.stream_resumes.clone(),
         );
+        registry.register(
+            "stream_copies",
+            "Copies of the software versions that began streams, sent to other nodes, by reason",
+            self.stream_copies.clone(),
+        );
         registry.register(
             "unanswered_load_questions",
             "Questions for the loads of servers that were not answered in time",
--- a/crates/gateway/src/node/peers/dispatcher.rs
+++ b/crates/gateway/src/node/peers/dispatcher.rs
@@ -77,7 +77,12 @@
             quarantine::handle_completed(node, fingerprint);
         }
         Message::LoadChanged { node: peer, loads } => loads::handle_change(node, &peer, loads),
-        Message::StreamOrigins(batches) => stream_origins::handle_origins(node, &batches),
+        Message::StreamOrigins(batches) => {
+            stream_origins::handle_copies(node, from, &batches).await;
+        }
+        Message::StreamOriginsStored { holder, keys } => {
+            stream_origins::handle_stored(node, holder, &keys);
+        }
         Message::QueryStreamOrigin { query_id, key, services } => {
             stream_origins::answer_query(node, from, query_id, key, &services).await;
         }
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -125,7 +125,7 @@
         /// The loads, by short name of the server.
         loads: Vec<(u64, Load)>,
     },
-    /// The origins of streams, for the nodes that hold them.
+    /// Copies of the origins of streams, for the nodes that hold them.
     StreamOrigins(Vec<stream_origin::Batch>),
     /// Asks a holder for the origin of a stream.
     QueryStreamOrigin {
@@ -172,6 +172,13 @@
     BrittleServices(Vec<Brittleness>),
     /// The parts of prompts that were interrupted at a server, for the owner of its service.
     PromptsInterrupted(PromptCrash),
+    /// The answer to `StreamOrigins`.
+    StreamOriginsStored {
+        /// The short name of the sender.
+        holder: u64,
+        /// The streams whose copies it has stored.
+        keys: Vec<stream_origin::Key>,
+    },
 }
 
 /// The sender of a report.
--- a/crates/gateway/src/node/peers/stream_origins.rs
+++ b/crates/gateway/src/node/peers/stream_origins.rs
@@ -1,12 +1,13 @@
-//! Sends the origins of streams to the nodes that hold them, and asks these nodes.
+//! Exchanges copies of the origins of streams with the nodes that hold them, and asks these nodes.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use keeljunction_core::Millis;
+use keeljunction_core::serving::load::short_id;
 use keeljunction_core::serving::members::{Entry, Members};
 use keeljunction_core::serving::stream_origin::{
-    Answer, Batch, Decision, Key, PossibleOrigins, decide,
+    Answer, Batch, Decision, HolderId, Key, PossibleOrigins, decide,
 };
 
 use super::message::Message;
@@ -21,20 +22,15 @@
 /// The timeout while the stream would be refused without a further answer.
 const UNDECIDED_ASK_TIMEOUT_MS: Millis = 150;
 
-/// Lists the addresses of the other nodes that hold the record of a stream.
-pub(in crate::node) fn list_record_holders(node: &Node, key: Key) -> Vec<SocketAddr> {
-    node.with(|state| {
-        let holders = state.members.list_record_holders(key.get_number());
-        list_others(&state.members, &holders)
-    })
+/// The answers of other nodes about the origin of a stream.
+pub(in crate::node) struct Inquiry {
+    /// The number of nodes that were asked.
+    pub asked: usize,
+    /// The answers that arrived in time, or until the first record.
+    pub answers: Vec<Answer>,
 }
 
-fn list_others(members: &Members, holders: &[&Entry]) -> Vec<SocketAddr> {
-    let others = holders.iter().filter(|holder| !members.is_own(holder));
-    others.map(|holder| holder.address).collect()
-}
-
-/// Sends the origins of streams to one of their holders.
+/// Sends copies of records to one of their holders.
 pub(in crate::node) async fn send(node: &Node, holder: SocketAddr, batches: Vec<Batch>) {
     node.link.send(node.now(), holder, &Message::StreamOrigins(batches)).await;
 }
@@ -46,19 +42,37 @@
     key: Key,
     services: &[&str],
     own: &Answer,
-) -> Vec<Answer> {
+) -> Inquiry {
     let holders = node.with(|state| {
-        let holders = state.members.list_asked_holders(key.get_number());
+        let ranking = state.members.get_holder_ranking();
+        let holders = ranking.list_asked_holders(key.get_number());
         list_others(&state.members, &holders)
     });
+    let answers = ask_holders(node, key, services, own, &holders).await;
+    Inquiry { asked: holders.len(), answers }
+}
+
+fn list_others(members: &Members, holders: &[&Entry]) -> Vec<SocketAddr> {
+    let others = holders.iter().filter(|holder| !members.is_own(holder));
+    others.map(|holder| holder.address).collect()
+}
+
+/// Asks some nodes at once for the record of a stream.
+async fn ask_holders(
+    node: &Node,
+    key: Key,
+    services: &[&str],
+    own: &Answer,
+    holders: &[SocketAddr],
+) -> Vec<Answer> {
     let query = node.pending_stream_origins.begin_many(holders.len());
     let services = services.iter().map(|service| (*service).to_owned()).collect();
     let message = Message::QueryStreamOrigin { query_id: query.id, key, services };
     let asked_at = node.now();
-    for holder in &holders {
+    for holder in holders {
         node.link.send(asked_at, *holder, &message).await;
     }
-    let timeout = get_timeout(node, &holders);
+    let timeout = get_timeout(node, holders);
     let mut answers = Vec::new();
     while answers.len() < holders.len() && !answers.iter().any(Answer::is_recorded) {
         let is_undecided = decide(own, &answers) == Decision::Unknown;
@@ -96,10 +110,23 @@
     Answer::Unknown(PossibleOrigins::collect(possible))
 }
 
-/// Merges the origins that another node sent.
-pub(super) fn handle_origins(node: &Node, batches: &[Batch]) {
+/// Merges the copies that another node sent, and confirms them.
+pub(super) async fn handle_copies(node: &Node, from: SocketAddr, batches: &[Batch]) {
     let now = node.now();
     node.with(|state| batches.iter().for_each(|batch| state.stream_origins.merge(now, batch)));
+    let streams = batches.iter().flat_map(|batch| &batch.streams);
+    let keys = streams.map(|stream| stream.key).collect();
+    let message = Message::StreamOriginsStored { holder: get_own_id(node), keys };
+    node.link.send(now, from, &message).await;
+}
+
+/// Records that another node has stored copies.
+pub(super) fn handle_stored(node: &Node, holder: HolderId, keys: &[Key]) {
+    node.with(|state| state.stream_origins.confirm(holder, keys));
+}
+
+fn get_own_id(node: &Node) -> HolderId {
+    short_id(&node.incarnation.node)
 }
 
 /// Answers the query of another node.
--- a/crates/gateway/src/node/serve.rs
+++ b/crates/gateway/src/node/serve.rs
@@ -91,9 +91,7 @@
     runtime::spawn(version_rows::read(node.clone()));
     runtime::spawn(version_rows::write(node.clone()));
     runtime::spawn(memory::watch(node.clone()));
-    runtime::spawn(stream_origins::run_publications(node.clone()));
-    runtime::spawn(stream_origins::run_batches(node.clone()));
-    runtime::spawn(stream_origins::run_repetitions(node.clone()));
+    runtime::spawn(stream_origins::run(node.clone()));
     exchange::watch_callers(&node);
     let (readiness_node, metrics_node, client_node) = (node.clone(), node.clone(), node.clone());
     runtime::spawn(
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -51,7 +51,6 @@
 use super::process_context::ProcessContext;
 use super::skipped;
 use super::stop::Schedule;
-use super::stream_origins::Publications;
 use crate::active_responses::ActiveResponses;
 use crate::backend;
 use crate::http::{Client, Connections, Shutdown};
@@ -124,8 +123,6 @@
     pub(super) slot_changes: (Sender<slots::Change>, Receiver<slots::Change>),
     /// Queries for the origins of streams that await the answers of their holders.
     pub(super) pending_stream_origins: PendingQueries<stream_origin::Answer>,
-    /// Services whose streams' origins are to be sent to their holders.
-    pub(super) stream_publications: Publications,
     /// Attempts whose connection broke at a server that may have crashed.
     pub(super) interrupted_attempts: interrupted_attempts::Pending,
     /// Signals to uploads that are evicted from memory.
@@ -372,7 +369,6 @@
             pending_permits: PendingQueries::default(),
             slot_changes: async_channel::bounded(slots::CHANGE_CAPACITY),
             pending_stream_origins: PendingQueries::default(),
-            stream_publications: Publications::default(),
             interrupted_attempts: interrupted_attempts::Pending::default(),
             eviction_signals: EvictionSignals::default(),
             state: Mutex::new(state),
--- a/crates/gateway/src/node/stream_origins.rs
+++ b/crates/gateway/src/node/stream_origins.rs
@@ -1,45 +1,56 @@
-//! Records which software version began each stream, and sends the records to the nodes that hold
-//! them: before the first event while several versions of a service are possible, and in batches
-//! otherwise, in case that another version appears while this node cannot send them.
+//! Records which software version began each stream, and keeps copies of the records at other nodes.
+//!
+//! A copy is sent before the first event, so that a caller that has received an event can resume the
+//! stream at any node. [`keeljunction_core::serving::stream_origin`] decides which nodes get copies.
 
+use std::cell::OnceCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::{Receiver, Sender};
 use keeljunction_core::Millis;
+use keeljunction_core::serving::members::HolderRanking;
 use keeljunction_core::serving::stream_origin::{Batch, Decision, Key, Origin, Record, decide};
 
 use super::Node;
 use super::peers::stream_origins as peers;
 use super::state::State;
+use crate::metrics::ReasonLabels;
 use crate::runtime;
 
-/// The time between two batches of the records of services with one possible version. Records that
-/// are younger are lost if the node fails.
-const BATCH_INTERVAL: Duration = Duration::from_millis(250);
-/// The time between two repetitions of the records of running streams.
-const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// The interval between checks for copies to be sent.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// The number of records whose holders are found before other tasks run.
 const RECORDS_PER_TURN: usize = 64;
 /// The pause between two turns, in which other tasks run.
 const TURN_PAUSE: Duration = Duration::from_millis(1);
-/// The number of services that may wait until their records are sent.
-const PUBLICATION_CAPACITY: usize = 256;
-
-/// Services whose records are to be sent to their holders.
-#[derive(Debug)]
-pub(super) struct Publications {
-    services: (Sender<String>, Receiver<String>),
+/// The number of datagrams that are sent without a pause.
+const DATAGRAMS_PER_BURST: usize = 8;
+/// The pause after that number of datagrams.
+const BURST_PAUSE: Duration = Duration::from_millis(4);
+
+/// Why copies of records are sent, as in the metrics.
+#[derive(Clone, Copy, Debug)]
+enum Reason {
+    /// A stream has begun or was resumed.
+    Begin,
+    /// Fewer nodes hold a copy than should.
+    Repair,
 }
 
-impl Default for Publications {
-    fn default() -> Self {
-        Self { services: async_channel::bounded(PUBLICATION_CAPACITY) }
+impl Reason {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Begin => "begin",
+            Self::Repair => "repair",
+        }
     }
 }
 
+/// Records by the address of the node that gets a copy of them.
+type Copies = BTreeMap<SocketAddr, Vec<Record>>;
+
 /// A stream that runs at this node until this is dropped.
 pub(crate) struct RunningStream {
     node: Arc<Node>,
@@ -58,14 +69,22 @@
 pub(crate) struct Finding {
     /// Who may continue the stream.
     pub decision: Decision,
-    /// The time that other nodes were asked for, in milliseconds.
-    pub asked_ms: Option<Millis>,
+    /// The search at other nodes; `None` if this node needed none.
+    pub search: Option<Search>,
 }
 
-/// Records the origin of a stream that this node begins or resumes.
-///
-/// If several versions of the service are possible, the record is sent to its holders before this
-/// returns, and with the next batch otherwise.
+/// A search for the origin of a stream at other nodes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Search {
+    /// The number of nodes that were asked.
+    pub asked: usize,
+    /// The number of nodes that answered.
+    pub answered: usize,
+    /// How long it took, in milliseconds.
+    pub took: Millis,
+}
+
+/// Records the origin of a stream that this node begins or resumes, and sends copies of the record.
 pub(crate) async fn begin(
     node: &Arc<Node>,
     key: Key,
@@ -73,17 +92,11 @@
     expires_at: Millis,
 ) -> RunningStream {
     let now = node.now();
-    let published = node.with(|state| {
+    let copies = node.with(|state| {
         state.stream_origins.begin(now, key, origin, expires_at);
-        if !state.version_history.is_mixed(now, &origin.service) {
-            state.stream_origins.queue(key);
-            return None;
-        }
-        state.stream_origins.get_record(now, key)
+        plan_copies(state, now, &[key])
     });
-    if let Some(record) = published {
-        publish(node, vec![record]).await;
-    }
+    send_copies(node, copies, Reason::Begin).await;
     RunningStream { node: node.clone(), key }
 }
 
@@ -93,81 +106,74 @@
     let now = node.now();
     let own = node.with(|state| peers::get_answer(state, now, key, services));
     let Some(key) = key.filter(|_| !own.is_recorded()) else {
-        return Finding { decision: decide(&own, &[]), asked_ms: None };
+        return Finding { decision: decide(&own, &[]), search: None };
     };
-    let answers = peers::ask(node, key, services, &own).await;
-    Finding { decision: decide(&own, &answers), asked_ms: Some(node.now() - now) }
-}
-
-/// Sends the records of a service's streams to their holders, because a second version of the
-/// service has become possible.
-pub(super) fn publish_service(node: &Node, service: &str) {
-    if node.stream_publications.services.0.try_send(service.to_owned()).is_err() {
-        log::warn!(
-            "too many services wait to send their streams; {service} sends running ones only"
-        );
-    }
-}
-
-/// Sends the records of services on request, until the process ends.
-pub(super) async fn run_publications(node: Arc<Node>) {
-    while let Ok(service) = node.stream_publications.services.1.recv().await {
-        let now = node.now();
-        publish(&node, node.with(|state| state.stream_origins.list_service(now, &service))).await;
-    }
+    let inquiry = peers::ask(node, key, services, &own).await;
+    let search =
+        Search { asked: inquiry.asked, answered: inquiry.answers.len(), took: node.now() - now };
+    Finding { decision: decide(&own, &inquiry.answers), search: Some(search) }
 }
 
-/// Sends the queued records in batches, until the process ends.
-pub(super) async fn run_batches(node: Arc<Node>) {
+/// Sends the copies that are missing, until the process ends.
+pub(super) async fn run(node: Arc<Node>) {
     loop {
-        runtime::sleep(BATCH_INTERVAL).await;
+        runtime::sleep(CHECK_INTERVAL).await;
         let now = node.now();
-        publish(&node, node.with(|state| state.stream_origins.take_queued(now))).await;
-    }
-}
-
-/// Sends the records of running streams again and again, until the process ends: datagrams get lost,
-/// and holders restart.
-pub(super) async fn run_repetitions(node: Arc<Node>) {
-    loop {
-        runtime::sleep(REPEAT_INTERVAL).await;
-        let now = node.now();
-        let running = node.with(|state| {
+        let due = node.with(|state| {
             state.stream_origins.expire(now);
-            list_running(state, now)
+            state.stream_origins.list_due(now)
         });
-        publish(&node, running).await;
+        let mut copies = Copies::new();
+        for keys in due.chunks(RECORDS_PER_TURN) {
+            merge(&mut copies, node.with(|state| plan_copies(state, now, keys)));
+            if keys.len() == RECORDS_PER_TURN {
+                runtime::sleep(TURN_PAUSE).await;
+            }
+        }
+        send_copies(&node, copies, Reason::Repair).await;
     }
 }
 
-/// Lists the records of running streams of services with several possible versions.
-fn list_running(state: &State, now: Millis) -> Vec<Record> {
-    let Some(configuration) = &state.configuration else { return Vec::new() };
-    let services = configuration.services.keys();
-    let mixed: Vec<&String> =
-        services.filter(|service| state.version_history.is_mixed(now, service)).collect();
-    if mixed.is_empty() {
-        return Vec::new();
+/// Plans the copies of records of this node's streams.
+fn plan_copies(state: &mut State, now: Millis, keys: &[Key]) -> Copies {
+    let State { members, stream_origins, .. } = state;
+    let ranking: OnceCell<HolderRanking<'_>> = OnceCell::new();
+    let mut copies = Copies::new();
+    for key in keys {
+        let is_live = |holder| members.is_live_holder(now, holder);
+        let rank = || {
+            let ranking = ranking.get_or_init(|| members.get_holder_ranking());
+            ranking.list_candidates(key.get_number())
+        };
+        let holders = stream_origins.plan_copies(now, *key, is_live, rank);
+        let Some(record) = stream_origins.get_record(now, *key) else { continue };
+        let holders = holders.into_iter().filter_map(|holder| members.get_holder(holder));
+        for holder in holders {
+            copies.entry(holder.address).or_default().push(record.clone());
+        }
     }
-    state.stream_origins.list_running(now, |service| mixed.iter().any(|mixed| *mixed == service))
+    copies
 }
 
-/// Sends records to their holders.
-async fn publish(node: &Node, records: Vec<Record>) {
-    let mut by_holder: BTreeMap<SocketAddr, Vec<Record>> = BTreeMap::new();
-    for turn in records.chunks(RECORDS_PER_TURN) {
-        for record in turn {
-            for holder in peers::list_record_holders(node, record.key) {
-                by_holder.entry(holder).or_default().push(record.clone());
-            }
-        }
-        if turn.len() == RECORDS_PER_TURN {
-            runtime::sleep(TURN_PAUSE).await;
-        }
+fn merge(copies: &mut Copies, others: Copies) {
+    for (address, records) in others {
+        copies.entry(address).or_default().extend(records);
     }
-    for (holder, records) in by_holder {
+}
+
+/// Sends copies of records to their holders, with pauses so that they do not overflow the queue of a
+/// narrow link.
+async fn send_copies(node: &Node, copies: Copies, reason: Reason) {
+    let labels = ReasonLabels { reason: reason.as_str().to_owned() };
+    let mut sent = 0;
+    for (address, records) in copies {
+        node.metrics.stream_copies.get_or_create(&labels).inc_by(records.len() as u64);
         for batches in Batch::pack(records) {
-            peers::send(node, holder, batches).await;
+            peers::send(node, address, batches).await;
+            sent += 1;
+            if sent % DATAGRAMS_PER_BURST == 0 {
+                runtime::sleep(BURST_PAUSE).await;
+            }
         }
     }
 }
--- a/crates/gateway/src/node/versions.rs
+++ b/crates/gateway/src/node/versions.rs
@@ -5,8 +5,8 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::directory::Change;
 
+use super::Node;
 use super::state::State;
-use super::{Node, stream_origins};
 use crate::event::{self, Event};
 
 /// Records the listed versions of the services that a change of the server list affects.
@@ -46,7 +46,6 @@
     });
     for service in mixed {
         emit_mixed(node, now, &service);
-        stream_origins::publish_service(node, &service);
     }
 }
 
