fix(streams): send a node that has started the records that it should hold

0 of 16 streams went on (503 `unknown_stream`) where the two other nodes were stopped and started one after another before the node that began them stood still and a second software version came, and 12 to 15 of 16 where the callers returned to nodes that had joined meanwhile.

Cause: a process that starts has no records, and is asked for them: because its predecessor held them, or because it ranks before nodes that hold them.

Ruled out: holders that are asked and answer too late; `stream_records` of the restarted nodes stays 0.

Change: in its first 60 s a process requests from each node that it learns of, until that node answers, the records that it is asked for. Each node sends those of all its records to the address that the request came from: the entry may still have the address of the former process.

--- a/crates/core/src/serving/members/holders.rs
+++ b/crates/core/src/serving/members/holders.rs
@@ -55,6 +55,11 @@
     pub fn is_own(&self, entry: &Entry) -> bool {
         entry.name == self.own.name
     }
+
+    /// Iterates over the other nodes, each of which may hold copies.
+    pub fn iter_holders(&self) -> impl Iterator<Item = HolderId> {
+        self.known.values().map(|member| member.short)
+    }
 }
 
 impl<'a> HolderRanking<'a> {
@@ -80,6 +85,19 @@
         candidates.into_iter().map(|entry| short_id(&entry.name)).collect()
     }
 
+    /// Returns `true` if a node is asked for the record of a key.
+    pub fn is_asked(&self, key: u64, node: &Entry) -> bool {
+        let most = ASKED_HOLDERS.div_ceil(self.data_centres.max(1));
+        let weight = (rendezvous::weigh(key, &node.name), node.name.as_str());
+        let same_data_centre =
+            self.nodes.iter().filter(|entry| entry.data_centre == node.data_centre);
+        let mut ahead = same_data_centre
+            .filter(|entry| (rendezvous::weigh(key, &entry.name), entry.name.as_str()) > weight);
+        // The full ranking is expensive, and most nodes of a data centre rank lower than this.
+        ahead.nth(most.saturating_sub(1)).is_none()
+            && self.list_asked_holders(key).iter().any(|entry| entry.name == node.name)
+    }
+
     /// Ranks the nodes that `is_candidate` selects, and takes the first ones of each data centre.
     fn rank(
         &self,
--- a/crates/core/src/serving/stream_origin/mod.rs
+++ b/crates/core/src/serving/stream_origin/mod.rs
@@ -11,6 +11,7 @@
 //! | `registry` | keeps the origins of streams |
 //! | `record` | describes a kept origin, to be sent to other nodes |
 //! | `replication` | tracks which other nodes hold a copy of a record |
+//! | `recovery` | recovers the copies that a node should hold after its start |
 //! | `batch` | packs records into datagrams |
 //! | `possible` | lists the origins that a stream of unknown origin may have |
 //! | `answer` | defines what a node knows of a stream's origin |
@@ -23,6 +24,7 @@
 mod origin;
 mod possible;
 mod record;
+mod recovery;
 mod registry;
 mod replication;
 
@@ -33,5 +35,6 @@
 pub use self::origin::Origin;
 pub use self::possible::PossibleOrigins;
 pub use self::record::{Record, Standing};
+pub use self::recovery::Recovery;
 pub use self::registry::{MAX_RECORDS, Registry};
 pub use self::replication::{COPIES, HolderId};
--- a/crates/core/src/serving/stream_origin/registry.rs
+++ b/crates/core/src/serving/stream_origin/registry.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Records that a node holds no copies any more, because its process has restarted.
+    pub fn forget_holder(&mut self, holder: HolderId) {
+        self.replications.values_mut().for_each(|replication| replication.forget(holder));
+    }
+
     /// Returns the number of this node's records that fewer nodes hold than should.
     pub fn count_incomplete(&self) -> usize {
         self.replications.values().filter(|replication| !replication.is_complete()).count()
--- a/crates/core/src/serving/stream_origin/replication.rs
+++ b/crates/core/src/serving/stream_origin/replication.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Records that a node holds no copy any more.
+    pub fn forget(&mut self, holder: HolderId) {
+        self.confirmed.retain(|known| *known != holder);
+    }
+
     /// Returns the nodes that get a copy of a record that expires at `expires_at`, and sets the time
     /// of the next check.
     ///
--- a/crates/core/tests/serving/holders.rs
+++ b/crates/core/tests/serving/holders.rs
@@ -100,6 +100,22 @@
     }
 }
 
+/// Guards against a node that is asked for a record that it did not request at its start.
+#[test]
+fn a_node_requests_all_records_that_it_is_asked_for() {
+    let data_centres: Vec<u8> = (0..60).map(|number| number % 4).collect();
+    let members = members(&data_centres);
+    let ranking = members.get_holder_ranking();
+    for key in 0..200u64 {
+        let key = key.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let asked = ranking.list_asked_holders(key);
+        for (number, data_centre) in data_centres.iter().enumerate() {
+            let node = entry(number as u16, *data_centre);
+            assert_eq!(ranking.is_asked(key, &node), asked.contains(&&node));
+        }
+    }
+}
+
 proptest! {
     #[test]
     fn a_copy_lies_in_each_of_three_data_centres(
--- a/crates/core/tests/serving/stream_copies.rs
+++ b/crates/core/tests/serving/stream_copies.rs
@@ -2,9 +2,10 @@
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::stream_origin::{
-    Batch, COPIES, HolderId, Key, Origin, Registry, Stream,
+    Batch, COPIES, HolderId, Key, Origin, Recovery, Registry, Stream,
 };
 use keeljunction_core::serving::version_history::MAX_STREAM_AGE_MS;
+use proptest::prelude::*;
 
 /// Six nodes that may hold copies, in the order of their rank.
 const RANKED: [HolderId; 6] = [11, 12, 13, 14, 15, 16];
@@ -85,6 +86,18 @@
     assert_eq!(plan_without(&mut registry, 1_400, &[12]), [14]);
 }
 
+/// Guards against records that a holder lost in a restart.
+#[test]
+fn a_copy_of_a_restarted_holder_is_sent_again() {
+    let mut registry = Registry::default();
+    begin(&mut registry, 0, 30_000);
+    plan(&mut registry, 0);
+    confirm(&mut registry, &RANKED[..COPIES]);
+    plan(&mut registry, 300);
+    registry.forget_holder(12);
+    assert_eq!(plan(&mut registry, 1_400), [12]);
+}
+
 /// Guards against a record whose copies were planned while its node knew no other node.
 #[test]
 fn copies_are_sent_once_other_nodes_are_known() {
@@ -136,3 +149,79 @@
         assert!(holder.find(now, key(1)).is_some(), "no copy after {now} ms");
     }
 }
+
+/// Guards against a node that never gets the copies that its predecessor held.
+#[test]
+fn a_node_requests_its_copies_until_each_node_has_answered() {
+    let mut recovery = Recovery::new(1_000);
+    assert_eq!(recovery.take_due(1_000, RANKED.into_iter()), RANKED);
+    recovery.record_answer(11);
+    assert!(recovery.take_due(1_400, RANKED.into_iter()).is_empty());
+    assert_eq!(recovery.take_due(1_500, RANKED.into_iter()), RANKED[1..]);
+    let later = RANKED.into_iter().chain([17]);
+    assert_eq!(recovery.take_due(1_600, later), [17]);
+}
+
+/// Guards against requests to nodes of an earlier release without an end, and to new nodes at any time.
+#[test]
+fn requests_for_copies_end() {
+    let mut recovery = Recovery::new(0);
+    let times = (0..10 * MAX_STREAM_AGE_MS).step_by(250);
+    let sent: usize = times.map(|now| recovery.take_due(now, RANKED.into_iter()).len()).sum();
+    assert!(sent <= 6 * RANKED.len(), "{sent} requests");
+    assert!(recovery.take_due(MAX_STREAM_AGE_MS, [18].into_iter()).is_empty());
+}
+
+/// Guards against a burst of requests at a start among many nodes.
+#[test]
+fn requests_among_many_nodes_are_spread() {
+    let mut recovery = Recovery::new(0);
+    let mut asked = 0;
+    for step in 0..20 {
+        let due = recovery.take_due(step * 250, 0..986);
+        assert!(due.len() <= 64);
+        due.iter().for_each(|holder| recovery.record_answer(*holder));
+        asked += due.len();
+    }
+    assert_eq!(asked, 986);
+}
+
+proptest! {
+    #[test]
+    fn a_record_keeps_its_copies_whatever_is_lost(
+        steps in prop::collection::vec((0usize..6, 0u8..4), 1..60)
+    ) {
+        let mut registry = Registry::default();
+        begin(&mut registry, 0, 10 * MAX_STREAM_AGE_MS);
+        let mut held: Vec<HolderId> = Vec::new();
+        let mut now = 0;
+        for (at, what) in steps {
+            // A holder restarts, or some datagrams get lost.
+            if what == 0 {
+                held.retain(|holder| *holder != RANKED[at]);
+                registry.forget_holder(RANKED[at]);
+            }
+            for _ in 0..8 {
+                now += 50;
+                for holder in plan(&mut registry, now) {
+                    let is_lost = what == 1 && holder == RANKED[at];
+                    if !is_lost {
+                        held.push(holder);
+                        confirm(&mut registry, &[holder]);
+                    }
+                }
+            }
+        }
+        for _ in 0..400 {
+            now += 50;
+            for holder in plan(&mut registry, now) {
+                held.push(holder);
+                confirm(&mut registry, &[holder]);
+            }
+        }
+        held.sort_unstable();
+        held.dedup();
+        prop_assert!(held.len() >= COPIES, "{held:?}");
+        prop_assert_eq!(registry.count_incomplete(), 0);
+    }
+}
--- a/crates/gateway/src/node/peers/dispatcher.rs
+++ b/crates/gateway/src/node/peers/dispatcher.rs
@@ -9,6 +9,7 @@
     versions,
 };
 use crate::node::{Node, staleness};
+use crate::runtime;
 
 /// Receives messages and hands them on, until the process ends.
 pub(super) async fn run(node: Arc<Node>) {
@@ -83,6 +84,10 @@
         Message::StreamOriginsStored { holder, keys } => {
             stream_origins::handle_stored(node, holder, &keys);
         }
+        Message::RequestStreamOrigins(entry) => {
+            runtime::spawn(stream_origins::answer_request(node.clone(), from, entry));
+        }
+        Message::StreamOriginsSent { holder } => stream_origins::handle_sent(node, holder),
         Message::QueryStreamOrigin { query_id, key, services } => {
             stream_origins::answer_query(node, from, query_id, key, &services).await;
         }
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -179,6 +179,13 @@
         /// The streams whose copies it has stored.
         keys: Vec<stream_origin::Key>,
     },
+    /// Requests the copies that the sender should hold, because its process has started.
+    RequestStreamOrigins(Entry),
+    /// The answer to `RequestStreamOrigins`, after all copies.
+    StreamOriginsSent {
+        /// The short name of the sender.
+        holder: u64,
+    },
 }
 
 /// The sender of a report.
--- a/crates/gateway/src/node/peers/stream_origins.rs
+++ b/crates/gateway/src/node/peers/stream_origins.rs
@@ -1,6 +1,8 @@
 //! Exchanges copies of the origins of streams with the nodes that hold them, and asks these nodes.
 
 use std::net::SocketAddr;
+use std::slice;
+use std::sync::Arc;
 use std::time::Duration;
 
 use keeljunction_core::Millis;
@@ -11,8 +13,8 @@
 };
 
 use super::message::Message;
-use crate::node::Node;
 use crate::node::state::State;
+use crate::node::{Node, stream_origins};
 
 /// The timeout for the answers of all holders: several round trips within a region, and the
 /// scheduling delay of a task on a small VM.
@@ -125,6 +127,34 @@
     node.with(|state| state.stream_origins.confirm(holder, keys));
 }
 
+/// Requests the copies that this node should hold from nodes that have not answered yet, for some
+/// time after its start.
+pub(in crate::node) async fn request_copies(node: &Node) {
+    let now = node.now();
+    let holders = node.with(|state| {
+        let State { members, stream_recovery, .. } = state;
+        let due = stream_recovery.take_due(now, members.iter_holders());
+        let entries = due.iter().filter_map(|holder| members.get_holder(*holder));
+        entries.map(|entry| entry.address).collect()
+    });
+    let message = Message::RequestStreamOrigins(node.get_entry());
+    node.link.send_to_all(now, holders, &message).await;
+}
+
+/// Sends a node that has started the copies that it should hold.
+pub(super) async fn answer_request(node: Arc<Node>, from: SocketAddr, entry: Entry) {
+    let now = node.now();
+    node.with(|state| state.members.merge_entries(now, slice::from_ref(&entry)));
+    stream_origins::restore(&node, &entry, from).await;
+    let message = Message::StreamOriginsSent { holder: get_own_id(&node) };
+    node.link.send(node.now(), from, &message).await;
+}
+
+/// Records that a node has answered the request for copies.
+pub(super) fn handle_sent(node: &Node, holder: HolderId) {
+    node.with(|state| state.stream_recovery.record_answer(holder));
+}
+
 fn get_own_id(node: &Node) -> HolderId {
     short_id(&node.incarnation.node)
 }
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -226,6 +226,8 @@
     pub lease: DutyLease,
     /// The origins of streams.
     pub stream_origins: stream_origin::Registry,
+    /// The requests for the copies of origins that this node should hold.
+    pub(super) stream_recovery: stream_origin::Recovery,
 }
 
 impl State {
@@ -344,6 +346,7 @@
                 margin,
             ),
             stream_origins: stream_origin::Registry::default(),
+            stream_recovery: stream_origin::Recovery::new(clock.now()),
         };
         let http_client = Client::new(CONNECT_TIMEOUT).with_source(settings.node.source_address);
         let backend = backend::Client::new(http_client, platform.header_codec.request_id.clone());
--- a/crates/gateway/src/node/stream_origins.rs
+++ b/crates/gateway/src/node/stream_origins.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::members::HolderRanking;
+use keeljunction_core::serving::load::short_id;
+use keeljunction_core::serving::members::{Entry, HolderRanking};
 use keeljunction_core::serving::stream_origin::{Batch, Decision, Key, Origin, Record, decide};
 
 use super::Node;
@@ -37,6 +38,8 @@
     Begin,
     /// Fewer nodes hold a copy than should.
     Repair,
+    /// Another node has started and requested its copies.
+    Recovery,
 }
 
 impl Reason {
@@ -44,6 +47,7 @@
         match self {
             Self::Begin => "begin",
             Self::Repair => "repair",
+            Self::Recovery => "recovery",
         }
     }
 }
@@ -131,9 +135,44 @@
             }
         }
         send_copies(&node, copies, Reason::Repair).await;
+        peers::request_copies(&node).await;
     }
 }
 
+/// Sends a node that has started the copies that it should hold, to the address that it sent its
+/// request from. The known entry may still have the address of its former process.
+pub(super) async fn restore(node: &Node, entry: &Entry, address: SocketAddr) {
+    node.with(|state| state.stream_origins.forget_holder(short_id(&entry.name)));
+    let copies = collect(node, |ranking, record| {
+        let is_asked = ranking.is_asked(record.key.get_number(), entry);
+        is_asked.then_some(address).into_iter().collect()
+    });
+    send_copies(node, copies.await, Reason::Recovery).await;
+}
+
+/// Collects copies of all records, of this node's streams and of others, for the addresses that
+/// `select` returns for each.
+async fn collect(
+    node: &Node,
+    select: impl Fn(&HolderRanking<'_>, &Record) -> Vec<SocketAddr>,
+) -> Copies {
+    let now = node.now();
+    let records = node.with(|state| state.stream_origins.list(now));
+    let mut copies = Copies::new();
+    for turn in records.chunks(RECORDS_PER_TURN) {
+        node.with(|state| {
+            let ranking = state.members.get_holder_ranking();
+            for record in turn {
+                for address in select(&ranking, record) {
+                    copies.entry(address).or_default().push(record.clone());
+                }
+            }
+        });
+        runtime::sleep(TURN_PAUSE).await;
+    }
+    copies
+}
+
 /// Plans the copies of records of this node's streams.
 fn plan_copies(state: &mut State, now: Millis, keys: &[Key]) -> Copies {
     let State { members, stream_origins, .. } = state;
