fix(streams): hand over the records of a node that shuts down

Cause: a holder that is shut down takes its copies with it. While the node that began the streams stands still, nobody replaces them: 16 of 16 streams were unknown after six of eight nodes had been shut down in turn.

Change: before its last report, a node sends all its records to the nodes that hold them without it.

--- a/crates/gateway/src/node/stop/mod.rs
+++ b/crates/gateway/src/node/stop/mod.rs
@@ -20,7 +20,7 @@
 pub use obligations::Obligations;
 pub use schedule::Schedule;
 
-use super::{Node, peers};
+use super::{Node, peers, stream_origins};
 use crate::event::{self, Event};
 use crate::exchange;
 use crate::runtime;
@@ -39,6 +39,7 @@
     runtime::sleep(schedule.accepts_for).await;
     node.shutdown.accepting.send();
     let is_whole = drain(node, &schedule, started_at).await;
+    stream_origins::hand_over(node).await;
     peers::report::send_last(node).await;
     close_peer_connections(node).await;
     let open = Obligations::list(node);
--- a/crates/gateway/src/node/stream_origins.rs
+++ b/crates/gateway/src/node/stream_origins.rs
@@ -40,6 +40,8 @@
     Repair,
     /// Another node has started and requested its copies.
     Recovery,
+    /// This node shuts down.
+    HandOver,
 }
 
 impl Reason {
@@ -48,6 +50,7 @@
             Self::Begin => "begin",
             Self::Repair => "repair",
             Self::Recovery => "recovery",
+            Self::HandOver => "hand_over",
         }
     }
 }
@@ -139,6 +142,15 @@
     }
 }
 
+/// Sends the records of a node that shuts down to the nodes that hold them afterwards.
+pub(super) async fn hand_over(node: &Node) {
+    let copies = collect(node, |ranking, record| {
+        let holders = ranking.list_copy_holders(record.key.get_number());
+        holders.into_iter().map(|entry| entry.address).collect()
+    });
+    send_copies(node, copies.await, Reason::HandOver).await;
+}
+
 /// Sends a node that has started the copies that it should hold, to the address that it sent its
 /// request from. The known entry may still have the address of its former process.
 pub(super) async fn restore(node: &Node, entry: &Entry, address: SocketAddr) {
