fix(streams): ask further nodes before a stream is refused

Cause: the six nodes that are asked are ranked over those that the asking node knows. Where several nodes were killed or replaced within a second, all records may lie at others.

Change: if the stream would be refused, up to 18 more nodes are asked, which are all nodes of a cluster of 24.

Test: `holders::all_nodes_of_a_small_cluster_are_asked_in_the_end`.

--- a/crates/core/src/serving/members/holders.rs
+++ b/crates/core/src/serving/members/holders.rs
@@ -14,6 +14,9 @@
 
 /// The number of nodes that are asked for a record.
 const ASKED_HOLDERS: usize = 6;
+/// The number of nodes that are asked before a stream is refused because none of the first ones
+/// knows it.
+const WIDELY_ASKED_HOLDERS: usize = 24;
 
 /// The nodes that are not stopping, to be ranked for several records.
 #[derive(Debug)]
@@ -74,6 +77,14 @@
         self.rank(key, ASKED_HOLDERS, |_| true)
     }
 
+    /// Lists the other nodes that are asked if none of the first ones knows the record.
+    pub fn list_widely_asked_holders(&self, key: u64) -> Vec<&'a Entry> {
+        let first = self.list_asked_holders(key);
+        let all = self.rank(key, WIDELY_ASKED_HOLDERS, |_| true);
+        let others = all.into_iter().filter(|entry| !first.contains(entry));
+        others.filter(|entry| entry.name != self.own.name).collect()
+    }
+
     /// Ranks the other nodes that may hold a copy of this node's record: those that should, and then
     /// those that are asked as well.
     pub fn list_candidates(&self, key: u64) -> Vec<HolderId> {
--- a/crates/core/tests/serving/holders.rs
+++ b/crates/core/tests/serving/holders.rs
@@ -116,6 +116,20 @@
     }
 }
 
+/// Guards against a record of a small cluster that is not found because its holders rank low.
+#[test]
+fn all_nodes_of_a_small_cluster_are_asked_in_the_end() {
+    let data_centres: Vec<u8> = (0..20).map(|number| number % 3).collect();
+    let members = members(&data_centres);
+    let ranking = members.get_holder_ranking();
+    for key in 0..100 {
+        let asked = ranking.list_asked_holders(key).into_iter();
+        let asked = asked.chain(ranking.list_widely_asked_holders(key));
+        let others: BTreeSet<&str> = asked.map(|entry| entry.name.as_str()).collect();
+        assert!(others.len() >= 19);
+    }
+}
+
 proptest! {
     #[test]
     fn a_copy_lies_in_each_of_three_data_centres(
--- a/crates/gateway/src/node/peers/stream_origins.rs
+++ b/crates/gateway/src/node/peers/stream_origins.rs
@@ -39,19 +39,28 @@
 
 /// Asks the holders of a stream's record at once. Returns when the first one has a record, when all
 /// have answered, or after the timeout. `own` is what this node knows.
+///
+/// If the stream would be refused, further nodes are asked: the holders may have been replaced a
+/// moment ago.
 pub(in crate::node) async fn ask(
     node: &Node,
     key: Key,
     services: &[&str],
     own: &Answer,
 ) -> Inquiry {
-    let holders = node.with(|state| {
+    let (first, others) = node.with(|state| {
         let ranking = state.members.get_holder_ranking();
-        let holders = ranking.list_asked_holders(key.get_number());
-        list_others(&state.members, &holders)
+        let first = ranking.list_asked_holders(key.get_number());
+        let others = ranking.list_widely_asked_holders(key.get_number());
+        (list_others(&state.members, &first), list_others(&state.members, &others))
     });
-    let answers = ask_holders(node, key, services, own, &holders).await;
-    Inquiry { asked: holders.len(), answers }
+    let answers = ask_holders(node, key, services, own, &first).await;
+    let mut inquiry = Inquiry { asked: first.len(), answers };
+    if decide(own, &inquiry.answers) == Decision::Unknown && !others.is_empty() {
+        inquiry.asked += others.len();
+        inquiry.answers.extend(ask_holders(node, key, services, own, &others).await);
+    }
+    inquiry
 }
 
 fn list_others(members: &Members, holders: &[&Entry]) -> Vec<SocketAddr> {
