fix(streams): rank nodes that are not heard last among the holders

Cause: nodes that were killed stay known for 60 s and kept their rank, so that copies were sent to them and they were asked.

Change: nodes that were neither heard nor learned of for the time in which reports must arrive rank last, among holders and among those that are asked. They are not left out: the asking node may have missed all reports. Copies are checked twice a second.

Test: `holders::nodes_that_are_not_heard_rank_last`, `stream_holders::streams_go_on_after_all_other_nodes_were_killed_and_replaced_in_turn`.

--- a/crates/core/src/serving/members/holders.rs
+++ b/crates/core/src/serving/members/holders.rs
@@ -1,13 +1,14 @@
 //! Which nodes hold the record of a stream's origin.
 //!
-//! Nodes are ranked by rendezvous hashing of the record's key over all known nodes. Copies lie in
-//! different data centres while there are several. More nodes are asked than hold a copy, because
-//! nodes may differ in which others they know.
+//! Nodes are ranked by rendezvous hashing of the record's key over all known nodes. Those that are not
+//! heard rank last: they have probably failed, but this node may also be the one that missed their
+//! reports. Copies lie in different data centres while there are several. More nodes are asked than
+//! hold a copy, because nodes may differ in which others they know.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::Members;
 use super::entry::Entry;
+use super::{Member, Members};
 use crate::serving::load::short_id;
 use crate::serving::stream_origin::{COPIES, HolderId};
 use crate::{Millis, rendezvous};
@@ -23,17 +24,27 @@
 pub struct HolderRanking<'a> {
     own: &'a Entry,
     /// The nodes, including this one.
-    nodes: Vec<&'a Entry>,
+    nodes: Vec<Candidate<'a>>,
     data_centres: usize,
 }
 
+/// A node that may hold records.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    entry: &'a Entry,
+    is_live: bool,
+}
+
 impl Members {
     /// Returns the nodes to be ranked, as they are known now.
-    pub fn get_holder_ranking(&self) -> HolderRanking<'_> {
+    pub fn get_holder_ranking(&self, now: Millis) -> HolderRanking<'_> {
         let others = self.known.values().filter(|member| !member.is_stopping);
-        let nodes: Vec<&Entry> = others.map(|member| &member.entry).chain([&self.own]).collect();
+        let others = others
+            .map(|member| Candidate { entry: &member.entry, is_live: self.is_live(now, member) });
+        let own = Candidate { entry: &self.own, is_live: true };
+        let nodes: Vec<Candidate<'_>> = others.chain([own]).collect();
         let data_centres: BTreeSet<&str> =
-            nodes.iter().map(|entry| entry.data_centre.as_str()).collect();
+            nodes.iter().map(|node| node.entry.data_centre.as_str()).collect();
         HolderRanking { own: &self.own, data_centres: data_centres.len(), nodes }
     }
 
@@ -41,11 +52,15 @@
     /// this node knows.
     pub fn is_live_holder(&self, now: Millis, holder: HolderId) -> bool {
         let member = self.names.get(&holder).and_then(|name| self.known.get(name));
-        member.is_some_and(|member| {
-            let is_silent = member.is_silent || self.silent_by_aggregator.contains(&member.short);
-            let is_heard = self.view.is_grouped || self.is_heard(now, member);
-            !member.is_stopping && !is_silent && is_heard
-        })
+        member.is_some_and(|member| !member.is_stopping && self.is_live(now, member))
+    }
+
+    /// Returns `true` if a node was heard recently, or has just become known. In groups, nodes do not
+    /// hear each other, and those that no aggregator has reported as silent count as live.
+    fn is_live(&self, now: Millis, member: &Member) -> bool {
+        let is_silent = member.is_silent || self.silent_by_aggregator.contains(&member.short);
+        let heard_at = member.heard_at.unwrap_or(0).max(member.entered_at);
+        !is_silent && (self.view.is_grouped || now < heard_at + self.get_heard_timeout())
     }
 
     /// Returns the description of another node that holds copies.
@@ -96,17 +111,26 @@
         candidates.into_iter().map(|entry| short_id(&entry.name)).collect()
     }
 
-    /// Returns `true` if a node is asked for the record of a key.
+    /// Returns `true` if a live node is asked for the record of a key.
     pub fn is_asked(&self, key: u64, node: &Entry) -> bool {
         let most = ASKED_HOLDERS.div_ceil(self.data_centres.max(1));
-        let weight = (rendezvous::weigh(key, &node.name), node.name.as_str());
-        let same_data_centre =
-            self.nodes.iter().filter(|entry| entry.data_centre == node.data_centre);
-        let mut ahead = same_data_centre
-            .filter(|entry| (rendezvous::weigh(key, &entry.name), entry.name.as_str()) > weight);
+        let rank = weigh(key, &Candidate { entry: node, is_live: true });
+        let others = self.nodes.iter().filter(|other| other.entry.name != node.name);
+        let same_data_centre = others.filter(|other| other.entry.data_centre == node.data_centre);
+        let mut ahead = same_data_centre.filter(|other| weigh(key, other) > rank);
         // The full ranking is expensive, and most nodes of a data centre rank lower than this.
-        ahead.nth(most.saturating_sub(1)).is_none()
-            && self.list_asked_holders(key).iter().any(|entry| entry.name == node.name)
+        let is_near = ahead.nth(most.saturating_sub(1)).is_none();
+        is_near && self.clone_with_live(node).list_asked_holders(key).contains(&node)
+    }
+
+    /// Returns this ranking with a node that is live, whether or not it was heard.
+    fn clone_with_live<'b>(&self, node: &'b Entry) -> HolderRanking<'b>
+    where
+        'a: 'b,
+    {
+        let others = self.nodes.iter().filter(|other| other.entry.name != node.name).copied();
+        let nodes = others.chain([Candidate { entry: node, is_live: true }]).collect();
+        HolderRanking { own: self.own, nodes, data_centres: self.data_centres }
     }
 
     /// Ranks the nodes that `is_candidate` selects, and takes the first ones of each data centre.
@@ -116,10 +140,10 @@
         count: usize,
         is_candidate: impl Fn(&Entry) -> bool,
     ) -> Vec<&'a Entry> {
-        let candidates = self.nodes.iter().filter(|entry| is_candidate(entry));
-        let mut ranked: Vec<(u64, &Entry)> =
-            candidates.map(|entry| (rendezvous::weigh(key, &entry.name), *entry)).collect();
-        ranked.sort_unstable_by(|one, other| (other.0, &other.1.name).cmp(&(one.0, &one.1.name)));
+        let candidates = self.nodes.iter().filter(|node| is_candidate(node.entry));
+        let mut ranked: Vec<(Weight<'a>, &Entry)> =
+            candidates.map(|node| (weigh(key, node), node.entry)).collect();
+        ranked.sort_unstable_by(|one, other| other.0.cmp(&one.0));
         let most = count.div_ceil(self.data_centres.max(1));
         let mut taken: BTreeMap<&str, usize> = BTreeMap::new();
         let mut holders = Vec::with_capacity(count);
@@ -133,3 +157,16 @@
         holders
     }
 }
+
+/// The weight of a node for a key. The fields are compared in this order.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Weight<'a> {
+    is_live: bool,
+    hash: u64,
+    name: &'a str,
+}
+
+fn weigh<'a>(key: u64, node: &Candidate<'a>) -> Weight<'a> {
+    let Candidate { entry, is_live } = *node;
+    Weight { is_live, hash: rendezvous::weigh(key, &entry.name), name: &entry.name }
+}
--- a/crates/core/src/serving/stream_origin/replication.rs
+++ b/crates/core/src/serving/stream_origin/replication.rs
@@ -9,7 +9,7 @@
 /// The number of nodes, besides the one that began the stream, that hold a copy of its record.
 pub const COPIES: usize = 3;
 /// The time between two checks of a record that has all its copies.
-const CHECK_INTERVAL_MS: Millis = 1_000;
+const CHECK_INTERVAL_MS: Millis = 500;
 /// The time until a copy that is not confirmed is sent again, which doubles with each attempt.
 const RETRY_INTERVAL_MS: Millis = 250;
 /// The largest time until a copy that is not confirmed is sent again.
--- a/crates/core/tests/serving/holders.rs
+++ b/crates/core/tests/serving/holders.rs
@@ -39,7 +39,7 @@
     let mut held: BTreeMap<String, usize> = BTreeMap::new();
     for key in 0..2_000u64 {
         let key = key.wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        let ranking = members.get_holder_ranking();
+        let ranking = members.get_holder_ranking(0);
         let holders = ranking.list_copy_holders(key);
         assert_eq!(count_by_data_centre(&holders).len(), 3);
         assert_eq!(ranking.list_asked_holders(key).len(), 6);
@@ -52,7 +52,7 @@
 #[test]
 fn this_node_is_ranked_like_the_others() {
     let members = members(&[0; 10]);
-    let ranking = members.get_holder_ranking();
+    let ranking = members.get_holder_ranking(0);
     let own = (0..100u64)
         .filter(|key| ranking.list_asked_holders(*key).iter().any(|holder| members.is_own(holder)));
     assert!((40..80).contains(&own.count()));
@@ -70,7 +70,7 @@
         holder_age: None,
     };
     members.record_heartbeat(0, &heartbeat);
-    let ranking = members.get_holder_ranking();
+    let ranking = members.get_holder_ranking(0);
     for key in 0..100 {
         assert!(!ranking.list_asked_holders(key).contains(&&stopping));
         assert_eq!(ranking.list_asked_holders(key).len(), 3);
@@ -81,7 +81,7 @@
 #[test]
 fn a_single_node_holds_its_records_alone() {
     let members = members(&[0]);
-    let ranking = members.get_holder_ranking();
+    let ranking = members.get_holder_ranking(0);
     assert_eq!(ranking.list_asked_holders(7), [&entry(0, 0)]);
     assert!(ranking.list_candidates(7).is_empty());
 }
@@ -91,7 +91,7 @@
 fn most_copies_of_a_record_are_asked_for() {
     let data_centres: Vec<u8> = (0..60).map(|number| number % 5).collect();
     let members = members(&data_centres);
-    let ranking = members.get_holder_ranking();
+    let ranking = members.get_holder_ranking(0);
     for key in 0..2_000u64 {
         let key = key.wrapping_mul(0x9E37_79B9_7F4A_7C15);
         let asked = ranking.list_asked_holders(key);
@@ -105,7 +105,7 @@
 fn a_node_requests_all_records_that_it_is_asked_for() {
     let data_centres: Vec<u8> = (0..60).map(|number| number % 4).collect();
     let members = members(&data_centres);
-    let ranking = members.get_holder_ranking();
+    let ranking = members.get_holder_ranking(0);
     for key in 0..200u64 {
         let key = key.wrapping_mul(0x9E37_79B9_7F4A_7C15);
         let asked = ranking.list_asked_holders(key);
@@ -116,12 +116,44 @@
     }
 }
 
+/// Guards against records that are sent to, and asked of, nodes that were killed a moment ago.
+#[test]
+fn nodes_that_are_not_heard_rank_last() {
+    let mut members = members(&[0; 12]);
+    let timeout = 1_000;
+    for number in 1..6 {
+        let heard = entry(number, 0);
+        let heartbeat = Heartbeat {
+            entry: &heard,
+            incarnation: 1,
+            is_stopping: false,
+            role: Role::Aggregator,
+            holder_age: None,
+        };
+        members.record_heartbeat(timeout, &heartbeat);
+    }
+    let ranking = members.get_holder_ranking(timeout);
+    for key in 0..100 {
+        let asked: BTreeSet<&str> =
+            ranking.list_asked_holders(key).iter().map(|entry| entry.name.as_str()).collect();
+        let live = BTreeSet::from(["node-0", "node-1", "node-2", "node-3", "node-4", "node-5"]);
+        assert_eq!(asked, live);
+        assert!(ranking.is_asked(key, &entry(1, 0)));
+    }
+    // A node that has just restarted was not heard for a while.
+    let silent = entry(7, 0);
+    assert!((0..100).filter(|key| ranking.is_asked(*key, &silent)).count() > 50);
+    // All nodes rank by their hashes if this node has missed all reports.
+    let ranking = members.get_holder_ranking(10_000);
+    assert!((0..100).all(|key| ranking.list_asked_holders(key).len() == 6));
+}
+
 /// Guards against a record of a small cluster that is not found because its holders rank low.
 #[test]
 fn all_nodes_of_a_small_cluster_are_asked_in_the_end() {
     let data_centres: Vec<u8> = (0..20).map(|number| number % 3).collect();
     let members = members(&data_centres);
-    let ranking = members.get_holder_ranking();
+    let ranking = members.get_holder_ranking(0);
     for key in 0..100 {
         let asked = ranking.list_asked_holders(key).into_iter();
         let asked = asked.chain(ranking.list_widely_asked_holders(key));
@@ -137,7 +169,7 @@
         key in any::<u64>(),
     ) {
         let members = members(&data_centres);
-        let ranking = members.get_holder_ranking();
+        let ranking = members.get_holder_ranking(0);
         let holders = ranking.list_copy_holders(key);
         let asked = ranking.list_asked_holders(key);
         prop_assert!(!holders.iter().any(|holder| members.is_own(holder)));
@@ -165,7 +197,7 @@
         let entries: Vec<Entry> = entries.map(|(at, centre)| entry(at as u16, *centre)).collect();
         let mut last = Members::new(0, entries[entries.len() - 1].clone(), &[]);
         last.merge_list(0, entries, true);
-        let (first, last) = (first.get_holder_ranking(), last.get_holder_ranking());
+        let (first, last) = (first.get_holder_ranking(0), last.get_holder_ranking(0));
         prop_assert_eq!(first.list_asked_holders(key), last.list_asked_holders(key));
     }
 }
--- a/crates/gateway/src/node/peers/stream_origins.rs
+++ b/crates/gateway/src/node/peers/stream_origins.rs
@@ -48,8 +48,9 @@
     services: &[&str],
     own: &Answer,
 ) -> Inquiry {
+    let now = node.now();
     let (first, others) = node.with(|state| {
-        let ranking = state.members.get_holder_ranking();
+        let ranking = state.members.get_holder_ranking(now);
         let first = ranking.list_asked_holders(key.get_number());
         let others = ranking.list_widely_asked_holders(key.get_number());
         (list_others(&state.members, &first), list_others(&state.members, &others))
--- a/crates/gateway/src/node/stream_origins.rs
+++ b/crates/gateway/src/node/stream_origins.rs
@@ -173,7 +173,7 @@
     let mut copies = Copies::new();
     for turn in records.chunks(RECORDS_PER_TURN) {
         node.with(|state| {
-            let ranking = state.members.get_holder_ranking();
+            let ranking = state.members.get_holder_ranking(now);
             for record in turn {
                 for address in select(&ranking, record) {
                     copies.entry(address).or_default().push(record.clone());
@@ -193,7 +193,7 @@
     for key in keys {
         let is_live = |holder| members.is_live_holder(now, holder);
         let rank = || {
-            let ranking = ranking.get_or_init(|| members.get_holder_ranking());
+            let ranking = ranking.get_or_init(|| members.get_holder_ranking(now));
             ranking.list_candidates(key.get_number())
         };
         let holders = stream_origins.plan_copies(now, *key, is_live, rank);
