fix(streams): record a resumed stream under the ID of its new request too

Cause: an attempt that takes a stream up was recorded under the ID that it names alone. A caller that has received no event of the earlier attempt, or names the latest one, got 503 `unknown_stream` at the next break.

Change: the origin is recorded under both IDs, with copies of both.

--- a/crates/gateway/src/exchange/begin.rs
+++ b/crates/gateway/src/exchange/begin.rs
@@ -33,5 +33,5 @@
     let id = exchange.head.id.as_deref().unwrap_or("");
     let key = Key::new(exchange.account.as_deref().unwrap_or(""), id);
     let running = stream_origins::begin(node, key, &origin, exchange.caller_deadline).await;
-    Pin::Pinned { origin, _running: Some(running) }
+    Pin::Pinned { origin, _running: vec![running] }
 }
--- a/crates/gateway/src/exchange/origin.rs
+++ b/crates/gateway/src/exchange/origin.rs
@@ -1,5 +1,6 @@
 //! Finds the software version that began a stream which a request resumes.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use keeljunction_core::Millis;
@@ -46,10 +47,12 @@
     let result = check(node, &services, &finding.decision);
     record_finding(node, head, &finding, result.as_ref().err().copied());
     let origin = result?;
-    let running = match key {
-        Some(key) => Some(stream_origins::begin(node, key, &origin, *caller_deadline).await),
-        None => None,
-    };
+    // A caller that has received no event of the earlier request names this one the next time.
+    let own = head.id.as_deref().map(|id| Key::new(account, id));
+    let mut running = Vec::new();
+    for key in BTreeSet::from_iter(key.into_iter().chain(own)) {
+        running.push(stream_origins::begin(node, key, &origin, *caller_deadline).await);
+    }
     Ok(Some(Pin::Pinned { origin, _running: running }))
 }
 
--- a/crates/gateway/src/exchange/pin.rs
+++ b/crates/gateway/src/exchange/pin.rs
@@ -12,8 +12,8 @@
     Pinned {
         /// The origin of the stream.
         origin: Origin,
-        /// Counts the stream as running, if it has a record.
-        _running: Option<RunningStream>,
+        /// Counts the records of the stream as running.
+        _running: Vec<RunningStream>,
     },
     /// None, because the server was replaced by one of another version meanwhile.
     Unpinnable,
