fix(discovery): look missing nodes up in the table again within seconds

Nodes that had read former addresses from a restored copy of the table heard nobody, and read the table again after 60 s only.

Change: a node that hears no other, or a reader of the table that does not hear all known nodes, reads it after 2 s, then ever less often up to the 60 s.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -57,6 +57,17 @@
     /// Several software versions of a service may be running streams. If `is_complete` is not set, there
     /// may be others.
     VersionsMixed { service: &'a str, versions: Vec<&'a str>, is_complete: bool },
+    /// This node read the table of nodes.
+    NodesRead {
+        /// The number of rows that were read.
+        rows: usize,
+        /// Whether this node is registered with its current address.
+        is_registered: bool,
+        /// The number of nodes that are heard, this one included.
+        nodes_heard: usize,
+        /// The number of nodes that are known.
+        nodes_known: usize,
+    },
     /// This node, as the holder of the duty lease, wrote the software versions of a service that may be
     /// running streams.
     VersionsWritten { service: &'a str, versions: Vec<&'a str> },
--- a/crates/gateway/src/node/peers/discovery.rs
+++ b/crates/gateway/src/node/peers/discovery.rs
@@ -34,6 +34,8 @@
 const ERA_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// The interval between full reads of the table.
 const FULL_READ_INTERVAL: Duration = Duration::from_secs(60);
+/// The first interval between full reads while nodes are missing, which doubles with each read.
+const MIN_READ_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Discovers the other nodes, registers this node if necessary, and reads the table at intervals
 /// while this node is a reader.
@@ -41,6 +43,9 @@
 /// When all nodes start for the first time, the table fills while they read it. A node that had to
 /// register therefore reads it again, unless it has found an aggregator, which forwards the missing
 /// entries.
+///
+/// After a restore of the table service, the table holds former addresses until each node has
+/// registered again. Nodes that are missing are therefore looked up again soon.
 pub(super) async fn run(node: Arc<Node>) {
     let is_first_start = node.settings.node.is_first_start;
     let is_registered =
@@ -56,7 +61,7 @@
             read_with_retries(&node, Part::Sample { is_settled: true }).await;
         }
     }
-    let mut next_read_at = node.now() + jitter(FULL_READ_INTERVAL).as_millis() as Millis;
+    let mut schedule = ReadSchedule::new(node.now());
     loop {
         runtime::sleep(jitter(ERA_CHECK_INTERVAL)).await;
         let era = node.with(|state| state.eras.get());
@@ -64,16 +69,46 @@
             ensure_registered(&node).await;
             registered_in = era;
         }
-        if node.now() < next_read_at {
-            continue;
-        }
-        next_read_at = node.now() + jitter(FULL_READ_INTERVAL).as_millis() as Millis;
-        if node.with(|state| state.members.is_table_reader(node.now())) || is_alone(&node) {
+        let now = node.now();
+        let is_reader = node.with(|state| state.members.is_table_reader(now));
+        let is_missing = is_alone(&node) || is_reader && is_any_missing(&node);
+        if schedule.is_due(now, is_missing) && (is_reader || is_missing) {
             read_with_retries(&node, Part::Whole).await;
         }
     }
 }
 
+/// When this node reads the whole table again.
+#[derive(Debug)]
+struct ReadSchedule {
+    last_at: Millis,
+    /// The interval between two reads while nodes are missing.
+    missing_interval: Duration,
+    /// A random factor, so that nodes do not read at the same time.
+    spread: f64,
+}
+
+impl ReadSchedule {
+    fn new(now: Millis) -> Self {
+        let spread = jitter(Duration::from_secs(1)).as_secs_f64();
+        Self { last_at: now, missing_interval: MIN_READ_INTERVAL, spread }
+    }
+
+    /// Returns `true` if a read is due, and schedules the next one.
+    fn is_due(&mut self, now: Millis, is_missing: bool) -> bool {
+        if !is_missing {
+            self.missing_interval = MIN_READ_INTERVAL;
+        }
+        let interval = if is_missing { self.missing_interval } else { FULL_READ_INTERVAL };
+        let is_due = now >= self.last_at + interval.mul_f64(self.spread).as_millis() as Millis;
+        if is_due {
+            let missing_interval = (interval * 2).min(FULL_READ_INTERVAL);
+            *self = Self { missing_interval, ..Self::new(now) };
+        }
+        is_due
+    }
+}
+
 /// Registers this node again if its row was lost in a restore of the table service.
 async fn ensure_registered(node: &Node) {
     runtime::sleep(REGISTRATION_SPREAD.mul_f64(fastrand::f64())).await;
@@ -127,6 +162,13 @@
     node.with(|state| state.members.get_reachability(now).heard <= 1)
 }
 
+/// Returns `true` if a known node is not heard, by this node or in groups.
+fn is_any_missing(node: &Node) -> bool {
+    let now = node.now();
+    let reachability = node.with(|state| state.members.get_reachability(now));
+    reachability.heard < reachability.known
+}
+
 /// Registers this node, retrying with exponential backoff.
 ///
 /// A write without a response may still be applied later. When many nodes start, each further write
@@ -158,7 +200,9 @@
     let entries: Vec<Entry> = rows.iter().filter_map(decode).collect();
     let is_registered = entries.contains(&node.get_entry());
     let now = node.now();
+    let count = entries.len();
     node.with(|state| state.members.merge_list(now, entries, true));
+    emit_read(node, count, is_registered);
     Ok(is_registered)
 }
 
@@ -184,10 +228,19 @@
     }
     // A node that is registered already has run before, and so have the others.
     let is_whole = is_settled || is_registered;
+    let rows = entries.len();
     node.with(|state| state.members.merge_sample(now, entries, count, is_whole));
+    emit_read(node, rows, is_registered);
     Ok(is_registered)
 }
 
+fn emit_read(node: &Node, rows: usize, is_registered: bool) {
+    let now = node.now();
+    let reachability = node.with(|state| state.members.get_reachability(now));
+    let (nodes_heard, nodes_known) = (reachability.heard, reachability.known);
+    event::emit(&Event::NodesRead { rows, is_registered, nodes_heard, nodes_known });
+}
+
 /// Records that no process of this node has run before, as it is not in the table. A restore of the
 /// table service may have lost its row.
 fn record_first_run(node: &Node, now: Millis) {
