fix(members): send to a restarted node of another region again

Cause: the node was shut down and started again. The others go on to count it as stopping, so they send it no summaries. It hears nothing of their region by the time that it has read the list, says so in its summaries, and the others therefore ignore these, together with the news that it is not stopping.

Change: whether a node of another region is stopping is taken from each of its summaries, also from those that are ignored. An entry with another address counts as another process.

--- a/crates/core/src/serving/members/mod.rs
+++ b/crates/core/src/serving/members/mod.rs
@@ -55,6 +55,7 @@
 pub use self::entry::Entry;
 pub use self::holders::HolderRanking;
 pub use self::owner::LoadOwner;
+pub use self::regions::RemoteSender;
 pub use self::roster::{RosterDelta, RosterEntry, RosterSummary};
 
 use self::roster::CopyProgress;
@@ -266,6 +267,8 @@
             if known.entry != *entry && !is_heard {
                 known.entry = entry.clone();
                 known.entered_at = now;
+                // Another process, whose predecessor may have been shut down.
+                known.is_stopping = false;
                 self.version += 1;
                 known.added_in_version = self.version;
             }
--- a/crates/core/src/serving/members/regions.rs
+++ b/crates/core/src/serving/members/regions.rs
@@ -21,6 +21,19 @@
 /// The silence up to which a region is overdue. After that, all nodes count it as unreachable.
 const MAX_OVERDUE_AGE_MS: Millis = 5_000;
 
+/// The sender of a summary from another region.
+#[derive(Clone, Copy, Debug)]
+pub struct RemoteSender<'a> {
+    /// The description of the node.
+    pub entry: &'a Entry,
+    /// Whether it is shutting down.
+    pub is_stopping: bool,
+    /// The boot ID of its process.
+    pub run: u32,
+    /// When it sent the summary, on its own clock.
+    pub sent_at: Millis,
+}
+
 impl Members {
     /// Sets how long summaries of other regions take: the time between two of them, and the one-way
     /// delay from the farthest region, in milliseconds.
@@ -87,20 +100,20 @@
     /// the previous ones.
     ///
     /// A summary may arrive through several carriers. It is newer if its sender's process has
-    /// restarted, so that `run` differs, or if `sent_at`, on the sender's clock, is later.
-    pub fn record_remote_summary(
-        &mut self,
-        now: Millis,
-        entry: &Entry,
-        run: u32,
-        sent_at: Millis,
-    ) -> bool {
+    /// restarted, so that its run differs, or if it was sent later on the sender's clock.
+    ///
+    /// It is recorded even if its content is ignored, because its sender does not hear this region.
+    /// That the sender is no longer stopping must be known all the same: otherwise a node that was
+    /// restarted would get no summaries of this region, and never hear it.
+    pub fn record_remote_summary(&mut self, now: Millis, sender: &RemoteSender<'_>) -> bool {
+        let RemoteSender { entry, is_stopping, run, sent_at } = *sender;
         self.add(now, entry);
         let Some(member) = self.known.get_mut(&entry.name) else { return false };
         let is_known = member.newest.is_some_and(|(known, at)| known == run && sent_at <= at);
         if !is_known {
             member.newest = Some((run, sent_at));
             member.crossed_at = Some(now);
+            member.is_stopping = is_stopping;
         }
         !is_known
     }
--- a/crates/core/tests/serving/regions.rs
+++ b/crates/core/tests/serving/regions.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 
 use keeljunction_core::serving::load::short_id;
-use keeljunction_core::serving::members::{Entry, Heartbeat, Members, Overview, Role};
+use keeljunction_core::serving::members::{
+    Entry, Heartbeat, Members, Overview, RemoteSender, Role,
+};
 use keeljunction_core::serving::quota::{Decision, Limit, Quotas, Report, Source, Tolerance};
 use keeljunction_core::serving::report_log::{ReportLog, Snapshot};
 use keeljunction_core::serving::summary_pacer::SummaryPacer;
@@ -278,7 +280,9 @@
     }
 
     fn record(&mut self, now: u64, summary: &Summary) -> bool {
-        self.members.record_remote_summary(now, &summary.entry, summary.run, summary.sent_at)
+        let Summary { entry, run, sent_at, .. } = summary;
+        let sender = RemoteSender { entry, is_stopping: false, run: *run, sent_at: *sent_at };
+        self.members.record_remote_summary(now, &sender)
     }
 
     fn apply_overview_message(&mut self, now: u64, message: OverviewMessage) {
@@ -584,17 +588,45 @@
     assert!(outcome.get_peak() <= get_allowed(LIMIT));
 }
 
+fn sender(entry: &Entry, run: u32, sent_at: u64) -> RemoteSender<'_> {
+    RemoteSender { entry, is_stopping: false, run, sent_at }
+}
+
+/// Guards against regions that never hear each other again after the only node of one was restarted: the other one goes
+/// on to count it as stopping, and sends it nothing.
+#[test]
+fn a_restarted_node_of_another_region_gets_summaries_again() {
+    let own = entry(2, 0);
+    let mut members = Members::new(0, own, &[]).with_topology(topology_of(2, 0));
+    let far = entry(2, 1);
+    members.merge_list(0, vec![far.clone()], true);
+    let stopping = Heartbeat {
+        entry: &far,
+        incarnation: 1,
+        is_stopping: true,
+        role: Role::Aggregator,
+        holder_age: None,
+    };
+    members.record_remote_summary(100, &RemoteSender { is_stopping: true, ..sender(&far, 7, 100) });
+    members.record_heartbeat(100, &stopping);
+    (200..5_000).step_by(200).for_each(|now| members.refresh(now));
+    assert!(!members.list_exchange_peers(5_000).contains(&far.address));
+    members.record_remote_summary(5_000, &sender(&far, 8, 100));
+    members.refresh(5_100);
+    assert!(members.list_exchange_peers(5_100).contains(&far.address));
+}
+
 #[test]
 fn a_summary_that_two_carriers_forward_is_applied_once() {
     let scenario = Scenario::default();
     let mut node = Node::start(&scenario, 0, 0, 1);
     let far = entry(2, 1);
-    assert!(node.members.record_remote_summary(100, &far, 7, 1_000));
-    assert!(!node.members.record_remote_summary(110, &far, 7, 1_000));
-    assert!(!node.members.record_remote_summary(120, &far, 7, 800));
-    assert!(node.members.record_remote_summary(130, &far, 7, 1_200));
+    assert!(node.members.record_remote_summary(100, &sender(&far, 7, 1_000)));
+    assert!(!node.members.record_remote_summary(110, &sender(&far, 7, 1_000)));
+    assert!(!node.members.record_remote_summary(120, &sender(&far, 7, 800)));
+    assert!(node.members.record_remote_summary(130, &sender(&far, 7, 1_200)));
     // Another run of the process has another clock.
-    assert!(node.members.record_remote_summary(140, &far, 8, 50));
+    assert!(node.members.record_remote_summary(140, &sender(&far, 8, 50)));
 }
 
 #[test]
--- a/crates/gateway/src/node/peers/summary_relay.rs
+++ b/crates/gateway/src/node/peers/summary_relay.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use keeljunction_core::Millis;
+use keeljunction_core::serving::members::RemoteSender;
 
 use super::message::{Message, Summary};
 use super::{report, report_target, versions};
@@ -131,7 +132,9 @@
         // earlier.
         node.link.record_remote_region(entry.address, region);
     }
-    node.with(|state| state.members.record_remote_summary(now, entry, boot_id, sent_at))
+    let is_stopping = summary.sender.is_stopping;
+    let sender = RemoteSender { entry, is_stopping, run: boot_id, sent_at };
+    node.with(|state| state.members.record_remote_summary(now, &sender))
 }
 
 /// Relays a summary to the other aggregators of this region.
