feat(events): log a peer that reports from another address

One hypothesis is a node of another test that reports to a reused port under a known name: it would be taken for the duty holder, or replace the address of a peer. Nothing logged that.

--- a/crates/core/src/serving/members/query.rs
+++ b/crates/core/src/serving/members/query.rs
@@ -273,6 +273,11 @@
         readers.map(|member| member.entry.address).collect()
     }
 
+    /// Returns the address at which a node is known to listen.
+    pub fn get_address(&self, name: &str) -> Option<SocketAddr> {
+        self.known.get(name).map(|member| member.entry.address)
+    }
+
     /// Lists the addresses of the nodes that were heard recently.
     pub fn list_reachable(&self, now: Millis) -> Vec<SocketAddr> {
         let heard = self.known.values().filter(|member| self.is_heard(now, member));
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -57,6 +57,8 @@
     /// Several software versions of a service may be running streams. If `is_complete` is not set, there
     /// may be others.
     VersionsMixed { service: &'a str, versions: Vec<&'a str>, is_complete: bool },
+    /// A known node reported from another address: it was restarted, or two nodes have one name.
+    PeerMoved { peer: &'a str, from: SocketAddr, to: SocketAddr },
     /// This node read the table of nodes.
     NodesRead {
         /// The number of rows that were read.
--- a/crates/gateway/src/node/peers/report.rs
+++ b/crates/gateway/src/node/peers/report.rs
@@ -397,6 +397,10 @@
         role,
         holder_age: sender.holder_age,
     };
+    let (known, to) = (state.members.get_address(name), sender.entry.address);
+    if let Some(from) = known.filter(|from| *from != to) {
+        event::emit(&Event::PeerMoved { peer: name, from, to });
+    }
     if let Some(previous) = state.members.record_heartbeat(now, &heard) {
         state.quotas.forget(name, previous);
         state.demand.forget(name, previous);
