refactor(gateway): separate the process from the node, without circles

`node/` started requests by naming `exchange/`, `metrics/` and `event` read the node, and all of these named each other. Now the folders depend on each other in one direction: runtime, http, port, backend, metrics, event, node, exchange, process.

- `process/` starts a node, answers probes and stops it; `node::tasks` starts the tasks of the node itself, and `node::stop` leaves the other nodes.
- `node::gauges` updates the gauges that `metrics` renders.
- `obligations` holds what events tell of open work.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -7,7 +7,7 @@
 
 use serde::Serialize;
 
-use crate::node::stop::Obligations;
+use crate::obligations::Obligations;
 
 /// A logged event.
 #[allow(missing_docs, reason = "field names say what they hold and carry their units")]
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -15,7 +15,6 @@
     CapacityLabels, ReasonLabels, RegionLabels, RequestLabels, ServiceLabels, SpillLabels,
 };
 use super::sent_messages::SentMessages;
-use crate::node::Node;
 
 /// Upper bounds of the latency histogram's buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 13] =
@@ -94,7 +93,7 @@
     pub store_returns: Counter,
     /// Pauses of the process of a second or more.
     pub pauses: Counter,
-    gauges: Gauges,
+    pub(crate) gauges: Gauges,
 }
 
 impl Default for Metrics {
@@ -347,8 +346,7 @@
     }
 
     /// Renders all metrics in the OpenMetrics text format.
-    pub fn render(&self, node: &Node) -> String {
-        self.gauges.update(node);
+    pub fn render(&self) -> String {
         let mut text = String::new();
         if encode(&mut text, &self.registry).is_err() {
             let _ = writeln!(text, "# the metrics could not be written");
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -4,7 +4,7 @@
 //! |---|---|
 //! | [`state`] | holds the node's view of the deployment |
 //! | `process_context` | holds the resources of a process that exist before its node |
-//! | [`serve`] | starts the node and runs it until it has stopped |
+//! | `tasks` | starts the tasks of a node |
 //! | [`watch`] | follows the configuration and the server list |
 //! | [`skipped`] | tracks table entries that could not be decoded |
 //! | `staleness` | reports the age of the node's copies of the platform's tables |
@@ -17,6 +17,7 @@
 //! | `crashes` | detects crashed servers and the requests they were serving |
 //! | `cross_region` | counts the bytes that requests exchange with other regions |
 //! | [`document`] | compresses documents that nodes fetch from each other |
+//! | `gauges` | updates the gauges of the metrics |
 //! | `connections` | limits idle connections to the node's share of each server |
 //! | `quarantine_rows` | persists quarantined requests in a table of the platform |
 //! | `versions` | tracks which software versions of each service may be running streams |
@@ -25,7 +26,7 @@
 //! | `era_origin` | persists when the eras of the table service began |
 //! | `table` | calls the table service and tracks its eras |
 //! | `stream_origins` | records which software version began each stream |
-//! | [`stop`] | shuts the node down without interrupting responses |
+//! | [`stop`] | defines what a node that shuts down still owes, and leaves the other nodes |
 
 mod active_relays;
 mod back_off;
@@ -36,18 +37,17 @@
 pub mod document;
 mod era_origin;
 mod eviction_signals;
+pub(crate) mod gauges;
 pub(crate) mod interrupted_attempts;
 pub mod leader;
-mod listeners;
 pub mod memory;
 mod pause_detector;
 mod peers;
-mod process_context;
+pub(crate) mod process_context;
 mod quarantine_rows;
 mod rollout_controller;
 mod rollout_status;
 pub(crate) mod rollouts;
-pub mod serve;
 pub(crate) mod server_paths;
 pub mod skipped;
 mod staleness;
@@ -55,6 +55,7 @@
 pub mod stop;
 pub(crate) mod stream_origins;
 mod table;
+pub(crate) mod tasks;
 mod usage_reporter;
 pub mod usage_rows;
 mod version_rows;
@@ -62,6 +63,7 @@
 pub mod watch;
 
 pub use memory::ReservationGuard;
+pub(crate) use peers::link::Link;
 pub(crate) use peers::loads::{query as query_loads, record_change as record_load_change};
 pub(crate) use peers::message::Notification;
 pub(crate) use peers::notifications::notify_request_started;
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -76,7 +76,7 @@
 /// The idle timeout of a connection, as a multiple of the time for which clients reuse it.
 const IDLE_TIMEOUT_FACTOR: u32 = 2;
 /// Bytes per megabyte in the settings.
-pub(super) const BYTES_PER_MB: f64 = 1_000_000.0;
+pub(crate) const BYTES_PER_MB: f64 = 1_000_000.0;
 /// The fraction of the process's memory that may buffer data of clients and servers. The rest is
 /// for the node's own state, its sockets and the allocator's overhead.
 const BUFFER_MEMORY_FRACTION: f64 = 0.4;
--- a/crates/gateway/src/node/stop/mod.rs
+++ b/crates/gateway/src/node/stop/mod.rs
@@ -1,68 +1,35 @@
-//! Shuts the node down without interrupting responses.
-//!
-//! | time | step |
-//! |---|---|
-//! | stop signal | the node is unready, and each response closes its connection |
-//! | [`Schedule::accepts_for`] | the load balancer has noticed: the listener and idle connections close |
-//! | [`Schedule::reads_heads_for`] | connections whose request head is incomplete close |
-//! | [`Schedule::disconnects_after`] | clients that do not read are disconnected |
-//! | [`Schedule::ends_after`] | the process exits, whatever is still open |
-//!
-//! Once the listener is closed, the process exits as soon as it has no [`Obligations`]. A request that
-//! would outlast the shutdown is rejected at once, so that its client can use another node.
+//! What a node that shuts down still owes, when the steps of the shutdown happen, and how it leaves
+//! the other nodes.
 
-mod obligations;
 mod schedule;
 
-use std::sync::Arc;
 use std::time::Duration;
 
-pub use obligations::Obligations;
 pub use schedule::Schedule;
 
 use super::{Node, peers, stream_origins};
-use crate::event::{self, Event};
-use crate::exchange;
+use crate::obligations::Obligations;
 use crate::runtime;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The timeout for closing the connections of peers, which have no request under way.
 const PEER_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Shuts down: serves new requests until the load balancer has noticed, and then all that are under
-/// way, up to the grace period.
-pub async fn run(node: &Arc<Node>) {
-    let Some(schedule) = node.begin_stop() else { return };
-    let obligations = Obligations::list(node);
-    event::emit(&Event::Stopping { in_flight: obligations.requests, open: obligations });
-    let started_at = runtime::boottime_now();
-    runtime::sleep(schedule.accepts_for).await;
-    node.shutdown.accepting.send();
-    let is_whole = drain(node, &schedule, started_at).await;
+/// Lists the obligations of a node.
+pub(crate) fn list_obligations(node: &Node) -> Obligations {
+    Obligations {
+        is_accepting: node.connections.is_accepting(),
+        connections: node.connections.count(),
+        requests: node.get_in_flight(),
+        messages: node.notifications.1.len() + node.slot_changes.1.len(),
+    }
+}
+
+/// Hands over what other nodes need, and closes their connections.
+pub(crate) async fn leave_peers(node: &Node) {
     stream_origins::hand_over(node).await;
     peers::report::send_last(node).await;
     close_peer_connections(node).await;
-    let open = Obligations::list(node);
-    let stopped_after_ms = (runtime::boottime_now() - started_at).as_millis() as u64;
-    event::emit(&Event::Stopped { is_whole, in_flight: open.requests, open, stopped_after_ms });
-}
-
-/// Waits until the node has no obligations. Returns `false` if it still has some at the end.
-async fn drain(node: &Arc<Node>, schedule: &Schedule, started_at: Duration) -> bool {
-    while !Obligations::list(node).is_empty() {
-        let elapsed = runtime::boottime_now().saturating_sub(started_at);
-        if elapsed >= schedule.ends_after {
-            return false;
-        }
-        if elapsed >= schedule.reads_heads_for {
-            node.shutdown.reading.send();
-        }
-        if elapsed >= schedule.disconnects_after {
-            exchange::disconnect_stalled(node);
-        }
-        runtime::sleep(POLL_INTERVAL).await;
-    }
-    true
 }
 
 /// Closes the connections of peers, so that they send no request on one that is about to break.
--- a/crates/gateway/src/node/stop/obligations.rs
+++ b/crates/gateway/src/obligations.rs
@@ -3,7 +3,6 @@
 use serde::Serialize;
 
 use crate::http::PhaseCounts;
-use crate::node::Node;
 
 /// The work that a process must complete before it exits.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
@@ -19,16 +18,6 @@
 }
 
 impl Obligations {
-    /// Lists the obligations of a node.
-    pub fn list(node: &Node) -> Self {
-        Self {
-            is_accepting: node.connections.is_accepting(),
-            connections: node.connections.count(),
-            requests: node.get_in_flight(),
-            messages: node.notifications.1.len() + node.slot_changes.1.len(),
-        }
-    }
-
     /// Returns `true` if there are none. Idle connections count until they are closed, which a
     /// shutdown does when it closes the listener.
     pub fn is_empty(&self) -> bool {
--- a/crates/gateway/src/node/listeners.rs
+++ b/crates/gateway/src/process/listeners.rs
@@ -5,8 +5,8 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
-use super::Node;
 use crate::http::Body;
+use crate::node::{Node, gauges};
 
 const READINESS_PATH: &str = "/ready";
 /// The path of the rollouts endpoint, on the metrics listener.
@@ -28,8 +28,8 @@
     if request.uri().path() == ROLLOUTS_PATH {
         return rollouts(&node);
     }
-    let text = node.metrics.render(&node);
-    reply(StatusCode::OK, text)
+    gauges::update(&node);
+    reply(StatusCode::OK, node.metrics.render())
 }
 
 fn rollouts(node: &Node) -> Response<Body> {
--- a/crates/gateway/src/node/serve.rs
+++ b/crates/gateway/src/process/serve.rs
@@ -10,16 +10,13 @@
 use keeljunction_core::serving::usage::Incarnation;
 use keeljunction_core::{Error, ErrorKind};
 
-use super::peers::link::Link;
-use super::process_context::{Listener, ProcessContext};
-use super::state::BYTES_PER_MB;
-use super::{
-    Node, connections, leader, listeners, memory, peers, quarantine_rows, server_paths, stop,
-    stream_origins, version_rows, watch,
-};
+use super::{listeners, stop};
 use crate::event::{self, Event};
 use crate::exchange;
 use crate::http::{Limits, Server, Shutdown};
+use crate::node::process_context::{Listener, ProcessContext};
+use crate::node::state::BYTES_PER_MB;
+use crate::node::{Link, Node, tasks};
 use crate::port::Platform;
 use crate::runtime::{self, Clock};
 use crate::settings::Settings;
@@ -76,22 +73,7 @@
         peers: listen.peers,
         metrics: listen.metrics,
     });
-    runtime::spawn(watch::watch_configuration(node.clone()));
-    runtime::spawn(watch::confirm_freshness(node.clone()));
-    runtime::spawn(watch::watch_servers(node.clone()));
-    runtime::spawn(connections::run(node.clone()));
-    runtime::spawn(server_paths::run(node.clone()));
-    peers::start(&node);
-    let peer_node = node.clone();
-    runtime::spawn(
-        peer_calls.serve(move |request| peers::calls::serve(peer_node.clone(), request)),
-    );
-    runtime::spawn(leader::run(node.clone()));
-    runtime::spawn(quarantine_rows::run(node.clone()));
-    runtime::spawn(version_rows::read(node.clone()));
-    runtime::spawn(version_rows::write(node.clone()));
-    runtime::spawn(memory::watch(node.clone()));
-    runtime::spawn(stream_origins::run(node.clone()));
+    tasks::start(&node, peer_calls);
     exchange::watch_callers(&node);
     let (readiness_node, metrics_node, client_node) = (node.clone(), node.clone(), node.clone());
     runtime::spawn(
--- /dev/null
+++ b/crates/gateway/src/process/stop.rs
@@ -0,0 +1,57 @@
+//! Shuts the node down without interrupting responses.
+//!
+//! | time | step |
+//! |---|---|
+//! | stop signal | the node is unready, and each response closes its connection |
+//! | [`Schedule::accepts_for`] | the load balancer has noticed: the listener and idle connections close |
+//! | [`Schedule::reads_heads_for`] | connections whose request head is incomplete close |
+//! | [`Schedule::disconnects_after`] | clients that do not read are disconnected |
+//! | [`Schedule::ends_after`] | the process exits, whatever is still open |
+//!
+//! Once the listener is closed, the process exits as soon as it has no [`Obligations`](crate::obligations::Obligations). A request that
+//! would outlast the shutdown is rejected at once, so that its client can use another node.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::event::{self, Event};
+use crate::exchange;
+use crate::node::Node;
+use crate::node::stop::{self, Schedule};
+use crate::runtime;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Shuts down: serves new requests until the load balancer has noticed, and then all that are under
+/// way, up to the grace period.
+pub async fn run(node: &Arc<Node>) {
+    let Some(schedule) = node.begin_stop() else { return };
+    let obligations = stop::list_obligations(node);
+    event::emit(&Event::Stopping { in_flight: obligations.requests, open: obligations });
+    let started_at = runtime::boottime_now();
+    runtime::sleep(schedule.accepts_for).await;
+    node.shutdown.accepting.send();
+    let is_whole = drain(node, &schedule, started_at).await;
+    stop::leave_peers(node).await;
+    let open = stop::list_obligations(node);
+    let stopped_after_ms = (runtime::boottime_now() - started_at).as_millis() as u64;
+    event::emit(&Event::Stopped { is_whole, in_flight: open.requests, open, stopped_after_ms });
+}
+
+/// Waits until the node has no obligations. Returns `false` if it still has some at the end.
+async fn drain(node: &Arc<Node>, schedule: &Schedule, started_at: Duration) -> bool {
+    while !stop::list_obligations(node).is_empty() {
+        let elapsed = runtime::boottime_now().saturating_sub(started_at);
+        if elapsed >= schedule.ends_after {
+            return false;
+        }
+        if elapsed >= schedule.reads_heads_for {
+            node.shutdown.reading.send();
+        }
+        if elapsed >= schedule.disconnects_after {
+            exchange::disconnect_stalled(node);
+        }
+        runtime::sleep(POLL_INTERVAL).await;
+    }
+    true
+}
--- a/crates/keeljunction/src/command/gateway.rs
+++ b/crates/keeljunction/src/command/gateway.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use keeljunction_gateway::node::serve::serve;
+use keeljunction_gateway::process::serve::serve;
 use keeljunction_gateway::settings::Settings;
 use keeljunction_gateway::{log, runtime};
 
