fix(streams): request copies from some nodes only if no node has any

Cause: each node that starts requests its copies from each other node. Where all 986 start together that is 971,000 requests, of some 100 bytes, and as many answers, although no record is left.

Change: an answer names the number of records that the sender has. A node that has 64 answers, all without records, requests nothing more.

Test: `stream_copies::a_node_that_starts_with_all_others_asks_only_some_of_them`.

--- a/crates/core/src/serving/stream_origin/recovery.rs
+++ b/crates/core/src/serving/stream_origin/recovery.rs
@@ -16,12 +16,18 @@
 const MAX_ATTEMPTS: u32 = 6;
 /// The largest number of requests in a step, which bounds the bandwidth of a start among many nodes.
 const MAX_REQUESTS_PER_STEP: usize = 64;
+/// The number of answers after which a node requests nothing more if none of the others has records.
+const MIN_ANSWERS: usize = 64;
 
 /// The requests for records that this process has sent since its start.
 #[derive(Debug)]
 pub struct Recovery {
     started_at: Millis,
     requests: HashMap<HolderId, Request>,
+    /// The number of nodes that have answered.
+    answers: usize,
+    /// Whether one of them has records.
+    is_any_recorded: bool,
 }
 
 /// The state of the request to a node.
@@ -35,12 +41,14 @@
 impl Recovery {
     /// Creates the state of a process that starts.
     pub fn new(now: Millis) -> Self {
-        Self { started_at: now, requests: HashMap::new() }
+        Self { started_at: now, requests: HashMap::new(), answers: 0, is_any_recorded: false }
     }
 
-    /// Returns `true` if records of the time before the start may still exist.
-    pub fn is_active(&self, now: Millis) -> bool {
-        now < self.started_at + MAX_STREAM_AGE_MS
+    /// Returns `true` if records of the time before the start may still exist. If many nodes answer
+    /// that they have none, all nodes have just started, or no stream can be resumed.
+    fn is_active(&self, now: Millis) -> bool {
+        let is_needless = self.answers >= MIN_ANSWERS && !self.is_any_recorded;
+        now < self.started_at + MAX_STREAM_AGE_MS && !is_needless
     }
 
     /// Returns the known nodes that a request is to be sent to now.
@@ -69,10 +77,13 @@
         due
     }
 
-    /// Records the answer of a node.
-    pub fn record_answer(&mut self, holder: HolderId) {
-        if let Some(request) = self.requests.get_mut(&holder) {
+    /// Records the answer of a node that has a number of records.
+    pub fn record_answer(&mut self, holder: HolderId, records: u32) {
+        let Some(request) = self.requests.get_mut(&holder) else { return };
+        if !request.is_answered {
             request.is_answered = true;
+            self.answers += 1;
+            self.is_any_recorded |= records > 0;
         }
     }
 }
--- a/crates/core/tests/serving/stream_copies.rs
+++ b/crates/core/tests/serving/stream_copies.rs
@@ -155,7 +155,7 @@
 fn a_node_requests_its_copies_until_each_node_has_answered() {
     let mut recovery = Recovery::new(1_000);
     assert_eq!(recovery.take_due(1_000, RANKED.into_iter()), RANKED);
-    recovery.record_answer(11);
+    recovery.record_answer(11, 0);
     assert!(recovery.take_due(1_400, RANKED.into_iter()).is_empty());
     assert_eq!(recovery.take_due(1_500, RANKED.into_iter()), RANKED[1..]);
     let later = RANKED.into_iter().chain([17]);
@@ -172,6 +172,19 @@
     assert!(recovery.take_due(MAX_STREAM_AGE_MS, [18].into_iter()).is_empty());
 }
 
+/// Guards against a request to each other node by all nodes of a large cluster that start together.
+#[test]
+fn a_node_that_starts_with_all_others_asks_only_some_of_them() {
+    let mut recovery = Recovery::new(0);
+    let mut asked = 0;
+    for step in 0..20 {
+        let due = recovery.take_due(step * 250, 0..986);
+        due.iter().for_each(|holder| recovery.record_answer(*holder, 0));
+        asked += due.len();
+    }
+    assert_eq!(asked, 64);
+}
+
 /// Guards against a burst of requests at a start among many nodes.
 #[test]
 fn requests_among_many_nodes_are_spread() {
@@ -180,7 +193,7 @@
     for step in 0..20 {
         let due = recovery.take_due(step * 250, 0..986);
         assert!(due.len() <= 64);
-        due.iter().for_each(|holder| recovery.record_answer(*holder));
+        due.iter().for_each(|holder| recovery.record_answer(*holder, 1));
         asked += due.len();
     }
     assert_eq!(asked, 986);
--- a/crates/gateway/src/node/peers/dispatcher.rs
+++ b/crates/gateway/src/node/peers/dispatcher.rs
@@ -87,7 +87,9 @@
         Message::RequestStreamOrigins(entry) => {
             runtime::spawn(stream_origins::answer_request(node.clone(), from, entry));
         }
-        Message::StreamOriginsSent { holder } => stream_origins::handle_sent(node, holder),
+        Message::StreamOriginsSent { holder, records } => {
+            stream_origins::handle_sent(node, holder, records);
+        }
         Message::QueryStreamOrigin { query_id, key, services } => {
             stream_origins::answer_query(node, from, query_id, key, &services).await;
         }
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -187,6 +187,8 @@
     StreamOriginsSent {
         /// The short name of the sender.
         holder: u64,
+        /// The number of records that the sender has.
+        records: u32,
     },
 }
 
--- a/crates/gateway/src/node/peers/stream_origins.rs
+++ b/crates/gateway/src/node/peers/stream_origins.rs
@@ -156,13 +156,14 @@
     let now = node.now();
     node.with(|state| state.members.merge_entries(now, slice::from_ref(&entry)));
     stream_origins::restore(&node, &entry, from).await;
-    let message = Message::StreamOriginsSent { holder: get_own_id(&node) };
+    let records = node.with(|state| state.stream_origins.len()) as u32;
+    let message = Message::StreamOriginsSent { holder: get_own_id(&node), records };
     node.link.send(node.now(), from, &message).await;
 }
 
 /// Records that a node has answered the request for copies.
-pub(super) fn handle_sent(node: &Node, holder: HolderId) {
-    node.with(|state| state.stream_recovery.record_answer(holder));
+pub(super) fn handle_sent(node: &Node, holder: HolderId, records: u32) {
+    node.with(|state| state.stream_recovery.record_answer(holder, records));
 }
 
 fn get_own_id(node: &Node) -> HolderId {
