fix(peers): ignore what nodes of another cluster send

Hypotheses: (a) the server's port was reused; ruled out, the test holds its listener. (b) the caller's connection reached another node; ruled out, the node lives and holds its port. (c) the node learned of a foreign server. Shown: nodes of one cluster go on sending reports to the address of a node that was killed; a node of another cluster that was given that address took the sender for a peer, fetched its newer server list and configuration, and merged its counts, limits, verdicts and roll-outs.

Change: setting node.cluster, the same at all nodes of a cluster. Datagrams of a cluster with a name carry a 32-bit tag of it (4 bytes each), HTTP calls between nodes the name; others are ignored, or refused with 421 and the ID of the request, and counted (ignored_datagrams, events datagram_ignored and call_refused). A cluster without a name sends what it sent before. Deriving the name from the table service's address was ruled out: nodes may reach it at different addresses.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -59,6 +59,11 @@
     VersionsMixed { service: &'a str, versions: Vec<&'a str>, is_complete: bool },
     /// A known node reported from another address: it was restarted, or two nodes have one name.
     PeerMoved { peer: &'a str, from: SocketAddr, to: SocketAddr },
+    /// A datagram from another cluster, or with an unsupported format, was ignored. At most one is logged
+    /// each ten seconds.
+    DatagramIgnored { from: SocketAddr, reason: &'a str },
+    /// A call from a node of another cluster was refused.
+    CallRefused { path: &'a str, reason: &'a str },
     /// This node read the table of nodes.
     NodesRead {
         /// The number of rows that were read.
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -332,6 +332,15 @@
         );
     }
 
+    /// Registers the counters of ignored datagrams, which the peer link increments.
+    pub(crate) fn register_ignored_datagrams(&mut self, ignored: &ReasonCounters) {
+        self.registry.register(
+            "ignored_datagrams",
+            "Datagrams that were ignored, by reason",
+            ignored.clone(),
+        );
+    }
+
     /// Counts a response with a backpressure signal.
     pub fn count_signal(&self, signal: &Signal) {
         let signals = [
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -63,6 +63,7 @@
 pub mod watch;
 
 pub use memory::ReservationGuard;
+pub(crate) use peers::cluster::Cluster;
 pub(crate) use peers::link::Link;
 pub(crate) use peers::loads::{query as query_loads, record_change as record_load_change};
 pub(crate) use peers::message::Notification;
--- a/crates/gateway/src/node/peers/calls.rs
+++ b/crates/gateway/src/node/peers/calls.rs
@@ -13,6 +13,7 @@
 use keeljunction_core::serving::table_version::TableVersion;
 
 use super::server_relay;
+use crate::event::{self, Event};
 use crate::http::{Body, read_body};
 use crate::node::{Node, document, watch};
 use crate::port::Row;
@@ -31,8 +32,14 @@
 /// of which may not answer; more would delay each other on a narrow link.
 const MAX_CONCURRENT_FETCHES: usize = 2;
 
-/// Serves documents to peers.
-pub(in crate::node) async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+/// Serves the calls of peers: requests for servers, and documents.
+pub(in crate::node) async fn serve(
+    node: Arc<Node>,
+    mut request: Request<Incoming>,
+) -> Response<Body> {
+    if !node.link.get_cluster().take_from(request.headers_mut()) {
+        return refuse(&node, &request);
+    }
     if server_relay::is_relayed(&request) {
         return server_relay::serve(node, request).await;
     }
@@ -53,6 +60,19 @@
     Response::new(Body::from(document))
 }
 
+/// Refuses a call from a node of another cluster. The response carries the ID of a relayed request,
+/// whose sender would otherwise assume that it may have run.
+fn refuse(node: &Node, request: &Request<Incoming>) -> Response<Body> {
+    event::emit(&Event::CallRefused { path: request.uri().path(), reason: "cluster" });
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+    let id_header = &node.platform.header_codec.request_id;
+    if let Some(id) = request.headers().get(id_header) {
+        response.headers_mut().insert(id_header, id.clone());
+    }
+    response
+}
+
 /// Parses the version of the peer's list from a query; returns `None` if the peer has no list.
 fn read_after<T: FromStr>(query: Option<&str>) -> Option<T> {
     query?.strip_prefix(AFTER_PARAMETER)?.parse().ok()
@@ -140,7 +160,8 @@
 
 async fn fetch(node: &Node, from: SocketAddr, path: &str) -> Option<Bytes> {
     let request = Request::get(path).header("host", from.to_string());
-    let request = request.body(Body::empty()).ok()?;
+    let mut request = request.body(Body::empty()).ok()?;
+    node.link.get_cluster().add_to(request.headers_mut());
     let fetching = async {
         let response = node.get_http_client().send(from, request).await.ok()?;
         if response.status() != StatusCode::OK {
--- a/crates/gateway/src/node/peers/link.rs
+++ b/crates/gateway/src/node/peers/link.rs
@@ -5,15 +5,17 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Async;
 use keeljunction_core::Millis;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 
+use super::cluster::{Cluster, Mismatch};
 use super::message::{Encoded, Header, Message, decode};
-use crate::metrics::{RegionLabels, SentMessages};
+use crate::event::{self, Event};
+use crate::metrics::{ReasonCounters, ReasonLabels, RegionLabels, SentMessages};
 use crate::runtime::{self, lock};
 
 /// The maximum payload of a UDP datagram over IPv4.
@@ -26,6 +28,8 @@
 const MAX_BURST_BYTES: usize = 12 * 1_024;
 /// The minimum pacing delay; a shorter one is not worth a wake-up.
 const MIN_PACING_DELAY_MS: f64 = 1.0;
+/// The minimum interval between two logged datagrams that were ignored.
+const IGNORED_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// The maximum number of addresses whose newest datagram is remembered. If there are more, all are
 /// discarded and learned again from the next datagrams.
 const MAX_PEERS: usize = 4_096;
@@ -38,6 +42,7 @@
 #[derive(Debug)]
 pub struct Link {
     socket: Async<UdpSocket>,
+    cluster: Cluster,
     boot_id: u32,
     bits_per_ms: f64,
     last_received: Mutex<HashMap<SocketAddr, (u32, Millis)>>,
@@ -48,6 +53,10 @@
     /// Bytes sent to all other regions.
     cross_region_bytes: AtomicU64,
     sent: SentMessages,
+    /// Datagrams that were ignored, by reason.
+    ignored: ReasonCounters,
+    /// When an ignored datagram was last logged.
+    ignored_at: Mutex<Option<Instant>>,
 }
 
 /// A received datagram.
@@ -64,16 +73,22 @@
 }
 
 impl Link {
-    /// Binds the socket for one run of the process.
+    /// Binds the socket for one run of a node of a cluster.
     ///
     /// # Errors
     ///
     /// Returns the error of the operating system.
-    pub fn bind(address: SocketAddr, boot_id: u64, link_mbps: f64) -> io::Result<Self> {
+    pub fn bind(
+        address: SocketAddr,
+        cluster: Cluster,
+        boot_id: u64,
+        link_mbps: f64,
+    ) -> io::Result<Self> {
         let socket = Async::<UdpSocket>::bind(address)?;
         let bits_per_ms = link_mbps * 1_000.0 * LINK_FRACTION;
         Ok(Self {
             socket,
+            cluster,
             boot_id: boot_id as u32,
             bits_per_ms,
             last_received: Mutex::default(),
@@ -81,6 +96,8 @@
             cross_region_bytes_by_region: Family::default(),
             cross_region_bytes: AtomicU64::new(0),
             sent: SentMessages::default(),
+            ignored: Family::default(),
+            ignored_at: Mutex::default(),
         })
     }
 
@@ -114,6 +131,16 @@
         &self.sent
     }
 
+    /// Returns the counters of ignored datagrams.
+    pub fn get_ignored(&self) -> &ReasonCounters {
+        &self.ignored
+    }
+
+    /// Returns the cluster of this node.
+    pub fn get_cluster(&self) -> &Cluster {
+        &self.cluster
+    }
+
     /// Counts the bytes of a datagram if its recipient is in another region.
     fn count_cross_region_bytes(&self, to: SocketAddr, bytes: usize) {
         let Some(region) = self.get_remote_region(to) else { return };
@@ -123,7 +150,7 @@
             .inc_by(bytes as u64);
     }
 
-    /// Waits for the next datagram of the supported format.
+    /// Waits for the next datagram of the supported format that a node of this cluster sent.
     pub async fn receive(&self, buffer: &mut Vec<u8>) -> Received {
         buffer.resize(MAX_DATAGRAM_BYTES, 0);
         loop {
@@ -138,9 +165,12 @@
                     continue;
                 }
             };
-            let Some((header, message)) = decode(&buffer[..length]) else {
-                log::debug!("ignored a datagram with an unsupported format from {from}");
-                continue;
+            let (header, message) = match decode(&self.cluster, &buffer[..length]) {
+                Ok(decoded) => decoded,
+                Err(mismatch) => {
+                    self.record_ignored(from, mismatch);
+                    continue;
+                }
             };
             self.remember(from, &header);
             let echoed_at = header
@@ -152,6 +182,17 @@
         }
     }
 
+    /// Counts an ignored datagram, and logs one of many.
+    fn record_ignored(&self, from: SocketAddr, mismatch: Mismatch) {
+        let reason = mismatch.as_str();
+        self.ignored.get_or_create(&ReasonLabels { reason: reason.to_owned() }).inc();
+        let mut ignored_at = lock(&self.ignored_at);
+        if ignored_at.is_none_or(|at| at.elapsed() >= IGNORED_LOG_INTERVAL) {
+            *ignored_at = Some(Instant::now());
+            event::emit(&Event::DatagramIgnored { from, reason });
+        }
+    }
+
     fn remember(&self, from: SocketAddr, header: &Header) {
         let mut last_received = lock(&self.last_received);
         if last_received.len() >= MAX_PEERS {
@@ -202,7 +243,7 @@
     async fn send_encoded(&self, now: Millis, to: SocketAddr, encoded: &Encoded) -> usize {
         let last_received = lock(&self.last_received).get(&to).copied();
         let header = Header { boot_id: self.boot_id, sent_at: now, last_received };
-        let bytes = match encoded.with_header(&header) {
+        let bytes = match encoded.to_datagram(&self.cluster, &header) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!("failed to encode a datagram header: {error}");
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -18,8 +18,10 @@
 use serde::{Deserialize, Serialize};
 use strum::IntoStaticStr;
 
+use super::cluster::{Cluster, Mismatch};
+
 /// The version of the datagram format. Datagrams of other versions are ignored.
-const FORMAT: u8 = 13;
+pub(super) const FORMAT: u8 = 13;
 
 /// The header of a datagram.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -353,23 +355,28 @@
         self.kind
     }
 
-    /// Prepends a header to the message.
+    /// Prepends the cluster's prefix and a header to the message.
     ///
     /// # Errors
     ///
     /// Returns the error of the encoder.
-    pub fn with_header(&self, header: &Header) -> Result<Vec<u8>, postcard::Error> {
-        let mut bytes = postcard::to_extend(header, vec![FORMAT])?;
+    pub fn to_datagram(
+        &self,
+        cluster: &Cluster,
+        header: &Header,
+    ) -> Result<Vec<u8>, postcard::Error> {
+        let mut bytes = postcard::to_extend(header, cluster.get_prefix().to_vec())?;
         bytes.extend_from_slice(&self.bytes);
         Ok(bytes)
     }
 }
 
-/// Decodes a datagram; returns `None` if its format version is not supported or it is malformed.
-pub fn decode(bytes: &[u8]) -> Option<(Header, Message)> {
-    let (format, content) = bytes.split_first()?;
-    if *format != FORMAT {
-        return None;
-    }
-    postcard::from_bytes(content).ok()
+/// Decodes a datagram.
+///
+/// # Errors
+///
+/// Returns the reason if the datagram is to be ignored.
+pub fn decode(cluster: &Cluster, bytes: &[u8]) -> Result<(Header, Message), Mismatch> {
+    let content = cluster.strip_prefix(bytes)?;
+    postcard::from_bytes(content).map_err(|_| Mismatch::Format)
 }
--- a/crates/gateway/src/node/peers/mod.rs
+++ b/crates/gateway/src/node/peers/mod.rs
@@ -3,6 +3,7 @@
 //! | module | purpose |
 //! |---|---|
 //! | `message` | defines the messages |
+//! | `cluster` | tells messages of this cluster from those of others |
 //! | `link` | sends and receives datagrams |
 //! | `dispatcher` | hands each message that arrives to the module that handles it |
 //! | `discovery` | discovers the other nodes through a table of the platform |
@@ -26,6 +27,7 @@
 //! conservative, never less.
 
 pub(super) mod calls;
+pub(super) mod cluster;
 mod discovery;
 mod dispatcher;
 pub(super) mod link;
--- a/crates/gateway/src/node/peers/server_relay.rs
+++ b/crates/gateway/src/node/peers/server_relay.rs
@@ -230,7 +230,10 @@
 ) -> Result<backend::Response, SendError> {
     let mut unreachable = 0;
     for peer in pick_peers(node) {
-        let Some(request) = build().and_then(|request| address_to(server, request)) else { break };
+        let Some(mut request) = build().and_then(|request| address_to(server, request)) else {
+            break;
+        };
+        node.link.get_cluster().add_to(request.headers_mut());
         let sent = node.backend.send(peer.address, request).await;
         match interpret(node, server, peer, sent) {
             Offer::Declined => {}
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -353,6 +353,7 @@
         let mut metrics = Metrics::default();
         metrics.register_cross_region_bytes(link.get_cross_region_bytes_by_region());
         metrics.register_sent_messages(link.get_sent_messages());
+        metrics.register_ignored_datagrams(link.get_ignored());
         Arc::new(Self {
             settings,
             platform,
--- a/crates/gateway/src/process/serve.rs
+++ b/crates/gateway/src/process/serve.rs
@@ -16,7 +16,7 @@
 use crate::http::{Limits, Server, Shutdown};
 use crate::node::process_context::{Listener, ProcessContext};
 use crate::node::state::BYTES_PER_MB;
-use crate::node::{Link, Node, tasks};
+use crate::node::{Cluster, Link, Node, tasks};
 use crate::port::Platform;
 use crate::runtime::{self, Clock};
 use crate::settings::Settings;
@@ -57,7 +57,8 @@
     settings.listen.peers = at;
     let peer_listener = Listener { shutdown, connections: peer_calls.get_connections() };
     let incarnation = Incarnation { node: settings.node.name.clone(), number: fastrand::u64(..) };
-    let link = Link::bind(at, incarnation.number, settings.limits.link_mbps)
+    let cluster = Cluster::new(&settings.node.cluster);
+    let link = Link::bind(at, cluster, incarnation.number, settings.limits.link_mbps)
         .map_err(|error| make_bind_error("listen.peers", at, &error))?;
     let topology = settings.get_topology()?;
     let clock = Clock::new();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -44,6 +44,10 @@
 pub struct Identity {
     /// The node's name, which is the same at each start.
     pub name: String,
+    /// The name of the cluster, the same at all of its nodes. A node ignores nodes of other clusters,
+    /// which may have been given the address of a former node of this one.
+    #[serde(default)]
+    pub cluster: String,
     /// The data centre that it runs in.
     pub data_centre: String,
     /// The address from which it connects to servers and other nodes, on a machine with several;
@@ -106,6 +110,9 @@
     }
 }
 
+/// Maximum length of a cluster's name.
+const MAX_CLUSTER_NAME_BYTES: usize = 64;
+
 /// Default bandwidth for spilled requests: two regions that spill to each other use half of a
 /// 60 Mbit/s link, which leaves the other half for the traffic between nodes.
 const DEFAULT_SPILL_MBPS: f64 = 15.0;
@@ -297,6 +304,7 @@
                 .allowed("a non-empty string")
                 .tip("give each node a unique name"));
         }
+        check_cluster(&self.node.cluster)?;
         let bounds = &self.bounds;
         check_range("limits.descriptors", self.limits.descriptors as f64, 300.0, 1e7)?;
         check_range("limits.link_mbps", self.limits.link_mbps, 0.1, 1e7)?;
@@ -339,6 +347,19 @@
     0.1
 }
 
+/// Checks that the name of a cluster can be part of a header.
+fn check_cluster(name: &str) -> Result<(), Error> {
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    if name.len() <= MAX_CLUSTER_NAME_BYTES && name.bytes().all(is_allowed) {
+        return Ok(());
+    }
+    Err(Error::new(ErrorKind::InvalidValue, "the name is too long or has other characters")
+        .key("node.cluster")
+        .value(name)
+        .allowed(format!("at most {MAX_CLUSTER_NAME_BYTES} letters, digits, '-', '_' and '.'"))
+        .tip("use one name for all nodes that share a table service"))
+}
+
 fn check_range(key: &str, value: f64, min: f64, max: f64) -> Result<(), Error> {
     if (min..=max).contains(&value) {
         return Ok(());
