fix(stop): begin late requests only if they almost certainly end

Cause: during a shutdown a request was begun if nine of ten recent responses on its route took no longer than the time left. One in ten does, here up to 7.6 s with a median of 2.4 s. Early requests may be cut off in the last sixth of the grace period, those sent later than 3 s after the signal may not.

Ruled out: an exit before its time (7.6 s of 8 s) and a server that stood still (it ran the request for 4 s).

Change: serving::shutdown decides. From 2.9 s on, a request is begun if it is abandoned before the exit anyway, or if 1.5 times the longest of the last 32 responses fits; others get 503 (stopping) at once. Asked again after the body was read, which may take seconds.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -26,6 +26,7 @@
 //! | [`duty_lease`] | which node makes the calls that only one node at a time may make |
 //! | [`response_body`] | whether a response body is complete when it has ended |
 //! | [`response_times`] | estimates how long the responses on a route take |
+//! | [`shutdown`] | which requests a node that shuts down still begins |
 //! | [`event_stream`] | splits event streams into events and checks their order |
 //! | [`stream_origin`] | which software version began a stream, and may continue it |
 //! | [`demand`], [`throughput`], [`capacity`] | how many servers to order, where, and of which kind |
@@ -59,6 +60,7 @@
 pub mod rollout;
 pub mod round_trip;
 pub mod server_path;
+pub mod shutdown;
 pub mod spill;
 pub mod stream_origin;
 pub mod summary_pacer;
--- a/crates/core/src/serving/response_times.rs
+++ b/crates/core/src/serving/response_times.rs
@@ -44,15 +44,29 @@
     /// Returns the time within which nine of ten recent responses on a route have ended, or `None` if
     /// too few are known.
     pub fn estimate(&self, route: &str) -> Option<Millis> {
-        let samples = self.routes.get(route).filter(|known| known.times.len() >= MIN_SAMPLES)?;
-        let mut times = samples.times.clone();
+        let mut times = self.get_samples(route)?.times.clone();
         times.sort_unstable();
         let rank = (times.len() as f64 * QUANTILE).ceil() as usize;
         times.get(rank.saturating_sub(1)).map(|time| Millis::from(*time))
     }
+
+    /// Returns the time of the longest recent response on a route, or `None` if too few are known.
+    pub fn get_longest(&self, route: &str) -> Option<Millis> {
+        self.get_samples(route)?.get_longest().map(Millis::from)
+    }
+
+    /// Returns the samples of a route if there are enough.
+    fn get_samples(&self, route: &str) -> Option<&Samples> {
+        self.routes.get(route).filter(|known| known.times.len() >= MIN_SAMPLES)
+    }
 }
 
 impl Samples {
+    /// Returns the longest time.
+    fn get_longest(&self) -> Option<u32> {
+        self.times.iter().max().copied()
+    }
+
     fn push(&mut self, time: u32) {
         if self.times.len() < MAX_SAMPLES {
             return self.times.push(time);
--- /dev/null
+++ b/crates/core/src/serving/shutdown.rs
@@ -0,0 +1,41 @@
+//! Which requests a node that shuts down still begins.
+//!
+//! A request that cannot end before the process exits is refused at once, so that its caller can send it
+//! to another node. Nobody knows how long a request takes, but the recent responses on its route show it.
+//!
+//! Early in the shutdown, callers cannot know that the node is stopping, and a request that usually ends in
+//! time is begun. Later ones are begun only if they almost certainly end before the exit: their callers
+//! had time to learn of the shutdown, and lose more by a truncated response than by another attempt.
+
+use super::response_times::ResponseTimes;
+use crate::Millis;
+
+/// The time after the stop signal in which callers may not know of the shutdown, less 100 ms for the signal
+/// to arrive.
+const EARLY_PERIOD_MS: Millis = 2_900;
+/// The factor between the longest recent response of a route and the longest expected one.
+const TAIL_FACTOR: f64 = 1.5;
+
+/// The progress of a shutdown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shutdown {
+    /// Time since the stop signal.
+    pub elapsed: Millis,
+    /// Time until the process exits.
+    pub remaining: Millis,
+}
+
+impl Shutdown {
+    /// Returns `true` if a request on a route is begun. It is abandoned after `timeout` in any case.
+    pub fn admits(&self, times: &ResponseTimes, route: &str, timeout: Millis) -> bool {
+        let estimate = match self.elapsed < EARLY_PERIOD_MS {
+            true => times.estimate(route).unwrap_or(0),
+            false => times.get_longest(route).map_or(Millis::MAX, extend),
+        };
+        estimate.min(timeout) <= self.remaining
+    }
+}
+
+fn extend(longest: Millis) -> Millis {
+    (longest as f64 * TAIL_FACTOR) as Millis
+}
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -35,6 +35,7 @@
 mod rollout;
 mod rollout_trials;
 mod server_path;
+mod shutdown;
 mod spill;
 mod stream_copies;
 mod stream_origin;
--- /dev/null
+++ b/crates/core/tests/serving/shutdown.rs
@@ -0,0 +1,40 @@
+//! Which requests a node that shuts down still begins.
+
+use keeljunction_core::serving::response_times::ResponseTimes;
+use keeljunction_core::serving::shutdown::Shutdown;
+
+const ROUTE: &str = "chat";
+const TIMEOUT: u64 = 15_000;
+
+/// Returns the times of ten responses, one of which took long.
+fn times(usual: u64, longest: u64) -> ResponseTimes {
+    let mut times = ResponseTimes::default();
+    (0..9).for_each(|_| times.record(ROUTE, usual));
+    times.record(ROUTE, longest);
+    times
+}
+
+#[test]
+fn a_request_is_begun_early_in_a_shutdown_if_it_usually_ends_before_the_exit() {
+    let shutdown = Shutdown { elapsed: 2_800, remaining: 4_700 };
+    assert!(shutdown.admits(&times(4_000, 9_000), ROUTE, TIMEOUT));
+    assert!(shutdown.admits(&ResponseTimes::default(), ROUTE, TIMEOUT));
+    assert!(!shutdown.admits(&times(5_000, 9_000), ROUTE, TIMEOUT));
+}
+
+/// Guards against responses that are cut off at the exit although their requests came late in the shutdown.
+#[test]
+fn a_late_request_is_begun_only_if_it_almost_certainly_ends_before_the_exit() {
+    let shutdown = Shutdown { elapsed: 3_000, remaining: 4_500 };
+    assert!(!shutdown.admits(&times(4_000, 7_000), ROUTE, TIMEOUT));
+    assert!(!shutdown.admits(&times(100, 3_100), ROUTE, TIMEOUT));
+    assert!(shutdown.admits(&times(100, 3_000), ROUTE, TIMEOUT));
+    assert!(!shutdown.admits(&ResponseTimes::default(), ROUTE, TIMEOUT));
+}
+
+#[test]
+fn a_request_that_is_abandoned_before_the_exit_is_begun() {
+    let shutdown = Shutdown { elapsed: 5_000, remaining: 2_500 };
+    assert!(shutdown.admits(&ResponseTimes::default(), ROUTE, 2_500));
+    assert!(!shutdown.admits(&ResponseTimes::default(), ROUTE, 2_501));
+}
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -123,7 +123,8 @@
             .map_err(|reason| reject(reason, 0))?
             .cloned();
         record.account = account.as_ref().map(|account| account.name.clone());
-        if !can_end_before_exit(node, &route, deadline_ms) {
+        let timeout = deadline_ms.min(route.timeout);
+        if !can_end_before_exit(node, &route.name, now + timeout) {
             return Err(reject(Refusal::Stopping, STOPPING_RETRY_AFTER_MS));
         }
         let caller_deadline = now + deadline_ms;
@@ -152,7 +153,7 @@
         let limits = BodyLimits {
             max_bytes: configuration.limits.body_bytes as u64,
             rate_window: configuration.limits.head_timeout,
-            timeout: deadline_ms.min(route.timeout),
+            timeout,
         };
         let id = record.id.clone();
         let name = record.account.as_deref().unwrap_or("");
@@ -166,6 +167,10 @@
             .read(incoming_body)
             .await
             .map_err(|rejection| rejection.with_time_remaining(deadline_ms))?;
+        // The body may have taken seconds.
+        if !can_end_before_exit(node, &route.name, now + timeout) {
+            return Err(reject(Refusal::Stopping, STOPPING_RETRY_AFTER_MS));
+        }
         let fingerprint = compute_fingerprint(&parts, name, &body);
         record.fingerprint = Some(fingerprint);
         if let Some((_, quarantined_for)) = node.find_quarantined(&[fingerprint]) {
@@ -268,12 +273,13 @@
 /// Number of route priorities that one client account priority counts for.
 const ACCOUNT_PRIORITY_FACTOR: u32 = 3;
 
-/// Returns `false` if the node is shutting down, and a response on this route usually takes longer
-/// than that.
-fn can_end_before_exit(node: &Node, route: &Route, deadline_ms: Millis) -> bool {
-    let Some(remaining) = node.get_time_until_exit(node.now()) else { return true };
-    let estimate = node.with(|state| state.response_times.estimate(&route.name)).unwrap_or(0);
-    estimate.min(route.timeout).min(deadline_ms) <= remaining
+/// Returns `false` if the node is shutting down, and a request that begins now would probably not end
+/// before the exit. It is abandoned at `deadline`.
+fn can_end_before_exit(node: &Node, route: &str, deadline: Millis) -> bool {
+    let now = node.now();
+    let Some(shutdown) = node.get_shutdown(now) else { return true };
+    let timeout = deadline.saturating_sub(now);
+    node.with(|state| shutdown.admits(&state.response_times, route, timeout))
 }
 
 /// Returns the size of the request head on the wire, in bytes.
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -27,6 +27,7 @@
 use keeljunction_core::serving::rollout;
 use keeljunction_core::serving::round_trip::RoundTrips;
 use keeljunction_core::serving::server_path::Paths;
+use keeljunction_core::serving::shutdown;
 use keeljunction_core::serving::spill::LinkBudgets;
 use keeljunction_core::serving::stream_origin;
 use keeljunction_core::serving::table_version::TableVersion;
@@ -133,11 +134,18 @@
     pub(super) active_fetches: ActiveFetches,
     /// Requests that this node relays for others.
     pub(super) active_relays: ActiveRelays,
-    /// Time on the node's clock at which the process exits, once it is shutting down.
-    stop_deadline: OnceLock<Millis>,
+    /// When the shutdown began, and when the process exits, once it is shutting down.
+    stop_times: OnceLock<StopTimes>,
     in_flight: AtomicUsize,
 }
 
+/// The times of a shutdown, on the node's clock.
+#[derive(Clone, Copy, Debug)]
+struct StopTimes {
+    began_at: Millis,
+    exits_at: Millis,
+}
+
 /// The number of fetches in progress for each document.
 #[derive(Debug, Default)]
 pub(super) struct ActiveFetches {
@@ -379,7 +387,7 @@
             state: Mutex::new(state),
             active_fetches: ActiveFetches::default(),
             active_relays: ActiveRelays::default(),
-            stop_deadline: OnceLock::new(),
+            stop_times: OnceLock::new(),
             in_flight: AtomicUsize::new(0),
         })
     }
@@ -463,7 +471,7 @@
 
     /// Returns `true` if the node is shutting down.
     pub fn is_stopping(&self) -> bool {
-        self.stop_deadline.get().is_some()
+        self.stop_times.get().is_some()
     }
 
     /// Begins the shutdown, and returns when its steps happen, or `None` if it had already begun.
@@ -472,13 +480,17 @@
         let known = self.with(|state| state.configuration.as_ref().map(|c| c.limits.head_timeout));
         let head_timeout = Duration::from_millis(known.unwrap_or(DEFAULT_CLIENT_HEAD_MS));
         let schedule = Schedule::new(grace, head_timeout);
-        let deadline = self.now() + schedule.ends_after.as_millis() as Millis;
-        self.stop_deadline.set(deadline).is_ok().then_some(schedule)
+        let began_at = self.now();
+        let exits_at = began_at + schedule.ends_after.as_millis() as Millis;
+        let times = StopTimes { began_at, exits_at };
+        self.stop_times.set(times).is_ok().then_some(schedule)
     }
 
-    /// Returns the time until the process exits, or `None` if it is not shutting down.
-    pub fn get_time_until_exit(&self, now: Millis) -> Option<Millis> {
-        self.stop_deadline.get().map(|deadline| deadline.saturating_sub(now))
+    /// Returns the progress of the shutdown, or `None` if the node is not shutting down.
+    pub fn get_shutdown(&self, now: Millis) -> Option<shutdown::Shutdown> {
+        let StopTimes { began_at, exits_at } = *self.stop_times.get()?;
+        let elapsed = now.saturating_sub(began_at);
+        Some(shutdown::Shutdown { elapsed, remaining: exits_at.saturating_sub(now) })
     }
 
     /// Returns the number of requests whose responses have not ended.
