refactor(peers): name the send time of a message, and the copies of records

The boot ID and send time of a datagram were a pair of numbers in six places, with the same comparison written twice; copies of records were a bare map. members::Timestamp orders the messages of a node, and stream_origins::Copies holds what is to be sent. Nothing changes on the wire: foreign_bytes sends a datagram in this format and gets its answer. Comments of these files use plain words.

--- a/crates/core/src/serving/members/mod.rs
+++ b/crates/core/src/serving/members/mod.rs
@@ -31,6 +31,7 @@
 //! | `regions` | detects unreachable regions and selects the carriers between regions |
 //! | `roster` | synchronises the list of all nodes |
 //! | `sample` | finds some nodes, and estimates their number, at startup |
+//! | `timestamp` | orders the messages of a node |
 
 mod entry;
 mod holders;
@@ -40,6 +41,7 @@
 mod regions;
 mod roster;
 pub mod sample;
+mod timestamp;
 mod view;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -57,11 +59,12 @@
 pub use self::owner::LoadOwner;
 pub use self::regions::RemoteSender;
 pub use self::roster::{RosterDelta, RosterEntry, RosterSummary};
+pub use self::timestamp::Timestamp;
 
 use self::roster::CopyProgress;
 use self::view::View;
 
-/// A node that neither this node nor any other heard for this long has left for good.
+/// A node that neither this node nor any other heard for this long has left permanently.
 const GONE_TIMEOUT_MS: Millis = 60_000;
 
 /// The role of a node in the exchange of reports.
@@ -120,7 +123,7 @@
     silent_by_aggregator: BTreeSet<u64>,
     /// When this node began to report to its current aggregator.
     member_since: Millis,
-    /// Regions of which no node is heard.
+    /// Regions from which no node is heard.
     unreachable_regions: BTreeSet<String>,
     /// When this node became an aggregator, which hears the other regions.
     aggregating_since: Option<Millis>,
@@ -173,8 +176,8 @@
     group: Vec<u64>,
     /// Milliseconds since it last heard the node of its group that has been silent for longest.
     group_age: Millis,
-    /// The run of its process and the send time of its newest summary, if it is in another region.
-    newest: Option<(u32, Millis)>,
+    /// When its newest summary was sent, if it is in another region.
+    newest: Option<Timestamp>,
     /// When its newest summary arrived from another region, even if the summary was ignored.
     crossed_at: Option<Millis>,
 }
@@ -245,7 +248,7 @@
         self.refresh(now);
     }
 
-    /// Merges entries that another node passed on.
+    /// Merges entries received from another node.
     pub fn merge_entries(&mut self, now: Millis, entries: &[Entry]) {
         for entry in entries {
             self.add(now, entry);
--- a/crates/core/src/serving/members/regions.rs
+++ b/crates/core/src/serving/members/regions.rs
@@ -6,6 +6,7 @@
 
 use super::entry::Entry;
 use super::query::REPORT_INTERVAL;
+use super::timestamp::Timestamp;
 use super::{Member, Members, Transit};
 use crate::Millis;
 
@@ -28,10 +29,8 @@
     pub entry: &'a Entry,
     /// Whether it is shutting down.
     pub is_stopping: bool,
-    /// The boot ID of its process.
-    pub run: u32,
-    /// When it sent the summary, on its own clock.
-    pub sent_at: Millis,
+    /// When it sent the summary.
+    pub sent: Timestamp,
 }
 
 impl Members {
@@ -99,28 +98,27 @@
     /// Records a summary from an aggregator of another region; returns `true` if it is newer than
     /// the previous ones.
     ///
-    /// A summary may arrive through several carriers. It is newer if its sender's process has
-    /// restarted, so that its run differs, or if it was sent later on the sender's clock.
+    /// A summary may arrive through several carriers.
     ///
     /// It is recorded even if its content is ignored, because its sender does not hear this region.
     /// That the sender is no longer stopping must be known all the same: otherwise a node that was
     /// restarted would get no summaries of this region, and never hear it.
     pub fn record_remote_summary(&mut self, now: Millis, sender: &RemoteSender<'_>) -> bool {
-        let RemoteSender { entry, is_stopping, run, sent_at } = *sender;
+        let RemoteSender { entry, is_stopping, sent } = *sender;
         self.add(now, entry);
         let Some(member) = self.known.get_mut(&entry.name) else { return false };
-        let is_known = member.newest.is_some_and(|(known, at)| known == run && sent_at <= at);
-        if !is_known {
-            member.newest = Some((run, sent_at));
+        let is_newer = member.newest.is_none_or(|newest| sent.is_after(newest));
+        if is_newer {
+            member.newest = Some(sent);
             member.crossed_at = Some(now);
             member.is_stopping = is_stopping;
         }
-        !is_known
+        is_newer
     }
 
     /// Lists the regions from which no summary arrives, not even an ignored one.
     ///
-    /// Summaries to other regions contain this list, which tells a region that the connection
+    /// Summaries to other regions contain this list, which shows a region that the connection
     /// failed in its direction only.
     pub fn list_unheard_regions(&self, now: Millis) -> Vec<String> {
         let Some(since) = self.aggregating_since else { return self.list_unreachable_regions() };
@@ -163,7 +161,7 @@
         has_other_regions && is_each_unreachable && 2 * self.view.heard > self.view.local_nodes
     }
 
-    /// Lists the regions of which no node is heard.
+    /// Lists the regions from which no node is heard.
     pub fn list_unreachable_regions(&self) -> Vec<String> {
         self.unreachable_regions.iter().cloned().collect()
     }
--- a/crates/core/tests/serving/regions.rs
+++ b/crates/core/tests/serving/regions.rs
@@ -7,7 +7,7 @@
 
 use keeljunction_core::serving::load::short_id;
 use keeljunction_core::serving::members::{
-    Entry, Heartbeat, Members, Overview, RemoteSender, Role,
+    Entry, Heartbeat, Members, Overview, RemoteSender, Role, Timestamp,
 };
 use keeljunction_core::serving::quota::{Decision, Limit, Quotas, Report, Source, Tolerance};
 use keeljunction_core::serving::report_log::{ReportLog, Snapshot};
@@ -281,7 +281,8 @@
 
     fn record(&mut self, now: u64, summary: &Summary) -> bool {
         let Summary { entry, run, sent_at, .. } = summary;
-        let sender = RemoteSender { entry, is_stopping: false, run: *run, sent_at: *sent_at };
+        let sent = Timestamp { boot_id: *run, sent_at: *sent_at };
+        let sender = RemoteSender { entry, is_stopping: false, sent };
         self.members.record_remote_summary(now, &sender)
     }
 
@@ -589,7 +590,7 @@
 }
 
 fn sender(entry: &Entry, run: u32, sent_at: u64) -> RemoteSender<'_> {
-    RemoteSender { entry, is_stopping: false, run, sent_at }
+    RemoteSender { entry, is_stopping: false, sent: Timestamp { boot_id: run, sent_at } }
 }
 
 /// Guards against regions that never hear each other again after the only node of one was restarted: the other one goes
--- a/crates/gateway/src/node/peers/calls.rs
+++ b/crates/gateway/src/node/peers/calls.rs
@@ -29,7 +29,7 @@
 /// A long document takes a while over a narrow link, and a peer may not answer.
 const CALL_TIMEOUT_FRACTION: f64 = 0.5;
 /// The maximum number of concurrent fetches of the same document. They go to different peers, one
-/// of which may not answer; more would delay each other on a narrow link.
+/// of them may not answer, and more would delay each other on a narrow link.
 const MAX_CONCURRENT_FETCHES: usize = 2;
 
 /// Serves the calls of peers: requests for servers, and documents.
--- a/crates/gateway/src/node/peers/dispatcher.rs
+++ b/crates/gateway/src/node/peers/dispatcher.rs
@@ -28,8 +28,8 @@
         Message::Summary(summary) => {
             summary_relay::handle_summary(node, from, sent, echoed_at, *summary)
         }
-        Message::RelayedSummary { boot_id, sent_at, summary } => {
-            summary_relay::handle_relayed(node, (boot_id, sent_at), *summary);
+        Message::RelayedSummary { sent, summary } => {
+            summary_relay::handle_relayed(node, sent, *summary);
         }
         Message::Overview(overview) => report::handle_overview(node, from, echoed_at, *overview),
         Message::QueryVersions => {
--- a/crates/gateway/src/node/peers/link.rs
+++ b/crates/gateway/src/node/peers/link.rs
@@ -9,6 +9,7 @@
 
 use async_io::Async;
 use keeljunction_core::Millis;
+use keeljunction_core::serving::members::Timestamp;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 
@@ -45,7 +46,7 @@
     cluster: Cluster,
     boot_id: u32,
     bits_per_ms: f64,
-    last_received: Mutex<HashMap<SocketAddr, (u32, Millis)>>,
+    last_received: Mutex<HashMap<SocketAddr, Timestamp>>,
     /// The nodes in other regions, with their regions.
     remote_regions: Mutex<BTreeMap<SocketAddr, String>>,
     /// Bytes sent to each other region.
@@ -64,8 +65,8 @@
 pub struct Received {
     /// The address of the sender.
     pub from: SocketAddr,
-    /// The boot ID of the sender's process, and the send time on the sender's clock.
-    pub sent: (u32, Millis),
+    /// When it was sent.
+    pub sent: Timestamp,
     /// When this node sent the newest datagram that the sender had received, on this node's clock.
     pub echoed_at: Option<Millis>,
     /// The message.
@@ -172,13 +173,10 @@
                     continue;
                 }
             };
-            self.remember(from, &header);
-            let echoed_at = header
-                .last_received
-                .filter(|(boot_id, _)| *boot_id == self.boot_id)
-                .map(|(_, at)| at);
-            let sent = (header.boot_id, header.sent_at);
-            return Received { from, sent, echoed_at, message };
+            self.remember(from, header.sent);
+            let echoed = header.last_received.filter(|echoed| echoed.boot_id == self.boot_id);
+            let echoed_at = echoed.map(|echoed| echoed.sent_at);
+            return Received { from, sent: header.sent, echoed_at, message };
         }
     }
 
@@ -193,15 +191,15 @@
         }
     }
 
-    fn remember(&self, from: SocketAddr, header: &Header) {
+    /// Remembers the newest datagram of a node. Datagrams may arrive out of order.
+    fn remember(&self, from: SocketAddr, sent: Timestamp) {
         let mut last_received = lock(&self.last_received);
         if last_received.len() >= MAX_PEERS {
             last_received.clear();
         }
-        let known = last_received.entry(from).or_insert((header.boot_id, header.sent_at));
-        // Datagrams may arrive out of order; another boot ID has another clock.
-        if known.0 != header.boot_id || known.1 < header.sent_at {
-            *known = (header.boot_id, header.sent_at);
+        let newest = last_received.entry(from).or_insert(sent);
+        if sent.is_after(*newest) {
+            *newest = sent;
         }
     }
 
@@ -242,7 +240,8 @@
     /// Sends an encoded message; returns the length of the datagram.
     async fn send_encoded(&self, now: Millis, to: SocketAddr, encoded: &Encoded) -> usize {
         let last_received = lock(&self.last_received).get(&to).copied();
-        let header = Header { boot_id: self.boot_id, sent_at: now, last_received };
+        let sent = Timestamp { boot_id: self.boot_id, sent_at: now };
+        let header = Header { sent, last_received };
         let bytes = match encoded.to_datagram(&self.cluster, &header) {
             Ok(bytes) => bytes,
             Err(error) => {
--- a/crates/gateway/src/node/peers/loads.rs
+++ b/crates/gateway/src/node/peers/loads.rs
@@ -75,7 +75,7 @@
     pending.is_any_answered()
 }
 
-/// Returns the timeout for answers, some of which may come from other regions.
+/// Returns the timeout for answers, which is longer if other regions are queried.
 fn get_wait(node: &Node, by_owner: &BTreeMap<SocketAddr, OwnedServers>) -> Duration {
     let local_timeout = QUERY_TIMEOUT.as_millis() as Millis;
     let remote_regions = by_owner.values().filter_map(|owned| owned.remote_region.as_deref());
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -7,7 +7,9 @@
 use keeljunction_core::serving::directory::{Batch, Departure};
 use keeljunction_core::serving::freshness::Versions;
 use keeljunction_core::serving::load::{Load, RequestCost};
-use keeljunction_core::serving::members::{Entry, Overview as Reachability, RosterSummary};
+use keeljunction_core::serving::members::{
+    Entry, Overview as Reachability, RosterSummary, Timestamp,
+};
 use keeljunction_core::serving::quarantine::{Crash, Fingerprint, PromptCrash, Verdict};
 use keeljunction_core::serving::quota::Decision;
 use keeljunction_core::serving::rollout::{self, Announcement};
@@ -26,13 +28,11 @@
 /// The header of a datagram.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Header {
-    /// The boot ID of the sender's process, which identifies the clock of `sent_at`.
-    pub boot_id: u32,
-    /// When the datagram was sent, on the sender's monotonic clock.
-    pub sent_at: Millis,
-    /// The boot ID and send time of the newest datagram that the sender received from the
-    /// recipient. The sender's knowledge is newer than that datagram.
-    pub last_received: Option<(u32, Millis)>,
+    /// When the datagram was sent.
+    pub sent: Timestamp,
+    /// When the recipient sent the newest datagram that the sender received from it. The sender's
+    /// knowledge is newer than that datagram.
+    pub last_received: Option<Timestamp>,
 }
 
 /// The message of a datagram.
@@ -110,10 +110,8 @@
     ReleasePermit(InstanceKey),
     /// A summary from another region, relayed unchanged.
     RelayedSummary {
-        /// The boot ID of the process of the original sender.
-        boot_id: u32,
-        /// When the original sender sent it, on its own clock.
-        sent_at: Millis,
+        /// When the original sender sent it.
+        sent: Timestamp,
         /// The summary.
         summary: Box<Summary>,
     },
@@ -279,7 +277,7 @@
     pub reachability: Reachability,
     /// Nodes that should be aggregators but are not heard, by short name.
     pub silent: Vec<u64>,
-    /// Regions of which no node is heard.
+    /// Regions from which no node is heard.
     pub unreachable_regions: Vec<String>,
     /// `true` if nothing arrived from a whole region for some time.
     pub is_region_overdue: bool,
--- a/crates/gateway/src/node/peers/mod.rs
+++ b/crates/gateway/src/node/peers/mod.rs
@@ -3,7 +3,7 @@
 //! | module | purpose |
 //! |---|---|
 //! | `message` | defines the messages |
-//! | `cluster` | tells messages of this cluster from those of others |
+//! | `cluster` | rejects messages of other clusters |
 //! | `link` | sends and receives datagrams |
 //! | `dispatcher` | hands each message that arrives to the module that handles it |
 //! | `discovery` | discovers the other nodes through a table of the platform |
--- a/crates/gateway/src/node/peers/pending_queries.rs
+++ b/crates/gateway/src/node/peers/pending_queries.rs
@@ -64,7 +64,7 @@
 }
 
 impl<T> PendingQuery<'_, T> {
-    /// Waits for the next answer; returns `None` if it does not arrive in time.
+    /// Waits for the next answer; returns `None` on a timeout.
     pub(super) async fn wait(&self, within: Duration) -> Option<T> {
         let answer = runtime::timeout(within, self.answer.recv()).await;
         // The answer may have arrived just as the timeout expired.
--- a/crates/gateway/src/node/peers/permits.rs
+++ b/crates/gateway/src/node/peers/permits.rs
@@ -115,7 +115,7 @@
 }
 
 /// Requests a decision from the owner of a server, with the message that `make` creates for a query
-/// ID; undecided if the owner does not answer in time.
+/// ID; undecided on a timeout.
 pub(super) async fn request_decision(
     node: &Node,
     owner: &Owner,
--- a/crates/gateway/src/node/peers/quota.rs
+++ b/crates/gateway/src/node/peers/quota.rs
@@ -63,7 +63,7 @@
     Limit { rate_per_second: account.rate_per_second, burst: account.burst }
 }
 
-/// Queries the owner of a client account; undecided if it does not answer in time.
+/// Queries the owner of a client account; undecided on a timeout.
 async fn query_owner(node: &Node, owner: SocketAddr, account: &str, units: u64) -> Decision {
     let query = node.pending_decisions.begin();
     let message = Message::QueryQuota { query_id: query.id, account: account.to_owned(), units };
--- a/crates/gateway/src/node/peers/stream_origins.rs
+++ b/crates/gateway/src/node/peers/stream_origins.rs
@@ -28,7 +28,7 @@
 pub(in crate::node) struct Inquiry {
     /// The number of nodes that were asked.
     pub asked: usize,
-    /// The answers that arrived in time, or until the first record.
+    /// The answers received before the timeout, or up to the first record.
     pub answers: Vec<Answer>,
 }
 
--- a/crates/gateway/src/node/peers/summary_relay.rs
+++ b/crates/gateway/src/node/peers/summary_relay.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 use keeljunction_core::Millis;
-use keeljunction_core::serving::members::RemoteSender;
+use keeljunction_core::serving::members::{RemoteSender, Timestamp};
 
 use super::message::{Message, Summary};
 use super::{report, report_target, versions};
@@ -85,7 +85,7 @@
 pub(super) fn handle_summary(
     node: &Arc<Node>,
     from: SocketAddr,
-    sent: (u32, Millis),
+    sent: Timestamp,
     echoed_at: Option<Millis>,
     summary: Summary,
 ) {
@@ -109,7 +109,7 @@
 /// Handles a summary that a carrier of this region relayed.
 ///
 /// When the carrier last heard this node says nothing about the original sender.
-pub(super) fn handle_relayed(node: &Arc<Node>, sent: (u32, Millis), summary: Summary) {
+pub(super) fn handle_relayed(node: &Arc<Node>, sent: Timestamp, summary: Summary) {
     if record_summary(node, sent, &summary) {
         merge(node, None, summary);
     }
@@ -124,7 +124,7 @@
 }
 
 /// Records a summary of another region; returns `true` if it is newer than all earlier ones.
-fn record_summary(node: &Node, (boot_id, sent_at): (u32, Millis), summary: &Summary) -> bool {
+fn record_summary(node: &Node, sent: Timestamp, summary: &Summary) -> bool {
     let now = node.now();
     let entry = &summary.sender.entry;
     if let Some(region) = node.topology.get_region(&entry.data_centre) {
@@ -133,15 +133,15 @@
         node.link.record_remote_region(entry.address, region);
     }
     let is_stopping = summary.sender.is_stopping;
-    let sender = RemoteSender { entry, is_stopping, run: boot_id, sent_at };
+    let sender = RemoteSender { entry, is_stopping, sent };
     node.with(|state| state.members.record_remote_summary(now, &sender))
 }
 
 /// Relays a summary to the other aggregators of this region.
-async fn forward(node: Arc<Node>, (boot_id, sent_at): (u32, Millis), summary: Summary) {
+async fn forward(node: Arc<Node>, sent: Timestamp, summary: Summary) {
     let now = node.now();
     let to = node.with(|state| state.members.list_exchange_peers(now));
-    let message = Message::RelayedSummary { boot_id, sent_at, summary: Box::new(summary) };
+    let message = Message::RelayedSummary { sent, summary: Box::new(summary) };
     node.link.send_to_all(now, to, &message).await;
 }
 
--- a/crates/gateway/src/node/stream_origins/mod.rs
+++ b/crates/gateway/src/node/stream_origins/mod.rs
@@ -3,8 +3,9 @@
 //! A copy is sent before the first event, so that a caller that has received an event can resume the
 //! stream at any node. [`keeljunction_core::serving::stream_origin`] decides which nodes get copies.
 
+mod copies;
+
 use std::cell::OnceCell;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use keeljunction_core::serving::members::{Entry, HolderRanking};
 use keeljunction_core::serving::stream_origin::{Batch, Decision, Key, Origin, Record, decide};
 
+use self::copies::Copies;
 use super::Node;
 use super::peers::stream_origins as peers;
 use super::state::State;
@@ -55,9 +57,6 @@
     }
 }
 
-/// Records by the address of the node that gets a copy of them.
-type Copies = BTreeMap<SocketAddr, Vec<Record>>;
-
 /// A stream that runs at this node until this is dropped.
 pub(crate) struct RunningStream {
     node: Arc<Node>,
@@ -130,9 +129,9 @@
             state.stream_origins.expire(now);
             state.stream_origins.list_due(now)
         });
-        let mut copies = Copies::new();
+        let mut copies = Copies::default();
         for keys in due.chunks(RECORDS_PER_TURN) {
-            merge(&mut copies, node.with(|state| plan_copies(state, now, keys)));
+            copies.merge(node.with(|state| plan_copies(state, now, keys)));
             if keys.len() == RECORDS_PER_TURN {
                 runtime::sleep(TURN_PAUSE).await;
             }
@@ -170,13 +169,13 @@
 ) -> Copies {
     let now = node.now();
     let records = node.with(|state| state.stream_origins.list(now));
-    let mut copies = Copies::new();
+    let mut copies = Copies::default();
     for turn in records.chunks(RECORDS_PER_TURN) {
         node.with(|state| {
             let ranking = state.members.get_holder_ranking(now);
             for record in turn {
                 for address in select(&ranking, record) {
-                    copies.entry(address).or_default().push(record.clone());
+                    copies.add(address, record.clone());
                 }
             }
         });
@@ -189,7 +188,7 @@
 fn plan_copies(state: &mut State, now: Millis, keys: &[Key]) -> Copies {
     let State { members, stream_origins, .. } = state;
     let ranking: OnceCell<HolderRanking<'_>> = OnceCell::new();
-    let mut copies = Copies::new();
+    let mut copies = Copies::default();
     for key in keys {
         let is_live = |holder| members.is_live_holder(now, holder);
         let rank = || {
@@ -201,18 +200,12 @@
         let Some(record) = stream_origins.get_record(now, *key) else { continue };
         let holders = holders.into_iter().filter_map(|holder| members.get_holder(holder));
         for holder in holders {
-            copies.entry(holder.address).or_default().push(record.clone());
+            copies.add(holder.address, record.clone());
         }
     }
     copies
 }
 
-fn merge(copies: &mut Copies, others: Copies) {
-    for (address, records) in others {
-        copies.entry(address).or_default().extend(records);
-    }
-}
-
 /// Sends copies of records to their holders, with pauses so that they do not overflow the queue of a
 /// narrow link.
 async fn send_copies(node: &Node, copies: Copies, reason: Reason) {
