docs(code): plain words in comments and in the descriptions of metrics

Comments used turns of phrase (of which, as far as, in time, piece, told) and the descriptions of metrics those of earlier names (questions, answers, gone on with). They use the terms of the field now. Names of metrics, events and settings are unchanged.

--- a/crates/core/src/error/report.rs
+++ b/crates/core/src/error/report.rs
@@ -4,7 +4,7 @@
 
 use super::ErrorKind;
 
-/// A piece of context attached to an [`Error`].
+/// An item of context attached to an [`Error`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[non_exhaustive]
 pub enum Context {
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -157,7 +157,7 @@
     }
 
     /// Takes one retry and returns `true` if the budget allows it. `nodes` is the number of nodes
-    /// that share the budget, as far as known.
+    /// that are known to share the budget.
     pub fn take(&mut self, now: Millis, service: &str, nodes: usize) -> bool {
         if self.get_remaining(now, service, nodes) < 1.0 {
             return false;
--- a/crates/core/src/serving/backpressure/rate_limits.rs
+++ b/crates/core/src/serving/backpressure/rate_limits.rs
@@ -11,7 +11,7 @@
 /// How long the end of a limit is remembered, in milliseconds, so that late observations do not
 /// restore the limit.
 const ENDED_TTL_MS: Millis = 60_000;
-/// The relative change of a rate above which other nodes are told. Owners learn of smaller
+/// The relative change of a rate above which other nodes are notified. Owners learn of smaller
 /// changes with the next request for a permit.
 const MIN_CHANGE_RATIO: f64 = 0.25;
 /// One report in this many carries observations, for nodes that just started or missed the news.
--- a/crates/core/src/serving/capacity/mod.rs
+++ b/crates/core/src/serving/capacity/mod.rs
@@ -3,7 +3,7 @@
 //! Each region gets the servers that its own requests need, because a request to another region
 //! takes longer and uses part of a narrow link. A deployment without regions is a single region.
 //!
-//! Spot servers run on reclaimable VMs. They cost a fraction of on-demand servers, but all of them
+//! Spot servers run on VMs that the platform may reclaim. They cost a fraction of on-demand servers, but all of them
 //! in a data centre can be reclaimed within seconds, and for a while no replacement may be
 //! available anywhere. The plan holds a fraction of the need in on-demand servers and the rest in
 //! spot servers. The spot servers are spread over the data centres so that enough are left after
--- a/crates/core/src/serving/choice.rs
+++ b/crates/core/src/serving/choice.rs
@@ -157,7 +157,7 @@
 const SHORTLIST_PREFERRED_COUNT: usize = 2;
 /// Servers on a shortlist that are drawn at random. The less busy of two servers is far better than
 /// a single one, and each further one adds less; the third makes up for a server whose load does
-/// not become known in time.
+/// not become known before the timeout.
 const SHORTLIST_RANDOM_COUNT: usize = 3;
 /// Servers that are ranked and checked together, in the order of the shared prefix.
 const PREFERRED_BATCH_SIZE: usize = 8;
--- a/crates/core/src/serving/directory/batch.rs
+++ b/crates/core/src/serving/directory/batch.rs
@@ -54,7 +54,7 @@
 }
 
 impl Batch {
-    /// Splits the batch into parts of about `most` entries, each of which fits one datagram.
+    /// Splits the batch into parts of about `most` entries, so that each fits one datagram.
     ///
     /// Each part continues where the previous one ends. Entries that changed at the same version
     /// stay together.
--- a/crates/core/src/serving/directory/departures.rs
+++ b/crates/core/src/serving/directory/departures.rs
@@ -9,7 +9,7 @@
 
 /// How long an announcement is remembered.
 ///
-/// A leaving server ends within seconds; its entry may lapse and come back meanwhile.
+/// A leaving server ends within seconds; its entry may lapse and reappear meanwhile.
 const DEPARTURE_TTL_MS: Millis = 600_000;
 /// The largest number of servers that are remembered, newest first, at some 60 bytes each.
 const MAX_DEPARTURES: usize = 1_024;
--- a/crates/core/src/serving/directory/mod.rs
+++ b/crates/core/src/serving/directory/mod.rs
@@ -56,7 +56,7 @@
 /// The effect of an announcement that a server is leaving.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DepartureOutcome {
-    /// Whether the announcement is new and must be passed on.
+    /// Whether the announcement is new and must be forwarded.
     pub is_news: bool,
     /// The effect on the list.
     pub change: Option<Change>,
@@ -219,7 +219,7 @@
 
     /// Records that the list is current again after it was out of date.
     ///
-    /// Lapsed entries get time to come back only if the table service was unavailable. A list may
+    /// Lapsed entries get time to reappear only if the table service was unavailable. A list may
     /// also be out of date while servers leave, and those must not get new work.
     pub fn record_table_recovered(&mut self, now: Millis) {
         if std::mem::take(&mut self.is_table_unavailable) {
@@ -245,7 +245,7 @@
         self.departures.expire(now);
     }
 
-    /// Removes the servers whose entries have not come back in time.
+    /// Removes the servers whose entries have not reappeared before their deadline.
     pub fn expire_lapsed(&mut self, now: Millis) -> Vec<Change> {
         if self.lapsing_until.is_none_or(|until| now < until) {
             return Vec::new();
@@ -362,7 +362,7 @@
                 Vec::new()
             }
             Ordering::Equal => {
-                // A server that has started to leave can only come back as another incarnation.
+                // A server that has started to leave can only return as another incarnation.
                 let is_leaving = before.is_leaving || server.is_leaving;
                 let server = Server { is_leaving, ..server };
                 // The incarnation may be unknown.
--- a/crates/core/src/serving/event_stream/mod.rs
+++ b/crates/core/src/serving/event_stream/mod.rs
@@ -1,7 +1,7 @@
 //! Splits event streams into events and checks their order.
 //!
 //! A server may stop in the middle of an event. If another server resumes the stream, only complete
-//! events may be passed on, each number once and in order.
+//! events may be forwarded, each number once and in order.
 //!
 //! | module | content |
 //! |---|---|
--- a/crates/core/src/serving/event_stream/sequence.rs
+++ b/crates/core/src/serving/event_stream/sequence.rs
@@ -11,7 +11,7 @@
 pub enum SequenceCheck {
     /// The event is the next one: pass it on.
     Next,
-    /// The event was passed on before.
+    /// The event was forwarded before.
     Duplicate,
     /// An event before this one is missing.
     Gap,
@@ -23,7 +23,7 @@
         Self { last }
     }
 
-    /// Returns the number of the last event that was passed on.
+    /// Returns the number of the last event that was forwarded.
     pub fn get_last(&self) -> Option<u64> {
         self.last
     }
--- a/crates/core/src/serving/event_stream/splitter.rs
+++ b/crates/core/src/serving/event_stream/splitter.rs
@@ -8,7 +8,7 @@
 pub const MAX_PENDING_BYTES: usize = 64 * 1024;
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
-/// An event or a part of it. A comment or a blank line between two events is passed on like an event
+/// An event or a part of it. A comment or a blank line between two events is forwarded like an event
 /// without a number.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -17,7 +17,7 @@
     /// The event's bytes, with the blank line that ends it if the event is complete.
     pub bytes: Bytes,
     /// Whether the event ends with these bytes. The parts of a longer event than
-    /// [`MAX_PENDING_BYTES`] are passed on as they arrive.
+    /// [`MAX_PENDING_BYTES`] are forwarded as they arrive.
     pub is_complete: bool,
 }
 
--- a/crates/core/src/serving/members/holders.rs
+++ b/crates/core/src/serving/members/holders.rs
@@ -47,8 +47,7 @@
         HolderRanking { own: &self.own, data_centres: data_centres.len(), nodes }
     }
 
-    /// Returns `true` if a node that holds copies is still a member that can be reached, as far as
-    /// this node knows.
+    /// Returns `true` if a node that holds copies is a live member.
     pub fn is_live_holder(&self, now: Millis, holder: HolderId) -> bool {
         let member = self.names.get(&holder).and_then(|name| self.known.get(name));
         member.is_some_and(|member| !member.is_stopping && self.is_live(now, member))
--- a/crates/core/src/serving/members/query.rs
+++ b/crates/core/src/serving/members/query.rs
@@ -28,7 +28,7 @@
 const HEARING_DELAY_MS: Millis = 1_000;
 /// The time after its start in which a node learns of the others even if the list cannot be read.
 const SETTLE_TIMEOUT_MS: Millis = 4_000;
-/// How long a new entry is passed on.
+/// How long a new entry is gossiped.
 ///
 /// 300 entries that are new at once take thirteen messages at 400 ms each, and some messages get
 /// lost.
@@ -39,7 +39,7 @@
 /// from each of seven aggregators, a list of 44 nodes is repeated in about 7 s, at a cost of some
 /// 60 bytes in every fifth message.
 const REPEAT_TURNS: usize = 5;
-/// The largest number of entries passed on in a message.
+/// The maximum number of entries in a message.
 const MAX_GOSSIP_ENTRIES: usize = 24;
 /// The largest number of silent nodes listed in a message.
 const MAX_SILENT_NODES: usize = 64;
--- a/crates/core/src/serving/members/roster.rs
+++ b/crates/core/src/serving/members/roster.rs
@@ -16,7 +16,7 @@
 
 /// The minimum time between two requests for entries of other lists.
 const REQUEST_INTERVAL_MS: Millis = 400;
-/// A node that was not heard of for this long is not passed on.
+/// A node about which nothing was received for this long is not gossiped.
 const LIVE_TIMEOUT_MS: Millis = 10_000;
 
 /// The version and digest of a node's list.
--- a/crates/core/src/serving/members/sample.rs
+++ b/crates/core/src/serving/members/sample.rs
@@ -29,7 +29,7 @@
 }
 
 impl Members {
-    /// Merges a sample of the list of all nodes, of which about `count` exist.
+    /// Merges a sample of the list of all nodes. There are about `count` nodes.
     ///
     /// `is_whole` is `true` if nodes that started together with this one had time to add themselves
     /// to the list.
--- a/crates/core/src/serving/members/view.rs
+++ b/crates/core/src/serving/members/view.rs
@@ -207,7 +207,7 @@
         self.view.ranking = ranking;
     }
 
-    /// Removes nodes that have left for good. Only aggregators hear of all nodes.
+    /// Removes nodes that have left permanently. Only aggregators receive reports about all nodes.
     fn expire(&mut self, now: Millis) {
         if !self.view.is_aggregating {
             return;
--- a/crates/core/src/serving/memory/room.rs
+++ b/crates/core/src/serving/memory/room.rs
@@ -60,7 +60,7 @@
 
     /// Returns the longest body of any priority that fits while nothing else is reserved.
     ///
-    /// A longer one does not count as waiting: the memory kept for it would serve nobody.
+    /// A longer one does not count as waiting: the memory kept for it would be wasted.
     pub(super) fn get_max_body(&self) -> u64 {
         let pool = self.get_body_capacity().saturating_sub(self.get_small_pool());
         (pool as f64 * (1.0 - URGENT_FRACTION)) as u64
--- a/crates/core/src/serving/quarantine/crash_analyzer.rs
+++ b/crates/core/src/serving/quarantine/crash_analyzer.rs
@@ -67,7 +67,7 @@
     service: u64,
     /// Indexes of its crashes in [`CrashAnalyzer::crashes`].
     indexes: Vec<usize>,
-    /// Crashes of which each interrupted an attempt that was sent after the previous one.
+    /// Crashes, each of an attempt that was sent after the previous crash.
     consecutive_crashes: u32,
     last_crash: Option<Millis>,
 }
--- a/crates/core/src/serving/quarantine/mod.rs
+++ b/crates/core/src/serving/quarantine/mod.rs
@@ -5,7 +5,7 @@
 //! crash all servers of a service again and again. Requests that merely ran next to it are cut off
 //! with the same servers, and many requests are cut off at once when a data centre is lost.
 //!
-//! The cause may also be a part that the prompts of many requests share, of which no two are alike.
+//! The cause may also be a part that the prompts of many different requests share.
 //!
 //! Each node reports the server crashes that it notices, with the fingerprints of its interrupted
 //! requests and the parts of their prompts, to the aggregator that owns the service. This owner sees all requests that ran at a
--- a/crates/core/src/serving/quarantine/report.rs
+++ b/crates/core/src/serving/quarantine/report.rs
@@ -9,7 +9,7 @@
 use crate::Millis;
 
 /// How long reports are kept for the next owner of the service: as long as nodes believe that a
-/// silent node may come back.
+/// silent node may return.
 const REPORT_TTL_MS: Millis = 60_000;
 /// The number of reports that are kept: the crashes of all servers of a large data centre.
 const OUTBOX_CAPACITY: usize = 128;
--- a/crates/core/src/serving/read_ahead.rs
+++ b/crates/core/src/serving/read_ahead.rs
@@ -42,7 +42,7 @@
 #[derive(Clone, Debug)]
 pub struct Buffer {
     limit: usize,
-    pieces: VecDeque<Bytes>,
+    chunks: VecDeque<Bytes>,
     bytes: usize,
     is_full: bool,
 }
@@ -50,7 +50,7 @@
 impl Buffer {
     /// Creates an empty buffer for up to `limit` bytes.
     pub fn new(limit: usize) -> Self {
-        Self { limit, pieces: VecDeque::new(), bytes: 0, is_full: false }
+        Self { limit, chunks: VecDeque::new(), bytes: 0, is_full: false }
     }
 
     /// Returns the number of buffered bytes.
@@ -60,34 +60,34 @@
 
     /// Returns `true` if the buffer is empty.
     pub fn is_empty(&self) -> bool {
-        self.pieces.is_empty()
+        self.chunks.is_empty()
     }
 
     /// Returns `true` if more may be read from the server.
     ///
     /// Once the buffer was full, reading resumes only when half of it was taken, not for each
-    /// piece.
+    /// chunk.
     pub fn is_reading(&self) -> bool {
         !self.is_full
     }
 
-    /// Adds a piece of at most [`READ_BYTES`].
-    pub fn push(&mut self, piece: Bytes) {
-        self.bytes += piece.len();
-        self.pieces.push_back(piece);
+    /// Adds a chunk of at most [`READ_BYTES`].
+    pub fn push(&mut self, chunk: Bytes) {
+        self.bytes += chunk.len();
+        self.chunks.push_back(chunk);
         self.is_full = self.bytes + READ_BYTES > self.limit;
     }
 
     /// Takes up to `max` bytes from the front, or returns `None` if the buffer is empty.
     pub fn pop(&mut self, max: usize) -> Option<Bytes> {
-        let first = self.pieces.front_mut()?;
-        let piece = match first.len() > max {
+        let first = self.chunks.front_mut()?;
+        let chunk = match first.len() > max {
             true => first.split_to(max),
-            false => self.pieces.pop_front()?,
+            false => self.chunks.pop_front()?,
         };
-        self.bytes -= piece.len();
+        self.bytes -= chunk.len();
         self.is_full &= self.bytes > self.limit / 2;
-        Some(piece)
+        Some(chunk)
     }
 }
 
@@ -112,7 +112,7 @@
         }
     }
 
-    /// Records a check of a caller that has not polled since it read the last piece. `since` is the
+    /// Records a check of a caller that has not polled since it read the last chunk. `since` is the
     /// time since the previous check, in milliseconds.
     pub fn record_check(&mut self, since: Millis) {
         let since = since.min(MAX_CHECK_INTERVAL_MS);
--- a/crates/core/src/serving/response_body.rs
+++ b/crates/core/src/serving/response_body.rs
@@ -61,7 +61,7 @@
 }
 
 impl EndCheck {
-    /// Creates the check of a body of which nothing was read.
+    /// Creates the check of an unread body.
     pub fn new(framing: Framing, content: Content) -> Self {
         let events = (content == Content::Events).then(Scanner::default);
         Self { framing, events }
--- a/crates/core/src/serving/rollout/tally.rs
+++ b/crates/core/src/serving/rollout/tally.rs
@@ -157,7 +157,7 @@
 pub enum Phase {
     /// Until the first token; for a response that is not streamed, until its end.
     FirstToken,
-    /// The rest of a stream: the mean time between two pieces, in milliseconds.
+    /// The rest of a stream: the mean time between two chunks, in milliseconds.
     Stream,
 }
 
--- a/crates/core/src/serving/stream_origin/registry.rs
+++ b/crates/core/src/serving/stream_origin/registry.rs
@@ -61,7 +61,7 @@
 
     /// Checks the copies of a stream's record, and returns the nodes that get one now.
     ///
-    /// `is_live` tells whether a holder is still a member. `rank` lists the other nodes in the order
+    /// `is_live` returns `true` if a holder is a live member. `rank` lists the other nodes in the order
     /// in which they are asked for the record.
     pub fn plan_copies(
         &mut self,
--- a/crates/core/src/serving/stream_origin/replication.rs
+++ b/crates/core/src/serving/stream_origin/replication.rs
@@ -63,7 +63,7 @@
     /// Returns the nodes that get a copy of a record that expires at `expires_at`, and sets the time
     /// of the next check.
     ///
-    /// `is_live` tells whether a holder is still a member. `rank` lists the other nodes in the order
+    /// `is_live` returns `true` if a holder is a live member. `rank` lists the other nodes in the order
     /// in which they are asked for the record.
     pub fn plan(
         &mut self,
--- a/crates/core/src/serving/version_history.rs
+++ b/crates/core/src/serving/version_history.rs
@@ -1,6 +1,6 @@
 //! The software versions of each service that may still be running streams.
 //!
-//! A stream may go on only at the version that began it. A version is possible while one of its
+//! A stream may continue only at the version that began it. A version is possible while one of its
 //! servers is listed, and for the longest time that a stream may run afterwards. A process that has
 //! just started knows the listed versions only: its history is complete once it has read the rows
 //! that the nodes keep in the table service, or once it has run for that time.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -189,7 +189,7 @@
         request: &'a str,
         service: &'a str,
         is_allowed: bool,
-        /// Nodes that share the budget, as far as this node knows.
+        /// The number of known nodes, which share the budget.
         nodes: usize,
         /// Requests of this process to the service in the window of the budget.
         requests: usize,
@@ -237,7 +237,7 @@
         asked_ms: Option<u64>,
         /// The number of nodes that were asked.
         nodes_asked: Option<usize>,
-        /// The number of nodes that answered in time, or until the first record.
+        /// The number of nodes that answered before the timeout, or up to the first record.
         nodes_answered: Option<usize>,
     },
     /// A server closed a connection while it held many bytes; the bound of bytes in flight to the
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -28,7 +28,7 @@
 /// single crash may be a coincidence.
 const MAX_CRASHED_SERVERS: usize = 2;
 
-/// Sends the request to one server after another, as far as its route and the retry budget allow.
+/// Sends the request to one server after another, within the attempts of its route and the retry budget.
 pub(super) async fn run(
     node: &Arc<Node>,
     exchange: &Arc<Exchange>,
--- a/crates/gateway/src/exchange/flow.rs
+++ b/crates/gateway/src/exchange/flow.rs
@@ -53,7 +53,7 @@
 }
 
 impl Flow {
-    /// Creates the state of a response of which nothing was read.
+    /// Creates the state of an unread response.
     pub fn new(
         buffer: Buffer,
         reservation: ReservationGuard,
--- a/crates/gateway/src/exchange/server_body.rs
+++ b/crates/gateway/src/exchange/server_body.rs
@@ -37,7 +37,7 @@
 }
 
 impl BodyReader {
-    /// Creates the reader of a body of which nothing was read.
+    /// Creates the reader of an unread body.
     pub fn new(body: ResponseBody, framing: Framing, content: Content) -> Self {
         Self { body, check: EndCheck::new(framing, content) }
     }
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -102,7 +102,7 @@
     status: u16,
     splitter: Option<Splitter>,
     sequence: Sequence,
-    /// The result for the event of which a part was received, if its parts are passed on separately.
+    /// The result for a partly received event, if its parts are forwarded separately.
     open_event: Option<SequenceCheck>,
     pending: VecDeque<Bytes>,
     body: Option<BodyReader>,
--- a/crates/gateway/src/exchange/upload.rs
+++ b/crates/gateway/src/exchange/upload.rs
@@ -294,7 +294,7 @@
 }
 
 impl IncomingBody {
-    /// Wraps a body of which nothing was read.
+    /// Wraps an unread body.
     pub fn new(body: Incoming, headers: &HeaderMap) -> Self {
         Self { body, expects_continue: headers.contains_key(EXPECT), has_read_started: false }
     }
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -47,126 +47,142 @@
     pub fn register(&self, registry: &mut Registry) {
         registry.register(
             "retries_left",
-            "Repeats that this node may still make in the window that ends now",
+            "Retries left to this node in the current window",
             self.retries_left.clone(),
         );
         registry.register(
             "quota_left_units",
-            "Left of the client account's bucket over all nodes, as this node knows it",
+            "Units left in the client account's bucket over all nodes, as known to this node",
             self.quota_left.clone(),
         );
-        registry.register("requests_in_flight", "Answers not ended", self.in_flight.clone());
-        registry.register("ready_servers", "Servers that take work", self.ready_servers.clone());
-        registry.register("configuration_version", "In force", self.configuration_version.clone());
+        registry.register("requests_in_flight", "Requests in flight", self.in_flight.clone());
+        registry.register(
+            "ready_servers",
+            "Servers that accept requests",
+            self.ready_servers.clone(),
+        );
+        registry.register(
+            "configuration_version",
+            "Version of the configuration in force",
+            self.configuration_version.clone(),
+        );
         registry.register_with_unit(
             "configuration_age",
-            "Since the configuration was known to be the newest; -1 where it never was",
+            "Time since the configuration was confirmed as the newest; -1 if it never was",
             Unit::Seconds,
             self.configuration_age.clone(),
         );
         registry.register(
             "lease_fence",
-            "Fence of the duty lease; 0 without",
+            "Fencing token of the duty lease; 0 if this node does not hold it",
             self.lease_fence.clone(),
         );
-        registry.register("nodes_heard", "Nodes in reach, this one too", self.nodes_heard.clone());
-        registry.register("nodes_known", "Nodes that may be serving", self.nodes.clone());
+        registry.register(
+            "nodes_heard",
+            "Reachable nodes, including this one",
+            self.nodes_heard.clone(),
+        );
+        registry.register("nodes_known", "Known nodes, including this one", self.nodes.clone());
         registry.register(
             "server_connections_opened",
-            "Connections made to servers",
+            "Connections opened to servers",
             self.connections_opened.clone(),
         );
         registry.register(
             "log_lines_sampled_out",
-            "Log lines left out",
+            "Log lines dropped by sampling",
             self.sampled_out_lines.clone(),
         );
-        registry.register("log_lines_dropped", "Log lines lost", self.dropped_lines.clone());
+        registry.register(
+            "log_lines_dropped",
+            "Log lines dropped because the output was blocked",
+            self.dropped_lines.clone(),
+        );
         registry.register_with_unit(
             "resident_memory",
-            "Of the process",
+            "Resident memory of the process",
             Unit::Bytes,
             self.resident.clone(),
         );
         registry.register_with_unit(
             "memory_held",
-            "Reserved for callers and servers",
+            "Memory reserved for data of callers and servers, by kind",
             Unit::Bytes,
             self.memory_held.clone(),
         );
         registry.register_with_unit(
             "memory_capacity",
-            "What may be reserved now",
+            "Memory that may be reserved",
             Unit::Bytes,
             self.memory_capacity.clone(),
         );
         registry.register(
             "memory_in_use",
-            "Part of the memory in use, from 0 to 1",
+            "Fraction of the memory in use, from 0 to 1",
             self.memory_in_use.clone(),
         );
         registry.register(
             "memory_short",
-            "1 while callers should go to other nodes for want of memory",
+            "1 while the node is short of memory and not ready for callers",
             self.is_short_of_memory.clone(),
         );
-        registry.register("descriptors_open", "Open descriptors", self.descriptors.clone());
+        registry.register("descriptors_open", "Open file descriptors", self.descriptors.clone());
         registry.register_with_unit(
             "region_round_trip",
-            "Smoothed round trip to nodes of another region; a guess where it was not measured",
+            "Smoothed round-trip time to nodes of another region; an estimate until it is measured",
             Unit::Seconds,
             self.region_round_trip.clone(),
         );
         registry.register_with_unit(
             "read_ahead_held",
-            "Parts of answers that their callers have not taken",
+            "Response bytes that their callers have not read",
             Unit::Bytes,
             self.read_ahead.clone(),
         );
         registry.register_with_unit(
             "held_at_servers",
-            "Bodies of requests that servers have not answered",
+            "Bytes of request bodies held by servers",
             Unit::Bytes,
             self.held_at_servers.clone(),
         );
         registry.register(
             "limited_servers",
-            "Servers that take requests with permits only",
+            "Servers with a rate limit, which require permits",
             self.limited.clone(),
         );
         registry.register(
             "servers_in_back_off",
-            "Servers that take no request from this node for a time",
+            "Servers that this node backs off from",
             self.in_back_off.clone(),
         );
         registry.register(
             "brittle_services",
-            "Services whose servers bear only a few rejections per second",
+            "Services whose servers tolerate only a few rejections per second",
             self.brittle_services.clone(),
         );
         registry.register(
             "bounded_servers",
-            "Brittle servers of this node that get fewer requests than they have slots",
+            "Brittle servers owned by this node that get fewer requests than they have slots",
             self.bounded_servers.clone(),
         );
         registry.register(
             "quarantined_requests",
-            "Requests that are refused because servers crashed under them",
+            "Requests refused because they crash servers",
             self.quarantined.clone(),
         );
         registry.register(
             "server_entries_skipped",
-            "Entries of servers that cannot be read, at a node that reads them for all",
+            "Malformed server entries, at a node that reads the table",
             self.skipped_entries.clone(),
         );
         registry.register(
             "stream_records",
-            "Streams whose software version this node has recorded",
+            "Streams whose origin is recorded at this node",
             self.stream_records.clone(),
         );
         registry.register(
             "uncopied_streams",
-            "Streams of this node whose software version fewer other nodes have recorded than should",
+            "Streams of this node with fewer copies of their origin than required",
             self.uncopied_streams.clone(),
         );
     }
--- a/crates/gateway/src/metrics/registry.rs
+++ b/crates/gateway/src/metrics/registry.rs
@@ -54,9 +54,9 @@
     pub unanswered_quota_questions: Counter,
     /// Queries to the owners of rate-limited servers that timed out.
     pub unanswered_permit_questions: Counter,
-    /// Permits for rate-limited servers that were denied or not decided in time.
+    /// Permits for rate-limited servers that were denied, or not decided before the timeout.
     pub permits_denied: Counter,
-    /// Slots of brittle servers that were denied or not decided in time.
+    /// Slots of brittle servers that were denied, or not decided before the timeout.
     pub slots_denied: Counter,
     /// Requests that brittle servers rejected for lack of room.
     pub brittle_rejections: Counter,
@@ -147,34 +147,34 @@
         registry.register("requests", "Requests that ended", self.requests.clone());
         registry.register(
             "capacity_need",
-            "Servers that a region's demand needs",
+            "Servers required by the demand of a region",
             self.capacity_need.clone(),
         );
         registry.register(
             "capacity_planned",
-            "Servers that the plan holds in a region",
+            "Planned servers in a region",
             self.capacity_planned.clone(),
         );
         registry.register_with_unit(
             "first_token",
-            "Arrival to first token of the answer",
+            "Time from the arrival of a request to the first token of its response",
             Unit::Seconds,
             self.first_token.clone(),
         );
         registry.register_with_unit(
             "longest_gap",
-            "Longest pause between two pieces of one answer",
+            "Longest gap between two chunks of a response",
             Unit::Seconds,
             self.longest_gap.clone(),
         );
         registry.register_with_unit(
             "request_duration",
-            "Arrival to end of the answer",
+            "Time from the arrival of a request to the end of its response",
             Unit::Seconds,
             self.total.clone(),
         );
-        registry.register("retries", "Attempts beyond the first", self.retries.clone());
-        registry.register("failed_attempts", "Attempts that failed", self.failed_attempts.clone());
+        registry.register("retries", "Attempts after the first", self.retries.clone());
+        registry.register("failed_attempts", "Failed attempts", self.failed_attempts.clone());
         registry.register(
             "relayed_by_peers",
             "Requests sent to servers through peers, by outcome",
@@ -187,12 +187,12 @@
         );
         registry.register(
             "resumed_streams",
-            "Streams gone on with elsewhere",
+            "Streams resumed on another server",
             self.resumed.clone(),
         );
         registry.register(
             "stream_resumes",
-            "Requests that take up streams of earlier requests, by how their software version was found",
+            "Requests that resume streams of earlier requests, by how the software version was found",
             self.stream_resumes.clone(),
         );
         registry.register(
@@ -202,105 +202,105 @@
         );
         registry.register(
             "unanswered_load_questions",
-            "Questions for the loads of servers that were not answered in time",
+            "Queries for the loads of servers that timed out",
             self.unanswered_load_questions.clone(),
         );
         registry.register(
             "unanswered_quota_questions",
-            "Questions to owners of client accounts that were not answered in time",
+            "Queries to the owners of client accounts that timed out",
             self.unanswered_quota_questions.clone(),
         );
         registry.register(
             "unanswered_permit_questions",
-            "Questions to owners of limited servers that were not answered in time",
+            "Queries to the owners of rate-limited servers that timed out",
             self.unanswered_permit_questions.clone(),
         );
         registry.register(
             "permits_denied",
-            "Permits for limited servers that were denied, or not decided about",
+            "Permits for rate-limited servers that were denied, or not decided before the timeout",
             self.permits_denied.clone(),
         );
         registry.register(
             "slots_denied",
-            "Slots of brittle servers that were denied, or not decided about",
+            "Slots of brittle servers that were denied, or not decided before the timeout",
             self.slots_denied.clone(),
         );
         registry.register(
             "brittle_rejections",
-            "Requests that brittle servers rejected for lack of room",
+            "Requests rejected by brittle servers for lack of room",
             self.brittle_rejections.clone(),
         );
         registry.register_with_unit(
             "region_sent",
-            "Bodies of requests that went to another region",
+            "Request bodies sent to another region",
             Unit::Bytes,
             self.region_bytes_sent.clone(),
         );
         registry.register_with_unit(
             "region_received",
-            "Bodies of answers that came from another region",
+            "Response bodies received from another region",
             Unit::Bytes,
             self.region_bytes_received.clone(),
         );
         registry.register(
             "spilled_attempts",
-            "Attempts in another region, by what the own one lacked",
+            "Attempts in another region, by reason",
             self.spilled.clone(),
         );
         registry.register(
             "link_full_attempts",
-            "Attempts in another region that the budget of the link did not allow",
+            "Attempts in another region rejected by the bandwidth budget of the link",
             self.link_full.clone(),
         );
         registry.register(
             "uploads_evicted",
-            "Bodies that came too slowly, or whose memory was needed",
+            "Uploads evicted from memory, by reason",
             self.uploads_evicted.clone(),
         );
         registry.register_with_unit(
             "read_ahead",
-            "Parts of answers read before their callers were ready for them",
+            "Response bytes read ahead of the callers",
             Unit::Bytes,
             self.read_ahead.clone(),
         );
         registry.register(
             "callers_disconnected",
-            "Callers that did not read",
+            "Callers disconnected because they did not read",
             self.callers_disconnected.clone(),
         );
         registry.register(
             "requests_stopped",
-            "Requests that went to no third server after two had crashed under them",
+            "Requests stopped because two servers crashed while running them",
             self.requests_stopped.clone(),
         );
         registry.register(
             "servers_down",
-            "Servers that did not listen any more after a connection to them broke off",
+            "Servers that stopped listening after a connection to them was interrupted",
             self.servers_down.clone(),
         );
         registry.register(
             "servers_reset",
-            "Servers that listened after prompts that none has answered broke off",
+            "Servers that still listened after prompts that no server has completed were interrupted",
             self.servers_reset.clone(),
         );
         registry.register(
             "server_signals",
-            "Answers in which servers said something about the requests that follow",
+            "Responses with a backpressure signal, by kind of signal",
             self.signals.clone(),
         );
         registry.register(
             "pauses",
-            "Times that the process stood still for a second or more, or its machine was suspended",
+            "Pauses of the process, or suspensions of its machine, of a second or more",
             self.pauses.clone(),
         );
         registry.register(
             "usage_withheld",
-            "Windows not reported, as they may have been before a return of the table service",
+            "Usage windows withheld because they may have been reported before a restore of the table service",
             self.usage_withheld.clone(),
         );
         registry.register(
             "store_returns",
-            "Returns of the table service from an older copy of its rows",
+            "Restores of the table service from an older copy of its rows",
             self.store_returns.clone(),
         );
         self.gauges.register(registry);
--- a/crates/gateway/src/node/versions.rs
+++ b/crates/gateway/src/node/versions.rs
@@ -49,7 +49,7 @@
     }
 }
 
-/// Lists the services of which a version was added by changes of the server list, or removed. Most
+/// Lists the services that gained or lost a version by changes of the server list. Most
 /// changes do neither.
 fn list_affected(state: &State, changes: &[Change]) -> BTreeSet<String> {
     // Thousands of servers of one version may change at once.
--- a/crates/gateway/src/port/control.rs
+++ b/crates/gateway/src/port/control.rs
@@ -41,7 +41,7 @@
     pub service: String,
     /// The data centre.
     pub data_centre: String,
-    /// Whether the servers are reclaimable.
+    /// Whether these are spot servers, which the platform may reclaim.
     pub is_spot: bool,
     /// The total number of servers, not a difference.
     pub count: u32,
--- a/crates/gateway/src/port/table.rs
+++ b/crates/gateway/src/port/table.rs
@@ -127,7 +127,7 @@
     pub has_more: bool,
 }
 
-/// Conditional writes, of which all or none are applied.
+/// Conditional writes, applied all together or not at all.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Transaction {
     /// Conditions that must hold.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -117,8 +117,8 @@
 /// 60 Mbit/s link, which leaves the other half for the traffic between nodes.
 const DEFAULT_SPILL_MBPS: f64 = 15.0;
 
-/// Default bandwidth for control traffic between regions: about a hundredth of a 60 Mbit/s link, the
-/// rest of which is for requests. If it does not suffice, summaries are sent less often than five
+/// Default bandwidth for control traffic between regions: about a hundredth of a 60 Mbit/s link.
+/// The rest is for requests. If it does not suffice, summaries are sent less often than five
 /// times per second.
 const DEFAULT_CONTROL_KBPS: f64 = 500.0;
 
--- a/crates/keeljunction/src/backend/tokens.rs
+++ b/crates/keeljunction/src/backend/tokens.rs
@@ -11,7 +11,7 @@
 
 const DONE: &str = "[DONE]";
 
-/// One piece of an engine's stream.
+/// One chunk of an engine's stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Piece {
     /// A token with its attempt and offset.
@@ -59,7 +59,7 @@
         Self { events: Box::pin(events.map(Result::ok)), prefill }
     }
 
-    /// Returns the next piece, or `None` if the stream was interrupted or is malformed.
+    /// Returns the next chunk, or `None` if the stream was interrupted or is malformed.
     pub async fn next(&mut self) -> Option<Piece> {
         loop {
             let event = self.events.next().await??;
--- a/crates/keeljunction/src/caller/handler.rs
+++ b/crates/keeljunction/src/caller/handler.rs
@@ -174,7 +174,7 @@
     }
 }
 
-/// Sends a piece to the connection. A timer is set only if the channel is full.
+/// Sends a chunk to the connection. A timer is set only if the channel is full.
 async fn send_piece(
     sender: &Sender<io::Result<Bytes>>,
     piece: Bytes,
--- a/crates/keeljunction/src/node/attempt.rs
+++ b/crates/keeljunction/src/node/attempt.rs
@@ -142,7 +142,7 @@
     }
 }
 
-/// Waits for the next piece, a drain request, the idle timeout or the deadline.
+/// Waits for the next chunk, a drain request, the idle timeout or the deadline.
 async fn next_piece(
     node: &Node,
     answer: &Answer,
--- a/crates/keeljunction/src/node/copy.rs
+++ b/crates/keeljunction/src/node/copy.rs
@@ -86,7 +86,7 @@
     }
 }
 
-/// Tells the holder to discard the record of a request that did not run.
+/// Asks the holder to discard the record of a request that did not run.
 pub async fn discard(node: &Node, answer: &Answer, location: &Location) {
     if let Location::Peer(holder, _) = location {
         let record = wire::Record {
--- a/crates/keeljunction/src/node/grant.rs
+++ b/crates/keeljunction/src/node/grant.rs
@@ -76,7 +76,7 @@
 ///
 /// # Errors
 ///
-/// Returns a [`Refusal`] with a retry delay if no server has capacity in time.
+/// Returns a [`Refusal`] with a retry delay if no server has capacity before the deadline.
 pub async fn acquire(
     node: &Arc<Node>,
     request: &Request,
--- a/crates/keeljunction/src/settings/document.rs
+++ b/crates/keeljunction/src/settings/document.rs
@@ -97,7 +97,7 @@
     pub requests_per_account: usize,
     /// The maximum size of all records held for other nodes, in bytes.
     pub record_bytes: usize,
-    /// Time for a client to read a piece of its answer before it is disconnected, in milliseconds.
+    /// Time for a client to read a chunk of its response before it is disconnected, in milliseconds.
     pub write_ms: u64,
     /// The maximum time without data from a backend server, in milliseconds.
     pub idle_ms: u64,
