--- a/crates/core/tests/serving/stream_origin.rs
+++ b/crates/core/tests/serving/stream_origin.rs
@@ -104,6 +104,18 @@
     assert!(registry.find(0, key(MAX_RECORDS + 9)).is_some());
 }
 
+#[test]
+fn records_are_listed_with_the_time_until_they_expire() {
+    let mut registry = Registry::default();
+    registry.begin(0, key(1), &origin("v1"), 1_000);
+    registry.merge(0, &batch("v2", [key(2)], 700));
+    registry.merge(0, &batch("v1", [key(3)], 300));
+    let listed = registry.list(400);
+    let own = Record { key: key(1), standing: known("v1"), expires_in: 600 };
+    let copy = Record { key: key(2), standing: known("v2"), expires_in: 300 };
+    assert!(listed.len() == 2 && listed.contains(&own) && listed.contains(&copy), "{listed:?}");
+}
+
 #[test]
 fn a_stream_runs_until_its_last_response_has_ended() {
     let mut registry = Registry::default();
