--- a/crates/core/src/serving/capacity/mod.rs
+++ b/crates/core/src/serving/capacity/mod.rs
@@ -28,6 +28,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::Deserialize;
+
 use super::configuration::Scaling;
 
 pub use self::initial_count::InitialCount;
@@ -37,7 +39,8 @@
 use self::placement::{by_price, fill, spread};
 
 /// How much capacity to hold, relative to the need.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct Policy {
     /// The fraction of the need that is held in on-demand servers while spot servers are available.
     pub on_demand_part: f64,
--- a/crates/gateway/src/node/capacity_controller.rs
+++ b/crates/gateway/src/node/capacity_controller.rs
@@ -85,7 +85,7 @@
         let (initial_counts, is_complete) =
             self.track_initial_counts(node, name, &inventories, now);
         let is_mixed = inventories.values().flat_map(BTreeMap::values).any(|held| held.spot > 0);
-        let policy = node.settings.capacity.get_policy();
+        let policy = node.settings.capacity;
         let demands = get_demands(node, name, service, now);
         let is_demand_settled = self.track_demand(name, demands.is_some(), now);
         let unreachable = list_unreachable_regions(node, &inventories);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -32,7 +32,7 @@
     pub platform: Endpoints,
     /// The capacity policy.
     #[serde(default)]
-    pub capacity: CapacitySettings,
+    pub capacity: Policy,
     /// The log settings.
     #[serde(default)]
     pub log: LogSettings,
@@ -177,67 +177,6 @@
     pub control_per_second: f64,
 }
 
-/// The capacity policy, in fractions of the required capacity.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct CapacitySettings {
-    /// The fraction of the required capacity that is always provided by on-demand servers.
-    pub on_demand_part: f64,
-    /// Spot servers per required server.
-    pub spot_part: f64,
-    /// The target for the average utilization of servers.
-    pub target_utilization: f64,
-    /// The target for the average occupancy of the servers' slots.
-    pub target_occupancy: f64,
-    /// Additional servers for bursts, per square root of the servers that the load requires.
-    pub burst_servers: f64,
-    /// The fraction of the spot servers that counts as available while no more can be started.
-    pub exhausted_spot_part: f64,
-}
-
-impl Default for CapacitySettings {
-    fn default() -> Self {
-        let Policy {
-            on_demand_part,
-            spot_part,
-            target_utilization,
-            target_occupancy,
-            burst_servers,
-            exhausted_spot_part,
-        } = Policy::default();
-        Self {
-            on_demand_part,
-            spot_part,
-            target_utilization,
-            target_occupancy,
-            burst_servers,
-            exhausted_spot_part,
-        }
-    }
-}
-
-impl CapacitySettings {
-    /// Returns the policy for the core.
-    pub fn get_policy(&self) -> Policy {
-        let Self {
-            on_demand_part,
-            spot_part,
-            target_utilization,
-            target_occupancy,
-            burst_servers,
-            exhausted_spot_part,
-        } = *self;
-        Policy {
-            on_demand_part,
-            spot_part,
-            target_utilization,
-            target_occupancy,
-            burst_servers,
-            exhausted_spot_part,
-        }
-    }
-}
-
 /// The log settings.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
