fix(peers): mark datagrams of named clusters with a flag

The format of a tagged datagram was the format plus one, which the next format of clusters without a name would have had too: its nodes would have decoded tags as headers. It is a flag in the same byte now.

--- a/crates/gateway/src/node/peers/cluster.rs
+++ b/crates/gateway/src/node/peers/cluster.rs
@@ -13,8 +13,8 @@
 
 /// The name of the sender's cluster in HTTP calls between nodes.
 const CLUSTER_HEADER: HeaderName = HeaderName::from_static("keeljunction-cluster");
-/// The format of datagrams that carry a tag of their cluster.
-const TAGGED_FORMAT: u8 = FORMAT + 1;
+/// The flag in the format of datagrams that carry a tag of their cluster.
+const TAG_FLAG: u8 = 0x80;
 
 /// The cluster of a node.
 #[derive(Clone, Debug)]
@@ -51,7 +51,7 @@
         let header = HeaderValue::from_str(name).ok().filter(|value| !value.is_empty());
         let mut prefix = vec![FORMAT];
         if header.is_some() {
-            prefix = vec![TAGGED_FORMAT];
+            prefix = vec![FORMAT | TAG_FLAG];
             prefix.extend_from_slice(&(short_id(name) as u32).to_le_bytes());
         }
         Self { header, prefix }
@@ -71,8 +71,8 @@
         if let Some(content) = datagram.strip_prefix(self.prefix.as_slice()) {
             return Ok(content);
         }
-        let is_supported = datagram.first().is_some_and(|f| [FORMAT, TAGGED_FORMAT].contains(f));
-        Err(if is_supported { Mismatch::Cluster } else { Mismatch::Format })
+        let format = datagram.first().map(|format| format & !TAG_FLAG);
+        Err(if format == Some(FORMAT) { Mismatch::Cluster } else { Mismatch::Format })
     }
 
     /// Adds the name to the headers of a call to another node.
