feat(metrics): count denied slots of brittle servers by cause

Nothing that the nodes showed could tell why: slots in use, decisions that came too late, a new owner, or nodes that were not heard.

Change: an owner counts the slots that it denies by cause (gauge `slot_denials`, label `reason`); with `unanswered_permit_questions` the four can be told apart. Test: an_owner_counts_denied_slots_by_cause.

--- a/crates/core/src/serving/backpressure/mod.rs
+++ b/crates/core/src/serving/backpressure/mod.rs
@@ -27,11 +27,13 @@
 //! | `brittle_services` | services whose servers are brittle, at each node |
 //! | `slot_claims` | the slots of brittle servers that this node uses |
 //! | `slot_pools` | grants the slots of brittle servers, at their owners |
+//! | `denials` | counts the slots that an owner denied, by cause |
 //! | `tracker` | the whole backpressure state of a node |
 
 mod back_offs;
 mod brittle_services;
 mod brittleness;
+mod denials;
 mod instance_key;
 mod observation;
 mod permits;
@@ -44,6 +46,7 @@
 pub use self::back_offs::BackOffs;
 pub use self::brittle_services::{BrittleServices, Robustness};
 pub use self::brittleness::Brittleness;
+pub use self::denials::{Cause, Denials};
 pub use self::instance_key::InstanceKey;
 pub use self::observation::Observation;
 pub use self::permits::{Decision, Permits};
--- a/crates/core/src/serving/backpressure/slot_pools.rs
+++ b/crates/core/src/serving/backpressure/slot_pools.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::denials::{Cause, Denials};
 use super::{Brittleness, Decision, InstanceKey};
 use crate::Millis;
 use crate::serving::quota::Reachability;
@@ -92,6 +93,7 @@
     owners: Vec<u64>,
     /// When the owners of servers last changed, in this node's view.
     owners_changed_at: Millis,
+    denials: Denials,
 }
 
 #[derive(Clone, Debug)]
@@ -150,16 +152,24 @@
         };
         pool.record(now, &view.own);
         let wait = pool.get_wait(now, owners_changed_at, view.brittle_for);
-        let others = pool.count_held(now, Some(request.holding.holder));
+        let held = pool.count_held(now, Some(request.holding.holder)) + request.holding.held;
         let capacity = pool.get_capacity(now, request.slots, view);
-        let is_granted = wait == 0 && others + request.holding.held <= capacity;
-        // A denied request is not at the server.
-        let held = request.holding.held.saturating_sub(u32::from(!is_granted));
-        pool.record(now, &Holding { held, ..request.holding });
-        match is_granted {
-            true => Decision::Granted,
-            false => Decision::Denied { retry_after: wait.max(pool.get_denial()) },
+        if wait == 0 && held <= capacity {
+            pool.record(now, &request.holding);
+            return Decision::Granted;
         }
+        // A denied request is not at the server.
+        let held_there = request.holding.held.saturating_sub(1);
+        pool.record(now, &Holding { held: held_there, ..request.holding });
+        let denied = Decision::Denied { retry_after: wait.max(pool.get_denial()) };
+        let cause = pool.find_cause(now, held, request.slots);
+        self.denials.record(cause);
+        denied
+    }
+
+    /// Returns the denied slots by cause.
+    pub fn get_denials(&self) -> &Denials {
+        &self.denials
     }
 
     /// Records that a server rejected a request for lack of room. `own` is the count of the owner.
@@ -254,6 +264,21 @@
         settled_at.max(self.paused_until).saturating_sub(now)
     }
 
+    /// Returns why a slot is denied that would raise the requests at the server to `held`.
+    fn find_cause(&self, now: Millis, held: u32, slots: u32) -> Cause {
+        if now < self.paused_until {
+            return Cause::Paused;
+        }
+        if held > get_usable(slots) {
+            return Cause::InUse;
+        }
+        match self.bound {
+            Some(bound) if held > bound => Cause::Bounded,
+            _ if now < self.opened_at + SETTLE_PERIOD_MS => Cause::Unsettled,
+            _ => Cause::Unheard,
+        }
+    }
+
     /// Returns the requests of all nodes, or of all but one.
     fn count_held(&self, now: Millis, except: Option<u64>) -> u32 {
         let others = self.holders.iter().filter(|(holder, _)| Some(**holder) != except);
@@ -266,8 +291,7 @@
     /// The others may have another owner. The larger part of the nodes rounds its share up and the
     /// smaller one down, so both together stay within the slots.
     fn get_capacity(&mut self, now: Millis, slots: u32, view: &OwnerView) -> u32 {
-        let slots = slots.max(1);
-        let usable = slots - slots / SPARE_DIVISOR;
+        let usable = get_usable(slots);
         let fraction = view.brittle_for.map_or(1.0, |_| view.reach.get_fraction());
         let share = f64::from(usable) * fraction;
         let share = if fraction > 0.5 { share.ceil() } else { share.floor() } as u32;
@@ -301,3 +325,9 @@
         self.paused_until = self.paused_until.max(now + pause);
     }
 }
+
+/// Returns the slots of a server that may be granted.
+fn get_usable(slots: u32) -> u32 {
+    let slots = slots.max(1);
+    slots - slots / SPARE_DIVISOR
+}
--- a/crates/core/src/serving/backpressure/tracker.rs
+++ b/crates/core/src/serving/backpressure/tracker.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use super::denials::Denials;
 use super::{
     BackOffs, BrittleServices, Brittleness, Decision, Holding, InstanceKey, Observation, OwnerView,
     Permits, RateLimits, Robustness, Signal, SlotClaims, SlotPools, SlotRequest,
@@ -293,6 +294,11 @@
         self.slots.count_bounded()
     }
 
+    /// Returns the slots that this node denied as the owner of servers.
+    pub fn get_slot_denials(&self) -> &Denials {
+        self.slots.get_denials()
+    }
+
     /// Returns the number of rate-limited servers.
     pub fn count_limited(&self) -> usize {
         self.limits.count()
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -36,6 +36,7 @@
 mod rollout_trials;
 mod server_path;
 mod shutdown;
+mod slot_denials;
 mod spill;
 mod stream_copies;
 mod stream_origin;
--- a/crates/gateway/src/metrics/gauges.rs
+++ b/crates/gateway/src/metrics/gauges.rs
@@ -6,7 +6,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::{Registry, Unit};
 
-use super::labels::{AccountLabels, MemoryKindLabels, RegionLabels, ServiceLabels};
+use super::labels::{AccountLabels, MemoryKindLabels, ReasonLabels, RegionLabels, ServiceLabels};
 
 /// Gauges of a node's state, which the node updates before the metrics are rendered.
 #[derive(Default)]
@@ -37,6 +37,7 @@
     pub in_back_off: Gauge<i64, AtomicI64>,
     pub brittle_services: Gauge<i64, AtomicI64>,
     pub bounded_servers: Gauge<i64, AtomicI64>,
+    pub slot_denials: Family<ReasonLabels, Gauge>,
     pub skipped_entries: Gauge<i64, AtomicI64>,
     pub stream_records: Gauge<i64, AtomicI64>,
     pub uncopied_streams: Gauge<i64, AtomicI64>,
@@ -165,6 +166,11 @@
             "Brittle servers owned by this node that get fewer requests than they have slots",
             self.bounded_servers.clone(),
         );
+        registry.register(
+            "slot_denials",
+            "Slots of brittle servers that this node denied as their owner, by cause",
+            self.slot_denials.clone(),
+        );
         registry.register(
             "quarantined_requests",
             "Requests refused because they crash servers",
--- a/crates/gateway/src/node/gauges.rs
+++ b/crates/gateway/src/node/gauges.rs
@@ -1,10 +1,11 @@
 //! Updates the gauges of the metrics to the state of the node.
 
+use keeljunction_core::serving::backpressure::Cause;
 use keeljunction_core::serving::memory::Kind;
 
 use super::Node;
 use super::memory::read_resident_bytes;
-use crate::metrics::{AccountLabels, MemoryKindLabels, RegionLabels, ServiceLabels};
+use crate::metrics::{AccountLabels, MemoryKindLabels, ReasonLabels, RegionLabels, ServiceLabels};
 
 /// Sets all gauges to the state of the node.
 pub(crate) fn update(node: &Node) {
@@ -27,6 +28,11 @@
         gauges.in_back_off.set(state.backpressure.count_in_back_off(now) as i64);
         gauges.brittle_services.set(state.backpressure.count_brittle(now) as i64);
         gauges.bounded_servers.set(state.backpressure.count_bounded() as i64);
+        for cause in Cause::ALL {
+            let labels = ReasonLabels { reason: cause.as_str().to_owned() };
+            let denied = state.backpressure.get_slot_denials().get(cause) as i64;
+            gauges.slot_denials.get_or_create(&labels).set(denied);
+        }
         gauges.limited.set(state.backpressure.count_limited() as i64);
         let age = state.freshness.get_age(now);
         gauges.configuration_age.set(age.map_or(-1.0, |age| age as f64 / 1_000.0));
