--- a/Makefile
+++ b/Makefile
@@ -32,9 +32,10 @@
 
 # The soak has a run of its own: its stores and servers free their ports for a while, and those of
 # another test may take them. So have the tests of versions, whose many processes would slow down tests that
-# judge latencies.
+# judge latencies, and those of brittle servers, which judge throughput and need most of a processor each.
 unit: build
-	$(CARGO) test -q --workspace --exclude standin -- --skip soak:: --skip versions:: $(SKIPPED)
+	$(CARGO) test -q --workspace --exclude standin -- --skip soak:: --skip versions:: --skip brittle_servers::brittle_ $(SKIPPED)
+	$(CARGO) test -q -p keeljunction-platform --test platform -- brittle_servers:: --test-threads=2 $(SKIPPED)
 	$(CARGO) test -q -p keeljunction-platform --test platform -- versions:: $(SKIPPED)
 	$(CARGO) test -q -p keeljunction-platform --test platform -- soak:: $(SKIPPED)
 	$(CARGO) test -q -p standin -- --test-threads=$(JOBS) $(SKIPPED)
