docs(core, gateway): plain words in comments

Nodes are queried, not asked; messages report, and do not say; what a node that shuts down must complete is not owed. Comments only, in 25 files.

--- a/crates/core/src/serving/backpressure/brittle_services.rs
+++ b/crates/core/src/serving/backpressure/brittle_services.rs
@@ -62,7 +62,7 @@
 
 impl BrittleServices {
     /// Records the signal in a response to a request that was sent at `sent_at`. Returns an
-    /// observation if it is news for other nodes.
+    /// observation if it is new to other nodes.
     pub fn record(
         &mut self,
         now: Millis,
@@ -81,7 +81,7 @@
         self.merge(now, &observation).then_some(observation)
     }
 
-    /// Merges an observation, unless a later one is known. Returns `true` if it is news for other
+    /// Merges an observation, unless a later one is known. Returns `true` if it is new to other
     /// nodes.
     pub fn merge(&mut self, now: Millis, observation: &Brittleness) -> bool {
         let Brittleness { service, max_rejections, brittle_for, age } = *observation;
--- a/crates/core/src/serving/backpressure/rate_limits.rs
+++ b/crates/core/src/serving/backpressure/rate_limits.rs
@@ -14,7 +14,7 @@
 /// The relative change of a rate above which other nodes are notified. Owners learn of smaller
 /// changes with the next request for a permit.
 const MIN_CHANGE_RATIO: f64 = 0.25;
-/// One report in this many carries observations, for nodes that just started or missed the news.
+/// One report in this many carries observations, for nodes that just started or missed the notification.
 /// Each aggregator sends five reports per second, which is more often than this needs.
 const GOSSIP_TURNS: usize = 5;
 /// The number of observations in one report.
@@ -40,7 +40,7 @@
 
 impl RateLimits {
     /// Records the limit in a response to a request that was sent at `sent_at`. Returns an
-    /// observation if it is news for other nodes.
+    /// observation if it is new to other nodes.
     ///
     /// A response without a limit ends a limit only if its request was sent after the limit was
     /// seen.
@@ -60,7 +60,7 @@
         self.merge(now, &observation).then_some(observation)
     }
 
-    /// Merges an observation, unless a later one is known. Returns `true` if it is news for other
+    /// Merges an observation, unless a later one is known. Returns `true` if it is new to other
     /// nodes.
     pub fn merge(&mut self, now: Millis, observation: &Observation) -> bool {
         let Observation { key, rate, age } = *observation;
--- a/crates/core/src/serving/backpressure/slot_pools.rs
+++ b/crates/core/src/serving/backpressure/slot_pools.rs
@@ -2,7 +2,7 @@
 //!
 //! Nodes state how many requests they have at a server, including the one that they ask for. The
 //! owner grants a slot if the sum over all nodes is within the slots. Stated counts replace each
-//! other, so a lost message is made up for by the next one, and a new owner learns all counts within
+//! other, so the next message replaces a lost one, and a new owner learns all counts within
 //! one period in which nodes repeat them.
 
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/core/src/serving/members/holders.rs
+++ b/crates/core/src/serving/members/holders.rs
@@ -2,8 +2,8 @@
 //!
 //! Nodes are ranked by rendezvous hashing of the record's key over all known nodes. Those that are not
 //! heard rank last: they have probably failed, but this node may also be the one that missed their
-//! reports. Copies lie in different data centres while there are several. More nodes are asked than
-//! hold a copy, because nodes may differ in which others they know.
+//! reports. Copies lie in different data centres while there are several. More nodes are queried
+//! than hold a copy, because nodes may differ in which others they know.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -12,9 +12,9 @@
 use crate::serving::stream_origin::{COPIES, HolderId};
 use crate::{Millis, rendezvous};
 
-/// The number of nodes that are asked for a record.
+/// The number of nodes that are queried for a record.
 const ASKED_HOLDERS: usize = 6;
-/// The number of nodes that are asked before a stream is refused because none of the first ones
+/// The number of nodes that are queried before a stream is refused because none of the first ones
 /// knows it.
 const WIDELY_ASKED_HOLDERS: usize = 24;
 
@@ -79,7 +79,7 @@
 }
 
 impl<'a> HolderRanking<'a> {
-    /// Lists the other nodes that hold a copy of a record of this node. All of them are asked for it,
+    /// Lists the other nodes that hold a copy of a record of this node. All of them are queried for it,
     /// and they are in different data centres if possible.
     pub fn list_copy_holders(&self, key: u64) -> Vec<&'a Entry> {
         let mut candidates = self.list_candidates(key);
@@ -87,12 +87,12 @@
         candidates
     }
 
-    /// Lists the nodes that are asked for the record of a key; this node may be one of them.
+    /// Lists the nodes that are queried for the record of a key; this node may be one of them.
     pub fn list_asked_holders(&self, key: u64) -> Vec<&'a Entry> {
         self.rank(key, ASKED_HOLDERS)
     }
 
-    /// Lists the other nodes that are asked if none of the first ones knows the record.
+    /// Lists the other nodes that are queried if none of the first ones knows the record.
     pub fn list_widely_asked_holders(&self, key: u64) -> Vec<&'a Entry> {
         let first = self.list_asked_holders(key);
         let all = self.rank(key, WIDELY_ASKED_HOLDERS);
@@ -101,7 +101,7 @@
     }
 
     /// Ranks the other nodes that may hold a copy of a record of this node: the first ones of each
-    /// data centre, and then the others that are asked for it.
+    /// data centre, and then the others that are queried for it.
     pub fn list_candidates(&self, key: u64) -> Vec<&'a Entry> {
         let most = COPIES.div_ceil(self.data_centres.max(1));
         let asked = self.list_asked_holders(key).into_iter();
@@ -116,7 +116,7 @@
         candidates
     }
 
-    /// Returns `true` if a live node is asked for the record of a key.
+    /// Returns `true` if a live node is queried for the record of a key.
     pub fn is_asked(&self, key: u64, node: &Entry) -> bool {
         let most = ASKED_HOLDERS.div_ceil(self.data_centres.max(1));
         let rank = weigh(key, &Candidate { entry: node, is_live: true });
--- a/crates/core/src/serving/members/mod.rs
+++ b/crates/core/src/serving/members/mod.rs
@@ -13,7 +13,7 @@
 //! two aggregators of that region, and forward the summary there unchanged. A region of which no
 //! node is heard is unreachable. Meanwhile its nodes aggregate nothing and own nothing, but still
 //! count as serving. If the connection between two regions fails in one direction only, the region
-//! that misses summaries says so in its own summaries, and the other region ignores those. Thus
+//! that misses summaries reports that in its own summaries, and the other region ignores those. Thus
 //! either both regions reach each other or neither does, and they never both admit what the other
 //! one's nodes use.
 //!
--- a/crates/core/src/serving/quarantine/crash_analyzer.rs
+++ b/crates/core/src/serving/quarantine/crash_analyzer.rs
@@ -30,7 +30,7 @@
 /// servers, so that nothing shows which of them is the cause.
 const GROUP_QUARANTINE_THRESHOLD: u32 = 5;
 /// How long after a crash requests may first be quarantined for it. Meanwhile other nodes report
-/// the crash, and nodes that completed a suspected request say so. Both messages are sent at once,
+/// the crash, and nodes that completed a suspected request report that. Both messages are sent at once,
 /// 40 ms after a connection broke, and cross at most three nodes and one region.
 const SETTLE_PERIOD_MS: Millis = 300;
 /// Reports of crashes of one server within this time are about the same crash, as seen by several
--- a/crates/core/src/serving/quarantine/mod.rs
+++ b/crates/core/src/serving/quarantine/mod.rs
@@ -10,8 +10,8 @@
 //! Each node reports the server crashes that it notices, with the fingerprints of its interrupted
 //! requests and the parts of their prompts, to the aggregator that owns the service. This owner sees all requests that ran at a
 //! server when it crashed, and looks for the smallest set of requests and parts that explains them
-//! (`crash_analyzer`). Its verdicts are gossiped to all nodes, which refuse quarantined requests
-//! from then on.
+//! (`crash_analyzer`). Its verdicts are gossiped to all nodes, which then refuse quarantined
+//! requests.
 //!
 //! | module | content |
 //! |---|---|
--- a/crates/core/src/serving/quarantine/report.rs
+++ b/crates/core/src/serving/quarantine/report.rs
@@ -8,7 +8,7 @@
 use super::Fingerprint;
 use crate::Millis;
 
-/// How long reports are kept for the next owner of the service: as long as nodes believe that a
+/// How long reports are kept for the next owner of the service: as long as nodes assume that a
 /// silent node may return.
 const REPORT_TTL_MS: Millis = 60_000;
 /// The number of reports that are kept: the crashes of all servers of a large data centre.
--- a/crates/core/src/serving/quarantine/verdict.rs
+++ b/crates/core/src/serving/quarantine/verdict.rs
@@ -8,8 +8,8 @@
 /// Whether a request crashes servers. A later standing takes precedence over an earlier one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Standing {
-    /// Two servers crashed while they ran it. It is still served, and a node that completed it says
-    /// so.
+    /// Two servers crashed while they ran it. It is still served, and a node that completed it
+    /// reports that.
     Suspected,
     /// It crashes servers and is refused.
     Quarantined,
--- a/crates/core/src/serving/server_path/relays.rs
+++ b/crates/core/src/serving/server_path/relays.rs
@@ -9,9 +9,9 @@
 
 /// Peers that a request is offered to before it fails.
 const MAX_OFFERS: usize = 3;
-/// How long a peer is not asked again after it refused.
+/// How long a peer gets no request to relay after it refused one.
 const AVOIDANCE_PERIOD_MS: Millis = 2_000;
-/// How long a peer is not asked again if it does not know how to relay.
+/// How long a peer gets no request to relay if its version cannot relay.
 const UNSUPPORTED_PERIOD_MS: Millis = 60_000;
 /// Refusing peers of the own data centre, within the avoidance period, after which the request is
 /// offered to other data centres first: the whole data centre may be cut off.
--- a/crates/core/src/serving/stream_origin/mod.rs
+++ b/crates/core/src/serving/stream_origin/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Servers of several software versions may serve side by side. What two versions write does not
 //! fit together. A node that begins a stream keeps its origin and sends copies to a few other nodes,
-//! which the node that resumes the stream asks.
+//! which the node that resumes the stream queries.
 //!
 //! | module | responsibility |
 //! |---|---|
--- a/crates/core/src/serving/stream_origin/registry.rs
+++ b/crates/core/src/serving/stream_origin/registry.rs
@@ -62,7 +62,7 @@
     /// Checks the copies of a stream's record, and returns the nodes that get one now.
     ///
     /// `is_live` returns `true` if a holder is a live member. `rank` lists the other nodes in the order
-    /// in which they are asked for the record.
+    /// in which they are queried for the record.
     pub fn plan_copies(
         &mut self,
         now: Millis,
--- a/crates/core/src/serving/stream_origin/replication.rs
+++ b/crates/core/src/serving/stream_origin/replication.rs
@@ -64,7 +64,7 @@
     /// of the next check.
     ///
     /// `is_live` returns `true` if a holder is a live member. `rank` lists the other nodes in the order
-    /// in which they are asked for the record.
+    /// in which they are queried for the record.
     pub fn plan(
         &mut self,
         now: Millis,
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -233,9 +233,9 @@
         how: &'a str,
         service: Option<&'a str>,
         version: Option<&'a str>,
-        /// Time for which other nodes were asked.
+        /// Time for which other nodes were queried.
         asked_ms: Option<u64>,
-        /// The number of nodes that were asked.
+        /// The number of nodes that were queried.
         nodes_asked: Option<usize>,
         /// The number of nodes that answered before the timeout, or up to the first record.
         nodes_answered: Option<usize>,
--- a/crates/gateway/src/exchange/notes.rs
+++ b/crates/gateway/src/exchange/notes.rs
@@ -71,7 +71,7 @@
 ) {
     let now = node.now();
     let pause = node.with(|state| match error {
-        // An attempt at an earlier incarnation of the server says nothing about the current one.
+        // An attempt at an earlier incarnation of the server is no evidence about the current one.
         _ if state.directory.is_superseded(server) => None,
         AttemptError::NotConnected => {
             state.health.record_connect_failure(now, &server.id);
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -26,7 +26,7 @@
 //! | `era_origin` | persists when the eras of the table service began |
 //! | `table` | calls the table service and tracks its eras |
 //! | `stream_origins` | records which software version began each stream |
-//! | [`stop`] | defines what a node that shuts down still owes, and leaves the other nodes |
+//! | [`stop`] | defines what a node that shuts down must still complete, and leaves the other nodes |
 
 mod active_relays;
 mod back_off;
--- a/crates/gateway/src/node/peers/mod.rs
+++ b/crates/gateway/src/node/peers/mod.rs
@@ -13,9 +13,9 @@
 //! | `relay_state` | holds the state of `summary_relay` |
 //! | `loads` | tracks and queries the load of servers if nodes report in groups |
 //! | `pending_loads` | holds pending load queries and load changes |
-//! | `quota` | asks the owner of a client account whether a request is within its limit |
+//! | `quota` | queries the owner of a client account whether a request is within its limit |
 //! | `permits` | acquires permits from the owners of limited servers |
-//! | `stream_origins` | sends and asks for the software versions that began streams |
+//! | `stream_origins` | sends and queries the software versions that began streams |
 //! | `pending_queries` | holds queries that await an answer |
 //! | `quarantine` | exchanges verdicts on requests that crash servers |
 //! | `versions` | confirms or updates the node's copies of the platform's tables |
--- a/crates/gateway/src/node/peers/permits.rs
+++ b/crates/gateway/src/node/peers/permits.rs
@@ -2,7 +2,7 @@
 //! [`keeljunction_core::serving::backpressure`]).
 //!
 //! The owner of a server is the aggregator that owns its load, which every node determines locally.
-//! A node that gets no decision sends nothing to the server for a while: a limit holds even if its
+//! A node that gets no decision sends nothing to the server for a short time: a limit holds even if its
 //! owner is unreachable, and the request goes to another server.
 
 use std::net::SocketAddr;
--- a/crates/gateway/src/node/peers/server_relay.rs
+++ b/crates/gateway/src/node/peers/server_relay.rs
@@ -31,11 +31,11 @@
 /// The ID of the server that a request is relayed to.
 const SERVER_HEADER: HeaderName = HeaderName::from_static("keeljunction-relay-server");
 /// The software version of that server, which may have been replaced under its ID; older nodes do not
-/// say.
+/// name it.
 const VERSION_HEADER: HeaderName = HeaderName::from_static("keeljunction-relay-version");
 /// The outcome of relaying a request.
 const OUTCOME_HEADER: HeaderName = HeaderName::from_static("keeljunction-relay-outcome");
-/// What declared the end of the body when the server sent it; older peers do not say. A peer sends
+/// What declared the end of the body when the server sent it; older peers omit it. A peer sends
 /// a body that ended with its connection in chunks, after which it would look declared.
 const FRAMING_HEADER: HeaderName = HeaderName::from_static("keeljunction-relay-framing");
 const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Connection];
--- a/crates/gateway/src/node/peers/slots.rs
+++ b/crates/gateway/src/node/peers/slots.rs
@@ -3,7 +3,7 @@
 //!
 //! The owner of a server is the aggregator that owns its load. A node states its requests at the
 //! server with each request for a slot, at once when a request ends, and several times per second
-//! otherwise. A node that gets no decision sends nothing to the server for a while.
+//! otherwise. A node that gets no decision sends nothing to the server for a short time.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -113,7 +113,7 @@
 }
 
 fn send_later(node: &Node, change: Change) {
-    // A full queue is made up for by the next repetition of all counts.
+    // The next repetition of all counts includes a change that does not fit.
     if node.slot_changes.0.try_send(change).is_err() {
         log::debug!("too many changes of slots are queued");
     }
@@ -220,7 +220,7 @@
     node.link.send(now, from, &Message::Slot { query_id, decision }).await;
 }
 
-/// Handles a decision. One that arrives too late is made up for by this node's next count.
+/// Handles a decision. One that arrives too late is corrected by this node's next count.
 pub(super) fn handle_decision(node: &Node, query_id: u32, decision: Decision) {
     node.pending_permits.deliver(query_id, decision);
 }
--- a/crates/gateway/src/node/peers/stream_origins.rs
+++ b/crates/gateway/src/node/peers/stream_origins.rs
@@ -1,4 +1,4 @@
-//! Exchanges copies of the origins of streams with the nodes that hold them, and asks these nodes.
+//! Exchanges copies of the origins of streams with the nodes that hold them, and queries these nodes.
 
 use std::net::SocketAddr;
 use std::slice;
@@ -26,7 +26,7 @@
 
 /// The answers of other nodes about the origin of a stream.
 pub(in crate::node) struct Inquiry {
-    /// The number of nodes that were asked.
+    /// The number of nodes that were queried.
     pub asked: usize,
     /// The answers received before the timeout, or up to the first record.
     pub answers: Vec<Answer>,
@@ -37,11 +37,11 @@
     node.link.send(node.now(), holder, &Message::StreamOrigins(batches)).await;
 }
 
-/// Asks the holders of a stream's record at once. Returns when the first one has a record, when all
+/// Queries the holders of a stream's record at once. Returns when the first one has a record, when all
 /// have answered, or after the timeout. `own` is what this node knows.
 ///
-/// If the stream would be refused, further nodes are asked: the holders may have been replaced a
-/// moment ago.
+/// If the stream would be refused, further nodes are queried: the holders may just have been
+/// replaced.
 pub(in crate::node) async fn ask(
     node: &Node,
     key: Key,
--- a/crates/gateway/src/node/peers/summary_relay.rs
+++ b/crates/gateway/src/node/peers/summary_relay.rs
@@ -108,7 +108,7 @@
 
 /// Handles a summary that a carrier of this region relayed.
 ///
-/// When the carrier last heard this node says nothing about the original sender.
+/// When the carrier last heard this node does not apply to the original sender.
 pub(super) fn handle_relayed(node: &Arc<Node>, sent: Timestamp, summary: Summary) {
     if record_summary(node, sent, &summary) {
         merge(node, None, summary);
--- a/crates/gateway/src/node/state.rs
+++ b/crates/gateway/src/node/state.rs
@@ -409,7 +409,7 @@
 
     /// Returns how long a new client connection may stay idle.
     ///
-    /// The configuration says how long clients reuse idle connections. A later configuration may
+    /// The configuration sets how long clients reuse idle connections. A later configuration may
     /// allow a longer time, and a connection must not be closed while its client may still use it.
     pub fn get_idle_timeout(&self) -> Duration {
         let known = self.with(|state| state.configuration.as_ref().map(|c| c.limits.idle_timeout));
--- a/crates/gateway/src/node/stop/mod.rs
+++ b/crates/gateway/src/node/stop/mod.rs
@@ -1,4 +1,4 @@
-//! What a node that shuts down still owes, when the steps of the shutdown happen, and how it leaves
+//! What a node that shuts down must still complete, when the steps of the shutdown happen, and how it leaves
 //! the other nodes.
 
 mod schedule;
--- a/crates/gateway/src/node/stream_origins/mod.rs
+++ b/crates/gateway/src/node/stream_origins/mod.rs
@@ -82,7 +82,7 @@
 /// A search for the origin of a stream at other nodes.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Search {
-    /// The number of nodes that were asked.
+    /// The number of nodes that were queried.
     pub asked: usize,
     /// The number of nodes that answered.
     pub answered: usize,
