refactor(node): a file each for the node, its state, and its requests in flight

`gateway` has the node now, `state` the view and its construction, `requests_in_flight` the count and its guard, `stop/times` the times of a shutdown.

No behaviour changes.

--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -12,8 +12,8 @@
 use crate::event::{self, Event};
 use crate::http::{Body, ConnectionHandle};
 use crate::metrics::{RequestLabels, ServiceLabels};
+use crate::node::InFlightGuard;
 use crate::node::Node;
-use crate::node::state::InFlightGuard;
 use crate::port::RequestHead;
 use crate::runtime::lock;
 
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -2,7 +2,9 @@
 //!
 //! | module | purpose |
 //! |---|---|
+//! | `gateway` | the node: its resources, and the messages that wait to be sent |
 //! | [`state`] | holds the node's view of the deployment |
+//! | `requests_in_flight` | counts the requests whose responses have not ended |
 //! | `process_context` | holds the resources of a process that exist before its node |
 //! | `tasks` | starts the tasks of a node |
 //! | [`watch`] | follows the configuration and the server list |
@@ -37,6 +39,7 @@
 pub mod document;
 mod era_origin;
 mod eviction_signals;
+mod gateway;
 pub(crate) mod gauges;
 pub(crate) mod interrupted_attempts;
 pub mod leader;
@@ -45,6 +48,7 @@
 mod peers;
 pub(crate) mod process_context;
 mod quarantine_rows;
+mod requests_in_flight;
 mod rollout_controller;
 mod rollout_status;
 pub(crate) mod rollouts;
@@ -62,6 +66,7 @@
 mod versions;
 pub mod watch;
 
+pub use gateway::Node;
 pub use memory::ReservationGuard;
 pub(crate) use peers::cluster::Cluster;
 pub(crate) use peers::link::Link;
@@ -73,4 +78,4 @@
 pub(crate) use peers::quota::consume as consume_units;
 pub(crate) use peers::server_relay::send as send_through_peer;
 pub(crate) use peers::slots;
-pub use state::Node;
+pub(crate) use requests_in_flight::InFlightGuard;
--- a/crates/gateway/src/node/peers/server_relay.rs
+++ b/crates/gateway/src/node/peers/server_relay.rs
@@ -25,7 +25,7 @@
 use crate::event::{self, Event};
 use crate::http::{Body, get_framing, remove_standard_hop_by_hop};
 use crate::metrics::{ReasonCounters, ReasonLabels};
-use crate::node::state::InFlightGuard;
+use crate::node::InFlightGuard;
 use crate::node::{Node, server_paths};
 
 /// The ID of the server that a request is relayed to.
--- a/crates/gateway/src/node/stop/mod.rs
+++ b/crates/gateway/src/node/stop/mod.rs
@@ -1,11 +1,13 @@
-//! What a node that shuts down must still complete, when the steps of the shutdown happen, and how it leaves
-//! the other nodes.
+//! What a node that shuts down must still complete, when the steps of the shutdown happen, and how it
+//! leaves the other nodes.
 
 mod schedule;
+mod times;
 
 use std::time::Duration;
 
 pub use schedule::Schedule;
+pub(in crate::node) use times::Times;
 
 use super::{Node, peers, stream_origins};
 use crate::obligations::Obligations;
