--- a/crates/core/src/serving/rollout/registry/counts.rs
+++ b/crates/core/src/serving/rollout/registry/counts.rs
@@ -25,7 +25,11 @@
 
 impl Rollout {
     /// Returns the counts of this node and those in reports.
-    pub(super) fn sum(&self, own_in_flight: u32, reports: &[&BTreeMap<(String, u64), Report>]) -> Report {
+    pub(super) fn sum(
+        &self,
+        own_in_flight: u32,
+        reports: &[&BTreeMap<(String, u64), Report>],
+    ) -> Report {
         let mut sum = Report {
             service: self.order.service.clone(),
             number: self.order.number,
