feat(shutdown): log the decisions on requests, the signal's delay, and requests cut off at the exit

Requests that were open when a process exited left no line, and neither did the decision to begin them, so that the hypotheses of the incident could not be told apart. Each decision is logged with its inputs; the stop logs for how long the signal may have been pending (the time since the last but one of the beats that show that the process ran, 100 ms apart); the connections that are open at the exit are closed by the process, which ends and logs their requests.

--- a/crates/core/src/serving/shutdown.rs
+++ b/crates/core/src/serving/shutdown.rs
@@ -26,13 +26,24 @@
 }
 
 impl Shutdown {
-    /// Returns `true` if a request on a route is begun. It is abandoned after `timeout` in any case.
-    pub fn admits(&self, times: &ResponseTimes, route: &str, timeout: Millis) -> bool {
-        let estimate = match self.elapsed < EARLY_PERIOD_MS {
-            true => times.estimate(route).unwrap_or(0),
-            false => times.get_longest(route).map_or(Millis::MAX, extend),
-        };
-        estimate.min(timeout) <= self.remaining
+    /// Returns the time that a request on a route is expected to take, or `None` if too few recent
+    /// responses are known.
+    pub fn estimate(&self, times: &ResponseTimes, route: &str) -> Option<Millis> {
+        match self.is_early() {
+            true => times.estimate(route),
+            false => times.get_longest(route).map(extend),
+        }
+    }
+
+    /// Returns `true` if a request that is expected to take a time is begun. It is abandoned after
+    /// `timeout` in any case.
+    pub fn admits(&self, expected: Option<Millis>, timeout: Millis) -> bool {
+        let unknown = if self.is_early() { 0 } else { Millis::MAX };
+        expected.unwrap_or(unknown).min(timeout) <= self.remaining
+    }
+
+    fn is_early(&self) -> bool {
+        self.elapsed < EARLY_PERIOD_MS
     }
 }
 
--- a/crates/core/tests/serving/shutdown.rs
+++ b/crates/core/tests/serving/shutdown.rs
@@ -6,6 +6,11 @@
 const ROUTE: &str = "chat";
 const TIMEOUT: u64 = 15_000;
 
+/// Returns `true` if a request is begun after the given response times.
+fn is_begun(shutdown: Shutdown, times: &ResponseTimes, timeout: u64) -> bool {
+    shutdown.admits(shutdown.estimate(times, ROUTE), timeout)
+}
+
 /// Returns the times of ten responses, one of which took long.
 fn times(usual: u64, longest: u64) -> ResponseTimes {
     let mut times = ResponseTimes::default();
@@ -17,24 +22,24 @@
 #[test]
 fn a_request_is_begun_early_in_a_shutdown_if_it_usually_ends_before_the_exit() {
     let shutdown = Shutdown { elapsed: 2_800, remaining: 4_700 };
-    assert!(shutdown.admits(&times(4_000, 9_000), ROUTE, TIMEOUT));
-    assert!(shutdown.admits(&ResponseTimes::default(), ROUTE, TIMEOUT));
-    assert!(!shutdown.admits(&times(5_000, 9_000), ROUTE, TIMEOUT));
+    assert!(is_begun(shutdown, &times(4_000, 9_000), TIMEOUT));
+    assert!(is_begun(shutdown, &ResponseTimes::default(), TIMEOUT));
+    assert!(!is_begun(shutdown, &times(5_000, 9_000), TIMEOUT));
 }
 
 /// Guards against responses that are cut off at the exit although their requests came late in the shutdown.
 #[test]
 fn a_late_request_is_begun_only_if_it_almost_certainly_ends_before_the_exit() {
     let shutdown = Shutdown { elapsed: 3_000, remaining: 4_500 };
-    assert!(!shutdown.admits(&times(4_000, 7_000), ROUTE, TIMEOUT));
-    assert!(!shutdown.admits(&times(100, 3_100), ROUTE, TIMEOUT));
-    assert!(shutdown.admits(&times(100, 3_000), ROUTE, TIMEOUT));
-    assert!(!shutdown.admits(&ResponseTimes::default(), ROUTE, TIMEOUT));
+    assert!(!is_begun(shutdown, &times(4_000, 7_000), TIMEOUT));
+    assert!(!is_begun(shutdown, &times(100, 3_100), TIMEOUT));
+    assert!(is_begun(shutdown, &times(100, 3_000), TIMEOUT));
+    assert!(!is_begun(shutdown, &ResponseTimes::default(), TIMEOUT));
 }
 
 #[test]
 fn a_request_that_is_abandoned_before_the_exit_is_begun() {
     let shutdown = Shutdown { elapsed: 5_000, remaining: 2_500 };
-    assert!(shutdown.admits(&ResponseTimes::default(), ROUTE, 2_500));
-    assert!(!shutdown.admits(&ResponseTimes::default(), ROUTE, 2_501));
+    assert!(is_begun(shutdown, &ResponseTimes::default(), 2_500));
+    assert!(!is_begun(shutdown, &ResponseTimes::default(), 2_501));
 }
--- a/crates/gateway/benches/log.rs
+++ b/crates/gateway/benches/log.rs
@@ -47,6 +47,7 @@
         retry_after_ms: None,
         version: Some(7),
         age_ms: Some(400),
+        stopping_ms: None,
     }
 }
 
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -23,8 +23,22 @@
         peers: SocketAddr,
         metrics: SocketAddr,
     },
-    /// The node began to shut down.
-    Stopping { in_flight: usize, open: Obligations },
+    /// The node began to shut down. The stop signal may have been sent up to `signal_delay_ms` before.
+    Stopping { in_flight: usize, open: Obligations, signal_delay_ms: u64 },
+    /// The node decided whether to begin a request while it shuts down.
+    StoppingRequestDecided {
+        request: &'a str,
+        route: &'a str,
+        is_begun: bool,
+        /// Time since the shutdown began.
+        elapsed_ms: u64,
+        /// Time until the process exits.
+        remaining_ms: u64,
+        /// The time that the request is expected to take, or `None` if nothing is known of its route.
+        expected_ms: Option<u64>,
+        /// Time after which the request is abandoned in any case.
+        timeout_ms: u64,
+    },
     /// The node shut down. Unless `is_whole` is set, it left something open.
     Stopped { is_whole: bool, in_flight: usize, open: Obligations, stopped_after_ms: u64 },
     /// The process was paused; for `suspended_ms` of that, its machine was suspended.
@@ -286,6 +300,9 @@
         retry_after_ms: Option<u64>,
         version: Option<u64>,
         age_ms: Option<u64>,
+        /// Time since the node began to shut down, if it did.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        stopping_ms: Option<u64>,
     },
 }
 
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -21,6 +21,7 @@
 use super::quota_charge::{QuotaCharge, consume_quota};
 use super::respond::{RefusalResponse, RequestRecord};
 use super::upload::{BodyLimits, IncomingBody, Upload};
+use crate::event::{self, Event};
 use crate::http::remove_hop_by_hop;
 use crate::node::Node;
 use crate::node::interrupted_attempts::InterruptedAttempt;
@@ -124,7 +125,7 @@
             .cloned();
         record.account = account.as_ref().map(|account| account.name.clone());
         let timeout = deadline_ms.min(route.timeout);
-        if !can_end_before_exit(node, &route.name, now + timeout) {
+        if !can_end_before_exit(node, &record.id, &route.name, now + timeout) {
             return Err(reject(Refusal::Stopping, STOPPING_RETRY_AFTER_MS));
         }
         let caller_deadline = now + deadline_ms;
@@ -168,7 +169,7 @@
             .await
             .map_err(|rejection| rejection.with_time_remaining(deadline_ms))?;
         // The body may have taken seconds.
-        if !can_end_before_exit(node, &route.name, now + timeout) {
+        if !can_end_before_exit(node, &record.id, &route.name, now + timeout) {
             return Err(reject(Refusal::Stopping, STOPPING_RETRY_AFTER_MS));
         }
         let fingerprint = compute_fingerprint(&parts, name, &body);
@@ -275,11 +276,22 @@
 
 /// Returns `false` if the node is shutting down, and a request that begins now would probably not end
 /// before the exit. It is abandoned at `deadline`.
-fn can_end_before_exit(node: &Node, route: &str, deadline: Millis) -> bool {
+fn can_end_before_exit(node: &Node, request: &str, route: &str, deadline: Millis) -> bool {
     let now = node.now();
     let Some(shutdown) = node.get_shutdown(now) else { return true };
     let timeout = deadline.saturating_sub(now);
-    node.with(|state| shutdown.admits(&state.response_times, route, timeout))
+    let expected = node.with(|state| shutdown.estimate(&state.response_times, route));
+    let is_begun = shutdown.admits(expected, timeout);
+    event::emit(&Event::StoppingRequestDecided {
+        request,
+        route,
+        is_begun,
+        elapsed_ms: shutdown.elapsed,
+        remaining_ms: shutdown.remaining,
+        expected_ms: expected,
+        timeout_ms: timeout,
+    });
+    is_begun
 }
 
 /// Returns the size of the request head on the wire, in bytes.
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -202,7 +202,9 @@
 
 impl Drop for RequestRecord {
     fn drop(&mut self) {
-        let total = self.node.now().saturating_sub(self.arrived_at);
+        let now = self.node.now();
+        let total = now.saturating_sub(self.arrived_at);
+        let shutdown = self.node.get_shutdown(now);
         let DeliveryState { first_token, longest_gap, .. } = self.delivery.get();
         self.outcome = self.delivery.get_outcome(self.outcome);
         let text = |name: &Option<String>| name.clone().unwrap_or_default();
@@ -244,6 +246,7 @@
             retry_after_ms: self.retry_after,
             version: self.configuration_version,
             age_ms: self.configuration_age,
+            stopping_ms: shutdown.map(|shutdown| shutdown.elapsed),
         });
     }
 }
--- a/crates/gateway/src/http/server.rs
+++ b/crates/gateway/src/http/server.rs
@@ -214,7 +214,10 @@
         None | Some(Stop::Abandon) => {}
         Some(Stop::AfterResponse) => {
             http_connection.as_mut().graceful_shutdown();
-            let _ = drive(http_connection, &write_state).await;
+            let responded = async {
+                let _ = drive(http_connection, &write_state).await;
+            };
+            future::or(responded, shutdown.responding.wait()).await;
         }
     }
 }
--- a/crates/gateway/src/http/shutdown.rs
+++ b/crates/gateway/src/http/shutdown.rs
@@ -35,7 +35,7 @@
 
 /// The steps of a server's shutdown, each with its signal.
 ///
-/// Between the two, a connection on which a request is under way is served: a client that was
+/// Between the first two, a connection on which a request is under way is served: a client that was
 /// directed here before the listener closed may not have sent its whole request head yet.
 #[derive(Clone, Debug, Default)]
 pub struct Shutdown {
@@ -44,4 +44,6 @@
     pub accepting: StopSignal,
     /// Closes connections whose request head is incomplete.
     pub reading: StopSignal,
+    /// Closes all connections, whatever is under way.
+    pub responding: StopSignal,
 }
--- a/crates/gateway/src/node/gateway.rs
+++ b/crates/gateway/src/node/gateway.rs
@@ -102,6 +102,8 @@
     pub(super) active_fetches: ActiveFetches,
     /// Requests that this node relays for others.
     pub(super) active_relays: ActiveRelays,
+    /// Records when the process ran.
+    pub(super) heartbeat: stop::Heartbeat,
     /// When the shutdown began, and when the process exits, once it is shutting down.
     stop_times: stop::Times,
     requests_in_flight: RequestsInFlight,
@@ -126,6 +128,7 @@
         metrics.register_cross_region_bytes(link.get_cross_region_bytes_by_region());
         metrics.register_sent_messages(link.get_sent_messages());
         metrics.register_ignored_datagrams(link.get_ignored());
+        let heartbeat = stop::Heartbeat::new(clock.now());
         Arc::new(Self {
             settings,
             platform,
@@ -151,6 +154,7 @@
             state: Mutex::new(state),
             active_fetches: ActiveFetches::default(),
             active_relays: ActiveRelays::default(),
+            heartbeat,
             stop_times: stop::Times::default(),
             requests_in_flight: RequestsInFlight::default(),
         })
@@ -247,6 +251,12 @@
         self.stop_times.begin(self.now(), &schedule).then_some(schedule)
     }
 
+    /// Returns for how long a stop signal that is seen now may have been pending.
+    pub fn get_signal_delay(&self) -> Duration {
+        let sent_at = self.heartbeat.get_earliest_signal();
+        Duration::from_millis(self.now().saturating_sub(sent_at))
+    }
+
     /// Returns the progress of the shutdown, or `None` if the node is not shutting down.
     pub fn get_shutdown(&self, now: Millis) -> Option<shutdown::Shutdown> {
         self.stop_times.get_progress(now)
--- /dev/null
+++ b/crates/gateway/src/node/stop/heartbeat.rs
@@ -0,0 +1,54 @@
+//! Records when the process ran, which bounds when a stop signal was sent.
+//!
+//! A signal does not say when it was sent. A process that gets no processor time sees it late, and
+//! so does one whose executor is busy. Everything that others count from the signal, such as the
+//! time until they kill the process, has begun by then.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use keeljunction_core::Millis;
+
+use crate::node::Node;
+use crate::runtime;
+
+/// The interval between two beats.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// The times of the last two beats, on the node's clock.
+#[derive(Debug)]
+pub(in crate::node) struct Heartbeat {
+    last: AtomicU64,
+    before: AtomicU64,
+}
+
+impl Heartbeat {
+    /// Creates the heartbeat of a process that runs now.
+    pub(in crate::node) fn new(now: Millis) -> Self {
+        Self { last: AtomicU64::new(now), before: AtomicU64::new(now) }
+    }
+
+    /// Records that the process runs now.
+    pub(in crate::node) fn beat(&self, now: Millis) {
+        let last = self.last.swap(now, Ordering::Relaxed);
+        self.before.store(last, Ordering::Relaxed);
+    }
+
+    /// Returns the earliest time at which a signal that is seen now may have been sent.
+    ///
+    /// That is the beat before the last: after a pause, the last one may come before the signal is
+    /// handled.
+    pub(in crate::node) fn get_earliest_signal(&self) -> Millis {
+        self.before.load(Ordering::Relaxed)
+    }
+}
+
+/// Beats until the process ends.
+pub(in crate::node) fn start(node: &Arc<Node>) {
+    let node = node.clone();
+    runtime::spawn_periodic(INTERVAL, move || {
+        node.heartbeat.beat(node.now());
+        std::future::ready(())
+    });
+}
--- a/crates/gateway/src/process/stop.rs
+++ b/crates/gateway/src/process/stop.rs
@@ -21,13 +21,20 @@
 use crate::runtime;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// The timeout for closing the connections that are open at the exit.
+const ABANDON_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Shuts down: serves new requests until the load balancer has noticed, and then all that are under
 /// way, up to the grace period.
 pub async fn run(node: &Arc<Node>) {
     let Some(schedule) = node.begin_stop() else { return };
     let obligations = stop::list_obligations(node);
-    event::emit(&Event::Stopping { in_flight: obligations.requests, open: obligations });
+    let signal_delay_ms = node.get_signal_delay().as_millis() as u64;
+    event::emit(&Event::Stopping {
+        in_flight: obligations.requests,
+        open: obligations,
+        signal_delay_ms,
+    });
     let started_at = runtime::boottime_now();
     runtime::sleep(schedule.accepts_for).await;
     node.shutdown.accepting.send();
@@ -36,6 +43,21 @@
     let open = stop::list_obligations(node);
     let stopped_after_ms = (runtime::boottime_now() - started_at).as_millis() as u64;
     event::emit(&Event::Stopped { is_whole, in_flight: open.requests, open, stopped_after_ms });
+    abandon_open(node).await;
+}
+
+/// Closes the connections that are still open, so that the end of each request is logged.
+async fn abandon_open(node: &Node) {
+    node.shutdown.responding.send();
+    let closed = runtime::timeout(ABANDON_TIMEOUT, async {
+        while node.get_in_flight() > 0 {
+            runtime::sleep(POLL_INTERVAL).await;
+        }
+    });
+    if closed.await.is_none() {
+        let open = node.get_in_flight();
+        log::warn!("{open} requests were still open when the process exited");
+    }
 }
 
 /// Waits until the node has no obligations. Returns `false` if it still has some at the end.
