fix(shutdown): count from when the stop signal may have been sent

What callers saw: a stream that was sent 3.2 s after SIGTERM was begun, and its connection closed in the middle at the exit.

Cause: all times of a shutdown counted from when the process saw the signal. A process that gets no processor time, or whose executor is busy, sees it late: it took late requests for early ones, which are begun if nine in ten like them end in time, and believed to have more time left than the platform grants. Class: a time counted from when a process saw something as if it had happened then.

Change: beats, 100 ms apart, show when the process ran; the signal may have been sent any time since the last but one. Decisions count from there. The exit comes earlier by that time, at most by its margin of 500 ms, since the signal may also be fresh. The other steps count from when others can see that the node stops.

Ruled out: a handler that takes the time itself, which a process without processor time runs late too; refusing everything late.

--- a/crates/core/src/serving/shutdown.rs
+++ b/crates/core/src/serving/shutdown.rs
@@ -10,18 +10,17 @@
 use super::response_times::ResponseTimes;
 use crate::Millis;
 
-/// The time after the stop signal in which callers may not know of the shutdown, less 100 ms for the signal
-/// to arrive.
-const EARLY_PERIOD_MS: Millis = 2_900;
+/// The time after the stop signal in which callers may not know of the shutdown.
+const EARLY_PERIOD_MS: Millis = 3_000;
 /// The factor between the longest recent response of a route and the longest expected one.
 const TAIL_FACTOR: f64 = 1.5;
 
 /// The progress of a shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shutdown {
-    /// Time since the stop signal.
+    /// Time since the stop signal may have been sent.
     pub elapsed: Millis,
-    /// Time until the process exits.
+    /// Time until the process exits, if the signal was sent then.
     pub remaining: Millis,
 }
 
--- a/crates/gateway/src/node/gateway.rs
+++ b/crates/gateway/src/node/gateway.rs
@@ -242,13 +242,17 @@
         self.stop_times.is_set()
     }
 
-    /// Begins the shutdown, and returns when its steps happen, or `None` if it had already begun.
+    /// Begins the shutdown after a stop signal, and returns when its steps happen, or `None` if it had
+    /// already begun.
     pub fn begin_stop(&self) -> Option<Schedule> {
         let grace = Duration::from_secs_f64(self.settings.bounds.grace_s);
         let known = self.with(|state| state.configuration.as_ref().map(|c| c.limits.head_timeout));
         let head_timeout = Duration::from_millis(known.unwrap_or(DEFAULT_CLIENT_HEAD_MS));
         let schedule = Schedule::new(grace, head_timeout);
-        self.stop_times.begin(self.now(), &schedule).then_some(schedule)
+        let signalled_at = self.heartbeat.get_earliest_signal();
+        let delay = Duration::from_millis(self.now().saturating_sub(signalled_at));
+        let has_begun = self.stop_times.begin(signalled_at, &schedule);
+        has_begun.then(|| schedule.after_delay(delay))
     }
 
     /// Returns for how long a stop signal that is seen now may have been pending.
--- a/crates/gateway/src/node/stop/schedule.rs
+++ b/crates/gateway/src/node/stop/schedule.rs
@@ -14,7 +14,11 @@
 /// the requests that begin at its end.
 const HEAD_FRACTION: f64 = 0.65;
 
-/// When the steps of a shutdown happen, as times since the stop signal.
+/// The most by which a delayed signal advances the exit. A signal may also have been sent just before
+/// it was seen, and a response must not be cut off long before the process is killed.
+const MAX_ADVANCE: Duration = EXIT_MARGIN;
+
+/// When the steps of a shutdown happen, as times since the stop signal was seen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Schedule {
     /// Time for which new connections are accepted.
@@ -41,4 +45,11 @@
             ends_after,
         }
     }
+
+    /// Returns the schedule if the signal may have been pending for some time when it was seen: the
+    /// process exits earlier. The other steps count from when others can see that it stops.
+    pub fn after_delay(self, delay: Duration) -> Self {
+        let ends_after = self.ends_after.saturating_sub(delay.min(MAX_ADVANCE));
+        Self { ends_after: ends_after.max(self.accepts_for), ..self }
+    }
 }
--- a/crates/gateway/src/node/stop/times.rs
+++ b/crates/gateway/src/node/stop/times.rs
@@ -1,4 +1,4 @@
-//! When the shutdown of a node began, and when its process exits.
+//! When the shutdown of a node began, and when its process must have exited.
 
 use std::sync::OnceLock;
 
@@ -14,15 +14,18 @@
 /// The times of a shutdown, on the node's clock.
 #[derive(Clone, Copy, Debug)]
 struct Span {
-    began_at: Millis,
+    /// The earliest time at which the stop signal may have been sent.
+    signalled_at: Millis,
+    /// When the process exits, if the signal was sent then.
     exits_at: Millis,
 }
 
 impl Times {
-    /// Begins the shutdown; returns `false` if it had already begun.
-    pub(in crate::node) fn begin(&self, now: Millis, schedule: &Schedule) -> bool {
-        let exits_at = now + schedule.ends_after.as_millis() as Millis;
-        self.0.set(Span { began_at: now, exits_at }).is_ok()
+    /// Begins the shutdown, given the earliest time at which the stop signal may have been sent;
+    /// returns `false` if it had already begun.
+    pub(in crate::node) fn begin(&self, signalled_at: Millis, schedule: &Schedule) -> bool {
+        let exits_at = signalled_at + schedule.ends_after.as_millis() as Millis;
+        self.0.set(Span { signalled_at, exits_at }).is_ok()
     }
 
     /// Returns `true` if the shutdown has begun.
@@ -32,8 +35,8 @@
 
     /// Returns the progress of the shutdown, or `None` if it has not begun.
     pub(in crate::node) fn get_progress(&self, now: Millis) -> Option<shutdown::Shutdown> {
-        let Span { began_at, exits_at } = *self.0.get()?;
-        let elapsed = now.saturating_sub(began_at);
+        let Span { signalled_at, exits_at } = *self.0.get()?;
+        let elapsed = now.saturating_sub(signalled_at);
         Some(shutdown::Shutdown { elapsed, remaining: exits_at.saturating_sub(now) })
     }
 }
