fix(shutdown): let open responses show how long others take

What callers saw: a stream that was sent 3.2 s after SIGTERM was begun although an older one on its route had run for 3.5 s, and was cut off at the exit.

Cause: the expected time was drawn from responses that had ended. While servers become slower, the long ones have not ended, and those that callers or time-outs abandon never count. Class: an estimate from completed work only.

Change: open responses count with their age, for the longest and, once they have taken longer than usual, for the usual time; abandoned ones count if they took longer than all known ones.

Ruled out: refusing more at all times; with no older response open, nothing changes.

--- a/crates/core/src/serving/shutdown.rs
+++ b/crates/core/src/serving/shutdown.rs
@@ -27,10 +27,10 @@
 impl Shutdown {
     /// Returns the time that a request on a route is expected to take, or `None` if too few recent
     /// responses are known.
-    pub fn estimate(&self, times: &ResponseTimes, route: &str) -> Option<Millis> {
+    pub fn estimate(&self, now: Millis, times: &ResponseTimes, route: &str) -> Option<Millis> {
         match self.is_early() {
-            true => times.estimate(route),
-            false => times.get_longest(route).map(extend),
+            true => times.estimate(now, route),
+            false => times.get_longest(now, route).map(extend),
         }
     }
 
--- a/crates/core/tests/serving/shutdown.rs
+++ b/crates/core/tests/serving/shutdown.rs
@@ -5,10 +5,11 @@
 
 const ROUTE: &str = "chat";
 const TIMEOUT: u64 = 15_000;
+const NOW: u64 = 1_000_000;
 
 /// Returns `true` if a request is begun after the given response times.
 fn is_begun(shutdown: Shutdown, times: &ResponseTimes, timeout: u64) -> bool {
-    shutdown.admits(shutdown.estimate(times, ROUTE), timeout)
+    shutdown.admits(shutdown.estimate(NOW, times, ROUTE), timeout)
 }
 
 /// Returns the times of ten responses, one of which took long.
@@ -43,3 +44,25 @@
     assert!(is_begun(shutdown, &ResponseTimes::default(), 2_500));
     assert!(!is_begun(shutdown, &ResponseTimes::default(), 2_501));
 }
+
+/// Guards against an expected time that is drawn from responses that have ended, while servers become
+/// slower and those that take long have not.
+#[test]
+fn an_open_response_shows_how_long_others_take() {
+    let mut times = times(100, 200);
+    times.begin(ROUTE, NOW - 4_000);
+    let late = Shutdown { elapsed: 3_100, remaining: 4_400 };
+    assert!(!is_begun(late, &times, TIMEOUT));
+    times.end(ROUTE, NOW - 4_000);
+    assert!(is_begun(late, &times, TIMEOUT));
+}
+
+#[test]
+fn open_responses_that_take_longer_than_usual_raise_the_usual_time() {
+    let mut times = times(100, 200);
+    let early = Shutdown { elapsed: 1_000, remaining: 6_500 };
+    times.begin(ROUTE, NOW - 7_000);
+    assert!(is_begun(early, &times, TIMEOUT));
+    times.begin(ROUTE, NOW - 7_500);
+    assert!(!is_begun(early, &times, TIMEOUT));
+}
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -174,6 +174,7 @@
         }
         let fingerprint = compute_fingerprint(&parts, name, &body);
         record.fingerprint = Some(fingerprint);
+        record.record_admission(&route.name);
         if let Some((_, quarantined_for)) = node.find_quarantined(&[fingerprint]) {
             return Err(reject(Refusal::Quarantined, quarantined_for));
         }
@@ -280,7 +281,7 @@
     let now = node.now();
     let Some(shutdown) = node.get_shutdown(now) else { return true };
     let timeout = deadline.saturating_sub(now);
-    let expected = node.with(|state| shutdown.estimate(&state.response_times, route));
+    let expected = node.with(|state| shutdown.estimate(now, &state.response_times, route));
     let is_begun = shutdown.admits(expected, timeout);
     event::emit(&Event::StoppingRequestDecided {
         request,
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -24,6 +24,7 @@
 //! | `flow` | holds the state of a response body that is being forwarded |
 //! | `callers` | disconnects callers that have stopped reading |
 //! | `rejection` | holds the reason why a request ends without a response |
+//! | `open_response` | tracks for how long a response has been open |
 //! | `respond` | writes rejections, and logs and counts the end of each request |
 
 mod admission;
@@ -36,6 +37,7 @@
 mod flow;
 mod load_guard;
 mod notes;
+mod open_response;
 mod origin;
 mod pick;
 mod pin;
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -9,6 +9,7 @@
 use keeljunction_core::serving::refusal::Refusal;
 use keeljunction_core::serving::response_body::Framing;
 
+use super::open_response::OpenResponse;
 use crate::event::{self, Event};
 use crate::http::{Body, ConnectionHandle};
 use crate::metrics::{RequestLabels, ServiceLabels};
@@ -128,6 +129,8 @@
     pub fingerprint: Option<Fingerprint>,
     status: u16,
     outcome: &'static str,
+    /// The server's response, from the admission of the request until it ends.
+    open_response: Option<OpenResponse>,
     /// Time from the arrival of the request to the end of the server's response.
     response_time: Option<Millis>,
     retry_after: Option<u64>,
@@ -155,6 +158,7 @@
             fingerprint: None,
             status: 0,
             outcome: "left",
+            open_response: None,
             response_time: None,
             retry_after: None,
         }
@@ -176,8 +180,22 @@
         self.outcome = outcome;
     }
 
+    /// Records that the request was admitted, so that it waits for a response from now on.
+    pub fn record_admission(&mut self, route: &str) {
+        self.open_response = Some(OpenResponse::begin(&self.node, route, self.arrived_at));
+    }
+
+    /// Records that the server's response is complete.
+    pub fn record_complete_response(&mut self) {
+        if let Some(open) = self.open_response.take() {
+            open.complete();
+        }
+        self.record_response_end();
+    }
+
     /// Records that the server's response has ended. The caller may read the rest of it later.
     pub fn record_response_end(&mut self) {
+        self.open_response = None;
         self.response_time = Some(self.node.now().saturating_sub(self.arrived_at));
     }
 
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -266,10 +266,13 @@
     }
 
     fn stop(&mut self, end: StreamEnd) {
-        self.record.record_response_end();
-        if let StreamEnd::Broken(why) = end {
-            self.record
-                .set_outcome(self.status, if why == "timeout" { "cut_by_timeout" } else { "cut" });
+        match end {
+            StreamEnd::Complete => self.record.record_complete_response(),
+            StreamEnd::Broken(why) => {
+                self.record.record_response_end();
+                let outcome = if why == "timeout" { "cut_by_timeout" } else { "cut" };
+                self.record.set_outcome(self.status, outcome);
+            }
         }
         self.body = None;
         self.load = None;
