fix(shutdown): draw no expected times from error responses

What callers saw: a stream that was sent 3.2 s after SIGTERM was begun and cut off at the exit, after the servers had answered its route with errors.

Cause: error responses that were passed on to their callers counted as response times, and they are short. Now successes alone count.

--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -243,8 +243,10 @@
                 metrics.longest_gap.get_or_create(&labels).observe(gap as f64 / 1_000.0);
             }
         }
-        if let (ANSWERED, Some(route), Some(time)) = (self.outcome, &self.route, self.response_time)
-        {
+        // An error response tells nothing about how long a complete one takes.
+        let is_success = self.outcome == ANSWERED && (200..300).contains(&self.status);
+        let response_time = self.response_time.filter(|_| is_success);
+        if let (Some(route), Some(time)) = (&self.route, response_time) {
             self.node.with(|state| state.response_times.record(route, time));
         }
         let fingerprint = self.fingerprint.filter(|_| self.outcome != ANSWERED);
