fix(shutdown): decide again before a declined request is sent to another server

What callers saw: a server declined a stream 3.5 s after SIGTERM, another one began it, and the exit cut it off.

Cause: whether a request can end before the exit was decided once, when it arrived and when its body was read. A server may hold it in its queue for seconds and decline it. Class: a decision that is acted on later than it was made.

Change: it is decided again before another attempt, if no server can have run the request; its caller gets 503 at once and can use another node. The decision has a module of its own.

--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -20,8 +20,8 @@
 use super::pin::Pin;
 use super::quota_charge::{QuotaCharge, consume_quota};
 use super::respond::{RefusalResponse, RequestRecord};
+use super::stopping;
 use super::upload::{BodyLimits, IncomingBody, Upload};
-use crate::event::{self, Event};
 use crate::http::remove_hop_by_hop;
 use crate::node::Node;
 use crate::node::interrupted_attempts::InterruptedAttempt;
@@ -33,8 +33,6 @@
 /// Minimum `Retry-After` of a client account over its quota. Units that are refilled earlier go to
 /// the requests that arrived first.
 const MIN_QUOTA_RETRY_AFTER_MS: Millis = 500;
-/// `Retry-After` if this node is shutting down. Other nodes can serve the request at once.
-const STOPPING_RETRY_AFTER_MS: Millis = 1;
 /// `Retry-After` if this node's configuration is missing or stale. It covers two rounds of queries
 /// to other nodes.
 const STALE_RETRY_AFTER_MS: Millis = 400;
@@ -125,8 +123,8 @@
             .cloned();
         record.account = account.as_ref().map(|account| account.name.clone());
         let timeout = deadline_ms.min(route.timeout);
-        if !can_end_before_exit(node, &record.id, &route.name, now + timeout) {
-            return Err(reject(Refusal::Stopping, STOPPING_RETRY_AFTER_MS));
+        if !stopping::can_end(node, &record.id, &route.name, now + timeout) {
+            return Err(reject(Refusal::Stopping, stopping::RETRY_AFTER_MS));
         }
         let caller_deadline = now + deadline_ms;
         let resume_request = ResumeRequest {
@@ -169,8 +167,8 @@
             .await
             .map_err(|rejection| rejection.with_time_remaining(deadline_ms))?;
         // The body may have taken seconds.
-        if !can_end_before_exit(node, &record.id, &route.name, now + timeout) {
-            return Err(reject(Refusal::Stopping, STOPPING_RETRY_AFTER_MS));
+        if !stopping::can_end(node, &record.id, &route.name, now + timeout) {
+            return Err(reject(Refusal::Stopping, stopping::RETRY_AFTER_MS));
         }
         let fingerprint = compute_fingerprint(&parts, name, &body);
         record.fingerprint = Some(fingerprint);
@@ -275,26 +273,6 @@
 /// Number of route priorities that one client account priority counts for.
 const ACCOUNT_PRIORITY_FACTOR: u32 = 3;
 
-/// Returns `false` if the node is shutting down, and a request that begins now would probably not end
-/// before the exit. It is abandoned at `deadline`.
-fn can_end_before_exit(node: &Node, request: &str, route: &str, deadline: Millis) -> bool {
-    let now = node.now();
-    let Some(shutdown) = node.get_shutdown(now) else { return true };
-    let timeout = deadline.saturating_sub(now);
-    let expected = node.with(|state| shutdown.estimate(now, &state.response_times, route));
-    let is_begun = shutdown.admits(expected, timeout);
-    event::emit(&Event::StoppingRequestDecided {
-        request,
-        route,
-        is_begun,
-        elapsed_ms: shutdown.elapsed,
-        remaining_ms: shutdown.remaining,
-        expected_ms: expected,
-        timeout_ms: timeout,
-    });
-    is_begun
-}
-
 /// Returns the size of the request head on the wire, in bytes.
 fn get_head_bytes(parts: &Parts) -> usize {
     let line =
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -15,6 +15,7 @@
 use super::progress::{AttemptProgress, Tried};
 use super::rejection::Rejection;
 use super::respond::{RefusalResponse, RequestRecord};
+use super::stopping;
 use crate::event::{self, Event};
 use crate::metrics::ReasonLabels;
 use crate::node::{Node, permits, rollouts, server_paths};
@@ -170,6 +171,9 @@
     if let Some(quarantined_for) = exchange.get_quarantine_remaining(node) {
         return Err(progress.reject_quarantined(quarantined_for));
     }
+    if !can_begin_elsewhere(node, exchange, progress) {
+        return Err(progress.reject(Refusal::Stopping, stopping::RETRY_AFTER_MS));
+    }
     if has_crashed_servers(node, exchange, progress) {
         return Err(progress.reject(Refusal::BrokenAnswer, 0));
     }
@@ -195,6 +199,16 @@
     Ok(pick)
 }
 
+/// Returns `false` if the node is shutting down, a server has declined the request meanwhile, and it
+/// would probably not end before the exit at another one. Its caller can use another node.
+fn can_begin_elsewhere(node: &Node, exchange: &Exchange, progress: &AttemptProgress) -> bool {
+    if progress.may_have_run || progress.tried.all.is_empty() {
+        return true;
+    }
+    let request = exchange.head.id.as_deref().unwrap_or("");
+    stopping::can_end(node, request, &exchange.route.name, exchange.deadline)
+}
+
 /// Checks that the request may still be sent to the server whose selection started at `started_at`.
 fn check_before_send(
     node: &Node,
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -25,6 +25,7 @@
 //! | `callers` | disconnects callers that have stopped reading |
 //! | `rejection` | holds the reason why a request ends without a response |
 //! | `open_response` | tracks for how long a response has been open |
+//! | `stopping` | decides which requests a node that shuts down still sends to servers |
 //! | `respond` | writes rejections, and logs and counts the end of each request |
 
 mod admission;
@@ -49,6 +50,7 @@
 mod server_body;
 mod signals;
 mod source;
+mod stopping;
 mod upload;
 mod way;
 
