fix(streams): confirm the only version as of the resume

What callers saw: streams that had begun at servers of a new version broke, were taken up at a node that was cut off or stood still while these servers joined, and went on at a server of the former version.

Cause: a node took what it once knew for what is true now. A node without a record of a stream went on at the only version that it knew if its history counted as complete, although nothing confirmed the history since it was cut off.

Ruled out: holders that answer wrongly.

Change: that one version alone is possible is now confirmed by a read of the server list and of the rows of versions that begins after the resume arrived. Readers of the tables read themselves, other nodes ask two readers (`ConfirmStreamOrigin`) and read themselves if none answers. Without a confirmation the request is refused at once. Nodes of earlier code ignore the new message, and their answers confirm nothing any more.

--- a/crates/core/src/serving/stream_origin/answer.rs
+++ b/crates/core/src/serving/stream_origin/answer.rs
@@ -22,6 +22,25 @@
     pub fn is_recorded(&self) -> bool {
         !matches!(self, Self::Unknown(_))
     }
+
+    /// Returns `true` if the node has a record of the stream, or knows that no other origins than those
+    /// that it names are possible.
+    pub fn is_conclusive(&self) -> bool {
+        match self {
+            Self::Known(_) | Self::Ambiguous => true,
+            Self::Unknown(possible) => possible.is_complete,
+        }
+    }
+
+    /// Returns the answer without the claim that no other origins are possible.
+    pub(super) fn to_incomplete(&self) -> Self {
+        match self {
+            Self::Unknown(possible) => {
+                Self::Unknown(PossibleOrigins { is_complete: false, ..possible.clone() })
+            }
+            recorded => recorded.clone(),
+        }
+    }
 }
 
 impl From<Standing> for Answer {
--- a/crates/core/src/serving/stream_origin/decision.rs
+++ b/crates/core/src/serving/stream_origin/decision.rs
@@ -64,6 +64,17 @@
     }
 }
 
+/// Decides which servers may continue a stream of which only one origin seems possible.
+///
+/// `confirmed` is what is known as of a time after the request arrived. Every other answer may be of
+/// a node that stood still or was cut off while a version appeared: the origins that it names are
+/// possible, but others may be as well.
+pub fn decide_confirmed(own: &Answer, answers: &[Answer], confirmed: Option<&Answer>) -> Decision {
+    let mut others: Vec<Answer> = answers.iter().map(Answer::to_incomplete).collect();
+    others.extend(confirmed.cloned());
+    decide(&own.to_incomplete(), &others)
+}
+
 /// Returns the only origin that is possible according to all answers, if one of them is complete.
 fn find_only_possible<'a>(own: &'a Answer, answers: &'a [Answer]) -> Option<&'a Origin> {
     let possible = answers.iter().chain([own]).filter_map(|answer| match answer {
--- a/crates/core/src/serving/stream_origin/mod.rs
+++ b/crates/core/src/serving/stream_origin/mod.rs
@@ -30,7 +30,7 @@
 
 pub use self::answer::Answer;
 pub use self::batch::{Batch, MAX_BATCHED_STREAMS, Stream};
-pub use self::decision::{Decision, decide};
+pub use self::decision::{Decision, decide, decide_confirmed};
 pub use self::key::Key;
 pub use self::origin::Origin;
 pub use self::possible::PossibleOrigins;
--- a/crates/core/src/serving/version_history.rs
+++ b/crates/core/src/serving/version_history.rs
@@ -80,6 +80,17 @@
         }
     }
 
+    /// Adds those versions in the row of a service that are not possible according to this history.
+    /// They count as gone since now. A row that is merged repeatedly keeps no version alive that this
+    /// history saw vanish.
+    pub fn merge_missing(&mut self, now: Millis, service: &str, versions: &BTreeSet<String>) {
+        let possible: BTreeSet<String> = self.iter_possible(now, service).cloned().collect();
+        let missing: BTreeSet<String> = versions.difference(&possible).cloned().collect();
+        if !missing.is_empty() {
+            self.merge_row(now, service, &missing);
+        }
+    }
+
     /// Records that all rows were read and merged.
     pub fn record_rows_read(&mut self) {
         self.are_rows_read = true;
--- a/crates/core/tests/serving/stream_origin.rs
+++ b/crates/core/tests/serving/stream_origin.rs
@@ -5,7 +5,7 @@
 
 use keeljunction_core::serving::stream_origin::{
     Answer, Batch, Decision, Key, MAX_BATCHED_STREAMS, MAX_RECORDS, Origin, PossibleOrigins,
-    Record, Registry, Standing, Stream, decide,
+    Record, Registry, Standing, Stream, decide, decide_confirmed,
 };
 use keeljunction_core::serving::version_history::{MAX_STREAM_AGE_MS, PossibleVersions};
 use proptest::prelude::*;
@@ -236,3 +236,29 @@
     assert_eq!(registry.find(MAX_STREAM_AGE_MS, key(1)), Some(known("v1")));
     assert_eq!(registry.list(MAX_STREAM_AGE_MS).len(), 1);
 }
+
+/// Guards against taking the only version that a node knew once for the only one that there is.
+#[test]
+fn the_only_version_must_be_confirmed_as_of_the_resume() {
+    let only = Decision::OnlyVersion(origin("v1"));
+    let (complete, incomplete) = (unknown(&["v1"], true), unknown(&["v1"], false));
+    let cases = [
+        (None, Decision::Unknown),
+        (Some(incomplete.clone()), Decision::Unknown),
+        (Some(complete.clone()), only.clone()),
+        (Some(unknown(&["v1", "v2"], true)), Decision::Unknown),
+        (Some(unknown(&["v2"], true)), Decision::Unknown),
+        (Some(Answer::Known(origin("v2"))), Decision::Holder(origin("v2"))),
+        (Some(Answer::Ambiguous), Decision::Ambiguous),
+    ];
+    for (confirmed, expected) in cases {
+        for (own, answers) in [
+            (&complete, vec![]),
+            (&complete, vec![complete.clone(), complete.clone()]),
+            (&incomplete, vec![complete.clone()]),
+        ] {
+            let decided = decide_confirmed(own, &answers, confirmed.as_ref());
+            assert_eq!(decided, expected, "{own:?} {answers:?} {confirmed:?}");
+        }
+    }
+}
--- a/crates/core/tests/serving/version_history.rs
+++ b/crates/core/tests/serving/version_history.rs
@@ -115,6 +115,29 @@
     assert_eq!(history.get_possible(MAX_STREAM_AGE_MS, SERVICE).versions, versions(&["v2"]));
 }
 
+/// Guards against a version that stays possible for as long as nodes read its row again.
+#[test]
+fn a_row_that_is_merged_repeatedly_keeps_no_version_alive() {
+    let mut history = observed(0, &["v1", "v2"]);
+    history.observe(1_000, SERVICE, &versions(&["v2"]));
+    let until = 1_000 + MAX_STREAM_AGE_MS;
+    for now in [2_000, 30_000, until - 1] {
+        history.merge_missing(now, SERVICE, &versions(&["v1", "v2"]));
+    }
+    assert!(history.is_mixed(until - 1, SERVICE));
+    assert!(!history.is_mixed(until, SERVICE));
+}
+
+/// Guards against a version that came and went unseen.
+#[test]
+fn a_version_of_a_row_that_was_never_seen_counts_as_seen_now() {
+    let mut history = observed(0, &["v1"]);
+    history.merge_missing(5_000, SERVICE, &versions(&["v1", "v2"]));
+    assert!(history.is_mixed(5_000 + MAX_STREAM_AGE_MS - 1, SERVICE));
+    assert!(!history.is_mixed(5_000 + MAX_STREAM_AGE_MS, SERVICE));
+    assert!(history.is_listed(SERVICE, "v1"));
+}
+
 proptest! {
     /// For any sequence of lists: a version is possible exactly while it is listed and until its
     /// streams have ended, and a service is mixed exactly if more than one is possible.
--- a/crates/gateway/src/node/peers/dispatcher.rs
+++ b/crates/gateway/src/node/peers/dispatcher.rs
@@ -93,6 +93,12 @@
         Message::QueryStreamOrigin { query_id, key, services } => {
             stream_origins::answer_query(node, from, query_id, key, &services).await;
         }
+        Message::ConfirmStreamOrigin { query_id, key, services } => {
+            let node = node.clone();
+            runtime::spawn(stream_origins::answer_confirmation(
+                node, from, query_id, key, services,
+            ));
+        }
         Message::StreamOrigin { query_id, answer } => {
             stream_origins::handle_answer(node, query_id, answer);
         }
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -138,7 +138,7 @@
         /// The services that may have begun the stream.
         services: Vec<String>,
     },
-    /// The answer to `QueryStreamOrigin`.
+    /// The answer to `QueryStreamOrigin` and `ConfirmStreamOrigin`.
     StreamOrigin {
         /// The query.
         query_id: u32,
@@ -190,6 +190,15 @@
         /// The number of records that the sender has.
         records: u32,
     },
+    /// Asks a node to read the tables and then to answer with what it knows of a stream's origin.
+    ConfirmStreamOrigin {
+        /// Identifies the query at its sender.
+        query_id: u32,
+        /// The stream, if the request names it.
+        key: Option<stream_origin::Key>,
+        /// The services that may have begun the stream.
+        services: Vec<String>,
+    },
 }
 
 /// The sender of a report.
--- a/crates/gateway/src/node/peers/stream_origins.rs
+++ b/crates/gateway/src/node/peers/stream_origins.rs
@@ -24,6 +24,9 @@
 /// The timeout while the stream would be refused without a further answer.
 const UNDECIDED_ASK_TIMEOUT_MS: Millis = 150;
 
+/// The maximum number of readers that confirm what is known of a stream's origin.
+const MAX_ASKED_READERS: usize = 2;
+
 /// The answers of other nodes about the origin of a stream.
 pub(in crate::node) struct Inquiry {
     /// The number of nodes that were queried.
@@ -96,6 +99,34 @@
     answers
 }
 
+/// Asks nodes that read the platform's tables for what is known of a stream's origin as of a time
+/// after this call began. Returns the first answer that proves that; `None` if there is none in time.
+pub(in crate::node) async fn ask_readers(
+    node: &Node,
+    key: Option<Key>,
+    services: &[&str],
+) -> Option<Answer> {
+    let mut readers = node.with(|state| state.members.list_table_readers());
+    fastrand::shuffle(&mut readers);
+    readers.truncate(MAX_ASKED_READERS);
+    let query = node.pending_stream_origins.begin_many(readers.len());
+    let services = services.iter().map(|service| (*service).to_owned()).collect();
+    let message = Message::ConfirmStreamOrigin { query_id: query.id, key, services };
+    let asked_at = node.now();
+    for reader in &readers {
+        node.link.send(asked_at, *reader, &message).await;
+    }
+    let timeout = get_timeout(node, &readers).max(UNDECIDED_ASK_TIMEOUT_MS);
+    for _ in &readers {
+        let remaining = (asked_at + timeout).saturating_sub(node.now());
+        let answer = query.wait(Duration::from_millis(remaining)).await?;
+        if answer.is_conclusive() {
+            return Some(answer);
+        }
+    }
+    None
+}
+
 /// Returns the timeout for the answers of all holders.
 fn get_timeout(node: &Node, holders: &[SocketAddr]) -> Millis {
     let regions = holders.iter().filter_map(|holder| node.link.get_remote_region(*holder));
@@ -184,6 +215,25 @@
     node.link.send(now, from, &Message::StreamOrigin { query_id, answer }).await;
 }
 
+/// Answers the query of another node after this node has read the tables itself. Without that, the
+/// answer proves nothing.
+pub(super) async fn answer_confirmation(
+    node: Arc<Node>,
+    from: SocketAddr,
+    query_id: u32,
+    key: Option<Key>,
+    services: Vec<String>,
+) {
+    let is_read = stream_origins::confirmation::read(&node).await;
+    let now = node.now();
+    let services: Vec<&str> = services.iter().map(String::as_str).collect();
+    let answer = match is_read {
+        true => node.with(|state| get_answer(state, now, key, &services)),
+        false => Answer::Unknown(PossibleOrigins::default()),
+    };
+    node.link.send(now, from, &Message::StreamOrigin { query_id, answer }).await;
+}
+
 /// Handles an answer. One that arrives too late, or after the first record, is not needed.
 pub(super) fn handle_answer(node: &Node, query_id: u32, answer: Answer) {
     if !node.pending_stream_origins.deliver(query_id, answer) {
--- a/crates/gateway/src/node/stream_origins/mod.rs
+++ b/crates/gateway/src/node/stream_origins/mod.rs
@@ -3,6 +3,7 @@
 //! A copy is sent before the first event, so that a caller that has received an event can resume the
 //! stream at any node. [`keeljunction_core::serving::stream_origin`] decides which nodes get copies.
 
+pub(in crate::node) mod confirmation;
 mod copies;
 
 use std::cell::OnceCell;
@@ -13,7 +14,9 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::load::short_id;
 use keeljunction_core::serving::members::{Entry, HolderRanking};
-use keeljunction_core::serving::stream_origin::{Batch, Decision, Key, Origin, Record, decide};
+use keeljunction_core::serving::stream_origin::{
+    Answer, Batch, Decision, Key, Origin, Record, decide, decide_confirmed,
+};
 
 use self::copies::Copies;
 use super::Node;
@@ -112,12 +115,30 @@
     let now = node.now();
     let own = node.with(|state| peers::get_answer(state, now, key, services));
     let Some(key) = key.filter(|_| !own.is_recorded()) else {
-        return Finding { decision: decide(&own, &[]), search: None };
+        return Finding { decision: settle(node, key, services, &own, &[]).await, search: None };
     };
     let inquiry = peers::ask(node, key, services, &own).await;
     let search =
         Search { asked: inquiry.asked, answered: inquiry.answers.len(), took: node.now() - now };
-    Finding { decision: decide(&own, &inquiry.answers), search: Some(search) }
+    let decision = settle(node, Some(key), services, &own, &inquiry.answers).await;
+    Finding { decision, search: Some(search) }
+}
+
+/// Decides who may continue a stream. That a version is the only possible one is confirmed first.
+async fn settle(
+    node: &Node,
+    key: Option<Key>,
+    services: &[&str],
+    own: &Answer,
+    answers: &[Answer],
+) -> Decision {
+    match decide(own, answers) {
+        Decision::OnlyVersion(_) => {
+            let confirmed = confirmation::confirm(node, key, services).await;
+            decide_confirmed(own, answers, confirmed.as_ref())
+        }
+        decision => decision,
+    }
 }
 
 /// Sends the copies that are missing, until the process ends.
--- a/crates/gateway/src/node/version_rows.rs
+++ b/crates/gateway/src/node/version_rows.rs
@@ -74,7 +74,7 @@
             continue;
         }
         runtime::sleep(jitter(READ_DELAY)).await;
-        match read_rows(&node).await {
+        match read_rows(&node, Merge::All).await {
             Ok((era, _)) => read_in = Some(era),
             Err(error) => {
                 emit_failure(&error);
@@ -84,6 +84,17 @@
     }
 }
 
+/// Which versions of the rows are added to the history.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Merge {
+    /// All. Those that are not listed count as seen now.
+    All,
+    /// Those that the history does not have as possible.
+    Missing,
+    /// None.
+    Nothing,
+}
+
 /// Writes the rows while this node holds the duty lease.
 pub(super) async fn write(node: Arc<Node>) {
     let mut known = None;
@@ -114,7 +125,7 @@
     let current = match known.take().filter(|known| (known.fence, known.era) == (fence, era)) {
         Some(current) => current,
         None => {
-            let (era, rows) = read_rows(node).await?;
+            let (era, rows) = read_rows(node, Merge::All).await?;
             KnownRows { fence, era, rows }
         }
     };
@@ -173,20 +184,28 @@
 /// Reads all rows and adds their versions to the history; returns them with their era.
 ///
 /// If a row is malformed, the history stays incomplete until all earlier streams have ended.
-async fn read_rows(node: &Node) -> Result<(Era, BTreeMap<String, KnownRow>), TableError> {
+async fn read_rows(
+    node: &Node,
+    merge: Merge,
+) -> Result<(Era, BTreeMap<String, KnownRow>), TableError> {
     let read = table::read_all(node, TableName::Internal(TABLE), CALL_TIMEOUT).await?;
     let rows = read.rows.iter().map(|row| {
         let known = KnownRow { version: row.version, row: decode(row) };
         (row.key.clone(), known)
     });
     let rows: BTreeMap<String, KnownRow> = rows.collect();
+    if merge == Merge::Nothing {
+        return Ok((read.version.era, rows));
+    }
     let now = node.now();
     versions::update(node, now, |state| {
+        let history = &mut state.version_history;
         for (service, known) in &rows {
-            let versions = known.row.as_ref().map(|row| &row.versions);
-            versions
-                .into_iter()
-                .for_each(|versions| state.version_history.merge_row(now, service, versions));
+            let Some(VersionRow { versions }) = &known.row else { continue };
+            match merge {
+                Merge::Missing => history.merge_missing(now, service, versions),
+                Merge::All | Merge::Nothing => history.merge_row(now, service, versions),
+            }
         }
         if rows.values().all(|known| known.row.is_some()) {
             state.version_history.record_rows_read();
@@ -196,6 +215,18 @@
     Ok((read.version.era, rows))
 }
 
+/// Reads the rows again. Returns `true` if they were read.
+///
+/// The holder of the lease writes them from its own history, to which they add nothing: a row that it
+/// is about to shorten would keep its versions alive.
+pub(super) async fn read_again(node: &Node) -> bool {
+    let now = node.now();
+    let holds_lease = node.with(|state| state.lease.get_fence(now).is_some());
+    let merge = if holds_lease { Merge::Nothing } else { Merge::Missing };
+    let read = read_rows(node, merge).await;
+    read.inspect_err(emit_failure).is_ok()
+}
+
 fn decode(row: &Row) -> Option<VersionRow> {
     let decoded = serde_json::from_slice(row.value.as_deref().unwrap_or_default());
     let decoded = decoded.inspect_err(|error| {
--- a/crates/gateway/src/node/watch/mod.rs
+++ b/crates/gateway/src/node/watch/mod.rs
@@ -25,7 +25,7 @@
 pub use configuration::{confirm_freshness, watch_configuration};
 pub(crate) use servers::apply_departure;
 pub use servers::{apply, watch_servers};
-pub(super) use servers::{apply_departures, apply_update, expire_lapsed};
+pub(super) use servers::{apply_departures, apply_update, expire_lapsed, read_changed_servers};
 
 /// The interval between checks whether this node must read a table.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -38,7 +38,7 @@
 }
 
 /// Returns `true` if this node reads the tables on behalf of all nodes.
-fn is_reader(node: &Node) -> bool {
+pub(super) fn is_reader(node: &Node) -> bool {
     let now = node.now();
     node.with(|state| state.members.is_table_reader(now))
 }
--- a/crates/gateway/src/node/watch/servers.rs
+++ b/crates/gateway/src/node/watch/servers.rs
@@ -72,6 +72,18 @@
     }
 }
 
+/// Reads the changes of the server list. Returns `true` if the list is that of a time after this call
+/// began.
+pub(in crate::node) async fn read_changed_servers(node: &Node) -> bool {
+    match catch_up(node).await {
+        Ok(version) => version.is_some(),
+        Err(error) => {
+            emit_failure("servers", &error);
+            false
+        }
+    }
+}
+
 /// Updates the server list; returns its version, or `None` if this node waits for its aggregator's
 /// list.
 ///
