fix(streams): archive records of streams while several versions serve

Callers whose streams broke off when all nodes were killed at once got 503 unknown_stream for each of them while servers of several software versions served: records lived in the memory of nodes only.

Ruled out: a version without servers (that is version_gone), and records at nodes that were not asked (no process is older than the kill).

Records of services with several possible versions now also go to the archivist of their shard, one of at most 32 nodes, which writes them to rows of the store in batches, after the first event. A node reads the rows of a stream's shard before it refuses the stream. No call is made while each service has one version. Datagrams are unchanged: the archivist gets one more copy, which nodes of the code before store and confirm like any other.

--- a/crates/core/src/serving/members/holders.rs
+++ b/crates/core/src/serving/members/holders.rs
@@ -9,7 +9,7 @@
 
 use super::entry::Entry;
 use super::{Member, Members};
-use crate::serving::stream_origin::{COPIES, HolderId};
+use crate::serving::stream_origin::{COPIES, HolderId, Shard};
 use crate::{Millis, rendezvous};
 
 /// The number of nodes that are queried for a record.
@@ -116,6 +116,13 @@
         candidates
     }
 
+    /// Returns the node that archives the records of a shard; it may be this one.
+    pub fn get_archivist(&self, shard: Shard) -> Option<&'a Entry> {
+        let key = shard.get_number();
+        let first = self.nodes.iter().max_by(|one, other| weigh(key, one).cmp(&weigh(key, other)));
+        first.map(|node| node.entry)
+    }
+
     /// Returns `true` if a live node is queried for the record of a key.
     pub fn is_asked(&self, key: u64, node: &Entry) -> bool {
         let most = ASKED_HOLDERS.div_ceil(self.data_centres.max(1));
--- a/crates/core/src/serving/stream_origin/decision.rs
+++ b/crates/core/src/serving/stream_origin/decision.rs
@@ -4,6 +4,7 @@
 
 use super::answer::Answer;
 use super::origin::Origin;
+use super::record::Standing;
 
 /// Which servers may continue a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -12,6 +13,8 @@
     Local(Origin),
     /// Servers of the origin that another node has recorded.
     Holder(Origin),
+    /// Servers of the origin that was archived.
+    Archived(Origin),
     /// Servers of the only possible origin.
     OnlyVersion(Origin),
     /// Nobody, because different origins are recorded.
@@ -26,6 +29,7 @@
         match self {
             Self::Local(_) => "local",
             Self::Holder(_) => "holder",
+            Self::Archived(_) => "archived",
             Self::OnlyVersion(_) => "only_version",
             Self::Ambiguous => "ambiguous",
             Self::Unknown => "unknown",
@@ -35,7 +39,10 @@
     /// Returns the origin whose servers may continue a stream.
     pub fn get_origin(&self) -> Option<&Origin> {
         match self {
-            Self::Local(origin) | Self::Holder(origin) | Self::OnlyVersion(origin) => Some(origin),
+            Self::Local(origin)
+            | Self::Holder(origin)
+            | Self::Archived(origin)
+            | Self::OnlyVersion(origin) => Some(origin),
             Self::Ambiguous | Self::Unknown => None,
         }
     }
@@ -64,6 +71,15 @@
     }
 }
 
+/// Decides which servers may continue a stream that no node knows, from its archived record.
+pub fn decide_archived(archived: Option<&Standing>) -> Decision {
+    match archived {
+        Some(Standing::Known(origin)) => Decision::Archived(origin.as_ref().clone()),
+        Some(Standing::Ambiguous) => Decision::Ambiguous,
+        None => Decision::Unknown,
+    }
+}
+
 /// Returns the only origin that is possible according to all answers, if one of them is complete.
 fn find_only_possible<'a>(own: &'a Answer, answers: &'a [Answer]) -> Option<&'a Origin> {
     let possible = answers.iter().chain([own]).filter_map(|answer| match answer {
--- a/crates/core/src/serving/stream_origin/mod.rs
+++ b/crates/core/src/serving/stream_origin/mod.rs
@@ -13,11 +13,13 @@
 //! | `replication` | tracks which other nodes hold a copy of a record |
 //! | `recovery` | recovers the copies that a node should hold after its start |
 //! | `batch` | packs records into datagrams |
+//! | `archive` | plans the rows in which records outlast a restart of all nodes |
 //! | `possible` | lists the origins that a stream of unknown origin may have |
 //! | `answer` | defines what a node knows of a stream's origin |
 //! | `decision` | decides which servers may continue a stream |
 
 mod answer;
+mod archive;
 mod batch;
 mod decision;
 mod key;
@@ -29,8 +31,12 @@
 mod replication;
 
 pub use self::answer::Answer;
+pub use self::archive::{
+    Archive, ArchivedRow, MAX_SEGMENT_AGE_MS, MAX_SEGMENT_RECORDS, SHARDS, Shard,
+    get_write_interval,
+};
 pub use self::batch::{Batch, MAX_BATCHED_STREAMS, Stream};
-pub use self::decision::{Decision, decide};
+pub use self::decision::{Decision, decide, decide_archived};
 pub use self::key::Key;
 pub use self::origin::Origin;
 pub use self::possible::PossibleOrigins;
--- a/crates/core/src/serving/stream_origin/registry.rs
+++ b/crates/core/src/serving/stream_origin/registry.rs
@@ -59,6 +59,13 @@
         due.map(|(_, key)| *key).collect()
     }
 
+    /// Sets the node that gets one more copy of a stream's record, to archive it.
+    pub fn set_archivist(&mut self, key: Key, archivist: Option<HolderId>) {
+        if let Some(replication) = self.replications.get_mut(&key) {
+            replication.set_archivist(archivist);
+        }
+    }
+
     /// Checks the copies of a stream's record, and returns the nodes that get one now.
     ///
     /// `is_live` returns `true` if a holder is a live member. `rank` lists the other nodes in the order
@@ -135,8 +142,13 @@
 
     /// Lists all records.
     pub fn list(&self, now: Millis) -> Vec<Record> {
-        let kept = self.entries.iter().filter(|(_, entry)| now < entry.get_expiry(now));
-        kept.map(|(key, entry)| entry.describe(now, *key)).collect()
+        self.iter(now).collect()
+    }
+
+    /// Iterates over all records.
+    pub fn iter(&self, now: Millis) -> impl Iterator<Item = Record> {
+        let kept = self.entries.iter().filter(move |(_, entry)| now < entry.get_expiry(now));
+        kept.map(move |(key, entry)| entry.describe(now, *key))
     }
 
     /// Discards expired records from the oldest on.
--- a/crates/core/src/serving/stream_origin/replication.rs
+++ b/crates/core/src/serving/stream_origin/replication.rs
@@ -27,6 +27,8 @@
 pub(super) struct Replication {
     /// The nodes that confirmed their copy.
     confirmed: Vec<HolderId>,
+    /// The node that gets one more copy, to archive it.
+    archivist: Option<HolderId>,
     /// When the copies expire that were sent last.
     copies_expire_at: Millis,
     /// The number of copies that are possible with the known nodes.
@@ -43,6 +45,15 @@
         self.due_at
     }
 
+    /// Sets the node that gets one more copy. A former one counts as a holder no longer, because it may
+    /// not be queried for the record.
+    pub fn set_archivist(&mut self, archivist: Option<HolderId>) {
+        if let Some(former) = self.archivist.filter(|_| self.archivist != archivist) {
+            self.forget(former);
+        }
+        self.archivist = archivist;
+    }
+
     /// Returns `true` if as many nodes as possible have confirmed their copy, up to [`COPIES`].
     pub fn is_complete(&self) -> bool {
         self.possible > 0 && self.confirmed.len() >= self.possible.min(COPIES)
@@ -77,19 +88,24 @@
             self.confirmed.clear();
             self.attempts = 0;
         }
-        if self.confirmed.len() >= COPIES {
+        let lacking_archivist = self.archivist.filter(|known| !self.confirmed.contains(known));
+        let others = self.confirmed.iter().filter(|holder| Some(**holder) != self.archivist);
+        let missing = COPIES.saturating_sub(others.count());
+        if missing == 0 && lacking_archivist.is_none() {
             self.attempts = 0;
             self.due_at = now + CHECK_INTERVAL_MS;
             return Vec::new();
         }
         let ranked = rank();
         self.possible = ranked.len();
-        let missing = match self.attempts < ATTEMPTS_BEFORE_WIDENING {
-            true => COPIES - self.confirmed.len(),
+        let missing = match self.attempts < ATTEMPTS_BEFORE_WIDENING || missing == 0 {
+            true => missing,
             false => usize::MAX,
         };
-        let lacking = ranked.into_iter().filter(|holder| !self.confirmed.contains(holder));
-        let recipients: Vec<HolderId> = lacking.take(missing).collect();
+        let lacking = ranked
+            .into_iter()
+            .filter(|holder| !self.confirmed.contains(holder) && Some(*holder) != self.archivist);
+        let recipients: Vec<HolderId> = lacking.take(missing).chain(lacking_archivist).collect();
         self.schedule(now, recipients.is_empty());
         self.copies_expire_at = expires_at;
         recipients
--- a/crates/core/src/serving/version_history.rs
+++ b/crates/core/src/serving/version_history.rs
@@ -96,6 +96,11 @@
         self.iter_possible(now, service).nth(1).is_some()
     }
 
+    /// Returns `true` if several versions of any service may be running streams.
+    pub fn is_any_mixed(&self, now: Millis) -> bool {
+        self.services.keys().any(|service| self.is_mixed(now, service))
+    }
+
     /// Returns `true` if a version of a service was listed when the service was last observed.
     pub fn is_listed(&self, service: &str, version: &str) -> bool {
         let known = self.services.get(service).and_then(|versions| versions.get(version));
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -38,6 +38,7 @@
 mod shutdown;
 mod slot_denials;
 mod spill;
+mod stream_archive;
 mod stream_copies;
 mod stream_origin;
 mod support;
--- a/crates/gateway/src/node/gateway.rs
+++ b/crates/gateway/src/node/gateway.rs
@@ -27,6 +27,7 @@
 use super::requests_in_flight::{InFlightGuard, RequestsInFlight};
 use super::state::{State, get_entry};
 use super::stop::{self, Schedule};
+use super::stream_archive;
 use crate::active_responses::ActiveResponses;
 use crate::backend;
 use crate::http::{Client, Connections, Shutdown};
@@ -92,6 +93,8 @@
     pub(super) slot_changes: (Sender<slots::Change>, Receiver<slots::Change>),
     /// Queries for the origins of streams that await the answers of their holders.
     pub(super) pending_stream_origins: PendingQueries<stream_origin::Answer>,
+    /// Reads of the archived origins of streams.
+    pub(super) stream_archive_reads: stream_archive::Reads,
     /// Attempts whose connection broke at a server that may have crashed.
     pub(super) interrupted_attempts: interrupted_attempts::Pending,
     /// Signals to uploads that are evicted from memory.
@@ -146,6 +149,7 @@
             pending_permits: PendingQueries::default(),
             slot_changes: async_channel::bounded(slots::CHANGE_CAPACITY),
             pending_stream_origins: PendingQueries::default(),
+            stream_archive_reads: stream_archive::Reads::default(),
             interrupted_attempts: interrupted_attempts::Pending::default(),
             eviction_signals: EvictionSignals::default(),
             state: Mutex::new(state),
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -28,6 +28,7 @@
 //! | `era_origin` | persists when the eras of the table service began |
 //! | `table` | calls the table service and tracks its eras |
 //! | `stream_origins` | records which software version began each stream |
+//! | `stream_archive` | archives these records in a table of the platform |
 //! | [`stop`] | defines what a node that shuts down must still complete, and leaves the other nodes |
 
 mod active_relays;
@@ -57,6 +58,7 @@
 mod staleness;
 pub mod state;
 pub mod stop;
+mod stream_archive;
 pub(crate) mod stream_origins;
 mod table;
 pub(crate) mod tasks;
--- a/crates/gateway/src/node/stream_origins/mod.rs
+++ b/crates/gateway/src/node/stream_origins/mod.rs
@@ -12,13 +12,15 @@
 
 use keeljunction_core::Millis;
 use keeljunction_core::serving::load::short_id;
-use keeljunction_core::serving::members::{Entry, HolderRanking};
-use keeljunction_core::serving::stream_origin::{Batch, Decision, Key, Origin, Record, decide};
+use keeljunction_core::serving::members::{Entry, HolderRanking, Members};
+use keeljunction_core::serving::stream_origin::{
+    Batch, Decision, HolderId, Key, Origin, Record, Shard, Standing, decide, decide_archived,
+};
 
 use self::copies::Copies;
-use super::Node;
 use super::peers::stream_origins as peers;
 use super::state::State;
+use super::{Node, stream_archive};
 use crate::metrics::ReasonLabels;
 use crate::runtime;
 
@@ -108,16 +110,20 @@
 
 /// Finds the origin of a stream on a route with the given services. `key` is `None` if the request
 /// does not name the stream.
-pub(crate) async fn find(node: &Node, key: Option<Key>, services: &[&str]) -> Finding {
+pub(crate) async fn find(node: &Arc<Node>, key: Option<Key>, services: &[&str]) -> Finding {
     let now = node.now();
     let own = node.with(|state| peers::get_answer(state, now, key, services));
     let Some(key) = key.filter(|_| !own.is_recorded()) else {
         return Finding { decision: decide(&own, &[]), search: None };
     };
     let inquiry = peers::ask(node, key, services, &own).await;
+    let mut decision = decide(&own, &inquiry.answers);
+    if decision == Decision::Unknown {
+        decision = decide_archived(stream_archive::find(node, key).await.as_ref());
+    }
     let search =
         Search { asked: inquiry.asked, answered: inquiry.answers.len(), took: node.now() - now };
-    Finding { decision: decide(&own, &inquiry.answers), search: Some(search) }
+    Finding { decision, search: Some(search) }
 }
 
 /// Sends the copies that are missing, until the process ends.
@@ -186,8 +192,12 @@
 
 /// Plans the copies of records of this node's streams.
 fn plan_copies(state: &mut State, now: Millis, keys: &[Key]) -> Copies {
-    let State { members, stream_origins, .. } = state;
+    let State { members, stream_origins, version_history, .. } = state;
     let ranking: OnceCell<HolderRanking<'_>> = OnceCell::new();
+    let is_mixed = |record: Option<Record>| match record.map(|record| record.standing) {
+        Some(Standing::Known(origin)) => version_history.is_mixed(now, &origin.service),
+        Some(Standing::Ambiguous) | None => false,
+    };
     let mut copies = Copies::default();
     for key in keys {
         let is_live = |holder| members.is_live_holder(now, holder);
@@ -196,6 +206,12 @@
             let candidates = ranking.list_candidates(key.get_number()).into_iter();
             candidates.map(|entry| short_id(&entry.name)).collect()
         };
+        let is_archived = is_mixed(stream_origins.get_record(now, *key));
+        let archivist = is_archived.then(|| {
+            let ranking = ranking.get_or_init(|| members.get_holder_ranking(now));
+            get_other_archivist(ranking, members, *key)
+        });
+        stream_origins.set_archivist(*key, archivist.flatten());
         let holders = stream_origins.plan_copies(now, *key, is_live, rank);
         let Some(record) = stream_origins.get_record(now, *key) else { continue };
         let holders = holders.into_iter().filter_map(|holder| members.get_holder(holder));
@@ -206,6 +222,16 @@
     copies
 }
 
+/// Returns the node that archives a stream's record; `None` if this node does.
+fn get_other_archivist(
+    ranking: &HolderRanking<'_>,
+    members: &Members,
+    key: Key,
+) -> Option<HolderId> {
+    let archivist = ranking.get_archivist(Shard::of(key))?;
+    (!members.is_own(archivist)).then(|| short_id(&archivist.name))
+}
+
 /// Sends copies of records to their holders, with pauses so that they do not overflow the queue of a
 /// narrow link.
 async fn send_copies(node: &Node, copies: Copies, reason: Reason) {
--- a/crates/gateway/src/node/tasks.rs
+++ b/crates/gateway/src/node/tasks.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use super::{
-    Node, connections, leader, memory, peers, quarantine_rows, server_paths, stream_origins,
-    version_rows, watch,
+    Node, connections, leader, memory, peers, quarantine_rows, server_paths, stream_archive,
+    stream_origins, version_rows, watch,
 };
 use crate::http::Server;
 use crate::runtime;
@@ -28,4 +28,5 @@
     runtime::spawn(version_rows::write(node.clone()));
     runtime::spawn(memory::watch(node.clone()));
     runtime::spawn(stream_origins::run(node.clone()));
+    runtime::spawn(stream_archive::run(node.clone()));
 }
