fix(shutdown): what the review of the mend found

The exit is never advanced into the time before the last sixth. - A declined request was answered not_accepted in place of stopping (same test as before, stricter), and a request that a server had failed was sent to another one without a new decision. - Open responses raised the usual time by which early requests are refused: most open ones are long, whatever the usual time is. Only ended ones count there now, as before. - Connections of peers that are open at the exit are closed, so that it does not wait for them.

--- a/crates/core/src/serving/response_times.rs
+++ b/crates/core/src/serving/response_times.rs
@@ -1,7 +1,7 @@
 //! How long the responses on each route take.
 //!
 //! Responses that have ended do not show how long those take that have not. While servers become
-//! slower, the long ones are among those that are still open, so the age of these counts too.
+//! slower, the long ones are among those that are still open, so the longest of these counts too.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -72,13 +72,12 @@
     }
 
     /// Returns the time within which nine of ten recent responses on a route have ended, or `None` if
-    /// too few are known. Open ones count once they have taken longer.
-    pub fn estimate(&self, now: Millis, route: &str) -> Option<Millis> {
-        let known = self.get_known(route)?;
-        let mut times: Vec<Millis> = known.ended.times.iter().copied().map(Millis::from).collect();
-        let usual = get_quantile(&mut times)?;
-        times.extend(known.iter_ages(now).take_while(|age| *age > usual));
-        get_quantile(&mut times)
+    /// too few are known. Open ones don't count: most of them are long, whatever the usual time is.
+    pub fn estimate(&self, route: &str) -> Option<Millis> {
+        let mut times = self.get_known(route)?.ended.times.clone();
+        times.sort_unstable();
+        let rank = (times.len() as f64 * QUANTILE).ceil() as usize;
+        times.get(rank.saturating_sub(1)).map(|time| Millis::from(*time))
     }
 
     /// Returns the time of the longest recent response on a route, which may be an open one, or `None`
@@ -86,7 +85,7 @@
     pub fn get_longest(&self, now: Millis, route: &str) -> Option<Millis> {
         let known = self.get_known(route)?;
         let longest = known.ended.get_longest().map(Millis::from);
-        longest.max(known.iter_ages(now).next())
+        longest.max(known.get_oldest_age(now))
     }
 
     /// Returns a route if enough of its responses have ended.
@@ -103,9 +102,9 @@
 }
 
 impl Route {
-    /// Iterates over the ages of the open responses, the oldest first.
-    fn iter_ages(&self, now: Millis) -> impl Iterator<Item = Millis> + '_ {
-        self.open.iter().map(move |arrived_at| now.saturating_sub(*arrived_at))
+    /// Returns the age of the oldest open response.
+    fn get_oldest_age(&self, now: Millis) -> Option<Millis> {
+        self.open.front().map(|arrived_at| now.saturating_sub(*arrived_at))
     }
 }
 
@@ -124,13 +123,6 @@
     }
 }
 
-/// Sorts times and returns the one that [`QUANTILE`] of them do not exceed.
-fn get_quantile(times: &mut [Millis]) -> Option<Millis> {
-    times.sort_unstable();
-    let rank = (times.len() as f64 * QUANTILE).ceil() as usize;
-    times.get(rank.saturating_sub(1)).copied()
-}
-
 fn to_sample(time: Millis) -> u32 {
     u32::try_from(time).unwrap_or(u32::MAX)
 }
--- a/crates/core/src/serving/shutdown.rs
+++ b/crates/core/src/serving/shutdown.rs
@@ -29,7 +29,7 @@
     /// responses are known.
     pub fn estimate(&self, now: Millis, times: &ResponseTimes, route: &str) -> Option<Millis> {
         match self.is_early() {
-            true => times.estimate(now, route),
+            true => times.estimate(route),
             false => times.get_longest(now, route).map(extend),
         }
     }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -30,9 +30,9 @@
         request: &'a str,
         route: &'a str,
         is_begun: bool,
-        /// Time since the shutdown began.
+        /// Time since the stop signal may have been sent.
         elapsed_ms: u64,
-        /// Time until the process exits.
+        /// Time until the process exits, if the signal was sent then.
         remaining_ms: u64,
         /// The time that the request is expected to take, or `None` if nothing is known of its route.
         expected_ms: Option<u64>,
@@ -300,7 +300,7 @@
         retry_after_ms: Option<u64>,
         version: Option<u64>,
         age_ms: Option<u64>,
-        /// Time since the node began to shut down, if it did.
+        /// Time since the stop signal may have been sent, if the node shuts down.
         #[serde(skip_serializing_if = "Option::is_none")]
         stopping_ms: Option<u64>,
     },
--- a/crates/gateway/src/exchange/admission.rs
+++ b/crates/gateway/src/exchange/admission.rs
@@ -172,7 +172,7 @@
         }
         let fingerprint = compute_fingerprint(&parts, name, &body);
         record.fingerprint = Some(fingerprint);
-        record.record_admission(&route.name);
+        record.record_admission(&route.name, head.last_event_id.is_some());
         if let Some((_, quarantined_for)) = node.find_quarantined(&[fingerprint]) {
             return Err(reject(Refusal::Quarantined, quarantined_for));
         }
--- a/crates/gateway/src/exchange/dispatch.rs
+++ b/crates/gateway/src/exchange/dispatch.rs
@@ -39,6 +39,9 @@
     let mut progress = AttemptProgress::new(record.get_arrival());
     let mut fallback: Option<Box<ServerResponse>> = None;
     loop {
+        if !can_begin_elsewhere(node, exchange, &progress) {
+            return give_up(node, exchange, progress.reject_stopping(), fallback);
+        }
         let pick = match next_attempt(node, exchange, &progress).await {
             Ok(pick) => pick,
             Err(rejection) => return give_up(node, exchange, rejection, fallback),
@@ -171,9 +174,6 @@
     if let Some(quarantined_for) = exchange.get_quarantine_remaining(node) {
         return Err(progress.reject_quarantined(quarantined_for));
     }
-    if !can_begin_elsewhere(node, exchange, progress) {
-        return Err(progress.reject(Refusal::Stopping, stopping::RETRY_AFTER_MS));
-    }
     if has_crashed_servers(node, exchange, progress) {
         return Err(progress.reject(Refusal::BrokenAnswer, 0));
     }
@@ -199,10 +199,10 @@
     Ok(pick)
 }
 
-/// Returns `false` if the node is shutting down, a server has declined the request meanwhile, and it
-/// would probably not end before the exit at another one. Its caller can use another node.
+/// Returns `false` if the node is shutting down, a server has declined or failed the request meanwhile,
+/// and it would probably not end before the exit at another one. Its caller can use another node.
 fn can_begin_elsewhere(node: &Node, exchange: &Exchange, progress: &AttemptProgress) -> bool {
-    if progress.may_have_run || progress.tried.all.is_empty() {
+    if progress.tried.all.is_empty() {
         return true;
     }
     let request = exchange.head.id.as_deref().unwrap_or("");
--- a/crates/gateway/src/exchange/progress.rs
+++ b/crates/gateway/src/exchange/progress.rs
@@ -5,6 +5,7 @@
 
 use super::attempt_error::AttemptError;
 use super::rejection::Rejection;
+use super::stopping;
 
 /// State of the attempts at a request.
 pub(super) struct AttemptProgress {
@@ -67,6 +68,15 @@
         }
     }
 
+    /// Returns the rejection of a request that would not end before the process exits. The caller
+    /// learns of the shutdown only if the request has not run since it arrived.
+    pub fn reject_stopping(&self) -> Rejection {
+        match self.may_have_run {
+            true => self.reject(Refusal::BrokenAnswer, 0),
+            false => Rejection { reason: Refusal::Stopping, retry_after: stopping::RETRY_AFTER_MS },
+        }
+    }
+
     /// Returns the rejection of a request whose software version has no server left. The caller learns
     /// of that only if the request has not run since it arrived.
     pub fn reject_version_gone(&self) -> Rejection {
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -129,6 +129,8 @@
     pub fingerprint: Option<Fingerprint>,
     status: u16,
     outcome: &'static str,
+    /// Whether the request resumes a stream.
+    is_resumed: bool,
     /// The server's response, from the admission of the request until it ends.
     open_response: Option<OpenResponse>,
     /// Time from the arrival of the request to the end of the server's response.
@@ -158,6 +160,7 @@
             fingerprint: None,
             status: 0,
             outcome: "left",
+            is_resumed: false,
             open_response: None,
             response_time: None,
             retry_after: None,
@@ -180,8 +183,10 @@
         self.outcome = outcome;
     }
 
-    /// Records that the request was admitted, so that it waits for a response from now on.
-    pub fn record_admission(&mut self, route: &str) {
+    /// Records that the request was admitted, so that it waits for a response from now on. The rest of
+    /// a stream that it resumes does not show how long a whole response takes.
+    pub fn record_admission(&mut self, route: &str, is_resumed: bool) {
+        self.is_resumed = is_resumed;
         self.open_response = Some(OpenResponse::begin(&self.node, route, self.arrived_at));
     }
 
@@ -245,7 +250,7 @@
         }
         // An error response tells nothing about how long a complete one takes.
         let is_success = self.outcome == ANSWERED && (200..300).contains(&self.status);
-        let response_time = self.response_time.filter(|_| is_success);
+        let response_time = self.response_time.filter(|_| is_success && !self.is_resumed);
         if let (Some(route), Some(time)) = (&self.route, response_time) {
             self.node.with(|state| state.response_times.record(route, time));
         }
--- a/crates/gateway/src/node/stop/heartbeat.rs
+++ b/crates/gateway/src/node/stop/heartbeat.rs
@@ -17,6 +17,9 @@
 const INTERVAL: Duration = Duration::from_millis(100);
 
 /// The times of the last two beats, on the node's clock.
+///
+/// The beats and the task that waits for signals share a thread, so that none goes on while the other
+/// is held up.
 #[derive(Debug)]
 pub(in crate::node) struct Heartbeat {
     last: AtomicU64,
--- a/crates/gateway/src/node/stop/mod.rs
+++ b/crates/gateway/src/node/stop/mod.rs
@@ -50,5 +50,6 @@
     if closed.await.is_none() {
         let open = node.peer_connections.count().get_total();
         log::warn!("{open} connections of peers were still open at the end of the shutdown");
+        node.peer_shutdown.responding.send();
     }
 }
--- a/crates/gateway/src/node/stop/schedule.rs
+++ b/crates/gateway/src/node/stop/schedule.rs
@@ -14,9 +14,9 @@
 /// the requests that begin at its end.
 const HEAD_FRACTION: f64 = 0.65;
 
-/// The most by which a delayed signal advances the exit. A signal may also have been sent just before
-/// it was seen, and a response must not be cut off long before the process is killed.
-const MAX_ADVANCE: Duration = EXIT_MARGIN;
+/// The fraction of the grace period for which responses are not cut off. A signal that may have been
+/// pending for long may also have been sent just before it was seen.
+const RESPONSE_FRACTION: f64 = 5.0 / 6.0;
 
 /// When the steps of a shutdown happen, as times since the stop signal was seen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,6 +29,8 @@
     pub disconnects_after: Duration,
     /// Time after which the process exits.
     pub ends_after: Duration,
+    /// The earliest time after which it exits because the signal may have been pending.
+    ends_earliest_after: Duration,
 }
 
 impl Schedule {
@@ -43,13 +45,14 @@
             reads_heads_for: last_head_after.max(accepts_for),
             disconnects_after: ends_after.saturating_sub(DISCONNECT_MARGIN).max(accepts_for),
             ends_after,
+            ends_earliest_after: ends_after.min(grace.mul_f64(RESPONSE_FRACTION)),
         }
     }
 
     /// Returns the schedule if the signal may have been pending for some time when it was seen: the
     /// process exits earlier. The other steps count from when others can see that it stops.
     pub fn after_delay(self, delay: Duration) -> Self {
-        let ends_after = self.ends_after.saturating_sub(delay.min(MAX_ADVANCE));
-        Self { ends_after: ends_after.max(self.accepts_for), ..self }
+        let advanced = self.ends_after.saturating_sub(delay);
+        Self { ends_after: advanced.max(self.ends_earliest_after), ..self }
     }
 }
