fix(shutdown): bound late responses by requests that could have exceeded the bound

What callers saw: in the soak of stops whose signal is seen late, 23 of 24,000 requests were still begun late and cut off at the exit, all on routes of which the process knew 4 to 7 ended responses while up to 24 were open.

Cause: the shortest responses end first. Those of a process that started a few seconds ago, and the last 32 of a busy route, are the short ones. Class as before: an estimate from completed work only.

Change: the bound for late requests is drawn from requests that arrived early enough to have exceeded it, open ones included; with few of them, and of different lengths, it lies further beyond the longest. Equal lengths keep the factor of 1.5.

--- a/crates/core/src/serving/response_times.rs
+++ b/crates/core/src/serving/response_times.rs
@@ -1,18 +1,26 @@
 //! How long the responses on each route take.
 //!
-//! Responses that have ended do not show how long those take that have not. While servers become
-//! slower, the long ones are among those that are still open, so the longest of these counts too.
+//! Responses that have ended do not show how long those take that have not: the shortest end first.
+//! What nearly all responses keep to is therefore drawn only from requests that arrived long enough
+//! ago to show it.
 
 use std::collections::{HashMap, VecDeque};
 
 use crate::Millis;
 
 /// Number of recent responses that are kept for each route.
-const MAX_SAMPLES: usize = 32;
+const MAX_SAMPLES: usize = 128;
+/// Number of the most recent responses that an estimate is drawn from.
+const ESTIMATE_SAMPLES: usize = 32;
 /// Number of responses below which no estimate is made.
 const MIN_SAMPLES: usize = 4;
 /// The fraction of the recent responses that ended within the estimate.
 const QUANTILE: f64 = 0.9;
+/// The factor between the longest known response and the upper bound.
+const TAIL_FACTOR: f64 = 1.5;
+/// Number of responses from which on their range is added once, and not several times, for the upper
+/// bound: the fewer are known, the further beyond them is the longest one.
+const RANGE_SAMPLES: f64 = 16.0;
 /// Number of routes that are kept. Routes are removed and renamed, and the samples of those that no
 /// longer exist are dropped with all others.
 const MAX_ROUTES: usize = 1_024;
@@ -26,17 +34,19 @@
 /// The responses of a route.
 #[derive(Clone, Debug, Default)]
 struct Route {
-    ended: Samples,
+    /// The most recent responses, in the order of their ends.
+    ended: VecDeque<Sample>,
     /// The arrival times of the requests whose responses are open, in ascending order.
     open: VecDeque<Millis>,
 }
 
-/// The most recent response times of a route, in milliseconds.
-#[derive(Clone, Debug, Default)]
-struct Samples {
-    times: Vec<u32>,
-    /// The position that the next sample replaces once all positions are filled.
-    next: usize,
+/// A response that has ended.
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    /// When its request arrived.
+    arrived_at: Millis,
+    /// The time from then until its end, in milliseconds.
+    time: Millis,
 }
 
 impl ResponseTimes {
@@ -57,40 +67,49 @@
     }
 
     /// Records the time from the arrival of a request to the end of its response.
-    pub fn record(&mut self, route: &str, time: Millis) {
-        self.get_or_insert(route).ended.push(to_sample(time));
+    pub fn record(&mut self, route: &str, arrived_at: Millis, time: Millis) {
+        self.get_or_insert(route).push(Sample { arrived_at, time });
     }
 
     /// Records that a response was abandoned after a time. It would have taken longer, so only a time
     /// above those of all known responses tells anything.
-    pub fn record_abandoned(&mut self, route: &str, time: Millis) {
-        let ended = &mut self.get_or_insert(route).ended;
-        let time = to_sample(time);
-        if ended.get_longest().is_some_and(|longest| time > longest) {
-            ended.push(time);
+    pub fn record_abandoned(&mut self, route: &str, arrived_at: Millis, time: Millis) {
+        let known = self.get_or_insert(route);
+        if known.ended.iter().map(|sample| sample.time).max().is_some_and(|longest| time > longest)
+        {
+            known.push(Sample { arrived_at, time });
         }
     }
 
     /// Returns the time within which nine of ten recent responses on a route have ended, or `None` if
     /// too few are known. Open ones don't count: most of them are long, whatever the usual time is.
     pub fn estimate(&self, route: &str) -> Option<Millis> {
-        let mut times = self.get_known(route)?.ended.times.clone();
+        let known = self.routes.get(route).filter(|known| known.ended.len() >= MIN_SAMPLES)?;
+        let recent = known.ended.iter().rev().take(ESTIMATE_SAMPLES);
+        let mut times: Vec<Millis> = recent.map(|sample| sample.time).collect();
         times.sort_unstable();
         let rank = (times.len() as f64 * QUANTILE).ceil() as usize;
-        times.get(rank.saturating_sub(1)).map(|time| Millis::from(*time))
-    }
-
-    /// Returns the time of the longest recent response on a route, which may be an open one, or `None`
-    /// if too few are known.
-    pub fn get_longest(&self, now: Millis, route: &str) -> Option<Millis> {
-        let known = self.get_known(route)?;
-        let longest = known.ended.get_longest().map(Millis::from);
-        longest.max(known.get_oldest_age(now))
+        times.get(rank.saturating_sub(1)).copied()
     }
 
-    /// Returns a route if enough of its responses have ended.
-    fn get_known(&self, route: &str) -> Option<&Route> {
-        self.routes.get(route).filter(|known| known.ended.times.len() >= MIN_SAMPLES)
+    /// Returns a time that hardly any response on a route exceeds, or `None` if too few are known.
+    ///
+    /// A bound up to `limit` can be shown only by requests that arrived early enough to have exceeded
+    /// it. The others count only if they are open and older than all of these.
+    pub fn get_upper_bound(&self, now: Millis, route: &str, limit: Millis) -> Option<Millis> {
+        let known = self.routes.get(route)?;
+        let shown = (limit as f64 / TAIL_FACTOR) as Millis;
+        let times: Vec<Millis> = known
+            .ended
+            .iter()
+            .filter(|sample| now.saturating_sub(sample.arrived_at) >= shown)
+            .map(|sample| sample.time)
+            .collect();
+        let shortest = times.iter().min().copied().filter(|_| times.len() >= MIN_SAMPLES)?;
+        let longest = times.iter().copied().chain(known.get_oldest_age(now)).max()?;
+        let range = (longest - shortest) as f64 * RANGE_SAMPLES / times.len() as f64;
+        let bound = (longest as f64 * TAIL_FACTOR).max(longest as f64 + range);
+        Some(bound as Millis)
     }
 
     fn get_or_insert(&mut self, route: &str) -> &mut Route {
@@ -102,27 +121,15 @@
 }
 
 impl Route {
+    fn push(&mut self, sample: Sample) {
+        if self.ended.len() >= MAX_SAMPLES {
+            self.ended.pop_front();
+        }
+        self.ended.push_back(sample);
+    }
+
     /// Returns the age of the oldest open response.
     fn get_oldest_age(&self, now: Millis) -> Option<Millis> {
         self.open.front().map(|arrived_at| now.saturating_sub(*arrived_at))
     }
 }
-
-impl Samples {
-    /// Returns the longest time.
-    fn get_longest(&self) -> Option<u32> {
-        self.times.iter().max().copied()
-    }
-
-    fn push(&mut self, time: u32) {
-        if self.times.len() < MAX_SAMPLES {
-            return self.times.push(time);
-        }
-        self.times[self.next] = time;
-        self.next = (self.next + 1) % MAX_SAMPLES;
-    }
-}
-
-fn to_sample(time: Millis) -> u32 {
-    u32::try_from(time).unwrap_or(u32::MAX)
-}
--- a/crates/core/src/serving/shutdown.rs
+++ b/crates/core/src/serving/shutdown.rs
@@ -12,8 +12,6 @@
 
 /// The time after the stop signal in which callers may not know of the shutdown.
 const EARLY_PERIOD_MS: Millis = 3_000;
-/// The factor between the longest recent response of a route and the longest expected one.
-const TAIL_FACTOR: f64 = 1.5;
 
 /// The progress of a shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,7 +28,7 @@
     pub fn estimate(&self, now: Millis, times: &ResponseTimes, route: &str) -> Option<Millis> {
         match self.is_early() {
             true => times.estimate(route),
-            false => times.get_longest(now, route).map(extend),
+            false => times.get_upper_bound(now, route, self.remaining),
         }
     }
 
@@ -45,7 +43,3 @@
         self.elapsed < EARLY_PERIOD_MS
     }
 }
-
-fn extend(longest: Millis) -> Millis {
-    (longest as f64 * TAIL_FACTOR) as Millis
-}
--- a/crates/core/tests/serving/shutdown.rs
+++ b/crates/core/tests/serving/shutdown.rs
@@ -12,11 +12,11 @@
     shutdown.admits(shutdown.estimate(NOW, times, ROUTE), timeout)
 }
 
-/// Returns the times of ten responses, one of which took long.
+/// Returns the times of 32 responses, one of which took long.
 fn times(usual: u64, longest: u64) -> ResponseTimes {
     let mut times = ResponseTimes::default();
-    (0..9).for_each(|_| times.record(ROUTE, usual));
-    times.record(ROUTE, longest);
+    (0..31).for_each(|_| times.record(ROUTE, NOW - 60_000, usual));
+    times.record(ROUTE, NOW - 60_000, longest);
     times
 }
 
--- a/crates/gateway/src/exchange/open_response.rs
+++ b/crates/gateway/src/exchange/open_response.rs
@@ -33,7 +33,7 @@
         self.node.with(|state| {
             state.response_times.end(&self.route, self.arrived_at);
             if !self.is_complete {
-                state.response_times.record_abandoned(&self.route, age);
+                state.response_times.record_abandoned(&self.route, self.arrived_at, age);
             }
         });
     }
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -252,7 +252,7 @@
         let is_success = self.outcome == ANSWERED && (200..300).contains(&self.status);
         let response_time = self.response_time.filter(|_| is_success && !self.is_resumed);
         if let (Some(route), Some(time)) = (&self.route, response_time) {
-            self.node.with(|state| state.response_times.record(route, time));
+            self.node.with(|state| state.response_times.record(route, self.arrived_at, time));
         }
         let fingerprint = self.fingerprint.filter(|_| self.outcome != ANSWERED);
         event::emit(&Event::RequestEnded {
