fix(streams): round the interval between writes of archivists up

Nine archivists made 32.03 writes a second of 32, found by all_archivists_together_write_some_times_a_second.

--- a/crates/core/src/serving/stream_origin/archive.rs
+++ b/crates/core/src/serving/stream_origin/archive.rs
@@ -30,7 +30,7 @@
 /// Returns the time between two writes of an archivist in a cluster of a number of nodes.
 pub fn get_write_interval(nodes: usize) -> Millis {
     let archivists = (nodes as u64).min(u64::from(SHARDS));
-    (archivists * 1_000 / WRITES_PER_SECOND).max(MIN_WRITE_INTERVAL_MS)
+    (archivists * 1_000).div_ceil(WRITES_PER_SECOND).max(MIN_WRITE_INTERVAL_MS)
 }
 
 /// A part of all streams.
