--- a/crates/core/tests/serving/stream_archive.rs
+++ b/crates/core/tests/serving/stream_archive.rs
@@ -52,6 +52,25 @@
     }
 }
 
+/// Guards against an archivist that has no copy, because a datagram was lost or another node became the archivist.
+#[test]
+fn the_archivist_gets_one_more_copy_until_it_has_confirmed_it() {
+    let mut registry = Registry::default();
+    let key = Key::new("acme", "1");
+    registry.begin(0, key, &Origin::new("llm", "v1"), 60_000);
+    let mut plan = |now, archivist, confirmed: &[u64]| {
+        confirmed.iter().for_each(|holder| registry.confirm(*holder, &[key]));
+        registry.set_archivist(key, archivist);
+        registry.plan_copies(now, key, |_| true, || vec![11, 12, 13, 14])
+    };
+    assert_eq!(plan(0, Some(99), &[]), [11, 12, 13, 99]);
+    assert_eq!(plan(250, Some(99), &[11, 12, 13]), [99]);
+    assert_eq!(plan(750, Some(99), &[]), [99]);
+    assert!(plan(1_750, Some(99), &[99]).is_empty());
+    assert_eq!(plan(2_250, Some(98), &[]), [98]);
+    assert!(plan(2_750, None, &[98]).is_empty());
+}
+
 /// Guards against records that are written again and again.
 #[test]
 fn a_row_is_written_only_if_it_has_changed() {
