--- a/crates/core/src/serving/shutdown.rs
+++ b/crates/core/src/serving/shutdown.rs
@@ -10,29 +10,39 @@
 use super::response_times::ResponseTimes;
 use crate::Millis;
 
-/// The time after the stop signal in which callers may not know of the shutdown, less 100 ms for the signal
-/// to arrive.
-const EARLY_PERIOD_MS: Millis = 2_900;
+/// The time after the stop signal in which callers may not know of the shutdown.
+const EARLY_PERIOD_MS: Millis = 3_000;
 /// The factor between the longest recent response of a route and the longest expected one.
 const TAIL_FACTOR: f64 = 1.5;
 
 /// The progress of a shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shutdown {
-    /// Time since the stop signal.
+    /// Time since the stop signal may have been sent.
     pub elapsed: Millis,
-    /// Time until the process exits.
+    /// Time until the process exits, if the signal was sent then.
     pub remaining: Millis,
 }
 
 impl Shutdown {
-    /// Returns `true` if a request on a route is begun. It is abandoned after `timeout` in any case.
-    pub fn admits(&self, times: &ResponseTimes, route: &str, timeout: Millis) -> bool {
-        let estimate = match self.elapsed < EARLY_PERIOD_MS {
-            true => times.estimate(route).unwrap_or(0),
-            false => times.get_longest(route).map_or(Millis::MAX, extend),
-        };
-        estimate.min(timeout) <= self.remaining
+    /// Returns the time that a request on a route is expected to take, or `None` if too few recent
+    /// responses are known.
+    pub fn estimate(&self, now: Millis, times: &ResponseTimes, route: &str) -> Option<Millis> {
+        match self.is_early() {
+            true => times.estimate(now, route),
+            false => times.get_longest(now, route).map(extend),
+        }
+    }
+
+    /// Returns `true` if a request that is expected to take a time is begun. It is abandoned after
+    /// `timeout` in any case.
+    pub fn admits(&self, expected: Option<Millis>, timeout: Millis) -> bool {
+        let unknown = if self.is_early() { 0 } else { Millis::MAX };
+        expected.unwrap_or(unknown).min(timeout) <= self.remaining
+    }
+
+    fn is_early(&self) -> bool {
+        self.elapsed < EARLY_PERIOD_MS
     }
 }
 
--- a/crates/gateway/src/node/gateway.rs
+++ b/crates/gateway/src/node/gateway.rs
@@ -102,6 +102,8 @@
     pub(super) active_fetches: ActiveFetches,
     /// Requests that this node relays for others.
     pub(super) active_relays: ActiveRelays,
+    /// Records when the process ran.
+    pub(super) heartbeat: stop::Heartbeat,
     /// When the shutdown began, and when the process exits, once it is shutting down.
     stop_times: stop::Times,
     requests_in_flight: RequestsInFlight,
@@ -126,6 +128,7 @@
         metrics.register_cross_region_bytes(link.get_cross_region_bytes_by_region());
         metrics.register_sent_messages(link.get_sent_messages());
         metrics.register_ignored_datagrams(link.get_ignored());
+        let heartbeat = stop::Heartbeat::new(clock.now());
         Arc::new(Self {
             settings,
             platform,
@@ -151,6 +154,7 @@
             state: Mutex::new(state),
             active_fetches: ActiveFetches::default(),
             active_relays: ActiveRelays::default(),
+            heartbeat,
             stop_times: stop::Times::default(),
             requests_in_flight: RequestsInFlight::default(),
         })
@@ -238,13 +242,23 @@
         self.stop_times.is_set()
     }
 
-    /// Begins the shutdown, and returns when its steps happen, or `None` if it had already begun.
+    /// Begins the shutdown after a stop signal, and returns when its steps happen, or `None` if it had
+    /// already begun.
     pub fn begin_stop(&self) -> Option<Schedule> {
         let grace = Duration::from_secs_f64(self.settings.bounds.grace_s);
         let known = self.with(|state| state.configuration.as_ref().map(|c| c.limits.head_timeout));
         let head_timeout = Duration::from_millis(known.unwrap_or(DEFAULT_CLIENT_HEAD_MS));
         let schedule = Schedule::new(grace, head_timeout);
-        self.stop_times.begin(self.now(), &schedule).then_some(schedule)
+        let signalled_at = self.heartbeat.get_earliest_signal();
+        let delay = Duration::from_millis(self.now().saturating_sub(signalled_at));
+        let has_begun = self.stop_times.begin(signalled_at, &schedule);
+        has_begun.then(|| schedule.after_delay(delay))
+    }
+
+    /// Returns for how long a stop signal that is seen now may have been pending.
+    pub fn get_signal_delay(&self) -> Duration {
+        let sent_at = self.heartbeat.get_earliest_signal();
+        Duration::from_millis(self.now().saturating_sub(sent_at))
     }
 
     /// Returns the progress of the shutdown, or `None` if the node is not shutting down.
