fix(http): bound what is read from a connection without progress

Callers saw: a server that sends 100 Continue or 103 Early Hints without end, or a chunk size of zeros or followed by spaces without end, held the whole node up.

Cause: the HTTP library reads for as long as bytes arrive that make up no message, and never returns from one poll meanwhile, so that its thread runs no other task and no timer. It bounds a single head, chunk extensions and trailers, but neither the number of informational responses nor the length of a chunk-size line.

Change: a socket yields after 128 KiB in one turn, for clients' connections as well, and the client's connections fail once 1 MiB was read without a head or a part of a body. That is the error Endless (the request may have run; it counts as a failed attempt, but not as a lost connection or a crash), also for a head that the library calls too large, and an outcome of relays, which older nodes take for an unanswered request.

--- a/crates/gateway/src/backend/client.rs
+++ b/crates/gateway/src/backend/client.rs
@@ -16,6 +16,8 @@
     NotSent(String),
     /// Part of the request may have arrived.
     MaybeSent(String),
+    /// The request was sent, and bytes arrived without end that are no response. It may have run.
+    Endless(String),
     /// The request was sent, and the response on its connection does not belong to it. It may have
     /// run.
     Mismatched(Mismatch),
@@ -32,7 +34,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(why) => write!(f, "not sent: {why}"),
-            Self::MaybeSent(why) => write!(f, "no response: {why}"),
+            Self::MaybeSent(why) | Self::Endless(why) => write!(f, "no response: {why}"),
             Self::Mismatched(mismatch) => write!(f, "no response: {mismatch}"),
         }
     }
@@ -45,6 +47,7 @@
         match error {
             http::SendError::NotSent(why) => Self::NotSent(why),
             http::SendError::MaybeSent(why) => Self::MaybeSent(why),
+            http::SendError::Endless(why) => Self::Endless(why),
         }
     }
 }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -133,15 +133,9 @@
     }
     let mut reservation = ReservationGuard::new(node, Kind::ReadAhead);
     let reader = BodyReader::new(response_body, framing, content);
-    let Ok(body) = read_start(exchange, reader, &mut reservation).await else {
-        record_disconnect(node, params.server);
-        crashes::record_interrupted_attempt(
-            node,
-            params.server,
-            exchange.get_interrupted_attempt(node.now(), sent_at, None),
-        );
-        return Err((AttemptError::Cut, None));
-    };
+    let body = read_start(exchange, reader, &mut reservation)
+        .await
+        .map_err(|cut| (record_cut(node, exchange, params.server, sent_at, cut), None))?;
     node.count_cross_region_bytes(data_centre, 0, body.count_bytes());
     load.record_first_token();
     // The sample measures how fast a server processes prompts. A round trip to another region
@@ -175,6 +169,10 @@
 ) -> AttemptError {
     match error {
         SendError::NotSent(_) => AttemptError::NotConnected,
+        SendError::Endless(why) => {
+            log::warn!("the server {} sends no response: {why}", server.id);
+            AttemptError::Endless
+        }
         SendError::Mismatched(mismatch) => {
             event::emit(&Event::ResponseMismatched {
                 request: exchange.head.id.as_deref().unwrap_or(""),
@@ -199,6 +197,23 @@
     }
 }
 
+/// Records that a body was cut before its first token or its end, and returns the error of the attempt.
+fn record_cut(
+    node: &Arc<Node>,
+    exchange: &Exchange,
+    server: &Server,
+    sent_at: Millis,
+    cut: Cut,
+) -> AttemptError {
+    if cut == Cut::Endless {
+        return AttemptError::Endless;
+    }
+    record_disconnect(node, server);
+    let interrupted = exchange.get_interrupted_attempt(node.now(), sent_at, None);
+    crashes::record_interrupted_attempt(node, server, interrupted);
+    AttemptError::Cut
+}
+
 /// Adds a sample of how fast the service's servers process prompts.
 fn record_throughput(node: &Node, service: &str, sample: Sample) {
     let now = node.now();
--- a/crates/gateway/src/exchange/attempt_error.rs
+++ b/crates/gateway/src/exchange/attempt_error.rs
@@ -16,6 +16,8 @@
     /// The connection closed after the response head, but before the first token of a stream or
     /// before the end of any other response.
     Cut,
+    /// Bytes arrived without end that are no response.
+    Endless,
     /// The response is not valid for this request.
     Broken,
     /// The server returned a server error.
@@ -39,6 +41,7 @@
             Self::OtherRequest => "other_request",
             Self::Ended => "ended",
             Self::Cut => "cut",
+            Self::Endless => "endless",
             Self::Broken => "broken",
             Self::ServerError => "server_error",
             Self::Timeout => "timeout",
--- a/crates/gateway/src/exchange/notes.rs
+++ b/crates/gateway/src/exchange/notes.rs
@@ -81,6 +81,7 @@
         AttemptError::OtherRequest
         | AttemptError::Ended
         | AttemptError::Cut
+        | AttemptError::Endless
         | AttemptError::Broken
         | AttemptError::ServerError
         | AttemptError::Timeout => state.health.record_failure(now, &server.id),
--- a/crates/gateway/src/exchange/server_body.rs
+++ b/crates/gateway/src/exchange/server_body.rs
@@ -15,6 +15,8 @@
 pub(super) enum Cut {
     /// The connection was interrupted before the declared end.
     Interrupted,
+    /// Bytes arrived without end that are no part of a body.
+    Endless,
     /// The body had a regular end and is incomplete.
     Truncated(Truncation),
 }
@@ -24,6 +26,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Interrupted => "broke_off",
+            Self::Endless => "endless",
             Self::Truncated(Truncation::InsideEvent) => "ended_inside_event",
             Self::Truncated(Truncation::NoEvent) => "ended_without_event",
         }
@@ -51,6 +54,10 @@
         loop {
             match self.body.frame().await {
                 None => return self.check.check_end().map(|()| None).map_err(Cut::Truncated),
+                Some(Err(error)) if self.body.is_endless() => {
+                    log::warn!("a response does not end: {error}");
+                    return Err(Cut::Endless);
+                }
                 Some(Err(error)) => {
                     log::debug!("a response was interrupted: {error}");
                     return Err(Cut::Interrupted);
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -21,6 +21,7 @@
 
 use super::admission::Exchange;
 use super::attempt::{self, ServerBody, ServerResponse};
+use super::attempt_error::AttemptError;
 use super::dispatch;
 use super::load_guard::LoadGuard;
 use super::notes;
@@ -276,9 +277,14 @@
         self.end = Some(end);
     }
 
-    /// Resumes the stream on another server after the last complete event, if the route allows it.
-    async fn resume_on_other_server(&mut self, cut: Cut) {
-        attempt::record_disconnect(&self.node, &self.timing.server);
+    /// Records why the server's part of the stream ended. A server that sends no response has not crashed.
+    fn record_cut(&self, cut: Cut) {
+        let server = &self.timing.server;
+        if cut == Cut::Endless {
+            let error = AttemptError::Endless;
+            return notes::record_failure(&self.node, &self.exchange, &self.record, server, error);
+        }
+        attempt::record_disconnect(&self.node, server);
         if let Some(load) = &self.load {
             let response_started_at = Some(self.timing.started_at);
             let interrupted = self.exchange.get_interrupted_attempt(
@@ -286,10 +292,8 @@
                 load.get_start(),
                 response_started_at,
             );
-            crashes::record_interrupted_attempt(&self.node, &self.timing.server, interrupted);
+            crashes::record_interrupted_attempt(&self.node, server, interrupted);
         }
-        self.body = None;
-        self.load = None;
         event::emit(&Event::AttemptFailed {
             request: &self.record.id,
             server: self.tried.all.last().map_or("", String::as_str),
@@ -297,6 +301,13 @@
             may_have_run: true,
             why: cut.as_str(),
         });
+    }
+
+    /// Resumes the stream on another server after the last complete event, if the route allows it.
+    async fn resume_on_other_server(&mut self, cut: Cut) {
+        self.record_cut(cut);
+        self.body = None;
+        self.load = None;
         let Some(splitter) = self.splitter.as_mut() else {
             return self.stop(StreamEnd::Broken("the server broke off"));
         };
--- a/crates/gateway/src/http/client.rs
+++ b/crates/gateway/src/http/client.rs
@@ -1,6 +1,7 @@
 //! An HTTP client that reuses connections and reports whether a request may have been sent.
 
 use std::collections::HashMap;
+use std::error::Error as _;
 use std::fmt;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
@@ -21,7 +22,7 @@
 use rustix::io::Errno;
 use rustix::net::{self, AddressFamily, SocketFlags, SocketType, sockopt};
 
-use super::{Body, Socket, drive};
+use super::{Body, Progress, Socket, drive};
 use crate::runtime;
 
 /// Default maximum number of idle connections to one address.
@@ -56,6 +57,8 @@
     NotSent(String),
     /// Part of the request may have arrived.
     MaybeSent(String),
+    /// The request was sent, and bytes arrived without end that are no response.
+    Endless(String),
 }
 
 impl SendError {
@@ -69,7 +72,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(why) => write!(f, "not sent: {why}"),
-            Self::MaybeSent(why) => write!(f, "no response: {why}"),
+            Self::MaybeSent(why) | Self::Endless(why) => write!(f, "no response: {why}"),
         }
     }
 }
@@ -93,6 +96,7 @@
     usable_until: Duration,
     /// Time since which the connection is idle.
     idle_since: Duration,
+    progress: Progress,
     _driver: Task<()>,
 }
 
@@ -171,13 +175,13 @@
             ReuseOutcome::NoConnection(request) => request,
         };
         let mut connection = self.connect(to).await?;
+        connection.progress.record();
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(self.keep_connection(to, connection, response)),
-            Err(mut error) => {
-                let is_unsent = error.take_message().is_some();
-                let why = error.into_error().to_string();
-                Err(if is_unsent { SendError::NotSent(why) } else { SendError::MaybeSent(why) })
-            }
+            Err(mut error) => Err(match error.take_message() {
+                Some(_) => SendError::NotSent(error.into_error().to_string()),
+                None => connection.get_send_error(&error.into_error()),
+            }),
         }
     }
 
@@ -185,6 +189,7 @@
     pub async fn send_on_idle(&self, to: SocketAddr, request: Request<Body>) -> ReuseOutcome {
         let mut request = request;
         while let Some(mut connection) = self.take_idle(to) {
+            connection.progress.record();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     let response = self.keep_connection(to, connection, response);
@@ -193,8 +198,8 @@
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => {
-                        let why = error.into_error().to_string();
-                        return ReuseOutcome::Sent(Err(SendError::MaybeSent(why)));
+                        let error = connection.get_send_error(&error.into_error());
+                        return ReuseOutcome::Sent(Err(error));
                     }
                 },
             }
@@ -241,7 +246,8 @@
         if let Err(error) = detect_dead_peer(&stream) {
             log::warn!("cannot enable the detection of a dead connection to {to}: {error}");
         }
-        let socket = Socket::new(stream);
+        let progress = Progress::default();
+        let socket = Socket::with_progress(stream, progress.clone());
         let write_state = socket.get_write_state();
         let handshake = http1::handshake(socket).await;
         let (sender, connection) =
@@ -254,6 +260,7 @@
             sender,
             usable_until: now + DEFAULT_KEEP_ALIVE,
             idle_since: now,
+            progress,
             _driver: driver,
         })
     }
@@ -264,11 +271,13 @@
         mut connection: Connection,
         response: Response<Incoming>,
     ) -> Response<ResponseBody> {
+        connection.progress.record();
         connection.usable_until = runtime::boottime_now() + parse_keep_alive(response.headers());
         let idle = self.idle.clone();
         let max_idle_per_address = self.max_idle_per_address.clone();
         response.map(|body| ResponseBody {
             body,
+            progress: connection.progress.clone(),
             is_ended: false,
             kept: Some(KeptConnection { to, connection, idle, max_idle_per_address }),
         })
@@ -276,6 +285,16 @@
 }
 
 impl Connection {
+    /// Returns why a request that was sent has no response.
+    fn get_send_error(&self, error: &hyper::Error) -> SendError {
+        let is_endless = self.progress.is_endless() || error.is_parse_too_large();
+        let why = error.source().map_or_else(|| error.to_string(), ToString::to_string);
+        match is_endless {
+            true => SendError::Endless(why),
+            false => SendError::MaybeSent(why),
+        }
+    }
+
     fn is_usable(&self, now: Duration, idle_timeout: Duration) -> bool {
         let is_idle_too_long = now.saturating_sub(self.idle_since) >= idle_timeout;
         self.sender.is_ready() && now < self.usable_until && !is_idle_too_long
@@ -328,6 +347,7 @@
 /// closed at once if the body is dropped earlier.
 pub struct ResponseBody {
     body: Incoming,
+    progress: Progress,
     is_ended: bool,
     kept: Option<KeptConnection>,
 }
@@ -344,6 +364,11 @@
     pub fn close_connection(mut self) {
         self.kept = None;
     }
+
+    /// Returns `true` if bytes arrived without end that are no part of the body.
+    pub fn is_endless(&self) -> bool {
+        self.progress.is_endless()
+    }
 }
 
 impl HttpBody for ResponseBody {
@@ -355,6 +380,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let polled = Pin::new(&mut self.body).poll_frame(context);
+        if polled.is_ready() {
+            self.progress.record();
+        }
         if matches!(polled, Poll::Ready(None)) {
             self.is_ended = true;
         }
--- a/crates/gateway/src/http/socket.rs
+++ b/crates/gateway/src/http/socket.rs
@@ -13,7 +13,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
 use futures_lite::future;
@@ -21,7 +21,12 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use smol_hyper::rt::FuturesIo;
 
-use super::ConnectionHandle;
+use super::metered::MeteredStream;
+use super::{ConnectionHandle, Progress};
+
+/// Number of bytes after which a connection yields to other tasks. The library reads for as long as
+/// bytes arrive that make up no message.
+const MAX_TURN_BYTES: usize = 128 * 1024;
 
 /// No write of the current turn was blocked.
 const CLEAR: u8 = 0;
@@ -30,34 +35,49 @@
 /// A write succeeded after a blocked one.
 const RESUMED: u8 = 2;
 
-/// State of the writes to a socket in one turn of its connection.
+/// State of the writes to a socket in one turn of its connection, and the bytes read in that turn.
 #[derive(Clone, Debug, Default)]
-pub struct WriteState(Arc<AtomicU8>);
+pub struct WriteState(Arc<Turn>);
+
+#[derive(Debug, Default)]
+struct Turn {
+    writes: AtomicU8,
+    read_bytes: AtomicUsize,
+}
 
 impl WriteState {
     fn reset(&self) {
-        self.0.store(CLEAR, Ordering::Relaxed);
+        self.0.writes.store(CLEAR, Ordering::Relaxed);
+        self.0.read_bytes.store(0, Ordering::Relaxed);
+    }
+
+    pub(super) fn add_read(&self, bytes: usize) {
+        self.0.read_bytes.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    pub(super) fn has_read_enough(&self) -> bool {
+        self.0.read_bytes.load(Ordering::Relaxed) >= MAX_TURN_BYTES
     }
 
     fn record<T>(&self, polled: &Poll<T>) {
         match polled {
-            Poll::Pending => self.0.store(BLOCKED, Ordering::Relaxed),
-            Poll::Ready(_) if self.0.load(Ordering::Relaxed) == BLOCKED => {
-                self.0.store(RESUMED, Ordering::Relaxed);
+            Poll::Pending => self.0.writes.store(BLOCKED, Ordering::Relaxed),
+            Poll::Ready(_) if self.0.writes.load(Ordering::Relaxed) == BLOCKED => {
+                self.0.writes.store(RESUMED, Ordering::Relaxed);
             }
             Poll::Ready(_) => {}
         }
     }
 
     fn has_resumed(&self) -> bool {
-        self.0.load(Ordering::Relaxed) == RESUMED
+        self.0.writes.load(Ordering::Relaxed) == RESUMED
     }
 }
 
 /// A socket that tracks the state of its writes.
 #[derive(Debug)]
 pub struct Socket<T> {
-    inner: FuturesIo<T>,
+    inner: FuturesIo<MeteredStream<T>>,
     write_state: WriteState,
     connection_handle: Option<ConnectionHandle>,
 }
@@ -65,11 +85,18 @@
 impl<T> Socket<T> {
     /// Wraps a socket.
     pub fn new(inner: T) -> Self {
-        Self {
-            inner: FuturesIo::new(inner),
-            write_state: WriteState::default(),
-            connection_handle: None,
-        }
+        Self::create(inner, None)
+    }
+
+    /// Wraps a socket, from which nothing is read once its responses make no progress.
+    pub fn with_progress(inner: T, progress: Progress) -> Self {
+        Self::create(inner, Some(progress))
+    }
+
+    fn create(inner: T, progress: Option<Progress>) -> Self {
+        let write_state = WriteState::default();
+        let stream = MeteredStream::new(inner, write_state.clone(), progress);
+        Self { inner: FuturesIo::new(stream), write_state, connection_handle: None }
     }
 
     /// Sets the handle that accepts the end of the connection once all responses are written.
--- a/crates/gateway/src/node/peers/server_relay.rs
+++ b/crates/gateway/src/node/peers/server_relay.rs
@@ -56,17 +56,20 @@
     Unreachable,
     /// The server did not respond, and may have run the request.
     Unanswered,
+    /// Bytes arrived from the server without end that are no response. It may have run the request.
+    Endless,
     /// The server's response belongs to another request, or to none. It may have run this one.
     Mismatched,
 }
 
 impl Outcome {
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 7] = [
         Self::Relayed,
         Self::Unavailable,
         Self::UnknownServer,
         Self::Unreachable,
         Self::Unanswered,
+        Self::Endless,
         Self::Mismatched,
     ];
 
@@ -78,6 +81,7 @@
             Self::UnknownServer => "unknown_server",
             Self::Unreachable => "unreachable",
             Self::Unanswered => "unanswered",
+            Self::Endless => "endless",
             Self::Mismatched => "mismatched",
         }
     }
@@ -185,6 +189,10 @@
             });
             Err(Outcome::Mismatched)
         }
+        Err(SendError::Endless(why)) => {
+            log::warn!("the server {} sends no response: {why}", server.id);
+            Err(Outcome::Endless)
+        }
         Err(_) => Err(Outcome::Unanswered),
     }
 }
@@ -304,6 +312,10 @@
             let why = format!("the peer {} got no response", peer.address);
             Offer::Ended(Box::new(Err(SendError::MaybeSent(why))))
         }
+        Outcome::Endless => {
+            let why = format!("the peer {} received no response", peer.address);
+            Offer::Ended(Box::new(Err(SendError::Endless(why))))
+        }
         Outcome::Mismatched => {
             Offer::Ended(Box::new(Err(SendError::Mismatched(Mismatch::ReportedByPeer))))
         }
--- a/crates/keeljunction/src/platform/client.rs
+++ b/crates/keeljunction/src/platform/client.rs
@@ -159,7 +159,7 @@
         let sent = self.http.send(self.settings.address, request).await;
         let response = sent.map_err(|failure| match failure {
             http::SendError::NotSent(why) => Fault::NotSent(why),
-            http::SendError::MaybeSent(why) => Fault::Unknown(why),
+            http::SendError::MaybeSent(why) | http::SendError::Endless(why) => Fault::Unknown(why),
         })?;
         let status = response.status();
         if status != StatusCode::OK {
