fix(exchange): break off a stream in which no event ends

Cause: the end of a body is checked, but not whether it makes progress.

Change: 4 MiB without the end of an event are no stream. The answer is broken off (a resumable stream may go on at another server), and the server has a failed attempt (endless).

Not covered here: comments and blank lines on resumable routes, where the node is too slow to read 4 MiB in 1.5 s.

--- a/crates/core/src/serving/event_stream/scanner.rs
+++ b/crates/core/src/serving/event_stream/scanner.rs
@@ -14,6 +14,8 @@
     /// Whether the stream's lines end with a CR alone.
     is_cr_alone: bool,
     has_event: bool,
+    /// The number of bytes read since an event has ended.
+    pending_bytes: usize,
 }
 
 /// The content of the current line so far.
@@ -55,7 +57,13 @@
         self.has_event
     }
 
+    /// Returns the number of bytes read since the start of the stream or the end of the last event.
+    pub fn count_pending(&self) -> usize {
+        self.pending_bytes
+    }
+
     fn push_byte(&mut self, byte: u8) {
+        self.pending_bytes += 1;
         let is_after_cr = std::mem::replace(&mut self.is_after_cr, byte == b'\r');
         match byte {
             b'\n' if is_after_cr => self.is_cr_alone = false,
@@ -78,7 +86,10 @@
     fn end_line(&mut self, line: Line) {
         match line {
             Line::Empty => {
-                self.has_event |= self.has_field;
+                if self.has_field {
+                    self.has_event = true;
+                    self.pending_bytes = 0;
+                }
                 self.has_field = false;
             }
             Line::Comment => {}
--- a/crates/core/src/serving/response_body.rs
+++ b/crates/core/src/serving/response_body.rs
@@ -9,10 +9,15 @@
 //! The HTTP library reports a missing byte, a missing last chunk and a reset as errors. It reports
 //! the close of a connection as a regular end, although a server that stops closes its connections
 //! as well. In addition, a stream of events is complete only if its last event is, however its end
-//! was declared.
+//! was declared. A stream in which no event ends for long is no response and does not have to be read
+//! to its end.
 
 use super::event_stream::Scanner;
 
+/// Maximum number of bytes in which no event of a stream ends. A stream that sends more consists of
+/// no events: a server that keeps a stream alive sends short comments at times.
+pub const MAX_BYTES_WITHOUT_EVENT: usize = 4 << 20;
+
 /// What declares the end of a response body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -74,6 +79,11 @@
         }
     }
 
+    /// Returns `true` if the body is a stream in which no event ends.
+    pub fn is_endless(&self) -> bool {
+        self.events.is_some_and(|events| events.count_pending() > MAX_BYTES_WITHOUT_EVENT)
+    }
+
     /// Checks the body at its regular end.
     ///
     /// # Errors
--- a/crates/core/tests/serving/response_body.rs
+++ b/crates/core/tests/serving/response_body.rs
@@ -1,4 +1,6 @@
-use keeljunction_core::serving::response_body::{Content, EndCheck, Framing, Truncation};
+use keeljunction_core::serving::response_body::{
+    Content, EndCheck, Framing, MAX_BYTES_WITHOUT_EVENT, Truncation,
+};
 
 const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Connection];
 
@@ -39,3 +41,26 @@
         assert_eq!(check(framing, Content::Events, ": ping\n\n"), expected, "{framing:?}");
     }
 }
+
+/// Guards against a stream without an event that is read without end, and against one with large events or many
+/// comments that is taken for it.
+#[test]
+fn a_stream_is_endless_once_no_event_ends_for_too_many_bytes() {
+    let block = 64 * 1024;
+    for (line, is_event) in
+        [(":\n", false), ("\n", false), ("data: x\n", false), ("data: x\n\n", true)]
+    {
+        let mut check = EndCheck::new(Framing::Connection, Content::Events);
+        let text = line.repeat(block / line.len());
+        for _ in 0..MAX_BYTES_WITHOUT_EVENT / text.len() {
+            check.push(text.as_bytes());
+            assert!(!check.is_endless(), "{line:?}");
+        }
+        (0..2).for_each(|_| check.push(text.as_bytes()));
+        assert_eq!(check.is_endless(), !is_event, "{line:?}");
+    }
+    let mut opaque = EndCheck::new(Framing::Connection, Content::Opaque);
+    (0..=MAX_BYTES_WITHOUT_EVENT / block).for_each(|_| opaque.push(&vec![b'x'; block]));
+    opaque.push(b"x");
+    assert!(!opaque.is_endless());
+}
--- a/crates/gateway/src/exchange/server_body.rs
+++ b/crates/gateway/src/exchange/server_body.rs
@@ -15,7 +15,7 @@
 pub(super) enum Cut {
     /// The connection was interrupted before the declared end.
     Interrupted,
-    /// Bytes arrived without end that are no part of a body.
+    /// Bytes arrived without end that are no part of a body, or of no event of a stream.
     Endless,
     /// The body had a regular end and is incomplete.
     Truncated(Truncation),
@@ -65,6 +65,10 @@
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.check.push(&data);
+                        if self.check.is_endless() {
+                            log::warn!("a response is a stream in which no event ends");
+                            return Err(Cut::Endless);
+                        }
                         return Ok(Some(data));
                     }
                 }
