perf(event_stream): pass comments and blank lines on together

Cause: each comment and each blank line between events became a chunk of its own.

Change: a run of them is one piece, as far as it has arrived. Events stay pieces of their own.

--- a/crates/core/src/serving/event_stream/scanner.rs
+++ b/crates/core/src/serving/event_stream/scanner.rs
@@ -62,13 +62,18 @@
         self.pending_bytes
     }
 
+    /// Returns `true` if the last byte has ended an event.
+    pub fn is_after_event(&self) -> bool {
+        self.has_event && self.pending_bytes == 0
+    }
+
     fn push_byte(&mut self, byte: u8) {
-        self.pending_bytes += 1;
         let is_after_cr = std::mem::replace(&mut self.is_after_cr, byte == b'\r');
         match byte {
             b'\n' if is_after_cr => self.is_cr_alone = false,
             _ => {
                 self.is_cr_alone |= is_after_cr;
+                self.pending_bytes += 1;
                 self.push_content(byte);
             }
         }
--- a/crates/core/src/serving/event_stream/splitter.rs
+++ b/crates/core/src/serving/event_stream/splitter.rs
@@ -8,8 +8,8 @@
 pub const MAX_PENDING_BYTES: usize = 64 * 1024;
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
-/// An event or a part of it. A comment or a blank line between two events is forwarded like an event
-/// without a number.
+/// An event or a part of it. Comments and blank lines between two events are forwarded together, like
+/// an event without a number.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
     /// The number in the event's `id` line, if these bytes contain that line.
@@ -38,15 +38,36 @@
 
     /// Returns the next complete event, or the next part of a long one.
     pub fn next_event(&mut self) -> Option<Event> {
-        let read = self.scanner.read_to_boundary(&self.pending[self.scanned..]);
-        let length = read.map_or(self.pending.len(), |read| self.scanned + read);
-        if read.is_none() && length <= MAX_PENDING_BYTES {
-            self.scanned = length;
+        let end = self.find_end();
+        let length = end.unwrap_or(self.pending.len());
+        if end.is_none() && length <= MAX_PENDING_BYTES {
             return None;
         }
-        self.scanned = 0;
+        self.scanned -= length;
         let bytes = self.pending.split_to(length).freeze();
-        Some(Event { id: read_id(&bytes), bytes, is_complete: read.is_some() })
+        Some(Event { id: read_id(&bytes), bytes, is_complete: end.is_some() })
+    }
+
+    /// Returns the end of the first event, or of the comments and blank lines before it.
+    fn find_end(&mut self) -> Option<usize> {
+        let mut end = None;
+        while end.is_none() || self.is_between_events() {
+            let Some(read) = self.scanner.read_to_boundary(&self.pending[self.scanned..]) else {
+                self.scanned = self.pending.len();
+                break;
+            };
+            self.scanned += read;
+            end = Some(self.scanned);
+            if self.scanner.is_after_event() {
+                break;
+            }
+        }
+        end
+    }
+
+    /// Returns `true` if the next byte belongs to a comment or a blank line.
+    fn is_between_events(&self) -> bool {
+        matches!(self.pending.get(self.scanned), Some(b':' | b'\n' | b'\r'))
     }
 
     /// Returns the bytes of an incomplete event.
--- a/crates/core/tests/serving/event_stream.rs
+++ b/crates/core/tests/serving/event_stream.rs
@@ -99,6 +99,26 @@
     assert_eq!(splitter.next_event().map(|event| event.bytes), Some((&b": ping\n"[..]).into()));
 }
 
+/// Guards against a stream of comments or blank lines that costs a chunk for each of them, and against an event that is
+/// taken for a part of them.
+#[test]
+fn comments_and_blank_lines_between_events_are_passed_on_together() {
+    for between in [": ping\n", "\n", "\n: ping\n\n"] {
+        let between = between.repeat(1_000);
+        let events = ["id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"];
+        let mut splitter = Splitter::default();
+        splitter.push(format!("{between}{}{}{between}: pi", events[0], events[1]).as_bytes());
+        let mut next =
+            || splitter.next_event().map(|event| (event.id, event.bytes, event.is_complete));
+        assert_eq!(next(), Some((None, between.clone().into(), true)));
+        assert_eq!(next(), Some((Some(1), events[0].into(), true)));
+        assert_eq!(next(), Some((Some(2), events[1].into(), true)));
+        assert_eq!(next(), Some((None, between.into(), true)));
+        assert_eq!(next(), None);
+        assert_eq!(splitter.get_rest(), b": pi");
+    }
+}
+
 #[test]
 fn a_long_event_is_passed_on_in_parts() {
     let mut splitter = Splitter::default();
