fix(backend): bound and parse an engine's events one by one

Seen with a_stream_in_which_no_event_ends_is_interrupted: an engine's stream of lines of one event without end was read and kept for as long as the test waits (10 s).

Cause: the parser keeps an event until it ends and reads all that it has again with each piece.

Change: it gets whole events; comments and blank lines are left out, and 4 MiB without the end of an event interrupt the attempt.

--- a/crates/keeljunction/src/backend/tokens.rs
+++ b/crates/keeljunction/src/backend/tokens.rs
@@ -1,10 +1,14 @@
 //! Parsing of tokens from an engine's event stream.
 
+use std::io;
 use std::pin::Pin;
 
+use bytes::{Bytes, BytesMut};
 use eventsource_stream::{Event, Eventsource};
-use futures_lite::{Stream, StreamExt};
+use futures_lite::{Stream, StreamExt, stream};
 use http_body_util::BodyDataStream;
+use keeljunction_core::serving::event_stream::Scanner;
+use keeljunction_core::serving::response_body::MAX_BYTES_WITHOUT_EVENT;
 use serde::Deserialize;
 
 use crate::http;
@@ -55,7 +59,7 @@
 impl Tokens {
     /// Creates a stream of tokens from the body of an engine's response.
     pub fn new(body: http::ResponseBody, prefill: u64) -> Self {
-        let events = BodyDataStream::new(body).eventsource();
+        let events = read_events(body).eventsource();
         Self { events: Box::pin(events.map(Result::ok)), prefill }
     }
 
@@ -78,3 +82,51 @@
         }
     }
 }
+
+/// Reads the events of a body one by one, up to an error if no event ends. The parser reads all that it
+/// has of an event again with each piece.
+fn read_events(body: http::ResponseBody) -> impl Stream<Item = io::Result<Bytes>> {
+    let buffer = EventBuffer::default();
+    stream::try_unfold((BodyDataStream::new(body), buffer), |(mut body, mut buffer)| async move {
+        loop {
+            if let Some(event) = buffer.next_event() {
+                return Ok(Some((event, (body, buffer))));
+            }
+            if buffer.is_endless() {
+                log::warn!("an engine's response is a stream in which no event ends");
+                return Err(io::Error::other("no event ends"));
+            }
+            let Some(data) = body.next().await else { return Ok(None) };
+            buffer.pending.extend_from_slice(&data.map_err(io::Error::other)?);
+        }
+    })
+}
+
+/// The received part of a stream, without the comments and blank lines between events.
+#[derive(Default)]
+struct EventBuffer {
+    pending: BytesMut,
+    scanner: Scanner,
+    /// The number of pending bytes that the scanner has read.
+    scanned: usize,
+}
+
+impl EventBuffer {
+    /// Takes the next complete event.
+    fn next_event(&mut self) -> Option<Bytes> {
+        while let Some(read) = self.scanner.read_to_boundary(&self.pending[self.scanned..]) {
+            let bytes = self.pending.split_to(self.scanned + read);
+            self.scanned = 0;
+            if self.scanner.is_after_event() {
+                return Some(bytes.freeze());
+            }
+        }
+        self.scanned = self.pending.len();
+        None
+    }
+
+    /// Returns `true` if too much was received without the end of an event.
+    fn is_endless(&self) -> bool {
+        self.scanner.count_pending() > MAX_BYTES_WITHOUT_EVENT
+    }
+}
--- a/crates/keeljunction/tests/backend.rs
+++ b/crates/keeljunction/tests/backend.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use keeljunction::backend::{
@@ -14,6 +14,8 @@
 const TIMEOUT: Duration = Duration::from_secs(5);
 /// Time until the connection of a complete response can be used again.
 const REUSE_DELAY: Duration = Duration::from_millis(100);
+/// Time after which an endless engine gives up.
+const MAX_SENDING: Duration = Duration::from_secs(20);
 const NO_ID: &str = "";
 
 /// Starts a server that responds with this status to the first request on each connection, and sends
@@ -78,6 +80,28 @@
     Engine { client, address, timeout: TIMEOUT }
 }
 
+/// Starts an engine that responds with the start of a stream, and then sends the same bytes until its caller closes the
+/// connection.
+fn start_endless_engine(repeated: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+            let id = read_call_id(&mut reader).expect("a request");
+            let head =
+                format!("HTTP/1.1 200 OK\r\n{CALL_HEADER}: {id}\r\nconnection: close\r\n\r\n");
+            let mut is_open = stream.write_all(head.as_bytes()).is_ok();
+            let block = repeated.repeat(8_192);
+            let begin = Instant::now();
+            while is_open && begin.elapsed() < MAX_SENDING {
+                is_open = stream.write_all(block.as_bytes()).is_ok();
+            }
+        }
+    });
+    address
+}
+
 const REQUEST: EngineRequest<'_> = EngineRequest {
     path: "/v1/completions",
     body: b"{}",
@@ -139,3 +163,21 @@
         assert_eq!(order, OrderResult::Failed);
     });
 }
+
+/// Guards against an engine's stream in which no event ends, and that is read and kept without end.
+#[test]
+fn a_stream_in_which_no_event_ends_is_interrupted() {
+    for repeated in ["data: more\n", "and more", ": wait\n\n", "\n"] {
+        let (client, address) = (new_client(), start_endless_engine(repeated));
+        runtime::run(1, async {
+            let response = new_engine(&client, address).send(&REQUEST).await.expect("a response");
+            let mut tokens = response.into_body();
+            let begin = Instant::now();
+            let piece = runtime::timeout(MAX_SENDING / 2, tokens.next()).await;
+            println!("{repeated:?}: {piece:?} after {:?}", begin.elapsed());
+            assert_eq!(piece, Some(None), "{repeated:?}");
+            // The timer of a timeout does not run while a task holds its thread up.
+            assert!(begin.elapsed() < TIMEOUT, "{repeated:?}: {:?}", begin.elapsed());
+        });
+    }
+}
