--- a/crates/core/src/serving/event_stream/scanner.rs
+++ b/crates/core/src/serving/event_stream/scanner.rs
@@ -52,6 +52,11 @@
         self.line != Line::Empty || self.has_field || is_line_end_open
     }
 
+    /// Returns `true` if a field of the current event has begun.
+    pub fn has_open_field(&self) -> bool {
+        self.has_field || self.line == Line::Field
+    }
+
     /// Returns `true` if an event has ended.
     pub fn has_event(&self) -> bool {
         self.has_event
--- a/crates/core/src/serving/response_body.rs
+++ b/crates/core/src/serving/response_body.rs
@@ -14,9 +14,11 @@
 
 use super::event_stream::Scanner;
 
-/// Maximum number of bytes in which no event of a stream ends. A stream that sends more consists of
-/// no events: a server that keeps a stream alive sends short comments at times.
+/// Maximum number of bytes between two events of a stream, or before its first one. A stream that sends
+/// more consists of no events: a server that keeps a stream alive sends short comments at times.
 pub const MAX_BYTES_WITHOUT_EVENT: usize = 4 << 20;
+/// Maximum number of bytes of an event, with the comments before it.
+pub const MAX_EVENT_BYTES: usize = 16 << 20;
 
 /// What declares the end of a response body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,7 +83,7 @@
 
     /// Returns `true` if the body is a stream in which no event ends.
     pub fn is_endless(&self) -> bool {
-        self.events.is_some_and(|events| events.count_pending() > MAX_BYTES_WITHOUT_EVENT)
+        self.events.is_some_and(|events| is_endless(&events))
     }
 
     /// Checks the body at its regular end.
@@ -100,3 +102,9 @@
         }
     }
 }
+
+/// Returns `true` if too much of a stream was read without the end of an event.
+pub fn is_endless(events: &Scanner) -> bool {
+    let max = if events.has_open_field() { MAX_EVENT_BYTES } else { MAX_BYTES_WITHOUT_EVENT };
+    events.count_pending() > max
+}
--- a/crates/keeljunction/src/backend/tokens.rs
+++ b/crates/keeljunction/src/backend/tokens.rs
@@ -8,7 +8,7 @@
 use futures_lite::{Stream, StreamExt, stream};
 use http_body_util::BodyDataStream;
 use keeljunction_core::serving::event_stream::Scanner;
-use keeljunction_core::serving::response_body::MAX_BYTES_WITHOUT_EVENT;
+use keeljunction_core::serving::response_body;
 use serde::Deserialize;
 
 use crate::http;
@@ -127,6 +127,6 @@
 
     /// Returns `true` if too much was received without the end of an event.
     fn is_endless(&self) -> bool {
-        self.scanner.count_pending() > MAX_BYTES_WITHOUT_EVENT
+        response_body::is_endless(&self.scanner)
     }
 }
