--- a/crates/core/src/serving/version_history.rs
+++ b/crates/core/src/serving/version_history.rs
@@ -80,6 +80,17 @@
         }
     }
 
+    /// Adds those versions in the row of a service that are not possible according to this history.
+    /// They count as gone since now. A row that is merged repeatedly keeps no version alive that this
+    /// history saw vanish.
+    pub fn merge_missing(&mut self, now: Millis, service: &str, versions: &BTreeSet<String>) {
+        let possible: BTreeSet<String> = self.iter_possible(now, service).cloned().collect();
+        let missing: BTreeSet<String> = versions.difference(&possible).cloned().collect();
+        if !missing.is_empty() {
+            self.merge_row(now, service, &missing);
+        }
+    }
+
     /// Records that all rows were read and merged.
     pub fn record_rows_read(&mut self) {
         self.are_rows_read = true;
@@ -96,6 +107,11 @@
         self.iter_possible(now, service).nth(1).is_some()
     }
 
+    /// Returns `true` if several versions of any service may be running streams.
+    pub fn is_any_mixed(&self, now: Millis) -> bool {
+        self.services.keys().any(|service| self.is_mixed(now, service))
+    }
+
     /// Returns `true` if a version of a service was listed when the service was last observed.
     pub fn is_listed(&self, service: &str, version: &str) -> bool {
         let known = self.services.get(service).and_then(|versions| versions.get(version));
