--- a/crates/core/tests/serving/shutdown.rs
+++ b/crates/core/tests/serving/shutdown.rs
@@ -56,3 +56,13 @@
     times.end(ROUTE, NOW - 4_000);
     assert!(is_begun(late, &times, TIMEOUT));
 }
+
+/// Guards against a bound from ten responses, one of which is far longer than the others: the next one may be longer still.
+#[test]
+fn a_late_request_is_not_begun_if_few_responses_of_different_lengths_are_known() {
+    let mut times = ResponseTimes::default();
+    (0..9).for_each(|_| times.record(ROUTE, NOW - 60_000, 100));
+    times.record(ROUTE, NOW - 60_000, 3_000);
+    let late = Shutdown { elapsed: 3_000, remaining: 4_500 };
+    assert!(!is_begun(late, &times, TIMEOUT));
+}
