perf(streams): let the archivist of a shard read archived records for the other nodes

Cause: after a restart of all nodes while several versions serve, each node read the rows of each shard of which a stream was taken up there. At 986 nodes that is up to 31,552 reads (computed), of 2,000 a second that the store allows. A node whose read failed also refused all streams of the shard for two seconds.

The archivist does not answer if its read failed. Where the only possible version could not be confirmed, because neither the store nor a node that reads it answered, the archive is no longer tried: `how=unconfirmed` in the log tells this from `unknown`.

--- a/crates/core/src/serving/stream_origin/decision.rs
+++ b/crates/core/src/serving/stream_origin/decision.rs
@@ -4,7 +4,6 @@
 
 use super::answer::Answer;
 use super::origin::Origin;
-use super::record::Standing;
 
 /// Which servers may continue a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,6 +20,9 @@
     Ambiguous,
     /// Nobody, because nothing is recorded and several origins are possible.
     Unknown,
+    /// Nobody, because nothing is recorded, and whether the only possible origin is still the only one
+    /// could not be confirmed.
+    Unconfirmed,
 }
 
 impl Decision {
@@ -33,6 +35,7 @@
             Self::OnlyVersion(_) => "only_version",
             Self::Ambiguous => "ambiguous",
             Self::Unknown => "unknown",
+            Self::Unconfirmed => "unconfirmed",
         }
     }
 
@@ -43,7 +46,7 @@
             | Self::Holder(origin)
             | Self::Archived(origin)
             | Self::OnlyVersion(origin) => Some(origin),
-            Self::Ambiguous | Self::Unknown => None,
+            Self::Ambiguous | Self::Unknown | Self::Unconfirmed => None,
         }
     }
 }
@@ -73,21 +76,23 @@
 
 /// Decides which servers may continue a stream of which only one origin seems possible.
 ///
-/// `confirmed` is what is known as of a time after the request arrived. Every other answer may be of
+/// `confirmed` is what is known as of a time after the request arrived, if anything is. Every other answer may be of
 /// a node that stood still or was cut off while a version appeared: the origins that it names are
 /// possible, but others may be as well.
 pub fn decide_confirmed(own: &Answer, answers: &[Answer], confirmed: Option<&Answer>) -> Decision {
+    let Some(confirmed) = confirmed else { return Decision::Unconfirmed };
     let mut others: Vec<Answer> = answers.iter().map(Answer::to_incomplete).collect();
-    others.extend(confirmed.cloned());
+    others.push(confirmed.clone());
     decide(&own.to_incomplete(), &others)
 }
 
-/// Decides which servers may continue a stream that no node knows, from its archived record.
-pub fn decide_archived(archived: Option<&Standing>) -> Decision {
+/// Decides which servers may continue a stream that no node knows, from what is archived; `None` if that
+/// is not known.
+pub fn decide_archived(archived: Option<&Answer>) -> Decision {
     match archived {
-        Some(Standing::Known(origin)) => Decision::Archived(origin.as_ref().clone()),
-        Some(Standing::Ambiguous) => Decision::Ambiguous,
-        None => Decision::Unknown,
+        Some(Answer::Known(origin)) => Decision::Archived(origin.clone()),
+        Some(Answer::Ambiguous) => Decision::Ambiguous,
+        Some(Answer::Unknown(_)) | None => Decision::Unknown,
     }
 }
 
--- a/crates/gateway/src/node/peers/dispatcher.rs
+++ b/crates/gateway/src/node/peers/dispatcher.rs
@@ -99,6 +99,9 @@
                 node, from, query_id, key, services,
             ));
         }
+        Message::QueryArchivedOrigin { query_id, key } => {
+            runtime::spawn(stream_origins::answer_archived(node.clone(), from, query_id, key));
+        }
         Message::StreamOrigin { query_id, answer } => {
             stream_origins::handle_answer(node, query_id, answer);
         }
--- a/crates/gateway/src/node/peers/message.rs
+++ b/crates/gateway/src/node/peers/message.rs
@@ -138,7 +138,7 @@
         /// The services that may have begun the stream.
         services: Vec<String>,
     },
-    /// The answer to `QueryStreamOrigin` and `ConfirmStreamOrigin`.
+    /// The answer to `QueryStreamOrigin`, `ConfirmStreamOrigin` and `QueryArchivedOrigin`.
     StreamOrigin {
         /// The query.
         query_id: u32,
@@ -199,6 +199,13 @@
         /// The services that may have begun the stream.
         services: Vec<String>,
     },
+    /// Asks the archivist of a stream's shard to read the shard and to answer with what is archived.
+    QueryArchivedOrigin {
+        /// Identifies the query at its sender.
+        query_id: u32,
+        /// The stream.
+        key: stream_origin::Key,
+    },
 }
 
 /// The sender of a report.
--- a/crates/gateway/src/node/peers/stream_origins.rs
+++ b/crates/gateway/src/node/peers/stream_origins.rs
@@ -14,7 +14,7 @@
 
 use super::message::Message;
 use crate::node::state::State;
-use crate::node::{Node, stream_origins};
+use crate::node::{Node, stream_archive, stream_origins};
 
 /// The timeout for the answers of all holders: several round trips within a region, and the
 /// scheduling delay of a task on a small VM.
@@ -127,6 +127,20 @@
     None
 }
 
+/// Asks the archivist of a stream's shard for what is archived; `None` if it does not answer in time, or
+/// could not read the shard.
+pub(in crate::node) async fn ask_archivist(
+    node: &Node,
+    key: Key,
+    archivist: SocketAddr,
+) -> Option<Answer> {
+    let query = node.pending_stream_origins.begin();
+    let message = Message::QueryArchivedOrigin { query_id: query.id, key };
+    node.link.send(node.now(), archivist, &message).await;
+    let timeout = get_timeout(node, &[archivist]).max(UNDECIDED_ASK_TIMEOUT_MS);
+    query.wait(Duration::from_millis(timeout)).await
+}
+
 /// Returns the timeout for the answers of all holders.
 fn get_timeout(node: &Node, holders: &[SocketAddr]) -> Millis {
     let regions = holders.iter().filter_map(|holder| node.link.get_remote_region(*holder));
@@ -234,6 +248,13 @@
     node.link.send(now, from, &Message::StreamOrigin { query_id, answer }).await;
 }
 
+/// Answers the query of another node after this node has read the shard of the stream.
+pub(super) async fn answer_archived(node: Arc<Node>, from: SocketAddr, query_id: u32, key: Key) {
+    // The other node reads the shard itself if it gets no answer.
+    let Some(answer) = stream_archive::read(&node, key).await else { return };
+    node.link.send(node.now(), from, &Message::StreamOrigin { query_id, answer }).await;
+}
+
 /// Handles an answer. One that arrives too late, or after the first record, is not needed.
 pub(super) fn handle_answer(node: &Node, query_id: u32, answer: Answer) {
     if !node.pending_stream_origins.deliver(query_id, answer) {
--- a/crates/gateway/src/node/reads.rs
+++ b/crates/gateway/src/node/reads.rs
@@ -80,19 +80,35 @@
     }
 }
 
+/// Which way to what the tables hold is tried first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Order {
+    /// Reading the table service.
+    ReadFirst,
+    /// Asking another node, so that few nodes call the table service.
+    AskFirst,
+}
+
+impl Order {
+    /// Returns the order for what the readers of the tables tell other nodes.
+    pub fn of(node: &Node) -> Self {
+        match watch::is_reader(node) {
+            true => Self::ReadFirst,
+            false => Self::AskFirst,
+        }
+    }
+}
+
 /// Returns the first result of reading the table service and of asking other nodes; `None` if neither
-/// has one.
-///
-/// A reader reads first, and other nodes ask first, so that few nodes call the table service. The other
-/// way is tried as well if the first one takes long.
+/// has one. The second way is tried as well if the first one takes long.
 pub(super) async fn read_or_ask<T>(
-    node: &Node,
+    order: Order,
     reading: impl Future<Output = Option<T>>,
     asking: impl Future<Output = Option<T>>,
 ) -> Option<T> {
-    let (read_delay, ask_delay) = match watch::is_reader(node) {
-        true => (Duration::ZERO, OTHER_WAY_DELAY),
-        false => (OTHER_WAY_DELAY, Duration::ZERO),
+    let (read_delay, ask_delay) = match order {
+        Order::ReadFirst => (Duration::ZERO, OTHER_WAY_DELAY),
+        Order::AskFirst => (OTHER_WAY_DELAY, Duration::ZERO),
     };
     let reading = async {
         runtime::sleep(read_delay).await;
--- a/crates/gateway/src/node/server_list.rs
+++ b/crates/gateway/src/node/server_list.rs
@@ -8,7 +8,7 @@
 use keeljunction_core::Millis;
 
 use super::peers::versions as peers;
-use super::reads::read_or_ask;
+use super::reads::{Order, read_or_ask};
 use super::{Node, watch};
 use crate::runtime;
 
@@ -34,5 +34,5 @@
 async fn update(node: &Node) -> bool {
     let reading = async { watch::read_changed_servers(node).await.then_some(()) };
     let asking = async { peers::fetch_servers(node).await.then_some(()) };
-    read_or_ask(node, reading, asking).await.is_some()
+    read_or_ask(Order::of(node), reading, asking).await.is_some()
 }
--- a/crates/gateway/src/node/stream_archive/mod.rs
+++ b/crates/gateway/src/node/stream_archive/mod.rs
@@ -19,6 +19,7 @@
     Archive, ArchivedRow, Record, Shard, Standing, get_write_interval,
 };
 
+pub(in crate::node) use self::reader::read;
 pub(crate) use self::reader::{Reads, find};
 use super::back_off::BackOff;
 use super::state::State;
--- a/crates/gateway/src/node/stream_origins/confirmation.rs
+++ b/crates/gateway/src/node/stream_origins/confirmation.rs
@@ -12,7 +12,7 @@
 use keeljunction_core::serving::stream_origin::{Answer, Key};
 
 use crate::node::peers::stream_origins as peers;
-use crate::node::reads::read_or_ask;
+use crate::node::reads::{Order, read_or_ask};
 use crate::node::{Node, version_rows, watch};
 use crate::runtime;
 
@@ -27,7 +27,7 @@
         let is_read = read(node).await;
         is_read.then(|| get_answer(node, key, services))
     };
-    read_or_ask(node, reading, peers::ask_readers(node, key, services)).await
+    read_or_ask(Order::of(node), reading, peers::ask_readers(node, key, services)).await
 }
 
 /// Reads the server list and the rows of versions by calls that begin after this one. Returns `true`
