fix(shutdown): sum up the earlier responses of busy routes

Callers saw: a node that shuts down refuses every late request of a route with many short responses (503 `stopping`), though each would end within milliseconds.

Cause: what a late request takes at most is drawn from requests that arrived early enough to have exceeded the bound, some 3 s before with 4.5 s left, and 128 responses are kept. Above some 43 requests a second on a route none of these is old enough, and no bound is known.

Change: responses that leave the 128 are summed up by periods of 250 ms (number, shortest, longest), 64 of them for each route, and count like single ones.

Measured: `a_busy_route_with_short_responses_shows_a_bound` (60 a second, 50 ms each): no bound before, 75 ms after. The other tests of response times and shutdowns pass unchanged.

--- a/crates/core/src/serving/response_times.rs
+++ b/crates/core/src/serving/response_times.rs
@@ -8,7 +8,7 @@
 
 use crate::Millis;
 
-/// Number of recent responses that are kept for each route.
+/// Number of recent responses that are kept one by one for each route.
 const MAX_SAMPLES: usize = 128;
 /// Number of the most recent responses that an estimate is drawn from.
 const ESTIMATE_SAMPLES: usize = 32;
@@ -21,6 +21,10 @@
 /// Number of responses from which on their range is added once, and not several times, for the upper
 /// bound: the fewer are known, the further beyond them is the longest one.
 const RANGE_SAMPLES: f64 = 16.0;
+/// The period of arrivals, in milliseconds, over which earlier responses are summed up.
+const SUMMARY_PERIOD_MS: Millis = 250;
+/// Number of such periods that are kept for each route.
+const MAX_SUMMARIES: usize = 64;
 /// Number of routes that are kept. Routes are removed and renamed, and the samples of those that no
 /// longer exist are dropped with all others.
 const MAX_ROUTES: usize = 1_024;
@@ -36,6 +40,9 @@
 struct Route {
     /// The most recent responses, in the order of their ends.
     ended: VecDeque<Sample>,
+    /// Those before them, by the time of arrival. On a busy route, all recent responses are of requests
+    /// that arrived a moment ago.
+    earlier: VecDeque<Summary>,
     /// The arrival times of the requests whose responses are open, in ascending order.
     open: VecDeque<Millis>,
 }
@@ -49,6 +56,16 @@
     time: Millis,
 }
 
+/// The responses to requests that arrived within a period.
+#[derive(Clone, Copy, Debug)]
+struct Summary {
+    /// When the first of these requests arrived, and the last one.
+    arrived: (Millis, Millis),
+    responses: usize,
+    shortest: Millis,
+    longest: Millis,
+}
+
 impl ResponseTimes {
     /// Records that the response to a request that arrived at a time is open.
     pub fn begin(&mut self, route: &str, arrived_at: Millis) {
@@ -99,15 +116,13 @@
     pub fn get_upper_bound(&self, now: Millis, route: &str, limit: Millis) -> Option<Millis> {
         let known = self.routes.get(route)?;
         let shown = (limit as f64 / TAIL_FACTOR) as Millis;
-        let times: Vec<Millis> = known
-            .ended
-            .iter()
-            .filter(|sample| now.saturating_sub(sample.arrived_at) >= shown)
-            .map(|sample| sample.time)
-            .collect();
-        let shortest = times.iter().min().copied().filter(|_| times.len() >= MIN_SAMPLES)?;
-        let longest = times.iter().copied().chain(known.get_oldest_age(now)).max()?;
-        let range = (longest - shortest) as f64 * RANGE_SAMPLES / times.len() as f64;
+        let Summary { responses, shortest, longest, .. } =
+            known.sum_up(|arrived_at| now.saturating_sub(arrived_at) >= shown)?;
+        if responses < MIN_SAMPLES {
+            return None;
+        }
+        let longest = longest.max(known.get_oldest_age(now).unwrap_or(0));
+        let range = (longest - shortest) as f64 * RANGE_SAMPLES / responses as f64;
         let bound = (longest as f64 * TAIL_FACTOR).max(longest as f64 + range);
         Some(bound as Millis)
     }
@@ -122,14 +137,63 @@
 
 impl Route {
     fn push(&mut self, sample: Sample) {
-        if self.ended.len() >= MAX_SAMPLES {
-            self.ended.pop_front();
+        if self.ended.len() >= MAX_SAMPLES
+            && let Some(oldest) = self.ended.pop_front()
+        {
+            self.push_earlier(oldest.into());
         }
         self.ended.push_back(sample);
     }
 
+    /// Adds an earlier response to the last period, or begins another one.
+    fn push_earlier(&mut self, response: Summary) {
+        match self.earlier.back_mut() {
+            Some(last) if last.merge(response).get_period() <= SUMMARY_PERIOD_MS => {
+                *last = last.merge(response);
+            }
+            _ => {
+                if self.earlier.len() >= MAX_SUMMARIES {
+                    self.earlier.pop_front();
+                }
+                self.earlier.push_back(response);
+            }
+        }
+    }
+
+    /// Sums up the responses to requests whose arrival is early enough; returns `None` if there are none.
+    fn sum_up(&self, is_early: impl Fn(Millis) -> bool) -> Option<Summary> {
+        let recent = self.ended.iter().copied().map(Summary::from);
+        let all = recent.chain(self.earlier.iter().copied());
+        all.filter(|summary| is_early(summary.arrived.1)).reduce(Summary::merge)
+    }
+
     /// Returns the age of the oldest open response.
     fn get_oldest_age(&self, now: Millis) -> Option<Millis> {
         self.open.front().map(|arrived_at| now.saturating_sub(*arrived_at))
     }
 }
+
+impl Summary {
+    fn merge(self, other: Self) -> Self {
+        let (first, last) =
+            (self.arrived.0.min(other.arrived.0), self.arrived.1.max(other.arrived.1));
+        Self {
+            arrived: (first, last),
+            responses: self.responses + other.responses,
+            shortest: self.shortest.min(other.shortest),
+            longest: self.longest.max(other.longest),
+        }
+    }
+
+    /// Returns the time between the first arrival and the last one.
+    fn get_period(&self) -> Millis {
+        self.arrived.1 - self.arrived.0
+    }
+}
+
+impl From<Sample> for Summary {
+    fn from(sample: Sample) -> Self {
+        let Sample { arrived_at, time } = sample;
+        Self { arrived: (arrived_at, arrived_at), responses: 1, shortest: time, longest: time }
+    }
+}
--- a/crates/core/tests/serving/response_times.rs
+++ b/crates/core/tests/serving/response_times.rs
@@ -96,3 +96,12 @@
     (0..4).for_each(|_| even.record("chat", LONG_AGO, 1_000));
     assert_eq!(even.get_upper_bound(NOW, "chat", LIMIT), Some(1_500));
 }
+
+/// Guards against a busy route that shows no bound, because its kept responses are all too recent.
+#[test]
+fn a_busy_route_with_short_responses_shows_a_bound() {
+    let mut times = ResponseTimes::default();
+    // 60 responses per second, each of 50 ms, for 30 s.
+    (0..1_800).for_each(|index| times.record("chat", NOW - 30_050 + index * 1_000 / 60, 50));
+    assert_eq!(times.get_upper_bound(NOW, "chat", LIMIT), Some(75));
+}
