fix(shutdown): count the time of a response until its caller has it

Callers saw: a late request during a shutdown is begun and cut off at the exit, in the middle of its response, where callers read more slowly than servers send.

Cause: the time of a response ended with the server's part, and it no longer counted as open then, while the node still delivered it for seconds (class: an estimate from work that was not complete).

Change: a response is open, and its time runs, until its caller has the whole of it.

A first slow caller on a route of quick ones is still not predictable.

--- a/crates/gateway/src/exchange/open_response.rs
+++ b/crates/gateway/src/exchange/open_response.rs
@@ -6,7 +6,7 @@
 
 use crate::node::Node;
 
-/// A response of a server that is open, or about to begin, until this is dropped.
+/// A response that is open, or about to begin, until this is dropped.
 pub(super) struct OpenResponse {
     node: Arc<Node>,
     route: String,
@@ -21,7 +21,7 @@
         Self { node: node.clone(), route: route.to_owned(), arrived_at, is_complete: false }
     }
 
-    /// Records that the response has ended by itself. Its time counts once its caller has it.
+    /// Records that the caller has the whole response.
     pub fn complete(mut self) {
         self.is_complete = true;
     }
--- a/crates/gateway/src/exchange/relay.rs
+++ b/crates/gateway/src/exchange/relay.rs
@@ -33,7 +33,7 @@
                 notes::record_success(&node, &exchange, status);
             }
             record.record_chunk();
-            record.record_complete_response();
+            record.record_response_end();
             record.set_outcome(status, ANSWERED);
             feed::complete_body(&node, bytes, reservation, record)
         }
--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -131,7 +131,7 @@
     outcome: &'static str,
     /// Whether the request resumes a stream.
     is_resumed: bool,
-    /// The server's response, from the admission of the request until it ends.
+    /// The response, from the admission of the request until its caller has it.
     open_response: Option<OpenResponse>,
     /// Time from the arrival of the request to the end of the server's response.
     response_time: Option<Millis>,
@@ -190,17 +190,8 @@
         self.open_response = Some(OpenResponse::begin(&self.node, route, self.arrived_at));
     }
 
-    /// Records that the server's response is complete.
-    pub fn record_complete_response(&mut self) {
-        if let Some(open) = self.open_response.take() {
-            open.complete();
-        }
-        self.record_response_end();
-    }
-
     /// Records that the server's response has ended. The caller may read the rest of it later.
     pub fn record_response_end(&mut self) {
-        self.open_response = None;
         self.response_time = Some(self.node.now().saturating_sub(self.arrived_at));
     }
 
@@ -248,12 +239,7 @@
                 metrics.longest_gap.get_or_create(&labels).observe(gap as f64 / 1_000.0);
             }
         }
-        // An error response tells nothing about how long a complete one takes.
-        let is_success = self.outcome == ANSWERED && (200..300).contains(&self.status);
-        let response_time = self.response_time.filter(|_| is_success && !self.is_resumed);
-        if let (Some(route), Some(time)) = (&self.route, response_time) {
-            self.node.with(|state| state.response_times.record(route, self.arrived_at, time));
-        }
+        self.record_time(total);
         let fingerprint = self.fingerprint.filter(|_| self.outcome != ANSWERED);
         event::emit(&Event::RequestEnded {
             request: &self.id,
@@ -276,6 +262,23 @@
     }
 }
 
+impl RequestRecord {
+    /// Records how long the response took until its caller had it.
+    fn record_time(&mut self, total: Millis) {
+        if self.outcome != ANSWERED {
+            return;
+        }
+        if let Some(open) = self.open_response.take() {
+            open.complete();
+        }
+        // An error response tells nothing about how long a complete one takes.
+        let is_success = (200..300).contains(&self.status);
+        if let Some(route) = self.route.as_ref().filter(|_| is_success && !self.is_resumed) {
+            self.node.with(|state| state.response_times.record(route, self.arrived_at, total));
+        }
+    }
+}
+
 /// Announces that the connection closes after the response.
 pub(super) fn announce_close(response: &mut Response<Body>) {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/gateway/src/exchange/source.rs
+++ b/crates/gateway/src/exchange/source.rs
@@ -267,13 +267,10 @@
     }
 
     fn stop(&mut self, end: StreamEnd) {
-        match end {
-            StreamEnd::Complete => self.record.record_complete_response(),
-            StreamEnd::Broken(why) => {
-                self.record.record_response_end();
-                let outcome = if why == "timeout" { "cut_by_timeout" } else { "cut" };
-                self.record.set_outcome(self.status, outcome);
-            }
+        self.record.record_response_end();
+        if let StreamEnd::Broken(why) = end {
+            let outcome = if why == "timeout" { "cut_by_timeout" } else { "cut" };
+            self.record.set_outcome(self.status, outcome);
         }
         self.body = None;
         self.load = None;
