fix(streams): let a slow update of the server list serve later requests

Callers saw: where the store and the other nodes take longer than 150 ms to answer, no stream is resumed at a server that this node does not list yet, however often its caller returns. Found by a review, by reading.

Cause: the update was cancelled with the request that waited for it, and counted as a recent one for the requests of the next 500 ms, which were refused without another.

Change: the update is a task of its own and goes on after the request was refused; only complete updates serve later requests.

--- a/crates/gateway/src/exchange/origin.rs
+++ b/crates/gateway/src/exchange/origin.rs
@@ -58,7 +58,11 @@
 
 /// Returns the origin whose servers continue a stream. The server list is brought up to date before the
 /// request is refused for lack of a server.
-async fn check(node: &Node, services: &[&str], decision: &Decision) -> Result<Origin, Refusal> {
+async fn check(
+    node: &Arc<Node>,
+    services: &[&str],
+    decision: &Decision,
+) -> Result<Origin, Refusal> {
     let origin = decision.get_origin().ok_or(Refusal::UnknownStream)?;
     if !services.contains(&origin.service.as_str()) {
         return Err(Refusal::UnknownStream);
--- a/crates/gateway/src/node/reads.rs
+++ b/crates/gateway/src/node/reads.rs
@@ -36,17 +36,20 @@
 struct Turn<'a>(&'a Receiver<()>);
 
 impl SharedReads {
-    /// Reads, unless another request's read began after `since`, on the node's clock. Returns `true` if
-    /// the read was complete, as `read` returns it.
+    /// Reads, unless another request's read began after `asked_at`, or after `since` and was complete.
+    /// Both are times on the node's clock. Returns `true` if the read was complete, as `read` returns it.
     pub async fn share(
         &self,
         node: &Node,
+        asked_at: Millis,
         since: Millis,
         read: impl AsyncFnOnce() -> bool,
     ) -> bool {
         let Some(_turn) = self.wait_for_turn().await else { return false };
         let last = *lock(&self.last);
-        if let Some(last) = last.filter(|last| last.begun_at > since) {
+        let is_shared =
+            |last: &Read| last.begun_at > asked_at || last.is_complete && last.begun_at > since;
+        if let Some(last) = last.filter(is_shared) {
             return last.is_complete;
         }
         let next = last.map_or(0, |last| last.begun_at + INTERVAL_MS);
--- a/crates/gateway/src/node/server_list.rs
+++ b/crates/gateway/src/node/server_list.rs
@@ -3,8 +3,10 @@
 //! A node that stood still or was cut off has the list of a time before that. It may learn of a stream's
 //! origin first, whose servers joined meanwhile.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::Sender;
 use keeljunction_core::Millis;
 
 use super::peers::versions as peers;
@@ -20,17 +22,31 @@
 const MAX_AGE_MS: Millis = 500;
 
 /// Brings the server list up to date, unless that was done a moment ago. The list may remain as it is if
-/// neither the table service nor a node that reads it answers.
-pub(crate) async fn refresh(node: &Node) {
-    let since = node.now().saturating_sub(MAX_AGE_MS);
-    let update = node.server_list_reads.share(node, since, async || update(node).await);
-    match runtime::timeout(TIMEOUT, update).await {
-        Some(true) => {}
-        Some(false) => log::warn!("the server list of a refused request could not be read"),
-        None => log::warn!("the server list of a refused request was not read in time"),
+/// neither the table service nor a node that reads it answers in time; an update that takes longer serves
+/// later requests.
+pub(crate) async fn refresh(node: &Arc<Node>) {
+    let (ended, end) = async_channel::bounded(1);
+    runtime::spawn(update_shared(node.clone(), ended));
+    match runtime::timeout(TIMEOUT, end.recv()).await {
+        Some(Ok(true)) => {}
+        Some(Ok(false) | Err(_)) => {
+            log::warn!("the server list could not be read before a request was refused");
+        }
+        None => log::warn!("the server list was not read in time before a request was refused"),
     }
 }
 
+async fn update_shared(node: Arc<Node>, ended: Sender<bool>) {
+    let asked_at = node.now();
+    let since = asked_at.saturating_sub(MAX_AGE_MS);
+    let update = async || update(&node).await;
+    let is_updated = node.server_list_reads.share(&node, asked_at, since, update).await;
+    if ended.try_send(is_updated).is_err() {
+        log::debug!("the request that a server list was read for has ended");
+    }
+}
+
+/// Reads the changes of the list. Returns `true` if the table service or another node answered.
 async fn update(node: &Node) -> bool {
     let reading = async { watch::read_changed_servers(node).await.then_some(()) };
     let asking = async { peers::fetch_servers(node).await.then_some(()) };
--- a/crates/gateway/src/node/stream_origins/confirmation.rs
+++ b/crates/gateway/src/node/stream_origins/confirmation.rs
@@ -47,7 +47,7 @@
         let (servers, rows) = reads.await;
         servers && rows
     };
-    node.version_reads.share(node, asked_at, read).await
+    node.version_reads.share(node, asked_at, asked_at, read).await
 }
 
 fn get_answer(node: &Node, key: Option<Key>, services: &[&str]) -> Answer {
