test(faults): print why a test failed whose task panicked on another test's thread

Cause: the tests of a process share one executor, whose threads belong to the tests that started them. A task that panics on the thread of another test leaves its message in the captured output of that test, which is not printed if it passes; the awaiting test resumes the panic without a message.

Change: the test's own thread prints the message of the panic that ends it.

After, the panic that ends the test is printed as its reason.

--- a/crates/standin/tests/faults/support.rs
+++ b/crates/standin/tests/faults/support.rs
@@ -1,8 +1,11 @@
 //! Helpers shared by the fault tests.
 
+use std::any::Any;
 use std::future::Future;
+use std::panic::{AssertUnwindSafe, resume_unwind};
 use std::time::Duration;
 
+use futures_lite::FutureExt;
 use keeljunction::runtime;
 use standin::harness::{Call, Cluster, ClusterConfig, DUTY_CREDENTIAL, Response, Stream};
 
@@ -10,6 +13,13 @@
 pub const CONVERGENCE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Starts a cluster and runs a test on it.
+///
+/// All tests of a process share an executor, so that a task may panic on the thread of another test, whose
+/// captured output then holds the message. The message is printed again on the thread of this test.
+///
+/// # Panics
+///
+/// Panics if the test or a task that it awaits does.
 pub fn on_cluster<F, Fut>(config: ClusterConfig, test: F)
 where
     F: FnOnce(Cluster) -> Fut,
@@ -17,10 +27,18 @@
 {
     runtime::run(1, async {
         let cluster = Cluster::start(config).await.expect("the cluster starts");
-        test(cluster).await;
+        if let Err(panic) = AssertUnwindSafe(test(cluster)).catch_unwind().await {
+            eprintln!("the test failed: {}", get_panic_message(&*panic));
+            resume_unwind(panic);
+        }
     });
 }
 
+fn get_panic_message(panic: &(dyn Any + Send)) -> &str {
+    let formatted = panic.downcast_ref::<String>().map(String::as_str);
+    formatted.or_else(|| panic.downcast_ref::<&str>().copied()).unwrap_or("unknown panic")
+}
+
 /// Creates a streaming request in the class `briefing`.
 pub fn briefing(prompt: &str, tokens: u64) -> Call {
     Call::completion(DUTY_CREDENTIAL, "briefing", "hidro", prompt, tokens)
