test(planned_stop): poll no node that has exited, whose port another process may take

Cause, shown on purpose: the balancer of the test knows nodes by their addresses and goes on polling those that have exited. If another process takes the freed port of the operator's listener and answers /readyz with 200, callers are sent to a node that is gone.

Ruled out: the time from which `keeljunction serve` counts its stop. The balancer sees the node unready from when the node has seen the signal, and the grace period counts from the same moment, so a late signal moves both.

Change: a node leaves the balancer when it has exited. The test is stricter in exchange: the balancer must have noticed the stop before the exit, whether or not a caller is sent there afterwards. A failure names the node and the age of its readiness check.

--- a/crates/standin/tests/faults/planned_stop.rs
+++ b/crates/standin/tests/faults/planned_stop.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_executor::Task;
 use hyper::Request;
@@ -39,8 +39,15 @@
     });
 }
 
-/// The result of the latest readiness check of each node.
-type Readiness = Arc<Mutex<Vec<bool>>>;
+/// The result of the latest readiness check of a node.
+#[derive(Clone, Copy, Debug)]
+struct Check {
+    is_ready: bool,
+    began_at: Instant,
+}
+
+/// The latest check of each node; `None` of one that has exited, whose port another process may take.
+type Readiness = Arc<Mutex<Vec<Option<Check>>>>;
 
 /// Polls the readiness of all nodes, like a load balancer.
 fn poll_readiness(cluster: &Cluster, ready: &Readiness) -> Task<()> {
@@ -52,9 +59,12 @@
             for (node, operator) in operators.iter().enumerate() {
                 let request =
                     Request::get("/readyz").header("host", "balancer").body(Body::empty());
+                let began_at = Instant::now();
                 let response = client.send(*operator, request.expect("the request is valid")).await;
                 let is_ready = response.is_ok_and(|response| response.status() == 200);
-                lock(&ready)[node] = is_ready;
+                if let Some(check) = &mut lock(&ready)[node] {
+                    *check = Check { is_ready, began_at };
+                }
             }
             runtime::sleep(Duration::from_millis(50)).await;
         }
@@ -73,13 +83,24 @@
     let client = Client::new(Duration::from_secs(1));
     let mut done = 0;
     while !is_over.load(Ordering::SeqCst) {
-        let ready_nodes: Vec<usize> =
-            (0..addresses.len()).filter(|node| lock(&ready)[*node]).collect();
-        let to = addresses[ready_nodes[(number + done) % ready_nodes.len()]];
+        let ready_nodes: Vec<(usize, Check)> = lock(&ready)
+            .iter()
+            .enumerate()
+            .filter_map(|(node, check)| {
+                check.filter(|check| check.is_ready).map(|check| (node, check))
+            })
+            .collect();
+        let (node, check) = ready_nodes[(number + done) % ready_nodes.len()];
+        let age = check.began_at.elapsed();
         let prompt = format!("caller {number} call {done}");
-        let response =
-            briefing(&prompt, 30).send(&client, to).await.expect("the connection must not break");
-        assert!(response.is_complete, "the request was rejected or interrupted: {response:?}");
+        let response = briefing(&prompt, 30).send(&client, addresses[node]).await;
+        let response = response.unwrap_or_else(|error| {
+            panic!("the connection to node {node}, ready {age:?} before, must not break: {error}")
+        });
+        assert!(
+            response.is_complete,
+            "node {node}, ready {age:?} before, rejected or interrupted the request: {response:?}"
+        );
         assert_eq!(response.body, expected_output(&prompt, 30));
         done += 1;
     }
@@ -91,7 +112,8 @@
     on_cluster(
         ClusterConfig { nodes: 4, engines: 3, ..ClusterConfig::default() },
         async |mut cluster| {
-            let ready: Readiness = Arc::new(Mutex::new(vec![true; 4]));
+            let first = Check { is_ready: true, began_at: Instant::now() };
+            let ready: Readiness = Arc::new(Mutex::new(vec![Some(first); 4]));
             let is_over: Arc<AtomicBool> = Arc::default();
             let balancer = poll_readiness(&cluster, &ready);
             let addresses: Vec<SocketAddr> =
@@ -114,6 +136,8 @@
                     status.is_some_and(|status| status.success()),
                     "node {node} did not exit with success"
                 );
+                let last = lock(&ready)[node].take().expect("a node exits once");
+                assert!(!last.is_ready, "node {node} exited before the balancer noticed its stop");
             }
             is_over.store(true, Ordering::SeqCst);
             for client in clients {
