refactor(shutdown): rename stop::Heartbeat to stop::Pulse

`members::Heartbeat` is the message by which nodes hear of each other; the record of when a process ran is another concept. No behaviour changes.

--- a/crates/gateway/src/node/gateway.rs
+++ b/crates/gateway/src/node/gateway.rs
@@ -111,7 +111,7 @@
     /// Requests that this node relays for others.
     pub(super) active_relays: ActiveRelays,
     /// Records when the process ran.
-    pub(super) heartbeat: stop::Heartbeat,
+    pub(super) pulse: stop::Pulse,
     /// When the shutdown began, and when the process exits, once it is shutting down.
     stop_times: stop::Times,
     requests_in_flight: RequestsInFlight,
@@ -136,7 +136,7 @@
         metrics.register_cross_region_bytes(link.get_cross_region_bytes_by_region());
         metrics.register_sent_messages(link.get_sent_messages());
         metrics.register_ignored_datagrams(link.get_ignored());
-        let heartbeat = stop::Heartbeat::new(clock.now());
+        let pulse = stop::Pulse::new(clock.now());
         Arc::new(Self {
             settings,
             platform,
@@ -165,7 +165,7 @@
             state: Mutex::new(state),
             active_fetches: ActiveFetches::default(),
             active_relays: ActiveRelays::default(),
-            heartbeat,
+            pulse,
             stop_times: stop::Times::default(),
             requests_in_flight: RequestsInFlight::default(),
         })
@@ -260,7 +260,7 @@
         let known = self.with(|state| state.configuration.as_ref().map(|c| c.limits.head_timeout));
         let head_timeout = Duration::from_millis(known.unwrap_or(DEFAULT_CLIENT_HEAD_MS));
         let schedule = Schedule::new(grace, head_timeout);
-        let signalled_at = self.heartbeat.get_earliest_signal();
+        let signalled_at = self.pulse.get_earliest_signal();
         let delay = Duration::from_millis(self.now().saturating_sub(signalled_at));
         let has_begun = self.stop_times.begin(signalled_at, &schedule);
         has_begun.then(|| schedule.after_delay(delay))
@@ -268,7 +268,7 @@
 
     /// Returns for how long a stop signal that is seen now may have been pending.
     pub fn get_signal_delay(&self) -> Duration {
-        let sent_at = self.heartbeat.get_earliest_signal();
+        let sent_at = self.pulse.get_earliest_signal();
         Duration::from_millis(self.now().saturating_sub(sent_at))
     }
 
--- a/crates/gateway/src/node/stop/mod.rs
+++ b/crates/gateway/src/node/stop/mod.rs
@@ -1,14 +1,14 @@
 //! What a node that shuts down must still complete, when the steps of the shutdown happen, and how it
 //! leaves the other nodes.
 
-mod heartbeat;
+mod pulse;
 mod schedule;
 mod times;
 
 use std::time::Duration;
 
-pub(in crate::node) use heartbeat::Heartbeat;
-pub(in crate::node) use heartbeat::start as start_heartbeat;
+pub(in crate::node) use pulse::Pulse;
+pub(in crate::node) use pulse::start as start_pulse;
 pub use schedule::Schedule;
 pub(in crate::node) use times::Times;
 
--- a/crates/gateway/src/node/stop/heartbeat.rs
+++ b/crates/gateway/src/node/stop/pulse.rs
@@ -21,13 +21,13 @@
 /// The beats and the task that waits for signals share a thread, so that none goes on while the other
 /// is held up.
 #[derive(Debug)]
-pub(in crate::node) struct Heartbeat {
+pub(in crate::node) struct Pulse {
     last: AtomicU64,
     before: AtomicU64,
 }
 
-impl Heartbeat {
-    /// Creates the heartbeat of a process that runs now.
+impl Pulse {
+    /// Creates the pulse of a process that runs now.
     pub(in crate::node) fn new(now: Millis) -> Self {
         Self { last: AtomicU64::new(now), before: AtomicU64::new(now) }
     }
@@ -51,7 +51,7 @@
 pub(in crate::node) fn start(node: &Arc<Node>) {
     let node = node.clone();
     runtime::spawn_periodic(INTERVAL, move || {
-        node.heartbeat.beat(node.now());
+        node.pulse.beat(node.now());
         std::future::ready(())
     });
 }
--- a/crates/gateway/src/node/tasks.rs
+++ b/crates/gateway/src/node/tasks.rs
@@ -15,7 +15,7 @@
     runtime::spawn(watch::watch_configuration(node.clone()));
     runtime::spawn(watch::confirm_freshness(node.clone()));
     runtime::spawn(watch::watch_servers(node.clone()));
-    stop::start_heartbeat(node);
+    stop::start_pulse(node);
     runtime::spawn(connections::run(node.clone()));
     runtime::spawn(server_paths::run(node.clone()));
     peers::start(node);
