fix(shutdown): keep an answer whose server has ended until just before the exit

What callers saw (shown on purpose, not reported): during a shutdown with a grace period of 8 s, a caller that has read nothing for 1 s is disconnected 6.7 s after the stop signal, although its server has ended and the node holds the whole answer. It would have got it by reading on before the exit at 7.5 s.

Cause: callers that do not read are disconnected 0.8 s before the end, whether or not their servers are still at work.

Change: that step now strikes only responses whose servers are still at work. The others are disconnected 0.1 s before the end, so that a caller that never reads still leaves a clean exit.

--- a/crates/gateway/src/active_responses.rs
+++ b/crates/gateway/src/active_responses.rs
@@ -36,6 +36,8 @@
     pub caller: Caller,
     /// Whether the caller has been reading too slowly for too long.
     pub is_too_slow: bool,
+    /// Whether the server has ended its response, so that only the caller's reading is awaited.
+    pub is_ended: bool,
     /// Whether memory is insufficient for the data read from the server.
     pub is_short_of_memory: bool,
 }
--- a/crates/gateway/src/exchange/callers.rs
+++ b/crates/gateway/src/exchange/callers.rs
@@ -29,12 +29,14 @@
     });
 }
 
-/// Disconnects all stalled callers shortly before the node stops.
-pub fn disconnect_stalled(node: &Node) {
+/// Disconnects stalled callers shortly before the node stops: those whose servers are still at work, and
+/// the others too if `includes_ended`.
+pub fn disconnect_stalled(node: &Node, includes_ended: bool) {
     let now = node.now();
     for feed in node.active_responses.list() {
         let Some(status) = (feed.check_status)(now) else { continue };
-        if status.caller.stalled >= STALL_TIMEOUT_MS {
+        let is_due = includes_ended || !status.is_ended;
+        if is_due && status.caller.stalled >= STALL_TIMEOUT_MS {
             disconnect(node, &feed, &status, "stopping");
         }
     }
--- a/crates/gateway/src/exchange/feed.rs
+++ b/crates/gateway/src/exchange/feed.rs
@@ -202,7 +202,8 @@
         }
         let (bytes, stalled) = (flow.buffer.get_bytes(), flow.progress.get_stalled());
         let caller = Caller { id: self.id, bytes, stalled };
-        ResponseStatus { caller, is_too_slow: flow.progress.is_too_slow(), is_short_of_memory }
+        let is_too_slow = flow.progress.is_too_slow();
+        ResponseStatus { caller, is_too_slow, is_ended: flow.is_ended, is_short_of_memory }
     }
 
     /// Reads from the server until the caller's connection polls, the buffer is full, or the
--- a/crates/gateway/src/node/stop/schedule.rs
+++ b/crates/gateway/src/node/stop/schedule.rs
@@ -10,6 +10,8 @@
 /// The time before the end at which clients that do not read are disconnected. Their responses
 /// cannot be delivered any more, and the node can shut down cleanly.
 const DISCONNECT_MARGIN: Duration = Duration::from_millis(800);
+/// The time before the end at which they are disconnected even if their servers have ended.
+const LAST_DISCONNECT_MARGIN: Duration = Duration::from_millis(100);
 /// The fraction of the grace period within which request heads may become complete. The rest is for
 /// the requests that begin at its end.
 const HEAD_FRACTION: f64 = 0.65;
@@ -25,8 +27,10 @@
     pub accepts_for: Duration,
     /// Time for which request heads may become complete.
     pub reads_heads_for: Duration,
-    /// Time after which clients that do not read are disconnected.
+    /// Time after which clients that do not read are disconnected if their servers are still at work.
     pub disconnects_after: Duration,
+    /// Time after which all clients that do not read are disconnected.
+    pub disconnects_all_after: Duration,
     /// Time after which the process exits.
     pub ends_after: Duration,
     /// The earliest time after which it exits because the signal may have been pending.
@@ -44,6 +48,7 @@
             accepts_for,
             reads_heads_for: last_head_after.max(accepts_for),
             disconnects_after: ends_after.saturating_sub(DISCONNECT_MARGIN).max(accepts_for),
+            disconnects_all_after: ends_after.saturating_sub(LAST_DISCONNECT_MARGIN),
             ends_after,
             ends_earliest_after: ends_after.min(grace.mul_f64(RESPONSE_FRACTION)),
         }
@@ -53,6 +58,8 @@
     /// process exits earlier. The other steps count from when others can see that it stops.
     pub fn after_delay(self, delay: Duration) -> Self {
         let advanced = self.ends_after.saturating_sub(delay);
-        Self { ends_after: advanced.max(self.ends_earliest_after), ..self }
+        let ends_after = advanced.max(self.ends_earliest_after);
+        let disconnects_all_after = ends_after.saturating_sub(LAST_DISCONNECT_MARGIN);
+        Self { ends_after, disconnects_all_after, ..self }
     }
 }
--- a/crates/gateway/src/process/stop.rs
+++ b/crates/gateway/src/process/stop.rs
@@ -5,7 +5,8 @@
 //! | stop signal | the node is unready, and each response closes its connection |
 //! | [`Schedule::accepts_for`] | the load balancer has noticed: the listener and idle connections close |
 //! | [`Schedule::reads_heads_for`] | connections whose request head is incomplete close |
-//! | [`Schedule::disconnects_after`] | clients that do not read are disconnected |
+//! | [`Schedule::disconnects_after`] | clients that do not read are disconnected if their servers are still at work |
+//! | [`Schedule::disconnects_all_after`] | all clients that do not read are disconnected |
 //! | [`Schedule::ends_after`] | the process exits, whatever is still open |
 //!
 //! Once the listener is closed, the process exits as soon as it has no [`Obligations`](crate::obligations::Obligations). A request that
@@ -71,7 +72,7 @@
             node.shutdown.reading.send();
         }
         if elapsed >= schedule.disconnects_after {
-            exchange::disconnect_stalled(node);
+            exchange::disconnect_stalled(node, elapsed >= schedule.disconnects_all_after);
         }
         runtime::sleep(POLL_INTERVAL).await;
     }
