--- a/crates/standin/tests/faults/planned_stop.rs
+++ b/crates/standin/tests/faults/planned_stop.rs
@@ -94,9 +94,9 @@
         let age = check.began_at.elapsed();
         let prompt = format!("caller {number} call {done}");
         let response = briefing(&prompt, 30).send(&client, addresses[node]).await;
-        let response = response.unwrap_or_else(|error| {
-            panic!("the connection to node {node}, ready {age:?} before, must not break: {error}")
-        });
+        let response = response
+            .map_err(|error| format!("node {node}, ready {age:?} before: {error}"))
+            .expect("the connection must not break");
         assert!(
             response.is_complete,
             "node {node}, ready {age:?} before, rejected or interrupted the request: {response:?}"
