refactor(http): one stream that observes reads, and the turn of a connection

Two wrappers of a stream differed only in what they do with reads and repeated the whole writing side. `ObservedStream` is that wrapper now; `ReadMeter` and the connection's handle observe the reads. `WriteState` had come to count the bytes read as well: it is `Turn`, one turn of a connection on the executor.

No behaviour changes. Tests: the new name of one method and of two variables.

--- a/crates/gateway/src/http/client/connection.rs
+++ b/crates/gateway/src/http/client/connection.rs
@@ -63,12 +63,12 @@
         }
         let progress = Progress::default();
         let socket = Socket::with_progress(stream, progress.clone());
-        let write_state = socket.get_write_state();
+        let turn = socket.get_turn();
         let handshake = http1::handshake(socket).await;
         let (sender, connection) =
             handshake.map_err(|error| SendError::NotSent(error.to_string()))?;
         let driver = runtime::spawn_with_handle(async move {
-            let _ = drive(pin!(connection), &write_state).await;
+            let _ = drive(pin!(connection), &turn).await;
         });
         let now = runtime::boottime_now();
         Ok(Self {
--- a/crates/gateway/src/http/connections.rs
+++ b/crates/gateway/src/http/connections.rs
@@ -104,7 +104,7 @@
     }
 
     /// Records that bytes have arrived. Those that arrive during a response are not a new request.
-    pub(super) fn record_read(&self) {
+    pub(super) fn record_arrival(&self) {
         if matches!(self.get_phase(), Phase::New | Phase::Idle) {
             self.set(Phase::ReadingHead);
         }
--- a/crates/gateway/src/http/server.rs
+++ b/crates/gateway/src/http/server.rs
@@ -16,7 +16,8 @@
 use smol_hyper::rt::SmolTimer;
 
 use super::connections::Connection;
-use super::tracked::{TrackedBody, TrackedStream};
+use super::observed_stream::ObservedStream;
+use super::tracked::TrackedBody;
 use super::{Body, ConnectionHandle, Connections, Phase, Shutdown, Socket, drive};
 use crate::runtime;
 
@@ -201,13 +202,13 @@
     let mut builder = http1::Builder::new();
     builder.timer(SmolTimer::new()).header_read_timeout(head_timeout);
     builder.max_buf_size(limits.head_bytes.max(8192));
-    let tracked_stream = TrackedStream::new(stream, connection.clone());
+    let tracked_stream = ObservedStream::new(stream, connection.clone());
     let socket = Socket::new(tracked_stream).with_connection_handle(connection_handle.clone());
-    let write_state = socket.get_write_state();
+    let turn = socket.get_turn();
     let mut http_connection = pin!(builder.serve_connection(socket, service));
     let stopping = wait_for_shutdown(&shutdown, &connection, &watched_stream);
     let ended = async {
-        let _ = drive(http_connection.as_mut(), &write_state).await;
+        let _ = drive(http_connection.as_mut(), &turn).await;
         None
     };
     match future::or(ended, async { Some(stopping.await) }).await {
@@ -215,7 +216,7 @@
         Some(Stop::AfterResponse) => {
             http_connection.as_mut().graceful_shutdown();
             let responded = async {
-                let _ = drive(http_connection, &write_state).await;
+                let _ = drive(http_connection, &turn).await;
             };
             future::or(responded, shutdown.responding.wait()).await;
         }
--- a/crates/gateway/src/http/socket.rs
+++ b/crates/gateway/src/http/socket.rs
@@ -19,7 +19,8 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use smol_hyper::rt::FuturesIo;
 
-use super::metered::MeteredStream;
+use super::metered::ReadMeter;
+use super::observed_stream::ObservedStream;
 use super::{ConnectionHandle, Progress};
 
 /// Number of bytes after which a connection yields to other tasks. The library reads for as long as
@@ -33,31 +34,33 @@
 /// A write succeeded after a blocked one.
 const RESUMED: u8 = 2;
 
-/// State of the writes to a socket in one turn of its connection, and the bytes read in that turn.
+/// One turn of a connection on the executor: the state of its writes, and the bytes read.
 #[derive(Clone, Debug, Default)]
-pub struct WriteState(Arc<Turn>);
+pub struct Turn(Arc<TurnState>);
 
 #[derive(Debug, Default)]
-struct Turn {
+struct TurnState {
     writes: AtomicU8,
     read_bytes: AtomicUsize,
 }
 
-impl WriteState {
-    fn reset(&self) {
+impl Turn {
+    fn begin(&self) {
         self.0.writes.store(CLEAR, Ordering::Relaxed);
         self.0.read_bytes.store(0, Ordering::Relaxed);
     }
 
+    /// Counts bytes that were read.
     pub(super) fn add_read(&self, bytes: usize) {
         self.0.read_bytes.fetch_add(bytes, Ordering::Relaxed);
     }
 
+    /// Returns `true` if the connection must yield before it reads more.
     pub(super) fn has_read_enough(&self) -> bool {
         self.0.read_bytes.load(Ordering::Relaxed) >= MAX_TURN_BYTES
     }
 
-    fn record<T>(&self, polled: &Poll<T>) {
+    fn record_write<T>(&self, polled: &Poll<T>) {
         match polled {
             Poll::Pending => self.0.writes.store(BLOCKED, Ordering::Relaxed),
             Poll::Ready(_) if self.0.writes.load(Ordering::Relaxed) == BLOCKED => {
@@ -67,16 +70,16 @@
         }
     }
 
-    fn has_resumed(&self) -> bool {
+    fn has_resumed_write(&self) -> bool {
         self.0.writes.load(Ordering::Relaxed) == RESUMED
     }
 }
 
-/// A socket that tracks the state of its writes.
+/// A socket that tracks the reads and writes of each turn.
 #[derive(Debug)]
 pub struct Socket<T> {
-    inner: FuturesIo<MeteredStream<T>>,
-    write_state: WriteState,
+    inner: FuturesIo<ObservedStream<T, ReadMeter>>,
+    turn: Turn,
     connection_handle: Option<ConnectionHandle>,
 }
 
@@ -92,9 +95,9 @@
     }
 
     fn create(inner: T, progress: Option<Progress>) -> Self {
-        let write_state = WriteState::default();
-        let stream = MeteredStream::new(inner, write_state.clone(), progress);
-        Self { inner: FuturesIo::new(stream), write_state, connection_handle: None }
+        let turn = Turn::default();
+        let stream = ObservedStream::new(inner, ReadMeter::new(turn.clone(), progress));
+        Self { inner: FuturesIo::new(stream), turn, connection_handle: None }
     }
 
     /// Sets the handle that accepts the end of the connection once all responses are written.
@@ -102,9 +105,9 @@
         Self { connection_handle: Some(connection_handle), ..self }
     }
 
-    /// Returns the write state for the driver of the connection.
-    pub fn get_write_state(&self) -> WriteState {
-        self.write_state.clone()
+    /// Returns the turn for the driver of the connection.
+    pub fn get_turn(&self) -> Turn {
+        self.turn.clone()
     }
 }
 
@@ -125,7 +128,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.inner).poll_write(context, bytes);
-        self.write_state.record(&polled);
+        self.turn.record_write(&polled);
         polled
     }
 
@@ -144,14 +147,14 @@
 }
 
 /// Drives a connection over a [`Socket`] to its end.
-pub async fn drive<C>(mut connection: Pin<&mut C>, write_state: &WriteState) -> C::Output
+pub async fn drive<C>(mut connection: Pin<&mut C>, turn: &Turn) -> C::Output
 where
     C: Future,
 {
     future::poll_fn(|context| {
-        write_state.reset();
+        turn.begin();
         let polled = connection.as_mut().poll(context);
-        if polled.is_pending() && write_state.has_resumed() {
+        if polled.is_pending() && turn.has_resumed_write() {
             context.waker().wake_by_ref();
         }
         polled
--- a/crates/gateway/src/http/tracked.rs
+++ b/crates/gateway/src/http/tracked.rs
@@ -1,59 +1,21 @@
-//! A stream and a body that report to the handle of their connection.
+//! Reports what arrives on a connection, and how long its responses last.
 
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use futures_lite::io::{AsyncRead, AsyncWrite};
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 
 use super::Body;
 use super::connections::{Connection, ResponseGuard};
+use super::observed_stream::ReadObserver;
 
-/// A stream that records when bytes arrive.
-#[derive(Debug)]
-pub(super) struct TrackedStream<T> {
-    inner: T,
-    connection: Connection,
-}
-
-impl<T> TrackedStream<T> {
-    /// Wraps the stream of a connection.
-    pub fn new(inner: T, connection: Connection) -> Self {
-        Self { inner, connection }
-    }
-}
-
-impl<T: AsyncRead + Unpin> AsyncRead for TrackedStream<T> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
-        if matches!(polled, Poll::Ready(Ok(1..))) {
-            self.connection.record_read();
+impl ReadObserver for Connection {
+    fn record_read(&self, bytes: usize) {
+        if bytes > 0 {
+            self.record_arrival();
         }
-        polled
-    }
-}
-
-impl<T: AsyncWrite + Unpin> AsyncWrite for TrackedStream<T> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_close(context)
     }
 }
 
--- a/crates/gateway/tests/blocked_writes.rs
+++ b/crates/gateway/tests/blocked_writes.rs
@@ -118,7 +118,7 @@
     let peer = Peer { request, room: CHUNK_BYTES, blocked_in_a_row, ..Peer::default() };
     let shared = SharedPeer(Rc::new(RefCell::new(peer)));
     let socket = Socket::new(shared.clone());
-    let writes = socket.get_write_state();
+    let turn = socket.get_turn();
     let service = service_fn(|_: Request<_>| async {
         let chunk = || Ok::<_, Infallible>(Frame::data(Bytes::from(vec![b'x'; CHUNK_BYTES])));
         let body = StreamBody::new(stream::iter((0..CHUNKS).map(move |_| chunk())));
@@ -127,7 +127,7 @@
     let mut builder = http1::Builder::new();
     builder.max_buf_size(CHUNK_BYTES);
     let mut connection = pin!(builder.serve_connection(socket, service));
-    let mut driver = pin!(drive(connection.as_mut(), &writes));
+    let mut driver = pin!(drive(connection.as_mut(), &turn));
     let woken = Arc::new(WakeFlag(AtomicBool::new(true)));
     let waker = Waker::from(woken.clone());
     for _ in 0..MAX_POLLS {
--- a/crates/gateway/tests/resets.rs
+++ b/crates/gateway/tests/resets.rs
@@ -238,11 +238,11 @@
             let known = socket.clone();
             let outcome = runtime::run(1, async move {
                 let socket = Socket::new(socket);
-                let write_state = socket.get_write_state();
+                let turn = socket.get_turn();
                 let handshake = http1::handshake(socket).await;
                 let (mut sender, connection) = handshake.expect("a connection");
                 runtime::spawn(async move {
-                    let _ = drive(pin!(connection), &write_state).await;
+                    let _ = drive(pin!(connection), &turn).await;
                 });
                 let upload = make_upload(has_length, true);
                 let request = Request::post("/").header("host", "x").body(upload);
