--- a/crates/gateway/src/node/peers/dispatcher.rs
+++ b/crates/gateway/src/node/peers/dispatcher.rs
@@ -5,8 +5,8 @@
 use super::link::Received;
 use super::message::Message;
 use super::{
-    loads, notifications, permits, quarantine, quota, report, slots, stream_origins, summary_relay,
-    versions,
+    loads, notifications, permits, quarantine, quota, received_report, slots, stream_origins,
+    summary_relay, versions,
 };
 use crate::node::{Node, staleness};
 use crate::runtime;
@@ -24,14 +24,16 @@
     let Received { from, sent, echoed_at, message } = received;
     summary_relay::record_round_trip(node, from, echoed_at, &message);
     match message {
-        Message::Report(report) => report::handle_report(node, echoed_at, *report),
+        Message::Report(report) => received_report::handle_report(node, echoed_at, *report),
         Message::Summary(summary) => {
             summary_relay::handle_summary(node, from, sent, echoed_at, *summary)
         }
         Message::RelayedSummary { sent, summary } => {
             summary_relay::handle_relayed(node, sent, *summary);
         }
-        Message::Overview(overview) => report::handle_overview(node, from, echoed_at, *overview),
+        Message::Overview(overview) => {
+            received_report::handle_overview(node, from, echoed_at, *overview)
+        }
         Message::QueryVersions => {
             let versions = Message::Versions(staleness::get_versions(node));
             node.link.send(node.now(), from, &versions).await;
--- a/crates/gateway/src/node/peers/mod.rs
+++ b/crates/gateway/src/node/peers/mod.rs
@@ -7,7 +7,8 @@
 //! | `link` | sends and receives datagrams |
 //! | `dispatcher` | hands each message that arrives to the module that handles it |
 //! | `discovery` | discovers the other nodes through a table of the platform |
-//! | `report` | exchanges counts several times a second |
+//! | `report` | sends counts several times a second |
+//! | `received_report` | merges the counts that other nodes send |
 //! | `report_target` | defines the recipients of reports, and buffers samples for the next report |
 //! | `summary_relay` | sends summaries to other regions, and relays theirs in this one |
 //! | `relay_state` | holds the state of `summary_relay` |
@@ -39,6 +40,7 @@
 pub(crate) mod permits;
 pub(crate) mod quarantine;
 pub(crate) mod quota;
+mod received_report;
 pub(super) mod relay_state;
 pub(super) mod report;
 pub(super) mod report_target;
--- a/crates/gateway/src/node/peers/summary_relay.rs
+++ b/crates/gateway/src/node/peers/summary_relay.rs
@@ -13,7 +13,7 @@
 use keeljunction_core::serving::members::{RemoteSender, Timestamp};
 
 use super::message::{Message, Summary};
-use super::{report, report_target, versions};
+use super::{received_report, report_target, versions};
 use crate::event::{self, Event};
 use crate::node::Node;
 use crate::node::state::State;
@@ -94,7 +94,7 @@
     }
     let reported = summary.versions;
     if node.topology.is_local(&summary.sender.entry.data_centre) {
-        report::handle_summary(node, echoed_at, summary);
+        received_report::handle_summary(node, echoed_at, summary);
         return versions::handle(node, from, echoed_at, &reported);
     }
     if record_summary(node, sent, &summary) {
@@ -119,7 +119,7 @@
 /// both regions count as unreachable for each other.
 fn merge(node: &Arc<Node>, echoed_at: Option<Millis>, summary: Summary) {
     if node.with(|state| state.members.is_own_region_heard(&summary.unheard_regions)) {
-        report::handle_summary(node, echoed_at, summary);
+        received_report::handle_summary(node, echoed_at, summary);
     }
 }
 
