--- a/crates/gateway/src/node/capacity_controller.rs
+++ b/crates/gateway/src/node/capacity_controller.rs
@@ -9,9 +9,9 @@
     count_spillable, plan_regions,
 };
 use keeljunction_core::serving::configuration::{Scaling, Service};
-use keeljunction_core::serving::demand::DemandTotals;
 
 use super::Node;
+use super::regional_demand::{WINDOW_MS, get_demands, get_tokens_per_second};
 use crate::event::{self, Event};
 use crate::metrics::CapacityLabels;
 use crate::port::{CapacityOrder, DutyHolder};
@@ -19,8 +19,6 @@
 
 /// The timeout for calls to the platform's control service.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// The window over which demand is measured.
-const DEMAND_WINDOW_MS: Millis = 4_000;
 /// The window whose largest need counts, so that capacity is scaled down slowly.
 const SCALE_DOWN_WINDOW_MS: Millis = 8_000;
 /// The backoff after an order was refused or not answered.
@@ -141,7 +139,7 @@
             return false;
         }
         let since = self.demand_known_since.entry(name.to_owned()).or_insert(now);
-        now >= *since + DEMAND_WINDOW_MS
+        now >= *since + WINDOW_MS
     }
 
     /// Returns the planning inputs of each region.
@@ -347,36 +345,6 @@
     }
 }
 
-/// Returns the demand of each region; `None` if it is not known yet.
-fn get_demands(
-    node: &Node,
-    name: &str,
-    service: &Service,
-    now: Millis,
-) -> Option<BTreeMap<String, Demand>> {
-    let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
-    let (totals, covered, throughput, in_flight) = node.with(|state| {
-        let (totals, covered) = state.demand.get_recent(now, name, DEMAND_WINDOW_MS)?;
-        let throughput = state.throughputs.get(name)?.get_prefill_rate()?;
-        Some((totals, covered, throughput, state.demand.get_in_flight(now, name)))
-    })?;
-    let demand = |(region, totals): (&String, &DemandTotals)| {
-        let demand = Demand {
-            tokens_per_second: totals.prompt_tokens as f64 / covered as f64 * 1_000.0,
-            server_tokens_per_second: throughput * 1_000.0,
-            in_flight: f64::from(in_flight.get(region).copied().unwrap_or(0)),
-            slots: f64::from(slots),
-        };
-        (region.clone(), demand)
-    };
-    Some(totals.iter().map(demand).collect())
-}
-
-/// Returns the prompt tokens per second that arrive in a region; 0 if unknown.
-fn get_tokens_per_second(demands: Option<&BTreeMap<String, Demand>>, region: &str) -> f64 {
-    demands.and_then(|demands| demands.get(region)).map_or(0.0, |demand| demand.tokens_per_second)
-}
-
 /// Lists the unreachable regions that still have servers accepting requests: their clients are
 /// served there. The demand of a region without servers moves to other regions.
 fn list_unreachable_regions(node: &Node, inventories: &Inventories) -> BTreeSet<String> {
--- a/crates/gateway/src/node/mod.rs
+++ b/crates/gateway/src/node/mod.rs
@@ -52,6 +52,7 @@
 pub(crate) mod process_context;
 mod quarantine_rows;
 mod reads;
+mod regional_demand;
 mod requests_in_flight;
 mod rollout_controller;
 mod rollout_status;
