--- a/crates/core/src/serving/directory/mod.rs
+++ b/crates/core/src/serving/directory/mod.rs
@@ -20,11 +20,13 @@
 //! |---|---|
 //! | this one | keeps the list |
 //! | `server` | describes a server |
+//! | `change` | describes the effect of an update on a server |
 //! | `batch` | defines the updates that nodes exchange |
 //! | `departures` | remembers which servers announced that they are leaving |
 //! | `removals` | remembers which servers were removed from the list |
 
 mod batch;
+mod change;
 mod departures;
 mod removals;
 mod server;
@@ -39,29 +41,10 @@
 use crate::serving::table_version::TableVersion;
 
 pub use self::batch::{Batch, Entry, Update};
+pub use self::change::{Change, DepartureOutcome};
 pub use self::departures::Departure;
 pub use self::server::Server;
 
-/// The effect of a change of the list on a server.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// The server is new and gets work.
-    Joined(Server),
-    /// The server has started to leave.
-    Leaving(Server),
-    /// The server is no longer listed.
-    Gone(Server),
-}
-
-/// The effect of an announcement that a server is leaving.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DepartureOutcome {
-    /// Whether the announcement is new and must be forwarded.
-    pub is_news: bool,
-    /// The effect on the list.
-    pub change: Option<Change>,
-}
-
 /// The servers of a service by ID.
 type Servers = BTreeMap<String, Listed>;
 
