refactor(response_times): say which responses are evidence of a bound

The comments spoke of responses that "show" and "tell". They name the bias of a sample of completed responses and what the margin of the upper bound is for; `shown` is `min_age`.

--- a/crates/core/src/serving/response_times.rs
+++ b/crates/core/src/serving/response_times.rs
@@ -1,16 +1,16 @@
 //! How long the responses on each route take.
 //!
-//! Responses that have ended do not show how long those take that have not: the shortest end first.
-//! What nearly all responses keep to is therefore drawn only from requests that arrived long enough
-//! ago to show it.
+//! Completed responses are a biased sample while others are still open, because the short ones
+//! complete first. The upper bound is therefore computed only from requests that arrived long enough
+//! ago to have exceeded it.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use crate::Millis;
 
 /// Number of recent responses that are kept one by one for each route.
 const MAX_SAMPLES: usize = 128;
-/// Number of the most recent responses that an estimate is drawn from.
+/// Number of the most recent responses from which an estimate is computed.
 const ESTIMATE_SAMPLES: usize = 32;
 /// Number of responses below which no estimate is made.
 const MIN_SAMPLES: usize = 4;
@@ -18,8 +18,9 @@
 const QUANTILE: f64 = 0.9;
 /// The factor between the longest known response and the upper bound.
 const TAIL_FACTOR: f64 = 1.5;
-/// Number of responses from which on their range is added once, and not several times, for the upper
-/// bound: the fewer are known, the further beyond them is the longest one.
+/// Number of responses at which the upper bound exceeds the longest of them by their whole range. The
+/// margin grows in inverse proportion to their number, because a small sample is less likely to contain
+/// one of the longest responses.
 const RANGE_SAMPLES: f64 = 16.0;
 /// The period of arrivals, in milliseconds, over which earlier responses are summed up.
 const SUMMARY_PERIOD_MS: Millis = 250;
@@ -40,9 +41,9 @@
 struct Route {
     /// The most recent responses, in the order of their ends.
     ended: VecDeque<Sample>,
-    /// Those before them, by the time of arrival. On a busy route, all recent responses are of requests
-    /// that arrived a moment ago.
-    earlier: VecDeque<Summary>,
+    /// Those before them, by the number of the period in which their requests arrived. On a busy route,
+    /// all recent responses are of requests that arrived a moment ago.
+    earlier: BTreeMap<Millis, Summary>,
     /// The arrival times of the requests whose responses are open, in ascending order.
     open: VecDeque<Millis>,
 }
@@ -59,8 +60,8 @@
 /// The responses to requests that arrived within a period.
 #[derive(Clone, Copy, Debug)]
 struct Summary {
-    /// When the first of these requests arrived, and the last one.
-    arrived: (Millis, Millis),
+    /// When the last of these requests arrived.
+    last_arrival: Millis,
     responses: usize,
     shortest: Millis,
     longest: Millis,
@@ -88,8 +89,8 @@
         self.get_or_insert(route).push(Sample { arrived_at, time });
     }
 
-    /// Records that a response was abandoned after a time. It would have taken longer, so only a time
-    /// above those of all known responses tells anything.
+    /// Records that a response was abandoned after a time. It would have taken longer, so the time is
+    /// used only as a lower bound: if it exceeds those of all known responses.
     pub fn record_abandoned(&mut self, route: &str, arrived_at: Millis, time: Millis) {
         let known = self.get_or_insert(route);
         if known.ended.iter().map(|sample| sample.time).max().is_some_and(|longest| time > longest)
@@ -111,13 +112,13 @@
 
     /// Returns a time that hardly any response on a route exceeds, or `None` if too few are known.
     ///
-    /// A bound up to `limit` can be shown only by requests that arrived early enough to have exceeded
-    /// it. The others count only if they are open and older than all of these.
+    /// Only requests that arrived early enough to have exceeded a bound of `limit` are evidence that
+    /// responses keep to it. The oldest open response counts as well, with its age.
     pub fn get_upper_bound(&self, now: Millis, route: &str, limit: Millis) -> Option<Millis> {
         let known = self.routes.get(route)?;
-        let shown = (limit as f64 / TAIL_FACTOR) as Millis;
+        let min_age = (limit as f64 / TAIL_FACTOR) as Millis;
         let Summary { responses, shortest, longest, .. } =
-            known.sum_up(|arrived_at| now.saturating_sub(arrived_at) >= shown)?;
+            known.sum_up(|arrived_at| now.saturating_sub(arrived_at) >= min_age)?;
         if responses < MIN_SAMPLES {
             return None;
         }
@@ -140,31 +141,27 @@
         if self.ended.len() >= MAX_SAMPLES
             && let Some(oldest) = self.ended.pop_front()
         {
-            self.push_earlier(oldest.into());
+            self.push_earlier(oldest);
         }
         self.ended.push_back(sample);
     }
 
-    /// Adds an earlier response to the last period, or begins another one.
-    fn push_earlier(&mut self, response: Summary) {
-        match self.earlier.back_mut() {
-            Some(last) if last.merge(response).get_period() <= SUMMARY_PERIOD_MS => {
-                *last = last.merge(response);
-            }
-            _ => {
-                if self.earlier.len() >= MAX_SUMMARIES {
-                    self.earlier.pop_front();
-                }
-                self.earlier.push_back(response);
-            }
+    /// Adds an earlier response to those of its period.
+    fn push_earlier(&mut self, sample: Sample) {
+        let period = sample.arrived_at / SUMMARY_PERIOD_MS;
+        let summary = Summary::from(sample);
+        let merged = self.earlier.get(&period).map_or(summary, |known| known.merge(summary));
+        self.earlier.insert(period, merged);
+        if self.earlier.len() > MAX_SUMMARIES {
+            self.earlier.pop_first();
         }
     }
 
     /// Sums up the responses to requests whose arrival is early enough; returns `None` if there are none.
     fn sum_up(&self, is_early: impl Fn(Millis) -> bool) -> Option<Summary> {
         let recent = self.ended.iter().copied().map(Summary::from);
-        let all = recent.chain(self.earlier.iter().copied());
-        all.filter(|summary| is_early(summary.arrived.1)).reduce(Summary::merge)
+        let all = recent.chain(self.earlier.values().copied());
+        all.filter(|summary| is_early(summary.last_arrival)).reduce(Summary::merge)
     }
 
     /// Returns the age of the oldest open response.
@@ -175,25 +172,18 @@
 
 impl Summary {
     fn merge(self, other: Self) -> Self {
-        let (first, last) =
-            (self.arrived.0.min(other.arrived.0), self.arrived.1.max(other.arrived.1));
         Self {
-            arrived: (first, last),
+            last_arrival: self.last_arrival.max(other.last_arrival),
             responses: self.responses + other.responses,
             shortest: self.shortest.min(other.shortest),
             longest: self.longest.max(other.longest),
         }
     }
-
-    /// Returns the time between the first arrival and the last one.
-    fn get_period(&self) -> Millis {
-        self.arrived.1 - self.arrived.0
-    }
 }
 
 impl From<Sample> for Summary {
     fn from(sample: Sample) -> Self {
         let Sample { arrived_at, time } = sample;
-        Self { arrived: (arrived_at, arrived_at), responses: 1, shortest: time, longest: time }
+        Self { last_arrival: arrived_at, responses: 1, shortest: time, longest: time }
     }
 }
