refactor(comments): plain words for responses that exceed the bounds on bytes

"Bytes that arrived without end and are no response" did not say what is counted. The comments name the bound that was exceeded: of a response head, a part of a body, or an event. Two comments on the archive and the scanner state the reason or the reference point of their number.

Comments only.

--- a/crates/core/src/serving/event_stream/scanner.rs
+++ b/crates/core/src/serving/event_stream/scanner.rs
@@ -14,7 +14,7 @@
     /// Whether the stream's lines end with a CR alone.
     is_cr_alone: bool,
     has_event: bool,
-    /// The number of bytes read since an event has ended.
+    /// The number of bytes read since the start of the stream or the end of the last event.
     pending_bytes: usize,
 }
 
--- a/crates/core/src/serving/response_body.rs
+++ b/crates/core/src/serving/response_body.rs
@@ -9,13 +9,13 @@
 //! The HTTP library reports a missing byte, a missing last chunk and a reset as errors. It reports
 //! the close of a connection as a regular end, although a server that stops closes its connections
 //! as well. In addition, a stream of events is complete only if its last event is, however its end
-//! was declared. A stream in which no event ends for long is no response and does not have to be read
+//! was declared. A stream that sends many bytes without completing an event is broken, and is not read
 //! to its end.
 
 use super::event_stream::Scanner;
 
-/// Maximum number of bytes between two events of a stream, or before its first one. A stream that sends
-/// more consists of no events: a server that keeps a stream alive sends short comments at times.
+/// Maximum number of bytes between two events of a stream, or before its first one. A server that keeps
+/// a stream alive sends short comments, which stay far below it.
 pub const MAX_BYTES_WITHOUT_EVENT: usize = 4 << 20;
 /// Maximum number of bytes of an event, with the comments before it.
 pub const MAX_EVENT_BYTES: usize = 16 << 20;
@@ -81,7 +81,7 @@
         }
     }
 
-    /// Returns `true` if the body is a stream in which no event ends.
+    /// Returns `true` if the body is a stream that sends too many bytes without completing an event.
     pub fn is_endless(&self) -> bool {
         self.events.is_some_and(|events| is_endless(&events))
     }
--- a/crates/core/src/serving/stream_origin/archive.rs
+++ b/crates/core/src/serving/stream_origin/archive.rs
@@ -14,7 +14,7 @@
 
 /// The number of shards, and so the maximum number of archivists.
 pub const SHARDS: u8 = 32;
-/// The maximum number of records in a row, at some 13 bytes each.
+/// The maximum number of records in a row, which is written again as a whole with each new record.
 pub const MAX_SEGMENT_RECORDS: usize = 1_024;
 /// The time for which new records extend a segment, in milliseconds.
 pub const MAX_SEGMENT_AGE_MS: Millis = 10_000;
@@ -24,7 +24,7 @@
 const MIN_WRITE_INTERVAL_MS: Millis = 250;
 /// The remaining life of an archived record below which it is archived again if its stream goes on.
 const MIN_RECORD_LIFE_MS: Millis = 20_000;
-/// The number of bits of a key that tell its shard.
+/// The number of leading bits of a key that select its shard.
 const SHARD_BITS: u32 = SHARDS.trailing_zeros();
 
 /// Returns the time between two writes of an archivist in a cluster of a number of nodes.
--- a/crates/gateway/src/backend/client.rs
+++ b/crates/gateway/src/backend/client.rs
@@ -16,7 +16,8 @@
     NotSent(String),
     /// Part of the request may have arrived.
     MaybeSent(String),
-    /// The request was sent, and bytes arrived without end that are no response. It may have run.
+    /// The request was sent, and the connection received more bytes than a response head may have. It
+    /// may have run.
     Endless(String),
     /// The request was sent, and the response on its connection does not belong to it. It may have
     /// run.
--- a/crates/gateway/src/exchange/attempt_error.rs
+++ b/crates/gateway/src/exchange/attempt_error.rs
@@ -16,7 +16,7 @@
     /// The connection closed after the response head, but before the first token of a stream or
     /// before the end of any other response.
     Cut,
-    /// Bytes arrived without end that are no response.
+    /// The server sent too many bytes without completing a response head, a part of a body or an event.
     Endless,
     /// The response is not valid for this request.
     Broken,
--- a/crates/gateway/src/exchange/server_body.rs
+++ b/crates/gateway/src/exchange/server_body.rs
@@ -15,7 +15,7 @@
 pub(super) enum Cut {
     /// The connection was interrupted before the declared end.
     Interrupted,
-    /// Bytes arrived without end that are no part of a body, or of no event of a stream.
+    /// The server sent too many bytes without completing a part of the body or an event of a stream.
     Endless,
     /// The body had a regular end and is incomplete.
     Truncated(Truncation),
--- a/crates/gateway/src/http/client/response_body.rs
+++ b/crates/gateway/src/http/client/response_body.rs
@@ -54,7 +54,7 @@
         self.kept = None;
     }
 
-    /// Returns `true` if bytes arrived without end that are no part of the body.
+    /// Returns `true` if too many bytes arrived without completing a part of the body.
     pub fn is_endless(&self) -> bool {
         self.progress.is_endless()
     }
--- a/crates/gateway/src/http/client/send_error.rs
+++ b/crates/gateway/src/http/client/send_error.rs
@@ -9,7 +9,7 @@
     NotSent(String),
     /// Part of the request may have arrived.
     MaybeSent(String),
-    /// The request was sent, and bytes arrived without end that are no response.
+    /// The request was sent, and the connection received more bytes than a response head may have.
     Endless(String),
 }
 
--- a/crates/gateway/src/node/peers/server_relay.rs
+++ b/crates/gateway/src/node/peers/server_relay.rs
@@ -56,7 +56,7 @@
     Unreachable,
     /// The server did not respond, and may have run the request.
     Unanswered,
-    /// Bytes arrived from the server without end that are no response. It may have run the request.
+    /// The server sent more bytes than a response head may have. It may have run the request.
     Endless,
     /// The server's response belongs to another request, or to none. It may have run this one.
     Mismatched,
--- a/crates/keeljunction/src/backend/tokens.rs
+++ b/crates/keeljunction/src/backend/tokens.rs
@@ -83,8 +83,8 @@
     }
 }
 
-/// Reads the events of a body one by one, up to an error if no event ends. The parser reads all that it
-/// has of an event again with each piece.
+/// Splits a body into complete events, and fails if too many bytes arrive without completing one. The
+/// parser would scan an incomplete event from its start again with each chunk.
 fn read_events(body: http::ResponseBody) -> impl Stream<Item = io::Result<Bytes>> {
     let buffer = EventBuffer::default();
     stream::try_unfold((BodyDataStream::new(body), buffer), |(mut body, mut buffer)| async move {
