fix(shutdown): beat in the future that waits for the stop signal

Callers saw (possible, not seen in a process): a node whose executor is busy sees its stop signal late and counts from when it saw it, so that late requests are taken for early ones, and the exit comes late.

Cause: the beats that bound when a signal may have been sent were a task of the executor. With tasks that are always ready the executor polls the future that waits for signals once in 200 turns, while the task that beats waits for one pass through the queue only. So the beats went on while the signal was not seen.

Change: the future that waits for signals beats itself.

--- a/crates/gateway/src/node/gateway.rs
+++ b/crates/gateway/src/node/gateway.rs
@@ -253,6 +253,11 @@
         self.stop_times.is_set()
     }
 
+    /// Records that the process runs, and is able to see a stop signal.
+    pub(crate) fn beat(&self) {
+        self.pulse.beat(self.now());
+    }
+
     /// Begins the shutdown after a stop signal, and returns when its steps happen, or `None` if it had
     /// already begun.
     pub fn begin_stop(&self) -> Option<Schedule> {
--- a/crates/gateway/src/node/stop/mod.rs
+++ b/crates/gateway/src/node/stop/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 pub(in crate::node) use pulse::Pulse;
-pub(in crate::node) use pulse::start as start_pulse;
+pub use pulse::beat_until;
 pub use schedule::Schedule;
 pub(in crate::node) use times::Times;
 
--- a/crates/gateway/src/node/stop/pulse.rs
+++ b/crates/gateway/src/node/stop/pulse.rs
@@ -4,22 +4,19 @@
 //! so does one whose executor is busy. Everything that others count from the signal, such as the
 //! time until they kill the process, has begun by then.
 
-use std::sync::Arc;
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use futures_lite::future;
 use keeljunction_core::Millis;
 
-use crate::node::Node;
 use crate::runtime;
 
 /// The interval between two beats.
 const INTERVAL: Duration = Duration::from_millis(100);
 
 /// The times of the last two beats, on the node's clock.
-///
-/// The beats and the task that waits for signals share a thread, so that none goes on while the other
-/// is held up.
 #[derive(Debug)]
 pub(in crate::node) struct Pulse {
     last: AtomicU64,
@@ -47,11 +44,21 @@
     }
 }
 
-/// Beats until the process ends.
-pub(in crate::node) fn start(node: &Arc<Node>) {
-    let node = node.clone();
-    runtime::spawn_periodic(INTERVAL, move || {
-        node.pulse.beat(node.now());
-        std::future::ready(())
-    });
+/// Waits for an event, and calls `beat` at intervals until then.
+///
+/// The beats are part of the future that waits. A task of its own would go on beating while a busy executor
+/// runs its tasks and does not poll that future.
+pub async fn beat_until<T>(event: impl Future<Output = T>, mut beat: impl FnMut()) -> T {
+    let mut event = pin!(event);
+    loop {
+        let occurred = async { Some(event.as_mut().await) };
+        let is_due = async {
+            runtime::sleep(INTERVAL).await;
+            None
+        };
+        if let Some(result) = future::or(occurred, is_due).await {
+            return result;
+        }
+        beat();
+    }
 }
--- a/crates/gateway/src/node/tasks.rs
+++ b/crates/gateway/src/node/tasks.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::{
-    Node, connections, leader, memory, peers, quarantine_rows, server_paths, stop, stream_archive,
+    Node, connections, leader, memory, peers, quarantine_rows, server_paths, stream_archive,
     stream_origins, version_rows, watch,
 };
 use crate::http::Server;
@@ -15,7 +15,6 @@
     runtime::spawn(watch::watch_configuration(node.clone()));
     runtime::spawn(watch::confirm_freshness(node.clone()));
     runtime::spawn(watch::watch_servers(node.clone()));
-    stop::start_pulse(node);
     runtime::spawn(connections::run(node.clone()));
     runtime::spawn(server_paths::run(node.clone()));
     peers::start(node);
--- a/crates/gateway/src/process/serve.rs
+++ b/crates/gateway/src/process/serve.rs
@@ -16,6 +16,7 @@
 use crate::http::{Limits, Server, Shutdown};
 use crate::node::process_context::{Listener, ProcessContext};
 use crate::node::state::BYTES_PER_MB;
+use crate::node::stop::beat_until;
 use crate::node::{Cluster, Link, Node, tasks};
 use crate::port::Platform;
 use crate::runtime::{self, Clock};
@@ -120,7 +121,7 @@
 
 /// Waits for a stop signal, and then until the node has stopped.
 async fn run_until_stopped(node: &Arc<Node>, mut signals: Signals, path: PathBuf) {
-    while let Some(signal) = signals.next().await {
+    while let Some(signal) = beat_until(signals.next(), || node.beat()).await {
         match signal {
             Ok(Signal::Hup) => reload(node, &path),
             _ => break,
