perf(streams): keep the futures of resumed streams on the heap

Cause: the future of a request holds that of finding a stream's origin, with its calls to the store and to other nodes, whether or not the request resumes a stream. Since a confirmation and the archive may be read or asked for, each of these futures was held several times over, in every request. Seen in the price of memory.

Change: the two futures that only resumed requests need are boxed.

--- a/crates/gateway/src/exchange/origin.rs
+++ b/crates/gateway/src/exchange/origin.rs
@@ -43,8 +43,9 @@
     }
     let services: Vec<&str> = route.backends.iter().map(|known| known.service.as_str()).collect();
     let key = head.resumes.as_deref().map(|id| Key::new(account, id));
-    let finding = stream_origins::find(node, key, &services).await;
-    let result = check(node, &services, &finding.decision).await;
+    // Few requests resume a stream, and the futures of all others would be as large as this one.
+    let finding = Box::pin(stream_origins::find(node, key, &services)).await;
+    let result = Box::pin(check(node, &services, &finding.decision)).await;
     record_finding(node, head, &finding, result.as_ref().err().copied());
     let origin = result?;
     // A caller that has received no event of the earlier request names this one the next time.
