fix(platform): encode the keys of rows in queries

Callers saw almost no request served after all nodes were restarted while an entry of another writer, under a name with &, +, #, % or a blank, ended a page of the server list.

Cause: the client of the table service put the key from which the next page is read into the query as it was, and encoded NUL alone. The key made an invalid target, which is never sent and fails each try (blank, quote, line break); it was cut at & or #, and the first page came again, without end; or it was decoded to another key. A node without a server list is not ready and refuses all requests. Nodes that have a list follow its changes, in whose queries only numbers vary, and notice nothing.

Ruled out: the entry's content, which is decoded alone and refused alone (server_entries); the feed.

Change: core::percent::encode encodes all but the unreserved characters, with percent-encoding, and http::Target builds targets with it. Such text means the same to servers that read queries as forms and to those that do not.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 //! | [`lease`] | whether a lease holder may still act |
 //! | [`drain`] | what happens to the streams on a VM that is being reclaimed |
 //! | [`fleet`] | which VMs to run |
+//! | [`percent`] | how text becomes part of a path, a query or a key |
 //! | [`serving`] | all of the above for relayed exchanges, whose bodies are opaque |
 
 pub mod attempt;
@@ -37,6 +38,7 @@
 pub mod outcome;
 
 pub mod gossip;
+pub mod percent;
 pub mod record;
 pub mod rendezvous;
 pub mod retry;
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -12,6 +12,7 @@
 mod server;
 mod shutdown;
 mod socket;
+mod target;
 mod tracked;
 
 pub use body::{Body, read_body};
@@ -23,3 +24,4 @@
 pub use server::{Limits, Server};
 pub use shutdown::{Shutdown, StopSignal};
 pub use socket::{Socket, Turn, drive};
+pub use target::Target;
