fix(port): end the read of a table whose pages do not advance

While the key of a page's last row was cut in a query, a node read the first page up to 1,400 times in 4 s, kept its rows each time, and grew to 234 MB. A table service that returns a page again for any other reason does the same to each reader.

Cause: a read went on for as long as a page announced more. Nothing compared a page with the range that it was asked for, and nothing bounded calls or rows. An empty first page that announced more ended the read: the table counted as empty.

Change: port::Cursor keeps the position of a read by pages, for tables (read_rest) and for shards of archived streams. Rows before the range are dropped; a page that announces more and has no row in its range ends the read with TableError::Malformed, as do more than 256 pages or 64 MiB. 9,998 servers take 20 pages and about 5 MB. Each read that fails is tried again after the reader's back-off, as before.

Ruled out: a check that rows are sorted. Progress does not need it, and one row that the service sorts differently would refuse the whole table.

--- a/crates/gateway/src/node/stream_archive/reader.rs
+++ b/crates/gateway/src/node/stream_archive/reader.rs
@@ -13,7 +13,7 @@
 use crate::node::peers::stream_origins as peers;
 use crate::node::reads::{Order, read_or_ask};
 use crate::node::{Node, table};
-use crate::port::{RowRange, TableError, TableName};
+use crate::port::{Cursor, RowRange, TableError, TableName};
 use crate::runtime::{self, lock};
 
 /// The maximum time for reading the rows of a shard.
@@ -117,17 +117,17 @@
 
 async fn read_rows(node: &Node, shard: Shard) -> Result<HashMap<Key, Standing>, TableError> {
     let prefix = shard.get_prefix();
-    let mut from = prefix.clone();
+    let table = TableName::Internal(TABLE);
+    let mut cursor = Cursor::new(RowRange { table, from: prefix.clone(), limit: PAGE_ROWS });
     let mut found = HashMap::new();
     loop {
-        let selection = RowRange { table: TableName::Internal(TABLE), from, limit: PAGE_ROWS };
-        let page = table::read_some(node, selection, READ_TIMEOUT).await?;
+        let mut page = table::read_some(node, cursor.get_next().clone(), READ_TIMEOUT).await?;
+        let has_more = cursor.advance(&mut page)?;
         let of_shard = page.rows.iter().filter(|row| row.key.starts_with(&prefix));
         of_shard.for_each(|row| row::merge(&mut found, row, page.table_time));
-        match page.rows.last().filter(|last| page.has_more && last.key.starts_with(&prefix)) {
-            // The smallest key after the last one.
-            Some(last) => from = format!("{}\0", last.key),
-            None => return Ok(found),
+        let ends_in_shard = page.rows.last().is_some_and(|last| last.key.starts_with(&prefix));
+        if !has_more || !ends_in_shard {
+            return Ok(found);
         }
     }
 }
--- a/crates/gateway/src/port/mod.rs
+++ b/crates/gateway/src/port/mod.rs
@@ -1,6 +1,7 @@
 //! The interface of a platform adapter, as plain structs of functions and closures.
 
 mod control;
+mod cursor;
 mod header_codec;
 mod rollouts;
 mod table;
@@ -10,6 +11,7 @@
 use keeljunction_core::serving::directory::Server;
 
 pub use control::{CapacityOrder, Control, ControlFuture, DutyHolder, UsageReport};
+pub use cursor::Cursor;
 pub use header_codec::{
     ForwardContext, HeaderCodec, Prompt, PromptPart, RequestHead, ResponseHead, UnreadableHeader,
 };
--- a/crates/gateway/src/port/table.rs
+++ b/crates/gateway/src/port/table.rs
@@ -8,6 +8,7 @@
 use keeljunction_core::Millis;
 use keeljunction_core::serving::table_version::TableVersion;
 
+use super::Cursor;
 use crate::runtime;
 
 /// Number of rows to read with one call: the limit of the table service.
@@ -37,16 +38,15 @@
         table: TableName,
         timeout: Duration,
     ) -> Result<Rows, TableError> {
-        let selection = RowRange { table, from: String::new(), limit: PAGE_ROWS };
-        with_timeout(timeout, (self.read_range)(selection)).await
+        with_timeout(timeout, (self.read_range)(RowRange::first_of(table))).await
     }
 
     /// Reads the pages after the first one.
     ///
     /// # Errors
     ///
-    /// Returns the error of the first failed call, and [`TableError::HistoryGone`] if the era
-    /// changed between two pages.
+    /// Returns the error of the first failed call, [`TableError::HistoryGone`] if the era changed
+    /// between two pages, and [`TableError::Malformed`] if the pages do not continue one another.
     pub async fn read_rest(
         &self,
         table: TableName,
@@ -54,17 +54,18 @@
         first: Rows,
     ) -> Result<Rows, TableError> {
         let mut all = first;
-        while let Some(last) = all.rows.last().filter(|_| all.has_more) {
-            // The smallest key after the last one.
-            let from = format!("{}\0", last.key);
-            let selection = RowRange { table, from, limit: PAGE_ROWS };
-            let page = with_timeout(timeout, (self.read_range)(selection)).await?;
+        let mut cursor = Cursor::new(RowRange::first_of(table));
+        let mut has_more = cursor.advance(&mut all)?;
+        while has_more {
+            let reading = (self.read_range)(cursor.get_next().clone());
+            let mut page = with_timeout(timeout, reading).await?;
             if page.version.era != all.version.era {
                 return Err(TableError::HistoryGone);
             }
-            all.has_more = page.has_more;
+            has_more = cursor.advance(&mut page)?;
             all.rows.extend(page.rows);
         }
+        all.has_more = false;
         Ok(all)
     }
 }
@@ -103,6 +104,13 @@
     pub limit: usize,
 }
 
+impl RowRange {
+    /// Returns the range of the first page of a table.
+    fn first_of(table: TableName) -> Self {
+        Self { table, from: String::new(), limit: PAGE_ROWS }
+    }
+}
+
 /// A row of a table.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Row {
@@ -170,6 +178,8 @@
     StaleEra,
     /// The service rejected the call; nothing was written.
     Refused(u16),
+    /// The response is not one that the service may give; a write may have been applied.
+    Malformed(String),
     /// There was no response; a write may have been applied or may still be.
     Unanswered(String),
 }
@@ -181,6 +191,7 @@
             Self::HistoryGone => write!(f, "the requested history is no longer available"),
             Self::StaleEra => write!(f, "the table service was restored from an older copy"),
             Self::Refused(status) => write!(f, "the table service returned status {status}"),
+            Self::Malformed(why) => write!(f, "malformed response: {why}"),
             Self::Unanswered(why) => write!(f, "no response: {why}"),
         }
     }
