fix(http): treat a status above 599 as no response

Callers got statuses such as 600, 703 and 999 of a faulty server as answers, and the server kept getting requests. Statuses 000 and 099, and heads with a field name that holds a blank or a control byte, did not reach callers.

Cause: the HTTP library accepts statuses from 100 to 999, and nothing else checked them. RFC 9110, section 15, defines 100 to 599. The library refuses the others, field names that are none and inconsistent lengths.

Change: http::Client, through which all responses pass (of servers, of peers that relay, of the table and control services, of engines), fails with SendError::MaybeSent and closes the connection. The attempt may have run, so it is answered 502, or repeated where the route allows it, and the server is ejected as after any other bytes that are no response. A status above 599 of the table service is no longer a refusal, which promises that nothing was written.

--- a/crates/gateway/src/http/client/mod.rs
+++ b/crates/gateway/src/http/client/mod.rs
@@ -35,6 +35,9 @@
 /// meanwhile, so only the server's own time-out should end an idle connection: where a node seldom
 /// sends a request to the same server, a shorter time makes it open a connection for most of them.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+/// The highest valid status (RFC 9110, section 15). The library also accepts three digits beyond it,
+/// and refuses a status below 100.
+const MAX_STATUS: u16 = 599;
 
 /// The outcome of sending a request on an idle connection.
 pub enum ReuseOutcome {
@@ -122,7 +125,7 @@
         };
         let mut connection = self.connect(to).await?;
         match connection.send(request).await {
-            Ok(response) => Ok(self.keep_connection(to, connection, response)),
+            Ok(response) => self.receive(to, connection, response),
             Err(mut error) => Err(match error.take_message() {
                 Some(_) => SendError::NotSent(error.into_error().to_string()),
                 None => connection.get_send_error(&error.into_error()),
@@ -135,10 +138,7 @@
         let mut request = request;
         while let Some(mut connection) = self.take_idle(to) {
             match connection.send(request).await {
-                Ok(response) => {
-                    let response = self.keep_connection(to, connection, response);
-                    return ReuseOutcome::Sent(Ok(response));
-                }
+                Ok(response) => return ReuseOutcome::Sent(self.receive(to, connection, response)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => {
@@ -189,14 +189,23 @@
         Connection::handshake(to, stream).await
     }
 
-    fn keep_connection(
+    /// Returns a response whose connection is kept for reuse.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::MaybeSent`] if the status is not one that HTTP defines.
+    fn receive(
         &self,
         to: SocketAddr,
         mut connection: Connection,
         response: Response<Incoming>,
-    ) -> Response<ResponseBody> {
+    ) -> Result<Response<ResponseBody>, SendError> {
+        let status = response.status().as_u16();
+        if status > MAX_STATUS {
+            return Err(SendError::MaybeSent(format!("the status {status} is invalid")));
+        }
         connection.record_response(response.headers());
         let (idle, max_idle) = (self.idle.clone(), self.max_idle_per_address.clone());
-        response.map(|body| ResponseBody::new(body, to, connection, idle, max_idle))
+        Ok(response.map(|body| ResponseBody::new(body, to, connection, idle, max_idle)))
     }
 }
