fix(headers): send no request without the ID of its server or the name of its tenant

Seen in a test: an entry of another writer whose name holds a line break or a control byte, with the address of a live server, got requests without Keeljunction-Expect-Instance. Whatever server listens there may run them, and nobody checks which one. With blanks at an end or without any text, the header said another ID. In the same way requests of a tenant ran without Keeljunction-Tenant, or under a shorter name.

Cause: encode_request left a header out if its text did not fit one. The same text decides nothing else, so nothing noticed.

Change: http::encode_text is the one way from text to the value of a header, for these two and for the IDs that are sent to peers that relay; it refuses what a recipient would not get unchanged. Peers that relay accept IDs beyond ASCII.

Ruled out: names with &, +, #, %, blanks inside, quotes, or beyond ASCII: sent unchanged before and after (a_server_is_sent_its_id_unchanged).

--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -278,7 +278,10 @@
         urgency: exchange.is_model_service.then_some(exchange.urgency),
         last_event_id: params.last_event_id,
     };
-    (node.platform.header_codec.encode_request)(&mut headers, &context);
+    if let Err(error) = (node.platform.header_codec.encode_request)(&mut headers, &context) {
+        log::warn!("no request is sent to the server {:?}: {error}", params.server.id);
+        return None;
+    }
     let path = exchange.uri.path_and_query().map_or("/", |path| path.as_str());
     let content = exchange.get_body();
     let body = match content.is_empty() {
--- a/crates/gateway/src/http/headers.rs
+++ b/crates/gateway/src/http/headers.rs
@@ -1,4 +1,4 @@
-//! Headers that apply to a single connection, and the framing of a body.
+//! Headers that apply to a single connection, the framing of a body, and text in headers.
 
 use hyper::body::Body as HttpBody;
 use hyper::header::{self, HeaderMap, HeaderValue};
@@ -66,3 +66,15 @@
     let last = codings.to_str().ok().and_then(|codings| codings.rsplit(',').next());
     last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
 }
+
+/// Encodes a text as the value of a header. Returns `None` if a header cannot hold it, or if its
+/// recipient would remove blanks around it or take it for absent.
+pub fn encode_text(text: &str) -> Option<HeaderValue> {
+    let is_unchanged = !text.is_empty() && text.trim_matches([' ', '\t']) == text;
+    HeaderValue::from_bytes(text.as_bytes()).ok().filter(|_| is_unchanged)
+}
+
+/// Decodes the value of a header that [`encode_text`] has encoded. Returns `None` if it is no text.
+pub fn decode_text(value: &HeaderValue) -> Option<&str> {
+    std::str::from_utf8(value.as_bytes()).ok()
+}
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -19,7 +19,9 @@
 pub use client::{Client, ResponseBody, ReuseOutcome, SendError};
 pub use connection_handle::ConnectionHandle;
 pub use connections::{Connections, Phase, PhaseCounts};
-pub use headers::{get_framing, remove_hop_by_hop, remove_standard_hop_by_hop};
+pub use headers::{
+    decode_text, encode_text, get_framing, remove_hop_by_hop, remove_standard_hop_by_hop,
+};
 pub use progress::Progress;
 pub use server::{Limits, Server};
 pub use shutdown::{Shutdown, StopSignal};
--- a/crates/gateway/src/node/peers/server_relay.rs
+++ b/crates/gateway/src/node/peers/server_relay.rs
@@ -23,7 +23,7 @@
 
 use crate::backend::{self, Mismatch, SendError};
 use crate::event::{self, Event};
-use crate::http::{Body, get_framing, remove_standard_hop_by_hop};
+use crate::http::{Body, decode_text, encode_text, get_framing, remove_standard_hop_by_hop};
 use crate::metrics::{ReasonCounters, ReasonLabels};
 use crate::node::InFlightGuard;
 use crate::node::{Node, server_paths};
@@ -147,7 +147,7 @@
     mut request: Request<Incoming>,
 ) -> Result<Response<Body>, Outcome> {
     let id = request.headers_mut().remove(SERVER_HEADER);
-    let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("");
+    let id = id.as_ref().and_then(decode_text).unwrap_or("");
     let version = request.headers_mut().remove(VERSION_HEADER);
     let server = node.with(|state| state.directory.get_ready(id).cloned());
     let is_picked = |server: &Server| {
@@ -363,7 +363,7 @@
 /// Adds the headers that name the server and its software version. Returns `None` if one of them
 /// cannot be part of a header.
 fn address_to(server: &Server, mut request: Request<Body>) -> Option<Request<Body>> {
-    let value = HeaderValue::from_str(&server.id).ok()?;
+    let value = encode_text(&server.id)?;
     let version = HeaderValue::from_bytes(server.version.as_bytes()).ok()?;
     request.headers_mut().insert(SERVER_HEADER, value);
     request.headers_mut().insert(VERSION_HEADER, version);
--- a/crates/gateway/src/port/header_codec.rs
+++ b/crates/gateway/src/port/header_codec.rs
@@ -3,8 +3,8 @@
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
 use hyper::http::{request, response};
-use keeljunction_core::Millis;
 use keeljunction_core::serving::backpressure::Signal;
+use keeljunction_core::{Error, Millis};
 
 /// Translates between the HTTP headers of callers and servers and the gateway's own types.
 #[derive(Clone)]
@@ -13,8 +13,9 @@
     pub request_id: HeaderName,
     /// Decodes the head of a caller's request.
     pub decode_request: fn(&request::Parts) -> RequestHead,
-    /// Converts a caller's headers into the headers for a server.
-    pub encode_request: fn(&mut HeaderMap, &ForwardContext<'_>),
+    /// Converts a caller's headers into the headers for a server. Fails if a header cannot hold the
+    /// server's ID or the name of the client account.
+    pub encode_request: fn(&mut HeaderMap, &ForwardContext<'_>) -> Result<(), Error>,
     /// Decodes the head of a server's response, which carries the ID of its request.
     pub decode_response: fn(&response::Parts) -> ResponseHead,
 }
