fix(serve): encode text in paths of objects and attempts, and in keys of rows

The key of an object and the ID of an attempt were part of a path as they were, and the names of a client account and a service part of the key of a row. Objects are named by digests, but that of a bundle comes from a row that operators write; IDs of attempts are made by nodes. The key of a claim was ambiguous: account "duty/night" with the key "k" and account "duty" with the key "night/k" shared one row, so that one would get the other's answer, or none. In the same way the intents of service "a" included those of a service "a/b".

Change: http::Target and core::percent::encode there as well; the stand-ins decode one segment, strictly. A plain name is encoded as itself. The lease of a service has its name alone behind a fixed prefix and is not ambiguous; records in the object store are named by a digest over text with a separator that no key holds.

Before: platform::the_key_of_an_object_is_one_segment_of_its_path: "a b" was not sent, and "a/b", "a?b", "a#b" went to other paths; row_key("duty", "night/k") == row_key("duty/night", "k"). After: both pass.

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -10,6 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::percent;
+
 /// A claim, as stored in the table service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
@@ -78,5 +80,5 @@
 
 /// Returns the row key of a request key. Request keys are scoped to their client account.
 pub fn row_key(account: &str, key: &str) -> String {
-    format!("claim/{account}/{key}")
+    format!("claim/{}/{key}", percent::encode(account))
 }
--- a/crates/core/tests/core/claim.rs
+++ b/crates/core/tests/core/claim.rs
@@ -44,6 +44,8 @@
 fn a_key_is_scoped_to_its_account() {
     assert_eq!(row_key("duty", "k"), "claim/duty/k");
     assert_ne!(row_key("duty", "k"), row_key("branch", "k"));
+    // Otherwise, the request of one account would get the answer to a request of the other.
+    assert_ne!(row_key("duty", "night/k"), row_key("duty/night", "k"));
 }
 
 /// An operation on the claim of one key.
--- a/crates/keeljunction/src/backend/engine.rs
+++ b/crates/keeljunction/src/backend/engine.rs
@@ -11,10 +11,11 @@
 use super::{
     ATTEMPT_HEADER, Client, KEY_HEADER, PREFILL_HEADER, PRIORITY_HEADER, SendError, Tokens, call,
 };
-use crate::http::{self, Body};
+use crate::http::{self, Body, Target};
 use crate::runtime;
 
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
+const ATTEMPTS_PATH: &str = "/attempts";
 
 /// A request to an engine.
 #[derive(Clone, Copy, Debug)]
@@ -110,14 +111,16 @@
     ///
     /// Returns a [`SendError`] if the engine does not respond or does not know the attempt.
     pub async fn attach(&self, attempt: &str, offset: u64) -> Result<Response<Tokens>, SendError> {
-        let path = format!("/attempts/{attempt}?from={offset}");
-        self.stream(self.request(Method::GET, &path).body(Body::empty())).await
+        let target =
+            Target::new(ATTEMPTS_PATH).with_segment(attempt).with_parameter("from", offset);
+        self.stream(self.request(Method::GET, target.as_str()).body(Body::empty())).await
     }
 
     /// Cancels an attempt whose tokens are no longer read. Returns `true` if the engine confirmed
     /// this.
     pub async fn cancel(&self, attempt: &str) -> bool {
-        let request = self.request(Method::DELETE, &format!("/attempts/{attempt}"));
+        let target = Target::new(ATTEMPTS_PATH).with_segment(attempt);
+        let request = self.request(Method::DELETE, target.as_str());
         match request.body(Body::empty()) {
             Ok(request) => self.exchange(request).await.is_ok(),
             Err(_) => false,
@@ -163,7 +166,8 @@
     ///
     /// Returns a [`SendError`] if the engine does not respond.
     pub async fn events(&self, from: u64) -> Result<Events, SendError> {
-        self.read(&format!("/cache/events?from={from}")).await
+        let target = Target::new("/cache/events").with_parameter("from", from);
+        self.read(target.as_str()).await
     }
 
     fn request(&self, method: Method, path: &str) -> hyper::http::request::Builder {
--- a/crates/keeljunction/src/node/fleet.rs
+++ b/crates/keeljunction/src/node/fleet.rs
@@ -7,9 +7,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use keeljunction_core::Millis;
 use keeljunction_core::bundle::Service;
 use keeljunction_core::fleet::{self, Demand, Offer, Plan};
+use keeljunction_core::{Millis, percent};
 use uuid::Uuid;
 
 use super::Node;
@@ -45,7 +45,7 @@
         if !is_needed(service) || lease_client.get_fence(node.now()).is_none() {
             return;
         }
-        let prefix = format!("intent/{}/", service.name);
+        let prefix = format!("intent/{}/", percent::encode(&service.name));
         let intents = match node.platform.scan(&prefix).await {
             Ok(rows) => rows,
             Err(fault) => return log::debug!("could not read the intents: {fault}"),
--- a/crates/keeljunction/src/platform/client.rs
+++ b/crates/keeljunction/src/platform/client.rs
@@ -10,11 +10,12 @@
 use serde::de::DeserializeOwned;
 
 use super::{Commit, Notice, Read, Row, Scan, Start, Started, Transaction, Vm};
-use crate::http::{self, Body};
+use crate::http::{self, Body, Target};
 use crate::runtime::{self, Clock};
 use crate::settings;
 
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
+const OBJECTS_PATH: &str = "/objects";
 
 /// The reason why a call to the platform failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -91,8 +92,8 @@
     ///
     /// Returns a [`Fault`] if the call fails.
     pub async fn put_object(&self, key: &str, content: Bytes) -> Result<(), Fault> {
-        let path = format!("/objects/{key}");
-        self.call(Method::PUT, &path, content.into()).await.map(|_| ())
+        let target = Target::new(OBJECTS_PATH).with_segment(key);
+        self.call(Method::PUT, &target, content.into()).await.map(|_| ())
     }
 
     /// Reads an object.
@@ -102,7 +103,8 @@
     /// Returns a [`Fault`] if the call fails. [`Fault::Refused`] with status 404 means that the
     /// object does not exist.
     pub async fn get_object(&self, key: &str) -> Result<Bytes, Fault> {
-        self.call(Method::GET, &format!("/objects/{key}"), Body::empty()).await
+        let target = Target::new(OBJECTS_PATH).with_segment(key);
+        self.call(Method::GET, &target, Body::empty()).await
     }
 
     /// Reads the VM list, which may be out of date.
@@ -111,7 +113,7 @@
     ///
     /// Returns a [`Fault`] if the call fails.
     pub async fn vms(&self) -> Result<Vec<Vm>, Fault> {
-        decode(&self.call(Method::GET, "/vms", Body::empty()).await?)
+        decode(&self.call(Method::GET, &Target::new("/vms"), Body::empty()).await?)
     }
 
     /// Reads the current reclaim notices.
@@ -120,7 +122,7 @@
     ///
     /// Returns a [`Fault`] if the call fails.
     pub async fn notices(&self) -> Result<Vec<Notice>, Fault> {
-        decode(&self.call(Method::GET, "/notices", Body::empty()).await?)
+        decode(&self.call(Method::GET, &Target::new("/notices"), Body::empty()).await?)
     }
 
     /// Starts a VM.
@@ -134,20 +136,20 @@
 
     async fn post_json<Q: Serialize, A: DeserializeOwned>(
         &self,
-        path: &str,
+        path: &'static str,
         content: &Q,
     ) -> Result<A, Fault> {
         let body =
             serde_json::to_vec(content).map_err(|error| Fault::NotSent(error.to_string()))?;
-        decode(&self.call(Method::POST, path, body.into()).await?)
+        decode(&self.call(Method::POST, &Target::new(path), body.into()).await?)
     }
 
-    async fn call(&self, method: Method, path: &str, body: Body) -> Result<Bytes, Fault> {
+    async fn call(&self, method: Method, target: &Target, body: Body) -> Result<Bytes, Fault> {
         let timeout = Duration::from_millis(self.settings.call_ms);
         self.wait_for_rate_limit().await?;
         let request = Request::builder()
             .method(method)
-            .uri(path)
+            .uri(target.as_str())
             .header("host", self.settings.address.to_string())
             .body(body)
             .map_err(|error| Fault::NotSent(error.to_string()))?;
--- a/crates/standin/src/engine/serve.rs
+++ b/crates/standin/src/engine/serve.rs
@@ -126,7 +126,8 @@
             reply::json(&json!({}))
         }
         (method, path) => {
-            match (method, path.strip_prefix("/attempts/"), path.strip_prefix("/kv/")) {
+            let attempt = path.strip_prefix("/attempts/").and_then(reply::decode_segment);
+            match (method, attempt.as_deref(), path.strip_prefix("/kv/")) {
                 (&Method::GET, Some(id), _) => attach(&engine, id, &request),
                 (&Method::DELETE, Some(id), _) => cancel(&engine, id),
                 (&Method::GET, _, Some(id)) => export_cache(&engine, id).await,
--- a/crates/standin/src/platform/serve.rs
+++ b/crates/standin/src/platform/serve.rs
@@ -106,8 +106,9 @@
         ("POST", "/cloud/start") => parse(content, |start: Start| start_vm(&mut state, start)),
         ("GET", "/cloud/started") => reply::json(&state.started_vms),
         ("GET", "/calls") => reply::json(&json!({ "calls": state.call_count })),
-        (_, path) => match path.strip_prefix("/objects/") {
-            Some(key) => access_object(&mut state, method, key, content),
+        (_, path) => match path.strip_prefix("/objects/").map(reply::decode_segment) {
+            Some(Some(key)) => access_object(&mut state, method, &key, content),
+            Some(None) => reply::status(StatusCode::BAD_REQUEST),
             None => reply::status(StatusCode::NOT_FOUND),
         },
     }
--- a/crates/standin/src/reply.rs
+++ b/crates/standin/src/reply.rs
@@ -9,6 +9,7 @@
 use hyper::{Request, Response, StatusCode};
 use keeljunction::backend::CALL_HEADER;
 use keeljunction::http::{Body, Limits, Server, Shutdown};
+use percent_encoding::percent_decode_str;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -35,6 +36,12 @@
     Response::new(Body::from_channel(receiver))
 }
 
+/// Decodes a path segment. Returns `None` if there are several, or if it is not text.
+pub fn decode_segment(segment: &str) -> Option<String> {
+    let decoded = percent_decode_str(segment).decode_utf8().ok()?;
+    (!segment.contains('/')).then(|| decoded.into_owned())
+}
+
 /// Reads a body; returns no bytes if reading fails.
 pub async fn read_body(body: Incoming) -> Bytes {
     keeljunction::http::read_body(body, MAX_BODY_BYTES).await.unwrap_or_default()
