fix(serve): decode VMs and reclaim notices one by one

Change: elements are decoded one by one; malformed ones are left out with a warning. Rows that are read by key stay strict: a claim that was left out would count as absent, and its request could run twice.

Before: platform::a_malformed_element_takes_no_other_vm_or_notice_away: Unknown("invalid value: integer `-1`, expected u64 at line 1 column 53"). After: passes.

--- a/crates/keeljunction/src/platform/client.rs
+++ b/crates/keeljunction/src/platform/client.rs
@@ -8,6 +8,7 @@
 use keeljunction_core::bucket::TokenBucket;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 
 use super::{Commit, Notice, Read, Row, Scan, Start, Started, Transaction, Vm};
 use crate::http::{self, Body, Target};
@@ -107,22 +108,22 @@
         self.call(Method::GET, &target, Body::empty()).await
     }
 
-    /// Reads the VM list, which may be out of date.
+    /// Reads the VM list, which may be out of date. Elements that are no VMs are left out.
     ///
     /// # Errors
     ///
     /// Returns a [`Fault`] if the call fails.
     pub async fn vms(&self) -> Result<Vec<Vm>, Fault> {
-        decode(&self.call(Method::GET, &Target::new("/vms"), Body::empty()).await?)
+        decode_list(&self.call(Method::GET, &Target::new("/vms"), Body::empty()).await?)
     }
 
-    /// Reads the current reclaim notices.
+    /// Reads the current reclaim notices. Elements that are no notices are left out.
     ///
     /// # Errors
     ///
     /// Returns a [`Fault`] if the call fails.
     pub async fn notices(&self) -> Result<Vec<Notice>, Fault> {
-        decode(&self.call(Method::GET, &Target::new("/notices"), Body::empty()).await?)
+        decode_list(&self.call(Method::GET, &Target::new("/notices"), Body::empty()).await?)
     }
 
     /// Starts a VM.
@@ -196,3 +197,15 @@
 fn decode<A: DeserializeOwned>(content: &[u8]) -> Result<A, Fault> {
     serde_json::from_slice(content).map_err(|error| Fault::Unknown(error.to_string()))
 }
+
+/// Decodes the elements of a list one by one, and leaves out those that are malformed.
+fn decode_list<A: DeserializeOwned>(content: &[u8]) -> Result<Vec<A>, Fault> {
+    // An element that is not UTF-8 is malformed, and not the whole list.
+    let content = String::from_utf8_lossy(content);
+    let elements: Vec<Box<RawValue>> = decode(content.as_bytes())?;
+    let decoded = elements.iter().map(|element| serde_json::from_str(element.get()));
+    let report = |error: &serde_json::Error| {
+        log::warn!("the platform listed a malformed element: {error}");
+    };
+    Ok(decoded.filter_map(|element| element.inspect_err(report).ok()).collect())
+}
--- a/crates/keeljunction/tests/platform.rs
+++ b/crates/keeljunction/tests/platform.rs
@@ -53,3 +53,19 @@
         assert!(targets.iter().all(is_segment), "{targets:?}");
     });
 }
+
+#[test]
+fn a_malformed_element_takes_no_other_vm_or_notice_away() {
+    const VMS: &str = r#"[{"name":"vm-1","role":{"server":"api"},"address":"127.0.0.1:1","data_centre":"z","state":"live"},
+        {"name":7}, null, "vm-2", {"name":"\ud800"}, {}]"#;
+    const NOTICES: &str =
+        r#"[{"vm":"vm-1","left_ms":5}, {"vm":"vm-2","left_ms":-1}, null, {"vm":7}]"#;
+    runtime::run(1, async {
+        let (address, _) = serve(NOTICES).await;
+        let notices = connect(address).notices().await.expect("a list");
+        assert_eq!(notices.iter().map(|notice| notice.vm.as_str()).collect::<Vec<_>>(), ["vm-1"]);
+        let (address, _) = serve(VMS).await;
+        let vms = connect(address).vms().await.expect("a list");
+        assert_eq!(vms.iter().map(|vm| vm.name.as_str()).collect::<Vec<_>>(), ["vm-1"]);
+    });
+}
