fix(watch): pause after a watch that ends early without changes

Seen in a test: a table service whose feeds answer at once, without changes, got 45,499 calls from one node in 2 s. Each call is charged, and the node and the service have time for little else.

A watch is held until something changes or the hold time ends; nothing bounded the calls if it is not.

Change: after a response that neither brings changes with a newer version nor was held, the next call waits 100 ms. A held one is repeated at once, as before, and changes are not delayed.

Ruled out: waiting for the rest of the hold time, which would delay a change by up to the time within which a configuration must be in force.

--- a/crates/gateway/src/node/watch/mod.rs
+++ b/crates/gateway/src/node/watch/mod.rs
@@ -31,6 +31,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// How long the node waits for an answer, in addition to the hold time of the call.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
+/// The pause after a watch that ended early without changes.
+const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Returns `true` if this node must read a table itself.
 fn should_read(node: &Node, is_old: fn(&Node) -> bool) -> bool {
@@ -64,6 +66,9 @@
 
 /// Follows a table's changes while the watch is wanted, until a call fails. `take` receives the
 /// rows and the time of their request.
+///
+/// After a response that neither brings changes nor was held, the next call waits for
+/// `MIN_WATCH_INTERVAL`.
 async fn follow(
     node: &Node,
     watch: &Watch,
@@ -76,6 +81,11 @@
         match table::watch(node, watch.table, version, watch.hold, ANSWER_TIMEOUT).await {
             Ok(rows) => {
                 take(&rows, asked_at);
+                let is_advancing = !rows.rows.is_empty() && rows.version > version;
+                let was_held = node.now() >= asked_at + watch.hold.as_millis() as Millis;
+                if !is_advancing && !was_held {
+                    runtime::sleep(MIN_WATCH_INTERVAL).await;
+                }
                 version = rows.version.max(version);
                 if let Some(delay) = watch.batch_delay.filter(|_| !rows.rows.is_empty()) {
                     runtime::sleep(delay).await;
