fix(server_path): begin a cut only if no probed server is reached

Seen in the test of odd values: with four entries of servers that are gone and two sound servers, a restarted node served 1 to 4 of 10 requests. The values themselves did no harm.

Cause: two servers that cannot be connected to lead to probes of three others, and a cut began if fewer than half of these were reached. Dead entries were probed, so the node took itself to be cut off and offered its requests to a peer, which did the same. A node is cut off if it reaches none of the servers.

Ruled out: the values: 30 kinds (nested lists and objects, numbers too large or negative, ports out of range, no text, nothing, fields twice, an end too early) end no node and keep none from following the list (an_entry_with_any_value_ends_no_node_and_takes_no_server_away). They were handled before; the test stays.

Change: a cut begins if no probed server is reached. It still ends after two rounds that reach most.

--- a/crates/core/src/serving/server_path/path.rs
+++ b/crates/core/src/serving/server_path/path.rs
@@ -98,13 +98,14 @@
         self.unreachable.contains(&server)
     }
 
-    /// Records a round of probes, which may begin or end a cut.
+    /// Records a round of probes, which may begin or end a cut. A cut begins if no server is reached,
+    /// and ends once most are: some of the listed servers may be gone.
     pub fn record_probes(&mut self, now: Millis, reached: usize, probed: usize) -> ProbeResult {
         self.is_probing = false;
-        let is_reached = reached * 2 > probed;
         let Some(cut) = &mut self.cut else {
-            return self.record_check(now, is_reached || probed == 0);
+            return self.record_check(now, reached > 0 || probed == 0);
         };
+        let is_reached = reached * 2 > probed;
         cut.reached_rounds = if is_reached { cut.reached_rounds + 1 } else { 0 };
         if cut.reached_rounds < REACHED_ROUNDS {
             return ProbeResult::Unchanged;
--- a/crates/core/tests/serving/server_path.rs
+++ b/crates/core/tests/serving/server_path.rs
@@ -37,6 +37,15 @@
     assert_eq!(path.get_way(1_000), Way::Direct);
 }
 
+#[test]
+fn a_cut_begins_only_if_no_server_is_reached() {
+    let mut path = Path::default();
+    path.record_unreachable(1, SERVERS);
+    assert!(path.record_unreachable(2, SERVERS));
+    assert_eq!(path.record_probes(1_000, 1, 3), ProbeResult::Unchanged);
+    assert_eq!(path.get_way(1_000), Way::Direct);
+}
+
 #[test]
 fn a_response_between_two_failures_shows_that_the_node_is_not_cut_off() {
     let mut path = Path::default();
