fix(metrics): escape names in labels

A quote or a backslash in the name of one tenant made a line that no reader can parse; some refuse the whole page.

Cause: the library that renders the page does not escape the values of labels.

Change: LabelText escapes what the OpenMetrics text format escapes (backslash, quote, line feed), for all labels whose text does not come from the code. Log lines are written as JSON by their library and need nothing.

Before: odd_names::the_name_of_a_tenant_is_escaped_in_metrics: keeljunction_requests_total{service="api",account="a"b\c",outcome="answered"} 1 After: account="a\"b\\c".

--- a/crates/gateway/src/exchange/respond.rs
+++ b/crates/gateway/src/exchange/respond.rs
@@ -221,7 +221,7 @@
         let shutdown = self.node.get_shutdown(now);
         let DeliveryState { first_token, longest_gap, .. } = self.delivery.get();
         self.outcome = self.delivery.get_outcome(self.outcome);
-        let text = |name: &Option<String>| name.clone().unwrap_or_default();
+        let text = |name: &Option<String>| name.as_deref().unwrap_or_default().into();
         let labels = RequestLabels {
             service: text(&self.service),
             account: text(&self.account),
@@ -229,7 +229,7 @@
         };
         self.node.metrics.requests.get_or_create(&labels).inc();
         if let Some(service) = &self.service {
-            let labels = ServiceLabels { service: service.clone() };
+            let labels = ServiceLabels { service: service.as_str().into() };
             let metrics = &self.node.metrics;
             metrics.total.get_or_create(&labels).observe(total as f64 / 1_000.0);
             if let Some(first) = first_token {
--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -2,13 +2,15 @@
 
 use prometheus_client::encoding::EncodeLabelSet;
 
+use super::label_text::LabelText;
+
 /// Labels of a request.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct RequestLabels {
     /// The service, or empty if none was found.
-    pub service: String,
+    pub service: LabelText,
     /// The client account, or empty if none was found.
-    pub account: String,
+    pub account: LabelText,
     /// The outcome, from a fixed set.
     pub outcome: String,
 }
@@ -17,16 +19,16 @@
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct ServiceLabels {
     /// The service.
-    pub service: String,
+    pub service: LabelText,
 }
 
 /// Labels of a number of servers.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct CapacityLabels {
     /// The service.
-    pub service: String,
+    pub service: LabelText,
     /// The region, or empty if no regions are configured.
-    pub region: String,
+    pub region: LabelText,
 }
 
 /// Label with the reason of an event, such as a failed attempt, a retry, an evicted upload or a
@@ -48,13 +50,13 @@
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct RegionLabels {
     /// The region, or `unknown` for data centres that are not in the settings.
-    pub region: String,
+    pub region: LabelText,
 }
 
 impl RegionLabels {
     /// Creates the label of a region.
     pub fn new(region: &str) -> Self {
-        Self { region: region.to_owned() }
+        Self { region: region.into() }
     }
 }
 
@@ -62,7 +64,7 @@
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct SpillLabels {
     /// The region that they were sent to.
-    pub region: String,
+    pub region: LabelText,
     /// The reason, from a fixed set.
     pub reason: String,
 }
@@ -70,7 +72,7 @@
 impl SpillLabels {
     /// Creates the labels of a region and a reason.
     pub fn new(region: &str, reason: &str) -> Self {
-        Self { region: region.to_owned(), reason: reason.to_owned() }
+        Self { region: region.into(), reason: reason.to_owned() }
     }
 }
 
@@ -78,7 +80,7 @@
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct AccountLabels {
     /// The client account.
-    pub account: String,
+    pub account: LabelText,
 }
 
 /// Label of a metric per kind of reserved memory.
--- a/crates/gateway/src/node/capacity_controller.rs
+++ b/crates/gateway/src/node/capacity_controller.rs
@@ -363,8 +363,7 @@
 
 /// Sets the metrics of the needed and the planned capacity of each region.
 fn set_metrics(node: &Node, name: &str, needs: &BTreeMap<String, u32>, plan: &Plan) {
-    let labels =
-        |region: &str| CapacityLabels { service: name.to_owned(), region: region.to_owned() };
+    let labels = |region: &str| CapacityLabels { service: name.into(), region: region.into() };
     for (region, need) in needs {
         node.metrics.capacity_need.get_or_create(&labels(region)).set(i64::from(*need));
     }
--- a/crates/gateway/src/node/crashes.rs
+++ b/crates/gateway/src/node/crashes.rs
@@ -76,7 +76,7 @@
     }
     let now = node.now();
     node.with(|state| state.health.record_connect_failure(now, &server.id));
-    let labels = ServiceLabels { service: server.service.clone() };
+    let labels = ServiceLabels { service: server.service.as_str().into() };
     node.metrics.servers_down.get_or_create(&labels).inc();
     let running = attempts.iter().map(|attempt| event::InterruptedRequest {
         fingerprint: attempt.fingerprint.to_string(),
@@ -100,7 +100,7 @@
     let now = node.now();
     let crash = make_prompt_crash(now, server, attempts);
     if node.with(|state| state.quarantine.record_prompt_reset(now, crash)) {
-        let labels = ServiceLabels { service: server.service.clone() };
+        let labels = ServiceLabels { service: server.service.as_str().into() };
         node.metrics.servers_reset.get_or_create(&labels).inc();
         peers::quarantine::send_reports(node).await;
     }
--- a/crates/gateway/src/node/gauges.rs
+++ b/crates/gateway/src/node/gauges.rs
@@ -60,7 +60,7 @@
         let Some(configuration) = state.configuration.clone() else { return };
         for service in configuration.services.keys() {
             let ready = state.directory.iter_ready(service).count() as i64;
-            let labels = ServiceLabels { service: service.clone() };
+            let labels = ServiceLabels { service: service.as_str().into() };
             gauges.ready_servers.get_or_create(&labels).set(ready);
             let retries = state.retry_budget.get_remaining(now, service, reach.known);
             gauges.retries_left.get_or_create(&labels).set(retries);
@@ -69,7 +69,7 @@
             let Some(available) = state.quotas.get_available(now, &account.name) else {
                 continue;
             };
-            let labels = AccountLabels { account: account.name.clone() };
+            let labels = AccountLabels { account: account.name.as_str().into() };
             gauges.quota_left.get_or_create(&labels).set(available);
         }
     });
--- a/crates/gateway/src/node/peers/link.rs
+++ b/crates/gateway/src/node/peers/link.rs
@@ -147,7 +147,7 @@
         let Some(region) = self.get_remote_region(to) else { return };
         self.cross_region_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
         self.cross_region_bytes_by_region
-            .get_or_create(&RegionLabels { region })
+            .get_or_create(&RegionLabels::new(&region))
             .inc_by(bytes as u64);
     }
 
