--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -294,7 +294,7 @@
     Some(request)
 }
 
-/// Returns what is wrong with a response head. A server that was replaced by another one at its
+/// Returns the fault of a response head, if any. A server that was replaced by another one at its
 /// address is marked as leaving.
 fn check_head(
     node: &Node,
@@ -317,7 +317,7 @@
     fault
 }
 
-/// Returns what is wrong with a response head.
+/// Returns the fault of a response head, if any.
 fn find_fault(parts: &Parts, head: &ResponseHead) -> Option<AttemptError> {
     let status = parts.status;
     if head.is_wrong_server {
--- a/crates/gateway/src/node/stream_archive/reader.rs
+++ b/crates/gateway/src/node/stream_archive/reader.rs
@@ -43,7 +43,7 @@
     Complete(Arc<HashMap<Key, Standing>>),
 }
 
-/// Returns what is archived of a stream's origin; `None` if neither this node nor the archivist could
+/// Returns the archived origin of a stream; `None` if neither this node nor the archivist could
 /// read it.
 ///
 /// The archivist reads for other nodes, so that a restart of many nodes causes few reads.
@@ -64,7 +64,7 @@
     })
 }
 
-/// Reads what is archived of a stream's origin; `None` if that failed. Requests for streams of one shard
+/// Reads the archived origin of a stream; `None` if that failed. Requests for streams of one shard
 /// share a read.
 pub(in crate::node) async fn read(node: &Arc<Node>, key: Key) -> Option<Answer> {
     let shard = Shard::of(key);
