--- a/review/6/case.py
+++ b/review/6/case.py
@@ -19,7 +19,7 @@
 
 
 async def attempt(record, node, path, last, resumes):
-    """One client attempt; returns its id, its status, the events and whether the stream is whole."""
+    """One client attempt; returns its id, the events, whether the stream is whole, and when to come back."""
     id = kj.Ids.next()
     lines = [
         "POST %s HTTP/1.1" % path, "Host: " + kj.HOST, "Keeljunction-Request-Id: " + id,
@@ -30,7 +30,7 @@
     if last:
         lines += ["Last-Event-Id: %d" % last, "Resumes: " + resumes]
     record.line("client sends", id, "to", node.name, "after event", last, "resumes", resumes)
-    status, events, whole, writer = 0, [], False, None
+    status, events, whole, writer, wait_s = 0, [], False, None, 0.2
     try:
         async with asyncio.timeout(15):
             host, port = node.callers.rsplit(":", 1)
@@ -38,10 +38,12 @@
             writer.write(("\r\n".join(lines) + "\r\n\r\n{}").encode())
             head = await kj.read_head(reader)
             if head is None:
-                return id, status, events, whole
+                return id, events, whole, wait_s
             status = int(head[0].split(" ")[1])
             if status != 200:
-                return id, status, events, whole
+                # Callers obey Retry-After up to a third of their time.
+                wait_s = min(float(head[1].get("retry-after", wait_s)), 5.0)
+                return id, events, whole, wait_s
             text = b""
             while True:
                 size = int((await reader.readline()).split(b";")[0], 16)
@@ -52,9 +54,9 @@
                     events.append((int(fields[b"id"]), fields[b"data"].decode()))
                 if size == 0:
                     whole = True
-                    return id, status, events, whole
+                    return id, events, whole, wait_s
     except (OSError, ValueError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-        return id, status, events, whole
+        return id, events, whole, wait_s
     finally:
         if writer is not None:
             writer.close()
@@ -98,7 +100,7 @@
                     node = random.choice(nodes)
                     last = got[-1][0] if got else 0
                     sent = kj.now()
-                    id, status, events, whole = await attempt(
+                    id, events, whole, wait_s = await attempt(
                         record, node, "/explain/%d" % number, last, first)
                     tries += 1
                     if last and first:
@@ -111,7 +113,7 @@
                     got += events
                     if whole:
                         break
-                    await asyncio.sleep(0.2)
+                    await asyncio.sleep(wait_s)
 
         readers = [asyncio.ensure_future(read_streams(number)) for number in range(CALLERS)]
         await asyncio.sleep(5)
