--- a/review/lib-2/kj.py
+++ b/review/standins_2.py
@@ -11,7 +11,7 @@
 import time
 from urllib.parse import parse_qs, unquote, urlsplit
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.path.join(ROOT, "target", "release", "keeljunction")
 HOST = "gauges.example"
 KEY = "key-of-acme"
@@ -522,9 +522,9 @@
     raise RuntimeError("no " + what + " in time")
 
 
-def main(run, folder):
-    """Runs a case; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
-    record = Record(os.path.join(folder, "record.txt"))
+def main(run, path):
+    """Runs a case and writes its record to `path`; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
+    record = Record(path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line("begins, TROUBLE=%d" % trouble)
 
