--- a/review/5/case.py
+++ b/review/5/case.py
@@ -4,10 +4,10 @@
 import signal
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
-import kj  # noqa: E402
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
+import standins_2 as kj  # noqa: E402
 
-FOLDER = os.path.dirname(os.path.abspath(__file__))
+RECORD = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
 NODES, CALLERS = 8, 16
 FIRST_S, SECOND_S = 12, 20
 DOWN_S, CONTACT_S = 1.0, 4.0
@@ -136,4 +136,4 @@
             await node.end()
 
 
-kj.main(run, FOLDER)
+kj.main(run, RECORD)
