--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,10 +3,10 @@
 import random
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
-import kj  # noqa: E402
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
+import standins_2 as kj  # noqa: E402
 
-FOLDER = os.path.dirname(os.path.abspath(__file__))
+RECORD = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
 NODES, CALLERS = 4, 200
 ORDER_S = 20
 HEARTBEATS_S = 3.6  # three heartbeats of silence, after which the entry of a server goes
@@ -164,4 +164,4 @@
             await node.end()
 
 
-kj.main(run, FOLDER)
+kj.main(run, RECORD)
